Lay the ground: build, checks, base layer and the decision interface

Cause: the tree is empty; every part needs one build, one checked table of settings, one log catalogue and one error scheme before it can start. Conclusion: parts can now be written side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,114 @@
+# Each folder of src/ named in LIBS goes into one archive; each folder named
+# in PROGS or STANDS is a program; each tests/*/test_*.c is a CUnit program.
+
+LIBS = base decide trace net table control filter
+PROGS = entry sched cli replay load burn
+STANDS = platform worker
+
+PREFIX ?= /usr/local
+BUILD ?= build
+BIN ?= bin
+CC ?= gcc
+OPT ?= -O2 -g
+SAN ?=
+PKGS = apr-1 glib-2.0 popt jansson libxxhash libsodium gsl libcurl \
+       libmicrohttpd libzmq msgpack gnutls
+PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null | sed 's/-I/-isystem /g')
+PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null)
+CFLAGS_ALL = -std=c11 -D_GNU_SOURCE -Wall -Wextra -Werror -Wshadow \
+  -Wstrict-prototypes -Wmissing-prototypes -Wno-missing-field-initializers \
+  $(OPT) $(SAN) -Iinclude -Isrc $(PKG_CFLAGS) $(CFLAGS)
+LIBS_ALL = $(PKG_LIBS) -lpthread -lm
+
+LIB_SRC := $(foreach d,$(LIBS),$(wildcard src/$d/*.c))
+LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
+LIB = $(BUILD)/libskr.a
+name_cli = skr
+prog_name = $(or $(name_$1),skr-$1)
+PROG_DIRS := $(foreach p,$(PROGS),$(if $(wildcard src/$p/*.c),$p))
+STAND_DIRS := $(foreach p,$(STANDS),$(if $(wildcard stand/$p/*.c),$p))
+PROG_BIN := $(foreach p,$(PROG_DIRS),$(BIN)/$(call prog_name,$p))
+STAND_BIN := $(STAND_DIRS:%=$(BIN)/skr-%)
+TEST_SRC := $(wildcard tests/*/test_*.c)
+TEST_BIN := $(TEST_SRC:tests/%.c=$(BUILD)/tests/%)
+SCRIPTS := $(sort $(wildcard tests/*/check_*.sh))
+C_FILES := $(shell find include src stand tests -name '*.[ch]' 2>/dev/null)
+C_UNITS := $(filter %.c,$(C_FILES))
+
+all: $(PROG_BIN) $(STAND_BIN)
+
+deps:
+	@.ci/install
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS_ALL) -MMD -MP -c $< -o $@
+
+$(LIB): $(LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+define program
+$(BIN)/$1: $(patsubst %.c,$(BUILD)/%.o,$(wildcard $2/*.c)) $(LIB)
+	@mkdir -p $(BIN)
+	$$(CC) $$(SAN) -o $$@ $$(filter %.o,$$^) $(LIB) $$(LIBS_ALL)
+endef
+$(foreach p,$(PROG_DIRS),$(eval $(call program,$(call prog_name,$p),src/$p)))
+$(foreach p,$(STAND_DIRS),$(eval $(call program,skr-$p,stand/$p)))
+
+# Each fake_*.c of a test folder is linked into every test of that folder.
+.SECONDEXPANSION:
+$(BUILD)/tests/%: $(BUILD)/tests/%.o \
+    $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard tests/$$(*D)/fake_*.c)) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(SAN) -o $@ $(filter %.o,$^) $(LIB) $(LIBS_ALL) -lcunit
+
+build-tests: $(TEST_BIN)
+
+check: deps
+	@$(MAKE) -s -j$(shell nproc) all build-tests
+	@tests/run $(TEST_BIN) $(SCRIPTS)
+
+demo: deps
+	@$(MAKE) -s -j$(shell nproc) all
+	@tests/demo
+
+asan:
+	$(MAKE) -j$(shell nproc) BUILD=build/asan BIN=build/asan/bin \
+	  SAN='-fsanitize=address,undefined -fno-omit-frame-pointer' all build-tests
+	BIN=build/asan/bin tests/run $(TEST_SRC:tests/%.c=build/asan/tests/%)
+
+bench: all
+	@tests/bench
+
+format:
+	clang-format -i $(C_FILES)
+
+format-check:
+	clang-format --dry-run -Werror $(C_FILES)
+
+# A unit is checked again only when it or a header has changed.
+TIDY := $(C_UNITS:%.c=$(BUILD)/tidy/%.ok)
+$(BUILD)/tidy/%.ok: %.c .clang-tidy $(filter %.h,$(C_FILES))
+	@mkdir -p $(@D)
+	@clang-tidy --quiet $< -- $(filter-out -Werror,$(CFLAGS_ALL)) 2>$@.err \
+	  || { cat $@.err; exit 1; }
+	@touch $@
+
+lint:
+	@$(MAKE) -s -k -j$(shell nproc) tidy
+tidy: $(TIDY)
+
+install: all
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/share/man/man1
+	install -m 755 $(PROG_BIN) $(DESTDIR)$(PREFIX)/bin
+	$(foreach m,$(wildcard man/*.1),install -m 644 $(m) $(DESTDIR)$(PREFIX)/share/man/man1;)
+
+clean:
+	rm -rf $(BUILD) $(BIN)
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
+
+.PHONY: all deps build-tests check demo asan bench format format-check lint \
+  tidy install clean
+.SECONDARY:
--- /dev/null
+++ b/include/skr/decide.h
@@ -0,0 +1,200 @@
+/* The scheduling decisions of one cell: events in, actions out.  Pure: no
+   I/O, no threads, no clock of its own.  Workers, accounts and jobs are
+   dense handles from 0 that the caller assigns; names stay with it.  */
+#ifndef SKR_DECIDE_H
+#define SKR_DECIDE_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+enum dc_error
+{
+  DC_OK = 0,
+  DC_EINVAL = -201, /* bad field in an event */
+  DC_ENOMEM = -202, /* allocation failed */
+  DC_EORDER = -203, /* time went back */
+  DC_EEXIST = -204, /* handle already in use */
+  DC_ENOENT = -205, /* unknown handle */
+  DC_EBROKEN = -206 /* an invariant does not hold; see dc_broken */
+};
+
+enum
+{
+  DC_MAX_ACCELERATORS = 64, /* of one worker */
+  DC_MAX_TASKS = 4096,      /* of one job */
+  DC_MAX_SHAPES = 16,       /* of one guarantee */
+  DC_CHECKPOINT_MS = 2000
+};
+
+enum dc_class
+{
+  DC_URGENT,
+  DC_BULK
+};
+
+enum dc_event_kind
+{
+  DC_EV_WORKER,  /* joins, or comes back */
+  DC_EV_LEAVING, /* tasks end, nothing new starts */
+  DC_EV_DOWN,    /* its tasks are lost at once */
+  DC_EV_PLAN,    /* replaces an account's guarantee */
+  DC_EV_SUBMIT,
+  DC_EV_CANCEL,
+  DC_EV_TASK_DONE,    /* one task of a running attempt ended well */
+  DC_EV_TASK_FAILED,  /* one task reported failure */
+  DC_EV_CHECKPOINTED, /* a preempted gang has freed its places */
+  DC_EV_ADOPT,        /* recovery: a gang already runs at these places */
+  DC_EV_LOST          /* one task of an attempt is gone, its worker is up */
+};
+
+struct dc_shape
+{
+  int32_t size, count; /* COUNT groups of SIZE adjacent accelerators */
+};
+
+struct dc_place
+{
+  uint32_t worker;
+  uint64_t accelerators; /* bit i: accelerator i */
+};
+
+struct dc_job_spec
+{
+  uint32_t account;
+  enum dc_class class;
+  int32_t tasks;
+  int32_t per_task;    /* accelerators of one task; 0: a slot only */
+  int64_t declared_ms; /* a hint that may be far off */
+  int repeatable, preemptible;
+};
+
+struct dc_event
+{
+  enum dc_event_kind kind;
+  int64_t at_ms;
+  union
+  {
+    struct
+    {
+      uint32_t id, rack, domain;
+      int32_t accelerators, slots;
+    } worker;
+    uint32_t worker_id; /* leaving, down */
+    struct
+    {
+      uint32_t account;
+      int64_t version;
+      int shapes;
+      struct dc_shape shape[DC_MAX_SHAPES];
+    } plan;
+    struct
+    {
+      uint32_t id;
+      struct dc_job_spec spec;
+    } submit;
+    uint32_t job; /* cancel */
+    struct
+    {
+      uint32_t job, task;
+      int32_t attempt;
+    } task; /* done, failed, lost; checkpointed ignores TASK */
+    struct
+    {
+      uint32_t job;
+      int32_t attempt;              /* of the running gang */
+      const struct dc_place *place; /* one for each task, in order */
+    } adopt;                        /* after the submit of the same job */
+  } u;
+};
+
+enum dc_action_kind
+{
+  DC_ACT_PLAN_ACCEPTED,
+  DC_ACT_PLAN_REFUSED,
+  DC_ACT_START,
+  DC_ACT_PREEMPT, /* checkpoint now; DC_EV_CHECKPOINTED answers it */
+  DC_ACT_STOP,    /* end the attempt's remaining tasks now, no checkpoint;
+                     the places are free at once in the decision state */
+  DC_ACT_REQUEUE,
+  DC_ACT_DONE,
+  DC_ACT_FAILED,
+  DC_ACT_CANCELLED,
+  DC_ACT_UNKNOWN,
+  DC_ACT_REFUSED, /* it was never started */
+  DC_ACT_QUARANTINE,
+  DC_ACT_READMIT
+};
+
+struct dc_action
+{
+  enum dc_action_kind kind;
+  int64_t at_ms;
+  uint32_t id; /* account, job or worker, by KIND */
+  int32_t attempt;
+  int64_t version;              /* of a plan */
+  const char *reason;           /* static text, or NULL */
+  const struct dc_place *place; /* start: one for each task */
+  int32_t places;
+};
+
+enum dc_policy
+{
+  DC_POLICY_DEFAULT,
+  DC_POLICY_FIFO_FIRST_FIT,
+  DC_POLICY_BEST_FIT
+};
+
+struct dc_config
+{
+  enum dc_policy policy;
+  double weight_completion, weight_fragmentation;
+  int32_t spare_workers; /* worker failures that all guarantees survive */
+  int check;             /* assert every invariant at each event */
+  int64_t lost_after_ms; /* unused by replay */
+};
+
+struct dc; /* see dc_new; sized by the decide layer */
+
+/* Bytes that the caller provides for dc_init, suitably aligned.  */
+size_t dc_size (void);
+int dc_init (struct dc *dc, const struct dc_config *config);
+void dc_fini (struct dc *dc);
+
+/* Applies one event.  Actions that follow from it without a choice (ends,
+   refusals, requeues) and those of dc_decide gather in an inner list.  */
+int dc_apply (struct dc *dc, const struct dc_event *event);
+/* Makes every decision that is open at NOW_MS.  To be called once after all
+   events of one instant.  */
+int dc_decide (struct dc *dc, int64_t now_ms);
+/* The next moment at which dc_decide has something to do without an event
+   (probes, age limits), or -1.  */
+int64_t dc_next_ms (const struct dc *dc);
+/* Takes the next action; returns 1, or 0 when there is none.  Pointers in
+   it hold until the next dc_apply.  */
+int dc_take (struct dc *dc, struct dc_action *action);
+
+/* Checks a whole list of guarantees against a fleet without a state: would
+   all fit at once with SPARE_WORKERS lost?  Returns 0 or DC_EINVAL and sets
+   REASON.  */
+struct dc_fleet_worker
+{
+  uint32_t rack, domain;
+  int32_t accelerators, slots;
+};
+struct dc_guarantee
+{
+  uint32_t account;
+  int shapes;
+  struct dc_shape shape[DC_MAX_SHAPES];
+};
+int dc_plans_fit (const struct dc_fleet_worker *worker, int workers,
+                  const struct dc_guarantee *guarantee, int guarantees,
+                  int32_t spare_workers, const char **reason);
+
+/* Names the invariant that dc_apply or dc_decide found broken.  */
+const char *dc_broken (const struct dc *dc);
+/* Bytes of state held now.  */
+size_t dc_bytes (const struct dc *dc);
+const char *dc_strerror (int error);
+
+#endif
--- /dev/null
+++ b/include/skr/events.h
@@ -0,0 +1,32 @@
+/* The numbers of log events.  A number is never given a new meaning.
+   100 base, 200 decide, 300 net, 400 table, 500 control, 600 filter,
+   700 programs.  */
+#ifndef SKR_EVENTS_H
+#define SKR_EVENTS_H
+
+enum lg_event
+{
+  /* base */
+  LG_STARTED = 101,
+  LG_STOPPING = 102,
+  LG_STOPPED = 103,
+
+  /* net */
+  LG_LISTEN_FAILED = 301,
+
+  /* table */
+  LG_TABLE_DOWN = 401,
+  LG_TABLE_BACK = 402,
+
+  /* control */
+  LG_CELL_TAKEN = 501,
+  LG_CELL_LOST = 502,
+
+  /* filter */
+  LG_REQUEST_UNKNOWN = 601,
+
+  /* programs */
+  LG_BAD_KEY = 701
+};
+
+#endif
--- /dev/null
+++ b/src/base/log.c
@@ -0,0 +1,150 @@
+#define G_LOG_DOMAIN "skr"
+#include <glib.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "skr/base.h"
+#include "skr/log.h"
+
+enum
+{
+  MAX_FIELDS = 12,
+  LINE_SIZE = 1024 /* bytes */
+};
+
+enum output
+{
+  OUT_PLAIN,
+  OUT_JSON,
+  OUT_JOURNALD
+};
+
+static const char *log_program = "skr";
+static enum output log_output = OUT_PLAIN;
+static enum lg_level log_level = LG_INFO;
+
+static GLogLevelFlags
+glib_level (enum lg_level level)
+{
+  switch (level)
+    {
+    case LG_ERROR:
+      return G_LOG_LEVEL_CRITICAL;
+    case LG_WARNING:
+      return G_LOG_LEVEL_WARNING;
+    case LG_NOTICE:
+      return G_LOG_LEVEL_MESSAGE;
+    case LG_INFO:
+      return G_LOG_LEVEL_INFO;
+    case LG_DEBUG:
+      return G_LOG_LEVEL_DEBUG;
+    }
+  return G_LOG_LEVEL_MESSAGE;
+}
+
+static GLogWriterOutput
+write_line (GLogLevelFlags level, const GLogField *fields, gsize count,
+            gpointer arg)
+{
+  (void)arg;
+  if (log_output == OUT_JOURNALD)
+    return g_log_writer_journald (level, fields, count, NULL);
+  for (gsize i = 0; i < count; i++)
+    if (!strcmp (fields[i].key, "MESSAGE"))
+      fprintf (stderr, "%s\n", (const char *)fields[i].value);
+  return G_LOG_WRITER_HANDLED;
+}
+
+int
+lg_init (const char *program, const char *output, enum lg_level level)
+{
+  log_program = program;
+  log_level = level;
+  if (!strcmp (output, "plain"))
+    log_output = OUT_PLAIN;
+  else if (!strcmp (output, "json"))
+    log_output = OUT_JSON;
+  else if (!strcmp (output, "journald"))
+    log_output = OUT_JOURNALD;
+  else
+    return BS_EINVAL;
+  g_log_set_writer_func (write_line, NULL, NULL);
+  return BS_OK;
+}
+
+static const struct lg_entry *
+find_entry (enum lg_event id)
+{
+  const struct lg_entry *e = lg_catalogue;
+
+  while (e->name && e->id != id)
+    e++;
+  return e;
+}
+
+static char *
+plain_line (const struct lg_entry *e, int count, const struct lg_field *f)
+{
+  GString *s = g_string_new (NULL);
+
+  g_string_printf (s, "%lld %s %d %s", (long long)bs_wall_ms (), log_program,
+                   (int)e->id, e->name ? e->name : "?");
+  for (int i = 0; i < count; i++)
+    if (f[i].text)
+      g_string_append_printf (s, " %s=\"%s\"", f[i].name, f[i].text);
+    else
+      g_string_append_printf (s, " %s=%lld", f[i].name,
+                              (long long)f[i].number);
+  return g_string_free (s, FALSE);
+}
+
+static char *
+json_line (const struct lg_entry *e, int count, const struct lg_field *f)
+{
+  json_t *o = json_object ();
+  char *dump, *line;
+
+  json_object_set_new (o, "at", json_integer (bs_wall_ms ()));
+  json_object_set_new (o, "program", json_string (log_program));
+  json_object_set_new (o, "event", json_integer (e->id));
+  json_object_set_new (o, "name", json_string (e->name ? e->name : "?"));
+  for (int i = 0; i < count; i++)
+    json_object_set_new (o, f[i].name,
+                         f[i].text ? json_string (f[i].text)
+                                   : json_integer (f[i].number));
+  dump = json_dumps (o, JSON_COMPACT);
+  line = g_strdup (dump ? dump : "{}");
+  free (dump);
+  json_decref (o);
+  return line;
+}
+
+void
+lg_log (enum lg_event id, int count, const struct lg_field *fields)
+{
+  const struct lg_entry *e = find_entry (id);
+  char number[16], value[MAX_FIELDS][32];
+  GLogField out[MAX_FIELDS + 2];
+  char *line;
+
+  if (e->name && e->level > log_level)
+    return;
+  if (count > MAX_FIELDS)
+    count = MAX_FIELDS;
+  line = log_output == OUT_JSON ? json_line (e, count, fields)
+                                : plain_line (e, count, fields);
+  snprintf (number, sizeof number, "%d", (int)id);
+  out[0] = (GLogField){ "MESSAGE", line, -1 };
+  out[1] = (GLogField){ "SKR_EVENT", number, -1 };
+  for (int i = 0; i < count; i++)
+    {
+      snprintf (value[i], sizeof value[i], "%lld",
+                (long long)fields[i].number);
+      out[i + 2]
+          = (GLogField){ fields[i].name,
+                         fields[i].text ? fields[i].text : value[i], -1 };
+    }
+  g_log_structured_array (glib_level (e->level), out, (gsize)count + 2);
+  g_free (line);
+}
--- /dev/null
+++ b/src/base/opt.c
@@ -0,0 +1,193 @@
+#include <ctype.h>
+#include <errno.h>
+#include <popt.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "skr/base.h"
+#include "skr/opt.h"
+
+enum
+{
+  EXIT_USAGE = 2,
+  NAME_SIZE = 64, /* bytes */
+  MAX_DEFS = 96,
+  OPT_VERSION = MAX_DEFS + 1,
+  OPT_HELP = MAX_DEFS + 2
+};
+
+static void
+env_name (char *out, const char *name)
+{
+  static const char prefix[] = "SKR_";
+  size_t n = sizeof prefix - 1;
+
+  memcpy (out, prefix, n);
+  for (; *name && n + 1 < NAME_SIZE; name++)
+    out[n++] = *name == '-' ? '_' : (char)toupper ((unsigned char)*name);
+  out[n] = '\0';
+}
+
+static void
+reject (const char *prog, const struct opt_def *def, const char *value)
+{
+  char env[NAME_SIZE];
+  const char *what = def->type == OPT_STRING ? " characters" : "";
+
+  env_name (env, def->name);
+  fprintf (stderr,
+           "%s: --%s (%s): \"%s\" is not allowed; "
+           "must be %lld to %lld%s%s%s\n",
+           prog, def->name, env, value, (long long)def->min,
+           (long long)def->max, what, *def->unit ? ", unit " : "", def->unit);
+  exit (EXIT_USAGE);
+}
+
+static void
+assign (const char *prog, const struct opt_def *def, void *target,
+        const char *value)
+{
+  char *field = (char *)target + def->offset;
+  char *end;
+  long long n;
+
+  if (def->type == OPT_STRING)
+    {
+      n = (long long)strlen (value);
+      if (n < def->min || n > def->max)
+        reject (prog, def, value);
+      memcpy (field, &value, sizeof value);
+      return;
+    }
+  errno = 0;
+  n = strtoll (value, &end, 10);
+  if (errno || end == value || *end || n < def->min || n > def->max)
+    reject (prog, def, value);
+  if (def->type == OPT_FLAG)
+    *(int *)(void *)field = n != 0;
+  else
+    *(int64_t *)(void *)field = n;
+}
+
+static void
+print_help (const struct opt_def *defs, const char *prog, const char *usage,
+            const char *about)
+{
+  char env[NAME_SIZE];
+
+  printf ("Usage: %s %s\n%s\n\nSettings:\n", prog, usage, about);
+  for (const struct opt_def *d = defs; d->name; d++)
+    {
+      env_name (env, d->name);
+      printf ("  --%s%s (%s)\n      %s", d->name,
+              d->type == OPT_FLAG ? "" : "=VALUE", env, d->help);
+      if (d->type == OPT_INT)
+        printf ("; %lld to %lld%s%s", (long long)d->min, (long long)d->max,
+                *d->unit ? " " : "", d->unit);
+      if (d->type != OPT_FLAG)
+        printf ("; default \"%s\"", d->def);
+      printf ("\n");
+    }
+  printf ("  --help\n      print this text\n"
+          "  --version\n      print the version\n");
+}
+
+static const char *
+base_name (const char *path)
+{
+  const char *slash = strrchr (path, '/');
+
+  return slash ? slash + 1 : path;
+}
+
+static int
+build_table (const struct opt_def *defs, struct poptOption *table)
+{
+  int n = 0;
+
+  for (; defs[n].name && n < MAX_DEFS; n++)
+    table[n] = (struct poptOption){ defs[n].name,
+                                    '\0',
+                                    defs[n].type == OPT_FLAG ? POPT_ARG_NONE
+                                                             : POPT_ARG_STRING,
+                                    NULL,
+                                    n + 1,
+                                    NULL,
+                                    NULL };
+  table[n] = (struct poptOption){ "version",   '\0', POPT_ARG_NONE, NULL,
+                                  OPT_VERSION, NULL, NULL };
+  table[n + 1] = (struct poptOption){ "help",   '?',  POPT_ARG_NONE, NULL,
+                                      OPT_HELP, NULL, NULL };
+  table[n + 2] = (struct poptOption)POPT_TABLEEND;
+  return n;
+}
+
+static void
+take_rest (poptContext ctx, const char *prog, struct opt_rest *rest)
+{
+  const char **args = poptGetArgs (ctx);
+  int n = 0;
+
+  while (args && args[n])
+    n++;
+  if (!rest && n)
+    {
+      fprintf (stderr, "%s: unexpected argument \"%s\"\n", prog, args[0]);
+      exit (EXIT_USAGE);
+    }
+  if (!rest)
+    return;
+  rest->count = n;
+  rest->args = calloc ((size_t)n + 1, sizeof *rest->args);
+  if (!rest->args)
+    abort ();
+  for (int i = 0; i < n; i++)
+    rest->args[i] = strdup (args[i]);
+}
+
+void
+opt_parse (const struct opt_def *defs, void *target, int argc, char **argv,
+           const char *usage, const char *about, struct opt_rest *rest)
+{
+  struct poptOption table[MAX_DEFS + 3];
+  const char *prog = base_name (argv[0]);
+  char env[NAME_SIZE];
+  poptContext ctx;
+  int id;
+
+  for (const struct opt_def *d = defs; d->name; d++)
+    {
+      const char *value;
+
+      env_name (env, d->name);
+      value = getenv (env);
+      assign (prog, d, target, value ? value : d->def);
+    }
+  build_table (defs, table);
+  ctx = poptGetContext (prog, argc, (const char **)argv, table, 0);
+  while ((id = poptGetNextOpt (ctx)) > 0)
+    {
+      if (id == OPT_VERSION)
+        {
+          printf ("%s %s\n", prog, SKR_VERSION);
+          exit (0);
+        }
+      if (id == OPT_HELP)
+        {
+          print_help (defs, prog, usage, about);
+          exit (0);
+        }
+      /* popt's copy is kept: the target points at it for good.  */
+      assign (prog, &defs[id - 1], target,
+              defs[id - 1].type == OPT_FLAG ? "1" : poptGetOptArg (ctx));
+    }
+  if (id < -1)
+    {
+      fprintf (stderr, "%s: %s: %s\n", prog, poptBadOption (ctx, 0),
+               poptStrerror (id));
+      exit (EXIT_USAGE);
+    }
+  take_rest (ctx, prog, rest);
+  poptFreeContext (ctx);
+}
