--- a/Makefile
+++ b/Makefile
@@ -59,7 +59,8 @@
 # Each fake_*.c of a test folder is linked into every test of that folder.
 .SECONDEXPANSION:
 $(BUILD)/tests/%: $(BUILD)/tests/%.o \
-    $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard tests/$$(*D)/fake_*.c)) $(LIB)
+    $$(addprefix $(BUILD)/,$$(addsuffix .o,$$(basename \
+      $$(wildcard tests/$$(*D)/fake_*.c)))) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(SAN) -o $@ $(filter %.o,$^) $(LIB) $(LIBS_ALL) -lcunit
 
--- /dev/null
+++ b/src/decide/adopt.c
@@ -0,0 +1,140 @@
+/* Recovery: a gang that runs already is taken over where it is.  */
+#include "state.h"
+
+static bool
+place_is_free (const struct dc *dc, const struct dc_job *job,
+               const struct dc_place *place)
+{
+  const struct dc_worker *w;
+
+  if (place->worker >= dc->workers.n)
+    return false;
+  w = &dc->workers.v[place->worker];
+  return w->joined && w->up
+         && __builtin_popcountll (place->accelerators) == job->spec.per_task
+         && (place->accelerators & ~w->free_mask) == 0 && w->free.slots > 0;
+}
+
+static void
+take_back (struct dc *dc, const struct dc_job *job,
+           const struct dc_place *place, int32_t count)
+{
+  for (int32_t i = 0; i < count; i++)
+    {
+      struct dc_worker *w = &dc->workers.v[place[i].worker];
+
+      w->free_mask |= place[i].accelerators;
+      w->free = dc_plus (w->free, dc_need (job, 1), 1);
+    }
+}
+
+/* Whether all of PLACE is free, and no accelerator named twice.  */
+static bool
+places_are_free (struct dc *dc, const struct dc_job *job,
+                 const struct dc_place *place)
+{
+  int32_t n = 0;
+
+  for (; n < job->spec.tasks && place_is_free (dc, job, &place[n]); n++)
+    {
+      struct dc_worker *w = &dc->workers.v[place[n].worker];
+
+      w->free_mask &= ~place[n].accelerators;
+      w->free = dc_plus (w->free, dc_need (job, 1), -1);
+    }
+  take_back (dc, job, place, n);
+  return n == job->spec.tasks;
+}
+
+static bool
+in_one_worker (const struct dc_job *job, const struct dc_place *place)
+{
+  for (int32_t i = 1; i < job->spec.tasks; i++)
+    if (place[i].worker != place[0].worker)
+      return false;
+  return true;
+}
+
+/* A cell to charge the gang to, bound to its worker.  */
+static uint32_t
+cell_at (struct dc *dc, const struct dc_job *job, const struct dc_place *place)
+{
+  uint32_t cell = dc_charge_find (dc, job, DC_LEVEL_WORKER);
+  uint32_t worker = place[0].worker;
+
+  if (cell == DC_NONE || !in_one_worker (job, place))
+    return DC_NONE;
+  for (uint32_t id = dc->accounts.v[job->spec.account].cells; id != DC_NONE;
+       id = dc->cells.v[id].next)
+    if (dc_cell_part (dc, id, worker)
+        && dc_charge_spots (dc, id, job, DC_LEVEL_WORKER)
+        && dc->spots.v[0].worker == worker)
+      return id;
+  if (dc->cells.v[cell].jobs)
+    return DC_NONE;
+  dc_cell_unbind (dc, cell);
+  if (dc_cell_bind_at (dc, cell, worker))
+    return cell;
+  dc_cell_wait (dc, cell);
+  return DC_NONE;
+}
+
+static enum dc_kind
+kind_of (const struct dc *dc, const struct dc_job *job, uint32_t cell)
+{
+  if (dc->config.policy != DC_POLICY_DEFAULT)
+    return DC_KIND_SOFT;
+  if (cell != DC_NONE)
+    return DC_KIND_GUARANTEED;
+  return job->spec.preemptible ? DC_KIND_SOFT : DC_KIND_HARD;
+}
+
+/* Makes the books hold where other work was meant to go.  */
+static void
+settle (struct dc *dc, const struct dc_job *job, const struct dc_place *place)
+{
+  for (int32_t i = 0; i < job->spec.tasks; i++)
+    {
+      const struct dc_worker *w = &dc->workers.v[place[i].worker];
+      struct dc_amount idle = dc_plus (w->free, w->held, -1);
+
+      if (idle.accelerators < 0 || idle.slots < 0)
+        dc_worker_drop_pending (dc, place[i].worker);
+      dc_cell_settle (dc, place[i].worker);
+    }
+}
+
+int
+dc_job_adopt (struct dc *dc, const struct dc_event *e)
+{
+  uint32_t id = e->u.adopt.job, cell;
+  const struct dc_place *place = e->u.adopt.place;
+  struct dc_job *job;
+  int error;
+
+  if (id >= dc->jobs.n || dc->jobs.v[id].state == DC_UNUSED)
+    return DC_ENOENT;
+  job = &dc->jobs.v[id];
+  if (job->state == DC_PENDING)
+    dc_pending_drop (dc, id);
+  if (job->state != DC_QUEUED || e->u.adopt.attempt < 1)
+    return DC_EINVAL;
+  if (!places_are_free (dc, job, place))
+    return DC_EINVAL;
+  dc_queue_remove (dc, id);
+  cell = dc->config.policy == DC_POLICY_DEFAULT ? cell_at (dc, job, place)
+                                                : DC_NONE;
+  dc->spots.n = 0;
+  for (int32_t i = 0; i < job->spec.tasks; i++)
+    if (dc_add_spot (dc, place[i].worker, 1))
+      return DC_ENOMEM;
+  error = dc_gang_place (dc, id, kind_of (dc, job, cell), cell);
+  if (error)
+    return error;
+  job->attempt = e->u.adopt.attempt;
+  job->adopted = true;
+  job->level = DC_LEVEL_DOMAIN; /* the fleet is not all known yet */
+  dc_gang_adopt (dc, id, place);
+  settle (dc, job, place);
+  return DC_OK;
+}
--- /dev/null
+++ b/src/decide/cell.c
@@ -0,0 +1,311 @@
+/* Guaranteed cells and the workers that they are bound to.  A cell of S
+   accelerators also sets aside S slots, so that S tasks of one accelerator
+   can use it, or all that the largest workers of S accelerators have.  */
+#include "state.h"
+
+struct dc_part *
+dc_cell_part (const struct dc *dc, uint32_t cell, uint32_t worker)
+{
+  const struct dc_cell *c = &dc->cells.v[cell];
+
+  for (int32_t i = 0; i < c->parts; i++)
+    {
+      struct dc_part *part = pl_at (&dc->parts, c->part + (uint32_t)i);
+
+      if (part->worker == worker)
+        return part;
+    }
+  return NULL;
+}
+
+int
+dc_cell_new (struct dc *dc, uint32_t account, int32_t size, uint32_t *cell)
+{
+  struct dc_cell *c;
+
+  if (dc->free_cells != DC_NONE)
+    {
+      *cell = dc->free_cells;
+      dc->free_cells = dc->cells.v[*cell].next;
+    }
+  else
+    {
+      *cell = dc->cells.n;
+      if (DC_GROW (dc, dc->cells, *cell))
+        return DC_ENOMEM;
+    }
+  c = &dc->cells.v[*cell];
+  *c = (struct dc_cell){ .account = account, .size = size, .live = true };
+  if (account == DC_SPARE)
+    {
+      c->next = dc->spares;
+      dc->spares = *cell;
+    }
+  else
+    {
+      c->next = dc->accounts.v[account].cells;
+      dc->accounts.v[account].cells = *cell;
+    }
+  return DC_OK;
+}
+
+static void
+link_part (struct dc *dc, uint32_t id)
+{
+  struct dc_part *part = pl_at (&dc->parts, id);
+  struct dc_worker *w = &dc->workers.v[part->worker];
+
+  part->prev = DC_NONE;
+  part->next = w->parts;
+  if (part->next != DC_NONE)
+    ((struct dc_part *)pl_at (&dc->parts, part->next))->prev = id;
+  w->parts = id;
+}
+
+static void
+unlink_part (struct dc *dc, uint32_t id)
+{
+  struct dc_part *part = pl_at (&dc->parts, id);
+
+  if (part->prev != DC_NONE)
+    ((struct dc_part *)pl_at (&dc->parts, part->prev))->next = part->next;
+  else
+    dc->workers.v[part->worker].parts = part->next;
+  if (part->next != DC_NONE)
+    ((struct dc_part *)pl_at (&dc->parts, part->next))->prev = part->prev;
+}
+
+/* Binds CELL to the workers in dc->spots.  */
+static bool
+bind_spots (struct dc *dc, uint32_t cell, struct dc_amount unit)
+{
+  struct dc_cell *c = &dc->cells.v[cell];
+  uint32_t first = pl_take (&dc->parts, dc->spots.n);
+
+  if (first == DC_NONE)
+    return false;
+  c->part = first;
+  c->parts = (int32_t)dc->spots.n;
+  for (uint32_t i = 0; i < dc->spots.n; i++)
+    {
+      struct dc_spot spot = dc->spots.v[i];
+      struct dc_part *part = pl_at (&dc->parts, first + i);
+
+      *part = (struct dc_part){ .worker = spot.worker, .cell = cell };
+      part->size.accelerators = spot.tasks * unit.accelerators;
+      part->size.slots = spot.tasks * unit.slots;
+      link_part (dc, first + i);
+      dc->workers.v[spot.worker].cells
+          = dc_plus (dc->workers.v[spot.worker].cells, part->size, 1);
+      dc_fleet_refresh (dc, spot.worker);
+    }
+  if (c->account != DC_SPARE)
+    dc_account_touch (dc, c->account);
+  return true;
+}
+
+static struct dc_amount
+unit_of (const struct dc *dc, int32_t accelerators)
+{
+  int32_t slots = dc->slots_with[accelerators];
+
+  return (struct dc_amount){ accelerators,
+                             slots < accelerators ? slots : accelerators };
+}
+
+static int32_t
+largest_worker (const struct dc *dc)
+{
+  int32_t size = DC_MAX_ACCELERATORS;
+
+  while (size > 0 && dc->slots_with[size] == 0)
+    size--;
+  return size;
+}
+
+/* Searches room for a cell of SIZE: one worker, or whole workers of a rack
+   or domain, or the largest equal blocks that fit.  */
+static bool
+search_cell (struct dc *dc, int32_t size, enum dc_capacity cap,
+             struct dc_want *want)
+{
+  int32_t block = largest_worker (dc);
+
+  if (block == 0)
+    return false;
+  if (size <= block)
+    {
+      *want = (struct dc_want){ 1, unit_of (dc, size), DC_LEVEL_WORKER };
+      return dc_search (dc, want, cap);
+    }
+  for (; block > 0; block--)
+    if (size % block == 0)
+      {
+        *want = (struct dc_want){ size / block, unit_of (dc, block) };
+        want->level = dc_level_of (dc, want->tasks, block);
+        if (want->level != DC_LEVEL_NONE && want->level != DC_LEVEL_WORKER
+            && dc_search (dc, want, cap))
+          return true;
+      }
+  return false;
+}
+
+bool
+dc_cell_bind (struct dc *dc, uint32_t cell)
+{
+  struct dc_want want;
+  struct dc_cell *c = &dc->cells.v[cell];
+
+  if (!search_cell (dc, c->size, DC_CAP_UNRESERVED, &want))
+    return false;
+  c->level = want.level;
+  return bind_spots (dc, cell, want.unit);
+}
+
+void
+dc_cell_unbind (struct dc *dc, uint32_t cell)
+{
+  struct dc_cell *c = &dc->cells.v[cell];
+
+  if (c->jobs)
+    dc_charge_release_jobs (dc, cell);
+  for (int32_t i = 0; i < c->parts; i++)
+    {
+      uint32_t id = c->part + (uint32_t)i;
+      struct dc_part *part = pl_at (&dc->parts, id);
+      struct dc_worker *w = &dc->workers.v[part->worker];
+
+      unlink_part (dc, id);
+      w->cells = dc_plus (w->cells, part->size, -1);
+      dc_fleet_refresh (dc, part->worker);
+    }
+  if (c->parts)
+    pl_give (&dc->parts, c->part, (uint32_t)c->parts);
+  c->parts = 0;
+}
+
+/* Takes the unused rest of CELL out of the books, or puts it back.  */
+void
+dc_cell_suspend (struct dc *dc, uint32_t cell, int sign)
+{
+  const struct dc_cell *c = &dc->cells.v[cell];
+
+  for (int32_t i = 0; i < c->parts; i++)
+    {
+      struct dc_part *part = pl_at (&dc->parts, c->part + (uint32_t)i);
+      struct dc_worker *w = &dc->workers.v[part->worker];
+      struct dc_amount rest = dc_plus (part->size, part->used, -1);
+
+      w->cells = dc_plus (w->cells, rest, sign);
+      dc_fleet_refresh (dc, part->worker);
+    }
+}
+
+void
+dc_cell_drop (struct dc *dc, uint32_t cell)
+{
+  struct dc_cell *c = &dc->cells.v[cell];
+  uint32_t *link = c->account == DC_SPARE ? &dc->spares
+                                          : &dc->accounts.v[c->account].cells;
+
+  dc_cell_unbind (dc, cell);
+  while (*link != cell)
+    link = &dc->cells.v[*link].next;
+  *link = c->next;
+  c->live = false;
+  if (c->waiting)
+    return; /* freed when the waiting list meets it */
+  c->next = dc->free_cells;
+  dc->free_cells = cell;
+}
+
+/* Notes that CELL is bound nowhere.  */
+void
+dc_cell_wait (struct dc *dc, uint32_t cell)
+{
+  struct dc_cell *c = &dc->cells.v[cell];
+
+  if (c->waiting || DC_GROW (dc, dc->unbound, dc->unbound.n))
+    return;
+  dc->unbound.v[dc->unbound.n - 1] = cell;
+  c->waiting = true;
+  dc->rebind = true;
+}
+
+/* Takes every cell off WORKER, which may start nothing new.  */
+void
+dc_cell_evict (struct dc *dc, uint32_t worker)
+{
+  while (dc->workers.v[worker].parts != DC_NONE)
+    {
+      const struct dc_part *part
+          = pl_at (&dc->parts, dc->workers.v[worker].parts);
+      uint32_t cell = part->cell;
+
+      dc_cell_unbind (dc, cell);
+      dc_cell_wait (dc, cell);
+    }
+}
+
+/* Moves an unused cell to idle room outside all cells, for JOB to start
+   there at once.  */
+bool
+dc_cell_move (struct dc *dc, uint32_t cell, const struct dc_job *job)
+{
+  struct dc_want want;
+  struct dc_cell *c = &dc->cells.v[cell];
+
+  (void)job;
+  if (c->jobs || !search_cell (dc, c->size, DC_CAP_FIRM, &want))
+    return false;
+  dc_cell_unbind (dc, cell);
+  c->level = want.level;
+  return bind_spots (dc, cell, want.unit);
+}
+
+/* Binds a cell to one worker, if its size and the room there allow it.  */
+bool
+dc_cell_bind_at (struct dc *dc, uint32_t cell, uint32_t worker)
+{
+  struct dc_cell *c = &dc->cells.v[cell];
+  const struct dc_worker *w = &dc->workers.v[worker];
+  struct dc_amount unit;
+
+  if (c->size > w->total.accelerators || !dc_worker_open (w))
+    return false;
+  unit = unit_of (dc, c->size);
+  if (!dc_covers (dc_capacity (dc, w, DC_CAP_UNRESERVED), unit))
+    return false;
+  dc->spots.n = 0;
+  if (dc_add_spot (dc, worker, 1))
+    return false;
+  c->level = DC_LEVEL_WORKER;
+  return bind_spots (dc, cell, unit);
+}
+
+/* Takes unused cells off WORKER until its books hold again.  */
+void
+dc_cell_settle (struct dc *dc, uint32_t worker)
+{
+  const struct dc_worker *w = &dc->workers.v[worker];
+
+  while (w->parts != DC_NONE)
+    {
+      struct dc_amount rest = dc_capacity (dc, w, DC_CAP_UNRESERVED);
+      uint32_t id = w->parts, cell;
+
+      if (rest.accelerators >= 0 && rest.slots >= 0)
+        return;
+      while (id != DC_NONE)
+        {
+          const struct dc_part *part = pl_at (&dc->parts, id);
+
+          if (part->used.slots == 0 || part->next == DC_NONE)
+            break;
+          id = part->next;
+        }
+      cell = ((struct dc_part *)pl_at (&dc->parts, id))->cell;
+      dc_cell_unbind (dc, cell);
+      dc_cell_wait (dc, cell);
+    }
+}
--- /dev/null
+++ b/src/decide/charge.c
@@ -0,0 +1,150 @@
+/* Charges gangs to the cells of their account.  */
+#include "state.h"
+
+static struct dc_amount
+unit_of (const struct dc_job *job)
+{
+  return (struct dc_amount){ job->spec.per_task, 1 };
+}
+
+static bool
+failed_there (const struct dc_job *job, uint32_t worker)
+{
+  for (int i = 0; i < job->failures && i < DC_MAX_FAILED_WORKERS; i++)
+    if (job->failed_on[i] == worker)
+      return true;
+  return false;
+}
+
+static struct dc_amount
+rest_of (const struct dc_part *part)
+{
+  return dc_plus (part->size, part->used, -1);
+}
+
+static bool
+spots_in_one (struct dc *dc, const struct dc_cell *c, const struct dc_job *job)
+{
+  for (int32_t i = 0; i < c->parts; i++)
+    {
+      const struct dc_part *part = pl_at (&dc->parts, c->part + (uint32_t)i);
+
+      if (dc_covers (rest_of (part), dc_need (job, job->spec.tasks)))
+        return dc_add_spot (dc, part->worker, job->spec.tasks) == DC_OK;
+    }
+  return false;
+}
+
+/* Leaves in dc->spots the workers of CELL on which JOB fits.  */
+bool
+dc_charge_spots (struct dc *dc, uint32_t cell, const struct dc_job *job,
+                 enum dc_level level)
+{
+  const struct dc_cell *c = &dc->cells.v[cell];
+  int32_t left = job->spec.tasks;
+
+  dc->spots.n = 0;
+  if (level == DC_LEVEL_WORKER)
+    return spots_in_one (dc, c, job);
+  if (c->level > level)
+    return false;
+  for (int32_t i = 0; i < c->parts && left > 0; i++)
+    {
+      const struct dc_part *part = pl_at (&dc->parts, c->part + (uint32_t)i);
+      int32_t n = dc_tasks_in (rest_of (part), unit_of (job));
+
+      if (n > left)
+        n = left;
+      if (n > 0 && dc_add_spot (dc, part->worker, n))
+        return false;
+      left -= n;
+    }
+  return left == 0;
+}
+
+static int32_t
+rest_of_cell (const struct dc *dc, const struct dc_cell *c)
+{
+  int32_t rest = 0;
+
+  for (int32_t i = 0; i < c->parts; i++)
+    rest += rest_of (pl_at (&dc->parts, c->part + (uint32_t)i)).accelerators;
+  return rest;
+}
+
+static bool
+spots_failed (const struct dc *dc, const struct dc_job *job)
+{
+  for (uint32_t i = 0; i < dc->spots.n; i++)
+    if (failed_there (job, dc->spots.v[i].worker))
+      return true;
+  return false;
+}
+
+/* The cell of JOB's account with the least room in which it fits, where it
+   has not failed before if there is one; DC_NONE if it fits none.  */
+uint32_t
+dc_charge_find (struct dc *dc, const struct dc_job *job, enum dc_level level)
+{
+  uint32_t best = DC_NONE;
+  int32_t need = job->spec.tasks * job->spec.per_task, least = INT32_MAX;
+
+  if (job->spec.per_task == 0)
+    return DC_NONE;
+  for (uint32_t id = dc->accounts.v[job->spec.account].cells; id != DC_NONE;
+       id = dc->cells.v[id].next)
+    {
+      const struct dc_cell *c = &dc->cells.v[id];
+      int32_t rest;
+
+      if (c->parts == 0 || c->size < need)
+        continue;
+      rest = rest_of_cell (dc, c);
+      if (rest < need || !dc_charge_spots (dc, id, job, level))
+        continue;
+      if (spots_failed (dc, job))
+        rest += INT32_MAX / 2;
+      if (rest < least)
+        {
+          least = rest;
+          best = id;
+        }
+    }
+  return best;
+}
+
+static uint32_t
+job_on (const struct dc *dc, uint32_t cell, uint32_t worker)
+{
+  uint32_t t = dc->workers.v[worker].tasks;
+
+  while (t != DC_NONE)
+    {
+      const struct dc_task *task = pl_at (&dc->tasks, t);
+
+      if (dc->jobs.v[task->job].cell == cell)
+        return task->job;
+      t = task->next;
+    }
+  return DC_NONE;
+}
+
+/* Frees CELL of its gangs.  Those that run keep their places, and as they
+   were inside the guarantee they are not preempted for it.  */
+void
+dc_charge_release_jobs (struct dc *dc, uint32_t cell)
+{
+  const struct dc_cell *c = &dc->cells.v[cell];
+
+  for (int32_t i = 0; i < c->parts && c->jobs; i++)
+    {
+      const struct dc_part *part = pl_at (&dc->parts, c->part + (uint32_t)i);
+      uint32_t job;
+
+      while ((job = job_on (dc, cell, part->worker)) != DC_NONE)
+        if (dc->jobs.v[job].state == DC_PENDING)
+          dc_pending_drop (dc, job);
+        else
+          dc_gang_set (dc, job, dc->jobs.v[job].state, DC_KIND_HARD, DC_NONE);
+    }
+}
--- /dev/null
+++ b/src/decide/check.c
@@ -0,0 +1,234 @@
+/* Asserts the invariants by a recount from the gangs and cells alone, apart
+   from the books that the decisions use.  */
+#include <stdlib.h>
+
+#include "state.h"
+
+struct recount
+{
+  uint64_t mask;
+  struct dc_amount used, hard, guaranteed, soft, stopping, held, drained,
+      cells;
+};
+
+struct checker
+{
+  struct dc *dc;
+  struct recount *worker;
+  const char *broken;
+};
+
+static void
+expect (struct checker *k, bool holds, const char *name)
+{
+  if (!holds && !k->broken)
+    k->broken = name;
+}
+
+static bool
+same (struct dc_amount a, struct dc_amount b)
+{
+  return a.accelerators == b.accelerators && a.slots == b.slots;
+}
+
+static void
+add (struct dc_amount *sum, struct dc_amount a)
+{
+  *sum = dc_plus (*sum, a, 1);
+}
+
+static void
+count_task (struct checker *k, const struct dc_job *job, uint32_t id,
+            const struct dc_task *t)
+{
+  struct recount *r = &k->worker[t->worker];
+  const struct dc_worker *w = &k->dc->workers.v[t->worker];
+  struct dc_amount need = dc_need (job, 1);
+
+  expect (k, t->job == id, "task belongs to its gang");
+  if (job->state == DC_PENDING)
+    {
+      expect (k, dc_worker_open (w), "nothing waits for a closed worker");
+      add (job->kind == DC_KIND_SOFT ? &r->drained : &r->held, need);
+    }
+  else
+    {
+      expect (k, w->up, "no task on a worker that is down");
+      expect (k, __builtin_popcountll (t->mask) == job->spec.per_task,
+              "a task has the accelerators it asked for");
+      expect (k, (r->mask & t->mask) == 0, "no accelerator is held twice");
+      r->mask |= t->mask;
+      add (&r->used, need);
+    }
+  if (job->kind == DC_KIND_HARD)
+    add (&r->hard, need);
+  else if (job->kind == DC_KIND_GUARANTEED)
+    add (&r->guaranteed, need);
+  else if (job->state == DC_RUNNING)
+    add (&r->soft, need);
+  if (job->state == DC_CHECKPOINTING)
+    add (&r->stopping, need);
+}
+
+static void
+check_adjacent (struct checker *k, const struct dc_job *job)
+{
+  const struct dc *dc = k->dc;
+  const struct dc_task *first = dc_gang_task (dc, job, 0);
+  enum dc_level level = dc_level_of (dc, job->spec.tasks, job->spec.per_task);
+  uint32_t rack = dc->workers.v[first->worker].rack;
+
+  /* The fleet may have grown a larger worker since the start.  */
+  if (job->level > level)
+    level = job->level;
+  for (int32_t i = 1; i < job->spec.tasks; i++)
+    {
+      uint32_t worker = dc_gang_task (dc, job, i)->worker;
+
+      if (level == DC_LEVEL_WORKER)
+        expect (k, worker == first->worker, "a gang is in one worker");
+      else if (level == DC_LEVEL_RACK)
+        expect (k, dc->workers.v[worker].rack == rack,
+                "a gang is in one rack");
+      else
+        expect (k, dc_domain_of (dc, worker) == dc->racks.v[rack].domain,
+                "a gang is in one failure domain");
+    }
+}
+
+static void
+check_gang (struct checker *k, uint32_t id)
+{
+  struct dc *dc = k->dc;
+  const struct dc_job *job = &dc->jobs.v[id];
+  int32_t left = 0;
+
+  for (int32_t i = 0; i < job->spec.tasks; i++)
+    {
+      const struct dc_task *t = dc_gang_task (dc, job, i);
+
+      if (!t->live)
+        continue;
+      left++;
+      count_task (k, job, id, t);
+    }
+  expect (k, left == job->left && left > 0, "the tasks left are counted");
+  expect (k, job->state != DC_PENDING || left == job->spec.tasks,
+          "a gang waits whole");
+  expect (k, job->state != DC_CHECKPOINTING || job->kind == DC_KIND_SOFT,
+          "only borrowed work is preempted");
+  expect (k, (job->kind == DC_KIND_GUARANTEED) == (job->cell != DC_NONE),
+          "guaranteed work is in a cell");
+  expect (k,
+          job->cell == DC_NONE
+              || dc->cells.v[job->cell].account == job->spec.account,
+          "a cell serves its own account");
+  expect (k,
+          job->spec.repeatable || job->spec.preemptible || job->attempt <= 1
+              || job->adopted,
+          "a non-repeatable job starts at most once");
+  check_adjacent (k, job);
+}
+
+static void
+check_jobs (struct checker *k)
+{
+  struct dc *dc = k->dc;
+  uint32_t running = 0, queued = 0;
+
+  for (uint32_t i = 0; i < dc->jobs.n; i++)
+    {
+      const struct dc_job *job = &dc->jobs.v[i];
+
+      running += job->state == DC_RUNNING || job->state == DC_CHECKPOINTING;
+      queued += job->state == DC_QUEUED;
+      if (job->state >= DC_PENDING && job->state <= DC_CHECKPOINTING)
+        check_gang (k, i);
+      if (job->state == DC_QUEUED)
+        expect (k,
+                dc->queues.v[job->queue].jobs.v[job->position[0]] == i
+                    && dc->lanes.v[job->lane].jobs.v[job->position[1]] == i,
+                "a queued job is in its queues");
+    }
+  expect (k, running == dc->running_jobs, "running jobs are counted");
+  expect (k, queued == dc->queued_jobs, "queued jobs are counted");
+}
+
+static void
+check_cells (struct checker *k)
+{
+  struct dc *dc = k->dc;
+
+  for (uint32_t c = 0; c < dc->cells.n; c++)
+    {
+      const struct dc_cell *cell = &dc->cells.v[c];
+      int32_t size = 0;
+
+      if (!cell->live)
+        continue;
+      for (int32_t i = 0; i < cell->parts; i++)
+        {
+          const struct dc_part *part
+              = pl_at (&dc->parts, cell->part + (uint32_t)i);
+
+          size += part->size.accelerators;
+          add (&k->worker[part->worker].cells, part->size);
+          expect (k, dc_covers (part->size, part->used),
+                  "a cell is not used beyond its size");
+          expect (k, dc_worker_open (&dc->workers.v[part->worker]),
+                  "a cell is on workers that may start work");
+        }
+      expect (k, cell->parts == 0 ? cell->waiting : size == cell->size,
+              "a cell is whole, or waits for workers");
+    }
+}
+
+static void
+check_worker (struct checker *k, uint32_t id)
+{
+  const struct dc_worker *w = &k->dc->workers.v[id];
+  const struct recount *r = &k->worker[id];
+  struct dc_amount firm = dc_plus (r->hard, r->cells, 1);
+  struct dc_amount rest = dc_plus (r->cells, r->guaranteed, -1);
+  struct dc_amount can_free = dc_plus (w->total, r->hard, -1);
+
+  if (!w->joined)
+    return;
+  can_free = dc_plus (can_free, r->guaranteed, -1);
+  expect (k, dc_covers (w->total, r->used), "no slot is held twice");
+  expect (k, same (w->free, dc_plus (w->total, r->used, -1)),
+          "free room is counted");
+  expect (k, (r->mask & w->free_mask) == 0, "free accelerators are free");
+  expect (k, __builtin_popcountll (w->free_mask) == w->free.accelerators,
+          "free accelerators are counted");
+  expect (k,
+          same (w->hard, r->hard) && same (w->soft, r->soft)
+              && same (w->stopping, r->stopping) && same (w->held, r->held)
+              && same (w->drained, r->drained) && same (w->cells, r->cells),
+          "the books of a worker agree with a recount");
+  if (!dc_worker_open (w))
+    return;
+  expect (k, dc_covers (w->total, firm),
+          "cells and work that cannot be preempted fit together");
+  expect (k, dc_covers (can_free, rest),
+          "an unused guarantee can be made free");
+}
+
+int
+dc_check (struct dc *dc)
+{
+  struct checker k = { .dc = dc };
+
+  k.worker = calloc (dc->workers.n + 1, sizeof *k.worker);
+  if (!k.worker)
+    return DC_ENOMEM;
+  check_jobs (&k);
+  check_cells (&k);
+  for (uint32_t i = 0; i < dc->workers.n; i++)
+    check_worker (&k, i);
+  free (k.worker);
+  if (!k.broken)
+    return DC_OK;
+  dc->broken = k.broken;
+  return DC_EBROKEN;
+}
--- /dev/null
+++ b/src/decide/health.c
@@ -0,0 +1,324 @@
+/* Tells a worker that fails everything from a job that does.  A job that
+   failed here and does well elsewhere speaks against the worker; one that
+   fails elsewhere too speaks for it.  */
+#include <math.h>
+
+#include "state.h"
+
+enum
+{
+  FINE_TO_QUARANTINE = 2, /* jobs that do well elsewhere */
+  HOLD_BACK_AT = 2,       /* jobs that failed since the last success */
+  HOLD_BACK_MS = 30000,   /* longest wait for a verdict */
+  WATCH_MS = 500,         /* between two looks at a worker held back */
+  DISTINCT_BY_CHANCE = 5, /* failures for the verdict without retries */
+  READMIT_FIRST_MS = 60000,
+  READMIT_MOST_MS = 3600000
+};
+
+static const double CHANCE = 1e-7; /* below it, failures are the worker's */
+
+static void
+watch (struct dc *dc, uint32_t id, int64_t at_ms)
+{
+  struct dc_worker *w = &dc->workers.v[id];
+
+  w->watch_ms = at_ms;
+  if (w->sick || DC_GROW (dc, dc->sick, dc->sick.n))
+    return;
+  dc->sick.v[dc->sick.n - 1] = id;
+  w->sick = true;
+}
+
+void
+dc_health_reset (struct dc *dc, uint32_t id)
+{
+  struct dc_worker *w = &dc->workers.v[id];
+
+  w->health = DC_HEALTHY;
+  w->suspicions = 0;
+  w->quarantines = 0;
+  w->held_back = w->probing = false;
+  dc_fleet_refresh (dc, id);
+}
+
+static struct dc_suspicion *
+find_suspicion (struct dc_worker *w, uint32_t job)
+{
+  for (int i = 0; i < w->suspicions; i++)
+    if (w->suspect[i].job == job)
+      return &w->suspect[i];
+  return NULL;
+}
+
+static void
+clear_suspicion (struct dc_worker *w, uint32_t job)
+{
+  struct dc_suspicion *s = find_suspicion (w, job);
+
+  if (s)
+    *s = w->suspect[--w->suspicions];
+}
+
+/* The handle of JOB is about to name another job.  */
+void
+dc_health_forget (struct dc *dc, uint32_t id)
+{
+  const struct dc_job *job = &dc->jobs.v[id];
+
+  for (int i = 0; i < job->failures; i++)
+    clear_suspicion (&dc->workers.v[job->failed_on[i]], id);
+}
+
+static void
+release (struct dc *dc, uint32_t id)
+{
+  dc->workers.v[id].held_back = false;
+  dc->freed = true;
+  dc_fleet_refresh (dc, id);
+}
+
+static void
+forget_failure (struct dc_job *job, uint32_t worker)
+{
+  for (int i = 0; i < job->failures; i++)
+    if (job->failed_on[i] == worker)
+      {
+        job->failed_on[i] = job->failed_on[--job->failures];
+        if (job->failed_starts > 0)
+          job->failed_starts--;
+        return;
+      }
+}
+
+static void
+quarantine (struct dc *dc, uint32_t id)
+{
+  struct dc_worker *w = &dc->workers.v[id];
+  int64_t delay = (int64_t)READMIT_FIRST_MS << w->quarantines;
+
+  for (int i = 0; i < w->suspicions; i++)
+    forget_failure (&dc->jobs.v[w->suspect[i].job], id);
+  w->suspicions = 0;
+  w->held_back = w->probing = false;
+  w->health = DC_QUARANTINED;
+  if (delay < READMIT_MOST_MS)
+    w->quarantines++;
+  else
+    delay = READMIT_MOST_MS;
+  watch (dc, id, dc->now_ms + delay);
+  dc_act (dc, DC_ACT_QUARANTINE, id, 0, NULL);
+  dc_worker_close (dc, id);
+}
+
+/* Whether a job that failed on worker ID now runs longer elsewhere than it
+   lasted there.  */
+static bool
+outlives (const struct dc *dc, uint32_t id, const struct dc_suspicion *s)
+{
+  const struct dc_job *job = &dc->jobs.v[s->job];
+  const struct dc_task *t;
+
+  if (job->state != DC_RUNNING)
+    return false;
+  t = dc_gang_task (dc, job, 0);
+  return t->worker != id
+         && dc->now_ms - job->start_ms > s->lasted_ms * 3 / 2 + WATCH_MS;
+}
+
+static double
+chance_of (const struct dc *dc, const struct dc_job *job)
+{
+  const struct dc_account *account = &dc->accounts.v[job->spec.account];
+
+  return (account->failures + 0.5) / (account->jobs + 10);
+}
+
+/* Whether so many failures in a row are beyond chance.  */
+static bool
+beyond_chance (const struct dc *dc, const struct dc_worker *w)
+{
+  double chance = 1;
+
+  if (w->suspicions < DISTINCT_BY_CHANCE)
+    return false;
+  for (int i = 0; i < w->suspicions; i++)
+    chance *= fmin (1, chance_of (dc, &dc->jobs.v[w->suspect[i].job]));
+  return chance < CHANCE;
+}
+
+static bool
+guilty (struct dc *dc, uint32_t id)
+{
+  struct dc_worker *w = &dc->workers.v[id];
+  int fine = 0;
+
+  for (int i = 0; i < w->suspicions; i++)
+    {
+      struct dc_suspicion *s = &w->suspect[i];
+
+      s->fine_elsewhere = s->fine_elsewhere || outlives (dc, id, s);
+      fine += s->fine_elsewhere;
+    }
+  if (w->health == DC_PROBATION)
+    return fine > 0;
+  return fine >= FINE_TO_QUARANTINE || beyond_chance (dc, w);
+}
+
+static void
+judge (struct dc *dc, uint32_t id)
+{
+  struct dc_worker *w = &dc->workers.v[id];
+
+  if (w->health == DC_QUARANTINED || !w->up)
+    return;
+  if (guilty (dc, id))
+    {
+      quarantine (dc, id);
+      return;
+    }
+  if (w->suspicions < HOLD_BACK_AT || w->held_back || w->health != DC_HEALTHY)
+    return;
+  w->held_back = true;
+  w->held_ms = dc->now_ms;
+  watch (dc, id, dc->now_ms + WATCH_MS);
+  dc_fleet_refresh (dc, id);
+}
+
+static void
+note_failed_on (struct dc_job *job, uint32_t worker)
+{
+  for (int i = 0; i < job->failures; i++)
+    if (job->failed_on[i] == worker)
+      return;
+  if (job->failures < DC_MAX_FAILED_WORKERS)
+    job->failed_on[job->failures++] = worker;
+}
+
+/* Notes that JOB failed on WORKER.  Returns whether JOB is to end: it failed
+   on enough workers that do other work well.  */
+bool
+dc_health_failed (struct dc *dc, uint32_t id, uint32_t worker)
+{
+  struct dc_job *job = &dc->jobs.v[id];
+  struct dc_worker *w = &dc->workers.v[worker];
+
+  job->failed_starts++;
+  note_failed_on (job, worker);
+  if (job->failures > 1)
+    {
+      for (int i = 0; i < job->failures; i++)
+        clear_suspicion (&dc->workers.v[job->failed_on[i]], id);
+    }
+  else if (!find_suspicion (w, id) && w->suspicions < DC_MAX_SUSPICIONS)
+    w->suspect[w->suspicions++]
+        = (struct dc_suspicion){ .job = id,
+                                 .lasted_ms = dc->now_ms - job->start_ms };
+  w->probing = false;
+  judge (dc, worker);
+  return job->failures >= DC_MAX_FAILED_WORKERS
+         || job->failed_starts >= DC_MAX_FAILED_STARTS;
+}
+
+/* Notes that a task of JOB ended well on WORKER.  */
+void
+dc_health_worked (struct dc *dc, uint32_t id, uint32_t worker)
+{
+  struct dc_worker *w = &dc->workers.v[worker];
+
+  (void)id;
+  if (w->suspicions == 0 && w->health == DC_HEALTHY)
+    return;
+  w->suspicions = 0;
+  if (w->held_back)
+    release (dc, worker);
+  if (w->health != DC_PROBATION)
+    return;
+  w->health = DC_HEALTHY;
+  w->probing = false;
+  dc->freed = dc->rebind = true;
+  dc_fleet_refresh (dc, worker);
+}
+
+/* Notes that JOB ended well: where it failed before was to blame.  */
+void
+dc_health_done (struct dc *dc, uint32_t id)
+{
+  const struct dc_job *job = &dc->jobs.v[id];
+
+  for (int i = 0; i < job->failures; i++)
+    {
+      struct dc_suspicion *s
+          = find_suspicion (&dc->workers.v[job->failed_on[i]], id);
+
+      if (!s)
+        continue;
+      s->fine_elsewhere = true;
+      judge (dc, job->failed_on[i]);
+    }
+}
+
+/* Looks at one worker whose time has come; returns whether to keep it in
+   the list.  */
+static bool
+look (struct dc *dc, uint32_t id)
+{
+  struct dc_worker *w = &dc->workers.v[id];
+
+  if (!w->up || (w->health == DC_HEALTHY && !w->held_back))
+    return false;
+  if (w->watch_ms > dc->now_ms)
+    return true;
+  if (w->health == DC_QUARANTINED)
+    {
+      w->health = DC_PROBATION;
+      dc_act (dc, DC_ACT_READMIT, id, 0, NULL);
+    }
+  else
+    judge (dc, id);
+  if (w->health == DC_QUARANTINED)
+    return true;
+  if (w->held_back && dc->now_ms - w->held_ms > HOLD_BACK_MS)
+    {
+      w->suspicions = 0;
+      release (dc, id);
+      return false;
+    }
+  w->watch_ms = dc->now_ms + WATCH_MS;
+  return true;
+}
+
+void
+dc_health_tick (struct dc *dc)
+{
+  uint32_t kept = 0;
+
+  for (uint32_t i = 0; i < dc->sick.n; i++)
+    {
+      uint32_t id = dc->sick.v[i];
+
+      if (look (dc, id))
+        dc->sick.v[kept++] = id;
+      else
+        dc->workers.v[id].sick = false;
+    }
+  dc->sick.n = kept;
+}
+
+/* When dc_health_tick has something to do next, or -1.  */
+int64_t
+dc_health_next (const struct dc *dc)
+{
+  int64_t next = -1;
+
+  for (uint32_t i = 0; i < dc->sick.n; i++)
+    {
+      const struct dc_worker *w = &dc->workers.v[dc->sick.v[i]];
+
+      if (!w->up || (w->health == DC_PROBATION && w->suspicions == 0))
+        continue;
+      if (next < 0 || w->watch_ms < next)
+        next = w->watch_ms;
+    }
+  return next;
+}
--- /dev/null
+++ b/src/decide/heap.h
@@ -0,0 +1,30 @@
+/* A binary heap of handles that tells each handle its position, so that one
+   from the middle can be removed.  */
+#ifndef DECIDE_HEAP_H
+#define DECIDE_HEAP_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+struct hp_heap
+{
+  uint32_t *v;
+  uint32_t n, cap;
+};
+
+struct hp_order
+{
+  bool (*before) (const void *arg, uint32_t a, uint32_t b);
+  void (*moved) (void *arg, uint32_t a, uint32_t position);
+  void *arg;
+};
+
+int hp_push (struct hp_heap *h, const struct hp_order *o, uint32_t a);
+void hp_remove (struct hp_heap *h, const struct hp_order *o,
+                uint32_t position);
+/* Restores the order after the key of the handle at POSITION changed.  */
+void hp_update (struct hp_heap *h, const struct hp_order *o,
+                uint32_t position);
+void hp_fini (struct hp_heap *h);
+
+#endif
--- /dev/null
+++ b/src/decide/job.c
@@ -0,0 +1,263 @@
+/* What happens to a job: submission, and the events of its tasks.  */
+#include "state.h"
+
+static bool
+valid (const struct dc_job_spec *spec)
+{
+  return spec->tasks >= 1 && spec->tasks <= DC_MAX_TASKS && spec->per_task >= 0
+         && spec->per_task <= DC_MAX_ACCELERATORS
+         && (spec->class == DC_URGENT || spec->class == DC_BULK)
+         && spec->account < DC_MAX_HANDLE;
+}
+
+static bool
+placed (const struct dc_job *job)
+{
+  return job->state == DC_RUNNING || job->state == DC_CHECKPOINTING;
+}
+
+static void
+end (struct dc *dc, uint32_t id, enum dc_action_kind kind, const char *reason)
+{
+  struct dc_job *job = &dc->jobs.v[id];
+
+  job->state = DC_ENDED;
+  dc_act (dc, kind, id, job->attempt, reason);
+}
+
+int
+dc_job_submit (struct dc *dc, const struct dc_event *e)
+{
+  uint32_t id = e->u.submit.id;
+  const struct dc_job_spec *spec = &e->u.submit.spec;
+  struct dc_job *job;
+
+  if (!valid (spec) || id >= DC_MAX_HANDLE)
+    return DC_EINVAL;
+  if (DC_GROW (dc, dc->jobs, id) || dc_account_grow (dc, spec->account))
+    return DC_ENOMEM;
+  job = &dc->jobs.v[id];
+  if (job->state != DC_UNUSED && job->state != DC_ENDED)
+    return DC_EEXIST;
+  dc_health_forget (dc, id);
+  *job = (struct dc_job){ .submit_ms = dc->now_ms,
+                          .spec = *spec,
+                          .seq = dc->seq++,
+                          .task = DC_NONE,
+                          .cell = DC_NONE };
+  if (dc_level_of (dc, spec->tasks, spec->per_task) == DC_LEVEL_NONE)
+    {
+      end (dc, id, DC_ACT_REFUSED, "larger than the fleet can hold");
+      return DC_OK;
+    }
+  return dc_queue_add (dc, id);
+}
+
+int
+dc_job_cancel (struct dc *dc, uint32_t id)
+{
+  struct dc_job *job;
+
+  if (id >= dc->jobs.n || dc->jobs.v[id].state == DC_UNUSED)
+    return DC_ENOENT;
+  job = &dc->jobs.v[id];
+  if (job->state == DC_ENDED)
+    return DC_OK;
+  if (job->state == DC_PENDING)
+    dc_pending_drop (dc, id);
+  if (job->state == DC_QUEUED)
+    dc_queue_remove (dc, id);
+  else
+    {
+      dc_act (dc, DC_ACT_STOP, id, job->attempt, NULL);
+      dc_gang_unplace (dc, id);
+    }
+  end (dc, id, DC_ACT_CANCELLED, "cancelled by the caller");
+  return DC_OK;
+}
+
+/* The job that a task event is about, or NULL if the event is stale.  */
+static struct dc_job *
+find (struct dc *dc, const struct dc_event *e, int *error)
+{
+  struct dc_job *job;
+
+  *error = DC_OK;
+  if (e->u.task.job >= dc->jobs.n
+      || dc->jobs.v[e->u.task.job].state == DC_UNUSED)
+    {
+      *error = DC_ENOENT;
+      return NULL;
+    }
+  job = &dc->jobs.v[e->u.task.job];
+  if (!placed (job) || job->attempt != e->u.task.attempt)
+    return NULL;
+  if (e->kind == DC_EV_CHECKPOINTED)
+    return job;
+  if (e->u.task.task >= (uint32_t)job->spec.tasks)
+    {
+      *error = DC_EINVAL;
+      return NULL;
+    }
+  if (!dc_gang_task (dc, job, (int32_t)e->u.task.task)->live)
+    return NULL;
+  return job;
+}
+
+int
+dc_job_task_done (struct dc *dc, const struct dc_event *e)
+{
+  int error;
+  uint32_t id = e->u.task.job;
+  struct dc_job *job = find (dc, e, &error);
+  uint32_t worker;
+
+  if (!job)
+    return error;
+  worker = dc_gang_task (dc, job, (int32_t)e->u.task.task)->worker;
+  dc_gang_end_task (dc, id, (int32_t)e->u.task.task);
+  dc_health_worked (dc, id, worker);
+  if (job->left > 0)
+    return DC_OK;
+  dc_gang_unplace (dc, id);
+  dc_learn_done (dc, job);
+  dc->accounts.v[job->spec.account].jobs++;
+  end (dc, id, DC_ACT_DONE, NULL);
+  dc_health_done (dc, id);
+  return DC_OK;
+}
+
+/* Ends the attempt: what still runs is stopped, all places are freed.  */
+static void
+stop (struct dc *dc, uint32_t id)
+{
+  const struct dc_job *job = &dc->jobs.v[id];
+
+  if (job->left > 0)
+    dc_act (dc, DC_ACT_STOP, id, job->attempt, NULL);
+  dc_gang_unplace (dc, id);
+}
+
+static void
+requeue (struct dc *dc, uint32_t id, const char *reason)
+{
+  dc_act (dc, DC_ACT_REQUEUE, id, dc->jobs.v[id].attempt, reason);
+  dc_queue_add (dc, id);
+}
+
+/* A task of JOB is gone: the gang goes back to the queue if it may run
+   again.  */
+void
+dc_job_lose (struct dc *dc, uint32_t id, const char *reason)
+{
+  stop (dc, id);
+  if (dc->jobs.v[id].spec.repeatable)
+    requeue (dc, id, reason);
+  else
+    end (dc, id, DC_ACT_UNKNOWN, reason);
+}
+
+int
+dc_job_task_failed (struct dc *dc, const struct dc_event *e)
+{
+  int error;
+  uint32_t id = e->u.task.job;
+  struct dc_job *job = find (dc, e, &error);
+  uint32_t worker;
+  bool enough;
+
+  if (!job)
+    return error;
+  worker = dc_gang_task (dc, job, (int32_t)e->u.task.task)->worker;
+  dc_gang_end_task (dc, id, (int32_t)e->u.task.task);
+  stop (dc, id);
+  enough = dc_health_failed (dc, id, worker) || !job->spec.repeatable;
+  if (!enough)
+    {
+      requeue (dc, id, "a task failed");
+      return DC_OK;
+    }
+  dc->accounts.v[job->spec.account].jobs++;
+  dc->accounts.v[job->spec.account].failures++;
+  end (dc, id, DC_ACT_FAILED,
+       job->spec.repeatable ? "failed on every worker tried"
+                            : "a task failed");
+  return DC_OK;
+}
+
+int
+dc_job_task_lost (struct dc *dc, const struct dc_event *e)
+{
+  int error;
+  const struct dc_job *job = find (dc, e, &error);
+
+  if (!job)
+    return error;
+  dc_gang_end_task (dc, e->u.task.job, (int32_t)e->u.task.task);
+  dc_job_lose (dc, e->u.task.job, "a task was lost");
+  return DC_OK;
+}
+
+int
+dc_job_checkpointed (struct dc *dc, const struct dc_event *e)
+{
+  int error;
+  struct dc_job *job = find (dc, e, &error);
+
+  if (!job)
+    return error;
+  if (job->state != DC_CHECKPOINTING)
+    return DC_OK;
+  job->served_ms += dc->now_ms - job->start_ms;
+  dc_gang_unplace (dc, e->u.task.job);
+  return dc_queue_add (dc, e->u.task.job);
+}
+
+/* Drops the pending gangs that count on WORKER.  */
+void
+dc_worker_drop_pending (struct dc *dc, uint32_t worker)
+{
+  uint32_t t = dc->workers.v[worker].tasks;
+
+  while (t != DC_NONE)
+    {
+      const struct dc_task *task = pl_at (&dc->tasks, t);
+
+      t = task->next;
+      if (dc->jobs.v[task->job].state != DC_PENDING)
+        continue;
+      dc_pending_drop (dc, task->job);
+      t = dc->workers.v[worker].tasks;
+    }
+}
+
+/* All tasks on WORKER are gone.  */
+void
+dc_worker_lose (struct dc *dc, uint32_t worker)
+{
+  dc_worker_drop_pending (dc, worker);
+  while (dc->workers.v[worker].tasks != DC_NONE)
+    {
+      uint32_t first = dc->workers.v[worker].tasks;
+      uint32_t id = ((struct dc_task *)pl_at (&dc->tasks, first))->job;
+      struct dc_job *job = &dc->jobs.v[id];
+
+      for (int32_t i = 0; i < job->spec.tasks; i++)
+        {
+          const struct dc_task *t = dc_gang_task (dc, job, i);
+
+          if (t->live && t->worker == worker)
+            dc_gang_end_task (dc, id, i);
+        }
+      dc_job_lose (dc, id, "worker lost");
+    }
+}
+
+/* Nothing new starts on WORKER from now on; its cells go elsewhere.  */
+void
+dc_worker_close (struct dc *dc, uint32_t worker)
+{
+  dc_worker_drop_pending (dc, worker);
+  dc_cell_evict (dc, worker);
+  dc_fleet_refresh (dc, worker);
+}
--- /dev/null
+++ b/src/decide/learn.c
@@ -0,0 +1,50 @@
+/* Learns how long the jobs of an account run, beside what they declare.  */
+#include <math.h>
+
+#include "state.h"
+
+static const double RATE = 0.1;      /* weight of the newest run */
+static const double MOST_RATIO = 20; /* learned over declared, either way */
+
+/* Expected run time of JOB in ms.  */
+int64_t
+dc_learn_predict (const struct dc *dc, const struct dc_job *job)
+{
+  const struct dc_account *account = &dc->accounts.v[job->spec.account];
+
+  if (job->spec.declared_ms > 0 && account->ratio > 0)
+    return (int64_t)((double)job->spec.declared_ms * account->ratio);
+  if (job->spec.declared_ms > 0)
+    return job->spec.declared_ms;
+  return (int64_t)account->run_ms;
+}
+
+/* How much later than its submission JOB counts as queued, in ms: longer
+   jobs give way to shorter ones, for a bounded time.  */
+int64_t
+dc_learn_delay (const struct dc *dc, const struct dc_job *job)
+{
+  double run = (double)dc_learn_predict (dc, job);
+
+  return (int64_t)(dc->config.weight_completion * run);
+}
+
+void
+dc_learn_done (struct dc *dc, const struct dc_job *job)
+{
+  struct dc_account *account = &dc->accounts.v[job->spec.account];
+  double run = (double)(job->served_ms + dc->now_ms - job->start_ms);
+  double ratio;
+
+  if (run < 1)
+    run = 1;
+  account->run_ms += RATE * (run - account->run_ms);
+  if (job->spec.declared_ms <= 0)
+    return;
+  ratio = run / (double)job->spec.declared_ms;
+  ratio = fmax (1 / MOST_RATIO, fmin (MOST_RATIO, ratio));
+  if (account->ratio > 0)
+    account->ratio *= pow (ratio / account->ratio, RATE);
+  else
+    account->ratio = ratio;
+}
--- /dev/null
+++ b/src/decide/plan.c
@@ -0,0 +1,212 @@
+/* Replaces the guarantee of an account, if all guarantees still fit.  */
+#include <string.h>
+
+#include "state.h"
+
+enum
+{
+  MAX_GROUPS = 1 << 20 /* of one shape */
+};
+
+static bool
+valid (const struct dc_event *e)
+{
+  if (e->u.plan.shapes < 0 || e->u.plan.shapes > DC_MAX_SHAPES
+      || e->u.plan.account >= DC_MAX_HANDLE)
+    return false;
+  for (int i = 0; i < e->u.plan.shapes; i++)
+    if (e->u.plan.shape[i].size < 1 || e->u.plan.shape[i].count < 0
+        || e->u.plan.shape[i].size > MAX_GROUPS
+        || e->u.plan.shape[i].count > MAX_GROUPS)
+      return false;
+  return true;
+}
+
+static int64_t
+wanted (const struct dc_event *e, int32_t size)
+{
+  int64_t count = 0;
+
+  for (int i = 0; i < e->u.plan.shapes; i++)
+    if (e->u.plan.shape[i].size == size)
+      count += e->u.plan.shape[i].count;
+  return count;
+}
+
+/* Marks the cells that the new plan keeps, used ones first; the others are
+   suspended.  */
+static void
+mark_kept (struct dc *dc, const struct dc_event *e)
+{
+  uint32_t first = dc->accounts.v[e->u.plan.account].cells;
+
+  for (uint32_t c = first; c != DC_NONE; c = dc->cells.v[c].next)
+    dc->cells.v[c].kept = false;
+  for (int used = 1; used >= 0; used--)
+    for (uint32_t c = first; c != DC_NONE; c = dc->cells.v[c].next)
+      {
+        struct dc_cell *cell = &dc->cells.v[c];
+        int64_t kept = 0;
+
+        if (cell->kept || (cell->jobs > 0) != used)
+          continue;
+        for (uint32_t o = first; o != DC_NONE; o = dc->cells.v[o].next)
+          kept += dc->cells.v[o].kept && dc->cells.v[o].size == cell->size;
+        cell->kept = kept < wanted (e, cell->size);
+      }
+  for (uint32_t c = first; c != DC_NONE; c = dc->cells.v[c].next)
+    if (!dc->cells.v[c].kept)
+      dc_cell_suspend (dc, c, -1);
+}
+
+static int64_t
+kept_of (const struct dc *dc, uint32_t account, int32_t size)
+{
+  int64_t kept = 0;
+
+  for (uint32_t c = dc->accounts.v[account].cells; c != DC_NONE;
+       c = dc->cells.v[c].next)
+    kept += dc->cells.v[c].kept && dc->cells.v[c].size == size;
+  return kept;
+}
+
+/* Adds and binds what is missing of one size.  */
+static bool
+add_size (struct dc *dc, const struct dc_event *e, int32_t size)
+{
+  uint32_t account = e->u.plan.account;
+  int64_t missing = wanted (e, size) - kept_of (dc, account, size);
+
+  for (; missing > 0; missing--)
+    {
+      uint32_t cell;
+
+      if (dc->unbound.n > 0 || dc_cell_new (dc, account, size, &cell))
+        return false;
+      dc->cells.v[cell].kept = dc->cells.v[cell].added = true;
+      if (!dc_cell_bind (dc, cell))
+        return false;
+    }
+  return true;
+}
+
+/* The largest size of the plan below BELOW, or 0.  */
+static int32_t
+next_size (const struct dc_event *e, int32_t below)
+{
+  int32_t size = 0;
+
+  for (int i = 0; i < e->u.plan.shapes; i++)
+    if (e->u.plan.shape[i].size < below && e->u.plan.shape[i].size > size)
+      size = e->u.plan.shape[i].size;
+  return size;
+}
+
+/* Drops the account's cells that were added, or that are not kept.  */
+static void
+drop (struct dc *dc, uint32_t account, bool added)
+{
+  uint32_t c = dc->accounts.v[account].cells;
+
+  while (c != DC_NONE)
+    {
+      struct dc_cell *cell = &dc->cells.v[c];
+      uint32_t next = cell->next;
+
+      if (added ? cell->added : !cell->kept)
+        dc_cell_drop (dc, c);
+      c = next;
+    }
+}
+
+/* Binds as many whole workers as are to be spare.  */
+bool
+dc_plan_spares (struct dc *dc)
+{
+  int32_t size = DC_MAX_ACCELERATORS, have = 0;
+
+  while (size > 0 && dc->slots_with[size] == 0)
+    size--;
+  if (size == 0)
+    return true;
+  for (uint32_t s = dc->spares; s != DC_NONE; s = dc->cells.v[s].next)
+    have++;
+  for (; have < dc->config.spare_workers; have++)
+    {
+      uint32_t cell;
+
+      if (dc_cell_new (dc, DC_SPARE, size, &cell))
+        return false;
+      if (!dc_cell_bind (dc, cell))
+        {
+          dc_cell_drop (dc, cell);
+          return false;
+        }
+    }
+  return true;
+}
+
+static bool
+add_all (struct dc *dc, const struct dc_event *e)
+{
+  for (int32_t size = next_size (e, INT32_MAX); size > 0;
+       size = next_size (e, size))
+    if (!add_size (dc, e, size))
+      return false;
+  return true;
+}
+
+static void
+act (struct dc *dc, const struct dc_event *e, bool accepted)
+{
+  dc_act (dc, accepted ? DC_ACT_PLAN_ACCEPTED : DC_ACT_PLAN_REFUSED,
+          e->u.plan.account, 0,
+          accepted ? NULL : "the guarantees do not all fit at once");
+  if (dc->actions.n)
+    dc->actions.v[dc->actions.n - 1].version = e->u.plan.version;
+}
+
+static bool
+grows (const struct dc *dc, const struct dc_event *e)
+{
+  for (int i = 0; i < e->u.plan.shapes; i++)
+    if (wanted (e, e->u.plan.shape[i].size)
+        > kept_of (dc, e->u.plan.account, e->u.plan.shape[i].size))
+      return true;
+  return false;
+}
+
+int
+dc_plan_apply (struct dc *dc, const struct dc_event *e)
+{
+  uint32_t id = e->u.plan.account;
+  struct dc_account *account;
+  bool fits;
+
+  if (!valid (e))
+    return DC_EINVAL;
+  if (dc_account_grow (dc, id))
+    return DC_ENOMEM;
+  account = &dc->accounts.v[id];
+  if (account->known && e->u.plan.version <= account->version)
+    return DC_OK;
+  mark_kept (dc, e);
+  fits = !grows (dc, e) || (dc_plan_spares (dc) && add_all (dc, e));
+  for (uint32_t c = account->cells; c != DC_NONE; c = dc->cells.v[c].next)
+    if (!dc->cells.v[c].kept)
+      dc_cell_suspend (dc, c, 1);
+  drop (dc, id, !fits);
+  for (uint32_t c = account->cells; c != DC_NONE; c = dc->cells.v[c].next)
+    dc->cells.v[c].added = false;
+  if (fits)
+    {
+      account->known = true;
+      account->version = e->u.plan.version;
+      account->shapes = e->u.plan.shapes;
+      memcpy (account->shape, e->u.plan.shape, sizeof account->shape);
+    }
+  dc->freed = dc->rebind = true;
+  dc_account_touch (dc, id);
+  act (dc, e, fits);
+  return DC_OK;
+}
--- /dev/null
+++ b/src/decide/queue.c
@@ -0,0 +1,196 @@
+/* Queued jobs, by shape and by account, and the order of the shapes.  */
+#include "state.h"
+
+static bool
+job_before (const void *arg, uint32_t a, uint32_t b)
+{
+  const struct dc *dc = arg;
+  const struct dc_job *x = &dc->jobs.v[a], *y = &dc->jobs.v[b];
+
+  if (x->key != y->key)
+    return x->key < y->key;
+  return x->seq < y->seq;
+}
+
+static void
+moved_in_queue (void *arg, uint32_t a, uint32_t position)
+{
+  ((struct dc *)arg)->jobs.v[a].position[0] = position;
+}
+
+static void
+moved_in_lane (void *arg, uint32_t a, uint32_t position)
+{
+  ((struct dc *)arg)->jobs.v[a].position[1] = position;
+}
+
+static bool
+queue_before (const void *arg, uint32_t a, uint32_t b)
+{
+  const struct dc *dc = arg;
+  const struct dc_queue *x = &dc->queues.v[a], *y = &dc->queues.v[b];
+
+  if (dc->config.policy == DC_POLICY_DEFAULT && x->class != y->class)
+    return x->class < y->class;
+  return job_before (dc, x->jobs.v[0], y->jobs.v[0]);
+}
+
+static void
+queue_moved (void *arg, uint32_t a, uint32_t position)
+{
+  ((struct dc *)arg)->queues.v[a].position = position;
+}
+
+static struct hp_order
+dc_order (struct dc *dc)
+{
+  return (struct hp_order){ queue_before, queue_moved, dc };
+}
+
+static uint32_t
+find_queue (struct dc *dc, const struct dc_job *job)
+{
+  bool hard = !job->spec.preemptible;
+  struct dc_queue *q;
+
+  for (uint32_t i = 0; i < dc->queues.n; i++)
+    {
+      q = &dc->queues.v[i];
+      if (q->tasks == job->spec.tasks && q->per_task == job->spec.per_task
+          && q->class == job->spec.class && q->hard == hard)
+        return i;
+    }
+  if (DC_GROW (dc, dc->queues, dc->queues.n))
+    return DC_NONE;
+  q = &dc->queues.v[dc->queues.n - 1];
+  q->tasks = job->spec.tasks;
+  q->per_task = job->spec.per_task;
+  q->class = (uint8_t)job->spec.class;
+  q->hard = hard;
+  q->position = DC_NONE;
+  return dc->queues.n - 1;
+}
+
+static uint32_t
+find_lane (struct dc *dc, uint32_t account, uint32_t queue)
+{
+  uint32_t i = dc->accounts.v[account].lanes;
+  struct dc_lane *lane;
+
+  for (; i != DC_NONE; i = dc->lanes.v[i].next)
+    if (dc->lanes.v[i].queue == queue)
+      return i;
+  i = dc->lanes.n;
+  if (DC_GROW (dc, dc->lanes, i))
+    return DC_NONE;
+  lane = &dc->lanes.v[i];
+  lane->account = account;
+  lane->queue = queue;
+  lane->next = dc->accounts.v[account].lanes;
+  dc->accounts.v[account].lanes = i;
+  return i;
+}
+
+int64_t
+dc_queue_key (const struct dc *dc, const struct dc_job *job)
+{
+  if (dc->config.policy != DC_POLICY_DEFAULT || job->spec.class == DC_URGENT)
+    return job->submit_ms;
+  return job->submit_ms + dc_learn_delay (dc, job);
+}
+
+void
+dc_account_touch (struct dc *dc, uint32_t id)
+{
+  struct dc_account *account = &dc->accounts.v[id];
+
+  if (account->dirty || DC_GROW (dc, dc->dirty, dc->dirty.n))
+    return;
+  dc->dirty.v[dc->dirty.n - 1] = id;
+  account->dirty = true;
+}
+
+/* Puts a queue back in the order after its head changed.  */
+static void
+order_queue (struct dc *dc, uint32_t id)
+{
+  struct dc_queue *q = &dc->queues.v[id];
+  struct hp_order order = dc_order (dc);
+
+  if (q->position == DC_NONE && q->jobs.n > 0 && !q->blocked)
+    hp_push (&dc->order, &order, id);
+  else if (q->position != DC_NONE && q->jobs.n > 0)
+    hp_update (&dc->order, &order, q->position);
+}
+
+int
+dc_queue_add (struct dc *dc, uint32_t id)
+{
+  struct dc_job *job = &dc->jobs.v[id];
+  struct hp_order in_queue = { job_before, moved_in_queue, dc };
+  struct hp_order in_lane = { job_before, moved_in_lane, dc };
+
+  job->state = DC_QUEUED;
+  job->queued_ms = dc->now_ms;
+  job->queue = find_queue (dc, job);
+  if (job->queue == DC_NONE)
+    return DC_ENOMEM;
+  job->lane = find_lane (dc, job->spec.account, job->queue);
+  if (job->lane == DC_NONE)
+    return DC_ENOMEM;
+  job->key = dc_queue_key (dc, job);
+  if (hp_push (&dc->queues.v[job->queue].jobs, &in_queue, id)
+      || hp_push (&dc->lanes.v[job->lane].jobs, &in_lane, id))
+    return DC_ENOMEM;
+  dc->queued_jobs++;
+  order_queue (dc, job->queue);
+  dc_account_touch (dc, job->spec.account);
+  return DC_OK;
+}
+
+void
+dc_queue_remove (struct dc *dc, uint32_t id)
+{
+  struct dc_job *job = &dc->jobs.v[id];
+  struct dc_queue *q = &dc->queues.v[job->queue];
+  struct hp_order in_queue = { job_before, moved_in_queue, dc };
+  struct hp_order in_lane = { job_before, moved_in_lane, dc };
+  struct hp_order order = dc_order (dc);
+
+  if (q->jobs.n == 1 && q->position != DC_NONE)
+    {
+      hp_remove (&dc->order, &order, q->position);
+      q->position = DC_NONE;
+    }
+  hp_remove (&q->jobs, &in_queue, job->position[0]);
+  hp_remove (&dc->lanes.v[job->lane].jobs, &in_lane, job->position[1]);
+  dc->queued_jobs--;
+  order_queue (dc, job->queue);
+}
+
+/* Sets aside a queue whose head does not fit now.  */
+void
+dc_queue_block (struct dc *dc, uint32_t id)
+{
+  struct dc_queue *q = &dc->queues.v[id];
+  struct hp_order order = dc_order (dc);
+
+  if (DC_GROW (dc, dc->blocked, dc->blocked.n))
+    return;
+  dc->blocked.v[dc->blocked.n - 1] = id;
+  q->blocked = true;
+  hp_remove (&dc->order, &order, q->position);
+  q->position = DC_NONE;
+}
+
+/* Brings back all queues that were set aside: room was freed.  */
+void
+dc_queue_unblock (struct dc *dc)
+{
+  for (uint32_t i = 0; i < dc->blocked.n; i++)
+    {
+      dc->queues.v[dc->blocked.v[i]].blocked = false;
+      order_queue (dc, dc->blocked.v[i]);
+    }
+  dc->blocked.n = 0;
+}
--- /dev/null
+++ b/src/decide/run.c
@@ -0,0 +1,333 @@
+/* The open decisions of one instant.  */
+#include "state.h"
+
+enum
+{
+  AGE_LIMIT_MS = 30000 /* a blocked gang has room made for it then */
+};
+
+static struct dc_want
+want_of (const struct dc *dc, const struct dc_job *job, bool avoid)
+{
+  return (struct dc_want){ .tasks = job->spec.tasks,
+                           .unit = { job->spec.per_task, 1 },
+                           .level = dc_level_of (dc, job->spec.tasks,
+                                                 job->spec.per_task),
+                           .avoid = job->failed_on,
+                           .avoids = avoid ? job->failures : 0 };
+}
+
+/* Searches room for JOB, away from where it failed if that is possible.  */
+static bool
+search (struct dc *dc, const struct dc_job *job, enum dc_capacity cap)
+{
+  struct dc_want want = want_of (dc, job, true);
+
+  if (dc_search (dc, &want, cap))
+    return true;
+  if (job->failures == 0)
+    return false;
+  want.avoids = 0;
+  return dc_search (dc, &want, cap);
+}
+
+static int
+start (struct dc *dc, uint32_t id, enum dc_kind kind, uint32_t cell)
+{
+  int error;
+
+  dc_queue_remove (dc, id);
+  error = dc_gang_place (dc, id, kind, cell);
+  if (!error)
+    dc_gang_start (dc, id);
+  return error;
+}
+
+/* Has the room in dc->spots freed for JOB.  */
+static int
+pend (struct dc *dc, uint32_t id, enum dc_kind kind, uint32_t cell)
+{
+  int error;
+
+  dc_queue_remove (dc, id);
+  error = dc_gang_place (dc, id, kind, cell);
+  if (error)
+    return error;
+  dc_pending_add (dc, id);
+  dc_pending_make_room (dc, id);
+  return DC_OK;
+}
+
+static bool
+spots_are_idle (const struct dc *dc, const struct dc_job *job)
+{
+  for (uint32_t i = 0; i < dc->spots.n; i++)
+    {
+      const struct dc_worker *w = &dc->workers.v[dc->spots.v[i].worker];
+
+      if (!dc_covers (dc_plus (w->free, w->held, -1),
+                      dc_need (job, dc->spots.v[i].tasks)))
+        return false;
+    }
+  return true;
+}
+
+static int
+place_in_cell (struct dc *dc, uint32_t id, uint32_t cell)
+{
+  const struct dc_job *job = &dc->jobs.v[id];
+  enum dc_level level = dc_level_of (dc, job->spec.tasks, job->spec.per_task);
+
+  dc_charge_spots (dc, cell, job, level);
+  if (spots_are_idle (dc, job))
+    return start (dc, id, DC_KIND_GUARANTEED, cell);
+  if (dc_cell_move (dc, cell, job) && dc_charge_spots (dc, cell, job, level)
+      && spots_are_idle (dc, job))
+    return start (dc, id, DC_KIND_GUARANTEED, cell);
+  dc_charge_spots (dc, cell, job, level);
+  return pend (dc, id, DC_KIND_GUARANTEED, cell);
+}
+
+static bool
+head_before (const struct dc *dc, uint32_t a, uint32_t b)
+{
+  const struct dc_job *x = &dc->jobs.v[a], *y = &dc->jobs.v[b];
+
+  if (x->spec.class != y->spec.class)
+    return x->spec.class < y->spec.class;
+  if (x->key != y->key)
+    return x->key < y->key;
+  return x->seq < y->seq;
+}
+
+/* The first queued job of the account that fits one of its cells.  */
+static uint32_t
+next_guaranteed (struct dc *dc, uint32_t account, uint32_t *cell)
+{
+  uint32_t best = DC_NONE;
+
+  for (uint32_t i = dc->accounts.v[account].lanes; i != DC_NONE;
+       i = dc->lanes.v[i].next)
+    {
+      const struct dc_lane *lane = &dc->lanes.v[i];
+      const struct dc_job *job;
+      uint32_t found;
+
+      if (lane->jobs.n == 0)
+        continue;
+      job = &dc->jobs.v[lane->jobs.v[0]];
+      if (best != DC_NONE && !head_before (dc, lane->jobs.v[0], best))
+        continue;
+      found = dc_charge_find (
+          dc, job, dc_level_of (dc, job->spec.tasks, job->spec.per_task));
+      if (found == DC_NONE)
+        continue;
+      best = lane->jobs.v[0];
+      *cell = found;
+    }
+  return best;
+}
+
+/* Places the queued jobs that are within the guarantee of their account.  */
+static int
+run_guaranteed (struct dc *dc)
+{
+  for (uint32_t i = 0; i < dc->dirty.n; i++)
+    {
+      uint32_t account = dc->dirty.v[i], cell = DC_NONE, id;
+
+      while ((id = next_guaranteed (dc, account, &cell)) != DC_NONE)
+        {
+          int error = place_in_cell (dc, id, cell);
+
+          if (error)
+            return error;
+        }
+    }
+  for (uint32_t i = 0; i < dc->dirty.n; i++)
+    dc->accounts.v[dc->dirty.v[i]].dirty = false;
+  dc->dirty.n = 0;
+  return DC_OK;
+}
+
+/* Makes room for a job outside the guarantee by preemption.  */
+static int
+preempt_for (struct dc *dc, uint32_t id, bool *done)
+{
+  const struct dc_job *job = &dc->jobs.v[id];
+
+  *done = true;
+  if (!job->spec.preemptible && search (dc, job, DC_CAP_UNRESERVED))
+    return pend (dc, id, DC_KIND_HARD, DC_NONE);
+  if (job->spec.preemptible && search (dc, job, DC_CAP_SOFT))
+    return pend (dc, id, DC_KIND_SOFT, DC_NONE);
+  *done = false;
+  return DC_OK;
+}
+
+static int
+place_default (struct dc *dc, uint32_t id, bool *done)
+{
+  const struct dc_job *job = &dc->jobs.v[id];
+  bool hard = !job->spec.preemptible;
+
+  *done = true;
+  if (search (dc, job, hard ? DC_CAP_FIRM : DC_CAP_IDLE))
+    return start (dc, id, hard ? DC_KIND_HARD : DC_KIND_SOFT, DC_NONE);
+  if (job->spec.class == DC_URGENT && hard)
+    return preempt_for (dc, id, done);
+  *done = false;
+  return DC_OK;
+}
+
+static int
+place_baseline (struct dc *dc, uint32_t id, bool *done)
+{
+  const struct dc_job *job = &dc->jobs.v[id];
+
+  if (dc->config.policy == DC_POLICY_FIFO_FIRST_FIT)
+    {
+      struct dc_want want = want_of (dc, job, true);
+
+      *done = dc_search_first (dc, &want);
+    }
+  else
+    *done = search (dc, job, DC_CAP_IDLE);
+  return *done ? start (dc, id, DC_KIND_SOFT, DC_NONE) : DC_OK;
+}
+
+static void
+note_age (struct dc *dc, const struct dc_job *job)
+{
+  int64_t due = job->queued_ms + AGE_LIMIT_MS;
+
+  if (dc->age_ms < 0 || due < dc->age_ms)
+    dc->age_ms = due;
+}
+
+static int
+run_queues (struct dc *dc)
+{
+  while (dc->order.n > 0)
+    {
+      uint32_t queue = dc->order.v[0];
+      uint32_t id = dc->queues.v[queue].jobs.v[0];
+      bool done;
+      int error = dc->config.policy == DC_POLICY_DEFAULT
+                      ? place_default (dc, id, &done)
+                      : place_baseline (dc, id, &done);
+
+      if (error)
+        return error;
+      if (done)
+        continue;
+      if (dc->config.policy == DC_POLICY_FIFO_FIRST_FIT)
+        return DC_OK;
+      note_age (dc, &dc->jobs.v[id]);
+      dc_queue_block (dc, queue);
+    }
+  return DC_OK;
+}
+
+/* Makes room for the blocked gangs that reached their age limit.  */
+static int
+run_aged (struct dc *dc)
+{
+  if (dc->config.policy != DC_POLICY_DEFAULT || dc->age_ms < 0
+      || dc->age_ms > dc->now_ms)
+    return DC_OK;
+  dc->age_ms = -1;
+  for (uint32_t i = 0; i < dc->blocked.n; i++)
+    {
+      const struct dc_queue *q = &dc->queues.v[dc->blocked.v[i]];
+      uint32_t id;
+      bool done;
+      int error;
+
+      if (q->jobs.n == 0)
+        continue;
+      id = q->jobs.v[0];
+      if (dc->jobs.v[id].queued_ms + AGE_LIMIT_MS <= dc->now_ms)
+        {
+          error = preempt_for (dc, id, &done);
+          if (error)
+            return error;
+          if (!done)
+            dc->jobs.v[id].queued_ms = dc->now_ms;
+        }
+      if (q->jobs.n > 0)
+        note_age (dc, &dc->jobs.v[q->jobs.v[0]]);
+    }
+  return DC_OK;
+}
+
+/* Gives each worker on probation one repeatable job.  */
+static int
+run_probes (struct dc *dc)
+{
+  for (uint32_t i = 0; i < dc->sick.n; i++)
+    {
+      uint32_t id = dc->sick.v[i];
+      const struct dc_worker *w = &dc->workers.v[id];
+
+      if (w->health != DC_PROBATION || w->probing || w->suspicions > 0
+          || !w->up || w->leaving || w->tasks != DC_NONE)
+        continue;
+      for (uint32_t q = 0; q < dc->order.n; q++)
+        {
+          uint32_t job = dc->queues.v[dc->order.v[q]].jobs.v[0];
+          const struct dc_job *j = &dc->jobs.v[job];
+
+          if (!j->spec.repeatable || !j->spec.preemptible || j->failures
+              || !dc_covers (w->free, dc_need (j, j->spec.tasks)))
+            continue;
+          dc->spots.n = 0;
+          if (dc_add_spot (dc, id, j->spec.tasks))
+            return DC_ENOMEM;
+          dc->workers.v[id].probing = true;
+          if (start (dc, job, DC_KIND_SOFT, DC_NONE))
+            return DC_ENOMEM;
+          break;
+        }
+    }
+  return DC_OK;
+}
+
+int
+dc_run (struct dc *dc)
+{
+  int error;
+
+  dc_health_tick (dc);
+  if (dc->rebind)
+    {
+      dc->rebind = false;
+      dc_cell_rebind_all (dc);
+    }
+  if (dc->freed)
+    {
+      dc->freed = false;
+      dc_pending_walk (dc);
+      dc_queue_unblock (dc);
+    }
+  error = DC_OK;
+  if (dc->config.policy == DC_POLICY_DEFAULT)
+    error = run_guaranteed (dc);
+  if (!error)
+    error = run_probes (dc);
+  if (!error)
+    error = run_queues (dc);
+  if (!error)
+    error = run_aged (dc);
+  return error;
+}
+
+int64_t
+dc_run_next (const struct dc *dc)
+{
+  int64_t next = dc_health_next (dc);
+
+  if (dc->config.policy != DC_POLICY_DEFAULT || dc->age_ms < 0)
+    return next;
+  return next < 0 || dc->age_ms < next ? dc->age_ms : next;
+}
--- /dev/null
+++ b/src/decide/search.c
@@ -0,0 +1,267 @@
+/* Finds room for a gang: best fit inside a worker, then a rack, then a
+   failure domain.  */
+#include "state.h"
+
+enum
+{
+  MAX_LIST_STEPS = 64, /* workers looked at in one list of the index */
+  MAX_RACK_TRIES = 16  /* racks that are counted worker by worker */
+};
+
+/* Tasks that fit ROOM, each with UNIT.  */
+int32_t
+dc_tasks_in (struct dc_amount room, struct dc_amount unit)
+{
+  int32_t tasks = room.slots / unit.slots;
+
+  if (unit.accelerators > 0 && room.accelerators / unit.accelerators < tasks)
+    tasks = room.accelerators / unit.accelerators;
+  return tasks > 0 ? tasks : 0;
+}
+
+static struct dc_amount
+need_of (const struct dc_want *want)
+{
+  return (struct dc_amount){ want->tasks * want->unit.accelerators,
+                             want->tasks * want->unit.slots };
+}
+
+int
+dc_add_spot (struct dc *dc, uint32_t worker, int32_t tasks)
+{
+  uint32_t at = dc->spots.n;
+
+  if (DC_GROW (dc, dc->spots, at))
+    return DC_ENOMEM;
+  dc->spots.v[at] = (struct dc_spot){ worker, tasks };
+  return DC_OK;
+}
+
+static bool
+avoided (const struct dc_want *want, uint32_t worker)
+{
+  for (int i = 0; i < want->avoids; i++)
+    if (want->avoid[i] == worker)
+      return true;
+  return false;
+}
+
+/* First slot count at or above FROM with a worker in the row, or -1.  */
+static int
+next_slots (const struct dc_index *index, int row, int from)
+{
+  for (int word = from / 64; word < 2; word++)
+    {
+      uint64_t bits = index->slots[row][word];
+
+      if (word == from / 64)
+        bits &= ~0ULL << from % 64;
+      if (bits)
+        return word * 64 + __builtin_ctzll (bits);
+    }
+  return -1;
+}
+
+static uint32_t
+search_list (const struct dc *dc, const struct dc_want *want,
+             enum dc_capacity cap, uint32_t id)
+{
+  struct dc_amount need = need_of (want);
+
+  for (int step = 0; id != DC_NONE && step < MAX_LIST_STEPS; step++)
+    {
+      const struct dc_worker *w = &dc->workers.v[id];
+
+      if (dc_covers (w->cap[cap], need) && !avoided (want, id))
+        return id;
+      id = w->next[cap];
+    }
+  return DC_NONE;
+}
+
+static bool
+search_worker (struct dc *dc, const struct dc_want *want, enum dc_capacity cap)
+{
+  const struct dc_index *index = dc->index[cap];
+  struct dc_amount need = need_of (want);
+  int least = need.slots < DC_SIZES - 1 ? need.slots : DC_SIZES - 1;
+
+  for (int row = need.accelerators; row < DC_SIZES; row++)
+    {
+      int slots = next_slots (index, row, least);
+
+      while (slots >= 0 && slots < DC_SIZES)
+        {
+          uint32_t id = search_list (dc, want, cap, index->head[row][slots]);
+
+          if (id != DC_NONE)
+            return dc_add_spot (dc, id, want->tasks) == DC_OK;
+          slots = next_slots (index, row, slots + 1);
+        }
+    }
+  return false;
+}
+
+static bool
+rack_may (const struct dc_want *want, struct dc_amount room)
+{
+  return dc_covers (room, need_of (want));
+}
+
+static int32_t
+tasks_of (const struct dc *dc, const struct dc_want *want, uint32_t id,
+          enum dc_capacity cap)
+{
+  const struct dc_worker *w = &dc->workers.v[id];
+
+  if (avoided (want, id))
+    return 0;
+  return dc_tasks_in (w->cap[cap], want->unit);
+}
+
+static int32_t
+tasks_in_rack (const struct dc *dc, const struct dc_want *want, uint32_t rack,
+               enum dc_capacity cap)
+{
+  int32_t sum = 0;
+
+  for (uint32_t id = dc->racks.v[rack].workers; id != DC_NONE;
+       id = dc->workers.v[id].next_in_rack)
+    sum += tasks_of (dc, want, id, cap);
+  return sum;
+}
+
+static bool
+spot_taken (const struct dc *dc, uint32_t first, uint32_t worker)
+{
+  for (uint32_t i = first; i < dc->spots.n; i++)
+    if (dc->spots.v[i].worker == worker)
+      return true;
+  return false;
+}
+
+/* The tightest worker that takes all that is LEFT, else the roomiest.  */
+static uint32_t
+next_in_rack (const struct dc *dc, const struct dc_want *want, uint32_t rack,
+              enum dc_capacity cap, uint32_t first, int32_t left,
+              int32_t *tasks)
+{
+  uint32_t best = DC_NONE;
+
+  *tasks = 0;
+  for (uint32_t id = dc->racks.v[rack].workers; id != DC_NONE;
+       id = dc->workers.v[id].next_in_rack)
+    {
+      int32_t n = tasks_of (dc, want, id, cap);
+      bool tighter = *tasks >= left && n >= left && n < *tasks;
+      bool roomier = *tasks < left && n > *tasks;
+
+      if ((tighter || roomier) && !spot_taken (dc, first, id))
+        {
+          best = id;
+          *tasks = n;
+        }
+    }
+  return best;
+}
+
+/* Fills workers of RACK with up to LEFT tasks; returns how many remain.  */
+static int32_t
+fill_rack (struct dc *dc, const struct dc_want *want, uint32_t rack,
+           enum dc_capacity cap, int32_t left)
+{
+  uint32_t first = dc->spots.n;
+
+  while (left > 0)
+    {
+      int32_t n;
+      uint32_t id = next_in_rack (dc, want, rack, cap, first, left, &n);
+
+      if (id == DC_NONE)
+        return left;
+      if (n > left)
+        n = left;
+      if (dc_add_spot (dc, id, n))
+        return left;
+      left -= n;
+    }
+  return 0;
+}
+
+static bool
+search_rack (struct dc *dc, const struct dc_want *want, enum dc_capacity cap)
+{
+  uint32_t best = DC_NONE;
+  int32_t least = INT32_MAX;
+  int tries = 0;
+
+  for (uint32_t r = 0; r < dc->racks.n && tries < MAX_RACK_TRIES; r++)
+    {
+      struct dc_amount room = dc->racks.v[r].cap[cap];
+
+      if (!rack_may (want, room) || room.accelerators >= least)
+        continue;
+      tries++;
+      if (tasks_in_rack (dc, want, r, cap) < want->tasks)
+        continue;
+      best = r;
+      least = room.accelerators;
+    }
+  return best != DC_NONE && fill_rack (dc, want, best, cap, want->tasks) == 0;
+}
+
+static bool
+search_domain (struct dc *dc, const struct dc_want *want, enum dc_capacity cap)
+{
+  for (uint32_t d = 0; d < dc->domains.n; d++)
+    {
+      int32_t left = want->tasks;
+
+      if (!rack_may (want, dc->domains.v[d].cap[cap]))
+        continue;
+      dc->spots.n = 0;
+      for (uint32_t r = dc->domains.v[d].racks; r != DC_NONE && left > 0;
+           r = dc->racks.v[r].next_in_domain)
+        if (dc->racks.v[r].cap[cap].slots > 0)
+          left = fill_rack (dc, want, r, cap, left);
+      if (left == 0)
+        return true;
+    }
+  return false;
+}
+
+bool
+dc_search (struct dc *dc, const struct dc_want *want, enum dc_capacity cap)
+{
+  dc->spots.n = 0;
+  switch (want->level)
+    {
+    case DC_LEVEL_WORKER:
+      return search_worker (dc, want, cap);
+    case DC_LEVEL_RACK:
+      return search_rack (dc, want, cap);
+    case DC_LEVEL_DOMAIN:
+      return search_domain (dc, want, cap);
+    case DC_LEVEL_NONE:
+      break;
+    }
+  return false;
+}
+
+/* First fit, for the baseline: the lowest worker, rack or domain.  */
+bool
+dc_search_first (struct dc *dc, const struct dc_want *want)
+{
+  dc->spots.n = 0;
+  if (want->level == DC_LEVEL_DOMAIN)
+    return search_domain (dc, want, DC_CAP_IDLE);
+  if (want->level == DC_LEVEL_RACK)
+    for (uint32_t r = 0; r < dc->racks.n; r++)
+      if (tasks_in_rack (dc, want, r, DC_CAP_IDLE) >= want->tasks)
+        return fill_rack (dc, want, r, DC_CAP_IDLE, want->tasks) == 0;
+  if (want->level == DC_LEVEL_WORKER)
+    for (uint32_t id = 0; id < dc->workers.n; id++)
+      if (tasks_of (dc, want, id, DC_CAP_IDLE) >= want->tasks)
+        return dc_add_spot (dc, id, want->tasks) == DC_OK;
+  return false;
+}
--- /dev/null
+++ b/src/decide/state.c
@@ -0,0 +1,283 @@
+/* The life of the state, and the events.  */
+#include "state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  FIRST = 16 /* elements of a new vector */
+};
+
+int
+dc_grow (void **v, uint32_t *n, uint32_t *cap, uint32_t at, size_t size)
+{
+  if (at < *n)
+    return DC_OK;
+  if (at >= *cap)
+    {
+      uint32_t more = *cap ? *cap : FIRST;
+      void *moved;
+
+      while (more <= at)
+        more += more / 2;
+      moved = realloc (*v, more * size);
+      if (!moved)
+        return DC_ENOMEM;
+      *v = moved;
+      *cap = more;
+    }
+  memset ((char *)*v + *n * size, 0, (at + 1 - *n) * size);
+  *n = at + 1;
+  return DC_OK;
+}
+
+size_t
+dc_size (void)
+{
+  return sizeof (struct dc);
+}
+
+int
+dc_init (struct dc *dc, const struct dc_config *config)
+{
+  memset (dc, 0, sizeof *dc);
+  dc->config = *config;
+  dc->free_cells = dc->spares = dc->pending = dc->pending_last = DC_NONE;
+  dc->age_ms = -1;
+  pl_init (&dc->tasks, sizeof (struct dc_task));
+  pl_init (&dc->parts, sizeof (struct dc_part));
+  for (int cap = 0; cap < DC_CAPS; cap++)
+    {
+      dc->index[cap] = calloc (1, sizeof *dc->index[cap]);
+      if (!dc->index[cap])
+        {
+          dc_fini (dc);
+          return DC_ENOMEM;
+        }
+      memset (dc->index[cap]->head, 0xff, sizeof dc->index[cap]->head);
+    }
+  return DC_OK;
+}
+
+void
+dc_fini (struct dc *dc)
+{
+  for (uint32_t i = 0; i < dc->queues.n; i++)
+    hp_fini (&dc->queues.v[i].jobs);
+  for (uint32_t i = 0; i < dc->lanes.n; i++)
+    hp_fini (&dc->lanes.v[i].jobs);
+  for (int cap = 0; cap < DC_CAPS; cap++)
+    free (dc->index[cap]);
+  hp_fini (&dc->order);
+  pl_fini (&dc->tasks);
+  pl_fini (&dc->parts);
+  free (dc->workers.v);
+  free (dc->racks.v);
+  free (dc->domains.v);
+  free (dc->accounts.v);
+  free (dc->jobs.v);
+  free (dc->cells.v);
+  free (dc->queues.v);
+  free (dc->lanes.v);
+  free (dc->actions.v);
+  free (dc->places.v);
+  free (dc->dirty.v);
+  free (dc->unbound.v);
+  free (dc->blocked.v);
+  free (dc->sick.v);
+  free (dc->spots.v);
+  memset (dc, 0, sizeof *dc);
+}
+
+int
+dc_account_grow (struct dc *dc, uint32_t account)
+{
+  uint32_t had = dc->accounts.n;
+
+  if (DC_GROW (dc, dc->accounts, account))
+    return DC_ENOMEM;
+  for (uint32_t i = had; i < dc->accounts.n; i++)
+    dc->accounts.v[i].cells = dc->accounts.v[i].lanes = DC_NONE;
+  return DC_OK;
+}
+
+void
+dc_act (struct dc *dc, enum dc_action_kind kind, uint32_t id, int32_t attempt,
+        const char *reason)
+{
+  struct dc_action *a;
+
+  if (DC_GROW (dc, dc->actions, dc->actions.n))
+    return;
+  a = &dc->actions.v[dc->actions.n - 1];
+  a->kind = kind;
+  a->at_ms = dc->now_ms;
+  a->id = id;
+  a->attempt = attempt;
+  a->reason = reason;
+  if (kind != DC_ACT_START)
+    return;
+  a->places = dc->jobs.v[id].spec.tasks;
+  a->version = dc->places.n - (uint32_t)a->places; /* until it is taken */
+}
+
+int
+dc_take (struct dc *dc, struct dc_action *action)
+{
+  if (dc->taken == dc->actions.n)
+    {
+      dc->taken = dc->actions.n = 0;
+      return 0;
+    }
+  *action = dc->actions.v[dc->taken++];
+  if (action->kind == DC_ACT_START)
+    {
+      action->place = &dc->places.v[action->version];
+      action->version = 0;
+    }
+  return 1;
+}
+
+static int
+leave (struct dc *dc, uint32_t id, bool down)
+{
+  struct dc_worker *w;
+
+  if (id >= dc->workers.n || !dc->workers.v[id].joined)
+    return DC_ENOENT;
+  w = &dc->workers.v[id];
+  if (!w->up)
+    return DC_OK;
+  w->leaving = true;
+  if (down)
+    {
+      w->up = false;
+      dc_worker_lose (dc, id);
+    }
+  dc_worker_close (dc, id);
+  dc->rebind = true;
+  return DC_OK;
+}
+
+static int
+apply (struct dc *dc, const struct dc_event *e)
+{
+  switch (e->kind)
+    {
+    case DC_EV_WORKER:
+      return dc_fleet_join (dc, e);
+    case DC_EV_LEAVING:
+      return leave (dc, e->u.worker_id, false);
+    case DC_EV_DOWN:
+      return leave (dc, e->u.worker_id, true);
+    case DC_EV_PLAN:
+      return dc_plan_apply (dc, e);
+    case DC_EV_SUBMIT:
+      return dc_job_submit (dc, e);
+    case DC_EV_CANCEL:
+      return dc_job_cancel (dc, e->u.job);
+    case DC_EV_TASK_DONE:
+      return dc_job_task_done (dc, e);
+    case DC_EV_TASK_FAILED:
+      return dc_job_task_failed (dc, e);
+    case DC_EV_CHECKPOINTED:
+      return dc_job_checkpointed (dc, e);
+    case DC_EV_ADOPT:
+      return dc_job_adopt (dc, e);
+    case DC_EV_LOST:
+      return dc_job_task_lost (dc, e);
+    }
+  return DC_EINVAL;
+}
+
+int
+dc_apply (struct dc *dc, const struct dc_event *event)
+{
+  int error;
+
+  if (event->at_ms < dc->now_ms)
+    return DC_EORDER;
+  dc->now_ms = event->at_ms;
+  if (dc->taken == dc->actions.n)
+    dc->taken = dc->actions.n = dc->places.n = 0;
+  error = apply (dc, event);
+  if (!error && dc->config.check)
+    error = dc_check (dc);
+  return error;
+}
+
+int
+dc_decide (struct dc *dc, int64_t now_ms)
+{
+  int error;
+
+  if (now_ms < dc->now_ms)
+    return DC_EORDER;
+  dc->now_ms = now_ms;
+  error = dc_run (dc);
+  if (!error && dc->config.check)
+    error = dc_check (dc);
+  return error;
+}
+
+int64_t
+dc_next_ms (const struct dc *dc)
+{
+  return dc_run_next (dc);
+}
+
+const char *
+dc_broken (const struct dc *dc)
+{
+  return dc->broken;
+}
+
+size_t
+dc_bytes (const struct dc *dc)
+{
+  size_t bytes = sizeof *dc + DC_CAPS * sizeof *dc->index[0];
+
+  bytes += dc->workers.cap * sizeof *dc->workers.v;
+  bytes += dc->racks.cap * sizeof *dc->racks.v;
+  bytes += dc->domains.cap * sizeof *dc->domains.v;
+  bytes += dc->accounts.cap * sizeof *dc->accounts.v;
+  bytes += dc->jobs.cap * sizeof *dc->jobs.v;
+  bytes += dc->cells.cap * sizeof *dc->cells.v;
+  bytes += dc->queues.cap * sizeof *dc->queues.v;
+  bytes += dc->lanes.cap * sizeof *dc->lanes.v;
+  bytes += dc->actions.cap * sizeof *dc->actions.v;
+  bytes += dc->places.cap * sizeof *dc->places.v;
+  bytes += (dc->dirty.cap + dc->unbound.cap + dc->blocked.cap + dc->sick.cap
+            + dc->order.cap)
+           * sizeof (uint32_t);
+  bytes += dc->spots.cap * sizeof *dc->spots.v;
+  for (uint32_t i = 0; i < dc->queues.n; i++)
+    bytes += dc->queues.v[i].jobs.cap * sizeof (uint32_t);
+  for (uint32_t i = 0; i < dc->lanes.n; i++)
+    bytes += dc->lanes.v[i].jobs.cap * sizeof (uint32_t);
+  return bytes + pl_bytes (&dc->tasks) + pl_bytes (&dc->parts);
+}
+
+const char *
+dc_strerror (int error)
+{
+  switch ((enum dc_error)error)
+    {
+    case DC_OK:
+      return "success";
+    case DC_EINVAL:
+      return "bad field in an event";
+    case DC_ENOMEM:
+      return "out of memory";
+    case DC_EORDER:
+      return "time went back";
+    case DC_EEXIST:
+      return "handle already in use";
+    case DC_ENOENT:
+      return "unknown handle";
+    case DC_EBROKEN:
+      return "an invariant does not hold";
+    }
+  return "unknown error";
+}
--- /dev/null
+++ b/src/decide/state.h
@@ -0,0 +1,418 @@
+/* The state of the decide layer and the functions its files share.  */
+#ifndef DECIDE_STATE_H
+#define DECIDE_STATE_H
+
+#include <stdbool.h>
+
+#include "heap.h"
+#include "pool.h"
+#include "skr/decide.h"
+
+#define DC_NONE UINT32_MAX
+#define DC_SPARE (UINT32_MAX - 1) /* account of the spare cells */
+
+enum
+{
+  DC_SIZES = DC_MAX_ACCELERATORS + 1,
+  DC_MAX_HANDLE = 1 << 26,   /* bound against a wild handle */
+  DC_MAX_FAILED_WORKERS = 3, /* a job that failed on these is failed */
+  DC_MAX_FAILED_STARTS = 6,  /* also on fewer workers */
+  DC_MAX_SUSPICIONS = 8      /* kept for one worker */
+};
+
+enum dc_level
+{
+  DC_LEVEL_WORKER,
+  DC_LEVEL_RACK,
+  DC_LEVEL_DOMAIN,
+  DC_LEVEL_NONE /* larger than the fleet */
+};
+
+enum dc_health
+{
+  DC_HEALTHY,
+  DC_QUARANTINED,
+  DC_PROBATION /* readmitted: one repeatable job at a time */
+};
+
+/* What a placement may count on in a worker.  */
+enum dc_capacity
+{
+  DC_CAP_IDLE,       /* free and promised to nobody */
+  DC_CAP_FIRM,       /* idle, and outside all guaranteed cells */
+  DC_CAP_UNRESERVED, /* outside cells, if preemptible work goes */
+  DC_CAP_SOFT,       /* idle if preemptible work goes, in cells or not */
+  DC_CAPS
+};
+
+struct dc_amount
+{
+  int32_t accelerators, slots;
+};
+
+/* A job that failed on a worker.  */
+struct dc_suspicion
+{
+  uint32_t job;
+  bool fine_elsewhere;
+  int64_t lasted_ms; /* from its start to the failure */
+};
+
+struct dc_worker
+{
+  uint64_t free_mask;
+  uint32_t rack, next_in_rack;
+  uint32_t tasks; /* head of the list of running tasks */
+  uint32_t parts; /* head of the list of cell parts */
+  bool joined, up, leaving;
+  uint8_t health; /* enum dc_health */
+  struct dc_amount total;
+  struct dc_amount free;
+  struct dc_amount cells;    /* guaranteed, used or not */
+  struct dc_amount hard;     /* beyond a guarantee, not preemptible */
+  struct dc_amount soft;     /* preemptible, beyond a guarantee */
+  struct dc_amount stopping; /* checkpointing now */
+  struct dc_amount held;     /* promised to pending gangs */
+  struct dc_amount drained;  /* kept for the gang that is drained for */
+  struct dc_amount ahead;    /* scratch of the pending walk */
+  uint32_t ahead_round;
+  struct dc_amount cap[DC_CAPS]; /* as counted in the index */
+  uint32_t bucket[DC_CAPS], next[DC_CAPS], prev[DC_CAPS];
+  /* health */
+  struct dc_suspicion suspect[DC_MAX_SUSPICIONS];
+  uint8_t suspicions;  /* jobs that failed here since the last success */
+  uint8_t quarantines; /* times, for the growing delay */
+  bool held_back;      /* nothing but guaranteed work until cleared */
+  bool sick;           /* in the list of workers to watch */
+  bool probing;        /* on probation, with its one job */
+  int64_t watch_ms;    /* when to look again */
+  int64_t held_ms;     /* since when it is held back */
+};
+
+struct dc_rack
+{
+  uint32_t domain, next_in_domain, workers;
+  int32_t holds[DC_SIZES]; /* tasks of that size, all workers ever */
+  struct dc_amount cap[DC_CAPS];
+};
+
+struct dc_domain
+{
+  uint32_t racks;
+  int32_t holds[DC_SIZES];
+  struct dc_amount cap[DC_CAPS];
+};
+
+/* The share of a cell in one worker.  */
+struct dc_part
+{
+  uint32_t worker, cell, next, prev;
+  struct dc_amount size, used;
+};
+
+/* One guaranteed group of adjacent accelerators.  */
+struct dc_cell
+{
+  uint32_t account, next; /* in the account's list */
+  uint32_t part;          /* first of PARTS, contiguous */
+  int32_t parts;          /* 0: not bound to any worker */
+  int32_t size;
+  uint32_t jobs; /* gangs charged to it */
+  uint8_t level;
+  bool live, waiting; /* waiting: in the list of unbound cells */
+  bool kept, added;   /* scratch of a change of plan */
+};
+
+struct dc_account
+{
+  int64_t version;
+  int shapes;
+  struct dc_shape shape[DC_MAX_SHAPES];
+  uint32_t cells; /* head of the list */
+  uint32_t lanes; /* head of the list */
+  bool known, dirty;
+  double run_ms;         /* learned run time; 0: none */
+  double ratio;          /* learned run time over declared; 0: none */
+  double jobs, failures; /* ended ones, for the rate of failure */
+};
+
+struct dc_task
+{
+  uint64_t mask;
+  uint32_t worker, job, next, prev;
+  bool live; /* counted in the books of its worker */
+};
+
+/* On whose account the books of a worker count a gang.  */
+enum dc_kind
+{
+  DC_KIND_SOFT,      /* beyond the guarantee, preemptible */
+  DC_KIND_HARD,      /* beyond the guarantee, not preemptible */
+  DC_KIND_GUARANTEED /* in a cell of its account */
+};
+
+enum dc_state
+{
+  DC_UNUSED,
+  DC_QUEUED,
+  DC_PENDING, /* its places are being freed */
+  DC_RUNNING,
+  DC_CHECKPOINTING,
+  DC_ENDED
+};
+
+struct dc_job
+{
+  int64_t submit_ms, queued_ms, start_ms, key;
+  int64_t served_ms; /* run time of ended attempts */
+  struct dc_job_spec spec;
+  uint32_t seq;
+  uint32_t task;                     /* first of spec.tasks, contiguous */
+  uint32_t cell;                     /* that it is charged to, or DC_NONE */
+  uint32_t queue, lane, position[2]; /* in the heaps of both */
+  uint32_t pending_next;
+  int32_t attempt, left; /* tasks still running */
+  uint32_t failed_on[DC_MAX_FAILED_WORKERS];
+  uint8_t failures; /* distinct workers in FAILED_ON */
+  uint8_t failed_starts;
+  uint8_t state;
+  uint8_t level; /* of adjacency, when it was placed */
+  bool adopted;
+  uint8_t kind; /* while pending, running or checkpointing */
+};
+
+/* All queued jobs of one shape, whoever owns them.  */
+struct dc_queue
+{
+  int32_t tasks, per_task;
+  uint8_t class;
+  bool hard;
+  bool blocked; /* its head does not fit until room is freed */
+  uint32_t position;
+  struct hp_heap jobs;
+};
+
+/* Queued jobs of one shape and account.  */
+struct dc_lane
+{
+  uint32_t account, queue, next;
+  struct hp_heap jobs;
+};
+
+/* Workers by what they offer: accelerators, then slots, both capped.  */
+struct dc_index
+{
+  uint32_t head[DC_SIZES][DC_SIZES];
+  uint64_t slots[DC_SIZES][2]; /* bit: that list is not empty */
+};
+
+struct dc_want
+{
+  int32_t tasks;
+  struct dc_amount unit; /* what each task takes */
+  enum dc_level level;
+  const uint32_t *avoid; /* workers that are left out */
+  int avoids;
+};
+
+struct dc_spot
+{
+  uint32_t worker;
+  int32_t tasks;
+};
+
+#define DC_VECTOR(type)                                                       \
+  struct                                                                      \
+  {                                                                           \
+    type *v;                                                                  \
+    uint32_t n, cap;                                                          \
+  }
+
+struct dc
+{
+  struct dc_config config;
+  int64_t now_ms;
+  const char *broken;
+
+  DC_VECTOR (struct dc_worker) workers;
+  DC_VECTOR (struct dc_rack) racks;
+  DC_VECTOR (struct dc_domain) domains;
+  DC_VECTOR (struct dc_account) accounts;
+  DC_VECTOR (struct dc_job) jobs;
+  DC_VECTOR (struct dc_cell) cells;
+  DC_VECTOR (struct dc_queue) queues;
+  DC_VECTOR (struct dc_lane) lanes;
+  DC_VECTOR (struct dc_action) actions;
+  DC_VECTOR (struct dc_place) places; /* of the actions */
+  DC_VECTOR (uint32_t) dirty;         /* accounts to look at */
+  DC_VECTOR (uint32_t) unbound;       /* cells without workers */
+  DC_VECTOR (uint32_t) blocked;       /* queues set aside */
+  DC_VECTOR (uint32_t) sick;          /* workers to watch */
+  DC_VECTOR (struct dc_spot) spots;   /* result of the last search */
+  uint32_t taken;                     /* actions */
+  struct pl_pool tasks, parts;
+  struct hp_heap order; /* queues by their head */
+  struct dc_index *index[DC_CAPS];
+  uint32_t free_cells;
+  uint32_t spares; /* cells kept for worker failures */
+
+  int32_t slots_with[DC_SIZES]; /* most slots of a worker that large */
+  int32_t rack_holds[DC_SIZES], domain_holds[DC_SIZES];
+  uint32_t fleet_round; /* counts changes of these three */
+  uint32_t walk_round;
+  uint32_t seq;
+  uint32_t pending; /* head of the list, oldest first */
+  uint32_t pending_last;
+  int64_t age_ms; /* when a blocked gang reaches its age limit */
+  bool freed, rebind;
+  uint32_t running_jobs, queued_jobs;
+};
+
+/* Grows a vector so that index AT exists; new elements are zero.  Returns 0
+   or DC_ENOMEM.  */
+#define DC_GROW(dc, vec, at)                                                  \
+  dc_grow ((void **)&(vec).v, &(vec).n, &(vec).cap, at, sizeof *(vec).v)
+int dc_grow (void **v, uint32_t *n, uint32_t *cap, uint32_t at, size_t size);
+
+/* fleet.c */
+int dc_fleet_join (struct dc *dc, const struct dc_event *event);
+void dc_fleet_refresh (struct dc *dc, uint32_t worker);
+bool dc_worker_open (const struct dc_worker *w);
+struct dc_amount dc_capacity (const struct dc *dc, const struct dc_worker *w,
+                              enum dc_capacity cap);
+enum dc_level dc_level_of (const struct dc *dc, int32_t tasks,
+                           int32_t per_task);
+uint32_t dc_domain_of (const struct dc *dc, uint32_t worker);
+
+/* search.c: finds room, leaves it in dc->spots.  */
+bool dc_search (struct dc *dc, const struct dc_want *want,
+                enum dc_capacity cap);
+bool dc_search_first (struct dc *dc, const struct dc_want *want);
+int32_t dc_tasks_in (struct dc_amount room, struct dc_amount unit);
+int dc_add_spot (struct dc *dc, uint32_t worker, int32_t tasks);
+
+/* cell.c */
+int dc_cell_new (struct dc *dc, uint32_t account, int32_t size,
+                 uint32_t *cell);
+bool dc_cell_bind (struct dc *dc, uint32_t cell);
+bool dc_cell_bind_at (struct dc *dc, uint32_t cell, uint32_t worker);
+void dc_cell_settle (struct dc *dc, uint32_t worker);
+void dc_cell_unbind (struct dc *dc, uint32_t cell);
+void dc_cell_drop (struct dc *dc, uint32_t cell);
+void dc_cell_suspend (struct dc *dc, uint32_t cell, int sign);
+void dc_cell_evict (struct dc *dc, uint32_t worker);
+void dc_cell_wait (struct dc *dc, uint32_t cell);
+void dc_cell_rebind_all (struct dc *dc);
+bool dc_cell_move (struct dc *dc, uint32_t cell, const struct dc_job *job);
+struct dc_part *dc_cell_part (const struct dc *dc, uint32_t cell,
+                              uint32_t worker);
+/* charge.c */
+uint32_t dc_charge_find (struct dc *dc, const struct dc_job *job,
+                         enum dc_level level);
+bool dc_charge_spots (struct dc *dc, uint32_t cell, const struct dc_job *job,
+                      enum dc_level level);
+void dc_charge_release_jobs (struct dc *dc, uint32_t cell);
+
+/* plan.c */
+int dc_plan_apply (struct dc *dc, const struct dc_event *event);
+bool dc_plan_spares (struct dc *dc);
+
+/* gang.c: the places of a gang and their books.  */
+int dc_gang_place (struct dc *dc, uint32_t job, enum dc_kind kind,
+                   uint32_t cell);
+void dc_gang_unplace (struct dc *dc, uint32_t job);
+void dc_gang_set (struct dc *dc, uint32_t job, enum dc_state state,
+                  enum dc_kind kind, uint32_t cell);
+void dc_gang_start (struct dc *dc, uint32_t job);
+void dc_gang_adopt (struct dc *dc, uint32_t job, const struct dc_place *place);
+void dc_gang_end_task (struct dc *dc, uint32_t job, int32_t task);
+struct dc_task *dc_gang_task (const struct dc *dc, const struct dc_job *job,
+                              int32_t task);
+
+/* pending.c: gangs that wait for their places.  */
+void dc_pending_add (struct dc *dc, uint32_t job);
+void dc_pending_drop (struct dc *dc, uint32_t job);
+void dc_pending_make_room (struct dc *dc, uint32_t job);
+void dc_pending_walk (struct dc *dc);
+void dc_preempt (struct dc *dc, uint32_t job);
+
+/* job.c */
+int dc_job_submit (struct dc *dc, const struct dc_event *event);
+int dc_job_cancel (struct dc *dc, uint32_t job);
+int dc_job_task_done (struct dc *dc, const struct dc_event *event);
+int dc_job_task_failed (struct dc *dc, const struct dc_event *event);
+int dc_job_task_lost (struct dc *dc, const struct dc_event *event);
+int dc_job_checkpointed (struct dc *dc, const struct dc_event *event);
+void dc_job_lose (struct dc *dc, uint32_t job, const char *reason);
+void dc_worker_lose (struct dc *dc, uint32_t worker);
+void dc_worker_drop_pending (struct dc *dc, uint32_t worker);
+
+/* adopt.c */
+int dc_job_adopt (struct dc *dc, const struct dc_event *event);
+
+/* queue.c */
+int dc_queue_add (struct dc *dc, uint32_t job);
+void dc_queue_remove (struct dc *dc, uint32_t job);
+void dc_queue_block (struct dc *dc, uint32_t queue);
+void dc_queue_unblock (struct dc *dc);
+void dc_account_touch (struct dc *dc, uint32_t account);
+int64_t dc_queue_key (const struct dc *dc, const struct dc_job *job);
+
+/* health.c */
+bool dc_health_failed (struct dc *dc, uint32_t job, uint32_t worker);
+void dc_health_worked (struct dc *dc, uint32_t job, uint32_t worker);
+void dc_health_done (struct dc *dc, uint32_t job);
+void dc_health_tick (struct dc *dc);
+int64_t dc_health_next (const struct dc *dc);
+void dc_health_forget (struct dc *dc, uint32_t job);
+void dc_health_reset (struct dc *dc, uint32_t worker);
+void dc_worker_close (struct dc *dc, uint32_t worker);
+
+/* run.c */
+int dc_run (struct dc *dc);
+int64_t dc_run_next (const struct dc *dc);
+
+/* check.c */
+int dc_check (struct dc *dc);
+
+/* learn.c */
+int64_t dc_learn_predict (const struct dc *dc, const struct dc_job *job);
+int64_t dc_learn_delay (const struct dc *dc, const struct dc_job *job);
+void dc_learn_done (struct dc *dc, const struct dc_job *job);
+
+/* state.c */
+int dc_account_grow (struct dc *dc, uint32_t account);
+void dc_act (struct dc *dc, enum dc_action_kind kind, uint32_t id,
+             int32_t attempt, const char *reason);
+
+static inline struct dc_amount
+dc_plus (struct dc_amount a, struct dc_amount b, int sign)
+{
+  a.accelerators += sign * b.accelerators;
+  a.slots += sign * b.slots;
+  return a;
+}
+
+static inline struct dc_amount
+dc_least (struct dc_amount a, struct dc_amount b)
+{
+  if (b.accelerators < a.accelerators)
+    a.accelerators = b.accelerators;
+  if (b.slots < a.slots)
+    a.slots = b.slots;
+  return a;
+}
+
+static inline bool
+dc_covers (struct dc_amount a, struct dc_amount b)
+{
+  return a.accelerators >= b.accelerators && a.slots >= b.slots;
+}
+
+static inline struct dc_amount
+dc_need (const struct dc_job *job, int32_t tasks)
+{
+  return (struct dc_amount){ tasks * job->spec.per_task, tasks };
+}
+
+#endif
--- /dev/null
+++ b/tests/decide/fake_fleet.c
@@ -0,0 +1,262 @@
+#include "fake_fleet.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  BAD_WORKER_MS = 1000
+};
+
+void
+ff_init (struct ff_fleet *f, const struct dc_config *config)
+{
+  memset (f, 0, sizeof *f);
+  f->dc = malloc (dc_size ());
+  f->job = calloc (FF_MAX_JOBS, sizeof *f->job);
+  f->error = dc_init (f->dc, config);
+}
+
+void
+ff_fini (struct ff_fleet *f)
+{
+  dc_fini (f->dc);
+  free (f->dc);
+  free (f->job);
+}
+
+static void
+start (struct ff_fleet *f, const struct dc_action *a)
+{
+  struct ff_job *j = &f->job[a->id];
+
+  j->state = FF_RUNNING;
+  j->attempt = a->attempt;
+  j->start_ms = f->now_ms;
+  if (j->starts++ == 0)
+    j->first_ms = f->now_ms;
+  j->due_ms = f->now_ms + j->actual_ms - j->ran_ms;
+  for (int i = 0; i < a->places && i < 64; i++)
+    {
+      j->place[i] = a->place[i];
+      if (f->fails_all[a->place[i].worker])
+        j->due_ms = f->now_ms + BAD_WORKER_MS;
+    }
+}
+
+static void
+act (struct ff_fleet *f, const struct dc_action *a)
+{
+  struct ff_job *j = &f->job[a->id];
+
+  switch (a->kind)
+    {
+    case DC_ACT_START:
+      start (f, a);
+      break;
+    case DC_ACT_PREEMPT:
+      j->state = FF_CHECKPOINTING;
+      j->ran_ms += f->now_ms - j->start_ms;
+      j->due_ms = f->now_ms + DC_CHECKPOINT_MS;
+      j->preempted++;
+      break;
+    case DC_ACT_REQUEUE:
+      j->state = FF_WAITING;
+      break;
+    case DC_ACT_DONE:
+      j->state = FF_DONE;
+      j->end_ms = f->now_ms;
+      break;
+    case DC_ACT_FAILED:
+      j->state = FF_FAILED;
+      break;
+    case DC_ACT_CANCELLED:
+      j->state = FF_CANCELLED;
+      break;
+    case DC_ACT_UNKNOWN:
+      j->state = FF_UNKNOWN;
+      break;
+    case DC_ACT_REFUSED:
+      j->state = FF_REFUSED;
+      break;
+    case DC_ACT_QUARANTINE:
+      f->quarantined[a->id] = 1;
+      f->quarantines++;
+      break;
+    case DC_ACT_READMIT:
+      f->quarantined[a->id] = 0;
+      break;
+    case DC_ACT_PLAN_ACCEPTED:
+      f->accepted++;
+      break;
+    case DC_ACT_PLAN_REFUSED:
+      f->refused++;
+      break;
+    case DC_ACT_STOP:
+      break;
+    }
+}
+
+static void
+take_all (struct ff_fleet *f)
+{
+  struct dc_action a;
+
+  while (dc_take (f->dc, &a))
+    act (f, &a);
+}
+
+void
+ff_apply (struct ff_fleet *f, struct dc_event *e)
+{
+  int error;
+
+  e->at_ms = f->now_ms;
+  error = dc_apply (f->dc, e);
+  if (!f->error)
+    f->error = error;
+  take_all (f);
+}
+
+void
+ff_decide (struct ff_fleet *f)
+{
+  int error = dc_decide (f->dc, f->now_ms);
+
+  if (!f->error)
+    f->error = error;
+  take_all (f);
+}
+
+void
+ff_worker (struct ff_fleet *f, uint32_t id, uint32_t rack, uint32_t domain,
+           int accelerators, int slots)
+{
+  struct dc_event e = { .kind = DC_EV_WORKER };
+
+  e.u.worker.id = id;
+  e.u.worker.rack = rack;
+  e.u.worker.domain = domain;
+  e.u.worker.accelerators = accelerators;
+  e.u.worker.slots = slots;
+  ff_apply (f, &e);
+}
+
+void
+ff_worker_event (struct ff_fleet *f, enum dc_event_kind kind, uint32_t id)
+{
+  struct dc_event e = { .kind = kind, .u.worker_id = id };
+
+  ff_apply (f, &e);
+}
+
+void
+ff_plan (struct ff_fleet *f, uint32_t account, int32_t size, int32_t count)
+{
+  struct dc_event e = { .kind = DC_EV_PLAN };
+
+  e.u.plan.account = account;
+  e.u.plan.version = ++f->version;
+  e.u.plan.shapes = 1;
+  e.u.plan.shape[0] = (struct dc_shape){ size, count };
+  ff_apply (f, &e);
+}
+
+uint32_t
+ff_submit (struct ff_fleet *f, struct dc_job_spec spec, int64_t actual_ms)
+{
+  struct dc_event e = { .kind = DC_EV_SUBMIT };
+  uint32_t id = f->jobs++;
+
+  f->job[id] = (struct ff_job){ .state = FF_WAITING,
+                                .spec = spec,
+                                .actual_ms = actual_ms,
+                                .submit_ms = f->now_ms };
+  e.u.submit.id = id;
+  e.u.submit.spec = spec;
+  ff_apply (f, &e);
+  return id;
+}
+
+void
+ff_cancel (struct ff_fleet *f, uint32_t job)
+{
+  struct dc_event e = { .kind = DC_EV_CANCEL, .u.job = job };
+
+  ff_apply (f, &e);
+}
+
+static int
+task_fails (const struct ff_fleet *f, const struct ff_job *j, int32_t task)
+{
+  return j->fails || (task < 64 && f->fails_all[j->place[task].worker]);
+}
+
+static void
+end_tasks (struct ff_fleet *f, uint32_t id)
+{
+  struct ff_job *j = &f->job[id];
+  struct dc_event e = { .kind = DC_EV_TASK_DONE };
+
+  e.u.task.job = id;
+  e.u.task.attempt = j->attempt;
+  for (int32_t t = 0; t < j->spec.tasks; t++)
+    {
+      e.u.task.task = (uint32_t)t;
+      e.kind = task_fails (f, j, t) ? DC_EV_TASK_FAILED : DC_EV_TASK_DONE;
+      ff_apply (f, &e);
+      if (j->state != FF_RUNNING)
+        return;
+    }
+}
+
+static void
+end_due (struct ff_fleet *f, uint32_t id)
+{
+  struct ff_job *j = &f->job[id];
+  struct dc_event e = { .kind = DC_EV_CHECKPOINTED };
+
+  j->due_ms = INT64_MAX;
+  if (j->state == FF_RUNNING)
+    {
+      end_tasks (f, id);
+      return;
+    }
+  e.u.task.job = id;
+  e.u.task.attempt = j->attempt;
+  j->state = FF_WAITING;
+  ff_apply (f, &e);
+}
+
+static int64_t
+next_due (const struct ff_fleet *f)
+{
+  int64_t next = dc_next_ms (f->dc);
+
+  if (next < 0)
+    next = INT64_MAX;
+  for (uint32_t i = 0; i < f->jobs; i++)
+    if ((f->job[i].state == FF_RUNNING || f->job[i].state == FF_CHECKPOINTING)
+        && f->job[i].due_ms < next)
+      next = f->job[i].due_ms;
+  return next;
+}
+
+void
+ff_run (struct ff_fleet *f, int64_t at_ms)
+{
+  ff_decide (f);
+  for (int64_t next = next_due (f); next <= at_ms && !f->error;
+       next = next_due (f))
+    {
+      if (next > f->now_ms)
+        f->now_ms = next;
+      for (uint32_t i = 0; i < f->jobs; i++)
+        if ((f->job[i].state == FF_RUNNING
+             || f->job[i].state == FF_CHECKPOINTING)
+            && f->job[i].due_ms <= f->now_ms)
+          end_due (f, i);
+      ff_decide (f);
+    }
+  f->now_ms = at_ms;
+}
