Move cells to idle room, let urgent work take its account's cells, promote gangs

Cause: an urgent job within its guarantee waited for a checkpoint although other workers were idle, and found its cells full of bulk work of its own account; work within a guarantee could be preempted when it had started as borrowed work. Change: an unused cell moves to idle room, in exchange for unused cells there; an urgent job takes a cell from preemptible bulk work of its account; a gang outside cells is charged to a cell of its account that falls free.

--- a/src/decide/cell.c
+++ b/src/decide/cell.c
@@ -99,8 +99,6 @@
           = dc_plus (dc->workers.v[spot.worker].cells, part->size, 1);
       dc_fleet_refresh (dc, spot.worker);
     }
-  if (c->account != DC_SPARE)
-    dc_account_touch (dc, c->account);
   return true;
 }
 
@@ -150,13 +148,14 @@
   return false;
 }
 
+/* Binds CELL, which is bound nowhere, where there is room of kind CAP.  */
 bool
-dc_cell_bind (struct dc *dc, uint32_t cell)
+dc_cell_bind (struct dc *dc, uint32_t cell, enum dc_capacity cap)
 {
   struct dc_want want;
   struct dc_cell *c = &dc->cells.v[cell];
 
-  if (!search_cell (dc, c->size, DC_CAP_UNRESERVED, &want))
+  if (!search_cell (dc, c->size, cap, &want))
     return false;
   c->level = want.level;
   return bind_spots (dc, cell, want.unit);
@@ -247,20 +246,16 @@
     }
 }
 
-/* Moves an unused cell to idle room outside all cells, for JOB to start
-   there at once.  */
+/* Whether CELL could be bound to WORKER alone.  */
 bool
-dc_cell_move (struct dc *dc, uint32_t cell, const struct dc_job *job)
+dc_cell_fits_at (const struct dc *dc, uint32_t cell, uint32_t worker)
 {
-  struct dc_want want;
-  struct dc_cell *c = &dc->cells.v[cell];
+  const struct dc_cell *c = &dc->cells.v[cell];
+  const struct dc_worker *w = &dc->workers.v[worker];
 
-  (void)job;
-  if (c->jobs || !search_cell (dc, c->size, DC_CAP_FIRM, &want))
-    return false;
-  dc_cell_unbind (dc, cell);
-  c->level = want.level;
-  return bind_spots (dc, cell, want.unit);
+  return c->size <= w->total.accelerators && dc_worker_open (w)
+         && dc_covers (dc_capacity (dc, w, DC_CAP_UNRESERVED),
+                       unit_of (dc, c->size));
 }
 
 /* Binds a cell to one worker, if its size and the room there allow it.  */
@@ -268,19 +263,14 @@
 dc_cell_bind_at (struct dc *dc, uint32_t cell, uint32_t worker)
 {
   struct dc_cell *c = &dc->cells.v[cell];
-  const struct dc_worker *w = &dc->workers.v[worker];
-  struct dc_amount unit;
 
-  if (c->size > w->total.accelerators || !dc_worker_open (w))
-    return false;
-  unit = unit_of (dc, c->size);
-  if (!dc_covers (dc_capacity (dc, w, DC_CAP_UNRESERVED), unit))
+  if (!dc_cell_fits_at (dc, cell, worker))
     return false;
   dc->spots.n = 0;
   if (dc_add_spot (dc, worker, 1))
     return false;
   c->level = DC_LEVEL_WORKER;
-  return bind_spots (dc, cell, unit);
+  return bind_spots (dc, cell, unit_of (dc, c->size));
 }
 
 /* Takes unused cells off WORKER until its books hold again.  */
--- a/src/decide/charge.c
+++ b/src/decide/charge.c
@@ -129,8 +129,33 @@
   return DC_NONE;
 }
 
-/* Frees CELL of its gangs.  Those that run keep their places, and as they
-   were inside the guarantee they are not preempted for it.  */
+/* A cell of JOB's account that only preemptible bulk work uses and that
+   would hold JOB without it; DC_NONE if there is none.  */
+uint32_t
+dc_charge_find_bulk (struct dc *dc, const struct dc_job *job,
+                     enum dc_level level)
+{
+  uint32_t best = DC_NONE;
+  struct dc_amount need = dc_need (job, job->spec.tasks);
+
+  if (need.accelerators == 0 || level != DC_LEVEL_WORKER)
+    return DC_NONE;
+  for (uint32_t id = dc->accounts.v[job->spec.account].cells; id != DC_NONE;
+       id = dc->cells.v[id].next)
+    {
+      const struct dc_cell *c = &dc->cells.v[id];
+
+      if (c->jobs == 0 || c->firm_jobs > 0 || c->parts != 1
+          || !dc_covers (((struct dc_part *)pl_at (&dc->parts, c->part))->size,
+                         need))
+        continue;
+      if (best == DC_NONE || c->size < dc->cells.v[best].size)
+        best = id;
+    }
+  return best;
+}
+
+/* Frees CELL of its gangs.  Those that run keep their places.  */
 void
 dc_charge_release_jobs (struct dc *dc, uint32_t cell)
 {
@@ -139,12 +164,18 @@
   for (int32_t i = 0; i < c->parts && c->jobs; i++)
     {
       const struct dc_part *part = pl_at (&dc->parts, c->part + (uint32_t)i);
-      uint32_t job;
+      uint32_t id;
 
-      while ((job = job_on (dc, cell, part->worker)) != DC_NONE)
-        if (dc->jobs.v[job].state == DC_PENDING)
-          dc_pending_drop (dc, job);
-        else
-          dc_gang_set (dc, job, dc->jobs.v[job].state, DC_KIND_HARD, DC_NONE);
+      while ((id = job_on (dc, cell, part->worker)) != DC_NONE)
+        {
+          const struct dc_job *job = &dc->jobs.v[id];
+
+          if (job->state == DC_PENDING)
+            dc_pending_drop (dc, id);
+          else
+            dc_gang_set (dc, id, job->state,
+                         job->spec.preemptible ? DC_KIND_SOFT : DC_KIND_HARD,
+                         DC_NONE);
+        }
     }
 }
--- a/src/decide/gang.c
+++ b/src/decide/gang.c
@@ -62,7 +62,42 @@
 }
 
 static void
-book_all (struct dc *dc, const struct dc_job *job, int sign)
+count_charge (struct dc *dc, const struct dc_job *job, int sign)
+{
+  struct dc_cell *c = &dc->cells.v[job->cell];
+
+  c->jobs += (uint32_t)sign;
+  if (job->spec.class == DC_URGENT || !job->spec.preemptible)
+    c->firm_jobs += (uint32_t)sign;
+}
+
+/* Adds JOB to the running preemptible gangs outside cells of its account, or
+   takes it out.  */
+static void
+list_soft (struct dc *dc, struct dc_job *job, int sign)
+{
+  uint32_t id = (uint32_t)(job - dc->jobs.v);
+  uint32_t *head = &dc->accounts.v[job->spec.account].soft;
+
+  if (sign > 0)
+    {
+      job->soft_prev = DC_NONE;
+      job->soft_next = *head;
+      if (*head != DC_NONE)
+        dc->jobs.v[*head].soft_prev = id;
+      *head = id;
+      return;
+    }
+  if (job->soft_prev != DC_NONE)
+    dc->jobs.v[job->soft_prev].soft_next = job->soft_next;
+  else
+    *head = job->soft_next;
+  if (job->soft_next != DC_NONE)
+    dc->jobs.v[job->soft_next].soft_prev = job->soft_prev;
+}
+
+static void
+book_all (struct dc *dc, struct dc_job *job, int sign)
 {
   uint32_t last = DC_NONE;
 
@@ -80,7 +115,9 @@
   if (last != DC_NONE)
     dc_fleet_refresh (dc, last);
   if (job->kind == DC_KIND_GUARANTEED)
-    dc->cells.v[job->cell].jobs += (uint32_t)sign;
+    count_charge (dc, job, sign);
+  else if (job->kind == DC_KIND_SOFT && job->state == DC_RUNNING)
+    list_soft (dc, job, sign);
 }
 
 /* Moves a placed gang to another state and kind in all books.  */
@@ -267,9 +304,11 @@
   job->task = DC_NONE;
   if (job->kind == DC_KIND_GUARANTEED)
     {
-      dc->cells.v[job->cell].jobs--;
+      count_charge (dc, job, -1);
       dc_account_touch (dc, job->spec.account);
     }
+  else if (job->kind == DC_KIND_SOFT && job->state == DC_RUNNING)
+    list_soft (dc, job, -1);
   job->cell = DC_NONE;
   job->kind = DC_KIND_SOFT;
   job->state = DC_QUEUED; /* or what the caller makes of it */
--- a/src/decide/health.c
+++ b/src/decide/health.c
@@ -16,7 +16,8 @@
   READMIT_MOST_MS = 3600000
 };
 
-static const double CHANCE = 1e-7; /* below it, failures are the worker's */
+static const double least_chance
+    = 1e-7; /* below it, failures are the worker's */
 
 static void
 watch (struct dc *dc, uint32_t id, int64_t at_ms)
@@ -144,7 +145,7 @@
     return false;
   for (int i = 0; i < w->suspicions; i++)
     chance *= fmin (1, chance_of (dc, &dc->jobs.v[w->suspect[i].job]));
-  return chance < CHANCE;
+  return chance < least_chance;
 }
 
 static bool
--- a/src/decide/learn.c
+++ b/src/decide/learn.c
@@ -3,8 +3,8 @@
 
 #include "state.h"
 
-static const double RATE = 0.1;      /* weight of the newest run */
-static const double MOST_RATIO = 20; /* learned over declared, either way */
+static const double learn_rate = 0.1; /* weight of the newest run */
+static const double most_ratio = 20;  /* learned over declared, either way */
 
 /* Expected run time of JOB in ms.  */
 int64_t
@@ -38,13 +38,13 @@
 
   if (run < 1)
     run = 1;
-  account->run_ms += RATE * (run - account->run_ms);
+  account->run_ms += learn_rate * (run - account->run_ms);
   if (job->spec.declared_ms <= 0)
     return;
   ratio = run / (double)job->spec.declared_ms;
-  ratio = fmax (1 / MOST_RATIO, fmin (MOST_RATIO, ratio));
+  ratio = fmax (1 / most_ratio, fmin (most_ratio, ratio));
   if (account->ratio > 0)
-    account->ratio *= pow (ratio / account->ratio, RATE);
+    account->ratio *= pow (ratio / account->ratio, learn_rate);
   else
     account->ratio = ratio;
 }
--- /dev/null
+++ b/src/decide/move.c
@@ -0,0 +1,83 @@
+/* Moves guaranteed cells to other workers, so that a gang can start there at
+   once instead of waiting for a checkpoint.  */
+#include "state.h"
+
+enum
+{
+  MAX_MOVED = 8 /* cells that make way for one */
+};
+
+/* Moves an unused cell to idle room outside all cells.  */
+bool
+dc_cell_move (struct dc *dc, uint32_t cell)
+{
+  struct dc_cell *c = &dc->cells.v[cell];
+  uint32_t from;
+
+  if (c->jobs || c->parts != 1)
+    return false;
+  from = ((struct dc_part *)pl_at (&dc->parts, c->part))->worker;
+  dc_cell_unbind (dc, cell);
+  if (dc_cell_bind (dc, cell, DC_CAP_FIRM))
+    return true;
+  dc_cell_bind_at (dc, cell, from);
+  return false;
+}
+
+/* Unbinds unused one-worker cells of WORKER until CELL would fit there.
+   Returns how many.  */
+static int
+clear (struct dc *dc, uint32_t cell, uint32_t worker,
+       uint32_t moved[MAX_MOVED])
+{
+  uint32_t id = dc->workers.v[worker].parts;
+  int n = 0;
+
+  while (id != DC_NONE && n < MAX_MOVED && !dc_cell_fits_at (dc, cell, worker))
+    {
+      const struct dc_part *part = pl_at (&dc->parts, id);
+      const struct dc_cell *c = &dc->cells.v[part->cell];
+
+      id = part->next;
+      if (c->jobs || c->parts != 1)
+        continue;
+      moved[n++] = part->cell;
+      dc_cell_unbind (dc, part->cell);
+    }
+  return n;
+}
+
+/* Moves CELL to WORKER, and unused cells that were there to where CELL was
+   or elsewhere.  Changes nothing if that fails.  */
+bool
+dc_cell_displace (struct dc *dc, uint32_t cell, uint32_t worker)
+{
+  const struct dc_cell *c = &dc->cells.v[cell];
+  uint32_t moved[MAX_MOVED], from;
+  bool done;
+  int n, placed = 0;
+
+  if (c->jobs || c->parts != 1)
+    return false;
+  from = ((struct dc_part *)pl_at (&dc->parts, c->part))->worker;
+  if (from == worker)
+    return true;
+  dc_cell_unbind (dc, cell);
+  n = clear (dc, cell, worker, moved);
+  done = dc_cell_bind_at (dc, cell, worker);
+  while (done && placed < n)
+    {
+      done = dc_cell_bind_at (dc, moved[placed], from)
+             || dc_cell_bind (dc, moved[placed], DC_CAP_UNRESERVED);
+      placed += done;
+    }
+  if (done)
+    return true;
+  dc_cell_unbind (dc, cell);
+  while (placed > 0)
+    dc_cell_unbind (dc, moved[--placed]);
+  while (n > 0)
+    dc_cell_bind_at (dc, moved[--n], worker);
+  dc_cell_bind_at (dc, cell, from);
+  return false;
+}
--- a/src/decide/plan.c
+++ b/src/decide/plan.c
@@ -84,7 +84,7 @@
       if (dc->unbound.n > 0 || dc_cell_new (dc, account, size, &cell))
         return false;
       dc->cells.v[cell].kept = dc->cells.v[cell].added = true;
-      if (!dc_cell_bind (dc, cell))
+      if (!dc_cell_bind (dc, cell, DC_CAP_UNRESERVED))
         return false;
     }
   return true;
@@ -137,7 +137,7 @@
 
       if (dc_cell_new (dc, DC_SPARE, size, &cell))
         return false;
-      if (!dc_cell_bind (dc, cell))
+      if (!dc_cell_bind (dc, cell, DC_CAP_UNRESERVED))
         {
           dc_cell_drop (dc, cell);
           return false;
--- /dev/null
+++ b/src/decide/promote.c
@@ -0,0 +1,58 @@
+/* Charges running gangs to cells of their account that fell free, so that
+   nothing within a guarantee is preempted for others.  */
+#include "state.h"
+
+enum
+{
+  MAX_LOOKS = 16 /* gangs considered for one cell */
+};
+
+/* The running gang outside cells that uses most of a cell of SIZE.  */
+static uint32_t
+best_for (const struct dc *dc, uint32_t account, int32_t size)
+{
+  uint32_t best = DC_NONE, id = dc->accounts.v[account].soft;
+  int32_t most = 0;
+
+  for (int i = 0; i < MAX_LOOKS && id != DC_NONE; i++)
+    {
+      const struct dc_job *job = &dc->jobs.v[id];
+      int32_t n = job->spec.tasks * job->spec.per_task;
+
+      if (job->level == DC_LEVEL_WORKER && job->left == job->spec.tasks
+          && n <= size && n > most
+          && dc_worker_open (
+              &dc->workers.v[dc_gang_task (dc, job, 0)->worker]))
+        {
+          best = id;
+          most = n;
+        }
+      id = job->soft_next;
+    }
+  return best;
+}
+
+/* Charges gangs to the unused one-worker cells of ACCOUNT.  */
+void
+dc_promote (struct dc *dc, uint32_t account)
+{
+  uint32_t c = dc->accounts.v[account].cells;
+
+  for (; c != DC_NONE && dc->accounts.v[account].soft != DC_NONE;
+       c = dc->cells.v[c].next)
+    {
+      const struct dc_cell *cell = &dc->cells.v[c];
+      const struct dc_job *job;
+      uint32_t id;
+
+      if (cell->jobs || cell->parts != 1)
+        continue;
+      id = best_for (dc, account, cell->size);
+      if (id == DC_NONE)
+        continue;
+      job = &dc->jobs.v[id];
+      if (dc_cell_displace (dc, c, dc_gang_task (dc, job, 0)->worker)
+          && dc_charge_spots (dc, c, job, DC_LEVEL_WORKER))
+        dc_gang_set (dc, id, DC_RUNNING, DC_KIND_GUARANTEED, c);
+    }
+}
--- a/src/decide/rebind.c
+++ b/src/decide/rebind.c
@@ -46,10 +46,10 @@
 {
   bool spare = dc->cells.v[cell].account == DC_SPARE;
 
-  if (dc_cell_bind (dc, cell))
+  if (dc_cell_bind (dc, cell, DC_CAP_UNRESERVED))
     return true;
   while (!spare && use_spare (dc))
-    if (dc_cell_bind (dc, cell))
+    if (dc_cell_bind (dc, cell, DC_CAP_UNRESERVED))
       return true;
   return false;
 }
@@ -74,7 +74,11 @@
           dc->free_cells = cell;
         }
       else if (bind_waiting (dc, cell))
-        dc->cells.v[cell].waiting = false;
+        {
+          dc->cells.v[cell].waiting = false;
+          if (c->account != DC_SPARE)
+            dc_account_touch (dc, c->account);
+        }
       else
         dc->unbound.v[kept++] = cell;
     }
--- a/src/decide/run.c
+++ b/src/decide/run.c
@@ -72,19 +72,39 @@
   return true;
 }
 
+/* Moves CELL to where JOB can start at once, if there is such a worker.  */
+static bool
+move_to_idle (struct dc *dc, uint32_t cell, const struct dc_job *job,
+              enum dc_level level)
+{
+  if (level != DC_LEVEL_WORKER)
+    return false;
+  if (dc_cell_move (dc, cell) && dc_charge_spots (dc, cell, job, level)
+      && spots_are_idle (dc, job))
+    return true;
+  return search (dc, job, DC_CAP_IDLE)
+         && dc_cell_displace (dc, cell, dc->spots.v[0].worker)
+         && dc_charge_spots (dc, cell, job, level) && spots_are_idle (dc, job);
+}
+
 static int
 place_in_cell (struct dc *dc, uint32_t id, uint32_t cell)
 {
   const struct dc_job *job = &dc->jobs.v[id];
   enum dc_level level = dc_level_of (dc, job->spec.tasks, job->spec.per_task);
 
-  dc_charge_spots (dc, cell, job, level);
+  if (!dc_charge_spots (dc, cell, job, level))
+    {
+      dc_charge_release_jobs (dc, cell);
+      if (!dc_charge_spots (dc, cell, job, level))
+        return DC_EBROKEN;
+    }
   if (spots_are_idle (dc, job))
     return start (dc, id, DC_KIND_GUARANTEED, cell);
-  if (dc_cell_move (dc, cell, job) && dc_charge_spots (dc, cell, job, level)
-      && spots_are_idle (dc, job))
+  if (move_to_idle (dc, cell, job, level))
     return start (dc, id, DC_KIND_GUARANTEED, cell);
-  dc_charge_spots (dc, cell, job, level);
+  if (!dc_charge_spots (dc, cell, job, level))
+    return DC_EBROKEN;
   return pend (dc, id, DC_KIND_GUARANTEED, cell);
 }
 
@@ -100,6 +120,19 @@
   return x->seq < y->seq;
 }
 
+/* A cell for JOB; an urgent one may take it from bulk work of its own
+   account.  */
+static uint32_t
+find_cell (struct dc *dc, const struct dc_job *job)
+{
+  enum dc_level level = dc_level_of (dc, job->spec.tasks, job->spec.per_task);
+  uint32_t cell = dc_charge_find (dc, job, level);
+
+  if (cell == DC_NONE && job->spec.class == DC_URGENT)
+    cell = dc_charge_find_bulk (dc, job, level);
+  return cell;
+}
+
 /* The first queued job of the account that fits one of its cells.  */
 static uint32_t
 next_guaranteed (struct dc *dc, uint32_t account, uint32_t *cell)
@@ -118,8 +151,7 @@
       job = &dc->jobs.v[lane->jobs.v[0]];
       if (best != DC_NONE && !head_before (dc, lane->jobs.v[0], best))
         continue;
-      found = dc_charge_find (
-          dc, job, dc_level_of (dc, job->spec.tasks, job->spec.per_task));
+      found = find_cell (dc, job);
       if (found == DC_NONE)
         continue;
       best = lane->jobs.v[0];
@@ -136,16 +168,15 @@
     {
       uint32_t account = dc->dirty.v[i], cell = DC_NONE, id;
 
+      dc->accounts.v[account].dirty = false;
       while ((id = next_guaranteed (dc, account, &cell)) != DC_NONE)
         {
           int error = place_in_cell (dc, id, cell);
-
           if (error)
             return error;
         }
+      dc_promote (dc, account);
     }
-  for (uint32_t i = 0; i < dc->dirty.n; i++)
-    dc->accounts.v[dc->dirty.v[i]].dirty = false;
   dc->dirty.n = 0;
   return DC_OK;
 }
--- a/src/decide/state.c
+++ b/src/decide/state.c
@@ -98,7 +98,8 @@
   if (DC_GROW (dc, dc->accounts, account))
     return DC_ENOMEM;
   for (uint32_t i = had; i < dc->accounts.n; i++)
-    dc->accounts.v[i].cells = dc->accounts.v[i].lanes = DC_NONE;
+    dc->accounts.v[i].cells = dc->accounts.v[i].lanes = dc->accounts.v[i].soft
+        = DC_NONE;
   return DC_OK;
 }
 
--- a/src/decide/state.h
+++ b/src/decide/state.h
@@ -117,7 +117,8 @@
   uint32_t part;          /* first of PARTS, contiguous */
   int32_t parts;          /* 0: not bound to any worker */
   int32_t size;
-  uint32_t jobs; /* gangs charged to it */
+  uint32_t jobs;      /* gangs charged to it */
+  uint32_t firm_jobs; /* of these, not preemptible bulk */
   uint8_t level;
   bool live, waiting; /* waiting: in the list of unbound cells */
   bool kept, added;   /* scratch of a change of plan */
@@ -130,6 +131,7 @@
   struct dc_shape shape[DC_MAX_SHAPES];
   uint32_t cells; /* head of the list */
   uint32_t lanes; /* head of the list */
+  uint32_t soft;  /* head of its preemptible gangs outside cells */
   bool known, dirty;
   double run_ms;         /* learned run time; 0: none */
   double ratio;          /* learned run time over declared; 0: none */
@@ -171,7 +173,8 @@
   uint32_t cell;                     /* that it is charged to, or DC_NONE */
   uint32_t queue, lane, position[2]; /* in the heaps of both */
   uint32_t pending_next;
-  int32_t attempt, left; /* tasks still running */
+  uint32_t soft_next, soft_prev; /* in the list of the account */
+  int32_t attempt, left;         /* tasks still running */
   uint32_t failed_on[DC_MAX_FAILED_WORKERS];
   uint8_t failures; /* distinct workers in FAILED_ON */
   uint8_t failed_starts;
@@ -294,7 +297,8 @@
 /* cell.c */
 int dc_cell_new (struct dc *dc, uint32_t account, int32_t size,
                  uint32_t *cell);
-bool dc_cell_bind (struct dc *dc, uint32_t cell);
+bool dc_cell_bind (struct dc *dc, uint32_t cell, enum dc_capacity cap);
+bool dc_cell_fits_at (const struct dc *dc, uint32_t cell, uint32_t worker);
 bool dc_cell_bind_at (struct dc *dc, uint32_t cell, uint32_t worker);
 void dc_cell_settle (struct dc *dc, uint32_t worker);
 void dc_cell_unbind (struct dc *dc, uint32_t cell);
@@ -303,12 +307,19 @@
 void dc_cell_evict (struct dc *dc, uint32_t worker);
 void dc_cell_wait (struct dc *dc, uint32_t cell);
 void dc_cell_rebind_all (struct dc *dc);
-bool dc_cell_move (struct dc *dc, uint32_t cell, const struct dc_job *job);
 struct dc_part *dc_cell_part (const struct dc *dc, uint32_t cell,
                               uint32_t worker);
+/* move.c */
+bool dc_cell_move (struct dc *dc, uint32_t cell);
+bool dc_cell_displace (struct dc *dc, uint32_t cell, uint32_t worker);
+/* promote.c */
+void dc_promote (struct dc *dc, uint32_t account);
+
 /* charge.c */
 uint32_t dc_charge_find (struct dc *dc, const struct dc_job *job,
                          enum dc_level level);
+uint32_t dc_charge_find_bulk (struct dc *dc, const struct dc_job *job,
+                              enum dc_level level);
 bool dc_charge_spots (struct dc *dc, uint32_t cell, const struct dc_job *job,
                       enum dc_level level);
 void dc_charge_release_jobs (struct dc *dc, uint32_t cell);
