--- a/src/decide/adopt.c
+++ b/src/decide/adopt.c
@@ -59,7 +59,7 @@
 static uint32_t
 cell_at (struct dc *dc, const struct dc_job *job, const struct dc_place *place)
 {
-  uint32_t cell = dc_charge_find (dc, job, DC_LEVEL_WORKER);
+  uint32_t cell = dc_charge_find (dc, job, DC_LEVEL_WORKER, false);
   uint32_t worker = place[0].worker;
 
   if (cell == DC_NONE || !in_one_worker (job, place))
@@ -67,7 +67,7 @@
   for (uint32_t id = dc->accounts.v[job->spec.account].cells; id != DC_NONE;
        id = dc->cells.v[id].next)
     if (dc_cell_part (dc, id, worker)
-        && dc_charge_spots (dc, id, job, DC_LEVEL_WORKER)
+        && dc_charge_spots (dc, id, job, DC_LEVEL_WORKER, false)
         && dc->spots.v[0].worker == worker)
       return id;
   if (dc->cells.v[cell].jobs)
--- a/src/decide/cell.c
+++ b/src/decide/cell.c
@@ -167,7 +167,7 @@
   struct dc_cell *c = &dc->cells.v[cell];
 
   if (c->jobs)
-    dc_charge_release_jobs (dc, cell);
+    dc_charge_release (dc, cell, false);
   for (int32_t i = 0; i < c->parts; i++)
     {
       uint32_t id = c->part + (uint32_t)i;
--- a/src/decide/charge.c
+++ b/src/decide/charge.c
@@ -17,41 +17,44 @@
 }
 
 static struct dc_amount
-rest_of (const struct dc_part *part)
+rest_of (const struct dc_part *part, bool over_bulk)
 {
-  return dc_plus (part->size, part->used, -1);
+  return dc_plus (part->size, over_bulk ? part->firm : part->used, -1);
 }
 
 static bool
-spots_in_one (struct dc *dc, const struct dc_cell *c, const struct dc_job *job)
+spots_in_one (struct dc *dc, const struct dc_cell *c, const struct dc_job *job,
+              bool over_bulk)
 {
   for (int32_t i = 0; i < c->parts; i++)
     {
       const struct dc_part *part = pl_at (&dc->parts, c->part + (uint32_t)i);
 
-      if (dc_covers (rest_of (part), dc_need (job, job->spec.tasks)))
+      if (dc_covers (rest_of (part, over_bulk),
+                     dc_need (job, job->spec.tasks)))
         return dc_add_spot (dc, part->worker, job->spec.tasks) == DC_OK;
     }
   return false;
 }
 
-/* Leaves in dc->spots the workers of CELL on which JOB fits.  */
+/* Leaves in dc->spots the workers of CELL on which JOB fits, with OVER_BULK
+   as if preemptible bulk work in it were gone.  */
 bool
 dc_charge_spots (struct dc *dc, uint32_t cell, const struct dc_job *job,
-                 enum dc_level level)
+                 enum dc_level level, bool over_bulk)
 {
   const struct dc_cell *c = &dc->cells.v[cell];
   int32_t left = job->spec.tasks;
 
   dc->spots.n = 0;
   if (level == DC_LEVEL_WORKER)
-    return spots_in_one (dc, c, job);
+    return spots_in_one (dc, c, job, over_bulk);
   if (c->level > level)
     return false;
   for (int32_t i = 0; i < c->parts && left > 0; i++)
     {
       const struct dc_part *part = pl_at (&dc->parts, c->part + (uint32_t)i);
-      int32_t n = dc_tasks_in (rest_of (part), unit_of (job));
+      int32_t n = dc_tasks_in (rest_of (part, over_bulk), unit_of (job));
 
       if (n > left)
         n = left;
@@ -63,12 +66,16 @@
 }
 
 static int32_t
-rest_of_cell (const struct dc *dc, const struct dc_cell *c)
+rest_of_cell (const struct dc *dc, const struct dc_cell *c, bool over_bulk)
 {
   int32_t rest = 0;
 
   for (int32_t i = 0; i < c->parts; i++)
-    rest += rest_of (pl_at (&dc->parts, c->part + (uint32_t)i)).accelerators;
+    {
+      const struct dc_part *part = pl_at (&dc->parts, c->part + (uint32_t)i);
+
+      rest += rest_of (part, over_bulk).accelerators;
+    }
   return rest;
 }
 
@@ -84,7 +91,8 @@
 /* The cell of JOB's account with the least room in which it fits, where it
    has not failed before if there is one; DC_NONE if it fits none.  */
 uint32_t
-dc_charge_find (struct dc *dc, const struct dc_job *job, enum dc_level level)
+dc_charge_find (struct dc *dc, const struct dc_job *job, enum dc_level level,
+                bool over_bulk)
 {
   uint32_t best = DC_NONE;
   int32_t need = job->spec.tasks * job->spec.per_task, least = INT32_MAX;
@@ -99,8 +107,9 @@
 
       if (c->parts == 0 || c->size < need)
         continue;
-      rest = rest_of_cell (dc, c);
-      if (rest < need || !dc_charge_spots (dc, id, job, level))
+      rest = rest_of_cell (dc, c, over_bulk);
+      if (rest < need || rest >= least
+          || !dc_charge_spots (dc, id, job, level, over_bulk))
         continue;
       if (spots_failed (dc, job))
         rest += INT32_MAX / 2;
@@ -114,7 +123,7 @@
 }
 
 static uint32_t
-job_on (const struct dc *dc, uint32_t cell, uint32_t worker)
+job_on (const struct dc *dc, uint32_t cell, uint32_t worker, bool bulk_only)
 {
   uint32_t t = dc->workers.v[worker].tasks;
 
@@ -122,42 +131,18 @@
     {
       const struct dc_task *task = pl_at (&dc->tasks, t);
 
-      if (dc->jobs.v[task->job].cell == cell)
+      if (dc->jobs.v[task->job].cell == cell
+          && (!bulk_only || dc_gives_way (&dc->jobs.v[task->job])))
         return task->job;
       t = task->next;
     }
   return DC_NONE;
 }
 
-/* A cell of JOB's account that only preemptible bulk work uses and that
-   would hold JOB without it; DC_NONE if there is none.  */
-uint32_t
-dc_charge_find_bulk (struct dc *dc, const struct dc_job *job,
-                     enum dc_level level)
-{
-  uint32_t best = DC_NONE;
-  struct dc_amount need = dc_need (job, job->spec.tasks);
-
-  if (need.accelerators == 0 || level != DC_LEVEL_WORKER)
-    return DC_NONE;
-  for (uint32_t id = dc->accounts.v[job->spec.account].cells; id != DC_NONE;
-       id = dc->cells.v[id].next)
-    {
-      const struct dc_cell *c = &dc->cells.v[id];
-
-      if (c->jobs == 0 || c->firm_jobs > 0 || c->parts != 1
-          || !dc_covers (((struct dc_part *)pl_at (&dc->parts, c->part))->size,
-                         need))
-        continue;
-      if (best == DC_NONE || c->size < dc->cells.v[best].size)
-        best = id;
-    }
-  return best;
-}
-
-/* Frees CELL of its gangs.  Those that run keep their places.  */
+/* Frees CELL of its gangs, or of the preemptible bulk ones.  Those that run
+   keep their places.  */
 void
-dc_charge_release_jobs (struct dc *dc, uint32_t cell)
+dc_charge_release (struct dc *dc, uint32_t cell, bool bulk_only)
 {
   const struct dc_cell *c = &dc->cells.v[cell];
 
@@ -166,7 +151,7 @@
       const struct dc_part *part = pl_at (&dc->parts, c->part + (uint32_t)i);
       uint32_t id;
 
-      while ((id = job_on (dc, cell, part->worker)) != DC_NONE)
+      while ((id = job_on (dc, cell, part->worker, bulk_only)) != DC_NONE)
         {
           const struct dc_job *job = &dc->jobs.v[id];
 
--- a/src/decide/gang.c
+++ b/src/decide/gang.c
@@ -48,6 +48,8 @@
       struct dc_part *part = dc_cell_part (dc, job->cell, t->worker);
 
       part->used = dc_plus (part->used, need, sign);
+      if (!dc_gives_way (job))
+        part->firm = dc_plus (part->firm, need, sign);
     }
   else if (job->kind == DC_KIND_HARD)
     w->hard = dc_plus (w->hard, need, sign);
@@ -61,16 +63,6 @@
     w->held = dc_plus (w->held, need, sign);
 }
 
-static void
-count_charge (struct dc *dc, const struct dc_job *job, int sign)
-{
-  struct dc_cell *c = &dc->cells.v[job->cell];
-
-  c->jobs += (uint32_t)sign;
-  if (job->spec.class == DC_URGENT || !job->spec.preemptible)
-    c->firm_jobs += (uint32_t)sign;
-}
-
 /* Adds JOB to the running preemptible gangs outside cells of its account, or
    takes it out.  */
 static void
@@ -115,7 +107,7 @@
   if (last != DC_NONE)
     dc_fleet_refresh (dc, last);
   if (job->kind == DC_KIND_GUARANTEED)
-    count_charge (dc, job, sign);
+    dc->cells.v[job->cell].jobs += (uint32_t)sign;
   else if (job->kind == DC_KIND_SOFT && job->state == DC_RUNNING)
     list_soft (dc, job, sign);
 }
@@ -304,7 +296,7 @@
   job->task = DC_NONE;
   if (job->kind == DC_KIND_GUARANTEED)
     {
-      count_charge (dc, job, -1);
+      dc->cells.v[job->cell].jobs--;
       dc_account_touch (dc, job->spec.account);
     }
   else if (job->kind == DC_KIND_SOFT && job->state == DC_RUNNING)
--- a/src/decide/promote.c
+++ b/src/decide/promote.c
@@ -52,7 +52,7 @@
         continue;
       job = &dc->jobs.v[id];
       if (dc_cell_displace (dc, c, dc_gang_task (dc, job, 0)->worker)
-          && dc_charge_spots (dc, c, job, DC_LEVEL_WORKER))
+          && dc_charge_spots (dc, c, job, DC_LEVEL_WORKER, false))
         dc_gang_set (dc, id, DC_RUNNING, DC_KIND_GUARANTEED, c);
     }
 }
--- a/src/decide/run.c
+++ b/src/decide/run.c
@@ -79,12 +79,13 @@
 {
   if (level != DC_LEVEL_WORKER)
     return false;
-  if (dc_cell_move (dc, cell) && dc_charge_spots (dc, cell, job, level)
+  if (dc_cell_move (dc, cell) && dc_charge_spots (dc, cell, job, level, false)
       && spots_are_idle (dc, job))
     return true;
   return search (dc, job, DC_CAP_IDLE)
          && dc_cell_displace (dc, cell, dc->spots.v[0].worker)
-         && dc_charge_spots (dc, cell, job, level) && spots_are_idle (dc, job);
+         && dc_charge_spots (dc, cell, job, level, false)
+         && spots_are_idle (dc, job);
 }
 
 static int
@@ -93,17 +94,17 @@
   const struct dc_job *job = &dc->jobs.v[id];
   enum dc_level level = dc_level_of (dc, job->spec.tasks, job->spec.per_task);
 
-  if (!dc_charge_spots (dc, cell, job, level))
+  if (!dc_charge_spots (dc, cell, job, level, false))
     {
-      dc_charge_release_jobs (dc, cell);
-      if (!dc_charge_spots (dc, cell, job, level))
+      dc_charge_release (dc, cell, true);
+      if (!dc_charge_spots (dc, cell, job, level, false))
         return DC_EBROKEN;
     }
   if (spots_are_idle (dc, job))
     return start (dc, id, DC_KIND_GUARANTEED, cell);
   if (move_to_idle (dc, cell, job, level))
     return start (dc, id, DC_KIND_GUARANTEED, cell);
-  if (!dc_charge_spots (dc, cell, job, level))
+  if (!dc_charge_spots (dc, cell, job, level, false))
     return DC_EBROKEN;
   return pend (dc, id, DC_KIND_GUARANTEED, cell);
 }
@@ -126,10 +127,10 @@
 find_cell (struct dc *dc, const struct dc_job *job)
 {
   enum dc_level level = dc_level_of (dc, job->spec.tasks, job->spec.per_task);
-  uint32_t cell = dc_charge_find (dc, job, level);
+  uint32_t cell = dc_charge_find (dc, job, level, false);
 
   if (cell == DC_NONE && job->spec.class == DC_URGENT)
-    cell = dc_charge_find_bulk (dc, job, level);
+    cell = dc_charge_find (dc, job, level, true);
   return cell;
 }
 
--- a/src/decide/state.h
+++ b/src/decide/state.h
@@ -108,6 +108,7 @@
 {
   uint32_t worker, cell, next, prev;
   struct dc_amount size, used;
+  struct dc_amount firm; /* of USED, not preemptible bulk */
 };
 
 /* One guaranteed group of adjacent accelerators.  */
@@ -317,12 +318,10 @@
 
 /* charge.c */
 uint32_t dc_charge_find (struct dc *dc, const struct dc_job *job,
-                         enum dc_level level);
-uint32_t dc_charge_find_bulk (struct dc *dc, const struct dc_job *job,
-                              enum dc_level level);
+                         enum dc_level level, bool over_bulk);
 bool dc_charge_spots (struct dc *dc, uint32_t cell, const struct dc_job *job,
-                      enum dc_level level);
-void dc_charge_release_jobs (struct dc *dc, uint32_t cell);
+                      enum dc_level level, bool over_bulk);
+void dc_charge_release (struct dc *dc, uint32_t cell, bool bulk_only);
 
 /* plan.c */
 int dc_plan_apply (struct dc *dc, const struct dc_event *event);
@@ -420,6 +419,13 @@
   return a.accelerators >= b.accelerators && a.slots >= b.slots;
 }
 
+/* Preemptible bulk work gives way to urgent work of its account.  */
+static inline bool
+dc_gives_way (const struct dc_job *job)
+{
+  return job->spec.class == DC_BULK && job->spec.preemptible;
+}
+
 static inline struct dc_amount
 dc_need (const struct dc_job *job, int32_t tasks)
 {
--- a/tests/decide/fake_fleet.c
+++ b/tests/decide/fake_fleet.c
@@ -8,6 +8,36 @@
   BAD_WORKER_MS = 1000
 };
 
+static bool
+due_before (const void *arg, uint32_t a, uint32_t b)
+{
+  const struct ff_fleet *f = arg;
+
+  if (f->job[a].due_ms != f->job[b].due_ms)
+    return f->job[a].due_ms < f->job[b].due_ms;
+  return a < b;
+}
+
+static void
+due_moved (void *arg, uint32_t a, uint32_t position)
+{
+  ((struct ff_fleet *)arg)->job[a].position = position;
+}
+
+/* Notes when something happens to a job next; INT64_MAX: nothing.  */
+static void
+set_due (struct ff_fleet *f, uint32_t id, int64_t due_ms)
+{
+  struct hp_order order = { due_before, due_moved, f };
+  struct ff_job *j = &f->job[id];
+
+  if (j->due_ms != INT64_MAX)
+    hp_remove (&f->due, &order, j->position);
+  j->due_ms = due_ms;
+  if (due_ms != INT64_MAX)
+    hp_push (&f->due, &order, id);
+}
+
 void
 ff_init (struct ff_fleet *f, const struct dc_config *config)
 {
@@ -22,6 +52,7 @@
 {
   dc_fini (f->dc);
   free (f->dc);
+  hp_fini (&f->due);
   free (f->job);
 }
 
@@ -29,19 +60,29 @@
 start (struct ff_fleet *f, const struct dc_action *a)
 {
   struct ff_job *j = &f->job[a->id];
+  int64_t due_ms;
 
   j->state = FF_RUNNING;
   j->attempt = a->attempt;
   j->start_ms = f->now_ms;
   if (j->starts++ == 0)
     j->first_ms = f->now_ms;
-  j->due_ms = f->now_ms + j->actual_ms - j->ran_ms;
+  due_ms = f->now_ms + j->actual_ms - j->ran_ms;
   for (int i = 0; i < a->places && i < 64; i++)
     {
       j->place[i] = a->place[i];
       if (f->fails_all[a->place[i].worker])
-        j->due_ms = f->now_ms + BAD_WORKER_MS;
+        due_ms = f->now_ms + BAD_WORKER_MS;
     }
+  set_due (f, a->id, due_ms);
+}
+
+static void
+end_job (struct ff_fleet *f, uint32_t id, enum ff_state state)
+{
+  f->job[id].state = state;
+  f->job[id].end_ms = f->now_ms;
+  set_due (f, id, INT64_MAX);
 }
 
 static void
@@ -57,27 +98,26 @@
     case DC_ACT_PREEMPT:
       j->state = FF_CHECKPOINTING;
       j->ran_ms += f->now_ms - j->start_ms;
-      j->due_ms = f->now_ms + DC_CHECKPOINT_MS;
+      set_due (f, a->id, f->now_ms + DC_CHECKPOINT_MS);
       j->preempted++;
       break;
     case DC_ACT_REQUEUE:
-      j->state = FF_WAITING;
+      end_job (f, a->id, FF_WAITING);
       break;
     case DC_ACT_DONE:
-      j->state = FF_DONE;
-      j->end_ms = f->now_ms;
+      end_job (f, a->id, FF_DONE);
       break;
     case DC_ACT_FAILED:
-      j->state = FF_FAILED;
+      end_job (f, a->id, FF_FAILED);
       break;
     case DC_ACT_CANCELLED:
-      j->state = FF_CANCELLED;
+      end_job (f, a->id, FF_CANCELLED);
       break;
     case DC_ACT_UNKNOWN:
-      j->state = FF_UNKNOWN;
+      end_job (f, a->id, FF_UNKNOWN);
       break;
     case DC_ACT_REFUSED:
-      j->state = FF_REFUSED;
+      end_job (f, a->id, FF_REFUSED);
       break;
     case DC_ACT_QUARANTINE:
       f->quarantined[a->id] = 1;
@@ -171,7 +211,8 @@
   f->job[id] = (struct ff_job){ .state = FF_WAITING,
                                 .spec = spec,
                                 .actual_ms = actual_ms,
-                                .submit_ms = f->now_ms };
+                                .submit_ms = f->now_ms,
+                                .due_ms = INT64_MAX };
   e.u.submit.id = id;
   e.u.submit.spec = spec;
   ff_apply (f, &e);
@@ -216,7 +257,7 @@
   struct ff_job *j = &f->job[id];
   struct dc_event e = { .kind = DC_EV_CHECKPOINTED };
 
-  j->due_ms = INT64_MAX;
+  set_due (f, id, INT64_MAX);
   if (j->state == FF_RUNNING)
     {
       end_tasks (f, id);
@@ -235,10 +276,8 @@
 
   if (next < 0)
     next = INT64_MAX;
-  for (uint32_t i = 0; i < f->jobs; i++)
-    if ((f->job[i].state == FF_RUNNING || f->job[i].state == FF_CHECKPOINTING)
-        && f->job[i].due_ms < next)
-      next = f->job[i].due_ms;
+  if (f->due.n > 0 && f->job[f->due.v[0]].due_ms < next)
+    next = f->job[f->due.v[0]].due_ms;
   return next;
 }
 
@@ -250,13 +289,16 @@
        next = next_due (f))
     {
       if (next > f->now_ms)
-        f->now_ms = next;
-      for (uint32_t i = 0; i < f->jobs; i++)
-        if ((f->job[i].state == FF_RUNNING
-             || f->job[i].state == FF_CHECKPOINTING)
-            && f->job[i].due_ms <= f->now_ms)
-          end_due (f, i);
+        {
+          if (f->on_time)
+            f->on_time (f, next);
+          f->now_ms = next;
+        }
+      while (f->due.n > 0 && f->job[f->due.v[0]].due_ms <= f->now_ms)
+        end_due (f, f->due.v[0]);
       ff_decide (f);
     }
+  if (f->on_time)
+    f->on_time (f, at_ms);
   f->now_ms = at_ms;
 }
--- a/tests/decide/fake_fleet.h
+++ b/tests/decide/fake_fleet.h
@@ -2,11 +2,12 @@
 #ifndef FAKE_FLEET_H
 #define FAKE_FLEET_H
 
+#include "decide/heap.h"
 #include "skr/decide.h"
 
 enum
 {
-  FF_MAX_JOBS = 20000,
+  FF_MAX_JOBS = 50000,
   FF_MAX_WORKERS = 512
 };
 
@@ -30,6 +31,7 @@
   int64_t actual_ms, ran_ms, submit_ms, start_ms, first_ms, end_ms, due_ms;
   int32_t attempt, starts, preempted;
   int fails;
+  uint32_t position;         /* in the heap of due times */
   struct dc_place place[64]; /* as far as it fits */
 };
 
@@ -44,6 +46,10 @@
   int quarantined[FF_MAX_WORKERS], quarantines;
   int accepted, refused;
   int64_t version;
+  struct hp_heap due;
+  /* Called before the clock goes to AT_MS.  */
+  void (*on_time) (struct ff_fleet *f, int64_t at_ms);
+  void *arg;
 };
 
 void ff_init (struct ff_fleet *f, const struct dc_config *config);
