Plan room for blocked gangs by preempting smaller ones

Cause: gangs of 16 and 32 waited without end, and those that had room made for them held places that other pending gangs counted on too. Change: when a blocked gang is no larger than the idle total, the cheapest set of smaller preemptible gangs in one worker, rack or domain makes way. A pending gang outside the guarantee whose room is taken is queued again.

--- a/src/decide/fleet.c
+++ b/src/decide/fleet.c
@@ -15,8 +15,6 @@
   struct dc_amount rest = dc_plus (w->total, w->cells, -1);
 
   (void)dc;
-  if (cap == DC_CAP_SOFT)
-    return dc_plus (dc_plus (idle, w->soft, 1), w->stopping, 1);
   idle = dc_plus (idle, w->drained, -1);
   rest = dc_plus (rest, w->hard, -1);
   if (cap == DC_CAP_IDLE)
--- a/src/decide/pending.c
+++ b/src/decide/pending.c
@@ -9,6 +9,7 @@
   struct dc_job *job = &dc->jobs.v[id];
 
   job->pending_next = DC_NONE;
+  job->pending_ms = dc->now_ms;
   if (dc->pending == DC_NONE)
     dc->pending = id;
   else
@@ -64,7 +65,19 @@
   return have.slots < 0 || (job->spec.per_task > 0 && have.accelerators < 0);
 }
 
-/* The soft gang on W that started last, if ending it helps.  */
+/* The smaller gang first, then the one that started last.  */
+static bool
+cheaper (const struct dc_job *a, const struct dc_job *b)
+{
+  int32_t x = a->spec.tasks * a->spec.per_task;
+  int32_t y = b->spec.tasks * b->spec.per_task;
+
+  if (x != y)
+    return x < y;
+  return a->start_ms > b->start_ms;
+}
+
+/* The cheapest soft gang on W, if ending it helps.  */
 static uint32_t
 victim_on (const struct dc *dc, const struct dc_worker *w,
            const struct dc_job *job)
@@ -79,10 +92,10 @@
       const struct dc_job *other = &dc->jobs.v[task->job];
 
       t = task->next;
-      if (other->state != DC_RUNNING || other->kind != DC_KIND_SOFT
+      if (!dc_room_victim (other, job)
           || (other->spec.per_task == 0 && job->spec.per_task > 0 && !slots))
         continue;
-      if (best == DC_NONE || other->start_ms > dc->jobs.v[best].start_ms)
+      if (best == DC_NONE || cheaper (other, &dc->jobs.v[best]))
         best = task->job;
     }
   return best;
--- /dev/null
+++ b/src/decide/room.c
@@ -0,0 +1,242 @@
+/* Plans which preemptible work makes way for a gang that no idle room holds:
+   smaller gangs only, and as little of it as can be found.  */
+#include <stdlib.h>
+
+#include "state.h"
+
+enum
+{
+  MAX_WORKERS_TRIED = 32, /* for a gang in one worker */
+  MAX_RACKS_TRIED = 8
+};
+
+static int32_t
+size_of (const struct dc_job *job)
+{
+  return job->spec.tasks * job->spec.per_task;
+}
+
+/* Whether running gang OTHER may be preempted to make room for JOB.  */
+bool
+dc_room_victim (const struct dc_job *other, const struct dc_job *job)
+{
+  if (other->state != DC_RUNNING || other->kind != DC_KIND_SOFT)
+    return false;
+  return job->kind != DC_KIND_SOFT || size_of (other) < size_of (job);
+}
+
+/* What W could give to JOB: tasks, and accelerators of work to preempt.  */
+static struct dc_offer
+offer_of (const struct dc *dc, uint32_t id, const struct dc_job *job,
+          bool drain)
+{
+  const struct dc_worker *w = &dc->workers.v[id];
+  struct dc_amount unit = dc_need (job, 1), room = w->total;
+  struct dc_offer offer = { .worker = id };
+
+  if (!dc_worker_open (w) || w->held_back)
+    return offer;
+  if (!drain)
+    room = dc_plus (w->free, w->stopping, 1);
+  room = dc_plus (dc_plus (room, w->held, -1), w->drained, -1);
+  offer.tasks = dc_tasks_in (room, unit);
+  for (uint32_t t = drain ? DC_NONE : w->tasks; t != DC_NONE;)
+    {
+      const struct dc_task *task = pl_at (&dc->tasks, t);
+      const struct dc_job *other = &dc->jobs.v[task->job];
+
+      t = task->next;
+      if (offer.tasks >= job->spec.tasks)
+        break;
+      if (!dc_room_victim (other, job))
+        continue;
+      room = dc_plus (room, dc_need (other, 1), 1);
+      if (task->job != offer.last)
+        offer.cost += size_of (other) + 1;
+      offer.last = task->job;
+      offer.tasks = dc_tasks_in (room, unit);
+    }
+  if (!job->spec.preemptible)
+    {
+      int32_t firm
+          = dc_tasks_in (dc_capacity (dc, w, DC_CAP_UNRESERVED), unit);
+
+      offer.tasks = firm < offer.tasks ? firm : offer.tasks;
+    }
+  return offer;
+}
+
+/* The cheapest of the workers with the most idle room.  */
+static int32_t
+in_one_worker (struct dc *dc, const struct dc_job *job)
+{
+  const struct dc_index *index = dc->index[DC_CAP_IDLE];
+  struct dc_offer best = { .worker = DC_NONE, .cost = INT32_MAX };
+  int tried = 0;
+
+  for (int row = DC_SIZES - 1; row >= 0; row--)
+    for (int word = 0; word < 2; word++)
+      for (uint64_t bits = index->slots[row][word]; bits; bits &= bits - 1)
+        {
+          int slots = word * 64 + __builtin_ctzll (bits);
+          uint32_t id = index->head[row][slots];
+
+          for (; id != DC_NONE && tried < MAX_WORKERS_TRIED; tried++)
+            {
+              struct dc_offer offer = offer_of (dc, id, job, false);
+
+              if (offer.tasks >= job->spec.tasks && offer.cost < best.cost)
+                best = offer;
+              id = dc->workers.v[id].next[DC_CAP_IDLE];
+            }
+        }
+  dc->spots.n = 0;
+  if (best.worker == DC_NONE || dc_add_spot (dc, best.worker, job->spec.tasks))
+    return -1;
+  return best.cost;
+}
+
+static int
+cheaper_first (const void *a, const void *b)
+{
+  const struct dc_offer *x = a, *y = b;
+  int64_t p = (int64_t)x->cost * y->tasks, q = (int64_t)y->cost * x->tasks;
+
+  if (p != q)
+    return p < q ? -1 : 1;
+  if (x->tasks != y->tasks)
+    return x->tasks > y->tasks ? -1 : 1;
+  return (x->worker > y->worker) - (x->worker < y->worker);
+}
+
+static void
+add_offers (struct dc *dc, uint32_t rack, const struct dc_job *job, bool drain)
+{
+  for (uint32_t id = dc->racks.v[rack].workers; id != DC_NONE;
+       id = dc->workers.v[id].next_in_rack)
+    {
+      struct dc_offer offer = offer_of (dc, id, job, drain);
+      uint32_t at = dc->offers.n;
+
+      if (offer.tasks > 0 && !DC_GROW (dc, dc->offers, at))
+        dc->offers.v[at] = offer;
+    }
+}
+
+/* Fills dc->spots from the offers; returns the cost, or -1.  */
+static int32_t
+take_offers (struct dc *dc, const struct dc_job *job)
+{
+  int32_t left = job->spec.tasks, cost = 0;
+
+  dc->spots.n = 0;
+  if (dc->offers.n == 0)
+    return -1;
+  qsort (dc->offers.v, dc->offers.n, sizeof *dc->offers.v, cheaper_first);
+  for (uint32_t i = 0; i < dc->offers.n && left > 0; i++)
+    {
+      struct dc_offer offer = dc->offers.v[i];
+      int32_t n = offer.tasks < left ? offer.tasks : left;
+
+      if (dc_add_spot (dc, offer.worker, n))
+        return -1;
+      left -= n;
+      cost += offer.cost;
+    }
+  return left == 0 ? cost : -1;
+}
+
+/* The racks with the most room, idle room counting twice.  */
+static int
+best_racks (const struct dc *dc, uint32_t rack[MAX_RACKS_TRIED])
+{
+  int64_t score[MAX_RACKS_TRIED];
+  int n = 0;
+
+  for (uint32_t r = 0; r < dc->racks.n; r++)
+    {
+      int64_t s = dc->racks.v[r].cap[DC_CAP_IDLE].accelerators * 2
+                  + dc->racks.v[r].cap[DC_CAP_IDLE].slots;
+      int at = n;
+
+      while (at > 0 && score[at - 1] < s)
+        at--;
+      if (at == MAX_RACKS_TRIED)
+        continue;
+      if (n < MAX_RACKS_TRIED)
+        n++;
+      for (int i = n - 1; i > at; i--)
+        {
+          score[i] = score[i - 1];
+          rack[i] = rack[i - 1];
+        }
+      score[at] = s;
+      rack[at] = r;
+    }
+  return n;
+}
+
+static int32_t
+in_one_rack (struct dc *dc, const struct dc_job *job, bool drain)
+{
+  uint32_t rack[MAX_RACKS_TRIED], best = DC_NONE;
+  int n = best_racks (dc, rack);
+  int32_t least = INT32_MAX;
+
+  for (int i = 0; i < n; i++)
+    {
+      int32_t cost;
+
+      dc->offers.n = 0;
+      add_offers (dc, rack[i], job, drain);
+      cost = take_offers (dc, job);
+      if (cost < 0 || cost >= least)
+        continue;
+      least = cost;
+      best = rack[i];
+    }
+  if (best == DC_NONE)
+    return -1;
+  dc->offers.n = 0;
+  add_offers (dc, best, job, drain);
+  return take_offers (dc, job);
+}
+
+static int32_t
+in_one_domain (struct dc *dc, const struct dc_job *job, bool drain)
+{
+  for (uint32_t d = 0; d < dc->domains.n; d++)
+    {
+      int32_t cost;
+
+      dc->offers.n = 0;
+      for (uint32_t r = dc->domains.v[d].racks; r != DC_NONE;
+           r = dc->racks.v[r].next_in_domain)
+        add_offers (dc, r, job, drain);
+      cost = take_offers (dc, job);
+      if (cost >= 0)
+        return cost;
+    }
+  return -1;
+}
+
+/* Leaves in dc->spots where JOB could go if preemptible work made way; with
+   DRAIN, where it could go once all work there has ended.  Returns the
+   accelerators of the work to preempt, or -1 if there is no such place.  */
+int32_t
+dc_room_plan (struct dc *dc, const struct dc_job *job, enum dc_level level,
+              bool drain)
+{
+  switch (level)
+    {
+    case DC_LEVEL_WORKER:
+      return in_one_worker (dc, job);
+    case DC_LEVEL_RACK:
+      return in_one_rack (dc, job, drain);
+    case DC_LEVEL_DOMAIN:
+      return in_one_domain (dc, job, drain);
+    case DC_LEVEL_NONE:
+      break;
+    }
+  return -1;
+}
--- a/src/decide/run.c
+++ b/src/decide/run.c
@@ -3,7 +3,9 @@
 
 enum
 {
-  AGE_LIMIT_MS = 30000 /* a blocked gang has room made for it then */
+  AGE_LIMIT_MS = 60000, /* a blocked gang has a place drained then */
+  REPLAN_MS = 3000,     /* a pending gang whose room was taken is queued */
+  MAX_PLANS = 4         /* gangs that room is planned for at once */
 };
 
 static struct dc_want
@@ -187,14 +189,20 @@
 preempt_for (struct dc *dc, uint32_t id, bool *done)
 {
   const struct dc_job *job = &dc->jobs.v[id];
+  bool hard = !job->spec.preemptible;
+  int32_t cost;
 
-  *done = true;
-  if (!job->spec.preemptible && search (dc, job, DC_CAP_UNRESERVED))
-    return pend (dc, id, DC_KIND_HARD, DC_NONE);
-  if (job->spec.preemptible && search (dc, job, DC_CAP_SOFT))
-    return pend (dc, id, DC_KIND_SOFT, DC_NONE);
   *done = false;
-  return DC_OK;
+  if (job->spec.class == DC_URGENT && hard)
+    {
+      *done = search (dc, job, DC_CAP_UNRESERVED);
+      return *done ? pend (dc, id, DC_KIND_HARD, DC_NONE) : DC_OK;
+    }
+  cost = dc_room_plan (
+      dc, job, dc_level_of (dc, job->spec.tasks, job->spec.per_task), false);
+  *done = cost >= 0;
+  return *done ? pend (dc, id, hard ? DC_KIND_HARD : DC_KIND_SOFT, DC_NONE)
+               : DC_OK;
 }
 
 static int
@@ -228,15 +236,6 @@
   return *done ? start (dc, id, DC_KIND_SOFT, DC_NONE) : DC_OK;
 }
 
-static void
-note_age (struct dc *dc, const struct dc_job *job)
-{
-  int64_t due = job->queued_ms + AGE_LIMIT_MS;
-
-  if (dc->age_ms < 0 || due < dc->age_ms)
-    dc->age_ms = due;
-}
-
 static int
 run_queues (struct dc *dc)
 {
@@ -255,44 +254,63 @@
         continue;
       if (dc->config.policy == DC_POLICY_FIFO_FIRST_FIT)
         return DC_OK;
-      note_age (dc, &dc->jobs.v[id]);
       dc_queue_block (dc, queue);
     }
   return DC_OK;
 }
 
-/* Makes room for the blocked gangs that reached their age limit.  */
+static int32_t
+idle_accelerators (const struct dc *dc)
+{
+  int32_t n = 0;
+
+  for (uint32_t d = 0; d < dc->domains.n; d++)
+    n += dc->domains.v[d].cap[DC_CAP_IDLE].accelerators;
+  return n;
+}
+
+/* Makes room for blocked gangs that the idle accelerators would hold if they
+   were in one place.  */
 static int
-run_aged (struct dc *dc)
+run_blocked (struct dc *dc)
 {
-  if (dc->config.policy != DC_POLICY_DEFAULT || dc->age_ms < 0
-      || dc->age_ms > dc->now_ms)
-    return DC_OK;
-  dc->age_ms = -1;
-  for (uint32_t i = 0; i < dc->blocked.n; i++)
+  int plans = 0;
+
+  for (uint32_t i = 0; i < dc->blocked.n && plans < MAX_PLANS; i++)
     {
       const struct dc_queue *q = &dc->queues.v[dc->blocked.v[i]];
-      uint32_t id;
       bool done;
       int error;
 
-      if (q->jobs.n == 0)
+      if (q->jobs.n == 0 || q->tasks * q->per_task == 0
+          || q->tasks * q->per_task > idle_accelerators (dc))
         continue;
-      id = q->jobs.v[0];
-      if (dc->jobs.v[id].queued_ms + AGE_LIMIT_MS <= dc->now_ms)
-        {
-          error = preempt_for (dc, id, &done);
-          if (error)
-            return error;
-          if (!done)
-            dc->jobs.v[id].queued_ms = dc->now_ms;
-        }
-      if (q->jobs.n > 0)
-        note_age (dc, &dc->jobs.v[q->jobs.v[0]]);
+      plans++;
+      error = preempt_for (dc, q->jobs.v[0], &done);
+      if (error)
+        return error;
     }
   return DC_OK;
 }
 
+/* Queues gangs again whose room was taken by others.  */
+static void
+run_replan (struct dc *dc)
+{
+  uint32_t id = dc->pending;
+
+  while (id != DC_NONE)
+    {
+      const struct dc_job *job = &dc->jobs.v[id];
+      uint32_t next = job->pending_next;
+
+      if (job->kind == DC_KIND_SOFT
+          && dc->now_ms - job->pending_ms >= REPLAN_MS)
+        dc_pending_drop (dc, id);
+      id = next;
+    }
+}
+
 /* Gives each worker on probation one repeatable job.  */
 static int
 run_probes (struct dc *dc)
@@ -344,13 +362,16 @@
     }
   error = DC_OK;
   if (dc->config.policy == DC_POLICY_DEFAULT)
-    error = run_guaranteed (dc);
+    {
+      run_replan (dc);
+      error = run_guaranteed (dc);
+    }
   if (!error)
     error = run_probes (dc);
   if (!error)
     error = run_queues (dc);
-  if (!error)
-    error = run_aged (dc);
+  if (!error && dc->config.policy == DC_POLICY_DEFAULT)
+    error = run_blocked (dc);
   return error;
 }
 
@@ -359,7 +380,13 @@
 {
   int64_t next = dc_health_next (dc);
 
-  if (dc->config.policy != DC_POLICY_DEFAULT || dc->age_ms < 0)
-    return next;
-  return next < 0 || dc->age_ms < next ? dc->age_ms : next;
+  for (uint32_t id = dc->pending; id != DC_NONE;
+       id = dc->jobs.v[id].pending_next)
+    {
+      int64_t at = dc->jobs.v[id].pending_ms + REPLAN_MS;
+
+      if (dc->jobs.v[id].kind == DC_KIND_SOFT && (next < 0 || at < next))
+        next = at;
+    }
+  return next;
 }
--- a/src/decide/state.c
+++ b/src/decide/state.c
@@ -44,7 +44,6 @@
   memset (dc, 0, sizeof *dc);
   dc->config = *config;
   dc->free_cells = dc->spares = dc->pending = dc->pending_last = DC_NONE;
-  dc->age_ms = -1;
   pl_init (&dc->tasks, sizeof (struct dc_task));
   pl_init (&dc->parts, sizeof (struct dc_part));
   for (int cap = 0; cap < DC_CAPS; cap++)
@@ -87,6 +86,7 @@
   free (dc->blocked.v);
   free (dc->sick.v);
   free (dc->spots.v);
+  free (dc->offers.v);
   memset (dc, 0, sizeof *dc);
 }
 
@@ -253,6 +253,7 @@
             + dc->order.cap)
            * sizeof (uint32_t);
   bytes += dc->spots.cap * sizeof *dc->spots.v;
+  bytes += dc->offers.cap * sizeof *dc->offers.v;
   for (uint32_t i = 0; i < dc->queues.n; i++)
     bytes += dc->queues.v[i].jobs.cap * sizeof (uint32_t);
   for (uint32_t i = 0; i < dc->lanes.n; i++)
--- a/src/decide/state.h
+++ b/src/decide/state.h
@@ -41,7 +41,6 @@
   DC_CAP_IDLE,       /* free and promised to nobody */
   DC_CAP_FIRM,       /* idle, and outside all guaranteed cells */
   DC_CAP_UNRESERVED, /* outside cells, if preemptible work goes */
-  DC_CAP_SOFT,       /* idle if preemptible work goes, in cells or not */
   DC_CAPS
 };
 
@@ -167,7 +166,8 @@
 struct dc_job
 {
   int64_t submit_ms, queued_ms, start_ms, key;
-  int64_t served_ms; /* run time of ended attempts */
+  int64_t pending_ms; /* since when it is pending */
+  int64_t served_ms;  /* run time of ended attempts */
   struct dc_job_spec spec;
   uint32_t seq;
   uint32_t task;                     /* first of spec.tasks, contiguous */
@@ -225,6 +225,13 @@
   int32_t tasks;
 };
 
+/* What a worker could give to a gang.  */
+struct dc_offer
+{
+  uint32_t worker, last; /* last: scratch */
+  int32_t tasks, cost;   /* cost: accelerators of the work to preempt */
+};
+
 #define DC_VECTOR(type)                                                       \
   struct                                                                      \
   {                                                                           \
@@ -253,6 +260,7 @@
   DC_VECTOR (uint32_t) blocked;       /* queues set aside */
   DC_VECTOR (uint32_t) sick;          /* workers to watch */
   DC_VECTOR (struct dc_spot) spots;   /* result of the last search */
+  DC_VECTOR (struct dc_offer) offers; /* scratch of a plan for room */
   uint32_t taken;                     /* actions */
   struct pl_pool tasks, parts;
   struct hp_heap order; /* queues by their head */
@@ -267,7 +275,6 @@
   uint32_t seq;
   uint32_t pending; /* head of the list, oldest first */
   uint32_t pending_last;
-  int64_t age_ms; /* when a blocked gang reaches its age limit */
   bool freed, rebind;
   uint32_t running_jobs, queued_jobs;
 };
@@ -360,6 +367,11 @@
 /* adopt.c */
 int dc_job_adopt (struct dc *dc, const struct dc_event *event);
 
+/* room.c */
+bool dc_room_victim (const struct dc_job *other, const struct dc_job *job);
+int32_t dc_room_plan (struct dc *dc, const struct dc_job *job,
+                      enum dc_level level, bool drain);
+
 /* queue.c */
 int dc_queue_add (struct dc *dc, uint32_t job);
 void dc_queue_remove (struct dc *dc, uint32_t job);
