--- /dev/null
+++ b/include/skr/http.h
@@ -0,0 +1,82 @@
+/* HTTP client on one thread of its own over libcurl.  An answer tells
+   whether the request may have had an effect.  */
+#ifndef SKR_HTTP_H
+#define SKR_HTTP_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+enum hc_error
+{
+  HC_OK = 0,
+  HC_EINVAL = -301,
+  HC_ENOMEM = -302,
+  HC_EFULL = -303, /* too many requests in progress */
+  HC_ECLOSED = -304
+};
+
+/* How far a request came.  */
+enum hc_end
+{
+  HC_ANSWERED, /* a whole answer arrived */
+  HC_NOT_SENT, /* no byte of it left: it had no effect */
+  HC_LOST      /* sent, and no whole answer: its effect is unknown */
+};
+
+struct hc_answer
+{
+  enum hc_end end;
+  long status;        /* HTTP status when answered */
+  long retry_after_s; /* from the answer, 0 without one */
+  const char *body;   /* NUL-terminated; valid during the callback */
+  size_t body_size;   /* bytes */
+  const char *reason; /* why it was not answered */
+  int64_t took_ms;
+};
+
+/* Runs on the client's thread, exactly once for each accepted request; must
+   not block.  */
+typedef void hc_done (void *arg, const struct hc_answer *answer);
+
+enum
+{
+  HC_MAX_HEADERS = 8,
+  HC_MAX_BODY = 4 << 20 /* bytes of an answer; a longer one is lost */
+};
+
+struct hc_request
+{
+  const char *method; /* "GET", "POST", "PUT", "DELETE" */
+  const char *url;
+  const char *body;                   /* NULL for none; copied */
+  const char *header[HC_MAX_HEADERS]; /* "Name: value"; NULL-ended; copied */
+  int timeout_ms;                     /* for the whole exchange */
+  int connect_timeout_ms;             /* 0: the client's */
+  hc_done *done;
+  void *arg;
+};
+
+struct hc_client; /* opaque; hc_new and hc_free */
+
+struct hc_config
+{
+  int max_in_progress; /* requests */
+  int connections_per_host;
+  int connect_timeout_ms;
+};
+
+/* Starts the thread.  Returns NULL when memory or a thread is refused.  */
+struct hc_client *hc_new (const struct hc_config *config);
+/* Ends every request still in progress by its kind (HC_NOT_SENT or HC_LOST),
+   then the thread.  */
+void hc_free (struct hc_client *hc);
+/* Copies REQUEST and queues it.  Returns 0 or an hc_error; DONE runs only
+   when 0 was returned.  From any thread.  */
+int hc_submit (struct hc_client *hc, const struct hc_request *request);
+/* The same, waiting for the end.  Copies up to SIZE - 1 bytes of the body to
+   BUF; ANSWER->body points at it.  For programs with nothing else to do.  */
+int hc_call (struct hc_client *hc, const struct hc_request *request,
+             struct hc_answer *answer, char *buf, size_t size);
+const char *hc_strerror (int error);
+
+#endif
--- /dev/null
+++ b/include/skr/peer.h
@@ -0,0 +1,150 @@
+/* Messages between entry VMs: typed, msgpack over ZeroMQ.  */
+#ifndef SKR_PEER_H
+#define SKR_PEER_H
+
+#include <stdint.h>
+
+enum pr_error
+{
+  PR_OK = 0,
+  PR_EINVAL = -351, /* malformed or of another version */
+  PR_ENOMEM = -352,
+  PR_ENET = -353,  /* ZeroMQ refused */
+  PR_EFULL = -354, /* the peer's queue is full; the message was dropped */
+  PR_ENOPEER = -355
+};
+
+enum
+{
+  PR_VERSION = 1,
+  PR_ID = 64,        /* bytes of a VM, cell or job name with its NUL */
+  PR_ADDRESS = 64,   /* bytes of "IP:PORT" with its NUL */
+  PR_MAX_CELLS = 32, /* cells held by one VM */
+  PR_MAX_CREDITS = 512
+};
+
+enum pr_kind
+{
+  PR_HEARTBEAT = 1, /* sched and entry to all peers, each second */
+  PR_JOB,           /* entry to cell holder: a job row was written */
+  PR_JOB_ENDED,     /* cell holder to all: a job's state has changed */
+  PR_CONFIG,        /* a configuration version was accepted */
+  PR_CREDITS,       /* cell holder to one entry: slots it may use */
+  PR_USAGE          /* entry to all: calls of each account, for rates */
+};
+
+enum pr_role
+{
+  PR_ENTRY = 1,
+  PR_SCHED
+};
+
+struct pr_cell
+{
+  char cell[PR_ID];
+  int64_t epoch;
+};
+
+struct pr_heartbeat
+{
+  char vm[PR_ID];
+  int32_t role;
+  int32_t leaving;
+  char address[PR_ADDRESS]; /* of the sender's ROUTER */
+  char domain[PR_ID];
+  int64_t plans_version, allowances_version;
+  int32_t cells;
+  struct pr_cell cell[PR_MAX_CELLS];
+};
+
+struct pr_job
+{
+  char cell[PR_ID];
+  char job[PR_ID];
+};
+
+struct pr_config
+{
+  char list[PR_ID]; /* "plans" or "allowances" */
+  int64_t version;
+};
+
+struct pr_credit
+{
+  char worker[PR_ID];
+  char address[PR_ADDRESS]; /* of the worker's HTTP port */
+  int32_t slots;
+  int32_t connections;
+};
+
+struct pr_credits
+{
+  char cell[PR_ID];
+  int64_t epoch;
+  int64_t valid_ms; /* from arrival */
+  int32_t count;
+  struct pr_credit credit[PR_MAX_CREDITS];
+};
+
+enum
+{
+  PR_MAX_USAGE = 512 /* accounts in one message */
+};
+
+struct pr_use
+{
+  char account[PR_ID];
+  int32_t calls_in_progress;
+  int32_t calls_last_second;
+};
+
+struct pr_usage
+{
+  char vm[PR_ID];
+  int32_t count;
+  struct pr_use use[PR_MAX_USAGE];
+};
+
+struct pr_message
+{
+  enum pr_kind kind;
+  union
+  {
+    struct pr_heartbeat heartbeat;
+    struct pr_job job; /* PR_JOB and PR_JOB_ENDED */
+    struct pr_config config;
+    struct pr_credits credits;
+    struct pr_usage usage;
+  } u;
+};
+
+struct pr_net; /* opaque */
+
+struct pr_settings
+{
+  const char *listen; /* "IP:PORT"; port 0 is not allowed */
+  /* CURVE keys in Z85, required unless every address is loopback.  */
+  const char *public_key, *secret_key;
+  int queue; /* messages held for one peer, older ones kept */
+};
+
+/* Runs on the net's thread; must not block.  */
+typedef void pr_receive (void *arg, const struct pr_message *message);
+
+/* Binds and starts the thread.  Returns 0 and *OUT, or a pr_error.  */
+int pr_new (struct pr_net **out, const struct pr_settings *settings,
+            pr_receive *receive, void *arg);
+void pr_free (struct pr_net *net);
+/* Replaces the set of peers dialled; addresses as "IP:PORT".  */
+int pr_peers (struct pr_net *net, const char *const *address, int count);
+/* From any thread; never waits.  NULL sends to all peers.  */
+int pr_send (struct pr_net *net, const char *address,
+             const struct pr_message *message);
+
+/* The codec alone, for tests and fuzzing.  Encode returns a size in bytes or
+   a pr_error; *OUT is freed by free.  */
+int pr_encode (const struct pr_message *message, char **out);
+int pr_decode (struct pr_message *message, const char *data, int size);
+const char *pr_strerror (int error);
+
+#endif
