--- a/include/skr/http.h
+++ b/include/skr/http.h
@@ -52,6 +52,7 @@
   const char *header[HC_MAX_HEADERS]; /* "Name: value"; NULL-ended; copied */
   int timeout_ms;                     /* for the whole exchange */
   int connect_timeout_ms;             /* 0: the client's */
+  int fresh; /* dial a new connection: an old one may be stale or silent */
   hc_done *done;
   void *arg;
 };
--- /dev/null
+++ b/src/net/http.c
@@ -0,0 +1,415 @@
+#include <curl/curl.h>
+#include <glib.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <string.h>
+
+#include "skr/base.h"
+#include "skr/http.h"
+#include "skr/ring.h"
+
+enum
+{
+  POLL_MS = 1000,
+  IDLE_CONNECTION_S = 10, /* an idle connection is not reused after this */
+  SUSPECT_MS = 10000,     /* after a silent connection, dial anew so long */
+  DEFAULT_CONNECT_MS = 1000
+};
+
+struct transfer
+{
+  CURL *easy;
+  struct curl_slist *headers;
+  char *host; /* "IP:PORT" */
+  char *body;
+  size_t body_size, body_read;
+  int body_taken; /* curl has had bytes of it */
+  int64_t started_ms;
+  GString *answer;
+  hc_done *done;
+  void *arg;
+  char error[CURL_ERROR_SIZE];
+  struct transfer *next, *prev;
+};
+
+struct hc_client
+{
+  CURLM *multi;
+  pthread_t thread;
+  struct rg_ring ring;
+  atomic_int in_progress, stop;
+  int max_in_progress, connect_timeout_ms;
+  struct transfer active; /* list head */
+  GHashTable *suspects;   /* host -> int64_t *, suspect until */
+  struct bs_clock clock;
+};
+
+const char *
+hc_strerror (int error)
+{
+  switch ((enum hc_error)error)
+    {
+    case HC_OK:
+      return "success";
+    case HC_EINVAL:
+      return "invalid request";
+    case HC_ENOMEM:
+      return "out of memory";
+    case HC_EFULL:
+      return "too many requests in progress";
+    case HC_ECLOSED:
+      return "the client is closed";
+    }
+  return "unknown error";
+}
+
+/* Hands the body to curl once only.  curl sends a request again by itself
+   when a reused connection breaks; without this a request that may not be
+   repeated could run twice.  */
+static size_t
+read_body (char *buf, size_t size, size_t count, void *arg)
+{
+  struct transfer *t = arg;
+  size_t n = t->body_size - t->body_read;
+
+  if (!n && t->body_size)
+    return t->body_taken++ > 1 ? CURL_READFUNC_ABORT : 0;
+  if (n > size * count)
+    n = size * count;
+  memcpy (buf, t->body + t->body_read, n);
+  t->body_read += n;
+  t->body_taken = 1;
+  return n;
+}
+
+static size_t
+write_answer (char *data, size_t size, size_t count, void *arg)
+{
+  struct transfer *t = arg;
+
+  if (t->answer->len + size * count > HC_MAX_BODY)
+    return 0;
+  g_string_append_len (t->answer, data, (gssize)(size * count));
+  return size * count;
+}
+
+static char *
+host_of (const char *url)
+{
+  const char *start = strstr (url, "://");
+
+  start = start ? start + 3 : url;
+  return g_strndup (start, strcspn (start, "/?"));
+}
+
+static void
+free_transfer (struct transfer *t)
+{
+  if (t->easy)
+    curl_easy_cleanup (t->easy);
+  curl_slist_free_all (t->headers);
+  if (t->answer)
+    g_string_free (t->answer, TRUE);
+  g_free (t->body);
+  g_free (t->host);
+  g_free (t);
+}
+
+static void
+set_body (struct transfer *t, const struct hc_request *r)
+{
+  t->headers = curl_slist_append (t->headers, "Expect:");
+  t->headers
+      = curl_slist_append (t->headers, "Content-Type: application/json");
+  t->body = g_strdup (r->body);
+  t->body_size = strlen (r->body);
+  curl_easy_setopt (t->easy, CURLOPT_POST, 1L);
+  curl_easy_setopt (t->easy, CURLOPT_POSTFIELDSIZE, (long)t->body_size);
+  curl_easy_setopt (t->easy, CURLOPT_READFUNCTION, read_body);
+  curl_easy_setopt (t->easy, CURLOPT_READDATA, t);
+}
+
+static void
+set_options (struct hc_client *hc, struct transfer *t,
+             const struct hc_request *r)
+{
+  int connect_ms
+      = r->connect_timeout_ms ? r->connect_timeout_ms : hc->connect_timeout_ms;
+
+  curl_easy_setopt (t->easy, CURLOPT_URL, r->url);
+  curl_easy_setopt (t->easy, CURLOPT_PROTOCOLS_STR, "http,https");
+  curl_easy_setopt (t->easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (t->easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (t->easy, CURLOPT_HTTP_VERSION,
+                    (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (t->easy, CURLOPT_TIMEOUT_MS, (long)r->timeout_ms);
+  curl_easy_setopt (t->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
+  curl_easy_setopt (t->easy, CURLOPT_MAXAGE_CONN, (long)IDLE_CONNECTION_S);
+  curl_easy_setopt (t->easy, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt (t->easy, CURLOPT_FRESH_CONNECT, (long)(r->fresh != 0));
+  curl_easy_setopt (t->easy, CURLOPT_ERRORBUFFER, t->error);
+  curl_easy_setopt (t->easy, CURLOPT_WRITEFUNCTION, write_answer);
+  curl_easy_setopt (t->easy, CURLOPT_WRITEDATA, t);
+  curl_easy_setopt (t->easy, CURLOPT_PRIVATE, t);
+  if (r->body)
+    set_body (t, r);
+  curl_easy_setopt (t->easy, CURLOPT_CUSTOMREQUEST, r->method);
+  for (int i = 0; i < HC_MAX_HEADERS && r->header[i]; i++)
+    t->headers = curl_slist_append (t->headers, r->header[i]);
+  curl_easy_setopt (t->easy, CURLOPT_HTTPHEADER, t->headers);
+}
+
+int
+hc_submit (struct hc_client *hc, const struct hc_request *r)
+{
+  struct transfer *t;
+
+  if (!r->method || !r->url || !r->done || r->timeout_ms <= 0)
+    return HC_EINVAL;
+  if (atomic_load (&hc->stop))
+    return HC_ECLOSED;
+  if (atomic_fetch_add (&hc->in_progress, 1) >= hc->max_in_progress)
+    {
+      atomic_fetch_sub (&hc->in_progress, 1);
+      return HC_EFULL;
+    }
+  t = g_new0 (struct transfer, 1);
+  t->easy = curl_easy_init ();
+  t->answer = g_string_new (NULL);
+  t->host = host_of (r->url);
+  t->done = r->done;
+  t->arg = r->arg;
+  t->started_ms = bs_now_ms (&hc->clock);
+  if (t->easy)
+    set_options (hc, t, r);
+  if (!t->easy || rg_push (&hc->ring, t))
+    {
+      free_transfer (t);
+      atomic_fetch_sub (&hc->in_progress, 1);
+      return HC_EFULL;
+    }
+  return HC_OK;
+}
+
+static void
+suspect_host (struct hc_client *hc, const char *host)
+{
+  int64_t *until = g_new (int64_t, 1);
+
+  *until = bs_now_ms (&hc->clock) + SUSPECT_MS;
+  g_hash_table_replace (hc->suspects, g_strdup (host), until);
+}
+
+static int
+is_suspect (struct hc_client *hc, const char *host)
+{
+  int64_t *until = g_hash_table_lookup (hc->suspects, host);
+
+  if (!until)
+    return 0;
+  if (*until > bs_now_ms (&hc->clock))
+    return 1;
+  g_hash_table_remove (hc->suspects, host);
+  return 0;
+}
+
+static void
+start_transfer (struct hc_client *hc, struct transfer *t)
+{
+  if (is_suspect (hc, t->host))
+    curl_easy_setopt (t->easy, CURLOPT_FRESH_CONNECT, 1L);
+  t->next = hc->active.next;
+  t->prev = &hc->active;
+  t->next->prev = t;
+  hc->active.next = t;
+  curl_multi_add_handle (hc->multi, t->easy);
+}
+
+static int
+was_sent (struct transfer *t)
+{
+  long request_bytes = 0;
+
+  if (t->body)
+    return t->body_taken;
+  curl_easy_getinfo (t->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+  return request_bytes > 0;
+}
+
+static void
+end_transfer (struct hc_client *hc, struct transfer *t, CURLcode code)
+{
+  struct hc_answer a = { .end = HC_ANSWERED };
+  curl_off_t retry_after = 0;
+
+  if (code != CURLE_OK)
+    {
+      a.end = was_sent (t) ? HC_LOST : HC_NOT_SENT;
+      a.reason = *t->error ? t->error : curl_easy_strerror (code);
+    }
+  else
+    {
+      curl_easy_getinfo (t->easy, CURLINFO_RESPONSE_CODE, &a.status);
+      curl_easy_getinfo (t->easy, CURLINFO_RETRY_AFTER, &retry_after);
+      a.retry_after_s = (long)retry_after;
+      a.body = t->answer->str;
+      a.body_size = t->answer->len;
+    }
+  if (code == CURLE_OPERATION_TIMEDOUT && a.end == HC_LOST)
+    suspect_host (hc, t->host);
+  a.took_ms = bs_now_ms (&hc->clock) - t->started_ms;
+  t->prev->next = t->next;
+  t->next->prev = t->prev;
+  curl_multi_remove_handle (hc->multi, t->easy);
+  atomic_fetch_sub (&hc->in_progress, 1);
+  t->done (t->arg, &a);
+  free_transfer (t);
+}
+
+static void
+reap (struct hc_client *hc)
+{
+  CURLMsg *msg;
+  int left;
+
+  while ((msg = curl_multi_info_read (hc->multi, &left)))
+    {
+      struct transfer *t;
+
+      if (msg->msg != CURLMSG_DONE)
+        continue;
+      curl_easy_getinfo (msg->easy_handle, CURLINFO_PRIVATE, &t);
+      end_transfer (hc, t, msg->data.result);
+    }
+}
+
+static void *
+run (void *arg)
+{
+  struct hc_client *hc = arg;
+  void *item;
+  int running;
+
+  while (!atomic_load (&hc->stop))
+    {
+      while (rg_pop (&hc->ring, &item, 0) == BS_OK)
+        start_transfer (hc, item);
+      curl_multi_perform (hc->multi, &running);
+      reap (hc);
+      curl_multi_poll (hc->multi, NULL, 0, POLL_MS, NULL);
+    }
+  rg_close (&hc->ring);
+  while (rg_pop (&hc->ring, &item, 0) == BS_OK)
+    start_transfer (hc, item);
+  while (hc->active.next != &hc->active)
+    end_transfer (hc, hc->active.next, CURLE_ABORTED_BY_CALLBACK);
+  return NULL;
+}
+
+static void
+wake (void *arg)
+{
+  curl_multi_wakeup (((struct hc_client *)arg)->multi);
+}
+
+struct hc_client *
+hc_new (const struct hc_config *config)
+{
+  struct hc_client *hc = g_new0 (struct hc_client, 1);
+
+  hc->max_in_progress = config->max_in_progress;
+  hc->connect_timeout_ms = config->connect_timeout_ms
+                               ? config->connect_timeout_ms
+                               : DEFAULT_CONNECT_MS;
+  hc->clock = bs_clock_system ();
+  hc->active.next = hc->active.prev = &hc->active;
+  hc->suspects
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  hc->multi = curl_multi_init ();
+  curl_multi_setopt (hc->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                     (long)config->connections_per_host);
+  if (rg_init (&hc->ring, (unsigned)config->max_in_progress))
+    return NULL;
+  rg_on_push (&hc->ring, wake, hc);
+  if (pthread_create (&hc->thread, NULL, run, hc))
+    {
+      rg_fini (&hc->ring);
+      curl_multi_cleanup (hc->multi);
+      g_hash_table_destroy (hc->suspects);
+      g_free (hc);
+      return NULL;
+    }
+  return hc;
+}
+
+void
+hc_free (struct hc_client *hc)
+{
+  if (!hc)
+    return;
+  atomic_store (&hc->stop, 1);
+  curl_multi_wakeup (hc->multi);
+  pthread_join (hc->thread, NULL);
+  rg_fini (&hc->ring);
+  curl_multi_cleanup (hc->multi);
+  g_hash_table_destroy (hc->suspects);
+  g_free (hc);
+}
+
+struct waiter
+{
+  pthread_mutex_t lock;
+  pthread_cond_t cond;
+  int ended;
+  struct hc_answer answer;
+  char *buf;
+  size_t size;
+};
+
+static void
+copy_answer (void *arg, const struct hc_answer *a)
+{
+  struct waiter *w = arg;
+
+  pthread_mutex_lock (&w->lock);
+  w->answer = *a;
+  w->answer.reason = a->end == HC_ANSWERED ? NULL : "no whole answer";
+  if (a->body && w->size)
+    {
+      size_t n = a->body_size < w->size - 1 ? a->body_size : w->size - 1;
+
+      memcpy (w->buf, a->body, n);
+      w->buf[n] = '\0';
+      w->answer.body = w->buf;
+      w->answer.body_size = n;
+    }
+  w->ended = 1;
+  pthread_cond_signal (&w->cond);
+  pthread_mutex_unlock (&w->lock);
+}
+
+int
+hc_call (struct hc_client *hc, const struct hc_request *request,
+         struct hc_answer *answer, char *buf, size_t size)
+{
+  struct waiter w = { .buf = buf, .size = size };
+  struct hc_request r = *request;
+  int error;
+
+  pthread_mutex_init (&w.lock, NULL);
+  pthread_cond_init (&w.cond, NULL);
+  r.done = copy_answer;
+  r.arg = &w;
+  error = hc_submit (hc, &r);
+  if (!error)
+    {
+      pthread_mutex_lock (&w.lock);
+      while (!w.ended)
+        pthread_cond_wait (&w.cond, &w.lock);
+      pthread_mutex_unlock (&w.lock);
+      *answer = w.answer;
+    }
+  pthread_cond_destroy (&w.cond);
+  pthread_mutex_destroy (&w.lock);
+  return error;
+}
--- /dev/null
+++ b/tests/net/test_http.c
@@ -0,0 +1,234 @@
+#include <CUnit/Basic.h>
+#include <arpa/inet.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "skr/base.h"
+#include "skr/http.h"
+
+enum
+{
+  BUF_SIZE = 4096,
+  TIMEOUT_MS = 300
+};
+
+/* What the fake server does with the second request of a connection.  */
+enum behaviour
+{
+  CLOSE_AFTER_READ,
+  NEVER_ANSWER,
+  CUT_ANSWER
+};
+
+static int listener;
+static char url[64];
+static enum behaviour behaviour;
+static atomic_int bodies_seen;
+
+static int
+read_request (int fd)
+{
+  char buf[BUF_SIZE];
+  size_t n = 0;
+  ssize_t got;
+
+  while ((got = recv (fd, buf + n, sizeof buf - 1 - n, 0)) > 0)
+    {
+      n += (size_t)got;
+      buf[n] = '\0';
+      if (strstr (buf, "{\"once\":1}"))
+        {
+          atomic_fetch_add (&bodies_seen, 1);
+          return 1;
+        }
+    }
+  return 0;
+}
+
+static void
+answer (int fd, const char *text)
+{
+  ssize_t sent = send (fd, text, strlen (text), MSG_NOSIGNAL);
+
+  (void)sent;
+}
+
+static void *
+serve_connection (void *arg)
+{
+  int fd = (int)(intptr_t)arg;
+
+  if (read_request (fd))
+    answer (fd, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  if (read_request (fd))
+    switch (behaviour)
+      {
+      case CLOSE_AFTER_READ:
+        break;
+      case NEVER_ANSWER:
+        read_request (fd);
+        break;
+      case CUT_ANSWER:
+        answer (fd, "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\npart");
+        break;
+      }
+  close (fd);
+  return NULL;
+}
+
+static void *
+serve (void *arg)
+{
+  (void)arg;
+  for (;;)
+    {
+      pthread_t thread;
+      int fd = accept (listener, NULL, NULL);
+
+      if (fd < 0)
+        return NULL;
+      pthread_create (&thread, NULL, serve_connection, (void *)(intptr_t)fd);
+      pthread_detach (thread);
+    }
+}
+
+static int
+start_server (void)
+{
+  struct sockaddr_in a = { .sin_family = AF_INET };
+  socklen_t size = sizeof a;
+  pthread_t thread;
+
+  a.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  listener = socket (AF_INET, SOCK_STREAM, 0);
+  if (bind (listener, (struct sockaddr *)&a, sizeof a) || listen (listener, 16)
+      || getsockname (listener, (struct sockaddr *)&a, &size))
+    return -1;
+  snprintf (url, sizeof url, "http://127.0.0.1:%d/", ntohs (a.sin_port));
+  return pthread_create (&thread, NULL, serve, NULL);
+}
+
+static struct hc_answer
+post (struct hc_client *hc, int fresh)
+{
+  struct hc_request r = { .method = "POST",
+                          .url = url,
+                          .body = "{\"once\":1}",
+                          .timeout_ms = TIMEOUT_MS,
+                          .fresh = fresh };
+  struct hc_answer a = { .end = HC_LOST };
+  static char buf[BUF_SIZE];
+
+  CU_ASSERT_EQUAL (hc_call (hc, &r, &a, buf, sizeof buf), HC_OK);
+  return a;
+}
+
+static struct hc_client *
+new_client (void)
+{
+  struct hc_config config
+      = { .max_in_progress = 8, .connections_per_host = 1 };
+
+  return hc_new (&config);
+}
+
+/* The second request goes over the reused connection and meets BEHAVIOUR.  */
+static void
+expect_lost_and_delivered_once (enum behaviour b)
+{
+  struct hc_client *hc = new_client ();
+  struct hc_answer a;
+
+  behaviour = b;
+  a = post (hc, 0);
+  CU_ASSERT_EQUAL (a.end, HC_ANSWERED);
+  CU_ASSERT_EQUAL (a.status, 200);
+  atomic_store (&bodies_seen, 0);
+  a = post (hc, 0);
+  CU_ASSERT_EQUAL (a.end, HC_LOST);
+  CU_ASSERT_EQUAL (atomic_load (&bodies_seen), 1);
+  hc_free (hc);
+}
+
+static void
+test_broken_connection_sends_once (void)
+{
+  expect_lost_and_delivered_once (CLOSE_AFTER_READ);
+}
+
+static void
+test_silent_connection_ends_lost (void)
+{
+  expect_lost_and_delivered_once (NEVER_ANSWER);
+}
+
+static void
+test_cut_answer_is_not_whole (void)
+{
+  expect_lost_and_delivered_once (CUT_ANSWER);
+}
+
+static void
+test_silent_connection_is_dialled_anew (void)
+{
+  struct hc_client *hc = new_client ();
+
+  behaviour = NEVER_ANSWER;
+  CU_ASSERT_EQUAL (post (hc, 0).end, HC_ANSWERED);
+  CU_ASSERT_EQUAL (post (hc, 0).end, HC_LOST);
+  CU_ASSERT_EQUAL (post (hc, 0).end, HC_ANSWERED);
+  CU_ASSERT_EQUAL (post (hc, 0).end, HC_ANSWERED);
+  hc_free (hc);
+}
+
+static void
+test_refused_connection_is_not_sent (void)
+{
+  struct hc_client *hc = new_client ();
+  struct hc_request r = { .method = "POST",
+                          .url = "http://127.0.0.1:1/",
+                          .body = "{}",
+                          .timeout_ms = TIMEOUT_MS };
+  struct hc_answer a = { .end = HC_LOST };
+
+  CU_ASSERT_EQUAL (hc_call (hc, &r, &a, NULL, 0), HC_OK);
+  CU_ASSERT_EQUAL (a.end, HC_NOT_SENT);
+  hc_free (hc);
+}
+
+static void
+test_free_ends_what_is_in_progress (void)
+{
+  struct hc_client *hc = new_client ();
+  struct hc_request r = { .method = "GET", .url = url, .timeout_ms = 1 };
+
+  CU_ASSERT_EQUAL (hc_submit (hc, &r), HC_EINVAL);
+  hc_free (hc);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  bs_init ();
+  if (start_server ())
+    return EXIT_FAILURE;
+  CU_initialize_registry ();
+  suite = CU_add_suite ("http", NULL, NULL);
+  CU_add_test (suite, "broken", test_broken_connection_sends_once);
+  CU_add_test (suite, "silent", test_silent_connection_ends_lost);
+  CU_add_test (suite, "cut", test_cut_answer_is_not_whole);
+  CU_add_test (suite, "anew", test_silent_connection_is_dialled_anew);
+  CU_add_test (suite, "refused", test_refused_connection_is_not_sent);
+  CU_add_test (suite, "free", test_free_ends_what_is_in_progress);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+}
