Keep the two lists, their split over cells, and only forward

Cause: an accepted change must hold everywhere and never revert, also when the table itself is restored to an older state. Change: lists checked whole, every guarantee given to a cell and each cell tested at once; the three rows are checked and written in one transaction; the store applies only newer versions and writes a newer one back. Ruled out: one row for each account (a race of two operators on different rows could together promise more than there is). Conclusion: operators race on one transaction, so one of them sees the other.

--- /dev/null
+++ b/include/skr/config.h
@@ -0,0 +1,112 @@
+/* The operators' two lists, the split of the guarantees over the cells that
+   follows from them, and the store that only goes forward.  */
+#ifndef SKR_CONFIG_H
+#define SKR_CONFIG_H
+
+#include <jansson.h>
+#include <pthread.h>
+#include <stdint.h>
+
+#include "skr/base.h"
+#include "skr/decide.h"
+#include "skr/table.h"
+
+enum cf_error
+{
+  CF_OK = 0,
+  CF_EINVAL = -451,   /* malformed list; see the reason */
+  CF_ENOMEM = -452,   /* allocation failed */
+  CF_EFIT = -453,     /* the guarantees do not fit together */
+  CF_EOLD = -454,     /* not newer than what is in force */
+  CF_ECONFLICT = -455 /* the given version is not the one in force */
+};
+
+enum
+{
+  CF_NAME_SIZE = 64,      /* bytes of a name with its NUL */
+  CF_REASON_SIZE = 256,   /* bytes */
+  CF_MAX_ACCOUNTS = 4096, /* in one list */
+  CF_MAX_RATE = 1000000   /* calls a second, calls in progress, jobs */
+};
+
+/* The table and the keys of its rows.  */
+#define CF_TABLE "config"
+#define CF_PLANS "plans"
+#define CF_ALLOWANCES "allowances"
+#define CF_SPLIT "split"
+
+/* What one client account may use; a copy for the reader.  */
+struct cf_account
+{
+  char name[CF_NAME_SIZE];
+  char plan[CF_NAME_SIZE];
+  char key_digest[BS_DIGEST_SIZE];
+  int64_t calls_per_second, concurrent_calls, queued_jobs;
+  int shapes;
+  struct dc_shape shape[DC_MAX_SHAPES];
+};
+
+/* A worker as the fit test sees it.  */
+struct cf_worker
+{
+  char cell[CF_NAME_SIZE];
+  char rack[CF_NAME_SIZE];
+  int32_t accelerators, slots;
+};
+
+/* Guarded by a lock of its own; shared by the threads of one program.  */
+struct cf_store
+{
+  pthread_rwlock_t lock;
+  json_t *plans, *allowances, *split; /* row values; NULL before the first */
+};
+
+int cf_init (struct cf_store *store);
+void cf_fini (struct cf_store *store);
+
+/* Applies the rows of one scan of CF_TABLE ("rows" of the answer), whole and
+   only if every list is at least as new as the one in force and one is newer.
+   Returns 0 when something changed, CF_EOLD when nothing did, CF_EINVAL.  */
+int cf_apply (struct cf_store *store, const json_t *rows);
+
+/* Versions in force; 0 before the first.  */
+int64_t cf_version (struct cf_store *store, const char *list);
+/* A new reference to a list's row value, or NULL.  */
+json_t *cf_list (struct cf_store *store, const char *list);
+
+/* Each returns 0 and fills ACCOUNT, or CF_EINVAL when there is none.  */
+int cf_find_account (struct cf_store *store, const char *name,
+                     struct cf_account *account);
+int cf_find_digest (struct cf_store *store, const char *key_digest,
+                    struct cf_account *account);
+/* Calls FN for each account in the list's order.  */
+void cf_each_account (struct cf_store *store,
+                      void (*fn) (void *arg, const struct cf_account *),
+                      void *arg);
+/* The part of ACCOUNT's guarantee that CELL holds; returns the number of
+   shapes, at most DC_MAX_SHAPES.  */
+int cf_guarantee (struct cf_store *store, const char *account,
+                  const char *cell, struct dc_shape *shape);
+/* Cells that hold a part of ACCOUNT's guarantee; returns their number, at
+   most MAX, in the order of their names.  */
+int cf_home_cells (struct cf_store *store, const char *account,
+                   char cell[][CF_NAME_SIZE], int max);
+
+/* Checks a change of LIST (CF_PLANS or CF_ALLOWANCES) to the entries
+   NEW_LIST (an array) against ROWS, a fresh scan of CF_TABLE, and the FLEET,
+   whole: every plan known, every guarantee placed in a cell, all of them at
+   once with SPARE_WORKERS lost in each cell.  VERSION is the one that the
+   operator edited; 0 stands for "no list yet".  On success fills TXN, to be
+   submitted by the caller; REASON tells what was wrong.  */
+int cf_propose (struct cf_store *store, const json_t *rows, const char *list,
+                int64_t version, const json_t *new_list,
+                const struct cf_worker *fleet, int workers,
+                int32_t spare_workers, struct tb_txn *txn, char *reason);
+
+/* When ROWS, a fresh scan, is older than what is in force, fills TXN to write
+   the newer lists back and returns 1; else 0.  */
+int cf_repair (struct cf_store *store, const json_t *rows, struct tb_txn *txn);
+
+const char *cf_strerror (int error);
+
+#endif
--- /dev/null
+++ b/src/config/store.c
@@ -0,0 +1,270 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "config/config.h"
+
+const char *
+cf_strerror (int error)
+{
+  switch ((enum cf_error)error)
+    {
+    case CF_OK:
+      return "success";
+    case CF_EINVAL:
+      return "malformed configuration";
+    case CF_ENOMEM:
+      return "out of memory";
+    case CF_EFIT:
+      return "the guarantees do not fit together";
+    case CF_EOLD:
+      return "not newer than the configuration in force";
+    case CF_ECONFLICT:
+      return "the configuration has another version";
+    }
+  return "unknown error";
+}
+
+int
+cf_init (struct cf_store *store)
+{
+  *store = (struct cf_store){ .plans = NULL };
+  return pthread_rwlock_init (&store->lock, NULL) ? CF_ENOMEM : CF_OK;
+}
+
+void
+cf_fini (struct cf_store *store)
+{
+  json_decref (store->plans);
+  json_decref (store->allowances);
+  json_decref (store->split);
+  pthread_rwlock_destroy (&store->lock);
+}
+
+const json_t *
+cf_row (const json_t *rows, const char *key)
+{
+  size_t i;
+  json_t *row;
+
+  json_array_foreach (rows, i, row)
+  {
+    const char *name = json_string_value (json_object_get (row, "key"));
+
+    if (name && !strcmp (name, key)
+        && !json_is_true (json_object_get (row, "deleted")))
+      return row;
+  }
+  return NULL;
+}
+
+int64_t
+cf_value_version (const json_t *value)
+{
+  return json_integer_value (json_object_get (value, "version"));
+}
+
+static json_t **
+slot_of (struct cf_store *store, const char *list)
+{
+  if (!strcmp (list, CF_PLANS))
+    return &store->plans;
+  if (!strcmp (list, CF_ALLOWANCES))
+    return &store->allowances;
+  return &store->split;
+}
+
+static void
+replace (json_t **slot, json_t *value)
+{
+  json_incref (value);
+  json_decref (*slot);
+  *slot = value;
+}
+
+/* A list that was never written has no row: its value is NULL, version 0.  */
+static int
+all_newer (struct cf_store *store, json_t *plans, json_t *allowances,
+           json_t *split)
+{
+  int64_t p = cf_value_version (plans), a = cf_value_version (allowances);
+  int64_t s = cf_value_version (split);
+
+  if (p < cf_value_version (store->plans)
+      || a < cf_value_version (store->allowances))
+    return 0;
+  return s > cf_value_version (store->split);
+}
+
+int
+cf_apply (struct cf_store *store, const json_t *rows)
+{
+  json_t *plans = json_object_get (cf_row (rows, CF_PLANS), "value");
+  json_t *allowances = json_object_get (cf_row (rows, CF_ALLOWANCES), "value");
+  json_t *split = json_object_get (cf_row (rows, CF_SPLIT), "value");
+  char reason[CF_REASON_SIZE];
+  int error = CF_EOLD;
+
+  if (!split)
+    return CF_EOLD;
+  if ((plans && cf_check_plans (json_object_get (plans, "list"), reason))
+      || (allowances
+          && cf_check_allowances (json_object_get (allowances, "list"),
+                                  reason)))
+    return CF_EINVAL;
+  pthread_rwlock_wrlock (&store->lock);
+  if (all_newer (store, plans, allowances, split))
+    {
+      replace (&store->plans, plans);
+      replace (&store->allowances, allowances);
+      replace (&store->split, split);
+      error = CF_OK;
+    }
+  pthread_rwlock_unlock (&store->lock);
+  return error;
+}
+
+int64_t
+cf_version (struct cf_store *store, const char *list)
+{
+  int64_t version;
+
+  pthread_rwlock_rdlock (&store->lock);
+  version = cf_value_version (*slot_of (store, list));
+  pthread_rwlock_unlock (&store->lock);
+  return version;
+}
+
+json_t *
+cf_list (struct cf_store *store, const char *list)
+{
+  json_t *value;
+
+  pthread_rwlock_rdlock (&store->lock);
+  value = json_incref (*slot_of (store, list));
+  pthread_rwlock_unlock (&store->lock);
+  return value;
+}
+
+static void
+copy_name (char *out, size_t size, const json_t *entry, const char *field)
+{
+  const char *s = json_string_value (json_object_get (entry, field));
+
+  snprintf (out, size, "%s", s ? s : "");
+}
+
+static int64_t
+number (const json_t *entry, const char *field)
+{
+  return json_integer_value (json_object_get (entry, field));
+}
+
+static void
+fill (struct cf_store *store, const json_t *entry, struct cf_account *account)
+{
+  const json_t *a;
+
+  copy_name (account->name, sizeof account->name, entry, "account");
+  copy_name (account->plan, sizeof account->plan, entry, "plan");
+  copy_name (account->key_digest, sizeof account->key_digest, entry,
+             "key_digest");
+  a = cf_allowance (json_object_get (store->allowances, "list"),
+                    account->plan);
+  account->calls_per_second = number (a, "calls_per_second");
+  account->concurrent_calls = number (a, "concurrent_calls");
+  account->queued_jobs = number (a, "queued_jobs");
+  account->shapes
+      = cf_read_shapes (json_object_get (a, "guarantee"), account->shape);
+}
+
+static int
+find_by (struct cf_store *store, const char *field, const char *text,
+         struct cf_account *account)
+{
+  size_t i;
+  json_t *e;
+  int error = CF_EINVAL;
+
+  pthread_rwlock_rdlock (&store->lock);
+  json_array_foreach (json_object_get (store->plans, "list"), i, e)
+  {
+    const char *s = json_string_value (json_object_get (e, field));
+
+    if (!s || strcmp (s, text) != 0)
+      continue;
+    fill (store, e, account);
+    error = CF_OK;
+    break;
+  }
+  pthread_rwlock_unlock (&store->lock);
+  return error;
+}
+
+int
+cf_find_account (struct cf_store *store, const char *name,
+                 struct cf_account *account)
+{
+  return find_by (store, "account", name, account);
+}
+
+int
+cf_find_digest (struct cf_store *store, const char *key_digest,
+                struct cf_account *account)
+{
+  return find_by (store, "key_digest", key_digest, account);
+}
+
+void
+cf_each_account (struct cf_store *store,
+                 void (*fn) (void *arg, const struct cf_account *), void *arg)
+{
+  size_t i;
+  json_t *e;
+
+  pthread_rwlock_rdlock (&store->lock);
+  json_array_foreach (json_object_get (store->plans, "list"), i, e)
+  {
+    struct cf_account account;
+
+    fill (store, e, &account);
+    fn (arg, &account);
+  }
+  pthread_rwlock_unlock (&store->lock);
+}
+
+static json_t *
+cells_of (struct cf_store *store, const char *account)
+{
+  return json_object_get (json_object_get (store->split, "split"), account);
+}
+
+int
+cf_guarantee (struct cf_store *store, const char *account, const char *cell,
+              struct dc_shape *shape)
+{
+  int n;
+
+  pthread_rwlock_rdlock (&store->lock);
+  n = cf_read_shapes (json_object_get (cells_of (store, account), cell),
+                      shape);
+  pthread_rwlock_unlock (&store->lock);
+  return n;
+}
+
+int
+cf_home_cells (struct cf_store *store, const char *account,
+               char cell[][CF_NAME_SIZE], int max)
+{
+  const char *key;
+  json_t *value;
+  int n = 0;
+
+  pthread_rwlock_rdlock (&store->lock);
+  json_object_foreach (cells_of (store, account), key, value)
+  {
+    if (n < max)
+      snprintf (cell[n++], CF_NAME_SIZE, "%s", key);
+  }
+  pthread_rwlock_unlock (&store->lock);
+  return n;
+}
