Add the command line for operators and callers

Cause: operators steer by two lists and callers need a client that keeps a request's key through lost answers.

--- a/include/skr/http.h
+++ b/include/skr/http.h
@@ -64,6 +64,7 @@
   int max_in_progress; /* requests */
   int connections_per_host;
   int connect_timeout_ms;
+  const char *ca; /* file of the TLS authority to trust; NULL: the system's */
 };
 
 /* Starts the thread.  Returns NULL when memory or a thread is refused.  */
--- /dev/null
+++ b/src/cli/lists.c
@@ -0,0 +1,150 @@
+/* skr plans|allowances get|put FILE|diff FILE */
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "cli/cli.h"
+
+static int
+usage (void)
+{
+  fprintf (stderr, "skr: usage: skr plans|allowances get, put FILE or diff "
+                   "FILE; FILE is what get printed, with its version\n");
+  return SK_USAGE;
+}
+
+static const char *
+entry_name (const json_t *entry)
+{
+  const char *s = json_string_value (json_object_get (entry, "account"));
+
+  if (!s)
+    s = json_string_value (json_object_get (entry, "plan"));
+  return s ? s : "?";
+}
+
+static const json_t *
+find_entry (const json_t *list, const char *name)
+{
+  size_t i;
+  json_t *e;
+
+  json_array_foreach (list, i, e)
+  {
+    if (!strcmp (entry_name (e), name))
+      return e;
+  }
+  return NULL;
+}
+
+static void
+print_entry (char sign, const json_t *entry)
+{
+  char *text = json_dumps (entry, JSON_COMPACT | JSON_SORT_KEYS);
+
+  printf ("%c %s\n", sign, text ? text : "?");
+  free (text);
+}
+
+/* Prints what a put of AFTER would change, and returns the differences.  */
+static int
+print_diff (const json_t *before, const json_t *after)
+{
+  size_t i;
+  json_t *e;
+  int differences = 0;
+
+  json_array_foreach (before, i, e)
+  {
+    const json_t *other = find_entry (after, entry_name (e));
+
+    if (other && json_equal (e, other))
+      continue;
+    print_entry ('-', e);
+    differences++;
+  }
+  json_array_foreach (after, i, e)
+  {
+    const json_t *other = find_entry (before, entry_name (e));
+
+    if (other && json_equal (e, other))
+      continue;
+    print_entry ('+', e);
+    differences++;
+  }
+  return differences;
+}
+
+static int
+get (struct sk_session *s, const char *path)
+{
+  struct sk_reply r = sk_exchange (s, "GET", path, NULL, NULL, -1);
+
+  if (r.exit == SK_OK)
+    sk_print_json (r.body);
+  else
+    sk_report (&r);
+  sk_reply_fini (&r);
+  return r.exit;
+}
+
+/* A conflict shows both versions: ours and the one in force.  */
+static int
+put (struct sk_session *s, const char *path, const json_t *file)
+{
+  json_t *list = json_object_get (file, "list");
+  json_t *version = json_object_get (file, "version");
+  struct sk_reply r;
+
+  if (!json_is_array (list) || !json_is_integer (version))
+    return usage ();
+  r = sk_exchange (s, "PUT", path, list, NULL, json_integer_value (version));
+  if (r.exit == SK_OK)
+    printf (
+        "accepted as version %lld\n",
+        (long long)json_integer_value (json_object_get (r.body, "version")));
+  else
+    sk_report (&r);
+  if (r.exit == SK_CONFLICT)
+    print_diff (json_object_get (json_object_get (r.body, "current"), "list"),
+                list);
+  sk_reply_fini (&r);
+  return r.exit;
+}
+
+static int
+diff (struct sk_session *s, const char *path, const json_t *file)
+{
+  struct sk_reply r = sk_exchange (s, "GET", path, NULL, NULL, -1);
+  int code = r.exit;
+
+  if (r.exit != SK_OK)
+    sk_report (&r);
+  else if (print_diff (json_object_get (r.body, "list"),
+                       json_object_get (file, "list")))
+    code = SK_FAILED;
+  sk_reply_fini (&r);
+  return code;
+}
+
+int
+sk_lists (struct sk_session *s, int argc, const char **argv)
+{
+  char *path = g_strconcat ("/v1/", argv[0], NULL);
+  json_t *file = NULL;
+  int code = SK_USAGE;
+
+  if (argc == 3)
+    file = sk_read_file (argv[2]);
+  if (argc == 2 && !strcmp (argv[1], "get"))
+    code = get (s, path);
+  else if (file && !strcmp (argv[1], "put"))
+    code = put (s, path, file);
+  else if (file && !strcmp (argv[1], "diff"))
+    code = diff (s, path, file);
+  else
+    usage ();
+  json_decref (file);
+  g_free (path);
+  return code;
+}
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -39,6 +39,7 @@
   struct rg_ring ring;
   atomic_int in_progress, stop;
   int max_in_progress, connect_timeout_ms;
+  char *ca;
   struct transfer active; /* list head */
   GHashTable *suspects;   /* host -> int64_t *, suspect until */
   struct bs_clock clock;
@@ -151,6 +152,8 @@
   curl_easy_setopt (t->easy, CURLOPT_WRITEFUNCTION, write_answer);
   curl_easy_setopt (t->easy, CURLOPT_WRITEDATA, t);
   curl_easy_setopt (t->easy, CURLOPT_PRIVATE, t);
+  if (hc->ca)
+    curl_easy_setopt (t->easy, CURLOPT_CAINFO, hc->ca);
   if (r->body)
     set_body (t, r);
   curl_easy_setopt (t->easy, CURLOPT_CUSTOMREQUEST, r->method);
@@ -322,6 +325,7 @@
                                ? config->connect_timeout_ms
                                : DEFAULT_CONNECT_MS;
   hc->clock = bs_clock_system ();
+  hc->ca = g_strdup (config->ca);
   hc->active.next = hc->active.prev = &hc->active;
   hc->suspects
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -336,6 +340,7 @@
       rg_fini (&hc->ring);
       curl_multi_cleanup (hc->multi);
       g_hash_table_destroy (hc->suspects);
+      g_free (hc->ca);
       g_free (hc);
       return NULL;
     }
@@ -353,6 +358,7 @@
   rg_fini (&hc->ring);
   curl_multi_cleanup (hc->multi);
   g_hash_table_destroy (hc->suspects);
+  g_free (hc->ca);
   g_free (hc);
 }
 
