--- a/Makefile
+++ b/Makefile
@@ -49,12 +49,12 @@
 	ar rcs $@ $^
 
 define program
-$(BIN)/$1: $(patsubst %.c,$(BUILD)/%.o,$(wildcard $2/*.c)) $(LIB)
+$(BIN)/$1: $(patsubst %.c,$(BUILD)/%.o,$(wildcard $(addsuffix /*.c,$2))) $(LIB)
 	@mkdir -p $(BIN)
 	$$(CC) $$(SAN) -o $$@ $$(filter %.o,$$^) $(LIB) $$(LIBS_ALL)
 endef
 $(foreach p,$(PROG_DIRS),$(eval $(call program,$(call prog_name,$p),src/$p)))
-$(foreach p,$(STAND_DIRS),$(eval $(call program,skr-$p,stand/$p)))
+$(foreach p,$(STAND_DIRS),$(eval $(call program,skr-$p,stand/$p stand/common)))
 
 # Each fake_*.c of a test folder is linked into every test of that folder.
 .SECONDEXPANSION:
