--- /dev/null
+++ b/include/skr/stat.h
@@ -0,0 +1,82 @@
+/* Counters, gauges and log-linear histograms, kept for each thread and
+   merged when they are read.  */
+#ifndef SKR_STAT_H
+#define SKR_STAT_H
+
+#include <pthread.h>
+#include <stdint.h>
+
+enum
+{
+  ST_MAX_SERIES = 1024,
+  ST_MAX_THREADS = 16,
+  ST_NAME = 64,        /* bytes of a metric's name with its NUL */
+  ST_LABELS = 192,     /* bytes of its labels with the NUL */
+  ST_PER_DOUBLING = 4, /* buckets between a value and its double */
+  ST_DOUBLINGS = 26,   /* from ST_LOWEST_US up to about 70 minutes */
+  ST_LOWEST_US = 64,   /* upper end of the first bucket */
+  ST_BUCKETS = ST_PER_DOUBLING * ST_DOUBLINGS
+};
+
+enum st_kind
+{
+  ST_COUNTER,
+  ST_GAUGE,
+  ST_HISTOGRAM /* of microseconds; printed in seconds */
+};
+
+struct st_series
+{
+  enum st_kind kind;
+  char name[ST_NAME];
+  char labels[ST_LABELS]; /* a="b",c="d" */
+};
+
+struct st_cell;
+
+/* The numbers of one thread.  */
+struct st_shard
+{
+  pthread_mutex_t lock;
+  struct st_cell *cell; /* one for each series */
+};
+
+struct st_registry
+{
+  pthread_mutex_t lock;
+  struct st_series series[ST_MAX_SERIES];
+  int count, shards;
+  struct st_shard shard[ST_MAX_THREADS];
+};
+
+void st_init (struct st_registry *reg);
+/* To be called once no thread counts any more.  */
+void st_fini (struct st_registry *reg);
+
+/* Gives the calling thread numbers of its own.  Returns a handle, or
+   BS_EFULL or BS_ENOMEM; a negative handle counts nothing.  */
+int st_attach (struct st_registry *reg);
+
+/* Finds or makes the series of NAME and LABELS (may be "").  Returns a
+   handle or BS_EFULL.  Label values are the caller's to keep clear of
+   quotes.  */
+int st_series (struct st_registry *reg, enum st_kind kind, const char *name,
+               const char *labels);
+
+/* Each takes the handles of st_attach and st_series; bad ones are
+   ignored.  */
+void st_add (struct st_registry *reg, int shard, int series, int64_t n);
+void st_set (struct st_registry *reg, int shard, int series, int64_t value);
+void st_observe_us (struct st_registry *reg, int shard, int series,
+                    int64_t us);
+
+/* The value below which the fraction Q of what was observed lies, in
+   microseconds and rounded up to a bucket's end; -1 without any.  */
+int64_t st_quantile_us (struct st_registry *reg, int series, double q);
+int64_t st_value (struct st_registry *reg, int series);
+
+/* All series in the Prometheus text format, to be freed by free; NULL
+   without memory.  */
+char *st_text (struct st_registry *reg);
+
+#endif
