Give the counters as JSON too, and name the series

Cause: the burn report reads counters; the text format would need a parser of ours. Change: st_json beside st_text, each in a file of its own; the series and their labels stand in docs/INTERFACES.md. Measured: test_stat, test_base and test_http pass after the move. Conclusion: one registry, two outputs, no parser.

--- a/include/skr/stat.h
+++ b/include/skr/stat.h
@@ -3,6 +3,7 @@
 #ifndef SKR_STAT_H
 #define SKR_STAT_H
 
+#include <jansson.h>
 #include <pthread.h>
 #include <stdint.h>
 
@@ -78,5 +79,7 @@
 /* All series in the Prometheus text format, to be freed by free; NULL
    without memory.  */
 char *st_text (struct st_registry *reg);
+/* The same as the array "series" of docs/INTERFACES.md; a new reference.  */
+json_t *st_json (struct st_registry *reg);
 
 #endif
--- a/src/base/stat.c
+++ b/src/base/stat.c
@@ -4,8 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/stat.h"
 #include "skr/base.h"
-#include "skr/stat.h"
 
 struct st_cell
 {
@@ -14,8 +14,8 @@
   gsl_histogram *h; /* made at the first observation */
 };
 
-static double
-bucket_end (int i)
+double
+st_bucket_end (int i)
 {
   return ST_LOWEST_US * pow (2.0, (double)i / ST_PER_DOUBLING);
 }
@@ -30,7 +30,7 @@
     return NULL;
   range[0] = 0;
   for (int i = 0; i < ST_BUCKETS; i++)
-    range[i + 1] = bucket_end (i);
+    range[i + 1] = st_bucket_end (i);
   gsl_histogram_set_ranges (h, range, ST_BUCKETS + 1);
   return h;
 }
@@ -161,14 +161,8 @@
   pthread_mutex_unlock (&reg->shard[shard].lock);
 }
 
-struct merged
-{
-  int64_t value, sum_us;
-  double bucket[ST_BUCKETS];
-};
-
-static void
-merge (struct st_registry *reg, int series, struct merged *out)
+void
+st_merge (struct st_registry *reg, int series, struct st_merged *out)
 {
   memset (out, 0, sizeof *out);
   for (int s = 0; s < ST_MAX_THREADS; s++)
@@ -188,112 +182,26 @@
 int64_t
 st_value (struct st_registry *reg, int series)
 {
-  struct merged m;
+  struct st_merged m;
 
-  merge (reg, series, &m);
+  st_merge (reg, series, &m);
   return m.value;
 }
 
 int64_t
 st_quantile_us (struct st_registry *reg, int series, double q)
 {
-  struct merged m;
+  struct st_merged m;
   double seen = 0;
 
-  merge (reg, series, &m);
+  st_merge (reg, series, &m);
   if (!m.value)
     return -1;
   for (int i = 0; i < ST_BUCKETS; i++)
     {
       seen += m.bucket[i];
       if (seen >= q * (double)m.value)
-        return (int64_t)ceil (bucket_end (i));
-    }
-  return (int64_t)ceil (bucket_end (ST_BUCKETS));
-}
-
-static void
-write_histogram (FILE *f, const struct st_series *s, const struct merged *m)
-{
-  const char *comma = *s->labels ? "," : "";
-  double seen = 0;
-
-  for (int i = 0; i < ST_BUCKETS; i++)
-    {
-      seen += m->bucket[i];
-      if (m->bucket[i] > 0)
-        fprintf (f, "%s_bucket{%s%sle=\"%.6f\"} %.0f\n", s->name, s->labels,
-                 comma, bucket_end (i) / 1e6, seen);
-    }
-  fprintf (f, "%s_bucket{%s%sle=\"+Inf\"} %lld\n", s->name, s->labels, comma,
-           (long long)m->value);
-  fprintf (f, "%s_sum{%s} %.6f\n", s->name, s->labels,
-           (double)m->sum_us / 1e6);
-  fprintf (f, "%s_count{%s} %lld\n", s->name, s->labels, (long long)m->value);
-}
-
-static const char *
-kind_name (enum st_kind kind)
-{
-  switch (kind)
-    {
-    case ST_COUNTER:
-      return "counter";
-    case ST_GAUGE:
-      return "gauge";
-    case ST_HISTOGRAM:
-      return "histogram";
-    }
-  return "untyped";
-}
-
-/* All series of the name that series I is the first of.  */
-static void
-write_family (FILE *f, struct st_registry *reg, int first, int count)
-{
-  const struct st_series *head = &reg->series[first];
-  struct merged m;
-
-  fprintf (f, "# TYPE %s %s\n", head->name, kind_name (head->kind));
-  for (int i = first; i < count; i++)
-    {
-      const struct st_series *s = &reg->series[i];
-
-      if (strcmp (s->name, head->name))
-        continue;
-      merge (reg, i, &m);
-      if (s->kind == ST_HISTOGRAM)
-        write_histogram (f, s, &m);
-      else
-        fprintf (f, "%s{%s} %lld\n", s->name, s->labels, (long long)m.value);
+        return (int64_t)ceil (st_bucket_end (i));
     }
-}
-
-static int
-is_first (const struct st_registry *reg, int i)
-{
-  for (int j = 0; j < i; j++)
-    if (!strcmp (reg->series[j].name, reg->series[i].name))
-      return 0;
-  return 1;
-}
-
-char *
-st_text (struct st_registry *reg)
-{
-  char *text = NULL;
-  size_t size;
-  FILE *f = open_memstream (&text, &size);
-  int count;
-
-  if (!f)
-    return NULL;
-  pthread_mutex_lock (&reg->lock);
-  count = reg->count;
-  pthread_mutex_unlock (&reg->lock);
-  for (int i = 0; i < count; i++)
-    if (is_first (reg, i))
-      write_family (f, reg, i, count);
-  fclose (f);
-  return text;
+  return (int64_t)ceil (st_bucket_end (ST_BUCKETS));
 }
