Send typed messages between entry VMs over ZeroMQ

Cause: the daemons need hints and grants from each other, with CURVE off loopback and keys that change without a stop. Grants repeat the stamp of the receiver's heartbeat, so that a delayed grant is worth nothing.

--- a/include/skr/peer.h
+++ b/include/skr/peer.h
@@ -1,4 +1,6 @@
-/* Messages between entry VMs: typed, msgpack over ZeroMQ.  */
+/* Messages between entry VMs: typed, msgpack over ZeroMQ.  The VM list names
+   the ROUTER of each skr-entry; a skr-sched dials all of these and tells its
+   own address by its heartbeats, so that each skr-entry dials it in turn.  */
 #ifndef SKR_PEER_H
 #define SKR_PEER_H
 
@@ -20,7 +22,11 @@
   PR_ID = 64,        /* bytes of a VM, cell or job name with its NUL */
   PR_ADDRESS = 64,   /* bytes of "IP:PORT" with its NUL */
   PR_MAX_CELLS = 32, /* cells held by one VM */
-  PR_MAX_CREDITS = 512
+  PR_MAX_CREDITS = 512,
+  PR_KEY = 41,             /* bytes of a key in Z85 with its NUL */
+  PR_HOLD_MS = 2000,       /* an unsent message older than this is dropped */
+  PR_MAX_SIZE = 256 << 10, /* bytes of a message */
+  PR_MAX_PEERS = 1024
 };
 
 enum pr_kind
@@ -55,6 +61,7 @@
   int64_t plans_version, allowances_version;
   int32_t cells;
   struct pr_cell cell[PR_MAX_CELLS];
+  int64_t stamp_ms; /* sender's monotonic clock; grants repeat it */
 };
 
 struct pr_job
@@ -81,7 +88,9 @@
 {
   char cell[PR_ID];
   int64_t epoch;
-  int64_t valid_ms; /* from arrival */
+  int64_t stamp_ms; /* of the receiver's last heartbeat that arrived */
+  int64_t valid_ms; /* counted from STAMP_MS on the receiver's clock, so that
+                       a late message grants nothing */
   int32_t count;
   struct pr_credit credit[PR_MAX_CREDITS];
 };
@@ -123,11 +132,22 @@
 struct pr_settings
 {
   const char *listen; /* "IP:PORT"; port 0 is not allowed */
-  /* CURVE keys in Z85, required unless every address is loopback.  */
-  const char *public_key, *secret_key;
+  /* CURVE keys in Z85, the same pair on every VM; required unless every
+     address is loopback.  OTHER_KEY, which may be NULL, is a public key that
+     is accepted besides: the next one or the one before it.  */
+  const char *public_key, *secret_key, *other_key;
   int queue; /* messages held for one peer, older ones kept */
 };
 
+/* What became of messages, since the start.  */
+struct pr_counts
+{
+  int64_t sent, received;
+  int64_t malformed; /* received and dropped */
+  int64_t dropped;   /* not sent: queue full, or held for too long */
+  int64_t refused;   /* handshakes with a key that is not accepted */
+};
+
 /* Runs on the net's thread; must not block.  */
 typedef void pr_receive (void *arg, const struct pr_message *message);
 
@@ -140,6 +160,18 @@
 /* From any thread; never waits.  NULL sends to all peers.  */
 int pr_send (struct pr_net *net, const char *address,
              const struct pr_message *message);
+/* Replaces the keys without a stop; OTHER_KEY may be NULL.  */
+int pr_keys (struct pr_net *net, const char *public_key,
+             const char *secret_key, const char *other_key);
+void pr_count (struct pr_net *net, struct pr_counts *out);
+
+/* A key file: {"public","secret","other"?}, each 40 characters of Z85.  */
+struct pr_key_file
+{
+  char public_key[PR_KEY], secret_key[PR_KEY], other_key[PR_KEY];
+};
+/* Returns 0 or PR_EINVAL; OTHER_KEY is empty when the file has none.  */
+int pr_read_keys (const char *path, struct pr_key_file *out);
 
 /* The codec alone, for tests and fuzzing.  Encode returns a size in bytes or
    a pr_error; *OUT is freed by free.  */
--- /dev/null
+++ b/src/net/peer_keys.c
@@ -0,0 +1,33 @@
+#include <jansson.h>
+#include <string.h>
+#include <zmq.h>
+
+#include "skr/peer.h"
+
+static int
+take_key (const json_t *root, const char *name, char to[PR_KEY])
+{
+  const char *text = json_string_value (json_object_get (root, name));
+  unsigned char raw[32];
+
+  if (!text || strlen (text) != PR_KEY - 1 || !zmq_z85_decode (raw, text))
+    return PR_EINVAL;
+  memcpy (to, text, PR_KEY);
+  return PR_OK;
+}
+
+int
+pr_read_keys (const char *path, struct pr_key_file *out)
+{
+  json_t *root = json_load_file (path, JSON_REJECT_DUPLICATES, NULL);
+  int error = PR_EINVAL;
+
+  memset (out, 0, sizeof *out);
+  if (root && !take_key (root, "public", out->public_key)
+      && !take_key (root, "secret", out->secret_key))
+    error = PR_OK;
+  if (!error && json_object_get (root, "other"))
+    error = take_key (root, "other", out->other_key);
+  json_decref (root);
+  return error;
+}
