Decide calls, writes, limits and upstream choice in pure code

Cause: the request path needs rules that run on a fake clock. Change: fl_write (lost answers read back), fl_call (at most once), fl_budget, fl_limit, fl_pool; hs_ serves HTTP with suspended connections.

--- /dev/null
+++ b/src/filter/budget.h
@@ -0,0 +1,27 @@
+/* Retry budget: retries and hedges stay under a tenth of the calls, with a
+   small floor so that a quiet VM can retry at all.  */
+#ifndef FILTER_BUDGET_H
+#define FILTER_BUDGET_H
+
+#include <stdint.h>
+
+enum
+{
+  FL_BUDGET_CALLS = 10,     /* calls that earn one retry */
+  FL_BUDGET_MAX = 100,      /* retries that can be saved up */
+  FL_BUDGET_FLOOR_MS = 1000 /* one more retry in each such time */
+};
+
+struct fl_budget
+{
+  double saved; /* retries */
+  int64_t floor_ms;
+};
+
+void fl_budget_init (struct fl_budget *b, int64_t now_ms);
+/* A call began.  */
+void fl_budget_earn (struct fl_budget *b);
+/* Returns 1 and takes one retry, or 0 when none is left.  */
+int fl_budget_take (struct fl_budget *b, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/filter/pool.h
@@ -0,0 +1,96 @@
+/* The upstreams as one entry VM sees them, and its part of their slots.
+
+   The holder of a cell grants slots for a short time.  Where no grant is in
+   force, each slot of a worker belongs to the entry VM that a rendezvous
+   hash names, so that VMs with the same list never use one slot twice; where
+   lists differ for a moment the worker's own 429 is the proof that a call
+   was not run.  */
+#ifndef FILTER_POOL_H
+#define FILTER_POOL_H
+
+#include <gsl/gsl_rng.h>
+#include <stdint.h>
+
+#include "filter/error.h"
+#include "skr/peer.h"
+
+enum
+{
+  FL_POOL_MAX = 1024,      /* upstreams */
+  FL_POOL_ENTRIES = 64,    /* entry VMs that share the slots */
+  FL_POOL_FAILURES = 5,    /* in a row before an ejection */
+  FL_POOL_EJECT_MS = 5000, /* the first; it doubles */
+  FL_POOL_EJECT_MAX_MS = 60000,
+  FL_POOL_FLOOR_PERCENT = 50, /* of upstreams that stay in use */
+  FL_POOL_LEAVING_MS = 60000, /* an upstream's own word counts so long */
+  FL_POOL_NONE = -1
+};
+
+struct fl_upstream
+{
+  char id[PR_ID], address[PR_ADDRESS], domain[PR_ID];
+  int used;    /* this handle is in use */
+  int listed;  /* named by the last VM list */
+  int leaving; /* by that list */
+  int slots, connections;
+  int share_slots, share_connections; /* by the hash, without a grant */
+  int granted_slots, granted_connections;
+  int64_t granted_until_ms;
+  int in_flight;
+  int failures, ejections;
+  int64_t ejected_until_ms;
+  int64_t left_until_ms; /* it said itself that it leaves */
+};
+
+struct fl_grant
+{
+  char cell[PR_ID];
+  int64_t epoch, until_ms;
+};
+
+struct fl_pool
+{
+  char self[PR_ID];
+  struct fl_upstream up[FL_POOL_MAX];
+  int count;
+  char entry[FL_POOL_ENTRIES][PR_ID];
+  int entries;
+  struct fl_grant grant[PR_MAX_CELLS];
+  int grants;
+};
+
+/* One line of the VM list.  */
+struct fl_vm
+{
+  const char *id, *address, *domain;
+  int is_entry, leaving;
+  int slots, connections;
+};
+
+enum fl_outcome
+{
+  FL_OUTCOME_OK,
+  FL_OUTCOME_BUSY,    /* its 429 */
+  FL_OUTCOME_LEAVING, /* its 503 */
+  FL_OUTCOME_FAILED   /* not reached, lost, or it fails what it runs */
+};
+
+void fl_pool_init (struct fl_pool *p, const char *self);
+/* Replaces what the VM list says.  Returns 0 or FL_EFULL; the rest of a
+   list that is too long is left out.  */
+int fl_pool_list (struct fl_pool *p, const struct fl_vm *vm, int count);
+/* Returns 0, FL_ESTALE for a lower epoch than seen, or FL_EFULL.  */
+int fl_pool_credits (struct fl_pool *p, const struct pr_credits *credits,
+                     int64_t now_ms);
+/* Slots of upstream I that may be in use at NOW_MS; 0 when it gets nothing
+   new.  */
+int fl_pool_allowed (const struct fl_pool *p, int i, int64_t now_ms);
+/* Takes a slot: the less busy of two random upstreams that have one free,
+   AVOID last.  Returns a handle, FL_EBUSY or FL_ENOENT.  */
+int fl_pool_take (struct fl_pool *p, int64_t now_ms, int avoid,
+                  const gsl_rng *rng);
+/* Gives the slot back and learns from how it went.  */
+void fl_pool_give (struct fl_pool *p, int i, enum fl_outcome outcome,
+                   int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/net/serve.c
@@ -0,0 +1,340 @@
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "skr/serve.h"
+
+enum
+{
+  HEAD_BYTES = 32 * 1024, /* of request line and headers */
+  BODY_START = 1024       /* bytes; the buffer doubles from here */
+};
+
+struct hs_server
+{
+  struct hs_config config;
+  struct MHD_Daemon *daemon;
+  int port;
+  atomic_int in_progress, draining;
+  atomic_int_fast64_t cut;
+};
+
+struct hs_exchange
+{
+  struct hs_server *server;
+  struct MHD_Connection *connection;
+  struct hs_request request;
+  char *body;
+  size_t room;
+  struct MHD_Response *response; /* set by hs_answer */
+  int status;
+  int handed; /* hs_handle has run */
+  void *data;
+};
+
+const char *
+hs_strerror (int error)
+{
+  switch ((enum hs_error)error)
+    {
+    case HS_OK:
+      return "success";
+    case HS_EINVAL:
+      return "bad address or TLS material";
+    case HS_ENOMEM:
+      return "out of memory";
+    case HS_EBIND:
+      return "the address could not be bound";
+    }
+  return "unknown error";
+}
+
+static const char *
+header_of (struct MHD_Connection *c, const char *name)
+{
+  return MHD_lookup_connection_value (c, MHD_HEADER_KIND, name);
+}
+
+static void
+note_peer (struct hs_exchange *ex)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      ex->connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+  const struct sockaddr *sa = info ? info->client_addr : NULL;
+
+  if (sa && sa->sa_family == AF_INET)
+    inet_ntop (AF_INET,
+               &((const struct sockaddr_in *)(const void *)sa)->sin_addr,
+               ex->request.peer, sizeof ex->request.peer);
+  else if (sa && sa->sa_family == AF_INET6)
+    inet_ntop (AF_INET6,
+               &((const struct sockaddr_in6 *)(const void *)sa)->sin6_addr,
+               ex->request.peer, sizeof ex->request.peer);
+}
+
+static struct hs_exchange *
+begin (struct hs_server *hs, struct MHD_Connection *connection,
+       const char *method, const char *path)
+{
+  struct hs_exchange *ex = calloc (1, sizeof *ex);
+
+  if (!ex)
+    return NULL;
+  ex->server = hs;
+  ex->connection = connection;
+  ex->request.method = method;
+  ex->request.path = path;
+  ex->request.authorization = header_of (connection, "Authorization");
+  ex->request.idempotency_key = header_of (connection, "Idempotency-Key");
+  ex->request.if_match = header_of (connection, "If-Match");
+  note_peer (ex);
+  atomic_fetch_add (&hs->in_progress, 1);
+  return ex;
+}
+
+static int
+append (struct hs_exchange *ex, const char *data, size_t size)
+{
+  size_t need = ex->request.body_size + size + 1;
+
+  if (need > ex->server->config.max_body + 1)
+    {
+      ex->request.too_large = 1;
+      return 1;
+    }
+  if (need > ex->room)
+    {
+      size_t room = ex->room ? ex->room : BODY_START;
+      char *body;
+
+      while (room < need)
+        room *= 2;
+      body = realloc (ex->body, room);
+      if (!body)
+        return 0;
+      ex->body = body;
+      ex->room = room;
+    }
+  memcpy (ex->body + ex->request.body_size, data, size);
+  ex->request.body_size += size;
+  ex->body[ex->request.body_size] = '\0';
+  return 1;
+}
+
+static enum MHD_Result
+on_access (void *arg, struct MHD_Connection *connection, const char *path,
+           const char *method, const char *version, const char *data,
+           size_t *size, void **note)
+{
+  struct hs_server *hs = arg;
+  struct hs_exchange *ex = *note;
+
+  (void)version;
+  if (!ex)
+    {
+      *note = ex = begin (hs, connection, method, path);
+      return ex ? MHD_YES : MHD_NO;
+    }
+  if (ex->response)
+    return MHD_queue_response (connection, (unsigned)ex->status, ex->response);
+  if (*size)
+    {
+      if (!append (ex, data, *size))
+        return MHD_NO;
+      *size = 0;
+      return MHD_YES;
+    }
+  if (ex->handed)
+    return MHD_YES;
+  ex->handed = 1;
+  ex->request.body = ex->body ? ex->body : "";
+  MHD_suspend_connection (connection);
+  hs->config.handle (hs->config.arg, ex);
+  return MHD_YES;
+}
+
+static void
+on_completed (void *arg, struct MHD_Connection *connection, void **note,
+              enum MHD_RequestTerminationCode code)
+{
+  struct hs_server *hs = arg;
+  struct hs_exchange *ex = *note;
+
+  (void)connection;
+  if (!ex)
+    return;
+  if (ex->handed && code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
+    atomic_fetch_add (&hs->cut, 1);
+  if (ex->response)
+    MHD_destroy_response (ex->response);
+  free (ex->body);
+  free (ex);
+  *note = NULL;
+  atomic_fetch_sub (&hs->in_progress, 1);
+}
+
+static int
+parse_address (const char *text, struct sockaddr_in *out)
+{
+  char ip[INET_ADDRSTRLEN];
+  const char *colon = strrchr (text, ':');
+  char *end;
+  long port;
+
+  if (!colon || (size_t)(colon - text) >= sizeof ip)
+    return HS_EINVAL;
+  memcpy (ip, text, (size_t)(colon - text));
+  ip[colon - text] = '\0';
+  port = strtol (colon + 1, &end, 10);
+  if (*end || end == colon + 1 || port < 0 || port > UINT16_MAX)
+    return HS_EINVAL;
+  *out = (struct sockaddr_in){ .sin_family = AF_INET,
+                               .sin_port = htons ((uint16_t)port) };
+  return inet_pton (AF_INET, ip, &out->sin_addr) == 1 ? HS_OK : HS_EINVAL;
+}
+
+static struct MHD_Daemon *
+start (struct hs_server *hs, const struct sockaddr_in *address)
+{
+  const struct hs_config *c = &hs->config;
+  struct MHD_OptionItem tls[]
+      = { { MHD_OPTION_HTTPS_MEM_CERT, 0, (void *)(uintptr_t)c->tls_cert },
+          { MHD_OPTION_HTTPS_MEM_KEY, 0, (void *)(uintptr_t)c->tls_key },
+          { MHD_OPTION_END, 0, NULL } };
+  struct MHD_OptionItem none[] = { { MHD_OPTION_END, 0, NULL } };
+  unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME
+                   | (c->tls_cert ? MHD_USE_TLS : 0);
+
+  return MHD_start_daemon (
+      flags, 0, NULL, NULL, on_access, hs, MHD_OPTION_SOCK_ADDR, address,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_THREAD_POOL_SIZE,
+      (unsigned)c->threads, MHD_OPTION_CONNECTION_LIMIT,
+      (unsigned)c->max_connections, MHD_OPTION_CONNECTION_TIMEOUT,
+      (unsigned)c->idle_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      (size_t)HEAD_BYTES, MHD_OPTION_NOTIFY_COMPLETED, on_completed, hs,
+      MHD_OPTION_ARRAY, c->tls_cert ? tls : none, MHD_OPTION_END);
+}
+
+int
+hs_new (struct hs_server **out, const struct hs_config *config)
+{
+  struct sockaddr_in address;
+  const union MHD_DaemonInfo *info;
+  struct hs_server *hs;
+
+  if (parse_address (config->listen, &address) != HS_OK)
+    return HS_EINVAL;
+  hs = calloc (1, sizeof *hs);
+  if (!hs)
+    return HS_ENOMEM;
+  hs->config = *config;
+  hs->daemon = start (hs, &address);
+  if (!hs->daemon)
+    {
+      free (hs);
+      return HS_EBIND;
+    }
+  info = MHD_get_daemon_info (hs->daemon, MHD_DAEMON_INFO_BIND_PORT);
+  hs->port = info ? info->port : ntohs (address.sin_port);
+  *out = hs;
+  return HS_OK;
+}
+
+int
+hs_port (const struct hs_server *hs)
+{
+  return hs->port;
+}
+
+const struct hs_request *
+hs_request_of (const struct hs_exchange *ex)
+{
+  return &ex->request;
+}
+
+const char *
+hs_query (struct hs_exchange *ex, const char *name)
+{
+  return MHD_lookup_connection_value (ex->connection, MHD_GET_ARGUMENT_KIND,
+                                      name);
+}
+
+void
+hs_set_data (struct hs_exchange *ex, void *data)
+{
+  ex->data = data;
+}
+
+void *
+hs_data (const struct hs_exchange *ex)
+{
+  return ex->data;
+}
+
+void
+hs_answer (struct hs_exchange *ex, const struct hs_answer *answer)
+{
+  const char *body = answer->body ? answer->body : "";
+  struct MHD_Response *r = MHD_create_response_from_buffer (
+      strlen (body), (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY);
+
+  if (!r)
+    abort ();
+  if (answer->content_type)
+    MHD_add_response_header (r, "Content-Type", answer->content_type);
+  for (int i = 0; i < HS_MAX_HEADERS && answer->header[i].name; i++)
+    MHD_add_response_header (r, answer->header[i].name,
+                             answer->header[i].value);
+  if (atomic_load (&ex->server->draining))
+    MHD_add_response_header (r, "Connection", "close");
+  ex->status = answer->status;
+  ex->response = r;
+  MHD_resume_connection (ex->connection);
+}
+
+void
+hs_drain (struct hs_server *hs)
+{
+  atomic_store (&hs->draining, 1);
+}
+
+void
+hs_stop_listening (struct hs_server *hs)
+{
+  MHD_socket fd = MHD_quiesce_daemon (hs->daemon);
+
+  if (fd != MHD_INVALID_SOCKET)
+    close (fd);
+}
+
+int
+hs_in_progress (struct hs_server *hs)
+{
+  return atomic_load (&hs->in_progress);
+}
+
+int
+hs_connections (struct hs_server *hs)
+{
+  const union MHD_DaemonInfo *info
+      = MHD_get_daemon_info (hs->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+
+  return info ? (int)info->num_connections : 0;
+}
+
+int64_t
+hs_cut (struct hs_server *hs)
+{
+  return atomic_load (&hs->cut);
+}
+
+void
+hs_free (struct hs_server *hs)
+{
+  MHD_stop_daemon (hs->daemon);
+  free (hs);
+}
