Pass each request through a filter chain

Cause: a request must be bounded, known and allowed before it costs anything. Change: fl_chain with parse, authenticate, client account, decode, limits, idempotency, class and route; problem details; strict body readers.

--- /dev/null
+++ b/src/filter/chain.h
@@ -0,0 +1,104 @@
+/* The filter chain that every request passes before it may cost anything:
+   parse, authenticate, client account, limits, idempotency, class, route.
+   Pure: what it needs to know stands in its environment.  */
+#ifndef FILTER_CHAIN_H
+#define FILTER_CHAIN_H
+
+#include "filter/fleet.h"
+#include "filter/limit.h"
+#include "filter/parse.h"
+#include "filter/pool.h"
+#include "filter/problem.h"
+#include "skr/base.h"
+
+enum
+{
+  FL_OPERATOR = -1, /* in place of an account's handle */
+  FL_MAX_ID = 160,  /* characters of a key or job in a path */
+  FL_ROW_KEY_SIZE = PR_ID + FL_MAX_KEY + 2,
+  /* Percent of the requests in progress that a VM holds at most, from which
+     on a class is refused: bulk first, calls last.  */
+  FL_SHED_BULK_PERCENT = 50,
+  FL_SHED_JOBS_PERCENT = 80,
+  FL_SHED_CALLS_PERCENT = 95 /* the rest is for reads and operators */
+};
+
+enum fl_op
+{
+  FL_OP_NONE,
+  FL_OP_HEALTH,
+  FL_OP_CALL,
+  FL_OP_CALL_GET,
+  FL_OP_JOB,
+  FL_OP_JOB_GET,
+  FL_OP_JOB_CANCEL,
+  FL_OP_JOB_LIST,
+  FL_OP_LIST_GET,
+  FL_OP_LIST_PUT,
+  FL_OP_VMS,
+  FL_OP_CELLS,
+  FL_OP_STATUS,
+  FL_OP_METRICS
+};
+
+struct fl_account
+{
+  char name[PR_ID];
+  char key_digest[BS_DIGEST_SIZE];
+  struct fl_limit limit;
+  char home[PR_MAX_CELLS][PR_ID];
+  int homes;
+};
+
+struct fl_env
+{
+  struct fl_account *account;
+  int accounts;
+  const char *operator_digest;
+  const struct fl_fleet *fleet;
+  int64_t now_ms;
+  double jitter;
+  int table_down;
+  int in_progress, max_in_progress; /* requests on this VM */
+};
+
+struct fl_request
+{
+  /* what arrived */
+  const char *method, *path, *authorization, *key, *if_match, *body;
+  size_t body_size;
+  int too_large;
+  /* what the filters found */
+  enum fl_op op;
+  char id[FL_MAX_ID + 1]; /* last part of the path: key, job or list */
+  int account;            /* handle, or FL_OPERATOR */
+  int entered;            /* counted in the account's limits */
+  json_t *json;           /* owned; freed by fl_request_fini */
+  union
+  {
+    struct fl_call_body call;
+    struct fl_job_body job;
+    int64_t version; /* of FL_OP_LIST_PUT */
+  } u;
+  char digest[BS_DIGEST_SIZE];   /* of the body */
+  char row_key[FL_ROW_KEY_SIZE]; /* ACCOUNT/KEY */
+  char cell[PR_ID];              /* of a new job */
+  struct fl_problem problem;     /* when refused */
+};
+
+/* Runs the chain; returns FL_PROBLEM_NONE when the request may go on.  A
+   refusal leaves nothing behind but the request's own memory.  */
+enum fl_problem_kind fl_chain_run (struct fl_env *env, struct fl_request *r);
+/* Frees what the chain made and leaves the account's limits.  */
+void fl_request_fini (struct fl_env *env, struct fl_request *r);
+
+enum
+{
+  FL_NO_ACCOUNT = -2
+};
+
+/* Handle of the account whose key has DIGEST, FL_OPERATOR or FL_NO_ACCOUNT.
+   Takes the same time whichever matches.  */
+int fl_find_key (const struct fl_env *env, const char *digest);
+
+#endif
--- /dev/null
+++ b/src/filter/fleet.c
@@ -0,0 +1,87 @@
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "filter/fleet.h"
+
+int64_t
+fl_fleet_room (const struct fl_fleet *f, const char *cell, int32_t per_task)
+{
+  int64_t room = 0;
+
+  for (int i = 0; i < f->workers; i++)
+    if (!strcmp (f->worker[i].cell, cell))
+      room += per_task ? f->worker[i].accelerators / per_task
+                       : f->worker[i].slots;
+  return room;
+}
+
+int
+fl_fleet_never (const struct fl_fleet *f, int32_t tasks, int32_t per_task)
+{
+  const char *seen = "";
+
+  if (!f->workers)
+    return 0;
+  for (int i = 0; i < f->workers; i++)
+    {
+      if (!strcmp (seen, f->worker[i].cell))
+        continue;
+      seen = f->worker[i].cell;
+      if (fl_fleet_room (f, seen, per_task) >= tasks)
+        return 0;
+    }
+  return 1;
+}
+
+static int64_t
+free_of (const struct fl_fleet *f, const char *cell)
+{
+  for (int i = 0; i < f->cells; i++)
+    if (!strcmp (f->cell[i].cell, cell))
+      return f->cell[i].free;
+  return -1;
+}
+
+static XXH64_hash_t
+rank (const char *cell, const char *spread)
+{
+  char text[2 * PR_ID + 2];
+  int size = snprintf (text, sizeof text, "%s/%s", cell, spread);
+
+  return XXH3_64bits (text, (size_t)size);
+}
+
+static const char *
+better (const struct fl_fleet *f, const char *a, const char *b,
+        const char *spread)
+{
+  if (!a || free_of (f, b) > free_of (f, a))
+    return b;
+  if (free_of (f, b) < free_of (f, a))
+    return a;
+  return rank (b, spread) > rank (a, spread) ? b : a;
+}
+
+const char *
+fl_fleet_choose (const struct fl_fleet *f, const char (*home)[PR_ID],
+                 int homes, int32_t tasks, int32_t per_task,
+                 const char *spread)
+{
+  const char *best = NULL;
+
+  for (int i = 0; i < homes; i++)
+    if (fl_fleet_room (f, home[i], per_task) >= tasks)
+      best = better (f, best, home[i], spread);
+  if (best)
+    return best;
+  for (int i = 0; i < f->workers; i++)
+    {
+      const char *cell = f->worker[i].cell;
+
+      if ((!best || strcmp (best, cell) != 0)
+          && fl_fleet_room (f, cell, per_task) >= tasks)
+        best = better (f, best, cell, spread);
+    }
+  return best;
+}
--- /dev/null
+++ b/src/filter/problem.c
@@ -0,0 +1,95 @@
+#include <stdarg.h>
+#include <stdio.h>
+
+#include "filter/problem.h"
+
+struct line
+{
+  int status;
+  const char *slug, *title, *state;
+  int retry_s; /* shortest Retry-After; 0: none */
+};
+
+static const struct line lines[] = {
+  [FL_PROBLEM_NONE] = { 500, "internal", "Internal error", NULL, 0 },
+  [FL_PROBLEM_MALFORMED]
+  = { 400, "malformed", "The request is malformed", NULL, 0 },
+  [FL_PROBLEM_TOO_LARGE]
+  = { 413, "too-large", "The body is too large", NULL, 0 },
+  [FL_PROBLEM_UNAUTHORIZED] = { 401, "unauthorized", "No such key", NULL, 0 },
+  [FL_PROBLEM_FORBIDDEN]
+  = { 403, "forbidden", "The key is not good for this", NULL, 0 },
+  [FL_PROBLEM_NOT_FOUND] = { 404, "not-found", "Not found", NULL, 0 },
+  [FL_PROBLEM_METHOD]
+  = { 405, "method", "The method is not allowed here", NULL, 0 },
+  [FL_PROBLEM_NO_KEY] = { 400, "no-idempotency-key",
+                          "Idempotency-Key is missing or bad", NULL, 0 },
+  [FL_PROBLEM_OTHER_BODY]
+  = { 409, "other-body", "The key belongs to another request", NULL, 0 },
+  [FL_PROBLEM_NEVER]
+  = { 422, "can-never-run", "The job can never run", "not_run", 0 },
+  [FL_PROBLEM_RATE]
+  = { 429, "rate", "The account's rate is used up", "not_run", 1 },
+  [FL_PROBLEM_CONCURRENCY]
+  = { 429, "concurrency", "Too many calls of the account are in progress",
+      "not_run", 1 },
+  [FL_PROBLEM_OVERLOAD] = { 503, "overload", "Overloaded", "not_run", 1 },
+  [FL_PROBLEM_TABLE_DOWN]
+  = { 503, "table-down", "The table does not answer", "not_run", 2 },
+  [FL_PROBLEM_NO_UPSTREAM]
+  = { 503, "no-upstream", "No upstream can take it", "not_run", 1 },
+  [FL_PROBLEM_NOT_RUN] = { 503, "not-run", "It was not run", "not_run", 1 },
+  [FL_PROBLEM_UNKNOWN]
+  = { 504, "unknown", "Its end is not known", "unknown", 1 },
+  [FL_PROBLEM_FAILED] = { 502, "failed", "It ran and failed", "failed", 0 },
+  [FL_PROBLEM_VERSION]
+  = { 409, "version", "Another version is in force", NULL, 0 },
+  [FL_PROBLEM_NO_VERSION]
+  = { 428, "no-version", "If-Match with the version is required", NULL, 0 },
+  [FL_PROBLEM_BAD_LIST]
+  = { 422, "bad-list", "The list is not valid", NULL, 0 },
+  [FL_PROBLEM_NO_FIT]
+  = { 422, "no-fit", "The guarantees do not fit together", NULL, 0 },
+};
+
+int
+fl_problem_status (enum fl_problem_kind kind)
+{
+  return lines[kind].status;
+}
+
+const char *
+fl_problem_state (enum fl_problem_kind kind)
+{
+  return lines[kind].state;
+}
+
+json_t *
+fl_problem_json (const struct fl_problem *p)
+{
+  const struct line *l = &lines[p->kind];
+  char type[64];
+  json_t *o;
+
+  snprintf (type, sizeof type, "/problems/%s", l->slug);
+  o = json_pack ("{s:s,s:s,s:i,s:s}", "type", type, "title", l->title,
+                 "status", l->status, "detail", p->detail);
+  if (o && l->state)
+    json_object_set_new (o, "state", json_string (l->state));
+  return o;
+}
+
+enum fl_problem_kind
+fl_problem_set (struct fl_problem *p, enum fl_problem_kind kind, double jitter,
+                const char *format, ...)
+{
+  int base = lines[kind].retry_s;
+  va_list args;
+
+  p->kind = kind;
+  p->retry_after_s = base + (int)((double)base * jitter + 0.5);
+  va_start (args, format);
+  vsnprintf (p->detail, sizeof p->detail, format, args);
+  va_end (args);
+  return kind;
+}
--- /dev/null
+++ b/src/filter/problem.h
@@ -0,0 +1,57 @@
+/* Refusals as problem details (RFC 9457).  */
+#ifndef FILTER_PROBLEM_H
+#define FILTER_PROBLEM_H
+
+#include <jansson.h>
+
+enum
+{
+  FL_DETAIL_SIZE = 320 /* bytes */
+};
+
+enum fl_problem_kind
+{
+  FL_PROBLEM_NONE,
+  FL_PROBLEM_MALFORMED,
+  FL_PROBLEM_TOO_LARGE,
+  FL_PROBLEM_UNAUTHORIZED,
+  FL_PROBLEM_FORBIDDEN,
+  FL_PROBLEM_NOT_FOUND,
+  FL_PROBLEM_METHOD,
+  FL_PROBLEM_NO_KEY,
+  FL_PROBLEM_OTHER_BODY,
+  FL_PROBLEM_NEVER,
+  FL_PROBLEM_RATE,
+  FL_PROBLEM_CONCURRENCY,
+  FL_PROBLEM_OVERLOAD,
+  FL_PROBLEM_TABLE_DOWN,
+  FL_PROBLEM_NO_UPSTREAM,
+  FL_PROBLEM_NOT_RUN,
+  FL_PROBLEM_UNKNOWN,
+  FL_PROBLEM_FAILED,
+  FL_PROBLEM_VERSION,
+  FL_PROBLEM_NO_VERSION,
+  FL_PROBLEM_BAD_LIST,
+  FL_PROBLEM_NO_FIT
+};
+
+struct fl_problem
+{
+  enum fl_problem_kind kind;
+  int retry_after_s; /* 0: none */
+  char detail[FL_DETAIL_SIZE];
+};
+
+int fl_problem_status (enum fl_problem_kind kind);
+/* "not_run", "unknown", "failed" or NULL.  */
+const char *fl_problem_state (enum fl_problem_kind kind);
+/* A new JSON object of the problem.  */
+json_t *fl_problem_json (const struct fl_problem *p);
+/* Fills P; a kind that may be tried again gets a Retry-After between BASE_S
+   and twice that, by JITTER from 0 to 1.  Returns P's kind.  */
+enum fl_problem_kind fl_problem_set (struct fl_problem *p,
+                                     enum fl_problem_kind kind, double jitter,
+                                     const char *format, ...)
+    __attribute__ ((format (printf, 4, 5)));
+
+#endif
