--- a/src/filter/chain.h
+++ b/src/filter/chain.h
@@ -15,7 +15,7 @@
 {
   FL_OPERATOR = -1, /* in place of an account's handle */
   FL_MAX_ID = 160,  /* characters of a key or job in a path */
-  FL_ROW_KEY_SIZE = PR_ID + FL_MAX_KEY + 2,
+  FL_ROW_KEY_SIZE = PR_ID + FL_MAX_ID + 2,
   /* Percent of the requests in progress that a VM holds at most, from which
      on a class is refused: bulk first, calls last.  */
   FL_SHED_BULK_PERCENT = 50,
