--- /dev/null
+++ b/tests/stand/check_worker.sh
@@ -0,0 +1,102 @@
+#!/usr/bin/env bash
+# The worker's stand-in: gangs, epochs, leases, idempotent orders, faults.
+cd "$(dirname "$0")/../.." || exit 1
+. tests/stand/lib.sh
+
+start platform skr-platform
+start w skr-worker --id w1 --platform "http://${ADDR[platform]}" \
+  --checkpoint-ms 20
+W=${ADDR[w]}
+status () { cat "$work/status"; }
+
+# order VERB EPOCH JOB [MORE]
+order ()
+{
+  post "$W" "/v1/tasks$1" "{\"cell\":\"c\",\"epoch\":$2,\"job\":\"$3\",
+    \"attempt\":1${4-}}"
+}
+# hold EPOCH JOB ACCELERATORS LEASE_MS RUN_MS
+hold ()
+{
+  order '' "$1" "$2" ",\"tasks\":[{\"task\":0,\"accelerators\":[$3]}],
+    \"lease_ms\":$4,\"payload\":{\"fake\":{\"run_ms\":$5,\"tag\":\"$2\"}}"
+}
+run ()
+{
+  post "$W" /v1/tasks/run "{\"cell\":\"c\",\"epoch\":$1,
+    \"jobs\":[{\"job\":\"$2\",\"attempt\":1}]}"
+}
+state ()
+{
+  get "$W" '/v1/tasks?cell=c' \
+    | jq -r "[.tasks[]|select(.job==\"$1\").state]|join(\",\")"
+}
+state_is () { [ "$(state "$1")" = "$2" ]; }
+starts ()
+{
+  get "$W" /v1/admin/journal | jq "[.entries[]|select(.tag==\"$1\")]|length"
+}
+
+expect "it registers" w1 "$(get "${ADDR[platform]}" /v1/vms \
+  | jq -r '.vms[0].id')"
+
+hold 5 a 0,1 60000 1 > /dev/null
+expect "a held gang does not run" "held 0" "$(state a) $(starts a)"
+hold 5 a 0,1 60000 1 > /dev/null
+expect "repeating an order changes nothing" "200 held" "$(status) $(state a)"
+hold 5 b 1,2 60000 1 > /dev/null
+expect "a taken accelerator is refused" "429 " "$(status) $(state b)"
+hold 4 b 4 60000 1 > /dev/null
+expect "a lower epoch is refused" '409 {"error":"epoch","epoch":5}' \
+  "$(status) $(cat "$work/body")"
+expect "and does nothing" "" "$(state b)"
+run 4 a > /dev/null
+expect "also for run" "409 held" "$(status) $(state a)"
+run 5 a > /dev/null
+wait_for 50 state_is a done
+expect "a run gang ends" "done 1" "$(state a) $(starts a)"
+run 5 a > /dev/null
+expect "repeating run starts nothing" 1 "$(starts a)"
+post "$W" /v1/tasks/ack \
+  '{"cell":"c","epoch":5,"jobs":[{"job":"a","attempt":1}]}' > /dev/null
+expect "an acknowledged gang is forgotten" "" "$(state a)"
+
+hold 5 l 0 60000 60000 > /dev/null
+hold 5 h 1 60000 60000 > /dev/null
+run 5 l > /dev/null
+expect "a renewal reaches the whole cell" '{"renewed":2}' \
+  "$(post "$W" /v1/leases '{"cell":"c","epoch":5,"lease_ms":1}')"
+wait_for 50 state_is l checkpointed
+expect "a lapsed lease checkpoints" checkpointed "$(state l)"
+wait_for 50 state_is h stopped
+expect "and a held gang stops" "stopped 0" "$(state h) $(starts h)"
+
+hold 5 m 0 60000 60000 > /dev/null
+run 5 m > /dev/null
+order /checkpoint 5 m > /dev/null
+wait_for 50 state_is m checkpointed
+expect "checkpoint frees the place" "checkpointed 200" \
+  "$(state m) $(hold 6 n 0 60000 1 > /dev/null; status)"
+order /stop 6 n > /dev/null
+expect "stop is at once" stopped "$(state n)"
+
+call ()
+{
+  post "$W" /v1/calls \
+    "{\"account\":\"x\",\"kind\":\"k\",\"payload\":{\"fake\":$1}}" \
+    -H 'X-Request-Id: r'
+}
+expect "a call echoes its request" "r x" "$(call '{"run_ms":1,"tag":"c"}' \
+  | jq -r '"\(.answer.request) \(.answer.account)"')"
+post "$W" /v1/admin/faults '{"mode":"fail_all"}' > /dev/null
+call '{"run_ms":1}' > /dev/null
+expect "fail_all fails calls" 500 "$(status)"
+post "$W" /v1/admin/faults '{"mode":"ok"}' > /dev/null
+post "$W" /v1/admin/leave '' > /dev/null
+call '{"run_ms":1,"tag":"late"}' > /dev/null
+expect "a leaving worker starts nothing" "503 0" "$(status) $(starts late)"
+stop w
+expect "stops cleanly" 0 "$STATUS"
+expect "and is off the list" 0 "$(get "${ADDR[platform]}" /v1/vms \
+  | jq '.vms|length')"
+exit "$failed"
