Add trace files, measures, and an outside check of actions

Cause: replays need a fixed format in and out, and a check that shares no code with the decisions. Change: JSON Lines reader and writer, measures of a run, tests/replay/verify.

--- a/Makefile
+++ b/Makefile
@@ -63,7 +63,13 @@
 	@mkdir -p $(@D)
 	$(CC) $(SAN) -o $@ $(filter %.o,$^) $(LIB) $(LIBS_ALL) -lcunit
 
-build-tests: $(TEST_BIN)
+# The outside check of skr-replay's actions.
+VERIFY := $(BUILD)/tests/replay/verify
+$(VERIFY): $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/replay/verify*.c))
+	@mkdir -p $(@D)
+	$(CC) $(SAN) -o $@ $^ $(LIBS_ALL)
+
+build-tests: $(TEST_BIN) $(VERIFY)
 
 check: deps
 	@$(MAKE) -s -j$(shell nproc) all build-tests
--- a/include/skr/opt.h
+++ b/include/skr/opt.h
@@ -9,7 +9,8 @@
 {
   OPT_INT,    /* int64_t, checked against min and max */
   OPT_STRING, /* const char *, length checked against min and max */
-  OPT_FLAG    /* int; given without a value on the command line */
+  OPT_FLAG,   /* int; given without a value on the command line */
+  OPT_REAL    /* double, finite, checked against min and max */
 };
 
 /* One setting.  The flag is --NAME and the variable SKR_NAME in upper case
--- /dev/null
+++ b/include/skr/trace.h
@@ -0,0 +1,201 @@
+/* Traces of `skr-replay`: JSON Lines of events in and of actions out, the
+   names that stand in them, and the measures of a run.  Times are integer
+   milliseconds.  */
+#ifndef SKR_TRACE_H
+#define SKR_TRACE_H
+
+#include <apr_hash.h>
+#include <apr_pools.h>
+#include <glib.h>
+#include <jansson.h>
+#include <stdio.h>
+
+#include "skr/decide.h"
+
+enum tr_error
+{
+  TR_OK = 0,
+  TR_EINVAL = -101, /* bad line; the reader's reason says why */
+  TR_ENOMEM = -102, /* allocation failed */
+  TR_EIO = -103     /* the file could not be read */
+};
+
+enum
+{
+  TR_REASON_SIZE = 160, /* bytes of a reason, with the NUL */
+  TR_SIZE_CLASSES = 24, /* powers of two up to the largest gang */
+  TR_NONE = -1          /* no such name */
+};
+
+/* One kind of name.  A name is a JSON string or integer and is written as
+   it was read; the first one gets handle 0.  */
+struct tr_names
+{
+  apr_pool_t *pool;
+  apr_hash_t *index;
+  GPtrArray *value; /* json_t *, by handle */
+};
+
+struct tr_tables
+{
+  struct tr_names worker, rack, domain, account, job;
+};
+
+/* Returns 0 or TR_ENOMEM.  */
+int tr_tables_init (struct tr_tables *tables);
+void tr_tables_fini (struct tr_tables *tables);
+/* Returns the handle of VALUE, a new one when there is none yet.  */
+uint32_t tr_name_add (struct tr_names *names, json_t *value);
+/* Returns the handle of VALUE or TR_NONE.  */
+int64_t tr_name_find (const struct tr_names *names, json_t *value);
+/* Adds PREFIX followed by the next handle's number.  */
+uint32_t tr_name_next (struct tr_names *names, const char *prefix);
+json_t *tr_name_value (const struct tr_names *names, uint32_t handle);
+
+enum tr_kind
+{
+  TR_WORKER,
+  TR_LEAVING,
+  TR_DOWN,
+  TR_FAILS_ALL,
+  TR_HEALS,
+  TR_PLAN,
+  TR_SUBMIT,
+  TR_CANCEL,
+  TR_END
+};
+
+struct tr_worker
+{
+  uint32_t id, rack, domain;
+  int32_t accelerators, slots;
+};
+
+struct tr_plan
+{
+  uint32_t account;
+  int64_t version;
+  int shapes;
+  struct dc_shape shape[DC_MAX_SHAPES];
+};
+
+struct tr_submit
+{
+  uint32_t job;
+  struct dc_job_spec spec;
+  int64_t actual_ms; /* how long each task really runs */
+  int fails;         /* fails once ACTUAL_MS are over, wherever it runs */
+};
+
+struct tr_event
+{
+  enum tr_kind kind;
+  int64_t at_ms;
+  union
+  {
+    struct tr_worker worker;
+    uint32_t worker_id; /* leaving, down, fails_all, heals */
+    struct tr_plan plan;
+    struct tr_submit submit;
+    uint32_t job; /* cancel */
+  } u;
+};
+
+struct tr_reader
+{
+  FILE *file;
+  struct tr_tables *tables;
+  char *line;
+  size_t size;
+  int64_t number; /* of the last line, from 1 */
+  int64_t now_ms;
+  int64_t bad_at_ms; /* time of a bad line if it has one, or -1 */
+  char reason[TR_REASON_SIZE];
+};
+
+void tr_reader_init (struct tr_reader *reader, FILE *file,
+                     struct tr_tables *tables);
+void tr_reader_fini (struct tr_reader *reader);
+/* Reads the next event.  Returns 1, 0 at the end of the file, TR_EINVAL or
+   TR_EIO.  Blank lines are skipped.  */
+int tr_read (struct tr_reader *reader, struct tr_event *event);
+
+/* Writes EVENT as one line that tr_read takes.  */
+void tr_write_event (FILE *out, const struct tr_tables *tables,
+                     const struct tr_event *event);
+/* Writes ACTION, its id a handle of TABLES, as one line.  DC_ACT_STOP is no
+   part of the format and writes nothing.  */
+void tr_write_action (FILE *out, const struct tr_tables *tables,
+                      const struct dc_action *action);
+
+/* How much of an account's guarantee its jobs could use at most, by size
+   class k for gangs of 2^(k-1) < n <= 2^k accelerators.  */
+struct tr_usage
+{
+  int32_t group[TR_SIZE_CLASSES];   /* blocks of 2^k that are guaranteed */
+  int32_t live[3][TR_SIZE_CLASSES]; /* running, queued urgent, queued bulk */
+};
+
+enum tr_stage
+{
+  TR_RUNNING,
+  TR_QUEUED_URGENT,
+  TR_QUEUED_BULK
+};
+
+struct tr_worker_use
+{
+  int32_t accelerators, held;
+  int up, leaving, quarantined;
+};
+
+struct tr_class_samples
+{
+  GArray *completion_ms, *wait_ms; /* int64_t */
+  GArray *slowdown;                /* double */
+};
+
+/* The measures of one run.  */
+struct tr_measures
+{
+  GArray *worker;     /* struct tr_worker_use, by handle */
+  GArray *usage;      /* struct tr_usage, by account */
+  GArray *queued;     /* int32_t, gangs in the queue, by accelerators */
+  int32_t min_queued; /* accelerators of the smallest, or 0 */
+  int64_t last_ms;
+  int64_t up, held, usable_free;    /* accelerators now */
+  double up_ms, held_ms, wasted_ms; /* accelerator-milliseconds */
+  struct tr_class_samples class[2];
+  GArray *reclaim_ms; /* int64_t */
+  int64_t starts, preemptions;
+  size_t peak_bytes;
+};
+
+void tr_measures_init (struct tr_measures *m);
+void tr_measures_fini (struct tr_measures *m);
+/* Counts the time since the last call as spent in the present state.  */
+void tr_measures_advance (struct tr_measures *m, int64_t now_ms);
+/* Changes a worker's state; it loses its holds when it is not up.  */
+void tr_measures_worker (struct tr_measures *m, uint32_t worker,
+                         const struct tr_worker_use *use);
+struct tr_worker_use *tr_measures_use (struct tr_measures *m, uint32_t worker);
+/* Holds COUNT accelerators of WORKER, or frees -COUNT.  */
+void tr_measures_hold (struct tr_measures *m, uint32_t worker, int32_t count);
+/* A gang of ACCELERATORS joins (1) or leaves (-1) the queue.  */
+void tr_measures_queue (struct tr_measures *m, int32_t accelerators,
+                        int change);
+void tr_measures_plan (struct tr_measures *m, const struct tr_plan *plan);
+/* Counts a job of ACCELERATORS in or out of a stage of its account.  */
+void tr_measures_live (struct tr_measures *m, uint32_t account,
+                       enum tr_stage stage, int32_t accelerators, int change);
+/* Does a new job fit into its account's unused guarantee?  */
+int tr_measures_within (const struct tr_measures *m,
+                        const struct dc_job_spec *spec);
+void tr_measures_started (struct tr_measures *m, enum dc_class class,
+                          int64_t wait_ms, int within);
+void tr_measures_done (struct tr_measures *m, enum dc_class class,
+                       int64_t completion_ms, int64_t actual_ms);
+/* Writes the summary line.  */
+void tr_write_summary (FILE *out, struct tr_measures *m, int64_t at_ms);
+
+#endif
--- a/src/base/opt.c
+++ b/src/base/opt.c
@@ -1,5 +1,6 @@
 #include <ctype.h>
 #include <errno.h>
+#include <math.h>
 #include <popt.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -44,6 +45,19 @@
   exit (EXIT_USAGE);
 }
 
+static void
+assign_real (const char *prog, const struct opt_def *def, double *field,
+             const char *value)
+{
+  char *end;
+
+  errno = 0;
+  *field = strtod (value, &end);
+  if (errno || end == value || *end || !isfinite (*field)
+      || *field < (double)def->min || *field > (double)def->max)
+    reject (prog, def, value);
+}
+
 static void
 assign (const char *prog, const struct opt_def *def, void *target,
         const char *value)
@@ -60,6 +74,11 @@
       memcpy (field, &value, sizeof value);
       return;
     }
+  if (def->type == OPT_REAL)
+    {
+      assign_real (prog, def, (double *)(void *)field, value);
+      return;
+    }
   errno = 0;
   n = strtoll (value, &end, 10);
   if (errno || end == value || *end || n < def->min || n > def->max)
@@ -82,7 +101,7 @@
       env_name (env, d->name);
       printf ("  --%s%s (%s)\n      %s", d->name,
               d->type == OPT_FLAG ? "" : "=VALUE", env, d->help);
-      if (d->type == OPT_INT)
+      if (d->type == OPT_INT || d->type == OPT_REAL)
         printf ("; %lld to %lld%s%s", (long long)d->min, (long long)d->max,
                 *d->unit ? " " : "", d->unit);
       if (d->type != OPT_FLAG)
--- /dev/null
+++ b/tests/replay/check_golden.sh
@@ -0,0 +1,50 @@
+#!/bin/sh
+# Compares the actions of each golden trace byte for byte.  NAME.args holds
+# options; a NAME.error that the run must print with exit code 2.
+# "check_golden.sh --update" writes the expected files anew.
+set -u
+cd "$(dirname "$0")/../golden"
+top=$(cd ../.. && pwd)
+replay=$top/${BIN:-bin}/skr-replay
+verify=$top/${BUILD:-build}/tests/replay/verify
+out=$(mktemp) err=$(mktemp)
+trap 'rm -f "$out" "$err"' EXIT
+count=0 failed=0
+
+fail ()
+{
+  printf 'FAIL %s: %s\n' "$1" "$2"
+  failed=$((failed + 1))
+}
+
+for trace in *.trace; do
+  name=${trace%.trace}
+  args=
+  [ -f "$name.args" ] && args=$(cat "$name.args")
+  # shellcheck disable=SC2086
+  "$replay" $args "$trace" > "$out" 2> "$err"
+  code=$?
+  if [ "${1:-}" = --update ]; then
+    cp "$out" "$name.actions"
+    rm -f "$name.error"
+    [ ! -s "$err" ] || cp "$err" "$name.error"
+  fi
+  count=$((count + 1))
+  want=0
+  [ -f "$name.error" ] && want=2
+  [ "$code" -eq "$want" ] || fail "$name" "exit code $code, not $want"
+  cmp -s "$out" "$name.actions" || {
+    fail "$name" "actions differ"
+    diff "$name.actions" "$out" | head -n 5
+  }
+  if [ "$want" -eq 2 ]; then
+    cmp -s "$err" "$name.error" || fail "$name" "error text differs"
+    continue
+  fi
+  case $args in
+    *--policy*) continue ;; # the baselines keep no guarantee
+  esac
+  "$verify" "$trace" "$out" || fail "$name" "the outside check found a fault"
+done
+printf '%d traces, %d failures\n' "$count" "$failed"
+[ "$failed" -eq 0 ]
