--- a/Makefile
+++ b/Makefile
@@ -59,11 +59,18 @@
 # Each fake_*.c of a test folder is linked into every test of that folder.
 .SECONDEXPANSION:
 $(BUILD)/tests/%: $(BUILD)/tests/%.o \
-    $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard tests/$$(*D)/fake_*.c)) $(LIB)
+    $$(addprefix $(BUILD)/,$$(addsuffix .o,$$(basename \
+      $$(wildcard tests/$$(*D)/fake_*.c)))) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(SAN) -o $@ $(filter %.o,$^) $(LIB) $(LIBS_ALL) -lcunit
 
-build-tests: $(TEST_BIN)
+# The outside check of skr-replay's actions.
+VERIFY := $(BUILD)/tests/replay/verify
+$(VERIFY): $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/replay/verify*.c))
+	@mkdir -p $(@D)
+	$(CC) $(SAN) -o $@ $^ $(LIBS_ALL)
+
+build-tests: $(TEST_BIN) $(VERIFY)
 
 check: deps
 	@$(MAKE) -s -j$(shell nproc) all build-tests
