--- a/src/config/propose.c
+++ b/src/config/propose.c
@@ -81,6 +81,7 @@
             struct tb_txn *txn, char *reason)
 {
   json_t *plans, *allowances, *before, *next, *split = NULL, *old_split;
+  int is_plans = !strcmp (list, CF_PLANS);
   int error = check_form (list, new_list, reason);
 
   if (error)
@@ -88,7 +89,7 @@
   plans = newest (store, rows, CF_PLANS);
   allowances = newest (store, rows, CF_ALLOWANCES);
   old_split = newest (store, rows, CF_SPLIT);
-  before = strcmp (list, CF_PLANS) ? allowances : plans;
+  before = is_plans ? plans : allowances;
   if (cf_value_version (before) != version)
     {
       snprintf (reason, CF_REASON_SIZE, "version %lld is in force, not %lld",
@@ -96,7 +97,7 @@
       error = CF_ECONFLICT;
     }
   next = next_value (before, new_list);
-  if (before == plans)
+  if (is_plans)
     plans = next;
   else
     allowances = next;
