--- a/Makefile
+++ b/Makefile
@@ -85,7 +85,11 @@
 	  SAN='-fsanitize=address,undefined -fno-omit-frame-pointer' all build-tests
 	BIN=build/asan/bin tests/run $(TEST_SRC:tests/%.c=build/asan/tests/%)
 
-bench: all
+# Each bench_*.c of a test folder is a program that bench_*.sh scripts run.
+BENCH_BIN := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/*/bench_*.c))
+bench-bins: $(BENCH_BIN)
+
+bench: all bench-bins
 	@tests/bench
 
 format:
@@ -116,6 +120,6 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all deps build-tests check demo asan bench format format-check lint \
+.PHONY: all deps build-tests check demo asan bench bench-bins format format-check lint \
   tidy install clean
 .SECONDARY:
