--- a/src/decide/job.c
+++ b/src/decide/job.c
@@ -4,8 +4,7 @@
 static bool
 valid (const struct dc_job_spec *spec)
 {
-  return spec->tasks >= 1 && spec->tasks <= DC_MAX_TASKS && spec->per_task >= 0
-         && spec->per_task <= DC_MAX_ACCELERATORS
+  return spec->tasks >= 1 && spec->per_task >= 0
          && (spec->class == DC_URGENT || spec->class == DC_BULK)
          && spec->account < DC_MAX_HANDLE;
 }
@@ -45,7 +44,8 @@
                           .seq = dc->seq++,
                           .task = DC_NONE,
                           .cell = DC_NONE };
-  if (dc_level_of (dc, spec->tasks, spec->per_task) == DC_LEVEL_NONE)
+  if (spec->tasks > DC_MAX_TASKS || spec->per_task > DC_MAX_ACCELERATORS
+      || dc_level_of (dc, spec->tasks, spec->per_task) == DC_LEVEL_NONE)
     {
       end (dc, id, DC_ACT_REFUSED, "larger than the fleet can hold");
       return DC_OK;
--- a/tests/replay/verify_fit.c
+++ b/tests/replay/verify_fit.c
@@ -50,6 +50,17 @@
   return w->up && !w->leaving && !w->quarantined;
 }
 
+int
+workers_for (struct check *c, const struct job *job)
+{
+  int count = 0;
+
+  for (guint i = 0; i < c->worker->len; i++)
+    count += usable (worker_at (c, i))
+             && capacity (worker_at (c, i), job->per_task) > 0;
+  return count;
+}
+
 static int
 class_of (int64_t n)
 {
