--- a/include/skr/serve.h
+++ b/include/skr/serve.h
@@ -65,8 +65,8 @@
 int hs_new (struct hs_server **out, const struct hs_config *config);
 int hs_port (const struct hs_server *hs);
 const struct hs_request *hs_request_of (const struct hs_exchange *ex);
-/* Value of a query argument, or NULL; holds until hs_answer.  To be called
-   on the thread of hs_handle only.  */
+/* Value of a query argument, or NULL; holds until hs_answer,
+   from any thread, as the connection waits.  */
 const char *hs_query (struct hs_exchange *ex, const char *name);
 /* The caller's own note on EX.  */
 void hs_set_data (struct hs_exchange *ex, void *data);
--- /dev/null
+++ b/src/entry/call.c
@@ -0,0 +1,421 @@
+#include <string.h>
+
+#include "entry/entry.h"
+#include "skr/log.h"
+
+#define REQUESTS "requests"
+
+static const char *
+string_of (const json_t *o, const char *field)
+{
+  const char *s = json_string_value (json_object_get (o, field));
+
+  return s ? s : "";
+}
+
+static int64_t
+version_of (const json_t *row)
+{
+  return json_integer_value (json_object_get (row, "version"));
+}
+
+static int
+is_ours (const struct en_request *req, const json_t *value)
+{
+  return !strcmp (string_of (value, "token"), req->token);
+}
+
+/* The word for an end in a row.  */
+static const char *
+state_word (const struct fl_call *m)
+{
+  switch (m->end)
+    {
+    case FL_END_DONE:
+    case FL_END_FAILED:
+      return "done";
+    case FL_END_NOT_RUN:
+      return "not_run";
+    case FL_END_UNKNOWN:
+      return "unknown";
+    case FL_END_NONE:
+    case FL_END_OTHER_BODY:
+      break;
+    }
+  return "claimed";
+}
+
+static json_t *
+row_value (struct en_core *core, struct en_request *req, const char *state)
+{
+  json_t *v
+      = json_pack ("{s:s,s:s,s:s,s:s,s:s,s:I}", "kind", "call", "body_digest",
+                   req->fr.digest, "token", req->token, "state", state,
+                   "entry", core->set->vm, "at", (json_int_t)bs_wall_ms ());
+
+  if (req->u.call.m.end == FL_END_DONE)
+    json_object_set (v, "answer", req->u.call.answer);
+  if (req->u.call.m.end == FL_END_FAILED)
+    json_object_set_new (v, "failed", json_true ());
+  return v;
+}
+
+static void
+put_row (struct en_core *core, struct en_request *req, enum en_tag tag,
+         json_t *value, int64_t version)
+{
+  struct tb_txn txn;
+
+  tb_txn_init (&txn);
+  tb_txn_check (&txn, REQUESTS, req->fr.row_key, version);
+  tb_txn_put (&txn, REQUESTS, req->fr.row_key, value);
+  en_commit (core, req, tag, &txn);
+  tb_txn_fini (&txn);
+}
+
+static void
+claim (struct en_core *core, struct en_request *req)
+{
+  if (en_fault_here (core, req, EN_FAULT_BEFORE_CLAIM))
+    return;
+  put_row (core, req, EN_TAG_STEP, row_value (core, req, "claimed"), 0);
+}
+
+static void
+record (struct en_core *core, struct en_request *req)
+{
+  put_row (core, req, EN_TAG_RECORD,
+           row_value (core, req, state_word (&req->u.call.m)),
+           req->u.call.row_version);
+}
+
+/* The dead VM's claim becomes "unknown", so that the next repeat need not
+   find out again.  Its own later word goes before it.  */
+static void
+mark_unknown (struct en_core *core, struct en_request *req)
+{
+  json_t *row = req->u.call.others;
+  json_t *value = json_deep_copy (json_object_get (row, "value"));
+
+  json_object_set_new (value, "state", json_string ("unknown"));
+  put_row (core, req, EN_TAG_MARK, value, version_of (row));
+}
+
+static enum fl_row_state
+others_state (struct en_core *core, struct en_request *req,
+              const json_t *value)
+{
+  const char *state = string_of (value, "state");
+
+  if (!value)
+    return FL_STATE_ABSENT;
+  if (strcmp (string_of (value, "kind"), "call") != 0
+      || strcmp (string_of (value, "body_digest"), req->fr.digest) != 0)
+    return FL_STATE_OTHER_BODY;
+  if (!strcmp (state, "done"))
+    return json_is_true (json_object_get (value, "failed")) ? FL_STATE_FAILED
+                                                            : FL_STATE_DONE;
+  if (!strcmp (state, "not_run"))
+    return FL_STATE_NOT_RUN;
+  if (!strcmp (state, "claimed"))
+    return en_is_dead (core, string_of (value, "entry"),
+                       string_of (value, "token"))
+               ? FL_STATE_CLAIMED_DEAD
+               : FL_STATE_CLAIMED;
+  return FL_STATE_UNKNOWN;
+}
+
+static void
+keep_answer (struct en_call *c, json_t *answer)
+{
+  json_incref (answer);
+  json_decref (c->answer);
+  c->answer = answer;
+}
+
+static void
+keep_others (struct en_call *c, json_t *row)
+{
+  json_incref (row);
+  json_decref (c->others);
+  c->others = row;
+}
+
+/* Reads what the table shows about a claim into EV.  */
+static void
+read_claim (struct en_core *core, struct en_request *req,
+            const struct en_event *in, struct fl_call_event *ev)
+{
+  json_t *row = en_row (in->u.table.data, req->fr.row_key);
+  json_t *value = json_object_get (row, "value");
+
+  if (ev->reply == FL_REPLY_OK)
+    req->u.call.row_version
+        = json_integer_value (json_object_get (in->u.table.data, "rev"));
+  if (ev->reply != FL_REPLY_ROW)
+    return;
+  if (!row)
+    {
+      ev->row = FL_ROW_BEFORE;
+      ev->row_state = FL_STATE_ABSENT;
+    }
+  else if (is_ours (req, value))
+    {
+      ev->row = FL_ROW_OURS;
+      req->u.call.row_version = version_of (row);
+    }
+  else
+    {
+      ev->row = FL_ROW_OTHER;
+      ev->row_state = others_state (core, req, value);
+      keep_others (&req->u.call, row);
+      keep_answer (&req->u.call, json_object_get (value, "answer"));
+    }
+}
+
+static void
+read_record (struct en_request *req, const struct en_event *in,
+             struct fl_call_event *ev)
+{
+  struct en_call *c = &req->u.call;
+  json_t *row = en_row (in->u.table.data, req->fr.row_key);
+  json_t *value = json_object_get (row, "value");
+
+  if (ev->reply == FL_REPLY_OK)
+    c->row_version
+        = json_integer_value (json_object_get (in->u.table.data, "rev"));
+  if (ev->reply != FL_REPLY_ROW)
+    return;
+  ev->row = FL_ROW_BEFORE;
+  c->row_version = row ? version_of (row) : 0;
+  if (row && !is_ours (req, value))
+    ev->row = FL_ROW_OTHER;
+  else if (row && !strcmp (string_of (value, "state"), state_word (&c->m)))
+    ev->row = FL_ROW_OURS;
+}
+
+static json_t *
+answer_body (const char *key, const char *state, json_t *answer)
+{
+  json_t *o = json_pack ("{s:s,s:s}", "request", key, "state", state);
+
+  if (answer)
+    json_object_set (o, "answer", answer);
+  return o;
+}
+
+static void
+refuse (struct en_core *core, struct en_request *req)
+{
+  const struct fl_call *m = &req->u.call.m;
+
+  switch (m->why)
+    {
+    case FL_WHY_TABLE:
+      en_refuse (core, req, FL_PROBLEM_TABLE_DOWN,
+                 "this attempt was not run: the table that makes it safe "
+                 "does not answer");
+      break;
+    case FL_WHY_UPSTREAMS:
+      en_refuse (core, req, FL_PROBLEM_NO_UPSTREAM,
+                 "this attempt was not run: no upstream could take it");
+      break;
+    case FL_WHY_ROW:
+      en_refuse (core, req, FL_PROBLEM_NOT_RUN,
+                 "an earlier attempt with this key was refused for good; use "
+                 "a new key");
+      break;
+    default:
+      en_refuse (core, req, FL_PROBLEM_NOT_RUN,
+                 "its deadline passed before it could be dispatched; use a "
+                 "new key");
+      break;
+    }
+}
+
+static void
+tell_unknown (struct en_core *core, struct en_request *req)
+{
+  const struct fl_call *m = &req->u.call.m;
+
+  lg_log (LG_REQUEST_UNKNOWN, 2,
+          (struct lg_field[]){
+              lg_str ("account", core->env.account[req->fr.account].name),
+              lg_str ("request", req->key) });
+  en_refuse (core, req, FL_PROBLEM_UNKNOWN,
+             m->why == FL_WHY_ELSEWHERE
+                 ? "another attempt with this key has no end yet; ask again "
+                   "by the same key"
+                 : "it was dispatched and its answer is missing; ask again "
+                   "by the same key");
+}
+
+static void
+answer (struct en_core *core, struct en_request *req)
+{
+  struct en_call *c = &req->u.call;
+
+  if (en_fault_here (core, req, EN_FAULT_BEFORE_ANSWER))
+    return;
+  en_observe_part (core, req, "queue", c->wait_us);
+  en_observe_part (core, req, "store", c->table_us);
+  en_observe_part (core, req, "upstream", c->upstream_us);
+  switch (c->m.end)
+    {
+    case FL_END_DONE:
+      en_answer_json (core, req, 200,
+                      answer_body (req->key, "done", c->answer), NULL, NULL);
+      break;
+    case FL_END_FAILED:
+      en_refuse (core, req, FL_PROBLEM_FAILED,
+                 "the upstream ran it and reports that it failed");
+      break;
+    case FL_END_NOT_RUN:
+      refuse (core, req);
+      break;
+    case FL_END_OTHER_BODY:
+      en_refuse (core, req, FL_PROBLEM_OTHER_BODY,
+                 "this key was used for another body");
+      break;
+    case FL_END_NONE:
+    case FL_END_UNKNOWN:
+      tell_unknown (core, req);
+      break;
+    }
+}
+
+/* In this order: a slot is left before another is asked for, and the caller
+   hears nothing before what must stand in the table was sent.  */
+static void
+act (struct en_core *core, struct en_request *req, unsigned what)
+{
+  if (what & FL_DO_UNWANT)
+    en_unwant (core, req);
+  if (what & FL_DO_RELEASE)
+    fl_pool_give (&core->pool, req->u.call.slot, FL_OUTCOME_BUSY,
+                  core->now_ms);
+  if (what & FL_DO_CLAIM)
+    claim (core, req);
+  if (what & FL_DO_READ)
+    en_get (core, req, EN_TAG_STEP, REQUESTS, req->fr.row_key);
+  if (what & FL_DO_MARK_UNKNOWN)
+    mark_unknown (core, req);
+  if (what & FL_DO_RECORD)
+    record (core, req);
+  if (what & FL_DO_RECORD_READ)
+    en_get (core, req, EN_TAG_RECORD, REQUESTS, req->fr.row_key);
+  if (what & FL_DO_ANSWER)
+    answer (core, req);
+  if ((what & FL_DO_WANT) && !en_fault_here (core, req, EN_FAULT_AFTER_CLAIM))
+    en_want (core, req);
+  if (what & FL_DO_DISPATCH)
+    en_dispatch (core, req);
+}
+
+void
+en_call_event (struct en_core *core, struct en_request *req,
+               struct fl_call_event *ev)
+{
+  if (req->paused)
+    return;
+  ev->at = en_moment (core);
+  act (core, req, fl_call_step (&req->u.call.m, ev));
+}
+
+void
+en_call_begin (struct en_core *core, struct en_request *req)
+{
+  struct en_call *c = &req->u.call;
+  struct fl_call_event ev = { .kind = FL_EV_START };
+  int repeatable = req->fr.u.call.repeatable;
+
+  c->slot = c->avoid = FL_POOL_NONE;
+  fl_call_init (&c->m,
+                &(struct fl_call_spec){
+                    .repeatable = repeatable,
+                    .deadline_ms = core->now_ms + req->fr.u.call.deadline_ms,
+                    .hedge_after_ms = core->set->no_hedge ? 0 : core->hedge_ms,
+                    .budget = &core->budget });
+  en_call_event (core, req, &ev);
+}
+
+void
+en_call_table (struct en_core *core, struct en_request *req,
+               const struct en_event *in)
+{
+  struct fl_call_event ev
+      = { .reply = en_reply_of (in->u.table.error, in->u.table.is_commit) };
+
+  req->u.call.table_us += in->u.table.took_us;
+  switch (in->u.table.tag)
+    {
+    case EN_TAG_STEP:
+      ev.kind = FL_EV_TABLE;
+      read_claim (core, req, in, &ev);
+      break;
+    case EN_TAG_RECORD:
+      ev.kind = FL_EV_RECORD;
+      read_record (req, in, &ev);
+      break;
+    default:
+      return;
+    }
+  en_call_event (core, req, &ev);
+}
+
+void
+en_call_tick (struct en_core *core, struct en_request *req)
+{
+  struct fl_call_event ev = { .kind = FL_EV_TICK };
+
+  if (core->now_ms >= fl_call_due_ms (&req->u.call.m))
+    en_call_event (core, req, &ev);
+}
+
+void
+en_call_fini (struct en_request *req)
+{
+  json_decref (req->u.call.answer);
+  json_decref (req->u.call.others);
+}
+
+void
+en_call_get (struct en_core *core, struct en_request *req)
+{
+  g_strlcpy (req->key, req->fr.id, sizeof req->key);
+  en_get (core, req, EN_TAG_STEP, REQUESTS, req->fr.row_key);
+}
+
+static const char *
+shown_state (struct en_core *core, const json_t *value)
+{
+  const char *state = string_of (value, "state");
+
+  if (json_is_true (json_object_get (value, "failed")))
+    return "failed";
+  if (!strcmp (state, "claimed")
+      && en_is_dead (core, string_of (value, "entry"),
+                     string_of (value, "token")))
+    return "unknown";
+  return state;
+}
+
+void
+en_call_got (struct en_core *core, struct en_request *req,
+             const struct en_event *in)
+{
+  json_t *row = en_row (in->u.table.data, req->fr.row_key);
+  json_t *value = json_object_get (row, "value");
+
+  if (en_reply_of (in->u.table.error, 0) != FL_REPLY_ROW)
+    en_refuse (core, req, FL_PROBLEM_UNREADABLE,
+               "the state of the call can't be read now");
+  else if (!value || strcmp (string_of (value, "kind"), "call") != 0)
+    en_refuse (core, req, FL_PROBLEM_NOT_FOUND,
+               "no call that may not be repeated has this key");
+  else
+    en_answer_json (core, req, 200,
+                    answer_body (req->key, shown_state (core, value),
+                                 json_object_get (value, "answer")),
+                    NULL, NULL);
+}
--- /dev/null
+++ b/src/entry/core.c
@@ -0,0 +1,426 @@
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "entry/entry.h"
+#include "skr/log.h"
+
+int64_t
+en_now_us (void)
+{
+  struct timespec ts;
+
+  clock_gettime (CLOCK_MONOTONIC, &ts);
+  return (int64_t)ts.tv_sec * 1000000 + ts.tv_nsec / 1000;
+}
+
+double
+en_jitter (struct en_core *core)
+{
+  return gsl_rng_uniform (core->rng);
+}
+
+struct fl_moment
+en_moment (struct en_core *core)
+{
+  return (struct fl_moment){ core->now_ms, en_jitter (core),
+                             core->env.table_down };
+}
+
+/* The ring has room for every result that the requests in progress can
+   await, so a push fails only for new requests and for peers.  */
+void
+en_push (struct en_core *core, struct en_event *ev)
+{
+  if (rg_push (&core->ring, ev))
+    abort ();
+}
+
+static void
+answer_overload (struct hs_exchange *ex)
+{
+  hs_answer (ex, &(struct hs_answer){
+                     503,
+                     "application/problem+json",
+                     "{\"type\":\"/problems/overload\",\"title\":"
+                     "\"Overloaded\",\"status\":503,\"detail\":"
+                     "\"this attempt was not run\",\"state\":\"not_run\"}",
+                     { { "Retry-After", "1" } } });
+}
+
+/* Runs on a server thread.  */
+void
+en_on_http (void *arg, struct hs_exchange *ex)
+{
+  struct en_core *core = arg;
+  struct en_event *ev;
+
+  if (atomic_fetch_add (&core->live_now, 1) >= core->set->max_requests)
+    {
+      atomic_fetch_sub (&core->live_now, 1);
+      answer_overload (ex);
+      return;
+    }
+  ev = g_new0 (struct en_event, 1);
+  ev->kind = EN_EV_HTTP;
+  ev->u.ex = ex;
+  en_push (core, ev);
+}
+
+int
+en_fault_here (struct en_core *core, struct en_request *req,
+               enum en_fault point)
+{
+  if (core->fault == point && point != EN_FAULT_NONE
+      && !req->fr.u.call.repeatable)
+    req->paused = 1;
+  return req->paused;
+}
+
+static void
+add_live (struct en_core *core, struct en_request *req)
+{
+  req->index = core->live_count;
+  core->live[core->live_count++] = req;
+}
+
+static void
+free_request (struct en_core *core, struct en_request *req)
+{
+  struct en_request *last = core->live[--core->live_count];
+
+  core->live[req->index] = last;
+  last->index = req->index;
+  if (req->fr.op == FL_OP_CALL)
+    en_call_fini (req);
+  if (req->fr.op == FL_OP_JOB_LIST)
+    json_decref (req->u.page.jobs);
+  if (req->fr.op >= FL_OP_JOB && req->fr.op <= FL_OP_JOB_CANCEL)
+    json_decref (req->u.job.value);
+  fl_request_fini (&core->env, &req->fr);
+  g_free (req);
+  atomic_fetch_sub (&core->live_now, 1);
+}
+
+void
+en_settle (struct en_core *core, struct en_request *req)
+{
+  if (req->ex || req->refs || req->paused)
+    return;
+  if (req->fr.op == FL_OP_CALL && req->fr.problem.kind == FL_PROBLEM_NONE
+      && !fl_call_over (&req->u.call.m))
+    return;
+  free_request (core, req);
+}
+
+static void
+take_in (struct en_request *req, struct hs_exchange *ex)
+{
+  const struct hs_request *in = hs_request_of (ex);
+
+  req->ex = ex;
+  req->began_us = en_now_us ();
+  req->fr.method = in->method;
+  req->fr.path = in->path;
+  req->fr.authorization = in->authorization;
+  req->fr.key = in->idempotency_key;
+  req->fr.if_match = in->if_match;
+  req->fr.body = in->body;
+  req->fr.body_size = in->body_size;
+  req->fr.too_large = in->too_large;
+  if (in->idempotency_key)
+    g_strlcpy (req->key, in->idempotency_key, sizeof req->key);
+}
+
+static void
+begin (struct en_core *core, struct en_request *req)
+{
+  switch (req->fr.op)
+    {
+    case FL_OP_CALL:
+      en_call_begin (core, req);
+      break;
+    case FL_OP_CALL_GET:
+      en_call_get (core, req);
+      break;
+    case FL_OP_JOB:
+    case FL_OP_JOB_GET:
+    case FL_OP_JOB_CANCEL:
+      en_job_begin (core, req);
+      break;
+    case FL_OP_JOB_LIST:
+      en_jobs_begin (core, req);
+      break;
+    case FL_OP_LIST_GET:
+      en_list_get (core, req);
+      break;
+    case FL_OP_LIST_PUT:
+      en_list_put (core, req);
+      break;
+    case FL_OP_NONE:
+    case FL_OP_HEALTH:
+    case FL_OP_VMS:
+    case FL_OP_CELLS:
+    case FL_OP_STATUS:
+    case FL_OP_METRICS:
+    case FL_OP_COUNTERS:
+      en_view (core, req);
+      break;
+    }
+}
+
+static void
+on_http (struct en_core *core, struct hs_exchange *ex)
+{
+  struct en_request *req = g_new0 (struct en_request, 1);
+
+  take_in (req, ex);
+  add_live (core, req);
+  memcpy (req->token, core->incarnation, EN_INCARNATION);
+  bs_random_hex (req->token + EN_INCARNATION, EN_INCARNATION / 2);
+  core->env.now_ms = core->now_ms;
+  core->env.jitter = en_jitter (core);
+  core->env.in_progress = core->live_count - 1;
+  if (fl_chain_run (&core->env, &req->fr) != FL_PROBLEM_NONE)
+    {
+      if (req->fr.problem.kind == FL_PROBLEM_UNAUTHORIZED)
+        lg_log (
+            LG_BAD_KEY, 1,
+            (struct lg_field[]){ lg_str ("peer", hs_request_of (ex)->peer) });
+      en_answer_problem (core, req, &req->fr.problem, NULL);
+    }
+  else
+    begin (core, req);
+  en_settle (core, req);
+}
+
+static void
+on_table (struct en_core *core, struct en_event *ev)
+{
+  struct en_request *req = ev->req;
+
+  en_note_table (core, ev->u.table.error);
+  if (!req)
+    {
+      en_polled (core, ev);
+      return;
+    }
+  req->refs--;
+  if (req->paused)
+    return;
+  switch (req->fr.op)
+    {
+    case FL_OP_CALL:
+      en_call_table (core, req, ev);
+      break;
+    case FL_OP_CALL_GET:
+      en_call_got (core, req, ev);
+      break;
+    case FL_OP_JOB:
+    case FL_OP_JOB_GET:
+    case FL_OP_JOB_CANCEL:
+      en_job_table (core, req, ev);
+      break;
+    case FL_OP_JOB_LIST:
+      en_jobs_table (core, req, ev);
+      break;
+    case FL_OP_LIST_PUT:
+      en_list_table (core, req, ev);
+      break;
+    default:
+      break;
+    }
+  en_settle (core, req);
+}
+
+static void
+handle (struct en_core *core, struct en_event *ev)
+{
+  switch (ev->kind)
+    {
+    case EN_EV_HTTP:
+      on_http (core, ev->u.ex);
+      break;
+    case EN_EV_TABLE:
+      on_table (core, ev);
+      json_decref (ev->u.table.data);
+      break;
+    case EN_EV_UPSTREAM:
+      en_on_upstream (core, ev);
+      json_decref (ev->u.upstream.answer);
+      break;
+    case EN_EV_PEER:
+      atomic_fetch_sub (&core->peer_queued, 1);
+      en_on_peer (core, ev->u.peer);
+      g_free (ev->u.peer);
+      break;
+    }
+  g_free (ev);
+}
+
+static void
+tick_request (struct en_core *core, struct en_request *req)
+{
+  if (req->paused)
+    return;
+  if (req->fr.op == FL_OP_CALL)
+    en_call_tick (core, req);
+  else if (req->fr.op >= FL_OP_JOB && req->fr.op <= FL_OP_JOB_CANCEL)
+    en_job_tick (core, req);
+}
+
+/* From the end, because a request that is freed gives its place to the
+   last one.  */
+static void
+tick (void *arg, int64_t now_ms)
+{
+  struct en_core *core = arg;
+
+  (void)now_ms;
+  for (int i = core->live_count - 1; i >= 0; i--)
+    if (i < core->live_count)
+      {
+        struct en_request *req = core->live[i];
+
+        tick_request (core, req);
+        en_settle (core, req);
+      }
+  en_feed (core);
+}
+
+void
+en_core_run (struct en_core *core)
+{
+  int64_t stop_ms = 0;
+
+  core->shard = st_attach (&core->stat);
+  for (;;)
+    {
+      int wait = tm_run (&core->timers, core->now_ms);
+      void *item;
+
+      if (rg_pop (&core->ring, &item, wait > 0 ? wait : 0) == BS_OK)
+        do
+          {
+            core->now_ms = bs_now_ms (&core->clock);
+            handle (core, item);
+          }
+        while (rg_pop (&core->ring, &item, 0) == BS_OK);
+      core->now_ms = bs_now_ms (&core->clock);
+      if (!atomic_load (&core->stop))
+        continue;
+      if (!stop_ms)
+        stop_ms = core->now_ms;
+      if (!core->live_count || core->now_ms - stop_ms >= core->set->finish_ms)
+        return;
+    }
+}
+
+static const char *const fault_names[]
+    = { "none", "before-claim", "after-claim", "after-dispatch",
+        "before-answer" };
+
+static int
+find_fault (const char *name)
+{
+  for (int i = 0; i <= EN_FAULT_BEFORE_ANSWER; i++)
+    if (!strcmp (name, fault_names[i]))
+      return i;
+  return BS_EINVAL;
+}
+
+static int
+start_clients (struct en_core *core)
+{
+  const struct en_settings *set = core->set;
+  int most = (int)set->max_requests * EN_EVENTS_FOR_REQUEST;
+
+  core->hc_table = hc_new (&(struct hc_config){
+      .max_in_progress = most,
+      .connections_per_host = (int)set->connections,
+      .connect_timeout_ms = (int)set->connect_timeout_ms });
+  core->hc_up = hc_new (&(struct hc_config){
+      .max_in_progress = most,
+      .connections_per_host = (int)set->upstream_connections,
+      .connect_timeout_ms = (int)set->connect_timeout_ms });
+  core->tb = tb_new (
+      core->hc_table,
+      &(struct tb_config){ set->platform, (int)set->table_timeout_ms });
+  return core->hc_table && core->hc_up && core->tb ? BS_OK : BS_ENOMEM;
+}
+
+static void
+start_timers (struct en_core *core)
+{
+  int64_t now = core->now_ms;
+
+  tm_init (&core->timers);
+  tm_subscribe (&core->timers, now + EN_TICK_MS, EN_TICK_MS, tick, core);
+  tm_subscribe (&core->timers, now, EN_POLL_MS, en_poll, core);
+  tm_subscribe (&core->timers, now + (int64_t)(en_jitter (core) * EN_POLL_MS),
+                EN_POLL_MS, en_heartbeat, core);
+}
+
+int
+en_core_init (struct en_core *core, const struct en_settings *set)
+{
+  int fault = find_fault (set->fault_point);
+  unsigned room = (unsigned)set->max_requests * EN_EVENTS_FOR_REQUEST
+                  + EN_PEER_QUEUE + 64;
+  unsigned long seed;
+
+  memset (core, 0, sizeof *core);
+  if (fault < 0)
+    return BS_EINVAL;
+  core->set = set;
+  core->fault = (enum en_fault)fault;
+  core->clock = bs_clock_system ();
+  core->now_ms = core->started_ms = bs_now_ms (&core->clock);
+  bs_random_hex (core->incarnation, EN_INCARNATION / 2);
+  seed = strtoul (core->incarnation, NULL, EN_INCARNATION);
+  core->rng = gsl_rng_alloc (gsl_rng_taus2);
+  gsl_rng_set (core->rng, seed);
+  g_queue_init (&core->wanting);
+  st_init (&core->stat);
+  fl_pool_init (&core->pool, set->vm);
+  fl_budget_init (&core->budget, core->now_ms);
+  core->fleet.worker = g_new0 (struct fl_fleet_worker, EN_FLEET);
+  core->live = g_new0 (struct en_request *, (gsize)set->max_requests + 1);
+  core->env = (struct fl_env){ .operator_digest = set->operator_digest,
+                               .fleet = &core->fleet,
+                               .max_in_progress = (int)set->max_requests };
+  if (cf_init (&core->config) || rg_init (&core->ring, room)
+      || start_clients (core))
+    return BS_ENOMEM;
+  start_timers (core);
+  return en_peers_start (core);
+}
+
+void
+en_core_fini (struct en_core *core)
+{
+  void *item;
+
+  if (core->net)
+    pr_free (core->net);
+  hc_free (core->hc_up);
+  hc_free (core->hc_table);
+  while (rg_pop (&core->ring, &item, 0) == BS_OK)
+    g_free (item);
+  tb_free (core->tb);
+  rg_fini (&core->ring);
+  cf_fini (&core->config);
+  for (int i = 0; i < core->peers; i++)
+    {
+      g_free (core->peer[i].rate);
+      g_free (core->peer[i].busy);
+    }
+  g_queue_clear (&core->wanting);
+  g_free (core->env.account);
+  g_free (core->fleet.worker);
+  g_free (core->live);
+  json_decref (core->vms);
+  json_decref (core->cells);
+  gsl_rng_free (core->rng);
+  st_fini (&core->stat);
+}
--- /dev/null
+++ b/src/entry/lists.c
@@ -0,0 +1,249 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "entry/entry.h"
+
+enum
+{
+  MAX_TRIES = 5 /* against changes of the other list */
+};
+
+static json_t *
+list_body (json_t *value)
+{
+  json_t *list = json_object_get (value, "list");
+  json_int_t version = json_integer_value (json_object_get (value, "version"));
+
+  return list ? json_pack ("{s:I,s:O}", "version", version, "list", list)
+              : json_pack ("{s:I,s:[]}", "version", version, "list");
+}
+
+static void
+answer_list (struct en_core *core, struct en_request *req, json_t *value)
+{
+  json_t *body = list_body (value);
+  char etag[32];
+
+  snprintf (etag, sizeof etag, "\"%lld\"",
+            (long long)json_integer_value (json_object_get (body, "version")));
+  en_answer_json (core, req, 200, body, "ETag", etag);
+}
+
+void
+en_list_get (struct en_core *core, struct en_request *req)
+{
+  json_t *value = cf_list (&core->config, req->fr.id);
+
+  answer_list (core, req, value);
+  json_decref (value);
+}
+
+static void
+scan_lists (struct en_core *core, struct en_request *req)
+{
+  req->u.list.committing = 0;
+  en_scan (core, req, EN_TAG_STEP, &(struct tb_scan){ .table = CF_TABLE });
+}
+
+void
+en_list_put (struct en_core *core, struct en_request *req)
+{
+  req->u.list.name = strcmp (req->fr.id, CF_PLANS) ? CF_ALLOWANCES : CF_PLANS;
+  scan_lists (core, req);
+}
+
+static json_t *
+value_in (const json_t *rows, const char *name)
+{
+  size_t i;
+  json_t *row;
+
+  json_array_foreach (rows, i, row)
+  {
+    const char *key = json_string_value (json_object_get (row, "key"));
+
+    if (key && !strcmp (key, name))
+      return json_object_get (row, "value");
+  }
+  return NULL;
+}
+
+static void
+refuse_version (struct en_core *core, struct en_request *req, json_t *current,
+                const char *reason)
+{
+  struct fl_problem p = { .kind = FL_PROBLEM_NONE };
+  json_t *body = list_body (current);
+  json_t *more
+      = json_pack ("{s:o,s:{s:I,s:O}}", "current", body, "yours", "version",
+                   (json_int_t)req->fr.u.version, "list", req->fr.json);
+
+  fl_problem_set (&p, FL_PROBLEM_VERSION, 0, "%s", reason);
+  en_answer_problem (core, req, &p, more);
+}
+
+static int
+fleet_of (const struct en_core *core, struct cf_worker *out)
+{
+  for (int i = 0; i < core->fleet.workers; i++)
+    {
+      const struct fl_fleet_worker *w = &core->fleet.worker[i];
+
+      g_strlcpy (out[i].cell, w->cell, sizeof out[i].cell);
+      g_strlcpy (out[i].rack, w->rack, sizeof out[i].rack);
+      out[i].accelerators = w->accelerators;
+      out[i].slots = w->slots;
+    }
+  return core->fleet.workers;
+}
+
+static void
+propose (struct en_core *core, struct en_request *req, json_t *rows)
+{
+  struct cf_worker *fleet = g_new0 (struct cf_worker, EN_FLEET);
+  char reason[CF_REASON_SIZE] = "";
+  struct en_list *l = &req->u.list;
+  struct tb_txn txn;
+  int error;
+
+  tb_txn_init (&txn);
+  error = cf_propose (&core->config, rows, l->name, req->fr.u.version,
+                      req->fr.json, fleet, fleet_of (core, fleet),
+                      (int32_t)core->set->spare_workers, &txn, reason);
+  g_free (fleet);
+  switch ((enum cf_error)error)
+    {
+    case CF_OK:
+      l->committing = 1;
+      en_commit (core, req, EN_TAG_STEP, &txn);
+      break;
+    case CF_ECONFLICT:
+    case CF_EOLD:
+      refuse_version (core, req, value_in (rows, l->name), reason);
+      break;
+    case CF_EFIT:
+      en_refuse (core, req, FL_PROBLEM_NO_FIT, reason);
+      break;
+    case CF_EINVAL:
+    case CF_ENOMEM:
+      en_refuse (core, req, FL_PROBLEM_BAD_LIST, reason);
+      break;
+    }
+  tb_txn_fini (&txn);
+}
+
+static void
+accepted (struct en_core *core, struct en_request *req)
+{
+  int64_t version = req->fr.u.version + 1;
+  char etag[32];
+
+  en_poll_config (core);
+  en_tell_config (core, req->u.list.name);
+  snprintf (etag, sizeof etag, "\"%lld\"", (long long)version);
+  en_answer_json (core, req, 200,
+                  json_pack ("{s:I}", "version", (json_int_t)version), "ETag",
+                  etag);
+}
+
+/* A change whose answer was lost shows in the rows, or it was not made.  */
+static void
+on_rows (struct en_core *core, struct en_request *req, json_t *rows)
+{
+  json_t *value = value_in (rows, req->u.list.name);
+
+  if (req->u.list.maybe
+      && json_integer_value (json_object_get (value, "version"))
+             == req->fr.u.version + 1
+      && json_equal (json_object_get (value, "list"), req->fr.json))
+    accepted (core, req);
+  else
+    propose (core, req, rows);
+}
+
+static void
+on_committed (struct en_core *core, struct en_request *req, int error)
+{
+  struct en_list *l = &req->u.list;
+
+  if (error == TB_EUNKNOWN)
+    l->maybe = 1;
+  if (error == TB_OK)
+    accepted (core, req);
+  else if (++l->tries < MAX_TRIES
+           && (error == TB_ECONFLICT || error == TB_EUNKNOWN))
+    scan_lists (core, req);
+  else if (l->maybe)
+    en_refuse (core, req, FL_PROBLEM_UNKNOWN,
+               "the table's answer is lost; read the list again");
+  else
+    en_refuse (core, req, FL_PROBLEM_UNREADABLE,
+               "nothing was changed: the table does not answer");
+}
+
+void
+en_list_table (struct en_core *core, struct en_request *req,
+               const struct en_event *ev)
+{
+  struct en_list *l = &req->u.list;
+
+  if (l->committing)
+    on_committed (core, req, ev->u.table.error);
+  else if (!ev->u.table.error)
+    on_rows (core, req, json_object_get (ev->u.table.data, "rows"));
+  else if (l->maybe && ++l->tries < MAX_TRIES)
+    scan_lists (core, req);
+  else
+    en_refuse (core, req,
+               l->maybe ? FL_PROBLEM_UNKNOWN : FL_PROBLEM_UNREADABLE,
+               l->maybe ? "the table's answer is lost; read the list again"
+                        : "nothing was changed: the table does not answer");
+}
+
+static struct fl_account *
+account_of (struct en_core *core, const char *name)
+{
+  struct fl_env *env = &core->env;
+
+  for (int i = 0; i < env->accounts; i++)
+    if (!strcmp (env->account[i].name, name))
+      return &env->account[i];
+  if (env->accounts == core->accounts_room)
+    {
+      core->accounts_room = core->accounts_room ? core->accounts_room * 2 : 8;
+      env->account
+          = g_renew (struct fl_account, env->account, core->accounts_room);
+    }
+  env->account[env->accounts] = (struct fl_account){ .name = "" };
+  g_strlcpy (env->account[env->accounts].name, name, PR_ID);
+  fl_limit_init (&env->account[env->accounts].limit, core->now_ms);
+  return &env->account[env->accounts++];
+}
+
+static void
+take_account (void *arg, const struct cf_account *in)
+{
+  struct en_core *core = arg;
+  struct fl_account *a = account_of (core, in->name);
+
+  memcpy (a->key_digest, in->key_digest, sizeof a->key_digest);
+  a->limit.calls_per_second = (int32_t)in->calls_per_second;
+  a->limit.concurrent_calls = (int32_t)in->concurrent_calls;
+}
+
+/* Handles stay: requests in progress hold them.  An account that is gone
+   keeps its place without a key.  */
+void
+en_accounts (struct en_core *core)
+{
+  for (int i = 0; i < core->env.accounts; i++)
+    memset (core->env.account[i].key_digest, 0, BS_DIGEST_SIZE);
+  cf_each_account (&core->config, take_account, core);
+  for (int i = 0; i < core->env.accounts; i++)
+    {
+      struct fl_account *a = &core->env.account[i];
+
+      a->homes = cf_home_cells (&core->config, a->name, a->home, PR_MAX_CELLS);
+    }
+  en_limits (core);
+}
--- /dev/null
+++ b/src/entry/main.c
@@ -0,0 +1,191 @@
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "entry/entry.h"
+#include "skr/log.h"
+#include "skr/opt.h"
+
+enum
+{
+  EXIT_USAGE = 2,
+  STEP_MS = 20,         /* of waiting for the last requests */
+  IDLE_CLOSE_MS = 2000, /* open connections are waited for so long */
+  MINUTE_MS = 60000,
+  DAY_MS = 86400000
+};
+
+#define FIELD(name) offsetof (struct en_settings, name)
+
+static const struct opt_def defs[] = {
+  { "vm", OPT_STRING, "", 1, 60, "entry", "name of this VM", FIELD (vm) },
+  { "domain", OPT_STRING, "", 1, 60, "d1", "failure domain of this VM",
+    FIELD (domain) },
+  { "listen", OPT_STRING, "IP:PORT", 9, 60, "127.0.0.1:7100",
+    "address for callers and operators; port 0 takes a free one",
+    FIELD (listen) },
+  { "platform", OPT_STRING, "url", 1, 200, "http://127.0.0.1:7000",
+    "the platform's table service", FIELD (platform) },
+  { "peer", OPT_STRING, "IP:PORT", 0, 60, "",
+    "address for messages of other VMs' daemons; empty: none", FIELD (peer) },
+  { "peers", OPT_STRING, "IP:PORT", 0, 4000, "",
+    "peers besides those in the VM list, separated by commas", FIELD (peers) },
+  { "operator-digest", OPT_STRING, "", 0, 64, "",
+    "digest of the operators' key, as 'skr key digest' prints it",
+    FIELD (operator_digest) },
+  { "tls-cert", OPT_STRING, "file", 0, 400, "",
+    "certificate chain in PEM; empty: plain HTTP", FIELD (tls_cert) },
+  { "tls-key", OPT_STRING, "file", 0, 400, "", "its private key in PEM",
+    FIELD (tls_key) },
+  { "log-output", OPT_STRING, "", 1, 16, "plain", "plain, json or journald",
+    FIELD (log_output) },
+  { "log-level", OPT_INT, "", LG_ERROR, LG_DEBUG, "3",
+    "0 error, 1 warning, 2 notice, 3 info, 4 debug", FIELD (log_level) },
+  { "http-threads", OPT_INT, "threads", 1, 64, "2", "threads of the server",
+    FIELD (http_threads) },
+  { "max-requests", OPT_INT, "requests", 8, 65536, "2048",
+    "requests in progress at most", FIELD (max_requests) },
+  { "max-body", OPT_INT, "bytes", 1024, 1048576, "65536",
+    "largest body of a request", FIELD (max_body) },
+  { "connections", OPT_INT, "connections", 1, 65536, "1024",
+    "connections of callers at most, and to the platform",
+    FIELD (connections) },
+  { "idle-s", OPT_INT, "s", 1, 3600, "60",
+    "a connection without a request is closed after this", FIELD (idle_s) },
+  { "table-timeout-ms", OPT_INT, "ms", 10, MINUTE_MS, "1000",
+    "longest wait for the table", FIELD (table_timeout_ms) },
+  { "connect-timeout-ms", OPT_INT, "ms", 10, MINUTE_MS, "500",
+    "longest wait for a connection", FIELD (connect_timeout_ms) },
+  { "attempt-timeout-ms", OPT_INT, "ms", 10, DAY_MS, "10000",
+    "longest attempt of a call that may be repeated",
+    FIELD (attempt_timeout_ms) },
+  { "late-ms", OPT_INT, "ms", 0, DAY_MS, "30000",
+    "a late answer is awaited so long after the deadline", FIELD (late_ms) },
+  { "submit-timeout-ms", OPT_INT, "ms", 10, MINUTE_MS, "5000",
+    "longest time to write a job", FIELD (submit_timeout_ms) },
+  { "drain-ms", OPT_INT, "ms", 0, 600000, "3000",
+    "requests are still taken so long after a stop was asked for",
+    FIELD (drain_ms) },
+  { "finish-ms", OPT_INT, "ms", 0, 600000, "30000",
+    "late answers and rows are finished so long after the last request",
+    FIELD (finish_ms) },
+  { "upstream-connections", OPT_INT, "connections", 1, 1024, "8",
+    "connections to one worker at most", FIELD (upstream_connections) },
+  { "spare-workers", OPT_INT, "workers", 0, 1024, "1",
+    "workers of each cell whose loss all guarantees must survive",
+    FIELD (spare_workers) },
+  { "no-hedge", OPT_FLAG, "", 0, 1, "0",
+    "never send a second attempt before the first has ended",
+    FIELD (no_hedge) },
+  { "fault-point", OPT_STRING, "", 1, 20, "none",
+    "for tests: calls that may not be repeated stop for good at none, "
+    "before-claim, after-claim, after-dispatch or before-answer",
+    FIELD (fault_point) },
+  { NULL, OPT_INT, "", 0, 0, NULL, NULL, 0 }
+};
+
+static void *
+run_core (void *arg)
+{
+  en_core_run (arg);
+  return NULL;
+}
+
+static char *
+read_pem (const char *path)
+{
+  char *text = NULL;
+
+  if (*path && !g_file_get_contents (path, &text, NULL, NULL))
+    {
+      fprintf (stderr, "skr-entry: %s can't be read\n", path);
+      exit (EXIT_USAGE);
+    }
+  return text;
+}
+
+static int
+listen_http (struct en_core *core, const struct en_settings *set)
+{
+  struct hs_config config = { .listen = set->listen,
+                              .tls_cert = read_pem (set->tls_cert),
+                              .tls_key = read_pem (set->tls_key),
+                              .threads = (int)set->http_threads,
+                              .max_connections = (int)set->connections,
+                              .max_body = (size_t)set->max_body,
+                              .idle_s = (int)set->idle_s,
+                              .handle = en_on_http,
+                              .arg = core };
+  int error = hs_new (&core->server, &config);
+
+  if (error)
+    lg_log (LG_LISTEN_FAILED, 2,
+            (struct lg_field[]){ lg_str ("address", set->listen),
+                                 lg_str ("reason", hs_strerror (error)) });
+  return error;
+}
+
+/* Serves on while the balancer takes notice, then takes no new connection,
+   then waits for every request in progress.  Each has a deadline, so this
+   ends.  */
+static void
+drain (struct en_core *core, const struct en_settings *set)
+{
+  struct bs_clock clock = bs_clock_system ();
+  int64_t until;
+
+  atomic_store (&core->leaving, 1);
+  lg_log (LG_STOPPING, 1,
+          (struct lg_field[]){
+              lg_int ("in_progress", hs_in_progress (core->server)) });
+  hs_drain (core->server);
+  g_usleep ((gulong)set->drain_ms * 1000);
+  hs_stop_listening (core->server);
+  until = bs_now_ms (&clock) + IDLE_CLOSE_MS;
+  while (hs_in_progress (core->server)
+         || (hs_connections (core->server) && bs_now_ms (&clock) < until))
+    g_usleep (STEP_MS * 1000);
+}
+
+int
+main (int argc, char **argv)
+{
+  static struct en_core core;
+  struct en_settings set;
+  pthread_t thread;
+  int64_t cut;
+
+  opt_parse (defs, &set, argc, argv, "[SETTINGS]",
+             "HTTP for callers and operators of skylarkramp.", NULL);
+  if (bs_init () || lg_init ("skr-entry", set.log_output, set.log_level))
+    {
+      fprintf (stderr,
+               "skr-entry: --log-output (SKR_LOG_OUTPUT): \"%s\" is "
+               "not allowed; plain, json or journald\n",
+               set.log_output);
+      return EXIT_USAGE;
+    }
+  bs_stop_on_signals ();
+  if (en_core_init (&core, &set))
+    {
+      fprintf (stderr, "skr-entry: --fault-point, --peer or memory is not "
+                       "good\n");
+      return EXIT_USAGE;
+    }
+  if (listen_http (&core, &set)
+      || pthread_create (&thread, NULL, run_core, &core))
+    return EXIT_FAILURE;
+  printf ("listening on port %d\n", hs_port (core.server));
+  fflush (stdout);
+  lg_log (LG_STARTED, 1,
+          (struct lg_field[]){ lg_str ("address", set.listen) });
+  while (!bs_stop_wait (STEP_MS * 50))
+    continue;
+  drain (&core, &set);
+  atomic_store (&core.stop, 1);
+  pthread_join (thread, NULL);
+  cut = hs_cut (core.server);
+  hs_free (core.server);
+  en_core_fini (&core);
+  lg_log (LG_STOPPED, 1, (struct lg_field[]){ lg_int ("cut", cut) });
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/src/entry/peers.c
@@ -0,0 +1,365 @@
+/* The daemons on other entry VMs: who lives, what they use, what they
+   grant.  */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/entry.h"
+
+enum
+{
+  PEER_FORGET_MS = 60000,
+  MAX_DIALS = 2 * EN_PEERS
+};
+
+/* Runs on the peers' thread.  Messages are hints and are repeated: what does
+   not fit is dropped.  */
+static void
+on_message (void *arg, const struct pr_message *m)
+{
+  struct en_core *core = arg;
+  struct en_event *ev;
+
+  if (atomic_fetch_add (&core->peer_queued, 1) >= EN_PEER_QUEUE)
+    {
+      atomic_fetch_sub (&core->peer_queued, 1);
+      return;
+    }
+  ev = g_new0 (struct en_event, 1);
+  ev->kind = EN_EV_PEER;
+  ev->u.peer = g_memdup2 (m, sizeof *m);
+  en_push (core, ev);
+}
+
+int
+en_peers_start (struct en_core *core)
+{
+  struct pr_settings s = { .listen = core->set->peer, .queue = EN_PEER_QUEUE };
+
+  if (!*core->set->peer)
+    return BS_OK;
+  return pr_new (&core->net, &s, on_message, core);
+}
+
+static int
+add_dial (const char **out, int n, const char *address, const char *self)
+{
+  if (!*address || !strcmp (address, self) || n == MAX_DIALS)
+    return n;
+  for (int i = 0; i < n; i++)
+    if (!strcmp (out[i], address))
+      return n;
+  out[n] = address;
+  return n + 1;
+}
+
+void
+en_peers_dial (struct en_core *core)
+{
+  const char *dial[MAX_DIALS], *self = core->set->peer;
+  gchar **given = g_strsplit (core->set->peers, ",", -1);
+  json_t *list = json_object_get (core->vms, "vms"), *o;
+  size_t i;
+  int n = 0;
+
+  if (!core->net)
+    {
+      g_strfreev (given);
+      return;
+    }
+  for (int g = 0; given[g]; g++)
+    n = add_dial (dial, n, given[g], self);
+  json_array_foreach (list, i, o)
+  {
+    const char *peer = json_string_value (json_object_get (o, "peer"));
+
+    if (peer)
+      n = add_dial (dial, n, peer, self);
+  }
+  for (int p = 0; p < core->peers; p++)
+    if (core->now_ms - core->peer[p].heard_ms < PEER_FORGET_MS)
+      n = add_dial (dial, n, core->peer[p].address, self);
+  pr_peers (core->net, dial, n);
+  g_strfreev (given);
+}
+
+static void
+send_all (struct en_core *core, const struct pr_message *m)
+{
+  if (core->net)
+    pr_send (core->net, NULL, m);
+}
+
+static void
+send_heartbeat (struct en_core *core)
+{
+  struct pr_message *m = g_new0 (struct pr_message, 1);
+  struct pr_heartbeat *h = &m->u.heartbeat;
+
+  m->kind = PR_HEARTBEAT;
+  g_strlcpy (h->vm, core->set->vm, sizeof h->vm);
+  h->role = PR_ENTRY;
+  h->leaving = atomic_load (&core->leaving);
+  g_strlcpy (h->address, core->set->peer, sizeof h->address);
+  g_strlcpy (h->domain, core->set->domain, sizeof h->domain);
+  h->stamp_ms = core->now_ms;
+  h->plans_version = cf_version (&core->config, CF_PLANS);
+  h->allowances_version = cf_version (&core->config, CF_ALLOWANCES);
+  send_all (core, m);
+  g_free (m);
+}
+
+static void
+send_usage (struct en_core *core)
+{
+  struct pr_message *m = g_new0 (struct pr_message, 1);
+  struct pr_usage *u = &m->u.usage;
+
+  m->kind = PR_USAGE;
+  g_strlcpy (u->vm, core->set->vm, sizeof u->vm);
+  for (int i = 0; i < core->env.accounts && u->count < PR_MAX_USAGE; i++)
+    {
+      const struct fl_account *a = &core->env.account[i];
+      struct pr_use *use = &u->use[u->count];
+
+      if (!a->limit.admitted && !a->limit.peak_in_progress)
+        continue;
+      g_strlcpy (use->account, a->name, sizeof use->account);
+      use->calls_in_progress = a->limit.peak_in_progress;
+      use->calls_last_second = a->limit.admitted;
+      u->count++;
+    }
+  send_all (core, m);
+  g_free (m);
+}
+
+void
+en_heartbeat (void *arg, int64_t now_ms)
+{
+  struct en_core *core = arg;
+
+  (void)now_ms;
+  send_heartbeat (core);
+  send_usage (core);
+  en_limits (core);
+}
+
+static struct en_peer *
+peer_of (struct en_core *core, const char *vm, int role, int add)
+{
+  struct en_peer *p;
+
+  for (int i = 0; i < core->peers; i++)
+    if (core->peer[i].role == role && !strcmp (core->peer[i].vm, vm))
+      return &core->peer[i];
+  if (!add)
+    return NULL;
+  for (int i = 0; i < core->peers; i++)
+    if (core->now_ms - core->peer[i].heard_ms > PEER_FORGET_MS)
+      {
+        p = &core->peer[i];
+        g_free (p->rate);
+        g_free (p->busy);
+        *p = (struct en_peer){ .role = role };
+        g_strlcpy (p->vm, vm, sizeof p->vm);
+        return p;
+      }
+  if (core->peers == EN_PEERS)
+    return NULL;
+  p = &core->peer[core->peers++];
+  *p = (struct en_peer){ .role = role };
+  g_strlcpy (p->vm, vm, sizeof p->vm);
+  return p;
+}
+
+static void
+on_heartbeat (struct en_core *core, const struct pr_heartbeat *h)
+{
+  struct en_peer *p;
+  int is_new;
+
+  if (h->role == PR_ENTRY && !strcmp (h->vm, core->set->vm))
+    return;
+  p = peer_of (core, h->vm, h->role, 1);
+  if (!p)
+    return;
+  is_new = strcmp (p->address, h->address) != 0;
+  g_strlcpy (p->address, h->address, sizeof p->address);
+  p->leaving = h->leaving;
+  p->heard_ms = core->now_ms;
+  if (is_new)
+    en_peers_dial (core);
+  if (h->plans_version > cf_version (&core->config, CF_PLANS)
+      || h->allowances_version > cf_version (&core->config, CF_ALLOWANCES))
+    en_poll_config (core);
+}
+
+static int
+account_handle (const struct en_core *core, const char *name)
+{
+  for (int i = 0; i < core->env.accounts; i++)
+    if (!strcmp (core->env.account[i].name, name))
+      return i;
+  return FL_NO_ACCOUNT;
+}
+
+static void
+on_usage (struct en_core *core, const struct pr_usage *u)
+{
+  struct en_peer *p = peer_of (core, u->vm, PR_ENTRY, 0);
+
+  if (!p)
+    return;
+  if (p->room < core->env.accounts)
+    {
+      p->room = core->env.accounts;
+      p->rate = g_renew (int32_t, p->rate, p->room);
+      p->busy = g_renew (int32_t, p->busy, p->room);
+    }
+  if (p->room)
+    {
+      memset (p->rate, 0, sizeof *p->rate * (size_t)p->room);
+      memset (p->busy, 0, sizeof *p->busy * (size_t)p->room);
+    }
+  p->usage_ms = core->now_ms;
+  for (int i = 0; i < u->count; i++)
+    {
+      int a = account_handle (core, u->use[i].account);
+
+      if (a < 0)
+        continue;
+      p->rate[a] = u->use[i].calls_last_second;
+      p->busy[a] = u->use[i].calls_in_progress;
+    }
+}
+
+void
+en_on_peer (struct en_core *core, const struct pr_message *m)
+{
+  switch (m->kind)
+    {
+    case PR_HEARTBEAT:
+      on_heartbeat (core, &m->u.heartbeat);
+      break;
+    case PR_JOB_ENDED:
+      en_job_ended (core, m->u.job.job);
+      break;
+    case PR_CONFIG:
+      if (m->u.config.version > cf_version (&core->config, m->u.config.list))
+        en_poll_config (core);
+      break;
+    case PR_CREDITS:
+      fl_pool_credits (&core->pool, &m->u.credits, core->now_ms);
+      en_feed (core);
+      break;
+    case PR_USAGE:
+      on_usage (core, &m->u.usage);
+      break;
+    case PR_JOB:
+      break; /* for schedulers */
+    }
+}
+
+static const char *
+holder_address (struct en_core *core, const char *cell)
+{
+  for (int i = 0; i < core->fleet.cells; i++)
+    if (!strcmp (core->fleet.cell[i].cell, cell))
+      {
+        struct en_peer *p
+            = peer_of (core, core->fleet.cell[i].holder, PR_SCHED, 0);
+
+        return p ? p->address : NULL;
+      }
+  return NULL;
+}
+
+void
+en_tell_job (struct en_core *core, const char *cell, const char *job)
+{
+  struct pr_message *m;
+
+  if (!core->net)
+    return;
+  m = g_new0 (struct pr_message, 1);
+  m->kind = PR_JOB;
+  g_strlcpy (m->u.job.cell, cell, sizeof m->u.job.cell);
+  g_strlcpy (m->u.job.job, job, sizeof m->u.job.job);
+  pr_send (core->net, holder_address (core, cell), m);
+  g_free (m);
+}
+
+void
+en_tell_config (struct en_core *core, const char *list)
+{
+  struct pr_message *m = g_new0 (struct pr_message, 1);
+
+  m->kind = PR_CONFIG;
+  g_strlcpy (m->u.config.list, list, sizeof m->u.config.list);
+  m->u.config.version = cf_version (&core->config, list) + 1;
+  send_all (core, m);
+  g_free (m);
+}
+
+static int
+is_listed (const struct en_core *core, const char *vm)
+{
+  for (int i = 0; i < core->pool.entries; i++)
+    if (!strcmp (core->pool.entry[i], vm))
+      return 1;
+  return 0;
+}
+
+int
+en_is_dead (struct en_core *core, const char *vm, const char *token)
+{
+  const struct en_peer *p;
+
+  if (!strcmp (vm, core->set->vm))
+    return strncmp (token, core->incarnation, EN_INCARNATION) != 0;
+  p = peer_of (core, vm, PR_ENTRY, 0);
+  if (p)
+    return core->now_ms - p->heard_ms > EN_PEER_DEAD_MS;
+  return !is_listed (core, vm)
+         && core->now_ms - core->started_ms > EN_PEER_DEAD_MS;
+}
+
+/* True when every listed entry VM has told its use lately.  */
+static int
+all_heard (struct en_core *core)
+{
+  for (int i = 0; i < core->pool.entries; i++)
+    {
+      const struct en_peer *p;
+
+      if (!strcmp (core->pool.entry[i], core->set->vm))
+        continue;
+      p = peer_of (core, core->pool.entry[i], PR_ENTRY, 0);
+      if (!p || core->now_ms - p->usage_ms > FL_LIMIT_STALE_MS)
+        return 0;
+    }
+  return 1;
+}
+
+void
+en_limits (struct en_core *core)
+{
+  int vms = core->pool.entries ? core->pool.entries : 1;
+  int heard = all_heard (core);
+
+  for (int a = 0; a < core->env.accounts; a++)
+    {
+      int32_t rate = 0, busy = 0;
+
+      for (int i = 0; i < core->peers; i++)
+        {
+          const struct en_peer *p = &core->peer[i];
+
+          if (a >= p->room || core->now_ms - p->usage_ms > FL_LIMIT_STALE_MS)
+            continue;
+          rate += p->rate[a];
+          busy += p->busy[a];
+        }
+      fl_limit_period (&core->env.account[a].limit, vms, rate, busy, heard);
+    }
+}
--- /dev/null
+++ b/src/entry/poll.c
@@ -0,0 +1,238 @@
+/* What is read from the platform each second: configuration, cells, VMs.  */
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/entry.h"
+
+static const char *
+string_of (const json_t *o, const char *field)
+{
+  const char *s = json_string_value (json_object_get (o, field));
+
+  return s ? s : "";
+}
+
+static int
+int_of (const json_t *o, const char *field)
+{
+  return (int)json_integer_value (json_object_get (o, field));
+}
+
+static int
+start (struct en_core *core, enum en_tag tag)
+{
+  if (core->polls & 1 << tag)
+    return 0;
+  core->polls |= 1 << tag;
+  return 1;
+}
+
+static void
+scan_config (struct en_core *core, int64_t since)
+{
+  if (start (core, EN_TAG_POLL_CONFIG))
+    en_scan (core, NULL, EN_TAG_POLL_CONFIG,
+             &(struct tb_scan){ .table = CF_TABLE, .since = since });
+}
+
+void
+en_poll_config (struct en_core *core)
+{
+  core->config_rev = 0;
+  scan_config (core, 0);
+}
+
+/* Ten samples of an upstream's p95 at least, else no hedge.  */
+static void
+update_hedge (struct en_core *core)
+{
+  enum
+  {
+    MIN_SAMPLES = 100,
+    FLOOR_MS = 20
+  };
+  int series = st_series (&core->stat, ST_HISTOGRAM, "skr_attempt_seconds",
+                          "end=\"done\"");
+  int64_t p95 = st_quantile_us (&core->stat, series, 0.95);
+
+  core->hedge_ms = 0;
+  if (st_value (&core->stat, series) >= MIN_SAMPLES)
+    core->hedge_ms = MAX (p95 / 1000, FLOOR_MS);
+}
+
+void
+en_poll (void *arg, int64_t now_ms)
+{
+  struct en_core *core = arg;
+
+  (void)now_ms;
+  scan_config (core, core->config_rev);
+  if (start (core, EN_TAG_POLL_VMS))
+    en_get_vms (core);
+  if (start (core, EN_TAG_POLL_CELLS))
+    en_scan (core, NULL, EN_TAG_POLL_CELLS,
+             &(struct tb_scan){ .table = "cells" });
+  update_hedge (core);
+}
+
+/* A table that was set back to an older state is given the newer lists that
+   are in force here.  */
+static void
+repair (struct en_core *core, const json_t *rows)
+{
+  struct tb_txn txn;
+
+  tb_txn_init (&txn);
+  if (cf_repair (&core->config, rows, &txn) && start (core, EN_TAG_REPAIR))
+    en_commit (core, NULL, EN_TAG_REPAIR, &txn);
+  tb_txn_fini (&txn);
+}
+
+static void
+on_config (struct en_core *core, const json_t *data)
+{
+  const json_t *rows = json_object_get (data, "rows");
+  int64_t rev = json_integer_value (json_object_get (data, "rev"));
+  int whole = core->config_rev == 0;
+
+  if (!whole && (json_array_size (rows) || rev < core->config_rev))
+    {
+      en_poll_config (core);
+      return;
+    }
+  core->config_rev = rev;
+  if (!whole)
+    return;
+  if (cf_apply (&core->config, rows) == CF_OK)
+    en_accounts (core);
+  repair (core, rows);
+}
+
+static struct fl_vm
+read_vm (const json_t *o)
+{
+  return (struct fl_vm){ .id = string_of (o, "id"),
+                         .address = string_of (o, "address"),
+                         .domain = string_of (o, "domain"),
+                         .is_entry = !strcmp (string_of (o, "role"), "entry"),
+                         .leaving
+                         = !strcmp (string_of (o, "state"), "leaving"),
+                         .slots = int_of (o, "slots"),
+                         .connections = int_of (o, "connections") };
+}
+
+static void
+read_worker (struct fl_fleet *f, const json_t *o)
+{
+  struct fl_fleet_worker *w = &f->worker[f->workers];
+
+  if (f->workers == EN_FLEET)
+    return;
+  g_strlcpy (w->cell, string_of (o, "domain"), sizeof w->cell);
+  g_strlcpy (w->rack, string_of (o, "rack"), sizeof w->rack);
+  w->accelerators = int_of (o, "accelerators");
+  w->slots = int_of (o, "slots");
+  f->workers++;
+}
+
+static int
+compare_cells (const void *a, const void *b)
+{
+  return strcmp (((const struct fl_cell *)a)->cell,
+                 ((const struct fl_cell *)b)->cell);
+}
+
+static struct fl_cell *
+cell_of (struct fl_fleet *f, const char *name)
+{
+  for (int i = 0; i < f->cells; i++)
+    if (!strcmp (f->cell[i].cell, name))
+      return &f->cell[i];
+  if (!*name || f->cells == FL_FLEET_CELLS)
+    return NULL;
+  f->cell[f->cells] = (struct fl_cell){ .free = -1 };
+  g_strlcpy (f->cell[f->cells].cell, name, PR_ID);
+  f->cells++;
+  qsort (f->cell, (size_t)f->cells, sizeof *f->cell, compare_cells);
+  return cell_of (f, name);
+}
+
+static void
+on_vms (struct en_core *core, json_t *data)
+{
+  json_t *list = json_object_get (data, "vms"), *o;
+  size_t count = json_array_size (list), i;
+  struct fl_vm *vm = g_new0 (struct fl_vm, count + 1);
+
+  core->fleet.workers = 0;
+  json_array_foreach (list, i, o)
+  {
+    vm[i] = read_vm (o);
+    if (vm[i].is_entry)
+      continue;
+    read_worker (&core->fleet, o);
+    cell_of (&core->fleet, vm[i].domain);
+  }
+  fl_pool_list (&core->pool, vm, (int)count);
+  g_free (vm);
+  json_incref (data);
+  json_decref (core->vms);
+  core->vms = data;
+  core->vms_ms = core->now_ms;
+  en_peers_dial (core);
+  en_feed (core);
+}
+
+static void
+on_cells (struct en_core *core, json_t *data)
+{
+  json_t *rows = json_object_get (data, "rows"), *row, *list = json_array ();
+  size_t i;
+
+  json_array_foreach (rows, i, row)
+  {
+    const char *name = string_of (row, "key");
+    json_t *value = json_object_get (row, "value"), *o;
+    struct fl_cell *c = cell_of (&core->fleet, name);
+
+    if (!c || !value)
+      continue;
+    g_strlcpy (c->holder, string_of (value, "holder"), sizeof c->holder);
+    if (json_is_integer (json_object_get (value, "free")))
+      c->free = json_integer_value (json_object_get (value, "free"));
+    o = json_copy (value);
+    json_object_set_new (o, "cell", json_string (name));
+    json_array_append_new (list, o);
+  }
+  json_decref (core->cells);
+  core->cells = json_pack ("{s:o}", "cells", list);
+}
+
+void
+en_polled (struct en_core *core, const struct en_event *ev)
+{
+  json_t *data = ev->u.table.data;
+
+  core->polls &= ~(1 << ev->u.table.tag);
+  if (ev->u.table.error)
+    return;
+  switch (ev->u.table.tag)
+    {
+    case EN_TAG_POLL_CONFIG:
+      on_config (core, data);
+      break;
+    case EN_TAG_POLL_VMS:
+      on_vms (core, data);
+      break;
+    case EN_TAG_POLL_CELLS:
+      on_cells (core, data);
+      break;
+    case EN_TAG_REPAIR:
+      en_poll_config (core);
+      break;
+    case EN_TAG_STEP:
+    case EN_TAG_RECORD:
+    case EN_TAG_MARK:
+      break;
+    }
+}
--- a/src/filter/chain.c
+++ b/src/filter/chain.c
@@ -29,6 +29,7 @@
   { "/v1/vms", "GET", FL_OP_VMS },
   { "/v1/cells", "GET", FL_OP_CELLS },
   { "/v1/status", "GET", FL_OP_STATUS },
+  { "/v1/counters", "GET", FL_OP_COUNTERS },
 };
 
 /* Length of ROUTE's part of PATH, or 0.  */
@@ -179,7 +180,7 @@
 static enum fl_problem_kind
 limits (struct fl_env *env, struct fl_request *r)
 {
-  if (r->op != FL_OP_CALL && r->op != FL_OP_JOB)
+  if (r->op != FL_OP_CALL)
     return FL_PROBLEM_NONE;
   switch (fl_limit_enter (&env->account[r->account].limit, env->now_ms))
     {
--- a/src/filter/chain.h
+++ b/src/filter/chain.h
@@ -38,7 +38,8 @@
   FL_OP_VMS,
   FL_OP_CELLS,
   FL_OP_STATUS,
-  FL_OP_METRICS
+  FL_OP_METRICS,
+  FL_OP_COUNTERS
 };
 
 struct fl_account
--- a/src/filter/limit.c
+++ b/src/filter/limit.c
@@ -18,6 +18,8 @@
 {
   int32_t share = larger (1, limit / larger (1, vms));
 
+  if (!limit)
+    return 0;
   if (!heard)
     return share;
   return larger (share, smaller (2 * larger (own, share), limit - peers));
@@ -43,15 +45,12 @@
 enum fl_limit_verdict
 fl_limit_enter (struct fl_limit *l, int64_t now_ms)
 {
-  if (l->concurrent_calls && l->in_progress >= l->allowed_concurrent)
+  if (l->in_progress >= l->allowed_concurrent)
     return FL_LIMIT_CONCURRENCY;
   refill (l, now_ms);
-  if (l->calls_per_second)
-    {
-      if (l->tokens < 1)
-        return FL_LIMIT_RATE;
-      l->tokens -= 1;
-    }
+  if (l->tokens < 1)
+    return FL_LIMIT_RATE;
+  l->tokens -= 1;
   l->admitted++;
   l->in_progress++;
   l->peak_in_progress = larger (l->peak_in_progress, l->in_progress);
--- a/src/filter/limit.h
+++ b/src/filter/limit.h
@@ -37,7 +37,7 @@
 /* One account on one VM.  */
 struct fl_limit
 {
-  int32_t calls_per_second, concurrent_calls; /* of the plan; 0: no limit */
+  int32_t calls_per_second, concurrent_calls; /* of the plan */
   int32_t allowed_rate, allowed_concurrent;
   int32_t in_progress, peak_in_progress, admitted;
   double tokens;
--- a/src/filter/pool.c
+++ b/src/filter/pool.c
@@ -158,10 +158,11 @@
 
   if (!grant)
     return FL_EFULL;
-  if (credits->epoch < grant->epoch)
+  if (credits->epoch < grant->epoch
+      || credits->stamp_ms + credits->valid_ms <= now_ms)
     return FL_ESTALE;
   grant->epoch = credits->epoch;
-  grant->until_ms = now_ms + credits->valid_ms;
+  grant->until_ms = credits->stamp_ms + credits->valid_ms;
   for (int i = 0; i < credits->count; i++)
     {
       const struct pr_credit *c = &credits->credit[i];
--- a/src/filter/pool.h
+++ b/src/filter/pool.h
@@ -79,7 +79,8 @@
 /* Replaces what the VM list says.  Returns 0 or FL_EFULL; the rest of a
    list that is too long is left out.  */
 int fl_pool_list (struct fl_pool *p, const struct fl_vm *vm, int count);
-/* Returns 0, FL_ESTALE for a lower epoch than seen, or FL_EFULL.  */
+/* Returns 0, FL_EFULL, or FL_ESTALE for a lower epoch than seen or a grant
+   that has run out on its way.  */
 int fl_pool_credits (struct fl_pool *p, const struct pr_credits *credits,
                      int64_t now_ms);
 /* Slots of upstream I that may be in use at NOW_MS; 0 when it gets nothing
--- a/src/filter/problem.c
+++ b/src/filter/problem.c
@@ -36,6 +36,8 @@
   [FL_PROBLEM_OVERLOAD] = { 503, "overload", "Overloaded", "not_run", 1 },
   [FL_PROBLEM_TABLE_DOWN]
   = { 503, "table-down", "The table does not answer", "not_run", 2 },
+  [FL_PROBLEM_UNREADABLE]
+  = { 503, "unreadable", "The table does not answer", NULL, 1 },
   [FL_PROBLEM_NO_UPSTREAM]
   = { 503, "no-upstream", "No upstream can take it", "not_run", 1 },
   [FL_PROBLEM_NOT_RUN] = { 503, "not-run", "It was not run", "not_run", 1 },
