Add the open-loop load tool that settles every request

Cause: that nothing is lost, doubled, crossed or falsely refused has to be counted by something other than the system itself. Change: skr-load sends calls and jobs at exponential arrival times, tries the next entry with the same key after a failed connection, asks again by key for what is unknown, and compares all ends with the workers' journals.

--- /dev/null
+++ b/src/load/main.c
@@ -0,0 +1,96 @@
+#include <limits.h>
+#include <stddef.h>
+
+#include "load.h"
+#include "skr/opt.h"
+
+enum
+{
+  EXIT_BROKEN = 1, /* lost, doubled, crossed or falsely refused */
+  EXIT_USAGE = 2,
+  EXIT_TROUBLE = 3 /* a journal or file is missing */
+};
+
+#define FIELD(name) offsetof (struct ld_settings, name)
+
+static const struct opt_def defs[]
+    = { { "entries", OPT_STRING, "IP:PORT,...", 9, 2000, "127.0.0.1:8080",
+          "entry addresses, used in turn; loopback only", FIELD (entries) },
+        { "accounts", OPT_STRING, "NAME=KEY,...", 3, 4000, "a=key-a",
+          "client accounts and their keys", FIELD (accounts) },
+        { "journals", OPT_STRING, "url or path,...", 0, 16000, "",
+          "journals of the workers to compare with", FIELD (journals) },
+        { "record", OPT_STRING, "path", 0, 400, "",
+          "file for one JSON line about each request", FIELD (record) },
+        { "prefix", OPT_STRING, "", 1, 30, "load",
+          "start of the keys; another for each run", FIELD (prefix) },
+        { "rate", OPT_INT, "1/s", 1, 20000, "50", "arrivals in a second",
+          FIELD (rate) },
+        { "count", OPT_INT, "requests", 1, LD_MAX_REQUESTS, "100",
+          "requests to send", FIELD (count) },
+        { "max-ms", OPT_INT, "ms", 1, 600000, "60000", "longest time to send",
+          FIELD (max_ms) },
+        { "settle-ms", OPT_INT, "ms", 0, 600000, "10000",
+          "longest time to ask about open requests", FIELD (settle_ms) },
+        { "jobs-percent", OPT_INT, "percent", 0, 100, "0", "share of jobs",
+          FIELD (jobs_percent) },
+        { "repeatable-percent", OPT_INT, "percent", 0, 100, "50",
+          "share of repeatable requests", FIELD (repeatable_percent) },
+        { "deadline-ms", OPT_INT, "ms", 1, 120000, "2000",
+          "deadline of a call", FIELD (deadline_ms) },
+        { "run-ms", OPT_INT, "ms", 0, 60000, "5", "run time of a call",
+          FIELD (run_ms) },
+        { "answer-bytes", OPT_INT, "bytes", 0, 1000000, "0",
+          "padding of an answer", FIELD (answer_bytes) },
+        { "job-tasks", OPT_INT, "tasks", 1, 64, "1", "tasks of a job",
+          FIELD (job_tasks) },
+        { "job-per-task", OPT_INT, "accelerators", 0, 64, "1",
+          "accelerators of a task", FIELD (job_per_task) },
+        { "job-run-ms", OPT_INT, "ms", 0, 600000, "100", "run time of a job",
+          FIELD (job_run_ms) },
+        { "job-urgent", OPT_FLAG, "", 0, 1, "0", "jobs are urgent, not bulk",
+          FIELD (job_urgent) },
+        { "attempts", OPT_INT, "entries", 1, LD_MAX_ATTEMPTS, "3",
+          "entries that a request is tried at", FIELD (attempts) },
+        { "seed", OPT_INT, "", 0, INT_MAX, "1", "seed of the arrivals",
+          FIELD (seed) },
+        { "json", OPT_FLAG, "", 0, 1, "0", "print JSON", FIELD (json) },
+        { NULL } };
+
+static int
+run (struct ld *ld)
+{
+  struct ld_count count;
+  int error;
+
+  ld_run (ld);
+  ld_settle (ld);
+  error = ld_count (ld, &count);
+  if (ld_record (ld) != LD_OK)
+    error = LD_EFILE;
+  ld_report (ld, &count);
+  if (count.lost || count.doubled || count.crossed || count.false_refusals)
+    return EXIT_BROKEN;
+  return error == LD_OK ? 0 : EXIT_TROUBLE;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct ld_settings settings;
+  struct ld ld;
+  int status = EXIT_USAGE;
+
+  opt_parse (defs, &settings, argc, argv, "[OPTION...]",
+             "Open-loop load that follows every request to its end.", NULL);
+  if (bs_init () != BS_OK)
+    return EXIT_TROUBLE;
+  bs_stop_on_signals ();
+  if (ld_init (&ld, &settings) == LD_OK)
+    status = run (&ld);
+  else
+    fprintf (stderr, "skr-load: bad list of entries, accounts or journals; "
+                     "addresses are loopback IP:PORT\n");
+  ld_fini (&ld);
+  return status;
+}
