--- /dev/null
+++ b/src/control/cell.c
@@ -0,0 +1,239 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "control/cell_impl.h"
+#include "skr/log.h"
+
+enum
+{
+  TICK_MS = 50 /* longest wait while the cell is held */
+};
+
+static void
+free_job (void *job)
+{
+  jb_free (job);
+}
+
+int
+cl_init (struct cl_cell *c, const char *name, const struct cl_settings *set,
+         struct cf_store *config, cl_emit *emit, void *arg)
+{
+  memset (c, 0, sizeof *c);
+  snprintf (c->name, sizeof c->name, "%s", name);
+  snprintf (c->table, sizeof c->table, "jobs.%s", name);
+  c->set = set;
+  c->config = config;
+  c->emit = emit;
+  c->arg = arg;
+  c->times = (struct mb_times){ .lease_ms = set->task_lease_ms,
+                                .suspect_ms = set->task_lease_ms / 2,
+                                .delay_ms = set->order_timeout_ms };
+  ce_init (&c->lease, set->vm, set->token, set->cell_lease_ms,
+           set->cell_margin_ms);
+  c->rng = gsl_rng_alloc (gsl_rng_mt19937);
+  if (!c->rng)
+    return CT_ENOMEM;
+  gsl_rng_set (c->rng, XXH32 (set->token, strlen (set->token), 0));
+  c->workers = g_array_new (FALSE, TRUE, sizeof (struct mb_worker));
+  c->racks = g_ptr_array_new_with_free_func (g_free);
+  c->accounts = g_ptr_array_new_with_free_func (g_free);
+  c->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_job);
+  c->by_handle = g_ptr_array_new ();
+  c->free_handles = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  c->gangs = g_ptr_array_new_with_free_func (cl_free_gang);
+  c->gangs_of = g_hash_table_new (g_str_hash, g_str_equal);
+  c->batch = g_ptr_array_new ();
+  g_queue_init (&c->events);
+  g_queue_init (&c->dirty);
+  g_queue_init (&c->waiting);
+  return CT_OK;
+}
+
+static void
+free_decide (struct cl_cell *c)
+{
+  if (!c->dc)
+    return;
+  dc_fini (c->dc);
+  free (c->dc);
+  c->dc = NULL;
+}
+
+/* Forgets all that a tenure built up.  The list of workers stays.  */
+static void
+clear (struct cl_cell *c)
+{
+  free_decide (c);
+  g_queue_clear_full (&c->events, g_free);
+  g_queue_clear (&c->dirty);
+  g_queue_clear (&c->waiting);
+  g_ptr_array_set_size (c->batch, 0);
+  g_hash_table_remove_all (c->gangs_of);
+  g_ptr_array_set_size (c->gangs, 0);
+  g_hash_table_remove_all (c->jobs);
+  g_ptr_array_set_size (c->by_handle, 0);
+  g_array_set_size (c->free_handles, 0);
+  g_ptr_array_set_size (c->accounts, 0);
+  c->scan_rev = c->scan_first_rev = 0;
+  c->scan_after[0] = '\0';
+  c->scanning = c->reading = 0;
+  c->scan_serial = 0;
+  c->config_version = 0;
+}
+
+void
+cl_fini (struct cl_cell *c)
+{
+  clear (c);
+  g_array_free (c->workers, TRUE);
+  g_ptr_array_free (c->racks, TRUE);
+  g_ptr_array_free (c->accounts, TRUE);
+  g_hash_table_destroy (c->jobs);
+  g_ptr_array_free (c->by_handle, TRUE);
+  g_array_free (c->free_handles, TRUE);
+  g_hash_table_destroy (c->gangs_of);
+  g_ptr_array_free (c->gangs, TRUE);
+  g_ptr_array_free (c->batch, TRUE);
+  gsl_rng_free (c->rng);
+}
+
+double
+cl_random (struct cl_cell *c)
+{
+  return gsl_rng_uniform (c->rng);
+}
+
+int
+cl_may_act (const struct cl_cell *c)
+{
+  return ce_may_act (&c->lease, c->now_ms);
+}
+
+static void
+log_cell (struct cl_cell *c, enum lg_event event)
+{
+  struct lg_field field[]
+      = { lg_str ("cell", c->name), lg_int ("epoch", c->lease.row.epoch) };
+
+  lg_log (event, 2, field);
+}
+
+void
+cl_begin (struct cl_cell *c)
+{
+  clear (c);
+  c->tenure++;
+  c->took_ms = c->now_ms;
+  c->lapsed = 0;
+  c->dc = calloc (1, dc_size ());
+  if (!c->dc || dc_init (c->dc, &c->set->decide))
+    abort ();
+  cl_fleet_begin (c);
+  c->phase = CL_LOADING;
+  c->scan_at_ms = c->now_ms;
+  log_cell (c, LG_CELL_TAKEN);
+}
+
+void
+cl_lose (struct cl_cell *c)
+{
+  if (c->phase == CL_WATCHING)
+    return;
+  log_cell (c, c->releasing ? LG_CELL_RELEASED : LG_CELL_LOST);
+  c->phase = CL_WATCHING;
+  c->releasing = 0;
+  clear (c);
+}
+
+void
+cl_give_up (struct cl_cell *c)
+{
+  if (c->phase != CL_WATCHING)
+    c->releasing = 1;
+}
+
+void
+cl_row (struct cl_cell *c, int64_t now_ms, const json_t *value,
+        int64_t version)
+{
+  struct ce_row row;
+
+  c->now_ms = now_ms;
+  if (ce_parse (&row, value, version))
+    return;
+  if (ce_observe (&c->lease, now_ms, &row))
+    cl_lose (c);
+}
+
+void
+cl_row_failed (struct cl_cell *c)
+{
+  ce_read_failed (&c->lease);
+}
+
+void
+cl_saw_epoch (struct cl_cell *c, int64_t now_ms, int64_t epoch)
+{
+  c->now_ms = now_ms;
+  if (ce_saw_epoch (&c->lease, now_ms, epoch))
+    cl_lose (c);
+}
+
+void
+cl_job_written (struct cl_cell *c)
+{
+  c->scan_soon = 1;
+}
+
+static void
+note_lapse (struct cl_cell *c)
+{
+  int lapsed = !cl_may_act (c) && !c->releasing;
+
+  if (lapsed && !c->lapsed)
+    log_cell (c, LG_CELL_LAPSED);
+  c->lapsed = lapsed;
+}
+
+static void
+scan_step (struct cl_cell *c)
+{
+  struct cl_effect e = { .kind = CL_SCAN, .cell = c };
+
+  if (c->scanning || c->now_ms < (c->scan_soon ? 0 : c->scan_at_ms))
+    return;
+  c->scan_soon = 0;
+  c->scanning = 1;
+  e.serial = c->scan_serial = ++c->serial;
+  e.u.scan.since = c->scan_rev;
+  e.u.scan.after = *c->scan_after ? c->scan_after : NULL;
+  c->emit (c->arg, &e);
+}
+
+int
+cl_tick (struct cl_cell *c, int64_t now_ms, int64_t take_delay_ms)
+{
+  c->now_ms = now_ms;
+  cl_commit_step (c, take_delay_ms);
+  if (c->phase == CL_WATCHING)
+    return TICK_MS;
+  note_lapse (c);
+  if (c->releasing)
+    return TICK_MS;
+  scan_step (c);
+  cl_fleet_step (c);
+  if (c->phase == CL_SURVEY && cl_may_act (c) && cl_survey_over (c))
+    cl_recover (c);
+  if (c->phase == CL_SERVING && cl_may_act (c))
+    {
+      cl_plans (c);
+      cl_jobs_step (c);
+      cl_decide (c);
+      cl_gangs_step (c);
+    }
+  cl_commit_step (c, take_delay_ms);
+  return TICK_MS;
+}
--- /dev/null
+++ b/src/control/cell.h
@@ -0,0 +1,186 @@
+/* The controller of one cell: takes its lease, rebuilds its state, feeds the
+   decision layer and carries out what it decides.  All I/O is asked for as
+   effects and answered by the cl_*_done calls; the time is passed in.  */
+#ifndef CONTROL_CELL_H
+#define CONTROL_CELL_H
+
+#include <glib.h>
+#include <gsl/gsl_rng.h>
+#include <jansson.h>
+#include <stdint.h>
+
+#include "config/config.h"
+#include "control/control.h"
+#include "control/gang.h"
+#include "control/job.h"
+#include "control/lease.h"
+#include "control/member.h"
+#include "skr/decide.h"
+#include "skr/http.h"
+#include "skr/table.h"
+
+#define CL_TABLE "cells"
+
+enum cl_phase
+{
+  CL_WATCHING, /* another VM's, or nobody's */
+  CL_LOADING,  /* the lease is held; job rows are read */
+  CL_SURVEY,   /* workers are asked what they run */
+  CL_SERVING
+};
+
+enum cl_request
+{
+  CL_RENEW, /* POST /v1/leases */
+  CL_POLL,  /* GET /v1/tasks */
+  CL_PART   /* an order to a part of a gang */
+};
+
+/* Comes back with the answer to an order.  */
+struct cl_ticket
+{
+  enum cl_request request;
+  uint32_t worker;
+  int64_t tenure, sent_ms;
+  char job[CT_NAME]; /* of a part */
+  int32_t attempt;
+  enum wk_order order;
+};
+
+enum cl_effect_kind
+{
+  CL_ORDER,  /* an HTTP request to a worker; cl_order_done */
+  CL_COMMIT, /* a transaction; cl_commit_done */
+  CL_READ,   /* read the cell's row; cl_read_done */
+  CL_SCAN,   /* scan the job rows; cl_scan_done */
+  CL_ENDED   /* tell the entry VMs that a job's state has changed */
+};
+
+struct cl_cell;
+
+struct cl_effect
+{
+  enum cl_effect_kind kind;
+  struct cl_cell *cell;
+  int64_t serial; /* of all but orders; comes back with the answer */
+  union
+  {
+    struct
+    {
+      struct cl_ticket ticket;
+      const char *address, *path;
+      const json_t *body; /* NULL: GET */
+      int timeout_ms;
+    } order;
+    const struct tb_txn *commit;
+    struct
+    {
+      int64_t since;
+      const char *after; /* NULL: from the start */
+    } scan;
+    const char *ended;
+  } u;
+};
+
+/* Must not call back into the cell.  */
+typedef void cl_emit (void *arg, const struct cl_effect *effect);
+
+struct cl_settings
+{
+  const char *vm, *token;
+  int64_t cell_lease_ms, cell_margin_ms;
+  int64_t task_lease_ms;
+  int64_t poll_ms, scan_ms; /* of workers, of job rows */
+  int64_t settle_ms;        /* the list of workers must not change for */
+  int64_t order_timeout_ms;
+  int reserve_slots;   /* of each worker, kept for calls */
+  int commit_rows;     /* rows in one transaction */
+  int rows_per_second; /* written by one cell */
+  struct dc_config decide;
+};
+
+struct cl_cell
+{
+  char name[CT_NAME], table[CT_NAME + 8];
+  const struct cl_settings *set;
+  struct cf_store *config;
+  cl_emit *emit;
+  void *arg;
+  gsl_rng *rng;
+  struct mb_times times;
+  int64_t now_ms;
+  int64_t serial; /* of the last effect; of the last commit, read, scan */
+  int64_t commit_serial, read_serial, scan_serial;
+
+  struct ce_lease lease;
+  enum cl_phase phase;
+  int64_t tenure; /* counts the times that the lease was taken */
+  int64_t took_ms;
+  int releasing, lapsed;
+
+  struct dc *dc;
+  GQueue events; /* struct dc_event to be applied */
+  int applying;
+  int64_t config_version;
+
+  GArray *workers;  /* struct mb_worker, by handle */
+  GPtrArray *racks; /* names, by handle */
+  int64_t fleet_changed_ms;
+  int fleet_listed; /* lists seen in this tenure */
+
+  GPtrArray *accounts; /* names, by handle */
+  GHashTable *jobs;    /* id to struct jb_job */
+  GPtrArray *by_handle;
+  GArray *free_handles;
+  GQueue waiting;   /* struct jb_job to be given to the decision layer */
+  GPtrArray *gangs; /* struct wk_gang, all attempts that workers may know */
+  GHashTable *gangs_of; /* job to its first gang */
+
+  GQueue dirty;     /* struct jb_job to be written */
+  GPtrArray *batch; /* the jobs of the write in flight */
+  int64_t commit_at_ms, read_at_ms;
+  int reading, backoff;
+  double tokens; /* rows that may be written now */
+  int64_t tokens_ms;
+
+  int64_t scan_rev, scan_first_rev, scan_at_ms;
+  char scan_after[CT_NAME];
+  int scanning, scan_soon;
+};
+
+/* The controller of CELL.  */
+int cl_init (struct cl_cell *c, const char *name,
+             const struct cl_settings *set, struct cf_store *config,
+             cl_emit *emit, void *arg);
+void cl_fini (struct cl_cell *c);
+
+/* Does what is due; TAKE_DELAY_MS below 0 forbids a take-over.  Returns the
+   milliseconds until it wants to be called again at the latest.  */
+int cl_tick (struct cl_cell *c, int64_t now_ms, int64_t take_delay_ms);
+/* Gives the lease up; CL_WATCHING follows.  */
+void cl_give_up (struct cl_cell *c);
+
+/* What others learnt.  VMS: the array of the VM list.  */
+void cl_fleet (struct cl_cell *c, int64_t now_ms, const json_t *vms);
+void cl_row (struct cl_cell *c, int64_t now_ms, const json_t *value,
+             int64_t version);
+void cl_row_failed (struct cl_cell *c);
+void cl_saw_epoch (struct cl_cell *c, int64_t now_ms, int64_t epoch);
+void cl_job_written (struct cl_cell *c);
+
+/* Answers to effects.  */
+void cl_order_done (struct cl_cell *c, int64_t now_ms,
+                    const struct cl_ticket *ticket, enum hc_end end,
+                    long status, const json_t *body);
+void cl_commit_done (struct cl_cell *c, int64_t now_ms, int64_t serial,
+                     int error, const json_t *data);
+void cl_read_done (struct cl_cell *c, int64_t now_ms, int64_t serial,
+                   int error, const json_t *data);
+void cl_scan_done (struct cl_cell *c, int64_t now_ms, int64_t serial,
+                   int error, const json_t *data);
+
+int cl_may_act (const struct cl_cell *c);
+/* Free accelerators and counts, for the cell's row.  */
+json_t *cl_summary (struct cl_cell *c);
+
+#endif
--- /dev/null
+++ b/src/control/cell_commit.c
@@ -0,0 +1,290 @@
+/* One transaction at a time: it renews the lease, checks that the lease is
+   still held, and carries the job rows that wait.  */
+#include <stdio.h>
+#include <string.h>
+
+#include "control/cell_impl.h"
+
+enum
+{
+  RENEWALS = 3, /* in one lease time */
+  BACKOFF_MS = 100,
+  BACKOFF_STEPS = 4,
+  READ_AGAIN_MS = 100,
+  BATCH_BYTES = 512 << 10 /* of row values in one transaction */
+};
+
+void
+cl_mark_dirty (struct cl_cell *c, struct jb_job *job)
+{
+  job->dirty = 1;
+  if (job->writing)
+    job->rewrite = 1;
+  else if (!g_queue_find (&c->dirty, job))
+    g_queue_push_tail (&c->dirty, job);
+}
+
+static size_t
+row_size (const json_t *row)
+{
+  return json_dumpb (row, NULL, 0, JSON_COMPACT);
+}
+
+static void
+add_rows (struct cl_cell *c, struct tb_txn *txn)
+{
+  size_t bytes = 0;
+
+  while (!g_queue_is_empty (&c->dirty) && c->tokens >= 1
+         && (int)c->batch->len < c->set->commit_rows && bytes < BATCH_BYTES)
+    {
+      struct jb_job *job = g_queue_pop_head (&c->dirty);
+
+      bytes += row_size (job->row);
+      tb_txn_check (txn, c->table, job->id, job->version);
+      tb_txn_put (txn, c->table, job->id, json_deep_copy (job->row));
+      job->dirty = job->rewrite = 0;
+      job->writing = 1;
+      c->tokens--;
+      g_ptr_array_add (c->batch, job);
+    }
+}
+
+static void
+send (struct cl_cell *c, const struct ce_row *row, int with_rows)
+{
+  struct cl_effect e = { .kind = CL_COMMIT, .cell = c };
+  json_t *value = ce_print (row), *summary;
+  struct tb_txn txn;
+
+  if (c->phase == CL_SERVING)
+    {
+      summary = cl_summary (c);
+      json_object_update (value, summary);
+      json_decref (summary);
+    }
+  tb_txn_init (&txn);
+  tb_txn_check (&txn, CL_TABLE, c->name, c->lease.row.version);
+  tb_txn_put (&txn, CL_TABLE, c->name, value);
+  if (with_rows)
+    add_rows (c, &txn);
+  e.u.commit = &txn;
+  e.serial = c->commit_serial = ++c->serial;
+  c->emit (c->arg, &e);
+  tb_txn_fini (&txn);
+}
+
+static void
+refill (struct cl_cell *c)
+{
+  double rate = c->set->rows_per_second;
+
+  c->tokens += rate * (double)(c->now_ms - c->tokens_ms) / 1000;
+  if (c->tokens > rate)
+    c->tokens = rate;
+  c->tokens_ms = c->now_ms;
+}
+
+/* While the lease is not provably held, only its renewal is sent.  */
+static void
+renew_or_write (struct cl_cell *c)
+{
+  int64_t renew_at = c->lease.sent_ms + c->lease.lease_ms / RENEWALS;
+  int rows = cl_may_act (c) && !g_queue_is_empty (&c->dirty);
+  struct ce_row row;
+
+  refill (c);
+  if (c->now_ms < renew_at && !(rows && c->tokens >= 1) && !c->releasing)
+    return;
+  if (c->releasing && !rows)
+    ce_release (&c->lease, c->now_ms, &row);
+  else
+    ce_renew (&c->lease, c->now_ms, &row);
+  send (c, &row, rows);
+}
+
+static void
+read_again (struct cl_cell *c)
+{
+  struct cl_effect e = { .kind = CL_READ, .cell = c };
+
+  if (c->reading || c->now_ms < c->read_at_ms)
+    return;
+  c->reading = 1;
+  e.serial = c->read_serial = ++c->serial;
+  c->emit (c->arg, &e);
+}
+
+void
+cl_commit_step (struct cl_cell *c, int64_t take_delay_ms)
+{
+  struct ce_row row;
+
+  if (c->lease.unresolved)
+    read_again (c);
+  if (c->lease.in_flight || c->now_ms < c->commit_at_ms)
+    return;
+  if (ce_is_holder (&c->lease))
+    renew_or_write (c);
+  else if (take_delay_ms >= 0
+           && ce_may_take (&c->lease, c->now_ms, take_delay_ms))
+    {
+      ce_take (&c->lease, c->now_ms, &row);
+      send (c, &row, 0);
+    }
+}
+
+static void
+back_off (struct cl_cell *c)
+{
+  int64_t wait = (int64_t)BACKOFF_MS << c->backoff;
+
+  if (c->backoff < BACKOFF_STEPS)
+    c->backoff++;
+  c->commit_at_ms = c->now_ms + wait / 2 + (int64_t)(cl_random (c) * wait);
+}
+
+static void
+rows_written (struct cl_cell *c, int64_t rev)
+{
+  for (guint i = 0; i < c->batch->len; i++)
+    {
+      struct jb_job *job = g_ptr_array_index (c->batch, i);
+
+      job->writing = 0;
+      job->version = rev;
+      if (job->rewrite)
+        cl_mark_dirty (c, job);
+    }
+  for (guint i = 0; i < c->batch->len; i++)
+    {
+      struct jb_job *job = g_ptr_array_index (c->batch, i);
+
+      if (!job->dirty)
+        cl_row_written (c, job);
+    }
+  g_ptr_array_set_size (c->batch, 0);
+}
+
+static void
+rows_not_written (struct cl_cell *c)
+{
+  for (guint i = c->batch->len; i > 0; i--)
+    {
+      struct jb_job *job = g_ptr_array_index (c->batch, i - 1);
+
+      job->writing = job->rewrite = 0;
+      job->dirty = 1;
+      g_queue_push_head (&c->dirty, job);
+    }
+  g_ptr_array_set_size (c->batch, 0);
+}
+
+static void
+settle (struct cl_cell *c, enum ce_result result)
+{
+  int was_held = c->phase != CL_WATCHING;
+
+  switch (result)
+    {
+    case CE_WRITTEN:
+      c->backoff = 0;
+      rows_written (c, c->lease.row.version);
+      if (c->lease.state == CE_WATCHING)
+        cl_lose (c); /* released */
+      else if (!was_held)
+        cl_begin (c);
+      return;
+    case CE_NOT_WRITTEN:
+      rows_not_written (c);
+      back_off (c);
+      return;
+    case CE_CONFLICT:
+      cl_lose (c);
+      back_off (c);
+      return;
+    case CE_UNKNOWN:
+      c->read_at_ms = c->now_ms;
+      return;
+    }
+}
+
+/* Takes in the newer rows of a conflict.  Returns 1 and fills FOUND when the
+   cell's own row is among them.  */
+static int
+read_conflicts (struct cl_cell *c, const json_t *data, struct ce_row *found)
+{
+  const json_t *list = json_object_get (data, "conflicts"), *o;
+  int cell = 0;
+  size_t i;
+
+  json_array_foreach (list, i, o)
+  {
+    const char *table = json_string_value (json_object_get (o, "table"));
+    const char *key = json_string_value (json_object_get (o, "key"));
+    int64_t version = json_integer_value (json_object_get (o, "version"));
+    const json_t *value = json_object_get (o, "value");
+    struct jb_job *job;
+
+    if (!table || !key)
+      continue;
+    if (!strcmp (table, CL_TABLE))
+      cell = ce_parse (found, version ? value : NULL, version) == CT_OK;
+    else if ((job = cl_find_job (c, key)))
+      {
+        jb_merge (job, value, version);
+        cl_check_cancel (c, job);
+      }
+  }
+  return cell;
+}
+
+void
+cl_commit_done (struct cl_cell *c, int64_t now_ms, int64_t serial, int error,
+                const json_t *data)
+{
+  struct ce_row found;
+  int64_t rev = json_integer_value (json_object_get (data, "rev"));
+
+  c->now_ms = now_ms;
+  if (!c->lease.in_flight || serial != c->commit_serial)
+    return;
+  switch (error)
+    {
+    case TB_OK:
+      settle (c, ce_result (&c->lease, now_ms, CE_WRITTEN, rev, NULL));
+      return;
+    case TB_ECONFLICT:
+      if (read_conflicts (c, data, &found))
+        settle (c, ce_result (&c->lease, now_ms, CE_CONFLICT, 0, &found));
+      else
+        settle (c, ce_result (&c->lease, now_ms, CE_NOT_WRITTEN, 0, NULL));
+      return;
+    case TB_EUNKNOWN:
+      settle (c, ce_result (&c->lease, now_ms, CE_UNKNOWN, 0, NULL));
+      return;
+    default:
+      settle (c, ce_result (&c->lease, now_ms, CE_NOT_WRITTEN, 0, NULL));
+      return;
+    }
+}
+
+void
+cl_read_done (struct cl_cell *c, int64_t now_ms, int64_t serial, int error,
+              const json_t *data)
+{
+  const json_t *value = json_object_get (data, "value");
+  int64_t version = json_integer_value (json_object_get (data, "version"));
+  struct ce_row found;
+
+  c->now_ms = now_ms;
+  if (serial != c->read_serial)
+    return;
+  c->reading = 0;
+  c->read_at_ms = now_ms + READ_AGAIN_MS;
+  if (!c->lease.unresolved || (error && error != TB_ENOENT))
+    return;
+  if (ce_parse (&found, error ? NULL : value, error ? 0 : version))
+    return;
+  settle (c, ce_resolve (&c->lease, now_ms, &found));
+}
--- /dev/null
+++ b/src/control/cell_fleet.c
@@ -0,0 +1,302 @@
+/* The workers of the cell: the list, their leases and what they run.  */
+#include <stdio.h>
+#include <string.h>
+
+#include "control/cell_impl.h"
+#include "skr/log.h"
+
+enum
+{
+  RENEWALS = 4, /* of worker leases in one lease time */
+  STATUS_OK = 200
+};
+
+struct mb_worker *
+cl_worker (struct cl_cell *c, uint32_t worker)
+{
+  return &g_array_index (c->workers, struct mb_worker, worker);
+}
+
+const char *
+cl_worker_name (void *cell, uint32_t worker)
+{
+  return cl_worker (cell, worker)->id;
+}
+
+/* Returns the number of workers when there is none of that name.  */
+uint32_t
+cl_find_worker (struct cl_cell *c, const char *id)
+{
+  uint32_t i = 0;
+
+  while (i < c->workers->len && strcmp (cl_worker (c, i)->id, id) != 0)
+    i++;
+  return i;
+}
+
+static void
+take_worker (struct cl_cell *c, const struct mb_worker *seen)
+{
+  uint32_t i = cl_find_worker (c, seen->id);
+  struct mb_worker *w;
+
+  if (i == c->workers->len)
+    {
+      g_array_append_val (c->workers, *seen);
+      c->fleet_changed_ms = c->now_ms;
+      return;
+    }
+  w = cl_worker (c, i);
+  if (!w->listed)
+    c->fleet_changed_ms = c->now_ms;
+  mb_listed (w, seen);
+  w->listed = 2; /* named by this list */
+}
+
+void
+cl_fleet (struct cl_cell *c, int64_t now_ms, const json_t *vms)
+{
+  const json_t *vm;
+  size_t i;
+
+  c->now_ms = now_ms;
+  c->fleet_listed++;
+  json_array_foreach (vms, i, vm)
+  {
+    const char *role = json_string_value (json_object_get (vm, "role"));
+    const char *domain = json_string_value (json_object_get (vm, "domain"));
+    struct mb_worker seen;
+
+    if (!role || !domain || strcmp (role, "worker") != 0
+        || strcmp (domain, c->name) != 0 || mb_read (&seen, vm))
+      continue;
+    seen.listed = 2;
+    take_worker (c, &seen);
+  }
+  for (guint n = 0; n < c->workers->len; n++)
+    {
+      struct mb_worker *w = cl_worker (c, n);
+
+      if (w->listed == 2)
+        w->listed = 1;
+      else
+        mb_listed (w, NULL);
+    }
+}
+
+void
+cl_fleet_begin (struct cl_cell *c)
+{
+  c->fleet_listed = 0;
+  c->fleet_changed_ms = c->now_ms;
+  for (guint i = 0; i < c->workers->len; i++)
+    {
+      struct mb_worker *w = cl_worker (c, i);
+
+      w->state = MB_NEW;
+      w->answered_ms = w->fenced_ms = -1;
+      w->renewed_ms = c->now_ms; /* by the holder before */
+      w->next_renew_ms = w->next_poll_ms = 0;
+      w->renewing = w->polling = w->surveyed = w->decided = 0;
+      w->said_leaving = 0;
+    }
+}
+
+static void
+ask (struct cl_cell *c, uint32_t worker, enum cl_request request,
+     const char *path, const json_t *body)
+{
+  struct cl_effect e = { .kind = CL_ORDER, .cell = c };
+
+  e.u.order.ticket = (struct cl_ticket){ .request = request,
+                                         .worker = worker,
+                                         .tenure = c->tenure,
+                                         .sent_ms = c->now_ms };
+  e.u.order.address = cl_worker (c, worker)->address;
+  e.u.order.path = path;
+  e.u.order.body = body;
+  e.u.order.timeout_ms = (int)c->set->order_timeout_ms;
+  c->emit (c->arg, &e);
+}
+
+static void
+renew (struct cl_cell *c, uint32_t worker)
+{
+  struct mb_worker *w = cl_worker (c, worker);
+  json_t *body = json_pack ("{s:s, s:I, s:I}", "cell", c->name, "epoch",
+                            (json_int_t)c->lease.row.epoch, "lease_ms",
+                            (json_int_t)c->set->task_lease_ms);
+
+  w->renewing = 1;
+  w->renewed_ms = c->now_ms;
+  w->next_renew_ms = c->now_ms + c->set->task_lease_ms / RENEWALS;
+  ask (c, worker, CL_RENEW, "/v1/leases", body);
+  json_decref (body);
+}
+
+static void
+poll (struct cl_cell *c, uint32_t worker)
+{
+  struct mb_worker *w = cl_worker (c, worker);
+  char path[CT_NAME + 32];
+
+  w->polling = 1;
+  w->next_poll_ms = c->now_ms + c->set->poll_ms;
+  snprintf (path, sizeof path, "/v1/tasks?cell=%s", c->name);
+  ask (c, worker, CL_POLL, path, NULL);
+}
+
+/* An unlisted worker is asked for as long as it may hold something.  */
+static int
+is_of_interest (const struct mb_worker *w)
+{
+  return w->listed || w->state == MB_UP || w->state == MB_LEAVING;
+}
+
+static void
+log_worker (struct cl_cell *c, enum lg_event event, uint32_t worker)
+{
+  struct lg_field field[] = { lg_str ("cell", c->name),
+                              lg_str ("worker", cl_worker_name (c, worker)) };
+
+  lg_log (event, 2, field);
+}
+
+static uint32_t
+rack_of (struct cl_cell *c, const char *name)
+{
+  for (guint i = 0; i < c->racks->len; i++)
+    if (!strcmp (g_ptr_array_index (c->racks, i), name))
+      return i;
+  g_ptr_array_add (c->racks, g_strdup (name));
+  return c->racks->len - 1;
+}
+
+void
+cl_decide_worker (struct cl_cell *c, uint32_t worker)
+{
+  const struct mb_worker *w = cl_worker (c, worker);
+  struct dc_event e = { .kind = DC_EV_WORKER };
+  int slots = w->slots - c->set->reserve_slots;
+
+  e.u.worker.id = worker;
+  e.u.worker.rack = rack_of (c, w->rack);
+  e.u.worker.accelerators = w->accelerators;
+  e.u.worker.slots = slots > 0 ? slots : 0;
+  cl_worker (c, worker)->decided = 1;
+  cl_apply (c, &e);
+}
+
+void
+cl_decide_worker_state (struct cl_cell *c, enum dc_event_kind kind,
+                        uint32_t worker)
+{
+  struct dc_event e = { .kind = kind };
+
+  if (!cl_worker (c, worker)->decided)
+    cl_decide_worker (c, worker);
+  e.u.worker_id = worker;
+  cl_apply (c, &e);
+}
+
+/* Attempts that do not run yet leave the worker before the decision layer
+   hears of its end: they count as never started.  */
+static void
+lose_worker (struct cl_cell *c, uint32_t worker)
+{
+  for (guint i = 0; i < c->gangs->len; i++)
+    {
+      struct wk_gang *g = g_ptr_array_index (c->gangs, i);
+      struct jb_job *job = cl_find_job (c, g->job);
+
+      if (g->phase == WK_HOLD && wk_find_part (g, worker) && job
+          && job->gang == g)
+        cl_resubmit (c, job, 0);
+      wk_worker_down (g, worker);
+    }
+  cl_decide_worker_state (c, DC_EV_DOWN, worker);
+}
+
+static void
+change (struct cl_cell *c, uint32_t worker, enum mb_change what)
+{
+  switch (what)
+    {
+    case MB_NONE:
+      return;
+    case MB_JOINED:
+      log_worker (c, LG_WORKER_UP, worker);
+      if (c->phase == CL_SERVING)
+        cl_decide_worker (c, worker);
+      return;
+    case MB_LEFT:
+      log_worker (c, LG_WORKER_LEAVING, worker);
+      if (c->phase == CL_SERVING)
+        cl_decide_worker_state (c, DC_EV_LEAVING, worker);
+      return;
+    case MB_LOST:
+      log_worker (c, LG_WORKER_DOWN, worker);
+      if (c->phase == CL_SERVING)
+        lose_worker (c, worker);
+      return;
+    }
+}
+
+void
+cl_fleet_step (struct cl_cell *c)
+{
+  for (uint32_t i = 0; i < c->workers->len; i++)
+    {
+      struct mb_worker *w = cl_worker (c, i);
+
+      change (c, i, mb_step (w, c->now_ms, &c->times));
+      w = cl_worker (c, i);
+      if (!is_of_interest (w))
+        continue;
+      if (!w->renewing && c->now_ms >= w->next_renew_ms
+          && mb_may_renew (w, c->now_ms, &c->times))
+        renew (c, i);
+      if (!w->polling && c->now_ms >= w->next_poll_ms)
+        poll (c, i);
+    }
+}
+
+static void
+read_poll (struct cl_cell *c, const struct cl_ticket *t, const json_t *body)
+{
+  struct mb_worker *w = cl_worker (c, t->worker);
+  const char *id = json_string_value (json_object_get (body, "id"));
+
+  /* Another VM may have been given the address.  */
+  if (!id || strcmp (id, w->id) != 0)
+    return;
+  mb_answered (w, c->now_ms);
+  mb_said_leaving (w, json_is_true (json_object_get (body, "leaving")));
+  cl_read_report (c, t->worker, t->sent_ms, json_object_get (body, "tasks"));
+  if (w->fenced_ms >= 0 && t->sent_ms >= w->fenced_ms)
+    w->surveyed = 1;
+}
+
+void
+cl_fleet_done (struct cl_cell *c, const struct cl_ticket *t, int answered,
+               long status, const json_t *body)
+{
+  struct mb_worker *w = cl_worker (c, t->worker);
+  int ok = answered && status == STATUS_OK;
+
+  if (t->request == CL_POLL)
+    {
+      w->polling = 0;
+      if (ok)
+        read_poll (c, t, body);
+      return;
+    }
+  w->renewing = 0;
+  if (!ok)
+    return;
+  mb_answered (w, c->now_ms);
+  if (w->fenced_ms < 0)
+    w->fenced_ms = c->now_ms;
+  if (!w->surveyed)
+    w->next_poll_ms = c->now_ms;
+}
--- /dev/null
+++ b/src/control/cell_impl.h
@@ -0,0 +1,84 @@
+/* What the parts of the cell's controller share.  */
+#ifndef CONTROL_CELL_IMPL_H
+#define CONTROL_CELL_IMPL_H
+
+#include "control/cell.h"
+
+/* cell.c */
+void cl_lose (struct cl_cell *c);
+void cl_begin (struct cl_cell *c);
+double cl_random (struct cl_cell *c);
+
+/* cell_commit.c */
+void cl_mark_dirty (struct cl_cell *c, struct jb_job *job);
+void cl_commit_step (struct cl_cell *c, int64_t take_delay_ms);
+
+/* cell_fleet.c */
+struct mb_worker *cl_worker (struct cl_cell *c, uint32_t worker);
+uint32_t cl_find_worker (struct cl_cell *c, const char *id);
+const char *cl_worker_name (void *cell, uint32_t worker);
+void cl_fleet_begin (struct cl_cell *c);
+void cl_fleet_step (struct cl_cell *c);
+void cl_fleet_done (struct cl_cell *c, const struct cl_ticket *t, int answered,
+                    long status, const json_t *body);
+/* Tells the decision layer that a worker is there.  */
+void cl_decide_worker (struct cl_cell *c, uint32_t worker);
+void cl_decide_worker_state (struct cl_cell *c, enum dc_event_kind kind,
+                             uint32_t worker);
+
+/* cell_report.c */
+void cl_read_report (struct cl_cell *c, uint32_t worker, int64_t asked_ms,
+                     const json_t *tasks);
+
+/* cell_gang.c */
+/* The attempt that has a part on WORKER, or NULL.  */
+struct wk_gang *cl_find_gang (struct cl_cell *c, const char *job,
+                              int32_t attempt, uint32_t worker);
+struct wk_gang *cl_add_gang (struct cl_cell *c, const char *job,
+                             int32_t attempt, int tasks,
+                             const struct dc_place *place);
+/* Ends JOB's attempt and parts it from JOB.  */
+void cl_stop_gang (struct cl_cell *c, struct jb_job *job);
+void cl_gangs_step (struct cl_cell *c);
+void cl_free_gang (void *gang);
+
+/* cell_order.c */
+void cl_send_orders (struct cl_cell *c, struct wk_gang *g,
+                     const struct jb_job *job);
+void cl_part_done (struct cl_cell *c, const struct cl_ticket *t,
+                   enum hc_end end, long status, const json_t *body);
+
+/* cell_job.c */
+uint32_t cl_account (struct cl_cell *c, const char *name);
+struct jb_job *cl_job_of (struct cl_cell *c, uint32_t handle);
+struct jb_job *cl_find_job (struct cl_cell *c, const char *id);
+void cl_take_row (struct cl_cell *c, const char *id, json_t *value,
+                  int64_t version);
+/* Lets the job wait for cl_jobs_step to give it to the decision layer.  */
+void cl_wait (struct cl_cell *c, struct jb_job *job, int64_t delay_ms);
+void cl_submit (struct cl_cell *c, struct jb_job *job);
+/* Takes the job back from the decision layer as if this attempt had never
+   been, and gives it in again after DELAY_MS.  */
+void cl_resubmit (struct cl_cell *c, struct jb_job *job, int64_t delay_ms);
+void cl_check_cancel (struct cl_cell *c, struct jb_job *job);
+void cl_set_state (struct cl_cell *c, struct jb_job *job, enum jb_state state,
+                   const char *reason);
+void cl_drop_handle (struct cl_cell *c, struct jb_job *job);
+void cl_jobs_step (struct cl_cell *c);
+void cl_row_written (struct cl_cell *c, struct jb_job *job);
+
+/* cell_decide.c */
+void cl_apply (struct cl_cell *c, const struct dc_event *event);
+void cl_decide (struct cl_cell *c);
+void cl_plans (struct cl_cell *c);
+void cl_task_event (struct cl_cell *c, enum dc_event_kind kind,
+                    const struct jb_job *job, int task);
+
+/* cell_recover.c */
+/* Prepares for what the workers of a running job will say.  */
+void cl_expect (struct cl_cell *c, struct jb_job *job);
+void cl_take_over (struct cl_cell *c, struct jb_job *job);
+int cl_survey_over (struct cl_cell *c);
+void cl_recover (struct cl_cell *c);
+
+#endif
--- /dev/null
+++ b/src/control/cell_recover.c
@@ -0,0 +1,255 @@
+/* A new holder rebuilds the cell from the job rows and from what the workers
+   say that they hold and run.  */
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/cell_impl.h"
+#include "skr/log.h"
+
+struct count
+{
+  int jobs, adopted, requeued, unknown;
+};
+
+/* Every worker has said what it runs, or its leases have ended.  */
+int
+cl_survey_over (struct cl_cell *c)
+{
+  int64_t lapsed = c->took_ms + c->times.lease_ms + c->times.delay_ms;
+
+  if (!c->workers->len || !c->fleet_listed
+      || c->now_ms - c->fleet_changed_ms < c->set->settle_ms)
+    return 0;
+  for (guint i = 0; i < c->workers->len; i++)
+    if (!cl_worker (c, i)->surveyed && c->now_ms <= lapsed)
+      return 0;
+  return 1;
+}
+
+/* Reads the row's placement.  Returns 0, or CT_EINVAL when it is not whole or
+   names a worker that is not there.  */
+static int
+read_placement (struct cl_cell *c, const struct jb_job *job,
+                struct dc_place *place)
+{
+  const json_t *list = json_object_get (job->row, "placement"), *o, *a;
+  size_t i, k;
+
+  if (json_array_size (list) != (size_t)job->spec.tasks)
+    return CT_EINVAL;
+  json_array_foreach (list, i, o)
+  {
+    const char *worker = json_string_value (json_object_get (o, "worker"));
+    uint32_t w = worker ? cl_find_worker (c, worker) : c->workers->len;
+
+    if (w == c->workers->len
+        || json_integer_value (json_object_get (o, "task")) != (json_int_t)i)
+      return CT_EINVAL;
+    place[i] = (struct dc_place){ .worker = w };
+    json_array_foreach (json_object_get (o, "accelerators"), k, a)
+    {
+      json_int_t bit = json_integer_value (a);
+
+      if (bit < 0 || bit >= DC_MAX_ACCELERATORS)
+        return CT_EINVAL;
+      place[i].accelerators |= 1ULL << bit;
+    }
+  }
+  return CT_OK;
+}
+
+void
+cl_expect (struct cl_cell *c, struct jb_job *job)
+{
+  struct dc_place *place = calloc ((size_t)job->spec.tasks, sizeof *place);
+
+  if (place && !read_placement (c, job, place))
+    job->gang = cl_add_gang (c, job->id, job->attempt, job->spec.tasks, place);
+  free (place);
+}
+
+enum verdict
+{
+  ADOPT,  /* every part is there */
+  RESUME, /* every part has its checkpoint */
+  BROKEN
+};
+
+static enum verdict
+judge (const struct wk_gang *g)
+{
+  if (!g || wk_any (g, WK_NEW) || wk_any (g, WK_GONE)
+      || wk_any (g, WK_STOPPED))
+    return BROKEN;
+  if (wk_all (g, WK_CHECKPOINTED))
+    return RESUME;
+  return wk_any (g, WK_CHECKPOINTED) ? BROKEN : ADOPT;
+}
+
+static void
+tell_ends (struct cl_cell *c, struct jb_job *job, struct wk_gang *g)
+{
+  for (int t = 0; t < g->tasks && job->gang == g; t++)
+    {
+      enum wk_told told = g->told[t];
+
+      if (told != WK_SEEN_DONE && told != WK_SEEN_FAILED)
+        continue;
+      g->told[t] = WK_TOLD;
+      cl_task_event (
+          c, told == WK_SEEN_DONE ? DC_EV_TASK_DONE : DC_EV_TASK_FAILED, job,
+          t);
+    }
+}
+
+/* The decision layer may find that the places clash.  */
+static int
+adopt (struct cl_cell *c, struct jb_job *job, struct count *n)
+{
+  struct wk_gang *g = job->gang;
+  struct dc_event e = { .kind = DC_EV_ADOPT };
+
+  job->attempt_base = 0;
+  cl_submit (c, job);
+  if (job->handle == JB_NO_HANDLE)
+    return CT_OK; /* it has ended already */
+  e.at_ms = c->now_ms;
+  e.u.adopt.job = job->handle;
+  e.u.adopt.attempt = job->decided = g->attempt;
+  e.u.adopt.place = g->place;
+  if (dc_apply (c->dc, &e))
+    return CT_EDECIDE;
+  n->adopted++;
+  g->phase = WK_RUN;
+  tell_ends (c, job, g);
+  cl_check_cancel (c, job);
+  return CT_OK;
+}
+
+/* A gang that is not whole: it may run again, or nobody knows its end.  */
+static void
+give_up (struct cl_cell *c, struct jb_job *job, struct count *n)
+{
+  int lost = !job->spec.repeatable;
+
+  if (lost && job->handle != JB_NO_HANDLE)
+    cl_resubmit (c, job, 0);
+  if (lost)
+    {
+      g_queue_remove (&c->waiting, job);
+      cl_stop_gang (c, job);
+      cl_set_state (c, job, JB_UNKNOWN,
+                    "the cell's holder and a worker were lost");
+      n->unknown++;
+      return;
+    }
+  cl_resubmit (c, job, 0);
+  n->requeued++;
+}
+
+static void
+resume (struct cl_cell *c, struct jb_job *job, struct count *n)
+{
+  for (int i = 0; i < job->gang->parts; i++)
+    if (!i || job->gang->part[i].progress_ms < job->progress_ms)
+      job->progress_ms = job->gang->part[i].progress_ms;
+  cl_resubmit (c, job, 0);
+  n->requeued++;
+}
+
+static void
+take_over (struct cl_cell *c, struct jb_job *job, struct count *n)
+{
+  n->jobs++;
+  if (job->state == JB_QUEUED)
+    {
+      cl_wait (c, job, 0);
+      return;
+    }
+  switch (judge (job->gang))
+    {
+    case ADOPT:
+      if (adopt (c, job, n))
+        give_up (c, job, n);
+      return;
+    case RESUME:
+      resume (c, job, n);
+      return;
+    case BROKEN:
+      give_up (c, job, n);
+      return;
+    }
+}
+
+void
+cl_take_over (struct cl_cell *c, struct jb_job *job)
+{
+  struct count n = { 0 };
+
+  take_over (c, job, &n);
+}
+
+static int
+by_submission (gconstpointer a, gconstpointer b)
+{
+  const struct jb_job *x = *(struct jb_job *const *)a;
+  const struct jb_job *y = *(struct jb_job *const *)b;
+
+  if (x->submitted_ms != y->submitted_ms)
+    return x->submitted_ms < y->submitted_ms ? -1 : 1;
+  return strcmp (x->id, y->id);
+}
+
+/* Workers that do not answer are told of, too: the fleet's largest shapes
+   are known by them.  */
+static void
+take_workers (struct cl_cell *c)
+{
+  for (uint32_t i = 0; i < c->workers->len; i++)
+    {
+      const struct mb_worker *w = cl_worker (c, i);
+
+      if (!w->listed && w->state == MB_NEW)
+        continue;
+      cl_decide_worker (c, i);
+      if (w->state == MB_LEAVING)
+        cl_decide_worker_state (c, DC_EV_LEAVING, i);
+      else if (w->state != MB_UP)
+        cl_decide_worker_state (c, DC_EV_DOWN, i);
+    }
+}
+
+static void
+log_recovered (struct cl_cell *c, const struct count *n)
+{
+  struct lg_field field[] = { lg_str ("cell", c->name),
+                              lg_int ("epoch", c->lease.row.epoch),
+                              lg_int ("jobs", n->jobs),
+                              lg_int ("adopted", n->adopted),
+                              lg_int ("requeued", n->requeued),
+                              lg_int ("unknown", n->unknown),
+                              lg_int ("took_ms", c->now_ms - c->took_ms) };
+
+  lg_log (LG_CELL_RECOVERED, 7, field);
+}
+
+void
+cl_recover (struct cl_cell *c)
+{
+  struct count n = { 0 };
+  GPtrArray *jobs = g_ptr_array_new ();
+  GHashTableIter it;
+  gpointer job;
+
+  c->phase = CL_SERVING;
+  take_workers (c);
+  cl_plans (c);
+  g_hash_table_iter_init (&it, c->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &job))
+    g_ptr_array_add (jobs, job);
+  g_ptr_array_sort (jobs, by_submission);
+  for (guint i = 0; i < jobs->len; i++)
+    take_over (c, g_ptr_array_index (jobs, i), &n);
+  g_ptr_array_free (jobs, TRUE);
+  log_recovered (c, &n);
+}
--- /dev/null
+++ b/src/control/cell_report.c
@@ -0,0 +1,95 @@
+/* What a worker says that it holds and runs.  */
+#include <string.h>
+
+#include "control/cell_impl.h"
+
+/* Tasks that no job here knows of: an attempt that was given up.  */
+static struct wk_gang *
+add_orphan (struct cl_cell *c, const char *job, int32_t attempt,
+            uint32_t worker)
+{
+  struct dc_place place = { .worker = worker };
+  struct wk_gang *g = cl_add_gang (c, job, attempt, 1, &place);
+
+  if (g)
+    wk_set_phase (g, WK_STOP, c->now_ms);
+  return g;
+}
+
+static void
+note_end (struct cl_cell *c, struct jb_job *job, struct wk_gang *g, int task,
+          enum wk_state state, json_t *result)
+{
+  int serving = c->phase == CL_SERVING;
+
+  if (g->told[task] == WK_TOLD || (state != WK_DONE && state != WK_FAILED))
+    return;
+  if (state == WK_DONE)
+    jb_set_result (job, task, result);
+  g->told[task] = state == WK_DONE ? WK_SEEN_DONE : WK_SEEN_FAILED;
+  if (!serving)
+    return;
+  g->told[task] = WK_TOLD;
+  cl_task_event (c, state == WK_DONE ? DC_EV_TASK_DONE : DC_EV_TASK_FAILED,
+                 job, task);
+}
+
+static void
+note_part (struct wk_part *p, enum wk_state state, int64_t progress_ms)
+{
+  if (!p->listed || state < p->lowest)
+    p->lowest = state;
+  if (!p->listed || progress_ms < p->progress_ms)
+    p->progress_ms = progress_ms;
+  p->listed++;
+}
+
+static void
+read_task (struct cl_cell *c, uint32_t worker, const json_t *o)
+{
+  const char *id, *text;
+  json_int_t attempt, task, progress_ms = 0;
+  json_t *result = NULL;
+  enum wk_state state;
+  struct wk_gang *g;
+  struct jb_job *job;
+
+  if (json_unpack ((json_t *)o, "{s:s, s:I, s:I, s:s, s?I, s?o}", "job", &id,
+                   "attempt", &attempt, "task", &task, "state", &text,
+                   "progress_ms", &progress_ms, "result", &result)
+      || strlen (id) >= CT_NAME)
+    return;
+  state = wk_parse_state (text);
+  g = cl_find_gang (c, id, (int32_t)attempt, worker);
+  if (!g && c->phase == CL_SERVING)
+    g = add_orphan (c, id, (int32_t)attempt, worker);
+  if (!g)
+    return;
+  note_part (wk_find_part (g, worker), state, progress_ms);
+  job = cl_find_job (c, id);
+  if (job && job->gang == g && task >= 0 && task < g->tasks)
+    note_end (c, job, g, (int)task, state, result);
+}
+
+void
+cl_read_report (struct cl_cell *c, uint32_t worker, int64_t asked_ms,
+                const json_t *tasks)
+{
+  const json_t *o;
+  size_t i;
+
+  json_array_foreach (tasks, i, o) { read_task (c, worker, o); }
+  for (guint n = 0; n < c->gangs->len; n++)
+    {
+      struct wk_gang *g = g_ptr_array_index (c->gangs, n);
+      struct wk_part *p = wk_find_part (g, worker);
+
+      if (!p)
+        continue;
+      if (p->listed)
+        wk_reported (p, p->lowest, c->now_ms);
+      else
+        wk_not_reported (p, asked_ms);
+      p->listed = 0;
+    }
+}
--- /dev/null
+++ b/src/control/job.c
@@ -0,0 +1,190 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/job.h"
+#include "skr/base.h"
+
+static const char *const state_names[]
+    = { "queued",    "running", "done",   "failed",
+        "cancelled", "unknown", "refused" };
+
+const char *
+jb_state_name (enum jb_state state)
+{
+  return state_names[state];
+}
+
+enum jb_state
+jb_parse_state (const char *text)
+{
+  for (int i = 0; text && i <= JB_REFUSED; i++)
+    if (!strcmp (text, state_names[i]))
+      return (enum jb_state)i;
+  return JB_QUEUED;
+}
+
+int
+jb_has_ended (const struct jb_job *job)
+{
+  return job->state >= JB_DONE;
+}
+
+static int
+in_range (json_int_t n, json_int_t min, json_int_t max)
+{
+  return n >= min && n <= max;
+}
+
+static int
+read_row (struct jb_job *job, json_t *value)
+{
+  const char *account, *class, *state;
+  json_int_t tasks, per_task, declared_ms = 0, attempt = 0, progress = 0;
+  json_int_t submitted = 0;
+  int repeatable = 1, preemptible = 1, cancel = 0;
+
+  if (json_unpack (value,
+                   "{s:s, s:s, s:I, s:I, s?I, s?b, s?b, s:s, s?I, s?b, s?I, "
+                   "s?I}",
+                   "account", &account, "class", &class, "tasks", &tasks,
+                   "per_task", &per_task, "declared_ms", &declared_ms,
+                   "repeatable", &repeatable, "preemptible", &preemptible,
+                   "state", &state, "attempt", &attempt, "cancel", &cancel,
+                   "progress_ms", &progress, "submitted_at", &submitted))
+    return CT_EINVAL;
+  if (!in_range (tasks, 1, DC_MAX_TASKS)
+      || !in_range (per_task, 0, DC_MAX_ACCELERATORS)
+      || !in_range (attempt, 0, INT32_MAX / 2) || strlen (account) >= CT_NAME)
+    return CT_EINVAL;
+  snprintf (job->account, CT_NAME, "%s", account);
+  job->state = jb_parse_state (state);
+  job->spec = (struct dc_job_spec){
+    .class = strcmp (class, "urgent") ? DC_BULK : DC_URGENT,
+    .tasks = (int32_t)tasks,
+    .per_task = (int32_t)per_task,
+    .declared_ms = declared_ms,
+    .repeatable = repeatable,
+    .preemptible = preemptible,
+  };
+  job->attempt = job->attempt_base = (int32_t)attempt;
+  job->cancel = cancel;
+  job->progress_ms = progress;
+  job->submitted_ms = submitted;
+  return CT_OK;
+}
+
+struct jb_job *
+jb_new (const char *id, json_t *value, int64_t version, int *error)
+{
+  struct jb_job *job;
+
+  *error = CT_EINVAL;
+  if (strlen (id) >= CT_NAME)
+    return NULL;
+  job = calloc (1, sizeof *job);
+  if (!job)
+    {
+      *error = CT_ENOMEM;
+      return NULL;
+    }
+  snprintf (job->id, CT_NAME, "%s", id);
+  job->row = json_incref (value);
+  job->version = version;
+  job->handle = JB_NO_HANDLE;
+  *error = read_row (job, value);
+  if (!*error)
+    return job;
+  jb_free (job);
+  return NULL;
+}
+
+void
+jb_free (struct jb_job *job)
+{
+  if (!job)
+    return;
+  json_decref (job->row);
+  json_decref (job->results);
+  free (job);
+}
+
+/* The row is copied before a change: others may hold the old value.  */
+static void
+set_field (struct jb_job *job, const char *name, json_t *value)
+{
+  json_object_set_new (job->row, name, value);
+}
+
+void
+jb_set_state (struct jb_job *job, enum jb_state state, const char *reason)
+{
+  job->state = state;
+  set_field (job, "state", json_string (jb_state_name (state)));
+  set_field (job, "attempt", json_integer (job->attempt));
+  if (job->progress_ms)
+    set_field (job, "progress_ms", json_integer (job->progress_ms));
+  if (reason)
+    set_field (job, "reason", json_string (reason));
+  if (state == JB_QUEUED)
+    set_field (job, "placement", json_array ());
+  if (state == JB_DONE && job->results)
+    set_field (job, "results", json_incref (job->results));
+  if (state >= JB_DONE)
+    set_field (job, "ended_at", json_integer (bs_wall_ms ()));
+  job->dirty = 1;
+}
+
+static json_t *
+print_accelerators (uint64_t mask)
+{
+  json_t *list = json_array ();
+
+  for (int i = 0; i < DC_MAX_ACCELERATORS; i++)
+    if (mask >> i & 1)
+      json_array_append_new (list, json_integer (i));
+  return list;
+}
+
+void
+jb_set_placement (struct jb_job *job, const struct wk_gang *gang,
+                  const char *(*worker_name) (void *arg, uint32_t), void *arg)
+{
+  json_t *list = json_array ();
+
+  for (int t = 0; t < gang->tasks; t++)
+    json_array_append_new (
+        list,
+        json_pack ("{s:i, s:s, s:o}", "task", t, "worker",
+                   worker_name (arg, gang->place[t].worker), "accelerators",
+                   print_accelerators (gang->place[t].accelerators)));
+  job->attempt = gang->attempt;
+  set_field (job, "placement", list);
+  if (!json_object_get (job->row, "started_at")
+      || !json_integer_value (json_object_get (job->row, "started_at")))
+    set_field (job, "started_at", json_integer (bs_wall_ms ()));
+}
+
+void
+jb_set_result (struct jb_job *job, int task, json_t *result)
+{
+  if (!job->results)
+    {
+      job->results = json_array ();
+      for (int t = 0; t < job->spec.tasks; t++)
+        json_array_append_new (job->results, json_null ());
+    }
+  if (result)
+    json_array_set (job->results, (size_t)task, result);
+}
+
+void
+jb_merge (struct jb_job *job, const json_t *value, int64_t version)
+{
+  job->version = version;
+  if (json_is_true (json_object_get (value, "cancel")))
+    {
+      job->cancel = 1;
+      set_field (job, "cancel", json_true ());
+    }
+}
--- /dev/null
+++ b/src/control/job.h
@@ -0,0 +1,72 @@
+/* The jobs of one cell in memory, and their rows.  */
+#ifndef CONTROL_JOB_H
+#define CONTROL_JOB_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdint.h>
+
+#include "control/control.h"
+#include "control/gang.h"
+#include "skr/decide.h"
+
+enum jb_state
+{
+  JB_QUEUED,
+  JB_RUNNING,
+  JB_DONE, /* this and what follows are ends */
+  JB_FAILED,
+  JB_CANCELLED,
+  JB_UNKNOWN,
+  JB_REFUSED
+};
+
+enum
+{
+  JB_NO_HANDLE = UINT32_MAX
+};
+
+struct jb_job
+{
+  char id[CT_NAME];
+  char account[CT_NAME];
+  json_t *row;     /* the row's value, as last read or made */
+  int64_t version; /* of the row as last read or written */
+  enum jb_state state;
+  struct dc_job_spec spec; /* without the account's handle */
+  int32_t attempt;         /* the last one given out */
+  int32_t attempt_base;    /* what the decision layer's attempts start after */
+  int32_t decided;         /* its current attempt, by the decision layer */
+  int64_t progress_ms;     /* of the last checkpoint */
+  int64_t submitted_ms;    /* wall clock, for the order only */
+  int64_t submit_at_ms;    /* not given to the decision layer before */
+  uint32_t handle;         /* JB_NO_HANDLE: not with the decision layer */
+  int cancel;
+  struct wk_gang *gang; /* the current attempt, or NULL */
+  json_t *results;      /* array by task */
+  int dirty, writing;   /* the row is to be written, is on its way */
+  int rewrite;          /* it changed while it was on its way */
+};
+
+/* Reads a row.  Returns NULL for one without an account, tasks and the like:
+   CT_EINVAL in *ERROR, or CT_ENOMEM.  */
+struct jb_job *jb_new (const char *id, json_t *value, int64_t version,
+                       int *error);
+void jb_free (struct jb_job *job);
+
+int jb_has_ended (const struct jb_job *job);
+const char *jb_state_name (enum jb_state state);
+enum jb_state jb_parse_state (const char *text);
+
+/* Brings the row's value up to the job's state.  REASON may be NULL.  */
+void jb_set_state (struct jb_job *job, enum jb_state state,
+                   const char *reason);
+/* Notes the attempt that runs; WORKER_NAME gives the name of a handle.  */
+void jb_set_placement (struct jb_job *job, const struct wk_gang *gang,
+                       const char *(*worker_name) (void *arg, uint32_t),
+                       void *arg);
+void jb_set_result (struct jb_job *job, int task, json_t *result);
+/* Takes over what others may write, the cancellation, from a newer VALUE.  */
+void jb_merge (struct jb_job *job, const json_t *value, int64_t version);
+
+#endif
--- /dev/null
+++ b/src/control/lease.c
@@ -0,0 +1,259 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "control/lease.h"
+
+void
+ce_init (struct ce_lease *l, const char *self, const char *token,
+         int64_t lease_ms, int64_t margin_ms)
+{
+  memset (l, 0, sizeof *l);
+  snprintf (l->self, sizeof l->self, "%s", self);
+  snprintf (l->token, sizeof l->token, "%s", token);
+  l->lease_ms = lease_ms;
+  l->margin_ms = margin_ms;
+  l->open_ms = -1;
+}
+
+static int
+copy_text (char *to, size_t size, const char *from)
+{
+  if (!from || strlen (from) >= size)
+    return CT_EINVAL;
+  snprintf (to, size, "%s", from);
+  return CT_OK;
+}
+
+int
+ce_parse (struct ce_row *row, const json_t *value, int64_t version)
+{
+  const char *holder, *token = "";
+  json_int_t epoch, lease_ms, beat;
+
+  memset (row, 0, sizeof *row);
+  if (!value || json_is_null (value))
+    return CT_OK;
+  if (json_unpack ((json_t *)value, "{s:s, s:I, s:I, s:I, s?s}", "holder",
+                   &holder, "epoch", &epoch, "lease_ms", &lease_ms, "beat",
+                   &beat, "token", &token))
+    return CT_EINVAL;
+  if (copy_text (row->holder, sizeof row->holder, holder)
+      || copy_text (row->token, sizeof row->token, token))
+    return CT_EINVAL;
+  row->epoch = epoch;
+  row->lease_ms = lease_ms;
+  row->beat = beat;
+  row->version = version;
+  return CT_OK;
+}
+
+json_t *
+ce_print (const struct ce_row *row)
+{
+  return json_pack ("{s:s, s:s, s:I, s:I, s:I}", "holder", row->holder,
+                    "token", row->token, "epoch", (json_int_t)row->epoch,
+                    "lease_ms", (json_int_t)row->lease_ms, "beat",
+                    (json_int_t)row->beat);
+}
+
+/* Whether FOUND is the very row that was sent.  */
+static int
+is_sent (const struct ce_lease *l, const struct ce_row *found)
+{
+  return found->version && !strcmp (found->token, l->sent.token)
+         && found->epoch == l->sent.epoch && found->beat == l->sent.beat;
+}
+
+static int
+is_own (const struct ce_lease *l, const struct ce_row *row)
+{
+  return row->version && !strcmp (row->token, l->token)
+         && row->epoch == l->row.epoch;
+}
+
+static void
+watch (struct ce_lease *l, int64_t now_ms, const struct ce_row *row)
+{
+  l->state = CE_WATCHING;
+  l->in_flight = l->unresolved = 0;
+  l->row = *row;
+  if (row->epoch > l->floor)
+    l->floor = row->epoch;
+  l->seen = 1;
+  l->seen_ms = now_ms;
+  l->open_ms = -1;
+}
+
+int
+ce_observe (struct ce_lease *l, int64_t now_ms, const struct ce_row *row)
+{
+  if (l->state != CE_WATCHING)
+    {
+      if (l->in_flight || row->epoch <= l->row.epoch)
+        return 0;
+      watch (l, now_ms, row);
+      return 1;
+    }
+  if (!l->seen || row->version != l->row.version)
+    watch (l, now_ms, row);
+  return 0;
+}
+
+void
+ce_read_failed (struct ce_lease *l)
+{
+  if (l->state == CE_WATCHING)
+    l->seen = 0;
+}
+
+int
+ce_may_take (struct ce_lease *l, int64_t now_ms, int64_t delay_ms)
+{
+  int open = !l->row.version || !*l->row.holder
+             || now_ms - l->seen_ms >= l->row.lease_ms;
+
+  if (l->state != CE_WATCHING || !l->seen || l->in_flight || !open)
+    {
+      l->open_ms = -1;
+      return 0;
+    }
+  if (l->open_ms < 0)
+    l->open_ms = now_ms;
+  return now_ms - l->open_ms >= delay_ms;
+}
+
+static void
+send_row (struct ce_lease *l, int64_t now_ms, enum ce_state state,
+          const char *holder, struct ce_row *row)
+{
+  l->sent = (struct ce_row){ .epoch = l->row.epoch,
+                             .lease_ms = l->lease_ms,
+                             .beat = l->row.beat + 1 };
+  snprintf (l->sent.holder, CT_NAME, "%s", holder);
+  snprintf (l->sent.token, CT_TOKEN, "%s", l->token);
+  l->state = state;
+  l->in_flight = 1;
+  l->unresolved = 0;
+  l->sent_ms = now_ms;
+  *row = l->sent;
+}
+
+void
+ce_take (struct ce_lease *l, int64_t now_ms, struct ce_row *row)
+{
+  send_row (l, now_ms, CE_TAKING, l->self, row);
+  /* The table may have been restored to an older row.  */
+  l->sent.epoch = (l->row.epoch > l->floor ? l->row.epoch : l->floor) + 1;
+  l->sent.beat = 1;
+  *row = l->sent;
+}
+
+void
+ce_renew (struct ce_lease *l, int64_t now_ms, struct ce_row *row)
+{
+  send_row (l, now_ms, CE_HOLDING, l->self, row);
+}
+
+void
+ce_release (struct ce_lease *l, int64_t now_ms, struct ce_row *row)
+{
+  send_row (l, now_ms, CE_RELEASING, "", row);
+  l->valid_until_ms = now_ms;
+}
+
+static void
+written (struct ce_lease *l, int64_t now_ms, int64_t rev)
+{
+  l->in_flight = l->unresolved = 0;
+  l->row = l->sent;
+  l->row.version = rev;
+  if (l->state == CE_RELEASING)
+    {
+      watch (l, now_ms, &l->sent);
+      l->row.version = rev;
+      return;
+    }
+  l->state = CE_HOLDING;
+  l->valid_until_ms = l->sent_ms + l->lease_ms - l->margin_ms;
+}
+
+static void
+not_written (struct ce_lease *l)
+{
+  l->in_flight = l->unresolved = 0;
+  if (l->state == CE_TAKING)
+    {
+      l->state = CE_WATCHING;
+      l->seen = 0;
+      l->open_ms = -1;
+    }
+}
+
+enum ce_result
+ce_result (struct ce_lease *l, int64_t now_ms, enum ce_result result,
+           int64_t rev, const struct ce_row *found)
+{
+  switch (result)
+    {
+    case CE_WRITTEN:
+      written (l, now_ms, rev);
+      return CE_WRITTEN;
+    case CE_NOT_WRITTEN:
+      not_written (l);
+      return CE_NOT_WRITTEN;
+    case CE_UNKNOWN:
+      l->unresolved = 1;
+      return CE_UNKNOWN;
+    case CE_CONFLICT:
+      break;
+    }
+  if (is_sent (l, found))
+    {
+      written (l, now_ms, found->version);
+      return CE_WRITTEN;
+    }
+  /* An earlier write of ours that was thought not to have happened: still
+     the holder, at that version, with no longer validity.  */
+  if (l->state != CE_TAKING && is_own (l, found))
+    {
+      l->in_flight = l->unresolved = 0;
+      l->row = *found;
+      return CE_NOT_WRITTEN;
+    }
+  watch (l, now_ms, found);
+  return CE_CONFLICT;
+}
+
+enum ce_result
+ce_resolve (struct ce_lease *l, int64_t now_ms, const struct ce_row *found)
+{
+  if (found->version == l->row.version)
+    return ce_result (l, now_ms, CE_NOT_WRITTEN, 0, NULL);
+  return ce_result (l, now_ms, CE_CONFLICT, 0, found);
+}
+
+int
+ce_may_act (const struct ce_lease *l, int64_t now_ms)
+{
+  return l->state == CE_HOLDING && now_ms < l->valid_until_ms;
+}
+
+int
+ce_is_holder (const struct ce_lease *l)
+{
+  return l->state == CE_HOLDING;
+}
+
+int
+ce_saw_epoch (struct ce_lease *l, int64_t now_ms, int64_t epoch)
+{
+  struct ce_row row = l->row;
+
+  if (epoch > l->floor)
+    l->floor = epoch;
+  if (l->state != CE_HOLDING || epoch <= l->row.epoch)
+    return 0;
+  watch (l, now_ms, &row);
+  l->seen = 0;
+  return 1;
+}
--- /dev/null
+++ b/src/control/share.c
@@ -0,0 +1,25 @@
+#include "control/share.h"
+
+static int
+ceiling (const struct sh_view *view)
+{
+  int vms = view->vms > 0 ? view->vms : 1;
+
+  return (view->cells + vms - 1) / vms;
+}
+
+int64_t
+sh_take_delay (const struct sh_view *view, double random)
+{
+  int64_t delay = (int64_t)view->held * SH_STEP_MS;
+
+  if (view->held >= ceiling (view))
+    delay += SH_FULL_MS;
+  return delay + (int64_t)(random * SH_STEP_MS);
+}
+
+int
+sh_should_give (const struct sh_view *view)
+{
+  return view->held > view->least + 1;
+}
