--- a/Makefile
+++ b/Makefile
@@ -78,6 +78,17 @@
 	  SAN='-fsanitize=address,undefined -fno-omit-frame-pointer' all build-tests
 	BIN=build/asan/bin tests/run $(TEST_SRC:tests/%.c=build/asan/tests/%)
 
+# Programs of tests/fuzz, by libFuzzer; tests/fuzz/check_fuzz.sh runs them.
+FUZZ_BIN := $(patsubst %.c,$(BUILD)/%,$(wildcard tests/fuzz/fuzz_*.c))
+$(BUILD)/tests/fuzz/fuzz_%: $(BUILD)/tests/fuzz/fuzz_%.o $(LIB)
+	$(CC) $(SAN) -fsanitize=fuzzer -o $@ $^ $(LIBS_ALL)
+
+fuzz-bins: $(FUZZ_BIN)
+
+fuzz:
+	$(MAKE) CC=clang BUILD=build/fuzz OPT='-O1 -g' \
+	  SAN='-fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=undefined' fuzz-bins
+
 bench: all
 	@tests/bench
 
@@ -109,6 +120,6 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all deps build-tests check demo asan bench format format-check lint \
+.PHONY: all deps build-tests check demo asan fuzz fuzz-bins bench format format-check lint \
   tidy install clean
 .SECONDARY:
--- a/src/net/peer_codec.c
+++ b/src/net/peer_codec.c
@@ -3,6 +3,7 @@
 #include <stddef.h>
 #include <string.h>
 
+#include "net/peer_bound.h"
 #include "skr/peer.h"
 
 /* A message is [version, kind, body]; a structure is the array of its fields
@@ -236,9 +237,13 @@
 {
   if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= (uint32_t)max)
     return PR_EINVAL;
-  if (memchr (o->via.str.ptr, '\0', o->via.str.size))
-    return PR_EINVAL;
-  memcpy (to, o->via.str.ptr, o->via.str.size);
+  /* An empty text has no address.  */
+  if (o->via.str.size)
+    {
+      if (memchr (o->via.str.ptr, '\0', o->via.str.size))
+        return PR_EINVAL;
+      memcpy (to, o->via.str.ptr, o->via.str.size);
+    }
   to[o->via.str.size] = '\0';
   return PR_OK;
 }
@@ -340,7 +345,7 @@
   size_t used = 0;
   int error = PR_EINVAL;
 
-  if (size <= 0 || size > PR_MAX_SIZE)
+  if (size <= 0 || size > PR_MAX_SIZE || pr_check_bounds (data, size) != PR_OK)
     return PR_EINVAL;
   msgpack_unpacked_init (&un);
   if (msgpack_unpack_next (&un, data, (size_t)size, &used)
--- /dev/null
+++ b/tests/fuzz/fuzz_peer.c
@@ -0,0 +1,105 @@
+/* pr_decode on any bytes, and on well-formed messages with bytes changed.  */
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "skr/peer.h"
+
+/* A name that libFuzzer asks for.  NOLINTBEGIN */
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+/* NOLINTEND */
+
+enum
+{
+  KINDS = PR_USAGE,
+  MAX_SIZE = 64 << 10 /* bytes */
+};
+
+/* What was taken in must come out again and be taken in once more.  */
+static void
+decode (const char *data, int size)
+{
+  struct pr_message *m = calloc (1, sizeof *m);
+  char *out = NULL;
+
+  if (m && pr_decode (m, data, size) == PR_OK)
+    {
+      int n = pr_encode (m, &out);
+
+      if (n <= 0 || pr_decode (m, out, n) != PR_OK)
+        abort ();
+      free (out);
+    }
+  free (m);
+}
+
+static void
+fill_name (char out[PR_ID], uint8_t byte)
+{
+  memset (out, 'a' + byte % 26, byte % (PR_ID - 1));
+  out[byte % (PR_ID - 1)] = '\0';
+}
+
+static void
+fill (struct pr_message *m, uint8_t kind, uint8_t byte)
+{
+  m->kind = (enum pr_kind) (kind % KINDS + 1);
+  switch (m->kind)
+    {
+    case PR_HEARTBEAT:
+      fill_name (m->u.heartbeat.vm, byte);
+      m->u.heartbeat.cells = byte % (PR_MAX_CELLS + 1);
+      break;
+    case PR_JOB:
+    case PR_JOB_ENDED:
+      fill_name (m->u.job.cell, byte);
+      break;
+    case PR_CONFIG:
+      fill_name (m->u.config.list, byte);
+      break;
+    case PR_CREDITS:
+      fill_name (m->u.credits.cell, byte);
+      m->u.credits.count = byte;
+      break;
+    case PR_USAGE:
+      fill_name (m->u.usage.vm, byte);
+      m->u.usage.count = byte;
+      break;
+    }
+}
+
+/* Pairs of DATA change single bytes of a well-formed message; an odd last
+   byte cuts it.  */
+static void
+decode_changed (const uint8_t *data, size_t size)
+{
+  struct pr_message *m = calloc (1, sizeof *m);
+  char *out = NULL;
+  int n;
+
+  if (!m)
+    return;
+  fill (m, data[0], data[1]);
+  n = pr_encode (m, &out);
+  free (m);
+  if (n <= 0)
+    return;
+  for (size_t i = 2; i + 1 < size; i += 2)
+    out[data[i] % n] ^= (char)data[i + 1];
+  if (size % 2)
+    n -= data[size - 1] % n;
+  decode (out, n);
+  free (out);
+}
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  if (size < 3 || size > MAX_SIZE)
+    return 0;
+  if (data[0] & 1)
+    decode_changed (data + 1, size - 1);
+  else
+    decode ((const char *)data + 1, (int)size - 1);
+  return 0;
+}
