--- a/Makefile
+++ b/Makefile
@@ -59,11 +59,18 @@
 # Each fake_*.c of a test folder is linked into every test of that folder.
 .SECONDEXPANSION:
 $(BUILD)/tests/%: $(BUILD)/tests/%.o \
-    $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard tests/$$(*D)/fake_*.c)) $(LIB)
+    $$(addprefix $(BUILD)/,$$(addsuffix .o,$$(basename \
+      $$(wildcard tests/$$(*D)/fake_*.c)))) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(SAN) -o $@ $(filter %.o,$^) $(LIB) $(LIBS_ALL) -lcunit
 
-build-tests: $(TEST_BIN)
+# The outside check of skr-replay's actions.
+VERIFY := $(BUILD)/tests/replay/verify
+$(VERIFY): $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/replay/verify*.c))
+	@mkdir -p $(@D)
+	$(CC) $(SAN) -o $@ $^ $(LIBS_ALL)
+
+build-tests: $(TEST_BIN) $(VERIFY)
 
 check: deps
 	@$(MAKE) -s -j$(shell nproc) all build-tests
@@ -89,7 +96,11 @@
 	$(MAKE) CC=clang BUILD=build/fuzz OPT='-O1 -g' \
 	  SAN='-fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=undefined' fuzz-bins
 
-bench: all
+# Each bench_*.c of a test folder is a program that bench_*.sh scripts run.
+BENCH_BIN := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/*/bench_*.c))
+bench-bins: $(BENCH_BIN)
+
+bench: all bench-bins
 	@tests/bench
 
 format:
@@ -120,6 +131,7 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all deps build-tests check demo asan fuzz fuzz-bins bench format format-check lint \
+.PHONY: all deps build-tests check demo asan fuzz fuzz-bins \
+  bench bench-bins format format-check lint \
   tidy install clean
 .SECONDARY:
