--- a/src/replay/gen_job.c
+++ b/src/replay/gen_job.c
@@ -38,7 +38,7 @@
 }
 
 /* A gang of SIZE accelerators: in blocks as large as a worker allows, or
-   cut into smaller tasks.  */
+   cut into smaller tasks; one slot if SIZE is 0.  */
 static void
 shape (struct rp_gen *gen, struct tr_submit *s, int32_t size)
 {
@@ -47,7 +47,7 @@
   while (each > 1 && rp_gen_chance (gen, 300))
     each /= 2;
   s->spec.per_task = each;
-  s->spec.tasks = size / each;
+  s->spec.tasks = each ? size / each : 1;
 }
 
 static void
@@ -76,7 +76,6 @@
   if (urgent)
     {
       shape (gen, s, pick (gen, urgent_size, urgent_weight, 4));
-      s->spec.tasks = MAX (s->spec.tasks, 1);
       s->actual_ms = rp_gen_time (gen, SHORT_MS, 1, MAX_MS);
     }
   else
