--- a/Makefile
+++ b/Makefile
@@ -85,6 +85,17 @@
 	  SAN='-fsanitize=address,undefined -fno-omit-frame-pointer' all build-tests
 	BIN=build/asan/bin tests/run $(TEST_SRC:tests/%.c=build/asan/tests/%)
 
+# Programs of tests/fuzz, by libFuzzer; tests/fuzz/check_fuzz.sh runs them.
+FUZZ_BIN := $(patsubst %.c,$(BUILD)/%,$(wildcard tests/fuzz/fuzz_*.c))
+$(BUILD)/tests/fuzz/fuzz_%: $(BUILD)/tests/fuzz/fuzz_%.o $(LIB)
+	$(CC) $(SAN) -fsanitize=fuzzer -o $@ $^ $(LIBS_ALL)
+
+fuzz-bins: $(FUZZ_BIN)
+
+fuzz:
+	$(MAKE) CC=clang BUILD=build/fuzz OPT='-O1 -g' \
+	  SAN='-fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=undefined' fuzz-bins
+
 # Each bench_*.c of a test folder is a program that bench_*.sh scripts run.
 BENCH_BIN := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/*/bench_*.c))
 bench-bins: $(BENCH_BIN)
@@ -120,6 +131,7 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all deps build-tests check demo asan bench bench-bins format format-check lint \
+.PHONY: all deps build-tests check demo asan fuzz fuzz-bins \
+  bench bench-bins format format-check lint \
   tidy install clean
 .SECONDARY:
