--- /dev/null
+++ b/tests/replay/plot_policy.sh
@@ -0,0 +1,30 @@
+#!/bin/sh
+# Draws completion time and fragmentation against load from the table of
+# bench_policy.sh into build/policy.png.
+set -eu
+cd "$(dirname "$0")/../.."
+build=${BUILD:-build}
+[ -s "$build/bench_policy.tsv" ] || tests/replay/bench_policy.sh > /dev/null
+gnuplot <<END_PLOT
+set terminal pngcairo size 1200,800
+set output "$build/policy.png"
+set datafile separator "\t"
+set multiplot layout 2,2
+set key left top
+set xlabel "load of the accelerators, percent"
+set xrange [68:97]
+pick(mix, policy, c) = strcol(1) eq mix && strcol(3) eq policy ? column(c) : NaN
+do for [mix in "small large"] {
+  set title sprintf("bulk completion p50, mostly %s jobs", mix)
+  set ylabel "ms"
+  set logscale y
+  plot for [p in "default fifo-first-fit best-fit"] \
+    "$build/bench_policy.tsv" skip 1 using 2:(pick(mix, p, 6)) with linespoints title p
+  unset logscale y
+  set title sprintf("fragmentation, mostly %s jobs", mix)
+  set ylabel "percent"
+  plot for [p in "default fifo-first-fit best-fit"] \
+    "$build/bench_policy.tsv" skip 1 using 2:(100 * pick(mix, p, 11)) with linespoints title p
+}
+END_PLOT
+printf '%s\n' "$build/policy.png"
--- a/tests/replay/verify_fit.c
+++ b/tests/replay/verify_fit.c
@@ -194,21 +194,31 @@
   return ok;
 }
 
+/* Takes a block of 2^K, or splits the next larger one for it.  */
+static int
+take_split (int left[SIZES], int k)
+{
+  int j = k;
+
+  while (j < SIZES && !left[j])
+    j++;
+  if (j == SIZES)
+    return 0;
+  left[j]--;
+  while (j-- > k)
+    left[j]++;
+  return 1;
+}
+
 /* Blocks that LIVE leaves of GROUP; 0 when it does not fit.  */
 static int
 subtract (const int group[SIZES], const int live[SIZES], int left[SIZES])
 {
-  int64_t carry = 0;
-
+  memcpy (left, group, SIZES * sizeof *left);
   for (int k = SIZES - 1; k >= 0; k--)
-    {
-      int64_t have = carry * 2 + group[k] - live[k];
-
-      if (have < 0)
+    for (int n = 0; n < live[k]; n++)
+      if (!take_split (left, k))
         return 0;
-      left[k] = (int)MIN (have, group[k]);
-      carry = have - left[k];
-    }
   return 1;
 }
 
