Run the cells' controllers as skr-sched

Cause: the controllers need a process: a control thread with its ring, the HTTP client, the table and the peers around it. Change: effects become requests and answers events; VM list, cells and lists are polled; heartbeats, hints and grants go to the entry VMs; SIGTERM hands the cells over.

--- a/src/control/cell.c
+++ b/src/control/cell.c
@@ -36,7 +36,9 @@
   c->rng = gsl_rng_alloc (gsl_rng_mt19937);
   if (!c->rng)
     return CT_ENOMEM;
-  gsl_rng_set (c->rng, XXH32 (set->token, strlen (set->token), 0));
+  gsl_rng_set (c->rng, XXH32 (set->token, strlen (set->token),
+                              XXH32 (name, strlen (name), 0)));
+  c->jitter = cl_random (c);
   c->workers = g_array_new (FALSE, TRUE, sizeof (struct mb_worker));
   c->racks = g_ptr_array_new_with_free_func (g_free);
   c->accounts = g_ptr_array_new_with_free_func (g_free);
@@ -145,6 +147,7 @@
   log_cell (c, c->releasing ? LG_CELL_RELEASED : LG_CELL_LOST);
   c->phase = CL_WATCHING;
   c->releasing = 0;
+  c->jitter = cl_random (c);
   clear (c);
 }
 
--- a/src/control/cell.h
+++ b/src/control/cell.h
@@ -107,6 +107,7 @@
   cl_emit *emit;
   void *arg;
   gsl_rng *rng;
+  double jitter; /* of this VM's next take-over, in [0, 1) */
   struct mb_times times;
   int64_t now_ms;
   int64_t serial; /* of the last effect; of the last commit, read, scan */
--- a/src/control/cell_sum.c
+++ b/src/control/cell_sum.c
@@ -58,7 +58,8 @@
     }
   for (int k = 0; k < SIZES; k++)
     json_array_append_new (free_list, json_integer (blocks[k]));
-  return json_pack ("{s:I, s:I, s:I, s:o}", "workers", (json_int_t)up,
+  return json_pack ("{s:I, s:I, s:I, s:I, s:o}", "workers", (json_int_t)up,
                     "running", (json_int_t)running, "queued",
-                    (json_int_t)queued, "free", free_list);
+                    (json_int_t)queued, "free", (json_int_t)blocks[0],
+                    "blocks", free_list);
 }
--- a/src/control/grant.c
+++ b/src/control/grant.c
@@ -4,13 +4,24 @@
 
 #include "control/grant.h"
 
-/* The newest grant, and the largest one before it that is not over yet: the
-   entry VM may not have heard of the newest.  */
+enum
+{
+  MAX_GRANTS = 8 /* of one entry VM that are not over */
+};
+
 struct grant
+{
+  struct gr_amount amount;
+  int64_t until_ms;
+};
+
+/* What one entry VM was granted, the oldest first: it may not have heard of
+   the newest yet.  */
+struct holder
 {
   char entry[CT_NAME];
-  struct gr_amount now, before;
-  int64_t now_until_ms, before_until_ms;
+  int count;
+  struct grant grant[MAX_GRANTS];
 };
 
 static void
@@ -51,16 +62,49 @@
                              max32 (a.connections, b.connections) };
 }
 
+static void
+forget_ended (struct holder *h, int64_t now_ms)
+{
+  int kept = 0;
+
+  for (int i = 0; i < h->count; i++)
+    if (now_ms < h->grant[i].until_ms)
+      h->grant[kept++] = h->grant[i];
+  h->count = kept;
+}
+
 static struct gr_amount
-in_use (const struct grant *g, int64_t now_ms)
+in_use (const struct holder *h, int64_t now_ms)
+{
+  struct gr_amount most = { 0, 0 };
+
+  for (int i = 0; i < h->count; i++)
+    if (now_ms < h->grant[i].until_ms)
+      most = larger (most, h->grant[i].amount);
+  return most;
+}
+
+/* The same amount again only lasts longer; when the list is full, the two
+   oldest count as one.  */
+static void
+add_grant (struct holder *h, struct gr_amount amount, int64_t until_ms)
 {
-  struct gr_amount sum = { 0, 0 };
+  struct grant *last = h->count ? &h->grant[h->count - 1] : NULL;
 
-  if (now_ms < g->now_until_ms)
-    sum = g->now;
-  if (now_ms < g->before_until_ms)
-    sum = larger (sum, g->before);
-  return sum;
+  if (last && last->amount.slots == amount.slots
+      && last->amount.connections == amount.connections)
+    {
+      last->until_ms = until_ms;
+      return;
+    }
+  if (h->count == MAX_GRANTS)
+    {
+      h->grant[1].amount = larger (h->grant[0].amount, h->grant[1].amount);
+      memmove (&h->grant[0], &h->grant[1],
+               (MAX_GRANTS - 1) * sizeof h->grant[0]);
+      h->count--;
+    }
+  h->grant[h->count++] = (struct grant){ amount, until_ms };
 }
 
 static GArray *
@@ -70,23 +114,23 @@
 
   if (!grants)
     {
-      grants = g_array_new (FALSE, TRUE, sizeof (struct grant));
+      grants = g_array_new (FALSE, TRUE, sizeof (struct holder));
       g_hash_table_insert (book->workers, g_strdup (worker), grants);
     }
   return grants;
 }
 
-static struct grant *
+static struct holder *
 find (GArray *grants, const char *entry)
 {
-  struct grant fresh = { .now_until_ms = 0 };
+  struct holder fresh = { .count = 0 };
 
   for (guint i = 0; i < grants->len; i++)
-    if (!strcmp (g_array_index (grants, struct grant, i).entry, entry))
-      return &g_array_index (grants, struct grant, i);
+    if (!strcmp (g_array_index (grants, struct holder, i).entry, entry))
+      return &g_array_index (grants, struct holder, i);
   snprintf (fresh.entry, CT_NAME, "%s", entry);
   g_array_append_val (grants, fresh);
-  return &g_array_index (grants, struct grant, grants->len - 1);
+  return &g_array_index (grants, struct holder, grants->len - 1);
 }
 
 static struct gr_amount
@@ -96,10 +140,10 @@
 
   for (guint i = 0; i < grants->len; i++)
     {
-      const struct grant *g = &g_array_index (grants, struct grant, i);
-      struct gr_amount one = in_use (g, now_ms);
+      const struct holder *h = &g_array_index (grants, struct holder, i);
+      struct gr_amount one = in_use (h, now_ms);
 
-      if (but && !strcmp (g->entry, but))
+      if (but && !strcmp (h->entry, but))
         continue;
       total.slots += one.slots;
       total.connections += one.connections;
@@ -117,13 +161,14 @@
 }
 
 static void
-forget_ended (GArray *grants, int64_t now_ms)
+forget_holders (GArray *grants, int64_t now_ms)
 {
   for (guint i = grants->len; i > 0; i--)
     {
-      struct grant *g = &g_array_index (grants, struct grant, i - 1);
+      struct holder *h = &g_array_index (grants, struct holder, i - 1);
 
-      if (now_ms >= g->now_until_ms && now_ms >= g->before_until_ms)
+      forget_ended (h, now_ms);
+      if (!h->count)
         g_array_remove_index_fast (grants, i - 1);
     }
 }
@@ -135,22 +180,15 @@
 {
   GArray *grants = grants_of (book, worker);
   struct gr_amount others, give;
-  struct grant *g;
 
-  forget_ended (grants, now_ms);
-  g = find (grants, entry);
+  forget_holders (grants, now_ms);
   others = sum (grants, entry, now_ms);
   give.slots = min32 (share (whole.slots, worker, index, entries),
                       whole.slots - others.slots);
   give.connections = min32 (share (whole.connections, worker, index, entries),
                             whole.connections - others.connections);
   give = larger (give, (struct gr_amount){ 0, 0 });
-  g->before = in_use (g, now_ms);
-  g->before_until_ms = g->now_until_ms > g->before_until_ms
-                           ? g->now_until_ms
-                           : g->before_until_ms;
-  g->now = give;
-  g->now_until_ms = until_ms;
+  add_grant (find (grants, entry), give, until_ms);
   return give;
 }
 
--- /dev/null
+++ b/src/sched/cells.c
@@ -0,0 +1,267 @@
+/* What is polled from the platform, and which cells to hold.  */
+#include <string.h>
+
+#include "sched/sched.h"
+#include "skr/log.h"
+
+struct cl_cell *
+sc_find_cell (struct sched *s, const char *name)
+{
+  for (int i = 0; i < s->cells; i++)
+    if (!strcmp (s->cell[i]->name, name))
+      return s->cell[i];
+  return NULL;
+}
+
+int
+sc_held (const struct sched *s)
+{
+  int held = 0;
+
+  for (int i = 0; i < s->cells; i++)
+    held += s->cell[i]->phase != CL_WATCHING;
+  return held;
+}
+
+static struct cl_cell *
+add_cell (struct sched *s, const char *name)
+{
+  struct cl_cell *c = sc_find_cell (s, name);
+
+  if (c || s->cells == SC_MAX_CELLS || !*name || strlen (name) >= CT_NAME)
+    return c;
+  c = g_new0 (struct cl_cell, 1);
+  if (cl_init (c, name, &s->cell_set, &s->config, sc_emit, s))
+    {
+      g_free (c);
+      return NULL;
+    }
+  s->cell[s->cells++] = c;
+  return c;
+}
+
+static const char *
+text (const json_t *o, const char *name)
+{
+  const char *s = json_string_value (json_object_get (o, name));
+
+  return s ? s : "";
+}
+
+void
+sc_poll_vms (void *sched, int64_t now_ms)
+{
+  struct sched *s = sched;
+  struct sc_event *e;
+
+  (void)now_ms;
+  if (s->asking_vms)
+    return;
+  e = sc_new_event (s, SC_VMS);
+  s->asking_vms = tb_vms (s->tb, sc_table_done, e) == TB_OK;
+  if (!s->asking_vms)
+    sc_free_event (e);
+}
+
+void
+sc_vms_done (struct sched *s, int error, json_t *data)
+{
+  json_t *vms = json_object_get (data, "vms"), *vm;
+  size_t i;
+
+  s->asking_vms = 0;
+  if (error || !json_is_array (vms))
+    return;
+  json_decref (s->vms);
+  s->vms = json_incref (vms);
+  json_array_foreach (vms, i, vm)
+  {
+    if (!strcmp (text (vm, "role"), "worker"))
+      add_cell (s, text (vm, "domain"));
+  }
+  for (int c = 0; c < s->cells; c++)
+    cl_fleet (s->cell[c], s->now_ms, vms);
+  sc_dial (s);
+}
+
+static void
+scan (struct sched *s, enum sc_kind kind, const char *table, int *asking)
+{
+  struct tb_scan what = { .table = table };
+  struct sc_event *e;
+
+  if (*asking)
+    return;
+  e = sc_new_event (s, kind);
+  *asking = tb_scan (s->tb, &what, sc_table_done, e) == TB_OK;
+  if (!*asking)
+    sc_free_event (e);
+}
+
+void
+sc_poll_cells (void *sched, int64_t now_ms)
+{
+  struct sched *s = sched;
+
+  (void)now_ms;
+  scan (s, SC_CELLS, CL_TABLE, &s->asking_cells);
+}
+
+static const json_t *
+row_of (const json_t *rows, const char *key)
+{
+  const json_t *o;
+  size_t i;
+
+  json_array_foreach (rows, i, o)
+  {
+    if (!strcmp (text (o, "key"), key))
+      return o;
+  }
+  return NULL;
+}
+
+void
+sc_cells_done (struct sched *s, int error, json_t *data)
+{
+  json_t *rows = json_object_get (data, "rows"), *o;
+  size_t i;
+
+  s->asking_cells = 0;
+  if (error || !json_is_array (rows))
+    {
+      for (int c = 0; c < s->cells; c++)
+        cl_row_failed (s->cell[c]);
+      return;
+    }
+  json_decref (s->cell_rows);
+  s->cell_rows = json_incref (rows);
+  json_array_foreach (rows, i, o) { add_cell (s, text (o, "key")); }
+  for (int c = 0; c < s->cells; c++)
+    {
+      const json_t *row = row_of (rows, s->cell[c]->name);
+
+      cl_row (s->cell[c], s->now_ms, json_object_get (row, "value"),
+              json_integer_value (json_object_get (row, "version")));
+    }
+}
+
+void
+sc_poll_config (void *sched, int64_t now_ms)
+{
+  struct sched *s = sched;
+
+  (void)now_ms;
+  scan (s, SC_CONFIG, CF_TABLE, &s->asking_config);
+}
+
+/* Lists in the table that are older than what is in force come from a
+   restored table: the newer ones are written back.  */
+static void
+repair (struct sched *s, const json_t *rows)
+{
+  struct sc_event *e;
+  struct tb_txn txn;
+
+  tb_txn_init (&txn);
+  if (cf_repair (&s->config, rows, &txn) == 1)
+    {
+      e = sc_new_event (s, SC_REPAIR);
+      if (tb_commit (s->tb, &txn, sc_table_done, e))
+        sc_free_event (e);
+    }
+  tb_txn_fini (&txn);
+}
+
+void
+sc_config_done (struct sched *s, int error, json_t *data)
+{
+  json_t *rows = json_object_get (data, "rows");
+
+  s->asking_config = 0;
+  if (error || !json_is_array (rows))
+    return;
+  if (cf_apply (&s->config, rows) == CF_OK)
+    {
+      struct lg_field field[]
+          = { lg_int ("plans", cf_version (&s->config, CF_PLANS)),
+              lg_int ("allowances", cf_version (&s->config, CF_ALLOWANCES)) };
+
+      lg_log (LG_CONFIG_APPLIED, 2, field);
+    }
+  repair (s, rows);
+}
+
+static int
+held_by (const struct sched *s, const char *vm)
+{
+  const json_t *o;
+  int n = 0;
+  size_t i;
+
+  json_array_foreach (s->cell_rows, i, o)
+  {
+    n += !strcmp (text (json_object_get (o, "value"), "holder"), vm);
+  }
+  return n;
+}
+
+static struct sh_view
+view (const struct sched *s)
+{
+  struct sh_view v = { .held = sc_held (s), .cells = s->cells, .vms = 0 };
+  const json_t *vm;
+  size_t i;
+
+  v.least = v.held;
+  json_array_foreach (s->vms, i, vm)
+  {
+    int held;
+
+    if (strcmp (text (vm, "role"), "entry") != 0
+        || strcmp (text (vm, "state"), "leaving") == 0)
+      continue;
+    v.vms++;
+    held = held_by (s, text (vm, "id"));
+    if (strcmp (text (vm, "id"), s->set->vm) != 0 && held < v.least)
+      v.least = held;
+  }
+  return v;
+}
+
+int64_t
+sc_take_delay (struct sched *s, struct cl_cell *c)
+{
+  struct sh_view v = view (s);
+
+  if (atomic_load (&s->stop))
+    return -1;
+  return sh_take_delay (&v, c->jitter);
+}
+
+/* A cell that was handed over and came back found no taker: the next try
+   waits for longer.  */
+void
+sc_rebalance (void *sched, int64_t now_ms)
+{
+  struct sched *s = sched;
+  struct sh_view v = view (s);
+
+  if (!sh_should_give (&v))
+    {
+      s->give_wait_ms = SH_GIVE_MS;
+      s->give_at_ms = now_ms + SH_GIVE_MS;
+      return;
+    }
+  if (now_ms < s->give_at_ms)
+    return;
+  s->give_at_ms = now_ms + s->give_wait_ms;
+  if (s->give_wait_ms < SH_GIVE_MAX_MS)
+    s->give_wait_ms *= 2;
+  for (int i = 0; i < s->cells; i++)
+    if (s->cell[i]->phase == CL_SERVING)
+      {
+        cl_give_up (s->cell[i]);
+        return;
+      }
+}
--- /dev/null
+++ b/src/sched/loop.c
@@ -0,0 +1,190 @@
+/* The control thread.  */
+#include <stdlib.h>
+#include <string.h>
+
+#include "sched/sched.h"
+#include "skr/log.h"
+
+enum
+{
+  SECOND_MS = 1000,
+  KEYS_MS = 2000,
+  BATCH = 512 /* events between two ticks */
+};
+
+static void
+dispatch (struct sched *s, struct sc_event *e)
+{
+  switch (e->kind)
+    {
+    case SC_ORDER:
+      cl_order_done (e->cell, s->now_ms, &e->ticket, e->end, e->status,
+                     e->json);
+      break;
+    case SC_COMMIT:
+      cl_commit_done (e->cell, s->now_ms, e->serial, e->error, e->json);
+      break;
+    case SC_READ:
+      cl_read_done (e->cell, s->now_ms, e->serial, e->error, e->json);
+      break;
+    case SC_SCAN:
+      cl_scan_done (e->cell, s->now_ms, e->serial, e->error, e->json);
+      break;
+    case SC_VMS:
+      sc_vms_done (s, e->error, e->json);
+      break;
+    case SC_CELLS:
+      sc_cells_done (s, e->error, e->json);
+      break;
+    case SC_CONFIG:
+      sc_config_done (s, e->error, e->json);
+      break;
+    case SC_REPAIR:
+      break;
+    case SC_PEER:
+      atomic_fetch_sub (&s->peer_queued, 1);
+      sc_on_peer (s, e->message);
+      break;
+    }
+  sc_free_event (e);
+}
+
+/* Waits for the first event up to WAIT_MS, then takes what is there.  */
+static void
+take_events (struct sched *s, int wait_ms)
+{
+  void *item;
+
+  for (int n = 0; n < BATCH; n++)
+    {
+      if (rg_pop (&s->ring, &item, n ? 0 : wait_ms) != BS_OK)
+        return;
+      s->now_ms = bs_now_ms (&s->clock);
+      dispatch (s, item);
+    }
+}
+
+static int
+tick (struct sched *s)
+{
+  int wait, cell_wait;
+
+  s->now_ms = bs_now_ms (&s->clock);
+  wait = tm_run (&s->timers, s->now_ms);
+  for (int i = 0; i < s->cells; i++)
+    {
+      s->now_ms = bs_now_ms (&s->clock);
+      cell_wait
+          = cl_tick (s->cell[i], s->now_ms, sc_take_delay (s, s->cell[i]));
+      if (cell_wait < wait)
+        wait = cell_wait;
+    }
+  return wait > 0 ? wait : 1;
+}
+
+/* Tasks go on running; whoever takes the cells next finds them.  */
+static void
+hand_over (struct sched *s)
+{
+  int64_t until = bs_now_ms (&s->clock) + s->set->drain_ms;
+
+  sc_heartbeat (s, s->now_ms);
+  for (int i = 0; i < s->cells; i++)
+    cl_give_up (s->cell[i]);
+  while (sc_held (s) && bs_now_ms (&s->clock) < until)
+    take_events (s, tick (s));
+}
+
+static void *
+loop_main (void *arg)
+{
+  struct sched *s = arg;
+  int wait = 1;
+
+  while (!atomic_load (&s->stop))
+    {
+      take_events (s, wait);
+      wait = tick (s);
+    }
+  hand_over (s);
+  atomic_store (&s->stopped, 1);
+  return NULL;
+}
+
+static void
+set_up_cells (struct sched *s)
+{
+  const struct sc_settings *set = s->set;
+
+  s->cell_set = (struct cl_settings){
+    .vm = set->vm,
+    .token = s->token,
+    .cell_lease_ms = set->cell_lease_ms,
+    .cell_margin_ms = set->cell_margin_ms,
+    .task_lease_ms = set->task_lease_ms,
+    .poll_ms = set->poll_ms,
+    .scan_ms = set->scan_ms,
+    .settle_ms = set->settle_ms,
+    .order_timeout_ms = set->order_timeout_ms,
+    .reserve_slots = (int)set->reserve_slots,
+    .commit_rows = (int)set->commit_rows,
+    .rows_per_second = (int)set->rows_per_second,
+    .decide
+    = { .weight_completion = (double)set->weight_completion / 100,
+        .weight_fragmentation = (double)set->weight_fragmentation / 100,
+        .spare_workers = (int32_t)set->spare_workers,
+        .check = !set->no_check,
+        .lost_after_ms = set->task_lease_ms },
+  };
+}
+
+static void
+subscribe (struct sched *s)
+{
+  int64_t now = bs_now_ms (&s->clock);
+  int64_t watch = s->set->cell_lease_ms / 8;
+
+  tm_init (&s->timers);
+  tm_subscribe (&s->timers, now, SECOND_MS, sc_poll_vms, s);
+  tm_subscribe (&s->timers, now, watch, sc_poll_cells, s);
+  tm_subscribe (&s->timers, now, SECOND_MS, sc_poll_config, s);
+  tm_subscribe (&s->timers, now, SECOND_MS, sc_heartbeat, s);
+  tm_subscribe (&s->timers, now, SECOND_MS, sc_grant, s);
+  tm_subscribe (&s->timers, now, SECOND_MS, sc_rebalance, s);
+  tm_subscribe (&s->timers, now, KEYS_MS, sc_read_keys, s);
+}
+
+int
+sc_start (struct sched *s, const struct sc_settings *set)
+{
+  memset (s, 0, sizeof *s);
+  s->set = set;
+  s->clock = bs_clock_system ();
+  s->now_ms = bs_now_ms (&s->clock);
+  bs_random_hex (s->token, (CT_TOKEN - 1) / 2);
+  gr_init (&s->book);
+  if (cf_init (&s->config) || sc_io_start (s))
+    return CT_ENOMEM;
+  set_up_cells (s);
+  if (sc_peers_start (s))
+    return CT_EINVAL;
+  subscribe (s);
+  return pthread_create (&s->thread, NULL, loop_main, s) ? CT_ENOMEM : CT_OK;
+}
+
+void
+sc_stop (struct sched *s)
+{
+  atomic_store (&s->stop, 1);
+  pthread_join (s->thread, NULL);
+  sc_io_stop (s);
+  for (int i = 0; i < s->cells; i++)
+    {
+      cl_fini (s->cell[i]);
+      g_free (s->cell[i]);
+    }
+  gr_fini (&s->book);
+  cf_fini (&s->config);
+  json_decref (s->vms);
+  json_decref (s->cell_rows);
+}
