--- a/src/control/cell_job.c
+++ b/src/control/cell_job.c
@@ -215,7 +215,7 @@
       cl_take_row (c, key, value,
                    json_integer_value (json_object_get (o, "version")));
     if (key && strlen (key) < CT_NAME)
-      strcpy (c->scan_after, key);
+      g_strlcpy (c->scan_after, key, sizeof c->scan_after);
   }
 }
 
--- a/src/control/lease.c
+++ b/src/control/lease.c
@@ -64,11 +64,12 @@
          && found->epoch == l->sent.epoch && found->beat == l->sent.beat;
 }
 
+/* Whether FOUND is an earlier write of this process for the same epoch.  */
 static int
-is_own (const struct ce_lease *l, const struct ce_row *row)
+is_own (const struct ce_lease *l, const struct ce_row *found)
 {
-  return row->version && !strcmp (row->token, l->token)
-         && row->epoch == l->row.epoch;
+  return found->version && !strcmp (found->token, l->token)
+         && found->epoch == l->sent.epoch;
 }
 
 static void
@@ -128,7 +129,7 @@
 {
   l->sent = (struct ce_row){ .epoch = l->row.epoch,
                              .lease_ms = l->lease_ms,
-                             .beat = l->row.beat + 1 };
+                             .beat = ++l->beats };
   snprintf (l->sent.holder, CT_NAME, "%s", holder);
   snprintf (l->sent.token, CT_TOKEN, "%s", l->token);
   l->state = state;
@@ -144,7 +145,6 @@
   send_row (l, now_ms, CE_TAKING, l->self, row);
   /* The table may have been restored to an older row.  */
   l->sent.epoch = (l->row.epoch > l->floor ? l->row.epoch : l->floor) + 1;
-  l->sent.beat = 1;
   *row = l->sent;
 }
 
@@ -167,6 +167,8 @@
   l->in_flight = l->unresolved = 0;
   l->row = l->sent;
   l->row.version = rev;
+  if (l->row.epoch > l->floor)
+    l->floor = l->row.epoch;
   if (l->state == CE_RELEASING)
     {
       watch (l, now_ms, &l->sent);
@@ -189,6 +191,21 @@
     }
 }
 
+/* A write that was thought not to have happened came late: the lease is held
+   at that version, and nobody knows for how long, so it is renewed first.  */
+static enum ce_result
+late_write (struct ce_lease *l, int64_t now_ms, const struct ce_row *found)
+{
+  int taking = l->state == CE_TAKING;
+
+  l->in_flight = l->unresolved = 0;
+  l->row = *found;
+  l->state = CE_HOLDING;
+  if (taking)
+    l->valid_until_ms = now_ms;
+  return taking ? CE_WRITTEN : CE_NOT_WRITTEN;
+}
+
 enum ce_result
 ce_result (struct ce_lease *l, int64_t now_ms, enum ce_result result,
            int64_t rev, const struct ce_row *found)
@@ -212,14 +229,8 @@
       written (l, now_ms, found->version);
       return CE_WRITTEN;
     }
-  /* An earlier write of ours that was thought not to have happened: still
-     the holder, at that version, with no longer validity.  */
-  if (l->state != CE_TAKING && is_own (l, found))
-    {
-      l->in_flight = l->unresolved = 0;
-      l->row = *found;
-      return CE_NOT_WRITTEN;
-    }
+  if (is_own (l, found))
+    return late_write (l, now_ms, found);
   watch (l, now_ms, found);
   return CE_CONFLICT;
 }
