--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -122,7 +122,7 @@
 {
   struct fl_write w;
   char id[PR_ID], cell[PR_ID];
-  int cas;             /* a cancel's write has begun */
+  int writing;         /* the write is what the table is asked for */
   int64_t row_version; /* of the job's row */
   json_t *value;       /* the row as last seen */
   int64_t wait_until_ms, poll_due_ms;
--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -124,6 +124,7 @@
 static void
 start_write (struct en_core *core, struct en_request *req)
 {
+  req->u.job.writing = 1;
   act (core, req,
        fl_write_start (&req->u.job.w,
                        core->now_ms + core->set->submit_timeout_ms, 0));
@@ -191,18 +192,27 @@
                   "Location", location);
 }
 
-/* The key was used before: the job of then, or another body.  */
+/* The key was used before: the job of then as it is now, or another
+   body.  */
 static void
 answer_by_row (struct en_core *core, struct en_request *req)
 {
-  const json_t *value = req->u.job.value;
+  struct en_job *j = &req->u.job;
+  const json_t *value = j->value;
+  const char *job = string_of (value, "job");
 
   if (strcmp (string_of (value, "kind"), "job") != 0
       || strcmp (string_of (value, "body_digest"), req->fr.digest) != 0)
     en_refuse (core, req, FL_PROBLEM_OTHER_BODY,
                "this key was used for another body");
+  else if (parse_id (job, j->cell))
+    {
+      g_strlcpy (j->id, job, sizeof j->id);
+      j->writing = 0;
+      read_job (core, req);
+    }
   else
-    accepted (core, req, string_of (value, "job"), "accepted");
+    en_refuse (core, req, FL_PROBLEM_UNKNOWN, "the key's row is damaged");
 }
 
 static void
@@ -365,22 +375,21 @@
     keep_value (j, row);
   if (!row || !is_owner (core, req))
     en_refuse (core, req, FL_PROBLEM_NOT_FOUND, "there is no such job");
+  else if (req->fr.op == FL_OP_JOB)
+    accepted (core, req, j->id, string_of (j->value, "state"));
   else if (req->fr.op == FL_OP_JOB_GET)
     show_or_wait (core, req);
   else if (has_ended (j->value))
     accepted (core, req, j->id, string_of (j->value, "state"));
   else
-    {
-      j->cas = 1;
-      start_write (core, req);
-    }
+    start_write (core, req);
 }
 
 void
 en_job_table (struct en_core *core, struct en_request *req,
               const struct en_event *ev)
 {
-  if (req->fr.op == FL_OP_JOB || req->u.job.cas)
+  if (req->u.job.writing)
     on_write (core, req, ev);
   else
     on_read (core, req, ev);
@@ -394,7 +403,7 @@
 
   if (!req->ex)
     return;
-  if (req->fr.op == FL_OP_JOB || j->cas)
+  if (j->writing)
     {
       if (j->w.state != FL_WRITE_WAIT)
         return;
--- a/src/filter/limit.c
+++ b/src/filter/limit.c
@@ -22,7 +22,7 @@
     return 0;
   if (!heard)
     return share;
-  return larger (share, smaller (2 * larger (own, share), limit - peers));
+  return larger (share, smaller (2 * own, limit - peers));
 }
 
 void
--- a/src/filter/limit.h
+++ b/src/filter/limit.h
@@ -2,12 +2,14 @@
    entry VMs together without asking anyone at the time of a call.
 
    Each VM tells the others once a second what each account used.  A VM may
-   use the larger of its even share, limit / VMs, and what the others leave,
-   but at most double of what it used in the last period.  When one VM uses
-   the whole limit and all others start at once, they add less than another
-   limit for one period; any sum of doublings stays under twice the limit
-   for one period too.  So the sum stays under twice the limit for one
-   period and the time a message takes, and comes back to the limit then.
+   use its even share, limit / VMs, or, when that is more, what the others
+   leave, but at most double of what it used in the last period.
+
+   Error bound: K VMs that double at once reach 2 K / (K + 1) of the limit,
+   since each of them leaves out what it knows of the others, and the rest
+   add an even share each.  So the sum stays under three times the limit for
+   one period and the time a message takes, and is within the limit after
+   that as long as all ask for more than they get.
    A VM that misses a listed peer's word keeps to its even share: cut-off
    parts together stay within the limit once FL_LIMIT_STALE_MS have passed.
    Limits below the number of VMs are rounded up to one for each VM.  */
--- a/src/filter/pool.c
+++ b/src/filter/pool.c
@@ -67,7 +67,7 @@
   int share = 0;
 
   for (int n = 0; n < total; n++)
-    if (!strcmp (p->entry[owner (p, id, n)], p->self))
+    if (strcmp (p->entry[owner (p, id, n)], p->self) == 0)
       share++;
   return share;
 }
--- a/src/filter/problem.c
+++ b/src/filter/problem.c
@@ -5,53 +5,52 @@
 
 struct line
 {
-  int status;
+  int status, retry_s; /* shortest Retry-After; 0: none */
   const char *slug, *title, *state;
-  int retry_s; /* shortest Retry-After; 0: none */
 };
 
 static const struct line lines[] = {
-  [FL_PROBLEM_NONE] = { 500, "internal", "Internal error", NULL, 0 },
+  [FL_PROBLEM_NONE] = { 500, 0, "internal", "Internal error", NULL },
   [FL_PROBLEM_MALFORMED]
-  = { 400, "malformed", "The request is malformed", NULL, 0 },
+  = { 400, 0, "malformed", "The request is malformed", NULL },
   [FL_PROBLEM_TOO_LARGE]
-  = { 413, "too-large", "The body is too large", NULL, 0 },
-  [FL_PROBLEM_UNAUTHORIZED] = { 401, "unauthorized", "No such key", NULL, 0 },
+  = { 413, 0, "too-large", "The body is too large", NULL },
+  [FL_PROBLEM_UNAUTHORIZED] = { 401, 0, "unauthorized", "No such key", NULL },
   [FL_PROBLEM_FORBIDDEN]
-  = { 403, "forbidden", "The key is not good for this", NULL, 0 },
-  [FL_PROBLEM_NOT_FOUND] = { 404, "not-found", "Not found", NULL, 0 },
+  = { 403, 0, "forbidden", "The key is not good for this", NULL },
+  [FL_PROBLEM_NOT_FOUND] = { 404, 0, "not-found", "Not found", NULL },
   [FL_PROBLEM_METHOD]
-  = { 405, "method", "The method is not allowed here", NULL, 0 },
-  [FL_PROBLEM_NO_KEY] = { 400, "no-idempotency-key",
-                          "Idempotency-Key is missing or bad", NULL, 0 },
+  = { 405, 0, "method", "The method is not allowed here", NULL },
+  [FL_PROBLEM_NO_KEY] = { 400, 0, "no-idempotency-key",
+                          "Idempotency-Key is missing or bad", NULL },
   [FL_PROBLEM_OTHER_BODY]
-  = { 409, "other-body", "The key belongs to another request", NULL, 0 },
+  = { 409, 0, "other-body", "The key belongs to another request", NULL },
   [FL_PROBLEM_NEVER]
-  = { 422, "can-never-run", "The job can never run", "not_run", 0 },
+  = { 422, 0, "can-never-run", "The job can never run", "not_run" },
   [FL_PROBLEM_RATE]
-  = { 429, "rate", "The account's rate is used up", "not_run", 1 },
+  = { 429, 1, "rate", "The account's rate is used up", "not_run" },
   [FL_PROBLEM_CONCURRENCY]
-  = { 429, "concurrency", "Too many calls of the account are in progress",
-      "not_run", 1 },
-  [FL_PROBLEM_OVERLOAD] = { 503, "overload", "Overloaded", "not_run", 1 },
+  = { 429, 1, "concurrency", "Too many calls of the account are in progress",
+      "not_run" },
+  [FL_PROBLEM_OVERLOAD] = { 503, 1, "overload", "Overloaded", "not_run" },
   [FL_PROBLEM_TABLE_DOWN]
-  = { 503, "table-down", "The table does not answer", "not_run", 2 },
+  = { 503, 2, "table-down", "The table does not answer", "not_run" },
   [FL_PROBLEM_UNREADABLE]
-  = { 503, "unreadable", "The table does not answer", NULL, 1 },
+  = { 503, 1, "unreadable", "The table does not answer", NULL },
   [FL_PROBLEM_NO_UPSTREAM]
-  = { 503, "no-upstream", "No upstream can take it", "not_run", 1 },
-  [FL_PROBLEM_NOT_RUN] = { 503, "not-run", "It was not run", "not_run", 1 },
+  = { 503, 1, "no-upstream", "No upstream can take it", "not_run" },
+  [FL_PROBLEM_NOT_RUN] = { 503, 1, "not-run", "It was not run", "not_run" },
   [FL_PROBLEM_UNKNOWN]
-  = { 504, "unknown", "Its end is not known", "unknown", 1 },
-  [FL_PROBLEM_FAILED] = { 502, "failed", "It ran and failed", "failed", 0 },
+  = { 504, 1, "unknown", "Its end is not known", "unknown" },
+  [FL_PROBLEM_FAILED] = { 502, 0, "failed", "It ran and failed", "failed" },
   [FL_PROBLEM_VERSION]
-  = { 409, "version", "Another version is in force", NULL, 0 },
+  = { 409, 0, "version", "Another version is in force", NULL },
   [FL_PROBLEM_NO_VERSION]
-  = { 428, "no-version", "If-Match with the version is required", NULL, 0 },
+  = { 428, 0, "no-version", "If-Match with the version is required", NULL },
   [FL_PROBLEM_BAD_LIST]
-  = { 422, "bad-list", "The list is not valid", NULL, 0 },
+  = { 422, 0, "bad-list", "The list is not valid", NULL },
   [FL_PROBLEM_NO_FIT]
-  = { 422, "no-fit", "The guarantees do not fit together", NULL, 0 },
+  = { 422, 0, "no-fit", "The guarantees do not fit together", NULL },
 };
 
 int
--- /dev/null
+++ b/tests/filter/test_limit.c
@@ -0,0 +1,183 @@
+/* Limits of an account over several entry VMs.  */
+#include <CUnit/Basic.h>
+#include <gsl/gsl_rng.h>
+#include <stdlib.h>
+
+#include "filter/limit.h"
+
+enum
+{
+  VMS = 9,
+  LIMIT = 900,
+  PERIODS = 400,
+  SEEDS = 20
+};
+
+static void
+test_nothing_is_allowed_of_nothing (void)
+{
+  CU_ASSERT_EQUAL (fl_limit_allowed (0, 1, 0, 0, 1), 0);
+}
+
+static void
+test_one_vm_has_it_all (void)
+{
+  CU_ASSERT_EQUAL (fl_limit_allowed (LIMIT, 1, 0, 0, 1), LIMIT);
+}
+
+static void
+test_one_busy_vm_comes_to_the_whole_limit (void)
+{
+  int32_t own = LIMIT / VMS;
+
+  for (int i = 0; i < 6; i++)
+    own = fl_limit_allowed (LIMIT, VMS, own, 0, 1);
+  CU_ASSERT_EQUAL (own, LIMIT);
+}
+
+static void
+test_cut_off_vm_keeps_to_its_share (void)
+{
+  CU_ASSERT_EQUAL (fl_limit_allowed (LIMIT, VMS, LIMIT, 0, 0), LIMIT / VMS);
+}
+
+/* Demands jump at random between nothing and too much; each VM knows what
+   the others used in the period before.  Returns the largest sum.  */
+static int
+run_periods (unsigned long seed)
+{
+  gsl_rng *rng = gsl_rng_alloc (gsl_rng_taus2);
+  int32_t used[VMS] = { 0 }, next[VMS];
+  int worst = 0;
+
+  gsl_rng_set (rng, seed);
+  for (int p = 0; p < PERIODS; p++)
+    {
+      int sum = 0;
+
+      for (int v = 0; v < VMS; v++)
+        {
+          int32_t peers = 0, demand;
+
+          for (int o = 0; o < VMS; o++)
+            peers += o == v ? 0 : used[o];
+          demand = gsl_rng_uniform_int (rng, 3) ? 0 : 2 * LIMIT;
+          next[v] = fl_limit_allowed (LIMIT, VMS, used[v], peers, 1);
+          if (demand < next[v])
+            next[v] = demand;
+          sum += next[v];
+        }
+      for (int v = 0; v < VMS; v++)
+        used[v] = next[v];
+      if (sum > worst)
+        worst = sum;
+    }
+  gsl_rng_free (rng);
+  return worst;
+}
+
+static void
+test_sum_stays_within_the_stated_bound (void)
+{
+  for (unsigned long seed = 1; seed <= SEEDS; seed++)
+    CU_ASSERT (run_periods (seed) < 3 * LIMIT);
+}
+
+static void
+test_steady_demand_of_all_stays_at_the_limit (void)
+{
+  int32_t used[VMS] = { 0 };
+  int sum = 0;
+
+  for (int p = 0; p < 10; p++)
+    {
+      int32_t next[VMS];
+
+      sum = 0;
+      for (int v = 0; v < VMS; v++)
+        {
+          int32_t peers = 0;
+
+          for (int o = 0; o < VMS; o++)
+            peers += o == v ? 0 : used[o];
+          next[v] = fl_limit_allowed (LIMIT, VMS, used[v], peers, 1);
+          sum += next[v];
+        }
+      for (int v = 0; v < VMS; v++)
+        used[v] = next[v];
+    }
+  CU_ASSERT (sum <= LIMIT);
+}
+
+static struct fl_limit
+limit_of (int32_t rate, int32_t concurrent)
+{
+  struct fl_limit l;
+
+  fl_limit_init (&l, 0);
+  l.calls_per_second = rate;
+  l.concurrent_calls = concurrent;
+  fl_limit_period (&l, 1, 0, 0, 1);
+  return l;
+}
+
+static void
+test_rate_is_a_bucket_of_one_period (void)
+{
+  struct fl_limit l = limit_of (10, 1000);
+  int passed = 0;
+
+  for (int i = 0; i < 50; i++)
+    passed += fl_limit_enter (&l, 5 * FL_LIMIT_PERIOD_MS) == FL_LIMIT_PASS;
+  CU_ASSERT_EQUAL (passed, 10);
+  CU_ASSERT_EQUAL (fl_limit_enter (&l, 5 * FL_LIMIT_PERIOD_MS), FL_LIMIT_RATE);
+  CU_ASSERT_EQUAL (fl_limit_enter (&l, 5 * FL_LIMIT_PERIOD_MS + 100),
+                   FL_LIMIT_PASS);
+}
+
+static void
+test_concurrency_is_freed_by_leaving (void)
+{
+  struct fl_limit l = limit_of (1000, 2);
+
+  CU_ASSERT_EQUAL (fl_limit_enter (&l, 1000), FL_LIMIT_PASS);
+  CU_ASSERT_EQUAL (fl_limit_enter (&l, 1000), FL_LIMIT_PASS);
+  CU_ASSERT_EQUAL (fl_limit_enter (&l, 1000), FL_LIMIT_CONCURRENCY);
+  fl_limit_leave (&l);
+  CU_ASSERT_EQUAL (fl_limit_enter (&l, 1000), FL_LIMIT_PASS);
+}
+
+#define TEST(name)                                                            \
+  {                                                                           \
+#name, name                                                               \
+  }
+
+int
+main (void)
+{
+  static const struct
+  {
+    const char *name;
+    CU_TestFunc run;
+  } tests[] = {
+    TEST (test_nothing_is_allowed_of_nothing),
+    TEST (test_one_vm_has_it_all),
+    TEST (test_one_busy_vm_comes_to_the_whole_limit),
+    TEST (test_cut_off_vm_keeps_to_its_share),
+    TEST (test_sum_stays_within_the_stated_bound),
+    TEST (test_steady_demand_of_all_stays_at_the_limit),
+    TEST (test_rate_is_a_bucket_of_one_period),
+    TEST (test_concurrency_is_freed_by_leaving),
+  };
+  CU_pSuite suite;
+  unsigned failures;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("limit", NULL, NULL);
+  for (size_t i = 0; i < sizeof tests / sizeof tests[0]; i++)
+    CU_add_test (suite, tests[i].name, tests[i].run);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/filter/test_pool.c
@@ -0,0 +1,283 @@
+/* Upstreams and one VM's part of their slots.  */
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "filter/pool.h"
+
+enum
+{
+  ENTRIES = 7,
+  WORKERS = 12,
+  SLOTS = 8,
+  CONNECTIONS = 60,
+  SEED = 11
+};
+
+static struct fl_pool pool[ENTRIES];
+static struct fl_vm vm[ENTRIES + WORKERS];
+static char name[ENTRIES + WORKERS][16];
+static gsl_rng *rng;
+
+static void
+fill_list (void)
+{
+  for (int i = 0; i < ENTRIES + WORKERS; i++)
+    {
+      int is_entry = i < ENTRIES;
+
+      snprintf (name[i], sizeof name[i], "%c%d", is_entry ? 'e' : 'w', i);
+      vm[i] = (struct fl_vm){ .id = name[i],
+                              .address = name[i],
+                              .domain = "d1",
+                              .is_entry = is_entry,
+                              .slots = is_entry ? 0 : SLOTS,
+                              .connections = is_entry ? 0 : CONNECTIONS };
+    }
+}
+
+static void
+start (void)
+{
+  fill_list ();
+  for (int e = 0; e < ENTRIES; e++)
+    {
+      fl_pool_init (&pool[e], name[e]);
+      fl_pool_list (&pool[e], vm, ENTRIES + WORKERS);
+    }
+}
+
+/* A worker that the first entry VM has slots of.  */
+static int
+usable (void)
+{
+  int w = 0;
+
+  while (!pool[0].up[w].share_slots)
+    w++;
+  return w;
+}
+
+static void
+test_shares_add_up_to_the_worker_s_slots (void)
+{
+  start ();
+  for (int w = 0; w < WORKERS; w++)
+    {
+      int slots = 0, connections = 0;
+
+      for (int e = 0; e < ENTRIES; e++)
+        {
+          slots += fl_pool_allowed (&pool[e], w, 0);
+          connections += pool[e].up[w].share_connections;
+        }
+      CU_ASSERT_EQUAL (slots, SLOTS);
+      CU_ASSERT_EQUAL (connections, CONNECTIONS);
+    }
+}
+
+static void
+test_a_vm_that_leaves_moves_only_its_share (void)
+{
+  int before[WORKERS];
+
+  start ();
+  for (int w = 0; w < WORKERS; w++)
+    before[w] = pool[0].up[w].share_slots;
+  vm[ENTRIES - 1].leaving = 1;
+  fl_pool_list (&pool[0], vm, ENTRIES + WORKERS);
+  for (int w = 0; w < WORKERS; w++)
+    CU_ASSERT (pool[0].up[w].share_slots >= before[w]);
+}
+
+static struct pr_credits *
+grant (int64_t epoch, int64_t stamp_ms, int slots)
+{
+  static struct pr_credits c;
+
+  memset (&c, 0, sizeof c);
+  strcpy (c.cell, "d1");
+  c.epoch = epoch;
+  c.stamp_ms = stamp_ms;
+  c.valid_ms = 1000;
+  c.count = 1;
+  strcpy (c.credit[0].worker, vm[ENTRIES].id);
+  c.credit[0].slots = slots;
+  c.credit[0].connections = CONNECTIONS;
+  return &c;
+}
+
+static void
+test_grant_goes_before_the_share_and_runs_out (void)
+{
+  start ();
+  CU_ASSERT_EQUAL (fl_pool_credits (&pool[0], grant (3, 0, 2), 10), FL_OK);
+  CU_ASSERT_EQUAL (fl_pool_allowed (&pool[0], 0, 999), 2);
+  for (int w = 1; w < WORKERS; w++)
+    CU_ASSERT_EQUAL (fl_pool_allowed (&pool[0], w, 999), 0);
+  CU_ASSERT_EQUAL (fl_pool_allowed (&pool[0], 0, 1000),
+                   pool[0].up[0].share_slots);
+}
+
+static void
+test_old_epoch_and_late_grant_are_refused (void)
+{
+  start ();
+  fl_pool_credits (&pool[0], grant (3, 0, 2), 0);
+  CU_ASSERT_EQUAL (fl_pool_credits (&pool[0], grant (2, 0, 8), 0), FL_ESTALE);
+  CU_ASSERT_EQUAL (fl_pool_credits (&pool[0], grant (4, 0, 8), 1000),
+                   FL_ESTALE);
+  CU_ASSERT_EQUAL (fl_pool_allowed (&pool[0], 0, 500), 2);
+}
+
+static void
+test_taken_slots_never_pass_what_is_allowed (void)
+{
+  int taken = 0, allowed = 0;
+
+  start ();
+  for (int w = 0; w < WORKERS; w++)
+    allowed += fl_pool_allowed (&pool[0], w, 0);
+  while (fl_pool_take (&pool[0], 0, FL_POOL_NONE, rng) >= 0)
+    taken++;
+  CU_ASSERT_EQUAL (taken, allowed);
+  CU_ASSERT_EQUAL (fl_pool_take (&pool[0], 0, FL_POOL_NONE, rng), FL_EBUSY);
+}
+
+static void
+test_nothing_new_goes_to_a_leaving_upstream (void)
+{
+  int w;
+
+  start ();
+  w = usable ();
+  vm[ENTRIES + w].leaving = 1;
+  fl_pool_list (&pool[0], vm, ENTRIES + WORKERS);
+  CU_ASSERT_EQUAL (fl_pool_allowed (&pool[0], w, 0), 0);
+  start ();
+  pool[0].up[w].in_flight = 1;
+  fl_pool_give (&pool[0], w, FL_OUTCOME_LEAVING, 0);
+  CU_ASSERT_EQUAL (fl_pool_allowed (&pool[0], w, 0), 0);
+  /* The list is older than its own word.  */
+  fl_pool_list (&pool[0], vm, ENTRIES + WORKERS);
+  CU_ASSERT_EQUAL (fl_pool_allowed (&pool[0], w, 1), 0);
+}
+
+static void
+test_a_new_process_under_an_old_name_starts_clean (void)
+{
+  int w;
+
+  start ();
+  w = usable ();
+  pool[0].up[w].in_flight = 1;
+  fl_pool_give (&pool[0], w, FL_OUTCOME_LEAVING, 0);
+  vm[ENTRIES + w].address = "elsewhere";
+  fl_pool_list (&pool[0], vm, ENTRIES + WORKERS);
+  CU_ASSERT (fl_pool_allowed (&pool[0], w, 1) > 0);
+}
+
+static void
+fail (int w, int times)
+{
+  for (int i = 0; i < times; i++)
+    {
+      pool[0].up[w].in_flight++;
+      fl_pool_give (&pool[0], w, FL_OUTCOME_FAILED, 0);
+    }
+}
+
+static void
+test_ejection_needs_failures_in_a_row (void)
+{
+  int w;
+
+  start ();
+  w = usable ();
+  fail (w, FL_POOL_FAILURES - 1);
+  pool[0].up[w].in_flight++;
+  fl_pool_give (&pool[0], w, FL_OUTCOME_OK, 0);
+  fail (w, FL_POOL_FAILURES - 1);
+  CU_ASSERT (fl_pool_allowed (&pool[0], w, 0) > 0);
+  fail (w, 1);
+  CU_ASSERT_EQUAL (fl_pool_allowed (&pool[0], w, 0), 0);
+  CU_ASSERT (fl_pool_allowed (&pool[0], w, FL_POOL_EJECT_MS) > 0);
+}
+
+static void
+test_ejection_keeps_a_floor (void)
+{
+  int open = 0;
+
+  start ();
+  for (int w = 0; w < WORKERS; w++)
+    fail (w, FL_POOL_FAILURES);
+  for (int w = 0; w < WORKERS; w++)
+    open += pool[0].up[w].ejected_until_ms == 0;
+  CU_ASSERT_EQUAL (open, WORKERS * FL_POOL_FLOOR_PERCENT / 100);
+}
+
+static void
+test_a_retry_avoids_the_last_upstream (void)
+{
+  start ();
+  for (int i = 0; i < 200; i++)
+    {
+      int avoid = usable ();
+      int w = fl_pool_take (&pool[0], 0, avoid, rng);
+
+      CU_ASSERT (w >= 0 && w != avoid);
+      if (w >= 0)
+        fl_pool_give (&pool[0], w, FL_OUTCOME_OK, 0);
+    }
+}
+
+static void
+test_no_upstream_is_told_from_a_busy_one (void)
+{
+  fl_pool_init (&pool[0], "e0");
+  fl_pool_list (&pool[0], vm, ENTRIES);
+  CU_ASSERT_EQUAL (fl_pool_take (&pool[0], 0, FL_POOL_NONE, rng), FL_ENOENT);
+}
+
+#define TEST(name)                                                            \
+  {                                                                           \
+#name, name                                                               \
+  }
+
+int
+main (void)
+{
+  static const struct
+  {
+    const char *name;
+    CU_TestFunc run;
+  } tests[] = {
+    TEST (test_shares_add_up_to_the_worker_s_slots),
+    TEST (test_a_vm_that_leaves_moves_only_its_share),
+    TEST (test_grant_goes_before_the_share_and_runs_out),
+    TEST (test_old_epoch_and_late_grant_are_refused),
+    TEST (test_taken_slots_never_pass_what_is_allowed),
+    TEST (test_nothing_new_goes_to_a_leaving_upstream),
+    TEST (test_a_new_process_under_an_old_name_starts_clean),
+    TEST (test_ejection_needs_failures_in_a_row),
+    TEST (test_ejection_keeps_a_floor),
+    TEST (test_a_retry_avoids_the_last_upstream),
+    TEST (test_no_upstream_is_told_from_a_busy_one),
+  };
+  CU_pSuite suite;
+  unsigned failures;
+
+  rng = gsl_rng_alloc (gsl_rng_taus2);
+  gsl_rng_set (rng, SEED);
+  CU_initialize_registry ();
+  suite = CU_add_suite ("pool", NULL, NULL);
+  for (size_t i = 0; i < sizeof tests / sizeof tests[0]; i++)
+    CU_add_test (suite, tests[i].name, tests[i].run);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  gsl_rng_free (rng);
+  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+}
