Tell the attempt and ask again in skr-load

Cause: a refusal speaks about the key, and an entry can only know that a key is new when the caller says that it is the first attempt.

--- a/src/load/answer.c
+++ b/src/load/answer.c
@@ -24,13 +24,8 @@
 static enum ld_digest
 check_call (const struct ld_request *r, json_t *body)
 {
-  json_t *answer = json_object_get (body, "answer");
-
-  if (!is_own (r, answer))
-    return LD_DIGEST_BAD;
-  return strcmp (text_of (answer, "request"), text_of (body, "request")) != 0
-             ? LD_DIGEST_BAD
-             : LD_DIGEST_OK;
+  return is_own (r, json_object_get (body, "answer")) ? LD_DIGEST_OK
+                                                      : LD_DIGEST_BAD;
 }
 
 static enum ld_digest
@@ -83,15 +78,20 @@
 }
 
 void
-ld_take (struct ld_request *r, long status, const char *text)
+ld_take (struct ld_request *r, const struct hc_answer *answer)
 {
-  json_t *body = json_loads (text, 0, NULL);
+  json_t *body = json_loads (answer->body, 0, NULL);
   const char *job = text_of (body, "job");
 
-  r->status = status;
-  r->end = end_by_state (r, text_of (body, "state"), status);
+  r->status = answer->status;
+  r->end = end_by_state (r, text_of (body, "state"), answer->status);
   if (r->is_job && *job)
     snprintf (r->job, sizeof r->job, "%s", job);
+  if (r->end == LD_NOT_RUN)
+    {
+      r->refused_wall_ms = bs_wall_ms ();
+      r->retry_ms = ld_now_ms () + answer->retry_after_s * 1000;
+    }
   if (r->end == LD_DONE)
     r->check = r->is_job ? check_job (r, body) : check_call (r, body);
   /* An accepted job's first answer may show its end without results.  */
--- a/src/load/journal.c
+++ b/src/load/journal.c
@@ -31,6 +31,11 @@
   if (!r)
     return;
   r->starts++;
+  /* Refused while it had run, or run after a refusal that was the end.  */
+  if (r->end == LD_NOT_RUN || r->end == LD_UNSENT
+      || json_integer_value (json_object_get (entry, "start"))
+             < r->refused_wall_ms)
+    r->false_refusal = 1;
   if (r->repeatable)
     return;
   if (!r->is_job)
@@ -152,8 +157,7 @@
   count->end[r->end]++;
   count->doubled += r->doubled > 0;
   count->crossed += r->check == LD_DIGEST_BAD;
-  count->false_refusals
-      += (r->end == LD_NOT_RUN || r->end == LD_UNSENT) && r->starts > 0;
+  count->false_refusals += r->false_refusal;
   count->unknown_ran += r->end == LD_UNKNOWN && r->starts > 0;
   /* Confirmed and never run, or accepted and never ended.  */
   count->lost += r->end == LD_ACCEPTED || r->end == LD_OPEN
--- a/src/load/load.h
+++ b/src/load/load.h
@@ -42,6 +42,7 @@
   int64_t deadline_ms, run_ms, answer_bytes;
   int64_t job_tasks, job_per_task, job_run_ms;
   int64_t attempts, seed;
+  int64_t again; /* times that a refused request is asked again */
   int job_urgent, json;
 };
 
@@ -78,6 +79,11 @@
   enum ld_digest check;
   long status;
   int attempts, sent_once; /* a byte of it has left */
+  int again;               /* times asked again after a refusal */
+  int posted;              /* the question in progress is the request itself */
+  int64_t retry_ms;        /* when a refused one may be asked again */
+  int64_t refused_wall_ms; /* last refusal; 0: none */
+  int false_refusal;       /* it had started, or started after its last end */
   int starts;              /* in the journals */
   int doubled;
 };
@@ -118,10 +124,13 @@
 void ld_fini (struct ld *ld);
 /* Sends all requests at their times and waits for their first ends.  */
 void ld_run (struct ld *ld);
+/* Sends R to the next entry by its key, for DONE to take up the answer.
+   Returns 0 or an hc_error.  */
+int ld_post (struct ld_request *r, hc_done *done, int timeout_ms);
 /* The body of a request; freed by free.  Sets the digest of its payload.  */
 char *ld_body (struct ld_request *r);
-/* Takes up an answer with JSON BODY about R.  Call with the lock held.  */
-void ld_take (struct ld_request *r, long status, const char *body);
+/* Takes up an answer about R.  Call with the lock held.  */
+void ld_take (struct ld_request *r, const struct hc_answer *answer);
 /* Asks by key or job until every request has an end or time is up.  */
 void ld_settle (struct ld *ld);
 /* Compares with the journals.  Returns 0 or LD_EANSWER.  */
--- a/src/load/main.c
+++ b/src/load/main.c
@@ -52,6 +52,8 @@
           FIELD (job_urgent) },
         { "attempts", OPT_INT, "entries", 1, LD_MAX_ATTEMPTS, "3",
           "entries that a request is tried at", FIELD (attempts) },
+        { "again", OPT_INT, "times", 0, 1000, "0",
+          "times that a refused request is asked again", FIELD (again) },
         { "seed", OPT_INT, "", 0, INT_MAX, "1", "seed of the arrivals",
           FIELD (seed) },
         { "json", OPT_FLAG, "", 0, 1, "0", "print JSON", FIELD (json) },
--- a/src/load/send.c
+++ b/src/load/send.c
@@ -76,7 +76,7 @@
     {
     case HC_ANSWERED:
       r->sent_once = 1;
-      ld_take (r, answer->status, answer->body);
+      ld_take (r, answer);
       finish (r);
       break;
     case HC_LOST:
@@ -90,21 +90,21 @@
   pthread_mutex_unlock (&r->ld->lock);
 }
 
-static int
-submit (struct ld_request *r)
+int
+ld_post (struct ld_request *r, hc_done *done, int timeout_ms)
 {
   struct ld *ld = r->ld;
   int entry = (r->index + r->attempts) % ld->entries;
-  char url[128], key[LD_KEY + 32];
+  char url[128], key[LD_KEY + 32], attempt[48];
   char *body = ld_body (r);
   struct hc_request request = {
     .method = "POST",
     .url = url,
     .body = body,
-    .header = { ld->account[r->account].authorization, key,
+    .header = { ld->account[r->account].authorization, key, attempt,
                 "Content-Type: application/json" },
-    .timeout_ms = (int)ld->settings.deadline_ms + LD_TIMEOUT_EXTRA_MS,
-    .done = on_answer,
+    .timeout_ms = timeout_ms,
+    .done = done,
     .arg = r,
   };
   int error;
@@ -113,11 +113,19 @@
             r->is_job ? "jobs" : "calls");
   snprintf (key, sizeof key, "Idempotency-Key: %s", r->key);
   r->attempts++;
+  snprintf (attempt, sizeof attempt, "Idempotency-Attempt: %d", r->attempts);
   error = hc_submit (ld->hc, &request);
   free (body);
   return error;
 }
 
+static int
+submit (struct ld_request *r)
+{
+  return ld_post (r, on_answer,
+                  (int)r->ld->settings.deadline_ms + LD_TIMEOUT_EXTRA_MS);
+}
+
 static void
 prepare (struct ld *ld, int index, int64_t due_ms)
 {
--- a/src/load/settle.c
+++ b/src/load/settle.c
@@ -10,10 +10,26 @@
   ASK_MS = 3000 /* timeout of one question */
 };
 
+static int
+may_ask_again (const struct ld_request *r)
+{
+  return r->end == LD_NOT_RUN && r->again < r->ld->settings.again;
+}
+
 static int
 is_open (const struct ld_request *r)
 {
-  return r->end == LD_UNKNOWN || r->end == LD_ACCEPTED || r->end == LD_OPEN;
+  return r->end == LD_UNKNOWN || r->end == LD_ACCEPTED || r->end == LD_OPEN
+         || may_ask_again (r);
+}
+
+/* 404 for a call: no VM ever claimed it.  A job that was accepted and is gone
+   stays open and counts as lost.  */
+static int
+is_final (const struct ld_request *r, const struct hc_answer *answer)
+{
+  return r->posted || answer->status == 200 || answer->status == 504
+         || (answer->status == 404 && !*r->job);
 }
 
 static void
@@ -23,12 +39,10 @@
   struct ld *ld = r->ld;
 
   pthread_mutex_lock (&ld->lock);
-  /* 404 for a call: no VM ever claimed it.  A job that was accepted and is
-     gone stays open and counts as lost.  */
-  if (answer->end == HC_ANSWERED
-      && (answer->status == 200 || answer->status == 504
-          || (answer->status == 404 && !*r->job)))
-    ld_take (r, answer->status, answer->body);
+  if (answer->end == HC_ANSWERED && is_final (r, answer))
+    ld_take (r, answer);
+  else if (answer->end == HC_LOST && r->posted)
+    r->end = LD_UNKNOWN;
   if (!is_open (r))
     r->ended_ms = ld_now_ms ();
   ld->pending--;
@@ -36,34 +50,40 @@
   pthread_mutex_unlock (&ld->lock);
 }
 
-/* Asks about a call by its key, and about a job by its id; a job whose id
-   never arrived is submitted again by its key.  */
 static int
-ask (struct ld_request *r, int round)
+get (struct ld_request *r, int round)
 {
   struct ld *ld = r->ld;
-  char url[256], key[LD_KEY + 32];
-  int again = r->is_job && !*r->job;
-  char *body = again ? ld_body (r) : NULL;
+  char url[256];
   struct hc_request request = {
-    .method = again ? "POST" : "GET",
+    .method = "GET",
     .url = url,
-    .body = body,
-    .header = { ld->account[r->account].authorization, key },
+    .header = { ld->account[r->account].authorization },
     .timeout_ms = ASK_MS,
     .done = on_state,
     .arg = r,
   };
-  int error;
 
-  snprintf (key, sizeof key, "Idempotency-Key: %s", r->key);
-  snprintf (url, sizeof url, "http://%s/v1/%s%s%s",
+  snprintf (url, sizeof url, "http://%s/v1/%s/%s",
             ld->entry[(r->index + round) % ld->entries],
-            r->is_job ? "jobs" : "calls", again ? "" : "/",
-            again ? "" : (r->is_job ? r->job : r->key));
-  error = hc_submit (ld->hc, &request);
-  free (body);
-  return error;
+            r->is_job ? "jobs" : "calls", r->is_job ? r->job : r->key);
+  return hc_submit (ld->hc, &request);
+}
+
+/* Asks about a call by its key, and about a job by its id.  The request
+   itself is sent again when its end is not kept anywhere, as for a call that
+   may be repeated, when a job's id never arrived, and after a refusal.  */
+static int
+ask (struct ld_request *r, int round)
+{
+  if (r->end == LD_NOT_RUN && ld_now_ms () < r->retry_ms)
+    return HC_EFULL;
+  r->posted = r->end == LD_NOT_RUN || (r->is_job ? !*r->job : r->repeatable);
+  if (!r->posted)
+    return get (r, round);
+  r->again += r->end == LD_NOT_RUN;
+  return ld_post (r, on_state,
+                  (int)r->ld->settings.deadline_ms + LD_TIMEOUT_EXTRA_MS);
 }
 
 /* Asks once about every open request; returns how many are still open.  */
