Say 'not run' of a key only with a proof

Cause: an attempt's refusal says nothing of an earlier attempt with its key. Change: Idempotency-Attempt; without it, or above 1, a refusal that the table does not prove is 'unknown'; a row that says 'not run' gives way to a later attempt and answers the same one again.

--- a/include/skr/serve.h
+++ b/include/skr/serve.h
@@ -23,9 +23,10 @@
 struct hs_request
 {
   const char *method, *path;
-  const char *authorization, *idempotency_key, *if_match; /* or NULL */
-  const char *body;                                       /* NUL-terminated */
-  size_t body_size;                                       /* bytes */
+  const char *authorization, *if_match;              /* or NULL */
+  const char *idempotency_key, *idempotency_attempt; /* or NULL */
+  const char *body;                                  /* NUL-terminated */
+  size_t body_size;                                  /* bytes */
   int too_large; /* the body passed the limit and was dropped */
   char peer[64]; /* "IP" of the other end */
 };
--- a/src/entry/answer.c
+++ b/src/entry/answer.c
@@ -85,7 +85,7 @@
     return;
   req->ex = NULL;
   req->fr.method = req->fr.path = req->fr.authorization = NULL;
-  req->fr.key = req->fr.if_match = req->fr.body = NULL;
+  req->fr.attempt_text = req->fr.key = req->fr.if_match = req->fr.body = NULL;
   count (core, req, a->status, end);
   hs_answer (ex, a);
 }
@@ -146,5 +146,8 @@
   struct fl_problem p = { .kind = FL_PROBLEM_NONE };
 
   fl_problem_set (&p, kind, en_jitter (core), "%s", detail);
+  if (req->fr.op == FL_OP_CALL || req->fr.op == FL_OP_JOB)
+    fl_soften (&req->fr, &p, req->fr.op == FL_OP_CALL && req->u.call.m.proved,
+               en_jitter (core));
   en_answer_problem (core, req, &p, NULL);
 }
--- a/src/entry/call.c
+++ b/src/entry/call.c
@@ -48,10 +48,11 @@
 static json_t *
 row_value (struct en_core *core, struct en_request *req, const char *state)
 {
-  json_t *v
-      = json_pack ("{s:s,s:s,s:s,s:s,s:s,s:I}", "kind", "call", "body_digest",
-                   req->fr.digest, "token", req->token, "state", state,
-                   "entry", core->set->vm, "at", (json_int_t)bs_wall_ms ());
+  json_t *v = json_pack ("{s:s,s:s,s:s,s:s,s:s,s:i,s:I}", "kind", "call",
+                         "body_digest", req->fr.digest, "token", req->token,
+                         "state", state, "entry", core->set->vm, "attempt",
+                         (int)req->fr.attempt, "at",
+                         (json_int_t)bs_wall_ms ());
 
   if (req->u.call.m.end == FL_END_DONE)
     json_object_set (v, "answer", req->u.call.answer);
@@ -78,7 +79,8 @@
 {
   if (en_fault_here (core, req, EN_FAULT_BEFORE_CLAIM))
     return;
-  put_row (core, req, EN_TAG_STEP, row_value (core, req, "claimed"), 0);
+  put_row (core, req, EN_TAG_STEP, row_value (core, req, "claimed"),
+           req->u.call.row_version);
 }
 
 static void
@@ -141,6 +143,19 @@
   c->others = row;
 }
 
+/* An earlier attempt that was not run gives way to a later one; the same
+   attempt gets the same answer again.  */
+static int
+may_replace (const struct en_request *req, const json_t *value)
+{
+  json_int_t before = json_integer_value (json_object_get (value, "attempt"));
+
+  return !is_ours (req, value)
+         && !strcmp (string_of (value, "state"), "not_run")
+         && !strcmp (string_of (value, "body_digest"), req->fr.digest)
+         && (!req->fr.attempt || req->fr.attempt > before);
+}
+
 /* Reads what the table shows about a claim into EV.  */
 static void
 read_claim (struct en_core *core, struct en_request *req,
@@ -154,10 +169,11 @@
         = json_integer_value (json_object_get (in->u.table.data, "rev"));
   if (ev->reply != FL_REPLY_ROW)
     return;
-  if (!row)
+  if (!row || may_replace (req, value))
     {
       ev->row = FL_ROW_BEFORE;
-      ev->row_state = FL_STATE_ABSENT;
+      ev->row_state = row ? FL_STATE_NOT_RUN : FL_STATE_ABSENT;
+      req->u.call.row_version = row ? version_of (row) : 0;
     }
   else if (is_ours (req, value))
     {
@@ -222,13 +238,14 @@
       break;
     case FL_WHY_ROW:
       en_refuse (core, req, FL_PROBLEM_NOT_RUN,
-                 "an earlier attempt with this key was refused for good; use "
-                 "a new key");
+                 "this attempt was not run; come back with the same key and a "
+                 "higher Idempotency-Attempt");
       break;
     default:
-      en_refuse (core, req, FL_PROBLEM_NOT_RUN,
-                 "its deadline passed before it could be dispatched; use a "
-                 "new key");
+      en_refuse (
+          core, req, FL_PROBLEM_NOT_RUN,
+          "its deadline passed before it could be dispatched; come back "
+          "with the same key");
       break;
     }
 }
--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -124,6 +124,7 @@
   req->fr.path = in->path;
   req->fr.authorization = in->authorization;
   req->fr.key = in->idempotency_key;
+  req->fr.attempt_text = in->idempotency_attempt;
   req->fr.if_match = in->if_match;
   req->fr.body = in->body;
   req->fr.body_size = in->body_size;
--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -375,11 +375,9 @@
     keep_value (j, row);
   if (!row || !is_owner (core, req))
     en_refuse (core, req, FL_PROBLEM_NOT_FOUND, "there is no such job");
-  else if (req->fr.op == FL_OP_JOB)
-    accepted (core, req, j->id, string_of (j->value, "state"));
   else if (req->fr.op == FL_OP_JOB_GET)
     show_or_wait (core, req);
-  else if (has_ended (j->value))
+  else if (req->fr.op == FL_OP_JOB || has_ended (j->value))
     accepted (core, req, j->id, string_of (j->value, "state"));
   else
     start_write (core, req);
--- a/src/filter/call.c
+++ b/src/filter/call.c
@@ -133,6 +133,7 @@
     case FL_STATE_FAILED:
       return finish (c, at, FL_END_FAILED, FL_WHY_ROW);
     case FL_STATE_NOT_RUN:
+      c->proved = 1;
       return finish (c, at, FL_END_NOT_RUN, FL_WHY_ROW);
     case FL_STATE_UNKNOWN:
       return finish (c, at, FL_END_UNKNOWN, FL_WHY_ROW);
@@ -157,7 +158,7 @@
   switch (c->claim.end)
     {
     case FL_WRITTEN:
-      c->claimed = 1;
+      c->claimed = c->proved = 1;
       if (c->state == FL_CALL_ENDED)
         return start_record (c, &ev->at);
       if (ev->at.now_ms >= c->deadline_ms)
--- a/src/filter/call.h
+++ b/src/filter/call.h
@@ -118,6 +118,7 @@
   enum fl_why why;
   int repeatable;
   int claimed; /* the row is ours, or may be */
+  int proved;  /* the table says that no other attempt ran */
   int answered;
   int ambiguous; /* an attempt's effect is unknown */
   int failed;    /* an attempt ran and failed */
--- a/src/filter/chain.c
+++ b/src/filter/chain.c
@@ -209,6 +209,10 @@
                            "send Idempotency-Key: 1 to %d letters, digits "
                            "and . _ ~ : -",
                            FL_MAX_KEY);
+  if (r->attempt_text && fl_parse_attempt (r->attempt_text, &r->attempt))
+    return fl_problem_set (&r->problem, FL_PROBLEM_NO_KEY, 0,
+                           "Idempotency-Attempt must be 1 to %d",
+                           FL_MAX_ATTEMPT);
   bs_digest (r->digest, r->body);
   snprintf (r->row_key, sizeof r->row_key, "%s/%s",
             env->account[r->account].name, key);
@@ -270,6 +274,20 @@
   return r->op == FL_OP_JOB ? route_job (env, r) : FL_PROBLEM_NONE;
 }
 
+void
+fl_soften (const struct fl_request *r, struct fl_problem *p, int proved,
+           double jitter)
+{
+  const char *state = fl_problem_state (p->kind);
+
+  if (proved || r->attempt == 1 || p->kind == FL_PROBLEM_NEVER || !state
+      || strcmp (state, "not_run") != 0)
+    return;
+  fl_problem_set (p, FL_PROBLEM_UNPROVED, jitter,
+                  "this attempt was not run; an earlier one with the same "
+                  "key may have run; come back with the same key");
+}
+
 enum fl_problem_kind
 fl_chain_run (struct fl_env *env, struct fl_request *r)
 {
@@ -279,7 +297,10 @@
 
   for (size_t i = 0; i < sizeof chain / sizeof chain[0]; i++)
     if (chain[i](env, r) != FL_PROBLEM_NONE)
-      return r->problem.kind;
+      {
+        fl_soften (r, &r->problem, 0, env->jitter);
+        return r->problem.kind;
+      }
   return FL_PROBLEM_NONE;
 }
 
--- a/src/filter/chain.h
+++ b/src/filter/chain.h
@@ -66,7 +66,8 @@
 struct fl_request
 {
   /* what arrived */
-  const char *method, *path, *authorization, *key, *if_match, *body;
+  const char *method, *path, *authorization, *if_match, *body;
+  const char *key, *attempt_text; /* Idempotency-Key and -Attempt */
   size_t body_size;
   int too_large;
   /* what the filters found */
@@ -81,7 +82,8 @@
     struct fl_job_body job;
     int64_t version; /* of FL_OP_LIST_PUT */
   } u;
-  char digest[BS_DIGEST_SIZE];   /* of the body */
+  int32_t attempt;             /* 1: the caller's first; 0: it did not tell */
+  char digest[BS_DIGEST_SIZE]; /* of the body */
   char row_key[FL_ROW_KEY_SIZE]; /* ACCOUNT/KEY */
   char cell[PR_ID];              /* of a new job */
   struct fl_problem problem;     /* when refused */
@@ -90,6 +92,11 @@
 /* Runs the chain; returns FL_PROBLEM_NONE when the request may go on.  A
    refusal leaves nothing behind but the request's own memory.  */
 enum fl_problem_kind fl_chain_run (struct fl_env *env, struct fl_request *r);
+/* "Not run" is about the key.  What is known of this attempt alone is enough
+   only when the caller says that it is the first one; otherwise P becomes
+   "unknown", unless PROVED.  */
+void fl_soften (const struct fl_request *r, struct fl_problem *p, int proved,
+                double jitter);
 /* Frees what the chain made and leaves the account's limits.  */
 void fl_request_fini (struct fl_env *env, struct fl_request *r);
 
--- a/src/filter/parse.c
+++ b/src/filter/parse.c
@@ -156,3 +156,17 @@
     end++;
   return *end ? FL_EINVAL : FL_OK;
 }
+
+int
+fl_parse_attempt (const char *text, int32_t *attempt)
+{
+  char *end;
+  long n;
+
+  errno = 0;
+  n = strtol (text, &end, 10);
+  if (errno || end == text || *end || n < 1 || n > FL_MAX_ATTEMPT)
+    return FL_EINVAL;
+  *attempt = (int32_t)n;
+  return FL_OK;
+}
--- a/src/filter/parse.h
+++ b/src/filter/parse.h
@@ -10,8 +10,9 @@
 
 enum
 {
-  FL_MAX_KEY = 128, /* characters of an Idempotency-Key */
-  FL_MAX_KIND = 64, /* characters of a call's kind */
+  FL_MAX_KEY = 128,         /* characters of an Idempotency-Key */
+  FL_MAX_ATTEMPT = 1000000, /* an Idempotency-Attempt */
+  FL_MAX_KIND = 64,         /* characters of a call's kind */
   FL_MAX_DEADLINE_MS = 600000,
   FL_MAX_PER_TASK = 64, /* accelerators */
   FL_MAX_TASKS = 4096,
@@ -44,6 +45,8 @@
 int fl_parse_job (struct fl_job_body *out, json_t *o, struct fl_problem *p);
 /* 1 to FL_MAX_KEY of letters, digits and . _ ~ : -  */
 int fl_key_is_good (const char *key);
+/* Reads an Idempotency-Attempt.  Returns 0 or FL_EINVAL.  */
+int fl_parse_attempt (const char *text, int32_t *attempt);
 /* Reads an If-Match of one version, with or without quotes.  Returns 0 or
    FL_EINVAL.  */
 int fl_parse_version (const char *text, int64_t *version);
--- a/src/filter/pool.c
+++ b/src/filter/pool.c
@@ -85,7 +85,7 @@
 static void
 list_worker (struct fl_upstream *u, const struct fl_vm *vm)
 {
-  if (strcmp (u->address, vm->address))
+  if (strcmp (u->address, vm->address) != 0)
     {
       /* A new process under the old name: nothing that was learnt of the
          old one counts.  */
--- a/src/filter/problem.c
+++ b/src/filter/problem.c
@@ -37,6 +37,9 @@
   = { 503, 2, "table-down", "The table does not answer", "not_run" },
   [FL_PROBLEM_UNREADABLE]
   = { 503, 1, "unreadable", "The table does not answer", NULL },
+  [FL_PROBLEM_UNPROVED]
+  = { 503, 1, "unproved", "This attempt was not run; an earlier one may have",
+      "unknown" },
   [FL_PROBLEM_NO_UPSTREAM]
   = { 503, 1, "no-upstream", "No upstream can take it", "not_run" },
   [FL_PROBLEM_NOT_RUN] = { 503, 1, "not-run", "It was not run", "not_run" },
--- a/src/net/serve.c
+++ b/src/net/serve.c
@@ -90,6 +90,8 @@
   ex->request.path = path;
   ex->request.authorization = header_of (connection, "Authorization");
   ex->request.idempotency_key = header_of (connection, "Idempotency-Key");
+  ex->request.idempotency_attempt
+      = header_of (connection, "Idempotency-Attempt");
   ex->request.if_match = header_of (connection, "If-Match");
   note_peer (ex);
   atomic_fetch_add (&hs->in_progress, 1);
--- a/tests/filter/test_chain.c
+++ b/tests/filter/test_chain.c
@@ -163,15 +163,15 @@
 static void
 test_deep_nesting_is_refused (void)
 {
-  char body[512] = "{\"kind\":\"a\",\"repeatable\":true,\"deadline_ms\":1,"
-                   "\"payload\":{\"a\":";
+  char open[FL_MAX_DEPTH + 1] = "", close[FL_MAX_DEPTH + 1] = "", body[512];
 
   start ();
-  for (int i = 0; i < FL_MAX_DEPTH; i++)
-    strcat (body, "[");
-  for (int i = 0; i < FL_MAX_DEPTH; i++)
-    strcat (body, "]");
-  strcat (body, "}}");
+  memset (open, '[', FL_MAX_DEPTH);
+  memset (close, ']', FL_MAX_DEPTH);
+  snprintf (body, sizeof body,
+            "{\"kind\":\"a\",\"repeatable\":true,\"deadline_ms\":1,"
+            "\"payload\":{\"a\":%s%s}}",
+            open, close);
   CU_ASSERT_EQUAL (run ("POST", "/v1/calls", "desk", body),
                    FL_PROBLEM_MALFORMED);
 }
@@ -314,15 +314,15 @@
 test_jobs_go_home_first (void)
 {
   start ();
-  strcpy (account[0].home[0], "d2");
+  snprintf (account[0].home[0], PR_ID, "d2");
   account[0].homes = 1;
   CU_ASSERT_EQUAL (run ("POST", "/v1/jobs", "desk", good_job),
                    FL_PROBLEM_NONE);
   CU_ASSERT_STRING_EQUAL (req.cell, "d2");
   fleet.cells = 2;
-  strcpy (fleet.cell[0].cell, "d1");
+  snprintf (fleet.cell[0].cell, PR_ID, "d1");
   fleet.cell[0].free = 1;
-  strcpy (fleet.cell[1].cell, "d2");
+  snprintf (fleet.cell[1].cell, PR_ID, "d2");
   fleet.cell[1].free = 16;
   CU_ASSERT_EQUAL (run ("POST", "/v1/jobs", "agency", good_job),
                    FL_PROBLEM_NONE);
--- a/tests/filter/test_pool.c
+++ b/tests/filter/test_pool.c
@@ -97,12 +97,12 @@
   static struct pr_credits c;
 
   memset (&c, 0, sizeof c);
-  strcpy (c.cell, "d1");
+  snprintf (c.cell, sizeof c.cell, "d1");
   c.epoch = epoch;
   c.stamp_ms = stamp_ms;
   c.valid_ms = 1000;
   c.count = 1;
-  strcpy (c.credit[0].worker, vm[ENTRIES].id);
+  snprintf (c.credit[0].worker, PR_ID, "%s", vm[ENTRIES].id);
   c.credit[0].slots = slots;
   c.credit[0].connections = CONNECTIONS;
   return &c;
