--- a/src/control/lease.h
+++ b/src/control/lease.h
@@ -50,6 +50,7 @@
   int64_t seen_ms;   /* when ROW was first seen so */
   int64_t open_ms;   /* since when it may be taken; -1: it may not */
   int in_flight, unresolved;
+  int64_t beats;      /* writes sent by this process; each names its own */
   int64_t floor;      /* the highest epoch seen anywhere */
   struct ce_row sent; /* the write in flight */
   int64_t sent_ms, valid_until_ms;
