--- a/include/skr/events.h
+++ b/include/skr/events.h
@@ -37,6 +37,7 @@
 
   /* filter */
   LG_REQUEST_UNKNOWN = 601,
+  LG_FAULT_POINT = 602,
 
   /* programs */
   LG_BAD_KEY = 701
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -72,6 +72,9 @@
     "A call that may not be repeated was sent and its answer is missing.",
     "none; the caller asks again by its key" },
 
+  { LG_FAULT_POINT, LG_WARNING, "fault-point", "point request",
+    "For tests: the request stops here for good.", "set fault-point to none" },
+
   /* programs */
   { LG_BAD_KEY, LG_INFO, "bad-key", "peer",
     "A caller used a key that no account has.", "none" },
--- a/src/entry/call.c
+++ b/src/entry/call.c
@@ -48,11 +48,11 @@
 static json_t *
 row_value (struct en_core *core, struct en_request *req, const char *state)
 {
-  json_t *v = json_pack ("{s:s,s:s,s:s,s:s,s:s,s:i,s:I}", "kind", "call",
-                         "body_digest", req->fr.digest, "token", req->token,
-                         "state", state, "entry", core->set->vm, "attempt",
-                         (int)req->fr.attempt, "at",
-                         (json_int_t)bs_wall_ms ());
+  json_t *v
+      = json_pack ("{s:s,s:s,s:s,s:s,s:s,s:i,s:I}", "kind", "call",
+                   "body_digest", req->fr.digest, "token", req->token, "state",
+                   state, "entry", core->set->vm, "attempt",
+                   (int)req->fr.attempt, "at", (json_int_t)bs_wall_ms ());
 
   if (req->u.call.m.end == FL_END_DONE)
     json_object_set (v, "answer", req->u.call.answer);
--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -71,10 +71,14 @@
 en_fault_here (struct en_core *core, struct en_request *req,
                enum en_fault point)
 {
-  if (core->fault == point && point != EN_FAULT_NONE
-      && !req->fr.u.call.repeatable)
-    req->paused = 1;
-  return req->paused;
+  if (core->fault != point || point == EN_FAULT_NONE
+      || req->fr.u.call.repeatable || req->paused)
+    return req->paused;
+  req->paused = 1;
+  lg_log (LG_FAULT_POINT, 2,
+          (struct lg_field[]){ lg_str ("point", core->set->fault_point),
+                               lg_str ("request", req->key) });
+  return 1;
 }
 
 static void
--- /dev/null
+++ b/tests/entry/check_lists.sh
@@ -0,0 +1,43 @@
+#!/usr/bin/env bash
+# Operators race each other; a change is in force on every VM within seconds
+# and an older one never comes back.
+cd "$(dirname "$0")/../.." || exit 1
+. tests/entry/lib.sh
+
+start_all 3 2
+version () { operator "$1" /v1/status | jq .allowances_version; }
+version_is () { [ "$(version "$1")" = "$2" ]; }
+
+post "${ADDR[platform]}" /v1/admin/snapshot '{}' > /dev/null
+put_list e1 allowances 1 "$(allowances 500 50)" > "$work/a" &
+a=$!
+put_list e2 allowances 1 "$(allowances 600 60)" > "$work/b"
+wait "$a"
+expect "one of two operators wins" "200 409" \
+  "$(cat "$work/a" <(echo) "$work/b" | sort | xargs)"
+expect "the other sees both versions" "409 2 1" \
+  "$(put_list e1 allowances 1 "$(allowances 700 70)") $(jq -r \
+    '"\(.current.version) \(.yours.version)"' "$work/body")"
+for e in e1 e2; do
+  expect "in force on $e within 5 s" 0 \
+    "$(wait_for 50 version_is $e 2; echo $?)"
+done
+expect "a list that does not fit is refused" 422 \
+  "$(put_list e1 allowances 2 "$(allowances 1 1 | sed 's/"count":1/"count":999/')")"
+expect "a change needs its version" 428 \
+  "$(curl -s -o /dev/null -w '%{http_code}' -X PUT -d '[]' \
+    -H "Authorization: Bearer $OPERATOR" "http://${ADDR[e1]}/v1/plans")"
+
+post "${ADDR[platform]}" /v1/admin/restore '{}' > /dev/null
+sleep 2
+expect "a restored table does not undo it" "2 2" "$(version e1) $(version e2)"
+start_entry e3 d3
+expect "and a new VM gets the newer one" 0 \
+  "$(wait_for 50 version_is e3 2; echo $?)"
+
+platform_fault '{"mode":"lost","lost_percent":100}'
+expect "a change whose answer is lost is found" 200 \
+  "$(put_list e1 allowances 2 "$(allowances 800 80)")"
+platform_fault '{"mode":"ok"}'
+expect "and is in force" 0 "$(wait_for 50 version_is e2 3; echo $?)"
+exit "$failed"
--- /dev/null
+++ b/tests/entry/check_outage.sh
@@ -0,0 +1,53 @@
+#!/usr/bin/env bash
+# The platform's table is down, silent, or loses its answers.
+cd "$(dirname "$0")/../.." || exit 1
+. tests/entry/lib.sh
+
+job ()
+{
+  curl -s -m 20 -o "$work/job" -D "$work/head" -w '%{http_code} ' \
+    -H "Authorization: Bearer $DESK" -H "Idempotency-Key: $1" \
+    -H "Idempotency-Attempt: 1" "http://${ADDR[e1]}/v1/jobs" \
+    -d '{"class":"bulk","tasks":1,"per_task":1,"declared_ms":10,
+         "repeatable":true,"preemptible":true,"payload":{}}'
+  jq -r '.state' "$work/job"
+}
+table_down ()
+{
+  [ "$(operator e1 /v1/status | jq .table_down)" = "$1" ]
+}
+# asked_at_most MS COMMAND...: prints its output, or "late".
+asked_at_most ()
+{
+  local ms=$1 from out
+  shift
+  from=$(date +%s%3N)
+  out=$("$@")
+  [ $(($(date +%s%3N) - from)) -le "$ms" ] && echo "$out" || echo late
+}
+
+start_all 3 1 --table-timeout-ms 300
+platform_fault '{"mode":"lost","lost_percent":100}'
+expect "lost claims are read back" "200 done" "$(first e1 lost1 false 5000 10)"
+expect "and it ran once" 1 "$(starts lost1)"
+expect "a lost job is read back" "202 queued" "$(job lost-job)"
+
+for mode in down silent; do
+  platform_fault "{\"mode\":\"$mode\"}"
+  wait_for 100 table_down true
+  expect "$mode: what may be repeated goes on" "200 done" \
+    "$(first e1 "$mode-r" true 5000 10)"
+  expect "$mode: what may not is refused at once" "503 not_run" \
+    "$(asked_at_most 2000 first e1 "$mode-n" false 60000 10)"
+  expect "$mode: a repeat is not called not run" "503 unknown" \
+    "$(call e1 "$mode-n" false 60000 10)"
+  expect "$mode: no job is accepted" "503 not_run" "$(job "$mode-job")"
+  expect "$mode: and says when to come back" 1 \
+    "$(grep -ci '^retry-after: [1-9]' "$work/head")"
+  platform_fault '{"mode":"ok"}'
+  wait_for 100 table_down false
+  expect "$mode: it runs afterwards" "200 done" \
+    "$(call e1 "$mode-n" false 5000 10)"
+  expect "$mode: once" 1 "$(starts "$mode-n")"
+done
+exit "$failed"
--- /dev/null
+++ b/tests/entry/lib.sh
@@ -0,0 +1,130 @@
+# A platform, workers and entry VMs with two client accounts; sourced by the
+# checks of this folder.  Needs bash, curl and jq.
+. tests/stand/lib.sh
+OPERATOR=operators-key
+DESK=desk-key
+AGENCY=agency-key
+
+# start_entry NAME DOMAIN ARGS...: on free ports.
+start_entry ()
+{
+  local name=$1 domain=$2 peer try
+  shift 2
+  for try in 1 2 3 4 5 6 7 8 9 10; do
+    peer=127.0.0.1:$((20000 + RANDOM % 20000))
+    "$BIN/skr-entry" --vm "$name" --domain "$domain" --listen 127.0.0.1:0 \
+      --peer "$peer" --platform "http://${ADDR[platform]}" \
+      --operator-digest "$("$BIN/skr" key digest $OPERATOR)" "$@" \
+      > "$work/$name.out" 2>> "$work/$name.err" &
+    PID[$name]=$!
+    if wait_for 50 grep -q '^listening ' "$work/$name.out"; then
+      break
+    fi
+    [ "$try" -lt 10 ] || { cat "$work/$name.err"; exit 1; }
+  done
+  ADDR[$name]=$(awk '/^listening /{print $2; exit}' "$work/$name.out")
+  curl -s -o /dev/null -X PUT "http://${ADDR[platform]}/v1/admin/vms/$name" \
+    -d "{\"role\":\"entry\",\"address\":\"${ADDR[$name]}\",\"peer\":\"$peer\",
+         \"rack\":\"r1\",\"domain\":\"$domain\",\"state\":\"live\"}"
+}
+
+# put_list ENTRY LIST VERSION BODY
+put_list ()
+{
+  curl -s -m 10 -o "$work/body" -w '%{http_code}' -X PUT -d "$4" \
+    -H "Authorization: Bearer $OPERATOR" -H "If-Match: \"$3\"" \
+    "http://${ADDR[$1]}/v1/$2"
+}
+
+plans ()
+{
+  printf '[{"account":"desk","plan":"gold","key_digest":"%s"},
+           {"account":"agency","plan":"gold","key_digest":"%s"}]' \
+    "$("$BIN/skr" key digest $DESK)" "$("$BIN/skr" key digest $AGENCY)"
+}
+
+allowances ()
+{
+  printf '[{"plan":"gold","guarantee":[{"size":4,"count":1}],
+    "calls_per_second":%d,"concurrent_calls":%d,"queued_jobs":100}]' \
+    "${1-1000}" "${2-200}"
+}
+
+# operator ENTRY PATH
+operator ()
+{
+  curl -s -m 10 -H "Authorization: Bearer $OPERATOR" "http://${ADDR[$1]}$2"
+}
+
+has_lists ()
+{
+  [ "$(operator "$1" /v1/status | jq '.plans_version>0
+    and .allowances_version>0 and (.upstreams|length)=='"$2")" = true ]
+}
+
+# start_all WORKERS ENTRIES [ENTRY ARGS...]
+start_all ()
+{
+  local workers=$1 entries=$2 i
+  shift 2
+  start platform skr-platform
+  for ((i = 1; i <= workers; i++)); do
+    start "w$i" skr-worker --id "w$i" --domain d1 \
+      --platform "http://${ADDR[platform]}"
+  done
+  for ((i = 1; i <= entries; i++)); do
+    start_entry "e$i" "d$i" "$@"
+  done
+  wait_for 100 fleet_seen e1 "$workers"
+  put_list e1 allowances 0 "$(allowances)" > /dev/null
+  put_list e1 plans 0 "$(plans)" > /dev/null
+  for ((i = 1; i <= entries; i++)); do
+    wait_for 100 has_lists "e$i" "$workers" || { echo "e$i: no lists"; exit 1; }
+  done
+}
+
+fleet_seen ()
+{
+  [ "$(operator "$1" /v1/status | jq '.upstreams|length')" = "$2" ]
+}
+
+# call ENTRY KEY REPEATABLE DEADLINE_MS RUN_MS [CURL ARGS...]: prints status
+# and state; the body is kept in $work/KEY.ENTRY.
+call ()
+{
+  local entry=$1 key=$2 body
+  body="{\"kind\":\"slot\",\"repeatable\":$3,\"deadline_ms\":$4,
+    \"payload\":{\"fake\":{\"run_ms\":$5,\"tag\":\"$key\"}}}"
+  shift 5
+  curl -s -m 60 -o "$work/$key.$entry" -w '%{http_code} ' -d "$body" \
+    -H "Authorization: Bearer $DESK" -H "Idempotency-Key: $key" "$@" \
+    "http://${ADDR[$entry]}/v1/calls"
+  jq -r '.state // "-"' "$work/$key.$entry" 2> /dev/null
+}
+
+first () { call "$@" -H "Idempotency-Attempt: 1"; }
+
+# call_state ENTRY KEY
+call_state ()
+{
+  curl -s -m 10 -H "Authorization: Bearer $DESK" \
+    "http://${ADDR[$1]}/v1/calls/$2" | jq -r '.state // .status'
+}
+
+# starts TAG: how often any worker started it.
+starts ()
+{
+  local name n=0
+  for name in "${!ADDR[@]}"; do
+    case $name in
+      w*) n=$((n + $(get "${ADDR[$name]}" /v1/admin/journal \
+            | jq "[.entries[]|select(.tag==\"$1\")]|length"))) ;;
+    esac
+  done
+  echo "$n"
+}
+
+# platform_fault JSON, worker_fault NAME JSON
+platform_fault () { post "${ADDR[platform]}" /v1/admin/faults "$1" > /dev/null; }
+worker_fault () { post "${ADDR[$1]}" /v1/admin/faults "$2" > /dev/null; }
+logged () { grep -q "$2" "$work/$1.err"; }
