--- a/Makefile
+++ b/Makefile
@@ -104,10 +104,10 @@
 	@tests/bench
 
 format:
-	clang-format -i $(C_FILES)
+	@clang-format -i $(C_FILES)
 
 format-check:
-	clang-format --dry-run -Werror $(C_FILES)
+	@clang-format --dry-run -Werror $(C_FILES)
 
 # A unit is checked again only when it or a header has changed.
 TIDY := $(C_UNITS:%.c=$(BUILD)/tidy/%.ok)
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -1,5 +1,6 @@
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "entry/entry.h"
 #include "skr/log.h"
@@ -174,7 +175,8 @@
   if (listen_http (&core, &set)
       || pthread_create (&thread, NULL, run_core, &core))
     return EXIT_FAILURE;
-  printf ("listening on port %d\n", hs_port (core.server));
+  printf ("listening %.*s:%d\n", (int)strcspn (set.listen, ":"), set.listen,
+          hs_port (core.server));
   fflush (stdout);
   lg_log (LG_STARTED, 1,
           (struct lg_field[]){ lg_str ("address", set.listen) });
--- a/src/sched/main.c
+++ b/src/sched/main.c
@@ -104,6 +104,8 @@
   bs_stop_on_signals ();
   if (sc_start (&sched, &set))
     fail ("cannot start: check --peer and --peer-keys");
+  printf ("listening %s\n", set.peer);
+  fflush (stdout);
   field = lg_str ("address", set.peer);
   lg_log (LG_STARTED, 1, &field);
   while (!bs_stop_wait (WAIT_MS))
