--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -184,6 +184,7 @@
   struct hc_client *hc_table, *hc_up;
   struct tb_client *tb;
   struct pr_net *net;
+  struct pr_key_file keys; /* in use; empty without CURVE */
   struct cf_store config;
   struct fl_env env;
   int accounts_room;
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -30,6 +30,10 @@
     "address for messages of other VMs' daemons; empty: none", FIELD (peer) },
   { "peers", OPT_STRING, "IP:PORT", 0, 4000, "",
     "peers besides those in the VM list, separated by commas", FIELD (peers) },
+  { "peer-keys", OPT_STRING, "file", 0, 400, "",
+    "JSON file of CURVE keys, read again when it changes; required unless "
+    "every peer is on loopback",
+    FIELD (peer_keys) },
   { "operator-digest", OPT_STRING, "", 0, 64, "",
     "digest of the operators' key, as 'skr key digest' prints it",
     FIELD (operator_digest) },
@@ -168,8 +172,8 @@
   bs_stop_on_signals ();
   if (en_core_init (&core, &set))
     {
-      fprintf (stderr, "skr-entry: --fault-point, --peer or memory is not "
-                       "good\n");
+      fprintf (stderr, "skr-entry: cannot start: check --fault-point, --peer "
+                       "and --peer-keys\n");
       return EXIT_USAGE;
     }
   if (listen_http (&core, &set)
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "entry/entry.h"
+#include "skr/log.h"
 
 enum
 {
@@ -38,9 +39,39 @@
 
   if (!*core->set->peer)
     return BS_OK;
+  if (*core->set->peer_keys)
+    {
+      if (pr_read_keys (core->set->peer_keys, &core->keys))
+        return PR_EINVAL;
+      s.public_key = core->keys.public_key;
+      s.secret_key = core->keys.secret_key;
+      s.other_key = core->keys.other_key;
+    }
   return pr_new (&core->net, &s, on_message, core);
 }
 
+/* Keys are rotated without a stop: the file is read again each second.  */
+static void
+read_keys (struct en_core *core)
+{
+  struct pr_key_file keys;
+  int error;
+
+  if (!core->net || !*core->set->peer_keys)
+    return;
+  error = pr_read_keys (core->set->peer_keys, &keys);
+  if (!error && !memcmp (&keys, &core->keys, sizeof keys))
+    return;
+  if (!error)
+    error = pr_keys (core->net, keys.public_key, keys.secret_key,
+                     keys.other_key);
+  if (!error)
+    core->keys = keys;
+  lg_log (LG_PEER_KEYS, 2,
+          (struct lg_field[]){ lg_str ("path", core->set->peer_keys),
+                               lg_int ("error", error) });
+}
+
 static int
 add_dial (const char **out, int n, const char *address, const char *self)
 {
@@ -139,6 +170,7 @@
   struct en_core *core = arg;
 
   (void)now_ms;
+  read_keys (core);
   send_heartbeat (core);
   send_usage (core);
   en_limits (core);
--- a/src/filter/chain.c
+++ b/src/filter/chain.c
@@ -155,6 +155,10 @@
 decode (struct fl_env *env, struct fl_request *r)
 {
   (void)env;
+  if (r->attempt_text && fl_parse_attempt (r->attempt_text, &r->attempt))
+    return fl_problem_set (&r->problem, FL_PROBLEM_NO_KEY, 0,
+                           "Idempotency-Attempt must be 1 to %d",
+                           FL_MAX_ATTEMPT);
   switch (r->op)
     {
     case FL_OP_LIST_PUT:
@@ -209,10 +213,6 @@
                            "send Idempotency-Key: 1 to %d letters, digits "
                            "and . _ ~ : -",
                            FL_MAX_KEY);
-  if (r->attempt_text && fl_parse_attempt (r->attempt_text, &r->attempt))
-    return fl_problem_set (&r->problem, FL_PROBLEM_NO_KEY, 0,
-                           "Idempotency-Attempt must be 1 to %d",
-                           FL_MAX_ATTEMPT);
   bs_digest (r->digest, r->body);
   snprintf (r->row_key, sizeof r->row_key, "%s/%s",
             env->account[r->account].name, key);
--- a/tests/filter/test_chain.c
+++ b/tests/filter/test_chain.c
@@ -19,6 +19,7 @@
 static char operator_digest[BS_DIGEST_SIZE];
 static struct fl_env env;
 static struct fl_request req;
+static const char *attempt = "1";
 
 static const char good_call[] = "{\"kind\":\"slot\",\"repeatable\":true,"
                                 "\"deadline_ms\":1000,\"payload\":{}}";
@@ -68,6 +69,7 @@
                              .path = path,
                              .authorization = *key ? header : NULL,
                              .key = "k-1",
+                             .attempt_text = attempt,
                              .if_match = "\"3\"",
                              .body = body,
                              .body_size = strlen (body) };
@@ -259,6 +261,46 @@
   CU_ASSERT_EQUAL (account[0].limit.in_progress, 0);
 }
 
+static void
+test_not_run_needs_the_first_attempt_or_a_proof (void)
+{
+  static const char *const later[] = { NULL, "2" };
+
+  for (size_t i = 0; i < sizeof later / sizeof later[0]; i++)
+    {
+      start ();
+      env.in_progress = MAX_REQUESTS - 1;
+      attempt = later[i];
+      CU_ASSERT_EQUAL (run ("POST", "/v1/calls", "desk", good_call),
+                       FL_PROBLEM_UNPROVED);
+      CU_ASSERT_STRING_EQUAL (fl_problem_state (req.problem.kind), "unknown");
+      CU_ASSERT (req.problem.retry_after_s > 0);
+      fl_problem_set (&req.problem, FL_PROBLEM_NOT_RUN, 0, "x");
+      fl_soften (&req, &req.problem, 1, 0);
+      CU_ASSERT_EQUAL (req.problem.kind, FL_PROBLEM_NOT_RUN);
+    }
+  attempt = "1";
+  start ();
+  env.in_progress = MAX_REQUESTS - 1;
+  CU_ASSERT_EQUAL (run ("POST", "/v1/calls", "desk", good_call),
+                   FL_PROBLEM_OVERLOAD);
+}
+
+static void
+test_attempts_are_numbers_from_one (void)
+{
+  static const char *const bad[] = { "", "0", "-1", "x", "1x", "1000001" };
+
+  start ();
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      attempt = bad[i];
+      CU_ASSERT_EQUAL (run ("POST", "/v1/jobs", "desk", good_job),
+                       FL_PROBLEM_NO_KEY);
+    }
+  attempt = "1";
+}
+
 static void
 test_one_account_s_limit_is_not_the_other_s (void)
 {
@@ -398,6 +440,8 @@
     TEST (test_size_is_checked_before_the_key),
     TEST (test_idempotency_key_is_required_and_plain),
     TEST (test_limits_are_left_by_a_refused_call),
+    TEST (test_not_run_needs_the_first_attempt_or_a_proof),
+    TEST (test_attempts_are_numbers_from_one),
     TEST (test_one_account_s_limit_is_not_the_other_s),
     TEST (test_bulk_is_shed_first),
     TEST (test_impossible_jobs_are_refused_at_once),
