--- a/include/skr/http.h
+++ b/include/skr/http.h
@@ -79,6 +79,12 @@
    BUF; ANSWER->body points at it.  For programs with nothing else to do.  */
 int hc_call (struct hc_client *hc, const struct hc_request *request,
              struct hc_answer *answer, char *buf, size_t size);
+/* What the client has moved since it began, headers included.  */
+struct hc_counts
+{
+  int64_t requests, bytes_out, bytes_in;
+};
+void hc_count (struct hc_client *hc, struct hc_counts *counts);
 const char *hc_strerror (int error);
 
 #endif
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -38,6 +38,7 @@
   pthread_t thread;
   struct rg_ring ring;
   atomic_int in_progress, stop;
+  atomic_llong requests, bytes_out, bytes_in;
   int max_in_progress, connect_timeout_ms;
   char *ca;
   struct transfer active; /* list head */
@@ -239,6 +240,29 @@
   return request_bytes > 0;
 }
 
+static void
+count_transfer (struct hc_client *hc, CURL *easy)
+{
+  long request = 0, header = 0;
+  curl_off_t up = 0, down = 0;
+
+  curl_easy_getinfo (easy, CURLINFO_REQUEST_SIZE, &request);
+  curl_easy_getinfo (easy, CURLINFO_HEADER_SIZE, &header);
+  curl_easy_getinfo (easy, CURLINFO_SIZE_UPLOAD_T, &up);
+  curl_easy_getinfo (easy, CURLINFO_SIZE_DOWNLOAD_T, &down);
+  atomic_fetch_add (&hc->requests, 1);
+  atomic_fetch_add (&hc->bytes_out, request + up);
+  atomic_fetch_add (&hc->bytes_in, header + down);
+}
+
+void
+hc_count (struct hc_client *hc, struct hc_counts *counts)
+{
+  counts->requests = atomic_load (&hc->requests);
+  counts->bytes_out = atomic_load (&hc->bytes_out);
+  counts->bytes_in = atomic_load (&hc->bytes_in);
+}
+
 static void
 end_transfer (struct hc_client *hc, struct transfer *t, CURLcode code)
 {
@@ -261,6 +285,7 @@
   if (code == CURLE_OPERATION_TIMEDOUT && a.end == HC_LOST)
     suspect_host (hc, t->host);
   a.took_ms = bs_now_ms (&hc->clock) - t->started_ms;
+  count_transfer (hc, t->easy);
   t->prev->next = t->next;
   t->next->prev = t->prev;
   curl_multi_remove_handle (hc->multi, t->easy);
