--- a/src/base/opt.c
+++ b/src/base/opt.c
@@ -165,6 +165,16 @@
     rest->args[i] = strdup (args[i]);
 }
 
+/* popt's copy of a string is kept: the target points at it for good.  */
+static void
+take_option (const char *prog, const struct opt_def *def, void *target,
+             char *value)
+{
+  assign (prog, def, target, def->type == OPT_FLAG ? "1" : value);
+  if (def->type != OPT_STRING)
+    free (value);
+}
+
 void
 opt_parse (const struct opt_def *defs, void *target, int argc, char **argv,
            const char *usage, const char *about, struct opt_rest *rest)
@@ -197,9 +207,7 @@
           print_help (defs, prog, usage, about);
           exit (0);
         }
-      /* popt's copy is kept: the target points at it for good.  */
-      assign (prog, &defs[id - 1], target,
-              defs[id - 1].type == OPT_FLAG ? "1" : poptGetOptArg (ctx));
+      take_option (prog, &defs[id - 1], target, poptGetOptArg (ctx));
     }
   if (id < -1)
     {
--- a/src/replay/main.c
+++ b/src/replay/main.c
@@ -181,8 +181,9 @@
 int
 main (int argc, char **argv)
 {
-  struct settings settings = { 0 };
-  struct opt_rest rest;
+  /* Static, as what they point at lasts as long as the program.  */
+  static struct settings settings;
+  static struct opt_rest rest;
 
   opt_parse (defs, &settings, argc, argv,
              "[OPTION...] TRACE\n       skr-replay --random [OPTION...]",
--- a/tests/replay/check_verify.sh
+++ b/tests/replay/check_verify.sh
@@ -236,5 +236,26 @@
 doctor 's/1000 start x 2 w1/1000 start x 2 w0/;s/3000 done/2000 failed/' \
   'not failed for good'
 
+# A job of 4 leaves half of the guaranteed block of 8.
+trace <<'END'
+0 worker w0 r0 d0 8 8
+0 plan a 1 8 1
+0 submit x a bulk 1 4 9000
+0 submit y b bulk 1 4 9000
+1000 submit u a urgent 1 4 1000
+9000 end -
+END
+good='0 plan_accepted a 1
+0 start x 1 w0:0,1,2,3
+0 start y 1 w0:4,5,6,7
+1000 preempt y
+3000 start u 1 w0:4,5,6,7
+4000 done u
+9000 done x
+9000 summary'
+doctor '' ''
+doctor '/preempt/d;/ u/d;s/9000 done x/&\n9000 done y/' \
+  'waits for its guarantee'
+
 printf '%d doctored files, %d failures\n' "$count" "$failed"
 [ "$failed" -eq 0 ]
--- a/tests/replay/plot_policy.sh
+++ b/tests/replay/plot_policy.sh
@@ -13,18 +13,17 @@
 set key left top
 set xlabel "load of the accelerators, percent"
 set xrange [68:97]
-pick(mix, policy, c) = strcol(1) eq mix && strcol(3) eq policy ? column(c) : NaN
+set yrange [0:*]
+rows(mix, policy) = sprintf("< awk -F '\\t' '\$1 == \"%s\" && \$3 == \"%s\"' $build/bench_policy.tsv", mix, policy)
 do for [mix in "small large"] {
   set title sprintf("bulk completion p50, mostly %s jobs", mix)
-  set ylabel "ms"
-  set logscale y
+  set ylabel "seconds"
   plot for [p in "default fifo-first-fit best-fit"] \
-    "$build/bench_policy.tsv" skip 1 using 2:(pick(mix, p, 6)) with linespoints title p
-  unset logscale y
+    rows(mix, p) using 2:(\$6 / 1000) with linespoints title p
   set title sprintf("fragmentation, mostly %s jobs", mix)
   set ylabel "percent"
   plot for [p in "default fifo-first-fit best-fit"] \
-    "$build/bench_policy.tsv" skip 1 using 2:(100 * pick(mix, p, 11)) with linespoints title p
+    rows(mix, p) using 2:(100 * \$11) with linespoints title p
 }
 END_PLOT
 printf '%s\n' "$build/policy.png"
--- a/tests/replay/verify.c
+++ b/tests/replay/verify.c
@@ -294,8 +294,8 @@
 int
 main (int argc, char **argv)
 {
-  struct lines trace, actions;
-  struct check c;
+  static struct lines trace, actions;
+  static struct check c;
   int first = argc - 2;
 
   init (&c, argv[argc - 1]);
