--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Each folder of src/ named in LIBS goes into one archive; each folder named
 # in PROGS or STANDS is a program; each tests/*/test_*.c is a CUnit program.
 
-LIBS = base decide trace net table control filter
+LIBS = base decide trace net table config control filter
 PROGS = entry sched cli replay load burn
 STANDS = platform worker
 
@@ -49,12 +49,12 @@
 	ar rcs $@ $^
 
 define program
-$(BIN)/$1: $(patsubst %.c,$(BUILD)/%.o,$(wildcard $2/*.c)) $(LIB)
+$(BIN)/$1: $(patsubst %.c,$(BUILD)/%.o,$(wildcard $(addsuffix /*.c,$2))) $(LIB)
 	@mkdir -p $(BIN)
 	$$(CC) $$(SAN) -o $$@ $$(filter %.o,$$^) $(LIB) $$(LIBS_ALL)
 endef
 $(foreach p,$(PROG_DIRS),$(eval $(call program,$(call prog_name,$p),src/$p)))
-$(foreach p,$(STAND_DIRS),$(eval $(call program,skr-$p,stand/$p)))
+$(foreach p,$(STAND_DIRS),$(eval $(call program,skr-$p,stand/$p stand/common)))
 
 # Each fake_*.c of a test folder is linked into every test of that folder.
 .SECONDEXPANSION:
@@ -85,7 +85,22 @@
 	  SAN='-fsanitize=address,undefined -fno-omit-frame-pointer' all build-tests
 	BIN=build/asan/bin tests/run $(TEST_SRC:tests/%.c=build/asan/tests/%)
 
-bench: all
+# Programs of tests/fuzz, by libFuzzer; tests/fuzz/check_fuzz.sh runs them.
+FUZZ_BIN := $(patsubst %.c,$(BUILD)/%,$(wildcard tests/fuzz/fuzz_*.c))
+$(BUILD)/tests/fuzz/fuzz_%: $(BUILD)/tests/fuzz/fuzz_%.o $(LIB)
+	$(CC) $(SAN) -fsanitize=fuzzer -o $@ $^ $(LIBS_ALL)
+
+fuzz-bins: $(FUZZ_BIN)
+
+fuzz:
+	$(MAKE) CC=clang BUILD=build/fuzz OPT='-O1 -g' \
+	  SAN='-fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=undefined' fuzz-bins
+
+# Each bench_*.c of a test folder is a program that bench_*.sh scripts run.
+BENCH_BIN := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/*/bench_*.c))
+bench-bins: $(BENCH_BIN)
+
+bench: all bench-bins
 	@tests/bench
 
 format:
@@ -116,6 +131,7 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all deps build-tests check demo asan bench format format-check lint \
+.PHONY: all deps build-tests check demo asan fuzz fuzz-bins \
+  bench bench-bins format format-check lint \
   tidy install clean
 .SECONDARY:
