--- a/tests/replay/check_random.sh
+++ b/tests/replay/check_random.sh
@@ -9,16 +9,27 @@
 trap 'rm -rf "$dir"' EXIT
 failed=0 runs=0
 
-run ()
+# The first argument holds options of the policy, the second those of the
+# verifier.
+run_with ()
 {
+  policy=$1
+  check=$2
+  shift 2
   runs=$((runs + 1))
-  "$replay" --random "$@" --emit "$dir/t" > "$dir/a" \
-    && "$verify" "$dir/t" "$dir/a" \
-    && "$replay" "$dir/t" | cmp - "$dir/a" && return
-  printf 'FAIL skr-replay --random %s\n' "$*"
+  # shellcheck disable=SC2086
+  "$replay" --random $policy "$@" --emit "$dir/t" > "$dir/a" \
+    && "$verify" $check "$dir/t" "$dir/a" \
+    && "$replay" $policy "$dir/t" | cmp - "$dir/a" && return
+  printf 'FAIL skr-replay --random %s %s\n' "$policy" "$*"
   failed=$((failed + 1))
 }
 
+run ()
+{
+  run_with '' '' "$@"
+}
+
 for seed in 1 2 3 4 5 6 7 8; do
   run --seed "$seed" --events 4000
   run --seed "$seed" --events 3000 --workers 7 --accounts 2
@@ -33,5 +44,12 @@
 done
 run --seed 4 --events 8000 --workers 50 --load 90 --equipped 100 \
   --faults estimates
+run_with '--weight-completion 3' '' --seed 5 --events 5000
+run_with '--weight-fragmentation 3' '' --seed 6 --events 5000
+run_with '--weight-completion 0 --weight-fragmentation 0' '' --seed 7 \
+  --events 3000
+run_with '--spare-workers 1' --spare --seed 8 --events 5000
+run_with '--policy fifo-first-fit' --baseline --seed 10 --events 4000
+run_with '--policy best-fit' --baseline --seed 11 --events 4000
 printf '%d runs, %d failures\n' "$runs" "$failed"
 [ "$failed" -eq 0 ]
