Drive a cell's controller through faults with fake workers and table

Cause: the controller has to hold under every failure, not only start jobs. Found and mended: an attempt's number could be given out again by a new holder, so that a worker took a new order for an old one it held; an end was acknowledged 2 s late; the rows in a second were not bounded when the lease's own rows are counted.

--- a/src/control/cell_commit.c
+++ b/src/control/cell_commit.c
@@ -8,6 +8,7 @@
 enum
 {
   RENEWALS = 3, /* in one lease time */
+  BURST = 4,    /* part of a second's rows that may be saved up */
   BACKOFF_MS = 100,
   BACKOFF_STEPS = 4,
   READ_AGAIN_MS = 100,
@@ -66,6 +67,7 @@
   tb_txn_init (&txn);
   tb_txn_check (&txn, CL_TABLE, c->name, c->lease.row.version);
   tb_txn_put (&txn, CL_TABLE, c->name, value);
+  c->tokens--;
   if (with_rows)
     add_rows (c, &txn);
   e.u.commit = &txn;
@@ -80,8 +82,8 @@
   double rate = c->set->rows_per_second;
 
   c->tokens += rate * (double)(c->now_ms - c->tokens_ms) / 1000;
-  if (c->tokens > rate)
-    c->tokens = rate;
+  if (c->tokens > rate / BURST + 1)
+    c->tokens = rate / BURST + 1;
   c->tokens_ms = c->now_ms;
 }
 
@@ -94,7 +96,7 @@
   struct ce_row row;
 
   refill (c);
-  if (c->now_ms < renew_at && !(rows && c->tokens >= 1) && !c->releasing)
+  if (c->now_ms < renew_at && !(rows && c->tokens >= 2) && !c->releasing)
     return;
   if (c->releasing && !rows)
     ce_release (&c->lease, c->now_ms, &row);
--- a/src/control/cell_job.c
+++ b/src/control/cell_job.c
@@ -89,7 +89,6 @@
 
   if (job->gang && job->gang->attempt > job->attempt)
     job->attempt = job->gang->attempt;
-  job->attempt_base = job->attempt;
   cl_stop_gang (c, job);
   e.u.job = job->handle;
   if (job->handle != JB_NO_HANDLE)
@@ -118,9 +117,15 @@
 submit_next (struct cl_cell *c, struct jb_job *job)
 {
   if (job->cancel)
-    cl_set_state (c, job, JB_CANCELLED, "cancelled by the caller");
-  else
-    cl_submit (c, job);
+    {
+      cl_set_state (c, job, JB_CANCELLED, "cancelled by the caller");
+      return;
+    }
+  /* An earlier holder may have had parts of an attempt held that no row
+     tells of: its number is not given out again.  */
+  job->attempt_base
+      = job->attempt > job->seen_attempt ? job->attempt : job->seen_attempt;
+  cl_submit (c, job);
 }
 
 void
--- a/src/control/cell_report.c
+++ b/src/control/cell_report.c
@@ -60,13 +60,15 @@
       || strlen (id) >= CT_NAME)
     return;
   state = wk_parse_state (text);
+  job = cl_find_job (c, id);
+  if (job && attempt > job->seen_attempt)
+    job->seen_attempt = (int32_t)attempt;
   g = cl_find_gang (c, id, (int32_t)attempt, worker);
   if (!g && c->phase == CL_SERVING)
     g = add_orphan (c, id, (int32_t)attempt, worker);
   if (!g)
     return;
   note_part (wk_find_part (g, worker), state, progress_ms);
-  job = cl_find_job (c, id);
   if (job && job->gang == g && task >= 0 && task < g->tasks)
     note_end (c, job, g, (int)task, state, result);
 }
--- a/src/control/gang.c
+++ b/src/control/gang.c
@@ -143,10 +143,9 @@
         p->state = WK_GONE;
       else
         advance (p, state, now_ms);
+      p->retry_ms = 0;
       if (order == WK_ORDER_CHECKPOINT || order == WK_ORDER_STOP)
-        p->retry_ms = now_ms + WK_RETRY_MAX_MS;
-      else
-        p->retry_ms = 0;
+        p->retry_ms = has_ended (p->state) ? 0 : now_ms + WK_RETRY_MAX_MS;
       return;
     case WK_BUSY:
       p->retry_ms = now_ms + WK_RETRY_MS;
--- a/src/control/job.h
+++ b/src/control/job.h
@@ -36,6 +36,7 @@
   struct dc_job_spec spec; /* without the account's handle */
   int32_t attempt;         /* the last one given out */
   int32_t attempt_base;    /* what the decision layer's attempts start after */
+  int32_t seen_attempt;    /* the highest that a worker has spoken of */
   int32_t decided;         /* its current attempt, by the decision layer */
   int64_t progress_ms;     /* of the last checkpoint */
   int64_t submitted_ms;    /* wall clock, for the order only */
--- /dev/null
+++ b/tests/control/test_cell.c
@@ -0,0 +1,501 @@
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fake_world.h"
+
+enum
+{
+  WORKERS = 4,
+  SETTLED_MS = 1000, /* from the start to a serving holder */
+  LONG_MS = 20000,
+  SEED = 7
+};
+
+#define JOB "d1~0000000000000001"
+#define JOB2 "d1~0000000000000002"
+
+static void
+start (struct fw_world *w, unsigned long seed)
+{
+  fw_init (w, WORKERS, seed);
+  fw_start_vm (w, 0);
+  fw_run (w, SETTLED_MS);
+  CU_ASSERT_EQUAL (fw_holder (w), 0);
+}
+
+static int
+count_starts (struct fw_world *w, const char *job, int attempt)
+{
+  int n = 0;
+
+  for (guint i = 0; i < w->starts->len; i++)
+    {
+      const struct fw_start *s
+          = &g_array_index (w->starts, struct fw_start, i);
+
+      n += !strcmp (s->job, job) && s->attempt == attempt;
+    }
+  return n;
+}
+
+static int
+has_ended (struct fw_world *w, const char *job)
+{
+  const char *s = fw_job_state (w, job);
+
+  return strcmp (s, "queued") != 0 && strcmp (s, "running") != 0;
+}
+
+static void
+check_rows_came_first (struct fw_world *w)
+{
+  for (guint i = 0; i < w->starts->len; i++)
+    CU_ASSERT (g_array_index (w->starts, struct fw_start, i).row_said_so);
+}
+
+static void
+test_gang_runs_and_ends (void)
+{
+  struct fw_world w;
+
+  start (&w, SEED);
+  fw_put_job (&w, JOB, 4, 8, 1, 0);
+  fw_run (&w, 4000);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "done");
+  CU_ASSERT_EQUAL (count_starts (&w, JOB, 1), 4);
+  CU_ASSERT_EQUAL (json_array_size (json_object_get (
+                       fw_row (&w, "jobs.d1", JOB), "results")),
+                   4);
+  check_rows_came_first (&w);
+  for (int i = 0; i < WORKERS; i++)
+    CU_ASSERT_EQUAL (w.worker[i].gangs->len, 0); /* acknowledged */
+  fw_fini (&w);
+}
+
+static void
+test_one_refusal_holds_back_the_gang (void)
+{
+  struct fw_world w;
+
+  start (&w, SEED);
+  w.worker[2].mode = FW_WORKER_BUSY;
+  fw_put_job (&w, JOB, 4, 8, 0, 0);
+  fw_run (&w, 6000);
+  CU_ASSERT_EQUAL (w.starts->len, 0);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "queued");
+  w.worker[2].mode = FW_WORKER_OK;
+  fw_run (&w, 8000);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "done");
+  CU_ASSERT_EQUAL (fw_attempts_run (&w, JOB), 1);
+  fw_fini (&w);
+}
+
+static void
+test_cancelled_job_stops (void)
+{
+  struct fw_world w;
+
+  start (&w, SEED);
+  w.run_ms = LONG_MS;
+  fw_put_job (&w, JOB, 2, 8, 1, 0);
+  fw_run (&w, 1000);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "running");
+  fw_cancel (&w, JOB);
+  fw_run (&w, 1500);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "cancelled");
+  for (int i = 0; i < WORKERS; i++)
+    CU_ASSERT_EQUAL (w.worker[i].gangs->len, 0);
+  fw_fini (&w);
+}
+
+static void
+test_failing_job_ends (void)
+{
+  struct fw_world w;
+
+  start (&w, SEED);
+  w.run_ms = 100;
+  fw_put_job (&w, JOB, 1, 8, 1, 1);
+  fw_put_job (&w, JOB2, 1, 8, 0, 1);
+  fw_run (&w, LONG_MS);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "failed");
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB2), "failed");
+  CU_ASSERT_EQUAL (fw_attempts_run (&w, JOB2), 1);
+  fw_fini (&w);
+}
+
+static void
+test_lost_worker (void)
+{
+  struct fw_world w;
+
+  start (&w, SEED);
+  w.run_ms = 6000;
+  fw_put_job (&w, JOB, 4, 8, 1, 0);
+  fw_run (&w, 1000);
+  w.worker[1].mode = FW_WORKER_DEAD;
+  fw_run (&w, 5000);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "queued");
+  w.worker[1].mode = FW_WORKER_OK;
+  fw_run (&w, 10000);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "done");
+  CU_ASSERT_EQUAL (fw_attempts_run (&w, JOB), 2);
+  fw_fini (&w);
+}
+
+static void
+test_lost_worker_ends_unknown_what_may_not_repeat (void)
+{
+  struct fw_world w;
+
+  start (&w, SEED);
+  w.run_ms = 6000;
+  fw_put_job (&w, JOB, 4, 8, 0, 0);
+  fw_run (&w, 1000);
+  w.worker[1].mode = FW_WORKER_SILENT;
+  fw_run (&w, LONG_MS);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "unknown");
+  w.worker[1].mode = FW_WORKER_OK;
+  fw_run (&w, 3000);
+  CU_ASSERT_EQUAL (fw_attempts_run (&w, JOB), 1);
+  fw_fini (&w);
+}
+
+/* Leases of running tasks outlive the table's; nothing new starts; the end is
+   written when the table is back.  */
+static void
+outage (enum fw_table_mode mode)
+{
+  struct fw_world w;
+
+  start (&w, SEED);
+  w.run_ms = 4000;
+  fw_put_job (&w, JOB, 2, 8, 0, 0);
+  fw_run (&w, 1000);
+  w.table = mode;
+  fw_run (&w, 10000);
+  CU_ASSERT_EQUAL (w.worker[0].gangs->len + w.worker[1].gangs->len
+                       + w.worker[2].gangs->len + w.worker[3].gangs->len,
+                   2);
+  CU_ASSERT_EQUAL (fw_holder (&w), -1);
+  w.table = FW_TABLE_OK;
+  fw_run (&w, 4000);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "done");
+  CU_ASSERT_EQUAL (fw_attempts_run (&w, JOB), 1);
+  CU_ASSERT_EQUAL (w.vm[0].cell.lease.row.epoch, 1);
+  fw_fini (&w);
+}
+
+static void
+test_table_down (void)
+{
+  outage (FW_TABLE_DOWN);
+}
+
+static void
+test_table_silent (void)
+{
+  outage (FW_TABLE_SILENT);
+}
+
+static void
+test_catch_up_is_grouped (void)
+{
+  struct fw_world w;
+  int before, most = 0;
+
+  start (&w, SEED);
+  w.run_ms = 100;
+  for (int i = 0; i < 300; i++)
+    {
+      char id[CT_NAME];
+
+      snprintf (id, sizeof id, "d1~%016x", i + 1);
+      fw_put_job (&w, id, 1, 1, 1, 0);
+    }
+  for (int s = 0; s < 60; s++)
+    {
+      before = w.rows_written;
+      fw_run (&w, 1000);
+      if (w.rows_written - before > most)
+        most = w.rows_written - before;
+    }
+  /* 50 rows a second and a quarter of that saved up; renewals come on top. */
+  CU_ASSERT (most <= 50 * 5 / 4 + 5);
+  for (int i = 0; i < 300; i++)
+    {
+      char id[CT_NAME];
+
+      snprintf (id, sizeof id, "d1~%016x", i + 1);
+      CU_ASSERT_STRING_EQUAL (fw_job_state (&w, id), "done");
+    }
+  fw_fini (&w);
+}
+
+/* The holder dies at each step of a job's life; another takes over.  */
+static void
+test_holder_dies_at_every_step (void)
+{
+  for (int at = 0; at <= 2400; at += 2 * FW_STEP_MS)
+    {
+      struct fw_world w;
+
+      start (&w, SEED);
+      fw_start_vm (&w, 1);
+      fw_put_job (&w, JOB, 4, 8, 0, 0);
+      fw_put_job (&w, JOB2, 2, 8, 1, 0);
+      fw_run (&w, at);
+      fw_kill_vm (&w, 0);
+      fw_run (&w, LONG_MS);
+      CU_ASSERT_EQUAL (fw_holder (&w), 1);
+      CU_ASSERT (has_ended (&w, JOB));
+      CU_ASSERT (fw_attempts_run (&w, JOB) <= 1);
+      CU_ASSERT (count_starts (&w, JOB, 1) <= 4);
+      CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB2), "done");
+      check_rows_came_first (&w);
+      fw_fini (&w);
+    }
+}
+
+/* The new holder adopts what runs: nothing is started again.  */
+static void
+test_running_gang_is_adopted (void)
+{
+  struct fw_world w;
+
+  start (&w, SEED);
+  fw_start_vm (&w, 1);
+  w.run_ms = 5000;
+  fw_put_job (&w, JOB, 4, 8, 0, 0);
+  fw_run (&w, 1000);
+  fw_kill_vm (&w, 0);
+  fw_run (&w, 3000);
+  CU_ASSERT_EQUAL (fw_holder (&w), 1);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "running");
+  fw_run (&w, 4000);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "done");
+  CU_ASSERT_EQUAL (w.starts->len, 4);
+  fw_fini (&w);
+}
+
+/* A worker that does not answer the new holder is waited for until its
+   leases have ended.  */
+static void
+test_survey_waits_for_leases (void)
+{
+  struct fw_world w;
+
+  start (&w, SEED);
+  fw_start_vm (&w, 1);
+  w.run_ms = LONG_MS;
+  fw_put_job (&w, JOB, 4, 8, 1, 0);
+  fw_run (&w, 1000);
+  fw_kill_vm (&w, 0);
+  w.worker[3].mode = FW_WORKER_SILENT;
+  fw_run (&w, 2500);
+  CU_ASSERT_EQUAL (w.vm[1].cell.phase, CL_SURVEY);
+  fw_run (&w, 2500);
+  CU_ASSERT_EQUAL (w.vm[1].cell.phase, CL_SERVING);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "queued");
+  CU_ASSERT_EQUAL (w.worker[3].gangs->len, 1);
+  CU_ASSERT (g_array_index (w.worker[3].gangs, struct fw_gang, 0).state
+             == WK_STOPPED);
+  fw_fini (&w);
+}
+
+/* A holder that is paused past its lease does no harm when it goes on.  */
+static void
+test_paused_holder (void)
+{
+  for (int at = 0; at <= 1500; at += 5 * FW_STEP_MS)
+    {
+      struct fw_world w;
+
+      start (&w, SEED);
+      fw_start_vm (&w, 1);
+      fw_put_job (&w, JOB, 4, 8, 0, 0);
+      fw_run (&w, at);
+      w.vm[0].paused = 1;
+      fw_run (&w, 5000);
+      CU_ASSERT_EQUAL (fw_holder (&w), 1);
+      w.vm[0].paused = 0;
+      fw_put_job (&w, JOB2, 2, 8, 1, 0);
+      fw_run (&w, LONG_MS);
+      CU_ASSERT_EQUAL (w.vm[0].cell.phase, CL_WATCHING);
+      CU_ASSERT (has_ended (&w, JOB));
+      CU_ASSERT (fw_attempts_run (&w, JOB) <= 1);
+      CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB2), "done");
+      CU_ASSERT_EQUAL (fw_attempts_run (&w, JOB2), 1);
+      fw_fini (&w);
+    }
+}
+
+static void
+test_release_is_taken_at_once (void)
+{
+  struct fw_world w;
+
+  start (&w, SEED);
+  fw_start_vm (&w, 1);
+  w.run_ms = 3000;
+  fw_put_job (&w, JOB, 4, 8, 0, 0);
+  fw_run (&w, 1000);
+  w.vm[0].take_delay_ms = -1;
+  cl_give_up (&w.vm[0].cell);
+  fw_run (&w, 600);
+  CU_ASSERT_EQUAL (w.vm[0].cell.phase, CL_WATCHING);
+  CU_ASSERT_NOT_EQUAL (w.vm[1].cell.phase, CL_WATCHING);
+  fw_kill_vm (&w, 0);
+  fw_run (&w, 6000);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "done");
+  CU_ASSERT_EQUAL (fw_attempts_run (&w, JOB), 1);
+  fw_fini (&w);
+}
+
+/* Faults of all kinds at random; nothing is lost and nothing doubled.  */
+static void
+one_random_fault (struct fw_world *w)
+{
+  int i = (int)gsl_rng_uniform_int (w->rng, FW_VMS);
+  int k = (int)gsl_rng_uniform_int (w->rng, WORKERS);
+
+  switch (gsl_rng_uniform_int (w->rng, 8))
+    {
+    case 0:
+      fw_kill_vm (w, i);
+      fw_start_vm (w, i);
+      break;
+    case 1:
+      w->vm[i].paused = 1;
+      break;
+    case 2:
+      for (int v = 0; v < FW_VMS; v++)
+        w->vm[v].paused = 0;
+      break;
+    case 3:
+      w->table = (enum fw_table_mode)gsl_rng_uniform_int (w->rng, 4);
+      break;
+    case 4:
+      w->worker[k].mode = (enum fw_worker_mode)gsl_rng_uniform_int (w->rng, 4);
+      break;
+    case 5:
+      w->worker[k].mode = FW_WORKER_OK;
+      break;
+    case 6:
+      w->worker[k].leaving = !w->worker[k].leaving;
+      break;
+    default:
+      w->table = FW_TABLE_OK;
+      break;
+    }
+}
+
+static void
+heal (struct fw_world *w)
+{
+  w->table = FW_TABLE_OK;
+  for (int i = 0; i < FW_VMS; i++)
+    w->vm[i].paused = 0;
+  for (int k = 0; k < WORKERS; k++)
+    {
+      w->worker[k].mode = FW_WORKER_OK;
+      w->worker[k].leaving = 0;
+    }
+}
+
+static void
+random_run (unsigned long seed)
+{
+  enum
+  {
+    JOBS = 20,
+    FAULTS = 40
+  };
+  struct fw_world w;
+  char id[CT_NAME];
+
+  start (&w, seed);
+  fw_start_vm (&w, 1);
+  fw_start_vm (&w, 2);
+  for (int i = 0; i < FAULTS; i++)
+    {
+      if (i < JOBS)
+        {
+          snprintf (id, sizeof id, "d1~%016x", i + 1);
+          fw_put_job (&w, id, 1 + i % 4, 1 << i % 4, i % 2, i % 7 == 6);
+        }
+      one_random_fault (&w);
+      fw_run (&w, 10 * (int64_t)gsl_rng_uniform_int (w.rng, 100));
+    }
+  heal (&w);
+  fw_run (&w, 60000);
+  CU_ASSERT (fw_holder (&w) >= 0);
+  check_rows_came_first (&w);
+  for (int i = 0; i < JOBS; i++)
+    {
+      int ok;
+
+      snprintf (id, sizeof id, "d1~%016x", i + 1);
+      ok = has_ended (&w, id) && (i % 2 || fw_attempts_run (&w, id) <= 1);
+      CU_ASSERT (ok);
+      if (!ok)
+        printf ("seed %lu job %d: %s, %d attempts ran\n", seed, i,
+                fw_job_state (&w, id), fw_attempts_run (&w, id));
+    }
+  fw_fini (&w);
+}
+
+static void
+test_random_faults (void)
+{
+  const char *only = getenv ("TEST_SEED");
+
+  if (only)
+    random_run (strtoul (only, NULL, 10));
+  for (unsigned long seed = 1; seed <= 200 && !only; seed++)
+    random_run (seed);
+}
+
+static GLogWriterOutput
+drop_log (GLogLevelFlags level, const GLogField *fields, gsize count,
+          gpointer arg)
+{
+  (void)level;
+  (void)fields;
+  (void)count;
+  (void)arg;
+  return G_LOG_WRITER_HANDLED;
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  if (!getenv ("TEST_LOG"))
+    g_log_set_writer_func (drop_log, NULL, NULL);
+  CU_initialize_registry ();
+  suite = CU_add_suite ("cell", NULL, NULL);
+  CU_ADD_TEST (suite, test_gang_runs_and_ends);
+  CU_ADD_TEST (suite, test_one_refusal_holds_back_the_gang);
+  CU_ADD_TEST (suite, test_cancelled_job_stops);
+  CU_ADD_TEST (suite, test_failing_job_ends);
+  CU_ADD_TEST (suite, test_lost_worker);
+  CU_ADD_TEST (suite, test_lost_worker_ends_unknown_what_may_not_repeat);
+  CU_ADD_TEST (suite, test_table_down);
+  CU_ADD_TEST (suite, test_table_silent);
+  CU_ADD_TEST (suite, test_catch_up_is_grouped);
+  CU_ADD_TEST (suite, test_holder_dies_at_every_step);
+  CU_ADD_TEST (suite, test_running_gang_is_adopted);
+  CU_ADD_TEST (suite, test_survey_waits_for_leases);
+  CU_ADD_TEST (suite, test_paused_holder);
+  CU_ADD_TEST (suite, test_release_is_taken_at_once);
+  CU_ADD_TEST (suite, test_random_faults);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+}
