--- a/src/control/job.c
+++ b/src/control/job.c
@@ -109,7 +109,6 @@
   free (job);
 }
 
-/* The row is copied before a change: others may hold the old value.  */
 static void
 set_field (struct jb_job *job, const char *name, json_t *value)
 {
--- a/src/control/job.h
+++ b/src/control/job.h
@@ -49,7 +49,8 @@
   int rewrite;          /* it changed while it was on its way */
 };
 
-/* Reads a row.  Returns NULL for one without an account, tasks and the like:
+/* Reads a row and keeps VALUE, which is the job's alone from then on.
+   Returns NULL for one without an account, tasks and the like:
    CT_EINVAL in *ERROR, or CT_ENOMEM.  */
 struct jb_job *jb_new (const char *id, json_t *value, int64_t version,
                        int *error);
