--- a/src/control/job.h
+++ b/src/control/job.h
@@ -36,6 +36,7 @@
   struct dc_job_spec spec; /* without the account's handle */
   int32_t attempt;         /* the last one given out */
   int32_t attempt_base;    /* what the decision layer's attempts start after */
+  int32_t seen_attempt;    /* the highest that a worker has spoken of */
   int32_t decided;         /* its current attempt, by the decision layer */
   int64_t progress_ms;     /* of the last checkpoint */
   int64_t submitted_ms;    /* wall clock, for the order only */
@@ -48,7 +49,8 @@
   int rewrite;          /* it changed while it was on its way */
 };
 
-/* Reads a row.  Returns NULL for one without an account, tasks and the like:
+/* Reads a row and keeps VALUE, which is the job's alone from then on.
+   Returns NULL for one without an account, tasks and the like:
    CT_EINVAL in *ERROR, or CT_ENOMEM.  */
 struct jb_job *jb_new (const char *id, json_t *value, int64_t version,
                        int *error);
