--- /dev/null
+++ b/tests/stand/cluster.sh
@@ -0,0 +1,233 @@
+# A small system on loopback for the failure scenarios. Sourced after lib.sh.
+OPERATOR_KEY=operator-key
+ACCOUNTS=a=key-a,b=key-b
+DOMAINS=3
+
+free_port ()
+{
+  local port
+  while :; do
+    port=$((20000 + RANDOM % 12000))
+    (exec 3<> "/dev/tcp/127.0.0.1/$port") 2> /dev/null || break
+  done
+  echo "$port"
+}
+
+# Puts VM N on the platform's list, as the platform itself would.
+list_vm ()
+{
+  curl -s -o /dev/null -X PUT "http://${ADDR[platform]}/v1/admin/vms/vm$1" \
+    -d "{\"role\":\"entry\",\"address\":\"${ADDR[entry$1]}\",
+      \"peer\":\"127.0.0.1:${peer_port[$1]}\",\"rack\":\"e\",
+      \"domain\":\"d$((($1 - 1) % DOMAINS + 1))\",\"state\":\"live\"}"
+}
+
+unlist_vm ()
+{
+  curl -s -o /dev/null -X DELETE "http://${ADDR[platform]}/v1/admin/vms/vm$1"
+}
+
+# start_entry N [ARGS...]
+start_entry ()
+{
+  local n=$1
+  shift
+  : "${peer_port[$n]:=$(free_port)}"
+  start "entry$n" skr-entry --vm "vm$n" \
+    --domain "d$(((n - 1) % DOMAINS + 1))" --listen 127.0.0.1:0 \
+    --platform "http://${ADDR[platform]}" \
+    --peer "127.0.0.1:${peer_port[$n]}" \
+    --operator-digest "$("$BIN/skr" key digest "$OPERATOR_KEY")" "$@"
+  list_vm "$n"
+}
+
+# start_sched N: nothing when there is no scheduler to start.
+start_sched ()
+{
+  [ -x "$BIN/skr-sched" ] || return 0
+  : "${sched_port[$1]:=$(free_port)}"
+  start "sched$1" skr-sched --vm "vm$1" \
+    --domain "d$((($1 - 1) % DOMAINS + 1))" \
+    --platform "http://${ADDR[platform]}" \
+    --peer "127.0.0.1:${sched_port[$1]}" --peers "$(peers)"
+}
+
+peers ()
+{
+  local all
+  all=$(printf '127.0.0.1:%s,' "${peer_port[@]}" "${sched_port[@]}")
+  echo "${all%,}"
+}
+
+# start_worker N [ARGS...]: its journal outlives it in a file.
+start_worker ()
+{
+  local n=$1
+  shift
+  start "w$n" skr-worker --id "w$n" --rack "r$n" \
+    --domain "d$(((n - 1) % DOMAINS + 1))" --checkpoint-ms 50 \
+    --usage-lag-ms 200 --platform "http://${ADDR[platform]}" \
+    --journal-file "$work/journal.w$n" "$@"
+  journals=${journals:+$journals,}$work/journal.w$n
+}
+
+operator ()
+{
+  "$BIN/skr" --entry "$(entries)" --key "$OPERATOR_KEY" "$@"
+}
+
+# Addresses of the entries that were started, in order.
+entries ()
+{
+  local n all=
+  for n in 1 2 3 4 5; do
+    [ -z "${ADDR[entry$n]:-}" ] || all=${all:+$all,}${ADDR[entry$n]}
+  done
+  echo "$all"
+}
+
+put_lists ()
+{
+  cat > "$work/allowances.json" << END
+{"version": 0, "list": [
+ {"plan": "p", "guarantee": [{"size": 4, "count": 1}],
+  "calls_per_second": 1000, "concurrent_calls": 500, "queued_jobs": 1000}]}
+END
+  cat > "$work/plans.json" << END
+{"version": 0, "list": [
+ {"account": "a", "plan": "p", "key_digest": "$("$BIN/skr" key digest key-a)"},
+ {"account": "b", "plan": "p", "key_digest": "$("$BIN/skr" key digest key-b)"}]}
+END
+  wait_for 100 operator allowances put "$work/allowances.json" \
+    && wait_for 50 operator plans put "$work/plans.json"
+}
+
+account_known ()
+{
+  [ "$(curl -s -o /dev/null -w '%{http_code}' -m 2 \
+    -H 'Authorization: Bearer key-b' "http://$1/v1/calls/none")" = 404 ]
+}
+
+# cluster ENTRIES WORKERS: the platform, the workers over the failure domains,
+# the entry VMs and their schedulers, and the lists in force everywhere.
+# FAULT_POINT, when set, is that of entry 1.
+cluster ()
+{
+  local n
+  declare -gA peer_port=() sched_port=()
+  journals=
+  start platform skr-platform --writes-per-second "${WRITES:-0}" \
+    --list-lag-ms "${LIST_LAG_MS:-0}"
+  for ((n = 1; n <= $2; n++)); do
+    start_worker "$n"
+  done
+  for ((n = 1; n <= $1; n++)); do
+    peer_port[$n]=$(free_port)
+    sched_port[$n]=$(free_port)
+  done
+  for ((n = 1; n <= $1; n++)); do
+    if [ "$n" -eq 1 ]; then
+      start_entry 1 --fault-point "${FAULT_POINT:-none}"
+    else
+      start_entry "$n"
+    fi
+  done
+  for ((n = 1; n <= $1; n++)); do
+    start_sched "$n"
+  done
+  put_lists || { give_up "the lists are not accepted"; return 1; }
+  for ((n = 1; n <= $1; n++)); do
+    wait_for 100 account_known "${ADDR[entry$n]}" \
+      || { give_up "entry $n does not know the accounts"; return 1; }
+  done
+  warm_up || { give_up "no call is answered"; return 1; }
+}
+
+# Every entry has found upstreams.
+warm_up ()
+{
+  local n
+  for ((n = 1; n <= 5; n++)); do
+    [ -n "${ADDR[entry$n]:-}" ] || continue
+    wait_for 100 ready "$n" || return 1
+  done
+}
+
+ready ()
+{
+  [ "$(curl -s -o /dev/null -w '%{http_code}' -m 5 \
+    -H 'Authorization: Bearer key-a' -H "Idempotency-Key: warm-$RANDOM$RANDOM" \
+    -d '{"kind":"warm","repeatable":true,"deadline_ms":2000,"payload":{}}' \
+    "http://${ADDR[entry$1]}/v1/calls")" = 200 ]
+}
+
+give_up ()
+{
+  echo "  $*"
+  for f in "$work"/*.err; do
+    [ -s "$f" ] && { echo "  -- $(basename "$f")"; tail -n 3 "$f"; }
+  done
+  return 1
+}
+
+# Ends all programs of a scenario and forgets them.
+tear_down ()
+{
+  local name
+  for name in "${!PID[@]}"; do
+    kill -CONT "${PID[$name]}" 2> /dev/null
+    kill -KILL "${PID[$name]}" 2> /dev/null
+    wait "${PID[$name]}" 2> /dev/null
+  done
+  PID=()
+  ADDR=()
+  rm -f "$work"/*
+}
+
+# load ARGS...: skr-load over all entries; its JSON goes to $work/load.json.
+load ()
+{
+  "$BIN/skr-load" --entries "$(entries)" --accounts "$ACCOUNTS" \
+    --journals "$journals" --seed "${SEED:-1}" --json \
+    --record "$work/record.jsonl" "$@" \
+    > "$work/load.json" 2> "$work/load.err"
+}
+
+# load_start ARGS...: the same in the background; load_end waits for it.
+load_start ()
+{
+  load "$@" &
+  LOAD=$!
+}
+
+load_end ()
+{
+  wait "$LOAD"
+}
+
+count () { jq -r ".$1" "$work/load.json" 2> /dev/null; }
+
+fault ()
+{
+  post "${ADDR[$1]}" /v1/admin/faults "$2" > /dev/null
+}
+
+# verdict WHAT [CONDITION...]: prints the scenario's line. It is red when
+# something was lost, doubled, crossed or falsely refused, when skr-load did
+# not finish, or when CONDITION, a shell test, does not hold.
+verdict ()
+{
+  local what=$1 result=ok bad
+  shift
+  bad=$(jq -r 'select(.sent > 0) | .lost + .doubled + .crossed
+    + .false_refusals' "$work/load.json" 2> /dev/null)
+  [ "$bad" = 0 ] || result=FAIL
+  if [ $# -gt 0 ] && ! eval "$@"; then
+    result=FAIL
+    what="$what; not so: $*"
+  fi
+  printf '%-4s %-24s %s: %s\n' "$result" "$scenario" "$what" \
+    "$(jq -r '"sent \(.sent) done \(.done) failed \(.failed) not run \(.not_run) unsent \(.unsent) unknown \(.unknown) lost \(.lost) doubled \(.doubled) crossed \(.crossed) false refusals \(.false_refusals)"' \
+      "$work/load.json" 2> /dev/null)"
+  [ "$result" = ok ] || failed=1
+}
--- a/tests/stand/lib.sh
+++ b/tests/stand/lib.sh
@@ -32,7 +32,7 @@
 }
 
 # start NAME PROGRAM ARGS...: runs it; PID[NAME] and ADDR[NAME] are set from
-# its line "listening IP:PORT".
+# its line "listening IP:PORT" or "listening on port PORT".
 start ()
 {
   local name=$1 program=$2
@@ -44,7 +44,8 @@
     cat "$work/$name.err"
     exit 1
   fi
-  ADDR[$name]=$(awk '/^listening /{print $2; exit}' "$work/$name.out")
+  ADDR[$name]=$(sed -n 's/^listening on port /127.0.0.1:/; s/^listening //
+    s/^\(127[0-9.:]*\).*/\1/p' "$work/$name.out" | head -n 1)
 }
 
 # stop NAME: asks it to stop and sets STATUS to its exit status.
--- /dev/null
+++ b/tests/stand/scenario_workers.sh
@@ -0,0 +1,70 @@
+# Calls while upstreams fail.
+
+# worker_fault WHAT COMMAND...: runs COMMAND after a second of load.
+worker_fault ()
+{
+  local what=$1
+  shift
+  cluster 2 6 || return 1
+  load_start --rate 80 --count 320 --deadline-ms 3000 --run-ms 150 \
+    --prefix "$scenario" --settle-ms 8000
+  sleep 1
+  "$@"
+  load_end
+  verdict "$what"
+}
+
+# thaw NAME MODE: a fault for 1.5 s.
+for_a_while ()
+{
+  fault "$1" "$2"
+  sleep 1.5
+  fault "$1" '{"mode":"ok"}'
+}
+
+scenario_worker_killed () { worker_fault "worker killed" crash w1; }
+scenario_worker_frozen ()
+{
+  worker_fault "worker frozen for 1.5 s" for_a_while w1 '{"mode":"freeze"}'
+}
+scenario_worker_fails_all ()
+{
+  worker_fault "worker fails every call" fault w1 '{"mode":"fail_all"}'
+}
+scenario_worker_late ()
+{
+  worker_fault "worker answers 4 s late for 1.5 s" for_a_while w1 \
+    '{"mode":"late","late_ms":4000}'
+}
+
+# What may be repeated is retried elsewhere within its deadline.
+scenario_worker_silent ()
+{
+  worker_fault "worker's open connections go silent" fault w1 \
+    '{"mode":"silent"}'
+  verdict "and callers had to repeat $(repeated) calls that may be repeated" \
+    '[ "$(repeated)" = 0 ]'
+}
+
+repeated ()
+{
+  jq -s '[.[]|select(.repeatable and .attempts > 1)]|length' \
+    "$work/record.jsonl"
+}
+
+# Nothing new reaches a leaving worker three seconds later.
+scenario_worker_leaves ()
+{
+  local left late
+  cluster 2 6 || return 1
+  load_start --rate 80 --count 480 --deadline-ms 3000 --run-ms 150 \
+    --prefix "$scenario" --settle-ms 5000
+  sleep 1
+  post "${ADDR[w1]}" /v1/admin/leave '' > /dev/null
+  left=$(date +%s%3N)
+  load_end
+  late=$(jq -s "[.[]|select((has(\"end\")|not) and .start > $left + 3000)]
+    |length" "$work/journal.w1")
+  verdict "worker leaves; $late calls started there 3 s later" \
+    "[ '$late' = 0 ]" '&& [ "$(count not_run)$(count unknown)" = 00 ]'
+}
