--- a/src/base/opt.c
+++ b/src/base/opt.c
@@ -1,5 +1,6 @@
 #include <ctype.h>
 #include <errno.h>
+#include <math.h>
 #include <popt.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -44,6 +45,19 @@
   exit (EXIT_USAGE);
 }
 
+static void
+assign_real (const char *prog, const struct opt_def *def, double *field,
+             const char *value)
+{
+  char *end;
+
+  errno = 0;
+  *field = strtod (value, &end);
+  if (errno || end == value || *end || !isfinite (*field)
+      || *field < (double)def->min || *field > (double)def->max)
+    reject (prog, def, value);
+}
+
 static void
 assign (const char *prog, const struct opt_def *def, void *target,
         const char *value)
@@ -60,6 +74,11 @@
       memcpy (field, &value, sizeof value);
       return;
     }
+  if (def->type == OPT_REAL)
+    {
+      assign_real (prog, def, (double *)(void *)field, value);
+      return;
+    }
   errno = 0;
   n = strtoll (value, &end, 10);
   if (errno || end == value || *end || n < def->min || n > def->max)
@@ -82,7 +101,7 @@
       env_name (env, d->name);
       printf ("  --%s%s (%s)\n      %s", d->name,
               d->type == OPT_FLAG ? "" : "=VALUE", env, d->help);
-      if (d->type == OPT_INT)
+      if (d->type == OPT_INT || d->type == OPT_REAL)
         printf ("; %lld to %lld%s%s", (long long)d->min, (long long)d->max,
                 *d->unit ? " " : "", d->unit);
       if (d->type != OPT_FLAG)
@@ -146,6 +165,16 @@
     rest->args[i] = strdup (args[i]);
 }
 
+/* popt's copy of a string is kept: the target points at it for good.  */
+static void
+take_option (const char *prog, const struct opt_def *def, void *target,
+             char *value)
+{
+  assign (prog, def, target, def->type == OPT_FLAG ? "1" : value);
+  if (def->type != OPT_STRING)
+    free (value);
+}
+
 void
 opt_parse (const struct opt_def *defs, void *target, int argc, char **argv,
            const char *usage, const char *about, struct opt_rest *rest)
@@ -178,9 +207,7 @@
           print_help (defs, prog, usage, about);
           exit (0);
         }
-      /* popt's copy is kept: the target points at it for good.  */
-      assign (prog, &defs[id - 1], target,
-              defs[id - 1].type == OPT_FLAG ? "1" : poptGetOptArg (ctx));
+      take_option (prog, &defs[id - 1], target, poptGetOptArg (ctx));
     }
   if (id < -1)
     {
