Test the small controllers, and what an outage and a held gang leave

Cause: three mutations of the cell's controller passed its tests. Change: a second job waits through the outage and must not be held; a worker is lost while a gang is only held; unit tests of members, gangs, grants and shares. A job that has ended is no longer stepped: under two holders of one epoch, which the table does not allow, it was given in again and freed.

--- a/src/control/cell_gang.c
+++ b/src/control/cell_gang.c
@@ -172,6 +172,8 @@
 static void
 step_current (struct cl_cell *c, struct jb_job *job, struct wk_gang *g)
 {
+  if (jb_has_ended (job))
+    return; /* only its row is still to be written */
   switch (g->phase)
     {
     case WK_HOLD:
--- a/tests/control/test_cell.c
+++ b/tests/control/test_cell.c
@@ -163,8 +163,38 @@
   fw_fini (&w);
 }
 
-/* Leases of running tasks outlive the table's; nothing new starts; the end is
-   written when the table is back.  */
+/* A worker that ends while a gang is only held takes nothing with it: not
+   even a job that may not repeat counts as started.  */
+static void
+test_worker_lost_while_held (void)
+{
+  struct fw_world w;
+
+  start (&w, SEED);
+  w.worker[2].mode = FW_WORKER_SILENT;
+  fw_put_job (&w, JOB, 4, 8, 0, 0);
+  fw_run (&w, 4500);
+  CU_ASSERT_EQUAL (w.starts->len, 0);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "queued");
+  w.worker[2].mode = FW_WORKER_OK;
+  fw_run (&w, 6000);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "done");
+  CU_ASSERT_EQUAL (fw_attempts_run (&w, JOB), 1);
+  fw_fini (&w);
+}
+
+static int
+gangs_at_workers (struct fw_world *w)
+{
+  int n = 0;
+
+  for (int i = 0; i < WORKERS; i++)
+    n += (int)w->worker[i].gangs->len;
+  return n;
+}
+
+/* Leases of running tasks outlive the table's; nothing new starts, not even
+   on what has become free; the end is written when the table is back.  */
 static void
 outage (enum fw_table_mode mode)
 {
@@ -173,16 +203,17 @@
   start (&w, SEED);
   w.run_ms = 4000;
   fw_put_job (&w, JOB, 2, 8, 0, 0);
-  fw_run (&w, 1000);
+  fw_run (&w, 500);
+  fw_put_job (&w, JOB2, 4, 8, 0, 0);
+  fw_run (&w, 500);
   w.table = mode;
   fw_run (&w, 10000);
-  CU_ASSERT_EQUAL (w.worker[0].gangs->len + w.worker[1].gangs->len
-                       + w.worker[2].gangs->len + w.worker[3].gangs->len,
-                   2);
+  CU_ASSERT_EQUAL (gangs_at_workers (&w), 2);
   CU_ASSERT_EQUAL (fw_holder (&w), -1);
   w.table = FW_TABLE_OK;
-  fw_run (&w, 4000);
+  fw_run (&w, 8000);
   CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "done");
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB2), "done");
   CU_ASSERT_EQUAL (fw_attempts_run (&w, JOB), 1);
   CU_ASSERT_EQUAL (w.vm[0].cell.lease.row.epoch, 1);
   fw_fini (&w);
@@ -486,6 +517,7 @@
   CU_ADD_TEST (suite, test_failing_job_ends);
   CU_ADD_TEST (suite, test_lost_worker);
   CU_ADD_TEST (suite, test_lost_worker_ends_unknown_what_may_not_repeat);
+  CU_ADD_TEST (suite, test_worker_lost_while_held);
   CU_ADD_TEST (suite, test_table_down);
   CU_ADD_TEST (suite, test_table_silent);
   CU_ADD_TEST (suite, test_catch_up_is_grouped);
--- /dev/null
+++ b/tests/control/test_parts.c
@@ -0,0 +1,290 @@
+/* The small controllers: workers, gangs, grants, shares.  */
+#include <CUnit/Basic.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/gang.h"
+#include "control/grant.h"
+#include "control/member.h"
+#include "control/share.h"
+
+static const struct mb_times times
+    = { .lease_ms = 2000, .suspect_ms = 1000, .delay_ms = 300 };
+
+static struct mb_worker
+listed_worker (void)
+{
+  struct mb_worker w;
+  json_t *vm
+      = json_pack ("{s:s, s:s, s:s, s:s, s:i, s:i, s:i}", "id", "w1",
+                   "address", "127.0.0.1:1", "rack", "r1", "state", "live",
+                   "accelerators", 8, "slots", 8, "connections", 60);
+
+  CU_ASSERT_EQUAL (mb_read (&w, vm), CT_OK);
+  json_decref (vm);
+  return w;
+}
+
+static void
+test_list_alone_makes_no_worker (void)
+{
+  struct mb_worker w = listed_worker ();
+
+  CU_ASSERT_EQUAL (mb_step (&w, 100, &times), MB_NONE);
+  mb_answered (&w, 100);
+  CU_ASSERT_EQUAL (mb_step (&w, 100, &times), MB_JOINED);
+  CU_ASSERT_EQUAL (mb_step (&w, 100, &times), MB_NONE);
+}
+
+static void
+test_each_word_of_leaving_counts (void)
+{
+  struct mb_worker w = listed_worker ();
+
+  mb_answered (&w, 100);
+  mb_step (&w, 100, &times);
+  mb_said_leaving (&w, 1);
+  CU_ASSERT_EQUAL (mb_step (&w, 110, &times), MB_LEFT);
+  mb_said_leaving (&w, 0);
+  CU_ASSERT_EQUAL (mb_step (&w, 120, &times), MB_JOINED);
+  mb_listed (&w, NULL);
+  CU_ASSERT_EQUAL (mb_step (&w, 130, &times), MB_LEFT);
+  w.listed = 1;
+  w.list_leaving = 1;
+  CU_ASSERT_EQUAL (mb_step (&w, 140, &times), MB_NONE);
+  CU_ASSERT_EQUAL (w.state, MB_LEAVING);
+}
+
+static void
+test_worker_is_down_only_after_its_leases (void)
+{
+  struct mb_worker w = listed_worker ();
+
+  mb_answered (&w, 100);
+  mb_step (&w, 100, &times);
+  w.renewed_ms = 900;
+  CU_ASSERT (mb_may_renew (&w, 1100, &times));
+  CU_ASSERT_FALSE (mb_may_renew (&w, 1101, &times));
+  CU_ASSERT_EQUAL (mb_step (&w, 900 + 2000 + 300, &times), MB_NONE);
+  CU_ASSERT_EQUAL (mb_step (&w, 900 + 2000 + 301, &times), MB_LOST);
+  mb_answered (&w, 4000);
+  CU_ASSERT_EQUAL (mb_step (&w, 4000, &times), MB_JOINED);
+}
+
+static void
+test_bad_list_entry (void)
+{
+  struct mb_worker w;
+  json_t *vm = json_pack ("{s:s, s:s, s:s, s:i, s:i}", "id", "w1", "address",
+                          "127.0.0.1:1", "rack", "r1", "accelerators", 65,
+                          "slots", 8);
+
+  CU_ASSERT_EQUAL (mb_read (&w, vm), CT_EINVAL);
+  json_object_set_new (vm, "accelerators", json_integer (-1));
+  CU_ASSERT_EQUAL (mb_read (&w, vm), CT_EINVAL);
+  json_object_del (vm, "rack");
+  CU_ASSERT_EQUAL (mb_read (&w, vm), CT_EINVAL);
+  json_decref (vm);
+}
+
+static const struct dc_place two_workers[]
+    = { { 5, 0x0f }, { 9, 0xff }, { 5, 0xf0 } };
+
+static void
+test_gang_has_a_part_for_each_worker (void)
+{
+  struct wk_gang g;
+
+  CU_ASSERT_EQUAL (wk_init (&g, "j", 1, 3, two_workers, 0), CT_OK);
+  CU_ASSERT_EQUAL (g.parts, 2);
+  CU_ASSERT_EQUAL (wk_find_part (&g, 5)->tasks, 2);
+  CU_ASSERT_EQUAL (g.task[wk_find_part (&g, 9)->first], 1);
+  wk_fini (&g);
+}
+
+static void
+answer (struct wk_gang *g, uint32_t worker, enum wk_answer how,
+        enum wk_state state, int64_t now_ms)
+{
+  struct wk_part *p = wk_find_part (g, worker);
+  enum wk_order order = wk_next (g, p, now_ms);
+
+  wk_sent (p);
+  wk_answered (g, p, order, how, state, now_ms);
+}
+
+static void
+test_no_part_runs_before_all_are_held (void)
+{
+  struct wk_gang g;
+
+  wk_init (&g, "j", 1, 3, two_workers, 0);
+  answer (&g, 5, WK_OK, WK_HELD, 10);
+  CU_ASSERT_EQUAL (wk_next (&g, wk_find_part (&g, 5), 20), WK_ORDER_NONE);
+  CU_ASSERT_FALSE (wk_all (&g, WK_HELD));
+  answer (&g, 9, WK_OK, WK_HELD, 20);
+  CU_ASSERT (wk_all (&g, WK_HELD));
+  wk_set_phase (&g, WK_RUN, 30);
+  CU_ASSERT_EQUAL (wk_next (&g, wk_find_part (&g, 5), 30), WK_ORDER_RUN);
+  wk_fini (&g);
+}
+
+static void
+test_refused_hold_fails_the_gang (void)
+{
+  struct wk_gang g;
+
+  wk_init (&g, "j", 1, 3, two_workers, 0);
+  answer (&g, 5, WK_OK, WK_HELD, 10);
+  answer (&g, 9, WK_REFUSED, WK_NEW, 10);
+  CU_ASSERT (wk_hold_failed (&g, 10));
+  wk_set_phase (&g, WK_STOP, 10);
+  CU_ASSERT_EQUAL (wk_next (&g, wk_find_part (&g, 5), 10), WK_ORDER_STOP);
+  CU_ASSERT_EQUAL (wk_next (&g, wk_find_part (&g, 9), 10), WK_ORDER_NONE);
+  CU_ASSERT_EQUAL (wk_find_part (&g, 9)->state, WK_GONE);
+  wk_fini (&g);
+}
+
+static void
+test_silent_hold_is_stopped_too (void)
+{
+  struct wk_gang g;
+
+  wk_init (&g, "j", 1, 3, two_workers, 0);
+  answer (&g, 9, WK_SILENT, WK_NEW, 10);
+  CU_ASSERT_FALSE (wk_hold_failed (&g, WK_HOLD_MS - 1));
+  CU_ASSERT (wk_hold_failed (&g, WK_HOLD_MS));
+  wk_set_phase (&g, WK_STOP, WK_HOLD_MS);
+  CU_ASSERT_EQUAL (wk_next (&g, wk_find_part (&g, 9), WK_HOLD_MS),
+                   WK_ORDER_STOP);
+  CU_ASSERT_EQUAL (wk_next (&g, wk_find_part (&g, 5), WK_HOLD_MS),
+                   WK_ORDER_NONE); /* it was never sent */
+  wk_fini (&g);
+}
+
+static void
+test_old_lists_say_nothing (void)
+{
+  struct wk_gang g;
+  struct wk_part *p;
+
+  wk_init (&g, "j", 1, 3, two_workers, 0);
+  answer (&g, 5, WK_OK, WK_HELD, 100);
+  p = wk_find_part (&g, 5);
+  wk_not_reported (p, 90); /* asked for before the hold */
+  CU_ASSERT_EQUAL (p->state, WK_HELD);
+  wk_reported (p, WK_RUNNING, 110);
+  wk_reported (p, WK_HELD, 120);
+  CU_ASSERT_EQUAL (p->state, WK_RUNNING);
+  wk_not_reported (p, 130);
+  CU_ASSERT_EQUAL (p->state, WK_GONE);
+  wk_fini (&g);
+}
+
+static void
+test_end_is_kept_until_it_is_written (void)
+{
+  struct wk_gang g;
+  struct wk_part *p;
+
+  wk_init (&g, "j", 1, 3, two_workers, 0);
+  p = wk_find_part (&g, 5);
+  wk_reported (p, WK_DONE, 10);
+  CU_ASSERT_EQUAL (wk_next (&g, p, 20), WK_ORDER_NONE);
+  g.may_ack = 1;
+  CU_ASSERT_EQUAL (wk_next (&g, p, 20), WK_ORDER_ACK);
+  wk_fini (&g);
+}
+
+enum
+{
+  VALID_MS = 4000
+};
+
+static const struct gr_amount whole = { 2, 50 };
+
+static void
+test_grants_never_sum_over_the_worker (void)
+{
+  static const char *const names[] = { "a", "b", "c", "d", "e" };
+  struct gr_book book;
+
+  gr_init (&book);
+  for (int64_t now = 0; now < 60000; now += 500)
+    {
+      int entries = 1 + (int)(now / 500 * 7 % 5);
+      struct gr_amount used;
+
+      for (int i = 0; i < entries; i++)
+        gr_grant (&book, "w1", whole, names[i], i, entries, now,
+                  now + VALID_MS);
+      used = gr_in_use (&book, "w1", now);
+      CU_ASSERT (used.slots <= whole.slots);
+      CU_ASSERT (used.connections <= whole.connections);
+    }
+  gr_fini (&book);
+}
+
+static void
+test_grants_become_even (void)
+{
+  struct gr_book book;
+  struct gr_amount a, b;
+
+  gr_init (&book);
+  a = gr_grant (&book, "w1", whole, "a", 0, 1, 0, VALID_MS);
+  CU_ASSERT_EQUAL (a.slots, 2);
+  a = gr_grant (&book, "w1", whole, "a", 0, 2, 1000, 1000 + VALID_MS);
+  b = gr_grant (&book, "w1", whole, "b", 1, 2, 1000, 1000 + VALID_MS);
+  CU_ASSERT_EQUAL (a.slots, 1);
+  CU_ASSERT_EQUAL (b.slots, 0); /* a may not have heard yet */
+  for (int64_t now = 2000; now <= 8000; now += 1000)
+    {
+      a = gr_grant (&book, "w1", whole, "a", 0, 2, now, now + VALID_MS);
+      b = gr_grant (&book, "w1", whole, "b", 1, 2, now, now + VALID_MS);
+    }
+  CU_ASSERT_EQUAL (a.slots, 1);
+  CU_ASSERT_EQUAL (b.slots, 1);
+  CU_ASSERT_EQUAL (a.connections, 25);
+  CU_ASSERT_EQUAL (b.connections, 25);
+  gr_fini (&book);
+}
+
+static void
+test_cells_go_to_those_with_few (void)
+{
+  struct sh_view none = { 0, 3, 3, 0 }, one = { 1, 3, 3, 0 };
+  struct sh_view three = { 3, 3, 2, 0 }, two = { 2, 3, 2, 1 };
+
+  CU_ASSERT (sh_take_delay (&none, 0.99) < sh_take_delay (&one, 0));
+  CU_ASSERT (sh_should_give (&three));
+  CU_ASSERT_FALSE (sh_should_give (&two));
+  CU_ASSERT_FALSE (sh_should_give (&one));
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("parts", NULL, NULL);
+  CU_ADD_TEST (suite, test_list_alone_makes_no_worker);
+  CU_ADD_TEST (suite, test_each_word_of_leaving_counts);
+  CU_ADD_TEST (suite, test_worker_is_down_only_after_its_leases);
+  CU_ADD_TEST (suite, test_bad_list_entry);
+  CU_ADD_TEST (suite, test_gang_has_a_part_for_each_worker);
+  CU_ADD_TEST (suite, test_no_part_runs_before_all_are_held);
+  CU_ADD_TEST (suite, test_refused_hold_fails_the_gang);
+  CU_ADD_TEST (suite, test_silent_hold_is_stopped_too);
+  CU_ADD_TEST (suite, test_old_lists_say_nothing);
+  CU_ADD_TEST (suite, test_end_is_kept_until_it_is_written);
+  CU_ADD_TEST (suite, test_grants_never_sum_over_the_worker);
+  CU_ADD_TEST (suite, test_grants_become_even);
+  CU_ADD_TEST (suite, test_cells_go_to_those_with_few);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+}
