--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -1,5 +1,6 @@
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "entry/entry.h"
 #include "skr/log.h"
@@ -29,6 +30,10 @@
     "address for messages of other VMs' daemons; empty: none", FIELD (peer) },
   { "peers", OPT_STRING, "IP:PORT", 0, 4000, "",
     "peers besides those in the VM list, separated by commas", FIELD (peers) },
+  { "peer-keys", OPT_STRING, "file", 0, 400, "",
+    "JSON file of CURVE keys, read again when it changes; required unless "
+    "every peer is on loopback",
+    FIELD (peer_keys) },
   { "operator-digest", OPT_STRING, "", 0, 64, "",
     "digest of the operators' key, as 'skr key digest' prints it",
     FIELD (operator_digest) },
@@ -167,14 +172,15 @@
   bs_stop_on_signals ();
   if (en_core_init (&core, &set))
     {
-      fprintf (stderr, "skr-entry: --fault-point, --peer or memory is not "
-                       "good\n");
+      fprintf (stderr, "skr-entry: cannot start: check --fault-point, --peer "
+                       "and --peer-keys\n");
       return EXIT_USAGE;
     }
   if (listen_http (&core, &set)
       || pthread_create (&thread, NULL, run_core, &core))
     return EXIT_FAILURE;
-  printf ("listening on port %d\n", hs_port (core.server));
+  printf ("listening %.*s:%d\n", (int)strcspn (set.listen, ":"), set.listen,
+          hs_port (core.server));
   fflush (stdout);
   lg_log (LG_STARTED, 1,
           (struct lg_field[]){ lg_str ("address", set.listen) });
