Send no hold to a worker that is being given up

Cause: each hold lengthened the leases of a worker that did not answer, so that it was never down while gangs were placed on it. Change: no hold to a suspect worker. Measured: tests/control/test_cell, 16 tests pass; test_worker_lost_while_held fails on a source that does not take a held gang back. Conclusion: a silent worker is down once its leases have ended.

--- a/src/control/cell_order.c
+++ b/src/control/cell_order.c
@@ -119,7 +119,11 @@
   for (int i = 0; i < g->parts; i++)
     {
       enum wk_order order = wk_next (g, &g->part[i], c->now_ms);
+      const struct mb_worker *w = cl_worker (c, g->part[i].worker);
 
+      /* Holding would lengthen the leases of a worker that is given up.  */
+      if (order == WK_ORDER_HOLD && !mb_may_renew (w, c->now_ms, &c->times))
+        continue;
       if (order != WK_ORDER_NONE)
         send (c, g, &g->part[i], order, job);
     }
