Run threads through APR

Cause: the house builds on APR; threads were started by hand. Change: bs_thread over apr_thread_create, each with a pool that its join frees; the HTTP client uses it. Conclusion: the ring keeps its monotonic wait, which APR does not offer.

--- a/include/skr/base.h
+++ b/include/skr/base.h
@@ -54,6 +54,24 @@
    BS_EOS.  */
 int bs_init (void);
 
+/* A thread over APR, in memory that the caller owns; it and its pool are
+   freed by the join.  */
+struct apr_pool_t;
+struct apr_thread_t;
+struct bs_thread
+{
+  struct apr_pool_t *pool;
+  struct apr_thread_t *thread; /* NULL: none runs */
+  void *(*run) (void *arg);
+  void *arg;
+};
+
+/* Returns 0 or BS_EOS.  After bs_init.  */
+int bs_thread_start (struct bs_thread *thread, void *(*run) (void *arg),
+                     void *arg);
+/* Waits for the thread's end; does nothing when none was started.  */
+void bs_thread_join (struct bs_thread *thread);
+
 /* Installs handlers for SIGTERM and SIGINT and ignores SIGPIPE.  */
 void bs_stop_on_signals (void);
 /* Waits up to TIMEOUT_MS for a stop signal; returns 1 once one arrived.  */
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -35,7 +35,7 @@
 struct hc_client
 {
   CURLM *multi;
-  pthread_t thread;
+  struct bs_thread thread;
   struct rg_ring ring;
   atomic_int in_progress, stop;
   atomic_llong requests, bytes_out, bytes_in;
@@ -360,7 +360,7 @@
   if (rg_init (&hc->ring, (unsigned)config->max_in_progress))
     return NULL;
   rg_on_push (&hc->ring, wake, hc);
-  if (pthread_create (&hc->thread, NULL, run, hc))
+  if (bs_thread_start (&hc->thread, run, hc))
     {
       rg_fini (&hc->ring);
       curl_multi_cleanup (hc->multi);
@@ -379,7 +379,7 @@
     return;
   atomic_store (&hc->stop, 1);
   curl_multi_wakeup (hc->multi);
-  pthread_join (hc->thread, NULL);
+  bs_thread_join (&hc->thread);
   rg_fini (&hc->ring);
   curl_multi_cleanup (hc->multi);
   g_hash_table_destroy (hc->suspects);
