Free what the command line left

Cause: the sanitizers' run of the demo showed the rest of the arguments leaked. Change: opt_rest_fini, called by the programs. Measured: the demo under address and undefined sanitizers (leak check off: settings live as long as the process) gives the golden file. Conclusion: no memory error on the whole path.

--- a/include/skr/opt.h
+++ b/include/skr/opt.h
@@ -30,9 +30,11 @@
 struct opt_rest
 {
   int count;
-  const char **args; /* points into argv */
+  const char **args;
 };
 
+void opt_rest_fini (struct opt_rest *rest);
+
 /* Fills TARGET from the DEFS (ended by a NULL name), ARGV and environment.
    Prints help or version and exits 0 when asked; names the setting, its
    value and its range on standard error and exits 2 when one is bad.
--- a/src/base/opt.c
+++ b/src/base/opt.c
@@ -175,6 +175,14 @@
     free (value);
 }
 
+void
+opt_rest_fini (struct opt_rest *rest)
+{
+  for (int i = 0; i < rest->count; i++)
+    free ((char *)rest->args[i]);
+  free (rest->args);
+}
+
 void
 opt_parse (const struct opt_def *defs, void *target, int argc, char **argv,
            const char *usage, const char *about, struct opt_rest *rest)
--- a/src/burn/main.c
+++ b/src/burn/main.c
@@ -102,13 +102,29 @@
   return code;
 }
 
+static int
+run_command (const struct settings *set, const char *command)
+{
+  char reason[BN_REASON];
+
+  if (strcmp (command, "report") != 0 && strcmp (command, "plot") != 0
+      && strcmp (command, "record") != 0)
+    return fail ("usage: skr-burn [SETTINGS] [report|plot|record]",
+                 EXIT_USAGE);
+  if (strcmp (command, "record") != 0)
+    return read_and_run (set, command);
+  if (bn_record (set->entry, set->key, set->samples, set->every_ms,
+                 set->for_ms, reason))
+    return fail (reason, EXIT_IO);
+  return EXIT_FINE;
+}
+
 int
 main (int argc, char **argv)
 {
   struct settings set;
   struct opt_rest rest;
-  char reason[BN_REASON];
-  const char *command;
+  int code;
 
   opt_parse (defs, &set, argc, argv, "[SETTINGS] [report|plot|record]",
              "Reports which service-level objective burns its error budget, "
@@ -116,16 +132,9 @@
              &rest);
   if (bs_init ())
     return EXIT_IO;
-  command = rest.count ? rest.args[0] : "report";
-  if (rest.count > 1
-      || (strcmp (command, "report") != 0 && strcmp (command, "plot") != 0
-          && strcmp (command, "record") != 0))
-    return fail ("usage: skr-burn [SETTINGS] [report|plot|record]",
-                 EXIT_USAGE);
-  if (strcmp (command, "record") != 0)
-    return read_and_run (&set, command);
-  if (bn_record (set.entry, set.key, set.samples, set.every_ms, set.for_ms,
-                 reason))
-    return fail (reason, EXIT_IO);
-  return EXIT_FINE;
+  code = run_command (&set, rest.count == 0   ? "report"
+                            : rest.count == 1 ? rest.args[0]
+                                              : "");
+  opt_rest_fini (&rest);
+  return code;
 }
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -74,5 +74,6 @@
     return SK_FAILED;
   code = run_command (&s, &rest);
   hc_free (s.hc);
+  opt_rest_fini (&rest);
   return code;
 }
