Test reclaiming, older lists and going on from a checkpoint in a cell

Cause: preemption, the lists and lapsed leases were not driven through the controller yet. Change: three tests; the guarantees' version is that of their split, since the sum of the lists' versions does not name it; a job's place in the queue of rows is a flag instead of a search. Conclusion: a guarantee is reclaimed within 2,000 ms with the fakes' times.

--- a/src/control/cell_commit.c
+++ b/src/control/cell_commit.c
@@ -21,8 +21,11 @@
   job->dirty = 1;
   if (job->writing)
     job->rewrite = 1;
-  else if (!g_queue_find (&c->dirty, job))
-    g_queue_push_tail (&c->dirty, job);
+  else if (!job->in_queue)
+    {
+      job->in_queue = 1;
+      g_queue_push_tail (&c->dirty, job);
+    }
 }
 
 static size_t
@@ -41,6 +44,7 @@
     {
       struct jb_job *job = g_queue_pop_head (&c->dirty);
 
+      job->in_queue = 0;
       bytes += row_size (job->row);
       tb_txn_check (txn, c->table, job->id, job->version);
       tb_txn_put (txn, c->table, job->id, json_deep_copy (job->row));
@@ -176,7 +180,7 @@
       struct jb_job *job = g_ptr_array_index (c->batch, i - 1);
 
       job->writing = job->rewrite = 0;
-      job->dirty = 1;
+      job->dirty = job->in_queue = 1;
       g_queue_push_head (&c->dirty, job);
     }
   g_ptr_array_set_size (c->batch, 0);
--- a/src/control/cell_decide.c
+++ b/src/control/cell_decide.c
@@ -253,8 +253,7 @@
 void
 cl_plans (struct cl_cell *c)
 {
-  int64_t version = cf_version (c->config, CF_PLANS)
-                    + cf_version (c->config, CF_ALLOWANCES);
+  int64_t version = cf_version (c->config, CF_SPLIT);
   GPtrArray *names;
 
   if (version <= c->config_version)
--- a/src/control/job.h
+++ b/src/control/job.h
@@ -46,6 +46,7 @@
   struct wk_gang *gang; /* the current attempt, or NULL */
   json_t *results;      /* array by task */
   int dirty, writing;   /* the row is to be written, is on its way */
+  int in_queue;         /* of rows to be written */
   int rewrite;          /* it changed while it was on its way */
 };
 
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -15,7 +15,6 @@
 #include "skr/http.h"
 #include "skr/peer.h"
 #include "skr/ring.h"
-#include "skr/stat.h"
 #include "skr/table.h"
 #include "skr/timer.h"
 
@@ -106,8 +105,6 @@
   int entries;
   struct gr_book book;
   struct pr_key_file keys;
-
-  struct st_registry *stats;
 };
 
 /* loop.c */
--- a/tests/control/fake_world.c
+++ b/tests/control/fake_world.c
@@ -348,7 +348,7 @@
 }
 
 static void
-list_tasks (struct fw_worker *x, struct request *r)
+list_tasks (struct fw_world *w, struct fw_worker *x, struct request *r)
 {
   json_t *list = json_array (), *o;
   size_t n;
@@ -364,7 +364,8 @@
             json_pack ("{s:s, s:i, s:O, s:s, s:I, s:s}", "job", g->job,
                        "attempt", g->attempt, "task",
                        json_object_get (o, "task"), "state", state_name (g),
-                       "progress_ms", (json_int_t)0, "result", "ok"));
+                       "progress_ms", (json_int_t)(w->run_ms - g->left_ms),
+                       "result", "ok"));
       }
     }
   r->data = json_pack ("{s:s, s:b, s:o}", "id", x->id, "leaving", x->leaving,
@@ -395,7 +396,7 @@
   if (r->body)
     x->epoch = epoch;
   if (!r->body)
-    list_tasks (x, r);
+    list_tasks (w, x, r);
   else if (!strcmp (r->path, "/v1/leases"))
     renew (w, x, r);
   else if (!strcmp (r->path, "/v1/tasks"))
@@ -509,7 +510,9 @@
       if (g->state >= WK_DONE)
         continue;
       if (w->now_ms >= g->lease_until)
-        g->state = WK_STOPPED;
+        g->state = w->checkpoint_on_lapse && g->state == WK_RUNNING
+                       ? WK_CHECKPOINTED
+                       : WK_STOPPED;
       else if (g->checkpointing)
         g->state = WK_CHECKPOINTED;
       else if (g->state == WK_RUNNING && (g->left_ms -= FW_STEP_MS) <= 0)
@@ -669,17 +672,36 @@
 }
 
 void
-fw_put_job (struct fw_world *w, const char *id, int tasks, int per_task,
-            int repeatable, int fails)
+fw_put_job_of (struct fw_world *w, const char *id, const char *account,
+               int urgent, int tasks, int per_task, int repeatable, int fails)
 {
   fw_write (w, "jobs.d1", id,
             json_pack ("{s:s, s:s, s:i, s:i, s:i, s:b, s:b, s:s, s:i, s:I, "
                        "s:{s:b}}",
-                       "account", "a", "class", "bulk", "tasks", tasks,
-                       "per_task", per_task, "declared_ms", 1000, "repeatable",
-                       repeatable, "preemptible", 1, "state", "queued",
-                       "attempt", 0, "submitted_at", (json_int_t)w->now_ms,
-                       "payload", "fails", fails));
+                       "account", account, "class", urgent ? "urgent" : "bulk",
+                       "tasks", tasks, "per_task", per_task, "declared_ms",
+                       1000, "repeatable", repeatable, "preemptible", !urgent,
+                       "state", "queued", "attempt", 0, "submitted_at",
+                       (json_int_t)w->now_ms, "payload", "fails", fails));
+}
+
+void
+fw_put_job (struct fw_world *w, const char *id, int tasks, int per_task,
+            int repeatable, int fails)
+{
+  fw_put_job_of (w, id, "a", 0, tasks, per_task, repeatable, fails);
+}
+
+void
+fw_guarantee (struct fw_world *w, int version, const char *account, int size,
+              int count)
+{
+  json_t *rows = json_pack ("[{s:s, s:{s:i, s:{s:{s:[{s:i, s:i}]}}}}]", "key",
+                            CF_SPLIT, "value", "version", version, "split",
+                            account, "d1", "size", size, "count", count);
+
+  cf_apply (&w->config, rows);
+  json_decref (rows);
 }
 
 void
--- a/tests/control/fake_world.h
+++ b/tests/control/fake_world.h
@@ -85,6 +85,7 @@
   struct cf_store config;
   gsl_rng *rng;
   int64_t run_ms; /* of every task */
+  int checkpoint_on_lapse;
   int rows_written, generations;
 };
 
@@ -100,6 +101,13 @@
 
 void fw_put_job (struct fw_world *w, const char *id, int tasks, int per_task,
                  int repeatable, int fails);
+/* The same for another account and class; urgent work is not preemptible. */
+void fw_put_job_of (struct fw_world *w, const char *id, const char *account,
+                    int urgent, int tasks, int per_task, int repeatable,
+                    int fails);
+/* Lists of VERSION that give ACCOUNT a guarantee of COUNT groups of SIZE.  */
+void fw_guarantee (struct fw_world *w, int version, const char *account,
+                   int size, int count);
 void fw_cancel (struct fw_world *w, const char *id);
 const char *fw_job_state (struct fw_world *w, const char *id);
 json_t *fw_row (struct fw_world *w, const char *table, const char *key);
--- a/tests/control/test_cell.c
+++ b/tests/control/test_cell.c
@@ -265,6 +265,80 @@
   fw_fini (&w);
 }
 
+/* Borrowed work gives way to a guarantee within a checkpoint's time, and goes
+   on later from there.  */
+static void
+test_guarantee_is_reclaimed (void)
+{
+  struct fw_world w;
+
+  start (&w, SEED);
+  w.run_ms = 5000;
+  fw_guarantee (&w, 1, "b", 8, 2);
+  fw_put_job (&w, JOB, 4, 8, 0, 0);
+  fw_run (&w, 1500);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "running");
+  fw_put_job_of (&w, JOB2, "b", 1, 2, 8, 0, 0);
+  fw_run (&w, 2000);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB2), "running");
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "queued");
+  CU_ASSERT (json_integer_value (
+                 json_object_get (fw_row (&w, "jobs.d1", JOB), "progress_ms"))
+             > 500);
+  fw_run (&w, 12000);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB2), "done");
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "done");
+  CU_ASSERT_EQUAL (fw_attempts_run (&w, JOB), 2);
+  fw_fini (&w);
+}
+
+/* A guarantee that came while the cell was held is in force, and an older
+   list does not take it back.  */
+static void
+test_older_lists_change_nothing (void)
+{
+  struct fw_world w;
+
+  start (&w, SEED);
+  w.run_ms = LONG_MS;
+  fw_guarantee (&w, 2, "b", 8, 2);
+  fw_run (&w, 100);
+  fw_guarantee (&w, 1, "b", 8, 0);
+  fw_run (&w, 100);
+  CU_ASSERT_EQUAL (w.vm[0].cell.config_version, 2);
+  fw_put_job (&w, JOB, 4, 8, 1, 0);
+  fw_run (&w, 500);
+  fw_put_job_of (&w, JOB2, "b", 1, 2, 8, 1, 0);
+  fw_run (&w, 2000);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB2), "running");
+  fw_fini (&w);
+}
+
+/* Nobody holds the cell until the leases of a gang have lapsed: it goes on
+   from its checkpoint, which is no repeat.  */
+static void
+test_lapsed_gang_goes_on (void)
+{
+  struct fw_world w;
+  int64_t progress;
+
+  start (&w, SEED);
+  w.run_ms = 4000;
+  w.checkpoint_on_lapse = 1;
+  fw_put_job (&w, JOB, 4, 8, 0, 0);
+  fw_run (&w, 1000);
+  fw_kill_vm (&w, 0);
+  fw_run (&w, 4000);
+  fw_start_vm (&w, 1);
+  fw_run (&w, 2500);
+  progress = json_integer_value (
+      json_object_get (fw_row (&w, "jobs.d1", JOB), "progress_ms"));
+  CU_ASSERT (progress > 1000 && progress < 4000);
+  fw_run (&w, 6000);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "done");
+  fw_fini (&w);
+}
+
 /* The holder dies at each step of a job's life; another takes over.  */
 static void
 test_holder_dies_at_every_step (void)
@@ -521,6 +595,9 @@
   CU_ADD_TEST (suite, test_table_down);
   CU_ADD_TEST (suite, test_table_silent);
   CU_ADD_TEST (suite, test_catch_up_is_grouped);
+  CU_ADD_TEST (suite, test_guarantee_is_reclaimed);
+  CU_ADD_TEST (suite, test_older_lists_change_nothing);
+  CU_ADD_TEST (suite, test_lapsed_gang_goes_on);
   CU_ADD_TEST (suite, test_holder_dies_at_every_step);
   CU_ADD_TEST (suite, test_running_gang_is_adopted);
   CU_ADD_TEST (suite, test_survey_waits_for_leases);
