--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -386,6 +386,8 @@
   core->rng = gsl_rng_alloc (gsl_rng_taus2);
   gsl_rng_set (core->rng, seed);
   g_queue_init (&core->wanting);
+  core->queued.jobs
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   st_init (&core->stat);
   fl_pool_init (&core->pool, set->vm);
   fl_budget_init (&core->budget, core->now_ms);
@@ -421,6 +423,7 @@
       g_free (core->peer[i].busy);
     }
   g_queue_clear (&core->wanting);
+  g_hash_table_destroy (core->queued.jobs);
   g_free (core->env.account);
   g_free (core->fleet.worker);
   g_free (core->live);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -76,6 +76,7 @@
   EN_TAG_POLL_CONFIG,
   EN_TAG_POLL_VMS,
   EN_TAG_POLL_CELLS,
+  EN_TAG_POLL_JOBS,
   EN_TAG_REPAIR
 };
 
@@ -170,6 +171,16 @@
   int room;             /* of both */
 };
 
+/* Jobs that wait, as the tables of all cells say.  */
+struct en_queued
+{
+  GHashTable *jobs; /* id -> handle of its account, plus 1 */
+  int64_t next_rev, begun_ms;
+  int cell;         /* that is read */
+  char name[PR_ID]; /* of it; others may come before it meanwhile */
+  char after[FL_MAX_ID + 1];
+};
+
 struct en_core
 {
   const struct en_settings *set;
@@ -201,6 +212,7 @@
   int64_t hedge_ms;
   struct en_peer peer[EN_PEERS];
   int peers;
+  struct en_queued queued;
   json_t *vms, *cells;
   int64_t config_rev, vms_ms;
   int polls; /* of the core that are in progress, by bits of en_tag */
@@ -298,6 +310,11 @@
 /* Reads the configuration now.  */
 void en_poll_config (struct en_core *core);
 
+/* queued.c */
+void en_queued_poll (struct en_core *core);
+void en_queued_rows (struct en_core *core, const json_t *data);
+void en_queued_add (struct en_core *core, const char *job, int account);
+
 /* peers.c */
 int en_peers_start (struct en_core *core);
 void en_peers_dial (struct en_core *core);
--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -224,6 +224,7 @@
     {
     case FL_WRITTEN:
       en_tell_job (core, j->cell, j->id);
+      en_queued_add (core, j->id, req->fr.account);
       accepted (core, req, j->id, "queued");
       break;
     case FL_WRITE_CONFLICT:
--- a/src/entry/lists.c
+++ b/src/entry/lists.c
@@ -228,6 +228,7 @@
 
   memcpy (a->key_digest, in->key_digest, sizeof a->key_digest);
   a->limit.calls_per_second = (int32_t)in->calls_per_second;
+  a->queued_jobs = (int32_t)in->queued_jobs;
   a->limit.concurrent_calls = (int32_t)in->concurrent_calls;
 }
 
--- a/src/entry/poll.c
+++ b/src/entry/poll.c
@@ -72,6 +72,7 @@
   if (start (core, EN_TAG_POLL_CELLS))
     en_scan (core, NULL, EN_TAG_POLL_CELLS,
              &(struct tb_scan){ .table = "cells" });
+  en_queued_poll (core);
   update_hedge (core);
 }
 
@@ -227,6 +228,9 @@
     case EN_TAG_POLL_CELLS:
       on_cells (core, data);
       break;
+    case EN_TAG_POLL_JOBS:
+      en_queued_rows (core, data);
+      break;
     case EN_TAG_REPAIR:
       en_poll_config (core);
       break;
--- a/src/filter/chain.c
+++ b/src/filter/chain.c
@@ -184,9 +184,18 @@
 static enum fl_problem_kind
 limits (struct fl_env *env, struct fl_request *r)
 {
-  if (r->op != FL_OP_CALL)
+  struct fl_account *a;
+
+  if (r->op != FL_OP_CALL && r->op != FL_OP_JOB)
+    return FL_PROBLEM_NONE;
+  a = &env->account[r->account];
+  if (r->op == FL_OP_JOB && a->queued >= a->queued_jobs)
+    return fl_problem_set (&r->problem, FL_PROBLEM_QUEUE, env->jitter,
+                           "nothing was accepted: %d jobs are queued",
+                           (int)a->queued);
+  if (r->op == FL_OP_JOB)
     return FL_PROBLEM_NONE;
-  switch (fl_limit_enter (&env->account[r->account].limit, env->now_ms))
+  switch (fl_limit_enter (&a->limit, env->now_ms))
     {
     case FL_LIMIT_RATE:
       return fl_problem_set (&r->problem, FL_PROBLEM_RATE, env->jitter,
--- a/src/filter/chain.h
+++ b/src/filter/chain.h
@@ -47,6 +47,7 @@
   char name[PR_ID];
   char key_digest[BS_DIGEST_SIZE];
   struct fl_limit limit;
+  int32_t queued, queued_jobs; /* jobs that wait, and that may */
   char home[PR_MAX_CELLS][PR_ID];
   int homes;
 };
--- a/src/filter/fleet.h
+++ b/src/filter/fleet.h
@@ -20,7 +20,8 @@
 struct fl_cell
 {
   char cell[PR_ID], holder[PR_ID];
-  int64_t free; /* accelerators as the holder last told; -1: unknown */
+  int64_t free;     /* accelerators as the holder last told; -1: unknown */
+  int64_t jobs_rev; /* its jobs are known up to this revision */
 };
 
 struct fl_fleet
--- a/src/filter/problem.c
+++ b/src/filter/problem.c
@@ -32,6 +32,8 @@
   [FL_PROBLEM_CONCURRENCY]
   = { 429, 1, "concurrency", "Too many calls of the account are in progress",
       "not_run" },
+  [FL_PROBLEM_QUEUE]
+  = { 429, 5, "queue", "Too many jobs of the account are queued", "not_run" },
   [FL_PROBLEM_OVERLOAD] = { 503, 1, "overload", "Overloaded", "not_run" },
   [FL_PROBLEM_TABLE_DOWN]
   = { 503, 2, "table-down", "The table does not answer", "not_run" },
--- a/tests/filter/test_chain.c
+++ b/tests/filter/test_chain.c
@@ -39,6 +39,7 @@
 
       snprintf (account[i].name, sizeof account[i].name, "%s", names[i]);
       bs_digest (account[i].key_digest, names[i]);
+      account[i].queued_jobs = 3;
       fl_limit_init (l, 0);
       l->calls_per_second = l->concurrent_calls = 3;
       fl_limit_period (l, 1, 0, 0, 1);
@@ -313,6 +314,17 @@
                    FL_PROBLEM_NONE);
 }
 
+static void
+test_queued_jobs_are_bounded (void)
+{
+  start ();
+  account[0].queued = account[0].queued_jobs;
+  CU_ASSERT_EQUAL (run ("POST", "/v1/jobs", "desk", good_job),
+                   FL_PROBLEM_QUEUE);
+  CU_ASSERT_EQUAL (run ("POST", "/v1/jobs", "agency", good_job),
+                   FL_PROBLEM_NONE);
+}
+
 static void
 test_bulk_is_shed_first (void)
 {
@@ -443,6 +455,7 @@
     TEST (test_not_run_needs_the_first_attempt_or_a_proof),
     TEST (test_attempts_are_numbers_from_one),
     TEST (test_one_account_s_limit_is_not_the_other_s),
+    TEST (test_queued_jobs_are_bounded),
     TEST (test_bulk_is_shed_first),
     TEST (test_impossible_jobs_are_refused_at_once),
     TEST (test_jobs_go_home_first),
