--- a/src/entry/answer.c
+++ b/src/entry/answer.c
@@ -119,6 +119,7 @@
 {
   const char *state = fl_problem_state (problem->kind);
   json_t *o = fl_problem_json (problem);
+  struct hs_header header = { NULL, NULL };
   char retry[16];
   char *text;
 
@@ -127,14 +128,16 @@
   json_decref (more);
   text = json_dumps (o, JSON_COMPACT);
   snprintf (retry, sizeof retry, "%d", problem->retry_after_s);
-  send_answer (
-      core, req,
-      &(struct hs_answer){
-          fl_problem_status (problem->kind),
-          "application/problem+json",
-          text,
-          { { problem->retry_after_s ? "Retry-After" : NULL, retry } } },
-      state);
+  if (problem->retry_after_s)
+    header = (struct hs_header){ "Retry-After", retry };
+  else if (problem->kind == FL_PROBLEM_UNAUTHORIZED)
+    header = (struct hs_header){ "WWW-Authenticate", "Bearer" };
+  send_answer (core, req,
+               &(struct hs_answer){ fl_problem_status (problem->kind),
+                                    "application/problem+json",
+                                    text,
+                                    { header } },
+               state);
   free (text);
   json_decref (o);
 }
--- a/src/entry/upstream.c
+++ b/src/entry/upstream.c
@@ -80,7 +80,7 @@
       break;
     case HC_NOT_SENT:
       ev->u.upstream.end = FL_UP_NOT_RUN;
-      ev->u.upstream.outcome = FL_OUTCOME_FAILED;
+      ev->u.upstream.outcome = FL_OUTCOME_UNREACHED;
       break;
     case HC_LOST:
       ev->u.upstream.end = FL_UP_LOST;
--- a/src/filter/budget.c
+++ b/src/filter/budget.c
@@ -3,7 +3,7 @@
 void
 fl_budget_init (struct fl_budget *b, int64_t now_ms)
 {
-  *b = (struct fl_budget){ 1, now_ms };
+  *b = (struct fl_budget){ FL_BUDGET_START, now_ms };
 }
 
 void
--- a/src/filter/budget.h
+++ b/src/filter/budget.h
@@ -7,9 +7,10 @@
 
 enum
 {
-  FL_BUDGET_CALLS = 10,     /* calls that earn one retry */
-  FL_BUDGET_MAX = 100,      /* retries that can be saved up */
-  FL_BUDGET_FLOOR_MS = 1000 /* one more retry in each such time */
+  FL_BUDGET_CALLS = 10,    /* calls that earn one retry */
+  FL_BUDGET_MAX = 100,     /* retries that can be saved up */
+  FL_BUDGET_START = 10,    /* retries at the start */
+  FL_BUDGET_FLOOR_MS = 500 /* one more retry in each such time */
 };
 
 struct fl_budget
--- a/src/filter/pool.c
+++ b/src/filter/pool.c
@@ -310,6 +310,11 @@
     case FL_OUTCOME_LEAVING:
       u->left_until_ms = now_ms + FL_POOL_LEAVING_MS;
       break;
+    case FL_OUTCOME_UNREACHED:
+      if (above_floor (p, now_ms))
+        u->ejected_until_ms = now_ms + FL_POOL_UNREACHED_MS;
+      on_failure (p, u, now_ms);
+      break;
     case FL_OUTCOME_FAILED:
       on_failure (p, u, now_ms);
       break;
--- a/src/filter/pool.h
+++ b/src/filter/pool.h
@@ -21,8 +21,9 @@
   FL_POOL_FAILURES = 5,    /* in a row before an ejection */
   FL_POOL_EJECT_MS = 5000, /* the first; it doubles */
   FL_POOL_EJECT_MAX_MS = 60000,
-  FL_POOL_FLOOR_PERCENT = 50, /* of upstreams that stay in use */
-  FL_POOL_LEAVING_MS = 60000, /* an upstream's own word counts so long */
+  FL_POOL_UNREACHED_MS = 1000, /* out of use after each such failure */
+  FL_POOL_FLOOR_PERCENT = 50,  /* of upstreams that stay in use */
+  FL_POOL_LEAVING_MS = 60000,  /* an upstream's own word counts so long */
   FL_POOL_NONE = -1
 };
 
@@ -70,9 +71,10 @@
 enum fl_outcome
 {
   FL_OUTCOME_OK,
-  FL_OUTCOME_BUSY,    /* its 429 */
-  FL_OUTCOME_LEAVING, /* its 503 */
-  FL_OUTCOME_FAILED   /* not reached, lost, or it fails what it runs */
+  FL_OUTCOME_BUSY,      /* its 429 */
+  FL_OUTCOME_LEAVING,   /* its 503 */
+  FL_OUTCOME_UNREACHED, /* no connection, or none that took the request */
+  FL_OUTCOME_FAILED     /* lost, or it fails what it runs */
 };
 
 void fl_pool_init (struct fl_pool *p, const char *self);
--- a/tests/filter/test_call.c
+++ b/tests/filter/test_call.c
@@ -68,7 +68,7 @@
 {
   now = 0;
   down = 0;
-  fl_budget_init (&budget, 0);
+  budget = (struct fl_budget){ 1, 0 };
   fl_call_init (&call, &(struct fl_call_spec){ .repeatable = repeatable,
                                                .deadline_ms = DEADLINE_MS,
                                                .hedge_after_ms = hedge_ms,
@@ -439,7 +439,8 @@
   int taken = 0;
 
   fl_budget_init (&budget, 0);
-  CU_ASSERT (fl_budget_take (&budget, 0));
+  for (int i = 0; i < FL_BUDGET_START; i++)
+    CU_ASSERT (fl_budget_take (&budget, 0));
   CU_ASSERT_FALSE (fl_budget_take (&budget, FL_BUDGET_FLOOR_MS - 1));
   CU_ASSERT (fl_budget_take (&budget, FL_BUDGET_FLOOR_MS));
   for (int i = 0; i < 2000; i++)
--- a/tests/filter/test_pool.c
+++ b/tests/filter/test_pool.c
@@ -205,6 +205,19 @@
   CU_ASSERT (fl_pool_allowed (&pool[0], w, FL_POOL_EJECT_MS) > 0);
 }
 
+static void
+test_an_unreached_upstream_is_passed_by_for_a_moment (void)
+{
+  int w;
+
+  start ();
+  w = usable ();
+  pool[0].up[w].in_flight++;
+  fl_pool_give (&pool[0], w, FL_OUTCOME_UNREACHED, 0);
+  CU_ASSERT_EQUAL (fl_pool_allowed (&pool[0], w, 0), 0);
+  CU_ASSERT (fl_pool_allowed (&pool[0], w, FL_POOL_UNREACHED_MS) > 0);
+}
+
 static void
 test_ejection_keeps_a_floor (void)
 {
@@ -262,6 +275,7 @@
     TEST (test_nothing_new_goes_to_a_leaving_upstream),
     TEST (test_a_new_process_under_an_old_name_starts_clean),
     TEST (test_ejection_needs_failures_in_a_row),
+    TEST (test_an_unreached_upstream_is_passed_by_for_a_moment),
     TEST (test_ejection_keeps_a_floor),
     TEST (test_a_retry_avoids_the_last_upstream),
     TEST (test_no_upstream_is_told_from_a_busy_one),
