Build no list upon a table that was set back

Cause: a VM that has just started may not know that the table was restored to an older state, and would accept a change of the older list. Change: a change is refused for a moment while a peer has newer lists than the table, or a listed VM was not heard in the first 3 s; clients' counts of bytes and requests are exported; a 'not_run' row is tested to be claimed anew. Conclusion: lists only go forward.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -29,6 +29,7 @@
   EN_POLL_MS = 1000,         /* configuration, cells, VM list */
   EN_PEERS = 128,            /* daemons on other VMs */
   EN_PEER_DEAD_MS = 5000,    /* a silent peer counts as gone */
+  EN_PEER_FIRST_MS = 3000,   /* after the start: listed peers are heard */
   EN_PEER_QUEUE = 512,       /* messages of peers waiting for the core */
   EN_TABLE_FAILURES = 3,     /* in a row: the table is known down */
   EN_EVENTS_FOR_REQUEST = 4, /* results that one request can await */
@@ -167,6 +168,7 @@
   char vm[PR_ID], address[PR_ADDRESS];
   int role, leaving;
   int64_t heard_ms, usage_ms;
+  int64_t plans_version, allowances_version; /* in force there */
   int32_t *rate, *busy; /* of each account; NULL before the first word */
   int room;             /* of both */
 };
@@ -184,38 +186,32 @@
 struct en_core
 {
   const struct en_settings *set;
-  enum en_fault fault;
-  char incarnation[EN_INCARNATION + 1];
-  struct bs_clock clock;
-  int64_t now_ms, started_ms;
-  struct rg_ring ring;
-  atomic_int peer_queued, live_now, leaving, stop;
-  struct tm_service timers;
+  int64_t now_ms, started_ms, hedge_ms, config_rev;
   struct hs_server *server;
   struct hc_client *hc_table, *hc_up;
   struct tb_client *tb;
   struct pr_net *net;
-  struct pr_key_file keys; /* in use; empty without CURVE */
-  struct cf_store config;
-  struct fl_env env;
-  int accounts_room;
-  struct fl_fleet fleet;
-  struct fl_pool pool;
-  struct fl_budget budget;
   gsl_rng *rng;
-  struct st_registry stat;
-  int shard;
   struct en_request **live;
-  int live_count;
+  json_t *vms, *cells;
+  struct bs_clock clock;
+  struct fl_budget budget;
   GQueue wanting; /* calls that wait for a slot */
-  int table_failures;
-  int64_t hedge_ms;
-  struct en_peer peer[EN_PEERS];
-  int peers;
+  struct fl_env env;
+  struct cf_store config;
+  struct rg_ring ring;
   struct en_queued queued;
-  json_t *vms, *cells;
-  int64_t config_rev, vms_ms;
+  struct tm_service timers;
+  struct fl_fleet fleet;
+  struct en_peer peer[EN_PEERS];
+  struct st_registry stat;
+  struct fl_pool pool;
+  enum en_fault fault;
+  atomic_int peer_queued, live_now, leaving, stop;
+  int accounts_room, shard, live_count, table_failures, peers;
   int polls; /* of the core that are in progress, by bits of en_tag */
+  char incarnation[EN_INCARNATION + 1];
+  struct pr_key_file keys; /* in use; empty without CURVE */
 };
 
 /* core.c: the loop.  */
@@ -322,6 +318,10 @@
 void en_on_peer (struct en_core *core, const struct pr_message *m);
 /* Tells the holder of CELL about JOB.  */
 void en_tell_job (struct en_core *core, const char *cell, const char *job);
+/* True when no VM is known, or too new to be known, to have lists in force
+   that are newer than these versions.  */
+int en_lists_are_newest (struct en_core *core, int64_t plans,
+                         int64_t allowances);
 void en_tell_config (struct en_core *core, const char *list);
 /* True when the VM that made TOKEN is known to be gone.  */
 int en_is_dead (struct en_core *core, const char *vm, const char *token);
--- a/src/entry/lists.c
+++ b/src/entry/lists.c
@@ -97,6 +97,13 @@
   return core->fleet.workers;
 }
 
+static int64_t
+version_in (const json_t *rows, const char *name)
+{
+  return json_integer_value (
+      json_object_get (value_in (rows, name), "version"));
+}
+
 static void
 propose (struct en_core *core, struct en_request *req, json_t *rows)
 {
@@ -157,8 +164,15 @@
              == req->fr.u.version + 1
       && json_equal (json_object_get (value, "list"), req->fr.json))
     accepted (core, req);
-  else
+  else if (en_lists_are_newest (core, version_in (rows, CF_PLANS),
+                                version_in (rows, CF_ALLOWANCES)))
     propose (core, req, rows);
+  else
+    /* A table that was set back is not built upon before a VM that has the
+       newer lists has written them back.  */
+    en_refuse (core, req, FL_PROBLEM_UNREADABLE,
+               "nothing was changed: another VM may have newer lists; come "
+               "back in a moment");
 }
 
 static void
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -218,6 +218,8 @@
   is_new = strcmp (p->address, h->address) != 0;
   g_strlcpy (p->address, h->address, sizeof p->address);
   p->leaving = h->leaving;
+  p->plans_version = h->plans_version;
+  p->allowances_version = h->allowances_version;
   p->heard_ms = core->now_ms;
   if (is_new)
     en_peers_dial (core);
@@ -333,6 +335,31 @@
   g_free (m);
 }
 
+static int
+is_silent (struct en_core *core, const char *vm)
+{
+  return strcmp (vm, core->set->vm) != 0 && !peer_of (core, vm, PR_ENTRY, 0);
+}
+
+int
+en_lists_are_newest (struct en_core *core, int64_t plans, int64_t allowances)
+{
+  for (int i = 0; i < core->peers; i++)
+    {
+      const struct en_peer *p = &core->peer[i];
+
+      if (core->now_ms - p->heard_ms <= EN_PEER_DEAD_MS
+          && (p->plans_version > plans || p->allowances_version > allowances))
+        return 0;
+    }
+  if (core->now_ms - core->started_ms >= EN_PEER_FIRST_MS)
+    return 1;
+  for (int i = 0; i < core->pool.entries; i++)
+    if (is_silent (core, core->pool.entry[i]))
+      return 0;
+  return 1;
+}
+
 static int
 is_listed (const struct en_core *core, const char *vm)
 {
--- a/src/entry/poll.c
+++ b/src/entry/poll.c
@@ -179,7 +179,6 @@
   json_incref (data);
   json_decref (core->vms);
   core->vms = data;
-  core->vms_ms = core->now_ms;
   en_peers_dial (core);
   en_feed (core);
 }
--- a/src/entry/view.c
+++ b/src/entry/view.c
@@ -1,4 +1,5 @@
 /* Health, metrics and what operators look at.  */
+#include <stdio.h>
 #include <stdlib.h>
 
 #include "entry/entry.h"
@@ -14,15 +15,39 @@
 }
 
 static void
-gauge (struct en_core *core, const char *name, int64_t value)
+set (struct en_core *core, enum st_kind kind, const char *name,
+     const char *labels, int64_t value)
 {
   st_set (&core->stat, core->shard,
-          st_series (&core->stat, ST_GAUGE, name, ""), value);
+          st_series (&core->stat, kind, name, labels), value);
+}
+
+static void
+gauge (struct en_core *core, const char *name, int64_t value)
+{
+  set (core, ST_GAUGE, name, "", value);
+}
+
+static void
+set_client (struct en_core *core, struct hc_client *hc, const char *client)
+{
+  char labels[ST_LABELS];
+  struct hc_counts n;
+
+  hc_count (hc, &n);
+  snprintf (labels, sizeof labels, "client=\"%s\"", client);
+  set (core, ST_COUNTER, "skr_http_requests_total", labels, n.requests);
+  snprintf (labels, sizeof labels, "client=\"%s\",dir=\"in\"", client);
+  set (core, ST_COUNTER, "skr_http_bytes_total", labels, n.bytes_in);
+  snprintf (labels, sizeof labels, "client=\"%s\",dir=\"out\"", client);
+  set (core, ST_COUNTER, "skr_http_bytes_total", labels, n.bytes_out);
 }
 
 static void
 set_gauges (struct en_core *core)
 {
+  set_client (core, core->hc_table, "table");
+  set_client (core, core->hc_up, "upstream");
   gauge (core, "skr_requests_in_progress", core->live_count);
   gauge (core, "skr_calls_waiting", (int64_t)core->wanting.length);
   gauge (core, "skr_table_down", core->env.table_down);
--- a/tests/entry/check_upstreams.sh
+++ b/tests/entry/check_upstreams.sh
@@ -60,4 +60,12 @@
 expect "without any worker it is refused" "503 not_run" \
   "$(first e1 none false 60000 5)"
 expect "at once" 1 "$(($(date +%s%3N) - from < 2000))"
+start w5 skr-worker --id w5 --domain d1 \
+  --platform "http://${ADDR[platform]}"
+wait_for 50 fleet_seen e1 1
+expect "the same attempt gets the same answer" "503 not_run" \
+  "$(first e1 none false 60000 5)"
+expect "a later attempt runs" "200 done" \
+  "$(call e1 none false 60000 5 -H 'Idempotency-Attempt: 2')"
+expect "once" 1 "$(started_at w5 none)"
 exit "$failed"
--- a/tests/filter/test_call.c
+++ b/tests/filter/test_call.c
@@ -139,6 +139,23 @@
   CU_ASSERT_EQUAL (row (FL_ROW_OURS, 0), FL_DO_WANT);
 }
 
+static void
+test_a_row_that_was_not_run_is_claimed_anew (void)
+{
+  begin (0, 0);
+  event (FL_EV_START);
+  CU_ASSERT_EQUAL (row (FL_ROW_BEFORE, FL_STATE_NOT_RUN), FL_DO_CLAIM);
+  CU_ASSERT_FALSE (call.proved);
+  CU_ASSERT_EQUAL (table (FL_REPLY_OK), FL_DO_WANT);
+  CU_ASSERT (call.proved);
+  /* Another VM was faster: it runs there.  */
+  begin (0, 0);
+  event (FL_EV_START);
+  row (FL_ROW_BEFORE, FL_STATE_NOT_RUN);
+  CU_ASSERT_EQUAL (row (FL_ROW_OTHER, FL_STATE_CLAIMED), 0);
+  CU_ASSERT_EQUAL (call.state, FL_CALL_ELSEWHERE);
+}
+
 static void
 test_two_vms_one_runs (void)
 {
@@ -468,6 +485,7 @@
     TEST (test_answer_waits_a_bounded_time_for_a_slow_table),
     TEST (test_lost_claim_is_read_back),
     TEST (test_lost_claim_that_is_absent_is_sent_again),
+    TEST (test_a_row_that_was_not_run_is_claimed_anew),
     TEST (test_two_vms_one_runs),
     TEST (test_waiting_for_another_vm_ends_at_the_deadline),
     TEST (test_claim_of_a_dead_vm_is_unknown_at_once),
