Test the HTTP server: own answers, bounds, TLS, draining

Cause: the server glue was only tested through the programs. Conclusion: TLS towards callers works by setting.

--- /dev/null
+++ b/tests/net/test_serve.c
@@ -0,0 +1,233 @@
+/* The HTTP server: answers from another thread, bounds, TLS, draining.  */
+#include <CUnit/Basic.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "fake_cert.h"
+#include "skr/base.h"
+#include "skr/http.h"
+#include "skr/ring.h"
+#include "skr/serve.h"
+
+enum
+{
+  MAX_BODY = 2048,
+  TIMEOUT_MS = 10000,
+  CALLERS = 16
+};
+
+static struct rg_ring ring;
+static struct hs_server *server;
+static pthread_t answerer;
+
+static void
+on_request (void *arg, struct hs_exchange *ex)
+{
+  (void)arg;
+  rg_push (&ring, ex);
+}
+
+/* Answers in an order of its own: the last that came goes first.  */
+static void *
+answer_all (void *arg)
+{
+  void *item;
+
+  (void)arg;
+  while (rg_pop (&ring, &item, TIMEOUT_MS) == BS_OK)
+    {
+      struct hs_exchange *ex = item;
+      const struct hs_request *r = hs_request_of (ex);
+      const char *echo = hs_query (ex, "echo");
+      char body[64];
+
+      snprintf (body, sizeof body, "%s %s %zu %d", r->method,
+                echo ? echo : "-", r->body_size, r->too_large);
+      hs_answer (ex, &(struct hs_answer){
+                         200, "text/plain", body, { { "X-Test", "1" } } });
+    }
+  return NULL;
+}
+
+static void
+start (const char *cert, const char *key)
+{
+  struct hs_config c = { .listen = "127.0.0.1:0",
+                         .tls_cert = cert,
+                         .tls_key = key,
+                         .threads = 2,
+                         .max_connections = 64,
+                         .max_body = MAX_BODY,
+                         .idle_s = 10,
+                         .handle = on_request };
+
+  rg_init (&ring, 64);
+  CU_ASSERT_EQUAL_FATAL (hs_new (&server, &c), HS_OK);
+  pthread_create (&answerer, NULL, answer_all, NULL);
+}
+
+static void
+stop (void)
+{
+  hs_stop_listening (server);
+  rg_close (&ring);
+  pthread_join (answerer, NULL);
+  hs_free (server);
+  rg_fini (&ring);
+}
+
+static void
+ask (struct hc_client *hc, const char *scheme, const char *path,
+     const char *body, struct hc_answer *a, char buf[128])
+{
+  char url[128];
+  struct hc_request r = { .method = body ? "POST" : "GET",
+                          .url = url,
+                          .body = body,
+                          .timeout_ms = TIMEOUT_MS };
+
+  snprintf (url, sizeof url, "%s://127.0.0.1:%d%s", scheme, hs_port (server),
+            path);
+  *a = (struct hc_answer){ .end = HC_NOT_SENT };
+  hc_call (hc, &r, a, buf, 128);
+}
+
+static struct hc_client *
+client (const char *ca)
+{
+  return hc_new (&(struct hc_config){
+      .max_in_progress = 32, .connections_per_host = 32, .ca = ca });
+}
+
+static void
+test_each_gets_its_own_answer (void)
+{
+  struct hc_client *hc = client (NULL);
+  struct hc_answer a;
+  char buf[128];
+
+  start (NULL, NULL);
+  for (int i = 0; i < CALLERS; i++)
+    {
+      char path[32], want[32];
+
+      snprintf (path, sizeof path, "/?echo=%d", i);
+      snprintf (want, sizeof want, "POST %d 3 0", i);
+      ask (hc, "http", path, "abc", &a, buf);
+      CU_ASSERT_EQUAL (a.end, HC_ANSWERED);
+      CU_ASSERT_STRING_EQUAL (buf, want);
+    }
+  CU_ASSERT_EQUAL (hs_cut (server), 0);
+  stop ();
+  hc_free (hc);
+}
+
+static void
+test_bodies_are_bounded (void)
+{
+  struct hc_client *hc = client (NULL);
+  struct hc_answer a;
+  char buf[128], body[MAX_BODY + 2];
+
+  start (NULL, NULL);
+  memset (body, 'x', sizeof body);
+  body[MAX_BODY] = '\0';
+  ask (hc, "http", "/", body, &a, buf);
+  CU_ASSERT_STRING_EQUAL (buf, "POST - 2048 0");
+  body[MAX_BODY] = 'x';
+  body[MAX_BODY + 1] = '\0';
+  ask (hc, "http", "/", body, &a, buf);
+  CU_ASSERT_EQUAL (a.end, HC_ANSWERED);
+  CU_ASSERT_EQUAL (buf[strlen (buf) - 1], '1');
+  stop ();
+  hc_free (hc);
+}
+
+static void
+test_tls (void)
+{
+  char path[] = "/tmp/skr-test-XXXXXX", buf[128];
+  char *cert = NULL, *key = NULL;
+  struct hc_answer a;
+  struct hc_client *trusting, *other = client (NULL);
+  FILE *f;
+
+  CU_ASSERT_EQUAL_FATAL (fake_cert (&cert, &key), 0);
+  f = fdopen (mkstemp (path), "w");
+  fputs (cert, f);
+  fclose (f);
+  trusting = client (path);
+  start (cert, key);
+  ask (trusting, "https", "/?echo=tls", NULL, &a, buf);
+  CU_ASSERT_EQUAL (a.end, HC_ANSWERED);
+  CU_ASSERT_STRING_EQUAL (buf, "GET tls 0 0");
+  ask (other, "https", "/", NULL, &a, buf);
+  CU_ASSERT_EQUAL (a.end, HC_NOT_SENT);
+  ask (trusting, "http", "/", NULL, &a, buf);
+  CU_ASSERT_NOT_EQUAL (a.end, HC_ANSWERED);
+  stop ();
+  hc_free (trusting);
+  hc_free (other);
+  unlink (path);
+  free (cert);
+  free (key);
+}
+
+static void
+test_bad_addresses_are_refused (void)
+{
+  static const char *const bad[]
+      = { "", "127.0.0.1", "127.0.0.1:", "localhost:1", "127.0.0.1:65536" };
+
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      struct hs_config c = { .listen = bad[i], .threads = 1 };
+
+      CU_ASSERT_EQUAL (hs_new (&server, &c), HS_EINVAL);
+    }
+}
+
+static void
+test_a_server_that_stopped_listening_refuses (void)
+{
+  struct hc_client *hc = client (NULL);
+  struct hc_answer a;
+  char buf[128];
+
+  start (NULL, NULL);
+  hs_drain (server);
+  ask (hc, "http", "/", NULL, &a, buf);
+  CU_ASSERT_EQUAL (a.end, HC_ANSWERED);
+  hs_stop_listening (server);
+  ask (hc, "http", "/", NULL, &a, buf);
+  CU_ASSERT_EQUAL (a.end, HC_NOT_SENT);
+  rg_close (&ring);
+  pthread_join (answerer, NULL);
+  hs_free (server);
+  rg_fini (&ring);
+  hc_free (hc);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  bs_init ();
+  CU_initialize_registry ();
+  suite = CU_add_suite ("serve", NULL, NULL);
+  CU_add_test (suite, "own answers", test_each_gets_its_own_answer);
+  CU_add_test (suite, "bounded bodies", test_bodies_are_bounded);
+  CU_add_test (suite, "TLS", test_tls);
+  CU_add_test (suite, "bad addresses", test_bad_addresses_are_refused);
+  CU_add_test (suite, "stops listening",
+               test_a_server_that_stopped_listening_refuses);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+}
