Run jobs through failures, each scenario in a process of its own

Cause: one port that something else had taken ended the whole script, and jobs, schedulers and cells were not covered. Change: a start is tried again with another port; a scenario that cannot start is red alone; scenarios for schedulers killed once, twice or paused past their lease, workers that die, freeze, fail or leave under gangs, an outage and a lossy store under jobs, a wave of cancellations, and all entry VMs replaced one after another. Conclusion: worker failures now run with three workers to a cell.

--- a/tests/stand/cluster.sh
+++ b/tests/stand/cluster.sh
@@ -27,17 +27,32 @@
   curl -s -o /dev/null -X DELETE "http://${ADDR[platform]}/v1/admin/vms/vm$1"
 }
 
+# with_port ARRAY N COMMAND...: runs COMMAND with the port ARRAY[N] as last
+# argument, and again with another port when that one has been taken.
+with_port ()
+{
+  local -n ports_ref=$1
+  local n=$2 tries
+  shift 2
+  for tries in 1 2 3 4 5; do
+    : "${ports_ref[$n]:=$(free_port)}"
+    "$@" "127.0.0.1:${ports_ref[$n]}" && return
+    unset "ports_ref[$n]"
+  done
+  echo "$2 did not start:"
+  cat "$work/$2.err"
+  exit 1
+}
+
 # start_entry N [ARGS...]
 start_entry ()
 {
   local n=$1
   shift
-  : "${peer_port[$n]:=$(free_port)}"
-  start "entry$n" skr-entry --vm "vm$n" \
+  with_port peer_port "$n" try_start "entry$n" skr-entry --vm "vm$n" \
     --domain "d$(((n - 1) % DOMAINS + 1))" --listen 127.0.0.1:0 \
     --platform "http://${ADDR[platform]}" \
-    --peer "127.0.0.1:${peer_port[$n]}" \
-    --operator-digest "$("$BIN/skr" key digest "$OPERATOR_KEY")" "$@"
+    --operator-digest "$("$BIN/skr" key digest "$OPERATOR_KEY")" "$@" --peer
   list_vm "$n"
 }
 
@@ -45,11 +60,9 @@
 start_sched ()
 {
   [ -x "$BIN/skr-sched" ] || return 0
-  : "${sched_port[$1]:=$(free_port)}"
-  start "sched$1" skr-sched --vm "vm$1" \
+  with_port sched_port "$1" try_start "sched$1" skr-sched --vm "vm$1" \
     --domain "d$((($1 - 1) % DOMAINS + 1))" \
-    --platform "http://${ADDR[platform]}" \
-    --peer "127.0.0.1:${sched_port[$1]}" --peers "$(peers)"
+    --platform "http://${ADDR[platform]}" --peers "$(peers)" --peer
 }
 
 peers ()
@@ -170,24 +183,10 @@
   return 1
 }
 
-# Ends all programs of a scenario and forgets them.
-tear_down ()
-{
-  local name
-  for name in "${!PID[@]}"; do
-    kill -CONT "${PID[$name]}" 2> /dev/null
-    kill -KILL "${PID[$name]}" 2> /dev/null
-    wait "${PID[$name]}" 2> /dev/null
-  done
-  PID=()
-  ADDR=()
-  rm -f "$work"/*
-}
-
 # load ARGS...: skr-load over all entries; its JSON goes to $work/load.json.
 load ()
 {
-  "$BIN/skr-load" --entries "$(entries)" --accounts "$ACCOUNTS" \
+  "$BIN/skr-load" --entries "${ENTRIES:-$(entries)}" --accounts "$ACCOUNTS" \
     --journals "$journals" --seed "${SEED:-1}" --json \
     --record "$work/record.jsonl" "$@" \
     > "$work/load.json" 2> "$work/load.err"
--- a/tests/stand/lib.sh
+++ b/tests/stand/lib.sh
@@ -31,23 +31,36 @@
   done
 }
 
-# start NAME PROGRAM ARGS...: runs it; PID[NAME] and ADDR[NAME] are set from
-# its line "listening IP:PORT" or "listening on port PORT".
-start ()
+# try_start NAME PROGRAM ARGS...: runs it; PID[NAME] and ADDR[NAME] are set
+# from its line "listening IP:PORT" or "listening on port PORT". Returns 1 when
+# it ends without one.
+try_start ()
 {
-  local name=$1 program=$2
+  local name=$1 program=$2 left=100
   shift 2
   "$BIN/$program" "$@" > "$work/$name.out" 2> "$work/$name.err" &
   PID[$name]=$!
-  if ! wait_for 100 grep -q '^listening ' "$work/$name.out"; then
-    echo "$program did not start:"
-    cat "$work/$name.err"
-    exit 1
-  fi
+  until grep -q '^listening ' "$work/$name.out"; do
+    left=$((left - 1))
+    if [ "$left" -eq 0 ] || ! kill -0 "${PID[$name]}" 2> /dev/null; then
+      crash "$name"
+      return 1
+    fi
+    sleep 0.05
+  done
   ADDR[$name]=$(sed -n 's/^listening on port /127.0.0.1:/; s/^listening //
     s/^\(127[0-9.:]*\).*/\1/p' "$work/$name.out" | head -n 1)
 }
 
+# start NAME PROGRAM ARGS...: the same; ends the script when it fails.
+start ()
+{
+  try_start "$@" && return
+  echo "$2 did not start:"
+  cat "$work/$1.err"
+  exit 1
+}
+
 # stop NAME: asks it to stop and sets STATUS to its exit status.
 stop ()
 {
@@ -60,7 +73,7 @@
 # crash NAME: ends it with SIGKILL.
 crash ()
 {
-  kill -KILL "${PID[$1]}"
+  kill -KILL "${PID[$1]}" 2> /dev/null
   wait "${PID[$1]}" 2> /dev/null
   unset "PID[$1]"
 }
--- /dev/null
+++ b/tests/stand/scenario_jobs.sh
@@ -0,0 +1,284 @@
+# Jobs while schedulers, workers and the store fail. A job here is a gang of
+# three tasks of four accelerators, so it spans two workers.
+
+# jobs ARGS...: in the background.
+jobs_start ()
+{
+  load_start --rate 8 --count 40 --jobs-percent 100 --job-tasks 3 \
+    --job-per-task 4 --job-run-ms 400 --prefix "$scenario" \
+    --settle-ms 40000 "$@"
+}
+
+# Attempts of which some tasks started and others did not.
+partial_gangs ()
+{
+  cat "$work"/journal.* | jq -s '[.[]|select(.kind=="task" and
+    (has("end")|not))]|group_by([.id,.attempt])
+    |map(map(.task)|unique|length)|map(select(. != 3))|length'
+}
+
+# outcomes: how often executions ended in each way.
+outcomes ()
+{
+  cat "$work"/journal.* | jq -s -r '[.[]|select(.kind=="task" and
+    has("end"))|.outcome]|group_by(.)|map("\(.[0]) \(length)")|join(", ")'
+}
+
+# cell CELL FIELD: from its row.
+cell ()
+{
+  get "${ADDR[platform]}" "/v1/rows/cells/$1" | jq -r ".value.$2"
+}
+
+# The number of the VM that holds CELL.
+holder () { cell "$1" holder | sed 's/^vm//'; }
+
+# taken_over CELL EPOCH: another holder has it under a higher epoch.
+taken_over () { [ "$(cell "$1" epoch)" -gt "$2" ]; }
+
+# Sets TOOK_MS to the time until each of the other arguments, CELL:EPOCH, has
+# been taken over.
+await_take_over ()
+{
+  local began cell
+  began=$(date +%s%3N)
+  for cell in "$@"; do
+    wait_for 200 taken_over "${cell%:*}" "${cell#*:}"
+  done
+  TOOK_MS=$(($(date +%s%3N) - began))
+}
+
+# The cells that VM N holds, as CELL:EPOCH.
+cells_of ()
+{
+  get "${ADDR[platform]}" /v1/rows/cells \
+    | jq -r ".rows[]|select(.value.holder==\"vm$1\")|\"\(.key):\(.value.epoch)\""
+}
+
+cells_held () { [ "$(get "${ADDR[platform]}" /v1/rows/cells \
+  | jq '[.rows[]|select(.value.holder)]|length')" = "$DOMAINS" ]; }
+
+# job_cluster [WORKERS]: a gang needs two workers of a cell, so a cell that
+# is to lose one needs three.
+job_cluster ()
+{
+  cluster 3 "${1:-6}" || return 1
+  wait_for 200 cells_held
+}
+
+scenario_jobs ()
+{
+  job_cluster || return 1
+  jobs_start
+  load_end
+  verdict "no fault; $(partial_gangs) partial gangs" \
+    '[ "$(partial_gangs)" = 0 ] && [ "$(count done)" = 40 ]'
+}
+
+scenario_sched_killed ()
+{
+  local victim cells
+  job_cluster || return 1
+  jobs_start
+  sleep 2
+  victim=$(holder d1)
+  mapfile -t cells < <(cells_of "$victim")
+  crash "sched$victim"
+  await_take_over "${cells[@]}"
+  load_end
+  verdict "scheduler killed, ${#cells[@]} cells taken over in $TOOK_MS ms" \
+    '[ "$TOOK_MS" -lt 10000 ]'
+}
+
+# The second kill meets the cell while it is being recovered.
+scenario_sched_killed_twice ()
+{
+  local victim epoch
+  job_cluster || return 1
+  jobs_start
+  sleep 2
+  victim=$(holder d1)
+  epoch=$(cell d1 epoch)
+  crash "sched$victim"
+  await_take_over "d1:$epoch"
+  victim=$(holder d1)
+  epoch=$(cell d1 epoch)
+  crash "sched$victim"
+  await_take_over "d1:$epoch"
+  load_end
+  verdict "scheduler killed, then the one that took over, in $TOOK_MS ms"
+}
+
+# The holder of a cell is stopped past its lease and wakes up.
+scenario_sched_paused ()
+{
+  local victim cells
+  job_cluster || return 1
+  jobs_start --repeatable-percent 0
+  sleep 2
+  victim=$(holder d1)
+  mapfile -t cells < <(cells_of "$victim")
+  kill -STOP "${PID[sched$victim]}"
+  await_take_over "${cells[@]}"
+  sleep 1
+  kill -CONT "${PID[sched$victim]}"
+  load_end
+  verdict "scheduler paused past its lease, taken over in $TOOK_MS ms"
+}
+
+scenario_jobs_worker_killed ()
+{
+  job_cluster 9 || return 1
+  jobs_start
+  sleep 2
+  crash w1
+  load_end
+  verdict "worker killed; tasks $(outcomes)"
+}
+
+scenario_jobs_worker_frozen ()
+{
+  job_cluster 9 || return 1
+  jobs_start
+  sleep 2
+  fault w1 '{"mode":"freeze"}'
+  sleep 3
+  fault w1 '{"mode":"ok"}'
+  load_end
+  verdict "worker frozen for 3 s; tasks $(outcomes)"
+}
+
+scenario_jobs_worker_fails_all ()
+{
+  job_cluster 9 || return 1
+  fault w1 '{"mode":"fail_all"}'
+  jobs_start --repeatable-percent 100
+  load_end
+  verdict "worker fails every task; tasks $(outcomes)" \
+    '[ "$(count done)" = 40 ]'
+}
+
+scenario_jobs_worker_leaves ()
+{
+  local left late
+  job_cluster 9 || return 1
+  jobs_start
+  sleep 2
+  post "${ADDR[w1]}" /v1/admin/leave '' > /dev/null
+  left=$(date +%s%3N)
+  load_end
+  late=$(jq -s "[.[]|select((has(\"end\")|not) and .start > $left + 3000)]
+    |length" "$work/journal.w1")
+  verdict "worker leaves; $late tasks started there 3 s later" \
+    "[ '$late' = 0 ]" '&& [ "$(count done)" = 40 ]'
+}
+
+# Running tasks outlive an outage shorter than their leases.
+scenario_jobs_store_down ()
+{
+  job_cluster || return 1
+  jobs_start --job-run-ms 3000 --count 12
+  sleep 2
+  fault platform '{"mode":"down"}'
+  sleep 5
+  fault platform '{"mode":"ok"}'
+  load_end
+  verdict "store down for 5 s; tasks $(outcomes); $(get "${ADDR[platform]}" \
+    /v1/admin/counters | jq '.writes_max_1s') writes in a second at most" \
+    '[ "$(outcomes)" = "done $(($(count done) * 3))" ]'
+}
+
+scenario_jobs_store_lossy ()
+{
+  job_cluster || return 1
+  fault platform '{"mode":"lost","lost_percent":20}'
+  jobs_start
+  sleep 6
+  fault platform '{"mode":"ok"}'
+  load_end
+  verdict "store loses 20% of its answers for 6 s; tasks $(outcomes)"
+}
+
+# cancel ID
+cancel ()
+{
+  curl -s -o /dev/null -m 10 -X DELETE -H 'Authorization: Bearer key-a' \
+    "http://${ADDR[entry1]}/v1/jobs/$1"
+}
+
+job_state ()
+{
+  curl -s -m 10 -H 'Authorization: Bearer key-a' \
+    "http://${ADDR[entry2]}/v1/jobs/$1" | jq -r .state
+}
+
+job_is () { [ "$(job_state "$1")" = "$2" ]; }
+
+accelerators_used ()
+{
+  local n
+  for n in 1 2 3 4 5 6; do
+    get "${ADDR[w$n]}" /v1/usage | jq .accelerators_used
+  done | jq -s add
+}
+
+idle () { [ "$(accelerators_used)" = 0 ]; }
+
+# Thirty jobs are cancelled at once, running and queued ones alike.
+scenario_cancel_wave ()
+{
+  local i id ids=() cancelled=0 calls=()
+  job_cluster || return 1
+  for ((i = 0; i < 30; i++)); do
+    id=$(curl -s -m 10 -H 'Authorization: Bearer key-a' \
+      -H "Idempotency-Key: wave-$i" "http://${ADDR[entry1]}/v1/jobs" \
+      -d '{"class":"bulk","tasks":2,"per_task":4,"declared_ms":1000,
+        "repeatable":false,"preemptible":true,
+        "payload":{"fake":{"run_ms":60000}}}' | jq -r .job)
+    ids+=("$id")
+  done
+  sleep 2
+  for id in "${ids[@]}"; do
+    cancel "$id" &
+    calls+=($!)
+  done
+  wait "${calls[@]}"
+  for id in "${ids[@]}"; do
+    wait_for 100 job_is "$id" cancelled && cancelled=$((cancelled + 1))
+  done
+  wait_for 100 idle
+  no_load 30 "$cancelled"
+  verdict "30 jobs cancelled at once, $cancelled ended so, $(accelerators_used) accelerators left in use" \
+    "[ $cancelled = 30 ] && idle"
+}
+
+# Every entry VM is replaced, one after another, under calls and jobs.
+scenario_rolling_replacement ()
+{
+  local n port cut=0
+  local -A ports
+  job_cluster || return 1
+  ENTRIES=$(entries)
+  for n in 4 5 6; do
+    ports[$n]=$(free_port)
+    ENTRIES=$ENTRIES,127.0.0.1:${ports[$n]}
+  done
+  load_start --rate 40 --count 800 --jobs-percent 10 --job-tasks 3 \
+    --job-per-task 4 --job-run-ms 300 --run-ms 30 --deadline-ms 4000 \
+    --attempts 7 --prefix "$scenario" --settle-ms 40000
+  for n in 1 2 3; do
+    sleep 2
+    start_entry $((n + 3)) --listen "127.0.0.1:${ports[$((n + 3))]}" \
+      --peers "$(peers)"
+    start_sched $((n + 3))
+    unlist_vm "$n"
+    stop "sched$n"
+    [ "$STATUS" -eq 0 ] || cut=$((cut + 1))
+    stop "entry$n"
+    [ "$STATUS" -eq 0 ] || cut=$((cut + 1))
+  done
+  load_end
+  unset ENTRIES
+  verdict "all 3 entry VMs replaced under load, $cut ended badly" \
+    "[ $cut = 0 ]" '&& [ "$(count unknown)$(count unsent)" = 00 ]'
+}
