--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -71,10 +71,14 @@
 en_fault_here (struct en_core *core, struct en_request *req,
                enum en_fault point)
 {
-  if (core->fault == point && point != EN_FAULT_NONE
-      && !req->fr.u.call.repeatable)
-    req->paused = 1;
-  return req->paused;
+  if (core->fault != point || point == EN_FAULT_NONE
+      || req->fr.u.call.repeatable || req->paused)
+    return req->paused;
+  req->paused = 1;
+  lg_log (LG_FAULT_POINT, 2,
+          (struct lg_field[]){ lg_str ("point", core->set->fault_point),
+                               lg_str ("request", req->key) });
+  return 1;
 }
 
 static void
@@ -124,6 +128,7 @@
   req->fr.path = in->path;
   req->fr.authorization = in->authorization;
   req->fr.key = in->idempotency_key;
+  req->fr.attempt_text = in->idempotency_attempt;
   req->fr.if_match = in->if_match;
   req->fr.body = in->body;
   req->fr.body_size = in->body_size;
