Let waiting urgent gangs take idle room before bulk; keep quarantine over a restart

Change: room that falls idle goes to waiting urgent gangs first, bulk of at least their shape waits; a worker stays in quarantine when it comes back; a failed job waits ten seconds for a worker that is new to it.

--- a/src/decide/fleet.c
+++ b/src/decide/fleet.c
@@ -227,10 +227,9 @@
           || total.slots != w->total.slots))
     dc_worker_lose (dc, e->u.worker.id);
   resize (dc, w, total);
-  if (!w->up || w->leaving)
-    dc_health_reset (dc, e->u.worker.id);
   w->up = true;
   w->leaving = false;
+  dc_health_back (dc, e->u.worker.id);
   dc_fleet_refresh (dc, e->u.worker.id);
   dc->freed = dc->rebind = true;
   return DC_OK;
--- a/src/decide/health.c
+++ b/src/decide/health.c
@@ -31,16 +31,17 @@
   w->sick = true;
 }
 
+/* A worker that was down or leaving is back.  It stays in quarantine.  */
 void
-dc_health_reset (struct dc *dc, uint32_t id)
+dc_health_back (struct dc *dc, uint32_t id)
 {
   struct dc_worker *w = &dc->workers.v[id];
 
-  w->health = DC_HEALTHY;
-  w->suspicions = 0;
-  w->quarantines = 0;
-  w->held_back = w->probing = false;
-  dc_fleet_refresh (dc, id);
+  w->probing = false;
+  if (w->health == DC_HEALTHY)
+    w->held_back = false;
+  else
+    watch (dc, id, w->watch_ms);
 }
 
 static struct dc_suspicion *
@@ -166,6 +167,27 @@
   return fine >= FINE_TO_QUARANTINE || beyond_chance (dc, w);
 }
 
+/* Moves unused cells off a worker that is held back, where they can be bound
+   elsewhere.  */
+static void
+move_cells (struct dc *dc, uint32_t id)
+{
+  uint32_t p = dc->workers.v[id].parts;
+
+  while (p != DC_NONE)
+    {
+      const struct dc_part *part = pl_at (&dc->parts, p);
+      uint32_t cell = part->cell;
+
+      p = part->next;
+      if (dc->cells.v[cell].jobs || dc->cells.v[cell].parts != 1)
+        continue;
+      dc_cell_unbind (dc, cell);
+      if (!dc_cell_bind (dc, cell, DC_CAP_UNRESERVED))
+        dc_cell_bind_at (dc, cell, id);
+    }
+}
+
 static void
 judge (struct dc *dc, uint32_t id)
 {
@@ -184,6 +206,7 @@
   w->held_ms = dc->now_ms;
   watch (dc, id, dc->now_ms + WATCH_MS);
   dc_fleet_refresh (dc, id);
+  move_cells (dc, id);
 }
 
 static void
@@ -206,7 +229,7 @@
 
   job->failed_starts++;
   note_failed_on (job, worker);
-  if (job->failures > 1)
+  if (job->failures > 1 && w->suspicions == 0 && w->health == DC_HEALTHY)
     {
       for (int i = 0; i < job->failures; i++)
         clear_suspicion (&dc->workers.v[job->failed_on[i]], id);
--- a/src/decide/pending.c
+++ b/src/decide/pending.c
@@ -17,8 +17,8 @@
   dc->pending_last = id;
 }
 
-static void
-unlink_pending (struct dc *dc, uint32_t id)
+void
+dc_pending_unlink (struct dc *dc, uint32_t id)
 {
   uint32_t prev = DC_NONE, at = dc->pending;
 
@@ -39,7 +39,7 @@
 void
 dc_pending_drop (struct dc *dc, uint32_t id)
 {
-  unlink_pending (dc, id);
+  dc_pending_unlink (dc, id);
   dc_gang_unplace (dc, id);
   dc->jobs.v[id].state = DC_QUEUED;
   dc_queue_add (dc, id);
@@ -178,6 +178,25 @@
     }
 }
 
+/* Whether an urgent gang that the room of bulk JOB could hold is pending.  */
+bool
+dc_pending_urgent (const struct dc *dc, const struct dc_job *job)
+{
+  if (job->spec.class == DC_URGENT)
+    return false;
+  for (uint32_t id = dc->pending; id != DC_NONE;
+       id = dc->jobs.v[id].pending_next)
+    {
+      const struct dc_job_spec *spec = &dc->jobs.v[id].spec;
+
+      if (spec->class == DC_URGENT && dc->jobs.v[id].cell != DC_NONE
+          && spec->tasks <= job->spec.tasks
+          && spec->per_task <= job->spec.per_task)
+        return true;
+    }
+  return false;
+}
+
 static void
 walk_kind (struct dc *dc, bool soft)
 {
@@ -188,10 +207,11 @@
       struct dc_job *job = &dc->jobs.v[id];
       uint32_t next = job->pending_next;
 
-      if ((job->kind == DC_KIND_SOFT) == soft && count_ahead (dc, job))
+      if ((job->kind == DC_KIND_SOFT) == soft && count_ahead (dc, job)
+          && !dc_pending_urgent (dc, job))
         {
           forget_ahead (dc, job);
-          unlink_pending (dc, id);
+          dc_pending_unlink (dc, id);
           dc_gang_start (dc, id);
         }
       id = next;
--- a/src/decide/run.c
+++ b/src/decide/run.c
@@ -5,6 +5,7 @@
 {
   AGE_LIMIT_MS = 60000, /* a blocked gang has a place drained then */
   REPLAN_MS = 3000,     /* a pending gang whose room was taken is queued */
+  RETRY_MS = 10000,     /* a job waits so long for a worker new to it */
   MAX_PLANS = 4         /* gangs that room is planned for at once */
 };
 
@@ -19,16 +20,23 @@
                            .avoids = avoid ? job->failures : 0 };
 }
 
-/* Searches room for JOB, away from where it failed if that is possible.  */
+/* Searches room for JOB, for a while only away from where it failed.  */
 static bool
 search (struct dc *dc, const struct dc_job *job, enum dc_capacity cap)
 {
   struct dc_want want = want_of (dc, job, true);
+  int64_t retry = job->queued_ms + RETRY_MS;
 
   if (dc_search (dc, &want, cap))
     return true;
   if (job->failures == 0)
     return false;
+  if (retry > dc->now_ms)
+    {
+      if (dc->retry_ms < 0 || retry < dc->retry_ms)
+        dc->retry_ms = retry;
+      return false;
+    }
   want.avoids = 0;
   return dc_search (dc, &want, cap);
 }
@@ -102,6 +110,8 @@
       if (!dc_charge_spots (dc, cell, job, level, false))
         return DC_EBROKEN;
     }
+  if (dc_pending_urgent (dc, job))
+    return pend (dc, id, DC_KIND_GUARANTEED, cell);
   if (spots_are_idle (dc, job))
     return start (dc, id, DC_KIND_GUARANTEED, cell);
   if (move_to_idle (dc, cell, job, level))
@@ -205,12 +215,25 @@
                : DC_OK;
 }
 
+/* Bulk work does not start while an urgent gang that its room could hold
+   waits for a checkpoint.  */
+static bool
+behind_urgent (const struct dc *dc, const struct dc_job *job)
+{
+  if (job->spec.class == DC_URGENT || dc->config.policy != DC_POLICY_DEFAULT)
+    return false;
+  return dc_pending_urgent (dc, job);
+}
+
 static int
 place_default (struct dc *dc, uint32_t id, bool *done)
 {
   const struct dc_job *job = &dc->jobs.v[id];
   bool hard = !job->spec.preemptible;
 
+  *done = false;
+  if (behind_urgent (dc, job))
+    return DC_OK;
   *done = true;
   if (search (dc, job, hard ? DC_CAP_FIRM : DC_CAP_IDLE))
     return start (dc, id, hard ? DC_KIND_HARD : DC_KIND_SOFT, DC_NONE);
@@ -343,10 +366,53 @@
   return DC_OK;
 }
 
+/* Starts a pending gang where room fell idle, or leaves it pending.  */
+static int
+try_idle (struct dc *dc, uint32_t id)
+{
+  const struct dc_job *job = &dc->jobs.v[id];
+  uint32_t cell = job->cell;
+  bool moved;
+  int error;
+
+  dc_gang_unplace (dc, id);
+  moved = move_to_idle (dc, cell, job, DC_LEVEL_WORKER);
+  if (!moved)
+    dc_charge_spots (dc, cell, job, DC_LEVEL_WORKER, false);
+  error = dc_gang_place (dc, id, DC_KIND_GUARANTEED, cell);
+  if (error || !moved)
+    return error;
+  dc_pending_unlink (dc, id);
+  dc_gang_start (dc, id);
+  return DC_OK;
+}
+
+/* Starts urgent gangs that wait for a checkpoint where room fell idle.  */
+static int
+run_waiting (struct dc *dc)
+{
+  uint32_t id = dc->pending;
+  int error = DC_OK;
+
+  while (id != DC_NONE && !error)
+    {
+      const struct dc_job *job = &dc->jobs.v[id];
+      uint32_t next = job->pending_next;
+
+      if (job->spec.class == DC_URGENT && job->cell != DC_NONE
+          && job->level == DC_LEVEL_WORKER && dc->cells.v[job->cell].jobs == 1
+          && dc->cells.v[job->cell].parts == 1
+          && search (dc, job, DC_CAP_IDLE))
+        error = try_idle (dc, id);
+      id = next;
+    }
+  return error;
+}
+
 int
 dc_run (struct dc *dc)
 {
-  int error;
+  int error = DC_OK;
 
   dc_health_tick (dc);
   if (dc->rebind)
@@ -354,13 +420,20 @@
       dc->rebind = false;
       dc_cell_rebind_all (dc);
     }
+  if (dc->retry_ms >= 0 && dc->retry_ms <= dc->now_ms)
+    {
+      dc->retry_ms = -1;
+      dc->freed = true;
+    }
   if (dc->freed)
     {
       dc->freed = false;
       dc_pending_walk (dc);
+      error = run_waiting (dc);
+      if (error)
+        return error;
       dc_queue_unblock (dc);
     }
-  error = DC_OK;
   if (dc->config.policy == DC_POLICY_DEFAULT)
     {
       run_replan (dc);
@@ -380,6 +453,8 @@
 {
   int64_t next = dc_health_next (dc);
 
+  if (dc->retry_ms >= 0 && (next < 0 || dc->retry_ms < next))
+    next = dc->retry_ms;
   for (uint32_t id = dc->pending; id != DC_NONE;
        id = dc->jobs.v[id].pending_next)
     {
--- a/src/decide/state.h
+++ b/src/decide/state.h
@@ -16,8 +16,8 @@
   DC_SIZES = DC_MAX_ACCELERATORS + 1,
   DC_MAX_HANDLE = 1 << 26,   /* bound against a wild handle */
   DC_MAX_FAILED_WORKERS = 3, /* a job that failed on these is failed */
-  DC_MAX_FAILED_STARTS = 6,  /* also on fewer workers */
-  DC_MAX_SUSPICIONS = 8      /* kept for one worker */
+  DC_MAX_FAILED_STARTS = 12, /* also on fewer workers */
+  DC_MAX_SUSPICIONS = 12     /* kept for one worker */
 };
 
 enum dc_level
@@ -276,6 +276,7 @@
   uint32_t pending; /* head of the list, oldest first */
   uint32_t pending_last;
   bool freed, rebind;
+  int64_t retry_ms; /* when to search for failed jobs again, or -1 */
   uint32_t running_jobs, queued_jobs;
 };
 
@@ -348,9 +349,11 @@
 
 /* pending.c: gangs that wait for their places.  */
 void dc_pending_add (struct dc *dc, uint32_t job);
+void dc_pending_unlink (struct dc *dc, uint32_t job);
 void dc_pending_drop (struct dc *dc, uint32_t job);
 void dc_pending_make_room (struct dc *dc, uint32_t job);
 void dc_pending_walk (struct dc *dc);
+bool dc_pending_urgent (const struct dc *dc, const struct dc_job *job);
 void dc_preempt (struct dc *dc, uint32_t job);
 
 /* job.c */
@@ -387,7 +390,7 @@
 void dc_health_tick (struct dc *dc);
 int64_t dc_health_next (const struct dc *dc);
 void dc_health_forget (struct dc *dc, uint32_t job);
-void dc_health_reset (struct dc *dc, uint32_t worker);
+void dc_health_back (struct dc *dc, uint32_t worker);
 void dc_worker_close (struct dc *dc, uint32_t worker);
 
 /* run.c */
