Keep a failed job off the cells of the workers it failed on for a while

Cause: a guaranteed job was started twelve times on the one worker that failed everything, because its cell was there. Change: for ten seconds such a cell is passed over.

--- a/src/decide/charge.c
+++ b/src/decide/charge.c
@@ -88,8 +88,8 @@
   return false;
 }
 
-/* The cell of JOB's account with the least room in which it fits, where it
-   has not failed before if there is one; DC_NONE if it fits none.  */
+/* The cell of JOB's account with the least room in which it fits, for a while
+   only where it has not failed before; DC_NONE if it fits none.  */
 uint32_t
 dc_charge_find (struct dc *dc, const struct dc_job *job, enum dc_level level,
                 bool over_bulk)
@@ -111,13 +111,10 @@
       if (rest < need || rest >= least
           || !dc_charge_spots (dc, id, job, level, over_bulk))
         continue;
-      if (spots_failed (dc, job))
-        rest += INT32_MAX / 2;
-      if (rest < least)
-        {
-          least = rest;
-          best = id;
-        }
+      if (spots_failed (dc, job) && dc_retry_later (dc, job))
+        continue;
+      least = rest;
+      best = id;
     }
   return best;
 }
--- a/src/decide/run.c
+++ b/src/decide/run.c
@@ -20,23 +20,29 @@
                            .avoids = avoid ? job->failures : 0 };
 }
 
+/* Whether JOB, which failed before, still waits for a worker new to it.  */
+bool
+dc_retry_later (struct dc *dc, const struct dc_job *job)
+{
+  int64_t retry = job->queued_ms + RETRY_MS;
+
+  if (retry <= dc->now_ms)
+    return false;
+  if (dc->retry_ms < 0 || retry < dc->retry_ms)
+    dc->retry_ms = retry;
+  return true;
+}
+
 /* Searches room for JOB, for a while only away from where it failed.  */
 static bool
 search (struct dc *dc, const struct dc_job *job, enum dc_capacity cap)
 {
   struct dc_want want = want_of (dc, job, true);
-  int64_t retry = job->queued_ms + RETRY_MS;
 
   if (dc_search (dc, &want, cap))
     return true;
-  if (job->failures == 0)
+  if (job->failures == 0 || dc_retry_later (dc, job))
     return false;
-  if (retry > dc->now_ms)
-    {
-      if (dc->retry_ms < 0 || retry < dc->retry_ms)
-        dc->retry_ms = retry;
-      return false;
-    }
   want.avoids = 0;
   return dc_search (dc, &want, cap);
 }
@@ -424,6 +430,8 @@
     {
       dc->retry_ms = -1;
       dc->freed = true;
+      for (uint32_t i = 0; i < dc->accounts.n; i++)
+        dc_account_touch (dc, i);
     }
   if (dc->freed)
     {
--- a/src/decide/state.h
+++ b/src/decide/state.h
@@ -396,6 +396,7 @@
 /* run.c */
 int dc_run (struct dc *dc);
 int64_t dc_run_next (const struct dc *dc);
+bool dc_retry_later (struct dc *dc, const struct dc_job *job);
 
 /* check.c */
 int dc_check (struct dc *dc);
