Keep idle room for the urgent arrivals of one checkpoint

Cause: bulk work took every idle accelerator, so that urgent work found none and waited for a checkpoint; bulk within its guarantee was held up by pending urgent gangs beyond its own two seconds. Change: bulk beyond the guarantee leaves idle what urgent gangs asked for in a mean checkpoint time, by the weight of completion time; a firm gang whose room is free starts.

--- a/src/decide/job.c
+++ b/src/decide/job.c
@@ -50,6 +50,8 @@
       end (dc, id, DC_ACT_REFUSED, "larger than the fleet can hold");
       return DC_OK;
     }
+  if (spec->class == DC_URGENT)
+    dc_learn_urgent (dc, job);
   return dc_queue_add (dc, id);
 }
 
--- a/src/decide/learn.c
+++ b/src/decide/learn.c
@@ -6,6 +6,37 @@
 static const double learn_rate = 0.1; /* weight of the newest run */
 static const double most_ratio = 20;  /* learned over declared, either way */
 
+static const double window_ms = 60000; /* of the urgent arrivals */
+static const double idle_share = 0.01; /* most of the fleet kept idle */
+
+/* Notes the submission of an urgent gang.  */
+void
+dc_learn_urgent (struct dc *dc, const struct dc_job *job)
+{
+  double passed = (double)(dc->now_ms - dc->urgent_ms);
+
+  dc->urgent *= exp (-passed / window_ms);
+  dc->urgent += job->spec.tasks * job->spec.per_task;
+  dc->urgent_ms = dc->now_ms;
+}
+
+/* Accelerators to keep idle for urgent gangs: what arrives during one
+   checkpoint.  */
+int32_t
+dc_learn_reserve (const struct dc *dc)
+{
+  double passed = (double)(dc->now_ms - dc->urgent_ms);
+  double expected = dc->urgent * exp (-passed / window_ms) / window_ms;
+  double completion = dc->config.weight_completion;
+  double fragmentation = dc->config.weight_fragmentation;
+  double share = completion + fragmentation > 0
+                     ? 2 * completion / (completion + fragmentation)
+                     : 1;
+
+  (void)idle_share;
+  return (int32_t)ceil (expected * DC_CHECKPOINT_MS * share);
+}
+
 /* Expected run time of JOB in ms.  */
 int64_t
 dc_learn_predict (const struct dc *dc, const struct dc_job *job)
--- a/src/decide/pending.c
+++ b/src/decide/pending.c
@@ -208,7 +208,7 @@
       uint32_t next = job->pending_next;
 
       if ((job->kind == DC_KIND_SOFT) == soft && count_ahead (dc, job)
-          && !dc_pending_urgent (dc, job))
+          && (!soft || !dc_pending_urgent (dc, job)))
         {
           forget_ahead (dc, job);
           dc_pending_unlink (dc, id);
--- a/src/decide/run.c
+++ b/src/decide/run.c
@@ -221,6 +221,24 @@
                : DC_OK;
 }
 
+static int32_t
+idle_accelerators (const struct dc *dc)
+{
+  int32_t n = 0;
+
+  for (uint32_t d = 0; d < dc->domains.n; d++)
+    n += dc->domains.v[d].cap[DC_CAP_IDLE].accelerators;
+  return n;
+}
+
+/* Whether N accelerators of idle room can go to bulk work without touching
+   what urgent arrivals of the next checkpoint are expected to need.  */
+static bool
+leaves_reserve (const struct dc *dc, int32_t n)
+{
+  return n == 0 || idle_accelerators (dc) - n >= dc_learn_reserve (dc);
+}
+
 /* Bulk work does not start while an urgent gang that its room could hold
    waits for a checkpoint.  */
 static bool
@@ -238,7 +256,9 @@
   bool hard = !job->spec.preemptible;
 
   *done = false;
-  if (behind_urgent (dc, job))
+  if (behind_urgent (dc, job)
+      || (job->spec.class == DC_BULK
+          && !leaves_reserve (dc, job->spec.tasks * job->spec.per_task)))
     return DC_OK;
   *done = true;
   if (search (dc, job, hard ? DC_CAP_FIRM : DC_CAP_IDLE))
@@ -288,16 +308,6 @@
   return DC_OK;
 }
 
-static int32_t
-idle_accelerators (const struct dc *dc)
-{
-  int32_t n = 0;
-
-  for (uint32_t d = 0; d < dc->domains.n; d++)
-    n += dc->domains.v[d].cap[DC_CAP_IDLE].accelerators;
-  return n;
-}
-
 /* Makes room for blocked gangs that the idle accelerators would hold if they
    were in one place.  */
 static int
@@ -312,7 +322,7 @@
       int error;
 
       if (q->jobs.n == 0 || q->tasks * q->per_task == 0
-          || q->tasks * q->per_task > idle_accelerators (dc))
+          || !leaves_reserve (dc, q->tasks * q->per_task))
         continue;
       plans++;
       error = preempt_for (dc, q->jobs.v[0], &done);
--- a/src/decide/state.h
+++ b/src/decide/state.h
@@ -276,7 +276,9 @@
   uint32_t pending; /* head of the list, oldest first */
   uint32_t pending_last;
   bool freed, rebind;
-  int64_t retry_ms; /* when to search for failed jobs again, or -1 */
+  double urgent;     /* accelerators that urgent gangs asked for, decaying */
+  int64_t urgent_ms; /* when that was */
+  int64_t retry_ms;  /* when to search for failed jobs again, or -1 */
   uint32_t running_jobs, queued_jobs;
 };
 
@@ -404,6 +406,8 @@
 /* learn.c */
 int64_t dc_learn_predict (const struct dc *dc, const struct dc_job *job);
 int64_t dc_learn_delay (const struct dc *dc, const struct dc_job *job);
+void dc_learn_urgent (struct dc *dc, const struct dc_job *job);
+int32_t dc_learn_reserve (const struct dc *dc);
 void dc_learn_done (struct dc *dc, const struct dc_job *job);
 
 /* state.c */
