Start guaranteed work in idle room when its cell cannot move there

Cause: a gang within its guarantee waited for a checkpoint beside idle room when its cell was shared and could not move. Change: it starts there beyond the guarantee, where the books allow it.

--- a/src/decide/run.c
+++ b/src/decide/run.c
@@ -122,6 +122,9 @@
     return start (dc, id, DC_KIND_GUARANTEED, cell);
   if (move_to_idle (dc, cell, job, level))
     return start (dc, id, DC_KIND_GUARANTEED, cell);
+  if (search (dc, job, job->spec.preemptible ? DC_CAP_IDLE : DC_CAP_FIRM))
+    return start (dc, id, job->spec.preemptible ? DC_KIND_SOFT : DC_KIND_HARD,
+                  DC_NONE);
   if (!dc_charge_spots (dc, cell, job, level, false))
     return DC_EBROKEN;
   return pend (dc, id, DC_KIND_GUARANTEED, cell);
