Index racks by what they offer; bound the gangs that room is made for

Cause: a blocked rack gang scanned all racks at each event, and pending gangs grew without bound while nothing answered their checkpoints.

--- a/src/decide/fleet.c
+++ b/src/decide/fleet.c
@@ -102,6 +102,7 @@
       rack->cap[cap] = dc_plus (rack->cap[cap], room, 1);
       domain->cap[cap] = dc_plus (domain->cap[cap], room, 1);
       w->cap[cap] = room;
+      dc_rack_move (dc, w->rack, cap);
       if (key == w->bucket[cap])
         continue;
       if (w->bucket[cap] != DC_NONE)
@@ -147,7 +148,11 @@
   for (uint32_t i = domains; i < dc->domains.n; i++)
     dc->domains.v[i].racks = DC_NONE;
   for (uint32_t i = racks; i < dc->racks.n; i++)
-    dc->racks.v[i].domain = dc->racks.v[i].workers = DC_NONE;
+    {
+      dc->racks.v[i].domain = dc->racks.v[i].workers = DC_NONE;
+      for (int cap = 0; cap < DC_CAPS; cap++)
+        dc->racks.v[i].bucket[cap] = DC_NONE;
+    }
   rack = &dc->racks.v[rack_id];
   if (rack->domain == DC_NONE)
     {
--- a/src/decide/pending.c
+++ b/src/decide/pending.c
@@ -10,6 +10,7 @@
 
   job->pending_next = DC_NONE;
   job->pending_ms = dc->now_ms;
+  dc->soft_pending += job->kind == DC_KIND_SOFT;
   if (dc->pending == DC_NONE)
     dc->pending = id;
   else
@@ -33,6 +34,7 @@
     dc->jobs.v[prev].pending_next = dc->jobs.v[id].pending_next;
   if (dc->pending_last == id)
     dc->pending_last = prev;
+  dc->soft_pending -= dc->jobs.v[id].kind == DC_KIND_SOFT;
 }
 
 /* Gives up the places of a pending gang; it is queued again.  */
--- /dev/null
+++ b/src/decide/rack.c
@@ -0,0 +1,73 @@
+/* The index of racks by the accelerators they offer.  */
+#include "state.h"
+
+static void
+unlink_rack (struct dc *dc, uint32_t id, enum dc_capacity cap)
+{
+  struct dc_rack *r = &dc->racks.v[id];
+  struct dc_rack_index *index = &dc->rack_index[cap];
+  uint32_t row = r->bucket[cap];
+
+  if (r->prev[cap] != DC_NONE)
+    dc->racks.v[r->prev[cap]].next[cap] = r->next[cap];
+  else
+    index->head[row] = r->next[cap];
+  if (r->next[cap] != DC_NONE)
+    dc->racks.v[r->next[cap]].prev[cap] = r->prev[cap];
+  if (index->head[row] == DC_NONE)
+    index->rows[row / 64] &= ~(1ULL << row % 64);
+}
+
+/* Puts a rack into the list of what it offers now.  */
+void
+dc_rack_move (struct dc *dc, uint32_t id, enum dc_capacity cap)
+{
+  struct dc_rack *r = &dc->racks.v[id];
+  struct dc_rack_index *index = &dc->rack_index[cap];
+  int32_t room = r->cap[cap].accelerators;
+  uint32_t row = room < DC_RACK_SIZES ? (uint32_t)room : DC_RACK_SIZES - 1;
+
+  if (r->bucket[cap] == row)
+    return;
+  if (r->bucket[cap] != DC_NONE)
+    unlink_rack (dc, id, cap);
+  r->bucket[cap] = row;
+  r->prev[cap] = DC_NONE;
+  r->next[cap] = index->head[row];
+  if (r->next[cap] != DC_NONE)
+    dc->racks.v[r->next[cap]].prev[cap] = id;
+  index->head[row] = id;
+  index->rows[row / 64] |= 1ULL << row % 64;
+}
+
+/* The first row at or above ROW that is not empty, or -1.  */
+int
+dc_rack_next (const struct dc *dc, enum dc_capacity cap, int row)
+{
+  for (int word = row / 64; word < DC_RACK_SIZES / 64; word++)
+    {
+      uint64_t bits = dc->rack_index[cap].rows[word];
+
+      if (word == row / 64)
+        bits &= ~0ULL << row % 64;
+      if (bits)
+        return word * 64 + __builtin_ctzll (bits);
+    }
+  return -1;
+}
+
+/* The last row at or below ROW that is not empty, or -1.  */
+int
+dc_rack_last (const struct dc *dc, enum dc_capacity cap, int row)
+{
+  for (int word = row / 64; word >= 0; word--)
+    {
+      uint64_t bits = dc->rack_index[cap].rows[word];
+
+      if (word == row / 64 && row % 64 < 63)
+        bits &= (1ULL << (row % 64 + 1)) - 1;
+      if (bits)
+        return word * 64 + 63 - __builtin_clzll (bits);
+    }
+  return -1;
+}
--- a/src/decide/room.c
+++ b/src/decide/room.c
@@ -146,33 +146,21 @@
   return left == 0 ? cost : -1;
 }
 
-/* The racks with the most room, idle room counting twice.  */
+/* The racks with the most idle accelerators.  */
 static int
 best_racks (const struct dc *dc, uint32_t rack[MAX_RACKS_TRIED])
 {
-  int64_t score[MAX_RACKS_TRIED];
   int n = 0;
 
-  for (uint32_t r = 0; r < dc->racks.n; r++)
-    {
-      int64_t s = dc->racks.v[r].cap[DC_CAP_IDLE].accelerators * 2
-                  + dc->racks.v[r].cap[DC_CAP_IDLE].slots;
-      int at = n;
-
-      while (at > 0 && score[at - 1] < s)
-        at--;
-      if (at == MAX_RACKS_TRIED)
-        continue;
-      if (n < MAX_RACKS_TRIED)
-        n++;
-      for (int i = n - 1; i > at; i--)
-        {
-          score[i] = score[i - 1];
-          rack[i] = rack[i - 1];
-        }
-      score[at] = s;
-      rack[at] = r;
-    }
+  for (int row = dc_rack_last (dc, DC_CAP_IDLE, DC_RACK_SIZES - 1); row >= 0;
+       row = row > 0 ? dc_rack_last (dc, DC_CAP_IDLE, row - 1) : -1)
+    for (uint32_t r = dc->rack_index[DC_CAP_IDLE].head[row]; r != DC_NONE;
+         r = dc->racks.v[r].next[DC_CAP_IDLE])
+      {
+        if (n == MAX_RACKS_TRIED)
+          return n;
+        rack[n++] = r;
+      }
   return n;
 }
 
--- a/src/decide/run.c
+++ b/src/decide/run.c
@@ -3,10 +3,11 @@
 
 enum
 {
-  AGE_LIMIT_MS = 60000, /* a blocked gang has a place drained then */
-  REPLAN_MS = 3000,     /* a pending gang whose room was taken is queued */
-  RETRY_MS = 10000,     /* a job waits so long for a worker new to it */
-  MAX_PLANS = 4         /* gangs that room is planned for at once */
+  AGE_LIMIT_MS = 60000,  /* a blocked gang has a place drained then */
+  REPLAN_MS = 3000,      /* a pending gang whose room was taken is queued */
+  RETRY_MS = 10000,      /* a job waits so long for a worker new to it */
+  MAX_SOFT_PENDING = 16, /* gangs that room is being made for */
+  MAX_PLANS = 4          /* gangs that room is planned for at once */
 };
 
 static struct dc_want
@@ -318,7 +319,9 @@
 {
   int plans = 0;
 
-  for (uint32_t i = 0; i < dc->blocked.n && plans < MAX_PLANS; i++)
+  for (uint32_t i = 0; i < dc->blocked.n && dc->soft_pending < MAX_SOFT_PENDING
+                       && plans < MAX_PLANS;
+       i++)
     {
       const struct dc_queue *q = &dc->queues.v[dc->blocked.v[i]];
       bool done;
--- a/src/decide/search.c
+++ b/src/decide/search.c
@@ -188,26 +188,27 @@
   return 0;
 }
 
+/* The tightest rack that holds the gang, of those looked at.  */
 static bool
 search_rack (struct dc *dc, const struct dc_want *want, enum dc_capacity cap)
 {
-  uint32_t best = DC_NONE;
-  int32_t least = INT32_MAX;
-  int tries = 0;
-
-  for (uint32_t r = 0; r < dc->racks.n && tries < MAX_RACK_TRIES; r++)
-    {
-      struct dc_amount room = dc->racks.v[r].cap[cap];
-
-      if (!rack_may (want, room) || room.accelerators >= least)
-        continue;
-      tries++;
-      if (tasks_in_rack (dc, want, r, cap) < want->tasks)
-        continue;
-      best = r;
-      least = room.accelerators;
-    }
-  return best != DC_NONE && fill_rack (dc, want, best, cap, want->tasks) == 0;
+  int32_t need = need_of (want).accelerators;
+  int row = need < DC_RACK_SIZES ? need : DC_RACK_SIZES - 1;
+  int steps = 0, tries = 0;
+
+  for (row = dc_rack_next (dc, cap, row); row >= 0 && tries < MAX_RACK_TRIES;
+       row = row + 1 < DC_RACK_SIZES ? dc_rack_next (dc, cap, row + 1) : -1)
+    for (uint32_t r = dc->rack_index[cap].head[row];
+         r != DC_NONE && steps < MAX_LIST_STEPS && tries < MAX_RACK_TRIES;
+         r = dc->racks.v[r].next[cap], steps++)
+      {
+        if (!rack_may (want, dc->racks.v[r].cap[cap]))
+          continue;
+        tries++;
+        if (tasks_in_rack (dc, want, r, cap) >= want->tasks)
+          return fill_rack (dc, want, r, cap, want->tasks) == 0;
+      }
+  return false;
 }
 
 static bool
--- a/src/decide/state.c
+++ b/src/decide/state.c
@@ -45,6 +45,8 @@
   dc->config = *config;
   dc->free_cells = dc->spares = dc->pending = dc->pending_last = DC_NONE;
   dc->retry_ms = -1;
+  for (int cap = 0; cap < DC_CAPS; cap++)
+    memset (dc->rack_index[cap].head, 0xff, sizeof dc->rack_index[cap].head);
   pl_init (&dc->tasks, sizeof (struct dc_task));
   pl_init (&dc->parts, sizeof (struct dc_part));
   for (int cap = 0; cap < DC_CAPS; cap++)
--- a/src/decide/state.h
+++ b/src/decide/state.h
@@ -14,6 +14,7 @@
 enum
 {
   DC_SIZES = DC_MAX_ACCELERATORS + 1,
+  DC_RACK_SIZES = 256,       /* lists in the index of racks */
   DC_MAX_HANDLE = 1 << 26,   /* bound against a wild handle */
   DC_MAX_FAILED_WORKERS = 3, /* a job that failed on these is failed */
   DC_MAX_FAILED_STARTS = 12, /* also on fewer workers */
@@ -93,6 +94,7 @@
   uint32_t domain, next_in_domain, workers;
   int32_t holds[DC_SIZES]; /* tasks of that size, all workers ever */
   struct dc_amount cap[DC_CAPS];
+  uint32_t bucket[DC_CAPS], next[DC_CAPS], prev[DC_CAPS];
 };
 
 struct dc_domain
@@ -210,6 +212,13 @@
   uint64_t slots[DC_SIZES][2]; /* bit: that list is not empty */
 };
 
+/* Racks by the accelerators they offer, capped.  */
+struct dc_rack_index
+{
+  uint32_t head[DC_RACK_SIZES];
+  uint64_t rows[DC_RACK_SIZES / 64]; /* bit: that list is not empty */
+};
+
 struct dc_want
 {
   int32_t tasks;
@@ -265,6 +274,7 @@
   struct pl_pool tasks, parts;
   struct hp_heap order; /* queues by their head */
   struct dc_index *index[DC_CAPS];
+  struct dc_rack_index rack_index[DC_CAPS];
   uint32_t free_cells;
   uint32_t spares; /* cells kept for worker failures */
 
@@ -275,6 +285,7 @@
   uint32_t seq;
   uint32_t pending; /* head of the list, oldest first */
   uint32_t pending_last;
+  uint32_t soft_pending; /* of these, outside guarantee and books */
   bool freed, rebind;
   double urgent;     /* accelerators that urgent gangs asked for, decaying */
   int64_t urgent_ms; /* when that was */
@@ -294,6 +305,11 @@
 bool dc_worker_open (const struct dc_worker *w);
 struct dc_amount dc_capacity (const struct dc *dc, const struct dc_worker *w,
                               enum dc_capacity cap);
+/* rack.c */
+void dc_rack_move (struct dc *dc, uint32_t rack, enum dc_capacity cap);
+int dc_rack_next (const struct dc *dc, enum dc_capacity cap, int row);
+int dc_rack_last (const struct dc *dc, enum dc_capacity cap, int row);
+
 enum dc_level dc_level_of (const struct dc *dc, int32_t tasks,
                            int32_t per_task);
 uint32_t dc_domain_of (const struct dc *dc, uint32_t worker);
