Serve urgent work of all accounts before bulk within guarantees

Cause: an urgent gang waited for a checkpoint while bulk of another account took the idle room in the same instant. Change: two passes over the accounts that changed.

--- a/src/decide/run.c
+++ b/src/decide/run.c
@@ -117,8 +117,6 @@
       if (!dc_charge_spots (dc, cell, job, level, false))
         return DC_EBROKEN;
     }
-  if (dc_pending_urgent (dc, job))
-    return pend (dc, id, DC_KIND_GUARANTEED, cell);
   if (spots_are_idle (dc, job))
     return start (dc, id, DC_KIND_GUARANTEED, cell);
   if (move_to_idle (dc, cell, job, level))
@@ -156,9 +154,11 @@
   return cell;
 }
 
-/* The first queued job of the account that fits one of its cells.  */
+/* The first queued job of the account and CLASS that fits one of its
+   cells.  */
 static uint32_t
-next_guaranteed (struct dc *dc, uint32_t account, uint32_t *cell)
+next_guaranteed (struct dc *dc, uint32_t account, enum dc_class class,
+                 uint32_t *cell)
 {
   uint32_t best = DC_NONE;
 
@@ -169,7 +169,7 @@
       const struct dc_job *job;
       uint32_t found;
 
-      if (lane->jobs.n == 0)
+      if (lane->jobs.n == 0 || dc->queues.v[lane->queue].class != class)
         continue;
       job = &dc->jobs.v[lane->jobs.v[0]];
       if (best != DC_NONE && !head_before (dc, lane->jobs.v[0], best))
@@ -183,25 +183,39 @@
   return best;
 }
 
-/* Places the queued jobs that are within the guarantee of their account.  */
+static int
+place_guaranteed (struct dc *dc, uint32_t account, enum dc_class class)
+{
+  uint32_t cell = DC_NONE, id;
+  int error = DC_OK;
+
+  while (!error
+         && (id = next_guaranteed (dc, account, class, &cell)) != DC_NONE)
+    error = place_in_cell (dc, id, cell);
+  return error;
+}
+
+/* Places the queued jobs that are within the guarantee of their account,
+   urgent ones of all accounts first.  */
 static int
 run_guaranteed (struct dc *dc)
 {
-  for (uint32_t i = 0; i < dc->dirty.n; i++)
+  int error = DC_OK;
+
+  for (uint32_t i = 0; i < dc->dirty.n && !error; i++)
+    error = place_guaranteed (dc, dc->dirty.v[i], DC_URGENT);
+  for (uint32_t i = 0; i < dc->dirty.n && !error; i++)
     {
-      uint32_t account = dc->dirty.v[i], cell = DC_NONE, id;
+      uint32_t account = dc->dirty.v[i];
 
       dc->accounts.v[account].dirty = false;
-      while ((id = next_guaranteed (dc, account, &cell)) != DC_NONE)
-        {
-          int error = place_in_cell (dc, id, cell);
-          if (error)
-            return error;
-        }
+      error = place_guaranteed (dc, account, DC_URGENT);
+      if (!error)
+        error = place_guaranteed (dc, account, DC_BULK);
       dc_promote (dc, account);
     }
   dc->dirty.n = 0;
-  return DC_OK;
+  return error;
 }
 
 /* Makes room for a job outside the guarantee by preemption.  */
