Make the tests of guarantees depend on the guarantee

Change: the reclaiming job is bulk and one group of the guarantee's size. Measured: tests/control/test_cell, 19 tests pass; without the plan two fail, without kept progress one. Taking an older version than the one in force is not seen by these tests alone: the store of the lists refuses it first.

--- a/tests/control/fake_world.c
+++ b/tests/control/fake_world.c
@@ -696,10 +696,16 @@
 fw_guarantee (struct fw_world *w, int version, const char *account, int size,
               int count)
 {
-  json_t *rows = json_pack ("[{s:s, s:{s:i, s:{s:{s:[{s:i, s:i}]}}}}]", "key",
-                            CF_SPLIT, "value", "version", version, "split",
-                            account, "d1", "size", size, "count", count);
-
+  char digest[BS_DIGEST_SIZE];
+  json_t *rows;
+
+  bs_digest (digest, account);
+  rows = json_pack ("[{s:s, s:{s:i, s:[{s:s, s:s, s:s}]}}, "
+                    "{s:s, s:{s:i, s:{s:{s:[{s:i, s:i}]}}}}]",
+                    "key", CF_PLANS, "value", "version", version, "list",
+                    "account", account, "plan", "p", "key_digest", digest,
+                    "key", CF_SPLIT, "value", "version", version, "split",
+                    account, "d1", "size", size, "count", count);
   cf_apply (&w->config, rows);
   json_decref (rows);
 }
--- a/tests/control/test_cell.c
+++ b/tests/control/test_cell.c
@@ -278,7 +278,7 @@
   fw_put_job (&w, JOB, 4, 8, 0, 0);
   fw_run (&w, 1500);
   CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "running");
-  fw_put_job_of (&w, JOB2, "b", 1, 2, 8, 0, 0);
+  fw_put_job_of (&w, JOB2, "b", 0, 1, 8, 0, 0);
   fw_run (&w, 2000);
   CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB2), "running");
   CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "queued");
@@ -308,7 +308,7 @@
   CU_ASSERT_EQUAL (w.vm[0].cell.config_version, 2);
   fw_put_job (&w, JOB, 4, 8, 1, 0);
   fw_run (&w, 500);
-  fw_put_job_of (&w, JOB2, "b", 1, 2, 8, 1, 0);
+  fw_put_job_of (&w, JOB2, "b", 0, 1, 8, 1, 0);
   fw_run (&w, 2000);
   CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB2), "running");
   fw_fini (&w);
@@ -583,6 +583,7 @@
 
   if (!getenv ("TEST_LOG"))
     g_log_set_writer_func (drop_log, NULL, NULL);
+  bs_init ();
   CU_initialize_registry ();
   suite = CU_add_suite ("cell", NULL, NULL);
   CU_ADD_TEST (suite, test_gang_runs_and_ends);
