--- /dev/null
+++ b/tests/control/bench_idle.sh
@@ -0,0 +1,38 @@
+#!/usr/bin/env bash
+# What one scheduler costs with one cell: processor time and memory by the
+# number of workers, idle and with four one-accelerator jobs on each worker.
+cd "$(dirname "$0")/../.." || exit 1
+. tests/control/lib.sh
+seconds=${SECONDS_EACH:-8}
+
+# cpu PID: processor time in milliseconds.
+cpu ()
+{
+  awk '{print ($14 + $15) * 10}' "/proc/$1/stat"
+}
+# measure WORKERS WHAT
+measure ()
+{
+  local pid=${PID[s1]} from
+  from=$(cpu "$pid")
+  sleep "$seconds"
+  printf '%-8s %8d %12d %10d\n' "$2" "$1" \
+    $((($(cpu "$pid") - from) / seconds)) \
+    "$(awk '/VmRSS/{print $2}' "/proc/$pid/status")"
+}
+
+printf '%-8s %8s %12s %10s\n' load workers cpu-ms/s rss-KB
+for workers in 8 16 32; do
+  start_world 1 "$workers"
+  start_sched s1
+  wait_for 100 has_logged s1 504
+  measure "$workers" idle
+  for n in $(seq $((workers * 4))); do
+    put_job d1 "$n" 1 1 600000 true
+  done
+  wait_for 300 has_states d1 "running=$((workers * 4))"
+  measure "$workers" tasks
+  for name in "${!PID[@]}"; do
+    crash "$name"
+  done
+done
