--- a/tests/control/fake_world.h
+++ b/tests/control/fake_world.h
@@ -80,8 +80,9 @@
   struct fw_worker worker[FW_WORKERS];
   int workers;
   struct fw_vm vm[FW_VMS];
-  GQueue pending; /* requests on their way */
-  GArray *starts; /* struct fw_start */
+  GQueue pending;      /* requests on their way */
+  GArray *starts;      /* struct fw_start */
+  GArray *checkpoints; /* struct fw_start, of parts that reached one */
   struct cf_store config;
   gsl_rng *rng;
   int64_t run_ms; /* of every task */
@@ -115,5 +116,8 @@
                json_t *value);
 /* Attempts of JOB of which a task ran.  */
 int fw_attempts_run (struct fw_world *w, const char *job);
+/* Attempts that ran, but for one and for those of which every part reached a
+   checkpoint: going on from there is no repeat.  */
+int fw_repeats (struct fw_world *w, const char *job);
 
 #endif
