Read the lists whole now and then; hedge before a p95 is known

Cause: tests/failures showed a restored table that a new VM kept for good, a race of operators without a winner, and calls that callers had to repeat. A reading of changed rows that came after a request to read all was taken for whole; revisions that were passed again hid a restore; the hedge was fixed at a call's start, when no p95 was known. Change: a reading knows whether it is whole; all rows are read every 5 s and when a VM with older lists appears; VMs greet each other at once; a hedge goes out at half of the deadline at the latest. Conclusion: lists go forward also when the table goes back.

--- a/src/entry/call.c
+++ b/src/entry/call.c
@@ -339,6 +339,18 @@
   act (core, req, fl_call_step (&req->u.call.m, ev));
 }
 
+/* The p95 as known now, and half of the deadline when that comes first or no
+   p95 is known yet.  */
+static int64_t
+hedge_after (const struct en_core *core, const struct en_request *req)
+{
+  int64_t half = req->fr.u.call.deadline_ms / 2;
+
+  if (core->set->no_hedge)
+    return 0;
+  return core->hedge_ms ? MIN (core->hedge_ms, half) : half;
+}
+
 void
 en_call_begin (struct en_core *core, struct en_request *req)
 {
@@ -351,7 +363,7 @@
                 &(struct fl_call_spec){
                     .repeatable = repeatable,
                     .deadline_ms = core->now_ms + req->fr.u.call.deadline_ms,
-                    .hedge_after_ms = core->set->no_hedge ? 0 : core->hedge_ms,
+                    .hedge_after_ms = hedge_after (core, req),
                     .budget = &core->budget });
   en_call_event (core, req, &ev);
 }
@@ -384,8 +396,12 @@
 en_call_tick (struct en_core *core, struct en_request *req)
 {
   struct fl_call_event ev = { .kind = FL_EV_TICK };
+  struct fl_call *m = &req->u.call.m;
+
+  if (m->hedge_after_ms)
+    m->hedge_after_ms = hedge_after (core, req);
 
-  if (core->now_ms >= fl_call_due_ms (&req->u.call.m))
+  if (core->now_ms >= fl_call_due_ms (m))
     en_call_event (core, req, &ev);
 }
 
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -27,6 +27,7 @@
   EN_INCARNATION = 16,       /* first digits of a token: this process */
   EN_TICK_MS = 10,           /* step of the deadlines */
   EN_POLL_MS = 1000,         /* configuration, cells, VM list */
+  EN_POLL_WHOLE_MS = 5000,   /* configuration, whatever has changed */
   EN_PEERS = 128,            /* daemons on other VMs */
   EN_PEER_DEAD_MS = 5000,    /* a silent peer counts as gone */
   EN_PEER_FIRST_MS = 3000,   /* after the start: listed peers are heard */
@@ -186,7 +187,8 @@
 struct en_core
 {
   const struct en_settings *set;
-  int64_t now_ms, started_ms, hedge_ms, config_rev;
+  int64_t now_ms, started_ms, hedge_ms;
+  int64_t config_rev, config_ms; /* of the last whole reading */
   struct hs_server *server;
   struct hc_client *hc_table, *hc_up;
   struct tb_client *tb;
@@ -208,8 +210,9 @@
   struct fl_pool pool;
   enum en_fault fault;
   atomic_int peer_queued, live_now, leaving, stop;
-  int accounts_room, shard, live_count, table_failures, peers;
-  int polls; /* of the core that are in progress, by bits of en_tag */
+  int accounts_room, shard, live_count, table_failures, peers, dialled;
+  int config_whole; /* the reading in progress has all rows */
+  int polls;        /* of the core that are in progress, by bits of en_tag */
   char incarnation[EN_INCARNATION + 1];
   struct pr_key_file keys; /* in use; empty without CURVE */
 };
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -72,6 +72,32 @@
                                lg_int ("error", error) });
 }
 
+static void
+send_all (struct en_core *core, const struct pr_message *m)
+{
+  if (core->net)
+    pr_send (core->net, NULL, m);
+}
+
+static void
+send_heartbeat (struct en_core *core)
+{
+  struct pr_message *m = g_new0 (struct pr_message, 1);
+  struct pr_heartbeat *h = &m->u.heartbeat;
+
+  m->kind = PR_HEARTBEAT;
+  g_strlcpy (h->vm, core->set->vm, sizeof h->vm);
+  h->role = PR_ENTRY;
+  h->leaving = atomic_load (&core->leaving);
+  g_strlcpy (h->address, core->set->peer, sizeof h->address);
+  g_strlcpy (h->domain, core->set->domain, sizeof h->domain);
+  h->stamp_ms = core->now_ms;
+  h->plans_version = cf_version (&core->config, CF_PLANS);
+  h->allowances_version = cf_version (&core->config, CF_ALLOWANCES);
+  send_all (core, m);
+  g_free (m);
+}
+
 static int
 add_dial (const char **out, int n, const char *address, const char *self)
 {
@@ -112,32 +138,9 @@
       n = add_dial (dial, n, core->peer[p].address, self);
   pr_peers (core->net, dial, n);
   g_strfreev (given);
-}
-
-static void
-send_all (struct en_core *core, const struct pr_message *m)
-{
-  if (core->net)
-    pr_send (core->net, NULL, m);
-}
-
-static void
-send_heartbeat (struct en_core *core)
-{
-  struct pr_message *m = g_new0 (struct pr_message, 1);
-  struct pr_heartbeat *h = &m->u.heartbeat;
-
-  m->kind = PR_HEARTBEAT;
-  g_strlcpy (h->vm, core->set->vm, sizeof h->vm);
-  h->role = PR_ENTRY;
-  h->leaving = atomic_load (&core->leaving);
-  g_strlcpy (h->address, core->set->peer, sizeof h->address);
-  g_strlcpy (h->domain, core->set->domain, sizeof h->domain);
-  h->stamp_ms = core->now_ms;
-  h->plans_version = cf_version (&core->config, CF_PLANS);
-  h->allowances_version = cf_version (&core->config, CF_ALLOWANCES);
-  send_all (core, m);
-  g_free (m);
+  if (n != core->dialled)
+    send_heartbeat (core);
+  core->dialled = n;
 }
 
 static void
@@ -222,10 +225,19 @@
   p->allowances_version = h->allowances_version;
   p->heard_ms = core->now_ms;
   if (is_new)
-    en_peers_dial (core);
+    {
+      en_peers_dial (core);
+      send_heartbeat (core);
+    }
   if (h->plans_version > cf_version (&core->config, CF_PLANS)
       || h->allowances_version > cf_version (&core->config, CF_ALLOWANCES))
     en_poll_config (core);
+  /* What it has read is older: the table may have been set back.  */
+  else if (is_new
+           && (h->plans_version < cf_version (&core->config, CF_PLANS)
+               || h->allowances_version
+                      < cf_version (&core->config, CF_ALLOWANCES)))
+    en_poll_config (core);
 }
 
 static int
--- a/src/entry/poll.c
+++ b/src/entry/poll.c
@@ -30,11 +30,15 @@
 static void
 scan_config (struct en_core *core, int64_t since)
 {
-  if (start (core, EN_TAG_POLL_CONFIG))
-    en_scan (core, NULL, EN_TAG_POLL_CONFIG,
-             &(struct tb_scan){ .table = CF_TABLE, .since = since });
+  if (!start (core, EN_TAG_POLL_CONFIG))
+    return;
+  core->config_whole = since == 0;
+  en_scan (core, NULL, EN_TAG_POLL_CONFIG,
+           &(struct tb_scan){ .table = CF_TABLE, .since = since });
 }
 
+/* A poll that is in progress may be older than the reason for this one: its
+   answer is followed by another.  */
 void
 en_poll_config (struct en_core *core)
 {
@@ -42,13 +46,13 @@
   scan_config (core, 0);
 }
 
-/* Ten samples of an upstream's p95 at least, else no hedge.  */
+/* The p95 of answered attempts, once there are enough of them.  */
 static void
 update_hedge (struct en_core *core)
 {
   enum
   {
-    MIN_SAMPLES = 100,
+    MIN_SAMPLES = 20,
     FLOOR_MS = 20
   };
   int series = st_series (&core->stat, ST_HISTOGRAM, "skr_attempt_seconds",
@@ -66,7 +70,11 @@
   struct en_core *core = arg;
 
   (void)now_ms;
-  scan_config (core, core->config_rev);
+  /* Revisions that went back and were passed again since do not show.  */
+  if (core->now_ms - core->config_ms >= EN_POLL_WHOLE_MS)
+    en_poll_config (core);
+  else
+    scan_config (core, core->config_rev);
   if (start (core, EN_TAG_POLL_VMS))
     en_get_vms (core);
   if (start (core, EN_TAG_POLL_CELLS))
@@ -94,16 +102,18 @@
 {
   const json_t *rows = json_object_get (data, "rows");
   int64_t rev = json_integer_value (json_object_get (data, "rev"));
-  int whole = core->config_rev == 0;
 
-  if (!whole && (json_array_size (rows) || rev < core->config_rev))
+  if (!core->config_whole)
     {
-      en_poll_config (core);
+      if (json_array_size (rows) || rev < core->config_rev
+          || !core->config_rev)
+        en_poll_config (core);
+      else
+        core->config_rev = rev;
       return;
     }
   core->config_rev = rev;
-  if (!whole)
-    return;
+  core->config_ms = core->now_ms;
   if (cf_apply (&core->config, rows) == CF_OK)
     en_accounts (core);
   repair (core, rows);
--- a/src/entry/upstream.c
+++ b/src/entry/upstream.c
@@ -4,6 +4,11 @@
 
 #include "entry/entry.h"
 
+enum
+{
+  SLOW_FACTOR = 4 /* times the p95: an attempt that takes longer is lost */
+};
+
 struct attempt
 {
   struct en_core *core;
@@ -109,11 +114,15 @@
 static int
 timeout_of (struct en_core *core, const struct en_request *req, int64_t left)
 {
+  int64_t most = core->set->attempt_timeout_ms;
+
   if (!req->u.call.m.repeatable)
     return (int)(left + core->set->late_ms);
-  return (int)(left < core->set->attempt_timeout_ms
-                   ? left
-                   : core->set->attempt_timeout_ms);
+  /* Where answers come much faster than that, half of the time is enough
+     for one attempt, and the other half is for a second one.  */
+  if (core->hedge_ms && core->hedge_ms * SLOW_FACTOR <= left / 2)
+    most = MIN (most, left / 2);
+  return (int)MIN (left, most);
 }
 
 void
