Add paused entries, submits cut off and failures together

Cause: an entry that wakes up late, a job's key repeated elsewhere and several failures at once were not covered; why a request was refused was not shown. Change: scenarios entry_paused, jobs_entry_killed, together and worker_silent_later; the status of refusals under each line.

--- a/tests/stand/cluster.sh
+++ b/tests/stand/cluster.sh
@@ -228,5 +228,9 @@
   printf '%-4s %-24s %s: %s\n' "$result" "$scenario" "$what" \
     "$(jq -r '"sent \(.sent) done \(.done) failed \(.failed) not run \(.not_run) unsent \(.unsent) unknown \(.unknown) lost \(.lost) doubled \(.doubled) crossed \(.crossed) false refusals \(.false_refusals)"' \
       "$work/load.json" 2> /dev/null)"
+  jq -r 'select(.end == "not_run")|.status' "$work/record.jsonl" \
+    2> /dev/null | sort | uniq -c | while read -r n status; do
+    echo "     refused with $status: $n"
+  done
   [ "$result" = ok ] || failed=1
 }
--- a/tests/stand/lib.sh
+++ b/tests/stand/lib.sh
@@ -40,7 +40,7 @@
   shift 2
   "$BIN/$program" "$@" > "$work/$name.out" 2> "$work/$name.err" &
   PID[$name]=$!
-  until grep -q '^listening ' "$work/$name.out"; do
+  until grep -qs '^listening ' "$work/$name.out"; do
     left=$((left - 1))
     if [ "$left" -eq 0 ] || ! kill -0 "${PID[$name]}" 2> /dev/null; then
       crash "$name"
--- a/tests/stand/scenario_calls.sh
+++ b/tests/stand/scenario_calls.sh
@@ -93,3 +93,17 @@
   verdict "entry stopped under load, status $STATUS" '[ "$STATUS" = 0 ]' \
     '&& [ "$(count not_run)$(count unknown)$(count unsent)" = 000 ]'
 }
+
+# An entry is stopped under load for longer than its peers wait, then goes on.
+scenario_entry_paused ()
+{
+  cluster 3 6 || return 1
+  load_start --rate 60 --count 480 --run-ms 50 --deadline-ms 3000 \
+    --prefix "$scenario" --settle-ms 15000
+  sleep 1
+  kill -STOP "${PID[entry1]}"
+  sleep 6
+  kill -CONT "${PID[entry1]}"
+  load_end
+  verdict "entry paused for 6 s"
+}
--- a/tests/stand/scenario_jobs.sh
+++ b/tests/stand/scenario_jobs.sh
@@ -126,6 +126,41 @@
   verdict "scheduler paused past its lease, taken over in $TOOK_MS ms"
 }
 
+# The caller repeats the key of a job elsewhere.
+scenario_jobs_entry_killed ()
+{
+  job_cluster || return 1
+  jobs_start --rate 40 --count 80 --job-tasks 1 --job-run-ms 100 \
+    --repeatable-percent 0
+  sleep 1
+  crash entry1
+  load_end
+  verdict "entry killed under submits"
+}
+
+# Several failures at once, under calls and jobs.
+scenario_together ()
+{
+  local victim
+  job_cluster 9 || return 1
+  load_start --rate 60 --count 480 --jobs-percent 10 --job-tasks 3 \
+    --job-per-task 4 --job-run-ms 300 --run-ms 50 --deadline-ms 4000 \
+    --prefix "$scenario" --settle-ms 60000
+  sleep 1
+  fault platform '{"mode":"lost","lost_percent":15}'
+  sleep 1
+  victim=$(holder d1)
+  crash "sched$victim"
+  fault w2 '{"mode":"silent"}'
+  sleep 1
+  crash w3
+  crash entry3
+  sleep 4
+  fault platform '{"mode":"ok"}'
+  load_end
+  verdict "lossy store, scheduler, worker and entry killed, worker silent"
+}
+
 scenario_jobs_worker_killed ()
 {
   job_cluster 9 || return 1
--- a/tests/stand/scenario_workers.sh
+++ b/tests/stand/scenario_workers.sh
@@ -1,6 +1,7 @@
 # Calls while upstreams fail.
 
-# worker_fault WHAT COMMAND...: runs COMMAND after a second of load.
+# worker_fault WHAT COMMAND...: runs COMMAND after a second of load, or after
+# AFTER_S.
 worker_fault ()
 {
   local what=$1
@@ -8,7 +9,7 @@
   cluster 2 6 || return 1
   load_start --rate 80 --count 320 --deadline-ms 3000 --run-ms 150 \
     --prefix "$scenario" --settle-ms 8000
-  sleep 1
+  sleep "${AFTER_S:-1}"
   "$@"
   load_end
   verdict "$what"
@@ -46,6 +47,13 @@
     '[ "$(repeated)" = 0 ]'
 }
 
+# The same once the entries have learned how long calls take.
+scenario_worker_silent_later ()
+{
+  AFTER_S=3
+  scenario_worker_silent
+}
+
 repeated ()
 {
   jq -s '[.[]|select(.repeatable and .attempts > 1)]|length' \
