--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -207,6 +207,20 @@
   return p;
 }
 
+static int
+lists_newer (struct en_core *core, const struct pr_heartbeat *h)
+{
+  return h->plans_version > cf_version (&core->config, CF_PLANS)
+         || h->allowances_version > cf_version (&core->config, CF_ALLOWANCES);
+}
+
+static int
+lists_older (struct en_core *core, const struct pr_heartbeat *h)
+{
+  return h->plans_version < cf_version (&core->config, CF_PLANS)
+         || h->allowances_version < cf_version (&core->config, CF_ALLOWANCES);
+}
+
 static void
 on_heartbeat (struct en_core *core, const struct pr_heartbeat *h)
 {
@@ -229,14 +243,9 @@
       en_peers_dial (core);
       send_heartbeat (core);
     }
-  if (h->plans_version > cf_version (&core->config, CF_PLANS)
-      || h->allowances_version > cf_version (&core->config, CF_ALLOWANCES))
-    en_poll_config (core);
-  /* What it has read is older: the table may have been set back.  */
-  else if (is_new
-           && (h->plans_version < cf_version (&core->config, CF_PLANS)
-               || h->allowances_version
-                      < cf_version (&core->config, CF_ALLOWANCES)))
+  /* A new peer that has read older lists: the table may have been set
+     back.  */
+  if (lists_newer (core, h) || (is_new && lists_older (core, h)))
     en_poll_config (core);
 }
 
