Bind all unused cells anew when a plan or a lost cell does not fit

Cause: plans were refused, and cells stayed without workers, although the guarantees fit in another arrangement. Change: unused cells are bound anew, the largest first; if that fails, all is as before.

--- a/src/decide/cell.c
+++ b/src/decide/cell.c
@@ -183,12 +183,40 @@
   c->parts = 0;
 }
 
+/* Binds an unused cell again to the parts that it had.  */
+void
+dc_cell_restore (struct dc *dc, uint32_t cell, uint8_t level,
+                 const struct dc_part *copy, int32_t parts)
+{
+  struct dc_cell *c = &dc->cells.v[cell];
+  uint32_t first = pl_take (&dc->parts, (uint32_t)parts);
+
+  if (first == DC_NONE)
+    {
+      dc_cell_wait (dc, cell);
+      return;
+    }
+  c->level = level;
+  c->part = first;
+  c->parts = parts;
+  for (int32_t i = 0; i < parts; i++)
+    {
+      struct dc_worker *w = &dc->workers.v[copy[i].worker];
+
+      *(struct dc_part *)pl_at (&dc->parts, first + (uint32_t)i) = copy[i];
+      link_part (dc, first + (uint32_t)i);
+      w->cells = dc_plus (w->cells, copy[i].size, 1);
+      dc_fleet_refresh (dc, copy[i].worker);
+    }
+}
+
 /* Takes the unused rest of CELL out of the books, or puts it back.  */
 void
 dc_cell_suspend (struct dc *dc, uint32_t cell, int sign)
 {
-  const struct dc_cell *c = &dc->cells.v[cell];
+  struct dc_cell *c = &dc->cells.v[cell];
 
+  c->suspended = sign < 0;
   for (int32_t i = 0; i < c->parts; i++)
     {
       struct dc_part *part = pl_at (&dc->parts, c->part + (uint32_t)i);
--- a/src/decide/fleet.c
+++ b/src/decide/fleet.c
@@ -132,7 +132,7 @@
       if (per <= w->total.accelerators && w->total.slots > dc->slots_with[per])
         dc->slots_with[per] = w->total.slots;
     }
-  dc->fleet_round++;
+  dc->accelerators += sign * w->total.accelerators;
 }
 
 static int
--- a/src/decide/plan.c
+++ b/src/decide/plan.c
@@ -70,9 +70,10 @@
   return kept;
 }
 
-/* Adds and binds what is missing of one size.  */
+/* Adds what is missing of one size and binds it if there is room.  */
 static bool
-add_size (struct dc *dc, const struct dc_event *e, int32_t size)
+add_size (struct dc *dc, const struct dc_event *e, int32_t size,
+          bool *short_of)
 {
   uint32_t account = e->u.plan.account;
   int64_t missing = wanted (e, size) - kept_of (dc, account, size);
@@ -81,11 +82,11 @@
     {
       uint32_t cell;
 
-      if (dc->unbound.n > 0 || dc_cell_new (dc, account, size, &cell))
+      if (dc_cell_new (dc, account, size, &cell))
         return false;
       dc->cells.v[cell].kept = dc->cells.v[cell].added = true;
-      if (!dc_cell_bind (dc, cell, DC_CAP_UNRESERVED))
-        return false;
+      if (!*short_of)
+        *short_of = !dc_cell_bind (dc, cell, DC_CAP_UNRESERVED);
     }
   return true;
 }
@@ -146,14 +147,28 @@
   return true;
 }
 
+static int64_t
+groups (const struct dc_event *e)
+{
+  int64_t n = 0;
+
+  for (int i = 0; i < e->u.plan.shapes; i++)
+    n += (int64_t)e->u.plan.shape[i].count * e->u.plan.shape[i].size;
+  return n;
+}
+
 static bool
 add_all (struct dc *dc, const struct dc_event *e)
 {
+  bool short_of = dc->unbound.n > 0;
+
+  if (groups (e) > dc->accelerators)
+    return false;
   for (int32_t size = next_size (e, INT32_MAX); size > 0;
        size = next_size (e, size))
-    if (!add_size (dc, e, size))
+    if (!add_size (dc, e, size, &short_of))
       return false;
-  return true;
+  return !short_of || dc_repack (dc);
 }
 
 static void
--- a/src/decide/rebind.c
+++ b/src/decide/rebind.c
@@ -54,6 +54,16 @@
   return false;
 }
 
+static void
+bound (struct dc *dc, uint32_t cell)
+{
+  struct dc_cell *c = &dc->cells.v[cell];
+
+  c->waiting = false;
+  if (c->account != DC_SPARE)
+    dc_account_touch (dc, c->account);
+}
+
 void
 dc_cell_rebind_all (struct dc *dc)
 {
@@ -73,15 +83,17 @@
           c->next = dc->free_cells;
           dc->free_cells = cell;
         }
-      else if (bind_waiting (dc, cell))
-        {
-          dc->cells.v[cell].waiting = false;
-          if (c->account != DC_SPARE)
-            dc_account_touch (dc, c->account);
-        }
+      else if (c->parts || bind_waiting (dc, cell))
+        bound (dc, cell);
       else
         dc->unbound.v[kept++] = cell;
     }
+  if (kept > 0 && n == dc->unbound.n && dc_repack (dc))
+    {
+      for (uint32_t i = 0; i < kept; i++)
+        bound (dc, dc->unbound.v[i]);
+      kept = 0;
+    }
   for (uint32_t i = n; i < dc->unbound.n; i++)
     dc->unbound.v[kept++] = dc->unbound.v[i];
   dc->unbound.n = kept;
--- a/src/decide/state.h
+++ b/src/decide/state.h
@@ -124,6 +124,7 @@
   uint8_t level;
   bool live, waiting; /* waiting: in the list of unbound cells */
   bool kept, added;   /* scratch of a change of plan */
+  bool suspended;     /* its rest is out of the books, for a moment */
 };
 
 struct dc_account
@@ -280,7 +281,7 @@
 
   int32_t slots_with[DC_SIZES]; /* most slots of a worker that large */
   int32_t rack_holds[DC_SIZES], domain_holds[DC_SIZES];
-  uint32_t fleet_round; /* counts changes of these three */
+  int64_t accelerators; /* of all workers that ever joined */
   uint32_t walk_round;
   uint32_t seq;
   uint32_t pending; /* head of the list, oldest first */
@@ -329,6 +330,8 @@
 bool dc_cell_bind_at (struct dc *dc, uint32_t cell, uint32_t worker);
 void dc_cell_settle (struct dc *dc, uint32_t worker);
 void dc_cell_unbind (struct dc *dc, uint32_t cell);
+void dc_cell_restore (struct dc *dc, uint32_t cell, uint8_t level,
+                      const struct dc_part *copy, int32_t parts);
 void dc_cell_drop (struct dc *dc, uint32_t cell);
 void dc_cell_suspend (struct dc *dc, uint32_t cell, int sign);
 void dc_cell_evict (struct dc *dc, uint32_t worker);
@@ -336,6 +339,9 @@
 void dc_cell_rebind_all (struct dc *dc);
 struct dc_part *dc_cell_part (const struct dc *dc, uint32_t cell,
                               uint32_t worker);
+/* repack.c */
+bool dc_repack (struct dc *dc);
+
 /* move.c */
 bool dc_cell_move (struct dc *dc, uint32_t cell);
 bool dc_cell_displace (struct dc *dc, uint32_t cell, uint32_t worker);
