--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -72,6 +72,32 @@
                                lg_int ("error", error) });
 }
 
+static void
+send_all (struct en_core *core, const struct pr_message *m)
+{
+  if (core->net)
+    pr_send (core->net, NULL, m);
+}
+
+static void
+send_heartbeat (struct en_core *core)
+{
+  struct pr_message *m = g_new0 (struct pr_message, 1);
+  struct pr_heartbeat *h = &m->u.heartbeat;
+
+  m->kind = PR_HEARTBEAT;
+  g_strlcpy (h->vm, core->set->vm, sizeof h->vm);
+  h->role = PR_ENTRY;
+  h->leaving = atomic_load (&core->leaving);
+  g_strlcpy (h->address, core->set->peer, sizeof h->address);
+  g_strlcpy (h->domain, core->set->domain, sizeof h->domain);
+  h->stamp_ms = core->now_ms;
+  h->plans_version = cf_version (&core->config, CF_PLANS);
+  h->allowances_version = cf_version (&core->config, CF_ALLOWANCES);
+  send_all (core, m);
+  g_free (m);
+}
+
 static int
 add_dial (const char **out, int n, const char *address, const char *self)
 {
@@ -112,32 +138,9 @@
       n = add_dial (dial, n, core->peer[p].address, self);
   pr_peers (core->net, dial, n);
   g_strfreev (given);
-}
-
-static void
-send_all (struct en_core *core, const struct pr_message *m)
-{
-  if (core->net)
-    pr_send (core->net, NULL, m);
-}
-
-static void
-send_heartbeat (struct en_core *core)
-{
-  struct pr_message *m = g_new0 (struct pr_message, 1);
-  struct pr_heartbeat *h = &m->u.heartbeat;
-
-  m->kind = PR_HEARTBEAT;
-  g_strlcpy (h->vm, core->set->vm, sizeof h->vm);
-  h->role = PR_ENTRY;
-  h->leaving = atomic_load (&core->leaving);
-  g_strlcpy (h->address, core->set->peer, sizeof h->address);
-  g_strlcpy (h->domain, core->set->domain, sizeof h->domain);
-  h->stamp_ms = core->now_ms;
-  h->plans_version = cf_version (&core->config, CF_PLANS);
-  h->allowances_version = cf_version (&core->config, CF_ALLOWANCES);
-  send_all (core, m);
-  g_free (m);
+  if (n != core->dialled)
+    send_heartbeat (core);
+  core->dialled = n;
 }
 
 static void
@@ -218,12 +221,23 @@
   is_new = strcmp (p->address, h->address) != 0;
   g_strlcpy (p->address, h->address, sizeof p->address);
   p->leaving = h->leaving;
+  p->plans_version = h->plans_version;
+  p->allowances_version = h->allowances_version;
   p->heard_ms = core->now_ms;
   if (is_new)
-    en_peers_dial (core);
+    {
+      en_peers_dial (core);
+      send_heartbeat (core);
+    }
   if (h->plans_version > cf_version (&core->config, CF_PLANS)
       || h->allowances_version > cf_version (&core->config, CF_ALLOWANCES))
     en_poll_config (core);
+  /* What it has read is older: the table may have been set back.  */
+  else if (is_new
+           && (h->plans_version < cf_version (&core->config, CF_PLANS)
+               || h->allowances_version
+                      < cf_version (&core->config, CF_ALLOWANCES)))
+    en_poll_config (core);
 }
 
 static int
@@ -333,6 +347,31 @@
   g_free (m);
 }
 
+static int
+is_silent (struct en_core *core, const char *vm)
+{
+  return strcmp (vm, core->set->vm) != 0 && !peer_of (core, vm, PR_ENTRY, 0);
+}
+
+int
+en_lists_are_newest (struct en_core *core, int64_t plans, int64_t allowances)
+{
+  for (int i = 0; i < core->peers; i++)
+    {
+      const struct en_peer *p = &core->peer[i];
+
+      if (core->now_ms - p->heard_ms <= EN_PEER_DEAD_MS
+          && (p->plans_version > plans || p->allowances_version > allowances))
+        return 0;
+    }
+  if (core->now_ms - core->started_ms >= EN_PEER_FIRST_MS)
+    return 1;
+  for (int i = 0; i < core->pool.entries; i++)
+    if (is_silent (core, core->pool.entry[i]))
+      return 0;
+  return 1;
+}
+
 static int
 is_listed (const struct en_core *core, const char *vm)
 {
--- a/tests/control/fake_world.h
+++ b/tests/control/fake_world.h
@@ -80,11 +80,13 @@
   struct fw_worker worker[FW_WORKERS];
   int workers;
   struct fw_vm vm[FW_VMS];
-  GQueue pending; /* requests on their way */
-  GArray *starts; /* struct fw_start */
+  GQueue pending;      /* requests on their way */
+  GArray *starts;      /* struct fw_start */
+  GArray *checkpoints; /* struct fw_start, of parts that reached one */
   struct cf_store config;
   gsl_rng *rng;
   int64_t run_ms; /* of every task */
+  int checkpoint_on_lapse;
   int rows_written, generations;
 };
 
@@ -100,6 +102,13 @@
 
 void fw_put_job (struct fw_world *w, const char *id, int tasks, int per_task,
                  int repeatable, int fails);
+/* The same for another account and class; urgent work is not preemptible. */
+void fw_put_job_of (struct fw_world *w, const char *id, const char *account,
+                    int urgent, int tasks, int per_task, int repeatable,
+                    int fails);
+/* Lists of VERSION that give ACCOUNT a guarantee of COUNT groups of SIZE.  */
+void fw_guarantee (struct fw_world *w, int version, const char *account,
+                   int size, int count);
 void fw_cancel (struct fw_world *w, const char *id);
 const char *fw_job_state (struct fw_world *w, const char *id);
 json_t *fw_row (struct fw_world *w, const char *table, const char *key);
@@ -107,5 +116,8 @@
                json_t *value);
 /* Attempts of JOB of which a task ran.  */
 int fw_attempts_run (struct fw_world *w, const char *job);
+/* Attempts that ran, but for one and for those of which every part reached a
+   checkpoint: going on from there is no repeat.  */
+int fw_repeats (struct fw_world *w, const char *job);
 
 #endif
