Count a worker's failures in a row towards its quarantine

Cause: with three workers a bad one failed 14 tasks: most jobs were not repeatable, so few could do well elsewhere. Change: four failures in a row and one job that does well elsewhere, or eight failures of several jobs, are enough.

--- a/src/decide/health.c
+++ b/src/decide/health.c
@@ -11,6 +11,8 @@
   HOLD_BACK_AT = 2,       /* jobs that failed since the last success */
   HOLD_BACK_MS = 30000,   /* longest wait for a verdict */
   WATCH_MS = 500,         /* between two looks at a worker held back */
+  MOST_IN_ROW = 8,         /* failures of several jobs, no success */
+  IN_ROW_WITH_FINE = 4,    /* as many, if one job does well elsewhere */
   DISTINCT_BY_CHANCE = 5, /* failures for the verdict without retries */
   READMIT_FIRST_MS = 60000,
   READMIT_MOST_MS = 3600000
@@ -103,6 +105,7 @@
     forget_failure (&dc->jobs.v[w->suspect[i].job], id);
   w->suspicions = 0;
   w->held_back = w->probing = false;
+  w->in_row = 0;
   w->health = DC_QUARANTINED;
   if (delay < READMIT_MOST_MS)
     w->quarantines++;
@@ -164,6 +167,10 @@
     }
   if (w->health == DC_PROBATION)
     return fine > 0;
+  if (w->in_row >= MOST_IN_ROW && w->suspicions >= HOLD_BACK_AT)
+    return true;
+  if (fine > 0 && w->in_row >= IN_ROW_WITH_FINE)
+    return true;
   return fine >= FINE_TO_QUARANTINE || beyond_chance (dc, w);
 }
 
@@ -228,6 +235,8 @@
   struct dc_worker *w = &dc->workers.v[worker];
 
   job->failed_starts++;
+  if (w->in_row < UINT8_MAX)
+    w->in_row++;
   note_failed_on (job, worker);
   if (job->failures > 1 && w->suspicions == 0 && w->health == DC_HEALTHY)
     {
@@ -251,6 +260,7 @@
   struct dc_worker *w = &dc->workers.v[worker];
 
   (void)id;
+  w->in_row = 0;
   if (w->suspicions == 0 && w->health == DC_HEALTHY)
     return;
   w->suspicions = 0;
@@ -304,7 +314,6 @@
     return true;
   if (w->held_back && dc->now_ms - w->held_ms > HOLD_BACK_MS)
     {
-      w->suspicions = 0;
       release (dc, id);
       return false;
     }
