Drain a place for aged gangs; end probation without a probe

Cause: gangs waited more than thirty minutes while workers on probation found no job small enough to probe them, and while no smaller gang could make way. Change: after a minute one gang at a time has a place kept free until the work there ends; probation ends after two minutes without a probe.

--- a/src/decide/health.c
+++ b/src/decide/health.c
@@ -11,9 +11,11 @@
   HOLD_BACK_AT = 2,       /* jobs that failed since the last success */
   HOLD_BACK_MS = 30000,   /* longest wait for a verdict */
   WATCH_MS = 500,         /* between two looks at a worker held back */
-  MOST_IN_ROW = 8,         /* failures of several jobs, no success */
-  IN_ROW_WITH_FINE = 4,    /* as many, if one job does well elsewhere */
+  MOST_IN_ROW = 8,        /* failures of several jobs, no success */
+  IN_ROW_WITH_FINE = 5,   /* as many, if one job does well elsewhere */
   DISTINCT_BY_CHANCE = 5, /* failures for the verdict without retries */
+  PROBATION_MS = 120000, /* without a job to probe with, or a verdict */
+  LOOK_MS = 5000,        /* between two looks at one on probation */
   READMIT_FIRST_MS = 60000,
   READMIT_MOST_MS = 3600000
 };
@@ -253,6 +255,18 @@
          || job->failed_starts >= DC_MAX_FAILED_STARTS;
 }
 
+/* Ends the probation of a worker.  */
+static void
+trust (struct dc *dc, uint32_t id)
+{
+  struct dc_worker *w = &dc->workers.v[id];
+
+  w->health = DC_HEALTHY;
+  w->probing = false;
+  dc->freed = dc->rebind = true;
+  dc_fleet_refresh (dc, id);
+}
+
 /* Notes that a task of JOB ended well on WORKER.  */
 void
 dc_health_worked (struct dc *dc, uint32_t id, uint32_t worker)
@@ -266,12 +280,8 @@
   w->suspicions = 0;
   if (w->held_back)
     release (dc, worker);
-  if (w->health != DC_PROBATION)
-    return;
-  w->health = DC_HEALTHY;
-  w->probing = false;
-  dc->freed = dc->rebind = true;
-  dc_fleet_refresh (dc, worker);
+  if (w->health == DC_PROBATION)
+    trust (dc, worker);
 }
 
 /* Notes that JOB ended well: where it failed before was to blame.  */
@@ -306,6 +316,7 @@
   if (w->health == DC_QUARANTINED)
     {
       w->health = DC_PROBATION;
+      w->held_ms = dc->now_ms;
       dc_act (dc, DC_ACT_READMIT, id, 0, NULL);
     }
   else
@@ -317,7 +328,18 @@
       release (dc, id);
       return false;
     }
-  w->watch_ms = dc->now_ms + WATCH_MS;
+  if (w->health == DC_PROBATION
+      && dc->now_ms - w->held_ms >= PROBATION_MS && !w->probing)
+    {
+      if (w->suspicions == 0)
+        {
+          trust (dc, id);
+          return false;
+        }
+      w->suspicions = 0;
+      w->held_ms = dc->now_ms;
+    }
+  w->watch_ms = dc->now_ms + (w->held_back ? WATCH_MS : LOOK_MS);
   return true;
 }
 
@@ -348,7 +370,7 @@
     {
       const struct dc_worker *w = &dc->workers.v[dc->sick.v[i]];
 
-      if (!w->up || (w->health == DC_PROBATION && w->suspicions == 0))
+      if (!w->up)
         continue;
       if (next < 0 || w->watch_ms < next)
         next = w->watch_ms;
--- a/src/decide/pending.c
+++ b/src/decide/pending.c
@@ -35,16 +35,20 @@
   if (dc->pending_last == id)
     dc->pending_last = prev;
   dc->soft_pending -= dc->jobs.v[id].kind == DC_KIND_SOFT;
+  dc->drains -= dc->jobs.v[id].draining;
+  dc->jobs.v[id].draining = false;
 }
 
 /* Gives up the places of a pending gang; it is queued again.  */
 void
 dc_pending_drop (struct dc *dc, uint32_t id)
 {
+  int64_t queued_ms = dc->jobs.v[id].queued_ms;
+
   dc_pending_unlink (dc, id);
   dc_gang_unplace (dc, id);
-  dc->jobs.v[id].state = DC_QUEUED;
   dc_queue_add (dc, id);
+  dc->jobs.v[id].queued_ms = queued_ms;
   dc->freed = true;
 }
 
@@ -148,6 +152,17 @@
   return room;
 }
 
+/* What W has outside cells for work that is not preemptible.  */
+static struct dc_amount
+unreserved (const struct dc *dc, const struct dc_worker *w)
+{
+  struct dc_amount room = dc_capacity (dc, w, DC_CAP_UNRESERVED);
+
+  if (w->ahead_round == dc->walk_round)
+    room = dc_plus (room, w->ahead, -1);
+  return room;
+}
+
 /* Adds the needs of JOB to those ahead of later gangs on each worker.
    Returns whether all of them have room for it now.  */
 static bool
@@ -161,6 +176,9 @@
 
       if (!dc_covers (room_for (dc, w, job), dc_need (job, 1)))
         fits = false;
+      if (job->kind == DC_KIND_SOFT && !job->spec.preemptible
+          && !dc_covers (unreserved (dc, w), dc_need (job, 1)))
+        fits = false;
       if (w->ahead_round != dc->walk_round)
         w->ahead = (struct dc_amount){ 0, 0 };
       w->ahead_round = dc->walk_round;
@@ -214,6 +232,9 @@
         {
           forget_ahead (dc, job);
           dc_pending_unlink (dc, id);
+          if (job->kind == DC_KIND_SOFT && !job->spec.preemptible
+              && dc->config.policy == DC_POLICY_DEFAULT)
+            dc_gang_set (dc, id, DC_PENDING, DC_KIND_HARD, DC_NONE);
           dc_gang_start (dc, id);
         }
       id = next;
--- a/src/decide/room.c
+++ b/src/decide/room.c
@@ -36,7 +36,9 @@
 
   if (!dc_worker_open (w) || w->held_back)
     return offer;
-  if (!drain)
+  if (drain)
+    room = dc_plus (room, w->cells, -1);
+  else
     room = dc_plus (w->free, w->stopping, 1);
   room = dc_plus (dc_plus (room, w->held, -1), w->drained, -1);
   offer.tasks = dc_tasks_in (room, unit);
@@ -56,7 +58,7 @@
       offer.last = task->job;
       offer.tasks = dc_tasks_in (room, unit);
     }
-  if (!job->spec.preemptible)
+  if (!job->spec.preemptible && !drain)
     {
       int32_t firm
           = dc_tasks_in (dc_capacity (dc, w, DC_CAP_UNRESERVED), unit);
@@ -68,7 +70,7 @@
 
 /* The cheapest of the workers with the most idle room.  */
 static int32_t
-in_one_worker (struct dc *dc, const struct dc_job *job)
+in_one_worker (struct dc *dc, const struct dc_job *job, bool drain)
 {
   const struct dc_index *index = dc->index[DC_CAP_IDLE];
   struct dc_offer best = { .worker = DC_NONE, .cost = INT32_MAX };
@@ -83,7 +85,7 @@
 
           for (; id != DC_NONE && tried < MAX_WORKERS_TRIED; tried++)
             {
-              struct dc_offer offer = offer_of (dc, id, job, false);
+              struct dc_offer offer = offer_of (dc, id, job, drain);
 
               if (offer.tasks >= job->spec.tasks && offer.cost < best.cost)
                 best = offer;
@@ -218,7 +220,7 @@
   switch (level)
     {
     case DC_LEVEL_WORKER:
-      return in_one_worker (dc, job);
+      return in_one_worker (dc, job, drain);
     case DC_LEVEL_RACK:
       return in_one_rack (dc, job, drain);
     case DC_LEVEL_DOMAIN:
--- a/src/decide/run.c
+++ b/src/decide/run.c
@@ -6,6 +6,7 @@
   AGE_LIMIT_MS = 60000,  /* a blocked gang has a place drained then */
   REPLAN_MS = 3000,      /* a pending gang whose room was taken is queued */
   RETRY_MS = 10000,      /* a job waits so long for a worker new to it */
+  REDRAIN_MS = 600000,   /* a place drained for so long is given up */
   MAX_SOFT_PENDING = 16, /* gangs that room is being made for */
   MAX_PLANS = 4          /* gangs that room is planned for at once */
 };
@@ -352,6 +353,67 @@
   return DC_OK;
 }
 
+/* The blocked gang that has waited longest, if beyond the age limit.  */
+static uint32_t
+oldest_aged (const struct dc *dc)
+{
+  uint32_t oldest = DC_NONE;
+  int64_t since = dc->now_ms - AGE_LIMIT_MS;
+
+  for (uint32_t i = 0; i < dc->blocked.n; i++)
+    {
+      const struct dc_queue *q = &dc->queues.v[dc->blocked.v[i]];
+      const struct dc_job *job;
+
+      if (q->jobs.n == 0)
+        continue;
+      job = &dc->jobs.v[q->jobs.v[0]];
+      if (job->queued_ms >= since)
+        continue;
+      since = job->queued_ms;
+      oldest = q->jobs.v[0];
+    }
+  return oldest;
+}
+
+/* Keeps a place free of new work for the oldest gang beyond the age limit
+   until what runs there has ended.  */
+static int
+run_aged (struct dc *dc)
+{
+  uint32_t id;
+  const struct dc_job *job;
+  int error;
+
+  if (dc->drains > 0)
+    return DC_OK;
+  id = oldest_aged (dc);
+  if (id == DC_NONE)
+    return DC_OK;
+  job = &dc->jobs.v[id];
+  if (dc_room_plan (
+          dc, job, dc_level_of (dc, job->spec.tasks, job->spec.per_task), true)
+      < 0)
+    return DC_OK;
+  dc_queue_remove (dc, id);
+  error = dc_gang_place (dc, id, DC_KIND_SOFT, DC_NONE);
+  if (error)
+    return error;
+  dc->jobs.v[id].draining = true;
+  dc->drains++;
+  dc_pending_add (dc, id);
+  return DC_OK;
+}
+
+/* When the place of a pending gang is given up.  */
+static int64_t
+replan_ms (const struct dc_job *job)
+{
+  if (job->kind != DC_KIND_SOFT)
+    return INT64_MAX;
+  return job->pending_ms + (job->draining ? REDRAIN_MS : REPLAN_MS);
+}
+
 /* Queues gangs again whose room was taken by others.  */
 static void
 run_replan (struct dc *dc)
@@ -363,8 +425,7 @@
       const struct dc_job *job = &dc->jobs.v[id];
       uint32_t next = job->pending_next;
 
-      if (job->kind == DC_KIND_SOFT
-          && dc->now_ms - job->pending_ms >= REPLAN_MS)
+      if (dc->now_ms >= replan_ms (job))
         dc_pending_drop (dc, id);
       id = next;
     }
@@ -483,6 +544,8 @@
     error = run_queues (dc);
   if (!error && dc->config.policy == DC_POLICY_DEFAULT)
     error = run_blocked (dc);
+  if (!error && dc->config.policy == DC_POLICY_DEFAULT)
+    error = run_aged (dc);
   return error;
 }
 
@@ -496,9 +559,9 @@
   for (uint32_t id = dc->pending; id != DC_NONE;
        id = dc->jobs.v[id].pending_next)
     {
-      int64_t at = dc->jobs.v[id].pending_ms + REPLAN_MS;
+      int64_t at = replan_ms (&dc->jobs.v[id]);
 
-      if (dc->jobs.v[id].kind == DC_KIND_SOFT && (next < 0 || at < next))
+      if (at < INT64_MAX && (next < 0 || at < next))
         next = at;
     }
   return next;
--- a/src/decide/state.h
+++ b/src/decide/state.h
@@ -186,7 +186,8 @@
   uint8_t state;
   uint8_t level; /* of adjacency, when it was placed */
   bool adopted;
-  uint8_t kind; /* while pending, running or checkpointing */
+  bool draining; /* pending until work there ends by itself */
+  uint8_t kind;  /* while pending, running or checkpointing */
 };
 
 /* All queued jobs of one shape, whoever owns them.  */
@@ -287,6 +288,7 @@
   uint32_t seq;
   uint32_t pending; /* head of the list, oldest first */
   uint32_t pending_last;
+  uint32_t drains;       /* pending gangs that preempt nothing */
   uint32_t soft_pending; /* of these, outside guarantee and books */
   bool freed, rebind;
   double urgent;     /* accelerators that urgent gangs asked for, decaying */
