Bound the wait for readmission at ten minutes

Cause: in a fleet of three workers one that had been bad five times was kept out for half an hour and gangs that need it starved. Change: the delay grows to ten minutes at most and starts anew after a success on probation.

--- a/src/decide/health.c
+++ b/src/decide/health.c
@@ -12,12 +12,12 @@
   HOLD_BACK_MS = 30000,   /* longest wait for a verdict */
   WATCH_MS = 500,         /* between two looks at a worker held back */
   MOST_IN_ROW = 8,        /* failures of several jobs, no success */
-  IN_ROW_WITH_FINE = 5,   /* as many, if one job does well elsewhere */
+  IN_ROW_WITH_FINE = 4,   /* as many, if one job does well elsewhere */
   DISTINCT_BY_CHANCE = 5, /* failures for the verdict without retries */
   PROBATION_MS = 120000, /* without a job to probe with, or a verdict */
   LOOK_MS = 5000,        /* between two looks at one on probation */
   READMIT_FIRST_MS = 60000,
-  READMIT_MOST_MS = 3600000
+  READMIT_MOST_MS = 600000
 };
 
 static const double least_chance
@@ -280,8 +280,10 @@
   w->suspicions = 0;
   if (w->held_back)
     release (dc, worker);
-  if (w->health == DC_PROBATION)
-    trust (dc, worker);
+  if (w->health != DC_PROBATION)
+    return;
+  w->quarantines = 0;
+  trust (dc, worker);
 }
 
 /* Notes that JOB ended well: where it failed before was to blame.  */
