Let half of the random runs checkpoint what lapses

Cause: a worker checkpoints tasks whose lease lapses; the fake only stopped them. Change: even seeds checkpoint.

--- a/tests/control/test_cell.c
+++ b/tests/control/test_cell.c
@@ -580,6 +580,7 @@
   char id[CT_NAME];
 
   start (&w, seed);
+  w.checkpoint_on_lapse = seed % 2 == 0;
   fw_start_vm (&w, 1);
   fw_start_vm (&w, 2);
   for (int i = 0; i < FAULTS; i++)
