--- a/src/decide/run.c
+++ b/src/decide/run.c
@@ -3,9 +3,11 @@
 
 enum
 {
-  AGE_LIMIT_MS = 60000, /* a blocked gang has a place drained then */
-  REPLAN_MS = 3000,     /* a pending gang whose room was taken is queued */
-  MAX_PLANS = 4         /* gangs that room is planned for at once */
+  AGE_LIMIT_MS = 60000,  /* a blocked gang has a place drained then */
+  REPLAN_MS = 3000,      /* a pending gang whose room was taken is queued */
+  RETRY_MS = 10000,      /* a job waits so long for a worker new to it */
+  MAX_SOFT_PENDING = 16, /* gangs that room is being made for */
+  MAX_PLANS = 4          /* gangs that room is planned for at once */
 };
 
 static struct dc_want
@@ -19,7 +21,20 @@
                            .avoids = avoid ? job->failures : 0 };
 }
 
-/* Searches room for JOB, away from where it failed if that is possible.  */
+/* Whether JOB, which failed before, still waits for a worker new to it.  */
+bool
+dc_retry_later (struct dc *dc, const struct dc_job *job)
+{
+  int64_t retry = job->queued_ms + RETRY_MS;
+
+  if (retry <= dc->now_ms)
+    return false;
+  if (dc->retry_ms < 0 || retry < dc->retry_ms)
+    dc->retry_ms = retry;
+  return true;
+}
+
+/* Searches room for JOB, for a while only away from where it failed.  */
 static bool
 search (struct dc *dc, const struct dc_job *job, enum dc_capacity cap)
 {
@@ -27,7 +42,7 @@
 
   if (dc_search (dc, &want, cap))
     return true;
-  if (job->failures == 0)
+  if (job->failures == 0 || dc_retry_later (dc, job))
     return false;
   want.avoids = 0;
   return dc_search (dc, &want, cap);
@@ -106,6 +121,9 @@
     return start (dc, id, DC_KIND_GUARANTEED, cell);
   if (move_to_idle (dc, cell, job, level))
     return start (dc, id, DC_KIND_GUARANTEED, cell);
+  if (search (dc, job, job->spec.preemptible ? DC_CAP_IDLE : DC_CAP_FIRM))
+    return start (dc, id, job->spec.preemptible ? DC_KIND_SOFT : DC_KIND_HARD,
+                  DC_NONE);
   if (!dc_charge_spots (dc, cell, job, level, false))
     return DC_EBROKEN;
   return pend (dc, id, DC_KIND_GUARANTEED, cell);
@@ -136,9 +154,11 @@
   return cell;
 }
 
-/* The first queued job of the account that fits one of its cells.  */
+/* The first queued job of the account and CLASS that fits one of its
+   cells.  */
 static uint32_t
-next_guaranteed (struct dc *dc, uint32_t account, uint32_t *cell)
+next_guaranteed (struct dc *dc, uint32_t account, enum dc_class class,
+                 uint32_t *cell)
 {
   uint32_t best = DC_NONE;
 
@@ -149,7 +169,7 @@
       const struct dc_job *job;
       uint32_t found;
 
-      if (lane->jobs.n == 0)
+      if (lane->jobs.n == 0 || dc->queues.v[lane->queue].class != class)
         continue;
       job = &dc->jobs.v[lane->jobs.v[0]];
       if (best != DC_NONE && !head_before (dc, lane->jobs.v[0], best))
@@ -163,25 +183,39 @@
   return best;
 }
 
-/* Places the queued jobs that are within the guarantee of their account.  */
+static int
+place_guaranteed (struct dc *dc, uint32_t account, enum dc_class class)
+{
+  uint32_t cell = DC_NONE, id;
+  int error = DC_OK;
+
+  while (!error
+         && (id = next_guaranteed (dc, account, class, &cell)) != DC_NONE)
+    error = place_in_cell (dc, id, cell);
+  return error;
+}
+
+/* Places the queued jobs that are within the guarantee of their account,
+   urgent ones of all accounts first.  */
 static int
 run_guaranteed (struct dc *dc)
 {
-  for (uint32_t i = 0; i < dc->dirty.n; i++)
+  int error = DC_OK;
+
+  for (uint32_t i = 0; i < dc->dirty.n && !error; i++)
+    error = place_guaranteed (dc, dc->dirty.v[i], DC_URGENT);
+  for (uint32_t i = 0; i < dc->dirty.n && !error; i++)
     {
-      uint32_t account = dc->dirty.v[i], cell = DC_NONE, id;
+      uint32_t account = dc->dirty.v[i];
 
       dc->accounts.v[account].dirty = false;
-      while ((id = next_guaranteed (dc, account, &cell)) != DC_NONE)
-        {
-          int error = place_in_cell (dc, id, cell);
-          if (error)
-            return error;
-        }
+      error = place_guaranteed (dc, account, DC_URGENT);
+      if (!error)
+        error = place_guaranteed (dc, account, DC_BULK);
       dc_promote (dc, account);
     }
   dc->dirty.n = 0;
-  return DC_OK;
+  return error;
 }
 
 /* Makes room for a job outside the guarantee by preemption.  */
@@ -205,12 +239,45 @@
                : DC_OK;
 }
 
+static int32_t
+idle_accelerators (const struct dc *dc)
+{
+  int32_t n = 0;
+
+  for (uint32_t d = 0; d < dc->domains.n; d++)
+    n += dc->domains.v[d].cap[DC_CAP_IDLE].accelerators;
+  return n;
+}
+
+/* Whether N accelerators of idle room can go to bulk work without touching
+   what urgent arrivals of the next checkpoint are expected to need.  */
+static bool
+leaves_reserve (const struct dc *dc, int32_t n)
+{
+  return n == 0 || idle_accelerators (dc) - n >= dc_learn_reserve (dc);
+}
+
+/* Bulk work does not start while an urgent gang that its room could hold
+   waits for a checkpoint.  */
+static bool
+behind_urgent (const struct dc *dc, const struct dc_job *job)
+{
+  if (job->spec.class == DC_URGENT || dc->config.policy != DC_POLICY_DEFAULT)
+    return false;
+  return dc_pending_urgent (dc, job);
+}
+
 static int
 place_default (struct dc *dc, uint32_t id, bool *done)
 {
   const struct dc_job *job = &dc->jobs.v[id];
   bool hard = !job->spec.preemptible;
 
+  *done = false;
+  if (behind_urgent (dc, job)
+      || (job->spec.class == DC_BULK
+          && !leaves_reserve (dc, job->spec.tasks * job->spec.per_task)))
+    return DC_OK;
   *done = true;
   if (search (dc, job, hard ? DC_CAP_FIRM : DC_CAP_IDLE))
     return start (dc, id, hard ? DC_KIND_HARD : DC_KIND_SOFT, DC_NONE);
@@ -259,16 +326,6 @@
   return DC_OK;
 }
 
-static int32_t
-idle_accelerators (const struct dc *dc)
-{
-  int32_t n = 0;
-
-  for (uint32_t d = 0; d < dc->domains.n; d++)
-    n += dc->domains.v[d].cap[DC_CAP_IDLE].accelerators;
-  return n;
-}
-
 /* Makes room for blocked gangs that the idle accelerators would hold if they
    were in one place.  */
 static int
@@ -276,14 +333,16 @@
 {
   int plans = 0;
 
-  for (uint32_t i = 0; i < dc->blocked.n && plans < MAX_PLANS; i++)
+  for (uint32_t i = 0; i < dc->blocked.n && dc->soft_pending < MAX_SOFT_PENDING
+                       && plans < MAX_PLANS;
+       i++)
     {
       const struct dc_queue *q = &dc->queues.v[dc->blocked.v[i]];
       bool done;
       int error;
 
       if (q->jobs.n == 0 || q->tasks * q->per_task == 0
-          || q->tasks * q->per_task > idle_accelerators (dc))
+          || !leaves_reserve (dc, q->tasks * q->per_task))
         continue;
       plans++;
       error = preempt_for (dc, q->jobs.v[0], &done);
@@ -343,10 +402,53 @@
   return DC_OK;
 }
 
+/* Starts a pending gang where room fell idle, or leaves it pending.  */
+static int
+try_idle (struct dc *dc, uint32_t id)
+{
+  const struct dc_job *job = &dc->jobs.v[id];
+  uint32_t cell = job->cell;
+  bool moved;
+  int error;
+
+  dc_gang_unplace (dc, id);
+  moved = move_to_idle (dc, cell, job, DC_LEVEL_WORKER);
+  if (!moved)
+    dc_charge_spots (dc, cell, job, DC_LEVEL_WORKER, false);
+  error = dc_gang_place (dc, id, DC_KIND_GUARANTEED, cell);
+  if (error || !moved)
+    return error;
+  dc_pending_unlink (dc, id);
+  dc_gang_start (dc, id);
+  return DC_OK;
+}
+
+/* Starts urgent gangs that wait for a checkpoint where room fell idle.  */
+static int
+run_waiting (struct dc *dc)
+{
+  uint32_t id = dc->pending;
+  int error = DC_OK;
+
+  while (id != DC_NONE && !error)
+    {
+      const struct dc_job *job = &dc->jobs.v[id];
+      uint32_t next = job->pending_next;
+
+      if (job->spec.class == DC_URGENT && job->cell != DC_NONE
+          && job->level == DC_LEVEL_WORKER && dc->cells.v[job->cell].jobs == 1
+          && dc->cells.v[job->cell].parts == 1
+          && search (dc, job, DC_CAP_IDLE))
+        error = try_idle (dc, id);
+      id = next;
+    }
+  return error;
+}
+
 int
 dc_run (struct dc *dc)
 {
-  int error;
+  int error = DC_OK;
 
   dc_health_tick (dc);
   if (dc->rebind)
@@ -354,13 +456,22 @@
       dc->rebind = false;
       dc_cell_rebind_all (dc);
     }
+  if (dc->retry_ms >= 0 && dc->retry_ms <= dc->now_ms)
+    {
+      dc->retry_ms = -1;
+      dc->freed = true;
+      for (uint32_t i = 0; i < dc->accounts.n; i++)
+        dc_account_touch (dc, i);
+    }
   if (dc->freed)
     {
       dc->freed = false;
       dc_pending_walk (dc);
+      error = run_waiting (dc);
+      if (error)
+        return error;
       dc_queue_unblock (dc);
     }
-  error = DC_OK;
   if (dc->config.policy == DC_POLICY_DEFAULT)
     {
       run_replan (dc);
@@ -380,6 +491,8 @@
 {
   int64_t next = dc_health_next (dc);
 
+  if (dc->retry_ms >= 0 && (next < 0 || dc->retry_ms < next))
+    next = dc->retry_ms;
   for (uint32_t id = dc->pending; id != DC_NONE;
        id = dc->jobs.v[id].pending_next)
     {
