Test each rule and fault; hold failures against the account too; split place.c

Cause: a burst of six jobs that fail everywhere had three healthy workers quarantined, as a new account counted as one that rarely fails. Change: suspicions of one account count against the account as well, and failures in a row convict a worker only if several accounts see them. Placing one gang moved from run.c to place.c. Measured: test_decide: 15 tests pass; the test of the burst failed before.

--- a/src/decide/health.c
+++ b/src/decide/health.c
@@ -11,11 +11,11 @@
   HOLD_BACK_AT = 2,       /* jobs that failed since the last success */
   HOLD_BACK_MS = 30000,   /* longest wait for a verdict */
   WATCH_MS = 500,         /* between two looks at a worker held back */
-  MOST_IN_ROW = 8,        /* failures of several jobs, no success */
+  MOST_IN_ROW = 8,        /* failures of several accounts, no success */
   IN_ROW_WITH_FINE = 4,   /* as many, if one job does well elsewhere */
   DISTINCT_BY_CHANCE = 5, /* failures for the verdict without retries */
-  PROBATION_MS = 120000, /* without a job to probe with, or a verdict */
-  LOOK_MS = 5000,        /* between two looks at one on probation */
+  PROBATION_MS = 120000,  /* without a job to probe with, or a verdict */
+  LOOK_MS = 5000,         /* between two looks at one on probation */
   READMIT_FIRST_MS = 60000,
   READMIT_MOST_MS = 600000
 };
@@ -133,12 +133,27 @@
          && dc->now_ms - job->start_ms > s->lasted_ms * 3 / 2 + WATCH_MS;
 }
 
+/* How many of the suspicions against W are from ACCOUNT.  */
+static int
+from_account (const struct dc *dc, const struct dc_worker *w, uint32_t account)
+{
+  int n = 0;
+
+  for (int i = 0; i < w->suspicions; i++)
+    n += dc->jobs.v[w->suspect[i].job].spec.account == account;
+  return n;
+}
+
+/* How likely a job of the same account fails, with all the suspicions held
+   against the account too.  */
 static double
-chance_of (const struct dc *dc, const struct dc_job *job)
+chance_of (const struct dc *dc, const struct dc_worker *w,
+           const struct dc_job *job)
 {
   const struct dc_account *account = &dc->accounts.v[job->spec.account];
+  int also = from_account (dc, w, job->spec.account);
 
-  return (account->failures + 0.5) / (account->jobs + 10);
+  return (account->failures + also + 0.5) / (account->jobs + also + 10);
 }
 
 /* Whether so many failures in a row are beyond chance.  */
@@ -150,7 +165,7 @@
   if (w->suspicions < DISTINCT_BY_CHANCE)
     return false;
   for (int i = 0; i < w->suspicions; i++)
-    chance *= fmin (1, chance_of (dc, &dc->jobs.v[w->suspect[i].job]));
+    chance *= fmin (1, chance_of (dc, w, &dc->jobs.v[w->suspect[i].job]));
   return chance < least_chance;
 }
 
@@ -169,7 +184,9 @@
     }
   if (w->health == DC_PROBATION)
     return fine > 0;
-  if (w->in_row >= MOST_IN_ROW && w->suspicions >= HOLD_BACK_AT)
+  if (w->in_row >= MOST_IN_ROW && w->suspicions >= HOLD_BACK_AT
+      && from_account (dc, w, dc->jobs.v[w->suspect[0].job].spec.account)
+             < w->suspicions)
     return true;
   if (fine > 0 && w->in_row >= IN_ROW_WITH_FINE)
     return true;
@@ -330,8 +347,8 @@
       release (dc, id);
       return false;
     }
-  if (w->health == DC_PROBATION
-      && dc->now_ms - w->held_ms >= PROBATION_MS && !w->probing)
+  if (w->health == DC_PROBATION && dc->now_ms - w->held_ms >= PROBATION_MS
+      && !w->probing)
     {
       if (w->suspicions == 0)
         {
--- /dev/null
+++ b/src/decide/place.c
@@ -0,0 +1,257 @@
+/* Where one gang goes: in a cell of its account, in idle room, or in room
+   that preemption frees.  */
+#include "state.h"
+
+enum
+{
+  RETRY_MS = 10000 /* a job waits so long for a worker new to it */
+};
+
+static struct dc_want
+want_of (const struct dc *dc, const struct dc_job *job, bool avoid)
+{
+  return (struct dc_want){ .tasks = job->spec.tasks,
+                           .unit = { job->spec.per_task, 1 },
+                           .level = dc_level_of (dc, job->spec.tasks,
+                                                 job->spec.per_task),
+                           .avoid = job->failed_on,
+                           .avoids = avoid ? job->failures : 0 };
+}
+
+/* Whether JOB, which failed before, still waits for a worker new to it.  */
+bool
+dc_retry_later (struct dc *dc, const struct dc_job *job)
+{
+  int64_t retry = job->queued_ms + RETRY_MS;
+
+  if (retry <= dc->now_ms)
+    return false;
+  if (dc->retry_ms < 0 || retry < dc->retry_ms)
+    dc->retry_ms = retry;
+  return true;
+}
+
+/* Searches room for JOB, for a while only away from where it failed.  */
+static bool
+search (struct dc *dc, const struct dc_job *job, enum dc_capacity cap)
+{
+  struct dc_want want = want_of (dc, job, true);
+
+  if (dc_search (dc, &want, cap))
+    return true;
+  if (job->failures == 0 || dc_retry_later (dc, job))
+    return false;
+  want.avoids = 0;
+  return dc_search (dc, &want, cap);
+}
+
+int
+dc_place_start (struct dc *dc, uint32_t id, enum dc_kind kind, uint32_t cell)
+{
+  int error;
+
+  dc_queue_remove (dc, id);
+  error = dc_gang_place (dc, id, kind, cell);
+  if (!error)
+    dc_gang_start (dc, id);
+  return error;
+}
+
+/* Has the room in dc->spots freed for JOB.  */
+static int
+pend (struct dc *dc, uint32_t id, enum dc_kind kind, uint32_t cell)
+{
+  int error;
+
+  dc_queue_remove (dc, id);
+  error = dc_gang_place (dc, id, kind, cell);
+  if (error)
+    return error;
+  dc_pending_add (dc, id);
+  dc_pending_make_room (dc, id);
+  return DC_OK;
+}
+
+static bool
+spots_are_idle (const struct dc *dc, const struct dc_job *job)
+{
+  for (uint32_t i = 0; i < dc->spots.n; i++)
+    {
+      const struct dc_worker *w = &dc->workers.v[dc->spots.v[i].worker];
+
+      if (!dc_covers (dc_plus (w->free, w->held, -1),
+                      dc_need (job, dc->spots.v[i].tasks)))
+        return false;
+    }
+  return true;
+}
+
+/* Moves CELL to where JOB can start at once, if there is such a worker.  */
+static bool
+move_to_idle (struct dc *dc, uint32_t cell, const struct dc_job *job,
+              enum dc_level level)
+{
+  if (level != DC_LEVEL_WORKER)
+    return false;
+  if (dc_cell_move (dc, cell) && dc_charge_spots (dc, cell, job, level, false)
+      && spots_are_idle (dc, job))
+    return true;
+  return search (dc, job, DC_CAP_IDLE)
+         && dc_cell_displace (dc, cell, dc->spots.v[0].worker)
+         && dc_charge_spots (dc, cell, job, level, false)
+         && spots_are_idle (dc, job);
+}
+
+int
+dc_place_in_cell (struct dc *dc, uint32_t id, uint32_t cell)
+{
+  const struct dc_job *job = &dc->jobs.v[id];
+  enum dc_level level = dc_level_of (dc, job->spec.tasks, job->spec.per_task);
+
+  if (!dc_charge_spots (dc, cell, job, level, false))
+    {
+      dc_charge_release (dc, cell, true);
+      if (!dc_charge_spots (dc, cell, job, level, false))
+        return DC_EBROKEN;
+    }
+  if (spots_are_idle (dc, job))
+    return dc_place_start (dc, id, DC_KIND_GUARANTEED, cell);
+  if (move_to_idle (dc, cell, job, level))
+    return dc_place_start (dc, id, DC_KIND_GUARANTEED, cell);
+  if (search (dc, job, job->spec.preemptible ? DC_CAP_IDLE : DC_CAP_FIRM))
+    return dc_place_start (
+        dc, id, job->spec.preemptible ? DC_KIND_SOFT : DC_KIND_HARD, DC_NONE);
+  if (!dc_charge_spots (dc, cell, job, level, false))
+    return DC_EBROKEN;
+  return pend (dc, id, DC_KIND_GUARANTEED, cell);
+}
+
+/* Makes room for a job outside the guarantee by preemption.  */
+int
+dc_place_by_preemption (struct dc *dc, uint32_t id, bool *done)
+{
+  const struct dc_job *job = &dc->jobs.v[id];
+  bool hard = !job->spec.preemptible;
+  int32_t cost;
+
+  *done = false;
+  if (job->spec.class == DC_URGENT && hard)
+    {
+      *done = search (dc, job, DC_CAP_UNRESERVED);
+      return *done ? pend (dc, id, DC_KIND_HARD, DC_NONE) : DC_OK;
+    }
+  cost = dc_room_plan (
+      dc, job, dc_level_of (dc, job->spec.tasks, job->spec.per_task), false);
+  *done = cost >= 0;
+  return *done ? pend (dc, id, hard ? DC_KIND_HARD : DC_KIND_SOFT, DC_NONE)
+               : DC_OK;
+}
+
+static int32_t
+idle_accelerators (const struct dc *dc)
+{
+  int32_t n = 0;
+
+  for (uint32_t d = 0; d < dc->domains.n; d++)
+    n += dc->domains.v[d].cap[DC_CAP_IDLE].accelerators;
+  return n;
+}
+
+/* Whether N accelerators of idle room can go to bulk work without touching
+   what urgent arrivals of the next checkpoint are expected to need.  */
+bool
+dc_place_leaves_reserve (const struct dc *dc, int32_t n)
+{
+  return n == 0 || idle_accelerators (dc) - n >= dc_learn_reserve (dc);
+}
+
+/* Bulk work does not start while an urgent gang that its room could hold
+   waits for a checkpoint.  */
+static bool
+behind_urgent (const struct dc *dc, const struct dc_job *job)
+{
+  if (job->spec.class == DC_URGENT || dc->config.policy != DC_POLICY_DEFAULT)
+    return false;
+  return dc_pending_urgent (dc, job);
+}
+
+int
+dc_place_default (struct dc *dc, uint32_t id, bool *done)
+{
+  const struct dc_job *job = &dc->jobs.v[id];
+  bool hard = !job->spec.preemptible;
+
+  *done = false;
+  if (behind_urgent (dc, job)
+      || (job->spec.class == DC_BULK
+          && !dc_place_leaves_reserve (dc,
+                                       job->spec.tasks * job->spec.per_task)))
+    return DC_OK;
+  *done = true;
+  if (search (dc, job, hard ? DC_CAP_FIRM : DC_CAP_IDLE))
+    return dc_place_start (dc, id, hard ? DC_KIND_HARD : DC_KIND_SOFT,
+                           DC_NONE);
+  if (job->spec.class == DC_URGENT && hard)
+    return dc_place_by_preemption (dc, id, done);
+  *done = false;
+  return DC_OK;
+}
+
+int
+dc_place_baseline (struct dc *dc, uint32_t id, bool *done)
+{
+  const struct dc_job *job = &dc->jobs.v[id];
+
+  if (dc->config.policy == DC_POLICY_FIFO_FIRST_FIT)
+    {
+      struct dc_want want = want_of (dc, job, true);
+
+      *done = dc_search_first (dc, &want);
+    }
+  else
+    *done = search (dc, job, DC_CAP_IDLE);
+  return *done ? dc_place_start (dc, id, DC_KIND_SOFT, DC_NONE) : DC_OK;
+}
+
+/* Starts a pending gang where room fell idle, or leaves it pending.  */
+static int
+try_idle (struct dc *dc, uint32_t id)
+{
+  const struct dc_job *job = &dc->jobs.v[id];
+  uint32_t cell = job->cell;
+  bool moved;
+  int error;
+
+  dc_gang_unplace (dc, id);
+  moved = move_to_idle (dc, cell, job, DC_LEVEL_WORKER);
+  if (!moved)
+    dc_charge_spots (dc, cell, job, DC_LEVEL_WORKER, false);
+  error = dc_gang_place (dc, id, DC_KIND_GUARANTEED, cell);
+  if (error || !moved)
+    return error;
+  dc_pending_unlink (dc, id);
+  dc_gang_start (dc, id);
+  return DC_OK;
+}
+
+/* Starts urgent gangs that wait for a checkpoint where room fell idle.  */
+int
+dc_place_waiting (struct dc *dc)
+{
+  uint32_t id = dc->pending;
+  int error = DC_OK;
+
+  while (id != DC_NONE && !error)
+    {
+      const struct dc_job *job = &dc->jobs.v[id];
+      uint32_t next = job->pending_next;
+
+      if (job->spec.class == DC_URGENT && job->cell != DC_NONE
+          && job->level == DC_LEVEL_WORKER && dc->cells.v[job->cell].jobs == 1
+          && dc->cells.v[job->cell].parts == 1
+          && search (dc, job, DC_CAP_IDLE))
+        error = try_idle (dc, id);
+      id = next;
+    }
+  return error;
+}
--- a/src/decide/run.c
+++ b/src/decide/run.c
@@ -5,131 +5,11 @@
 {
   AGE_LIMIT_MS = 60000,  /* a blocked gang has a place drained then */
   REPLAN_MS = 3000,      /* a pending gang whose room was taken is queued */
-  RETRY_MS = 10000,      /* a job waits so long for a worker new to it */
   REDRAIN_MS = 600000,   /* a place drained for so long is given up */
   MAX_SOFT_PENDING = 16, /* gangs that room is being made for */
   MAX_PLANS = 4          /* gangs that room is planned for at once */
 };
 
-static struct dc_want
-want_of (const struct dc *dc, const struct dc_job *job, bool avoid)
-{
-  return (struct dc_want){ .tasks = job->spec.tasks,
-                           .unit = { job->spec.per_task, 1 },
-                           .level = dc_level_of (dc, job->spec.tasks,
-                                                 job->spec.per_task),
-                           .avoid = job->failed_on,
-                           .avoids = avoid ? job->failures : 0 };
-}
-
-/* Whether JOB, which failed before, still waits for a worker new to it.  */
-bool
-dc_retry_later (struct dc *dc, const struct dc_job *job)
-{
-  int64_t retry = job->queued_ms + RETRY_MS;
-
-  if (retry <= dc->now_ms)
-    return false;
-  if (dc->retry_ms < 0 || retry < dc->retry_ms)
-    dc->retry_ms = retry;
-  return true;
-}
-
-/* Searches room for JOB, for a while only away from where it failed.  */
-static bool
-search (struct dc *dc, const struct dc_job *job, enum dc_capacity cap)
-{
-  struct dc_want want = want_of (dc, job, true);
-
-  if (dc_search (dc, &want, cap))
-    return true;
-  if (job->failures == 0 || dc_retry_later (dc, job))
-    return false;
-  want.avoids = 0;
-  return dc_search (dc, &want, cap);
-}
-
-static int
-start (struct dc *dc, uint32_t id, enum dc_kind kind, uint32_t cell)
-{
-  int error;
-
-  dc_queue_remove (dc, id);
-  error = dc_gang_place (dc, id, kind, cell);
-  if (!error)
-    dc_gang_start (dc, id);
-  return error;
-}
-
-/* Has the room in dc->spots freed for JOB.  */
-static int
-pend (struct dc *dc, uint32_t id, enum dc_kind kind, uint32_t cell)
-{
-  int error;
-
-  dc_queue_remove (dc, id);
-  error = dc_gang_place (dc, id, kind, cell);
-  if (error)
-    return error;
-  dc_pending_add (dc, id);
-  dc_pending_make_room (dc, id);
-  return DC_OK;
-}
-
-static bool
-spots_are_idle (const struct dc *dc, const struct dc_job *job)
-{
-  for (uint32_t i = 0; i < dc->spots.n; i++)
-    {
-      const struct dc_worker *w = &dc->workers.v[dc->spots.v[i].worker];
-
-      if (!dc_covers (dc_plus (w->free, w->held, -1),
-                      dc_need (job, dc->spots.v[i].tasks)))
-        return false;
-    }
-  return true;
-}
-
-/* Moves CELL to where JOB can start at once, if there is such a worker.  */
-static bool
-move_to_idle (struct dc *dc, uint32_t cell, const struct dc_job *job,
-              enum dc_level level)
-{
-  if (level != DC_LEVEL_WORKER)
-    return false;
-  if (dc_cell_move (dc, cell) && dc_charge_spots (dc, cell, job, level, false)
-      && spots_are_idle (dc, job))
-    return true;
-  return search (dc, job, DC_CAP_IDLE)
-         && dc_cell_displace (dc, cell, dc->spots.v[0].worker)
-         && dc_charge_spots (dc, cell, job, level, false)
-         && spots_are_idle (dc, job);
-}
-
-static int
-place_in_cell (struct dc *dc, uint32_t id, uint32_t cell)
-{
-  const struct dc_job *job = &dc->jobs.v[id];
-  enum dc_level level = dc_level_of (dc, job->spec.tasks, job->spec.per_task);
-
-  if (!dc_charge_spots (dc, cell, job, level, false))
-    {
-      dc_charge_release (dc, cell, true);
-      if (!dc_charge_spots (dc, cell, job, level, false))
-        return DC_EBROKEN;
-    }
-  if (spots_are_idle (dc, job))
-    return start (dc, id, DC_KIND_GUARANTEED, cell);
-  if (move_to_idle (dc, cell, job, level))
-    return start (dc, id, DC_KIND_GUARANTEED, cell);
-  if (search (dc, job, job->spec.preemptible ? DC_CAP_IDLE : DC_CAP_FIRM))
-    return start (dc, id, job->spec.preemptible ? DC_KIND_SOFT : DC_KIND_HARD,
-                  DC_NONE);
-  if (!dc_charge_spots (dc, cell, job, level, false))
-    return DC_EBROKEN;
-  return pend (dc, id, DC_KIND_GUARANTEED, cell);
-}
-
 static bool
 head_before (const struct dc *dc, uint32_t a, uint32_t b)
 {
@@ -192,7 +72,7 @@
 
   while (!error
          && (id = next_guaranteed (dc, account, class, &cell)) != DC_NONE)
-    error = place_in_cell (dc, id, cell);
+    error = dc_place_in_cell (dc, id, cell);
   return error;
 }
 
@@ -219,91 +99,6 @@
   return error;
 }
 
-/* Makes room for a job outside the guarantee by preemption.  */
-static int
-preempt_for (struct dc *dc, uint32_t id, bool *done)
-{
-  const struct dc_job *job = &dc->jobs.v[id];
-  bool hard = !job->spec.preemptible;
-  int32_t cost;
-
-  *done = false;
-  if (job->spec.class == DC_URGENT && hard)
-    {
-      *done = search (dc, job, DC_CAP_UNRESERVED);
-      return *done ? pend (dc, id, DC_KIND_HARD, DC_NONE) : DC_OK;
-    }
-  cost = dc_room_plan (
-      dc, job, dc_level_of (dc, job->spec.tasks, job->spec.per_task), false);
-  *done = cost >= 0;
-  return *done ? pend (dc, id, hard ? DC_KIND_HARD : DC_KIND_SOFT, DC_NONE)
-               : DC_OK;
-}
-
-static int32_t
-idle_accelerators (const struct dc *dc)
-{
-  int32_t n = 0;
-
-  for (uint32_t d = 0; d < dc->domains.n; d++)
-    n += dc->domains.v[d].cap[DC_CAP_IDLE].accelerators;
-  return n;
-}
-
-/* Whether N accelerators of idle room can go to bulk work without touching
-   what urgent arrivals of the next checkpoint are expected to need.  */
-static bool
-leaves_reserve (const struct dc *dc, int32_t n)
-{
-  return n == 0 || idle_accelerators (dc) - n >= dc_learn_reserve (dc);
-}
-
-/* Bulk work does not start while an urgent gang that its room could hold
-   waits for a checkpoint.  */
-static bool
-behind_urgent (const struct dc *dc, const struct dc_job *job)
-{
-  if (job->spec.class == DC_URGENT || dc->config.policy != DC_POLICY_DEFAULT)
-    return false;
-  return dc_pending_urgent (dc, job);
-}
-
-static int
-place_default (struct dc *dc, uint32_t id, bool *done)
-{
-  const struct dc_job *job = &dc->jobs.v[id];
-  bool hard = !job->spec.preemptible;
-
-  *done = false;
-  if (behind_urgent (dc, job)
-      || (job->spec.class == DC_BULK
-          && !leaves_reserve (dc, job->spec.tasks * job->spec.per_task)))
-    return DC_OK;
-  *done = true;
-  if (search (dc, job, hard ? DC_CAP_FIRM : DC_CAP_IDLE))
-    return start (dc, id, hard ? DC_KIND_HARD : DC_KIND_SOFT, DC_NONE);
-  if (job->spec.class == DC_URGENT && hard)
-    return preempt_for (dc, id, done);
-  *done = false;
-  return DC_OK;
-}
-
-static int
-place_baseline (struct dc *dc, uint32_t id, bool *done)
-{
-  const struct dc_job *job = &dc->jobs.v[id];
-
-  if (dc->config.policy == DC_POLICY_FIFO_FIRST_FIT)
-    {
-      struct dc_want want = want_of (dc, job, true);
-
-      *done = dc_search_first (dc, &want);
-    }
-  else
-    *done = search (dc, job, DC_CAP_IDLE);
-  return *done ? start (dc, id, DC_KIND_SOFT, DC_NONE) : DC_OK;
-}
-
 static int
 run_queues (struct dc *dc)
 {
@@ -313,8 +108,8 @@
       uint32_t id = dc->queues.v[queue].jobs.v[0];
       bool done;
       int error = dc->config.policy == DC_POLICY_DEFAULT
-                      ? place_default (dc, id, &done)
-                      : place_baseline (dc, id, &done);
+                      ? dc_place_default (dc, id, &done)
+                      : dc_place_baseline (dc, id, &done);
 
       if (error)
         return error;
@@ -343,10 +138,10 @@
       int error;
 
       if (q->jobs.n == 0 || q->tasks * q->per_task == 0
-          || !leaves_reserve (dc, q->tasks * q->per_task))
+          || !dc_place_leaves_reserve (dc, q->tasks * q->per_task))
         continue;
       plans++;
-      error = preempt_for (dc, q->jobs.v[0], &done);
+      error = dc_place_by_preemption (dc, q->jobs.v[0], &done);
       if (error)
         return error;
     }
@@ -455,7 +250,7 @@
           if (dc_add_spot (dc, id, j->spec.tasks))
             return DC_ENOMEM;
           dc->workers.v[id].probing = true;
-          if (start (dc, job, DC_KIND_SOFT, DC_NONE))
+          if (dc_place_start (dc, job, DC_KIND_SOFT, DC_NONE))
             return DC_ENOMEM;
           break;
         }
@@ -463,49 +258,6 @@
   return DC_OK;
 }
 
-/* Starts a pending gang where room fell idle, or leaves it pending.  */
-static int
-try_idle (struct dc *dc, uint32_t id)
-{
-  const struct dc_job *job = &dc->jobs.v[id];
-  uint32_t cell = job->cell;
-  bool moved;
-  int error;
-
-  dc_gang_unplace (dc, id);
-  moved = move_to_idle (dc, cell, job, DC_LEVEL_WORKER);
-  if (!moved)
-    dc_charge_spots (dc, cell, job, DC_LEVEL_WORKER, false);
-  error = dc_gang_place (dc, id, DC_KIND_GUARANTEED, cell);
-  if (error || !moved)
-    return error;
-  dc_pending_unlink (dc, id);
-  dc_gang_start (dc, id);
-  return DC_OK;
-}
-
-/* Starts urgent gangs that wait for a checkpoint where room fell idle.  */
-static int
-run_waiting (struct dc *dc)
-{
-  uint32_t id = dc->pending;
-  int error = DC_OK;
-
-  while (id != DC_NONE && !error)
-    {
-      const struct dc_job *job = &dc->jobs.v[id];
-      uint32_t next = job->pending_next;
-
-      if (job->spec.class == DC_URGENT && job->cell != DC_NONE
-          && job->level == DC_LEVEL_WORKER && dc->cells.v[job->cell].jobs == 1
-          && dc->cells.v[job->cell].parts == 1
-          && search (dc, job, DC_CAP_IDLE))
-        error = try_idle (dc, id);
-      id = next;
-    }
-  return error;
-}
-
 int
 dc_run (struct dc *dc)
 {
@@ -528,7 +280,7 @@
     {
       dc->freed = false;
       dc_pending_walk (dc);
-      error = run_waiting (dc);
+      error = dc_place_waiting (dc);
       if (error)
         return error;
       dc_queue_unblock (dc);
--- a/src/decide/state.h
+++ b/src/decide/state.h
@@ -420,10 +420,20 @@
 void dc_health_back (struct dc *dc, uint32_t worker);
 void dc_worker_close (struct dc *dc, uint32_t worker);
 
+/* place.c */
+int dc_place_start (struct dc *dc, uint32_t job, enum dc_kind kind,
+                    uint32_t cell);
+int dc_place_in_cell (struct dc *dc, uint32_t job, uint32_t cell);
+int dc_place_by_preemption (struct dc *dc, uint32_t job, bool *done);
+int dc_place_default (struct dc *dc, uint32_t job, bool *done);
+int dc_place_baseline (struct dc *dc, uint32_t job, bool *done);
+int dc_place_waiting (struct dc *dc);
+bool dc_place_leaves_reserve (const struct dc *dc, int32_t accelerators);
+bool dc_retry_later (struct dc *dc, const struct dc_job *job);
+
 /* run.c */
 int dc_run (struct dc *dc);
 int64_t dc_run_next (const struct dc *dc);
-bool dc_retry_later (struct dc *dc, const struct dc_job *job);
 
 /* check.c */
 int dc_check (struct dc *dc);
--- a/tests/decide/bench_policy.c
+++ b/tests/decide/bench_policy.c
@@ -266,8 +266,10 @@
   printf ("%15s | urgent within (p50 max p90) | beyond (p50 max) | bulk "
           "completion (p50 p99) | frag, used | preempted, starts\n",
           "policy, load");
-  for (double load = 0.85; load < 0.96; load += 0.05)
+  for (int percent = 85; percent <= 95; percent += 5)
     {
+      double load = percent / 100.0;
+
       error |= play ("fifo", (struct dc_config){ .policy = 1 }, load, seed);
       error
           |= play ("best-fit", (struct dc_config){ .policy = 2 }, load, seed);
--- a/tests/decide/test_decide.c
+++ b/tests/decide/test_decide.c
@@ -52,6 +52,280 @@
   ff_fini (&f);
 }
 
+static void
+two_racks (struct ff_fleet *f, const struct dc_config *config)
+{
+  ff_init (f, config);
+  for (uint32_t w = 0; w < 4; w++)
+    ff_worker (f, w, w / 2, 0, 8, 8);
+}
+
+static void
+test_too_large_is_refused (void)
+{
+  struct ff_fleet f;
+
+  two_racks (&f, &checked);
+  ff_submit (&f, bulk (0, 1, 9), 1000);
+  ff_submit (&f, bulk (0, 5, 8), 1000);
+  ff_submit (&f, bulk (0, 33, 0), 1000);
+  ff_submit (&f, bulk (0, 4, 8), 1000);
+  ff_run (&f, 10000);
+  for (int i = 0; i < 3; i++)
+    CU_ASSERT_EQUAL (f.job[i].state, FF_REFUSED);
+  CU_ASSERT_EQUAL (f.job[3].state, FF_DONE);
+  CU_ASSERT_EQUAL (f.error, 0);
+  ff_fini (&f);
+}
+
+static void
+test_gang_is_adjacent (void)
+{
+  struct ff_fleet f;
+  uint32_t small, large;
+
+  two_racks (&f, &checked);
+  small = ff_submit (&f, bulk (0, 4, 2), 5000);
+  large = ff_submit (&f, bulk (0, 2, 8), 5000);
+  ff_run (&f, 100);
+  for (int t = 1; t < 4; t++)
+    CU_ASSERT_EQUAL (f.job[small].place[t].worker,
+                     f.job[small].place[0].worker);
+  CU_ASSERT_EQUAL (f.job[large].place[0].worker / 2,
+                   f.job[large].place[1].worker / 2);
+  CU_ASSERT_EQUAL (f.error, 0);
+  ff_fini (&f);
+}
+
+static void
+test_plans_fit_together_or_not (void)
+{
+  static const struct dc_fleet_worker fleet[]
+      = { { 0, 0, 8, 8 }, { 0, 0, 8, 8 }, { 1, 0, 8, 8 } };
+  struct dc_guarantee g[]
+      = { { 0, 1, { { 16, 1 } } }, { 1, 1, { { 4, 2 } } } };
+  const char *reason;
+
+  CU_ASSERT_EQUAL (dc_plans_fit (fleet, 3, g, 2, 0, &reason), DC_OK);
+  CU_ASSERT_EQUAL (dc_plans_fit (fleet, 3, g, 2, 1, &reason), DC_EINVAL);
+  CU_ASSERT_PTR_NOT_NULL (reason);
+  g[1].shape[0].count = 3;
+  CU_ASSERT_EQUAL (dc_plans_fit (fleet, 3, g, 2, 0, &reason), DC_EINVAL);
+}
+
+static void
+test_plan_event_agrees (void)
+{
+  struct ff_fleet f;
+
+  two_racks (&f, &checked);
+  ff_plan (&f, 0, 8, 3);
+  ff_plan (&f, 1, 4, 3);
+  ff_plan (&f, 1, 4, 2);
+  CU_ASSERT_EQUAL (f.accepted, 2);
+  CU_ASSERT_EQUAL (f.refused, 1);
+  f.version = 0;
+  ff_plan (&f, 0, 1, 1);
+  CU_ASSERT_EQUAL (f.accepted, 2);
+  ff_fini (&f);
+}
+
+static void
+test_slots_do_not_block_a_guarantee (void)
+{
+  struct ff_fleet f;
+  struct dc_job_spec spec = urgent (0, 1, 0);
+  uint32_t job;
+
+  ff_init (&f, &checked);
+  ff_worker (&f, 0, 0, 0, 8, 8);
+  ff_plan (&f, 1, 8, 1);
+  for (int i = 0; i < 4; i++)
+    ff_submit (&f, spec, 100000);
+  ff_run (&f, 100);
+  CU_ASSERT_EQUAL (f.job[0].state, FF_WAITING);
+  job = ff_submit (&f, urgent (1, 8, 1), 1000);
+  ff_run (&f, 200);
+  CU_ASSERT_EQUAL (f.job[job].state, FF_RUNNING);
+  CU_ASSERT_EQUAL (f.error, 0);
+  ff_fini (&f);
+}
+
+static void
+test_fixed_work_keeps_off_cells (void)
+{
+  struct ff_fleet f;
+  struct dc_job_spec spec = bulk (0, 1, 8);
+
+  ff_init (&f, &checked);
+  ff_worker (&f, 0, 0, 0, 8, 8);
+  ff_worker (&f, 1, 0, 0, 8, 8);
+  ff_plan (&f, 1, 8, 1);
+  spec.preemptible = 0;
+  ff_submit (&f, spec, 100000);
+  ff_submit (&f, spec, 100000);
+  ff_run (&f, 100);
+  CU_ASSERT_EQUAL (f.job[0].state, FF_RUNNING);
+  CU_ASSERT_EQUAL (f.job[1].state, FF_WAITING);
+  CU_ASSERT_EQUAL (f.error, 0);
+  ff_fini (&f);
+}
+
+static void
+test_lost_work (void)
+{
+  struct ff_fleet f;
+  struct dc_job_spec once = bulk (0, 1, 8);
+
+  ff_init (&f, &checked);
+  ff_worker (&f, 0, 0, 0, 8, 8);
+  ff_worker (&f, 1, 0, 0, 8, 8);
+  once.repeatable = 0;
+  ff_submit (&f, once, 10000);
+  ff_submit (&f, bulk (0, 1, 8), 10000);
+  ff_run (&f, 100);
+  ff_worker_event (&f, DC_EV_DOWN, 0);
+  ff_worker_event (&f, DC_EV_DOWN, 1);
+  CU_ASSERT_EQUAL (f.job[0].state, FF_UNKNOWN);
+  CU_ASSERT_EQUAL (f.job[1].state, FF_WAITING);
+  ff_worker (&f, 1, 0, 0, 8, 8);
+  ff_run (&f, 60000);
+  CU_ASSERT_EQUAL (f.job[0].starts, 1);
+  CU_ASSERT_EQUAL (f.job[1].state, FF_DONE);
+  CU_ASSERT_EQUAL (f.job[1].attempt, 2);
+  ff_fini (&f);
+}
+
+static void
+test_leaving_worker_ends_its_work (void)
+{
+  struct ff_fleet f;
+
+  ff_init (&f, &checked);
+  ff_worker (&f, 0, 0, 0, 8, 8);
+  ff_submit (&f, bulk (0, 1, 4), 5000);
+  ff_run (&f, 100);
+  ff_worker_event (&f, DC_EV_LEAVING, 0);
+  ff_submit (&f, bulk (0, 1, 4), 5000);
+  ff_run (&f, 20000);
+  CU_ASSERT_EQUAL (f.job[0].state, FF_DONE);
+  CU_ASSERT_EQUAL (f.job[1].state, FF_WAITING);
+  ff_fini (&f);
+}
+
+static void
+test_cancel_anywhere (void)
+{
+  struct ff_fleet f;
+
+  ff_init (&f, &checked);
+  ff_worker (&f, 0, 0, 0, 8, 8);
+  ff_plan (&f, 1, 8, 1);
+  ff_submit (&f, bulk (0, 1, 8), 50000);
+  ff_submit (&f, bulk (0, 1, 8), 50000);
+  ff_run (&f, 100);
+  ff_submit (&f, urgent (1, 1, 8), 1000);
+  ff_run (&f, 200);
+  for (uint32_t i = 0; i < 3; i++)
+    ff_cancel (&f, i);
+  ff_run (&f, 9000);
+  for (int i = 0; i < 3; i++)
+    CU_ASSERT_EQUAL (f.job[i].state, FF_CANCELLED);
+  ff_submit (&f, urgent (1, 1, 8), 1000);
+  ff_run (&f, 9001);
+  CU_ASSERT_EQUAL (f.job[3].state, FF_RUNNING);
+  CU_ASSERT_EQUAL (f.error, 0);
+  ff_fini (&f);
+}
+
+static void
+test_poison_job_ends_and_spares_workers (void)
+{
+  struct ff_fleet f;
+
+  two_racks (&f, &checked);
+  for (int i = 0; i < 6; i++)
+    f.job[ff_submit (&f, bulk (0, 1, 1), 1500)].fails = 1;
+  ff_run (&f, 200000);
+  for (int i = 0; i < 6; i++)
+    {
+      CU_ASSERT_EQUAL (f.job[i].state, FF_FAILED);
+      CU_ASSERT (f.job[i].starts <= 12);
+    }
+  CU_ASSERT_EQUAL (f.quarantines, 0);
+  ff_fini (&f);
+}
+
+static void
+test_bad_worker_is_quarantined_and_readmitted (void)
+{
+  struct ff_fleet f;
+
+  two_racks (&f, &checked);
+  f.fails_all[2] = 1;
+  for (int i = 0; i < 40; i++)
+    ff_submit (&f, bulk (0, 1, 2), 8000);
+  ff_run (&f, 50000);
+  CU_ASSERT_EQUAL (f.quarantined[2], 1);
+  CU_ASSERT_EQUAL (f.quarantines, 1);
+  for (int i = 0; i < 40; i++)
+    CU_ASSERT_EQUAL (f.job[i].state, FF_DONE);
+  f.fails_all[2] = 0;
+  ff_run (&f, 100000);
+  CU_ASSERT_EQUAL (f.quarantined[2], 0);
+  for (int i = 0; i < 20; i++)
+    ff_submit (&f, bulk (0, 1, 8), 3000);
+  ff_run (&f, 200000);
+  CU_ASSERT_EQUAL (f.quarantines, 1);
+  CU_ASSERT_EQUAL (f.error, 0);
+  ff_fini (&f);
+}
+
+static void
+test_large_gang_starts_among_small_jobs (void)
+{
+  struct ff_fleet f;
+  uint32_t gang;
+
+  two_racks (&f, &checked);
+  gang = 0;
+  for (int i = 0; i < 3000 && !f.error; i++)
+    {
+      struct dc_job_spec spec = bulk (0, 1, 2);
+
+      spec.preemptible = 0;
+      ff_submit (&f, spec, 9000);
+      if (i == 100)
+        gang = ff_submit (&f, bulk (1, 2, 8), 1000);
+      ff_run (&f, f.now_ms + 500);
+    }
+  CU_ASSERT (f.job[gang].starts > 0);
+  CU_ASSERT_EQUAL (f.error, 0);
+  ff_fini (&f);
+}
+
+static void
+test_adopt (void)
+{
+  struct ff_fleet f;
+  struct dc_place place[] = { { 1, 0x0f }, { 1, 0xf0 } };
+  struct dc_event e = { .kind = DC_EV_ADOPT };
+
+  two_racks (&f, &checked);
+  ff_plan (&f, 0, 8, 1);
+  e.u.adopt.job = ff_submit (&f, urgent (0, 2, 4), 1000);
+  e.u.adopt.attempt = 3;
+  e.u.adopt.place = place;
+  ff_apply (&f, &e);
+  e.u.adopt.job = ff_submit (&f, urgent (1, 2, 4), 1000);
+  e.at_ms = f.now_ms;
+  CU_ASSERT_EQUAL (dc_apply (f.dc, &e), DC_EINVAL);
+  ff_run (&f, 100);
+  CU_ASSERT (f.job[1].place[0].worker != 1);
+  CU_ASSERT_EQUAL (f.error, 0);
+  ff_fini (&f);
+}
+
 static void
 random_event (struct ff_fleet *f, gsl_rng *r, int workers, int accounts)
 {
@@ -131,6 +405,20 @@
   CU_initialize_registry ();
   suite = CU_add_suite ("decide", NULL, NULL);
   CU_add_test (suite, "guarantee is reclaimed", test_guarantee_is_reclaimed);
+  CU_add_test (suite, "too large is refused", test_too_large_is_refused);
+  CU_add_test (suite, "gang is adjacent", test_gang_is_adjacent);
+  CU_add_test (suite, "plans fit", test_plans_fit_together_or_not);
+  CU_add_test (suite, "plan event", test_plan_event_agrees);
+  CU_add_test (suite, "slots", test_slots_do_not_block_a_guarantee);
+  CU_add_test (suite, "fixed work", test_fixed_work_keeps_off_cells);
+  CU_add_test (suite, "lost work", test_lost_work);
+  CU_add_test (suite, "leaving", test_leaving_worker_ends_its_work);
+  CU_add_test (suite, "cancel", test_cancel_anywhere);
+  CU_add_test (suite, "poison job", test_poison_job_ends_and_spares_workers);
+  CU_add_test (suite, "bad worker",
+               test_bad_worker_is_quarantined_and_readmitted);
+  CU_add_test (suite, "large gang", test_large_gang_starts_among_small_jobs);
+  CU_add_test (suite, "adopt", test_adopt);
   CU_add_test (suite, "random runs", test_random_runs_break_nothing);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
