Check that room promised to pending gangs is free or being freed

Cause: a trial that gave held room away passed all tests. Change: one more invariant in the recount.

--- a/src/decide/check.c
+++ b/src/decide/check.c
@@ -208,6 +208,8 @@
           "the books of a worker agree with a recount");
   if (!dc_worker_open (w))
     return;
+  expect (k, dc_covers (dc_plus (w->free, r->stopping, 1), r->held),
+          "room promised to a pending gang is free or being freed");
   expect (k, dc_covers (w->total, firm),
           "cells and work that cannot be preempted fit together");
   expect (k, dc_covers (can_free, rest),
