--- a/src/decide/learn.c
+++ b/src/decide/learn.c
@@ -6,8 +6,8 @@
 static const double learn_rate = 0.1; /* weight of the newest run */
 static const double most_ratio = 20;  /* learned over declared, either way */
 
+static const double order_factor = 4;  /* delay over expected run time */
 static const double window_ms = 60000; /* of the urgent arrivals */
-static const double idle_share = 0.01; /* most of the fleet kept idle */
 
 /* Notes the submission of an urgent gang.  */
 void
@@ -33,7 +33,6 @@
                      ? 2 * completion / (completion + fragmentation)
                      : 1;
 
-  (void)idle_share;
   return (int32_t)ceil (expected * DC_CHECKPOINT_MS * share);
 }
 
@@ -57,7 +56,7 @@
 {
   double run = (double)dc_learn_predict (dc, job);
 
-  return (int64_t)(dc->config.weight_completion * run);
+  return (int64_t)(dc->config.weight_completion * order_factor * run);
 }
 
 void
--- a/src/decide/run.c
+++ b/src/decide/run.c
@@ -3,7 +3,7 @@
 
 enum
 {
-  AGE_LIMIT_MS = 60000,  /* a blocked gang has a place drained then */
+  AGE_LIMIT_MS = 300000, /* a blocked gang has a place drained then */
   REPLAN_MS = 3000,      /* a pending gang whose room was taken is queued */
   REDRAIN_MS = 600000,   /* a place drained for so long is given up */
   MAX_SOFT_PENDING = 16, /* gangs that room is being made for */
