Lend the reserve for urgent work again when it is not needed

Cause: the reserve was rounded up and decayed for ever, and nothing looked at it again, so borrowed work never came back to idle room on small fleets. Change: rounded down, at most a sixteenth of the fleet; jobs that keep off it are tried again after a checkpoint, and use it after 30 s.

--- a/src/decide/learn.c
+++ b/src/decide/learn.c
@@ -6,8 +6,8 @@
 static const double learn_rate = 0.1; /* weight of the newest run */
 static const double most_ratio = 20;  /* learned over declared, either way */
 
-static const double window_ms = 60000; /* of the urgent arrivals */
-static const double idle_share = 0.01; /* most of the fleet kept idle */
+static const double window_ms = 60000;     /* of the urgent arrivals */
+static const double idle_share = 1.0 / 16; /* most of the fleet kept idle */
 
 /* Notes the submission of an urgent gang.  */
 void
@@ -33,8 +33,8 @@
                      ? 2 * completion / (completion + fragmentation)
                      : 1;
 
-  (void)idle_share;
-  return (int32_t)ceil (expected * DC_CHECKPOINT_MS * share);
+  return (int32_t)fmin (expected * DC_CHECKPOINT_MS * share,
+                        idle_share * (double)dc->accelerators);
 }
 
 /* Expected run time of JOB in ms.  */
--- a/src/decide/place.c
+++ b/src/decide/place.c
@@ -4,7 +4,8 @@
 
 enum
 {
-  RETRY_MS = 10000 /* a job waits so long for a worker new to it */
+  RESERVE_WAIT_MS = 30000, /* then bulk work may use the urgent reserve */
+  RETRY_MS = 10000         /* a job waits so long for a worker new to it */
 };
 
 static struct dc_want
@@ -18,6 +19,13 @@
                            .avoids = avoid ? job->failures : 0 };
 }
 
+static void
+retry_at (struct dc *dc, int64_t at_ms)
+{
+  if (dc->retry_ms < 0 || at_ms < dc->retry_ms)
+    dc->retry_ms = at_ms;
+}
+
 /* Whether JOB, which failed before, still waits for a worker new to it.  */
 bool
 dc_retry_later (struct dc *dc, const struct dc_job *job)
@@ -26,8 +34,7 @@
 
   if (retry <= dc->now_ms)
     return false;
-  if (dc->retry_ms < 0 || retry < dc->retry_ms)
-    dc->retry_ms = retry;
+  retry_at (dc, retry);
   return true;
 }
 
@@ -175,6 +182,19 @@
   return dc_pending_urgent (dc, job);
 }
 
+/* Bulk work leaves the reserve alone until it has waited for long enough;
+   the reserve shrinks without an event, so it is looked at again.  */
+static bool
+keeps_off (struct dc *dc, const struct dc_job *job)
+{
+  if (job->spec.class != DC_BULK
+      || dc->now_ms - job->submit_ms >= RESERVE_WAIT_MS
+      || dc_place_leaves_reserve (dc, job->spec.tasks * job->spec.per_task))
+    return false;
+  retry_at (dc, dc->now_ms + DC_CHECKPOINT_MS);
+  return true;
+}
+
 int
 dc_place_default (struct dc *dc, uint32_t id, bool *done)
 {
@@ -182,10 +202,7 @@
   bool hard = !job->spec.preemptible;
 
   *done = false;
-  if (behind_urgent (dc, job)
-      || (job->spec.class == DC_BULK
-          && !dc_place_leaves_reserve (dc,
-                                       job->spec.tasks * job->spec.per_task)))
+  if (behind_urgent (dc, job) || keeps_off (dc, job))
     return DC_OK;
   *done = true;
   if (search (dc, job, hard ? DC_CAP_FIRM : DC_CAP_IDLE))
