--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -217,9 +217,12 @@
   struct pr_key_file keys; /* in use; empty without CURVE */
 };
 
-/* core.c: the loop.  */
+/* start.c */
 int en_core_init (struct en_core *core, const struct en_settings *set);
 void en_core_fini (struct en_core *core);
+/* core.c: the loop.  */
+/* Passes the time to every request in progress.  */
+void en_tick (void *arg, int64_t now_ms);
 /* Runs until en_core_stop and until nothing is left to finish.  */
 void en_core_run (struct en_core *core);
 void en_push (struct en_core *core, struct en_event *ev);
@@ -261,6 +264,19 @@
    object with "version" and "value", or NULL when it is absent.  */
 json_t *en_row (json_t *data, const char *key);
 
+/* The table of calls' and jobs' keys.  */
+#define EN_REQUESTS "requests"
+
+/* claim.c: the row of a call that may not be repeated.  */
+void en_claim (struct en_core *core, struct en_request *req);
+void en_record (struct en_core *core, struct en_request *req);
+void en_mark_unknown (struct en_core *core, struct en_request *req);
+/* Each reads what the table shows into EV, whose reply is set.  */
+void en_read_claim (struct en_core *core, struct en_request *req,
+                    const struct en_event *in, struct fl_call_event *ev);
+void en_read_record (struct en_request *req, const struct en_event *in,
+                     struct fl_call_event *ev);
+
 /* call.c */
 void en_call_begin (struct en_core *core, struct en_request *req);
 void en_call_event (struct en_core *core, struct en_request *req,
@@ -328,6 +344,15 @@
 void en_tell_config (struct en_core *core, const char *list);
 /* True when the VM that made TOKEN is known to be gone.  */
 int en_is_dead (struct en_core *core, const char *vm, const char *token);
+void en_send_all (struct en_core *core, const struct pr_message *m);
+/* Finds, or with ADD makes, what is known of a daemon; NULL without.  */
+struct en_peer *en_peer_of (struct en_core *core, const char *vm, int role,
+                            int add);
+
+/* usage.c */
+void en_send_usage (struct en_core *core);
+void en_on_usage (struct en_core *core, const struct pr_usage *u);
+/* Sets what each account may use in the next period.  */
 void en_limits (struct en_core *core);
 
 #endif
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -156,7 +156,7 @@
 {
   static struct en_core core;
   struct en_settings set;
-  pthread_t thread;
+  struct bs_thread thread;
   int64_t cut;
 
   opt_parse (defs, &set, argc, argv, "[SETTINGS]",
@@ -176,8 +176,7 @@
                        "and --peer-keys\n");
       return EXIT_USAGE;
     }
-  if (listen_http (&core, &set)
-      || pthread_create (&thread, NULL, run_core, &core))
+  if (listen_http (&core, &set) || bs_thread_start (&thread, run_core, &core))
     return EXIT_FAILURE;
   printf ("listening %.*s:%d\n", (int)strcspn (set.listen, ":"), set.listen,
           hs_port (core.server));
@@ -188,7 +187,7 @@
     continue;
   drain (&core, &set);
   atomic_store (&core.stop, 1);
-  pthread_join (thread, NULL);
+  bs_thread_join (&thread);
   cut = hs_cut (core.server);
   hs_free (core.server);
   en_core_fini (&core);
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -72,8 +72,8 @@
                                lg_int ("error", error) });
 }
 
-static void
-send_all (struct en_core *core, const struct pr_message *m)
+void
+en_send_all (struct en_core *core, const struct pr_message *m)
 {
   if (core->net)
     pr_send (core->net, NULL, m);
@@ -94,7 +94,7 @@
   h->stamp_ms = core->now_ms;
   h->plans_version = cf_version (&core->config, CF_PLANS);
   h->allowances_version = cf_version (&core->config, CF_ALLOWANCES);
-  send_all (core, m);
+  en_send_all (core, m);
   g_free (m);
 }
 
@@ -143,30 +143,6 @@
   core->dialled = n;
 }
 
-static void
-send_usage (struct en_core *core)
-{
-  struct pr_message *m = g_new0 (struct pr_message, 1);
-  struct pr_usage *u = &m->u.usage;
-
-  m->kind = PR_USAGE;
-  g_strlcpy (u->vm, core->set->vm, sizeof u->vm);
-  for (int i = 0; i < core->env.accounts && u->count < PR_MAX_USAGE; i++)
-    {
-      const struct fl_account *a = &core->env.account[i];
-      struct pr_use *use = &u->use[u->count];
-
-      if (!a->limit.admitted && !a->limit.peak_in_progress)
-        continue;
-      g_strlcpy (use->account, a->name, sizeof use->account);
-      use->calls_in_progress = a->limit.peak_in_progress;
-      use->calls_last_second = a->limit.admitted;
-      u->count++;
-    }
-  send_all (core, m);
-  g_free (m);
-}
-
 void
 en_heartbeat (void *arg, int64_t now_ms)
 {
@@ -175,12 +151,12 @@
   (void)now_ms;
   read_keys (core);
   send_heartbeat (core);
-  send_usage (core);
+  en_send_usage (core);
   en_limits (core);
 }
 
-static struct en_peer *
-peer_of (struct en_core *core, const char *vm, int role, int add)
+struct en_peer *
+en_peer_of (struct en_core *core, const char *vm, int role, int add)
 {
   struct en_peer *p;
 
@@ -229,7 +205,7 @@
 
   if (h->role == PR_ENTRY && !strcmp (h->vm, core->set->vm))
     return;
-  p = peer_of (core, h->vm, h->role, 1);
+  p = en_peer_of (core, h->vm, h->role, 1);
   if (!p)
     return;
   is_new = strcmp (p->address, h->address) != 0;
@@ -249,45 +225,6 @@
     en_poll_config (core);
 }
 
-static int
-account_handle (const struct en_core *core, const char *name)
-{
-  for (int i = 0; i < core->env.accounts; i++)
-    if (!strcmp (core->env.account[i].name, name))
-      return i;
-  return FL_NO_ACCOUNT;
-}
-
-static void
-on_usage (struct en_core *core, const struct pr_usage *u)
-{
-  struct en_peer *p = peer_of (core, u->vm, PR_ENTRY, 0);
-
-  if (!p)
-    return;
-  if (p->room < core->env.accounts)
-    {
-      p->room = core->env.accounts;
-      p->rate = g_renew (int32_t, p->rate, p->room);
-      p->busy = g_renew (int32_t, p->busy, p->room);
-    }
-  if (p->room)
-    {
-      memset (p->rate, 0, sizeof *p->rate * (size_t)p->room);
-      memset (p->busy, 0, sizeof *p->busy * (size_t)p->room);
-    }
-  p->usage_ms = core->now_ms;
-  for (int i = 0; i < u->count; i++)
-    {
-      int a = account_handle (core, u->use[i].account);
-
-      if (a < 0)
-        continue;
-      p->rate[a] = u->use[i].calls_last_second;
-      p->busy[a] = u->use[i].calls_in_progress;
-    }
-}
-
 void
 en_on_peer (struct en_core *core, const struct pr_message *m)
 {
@@ -308,7 +245,7 @@
       en_feed (core);
       break;
     case PR_USAGE:
-      on_usage (core, &m->u.usage);
+      en_on_usage (core, &m->u.usage);
       break;
     case PR_JOB:
       break; /* for schedulers */
@@ -322,7 +259,7 @@
     if (!strcmp (core->fleet.cell[i].cell, cell))
       {
         struct en_peer *p
-            = peer_of (core, core->fleet.cell[i].holder, PR_SCHED, 0);
+            = en_peer_of (core, core->fleet.cell[i].holder, PR_SCHED, 0);
 
         return p ? p->address : NULL;
       }
@@ -352,14 +289,15 @@
   m->kind = PR_CONFIG;
   g_strlcpy (m->u.config.list, list, sizeof m->u.config.list);
   m->u.config.version = cf_version (&core->config, list) + 1;
-  send_all (core, m);
+  en_send_all (core, m);
   g_free (m);
 }
 
 static int
 is_silent (struct en_core *core, const char *vm)
 {
-  return strcmp (vm, core->set->vm) != 0 && !peer_of (core, vm, PR_ENTRY, 0);
+  return strcmp (vm, core->set->vm) != 0
+         && !en_peer_of (core, vm, PR_ENTRY, 0);
 }
 
 int
@@ -397,49 +335,9 @@
 
   if (!strcmp (vm, core->set->vm))
     return strncmp (token, core->incarnation, EN_INCARNATION) != 0;
-  p = peer_of (core, vm, PR_ENTRY, 0);
+  p = en_peer_of (core, vm, PR_ENTRY, 0);
   if (p)
     return core->now_ms - p->heard_ms > EN_PEER_DEAD_MS;
   return !is_listed (core, vm)
          && core->now_ms - core->started_ms > EN_PEER_DEAD_MS;
 }
-
-/* True when every listed entry VM has told its use lately.  */
-static int
-all_heard (struct en_core *core)
-{
-  for (int i = 0; i < core->pool.entries; i++)
-    {
-      const struct en_peer *p;
-
-      if (!strcmp (core->pool.entry[i], core->set->vm))
-        continue;
-      p = peer_of (core, core->pool.entry[i], PR_ENTRY, 0);
-      if (!p || core->now_ms - p->usage_ms > FL_LIMIT_STALE_MS)
-        return 0;
-    }
-  return 1;
-}
-
-void
-en_limits (struct en_core *core)
-{
-  int vms = core->pool.entries ? core->pool.entries : 1;
-  int heard = all_heard (core);
-
-  for (int a = 0; a < core->env.accounts; a++)
-    {
-      int32_t rate = 0, busy = 0;
-
-      for (int i = 0; i < core->peers; i++)
-        {
-          const struct en_peer *p = &core->peer[i];
-
-          if (a >= p->room || core->now_ms - p->usage_ms > FL_LIMIT_STALE_MS)
-            continue;
-          rate += p->rate[a];
-          busy += p->busy[a];
-        }
-      fl_limit_period (&core->env.account[a].limit, vms, rate, busy, heard);
-    }
-}
