Say of an overloaded VM only what it knows of a key

Cause: beyond max-requests the server's own refusal said 'not run' of any key, also of a repeat, found by reading the answers of an overload trial. Change: it follows the caller's Idempotency-Attempt as the chain does. Measured: check_limits: '503 unknown' wanted, '503 not_run' got before; passes after. Conclusion: every refusal keeps to one rule.

--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -36,16 +36,31 @@
     abort ();
 }
 
+/* The chain has not seen the request: what may be said of its key depends on
+   the caller's word that this is the first attempt.  */
 static void
 answer_overload (struct hs_exchange *ex)
 {
-  hs_answer (ex, &(struct hs_answer){
-                     503,
-                     "application/problem+json",
-                     "{\"type\":\"/problems/overload\",\"title\":"
-                     "\"Overloaded\",\"status\":503,\"detail\":"
-                     "\"this attempt was not run\",\"state\":\"not_run\"}",
-                     { { "Retry-After", "1" } } });
+  const struct hs_request *in = hs_request_of (ex);
+  struct fl_request r = { .op = FL_OP_CALL };
+  struct fl_problem p = { .kind = FL_PROBLEM_NONE };
+  json_t *o;
+  char *text;
+
+  if (in->idempotency_attempt)
+    fl_parse_attempt (in->idempotency_attempt, &r.attempt);
+  fl_problem_set (&p, FL_PROBLEM_OVERLOAD, 0, "this attempt was not run");
+  fl_soften (&r, &p, 0, 0);
+  o = fl_problem_json (&p);
+  if (strcmp (in->method, "POST") != 0)
+    json_object_del (o, "state");
+  text = json_dumps (o, JSON_COMPACT);
+  hs_answer (ex, &(struct hs_answer){ fl_problem_status (p.kind),
+                                      "application/problem+json",
+                                      text,
+                                      { { "Retry-After", "1" } } });
+  free (text);
+  json_decref (o);
 }
 
 /* Runs on a server thread.  */
--- a/tests/entry/check_limits.sh
+++ b/tests/entry/check_limits.sh
@@ -63,4 +63,22 @@
 expect "a third may not" "429 not_run" "$(job e1 q3)"
 full () { [ "$(job e2 q4)" = "429 not_run" ]; }
 expect "on the other VM neither" 0 "$(wait_for 30 full; echo $?)"
+
+start_entry small d1 --max-requests 8
+wait_for 100 has_lists small 3
+put_list e1 allowances 2 "$(allowances)" > /dev/null
+third () { [ "$(operator small /v1/status | jq .allowances_version)" = 3 ]; }
+wait_for 50 third
+for i in 1 2 3 4 5 6 7 8; do
+  first small "full$i" true 20000 3000 > "$work/full$i" &
+  pids[i]=$!
+done
+is_full () { [ "$(status_of "http://${ADDR[small]}/healthz")" = 503 ]; }
+wait_for 50 is_full
+expect "a full VM refuses a first attempt" "503 not_run" \
+  "$(first small over true 5000 10)"
+expect "and does not know of an earlier one" "503 unknown" \
+  "$(call small over true 5000 10)"
+wait "${pids[@]}"
+expect "what was taken in is done" "200 done" "$(sort -u "$work"/full?)"
 exit "$failed"
