Ask refused calls again after an outage

Cause: a refusal tells the caller to come back; that its key then runs, and once, was not shown. Change: scenario store_down_again. Conclusion: a key that was refused is not blocked.

--- a/tests/stand/scenario_store.sh
+++ b/tests/stand/scenario_store.sh
@@ -40,7 +40,22 @@
   verdict "store limited to 60 writes a second"
 }
 
-# Hundreds of calls wait for the store, which then takes 300 writes a second.
+# Callers come back after Retry-After with the same key: each call runs once.
+scenario_store_down_again ()
+{
+  cluster 3 6 || return 1
+  load_start --rate 80 --count 320 --deadline-ms 3000 --prefix "$scenario" \
+    --settle-ms 20000 --again 10 --repeatable-percent 0
+  sleep 1
+  fault platform '{"mode":"down"}'
+  sleep 2
+  fault platform '{"mode":"ok"}'
+  load_end
+  verdict "store down for 2 s, refused calls asked again" \
+    '[ "$(count done)" = 320 ]'
+}
+
+# Hundreds of calls meet an outage; the store then takes 300 writes a second.
 scenario_store_catch_up ()
 {
   WRITES=300 cluster 3 9 || return 1
