--- a/src/decide/learn.c
+++ b/src/decide/learn.c
@@ -3,8 +3,8 @@
 
 #include "state.h"
 
-static const double learn_rate = 0.1;  /* weight of the newest run */
-static const double most_ratio = 20;   /* learned over declared, either way */
+static const double learn_rate = 0.1; /* weight of the newest run */
+static const double most_ratio = 20;  /* learned over declared, either way */
 
 static const double order_factor = 4;      /* delay over expected run time */
 static const double window_ms = 60000;     /* of the urgent arrivals */
