--- a/src/decide/learn.c
+++ b/src/decide/learn.c
@@ -8,6 +8,7 @@
 
 static const double window_ms = 60000;     /* of the urgent arrivals */
 static const double idle_share = 1.0 / 16; /* most of the fleet kept idle */
+static const double order_factor = 4;      /* delay over expected run time */
 
 /* Notes the submission of an urgent gang.  */
 void
@@ -57,7 +58,7 @@
 {
   double run = (double)dc_learn_predict (dc, job);
 
-  return (int64_t)(dc->config.weight_completion * run);
+  return (int64_t)(dc->config.weight_completion * order_factor * run);
 }
 
 void
