--- a/src/config/split.c
+++ b/src/config/split.c
@@ -196,7 +196,8 @@
           g_array_append_val (groups, g);
         }
   }
-  qsort (groups->data, groups->len, sizeof (struct group), by_size_falling);
+  if (groups->len)
+    qsort (groups->data, groups->len, sizeof (struct group), by_size_falling);
   return groups;
 }
 
