--- a/src/control/cell.h
+++ b/src/control/cell.h
@@ -78,7 +78,12 @@
       int64_t since;
       const char *after; /* NULL: from the start */
     } scan;
-    const char *ended;
+    struct
+    {
+      const char *job;
+      const json_t *row;
+      int is_end; /* else the job goes on */
+    } ended;
   } u;
 };
 
--- a/src/control/cell_job.c
+++ b/src/control/cell_job.c
@@ -192,7 +192,9 @@
   struct cl_effect e = { .kind = CL_ENDED, .cell = c };
   struct wk_gang *g = job->gang;
 
-  e.u.ended = job->id;
+  e.u.ended.job = job->id;
+  e.u.ended.row = job->row;
+  e.u.ended.is_end = jb_has_ended (job);
   c->emit (c->arg, &e);
   if (jb_has_ended (job))
     {
--- a/src/sched/io.c
+++ b/src/sched/io.c
@@ -117,7 +117,9 @@
 
   if (effect->kind == CL_ENDED)
     {
-      sc_tell_ended (s, c->name, effect->u.ended);
+      sc_tell_ended (s, c->name, effect->u.ended.job);
+      if (effect->u.ended.is_end)
+        sc_count_ended (s, effect->u.ended.row);
       return;
     }
   e = sc_new_event (s, kinds[effect->kind]);
--- a/src/sched/loop.c
+++ b/src/sched/loop.c
@@ -151,6 +151,7 @@
   tm_subscribe (&s->timers, now, SECOND_MS, sc_heartbeat, s);
   tm_subscribe (&s->timers, now, SECOND_MS, sc_grant, s);
   tm_subscribe (&s->timers, now, SECOND_MS, sc_rebalance, s);
+  tm_subscribe (&s->timers, now, SECOND_MS, sc_count_gauges, s);
   tm_subscribe (&s->timers, now, KEYS_MS, sc_read_keys, s);
 }
 
@@ -166,7 +167,7 @@
   if (cf_init (&s->config) || sc_io_start (s))
     return CT_ENOMEM;
   set_up_cells (s);
-  if (sc_peers_start (s))
+  if (sc_count_start (s) || sc_peers_start (s))
     return CT_EINVAL;
   subscribe (s);
   return pthread_create (&s->thread, NULL, loop_main, s) ? CT_ENOMEM : CT_OK;
@@ -177,6 +178,7 @@
 {
   atomic_store (&s->stop, 1);
   pthread_join (s->thread, NULL);
+  sc_count_stop (s);
   sc_io_stop (s);
   for (int i = 0; i < s->cells; i++)
     {
--- a/src/sched/main.c
+++ b/src/sched/main.c
@@ -19,6 +19,11 @@
   { "vm", OPT_STRING, "", 1, 60, "entry", "name of this VM", FIELD (vm) },
   { "domain", OPT_STRING, "", 1, 60, "d1", "failure domain of this VM",
     FIELD (domain) },
+  { "listen", OPT_STRING, "IP:PORT", 0, 60, "",
+    "address of /metrics and /v1/counters; empty: none", FIELD (listen) },
+  { "operator-digest", OPT_STRING, "", 0, 64, "",
+    "digest of the operators' key, for /v1/counters",
+    FIELD (operator_digest) },
   { "platform", OPT_STRING, "url", 1, 200, "http://127.0.0.1:7000",
     "the platform's table service", FIELD (platform) },
   { "peer", OPT_STRING, "IP:PORT", 9, 60, "127.0.0.1:7201",
@@ -105,6 +110,8 @@
   if (sc_start (&sched, &set))
     fail ("cannot start: check --peer and --peer-keys");
   printf ("listening %s\n", set.peer);
+  if (sched.server)
+    printf ("counters on port %d\n", hs_port (sched.server));
   fflush (stdout);
   field = lg_str ("address", set.peer);
   lg_log (LG_STARTED, 1, &field);
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -15,6 +15,8 @@
 #include "skr/http.h"
 #include "skr/peer.h"
 #include "skr/ring.h"
+#include "skr/serve.h"
+#include "skr/stat.h"
 #include "skr/table.h"
 #include "skr/timer.h"
 
@@ -30,6 +32,7 @@
 struct sc_settings
 {
   const char *vm, *domain, *platform, *peer, *peers, *peer_keys;
+  const char *listen, *operator_digest; /* of the counters */
   const char *log_output;
   int64_t log_level;
   int64_t cell_lease_ms, cell_margin_ms, task_lease_ms;
@@ -88,6 +91,7 @@
   struct cf_store config;
   struct rg_ring ring;
   atomic_int peer_queued, stop, stopped;
+  int shard; /* of the control thread, in STAT */
   struct bs_clock clock;
   struct tm_service timers;
   pthread_t thread;
@@ -105,6 +109,10 @@
   int entries;
   struct gr_book book;
   struct pr_key_file keys;
+
+  struct st_registry stat;
+  int shard;                /* of the control thread */
+  struct hs_server *server; /* NULL: the counters are not served */
 };
 
 /* loop.c */
@@ -132,6 +140,12 @@
 void sc_rebalance (void *sched, int64_t now_ms);
 int64_t sc_take_delay (struct sched *s, struct cl_cell *c);
 
+/* count.c */
+int sc_count_start (struct sched *s);
+void sc_count_stop (struct sched *s);
+void sc_count_ended (struct sched *s, const json_t *row);
+void sc_count_gauges (void *sched, int64_t now_ms);
+
 /* peers.c */
 int sc_peers_start (struct sched *s);
 void sc_dial (struct sched *s);
