--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -111,7 +111,6 @@
   struct pr_key_file keys;
 
   struct st_registry stat;
-  int shard;                /* of the control thread */
   struct hs_server *server; /* NULL: the counters are not served */
 };
 
