Give the place of a task that ends at once from the next moment on

Found: a gang preempted after its run time was over, but for a task on a worker that fails everything, goes on with nothing left to run; its other tasks end in the moment of the start, and the decisions were made a second time in that moment. Ruled out: the core's books (its own recount held at each event), stale places in the actions (they are kept by index), a silent end of a running gang (every caller of dc_gang_unplace read). Change: one round of decisions a moment; what was freed after it is given a millisecond later. Conclusion: a fault of the fake workers' clock, not of the decisions; a reader that takes a trace moment by moment now never sees it.

--- a/src/replay/replay.h
+++ b/src/replay/replay.h
@@ -103,9 +103,10 @@
   GTree *wake;         /* struct rp_wake *, by time and sequence */
   uint64_t sequence;
   int64_t now_ms;
-  int64_t events; /* taken from the source */
-  int64_t live;   /* jobs that have not ended */
-  int open;       /* the decisions of NOW_MS are still to be made */
+  int64_t late_ms; /* when places freed after the decisions are given */
+  int64_t events;  /* taken from the source */
+  int64_t live;    /* jobs that have not ended */
+  int open;        /* the decisions of NOW_MS are still to be made */
   const struct tr_plan *plan; /* now before the core, or NULL */
   struct rp_cost *cost;       /* or NULL */
 };
--- a/src/replay/run.c
+++ b/src/replay/run.c
@@ -113,16 +113,19 @@
   return rc;
 }
 
-/* Makes the decisions of the present moment.  What a job with nothing left
-   to run ends at once may open others.  */
+/* Makes the decisions of the present moment.  A job with nothing left to run
+   ends at once; its places are given to others from the next moment on, so
+   that one moment has one round of decisions.  */
 static int
 close_instant (struct rp_run *run)
 {
   int rc = decide (run);
 
   while (!rc && rp_agent_next_ms (run) == run->now_ms)
-    if (!(rc = rp_agent_run (run)))
-      rc = decide (run);
+    {
+      run->late_ms = run->now_ms + 1;
+      rc = rp_agent_run (run);
+    }
   run->open = 0;
   return rc;
 }
@@ -143,6 +146,8 @@
   int64_t agent_ms = rp_agent_next_ms (run);
   int64_t core_ms = dc_next_ms (run->dc);
 
+  if (run->late_ms > run->now_ms)
+    return run->late_ms;
   if (core_ms >= 0 && core_ms <= run->now_ms)
     core_ms = run->now_ms + 1;
   if (core_ms < 0 || (agent_ms >= 0 && agent_ms < core_ms))
