Start the schedulers' and peers' threads through APR

Cause: two threads were still started by hand beside bs_thread. Measured: tests/net, check_demo, check_counters, check_takeover and check_rolling pass. Conclusion: every thread of the daemons goes through APR.

--- a/src/net/peer.c
+++ b/src/net/peer.c
@@ -75,7 +75,7 @@
       lg_log (LG_LISTEN_FAILED, 2, field);
       return PR_ENET;
     }
-  return pthread_create (&net->thread, NULL, pn_main, net) ? PR_ENOMEM : PR_OK;
+  return bs_thread_start (&net->thread, pn_main, net) ? PR_ENOMEM : PR_OK;
 }
 
 int
@@ -120,7 +120,7 @@
   net->stop = 1;
   pthread_mutex_unlock (&net->lock);
   wake (net);
-  pthread_join (net->thread, NULL);
+  bs_thread_join (&net->thread);
   free_sockets (net);
 }
 
--- a/src/net/peer_impl.h
+++ b/src/net/peer_impl.h
@@ -35,7 +35,7 @@
 {
   void *ctx, *router;
   int wake_fd, stop, rekey, bound;
-  pthread_t thread;
+  struct bs_thread thread;
   pthread_mutex_t lock; /* peers, keys, counts, stop */
   char listen[PR_ADDRESS + 8];
   struct pr_key_file keys; /* empty: no CURVE */
--- a/src/sched/loop.c
+++ b/src/sched/loop.c
@@ -170,14 +170,14 @@
   if (sc_count_start (s) || sc_peers_start (s))
     return CT_EINVAL;
   subscribe (s);
-  return pthread_create (&s->thread, NULL, loop_main, s) ? CT_ENOMEM : CT_OK;
+  return bs_thread_start (&s->thread, loop_main, s) ? CT_ENOMEM : CT_OK;
 }
 
 void
 sc_stop (struct sched *s)
 {
   atomic_store (&s->stop, 1);
-  pthread_join (s->thread, NULL);
+  bs_thread_join (&s->thread);
   sc_count_stop (s);
   sc_io_stop (s);
   for (int i = 0; i < s->cells; i++)
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -94,7 +94,7 @@
   int shard; /* of the control thread, in STAT */
   struct bs_clock clock;
   struct tm_service timers;
-  pthread_t thread;
+  struct bs_thread thread;
   char token[CT_TOKEN];
   int64_t now_ms;
 
