Tell a new key's first attempt from the command line

Cause: skr did not send Idempotency-Attempt, so a refusal in a store outage was 'unknown' even under a key that it had just made. Change: a key made by skr carries attempt 1 until an answer is lost; a given key carries none, as it may have been used before. Measured: tests/cli/check_attempt: a fresh key gave 'unknown' before, 'not run' after; a given key gives 'unknown' in both. Conclusion: the command line says only what it knows of the key.

--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -44,10 +44,17 @@
   json_t *body; /* NULL when there is none */
 };
 
-/* IF_MATCH is a version or -1; BODY may be NULL.  */
+/* Names a request; no entry VM has seen a FRESH key before.  */
+struct sk_key
+{
+  const char *text;
+  int fresh;
+};
+
+/* IF_MATCH is a version or -1; BODY and KEY may be NULL.  */
 struct sk_reply sk_exchange (struct sk_session *s, const char *method,
                              const char *path, const json_t *body,
-                             const char *idempotency_key, int64_t if_match);
+                             const struct sk_key *key, int64_t if_match);
 void sk_reply_fini (struct sk_reply *reply);
 /* Prints what went wrong on standard error and returns the exit code.  */
 int sk_report (const struct sk_reply *reply);
--- a/src/cli/exchange.c
+++ b/src/cli/exchange.c
@@ -18,6 +18,9 @@
   STATUS_GATEWAY_TIMEOUT = 504
 };
 
+/* The caller's word that no attempt went before.  */
+static const char first_attempt[] = "Idempotency-Attempt: 1";
+
 static enum sk_exit
 exit_of (long status)
 {
@@ -71,7 +74,10 @@
          struct sk_reply *reply)
 {
   char **address = g_strsplit (s->set.entry, ",", -1);
+  int last = 0;
 
+  while (last < HC_MAX_HEADERS && r->header[last])
+    last++;
   reply->exit = SK_UNREACHABLE;
   for (int i = 0; address[i]; i++)
     {
@@ -79,21 +85,26 @@
 
       if (end == HC_ANSWERED)
         break;
-      if (end == HC_LOST)
-        reply->exit = SK_UNKNOWN;
+      if (end != HC_LOST)
+        continue;
+      reply->exit = SK_UNKNOWN;
+      /* The key is not fresh any more.  */
+      if (last && !strcmp (r->header[last - 1], first_attempt))
+        r->header[last - 1] = NULL;
     }
   g_strfreev (address);
 }
 
 struct sk_reply
 sk_exchange (struct sk_session *s, const char *method, const char *path,
-             const json_t *body, const char *idempotency_key, int64_t if_match)
+             const json_t *body, const struct sk_key *idempotency,
+             int64_t if_match)
 {
   char *text = body ? json_dumps (body, JSON_COMPACT) : NULL;
   char *key = g_strdup_printf ("Authorization: Bearer %s", s->set.key);
   char *match = g_strdup_printf ("If-Match: \"%lld\"", (long long)if_match);
   char *once = g_strdup_printf ("Idempotency-Key: %s",
-                                idempotency_key ? idempotency_key : "");
+                                idempotency ? idempotency->text : "");
   struct hc_request r = { .method = method,
                           .body = text,
                           .timeout_ms = (int)s->set.timeout_ms };
@@ -101,10 +112,12 @@
   int n = 0;
 
   r.header[n++] = key;
-  if (idempotency_key)
+  if (idempotency)
     r.header[n++] = once;
   if (if_match >= 0)
     r.header[n++] = match;
+  if (idempotency && idempotency->fresh)
+    r.header[n++] = first_attempt;
   r.fresh = body != NULL;
   try_all (s, &r, path, &reply);
   g_free (once);
--- a/src/cli/job.c
+++ b/src/cli/job.c
@@ -23,14 +23,14 @@
 
 /* The caller's key, or a new one that is printed so that the caller can ask
    again by it.  */
-static const char *
+static struct sk_key
 key_of (struct sk_session *s, char *buf)
 {
   if (*s->set.idempotency_key)
-    return s->set.idempotency_key;
+    return (struct sk_key){ s->set.idempotency_key, 0 };
   bs_random_hex (buf, KEY_BYTES);
   fprintf (stderr, "skr: idempotency key %s\n", buf);
-  return buf;
+  return (struct sk_key){ buf, 1 };
 }
 
 static int
@@ -38,7 +38,8 @@
 {
   char buf[KEY_BYTES * 2 + 1];
   json_t *body = sk_read_file (file);
-  struct sk_reply r = sk_exchange (s, "POST", path, body, key_of (s, buf), -1);
+  struct sk_key key = key_of (s, buf);
+  struct sk_reply r = sk_exchange (s, "POST", path, body, &key, -1);
 
   if (r.body && (r.exit == SK_OK || s->set.json))
     sk_print_json (r.body);
--- /dev/null
+++ b/tests/cli/check_attempt.sh
@@ -0,0 +1,32 @@
+#!/bin/bash
+# With the table down, a call under a key that skr has just made is refused as
+# not run (exit 3, "state not_run"); under a given key, which may have been
+# used before, nothing is claimed.
+cd "$(dirname "$0")/../.." || exit 1
+. tests/stand/lib.sh
+start platform skr-platform --listen 127.0.0.1:0
+start entry skr-entry --vm e1 --listen 127.0.0.1:0 --log-level 0 \
+  --platform "http://${ADDR[platform]}" --spare-workers 0 \
+  --operator-digest "$("$BIN/skr" key digest op)"
+echo '{"version":0,"list":[{"plan":"p","guarantee":[],"calls_per_second":9,
+  "concurrent_calls":9,"queued_jobs":9}]}' > "$work/allowances"
+echo "{\"version\":0,\"list\":[{\"account\":\"a\",\"plan\":\"p\",
+  \"key_digest\":\"$("$BIN/skr" key digest key)\"}]}" > "$work/plans"
+echo '{"kind":"book","repeatable":false,"deadline_ms":2000,"payload":{}}' \
+  > "$work/call"
+skr ()
+{
+  "$BIN/skr" --entry "${ADDR[entry]}" "$@"
+}
+wait_for 100 skr --key op allowances put "$work/allowances"
+wait_for 100 skr --key op plans put "$work/plans"
+wait_for 100 skr --key key job list
+post "${ADDR[platform]}" /v1/admin/faults '{"mode":"down"}' > /dev/null
+refused ()
+{
+  skr --key key "$@" call "$work/call" 2> "$work/refusal" > /dev/null
+  echo "$? $(grep -o 'state [a-z_]*' "$work/refusal")"
+}
+expect "a fresh key" "3 state not_run" "$(refused)"
+expect "a given key" "3 state unknown" "$(refused --idempotency-key again)"
+exit "$failed"
