Take out what nothing uses, and end the HTTP client in one place

Cause: read again, the tree had a field of the decisions that nobody reads (lost_after_ms), a stop request that nobody makes, and the client's end written twice, with a third way out that leaked it. Change: both removed; hc_new and hc_free share one function, so rg_fini may follow a failed rg_init.

--- a/include/skr/base.h
+++ b/include/skr/base.h
@@ -76,7 +76,5 @@
 void bs_stop_on_signals (void);
 /* Waits up to TIMEOUT_MS for a stop signal; returns 1 once one arrived.  */
 int bs_stop_wait (int timeout_ms);
-/* Asks for the stop as a signal would.  */
-void bs_stop_request (void);
 
 #endif
--- a/include/skr/decide.h
+++ b/include/skr/decide.h
@@ -150,7 +150,6 @@
   double weight_completion, weight_fragmentation;
   int32_t spare_workers; /* worker failures that all guarantees survive */
   int check;             /* assert every invariant at each event */
-  int64_t lost_after_ms; /* unused by replay */
 };
 
 struct dc; /* see dc_new; sized by the decide layer */
--- a/include/skr/ring.h
+++ b/include/skr/ring.h
@@ -15,7 +15,7 @@
   void *wake_arg;
 };
 
-/* Returns 0 or BS_ENOMEM.  */
+/* Returns 0 or BS_ENOMEM; rg_fini may follow either.  */
 int rg_init (struct rg_ring *ring, unsigned capacity);
 /* Items still queued stay the caller's: pop them first.  */
 void rg_fini (struct rg_ring *ring);
--- a/src/base/base.c
+++ b/src/base/base.c
@@ -131,9 +131,3 @@
     }
   return stop_flag != 0;
 }
-
-void
-bs_stop_request (void)
-{
-  stop_flag = 1;
-}
--- a/src/base/ring.c
+++ b/src/base/ring.c
@@ -12,14 +12,12 @@
 
   *ring = (struct rg_ring){ .capacity = capacity };
   ring->slot = calloc (capacity, sizeof *ring->slot);
-  if (!ring->slot)
-    return BS_ENOMEM;
   pthread_mutex_init (&ring->lock, NULL);
   pthread_condattr_init (&attr);
   pthread_condattr_setclock (&attr, CLOCK_MONOTONIC);
   pthread_cond_init (&ring->filled, &attr);
   pthread_condattr_destroy (&attr);
-  return BS_OK;
+  return ring->slot ? BS_OK : BS_ENOMEM;
 }
 
 void
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -340,6 +340,16 @@
   curl_multi_wakeup (((struct hc_client *)arg)->multi);
 }
 
+static void
+destroy (struct hc_client *hc)
+{
+  rg_fini (&hc->ring);
+  curl_multi_cleanup (hc->multi);
+  g_hash_table_destroy (hc->suspects);
+  g_free (hc->ca);
+  g_free (hc);
+}
+
 struct hc_client *
 hc_new (const struct hc_config *config)
 {
@@ -357,19 +367,14 @@
   hc->multi = curl_multi_init ();
   curl_multi_setopt (hc->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
                      (long)config->connections_per_host);
-  if (rg_init (&hc->ring, (unsigned)config->max_in_progress))
-    return NULL;
-  rg_on_push (&hc->ring, wake, hc);
-  if (bs_thread_start (&hc->thread, run, hc))
+  if (rg_init (&hc->ring, (unsigned)config->max_in_progress) == BS_OK)
     {
-      rg_fini (&hc->ring);
-      curl_multi_cleanup (hc->multi);
-      g_hash_table_destroy (hc->suspects);
-      g_free (hc->ca);
-      g_free (hc);
-      return NULL;
+      rg_on_push (&hc->ring, wake, hc);
+      if (bs_thread_start (&hc->thread, run, hc) == BS_OK)
+        return hc;
     }
-  return hc;
+  destroy (hc);
+  return NULL;
 }
 
 void
@@ -380,11 +385,7 @@
   atomic_store (&hc->stop, 1);
   curl_multi_wakeup (hc->multi);
   bs_thread_join (&hc->thread);
-  rg_fini (&hc->ring);
-  curl_multi_cleanup (hc->multi);
-  g_hash_table_destroy (hc->suspects);
-  g_free (hc->ca);
-  g_free (hc);
+  destroy (hc);
 }
 
 struct waiter
--- a/src/replay/main.c
+++ b/src/replay/main.c
@@ -148,10 +148,9 @@
 static int
 run_all (const struct settings *s, const char *path)
 {
-  struct dc_config config = {
-    policy_of (s->policy),     s->weight_completion, s->weight_fragmentation,
-    (int32_t)s->spare_workers, !s->no_check,         0
-  };
+  struct dc_config config
+      = { policy_of (s->policy), s->weight_completion, s->weight_fragmentation,
+          (int32_t)s->spare_workers, !s->no_check };
   struct rp_run run;
   struct rp_cost cost;
   int rc;
--- a/src/sched/loop.c
+++ b/src/sched/loop.c
@@ -133,8 +133,7 @@
     = { .weight_completion = (double)set->weight_completion / 100,
         .weight_fragmentation = (double)set->weight_fragmentation / 100,
         .spare_workers = (int32_t)set->spare_workers,
-        .check = !set->no_check,
-        .lost_after_ms = set->task_lease_ms },
+        .check = !set->no_check },
   };
 }
 
