--- a/src/replay/replay.h
+++ b/src/replay/replay.h
@@ -151,6 +151,8 @@
 /* Gives EVENT to the core and carries out what follows from it.  Returns
    the core's error.  */
 int rp_apply (struct rp_run *run, const struct dc_event *event);
+/* The same for an event of the source.  */
+int rp_take (struct rp_run *run, const struct tr_event *event);
 
 /* Prints the broken invariant WHAT, the place in the run and its state.  */
 void rp_report_broken (const struct rp_run *run, const char *what);
