Poll a worker less often the longer nothing was ordered there

Cause: each worker was asked each 250 ms for what it runs, though most jobs last hours: the cost that breaks a cell of 236 workers. Any order brings the next poll near again, so that holds, starts and checkpoints are watched as closely as before. A renewal is an answer, too, so a dead worker is found as fast. bench_idle waits 35 s until the interval is at its longest.

--- a/src/control/cell.c
+++ b/src/control/cell.c
@@ -30,6 +30,8 @@
   c->arg = arg;
   c->times = (struct mb_times){ .lease_ms = set->task_lease_ms,
                                 .suspect_ms = set->task_lease_ms / 2,
+                                .poll_ms = set->poll_ms,
+                                .poll_max_ms = set->poll_max_ms,
                                 .delay_ms = set->order_timeout_ms };
   ce_init (&c->lease, set->vm, set->token, set->cell_lease_ms,
            set->cell_margin_ms);
--- a/src/control/cell.h
+++ b/src/control/cell.h
@@ -95,8 +95,9 @@
   const char *vm, *token;
   int64_t cell_lease_ms, cell_margin_ms;
   int64_t task_lease_ms;
-  int64_t poll_ms, scan_ms; /* of workers, of job rows */
-  int64_t settle_ms;        /* the list of workers must not change for */
+  int64_t poll_ms, poll_max_ms; /* between polls of a worker */
+  int64_t scan_ms;              /* between reads of job rows */
+  int64_t settle_ms;            /* the list of workers must not change for */
   int64_t order_timeout_ms;
   int reserve_slots;   /* of each worker, kept for calls */
   int commit_rows;     /* rows in one transaction */
--- a/src/control/cell_fleet.c
+++ b/src/control/cell_fleet.c
@@ -97,6 +97,7 @@
       w->answered_ms = w->fenced_ms = -1;
       w->renewed_ms = c->now_ms; /* by the holder before */
       w->next_renew_ms = w->next_poll_ms = 0;
+      w->stirred_ms = c->now_ms;
       w->renewing = w->polling = w->surveyed = w->decided = 0;
       w->said_leaving = 0;
     }
@@ -141,7 +142,7 @@
   char path[CT_NAME + 32];
 
   w->polling = 1;
-  w->next_poll_ms = c->now_ms + c->set->poll_ms;
+  mb_polled (w, c->now_ms, &c->times);
   snprintf (path, sizeof path, "/v1/tasks?cell=%s", c->name);
   ask (c, worker, CL_POLL, path, NULL);
 }
--- a/src/control/cell_order.c
+++ b/src/control/cell_order.c
@@ -109,6 +109,7 @@
   if (order == WK_ORDER_HOLD)
     w->renewed_ms = c->now_ms; /* a hold is a lease, too */
   wk_sent (p);
+  mb_stir (w, c->now_ms, &c->times);
   c->emit (c->arg, &e);
   json_decref (body);
 }
--- a/src/control/member.c
+++ b/src/control/member.c
@@ -7,7 +7,8 @@
 {
   MAX_ACCELERATORS = 64,
   MAX_SLOTS = 4096,
-  MAX_CONNECTIONS = 65536
+  MAX_CONNECTIONS = 65536,
+  POLL_PART = 16 /* of the time since the worker was stirred */
 };
 
 static int
@@ -91,6 +92,26 @@
   return w->renewed_ms + times->delay_ms + times->lease_ms;
 }
 
+void
+mb_stir (struct mb_worker *w, int64_t now_ms, const struct mb_times *times)
+{
+  w->stirred_ms = now_ms;
+  if (w->next_poll_ms > now_ms + times->poll_ms)
+    w->next_poll_ms = now_ms + times->poll_ms;
+}
+
+void
+mb_polled (struct mb_worker *w, int64_t now_ms, const struct mb_times *times)
+{
+  int64_t after_ms = (now_ms - w->stirred_ms) / POLL_PART;
+
+  if (after_ms > times->poll_max_ms)
+    after_ms = times->poll_max_ms;
+  if (after_ms < times->poll_ms)
+    after_ms = times->poll_ms;
+  w->next_poll_ms = now_ms + after_ms;
+}
+
 static int
 is_leaving (const struct mb_worker *w)
 {
--- a/src/control/member.h
+++ b/src/control/member.h
@@ -30,6 +30,7 @@
   int64_t lease_ms;   /* of tasks */
   int64_t suspect_ms; /* without an answer: renew no more */
   int64_t delay_ms;   /* the longest that a request stays on its way */
+  int64_t poll_ms, poll_max_ms; /* between two polls: least, most */
 };
 
 struct mb_worker
@@ -41,6 +42,7 @@
   int64_t answered_ms; /* -1: never */
   int64_t renewed_ms;  /* when a renewal that may have arrived was sent */
   int64_t next_renew_ms, next_poll_ms;
+  int64_t stirred_ms;    /* last order to it */
   int renewing, polling; /* requests in flight */
   int64_t fenced_ms;     /* first renewal answered in this tenure; -1: none */
   int surveyed;          /* its tasks were listed after that */
@@ -57,6 +59,13 @@
    to lapse, so that the moment of their end is known.  */
 int mb_may_renew (const struct mb_worker *w, int64_t now_ms,
                   const struct mb_times *times);
+/* An order was sent to W: polls are close together for a while.  */
+void mb_stir (struct mb_worker *w, int64_t now_ms,
+              const struct mb_times *times);
+/* The next poll is due after a part of the time since W was last stirred, so
+   that the end of a task is seen late by a small part of its run time.  */
+void mb_polled (struct mb_worker *w, int64_t now_ms,
+                const struct mb_times *times);
 /* The next change of state, applied to W.  */
 enum mb_change mb_step (struct mb_worker *w, int64_t now_ms,
                         const struct mb_times *times);
--- a/src/sched/loop.c
+++ b/src/sched/loop.c
@@ -123,6 +123,7 @@
     .cell_margin_ms = set->cell_margin_ms,
     .task_lease_ms = set->task_lease_ms,
     .poll_ms = set->poll_ms,
+    .poll_max_ms = set->poll_max_ms,
     .scan_ms = set->scan_ms,
     .settle_ms = set->settle_ms,
     .order_timeout_ms = set->order_timeout_ms,
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -36,7 +36,8 @@
   const char *log_output;
   int64_t log_level;
   int64_t cell_lease_ms, cell_margin_ms, task_lease_ms;
-  int64_t poll_ms, scan_ms, settle_ms, order_timeout_ms, table_timeout_ms;
+  int64_t poll_ms, poll_max_ms, scan_ms, settle_ms, order_timeout_ms,
+      table_timeout_ms;
   int64_t reserve_slots, reserve_connections, grant_ms;
   int64_t commit_rows, rows_per_second;
   int64_t weight_completion, weight_fragmentation, spare_workers;
--- a/tests/control/bench_idle.sh
+++ b/tests/control/bench_idle.sh
@@ -4,6 +4,8 @@
 cd "$(dirname "$0")/../.." || exit 1
 . tests/control/lib.sh
 seconds=${SECONDS_EACH:-8}
+# Polls are at their longest interval 32 s after the last order.
+settle=${SETTLE:-35}
 
 # cpu PID: processor time in milliseconds.
 cpu ()
@@ -14,6 +16,7 @@
 measure ()
 {
   local pid=${PID[s1]} from
+  sleep "$settle"
   from=$(cpu "$pid")
   sleep "$seconds"
   printf '%-8s %8d %12d %10d\n' "$2" "$1" \
@@ -22,7 +25,7 @@
 }
 
 printf '%-8s %8s %12s %10s\n' load workers cpu-ms/s rss-KB
-for workers in 8 16 32; do
+for workers in ${WORKERS:-8 32 128}; do
   start_world 1 "$workers"
   start_sched s1
   wait_for 100 has_logged s1 504
--- a/tests/control/fake_world.c
+++ b/tests/control/fake_world.c
@@ -636,6 +636,7 @@
     .cell_margin_ms = 200,
     .task_lease_ms = 2000,
     .poll_ms = 100,
+    .poll_max_ms = 400,
     .scan_ms = 100,
     .settle_ms = 200,
     .order_timeout_ms = TIMEOUT_MS + 3 * LATENCY_MS,
--- a/tests/control/test_parts.c
+++ b/tests/control/test_parts.c
@@ -8,8 +8,11 @@
 #include "control/member.h"
 #include "control/share.h"
 
-static const struct mb_times times
-    = { .lease_ms = 2000, .suspect_ms = 1000, .delay_ms = 300 };
+static const struct mb_times times = { .lease_ms = 2000,
+                                       .suspect_ms = 1000,
+                                       .delay_ms = 300,
+                                       .poll_ms = 100,
+                                       .poll_max_ms = 800 };
 
 static struct mb_worker
 listed_worker (void)
@@ -71,6 +74,24 @@
   CU_ASSERT_EQUAL (mb_step (&w, 4000, &times), MB_JOINED);
 }
 
+static void
+test_polls_follow_the_age_of_the_last_order (void)
+{
+  struct mb_worker w = listed_worker ();
+
+  mb_stir (&w, 1000, &times);
+  mb_polled (&w, 1000, &times);
+  CU_ASSERT_EQUAL (w.next_poll_ms, 1100);
+  mb_polled (&w, 1000 + 16 * 300, &times);
+  CU_ASSERT_EQUAL (w.next_poll_ms, 1000 + 16 * 300 + 300);
+  mb_polled (&w, 3600000, &times);
+  CU_ASSERT_EQUAL (w.next_poll_ms, 3600000 + 800);
+  mb_stir (&w, 3600010, &times);
+  CU_ASSERT_EQUAL (w.next_poll_ms, 3600110);
+  mb_stir (&w, 3600050, &times); /* puts nothing off */
+  CU_ASSERT_EQUAL (w.next_poll_ms, 3600110);
+}
+
 static void
 test_bad_list_entry (void)
 {
@@ -273,6 +294,7 @@
   CU_ADD_TEST (suite, test_list_alone_makes_no_worker);
   CU_ADD_TEST (suite, test_each_word_of_leaving_counts);
   CU_ADD_TEST (suite, test_worker_is_down_only_after_its_leases);
+  CU_ADD_TEST (suite, test_polls_follow_the_age_of_the_last_order);
   CU_ADD_TEST (suite, test_bad_list_entry);
   CU_ADD_TEST (suite, test_gang_has_a_part_for_each_worker);
   CU_ADD_TEST (suite, test_no_part_runs_before_all_are_held);
