Let old work that ends well not clear a worker that fails everything

Cause: each task that ended well on a worker dropped all suspicions against it, also one that had started long before the worker began to fail. A worker with long tasks then failed job after job unnoticed. Change: an end clears a worker only of failures that started no later than that task did; work from before the probation does not end it.

--- a/src/decide/health.c
+++ b/src/decide/health.c
@@ -235,13 +235,19 @@
   move_cells (dc, id);
 }
 
-static void
-note_failed_on (struct dc_job *job, uint32_t worker)
+static bool
+failed_on (const struct dc_job *job, uint32_t worker)
 {
   for (int i = 0; i < job->failures; i++)
     if (job->failed_on[i] == worker)
-      return;
-  if (job->failures < DC_MAX_FAILED_WORKERS)
+      return true;
+  return false;
+}
+
+static void
+note_failed_on (struct dc_job *job, uint32_t worker)
+{
+  if (!failed_on (job, worker) && job->failures < DC_MAX_FAILED_WORKERS)
     job->failed_on[job->failures++] = worker;
 }
 
@@ -265,7 +271,9 @@
   else if (!find_suspicion (w, id) && w->suspicions < DC_MAX_SUSPICIONS)
     w->suspect[w->suspicions++]
         = (struct dc_suspicion){ .job = id,
+                                 .start_ms = job->start_ms,
                                  .lasted_ms = dc->now_ms - job->start_ms };
+  w->bad_ms = job->start_ms;
   w->probing = false;
   judge (dc, worker);
   return job->failures >= DC_MAX_FAILED_WORKERS
@@ -284,20 +292,32 @@
   dc_fleet_refresh (dc, id);
 }
 
-/* Notes that a task of JOB ended well on WORKER.  */
+/* Drops the suspicions of work that started no later than START_MS.  */
+static void
+clear_until (struct dc_worker *w, int64_t start_ms)
+{
+  for (int i = w->suspicions; i-- > 0;)
+    if (w->suspect[i].start_ms <= start_ms)
+      w->suspect[i] = w->suspect[--w->suspicions];
+}
+
+/* Notes that a task of JOB ended well on WORKER.  That speaks for the worker
+   as it was when the task started: one that fails everything since then ends
+   what it ran before.  */
 void
 dc_health_worked (struct dc *dc, uint32_t id, uint32_t worker)
 {
   struct dc_worker *w = &dc->workers.v[worker];
+  int64_t start_ms = dc->jobs.v[id].start_ms;
 
-  (void)id;
-  w->in_row = 0;
-  if (w->suspicions == 0 && w->health == DC_HEALTHY)
+  if (start_ms >= w->bad_ms)
+    w->in_row = 0;
+  clear_until (w, start_ms);
+  if (w->suspicions > 0 || w->health == DC_QUARANTINED)
     return;
-  w->suspicions = 0;
   if (w->held_back)
     release (dc, worker);
-  if (w->health != DC_PROBATION)
+  if (w->health != DC_PROBATION || start_ms < w->held_ms)
     return;
   w->quarantines = 0;
   trust (dc, worker);
--- a/src/decide/state.h
+++ b/src/decide/state.h
@@ -55,7 +55,7 @@
 {
   uint32_t job;
   bool fine_elsewhere;
-  int64_t lasted_ms; /* from its start to the failure */
+  int64_t start_ms, lasted_ms; /* of the attempt that failed */
 };
 
 struct dc_worker
@@ -88,6 +88,7 @@
   bool probing;        /* on probation, with its one job */
   int64_t watch_ms;    /* when to look again */
   int64_t held_ms;     /* since when it is held back */
+  int64_t bad_ms;      /* latest start of what failed here */
 };
 
 struct dc_rack
