Make no room for a job on a worker that failed it

Change: a plan for room leaves out the workers that failed the job, for the same 10 s as every other search. The test for it stood twice, now once.

--- a/src/decide/charge.c
+++ b/src/decide/charge.c
@@ -7,15 +7,6 @@
   return (struct dc_amount){ job->spec.per_task, 1 };
 }
 
-static bool
-failed_there (const struct dc_job *job, uint32_t worker)
-{
-  for (int i = 0; i < job->failures && i < DC_MAX_FAILED_WORKERS; i++)
-    if (job->failed_on[i] == worker)
-      return true;
-  return false;
-}
-
 static struct dc_amount
 rest_of (const struct dc_part *part, bool over_bulk)
 {
@@ -83,7 +74,7 @@
 spots_failed (const struct dc *dc, const struct dc_job *job)
 {
   for (uint32_t i = 0; i < dc->spots.n; i++)
-    if (failed_there (job, dc->spots.v[i].worker))
+    if (dc_health_failed_on (job, dc->spots.v[i].worker))
       return true;
   return false;
 }
--- a/src/decide/health.c
+++ b/src/decide/health.c
@@ -235,8 +235,8 @@
   move_cells (dc, id);
 }
 
-static bool
-failed_on (const struct dc_job *job, uint32_t worker)
+bool
+dc_health_failed_on (const struct dc_job *job, uint32_t worker)
 {
   for (int i = 0; i < job->failures; i++)
     if (job->failed_on[i] == worker)
@@ -247,7 +247,8 @@
 static void
 note_failed_on (struct dc_job *job, uint32_t worker)
 {
-  if (!failed_on (job, worker) && job->failures < DC_MAX_FAILED_WORKERS)
+  if (!dc_health_failed_on (job, worker)
+      && job->failures < DC_MAX_FAILED_WORKERS)
     job->failed_on[job->failures++] = worker;
 }
 
--- a/src/decide/room.c
+++ b/src/decide/room.c
@@ -27,14 +27,14 @@
 
 /* What W could give to JOB: tasks, and accelerators of work to preempt.  */
 static struct dc_offer
-offer_of (const struct dc *dc, uint32_t id, const struct dc_job *job,
-          bool drain)
+offer_of (struct dc *dc, uint32_t id, const struct dc_job *job, bool drain)
 {
   const struct dc_worker *w = &dc->workers.v[id];
   struct dc_amount unit = dc_need (job, 1), room = w->total;
   struct dc_offer offer = { .worker = id };
 
-  if (!dc_worker_open (w) || w->held_back)
+  if (!dc_worker_open (w) || w->held_back
+      || (dc_health_failed_on (job, id) && dc_retry_later (dc, job)))
     return offer;
   if (drain)
     room = dc_plus (room, w->cells, -1);
--- a/src/decide/state.h
+++ b/src/decide/state.h
@@ -417,6 +417,7 @@
 /* health.c */
 bool dc_health_failed (struct dc *dc, uint32_t job, uint32_t worker);
 void dc_health_worked (struct dc *dc, uint32_t job, uint32_t worker);
+bool dc_health_failed_on (const struct dc_job *job, uint32_t worker);
 void dc_health_done (struct dc *dc, uint32_t job);
 void dc_health_tick (struct dc *dc);
 int64_t dc_health_next (const struct dc *dc);
