Move idle cells out of the way of urgent gangs

Cause: an urgent gang within its guarantee tried only its tightest cell and one idle worker. Change: before it waits, and each time room falls free, it looks in all cells of its account, exchanges cells with up to 16 idle workers, and moves unused cells of others to room that may be reclaimed. What is left needs bulk to wait.

--- a/src/decide/place.c
+++ b/src/decide/place.c
@@ -79,8 +79,9 @@
   return DC_OK;
 }
 
-static bool
-spots_are_idle (const struct dc *dc, const struct dc_job *job)
+/* Whether what dc->spots takes of its workers is idle.  */
+bool
+dc_spots_idle (const struct dc *dc, const struct dc_job *job)
 {
   for (uint32_t i = 0; i < dc->spots.n; i++)
     {
@@ -101,18 +102,27 @@
   if (level != DC_LEVEL_WORKER)
     return false;
   if (dc_cell_move (dc, cell) && dc_charge_spots (dc, cell, job, level, false)
-      && spots_are_idle (dc, job))
+      && dc_spots_idle (dc, job))
     return true;
   return search (dc, job, DC_CAP_IDLE)
          && dc_cell_displace (dc, cell, dc->spots.v[0].worker)
          && dc_charge_spots (dc, cell, job, level, false)
-         && spots_are_idle (dc, job);
+         && dc_spots_idle (dc, job);
+}
+
+static enum dc_kind
+kind_in (const struct dc_job *job, uint32_t cell)
+{
+  if (cell != DC_NONE)
+    return DC_KIND_GUARANTEED;
+  return job->spec.preemptible ? DC_KIND_SOFT : DC_KIND_HARD;
 }
 
 int
 dc_place_in_cell (struct dc *dc, uint32_t id, uint32_t cell)
 {
   const struct dc_job *job = &dc->jobs.v[id];
+  uint32_t other;
   enum dc_level level = dc_level_of (dc, job->spec.tasks, job->spec.per_task);
 
   if (!dc_charge_spots (dc, cell, job, level, false))
@@ -121,14 +131,14 @@
       if (!dc_charge_spots (dc, cell, job, level, false))
         return DC_EBROKEN;
     }
-  if (spots_are_idle (dc, job))
+  if (dc_spots_idle (dc, job))
     return dc_place_start (dc, id, DC_KIND_GUARANTEED, cell);
   if (move_to_idle (dc, cell, job, level))
     return dc_place_start (dc, id, DC_KIND_GUARANTEED, cell);
-  if (search (dc, job, job->spec.preemptible ? DC_CAP_IDLE : DC_CAP_FIRM)
-      || dc_pending_take (dc, job))
-    return dc_place_start (
-        dc, id, job->spec.preemptible ? DC_KIND_SOFT : DC_KIND_HARD, DC_NONE);
+  if (search (dc, job, job->spec.preemptible ? DC_CAP_IDLE : DC_CAP_FIRM))
+    return dc_place_start (dc, id, kind_in (job, DC_NONE), DC_NONE);
+  if (dc_urgent_now (dc, job, &other))
+    return dc_place_start (dc, id, kind_in (job, other), other);
   if (!dc_charge_spots (dc, cell, job, level, false))
     return DC_EBROKEN;
   return pend (dc, id, DC_KIND_GUARANTEED, cell);
@@ -236,17 +246,20 @@
 try_idle (struct dc *dc, uint32_t id)
 {
   const struct dc_job *job = &dc->jobs.v[id];
-  uint32_t cell = job->cell;
-  bool moved;
+  uint32_t own = job->cell, cell = own;
+  bool found;
   int error;
 
   dc_gang_unplace (dc, id);
-  moved = move_to_idle (dc, cell, job, DC_LEVEL_WORKER);
-  if (!moved)
-    dc_charge_spots (dc, cell, job, DC_LEVEL_WORKER, false);
-  error = dc_gang_place (dc, id, DC_KIND_GUARANTEED, cell);
-  if (error || !moved)
+  found = (dc->cells.v[own].jobs == 0 && dc->cells.v[own].parts == 1
+           && move_to_idle (dc, own, job, DC_LEVEL_WORKER))
+          || dc_urgent_now (dc, job, &cell);
+  if (!found)
+    dc_charge_spots (dc, own, job, DC_LEVEL_WORKER, false);
+  error = dc_gang_place (dc, id, kind_in (job, cell), cell);
+  if (error || !found)
     return error;
+  dc->soft_pending += job->kind == DC_KIND_SOFT;
   dc_pending_unlink (dc, id);
   dc_gang_start (dc, id);
   return DC_OK;
@@ -265,9 +278,7 @@
       uint32_t next = job->pending_next;
 
       if (job->spec.class == DC_URGENT && job->cell != DC_NONE
-          && job->level == DC_LEVEL_WORKER && dc->cells.v[job->cell].jobs == 1
-          && dc->cells.v[job->cell].parts == 1
-          && search (dc, job, DC_CAP_IDLE))
+          && job->level == DC_LEVEL_WORKER && search (dc, job, DC_CAP_IDLE))
         error = try_idle (dc, id);
       id = next;
     }
--- a/src/decide/state.h
+++ b/src/decide/state.h
@@ -385,7 +385,7 @@
 
 /* urgent.c: urgent gangs beside bulk ones that are pending.  */
 bool dc_pending_urgent (const struct dc *dc, const struct dc_job *job);
-bool dc_pending_take (struct dc *dc, const struct dc_job *job);
+bool dc_urgent_now (struct dc *dc, const struct dc_job *job, uint32_t *cell);
 
 /* job.c */
 int dc_job_submit (struct dc *dc, const struct dc_event *event);
@@ -433,6 +433,7 @@
 int dc_place_default (struct dc *dc, uint32_t job, bool *done);
 int dc_place_baseline (struct dc *dc, uint32_t job, bool *done);
 int dc_place_waiting (struct dc *dc);
+bool dc_spots_idle (const struct dc *dc, const struct dc_job *job);
 bool dc_place_leaves_reserve (const struct dc *dc, int32_t accelerators);
 bool dc_retry_later (struct dc *dc, const struct dc_job *job);
 
--- a/src/decide/urgent.c
+++ b/src/decide/urgent.c
@@ -1,6 +1,13 @@
 /* What keeps urgent gangs ahead of bulk ones beside the order of queues.  */
 #include "state.h"
 
+enum
+{
+  MAX_IDLE_TRIED = 16, /* workers */
+  MAX_CELLS_TRIED = 8,
+  MAX_MOVED = 8 /* unused cells that make way on one worker */
+};
+
 /* Whether an urgent gang that the room of bulk JOB could hold is pending.  */
 bool
 dc_pending_urgent (const struct dc *dc, const struct dc_job *job)
@@ -50,8 +57,8 @@
 
 /* Leaves in dc->spots a worker with idle room for urgent JOB that is kept
    for a bulk gang beyond its guarantee.  */
-bool
-dc_pending_take (struct dc *dc, const struct dc_job *job)
+static bool
+take_kept (struct dc *dc, const struct dc_job *job)
 {
   dc->spots.n = 0;
   if (job->spec.class != DC_URGENT
@@ -72,3 +79,167 @@
     }
   return false;
 }
+
+/* Workers whose idle room holds JOB, the tightest first; returns how many. */
+static int
+idle_workers (const struct dc *dc, const struct dc_job *job,
+              uint32_t found[MAX_IDLE_TRIED])
+{
+  const struct dc_index *index = dc->index[DC_CAP_IDLE];
+  struct dc_amount need = dc_need (job, job->spec.tasks);
+  int n = 0;
+
+  for (int row = need.accelerators; row < DC_SIZES; row++)
+    for (int word = 0; word < 2; word++)
+      for (uint64_t bits = index->slots[row][word]; bits; bits &= bits - 1)
+        {
+          uint32_t id = index->head[row][word * 64 + __builtin_ctzll (bits)];
+
+          for (int step = 0; id != DC_NONE && step < MAX_IDLE_TRIED; step++)
+            {
+              if (dc_covers (dc->workers.v[id].cap[DC_CAP_IDLE], need)
+                  && !dc_health_failed_on (job, id))
+                found[n++] = id;
+              if (n == MAX_IDLE_TRIED)
+                return n;
+              id = dc->workers.v[id].next[DC_CAP_IDLE];
+            }
+        }
+  return n;
+}
+
+static bool
+idle_in (struct dc *dc, uint32_t cell, const struct dc_job *job)
+{
+  return dc_charge_spots (dc, cell, job, DC_LEVEL_WORKER, false)
+         && dc_spots_idle (dc, job)
+         && !dc_health_failed_on (job, dc->spots.v[0].worker);
+}
+
+/* Looks for a cell of JOB's account with idle room in it.  */
+static bool
+other_cell (struct dc *dc, const struct dc_job *job, uint32_t *cell)
+{
+  for (uint32_t id = dc->accounts.v[job->spec.account].cells; id != DC_NONE;
+       id = dc->cells.v[id].next)
+    if (idle_in (dc, id, job))
+      {
+        *cell = id;
+        return true;
+      }
+  return false;
+}
+
+/* Moves an unused cell of JOB's account to idle room, in exchange for unused
+   cells there.  */
+static bool
+exchange (struct dc *dc, const struct dc_job *job, uint32_t *cell)
+{
+  uint32_t idle[MAX_IDLE_TRIED];
+  int n = idle_workers (dc, job, idle), tried = 0;
+  uint32_t id = dc->accounts.v[job->spec.account].cells;
+
+  for (; id != DC_NONE && tried < MAX_CELLS_TRIED; id = dc->cells.v[id].next)
+    {
+      const struct dc_cell *c = &dc->cells.v[id];
+
+      if (c->jobs || c->parts != 1
+          || c->size < job->spec.tasks * job->spec.per_task)
+        continue;
+      tried++;
+      for (int i = 0; i < n; i++)
+        if (dc_cell_displace (dc, id, idle[i]) && idle_in (dc, id, job))
+          {
+            *cell = id;
+            return true;
+          }
+    }
+  return false;
+}
+
+/* Unbinds unused cells of W until its books hold.  Returns how many.  */
+static int
+unbind_unused (struct dc *dc, const struct dc_worker *w,
+               uint32_t moved[MAX_MOVED])
+{
+  uint32_t id = w->parts;
+  int n = 0;
+
+  while (id != DC_NONE && n < MAX_MOVED
+         && !dc_covers (dc_capacity (dc, w, DC_CAP_UNRESERVED),
+                        (struct dc_amount){ 0, 0 }))
+    {
+      const struct dc_part *part = pl_at (&dc->parts, id);
+      const struct dc_cell *c = &dc->cells.v[part->cell];
+
+      id = part->next;
+      if (c->jobs || c->parts != 1)
+        continue;
+      moved[n++] = part->cell;
+      dc_cell_unbind (dc, part->cell);
+    }
+  return n;
+}
+
+/* Moves unused cells off WORKER until the books allow JOB, which is not
+   preemptible, to start there.  Changes nothing if that fails.  */
+static bool
+clear (struct dc *dc, const struct dc_job *job, uint32_t worker)
+{
+  struct dc_worker *w = &dc->workers.v[worker];
+  struct dc_amount need = dc_need (job, job->spec.tasks);
+  uint32_t moved[MAX_MOVED];
+  int n, placed = 0;
+  bool done;
+
+  w->hard = dc_plus (w->hard, need, 1);
+  n = unbind_unused (dc, w, moved);
+  dc_fleet_refresh (dc, worker);
+  done = dc_covers (dc_capacity (dc, w, DC_CAP_UNRESERVED),
+                    (struct dc_amount){ 0, 0 });
+  while (done && placed < n)
+    {
+      done = dc_cell_bind (dc, moved[placed], DC_CAP_UNRESERVED);
+      placed += done;
+    }
+  while (!done && placed > 0)
+    dc_cell_unbind (dc, moved[--placed]);
+  w->hard = dc_plus (w->hard, need, -1);
+  dc_fleet_refresh (dc, worker);
+  while (!done && n > 0)
+    dc_cell_bind_at (dc, moved[--n], worker);
+  return done;
+}
+
+static bool
+make_firm (struct dc *dc, const struct dc_job *job)
+{
+  uint32_t idle[MAX_IDLE_TRIED];
+  int n = job->spec.preemptible ? 0 : idle_workers (dc, job, idle);
+
+  for (int i = 0; i < n; i++)
+    if (clear (dc, job, idle[i]))
+      {
+        dc->spots.n = 0;
+        return dc_add_spot (dc, idle[i], job->spec.tasks) == DC_OK;
+      }
+  return false;
+}
+
+/* Looks for a way in which urgent JOB, which is within its guarantee but
+   whose cell is not idle, can start at once.  Leaves the place in dc->spots,
+   and sets CELL to DC_NONE if it is outside all cells.  */
+bool
+dc_urgent_now (struct dc *dc, const struct dc_job *job, uint32_t *cell)
+{
+  if (job->spec.class != DC_URGENT
+      || dc_level_of (dc, job->spec.tasks, job->spec.per_task)
+             != DC_LEVEL_WORKER)
+    return false;
+  if (other_cell (dc, job, cell) || exchange (dc, job, cell))
+    return true;
+  if (!make_firm (dc, job) && !take_kept (dc, job))
+    return false;
+  *cell = DC_NONE;
+  return true;
+}
