--- a/src/decide/state.h
+++ b/src/decide/state.h
@@ -55,7 +55,7 @@
 {
   uint32_t job;
   bool fine_elsewhere;
-  int64_t lasted_ms; /* from its start to the failure */
+  int64_t start_ms, lasted_ms; /* of the attempt that failed */
 };
 
 struct dc_worker
@@ -88,6 +88,7 @@
   bool probing;        /* on probation, with its one job */
   int64_t watch_ms;    /* when to look again */
   int64_t held_ms;     /* since when it is held back */
+  int64_t bad_ms;      /* latest start of what failed here */
 };
 
 struct dc_rack
@@ -380,9 +381,12 @@
 void dc_pending_drop (struct dc *dc, uint32_t job);
 void dc_pending_make_room (struct dc *dc, uint32_t job);
 void dc_pending_walk (struct dc *dc);
-bool dc_pending_urgent (const struct dc *dc, const struct dc_job *job);
 void dc_preempt (struct dc *dc, uint32_t job);
 
+/* urgent.c: urgent gangs beside bulk ones that are pending.  */
+bool dc_pending_urgent (const struct dc *dc, const struct dc_job *job);
+bool dc_urgent_now (struct dc *dc, const struct dc_job *job, uint32_t *cell);
+
 /* job.c */
 int dc_job_submit (struct dc *dc, const struct dc_event *event);
 int dc_job_cancel (struct dc *dc, uint32_t job);
@@ -413,6 +417,7 @@
 /* health.c */
 bool dc_health_failed (struct dc *dc, uint32_t job, uint32_t worker);
 void dc_health_worked (struct dc *dc, uint32_t job, uint32_t worker);
+bool dc_health_failed_on (const struct dc_job *job, uint32_t worker);
 void dc_health_done (struct dc *dc, uint32_t job);
 void dc_health_tick (struct dc *dc);
 int64_t dc_health_next (const struct dc *dc);
@@ -428,6 +433,7 @@
 int dc_place_default (struct dc *dc, uint32_t job, bool *done);
 int dc_place_baseline (struct dc *dc, uint32_t job, bool *done);
 int dc_place_waiting (struct dc *dc);
+bool dc_spots_idle (const struct dc *dc, const struct dc_job *job);
 bool dc_place_leaves_reserve (const struct dc *dc, int32_t accelerators);
 bool dc_retry_later (struct dc *dc, const struct dc_job *job);
 
