Hand a job that its cell no longer holds to another, or end it

Cause: a gang whose cell had lost workers stayed queued there for ever: the decision layer of a cell knows the most that the cell ever held, and nothing looked beyond the cell. A cell of which no worker was listed was never served at all after a take-over. Change: src/control/home.c judges, on a clock passed in, whether the workers that are up could hold a gang when empty. After 2 s without room it goes to the cell with most free that could, in one transaction that checks the own cell's row (so the epoch), the job's row and the row there; the row left behind has no state, so that no holder takes it for a job. After 60 s without room in any cell, all of which have told their shapes, it ends with Retry-After: refused when it never ran, else failed. skr-entry reads on where a row points, also for a cancellation, lists such jobs once, and counts them once. A read of the rows that was on its way as a job ended no longer brings it back, and a conflict with a row that has ended lets go of the job in place of writing over it. The list's "next" is CELL/ID now, as a job may be in another cell than its id says; the form before is still taken.

--- a/include/skr/events.h
+++ b/include/skr/events.h
@@ -34,6 +34,8 @@
   LG_PEER_KEYS = 513,
   LG_CONFIG_APPLIED = 514,
   LG_JOB_ROW_BAD = 515,
+  LG_JOB_MOVED = 516,
+  LG_JOB_NO_ROOM = 517,
 
   /* filter */
   LG_REQUEST_UNKNOWN = 601,
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -65,6 +65,12 @@
   { LG_JOB_ROW_BAD, LG_ERROR, "job-row-bad", "cell job",
     "A job's row can't be read; the job is refused.",
     "see which program wrote the row" },
+  { LG_JOB_MOVED, LG_NOTICE, "job-moved", "cell job to",
+    "The cell no longer holds the job; another cell has it now.",
+    "check the cell's workers" },
+  { LG_JOB_NO_ROOM, LG_WARNING, "job-no-room", "cell job",
+    "No cell of the fleet holds the job any more; it is ended.",
+    "check the fleet" },
 
   /* filter */
   { LG_REQUEST_UNKNOWN, LG_WARNING, "request-unknown",
--- a/src/control/cell.c
+++ b/src/control/cell.c
@@ -44,6 +44,7 @@
   c->accounts = g_ptr_array_new_with_free_func (g_free);
   c->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_job);
   c->by_handle = g_ptr_array_new ();
+  c->gone = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   c->free_handles = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   c->gangs = g_ptr_array_new_with_free_func (cl_free_gang);
   c->gangs_of = g_hash_table_new (g_str_hash, g_str_equal);
@@ -78,6 +79,7 @@
   g_hash_table_remove_all (c->gangs_of);
   g_ptr_array_set_size (c->gangs, 0);
   g_hash_table_remove_all (c->jobs);
+  g_hash_table_remove_all (c->gone);
   g_ptr_array_set_size (c->by_handle, 0);
   g_array_set_size (c->free_handles, 0);
   g_ptr_array_set_size (c->accounts, 0);
@@ -96,6 +98,8 @@
   g_ptr_array_free (c->racks, TRUE);
   g_ptr_array_free (c->accounts, TRUE);
   g_hash_table_destroy (c->jobs);
+  g_hash_table_destroy (c->gone);
+  json_decref (c->cell_rows);
   g_ptr_array_free (c->by_handle, TRUE);
   g_array_free (c->free_handles, TRUE);
   g_hash_table_destroy (c->gangs_of);
@@ -179,6 +183,14 @@
   ce_read_failed (&c->lease);
 }
 
+void
+cl_cells (struct cl_cell *c, json_t *rows)
+{
+  json_incref (rows);
+  json_decref (c->cell_rows);
+  c->cell_rows = rows;
+}
+
 void
 cl_saw_epoch (struct cl_cell *c, int64_t now_ms, int64_t epoch)
 {
@@ -235,6 +247,7 @@
   if (c->phase == CL_SERVING && cl_may_act (c))
     {
       cl_plans (c);
+      cl_home_step (c);
       cl_jobs_step (c);
       cl_decide (c);
       cl_gangs_step (c);
--- a/src/control/cell.h
+++ b/src/control/cell.h
@@ -12,6 +12,7 @@
 #include "config/config.h"
 #include "control/control.h"
 #include "control/gang.h"
+#include "control/home.h"
 #include "control/job.h"
 #include "control/lease.h"
 #include "control/member.h"
@@ -142,6 +143,10 @@
   GPtrArray *gangs; /* struct wk_gang, all attempts that workers may know */
   GHashTable *gangs_of; /* job to its first gang */
 
+  json_t *cell_rows; /* of all cells as last read, or NULL */
+  int64_t home_at_ms;
+  GHashTable *gone; /* ids of jobs that were let go of to the revision */
+
   GQueue dirty[DC_BULK + 1]; /* struct jb_job to be written, by class */
   GPtrArray *batch;          /* the jobs of the write in flight */
   int64_t commit_at_ms, read_at_ms;
@@ -171,6 +176,8 @@
 void cl_row (struct cl_cell *c, int64_t now_ms, const json_t *value,
              int64_t version);
 void cl_row_failed (struct cl_cell *c);
+/* ROWS: the array of all cells' rows.  */
+void cl_cells (struct cl_cell *c, json_t *rows);
 void cl_saw_epoch (struct cl_cell *c, int64_t now_ms, int64_t epoch);
 void cl_job_written (struct cl_cell *c);
 
--- a/src/control/cell_commit.c
+++ b/src/control/cell_commit.c
@@ -1,6 +1,5 @@
 /* One transaction at a time: it renews the lease, checks that the lease is
    still held, and carries the job rows that wait.  */
-#include <stdio.h>
 #include <string.h>
 
 #include "control/cell_impl.h"
@@ -11,61 +10,9 @@
   BURST = 4,    /* part of a second's rows that may be saved up */
   BACKOFF_MS = 100,
   BACKOFF_STEPS = 4,
-  READ_AGAIN_MS = 100,
-  BATCH_BYTES = 512 << 10 /* of row values in one transaction */
+  READ_AGAIN_MS = 100
 };
 
-void
-cl_mark_dirty (struct cl_cell *c, struct jb_job *job)
-{
-  job->dirty = 1;
-  if (job->writing)
-    job->rewrite = 1;
-  else if (!job->in_queue)
-    {
-      job->in_queue = 1;
-      g_queue_push_tail (&c->dirty[job->spec.class], job);
-    }
-}
-
-static size_t
-row_size (const json_t *row)
-{
-  return json_dumpb (row, NULL, 0, JSON_COMPACT);
-}
-
-/* Rows of urgent jobs go first: they never wait behind bulk.  */
-static GQueue *
-next_queue (struct cl_cell *c)
-{
-  for (int i = 0; i <= DC_BULK; i++)
-    if (!g_queue_is_empty (&c->dirty[i]))
-      return &c->dirty[i];
-  return NULL;
-}
-
-static void
-add_rows (struct cl_cell *c, struct tb_txn *txn)
-{
-  size_t bytes = 0;
-  GQueue *queue;
-
-  while ((queue = next_queue (c)) && c->tokens >= 1
-         && (int)c->batch->len < c->set->commit_rows && bytes < BATCH_BYTES)
-    {
-      struct jb_job *job = g_queue_pop_head (queue);
-
-      job->in_queue = 0;
-      bytes += row_size (job->row);
-      tb_txn_check (txn, c->table, job->id, job->version);
-      tb_txn_put (txn, c->table, job->id, json_deep_copy (job->row));
-      job->dirty = job->rewrite = 0;
-      job->writing = 1;
-      c->tokens--;
-      g_ptr_array_add (c->batch, job);
-    }
-}
-
 static void
 send (struct cl_cell *c, const struct ce_row *row, int with_rows)
 {
@@ -84,7 +31,7 @@
   tb_txn_put (&txn, CL_TABLE, c->name, value);
   c->tokens--;
   if (with_rows)
-    add_rows (c, &txn);
+    cl_add_rows (c, &txn);
   e.u.commit = &txn;
   e.serial = c->commit_serial = ++c->serial;
   c->emit (c->arg, &e);
@@ -107,7 +54,7 @@
 renew_or_write (struct cl_cell *c)
 {
   int64_t renew_at = c->lease.sent_ms + c->lease.lease_ms / RENEWALS;
-  int rows = cl_may_act (c) && next_queue (c) != NULL;
+  int rows = cl_may_act (c) && cl_next_row (c) != NULL;
   struct ce_row row;
 
   refill (c);
@@ -161,42 +108,6 @@
   c->commit_at_ms = c->now_ms + wait / 2 + (int64_t)(cl_random (c) * wait);
 }
 
-static void
-rows_written (struct cl_cell *c, int64_t rev)
-{
-  for (guint i = 0; i < c->batch->len; i++)
-    {
-      struct jb_job *job = g_ptr_array_index (c->batch, i);
-
-      job->writing = 0;
-      job->version = rev;
-      if (job->rewrite)
-        cl_mark_dirty (c, job);
-    }
-  for (guint i = 0; i < c->batch->len; i++)
-    {
-      struct jb_job *job = g_ptr_array_index (c->batch, i);
-
-      if (!job->dirty)
-        cl_row_written (c, job);
-    }
-  g_ptr_array_set_size (c->batch, 0);
-}
-
-static void
-rows_not_written (struct cl_cell *c)
-{
-  for (guint i = c->batch->len; i > 0; i--)
-    {
-      struct jb_job *job = g_ptr_array_index (c->batch, i - 1);
-
-      job->writing = job->rewrite = 0;
-      job->dirty = job->in_queue = 1;
-      g_queue_push_head (&c->dirty[job->spec.class], job);
-    }
-  g_ptr_array_set_size (c->batch, 0);
-}
-
 static void
 settle (struct cl_cell *c, enum ce_result result)
 {
@@ -206,14 +117,14 @@
     {
     case CE_WRITTEN:
       c->backoff = 0;
-      rows_written (c, c->lease.row.version);
+      cl_rows_written (c, c->lease.row.version);
       if (c->lease.state == CE_WATCHING)
         cl_lose (c); /* released */
       else if (!was_held)
         cl_begin (c);
       return;
     case CE_NOT_WRITTEN:
-      rows_not_written (c);
+      cl_rows_not_written (c);
       back_off (c);
       return;
     case CE_CONFLICT:
@@ -248,10 +159,7 @@
     if (!strcmp (table, CL_TABLE))
       cell = ce_parse (found, version ? value : NULL, version) == CT_OK;
     else if ((job = cl_find_job (c, key)))
-      {
-        jb_merge (job, value, version);
-        cl_check_cancel (c, job);
-      }
+      cl_job_conflict (c, table, job, version, value);
   }
   return cell;
 }
--- /dev/null
+++ b/src/control/cell_home.c
@@ -0,0 +1,138 @@
+/* Jobs that wait in a cell whose workers no longer hold them.  */
+#include <string.h>
+
+#include "control/cell_impl.h"
+#include "skr/log.h"
+
+enum
+{
+  HOME_MS = 500 /* between two looks at all jobs that wait */
+};
+
+struct hm_need
+cl_need (const struct jb_job *job)
+{
+  return (struct hm_need){ job->spec.tasks, job->spec.per_task };
+}
+
+void
+cl_room (struct cl_cell *c, struct hm_room *room)
+{
+  memset (room, 0, sizeof *room);
+  room->known = 1;
+  for (uint32_t i = 0; i < c->workers->len; i++)
+    {
+      const struct mb_worker *w = cl_worker (c, i);
+      int slots = w->slots - c->set->reserve_slots;
+
+      if (w->state == MB_UP)
+        hm_add (room, w->accelerators, slots > 0 ? slots : 0);
+    }
+}
+
+/* Nothing of it is anywhere: its row alone says what it is.  */
+static int
+is_idle (struct cl_cell *c, const struct jb_job *job)
+{
+  return job->state == JB_QUEUED && !job->gang && !job->dirty && !job->writing
+         && !job->cancel && !job->to
+         && !g_hash_table_contains (c->gangs_of, job->id);
+}
+
+static GArray *
+read_others (const struct cl_cell *c)
+{
+  GArray *list = g_array_new (FALSE, FALSE, sizeof (struct hm_room));
+  const json_t *o;
+  size_t i;
+
+  json_array_foreach (c->cell_rows, i, o)
+  {
+    const char *key = json_string_value (json_object_get (o, "key"));
+    struct hm_room room;
+
+    if (!key || strcmp (key, c->name) == 0 || strlen (key) >= CT_NAME)
+      continue;
+    hm_read (&room, key, json_object_get (o, "value"));
+    g_array_append_val (list, room);
+  }
+  return list;
+}
+
+static void
+log_job (struct cl_cell *c, enum lg_event event, const struct jb_job *job,
+         const char *to)
+{
+  struct lg_field field[] = { lg_str ("cell", c->name),
+                              lg_str ("job", job->id), lg_str ("to", to) };
+
+  lg_log (event, to ? 3 : 2, field);
+}
+
+/* Attempts of which parts were held here are not numbered again there.  */
+static void
+move (struct cl_cell *c, struct jb_job *job, const char *to)
+{
+  cl_take_back (c, job);
+  if (job->seen_attempt > job->attempt)
+    job->attempt = job->seen_attempt;
+  jb_set_state (job, JB_QUEUED, "its cell no longer holds it");
+  job->to = g_intern_string (to);
+  job->to_version = job->is_there = 0;
+  log_job (c, LG_JOB_MOVED, job, to);
+  cl_mark_dirty (c, job);
+}
+
+static void
+end (struct cl_cell *c, struct jb_job *job)
+{
+  int began
+      = json_integer_value (json_object_get (job->row, "started_at")) != 0;
+
+  cl_take_back (c, job);
+  json_object_set_new (job->row, "retry_after_s", json_integer (HM_RETRY_S));
+  log_job (c, LG_JOB_NO_ROOM, job, NULL);
+  cl_set_state (c, job, began ? JB_FAILED : JB_REFUSED,
+                "no cell holds it any more");
+}
+
+void
+cl_home_step (struct cl_cell *c)
+{
+  struct hm_room own;
+  GArray *others;
+  GHashTableIter it;
+  gpointer value;
+
+  if (c->now_ms < c->home_at_ms)
+    return;
+  c->home_at_ms = c->now_ms + HOME_MS;
+  cl_room (c, &own);
+  others = read_others (c);
+  g_hash_table_iter_init (&it, c->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct jb_job *job = value;
+      const struct hm_room *to;
+
+      if (!is_idle (c, job))
+        {
+          job->misfit_ms = 0;
+          continue;
+        }
+      switch (hm_judge (&own, (const struct hm_room *)(void *)others->data,
+                        (int)others->len, cl_need (job), &job->misfit_ms,
+                        c->now_ms, &to))
+        {
+        case HM_STAY:
+          break;
+        case HM_MOVE:
+          move (c, job, to->cell);
+          break;
+        case HM_END:
+          end (c, job);
+          break;
+        }
+    }
+  g_array_free (others, TRUE);
+}
--- a/src/control/cell_impl.h
+++ b/src/control/cell_impl.h
@@ -9,8 +9,19 @@
 void cl_begin (struct cl_cell *c);
 double cl_random (struct cl_cell *c);
 
-/* cell_commit.c */
+/* cell_rows.c */
 void cl_mark_dirty (struct cl_cell *c, struct jb_job *job);
+/* The queue of the row to be written next, or NULL.  */
+GQueue *cl_next_row (struct cl_cell *c);
+void cl_add_rows (struct cl_cell *c, struct tb_txn *txn);
+void cl_rows_written (struct cl_cell *c, int64_t rev);
+void cl_rows_not_written (struct cl_cell *c);
+/* Takes in the newer row of one job, in the cell's table or the one that it
+   goes to.  */
+void cl_job_conflict (struct cl_cell *c, const char *table, struct jb_job *job,
+                      int64_t version, const json_t *value);
+
+/* cell_commit.c */
 void cl_commit_step (struct cl_cell *c, int64_t take_delay_ms);
 
 /* cell_fleet.c */
@@ -67,6 +78,17 @@
 void cl_jobs_step (struct cl_cell *c);
 void cl_row_written (struct cl_cell *c, struct jb_job *job);
 
+/* Lets go of a job whose row stands in the table as VERSION or later.  */
+void cl_forget (struct cl_cell *c, struct jb_job *job, int64_t version);
+/* The job is to be neither given to the decision layer nor kept there.  */
+void cl_take_back (struct cl_cell *c, struct jb_job *job);
+
+/* cell_home.c */
+void cl_home_step (struct cl_cell *c);
+/* What the workers that are up hold when empty.  */
+void cl_room (struct cl_cell *c, struct hm_room *room);
+struct hm_need cl_need (const struct jb_job *job);
+
 /* cell_decide.c */
 void cl_apply (struct cl_cell *c, const struct dc_event *event);
 void cl_decide (struct cl_cell *c);
--- a/src/control/cell_job.c
+++ b/src/control/cell_job.c
@@ -75,6 +75,31 @@
   cl_apply (c, &e);
 }
 
+void
+cl_take_back (struct cl_cell *c, struct jb_job *job)
+{
+  struct dc_event e = { .kind = DC_EV_CANCEL };
+
+  e.u.job = job->handle;
+  if (job->handle != JB_NO_HANDLE)
+    {
+      cl_drop_handle (c, job);
+      cl_apply (c, &e);
+    }
+  g_queue_remove (&c->waiting, job);
+}
+
+/* A read of rows that was on its way may still show it as it was.  */
+void
+cl_forget (struct cl_cell *c, struct jb_job *job, int64_t version)
+{
+  cl_stop_gang (c, job);
+  cl_take_back (c, job);
+  g_hash_table_replace (c->gone, g_strdup (job->id),
+                        g_memdup2 (&version, sizeof version));
+  g_hash_table_remove (c->jobs, job->id);
+}
+
 void
 cl_wait (struct cl_cell *c, struct jb_job *job, int64_t delay_ms)
 {
@@ -85,17 +110,10 @@
 void
 cl_resubmit (struct cl_cell *c, struct jb_job *job, int64_t delay_ms)
 {
-  struct dc_event e = { .kind = DC_EV_CANCEL };
-
   if (job->gang && job->gang->attempt > job->attempt)
     job->attempt = job->gang->attempt;
   cl_stop_gang (c, job);
-  e.u.job = job->handle;
-  if (job->handle != JB_NO_HANDLE)
-    {
-      cl_drop_handle (c, job);
-      cl_apply (c, &e);
-    }
+  cl_take_back (c, job);
   if (job->state == JB_RUNNING)
     cl_set_state (c, job, JB_QUEUED, NULL);
   cl_wait (c, job, delay_ms);
@@ -128,14 +146,20 @@
   cl_submit (c, job);
 }
 
+/* What this cell can't hold is not for its decision layer.  */
 void
 cl_jobs_step (struct cl_cell *c)
 {
+  struct hm_room room = { .known = 0 };
+
+  if (!g_queue_is_empty (&c->waiting))
+    cl_room (c, &room);
   for (guint n = g_queue_get_length (&c->waiting); n > 0; n--)
     {
       struct jb_job *job = g_queue_pop_head (&c->waiting);
 
-      if (c->now_ms >= job->submit_at_ms)
+      if (c->now_ms >= job->submit_at_ms
+          && (job->cancel || !room.known || hm_holds (&room, cl_need (job))))
         submit_next (c, job);
       else
         g_queue_push_tail (&c->waiting, job);
@@ -164,7 +188,7 @@
 cl_take_row (struct cl_cell *c, const char *id, json_t *value, int64_t version)
 {
   struct jb_job *job = cl_find_job (c, id);
-  const char *state = json_string_value (json_object_get (value, "state"));
+  const int64_t *gone = g_hash_table_lookup (c->gone, id);
 
   if (job)
     {
@@ -175,7 +199,7 @@
         }
       return;
     }
-  if (!state || jb_parse_state (state) >= JB_DONE)
+  if (!jb_is_live (value) || (gone && *gone >= version))
     return;
   job = add_job (c, id, value, version);
   if (!job)
@@ -196,10 +220,9 @@
   e.u.ended.row = job->row;
   e.u.ended.is_end = jb_has_ended (job);
   c->emit (c->arg, &e);
-  if (jb_has_ended (job))
+  if (jb_has_ended (job) || job->to)
     {
-      cl_stop_gang (c, job);
-      g_hash_table_remove (c->jobs, job->id);
+      cl_forget (c, job, job->version);
       return;
     }
   if (g && g->phase == WK_HOLD && job->state == JB_RUNNING
@@ -207,6 +230,19 @@
     wk_set_phase (g, WK_RUN, c->now_ms);
 }
 
+/* No later read can be older than this whole one.  */
+static void
+forget_gone (struct cl_cell *c)
+{
+  GHashTableIter it;
+  gpointer version;
+
+  g_hash_table_iter_init (&it, c->gone);
+  while (g_hash_table_iter_next (&it, NULL, &version))
+    if (*(int64_t *)version <= c->scan_rev)
+      g_hash_table_iter_remove (&it);
+}
+
 static void
 scan_page (struct cl_cell *c, const json_t *rows)
 {
@@ -247,6 +283,7 @@
     }
   c->scan_after[0] = '\0';
   c->scan_rev = c->scan_first_rev;
+  forget_gone (c);
   if (c->phase == CL_LOADING)
     c->phase = CL_SURVEY;
 }
--- a/src/control/cell_recover.c
+++ b/src/control/cell_recover.c
@@ -11,13 +11,14 @@
   int jobs, adopted, requeued, unknown;
 };
 
-/* Every worker has said what it runs, or its leases have ended.  */
+/* Every worker has said what it runs, or its leases have ended.  A cell of
+   which no worker is listed any more is served, too: its jobs go elsewhere. */
 int
 cl_survey_over (struct cl_cell *c)
 {
   int64_t lapsed = c->took_ms + c->times.lease_ms + c->times.delay_ms;
 
-  if (!c->workers->len || !c->fleet_listed
+  if ((!c->workers->len && c->now_ms <= lapsed) || !c->fleet_listed
       || c->now_ms - c->fleet_changed_ms < c->set->settle_ms)
     return 0;
   for (guint i = 0; i < c->workers->len; i++)
--- /dev/null
+++ b/src/control/cell_rows.c
@@ -0,0 +1,160 @@
+/* The job rows that a cell's transactions carry.  */
+#include <stdio.h>
+#include <string.h>
+
+#include "control/cell_impl.h"
+
+enum
+{
+  BATCH_BYTES = 512 << 10 /* of row values in one transaction */
+};
+
+void
+cl_mark_dirty (struct cl_cell *c, struct jb_job *job)
+{
+  job->dirty = 1;
+  if (job->writing)
+    job->rewrite = 1;
+  else if (!job->in_queue)
+    {
+      job->in_queue = 1;
+      g_queue_push_tail (&c->dirty[job->spec.class], job);
+    }
+}
+
+static size_t
+row_size (const json_t *row)
+{
+  return json_dumpb (row, NULL, 0, JSON_COMPACT);
+}
+
+/* Rows of urgent jobs go first: they never wait behind bulk.  */
+GQueue *
+cl_next_row (struct cl_cell *c)
+{
+  for (int i = 0; i <= DC_BULK; i++)
+    if (!g_queue_is_empty (&c->dirty[i]))
+      return &c->dirty[i];
+  return NULL;
+}
+
+/* A job that goes to another cell leaves this one in the same transaction, so
+   that it is never in two.  */
+static void
+add_move (struct cl_cell *c, struct tb_txn *txn, struct jb_job *job)
+{
+  char table[CT_NAME + 8];
+
+  snprintf (table, sizeof table, "jobs.%s", job->to);
+  tb_txn_check (txn, table, job->id, job->to_version);
+  if (!job->is_there)
+    tb_txn_put (txn, table, job->id, json_deep_copy (job->row));
+  tb_txn_put (txn, c->table, job->id, jb_moved (job));
+  c->tokens--;
+}
+
+void
+cl_add_rows (struct cl_cell *c, struct tb_txn *txn)
+{
+  size_t bytes = 0;
+  GQueue *queue;
+
+  while ((queue = cl_next_row (c)) && c->tokens >= 1
+         && (int)c->batch->len < c->set->commit_rows && bytes < BATCH_BYTES)
+    {
+      struct jb_job *job = g_queue_pop_head (queue);
+
+      job->in_queue = 0;
+      bytes += row_size (job->row);
+      tb_txn_check (txn, c->table, job->id, job->version);
+      if (job->to)
+        add_move (c, txn, job);
+      else
+        tb_txn_put (txn, c->table, job->id, json_deep_copy (job->row));
+      job->dirty = job->rewrite = 0;
+      job->writing = 1;
+      c->tokens--;
+      g_ptr_array_add (c->batch, job);
+    }
+}
+
+void
+cl_rows_written (struct cl_cell *c, int64_t rev)
+{
+  for (guint i = 0; i < c->batch->len; i++)
+    {
+      struct jb_job *job = g_ptr_array_index (c->batch, i);
+
+      job->writing = 0;
+      job->version = rev;
+      if (job->rewrite)
+        cl_mark_dirty (c, job);
+    }
+  for (guint i = 0; i < c->batch->len; i++)
+    {
+      struct jb_job *job = g_ptr_array_index (c->batch, i);
+
+      if (!job->dirty)
+        cl_row_written (c, job);
+    }
+  g_ptr_array_set_size (c->batch, 0);
+}
+
+/* A row that ended or was handed over: what is in memory came from an older
+   read.  */
+static void
+forget_stale (struct cl_cell *c)
+{
+  GPtrArray *stale = g_ptr_array_new ();
+
+  for (guint i = c->batch->len; i > 0; i--)
+    {
+      struct jb_job *job = g_ptr_array_index (c->batch, i - 1);
+
+      if (!job->stale)
+        continue;
+      job->writing = job->dirty = job->rewrite = 0;
+      g_ptr_array_add (stale, job);
+      g_ptr_array_remove_index (c->batch, i - 1);
+    }
+  for (guint i = 0; i < stale->len; i++)
+    {
+      struct jb_job *job = g_ptr_array_index (stale, i);
+
+      cl_forget (c, job, job->version);
+    }
+  g_ptr_array_free (stale, TRUE);
+}
+
+void
+cl_rows_not_written (struct cl_cell *c)
+{
+  forget_stale (c);
+  for (guint i = c->batch->len; i > 0; i--)
+    {
+      struct jb_job *job = g_ptr_array_index (c->batch, i - 1);
+
+      job->writing = job->rewrite = 0;
+      job->dirty = job->in_queue = 1;
+      g_queue_push_head (&c->dirty[job->spec.class], job);
+    }
+  g_ptr_array_set_size (c->batch, 0);
+}
+
+/* Takes in the newer row of one job.  */
+void
+cl_job_conflict (struct cl_cell *c, const char *table, struct jb_job *job,
+                 int64_t version, const json_t *value)
+{
+  if (strcmp (table, c->table) != 0)
+    {
+      /* Left there by an earlier move; or the job itself, which nobody then
+         makes anew.  */
+      job->to_version = version;
+      job->is_there = version && json_object_get (value, "state");
+      return;
+    }
+  jb_merge (job, value, version);
+  job->stale = version && !jb_is_live (value);
+  cl_check_cancel (c, job);
+}
--- a/src/control/cell_sum.c
+++ b/src/control/cell_sum.c
@@ -39,6 +39,7 @@
   uint64_t *used = g_new0 (uint64_t, c->workers->len + 1);
   int64_t blocks[SIZES] = { 0 }, up = 0, running = 0, queued = 0;
   json_t *free_list = json_array ();
+  struct hm_room room;
   GHashTableIter it;
   gpointer job;
 
@@ -58,8 +59,9 @@
     }
   for (int k = 0; k < SIZES; k++)
     json_array_append_new (free_list, json_integer (blocks[k]));
-  return json_pack ("{s:I, s:I, s:I, s:I, s:o}", "workers", (json_int_t)up,
-                    "running", (json_int_t)running, "queued",
+  cl_room (c, &room);
+  return json_pack ("{s:I, s:I, s:I, s:I, s:o, s:o}", "workers",
+                    (json_int_t)up, "running", (json_int_t)running, "queued",
                     (json_int_t)queued, "free", (json_int_t)blocks[0],
-                    "blocks", free_list);
+                    "blocks", free_list, "shapes", hm_print (&room));
 }
--- a/src/control/job.c
+++ b/src/control/job.c
@@ -177,6 +177,26 @@
     json_array_set (job->results, (size_t)task, result);
 }
 
+json_t *
+jb_moved (const struct jb_job *job)
+{
+  json_t *row = json_pack ("{s:s, s:s, s:i}", "account", job->account,
+                           "moved_to", job->to, "attempt", job->attempt);
+  json_t *key = json_object_get (job->row, "key");
+
+  if (key)
+    json_object_set (row, "key", key);
+  return row;
+}
+
+int
+jb_is_live (const json_t *value)
+{
+  const char *state = json_string_value (json_object_get (value, "state"));
+
+  return state && jb_parse_state (state) < JB_DONE;
+}
+
 void
 jb_merge (struct jb_job *job, const json_t *value, int64_t version)
 {
--- a/src/control/job.h
+++ b/src/control/job.h
@@ -48,6 +48,11 @@
   int dirty, writing;   /* the row is to be written, is on its way */
   int in_queue;         /* of rows to be written */
   int rewrite;          /* it changed while it was on its way */
+  int stale;            /* the table has another state of it */
+  const char *to;       /* the cell that it is handed to, or NULL */
+  int64_t to_version;   /* of the row there; 0: absent */
+  int is_there;         /* that row is the job already */
+  int64_t misfit_ms;    /* since when its cell does not hold it; see home.h */
 };
 
 /* Reads a row and keeps VALUE, which is the job's alone from then on.
@@ -69,6 +74,11 @@
                        const char *(*worker_name) (void *arg, uint32_t),
                        void *arg);
 void jb_set_result (struct jb_job *job, int task, json_t *result);
+/* The row that stays behind for those who know the job by this cell.  It has
+   no state: only the row in the other cell has.  A new value.  */
+json_t *jb_moved (const struct jb_job *job);
+/* Whether VALUE is a row of a job that this cell still has to do with.  */
+int jb_is_live (const json_t *value);
 /* Takes over what others may write, the cancellation, from a newer VALUE.  */
 void jb_merge (struct jb_job *job, const json_t *value, int64_t version);
 
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -130,6 +130,7 @@
   json_t *value;       /* the row as last seen */
   int64_t wait_until_ms, poll_due_ms;
   int reading;
+  int hops; /* rows read that say in which other cell the job is */
 };
 
 struct en_list
--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -9,6 +9,7 @@
   JOB_DIGITS = 16,       /* of an id */
   MAX_WAIT_MS = 30000,   /* of a status request */
   STATUS_POLL_MS = 500,  /* reads of a job that is waited for */
+  MAX_HOPS = 64,         /* cells that one job is looked for in */
   TABLE_NAME = PR_ID + 8 /* bytes of "jobs.CELL" */
 };
 
@@ -99,6 +100,23 @@
   en_get (core, req, EN_TAG_STEP, table, req->u.job.id);
 }
 
+/* A row that was left behind names the cell that has the job now.  Returns 1
+   when the job is being read there.  */
+static int
+follow (struct en_core *core, struct en_request *req)
+{
+  struct en_job *j = &req->u.job;
+  const char *cell
+      = json_string_value (json_object_get (j->value, "moved_to"));
+
+  if (!cell || strlen (cell) >= PR_ID || j->hops++ >= MAX_HOPS)
+    return 0;
+  g_strlcpy (j->cell, cell, sizeof j->cell);
+  j->writing = 0;
+  read_job (core, req);
+  return 1;
+}
+
 static void
 act (struct en_core *core, struct en_request *req, enum fl_write_do what)
 {
@@ -253,7 +271,8 @@
       accepted (core, req, j->id, string_of (j->value, "state"));
       break;
     case FL_WRITE_CONFLICT:
-      accepted (core, req, j->id, string_of (j->value, "state"));
+      if (!follow (core, req))
+        accepted (core, req, j->id, string_of (j->value, "state"));
       break;
     case FL_WRITE_REFUSED:
       en_refuse (core, req, FL_PROBLEM_UNREADABLE,
@@ -332,10 +351,23 @@
   json_t *o = json_copy (j->value);
 
   json_object_del (o, "account");
+  json_object_del (o, "retry_after_s");
   json_object_set_new (o, "job", json_string (j->id));
   return o;
 }
 
+static void
+show (struct en_core *core, struct en_request *req)
+{
+  const json_t *retry = json_object_get (req->u.job.value, "retry_after_s");
+  char seconds[24];
+
+  snprintf (seconds, sizeof seconds, "%lld",
+            (long long)json_integer_value (retry));
+  en_answer_json (core, req, 200, public_job (&req->u.job),
+                  retry ? "Retry-After" : NULL, retry ? seconds : NULL);
+}
+
 static void
 show_or_wait (struct en_core *core, struct en_request *req)
 {
@@ -343,7 +375,7 @@
 
   if (has_ended (j->value) || core->now_ms >= j->wait_until_ms
       || atomic_load (&core->leaving))
-    en_answer_json (core, req, 200, public_job (j), NULL, NULL);
+    show (core, req);
   else
     j->poll_due_ms = core->now_ms + STATUS_POLL_MS / 2
                      + (int64_t)(en_jitter (core) * STATUS_POLL_MS / 2);
@@ -374,8 +406,17 @@
     }
   if (row)
     keep_value (j, row);
+  if (row && json_object_get (j->value, "state"))
+    j->hops = 0;
   if (!row || !is_owner (core, req))
     en_refuse (core, req, FL_PROBLEM_NOT_FOUND, "there is no such job");
+  else if (json_object_get (j->value, "moved_to"))
+    {
+      if (!follow (core, req))
+        en_refuse (core, req, FL_PROBLEM_UNREADABLE,
+                   "the job can't be read now");
+      return;
+    }
   else if (req->fr.op == FL_OP_JOB_GET)
     show_or_wait (core, req);
   else if (req->fr.op == FL_OP_JOB || has_ended (j->value))
--- a/src/entry/jobs.c
+++ b/src/entry/jobs.c
@@ -28,7 +28,9 @@
   json_t *o = json_pack ("{s:O}", "jobs", p->jobs);
 
   if (more)
-    json_object_set_new (o, "next", json_string (p->after));
+    json_object_set_new (
+        o, "next",
+        json_sprintf ("%s/%s", core->fleet.cell[p->cell].cell, p->after));
   en_answer_json (core, req, 200, o, NULL, NULL);
 }
 
@@ -57,14 +59,16 @@
                .table = table, .after = p->after, .limit = SCAN_ROWS });
 }
 
+/* AFTER is an id, or CELL/ID: a job may be in another cell than its id says,
+   and without an ID the cell is read from its start.  */
 static int
-cell_of (const struct en_core *core, const char *id)
+cell_of (const struct en_core *core, const char *after)
 {
-  size_t n = strcspn (id, "~");
+  size_t n = strcspn (after, "/~");
 
   for (int i = 0; i < core->fleet.cells; i++)
     if (strlen (core->fleet.cell[i].cell) == n
-        && !strncmp (core->fleet.cell[i].cell, id, n))
+        && !strncmp (core->fleet.cell[i].cell, after, n))
       return i;
   return 0;
 }
@@ -81,7 +85,9 @@
   p->limit = (int)CLAMP (n, 1, (long)MAX_LIMIT);
   if (after)
     {
-      g_strlcpy (p->after, after, sizeof p->after);
+      const char *slash = strchr (after, '/');
+
+      g_strlcpy (p->after, slash ? slash + 1 : after, sizeof p->after);
       p->cell = cell_of (core, after);
     }
   read_on (core, req);
@@ -120,7 +126,8 @@
     if ((int)json_array_size (p->jobs) >= p->limit)
       return 0;
     g_strlcpy (p->after, string_of (row, "key"), sizeof p->after);
-    if (value && !strcmp (string_of (value, "account"), account))
+    if (!strcmp (string_of (value, "account"), account)
+        && !json_object_get (value, "moved_to"))
       json_array_append_new (p->jobs, summary (p->after, value));
   }
   return 1;
@@ -147,12 +154,12 @@
   if (!json_is_true (json_object_get (data, "more")))
     {
       p->cell++;
+      *p->after = '\0';
       if (p->cell < core->fleet.cells && is_full (p))
         {
           answer_page (core, req, 1);
           return;
         }
-      *p->after = '\0';
     }
   else if (is_full (p))
     {
--- a/src/entry/queued.c
+++ b/src/entry/queued.c
@@ -90,7 +90,8 @@
   int account = handle_of (
       core, json_string_value (json_object_get (value, "account")));
 
-  if (!job)
+  /* A row that was left behind says nothing: the one elsewhere does.  */
+  if (!job || json_object_get (value, "moved_to"))
     return;
   if (state && !strcmp (state, "queued") && account >= 0)
     en_queued_add (core, job, account);
--- a/src/sched/cells.c
+++ b/src/sched/cells.c
@@ -141,6 +141,7 @@
     {
       const json_t *row = row_of (rows, s->cell[c]->name);
 
+      cl_cells (s->cell[c], rows);
       cl_row (s->cell[c], s->now_ms, json_object_get (row, "value"),
               json_integer_value (json_object_get (row, "version")));
     }
--- /dev/null
+++ b/tests/control/check_moved.sh
@@ -0,0 +1,38 @@
+#!/usr/bin/env bash
+# A cell that has lost a worker no longer holds a gang: another cell takes it.
+cd "$(dirname "$0")/../.." || exit 1
+. tests/control/lib.sh
+
+# row CELL NUMBER FIELD: of job d1~NUMBER in the table of CELL.
+row ()
+{
+  curl -s "$platform/v1/rows/jobs.$1/$(printf 'd1~%016x' "$2")" \
+    | jq -r ".value.$3"
+}
+row_is ()
+{
+  [ "$(row "$1" "$2" "$3")" = "$4" ]
+}
+
+start_world 2 2
+start_sched s1
+start_sched s2 --domain d2
+for cell in d1 d2; do
+  wait_for 200 eval "[ \"\$(curl -s $platform/v1/rows/cells/$cell \
+    | jq .value.workers)\" = 2 ]"
+done
+
+put_job d1 1 2 8 6000 true
+wait_for 100 row_is d1 1 state running
+crash w12
+put_job d1 2 2 8 300 false
+wait_for 400 row_is d2 2 state done
+wait_for 400 row_is d2 1 state done
+expect "the gang that ran is done elsewhere" done "$(row d2 1 state)"
+expect "the gang that waited is done elsewhere" done "$(row d2 2 state)"
+expect "it is in no other cell" "d2 null d2 null" \
+  "$(row d1 1 moved_to) $(row d1 1 state) $(row d1 2 moved_to) $(row d1 2 state)"
+expect "what may not be repeated began once" 2 \
+  "$(cat "$work"/journal.* | jq -r 'select(.kind == "task" and .end == null
+    and .id == "d1~0000000000000002") | .task' | wc -l)"
+exit "$failed"
--- a/tests/control/fake_world.c
+++ b/tests/control/fake_world.c
@@ -145,8 +145,11 @@
   return strcmp (*(char *const *)a, *(char *const *)b);
 }
 
-static void
-scan (struct fw_world *w, struct request *r)
+/* The rows whose names begin with PREFIX, from after AFTER on and newer than
+   SINCE.  */
+static json_t *
+list_rows (struct fw_world *w, const char *prefix, const char *after,
+           int64_t since)
 {
   GPtrArray *names = g_ptr_array_new ();
   json_t *rows = json_array ();
@@ -155,24 +158,31 @@
 
   g_hash_table_iter_init (&it, w->rows);
   while (g_hash_table_iter_next (&it, &name, NULL))
-    if (g_str_has_prefix (name, "jobs.d1/"))
+    if (g_str_has_prefix (name, prefix))
       g_ptr_array_add (names, name);
   g_ptr_array_sort (names, by_name);
   for (guint i = 0; i < names->len; i++)
     {
       const char *full = g_ptr_array_index (names, i);
       struct row *row = g_hash_table_lookup (w->rows, full);
-      const char *key = full + strlen ("jobs.d1/");
+      const char *key = full + strlen (prefix);
 
-      if (row->version > r->since && strcmp (key, r->after) > 0)
+      if (row->version > since && strcmp (key, after) > 0)
         json_array_append_new (
             rows, json_pack ("{s:s, s:I, s:o}", "key", key, "version",
                              (json_int_t)row->version, "value",
                              json_deep_copy (row->value)));
     }
   g_ptr_array_free (names, TRUE);
-  r->data = json_pack ("{s:I, s:o, s:b}", "rev", (json_int_t)w->rev, "rows",
-                       rows, "more", 0);
+  return rows;
+}
+
+static void
+scan (struct fw_world *w, struct request *r)
+{
+  r->data
+      = json_pack ("{s:I, s:o, s:b}", "rev", (json_int_t)w->rev, "rows",
+                   list_rows (w, "jobs.d1/", r->after, r->since), "more", 0);
 }
 
 static void
@@ -552,12 +562,18 @@
 {
   int up = w->table == FW_TABLE_OK || w->table == FW_TABLE_LOSSY;
   struct row *row = find_row (w, CL_TABLE, "d1");
-  json_t *vms;
+  json_t *vms, *rows;
 
   if (w->now_ms % POLL_CELLS_MS == 0)
     {
       if (up)
-        cl_row (c, w->now_ms, row ? row->value : NULL, row ? row->version : 0);
+        {
+          rows = list_rows (w, CL_TABLE "/", "", 0);
+          cl_cells (c, rows);
+          json_decref (rows);
+          cl_row (c, w->now_ms, row ? row->value : NULL,
+                  row ? row->version : 0);
+        }
       else
         cl_row_failed (c);
     }
--- a/tests/control/test_cell.c
+++ b/tests/control/test_cell.c
@@ -204,6 +204,171 @@
   fw_fini (&w);
 }
 
+/* The row of a cell that another VM holds: COUNT workers, of which FREE
+   accelerators are free.  */
+static void
+put_cell (struct fw_world *w, const char *cell, int count, int free)
+{
+  fw_write (w, CL_TABLE, cell,
+            json_pack ("{s:s, s:i, s:i, s:i, s:i, s:[[i, i, i]]}", "holder",
+                       "vm-9", "epoch", 1, "lease_ms", 1000, "free", free,
+                       "workers", count, "shapes", 8, 8, count));
+}
+
+static const char *
+field_of (struct fw_world *w, const char *table, const char *field)
+{
+  const char *s
+      = json_string_value (json_object_get (fw_row (w, table, JOB), field));
+
+  return s ? s : "";
+}
+
+/* Two of the four workers end: a gang of three goes to the cell that holds it
+   and has most free, once.  */
+static void
+lose_two (struct fw_world *w)
+{
+  start (w, SEED);
+  w->run_ms = 1000;
+  put_cell (w, "d2", 2, 16);
+  put_cell (w, "d3", 4, 8);
+  put_cell (w, "d4", 4, 16);
+  w->worker[0].mode = w->worker[1].mode = FW_WORKER_DEAD;
+  fw_put_job (w, JOB, 3, 8, 0, 0);
+  fw_put_job (w, JOB2, 2, 8, 0, 0);
+}
+
+static void
+test_gang_goes_to_a_cell_that_holds_it (void)
+{
+  struct fw_world w;
+  json_t *row;
+
+  lose_two (&w);
+  fw_run (&w, LONG_MS);
+  CU_ASSERT_STRING_EQUAL (field_of (&w, "jobs.d1", "moved_to"), "d4");
+  CU_ASSERT_STRING_EQUAL (field_of (&w, "jobs.d1", "state"), "");
+  CU_ASSERT_STRING_EQUAL (field_of (&w, "jobs.d1", "account"), "a");
+  CU_ASSERT_STRING_EQUAL (field_of (&w, "jobs.d4", "state"), "queued");
+  row = fw_row (&w, "jobs.d4", JOB);
+  CU_ASSERT_PTR_NOT_NULL (json_object_get (row, "payload"));
+  CU_ASSERT_PTR_NULL (fw_row (&w, "jobs.d2", JOB));
+  CU_ASSERT_EQUAL (fw_attempts_run (&w, JOB), 0);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB2), "done");
+  /* With all workers back it is still the other cell's.  */
+  w.worker[0].mode = w.worker[1].mode = FW_WORKER_OK;
+  fw_run (&w, LONG_MS);
+  CU_ASSERT_EQUAL (fw_attempts_run (&w, JOB), 0);
+  CU_ASSERT_EQUAL (g_hash_table_size (w.vm[0].cell.jobs), 0);
+  fw_fini (&w);
+}
+
+/* The holder dies at each step; the job is in one cell, never in two.  */
+static void
+test_moved_once_at_every_step (void)
+{
+  for (int at = 0; at <= 8000; at += 50)
+    {
+      struct fw_world w;
+
+      lose_two (&w);
+      fw_start_vm (&w, 1);
+      fw_run (&w, at);
+      w.table = at / 50 % 3 == 0 ? FW_TABLE_LOSSY : FW_TABLE_OK;
+      fw_run (&w, 500);
+      fw_kill_vm (&w, 0);
+      w.table = FW_TABLE_OK;
+      w.worker[0].mode = w.worker[1].mode = FW_WORKER_OK;
+      fw_run (&w, LONG_MS);
+      CU_ASSERT_EQUAL (
+          fw_attempts_run (&w, JOB)
+              + !strcmp (field_of (&w, "jobs.d4", "state"), "queued"),
+          1);
+      check_rows_came_first (&w);
+      fw_fini (&w);
+    }
+}
+
+/* What it left behind there before gives way; the job itself does not.  */
+static void
+test_goes_where_it_was_before (void)
+{
+  struct fw_world w;
+
+  lose_two (&w);
+  fw_write (&w, "jobs.d4", JOB,
+            json_pack ("{s:s, s:s}", "account", "a", "moved_to", "d1"));
+  fw_run (&w, LONG_MS);
+  CU_ASSERT_STRING_EQUAL (field_of (&w, "jobs.d1", "moved_to"), "d4");
+  CU_ASSERT_STRING_EQUAL (field_of (&w, "jobs.d4", "state"), "queued");
+  fw_fini (&w);
+
+  lose_two (&w);
+  fw_write (&w, "jobs.d4", JOB,
+            json_pack ("{s:s, s:s}", "account", "a", "state", "done"));
+  fw_run (&w, LONG_MS);
+  CU_ASSERT_STRING_EQUAL (field_of (&w, "jobs.d1", "moved_to"), "d4");
+  CU_ASSERT_STRING_EQUAL (field_of (&w, "jobs.d4", "state"), "done");
+  fw_fini (&w);
+}
+
+/* No cell holds it: what never ran is refused, what ran has failed; the
+   caller is told when to come back.  A cell that tells nothing may hold it. */
+static void
+test_gang_that_no_cell_holds_ends (void)
+{
+  struct fw_world w;
+
+  start (&w, SEED);
+  w.run_ms = 10000;
+  fw_put_job (&w, JOB2, 4, 8, 1, 0);
+  fw_run (&w, 1000);
+  w.worker[0].mode = FW_WORKER_DEAD;
+  fw_put_job (&w, JOB, 4, 8, 0, 0);
+  fw_write (&w, CL_TABLE, "d2", json_pack ("{s:s}", "holder", ""));
+  fw_run (&w, 2 * HM_END_MS);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "queued");
+  put_cell (&w, "d2", 3, 24);
+  fw_run (&w, HM_END_MS);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "refused");
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB2), "failed");
+  CU_ASSERT_EQUAL (json_integer_value (json_object_get (
+                       fw_row (&w, "jobs.d1", JOB), "retry_after_s")),
+                   HM_RETRY_S);
+  CU_ASSERT_EQUAL (fw_attempts_run (&w, JOB), 0);
+  fw_fini (&w);
+}
+
+/* A read of the rows that was on its way as the job's end was written shows it
+   as still running.  */
+static void
+test_old_read_brings_no_job_back (void)
+{
+  struct fw_world w;
+  struct cl_cell *c = &w.vm[0].cell;
+  json_t *old, *data;
+
+  start (&w, SEED);
+  fw_put_job (&w, JOB, 2, 8, 0, 0);
+  fw_run (&w, 500);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "running");
+  old = json_deep_copy (fw_row (&w, "jobs.d1", JOB));
+  data = json_pack ("{s:I, s:[{s:s, s:I, s:o}], s:b}", "rev",
+                    (json_int_t)w.rev, "rows", "key", JOB, "version",
+                    (json_int_t)w.rev, "value", old, "more", 0);
+  while (g_hash_table_size (c->jobs))
+    fw_run (&w, FW_STEP_MS);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "done");
+  cl_scan_done (c, w.now_ms, c->scan_serial, 0, data);
+  CU_ASSERT_EQUAL (g_hash_table_size (c->jobs), 0);
+  json_decref (data);
+  fw_run (&w, 3000);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "done");
+  CU_ASSERT_EQUAL (g_hash_table_size (c->gone), 0);
+  fw_fini (&w);
+}
+
 static int
 gangs_at_workers (struct fw_world *w)
 {
@@ -653,6 +818,11 @@
   CU_ADD_TEST (suite, test_lost_worker);
   CU_ADD_TEST (suite, test_lost_worker_ends_unknown_what_may_not_repeat);
   CU_ADD_TEST (suite, test_worker_lost_while_held);
+  CU_ADD_TEST (suite, test_gang_goes_to_a_cell_that_holds_it);
+  CU_ADD_TEST (suite, test_moved_once_at_every_step);
+  CU_ADD_TEST (suite, test_goes_where_it_was_before);
+  CU_ADD_TEST (suite, test_gang_that_no_cell_holds_ends);
+  CU_ADD_TEST (suite, test_old_read_brings_no_job_back);
   CU_ADD_TEST (suite, test_table_down);
   CU_ADD_TEST (suite, test_table_silent);
   CU_ADD_TEST (suite, test_catch_up_is_grouped);
--- a/tests/control/test_parts.c
+++ b/tests/control/test_parts.c
@@ -1,10 +1,12 @@
 /* The small controllers: workers, gangs, grants, shares.  */
 #include <CUnit/Basic.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "control/gang.h"
 #include "control/grant.h"
+#include "control/home.h"
 #include "control/member.h"
 #include "control/share.h"
 
@@ -262,6 +264,68 @@
   CU_ASSERT_FALSE (sh_should_give (&one));
 }
 
+static struct hm_room
+room_of (const char *cell, int32_t workers, int64_t free)
+{
+  struct hm_room r = { .known = 1, .free = free };
+
+  snprintf (r.cell, sizeof r.cell, "%s", cell);
+  for (int32_t i = 0; i < workers; i++)
+    hm_add (&r, 8, 6);
+  return r;
+}
+
+static void
+test_room_counts_whole_tasks (void)
+{
+  struct hm_room r = room_of ("d1", 2, 0), copy;
+  json_t *row;
+
+  CU_ASSERT (hm_holds (&r, (struct hm_need){ 4, 4 }));
+  CU_ASSERT (hm_holds (&r, (struct hm_need){ 12, 1 })); /* slots */
+  CU_ASSERT (hm_holds (&r, (struct hm_need){ 12, 0 }));
+  CU_ASSERT_FALSE (hm_holds (&r, (struct hm_need){ 3, 5 }));
+  CU_ASSERT_FALSE (hm_holds (&r, (struct hm_need){ 13, 0 }));
+  row = json_pack ("{s:s, s:i, s:o}", "holder", "vm", "free", 3, "shapes",
+                   hm_print (&r));
+  hm_read (&copy, "d1", row);
+  CU_ASSERT_EQUAL (copy.known, 1);
+  CU_ASSERT_EQUAL (copy.free, 3);
+  CU_ASSERT (hm_holds (&copy, (struct hm_need){ 4, 4 }));
+  json_object_set_new (row, "holder", json_string (""));
+  hm_read (&copy, "d1", row);
+  CU_ASSERT_EQUAL (copy.known, 0);
+  json_decref (row);
+}
+
+static void
+test_gang_without_room (void)
+{
+  struct hm_room own = room_of ("d1", 1, 8);
+  struct hm_room other[3]
+      = { room_of ("d2", 1, 8), room_of ("d3", 2, 3), room_of ("d4", 2, 9) };
+  struct hm_need need = { 2, 8 };
+  const struct hm_room *to;
+  int64_t since = 0, end = 1000 + HM_END_MS;
+
+  CU_ASSERT_EQUAL (hm_judge (&own, other, 3, need, &since, 1000, &to),
+                   HM_STAY);
+  CU_ASSERT_EQUAL (
+      hm_judge (&own, other, 3, need, &since, 999 + HM_MOVE_MS, &to), HM_STAY);
+  CU_ASSERT_EQUAL (
+      hm_judge (&own, other, 3, need, &since, 1000 + HM_MOVE_MS, &to),
+      HM_MOVE);
+  CU_ASSERT_PTR_EQUAL (to, &other[2]);
+  CU_ASSERT_EQUAL (hm_judge (&own, other, 1, need, &since, end - 1, &to),
+                   HM_STAY);
+  CU_ASSERT_EQUAL (hm_judge (&own, other, 1, need, &since, end, &to), HM_END);
+  other[0].known = 0;
+  CU_ASSERT_EQUAL (hm_judge (&own, other, 1, need, &since, end, &to), HM_STAY);
+  hm_add (&own, 8, 6); /* a worker came back: the wait is over */
+  CU_ASSERT_EQUAL (hm_judge (&own, other, 3, need, &since, end, &to), HM_STAY);
+  CU_ASSERT_EQUAL (since, 0);
+}
+
 int
 main (void)
 {
@@ -283,6 +347,8 @@
   CU_ADD_TEST (suite, test_grants_never_sum_over_the_worker);
   CU_ADD_TEST (suite, test_grants_become_even);
   CU_ADD_TEST (suite, test_cells_go_to_those_with_few);
+  CU_ADD_TEST (suite, test_room_counts_whole_tasks);
+  CU_ADD_TEST (suite, test_gang_without_room);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
   CU_cleanup_registry ();
--- a/tests/stand/scenario_jobs.sh
+++ b/tests/stand/scenario_jobs.sh
@@ -171,6 +171,27 @@
   verdict "worker killed; tasks $(outcomes)"
 }
 
+# Rows that jobs left behind in cells that no longer hold them.
+moved ()
+{
+  local d
+  for ((d = 1; d <= DOMAINS; d++)); do
+    get "${ADDR[platform]}" "/v1/rows/jobs.d$d?limit=1000"
+  done | jq -s '[.[].rows[].value|select(.moved_to)]|length'
+}
+
+# Cells of two workers: the one that is left holds no gang.
+scenario_jobs_cell_shrunk ()
+{
+  job_cluster || return 1
+  jobs_start
+  sleep 2
+  crash w1
+  load_end
+  verdict "worker killed, its cell holds no gang; $(moved) moved; tasks \
+$(outcomes)" '[ "$(moved)" -gt 0 ]' '&& [ "$(count not_run)" = 0 ]'
+}
+
 scenario_jobs_worker_frozen ()
 {
   job_cluster 9 || return 1
