Start nothing again that a put-back table has forgotten

Cause: a table restored to a state before a job's start shows the job as queued, and the next holder ran it again, also one that may not be repeated. A new holder could even get the epoch that another had had. A holder that lived on read no new rows until the revisions had caught up. Change: workers and the VMs that watch the cell are witnesses. A lower epoch than one heard of, an epoch that a worker has had already, one's own earlier row, a version that falls, or a task that began in an attempt later than the row's raise a doubt, which stands in the cell's row until every job row is judged. The first decision waits for it: a job of which workers tell every task is adopted, one that may not be repeated and of which nobody knows ends `unknown`, what may be repeated runs again. A holder that lives on writes its jobs' rows anew, also those that are gone. Workers are asked once more after the rows were read, so that no gang is judged by a report from before.

--- a/include/skr/events.h
+++ b/include/skr/events.h
@@ -36,6 +36,7 @@
   LG_JOB_ROW_BAD = 515,
   LG_JOB_MOVED = 516,
   LG_JOB_NO_ROOM = 517,
+  LG_TABLE_PUT_BACK = 518,
 
   /* filter */
   LG_REQUEST_UNKNOWN = 601,
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -71,6 +71,9 @@
   { LG_JOB_NO_ROOM, LG_WARNING, "job-no-room", "cell job",
     "No cell of the fleet holds the job any more; it is ended.",
     "check the fleet" },
+  { LG_TABLE_PUT_BACK, LG_ERROR, "table-put-back", "cell epoch",
+    "The platform's table holds an earlier state than was written.",
+    "see FAILURES.md, a table that is put back" },
 
   /* filter */
   { LG_REQUEST_UNKNOWN, LG_WARNING, "request-unknown",
--- a/src/control/cell.c
+++ b/src/control/cell.c
@@ -136,6 +136,7 @@
   c->tenure++;
   c->took_ms = c->now_ms;
   c->lapsed = 0;
+  c->doubt_rev = c->lease.doubt ? c->lease.row.version : 0;
   c->dc = calloc (1, dc_size ());
   if (!c->dc || dc_init (c->dc, &c->set->decide))
     abort ();
@@ -143,6 +144,8 @@
   c->phase = CL_LOADING;
   c->scan_at_ms = c->now_ms;
   log_cell (c, LG_CELL_TAKEN);
+  if (c->doubt_rev)
+    log_cell (c, LG_TABLE_PUT_BACK);
 }
 
 void
@@ -237,6 +240,7 @@
   cl_commit_step (c, take_delay_ms);
   if (c->phase == CL_WATCHING)
     return TICK_MS;
+  cl_doubt_step (c);
   note_lapse (c);
   if (c->releasing)
     return TICK_MS;
--- a/src/control/cell.h
+++ b/src/control/cell.h
@@ -124,6 +124,10 @@
   int64_t tenure; /* counts the times that the lease was taken */
   int64_t took_ms;
   int releasing, lapsed;
+  /* The table was put back: live rows up to this revision that this process
+     does not know better may have been carried out already.  0: it was not;
+     INT64_MAX: the revision is not known yet.  */
+  int64_t doubt_rev;
 
   struct dc *dc;
   GQueue events; /* struct dc_event to be applied */
--- /dev/null
+++ b/src/control/cell_doubt.c
@@ -0,0 +1,169 @@
+/* A table that was put back to an earlier state: workers and this process may
+   know more than its rows.  */
+#include <string.h>
+
+#include "control/cell_impl.h"
+#include "skr/log.h"
+
+/* A part that is held has not begun.  A stopped one has when it got on.  */
+static int
+has_begun (const struct jb_job *job, const json_t *task)
+{
+  const char *text = json_string_value (json_object_get (task, "state"));
+
+  switch (wk_parse_state (text))
+    {
+    case WK_RUNNING:
+    case WK_DONE:
+    case WK_FAILED:
+    case WK_CHECKPOINTED:
+      return 1;
+    case WK_STOPPED:
+      return json_integer_value (json_object_get (task, "progress_ms"))
+             > job->progress_ms;
+    case WK_NEW:
+    case WK_HELD:
+    case WK_GONE:
+      break;
+    }
+  return 0;
+}
+
+static void
+log_put_back (struct cl_cell *c)
+{
+  struct lg_field field[]
+      = { lg_str ("cell", c->name), lg_int ("epoch", c->lease.row.epoch) };
+
+  lg_log (LG_TABLE_PUT_BACK, 2, field);
+}
+
+/* Every part is known: the row is made to say what it said, and the workers
+   are asked once more for the states of the parts.  */
+static void
+rebuild (struct cl_cell *c, struct jb_job *job)
+{
+  job->gang = cl_add_gang (c, job->id, job->began_attempt, job->spec.tasks,
+                           job->seen->place);
+  if (!job->gang)
+    return;
+  jb_set_placement (job, job->gang, cl_worker_name, c);
+  cl_set_state (c, job, JB_RUNNING, NULL);
+  for (int i = 0; i < job->gang->parts; i++)
+    {
+      struct mb_worker *w = cl_worker (c, job->gang->part[i].worker);
+
+      w->surveyed = 0;
+      w->next_poll_ms = c->now_ms;
+    }
+}
+
+void
+cl_note_task (struct cl_cell *c, struct jb_job *job, uint32_t worker,
+              int32_t attempt, const json_t *task)
+{
+  struct dc_place place = { .worker = worker };
+  const json_t *o;
+  size_t i;
+
+  if (attempt <= job->attempt || !has_begun (job, task))
+    return;
+  /* Its row was written before it began: it stood in the table.  */
+  if (!c->doubt_rev)
+    {
+      log_put_back (c);
+      c->lease.doubt = 1;
+      c->doubt_rev = c->lease.row.version;
+    }
+  if (job->state != JB_QUEUED || job->gang)
+    return;
+  json_array_foreach (json_object_get (task, "accelerators"), i, o)
+  {
+    json_int_t bit = json_integer_value (o);
+
+    if (bit >= 0 && bit < DC_MAX_ACCELERATORS)
+      place.accelerators |= 1ULL << bit;
+  }
+  if (jb_note_began (job, attempt,
+                     (int)json_integer_value (json_object_get (task, "task")),
+                     &place))
+    rebuild (c, job);
+}
+
+int
+cl_may_have_run (const struct cl_cell *c, const struct jb_job *job)
+{
+  return !job->spec.repeatable
+         && (job->began_attempt > job->attempt
+             || job->version <= c->doubt_rev);
+}
+
+/* This process knows its jobs better than the table does: it goes on with
+   them and writes their rows anew once it has read what is there.  */
+static void
+begin (struct cl_cell *c)
+{
+  GHashTableIter it;
+  gpointer job;
+
+  log_put_back (c);
+  c->doubt_rev = INT64_MAX;
+  c->scan_rev = c->scan_first_rev = 0;
+  c->scan_after[0] = '\0';
+  c->scanning = 0;
+  c->scan_serial = 0;
+  c->scan_soon = 1;
+  g_hash_table_remove_all (c->gone);
+  g_hash_table_iter_init (&it, c->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &job))
+    ((struct jb_job *)job)->put_back = 1;
+}
+
+void
+cl_doubt_step (struct cl_cell *c)
+{
+  if (!c->lease.doubt || c->phase == CL_WATCHING)
+    return;
+  if (!c->doubt_rev)
+    begin (c);
+  else if (c->phase == CL_SERVING && c->doubt_rev < INT64_MAX
+           && !cl_next_row (c) && !c->batch->len)
+    {
+      ce_settled (&c->lease);
+      c->doubt_rev = 0;
+    }
+}
+
+int
+cl_doubt_row (struct cl_cell *c, struct jb_job *job, int64_t version)
+{
+  if (!job->put_back || job->writing)
+    return 0;
+  job->put_back = 0;
+  job->version = version;
+  cl_mark_dirty (c, job);
+  return 1;
+}
+
+/* Rows that are gone are made anew.  */
+void
+cl_doubt_scanned (struct cl_cell *c)
+{
+  GHashTableIter it;
+  gpointer value;
+
+  if (c->doubt_rev != INT64_MAX)
+    return;
+  c->doubt_rev = c->scan_rev;
+  g_hash_table_iter_init (&it, c->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct jb_job *job = value;
+
+      if (!job->put_back || job->writing)
+        continue;
+      job->put_back = 0;
+      job->version = 0;
+      cl_mark_dirty (c, job);
+    }
+}
--- a/src/control/cell_fleet.c
+++ b/src/control/cell_fleet.c
@@ -270,6 +270,14 @@
   /* Another VM may have been given the address.  */
   if (!id || strcmp (id, w->id) != 0)
     return;
+  /* Nothing was sent to it yet under this epoch.  */
+  if (!w->next_renew_ms
+      && ce_epoch_used (&c->lease, c->now_ms,
+                        json_integer_value (json_object_get (body, "epoch"))))
+    {
+      cl_lose (c);
+      return;
+    }
   mb_answered (w, c->now_ms);
   mb_said_leaving (w, json_is_true (json_object_get (body, "leaving")));
   cl_read_report (c, t->worker, t->sent_ms, json_object_get (body, "tasks"));
--- a/src/control/cell_impl.h
+++ b/src/control/cell_impl.h
@@ -89,6 +89,20 @@
 void cl_room (struct cl_cell *c, struct hm_room *room);
 struct hm_need cl_need (const struct jb_job *job);
 
+/* cell_doubt.c */
+/* A worker tells of a task whose job's row may not know that it began.  */
+void cl_note_task (struct cl_cell *c, struct jb_job *job, uint32_t worker,
+                   int32_t attempt, const json_t *task);
+/* Whether what may not be repeated may have run although its row says that it
+   waits.  */
+int cl_may_have_run (const struct cl_cell *c, const struct jb_job *job);
+/* Notes a doubt that has come up, and its end.  */
+void cl_doubt_step (struct cl_cell *c);
+/* A row was read while in doubt; returns 1 when nothing more is to be done. */
+int cl_doubt_row (struct cl_cell *c, struct jb_job *job, int64_t version);
+/* All rows were read.  */
+void cl_doubt_scanned (struct cl_cell *c);
+
 /* cell_decide.c */
 void cl_apply (struct cl_cell *c, const struct dc_event *event);
 void cl_decide (struct cl_cell *c);
@@ -100,6 +114,7 @@
 /* Prepares for what the workers of a running job will say.  */
 void cl_expect (struct cl_cell *c, struct jb_job *job);
 void cl_take_over (struct cl_cell *c, struct jb_job *job);
+void cl_survey_begin (struct cl_cell *c);
 int cl_survey_over (struct cl_cell *c);
 void cl_recover (struct cl_cell *c);
 
--- a/src/control/cell_job.c
+++ b/src/control/cell_job.c
@@ -192,6 +192,8 @@
 
   if (job)
     {
+      if (cl_doubt_row (c, job, version))
+        return;
       if (version > job->version && !job->writing)
         {
           jb_merge (job, value, version);
@@ -283,7 +285,8 @@
     }
   c->scan_after[0] = '\0';
   c->scan_rev = c->scan_first_rev;
+  cl_doubt_scanned (c);
   forget_gone (c);
   if (c->phase == CL_LOADING)
-    c->phase = CL_SURVEY;
+    cl_survey_begin (c);
 }
--- a/src/control/cell_recover.c
+++ b/src/control/cell_recover.c
@@ -11,6 +11,18 @@
   int jobs, adopted, requeued, unknown;
 };
 
+/* What workers said before the rows were read was not understood.  */
+void
+cl_survey_begin (struct cl_cell *c)
+{
+  c->phase = CL_SURVEY;
+  for (guint i = 0; i < c->workers->len; i++)
+    {
+      cl_worker (c, i)->surveyed = 0;
+      cl_worker (c, i)->next_poll_ms = c->now_ms;
+    }
+}
+
 /* Every worker has said what it runs, or its leases have ended.  A cell of
    which no worker is listed any more is served, too: its jobs go elsewhere. */
 int
@@ -162,6 +174,13 @@
 take_over (struct cl_cell *c, struct jb_job *job, struct count *n)
 {
   n->jobs++;
+  if (job->state == JB_QUEUED && cl_may_have_run (c, job))
+    {
+      cl_set_state (c, job, JB_UNKNOWN,
+                    "the table was put back; it may have run");
+      n->unknown++;
+      return;
+    }
   if (job->state == JB_QUEUED)
     {
       cl_wait (c, job, 0);
@@ -174,7 +193,10 @@
         give_up (c, job, n);
       return;
     case RESUME:
-      resume (c, job, n);
+      if (cl_may_have_run (c, job))
+        give_up (c, job, n);
+      else
+        resume (c, job, n);
       return;
     case BROKEN:
       give_up (c, job, n);
--- a/src/control/cell_report.c
+++ b/src/control/cell_report.c
@@ -73,6 +73,17 @@
     note_end (c, job, g, (int)task, state, result);
 }
 
+static void
+note_begun (struct cl_cell *c, uint32_t worker, const json_t *o)
+{
+  const char *id = json_string_value (json_object_get (o, "job"));
+  json_int_t attempt = json_integer_value (json_object_get (o, "attempt"));
+  struct jb_job *job = id ? cl_find_job (c, id) : NULL;
+
+  if (job && attempt <= INT32_MAX)
+    cl_note_task (c, job, worker, (int32_t)attempt, o);
+}
+
 void
 cl_read_report (struct cl_cell *c, uint32_t worker, int64_t asked_ms,
                 const json_t *tasks)
@@ -80,6 +91,9 @@
   const json_t *o;
   size_t i;
 
+  /* Once served, the attempts are this process's own.  */
+  if (c->phase != CL_SERVING)
+    json_array_foreach (tasks, i, o) { note_begun (c, worker, o); }
   json_array_foreach (tasks, i, o) { read_task (c, worker, o); }
   for (guint n = 0; n < c->gangs->len; n++)
     {
--- a/src/control/job.c
+++ b/src/control/job.c
@@ -99,6 +99,16 @@
   return NULL;
 }
 
+static void
+free_seen (struct jb_seen *seen)
+{
+  if (!seen)
+    return;
+  free (seen->place);
+  free (seen->has);
+  free (seen);
+}
+
 void
 jb_free (struct jb_job *job)
 {
@@ -106,6 +116,7 @@
     return;
   json_decref (job->row);
   json_decref (job->results);
+  free_seen (job->seen);
   free (job);
 }
 
@@ -197,6 +208,41 @@
   return state && jb_parse_state (state) < JB_DONE;
 }
 
+static struct jb_seen *
+new_seen (size_t tasks)
+{
+  struct jb_seen *seen = calloc (1, sizeof *seen);
+
+  if (!seen)
+    return NULL;
+  seen->place = calloc (tasks, sizeof *seen->place);
+  seen->has = calloc (tasks, 1);
+  if (seen->place && seen->has)
+    return seen;
+  free_seen (seen);
+  return NULL;
+}
+
+int
+jb_note_began (struct jb_job *job, int32_t attempt, int task,
+               const struct dc_place *place)
+{
+  if (attempt < job->began_attempt)
+    return 0;
+  if (attempt > job->began_attempt)
+    {
+      free_seen (job->seen);
+      job->seen = new_seen ((size_t)job->spec.tasks);
+    }
+  job->began_attempt = attempt;
+  if (!job->seen || task < 0 || task >= job->spec.tasks
+      || job->seen->has[task])
+    return 0;
+  job->seen->has[task] = 1;
+  job->seen->place[task] = *place;
+  return ++job->seen->found == job->spec.tasks;
+}
+
 void
 jb_merge (struct jb_job *job, const json_t *value, int64_t version)
 {
--- a/src/control/job.h
+++ b/src/control/job.h
@@ -26,6 +26,14 @@
   JB_NO_HANDLE = UINT32_MAX
 };
 
+/* An attempt as workers tell of it.  */
+struct jb_seen
+{
+  int found;              /* tasks with a place */
+  struct dc_place *place; /* by task */
+  unsigned char *has;     /* by task: it has a place */
+};
+
 struct jb_job
 {
   char id[CT_NAME];
@@ -37,11 +45,13 @@
   int32_t attempt;         /* the last one given out */
   int32_t attempt_base;    /* what the decision layer's attempts start after */
   int32_t seen_attempt;    /* the highest that a worker has spoken of */
-  int32_t decided;         /* its current attempt, by the decision layer */
-  int64_t progress_ms;     /* of the last checkpoint */
-  int64_t submitted_ms;    /* wall clock, for the order only */
-  int64_t submit_at_ms;    /* not given to the decision layer before */
-  uint32_t handle;         /* JB_NO_HANDLE: not with the decision layer */
+  int32_t began_attempt; /* one that began by a worker's word, not the row's */
+  struct jb_seen *seen;  /* what workers said of that one, or NULL */
+  int32_t decided;       /* its current attempt, by the decision layer */
+  int64_t progress_ms;   /* of the last checkpoint */
+  int64_t submitted_ms;  /* wall clock, for the order only */
+  int64_t submit_at_ms;  /* not given to the decision layer before */
+  uint32_t handle;       /* JB_NO_HANDLE: not with the decision layer */
   int cancel;
   struct wk_gang *gang; /* the current attempt, or NULL */
   json_t *results;      /* array by task */
@@ -49,6 +59,7 @@
   int in_queue;         /* of rows to be written */
   int rewrite;          /* it changed while it was on its way */
   int stale;            /* the table has another state of it */
+  int put_back;         /* its row is not known since the table was put back */
   const char *to;       /* the cell that it is handed to, or NULL */
   int64_t to_version;   /* of the row there; 0: absent */
   int is_there;         /* that row is the job already */
@@ -79,6 +90,10 @@
 json_t *jb_moved (const struct jb_job *job);
 /* Whether VALUE is a row of a job that this cell still has to do with.  */
 int jb_is_live (const json_t *value);
+/* Notes that a worker has begun TASK of ATTEMPT, which the row does not know
+   of. Returns 1 when this was the last one missing.  */
+int jb_note_began (struct jb_job *job, int32_t attempt, int task,
+                   const struct dc_place *place);
 /* Takes over what others may write, the cancellation, from a newer VALUE.  */
 void jb_merge (struct jb_job *job, const json_t *value, int64_t version);
 
--- a/src/control/lease.c
+++ b/src/control/lease.c
@@ -29,13 +29,14 @@
 {
   const char *holder, *token = "";
   json_int_t epoch, lease_ms, beat;
+  int doubt = 0;
 
   memset (row, 0, sizeof *row);
   if (!value || json_is_null (value))
     return CT_OK;
-  if (json_unpack ((json_t *)value, "{s:s, s:I, s:I, s:I, s?s}", "holder",
+  if (json_unpack ((json_t *)value, "{s:s, s:I, s:I, s:I, s?s, s?b}", "holder",
                    &holder, "epoch", &epoch, "lease_ms", &lease_ms, "beat",
-                   &beat, "token", &token))
+                   &beat, "token", &token, "doubt", &doubt))
     return CT_EINVAL;
   if (copy_text (row->holder, sizeof row->holder, holder)
       || copy_text (row->token, sizeof row->token, token))
@@ -43,6 +44,7 @@
   row->epoch = epoch;
   row->lease_ms = lease_ms;
   row->beat = beat;
+  row->doubt = doubt;
   row->version = version;
   return CT_OK;
 }
@@ -50,10 +52,14 @@
 json_t *
 ce_print (const struct ce_row *row)
 {
-  return json_pack ("{s:s, s:s, s:I, s:I, s:I}", "holder", row->holder,
-                    "token", row->token, "epoch", (json_int_t)row->epoch,
-                    "lease_ms", (json_int_t)row->lease_ms, "beat",
-                    (json_int_t)row->beat);
+  json_t *value
+      = json_pack ("{s:s, s:s, s:I, s:I, s:I}", "holder", row->holder, "token",
+                   row->token, "epoch", (json_int_t)row->epoch, "lease_ms",
+                   (json_int_t)row->lease_ms, "beat", (json_int_t)row->beat);
+
+  if (row->doubt)
+    json_object_set_new (value, "doubt", json_true ());
+  return value;
 }
 
 /* Whether FOUND is the very row that was sent.  */
@@ -85,6 +91,24 @@
   l->open_ms = -1;
 }
 
+/* Versions only rise.  The first read of a lower one may have been on its way
+   while a newer row was learnt of; the next one was not.  */
+static void
+note_version (struct ce_lease *l, const struct ce_row *row)
+{
+  if (row->version >= l->top)
+    {
+      l->below = 0;
+      l->top = row->version;
+    }
+  else if (++l->below > 1)
+    {
+      l->below = 0;
+      l->top = row->version;
+      l->doubt = 1;
+    }
+}
+
 int
 ce_observe (struct ce_lease *l, int64_t now_ms, const struct ce_row *row)
 {
@@ -95,6 +119,10 @@
       watch (l, now_ms, row);
       return 1;
     }
+  note_version (l, row);
+  /* Whoever held it since had to judge the rows.  */
+  if (row->epoch > l->floor)
+    l->doubt = 0;
   if (!l->seen || row->version != l->row.version)
     watch (l, now_ms, row);
   return 0;
@@ -129,7 +157,8 @@
 {
   l->sent = (struct ce_row){ .epoch = l->row.epoch,
                              .lease_ms = l->lease_ms,
-                             .beat = ++l->beats };
+                             .beat = ++l->beats,
+                             .doubt = l->doubt };
   snprintf (l->sent.holder, CT_NAME, "%s", holder);
   snprintf (l->sent.token, CT_TOKEN, "%s", l->token);
   l->state = state;
@@ -142,8 +171,10 @@
 void
 ce_take (struct ce_lease *l, int64_t now_ms, struct ce_row *row)
 {
+  /* Each epoch stood in the table before anybody heard of it: a lower one
+     comes from a table that was put back.  */
+  l->doubt |= l->row.doubt || l->row.epoch < l->floor;
   send_row (l, now_ms, CE_TAKING, l->self, row);
-  /* The table may have been restored to an older row.  */
   l->sent.epoch = (l->row.epoch > l->floor ? l->row.epoch : l->floor) + 1;
   *row = l->sent;
 }
@@ -166,7 +197,7 @@
 {
   l->in_flight = l->unresolved = 0;
   l->row = l->sent;
-  l->row.version = rev;
+  l->row.version = l->top = rev;
   if (l->row.epoch > l->floor)
     l->floor = l->row.epoch;
   if (l->state == CE_RELEASING)
@@ -198,6 +229,9 @@
 {
   int taking = l->state == CE_TAKING;
 
+  /* A write earlier than one that is known to have been made.  */
+  if (!taking && found->beat < l->row.beat)
+    l->doubt = 1;
   l->in_flight = l->unresolved = 0;
   l->row = *found;
   l->state = CE_HOLDING;
@@ -255,6 +289,27 @@
   return l->state == CE_HOLDING;
 }
 
+int
+ce_epoch_used (struct ce_lease *l, int64_t now_ms, int64_t epoch)
+{
+  struct ce_row row = l->row;
+
+  if (l->state != CE_HOLDING || epoch < l->row.epoch)
+    return 0;
+  if (epoch > l->floor)
+    l->floor = epoch;
+  watch (l, now_ms, &row);
+  l->seen = 0;
+  l->doubt = 1;
+  return 1;
+}
+
+void
+ce_settled (struct ce_lease *l)
+{
+  l->doubt = 0;
+}
+
 int
 ce_saw_epoch (struct ce_lease *l, int64_t now_ms, int64_t epoch)
 {
--- a/src/control/lease.h
+++ b/src/control/lease.h
@@ -20,6 +20,7 @@
   char holder[CT_NAME]; /* empty: released */
   char token[CT_TOKEN]; /* of the holder's process */
   int64_t epoch, lease_ms, beat;
+  int doubt;       /* job rows may be older than what was done by them */
   int64_t version; /* 0: the row is absent */
 };
 
@@ -50,7 +51,12 @@
   int64_t seen_ms;   /* when ROW was first seen so */
   int64_t open_ms;   /* since when it may be taken; -1: it may not */
   int in_flight, unresolved;
-  int64_t beats;      /* writes sent by this process; each names its own */
+  int64_t beats; /* writes sent by this process; each names its own */
+  /* The table was put back to an earlier state, and not all rows have been
+     judged since; it stands in the row, so that the next holder knows.  */
+  int doubt;
+  int64_t top;        /* the highest version seen */
+  int below;          /* reads on end of a lower one */
   int64_t floor;      /* the highest epoch seen anywhere */
   struct ce_row sent; /* the write in flight */
   int64_t sent_ms, valid_until_ms;
@@ -95,6 +101,11 @@
 int ce_may_act (const struct ce_lease *l, int64_t now_ms);
 /* Held as far as is known, though perhaps not provably.  */
 int ce_is_holder (const struct ce_lease *l);
+/* EPOCH was seen at a worker before this process used its own.  Returns 1 when
+   another holder had the same one or a higher one: the table was put back.  */
+int ce_epoch_used (struct ce_lease *l, int64_t now_ms, int64_t epoch);
+/* All rows have been judged.  */
+void ce_settled (struct ce_lease *l);
 /* EPOCH was seen at a worker or in a peer's message.  Returns 1 when it shows
    that the lease is lost.  */
 int ce_saw_epoch (struct ce_lease *l, int64_t now_ms, int64_t epoch);
--- /dev/null
+++ b/tests/control/check_put_back.sh
@@ -0,0 +1,39 @@
+#!/usr/bin/env bash
+# The table goes back to a state before two jobs began that may not be
+# repeated; one still runs, of the other no worker knows any more.
+cd "$(dirname "$0")/../.." || exit 1
+. tests/control/lib.sh
+
+state_of ()
+{
+  curl -s "$platform/v1/rows/jobs.d1/$(printf 'd1~%016x' "$1")" \
+    | jq -r .value.state
+}
+is_in_state ()
+{
+  [ "$(state_of "$1")" = "$2" ]
+}
+
+start_world 1 2
+put_job d1 1 1 8 300 false
+put_job d1 2 1 8 9000 false
+post "${platform#http://}" /v1/admin/snapshot '' > /dev/null
+start_sched s1
+wait_for 200 is_in_state 1 done
+wait_for 100 is_in_state 2 running
+sleep 1
+crash s1
+post "${platform#http://}" /v1/admin/restore '' > /dev/null
+expect "the table is back" "queued=2" "$(states d1)"
+start_sched s2
+wait_for 300 is_in_state 2 done
+wait_for 100 is_in_state 1 unknown
+expect "what a worker still runs goes on" done "$(state_of 2)"
+expect "what nobody knows of" unknown "$(state_of 1)"
+expect "each began once" "2 0" "$(began) $(doubled)"
+wait_for 50 eval '[ "$(curl -s "$platform/v1/rows/cells/d1" \
+  | jq .value.doubt)" = null ]'
+put_job d1 3 1 8 300 false
+wait_for 100 is_in_state 3 done
+expect "new jobs run" done "$(state_of 3)"
+exit "$failed"
--- a/tests/control/fake_world.c
+++ b/tests/control/fake_world.c
@@ -371,15 +371,17 @@
       {
         json_array_append_new (
             list,
-            json_pack ("{s:s, s:i, s:O, s:s, s:I, s:s}", "job", g->job,
+            json_pack ("{s:s, s:i, s:O, s:O, s:s, s:I, s:s}", "job", g->job,
                        "attempt", g->attempt, "task",
-                       json_object_get (o, "task"), "state", state_name (g),
-                       "progress_ms", (json_int_t)(w->run_ms - g->left_ms),
-                       "result", "ok"));
+                       json_object_get (o, "task"), "accelerators",
+                       json_object_get (o, "accelerators"), "state",
+                       state_name (g), "progress_ms",
+                       (json_int_t)(w->run_ms - g->left_ms), "result", "ok"));
       }
     }
-  r->data = json_pack ("{s:s, s:b, s:o}", "id", x->id, "leaving", x->leaving,
-                       "tasks", list);
+  r->data
+      = json_pack ("{s:s, s:I, s:b, s:o}", "id", x->id, "epoch",
+                   (json_int_t)x->epoch, "leaving", x->leaving, "tasks", list);
 }
 
 static void
@@ -677,9 +679,45 @@
   cl_fini (&w->vm[i].cell);
 }
 
+static GHashTable *
+copy_rows (GHashTable *rows)
+{
+  GHashTable *copy
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_row);
+  GHashTableIter it;
+  gpointer name, value;
+
+  g_hash_table_iter_init (&it, rows);
+  while (g_hash_table_iter_next (&it, &name, &value))
+    {
+      struct row *row = g_memdup2 (value, sizeof *row);
+
+      row->value = json_deep_copy (row->value);
+      g_hash_table_insert (copy, g_strdup (name), row);
+    }
+  return copy;
+}
+
+void
+fw_save (struct fw_world *w)
+{
+  g_clear_pointer (&w->saved, g_hash_table_destroy);
+  w->saved = copy_rows (w->rows);
+  w->saved_rev = w->rev;
+}
+
+void
+fw_put_back (struct fw_world *w)
+{
+  g_hash_table_destroy (w->rows);
+  w->rows = copy_rows (w->saved);
+  w->rev = w->saved_rev;
+}
+
 void
 fw_fini (struct fw_world *w)
 {
+  g_clear_pointer (&w->saved, g_hash_table_destroy);
   for (int i = 0; i < FW_VMS; i++)
     fw_kill_vm (w, i);
   g_queue_clear_full (&w->pending, free_request);
--- a/tests/control/fake_world.h
+++ b/tests/control/fake_world.h
@@ -88,6 +88,8 @@
   int64_t run_ms; /* of every task */
   int checkpoint_on_lapse;
   int rows_written, generations;
+  GHashTable *saved; /* rows of a snapshot, or NULL */
+  int64_t saved_rev;
 };
 
 void fw_init (struct fw_world *w, int workers, unsigned long seed);
@@ -114,6 +116,9 @@
 json_t *fw_row (struct fw_world *w, const char *table, const char *key);
 void fw_write (struct fw_world *w, const char *table, const char *key,
                json_t *value);
+/* Keeps the whole table as it is now; puts it back to that state.  */
+void fw_save (struct fw_world *w);
+void fw_put_back (struct fw_world *w);
 /* Attempts of JOB of which a task ran.  */
 int fw_attempts_run (struct fw_world *w, const char *job);
 /* Attempts that ran, but for one and for those of which every part reached a
--- a/tests/control/test_cell.c
+++ b/tests/control/test_cell.c
@@ -788,6 +788,205 @@
     random_run (seed);
 }
 
+/* Tasks of JOB that began, whatever the attempt was called.  */
+static int
+began (struct fw_world *w, const char *job)
+{
+  int n = 0;
+
+  for (int attempt = 1; attempt < 10; attempt++)
+    n += count_starts (w, job, attempt);
+  return n;
+}
+
+/* The table goes back to the time before the job began, at any moment after
+   that: while it runs, as it ends, and when its worker has forgotten it.  The
+   holder lives on, or is dead and another has watched the table.  Returns how
+   often the job ended in the state given.  */
+static int
+put_back_at (int at, int dies, int repeatable, const char *state)
+{
+  struct fw_world w;
+  int is;
+
+  start (&w, SEED);
+  fw_start_vm (&w, 1);
+  fw_put_job (&w, JOB, 4, 8, repeatable, 0);
+  fw_save (&w);
+  fw_run (&w, 100 + at);
+  if (dies)
+    fw_kill_vm (&w, 0);
+  fw_put_back (&w);
+  fw_run (&w, LONG_MS);
+  CU_ASSERT (has_ended (&w, JOB));
+  CU_ASSERT (repeatable || began (&w, JOB) <= 4);
+  CU_ASSERT (!repeatable || !strcmp (fw_job_state (&w, JOB), "done"));
+  /* What is said to have run did, and the other way round.  */
+  CU_ASSERT (strcmp (fw_job_state (&w, JOB), "done") != 0
+             || began (&w, JOB) >= 4);
+  fw_put_job (&w, JOB2, 4, 8, 0, 0);
+  fw_run (&w, 4000);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB2), "done");
+  CU_ASSERT_EQUAL (began (&w, JOB2), 4);
+  is = !strcmp (fw_job_state (&w, JOB), state);
+  fw_fini (&w);
+  return is;
+}
+
+static void
+test_put_back_repeats_nothing (void)
+{
+  int done = 0, unknown = 0;
+
+  for (int at = 0; at <= 2500; at += 50)
+    {
+      done += put_back_at (at, 0, 0, "done");
+      done += put_back_at (at, 1, 0, "done");
+      unknown += put_back_at (at, 0, 0, "unknown");
+      unknown += put_back_at (at, 1, 0, "unknown");
+    }
+  CU_ASSERT (done >= 20);
+  CU_ASSERT (unknown >= 20);
+}
+
+static void
+test_put_back_runs_again_what_may (void)
+{
+  for (int at = 0; at <= 2500; at += 50)
+    {
+      put_back_at (at, 0, 1, "done");
+      put_back_at (at, 1, 1, "done");
+    }
+}
+
+/* Back to the time of an earlier holder: the epoch tells.  */
+static void
+test_put_back_to_an_earlier_epoch (void)
+{
+  struct fw_world w;
+
+  start (&w, SEED);
+  fw_put_job (&w, JOB, 4, 8, 0, 0);
+  fw_save (&w);
+  fw_kill_vm (&w, 0);
+  fw_start_vm (&w, 1);
+  fw_run (&w, 8000);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "done");
+  fw_put_back (&w);
+  fw_kill_vm (&w, 1);
+  fw_start_vm (&w, 2); /* knows nothing; the workers know the epoch */
+  fw_run (&w, LONG_MS);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "unknown");
+  CU_ASSERT_EQUAL (began (&w, JOB), 4);
+  CU_ASSERT_PTR_NULL (json_object_get (fw_row (&w, CL_TABLE, "d1"), "doubt"));
+  fw_fini (&w);
+}
+
+/* Only the workers know: nobody else has seen the table as it was.  */
+static void
+test_workers_are_witnesses (void)
+{
+  for (int lost = 0; lost < 2; lost++)
+    {
+      struct fw_world w;
+
+      start (&w, SEED);
+      w.run_ms = 6000;
+      fw_put_job (&w, JOB, 4, 8, 0, 0);
+      fw_save (&w);
+      fw_run (&w, 1000);
+      CU_ASSERT_EQUAL (began (&w, JOB), 4);
+      fw_kill_vm (&w, 0);
+      fw_put_back (&w);
+      if (lost)
+        w.worker[2].mode = FW_WORKER_DEAD;
+      fw_start_vm (&w, 1);
+      fw_run (&w, 4000);
+      w.worker[2].mode = FW_WORKER_OK;
+      fw_run (&w, LONG_MS);
+      CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB),
+                              lost ? "unknown" : "done");
+      CU_ASSERT_EQUAL (began (&w, JOB), 4);
+      fw_fini (&w);
+    }
+}
+
+/* One job that a worker still tells of puts all others in doubt.  */
+static void
+test_one_witness_is_enough (void)
+{
+  struct fw_world w;
+
+  start (&w, SEED);
+  w.run_ms = 1500;
+  fw_put_job (&w, JOB, 4, 8, 0, 0);
+  fw_put_job (&w, JOB2, 4, 8, 0, 0);
+  fw_save (&w);
+  fw_run (&w, 3000);
+  CU_ASSERT_EQUAL (began (&w, JOB) + began (&w, JOB2), 8);
+  fw_kill_vm (&w, 0);
+  fw_put_back (&w);
+  fw_start_vm (&w, 1);
+  fw_run (&w, LONG_MS);
+  CU_ASSERT_EQUAL (began (&w, JOB) + began (&w, JOB2), 8);
+  CU_ASSERT (has_ended (&w, JOB) && has_ended (&w, JOB2));
+  fw_fini (&w);
+}
+
+/* The doubt outlives the holder that had it, once it has taken the cell.  */
+static void
+test_doubt_is_handed_on (void)
+{
+  int handed = 0;
+
+  for (int at = 0; at <= 4000; at += 50)
+    {
+      struct fw_world w;
+      int took;
+
+      start (&w, SEED);
+      fw_start_vm (&w, 1);
+      fw_put_job (&w, JOB, 4, 8, 0, 0);
+      fw_save (&w);
+      fw_run (&w, 4000);
+      fw_kill_vm (&w, 0);
+      fw_put_back (&w);
+      fw_run (&w, at);
+      took = json_integer_value (
+                 json_object_get (fw_row (&w, CL_TABLE, "d1"), "epoch"))
+             > 1;
+      handed += took;
+      fw_start_vm (&w, 2);
+      fw_kill_vm (&w, 1);
+      fw_run (&w, LONG_MS);
+      CU_ASSERT (!took || began (&w, JOB) <= 4);
+      fw_fini (&w);
+    }
+  CU_ASSERT (handed > 20);
+}
+
+/* Jobs accepted after the state that came back: the holder knows them.  */
+static void
+test_put_back_loses_no_job_that_is_known (void)
+{
+  struct fw_world w;
+
+  start (&w, SEED);
+  w.run_ms = 3000;
+  fw_save (&w);
+  fw_put_job (&w, JOB, 4, 8, 0, 0);
+  fw_put_job (&w, JOB2, 4, 8, 0, 0);
+  fw_run (&w, 1000);
+  fw_put_back (&w);
+  CU_ASSERT_PTR_NULL (fw_row (&w, "jobs.d1", JOB));
+  fw_run (&w, LONG_MS);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "done");
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB2), "done");
+  CU_ASSERT_EQUAL (began (&w, JOB), 4);
+  CU_ASSERT_EQUAL (began (&w, JOB2), 4);
+  fw_fini (&w);
+}
+
 static GLogWriterOutput
 drop_log (GLogLevelFlags level, const GLogField *fields, gsize count,
           gpointer arg)
@@ -835,6 +1034,13 @@
   CU_ADD_TEST (suite, test_survey_waits_for_leases);
   CU_ADD_TEST (suite, test_paused_holder);
   CU_ADD_TEST (suite, test_release_is_taken_at_once);
+  CU_ADD_TEST (suite, test_put_back_repeats_nothing);
+  CU_ADD_TEST (suite, test_put_back_runs_again_what_may);
+  CU_ADD_TEST (suite, test_put_back_to_an_earlier_epoch);
+  CU_ADD_TEST (suite, test_workers_are_witnesses);
+  CU_ADD_TEST (suite, test_one_witness_is_enough);
+  CU_ADD_TEST (suite, test_doubt_is_handed_on);
+  CU_ADD_TEST (suite, test_put_back_loses_no_job_that_is_known);
   CU_ADD_TEST (suite, test_random_faults);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
