--- a/src/control/cell.c
+++ b/src/control/cell.c
@@ -46,6 +46,7 @@
   c->accounts = g_ptr_array_new_with_free_func (g_free);
   c->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_job);
   c->by_handle = g_ptr_array_new ();
+  c->gone = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   c->free_handles = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   c->gangs = g_ptr_array_new_with_free_func (cl_free_gang);
   c->gangs_of = g_hash_table_new (g_str_hash, g_str_equal);
@@ -80,6 +81,7 @@
   g_hash_table_remove_all (c->gangs_of);
   g_ptr_array_set_size (c->gangs, 0);
   g_hash_table_remove_all (c->jobs);
+  g_hash_table_remove_all (c->gone);
   g_ptr_array_set_size (c->by_handle, 0);
   g_array_set_size (c->free_handles, 0);
   g_ptr_array_set_size (c->accounts, 0);
@@ -98,6 +100,8 @@
   g_ptr_array_free (c->racks, TRUE);
   g_ptr_array_free (c->accounts, TRUE);
   g_hash_table_destroy (c->jobs);
+  g_hash_table_destroy (c->gone);
+  json_decref (c->cell_rows);
   g_ptr_array_free (c->by_handle, TRUE);
   g_array_free (c->free_handles, TRUE);
   g_hash_table_destroy (c->gangs_of);
@@ -134,6 +138,7 @@
   c->tenure++;
   c->took_ms = c->now_ms;
   c->lapsed = 0;
+  c->doubt_rev = c->lease.doubt ? c->lease.row.version : 0;
   c->dc = calloc (1, dc_size ());
   if (!c->dc || dc_init (c->dc, &c->set->decide))
     abort ();
@@ -141,6 +146,8 @@
   c->phase = CL_LOADING;
   c->scan_at_ms = c->now_ms;
   log_cell (c, LG_CELL_TAKEN);
+  if (c->doubt_rev)
+    log_cell (c, LG_TABLE_PUT_BACK);
 }
 
 void
@@ -181,6 +188,14 @@
   ce_read_failed (&c->lease);
 }
 
+void
+cl_cells (struct cl_cell *c, json_t *rows)
+{
+  json_incref (rows);
+  json_decref (c->cell_rows);
+  c->cell_rows = rows;
+}
+
 void
 cl_saw_epoch (struct cl_cell *c, int64_t now_ms, int64_t epoch)
 {
@@ -227,6 +242,7 @@
   cl_commit_step (c, take_delay_ms);
   if (c->phase == CL_WATCHING)
     return TICK_MS;
+  cl_doubt_step (c);
   note_lapse (c);
   if (c->releasing)
     return TICK_MS;
@@ -237,6 +253,7 @@
   if (c->phase == CL_SERVING && cl_may_act (c))
     {
       cl_plans (c);
+      cl_home_step (c);
       cl_jobs_step (c);
       cl_decide (c);
       cl_gangs_step (c);
--- a/src/control/cell_impl.h
+++ b/src/control/cell_impl.h
@@ -9,8 +9,19 @@
 void cl_begin (struct cl_cell *c);
 double cl_random (struct cl_cell *c);
 
-/* cell_commit.c */
+/* cell_rows.c */
 void cl_mark_dirty (struct cl_cell *c, struct jb_job *job);
+/* The queue of the row to be written next, or NULL.  */
+GQueue *cl_next_row (struct cl_cell *c);
+void cl_add_rows (struct cl_cell *c, struct tb_txn *txn);
+void cl_rows_written (struct cl_cell *c, int64_t rev);
+void cl_rows_not_written (struct cl_cell *c);
+/* Takes in the newer row of one job, in the cell's table or the one that it
+   goes to.  */
+void cl_job_conflict (struct cl_cell *c, const char *table, struct jb_job *job,
+                      int64_t version, const json_t *value);
+
+/* cell_commit.c */
 void cl_commit_step (struct cl_cell *c, int64_t take_delay_ms);
 
 /* cell_fleet.c */
@@ -67,6 +78,31 @@
 void cl_jobs_step (struct cl_cell *c);
 void cl_row_written (struct cl_cell *c, struct jb_job *job);
 
+/* Lets go of a job whose row stands in the table as VERSION or later.  */
+void cl_forget (struct cl_cell *c, struct jb_job *job, int64_t version);
+/* The job is to be neither given to the decision layer nor kept there.  */
+void cl_take_back (struct cl_cell *c, struct jb_job *job);
+
+/* cell_home.c */
+void cl_home_step (struct cl_cell *c);
+/* What the workers that are up hold when empty.  */
+void cl_room (struct cl_cell *c, struct hm_room *room);
+struct hm_need cl_need (const struct jb_job *job);
+
+/* cell_doubt.c */
+/* A worker tells of a task whose job's row may not know that it began.  */
+void cl_note_task (struct cl_cell *c, struct jb_job *job, uint32_t worker,
+                   int32_t attempt, const json_t *task);
+/* Whether what may not be repeated may have run although its row says that it
+   waits.  */
+int cl_may_have_run (const struct cl_cell *c, const struct jb_job *job);
+/* Notes a doubt that has come up, and its end.  */
+void cl_doubt_step (struct cl_cell *c);
+/* A row was read while in doubt; returns 1 when nothing more is to be done. */
+int cl_doubt_row (struct cl_cell *c, struct jb_job *job, int64_t version);
+/* All rows were read.  */
+void cl_doubt_scanned (struct cl_cell *c);
+
 /* cell_decide.c */
 void cl_apply (struct cl_cell *c, const struct dc_event *event);
 void cl_decide (struct cl_cell *c);
@@ -78,6 +114,7 @@
 /* Prepares for what the workers of a running job will say.  */
 void cl_expect (struct cl_cell *c, struct jb_job *job);
 void cl_take_over (struct cl_cell *c, struct jb_job *job);
+void cl_survey_begin (struct cl_cell *c);
 int cl_survey_over (struct cl_cell *c);
 void cl_recover (struct cl_cell *c);
 
