Join what both daemons do with their peer links

Cause: the reading of keys at start and again later, the list of addresses to dial and the first part of a heartbeat stood in src/entry/peers.c and in src/sched/peers.c. tb_scan_wait, tb_vms_wait, hs_data and hs_set_data had no caller. Change: src/net/peer_place.c does these for both, from a struct pr_place that each daemon fills from its settings; the four unused calls are gone. The settings tables still stand twice. Measured: test_peer, test_serve, check_lists, check_outage, check_kill and check_takeover pass.

--- a/include/skr/peer.h
+++ b/include/skr/peer.h
@@ -173,6 +173,31 @@
 /* Returns 0 or PR_EINVAL; OTHER_KEY is empty when the file has none.  */
 int pr_read_keys (const char *path, struct pr_key_file *out);
 
+/* A daemon as its settings place it among the others.  */
+struct pr_place
+{
+  const char *vm, *domain;
+  const char *listen;    /* of its ROUTER */
+  const char *peers;     /* dialled besides, separated by commas */
+  const char *keys_path; /* empty: no CURVE */
+  int role, queue;
+};
+
+/* pr_new with the keys of PLACE, which are kept in *KEYS.  */
+int pr_open (struct pr_net **out, struct pr_key_file *keys,
+             const struct pr_place *place, pr_receive *receive, void *arg);
+/* Keys are rotated without a stop: reads the file again and takes up what has
+   changed.  */
+void pr_reread_keys (struct pr_net *net, struct pr_key_file *keys,
+                     const struct pr_place *place);
+/* Dials the peers of PLACE and ADDRESS, but for itself, NULL and empty ones;
+   returns how many.  */
+int pr_dial (struct pr_net *net, const struct pr_place *place,
+             const char *const *address, int count);
+/* A heartbeat of PLACE, but for its versions and cells.  */
+void pr_begin_heartbeat (struct pr_message *m, const struct pr_place *place,
+                         int leaving, int64_t now_ms);
+
 /* The codec alone, for tests and fuzzing.  Encode returns a size in bytes or
    a pr_error; *OUT is freed by free.  */
 int pr_encode (const struct pr_message *message, char **out);
--- a/include/skr/serve.h
+++ b/include/skr/serve.h
@@ -69,9 +69,6 @@
 /* Value of a query argument, or NULL; holds until hs_answer,
    from any thread, as the connection waits.  */
 const char *hs_query (struct hs_exchange *ex, const char *name);
-/* The caller's own note on EX.  */
-void hs_set_data (struct hs_exchange *ex, void *data);
-void *hs_data (const struct hs_exchange *ex);
 void hs_answer (struct hs_exchange *ex, const struct hs_answer *answer);
 
 /* From now on every answer closes its connection.  */
--- a/include/skr/table.h
+++ b/include/skr/table.h
@@ -74,9 +74,6 @@
                     json_t **data);
 int tb_get_wait (struct tb_client *tb, const char *table, const char *key,
                  json_t **data);
-int tb_scan_wait (struct tb_client *tb, const struct tb_scan *scan,
-                  json_t **data);
-int tb_vms_wait (struct tb_client *tb, json_t **data);
 const char *tb_strerror (int error);
 
 #endif
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -215,6 +215,7 @@
   int polls;        /* of the core that are in progress, by bits of en_tag */
   char incarnation[EN_INCARNATION + 1];
   struct pr_key_file keys; /* in use; empty without CURVE */
+  struct pr_place place;
 };
 
 /* start.c */
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -5,12 +5,10 @@
 #include <string.h>
 
 #include "entry/entry.h"
-#include "skr/log.h"
 
 enum
 {
-  PEER_FORGET_MS = 60000,
-  MAX_DIALS = 2 * EN_PEERS
+  PEER_FORGET_MS = 60000
 };
 
 /* Runs on the peers' thread.  Messages are hints and are repeated: what does
@@ -35,41 +33,18 @@
 int
 en_peers_start (struct en_core *core)
 {
-  struct pr_settings s = { .listen = core->set->peer, .queue = EN_PEER_QUEUE };
-
-  if (!*core->set->peer)
+  const struct en_settings *set = core->set;
+
+  core->place = (struct pr_place){ .vm = set->vm,
+                                   .domain = set->domain,
+                                   .listen = set->peer,
+                                   .peers = set->peers,
+                                   .keys_path = set->peer_keys,
+                                   .role = PR_ENTRY,
+                                   .queue = EN_PEER_QUEUE };
+  if (!*set->peer)
     return BS_OK;
-  if (*core->set->peer_keys)
-    {
-      if (pr_read_keys (core->set->peer_keys, &core->keys))
-        return PR_EINVAL;
-      s.public_key = core->keys.public_key;
-      s.secret_key = core->keys.secret_key;
-      s.other_key = core->keys.other_key;
-    }
-  return pr_new (&core->net, &s, on_message, core);
-}
-
-/* Keys are rotated without a stop: the file is read again each second.  */
-static void
-read_keys (struct en_core *core)
-{
-  struct pr_key_file keys;
-  int error;
-
-  if (!core->net || !*core->set->peer_keys)
-    return;
-  error = pr_read_keys (core->set->peer_keys, &keys);
-  if (!error && !memcmp (&keys, &core->keys, sizeof keys))
-    return;
-  if (!error)
-    error = pr_keys (core->net, keys.public_key, keys.secret_key,
-                     keys.other_key);
-  if (!error)
-    core->keys = keys;
-  lg_log (LG_PEER_KEYS, 2,
-          (struct lg_field[]){ lg_str ("path", core->set->peer_keys),
-                               lg_int ("error", error) });
+  return pr_open (&core->net, &core->keys, &core->place, on_message, core);
 }
 
 void
@@ -82,62 +57,39 @@
 static void
 send_heartbeat (struct en_core *core)
 {
-  struct pr_message *m = g_new0 (struct pr_message, 1);
+  struct pr_message *m = g_new (struct pr_message, 1);
   struct pr_heartbeat *h = &m->u.heartbeat;
 
-  m->kind = PR_HEARTBEAT;
-  g_strlcpy (h->vm, core->set->vm, sizeof h->vm);
-  h->role = PR_ENTRY;
-  h->leaving = atomic_load (&core->leaving);
-  g_strlcpy (h->address, core->set->peer, sizeof h->address);
-  g_strlcpy (h->domain, core->set->domain, sizeof h->domain);
-  h->stamp_ms = core->now_ms;
+  pr_begin_heartbeat (m, &core->place, atomic_load (&core->leaving),
+                      core->now_ms);
   h->plans_version = cf_version (&core->config, CF_PLANS);
   h->allowances_version = cf_version (&core->config, CF_ALLOWANCES);
   en_send_all (core, m);
   g_free (m);
 }
 
-static int
-add_dial (const char **out, int n, const char *address, const char *self)
-{
-  if (!*address || !strcmp (address, self) || n == MAX_DIALS)
-    return n;
-  for (int i = 0; i < n; i++)
-    if (!strcmp (out[i], address))
-      return n;
-  out[n] = address;
-  return n + 1;
-}
-
 void
 en_peers_dial (struct en_core *core)
 {
-  const char *dial[MAX_DIALS], *self = core->set->peer;
-  gchar **given = g_strsplit (core->set->peers, ",", -1);
-  json_t *list = json_object_get (core->vms, "vms"), *o;
+  const json_t *list = json_object_get (core->vms, "vms"), *o;
+  GPtrArray *out;
   size_t i;
-  int n = 0;
+  int n;
 
   if (!core->net)
-    {
-      g_strfreev (given);
-      return;
-    }
-  for (int g = 0; given[g]; g++)
-    n = add_dial (dial, n, given[g], self);
+    return;
+  out = g_ptr_array_new ();
   json_array_foreach (list, i, o)
   {
-    const char *peer = json_string_value (json_object_get (o, "peer"));
-
-    if (peer)
-      n = add_dial (dial, n, peer, self);
+    g_ptr_array_add (
+        out, (gpointer)json_string_value (json_object_get (o, "peer")));
   }
   for (int p = 0; p < core->peers; p++)
     if (core->now_ms - core->peer[p].heard_ms < PEER_FORGET_MS)
-      n = add_dial (dial, n, core->peer[p].address, self);
-  pr_peers (core->net, dial, n);
-  g_strfreev (given);
+      g_ptr_array_add (out, core->peer[p].address);
+  n = pr_dial (core->net, &core->place, (const char *const *)out->pdata,
+               (int)out->len);
+  g_ptr_array_free (out, TRUE);
   if (n != core->dialled)
     send_heartbeat (core);
   core->dialled = n;
@@ -149,7 +101,7 @@
   struct en_core *core = arg;
 
   (void)now_ms;
-  read_keys (core);
+  pr_reread_keys (core->net, &core->keys, &core->place);
   send_heartbeat (core);
   en_send_usage (core);
   en_limits (core);
--- /dev/null
+++ b/src/net/peer_place.c
@@ -0,0 +1,91 @@
+/* What each daemon does with its links: keys, dialling, heartbeats.  */
+#include <glib.h>
+#include <string.h>
+
+#include "skr/log.h"
+#include "skr/peer.h"
+
+int
+pr_open (struct pr_net **out, struct pr_key_file *keys,
+         const struct pr_place *place, pr_receive *receive, void *arg)
+{
+  struct pr_settings s = { .listen = place->listen, .queue = place->queue };
+
+  if (*place->keys_path)
+    {
+      if (pr_read_keys (place->keys_path, keys))
+        return PR_EINVAL;
+      s.public_key = keys->public_key;
+      s.secret_key = keys->secret_key;
+      s.other_key = keys->other_key;
+    }
+  return pr_new (out, &s, receive, arg);
+}
+
+void
+pr_reread_keys (struct pr_net *net, struct pr_key_file *keys,
+                const struct pr_place *place)
+{
+  struct pr_key_file next;
+  struct lg_field field[2];
+  int error;
+
+  if (!net || !*place->keys_path)
+    return;
+  error = pr_read_keys (place->keys_path, &next);
+  if (!error && !memcmp (&next, keys, sizeof next))
+    return;
+  if (!error)
+    error = pr_keys (net, next.public_key, next.secret_key, next.other_key);
+  if (!error)
+    *keys = next;
+  field[0] = lg_str ("path", place->keys_path);
+  field[1] = lg_int ("error", error);
+  lg_log (LG_PEER_KEYS, 2, field);
+}
+
+static int
+add (const char **out, int n, const char *address, const char *self)
+{
+  if (!address || !*address || !strcmp (address, self) || n == PR_MAX_PEERS)
+    return n;
+  for (int i = 0; i < n; i++)
+    if (!strcmp (out[i], address))
+      return n;
+  out[n] = address;
+  return n + 1;
+}
+
+int
+pr_dial (struct pr_net *net, const struct pr_place *place,
+         const char *const *address, int count)
+{
+  const char **out = g_new (const char *, PR_MAX_PEERS);
+  gchar **given = g_strsplit (place->peers, ",", -1);
+  int n = 0;
+
+  for (int g = 0; given[g]; g++)
+    n = add (out, n, given[g], place->listen);
+  for (int i = 0; i < count; i++)
+    n = add (out, n, address[i], place->listen);
+  pr_peers (net, out, n);
+  g_strfreev (given);
+  g_free (out);
+  return n;
+}
+
+void
+pr_begin_heartbeat (struct pr_message *m, const struct pr_place *place,
+                    int leaving, int64_t now_ms)
+{
+  struct pr_heartbeat *h = &m->u.heartbeat;
+
+  memset (m, 0, sizeof *m);
+  m->kind = PR_HEARTBEAT;
+  g_strlcpy (h->vm, place->vm, sizeof h->vm);
+  h->role = place->role;
+  h->leaving = leaving;
+  g_strlcpy (h->address, place->listen, sizeof h->address);
+  g_strlcpy (h->domain, place->domain, sizeof h->domain);
+  h->stamp_ms = now_ms;
+}
--- a/src/net/serve.c
+++ b/src/net/serve.c
@@ -33,7 +33,6 @@
   struct MHD_Response *response; /* set by hs_answer */
   int status;
   int handed; /* hs_handle has run */
-  void *data;
 };
 
 const char *
@@ -265,18 +264,6 @@
                                       name);
 }
 
-void
-hs_set_data (struct hs_exchange *ex, void *data)
-{
-  ex->data = data;
-}
-
-void *
-hs_data (const struct hs_exchange *ex)
-{
-  return ex->data;
-}
-
 void
 hs_answer (struct hs_exchange *ex, const struct hs_answer *answer)
 {
--- a/src/sched/peers.c
+++ b/src/sched/peers.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 #include "sched/sched.h"
-#include "skr/log.h"
 
 enum
 {
@@ -33,95 +32,57 @@
 int
 sc_peers_start (struct sched *s)
 {
-  struct pr_settings p = { .listen = s->set->peer, .queue = QUEUE };
-
-  if (*s->set->peer_keys)
-    {
-      if (pr_read_keys (s->set->peer_keys, &s->keys))
-        return PR_EINVAL;
-      p.public_key = s->keys.public_key;
-      p.secret_key = s->keys.secret_key;
-      p.other_key = s->keys.other_key;
-    }
-  return pr_new (&s->net, &p, on_message, s);
+  const struct sc_settings *set = s->set;
+
+  s->place = (struct pr_place){ .vm = set->vm,
+                                .domain = set->domain,
+                                .listen = set->peer,
+                                .peers = set->peers,
+                                .keys_path = set->peer_keys,
+                                .role = PR_SCHED,
+                                .queue = QUEUE };
+  return pr_open (&s->net, &s->keys, &s->place, on_message, s);
 }
 
 void
 sc_read_keys (void *sched, int64_t now_ms)
 {
   struct sched *s = sched;
-  struct pr_key_file keys;
-  struct lg_field field[2];
-  int error;
 
   (void)now_ms;
-  if (!*s->set->peer_keys)
-    return;
-  error = pr_read_keys (s->set->peer_keys, &keys);
-  if (!error && !memcmp (&keys, &s->keys, sizeof keys))
-    return;
-  if (!error)
-    error = pr_keys (s->net, keys.public_key, keys.secret_key, keys.other_key);
-  if (!error)
-    s->keys = keys;
-  field[0] = lg_str ("path", s->set->peer_keys);
-  field[1] = lg_int ("error", error);
-  lg_log (LG_PEER_KEYS, 2, field);
-}
-
-static int
-add_dial (const char **out, int n, const char *address, const char *self)
-{
-  if (!address || !*address || !strcmp (address, self) || n == PR_MAX_PEERS)
-    return n;
-  for (int i = 0; i < n; i++)
-    if (!strcmp (out[i], address))
-      return n;
-  out[n] = address;
-  return n + 1;
+  pr_reread_keys (s->net, &s->keys, &s->place);
 }
 
 /* The listed entry VMs, those heard of, and those of the settings.  */
 void
 sc_dial (struct sched *s)
 {
-  const char **out = g_new (const char *, PR_MAX_PEERS);
-  gchar **given = g_strsplit (s->set->peers, ",", -1);
+  GPtrArray *out = g_ptr_array_new ();
   const json_t *vm;
   size_t i;
-  int n = 0;
 
-  for (int g = 0; given[g]; g++)
-    n = add_dial (out, n, given[g], s->set->peer);
   json_array_foreach (s->vms, i, vm)
   {
-    n = add_dial (out, n, json_string_value (json_object_get (vm, "peer")),
-                  s->set->peer);
+    g_ptr_array_add (
+        out, (gpointer)json_string_value (json_object_get (vm, "peer")));
   }
   for (int e = 0; e < s->entries; e++)
     if (s->now_ms - s->entry[e].heard_ms < ENTRY_FORGET_MS)
-      n = add_dial (out, n, s->entry[e].address, s->set->peer);
-  pr_peers (s->net, out, n);
-  g_strfreev (given);
-  g_free (out);
+      g_ptr_array_add (out, s->entry[e].address);
+  pr_dial (s->net, &s->place, (const char *const *)out->pdata, (int)out->len);
+  g_ptr_array_free (out, TRUE);
 }
 
 void
 sc_heartbeat (void *sched, int64_t now_ms)
 {
   struct sched *s = sched;
-  struct pr_message *m = g_new0 (struct pr_message, 1);
+  struct pr_message *m = g_new (struct pr_message, 1);
   struct pr_heartbeat *h = &m->u.heartbeat;
 
-  m->kind = PR_HEARTBEAT;
-  g_strlcpy (h->vm, s->set->vm, sizeof h->vm);
-  h->role = PR_SCHED;
-  h->leaving = atomic_load (&s->stop);
-  g_strlcpy (h->address, s->set->peer, sizeof h->address);
-  g_strlcpy (h->domain, s->set->domain, sizeof h->domain);
+  pr_begin_heartbeat (m, &s->place, atomic_load (&s->stop), now_ms);
   h->plans_version = cf_version (&s->config, CF_PLANS);
   h->allowances_version = cf_version (&s->config, CF_ALLOWANCES);
-  h->stamp_ms = now_ms;
   for (int i = 0; i < s->cells && h->cells < PR_MAX_CELLS; i++)
     {
       struct cl_cell *c = s->cell[i];
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -109,6 +109,7 @@
   int entries;
   struct gr_book book;
   struct pr_key_file keys;
+  struct pr_place place;
 
   struct st_registry stat;
   struct hs_server *server; /* NULL: the counters are not served */
--- a/src/table/wait.c
+++ b/src/table/wait.c
@@ -72,21 +72,3 @@
   init (&w);
   return wait_end (&w, tb_get (tb, table, key, wake, &w), data);
 }
-
-int
-tb_scan_wait (struct tb_client *tb, const struct tb_scan *scan, json_t **data)
-{
-  struct waiter w;
-
-  init (&w);
-  return wait_end (&w, tb_scan (tb, scan, wake, &w), data);
-}
-
-int
-tb_vms_wait (struct tb_client *tb, json_t **data)
-{
-  struct waiter w;
-
-  init (&w);
-  return wait_end (&w, tb_vms (tb, wake, &w), data);
-}
