Read the VM list once for each failure domain

Cause: each daemon read the whole list each second, what breaks first at the target. The list has no revision, so it can't be read by changes. Change: of the entry VMs of a failure domain the first by rendezvous hash reads the list and tells the domain's daemons what has changed, for 3 s, with a serial and a digest of the whole list (PR_VMS). The others read it at their start, seldom besides, when the digest differs, and when no reader is heard. The decision is in src/table/{vms,reader,follow}.c, without I/O or clock. An entry VM keeps lines, not JSON, and works out its slots only when the list changed. fuzz_peer and the round trip of test_peer know the new message. A reader still reads the whole list each second.

--- a/include/skr/peer.h
+++ b/include/skr/peer.h
@@ -36,7 +36,8 @@
   PR_JOB_ENDED,     /* cell holder to all: a job's state has changed */
   PR_CONFIG,        /* a configuration version was accepted */
   PR_CREDITS,       /* cell holder to one entry: slots it may use */
-  PR_USAGE          /* entry to all: calls of each account, for rates */
+  PR_USAGE,         /* entry to all: calls of each account, for rates */
+  PR_VMS            /* entry to its failure domain: the VM list's changes */
 };
 
 enum pr_role
@@ -114,6 +115,42 @@
   struct pr_use use[PR_MAX_USAGE];
 };
 
+enum
+{
+  PR_MAX_VMS = 128 /* changes in one message */
+};
+
+enum pr_vm_state
+{
+  PR_VM_LIVE = 1,
+  PR_VM_LEAVING,
+  PR_VM_GONE /* no longer listed */
+};
+
+/* One line of the platform's VM list.  */
+struct pr_vm
+{
+  char id[PR_ID], address[PR_ADDRESS];
+  char peer[PR_ADDRESS]; /* of an entry VM */
+  char rack[PR_ID], domain[PR_ID];
+  int32_t is_entry, state;
+  int32_t accelerators, slots, connections;
+};
+
+/* A reading of the VM list: what has changed of late, and what the whole
+   list amounts to.  */
+struct pr_vms
+{
+  char reader[PR_ID];
+  char domain[PR_ID];  /* of the reader */
+  int64_t incarnation; /* of the reader's process */
+  int64_t serial;      /* of the reading; rises */
+  int64_t digest;      /* of the whole list */
+  int32_t more;        /* another message of this reading follows */
+  int32_t count;
+  struct pr_vm vm[PR_MAX_VMS];
+};
+
 struct pr_message
 {
   enum pr_kind kind;
@@ -124,6 +161,7 @@
     struct pr_config config;
     struct pr_credits credits;
     struct pr_usage usage;
+    struct pr_vms vms;
   } u;
 };
 
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -20,13 +20,15 @@
 #include "skr/stat.h"
 #include "skr/table.h"
 #include "skr/timer.h"
+#include "skr/vms.h"
 
 enum
 {
   EN_TOKEN_SIZE = 33,        /* bytes of a token with its NUL */
   EN_INCARNATION = 16,       /* first digits of a token: this process */
   EN_TICK_MS = 10,           /* step of the deadlines */
-  EN_POLL_MS = 1000,         /* configuration, cells, VM list */
+  EN_POLL_MS = 1000,         /* configuration, cells */
+  EN_VMS_MS = 100,           /* whether to read the VM list */
   EN_POLL_WHOLE_MS = 5000,   /* configuration, whatever has changed */
   EN_PEERS = 128,            /* daemons on other VMs */
   EN_PEER_DEAD_MS = 5000,    /* a silent peer counts as gone */
@@ -166,7 +168,7 @@
 
 struct en_peer
 {
-  char vm[PR_ID], address[PR_ADDRESS];
+  char vm[PR_ID], address[PR_ADDRESS], domain[PR_ID];
   int role, leaving;
   int64_t heard_ms, usage_ms;
   int64_t plans_version, allowances_version; /* in force there */
@@ -195,7 +197,8 @@
   struct pr_net *net;
   gsl_rng *rng;
   struct en_request **live;
-  json_t *vms, *cells;
+  json_t *cells;
+  struct vl_follow vms;
   struct bs_clock clock;
   struct fl_budget budget;
   GQueue wanting; /* calls that wait for a slot */
@@ -323,9 +326,18 @@
 /* poll.c */
 void en_poll (void *arg, int64_t now_ms);
 void en_polled (struct en_core *core, const struct en_event *ev);
+/* Marks TAG as in progress, or returns 0 when it is.  */
+int en_poll_start (struct en_core *core, enum en_tag tag);
+/* What is known of a cell, made when it is not.  */
+struct fl_cell *en_cell_of (struct fl_fleet *f, const char *name);
 /* Reads the configuration now.  */
 void en_poll_config (struct en_core *core);
 
+/* vms.c */
+void en_vms_poll (void *arg, int64_t now_ms);
+void en_vms_read (struct en_core *core, const json_t *data);
+void en_vms_told (struct en_core *core, const struct pr_vms *word);
+
 /* queued.c */
 void en_queued_poll (struct en_core *core);
 void en_queued_rows (struct en_core *core, const json_t *data);
@@ -346,6 +358,8 @@
 /* True when the VM that made TOKEN is known to be gone.  */
 int en_is_dead (struct en_core *core, const char *vm, const char *token);
 void en_send_all (struct en_core *core, const struct pr_message *m);
+/* To the daemons of the own failure domain.  */
+void en_send_domain (struct en_core *core, const struct pr_message *m);
 /* Finds, or with ADD makes, what is known of a daemon; NULL without.  */
 struct en_peer *en_peer_of (struct en_core *core, const char *vm, int role,
                             int add);
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -54,6 +54,19 @@
     pr_send (core->net, NULL, m);
 }
 
+void
+en_send_domain (struct en_core *core, const struct pr_message *m)
+{
+  for (int i = 0; i < core->peers; i++)
+    {
+      const struct en_peer *p = &core->peer[i];
+
+      if (core->net && !strcmp (p->domain, core->set->domain)
+          && core->now_ms - p->heard_ms <= EN_PEER_DEAD_MS)
+        pr_send (core->net, p->address, m);
+    }
+}
+
 static void
 send_heartbeat (struct en_core *core)
 {
@@ -71,19 +84,21 @@
 void
 en_peers_dial (struct en_core *core)
 {
-  const json_t *list = json_object_get (core->vms, "vms"), *o;
+  GTree *line = core->vms.list.line;
   GPtrArray *out;
-  size_t i;
   int n;
 
   if (!core->net)
     return;
   out = g_ptr_array_new ();
-  json_array_foreach (list, i, o)
-  {
-    g_ptr_array_add (
-        out, (gpointer)json_string_value (json_object_get (o, "peer")));
-  }
+  for (GTreeNode *node = g_tree_node_first (line); node;
+       node = g_tree_node_next (node))
+    {
+      struct pr_vm *vm = g_tree_node_value (node);
+
+      if (vm->is_entry)
+        g_ptr_array_add (out, vm->peer);
+    }
   for (int p = 0; p < core->peers; p++)
     if (core->now_ms - core->peer[p].heard_ms < PEER_FORGET_MS)
       g_ptr_array_add (out, core->peer[p].address);
@@ -157,11 +172,13 @@
 
   if (h->role == PR_ENTRY && !strcmp (h->vm, core->set->vm))
     return;
+  vl_heard (&core->vms, core->now_ms, h);
   p = en_peer_of (core, h->vm, h->role, 1);
   if (!p)
     return;
   is_new = strcmp (p->address, h->address) != 0;
   g_strlcpy (p->address, h->address, sizeof p->address);
+  g_strlcpy (p->domain, h->domain, sizeof p->domain);
   p->leaving = h->leaving;
   p->plans_version = h->plans_version;
   p->allowances_version = h->allowances_version;
@@ -199,6 +216,9 @@
     case PR_USAGE:
       en_on_usage (core, &m->u.usage);
       break;
+    case PR_VMS:
+      en_vms_told (core, &m->u.vms);
+      break;
     case PR_JOB:
       break; /* for schedulers */
     }
--- a/src/entry/poll.c
+++ b/src/entry/poll.c
@@ -1,4 +1,4 @@
-/* What is read from the platform each second: configuration, cells, VMs.  */
+/* What is read from the platform each second: configuration and cells.  */
 #include <stdlib.h>
 #include <string.h>
 
@@ -12,14 +12,8 @@
   return s ? s : "";
 }
 
-static int
-int_of (const json_t *o, const char *field)
-{
-  return (int)json_integer_value (json_object_get (o, field));
-}
-
-static int
-start (struct en_core *core, enum en_tag tag)
+int
+en_poll_start (struct en_core *core, enum en_tag tag)
 {
   if (core->polls & 1 << tag)
     return 0;
@@ -30,7 +24,7 @@
 static void
 scan_config (struct en_core *core, int64_t since)
 {
-  if (!start (core, EN_TAG_POLL_CONFIG))
+  if (!en_poll_start (core, EN_TAG_POLL_CONFIG))
     return;
   core->config_whole = since == 0;
   en_scan (core, NULL, EN_TAG_POLL_CONFIG,
@@ -75,9 +69,7 @@
     en_poll_config (core);
   else
     scan_config (core, core->config_rev);
-  if (start (core, EN_TAG_POLL_VMS))
-    en_get_vms (core);
-  if (start (core, EN_TAG_POLL_CELLS))
+  if (en_poll_start (core, EN_TAG_POLL_CELLS))
     en_scan (core, NULL, EN_TAG_POLL_CELLS,
              &(struct tb_scan){ .table = "cells" });
   en_queued_poll (core);
@@ -92,7 +84,8 @@
   struct tb_txn txn;
 
   tb_txn_init (&txn);
-  if (cf_repair (&core->config, rows, &txn) && start (core, EN_TAG_REPAIR))
+  if (cf_repair (&core->config, rows, &txn)
+      && en_poll_start (core, EN_TAG_REPAIR))
     en_commit (core, NULL, EN_TAG_REPAIR, &txn);
   tb_txn_fini (&txn);
 }
@@ -119,33 +112,6 @@
   repair (core, rows);
 }
 
-static struct fl_vm
-read_vm (const json_t *o)
-{
-  return (struct fl_vm){ .id = string_of (o, "id"),
-                         .address = string_of (o, "address"),
-                         .domain = string_of (o, "domain"),
-                         .is_entry = !strcmp (string_of (o, "role"), "entry"),
-                         .leaving
-                         = !strcmp (string_of (o, "state"), "leaving"),
-                         .slots = int_of (o, "slots"),
-                         .connections = int_of (o, "connections") };
-}
-
-static void
-read_worker (struct fl_fleet *f, const json_t *o)
-{
-  struct fl_fleet_worker *w = &f->worker[f->workers];
-
-  if (f->workers == EN_FLEET)
-    return;
-  g_strlcpy (w->cell, string_of (o, "domain"), sizeof w->cell);
-  g_strlcpy (w->rack, string_of (o, "rack"), sizeof w->rack);
-  w->accelerators = int_of (o, "accelerators");
-  w->slots = int_of (o, "slots");
-  f->workers++;
-}
-
 static int
 compare_cells (const void *a, const void *b)
 {
@@ -153,8 +119,8 @@
                  ((const struct fl_cell *)b)->cell);
 }
 
-static struct fl_cell *
-cell_of (struct fl_fleet *f, const char *name)
+struct fl_cell *
+en_cell_of (struct fl_fleet *f, const char *name)
 {
   for (int i = 0; i < f->cells; i++)
     if (!strcmp (f->cell[i].cell, name))
@@ -165,32 +131,7 @@
   g_strlcpy (f->cell[f->cells].cell, name, PR_ID);
   f->cells++;
   qsort (f->cell, (size_t)f->cells, sizeof *f->cell, compare_cells);
-  return cell_of (f, name);
-}
-
-static void
-on_vms (struct en_core *core, json_t *data)
-{
-  json_t *list = json_object_get (data, "vms"), *o;
-  size_t count = json_array_size (list), i;
-  struct fl_vm *vm = g_new0 (struct fl_vm, count + 1);
-
-  core->fleet.workers = 0;
-  json_array_foreach (list, i, o)
-  {
-    vm[i] = read_vm (o);
-    if (vm[i].is_entry)
-      continue;
-    read_worker (&core->fleet, o);
-    cell_of (&core->fleet, vm[i].domain);
-  }
-  fl_pool_list (&core->pool, vm, (int)count);
-  g_free (vm);
-  json_incref (data);
-  json_decref (core->vms);
-  core->vms = data;
-  en_peers_dial (core);
-  en_feed (core);
+  return en_cell_of (f, name);
 }
 
 static void
@@ -203,7 +144,7 @@
   {
     const char *name = string_of (row, "key");
     json_t *value = json_object_get (row, "value"), *o;
-    struct fl_cell *c = cell_of (&core->fleet, name);
+    struct fl_cell *c = en_cell_of (&core->fleet, name);
 
     if (!c || !value)
       continue;
@@ -224,6 +165,8 @@
   json_t *data = ev->u.table.data;
 
   core->polls &= ~(1 << ev->u.table.tag);
+  if (ev->u.table.tag == EN_TAG_POLL_VMS)
+    en_vms_read (core, ev->u.table.error ? NULL : data);
   if (ev->u.table.error)
     return;
   switch (ev->u.table.tag)
@@ -231,9 +174,6 @@
     case EN_TAG_POLL_CONFIG:
       on_config (core, data);
       break;
-    case EN_TAG_POLL_VMS:
-      on_vms (core, data);
-      break;
     case EN_TAG_POLL_CELLS:
       on_cells (core, data);
       break;
@@ -243,6 +183,7 @@
     case EN_TAG_REPAIR:
       en_poll_config (core);
       break;
+    case EN_TAG_POLL_VMS:
     case EN_TAG_STEP:
     case EN_TAG_RECORD:
     case EN_TAG_MARK:
--- a/src/entry/start.c
+++ b/src/entry/start.c
@@ -45,6 +45,7 @@
   tm_init (&core->timers);
   tm_subscribe (&core->timers, now + EN_TICK_MS, EN_TICK_MS, en_tick, core);
   tm_subscribe (&core->timers, now, EN_POLL_MS, en_poll, core);
+  tm_subscribe (&core->timers, now, EN_VMS_MS, en_vms_poll, core);
   tm_subscribe (&core->timers, now + (int64_t)(en_jitter (core) * EN_POLL_MS),
                 EN_POLL_MS, en_heartbeat, core);
 }
@@ -73,6 +74,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   st_init (&core->stat);
   fl_pool_init (&core->pool, set->vm);
+  vl_init (&core->vms, set->vm, set->domain, 1, (int64_t)(seed >> 1));
   fl_budget_init (&core->budget, core->now_ms);
   core->fleet.worker = g_new0 (struct fl_fleet_worker, EN_FLEET);
   core->live = g_new0 (struct en_request *, (gsize)set->max_requests + 1);
@@ -110,7 +112,7 @@
   g_free (core->env.account);
   g_free (core->fleet.worker);
   g_free (core->live);
-  json_decref (core->vms);
+  vl_fini (&core->vms);
   json_decref (core->cells);
   gsl_rng_free (core->rng);
   st_fini (&core->stat);
--- a/src/entry/view.c
+++ b/src/entry/view.c
@@ -142,6 +142,15 @@
                "nothing was read from the platform yet");
 }
 
+static void
+show_vms (struct en_core *core, struct en_request *req)
+{
+  json_t *list = core->vms.read_ms < 0 ? NULL : vl_list_json (&core->vms.list);
+
+  show_polled (core, req, list);
+  json_decref (list);
+}
+
 void
 en_view (struct en_core *core, struct en_request *req)
 {
@@ -157,7 +166,7 @@
       show_counters (core, req);
       break;
     case FL_OP_VMS:
-      show_polled (core, req, core->vms);
+      show_vms (core, req);
       break;
     case FL_OP_CELLS:
       show_polled (core, req, core->cells);
--- a/src/net/peer_codec.c
+++ b/src/net/peer_codec.c
@@ -88,6 +88,27 @@
     = { TEXT (struct pr_usage, vm, PR_ID),
         LIST (struct pr_usage, count, use, PR_MAX_USAGE, use_fields) };
 
+static const struct field vm_fields[]
+    = { TEXT (struct pr_vm, id, PR_ID),
+        TEXT (struct pr_vm, address, PR_ADDRESS),
+        TEXT (struct pr_vm, peer, PR_ADDRESS),
+        TEXT (struct pr_vm, rack, PR_ID),
+        TEXT (struct pr_vm, domain, PR_ID),
+        INT32 (struct pr_vm, is_entry),
+        INT32 (struct pr_vm, state),
+        INT32 (struct pr_vm, accelerators),
+        INT32 (struct pr_vm, slots),
+        INT32 (struct pr_vm, connections) };
+
+static const struct field vms_fields[]
+    = { TEXT (struct pr_vms, reader, PR_ID),
+        TEXT (struct pr_vms, domain, PR_ID),
+        INT64 (struct pr_vms, incarnation),
+        INT64 (struct pr_vms, serial),
+        INT64 (struct pr_vms, digest),
+        INT32 (struct pr_vms, more),
+        LIST (struct pr_vms, count, vm, PR_MAX_VMS, vm_fields) };
+
 static const struct field *
 fields_of (int kind, int *count)
 {
@@ -109,6 +130,9 @@
     case PR_USAGE:
       *count = COUNT (usage_fields);
       return usage_fields;
+    case PR_VMS:
+      *count = COUNT (vms_fields);
+      return vms_fields;
     default:
       return NULL;
     }
--- a/src/sched/cells.c
+++ b/src/sched/cells.c
@@ -23,8 +23,8 @@
   return held;
 }
 
-static struct cl_cell *
-add_cell (struct sched *s, const char *name)
+struct cl_cell *
+sc_add_cell (struct sched *s, const char *name)
 {
   struct cl_cell *c = sc_find_cell (s, name);
 
@@ -48,42 +48,6 @@
   return s ? s : "";
 }
 
-void
-sc_poll_vms (void *sched, int64_t now_ms)
-{
-  struct sched *s = sched;
-  struct sc_event *e;
-
-  (void)now_ms;
-  if (s->asking_vms)
-    return;
-  e = sc_new_event (s, SC_VMS);
-  s->asking_vms = tb_vms (s->tb, sc_table_done, e) == TB_OK;
-  if (!s->asking_vms)
-    sc_free_event (e);
-}
-
-void
-sc_vms_done (struct sched *s, int error, json_t *data)
-{
-  json_t *vms = json_object_get (data, "vms"), *vm;
-  size_t i;
-
-  s->asking_vms = 0;
-  if (error || !json_is_array (vms))
-    return;
-  json_decref (s->vms);
-  s->vms = json_incref (vms);
-  json_array_foreach (vms, i, vm)
-  {
-    if (!strcmp (text (vm, "role"), "worker"))
-      add_cell (s, text (vm, "domain"));
-  }
-  for (int c = 0; c < s->cells; c++)
-    cl_fleet (s->cell[c], s->now_ms, vms);
-  sc_dial (s);
-}
-
 static void
 scan (struct sched *s, enum sc_kind kind, const char *table, int *asking)
 {
@@ -136,7 +100,7 @@
     }
   json_decref (s->cell_rows);
   s->cell_rows = json_incref (rows);
-  json_array_foreach (rows, i, o) { add_cell (s, text (o, "key")); }
+  json_array_foreach (rows, i, o) { sc_add_cell (s, text (o, "key")); }
   for (int c = 0; c < s->cells; c++)
     {
       const json_t *row = row_of (rows, s->cell[c]->name);
--- a/src/sched/loop.c
+++ b/src/sched/loop.c
@@ -8,6 +8,7 @@
 enum
 {
   SECOND_MS = 1000,
+  VMS_MS = 100, /* whether to read the VM list */
   KEYS_MS = 2000,
   BATCH = 512 /* events between two ticks */
 };
@@ -144,7 +145,7 @@
   int64_t watch = s->set->cell_lease_ms / 8;
 
   tm_init (&s->timers);
-  tm_subscribe (&s->timers, now, SECOND_MS, sc_poll_vms, s);
+  tm_subscribe (&s->timers, now, VMS_MS, sc_poll_vms, s);
   tm_subscribe (&s->timers, now, watch, sc_poll_cells, s);
   tm_subscribe (&s->timers, now, SECOND_MS, sc_poll_config, s);
   tm_subscribe (&s->timers, now, SECOND_MS, sc_heartbeat, s);
@@ -163,6 +164,7 @@
   s->now_ms = bs_now_ms (&s->clock);
   bs_random_hex (s->token, (CT_TOKEN - 1) / 2);
   gr_init (&s->book);
+  vl_init (&s->follow, set->vm, set->domain, 0, s->now_ms);
   if (cf_init (&s->config) || sc_io_start (s))
     return CT_ENOMEM;
   set_up_cells (s);
@@ -186,6 +188,7 @@
     }
   gr_fini (&s->book);
   cf_fini (&s->config);
+  vl_fini (&s->follow);
   json_decref (s->vms);
   json_decref (s->cell_rows);
 }
--- a/src/sched/peers.c
+++ b/src/sched/peers.c
@@ -155,6 +155,7 @@
   switch (m->kind)
     {
     case PR_HEARTBEAT:
+      vl_heard (&s->follow, s->now_ms, &m->u.heartbeat);
       take_heartbeat (s, &m->u.heartbeat);
       for (int i = 0; i < m->u.heartbeat.cells; i++)
         if ((c = sc_find_cell (s, m->u.heartbeat.cell[i].cell))
@@ -170,6 +171,9 @@
       if (m->u.config.version > cf_version (&s->config, m->u.config.list))
         sc_poll_config (s, s->now_ms);
       return;
+    case PR_VMS:
+      sc_vms_told (s, &m->u.vms);
+      return;
     case PR_JOB_ENDED:
     case PR_CREDITS:
     case PR_USAGE:
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -19,6 +19,7 @@
 #include "skr/stat.h"
 #include "skr/table.h"
 #include "skr/timer.h"
+#include "skr/vms.h"
 
 enum
 {
@@ -100,9 +101,10 @@
 
   struct cl_cell *cell[SC_MAX_CELLS];
   int cells;
-  json_t *vms;       /* array of the last VM list, or NULL */
-  json_t *cell_rows; /* array of the last scan of the cells */
-  int asking_vms, asking_cells, asking_config;
+  struct vl_follow follow; /* the VM list */
+  json_t *vms;             /* the same as an array, or NULL */
+  json_t *cell_rows;       /* array of the last scan of the cells */
+  int asking_cells, asking_config;
   int64_t give_at_ms, give_wait_ms;
 
   struct sc_entry entry[SC_MAX_VMS];
@@ -131,15 +133,19 @@
 /* cells.c */
 struct cl_cell *sc_find_cell (struct sched *s, const char *name);
 int sc_held (const struct sched *s);
-void sc_poll_vms (void *sched, int64_t now_ms);
+struct cl_cell *sc_add_cell (struct sched *s, const char *name);
 void sc_poll_cells (void *sched, int64_t now_ms);
 void sc_poll_config (void *sched, int64_t now_ms);
-void sc_vms_done (struct sched *s, int error, json_t *data);
 void sc_cells_done (struct sched *s, int error, json_t *data);
 void sc_config_done (struct sched *s, int error, json_t *data);
 void sc_rebalance (void *sched, int64_t now_ms);
 int64_t sc_take_delay (struct sched *s, struct cl_cell *c);
 
+/* vms.c */
+void sc_poll_vms (void *sched, int64_t now_ms);
+void sc_vms_done (struct sched *s, int error, json_t *data);
+void sc_vms_told (struct sched *s, const struct pr_vms *word);
+
 /* count.c */
 int sc_count_start (struct sched *s);
 void sc_count_stop (struct sched *s);
--- /dev/null
+++ b/src/table/reader.c
@@ -0,0 +1,123 @@
+/* Which daemon reads the VM list, and when.  */
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "table/vms_impl.h"
+
+static uint64_t
+weight (const struct vl_follow *f, const char *vm)
+{
+  char text[2 * PR_ID + 2];
+  int size = snprintf (text, sizeof text, "%s/%s", f->domain, vm);
+
+  return XXH3_64bits (text, (size_t)size);
+}
+
+int
+vl_goes_before (const struct vl_follow *f, const char *a, const char *b)
+{
+  uint64_t x = weight (f, a), y = weight (f, b);
+
+  return x != y ? x > y : strcmp (a, b) < 0;
+}
+
+int64_t
+vl_spread (const struct vl_follow *f, int64_t span)
+{
+  char text[PR_ID + 32];
+  int size = snprintf (text, sizeof text, "%s %lld %lld", f->vm,
+                       (long long)f->incarnation, (long long)f->serial);
+
+  return (int64_t)(XXH3_64bits (text, (size_t)size) % (uint64_t)span);
+}
+
+struct vl_peer *
+vl_find_peer (struct vl_follow *f, const char *vm)
+{
+  for (int i = 0; i < f->peers; i++)
+    if (!strcmp (f->peer[i].vm, vm))
+      return &f->peer[i];
+  return NULL;
+}
+
+static struct vl_peer *
+add_peer (struct vl_follow *f, int64_t now_ms, const char *vm)
+{
+  struct vl_peer *p = NULL;
+
+  for (int i = 0; i < f->peers && !p; i++)
+    if (now_ms - f->peer[i].heard_ms >= VL_DEAD_MS)
+      p = &f->peer[i];
+  if (!p && f->peers < VL_PEERS)
+    p = &f->peer[f->peers++];
+  if (!p)
+    return NULL;
+  *p = (struct vl_peer){ .incarnation = -1 };
+  g_strlcpy (p->vm, vm, sizeof p->vm);
+  return p;
+}
+
+void
+vl_heard (struct vl_follow *f, int64_t now_ms, const struct pr_heartbeat *h)
+{
+  struct vl_peer *p;
+
+  if (h->role != PR_ENTRY || strcmp (h->domain, f->domain) != 0
+      || !strcmp (h->vm, f->vm))
+    return;
+  p = vl_find_peer (f, h->vm);
+  if (!p)
+    p = add_peer (f, now_ms, h->vm);
+  if (!p)
+    return;
+  p->leaving = h->leaving;
+  p->heard_ms = now_ms;
+}
+
+/* Entry VMs that read before this daemon.  */
+static int
+rank (const struct vl_follow *f, int64_t now_ms)
+{
+  int n = 0;
+
+  for (int i = 0; i < f->peers; i++)
+    if (!f->peer[i].leaving && now_ms - f->peer[i].heard_ms < VL_DEAD_MS
+        && (!f->may_tell || vl_goes_before (f, f->peer[i].vm, f->vm)))
+      n++;
+  return n;
+}
+
+int
+vl_hears_no_reader (const struct vl_follow *f, int64_t now_ms)
+{
+  int n = rank (f, now_ms);
+
+  return n == 0 || f->word_ms < 0
+         || now_ms - f->word_ms
+                >= VL_SILENT_MS + (n < VL_STEPS ? n : VL_STEPS) * VL_STEP_MS;
+}
+
+static int
+has_drifted (const struct vl_follow *f, int64_t now_ms)
+{
+  return f->drift_ms >= 0
+         && now_ms - f->drift_ms >= VL_DRIFT_MS + vl_spread (f, VL_SPREAD_MS);
+}
+
+int
+vl_due (const struct vl_follow *f, int64_t now_ms)
+{
+  if (f->reading || (f->begun_ms >= 0 && now_ms - f->begun_ms < VL_READ_MS))
+    return 0;
+  return f->read_ms < 0 || now_ms >= f->whole_ms || has_drifted (f, now_ms)
+         || vl_hears_no_reader (f, now_ms);
+}
+
+void
+vl_begin (struct vl_follow *f, int64_t now_ms)
+{
+  f->reading = 1;
+  f->begun_ms = now_ms;
+  f->telling = f->may_tell && vl_hears_no_reader (f, now_ms);
+}
--- a/tests/fuzz/fuzz_peer.c
+++ b/tests/fuzz/fuzz_peer.c
@@ -11,7 +11,7 @@
 
 enum
 {
-  KINDS = PR_USAGE,
+  KINDS = PR_VMS,
   MAX_SIZE = 64 << 10 /* bytes */
 };
 
@@ -65,6 +65,10 @@
       fill_name (m->u.usage.vm, byte);
       m->u.usage.count = byte;
       break;
+    case PR_VMS:
+      fill_name (m->u.vms.reader, byte);
+      m->u.vms.count = byte % (PR_MAX_VMS + 1);
+      break;
     }
 }
 
--- a/tests/net/test_peer.c
+++ b/tests/net/test_peer.c
@@ -62,6 +62,12 @@
   a->u.credits.count = PR_MAX_CREDITS;
   a->u.credits.credit[PR_MAX_CREDITS - 1].slots = 3;
   check_round_trip (a);
+  memset (a, 0, sizeof *a);
+  a->kind = PR_VMS;
+  a->u.vms.digest = INT64_MIN;
+  a->u.vms.count = PR_MAX_VMS;
+  strcpy (a->u.vms.vm[PR_MAX_VMS - 1].rack, "r9");
+  check_round_trip (a);
   free (a);
 }
 
