Dial the given peers each second again

Cause: with the VM list taken up only when it changes, peers given in the settings were not dialled while the list was empty or could not be read. Change: each heartbeat dials first.

--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -117,6 +117,7 @@
 
   (void)now_ms;
   pr_reread_keys (core->net, &core->keys, &core->place);
+  en_peers_dial (core);
   send_heartbeat (core);
   en_send_usage (core);
   en_limits (core);
--- a/src/sched/peers.c
+++ b/src/sched/peers.c
@@ -80,6 +80,7 @@
   struct pr_message *m = g_new (struct pr_message, 1);
   struct pr_heartbeat *h = &m->u.heartbeat;
 
+  sc_dial (s);
   pr_begin_heartbeat (m, &s->place, atomic_load (&s->stop), now_ms);
   h->plans_version = cf_version (&s->config, CF_PLANS);
   h->allowances_version = cf_version (&s->config, CF_ALLOWANCES);
