Accept a plan that fits beside the work that may not move

Cause: when the cells of a new plan did not fit, only unused cells were bound anew. Four things that can move stood in the way: used cells with preemptible work, cells that the plan itself drops, urgent gangs that only wait for their room, and workers held back from new work. Running work of the account itself took room twice, once as it ran and once as its guarantee. Change: as a last step all cells are packed anew beside the running work that may not be preempted (pack*.c): the largest first, closed around such work of their own account where that saves a place, else where they were, else into the tightest worker. It is worked out apart from the books and applied only when every cell, also the spare ones, has a place. Spare cells no longer have to fit before the others are bound anew.

--- a/src/decide/cell.c
+++ b/src/decide/cell.c
@@ -76,8 +76,8 @@
 }
 
 /* Binds CELL to the workers in dc->spots.  */
-static bool
-bind_spots (struct dc *dc, uint32_t cell, struct dc_amount unit)
+bool
+dc_cell_bind_spots (struct dc *dc, uint32_t cell, struct dc_amount unit)
 {
   struct dc_cell *c = &dc->cells.v[cell];
   uint32_t first = pl_take (&dc->parts, dc->spots.n);
@@ -102,8 +102,9 @@
   return true;
 }
 
-static struct dc_amount
-unit_of (const struct dc *dc, int32_t accelerators)
+/* What a cell sets aside in one worker for a block of ACCELERATORS.  */
+struct dc_amount
+dc_cell_unit (const struct dc *dc, int32_t accelerators)
 {
   int32_t slots = dc->slots_with[accelerators];
 
@@ -111,8 +112,9 @@
                              slots < accelerators ? slots : accelerators };
 }
 
-static int32_t
-largest_worker (const struct dc *dc)
+/* The accelerators of the largest worker that has slots.  */
+int32_t
+dc_cell_largest (const struct dc *dc)
 {
   int32_t size = DC_MAX_ACCELERATORS;
 
@@ -127,19 +129,19 @@
 search_cell (struct dc *dc, int32_t size, enum dc_capacity cap,
              struct dc_want *want)
 {
-  int32_t block = largest_worker (dc);
+  int32_t block = dc_cell_largest (dc);
 
   if (block == 0)
     return false;
   if (size <= block)
     {
-      *want = (struct dc_want){ 1, unit_of (dc, size), DC_LEVEL_WORKER };
+      *want = (struct dc_want){ 1, dc_cell_unit (dc, size), DC_LEVEL_WORKER };
       return dc_search (dc, want, cap);
     }
   for (; block > 0; block--)
     if (size % block == 0)
       {
-        *want = (struct dc_want){ size / block, unit_of (dc, block) };
+        *want = (struct dc_want){ size / block, dc_cell_unit (dc, block) };
         want->level = dc_level_of (dc, want->tasks, block);
         if (want->level != DC_LEVEL_NONE && want->level != DC_LEVEL_WORKER
             && dc_search (dc, want, cap))
@@ -158,7 +160,7 @@
   if (!search_cell (dc, c->size, cap, &want))
     return false;
   c->level = want.level;
-  return bind_spots (dc, cell, want.unit);
+  return dc_cell_bind_spots (dc, cell, want.unit);
 }
 
 void
@@ -283,7 +285,7 @@
 
   return c->size <= w->total.accelerators && dc_worker_open (w)
          && dc_covers (dc_capacity (dc, w, DC_CAP_UNRESERVED),
-                       unit_of (dc, c->size));
+                       dc_cell_unit (dc, c->size));
 }
 
 /* Binds a cell to one worker, if its size and the room there allow it.  */
@@ -298,7 +300,7 @@
   if (dc_add_spot (dc, worker, 1))
     return false;
   c->level = DC_LEVEL_WORKER;
-  return bind_spots (dc, cell, unit_of (dc, c->size));
+  return dc_cell_bind_spots (dc, cell, dc_cell_unit (dc, c->size));
 }
 
 /* Takes unused cells off WORKER until its books hold again.  */
--- /dev/null
+++ b/src/decide/pack.c
@@ -0,0 +1,201 @@
+/* Packs cells from the largest down.  A cell goes where a gang of its account
+   that may not move stands, if the worker holds one more cell that way; else
+   where it was, else into the tightest worker.  With sizes that divide each
+   other and cells in one worker no other order packs more; with others it
+   may.  */
+#include "pack.h"
+
+/* Gives ITEM room for TASKS of its units on WORKER.  */
+void
+pk_put (struct pk_packing *p, struct pk_item *item, uint32_t worker,
+        int32_t tasks)
+{
+  uint32_t at = p->spots.n;
+  struct dc_amount size
+      = { tasks * item->unit.accelerators, tasks * item->unit.slots };
+
+  if (DC_GROW (p->dc, p->spots, at))
+    return;
+  p->spots.v[at] = (struct dc_spot){ worker, tasks };
+  if (item->spots == 0)
+    item->spot = at;
+  item->spots++;
+  p->room[worker] = dc_plus (p->room[worker], size, -1);
+}
+
+static uint32_t
+next_of (const struct pk_packing *p, uint32_t account, uint32_t first,
+         uint32_t end)
+{
+  for (uint32_t i = first; i < end; i++)
+    if (p->items.v[i].account == account && !p->items.v[i].placed)
+      return i;
+  return DC_NONE;
+}
+
+static uint32_t
+end_of_worker (const struct pk_packing *p, uint32_t first)
+{
+  const struct pk_share *s = &p->shares.v[first];
+  uint32_t end = first;
+
+  while (end < p->shares.n && p->shares.v[end].account == s->account
+         && p->shares.v[end].worker == s->worker)
+    end++;
+  return end;
+}
+
+static uint32_t
+end_of_account (const struct pk_packing *p, uint32_t first)
+{
+  uint32_t end = first;
+
+  while (end < p->shares.n
+         && p->shares.v[end].account == p->shares.v[first].account)
+    end++;
+  return end;
+}
+
+static void
+leave (struct pk_packing *p, uint32_t first, uint32_t end, uint32_t item)
+{
+  for (uint32_t i = first; i < end; i++)
+    if (p->shares.v[i].item == item)
+      p->shares.v[i].item = DC_NONE;
+}
+
+/* Takes gangs out of FIRST to END for ITEM, the largest first, until their
+   worker holds one more of its cells around them.  Returns what they hold;
+   nothing if they are too few.  */
+static struct dc_amount
+gather (struct pk_packing *p, uint32_t first, uint32_t end, uint32_t item)
+{
+  struct dc_amount unit = p->items.v[item].unit, sum = { 0, 0 };
+  struct dc_amount room = p->room[p->shares.v[first].worker];
+  int32_t had = dc_tasks_in (room, unit);
+
+  for (uint32_t i = first; i < end; i++)
+    {
+      struct pk_share *s = &p->shares.v[i];
+
+      if (s->item != DC_NONE || !s->whole
+          || !dc_covers (unit, dc_plus (sum, s->need, 1)))
+        continue;
+      s->item = item;
+      sum = dc_plus (sum, s->need, 1);
+      if (dc_tasks_in (dc_plus (room, sum, 1), unit) > had)
+        return sum;
+    }
+  leave (p, first, end, item);
+  return (struct dc_amount){ 0, 0 };
+}
+
+/* The worker, by its first share, where ITEM fits around the most work that
+   may not move.  */
+static uint32_t
+best_around (struct pk_packing *p, uint32_t first, uint32_t end, uint32_t item)
+{
+  uint32_t best = DC_NONE, next;
+  int32_t most = 0;
+
+  for (uint32_t s = first; s < end; s = next)
+    {
+      struct dc_amount sum;
+
+      next = end_of_worker (p, s);
+      sum = gather (p, s, next, item);
+      leave (p, s, next, item);
+      if (sum.accelerators <= most)
+        continue;
+      most = sum.accelerators;
+      best = s;
+    }
+  return best;
+}
+
+/* Puts cells of one size, items FIRST to END, around work that may not
+   move.  */
+static void
+place_around (struct pk_packing *p, uint32_t first, uint32_t end)
+{
+  uint32_t next;
+
+  for (uint32_t s = 0; s < p->shares.n; s = next)
+    {
+      uint32_t account = p->shares.v[s].account, item, at;
+
+      next = end_of_account (p, s);
+      while ((item = next_of (p, account, first, end)) != DC_NONE
+             && (at = best_around (p, s, next, item)) != DC_NONE)
+        {
+          uint32_t worker = p->shares.v[at].worker;
+          struct dc_amount sum = gather (p, at, end_of_worker (p, at), item);
+
+          p->room[worker] = dc_plus (p->room[worker], sum, 1);
+          pk_put (p, &p->items.v[item], worker, 1);
+          p->items.v[item].placed = true;
+        }
+    }
+}
+
+static uint32_t
+tightest (const struct pk_packing *p, const struct pk_item *item)
+{
+  const struct dc_cell *c = &p->dc->cells.v[item->cell];
+  uint32_t best = DC_NONE;
+
+  if (c->parts == 1)
+    {
+      best = ((struct dc_part *)pl_at (&p->dc->parts, c->part))->worker;
+      if (dc_covers (p->room[best], item->unit))
+        return best;
+      best = DC_NONE;
+    }
+  for (uint32_t w = 0; w < p->dc->workers.n; w++)
+    if (dc_covers (p->room[w], item->unit)
+        && (best == DC_NONE
+            || p->room[w].accelerators < p->room[best].accelerators))
+      best = w;
+  return best;
+}
+
+static bool
+place_one (struct pk_packing *p, struct pk_item *item)
+{
+  uint32_t worker;
+
+  if (item->unit.accelerators < item->size)
+    return pk_place_group (p, item);
+  worker = tightest (p, item);
+  if (worker == DC_NONE)
+    return false;
+  pk_put (p, item, worker, 1);
+  return true;
+}
+
+/* Returns whether every cell has a place.  */
+bool
+pk_solve (struct pk_packing *p)
+{
+  int32_t most = dc_cell_largest (p->dc);
+  uint32_t first = 0, end;
+
+  for (; first < p->items.n; first = end)
+    {
+      int32_t size = p->items.v[first].size;
+
+      for (end = first; end < p->items.n && p->items.v[end].size == size;
+           end++)
+        {
+          p->items.v[end].level = DC_LEVEL_WORKER;
+          if (size <= most)
+            p->items.v[end].unit = dc_cell_unit (p->dc, size);
+        }
+      if (size <= most)
+        place_around (p, first, end);
+      for (uint32_t i = first; i < end; i++)
+        if (!p->items.v[i].placed && !place_one (p, &p->items.v[i]))
+          return false;
+    }
+  return true;
+}
--- /dev/null
+++ b/src/decide/pack.h
@@ -0,0 +1,48 @@
+/* A packing of all cells beside the running work that may not move, worked
+   out apart from the books.  */
+#ifndef DECIDE_PACK_H
+#define DECIDE_PACK_H
+
+#include "state.h"
+
+/* What a gang that may not move holds of one worker.  */
+struct pk_share
+{
+  uint32_t job, account, worker;
+  struct dc_amount need;
+  uint32_t item; /* whose room it uses, or DC_NONE */
+  bool whole;    /* nothing of the gang is elsewhere */
+};
+
+/* A cell and where it goes.  */
+struct pk_item
+{
+  uint32_t cell, account;
+  int32_t size;
+  struct dc_amount unit;
+  enum dc_level level;
+  uint32_t spot, spots;
+  bool placed;
+};
+
+struct pk_packing
+{
+  struct dc *dc;
+  struct dc_amount *room; /* of each worker, without what may not move */
+  int32_t *sum;           /* scratch: of each rack or domain */
+  DC_VECTOR (struct pk_share) shares; /* by account, worker, size */
+  DC_VECTOR (struct pk_item) items;   /* the largest first */
+  DC_VECTOR (struct dc_spot) spots;
+};
+
+/* pack_read.c */
+int pk_init (struct pk_packing *p, struct dc *dc);
+void pk_fini (struct pk_packing *p);
+/* pack.c */
+bool pk_solve (struct pk_packing *p);
+void pk_put (struct pk_packing *p, struct pk_item *item, uint32_t worker,
+             int32_t tasks);
+/* pack_groups.c: cells larger than any worker.  */
+bool pk_place_group (struct pk_packing *p, struct pk_item *item);
+
+#endif
--- /dev/null
+++ b/src/decide/pack_groups.c
@@ -0,0 +1,162 @@
+/* Packs cells that are larger than any worker: where they are if work that
+   may not move is in them, else into blocks of one rack or failure domain. */
+#include "pack.h"
+
+#include <string.h>
+
+/* What gangs that stay charged to ITEM hold on WORKER.  */
+static struct dc_amount
+held_by (const struct pk_packing *p, const struct pk_item *item,
+         uint32_t worker)
+{
+  struct dc_amount sum = { 0, 0 };
+
+  for (uint32_t i = 0; i < p->shares.n; i++)
+    {
+      const struct pk_share *s = &p->shares.v[i];
+
+      if (s->worker == worker && s->item == DC_NONE
+          && p->dc->jobs.v[s->job].cell == item->cell)
+        sum = dc_plus (sum, s->need, 1);
+    }
+  return sum;
+}
+
+static void
+keep_shares (struct pk_packing *p, struct pk_item *item)
+{
+  for (uint32_t i = 0; i < p->shares.n; i++)
+    if (p->shares.v[i].item == DC_NONE
+        && p->dc->jobs.v[p->shares.v[i].job].cell == item->cell)
+      {
+        struct pk_share *s = &p->shares.v[i];
+
+        s->item = (uint32_t)(item - p->items.v);
+        p->room[s->worker] = dc_plus (p->room[s->worker], s->need, 1);
+      }
+}
+
+/* The largest block that all parts of C are made of.  */
+static struct dc_amount
+block_of (const struct dc *dc, const struct dc_cell *c)
+{
+  const struct dc_part *part = pl_at (&dc->parts, c->part);
+  int32_t block = part->size.accelerators;
+
+  for (int32_t i = 1; i < c->parts; i++)
+    {
+      const struct dc_part *next = pl_at (&dc->parts, c->part + (uint32_t)i);
+      int32_t rest = next->size.accelerators;
+
+      while (rest != 0)
+        {
+          int32_t left = block % rest;
+
+          block = rest;
+          rest = left;
+        }
+    }
+  return (struct dc_amount){ block, part->size.slots
+                                        / (part->size.accelerators / block) };
+}
+
+/* Leaves ITEM where its cell is bound, with the work in it.  */
+static bool
+keep (struct pk_packing *p, struct pk_item *item)
+{
+  const struct dc_cell *c = &p->dc->cells.v[item->cell];
+
+  if (c->parts == 0)
+    return false;
+  for (int32_t i = 0; i < c->parts; i++)
+    {
+      const struct dc_part *part
+          = pl_at (&p->dc->parts, c->part + (uint32_t)i);
+      struct dc_amount room = dc_plus (p->room[part->worker],
+                                       held_by (p, item, part->worker), 1);
+
+      if (!dc_covers (room, part->size))
+        return false;
+    }
+  keep_shares (p, item);
+  item->unit = block_of (p->dc, c);
+  item->level = c->level;
+  for (int32_t i = 0; i < c->parts; i++)
+    {
+      const struct dc_part *part
+          = pl_at (&p->dc->parts, c->part + (uint32_t)i);
+
+      pk_put (p, item, part->worker,
+              part->size.accelerators / item->unit.accelerators);
+    }
+  return true;
+}
+
+static uint32_t
+group_of (const struct dc *dc, uint32_t worker, enum dc_level level)
+{
+  return level == DC_LEVEL_RACK ? dc->workers.v[worker].rack
+                                : dc_domain_of (dc, worker);
+}
+
+/* The group with the fewest blocks that are enough.  */
+static uint32_t
+tightest_group (struct pk_packing *p, const struct pk_item *item,
+                int32_t blocks)
+{
+  const struct dc *dc = p->dc;
+  uint32_t best = DC_NONE, groups = dc->racks.n + dc->domains.n;
+
+  memset (p->sum, 0, groups * sizeof *p->sum);
+  for (uint32_t w = 0; w < dc->workers.n; w++)
+    if (dc->workers.v[w].joined)
+      p->sum[group_of (dc, w, item->level)]
+          += dc_tasks_in (p->room[w], item->unit);
+  for (uint32_t g = 0; g < groups; g++)
+    if (p->sum[g] >= blocks && (best == DC_NONE || p->sum[g] < p->sum[best]))
+      best = g;
+  return best;
+}
+
+static void
+fill (struct pk_packing *p, struct pk_item *item, uint32_t group,
+      int32_t blocks)
+{
+  for (uint32_t w = 0; w < p->dc->workers.n && blocks > 0; w++)
+    {
+      int32_t n = dc_tasks_in (p->room[w], item->unit);
+
+      if (n == 0 || group_of (p->dc, w, item->level) != group)
+        continue;
+      if (n > blocks)
+        n = blocks;
+      pk_put (p, item, w, n);
+      blocks -= n;
+    }
+}
+
+/* Puts a cell that is larger than any worker somewhere.  */
+bool
+pk_place_group (struct pk_packing *p, struct pk_item *item)
+{
+  if (keep (p, item))
+    return true;
+  for (int32_t block = dc_cell_largest (p->dc); block > 0; block--)
+    {
+      int32_t blocks = item->size / block;
+      uint32_t group;
+
+      if (item->size % block != 0)
+        continue;
+      item->unit = dc_cell_unit (p->dc, block);
+      item->level = dc_level_of (p->dc, blocks, block);
+      if (item->level == DC_LEVEL_NONE || item->level == DC_LEVEL_WORKER)
+        continue;
+      group = tightest_group (p, item, blocks);
+      if (group == DC_NONE)
+        continue;
+      fill (p, item, group, blocks);
+      return true;
+    }
+  return false;
+}
--- a/src/decide/plan.c
+++ b/src/decide/plan.c
@@ -120,14 +120,13 @@
     }
 }
 
-/* Binds as many whole workers as are to be spare.  */
-bool
-dc_plan_spares (struct dc *dc)
+/* Adds whole workers until as many as configured are spare, and binds them if
+   there is room.  */
+static bool
+add_spares (struct dc *dc, bool *short_of)
 {
-  int32_t size = DC_MAX_ACCELERATORS, have = 0;
+  int32_t size = dc_cell_largest (dc), have = 0;
 
-  while (size > 0 && dc->slots_with[size] == 0)
-    size--;
   if (size == 0)
     return true;
   for (uint32_t s = dc->spares; s != DC_NONE; s = dc->cells.v[s].next)
@@ -138,15 +137,38 @@
 
       if (dc_cell_new (dc, DC_SPARE, size, &cell))
         return false;
-      if (!dc_cell_bind (dc, cell, DC_CAP_UNRESERVED))
-        {
-          dc_cell_drop (dc, cell);
-          return false;
-        }
+      if (!*short_of)
+        *short_of = !dc_cell_bind (dc, cell, DC_CAP_UNRESERVED);
     }
   return true;
 }
 
+/* Drops spare cells that found no room when they were added.  */
+static void
+drop_spares (struct dc *dc)
+{
+  uint32_t c = dc->spares;
+
+  while (c != DC_NONE)
+    {
+      const struct dc_cell *cell = &dc->cells.v[c];
+      uint32_t next = cell->next;
+
+      if (cell->parts == 0 && !cell->waiting)
+        dc_cell_drop (dc, c);
+      c = next;
+    }
+}
+
+bool
+dc_plan_spares (struct dc *dc)
+{
+  bool short_of = false, added = add_spares (dc, &short_of);
+
+  drop_spares (dc);
+  return added && !short_of;
+}
+
 static int64_t
 groups (const struct dc_event *e)
 {
@@ -162,13 +184,13 @@
 {
   bool short_of = dc->unbound.n > 0;
 
-  if (groups (e) > dc->accelerators)
+  if (groups (e) > dc->accelerators || !add_spares (dc, &short_of))
     return false;
   for (int32_t size = next_size (e, INT32_MAX); size > 0;
        size = next_size (e, size))
     if (!add_size (dc, e, size, &short_of))
       return false;
-  return !short_of || dc_repack (dc);
+  return !short_of || dc_repack (dc) || dc_pack (dc);
 }
 
 static void
@@ -206,11 +228,12 @@
   if (account->known && e->u.plan.version <= account->version)
     return DC_OK;
   mark_kept (dc, e);
-  fits = !grows (dc, e) || (dc_plan_spares (dc) && add_all (dc, e));
+  fits = !grows (dc, e) || add_all (dc, e);
   for (uint32_t c = account->cells; c != DC_NONE; c = dc->cells.v[c].next)
     if (!dc->cells.v[c].kept)
       dc_cell_suspend (dc, c, 1);
   drop (dc, id, !fits);
+  drop_spares (dc);
   for (uint32_t c = account->cells; c != DC_NONE; c = dc->cells.v[c].next)
     dc->cells.v[c].added = false;
   if (fits)
