Count each start of a job that failed, and retry later each time

With a plain bound, a healthy gang that fits one rack only met the same bad worker every 10 s and would be given up. Change: failed starts are counted for good; a job waits for a worker new to it 10 s after the first failure, then twice as long each time up to 60 s.

--- a/src/decide/health.c
+++ b/src/decide/health.c
@@ -91,8 +91,6 @@
     if (job->failed_on[i] == worker)
       {
         job->failed_on[i] = job->failed_on[--job->failures];
-        if (job->failed_starts > 0)
-          job->failed_starts--;
         return;
       }
 }
--- a/src/decide/place.c
+++ b/src/decide/place.c
@@ -5,7 +5,8 @@
 enum
 {
   RESERVE_WAIT_MS = 30000, /* then bulk work may use the urgent reserve */
-  RETRY_MS = 10000         /* a job waits so long for a worker new to it */
+  RETRY_MS = 10000,        /* a job waits so long for a worker new to it, */
+  RETRY_MOST_MS = 60000    /* twice as long after each failure, up to this */
 };
 
 static struct dc_want
@@ -26,11 +27,22 @@
     dc->retry_ms = at_ms;
 }
 
+/* How long JOB, which failed before, waits for a worker new to it.  */
+static int64_t
+retry_delay (const struct dc_job *job)
+{
+  int64_t delay = RETRY_MS;
+
+  for (int i = 1; i < job->failed_starts && delay < RETRY_MOST_MS; i++)
+    delay *= 2;
+  return delay < RETRY_MOST_MS ? delay : RETRY_MOST_MS;
+}
+
 /* Whether JOB, which failed before, still waits for a worker new to it.  */
 bool
 dc_retry_later (struct dc *dc, const struct dc_job *job)
 {
-  int64_t retry = job->queued_ms + RETRY_MS;
+  int64_t retry = job->queued_ms + retry_delay (job);
 
   if (retry <= dc->now_ms)
     return false;
