Bind waiting cells when firm work ends

Cause: a cell that lost its worker and found no other beside work that may not be preempted was tried again only when a worker joined. Its account's jobs waited behind soft work although the room could be reclaimed. Change: the end of work that is not preemptible, or in a cell, has the waiting cells tried again.

--- a/src/decide/gang.c
+++ b/src/decide/gang.c
@@ -294,6 +294,8 @@
     dc->running_jobs--;
   pl_give (&dc->tasks, job->task, (uint32_t)job->spec.tasks);
   job->task = DC_NONE;
+  if (dc->unbound.n > 0 && job->kind != DC_KIND_SOFT)
+    dc->rebind = true; /* what it leaves may hold a cell */
   if (job->kind == DC_KIND_GUARANTEED)
     {
       dc->cells.v[job->cell].jobs--;
