--- a/src/decide/health.c
+++ b/src/decide/health.c
@@ -259,7 +259,7 @@
   struct dc_worker *w = &dc->workers.v[worker];
 
   job->failed_starts++;
-  if (w->in_row < UINT8_MAX)
+  if (w->in_row < UINT8_MAX && !find_suspicion (w, id))
     w->in_row++;
   note_failed_on (job, worker);
   if (job->failures > 1 && w->suspicions == 0 && w->health == DC_HEALTHY)
--- a/src/decide/state.h
+++ b/src/decide/state.h
@@ -81,7 +81,7 @@
   /* health */
   struct dc_suspicion suspect[DC_MAX_SUSPICIONS];
   uint8_t suspicions;  /* jobs that failed here since the last success */
-  uint8_t in_row;      /* failures since the last success */
+  uint8_t in_row;      /* jobs that failed since the last success */
   uint8_t quarantines; /* times, for the growing delay */
   bool held_back;      /* nothing but guaranteed work until cleared */
   bool sick;           /* in the list of workers to watch */
