--- a/src/decide/health.c
+++ b/src/decide/health.c
@@ -91,8 +91,6 @@
     if (job->failed_on[i] == worker)
       {
         job->failed_on[i] = job->failed_on[--job->failures];
-        if (job->failed_starts > 0)
-          job->failed_starts--;
         return;
       }
 }
@@ -261,7 +259,7 @@
   struct dc_worker *w = &dc->workers.v[worker];
 
   job->failed_starts++;
-  if (w->in_row < UINT8_MAX)
+  if (w->in_row < UINT8_MAX && !find_suspicion (w, id))
     w->in_row++;
   note_failed_on (job, worker);
   if (job->failures > 1 && w->suspicions == 0 && w->health == DC_HEALTHY)
