Delete the rows of jobs that ended long ago

Times come from a clock in the settings, so that tests set it. What skr-sched keeps of an ended job is released as before; the test now says so. Rows that say where a job went stay, as the job may live on there. Rows of requests are not deleted by this change.

--- a/src/control/cell.c
+++ b/src/control/cell.c
@@ -49,6 +49,7 @@
   c->gangs = g_ptr_array_new_with_free_func (cl_free_gang);
   c->gangs_of = g_hash_table_new (g_str_hash, g_str_equal);
   c->batch = g_ptr_array_new ();
+  c->old = g_ptr_array_new_with_free_func (g_free);
   g_queue_init (&c->events);
   for (int i = 0; i <= DC_BULK; i++)
     g_queue_init (&c->dirty[i]);
@@ -105,6 +106,7 @@
   g_hash_table_destroy (c->gangs_of);
   g_ptr_array_free (c->gangs, TRUE);
   g_ptr_array_free (c->batch, TRUE);
+  g_ptr_array_free (c->old, TRUE);
   gsl_rng_free (c->rng);
 }
 
@@ -141,6 +143,7 @@
   if (!c->dc || dc_init (c->dc, &c->set->decide))
     abort ();
   cl_fleet_begin (c);
+  cl_sweep_begin (c);
   c->phase = CL_LOADING;
   c->scan_at_ms = c->now_ms;
   log_cell (c, LG_CELL_TAKEN);
@@ -255,6 +258,7 @@
       cl_jobs_step (c);
       cl_decide (c);
       cl_gangs_step (c);
+      cl_sweep_step (c);
     }
   cl_commit_step (c, take_delay_ms);
   return TICK_MS;
--- a/src/control/cell.h
+++ b/src/control/cell.h
@@ -54,6 +54,7 @@
   CL_COMMIT, /* a transaction; cl_commit_done */
   CL_READ,   /* read the cell's row; cl_read_done */
   CL_SCAN,   /* scan the job rows; cl_scan_done */
+  CL_SWEEP,  /* read some job rows of any age; cl_sweep_done */
   CL_ENDED   /* tell the entry VMs that a job's state has changed */
 };
 
@@ -78,6 +79,7 @@
     {
       int64_t since;
       const char *after; /* NULL: from the start */
+      int limit;         /* 0: the table's own */
     } scan;
     struct
     {
@@ -99,9 +101,11 @@
   int64_t poll_ms, scan_ms; /* of workers, of job rows */
   int64_t settle_ms;        /* the list of workers must not change for */
   int64_t order_timeout_ms;
-  int reserve_slots;   /* of each worker, kept for calls */
-  int commit_rows;     /* rows in one transaction */
-  int rows_per_second; /* written by one cell */
+  int reserve_slots;         /* of each worker, kept for calls */
+  int commit_rows;           /* rows in one transaction */
+  int rows_per_second;       /* written by one cell */
+  int64_t keep_ms;           /* rows of ended jobs, after their end */
+  int64_t (*wall_ms) (void); /* the clock of the times in rows */
   struct dc_config decide;
 };
 
@@ -158,6 +162,11 @@
   double tokens; /* rows that may be written now */
   int64_t tokens_ms;
 
+  GPtrArray *old; /* rows to be deleted */
+  int64_t sweep_at_ms, sweep_serial;
+  char sweep_after[CT_NAME];
+  int sweeping;
+
   int64_t scan_rev, scan_first_rev, scan_at_ms;
   char scan_after[CT_NAME];
   int scanning, scan_soon;
@@ -196,6 +205,9 @@
 void cl_scan_done (struct cl_cell *c, int64_t now_ms, int64_t serial,
                    int error, const json_t *data);
 
+void cl_sweep_done (struct cl_cell *c, int64_t now_ms, int64_t serial,
+                    int error, const json_t *data);
+
 int cl_may_act (const struct cl_cell *c);
 /* Free accelerators and counts, for the cell's row.  */
 json_t *cl_summary (struct cl_cell *c);
--- a/src/control/cell_commit.c
+++ b/src/control/cell_commit.c
@@ -32,6 +32,9 @@
   c->tokens--;
   if (with_rows)
     cl_add_rows (c, &txn);
+  /* With the renewal: a transaction of their own would cost one more.  */
+  if (c->phase == CL_SERVING && cl_may_act (c) && c->tokens >= 0)
+    cl_add_deletes (c, &txn);
   e.u.commit = &txn;
   e.serial = c->commit_serial = ++c->serial;
   c->emit (c->arg, &e);
--- a/src/control/cell_impl.h
+++ b/src/control/cell_impl.h
@@ -83,6 +83,19 @@
 /* The job is to be neither given to the decision layer nor kept there.  */
 void cl_take_back (struct cl_cell *c, struct jb_job *job);
 
+/* cell_sweep.c */
+enum
+{
+  CL_SWEEP_MS = 10000, /* between two groups */
+  CL_SWEEP_READ = 64,  /* rows read for one */
+  CL_SWEEP_ROWS = 8    /* rows deleted at most for one */
+};
+void cl_sweep_step (struct cl_cell *c);
+void cl_sweep_begin (struct cl_cell *c);
+/* Adds the rows that are to go to TXN; what of them is not written is found
+   again in the next round.  */
+void cl_add_deletes (struct cl_cell *c, struct tb_txn *txn);
+
 /* cell_home.c */
 void cl_home_step (struct cl_cell *c);
 /* What the workers that are up hold when empty.  */
--- /dev/null
+++ b/src/control/cell_sweep.c
@@ -0,0 +1,99 @@
+/* Rows of jobs that ended long ago are deleted, a few at a time: a walk
+   through the cell's table that never ends.  */
+#include <string.h>
+
+#include "control/cell_impl.h"
+
+struct old
+{
+  char id[CT_NAME];
+  int64_t version;
+};
+
+/* Cells that are taken together begin at different times.  */
+void
+cl_sweep_begin (struct cl_cell *c)
+{
+  g_ptr_array_set_size (c->old, 0);
+  c->sweeping = 0;
+  c->sweep_serial = 0;
+  c->sweep_after[0] = '\0';
+  c->sweep_at_ms
+      = c->now_ms + CL_SWEEP_MS + (int64_t)(cl_random (c) * CL_SWEEP_MS);
+}
+
+void
+cl_sweep_step (struct cl_cell *c)
+{
+  struct cl_effect e = { .kind = CL_SWEEP, .cell = c };
+
+  if (c->sweeping || c->old->len || c->now_ms < c->sweep_at_ms)
+    return;
+  c->sweeping = 1;
+  e.serial = c->sweep_serial = ++c->serial;
+  e.u.scan.after = *c->sweep_after ? c->sweep_after : NULL;
+  e.u.scan.limit = CL_SWEEP_READ;
+  c->emit (c->arg, &e);
+}
+
+static void
+add (struct cl_cell *c, const char *id, int64_t version)
+{
+  struct old *old = g_new0 (struct old, 1);
+
+  g_strlcpy (old->id, id, sizeof old->id);
+  old->version = version;
+  g_ptr_array_add (c->old, old);
+}
+
+/* Returns 0 when the group is full before the rows' end.  */
+static int
+take_rows (struct cl_cell *c, const json_t *rows)
+{
+  int64_t wall_ms = c->set->wall_ms ();
+  const json_t *o;
+  size_t i;
+
+  json_array_foreach (rows, i, o)
+  {
+    const char *key = json_string_value (json_object_get (o, "key"));
+
+    if (!key || strlen (key) >= CT_NAME)
+      continue;
+    if (c->old->len == CL_SWEEP_ROWS)
+      return 0;
+    if (jb_is_old (json_object_get (o, "value"), wall_ms, c->set->keep_ms)
+        && !cl_find_job (c, key))
+      add (c, key, json_integer_value (json_object_get (o, "version")));
+    g_strlcpy (c->sweep_after, key, sizeof c->sweep_after);
+  }
+  return 1;
+}
+
+void
+cl_sweep_done (struct cl_cell *c, int64_t now_ms, int64_t serial, int error,
+               const json_t *data)
+{
+  c->now_ms = now_ms;
+  if (c->phase == CL_WATCHING || serial != c->sweep_serial)
+    return;
+  c->sweeping = 0;
+  c->sweep_at_ms = now_ms + CL_SWEEP_MS;
+  if (!error && take_rows (c, json_object_get (data, "rows"))
+      && !json_is_true (json_object_get (data, "more")))
+    c->sweep_after[0] = '\0';
+}
+
+void
+cl_add_deletes (struct cl_cell *c, struct tb_txn *txn)
+{
+  for (guint i = 0; i < c->old->len; i++)
+    {
+      const struct old *old = g_ptr_array_index (c->old, i);
+
+      tb_txn_check (txn, c->table, old->id, old->version);
+      tb_txn_delete (txn, c->table, old->id);
+      c->tokens--;
+    }
+  g_ptr_array_set_size (c->old, 0);
+}
--- a/src/control/job.c
+++ b/src/control/job.c
@@ -208,6 +208,16 @@
   return state && jb_parse_state (state) < JB_DONE;
 }
 
+int
+jb_is_old (const json_t *value, int64_t wall_ms, int64_t keep_ms)
+{
+  const char *state = json_string_value (json_object_get (value, "state"));
+  int64_t ended = json_integer_value (json_object_get (value, "ended_at"));
+
+  return state && jb_parse_state (state) >= JB_DONE && ended > 0
+         && wall_ms - ended >= keep_ms;
+}
+
 static struct jb_seen *
 new_seen (size_t tasks)
 {
--- a/src/control/job.h
+++ b/src/control/job.h
@@ -88,6 +88,8 @@
 /* The row that stays behind for those who know the job by this cell.  It has
    no state: only the row in the other cell has.  A new value.  */
 json_t *jb_moved (const struct jb_job *job);
+/* Whether VALUE is the row of a job that ended KEEP_MS before WALL_MS.  */
+int jb_is_old (const json_t *value, int64_t wall_ms, int64_t keep_ms);
 /* Whether VALUE is a row of a job that this cell still has to do with.  */
 int jb_is_live (const json_t *value);
 /* Notes that a worker has begun TASK of ATTEMPT, which the row does not know
--- a/src/sched/io.c
+++ b/src/sched/io.c
@@ -109,7 +109,8 @@
   static const enum sc_kind kinds[] = { [CL_ORDER] = SC_ORDER,
                                         [CL_COMMIT] = SC_COMMIT,
                                         [CL_READ] = SC_READ,
-                                        [CL_SCAN] = SC_SCAN };
+                                        [CL_SCAN] = SC_SCAN,
+                                        [CL_SWEEP] = SC_SWEEP };
   struct sched *s = arg;
   struct cl_cell *c = effect->cell;
   struct sc_event *e;
@@ -139,9 +140,11 @@
         table_failed (e);
       return;
     case CL_SCAN:
+    case CL_SWEEP:
       scan = (struct tb_scan){ .table = c->table,
                                .after = effect->u.scan.after,
-                               .since = effect->u.scan.since };
+                               .since = effect->u.scan.since,
+                               .limit = effect->u.scan.limit };
       if (tb_scan (s->tb, &scan, sc_table_done, e))
         table_failed (e);
       return;
--- a/src/sched/loop.c
+++ b/src/sched/loop.c
@@ -9,6 +9,7 @@
 {
   SECOND_MS = 1000,
   KEYS_MS = 2000,
+  HOUR_MS = 3600 * SECOND_MS,
   BATCH = 512 /* events between two ticks */
 };
 
@@ -30,6 +31,9 @@
     case SC_SCAN:
       cl_scan_done (e->cell, s->now_ms, e->serial, e->error, e->json);
       break;
+    case SC_SWEEP:
+      cl_sweep_done (e->cell, s->now_ms, e->serial, e->error, e->json);
+      break;
     case SC_VMS:
       sc_vms_done (s, e->error, e->json);
       break;
@@ -129,6 +133,8 @@
     .reserve_slots = (int)set->reserve_slots,
     .commit_rows = (int)set->commit_rows,
     .rows_per_second = (int)set->rows_per_second,
+    .keep_ms = set->keep_jobs_h * HOUR_MS,
+    .wall_ms = bs_wall_ms,
     .decide
     = { .weight_completion = (double)set->weight_completion / 100,
         .weight_fragmentation = (double)set->weight_fragmentation / 100,
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -38,7 +38,7 @@
   int64_t cell_lease_ms, cell_margin_ms, task_lease_ms;
   int64_t poll_ms, scan_ms, settle_ms, order_timeout_ms, table_timeout_ms;
   int64_t reserve_slots, reserve_connections, grant_ms;
-  int64_t commit_rows, rows_per_second;
+  int64_t commit_rows, rows_per_second, keep_jobs_h;
   int64_t weight_completion, weight_fragmentation, spare_workers;
   int64_t drain_ms;
   int no_check;
@@ -50,6 +50,7 @@
   SC_COMMIT,
   SC_READ,
   SC_SCAN,
+  SC_SWEEP,
   SC_VMS,
   SC_CELLS,
   SC_CONFIG,
--- a/tests/control/fake_world.c
+++ b/tests/control/fake_world.c
@@ -1,3 +1,4 @@
+#include <limits.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -29,6 +30,7 @@
   char path[128];
   json_t *body, *checks, *ops;
   int64_t serial, since;
+  int limit;
   char after[CT_NAME];
   enum hc_end end;
   long status;
@@ -87,6 +89,16 @@
   w->rows_written++;
 }
 
+static void
+delete_row (struct fw_world *w, const char *table, const char *key)
+{
+  char *name = g_strdup_printf ("%s/%s", table, key);
+
+  g_hash_table_remove (w->rows, name);
+  g_free (name);
+  w->rows_written++;
+}
+
 void
 fw_write (struct fw_world *w, const char *table, const char *key,
           json_t *value)
@@ -133,8 +145,11 @@
   w->rev++;
   json_array_foreach (r->ops, i, o)
   {
-    put_row (w, text (o, "table"), text (o, "key"),
-             json_object_get (o, "value"));
+    if (strcmp (text (o, "op"), "delete") == 0)
+      delete_row (w, text (o, "table"), text (o, "key"));
+    else
+      put_row (w, text (o, "table"), text (o, "key"),
+               json_object_get (o, "value"));
   }
   r->data = json_pack ("{s:I}", "rev", (json_int_t)w->rev);
 }
@@ -145,11 +160,11 @@
   return strcmp (*(char *const *)a, *(char *const *)b);
 }
 
-/* The rows whose names begin with PREFIX, from after AFTER on and newer than
+/* LIMIT rows whose names begin with PREFIX, from after AFTER on and newer than
    SINCE.  */
 static json_t *
 list_rows (struct fw_world *w, const char *prefix, const char *after,
-           int64_t since)
+           int64_t since, int limit)
 {
   GPtrArray *names = g_ptr_array_new ();
   json_t *rows = json_array ();
@@ -167,7 +182,8 @@
       struct row *row = g_hash_table_lookup (w->rows, full);
       const char *key = full + strlen (prefix);
 
-      if (row->version > since && strcmp (key, after) > 0)
+      if (row->version > since && strcmp (key, after) > 0
+          && (int)json_array_size (rows) < limit)
         json_array_append_new (
             rows, json_pack ("{s:s, s:I, s:o}", "key", key, "version",
                              (json_int_t)row->version, "value",
@@ -180,9 +196,12 @@
 static void
 scan (struct fw_world *w, struct request *r)
 {
-  r->data
-      = json_pack ("{s:I, s:o, s:b}", "rev", (json_int_t)w->rev, "rows",
-                   list_rows (w, "jobs.d1/", r->after, r->since), "more", 0);
+  int limit = r->limit ? r->limit : INT_MAX;
+  json_t *rows = list_rows (w, "jobs.d1/", r->after, r->since, limit);
+
+  r->data = json_pack ("{s:I, s:O, s:b}", "rev", (json_int_t)w->rev, "rows",
+                       rows, "more", (int)json_array_size (rows) == limit);
+  json_decref (rows);
 }
 
 static void
@@ -212,7 +231,7 @@
     }
   if (is_write && apply)
     commit (w, r);
-  else if (r->kind == CL_SCAN)
+  else if (r->kind == CL_SCAN || r->kind == CL_SWEEP)
     scan (w, r);
   else if (r->kind == CL_READ)
     read_cell (w, r);
@@ -448,8 +467,9 @@
       r->checks = json_deep_copy (e->u.commit->checks);
       r->ops = json_deep_copy (e->u.commit->ops);
     }
-  if (e->kind == CL_SCAN)
+  if (e->kind == CL_SCAN || e->kind == CL_SWEEP)
     {
+      r->limit = e->u.scan.limit;
       r->since = e->u.scan.since;
       snprintf (r->after, CT_NAME, "%s",
                 e->u.scan.after ? e->u.scan.after : "");
@@ -475,6 +495,9 @@
     case CL_SCAN:
       cl_scan_done (r->cell, w->now_ms, r->serial, r->error, r->data);
       break;
+    case CL_SWEEP:
+      cl_sweep_done (r->cell, w->now_ms, r->serial, r->error, r->data);
+      break;
     case CL_ENDED:
       break;
     }
@@ -570,7 +593,7 @@
     {
       if (up)
         {
-          rows = list_rows (w, CL_TABLE "/", "", 0);
+          rows = list_rows (w, CL_TABLE "/", "", 0, INT_MAX);
           cl_cells (c, rows);
           json_decref (rows);
           cl_row (c, w->now_ms, row ? row->value : NULL,
@@ -637,6 +660,21 @@
     }
 }
 
+/* Of all worlds: what a test needs is that it stands or leaps.  */
+static int64_t wall_now;
+
+static int64_t
+wall_ms (void)
+{
+  return wall_now;
+}
+
+void
+fw_set_wall (int64_t ms)
+{
+  wall_now = ms;
+}
+
 void
 fw_start_vm (struct fw_world *w, int i)
 {
@@ -659,6 +697,8 @@
     .order_timeout_ms = TIMEOUT_MS + 3 * LATENCY_MS,
     .commit_rows = 4,
     .rows_per_second = 50,
+    .keep_ms = FW_KEEP_MS,
+    .wall_ms = wall_ms,
     .decide
     = { .weight_completion = 1, .weight_fragmentation = 1, .check = 1 },
   };
--- a/tests/control/fake_world.h
+++ b/tests/control/fake_world.h
@@ -14,7 +14,8 @@
 {
   FW_VMS = 3,
   FW_WORKERS = 8,
-  FW_STEP_MS = 10
+  FW_STEP_MS = 10,
+  FW_KEEP_MS = 3600000 /* of rows of ended jobs */
 };
 
 enum fw_table_mode
@@ -116,6 +117,8 @@
 json_t *fw_row (struct fw_world *w, const char *table, const char *key);
 void fw_write (struct fw_world *w, const char *table, const char *key,
                json_t *value);
+/* The wall clock, by which rows grow old; it stands still.  */
+void fw_set_wall (int64_t ms);
 /* Keeps the whole table as it is now; puts it back to that state.  */
 void fw_save (struct fw_world *w);
 void fw_put_back (struct fw_world *w);
--- a/tests/control/test_cell.c
+++ b/tests/control/test_cell.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "control/cell_impl.h"
 #include "fake_world.h"
 
 enum
@@ -987,6 +988,74 @@
   fw_fini (&w);
 }
 
+static int
+rows_left (struct fw_world *w, int jobs)
+{
+  char id[CT_NAME];
+  int n = 0;
+
+  for (int i = 0; i < jobs; i++)
+    {
+      snprintf (id, sizeof id, "d1~%016x", i + 1);
+      n += fw_row (w, "jobs.d1", id) != NULL;
+    }
+  return n;
+}
+
+/* Rows of ended jobs go once they are old, a few at a time; others stay.  */
+static void
+test_old_rows_go (void)
+{
+  enum
+  {
+    JOBS = 100,
+    GROUPS = JOBS / CL_SWEEP_ROWS + 1
+  };
+  struct fw_world w;
+  int64_t at = bs_wall_ms (); /* before the ends */
+  char id[CT_NAME];
+  int before, most = 0;
+
+  start (&w, SEED);
+  w.run_ms = 100;
+  fw_set_wall (at);
+  for (int i = 0; i < JOBS; i++)
+    {
+      snprintf (id, sizeof id, "d1~%016x", i + 1);
+      fw_put_job (&w, id, 1, 1, 1, 0);
+    }
+  fw_run (&w, 60000);
+  CU_ASSERT_EQUAL (rows_left (&w, JOBS), JOBS);
+  CU_ASSERT_EQUAL (g_hash_table_size (w.vm[0].cell.jobs), 0);
+  CU_ASSERT_EQUAL (g_hash_table_size (w.vm[0].cell.gone), 0);
+  CU_ASSERT_EQUAL (w.vm[0].cell.gangs->len, 0);
+  CU_ASSERT (w.vm[0].cell.by_handle->len <= JOBS);
+
+  fw_set_wall (at + FW_KEEP_MS - 1);
+  fw_run (&w, 4 * CL_SWEEP_MS);
+  CU_ASSERT_EQUAL (rows_left (&w, JOBS), JOBS);
+
+  w.run_ms = 100 * LONG_MS;
+  fw_put_job (&w, "d1~ffffffffffffffff", 1, 1, 0, 0);
+  fw_write (&w, "jobs.d1", "d1~eeeeeeeeeeeeeeee",
+            json_pack ("{s:s, s:s}", "account", "a", "moved_to", "d2"));
+  fw_run (&w, 1000);
+  fw_set_wall (at + 60000 + FW_KEEP_MS);
+  for (int g = 0; g < GROUPS + 4; g++)
+    {
+      before = rows_left (&w, JOBS);
+      fw_run (&w, CL_SWEEP_MS);
+      most = MAX (most, before - rows_left (&w, JOBS));
+    }
+  CU_ASSERT_EQUAL (rows_left (&w, JOBS), 0);
+  CU_ASSERT (most <= CL_SWEEP_ROWS);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, "d1~ffffffffffffffff"), "running");
+  CU_ASSERT_PTR_NOT_NULL (fw_row (&w, "jobs.d1", "d1~eeeeeeeeeeeeeeee"));
+  CU_ASSERT_EQUAL (fw_holder (&w), 0);
+  CU_ASSERT_EQUAL (w.vm[0].cell.lease.row.epoch, 1);
+  fw_fini (&w);
+}
+
 static GLogWriterOutput
 drop_log (GLogLevelFlags level, const GLogField *fields, gsize count,
           gpointer arg)
@@ -1041,6 +1110,7 @@
   CU_ADD_TEST (suite, test_one_witness_is_enough);
   CU_ADD_TEST (suite, test_doubt_is_handed_on);
   CU_ADD_TEST (suite, test_put_back_loses_no_job_that_is_known);
+  CU_ADD_TEST (suite, test_old_rows_go);
   CU_ADD_TEST (suite, test_random_faults);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
