Delete the rows of keys that are old, and say how long a key is known

Cause: rows of requests stayed for ever; no page said how long a key may come back. A key whose job row is gone is told so, 404, in place of "no such job".

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -28,6 +28,7 @@
   EN_TICK_MS = 10,           /* step of the deadlines */
   EN_POLL_MS = 1000,         /* configuration, cells, VM list */
   EN_POLL_WHOLE_MS = 5000,   /* configuration, whatever has changed */
+  EN_OLD_MS = 4000,          /* between two groups of old rows */
   EN_PEERS = 128,            /* daemons on other VMs */
   EN_PEER_DEAD_MS = 5000,    /* a silent peer counts as gone */
   EN_PEER_FIRST_MS = 3000,   /* after the start: listed peers are heard */
@@ -57,7 +58,7 @@
   int64_t log_level, http_threads, max_requests, max_body, connections;
   int64_t idle_s, table_timeout_ms, connect_timeout_ms, attempt_timeout_ms;
   int64_t late_ms, submit_timeout_ms, drain_ms, finish_ms;
-  int64_t upstream_connections, spare_workers;
+  int64_t upstream_connections, spare_workers, keep_keys_h;
   int no_hedge;
 };
 
@@ -79,7 +80,9 @@
   EN_TAG_POLL_VMS,
   EN_TAG_POLL_CELLS,
   EN_TAG_POLL_JOBS,
-  EN_TAG_REPAIR
+  EN_TAG_REPAIR,
+  EN_TAG_OLD,     /* rows of keys of any age */
+  EN_TAG_OLD_GONE /* old ones are deleted */
 };
 
 struct en_request;
@@ -185,6 +188,13 @@
   char after[FL_MAX_ID + 1];
 };
 
+/* The walk through old rows of keys.  */
+struct en_old
+{
+  int account; /* handle */
+  char after[FL_ROW_KEY_SIZE];
+};
+
 struct en_core
 {
   const struct en_settings *set;
@@ -204,6 +214,7 @@
   struct cf_store config;
   struct rg_ring ring;
   struct en_queued queued;
+  struct en_old old;
   struct tm_service timers;
   struct fl_fleet fleet;
   struct en_peer peer[EN_PEERS];
@@ -331,6 +342,10 @@
 void en_queued_rows (struct en_core *core, const json_t *data);
 void en_queued_add (struct en_core *core, const char *job, int account);
 
+/* old.c */
+void en_old_step (void *arg, int64_t now_ms);
+void en_old_rows (struct en_core *core, const json_t *data);
+
 /* peers.c */
 int en_peers_start (struct en_core *core);
 void en_peers_dial (struct en_core *core);
--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -408,7 +408,10 @@
     keep_value (j, row);
   if (row && json_object_get (j->value, "state"))
     j->hops = 0;
-  if (!row || !is_owner (core, req))
+  if (!row && req->fr.op == FL_OP_JOB)
+    en_refuse (core, req, FL_PROBLEM_NOT_FOUND,
+               "this key's job has ended; its row is no longer kept");
+  else if (!row || !is_owner (core, req))
     en_refuse (core, req, FL_PROBLEM_NOT_FOUND, "there is no such job");
   else if (json_object_get (j->value, "moved_to"))
     {
--- a/src/entry/poll.c
+++ b/src/entry/poll.c
@@ -243,6 +243,10 @@
     case EN_TAG_REPAIR:
       en_poll_config (core);
       break;
+    case EN_TAG_OLD:
+      en_old_rows (core, data);
+      break;
+    case EN_TAG_OLD_GONE:
     case EN_TAG_STEP:
     case EN_TAG_RECORD:
     case EN_TAG_MARK:
--- a/src/entry/start.c
+++ b/src/entry/start.c
@@ -47,6 +47,9 @@
   tm_subscribe (&core->timers, now, EN_POLL_MS, en_poll, core);
   tm_subscribe (&core->timers, now + (int64_t)(en_jitter (core) * EN_POLL_MS),
                 EN_POLL_MS, en_heartbeat, core);
+  tm_subscribe (&core->timers,
+                now + EN_OLD_MS + (int64_t)(en_jitter (core) * EN_OLD_MS),
+                EN_OLD_MS, en_old_step, core);
 }
 
 int
--- /dev/null
+++ b/src/filter/keep.c
@@ -0,0 +1,35 @@
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "filter/keep.h"
+
+int
+fl_keep_is_old (const json_t *value, int64_t wall_ms, int64_t keep_ms)
+{
+  int64_t at = json_integer_value (json_object_get (value, "at"));
+
+  return at > 0 && wall_ms - at >= keep_ms;
+}
+
+int
+fl_keep_is_mine (const struct fl_pool *p, const char *account)
+{
+  char text[2 * PR_ID + 8];
+  XXH64_hash_t best = 0;
+  int who = -1;
+
+  for (int e = 0; e < p->entries; e++)
+    {
+      int size
+          = snprintf (text, sizeof text, "keep/%s/%s", account, p->entry[e]);
+      XXH64_hash_t hash = XXH3_64bits (text, (size_t)size);
+
+      if (who < 0 || hash > best)
+        {
+          best = hash;
+          who = e;
+        }
+    }
+  return who >= 0 && strcmp (p->entry[who], p->self) == 0;
+}
--- a/tests/filter/test_pool.c
+++ b/tests/filter/test_pool.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "filter/keep.h"
 #include "filter/pool.h"
 
 enum
@@ -259,6 +260,63 @@
 #name, name                                                               \
   }
 
+/* Each account's rows fall to one VM, and with a VM gone only its own go to
+   others.  */
+static void
+test_one_vm_deletes_the_keys_of_an_account (void)
+{
+  enum
+  {
+    ACCOUNTS = 40
+  };
+  char account[16];
+  int owner[ACCOUNTS], most = 0;
+
+  for (int left = 0; left < 2; left++)
+    {
+      int owned[ENTRIES] = { 0 };
+
+      for (int e = left; e < ENTRIES; e++)
+        {
+          fl_pool_init (&pool[e], name[e]);
+          fl_pool_list (&pool[e], vm + left, ENTRIES + WORKERS - left);
+        }
+      for (int a = 0; a < ACCOUNTS; a++)
+        {
+          int owners = 0, who = -1;
+
+          snprintf (account, sizeof account, "account%d", a);
+          for (int e = left; e < ENTRIES; e++)
+            if (fl_keep_is_mine (&pool[e], account))
+              {
+                owners++;
+                who = e;
+              }
+          CU_ASSERT_EQUAL (owners, 1);
+          CU_ASSERT (!left || owner[a] == 0 || owner[a] == who);
+          owner[a] = who;
+          owned[who]++;
+          if (owned[who] > most)
+            most = owned[who];
+        }
+    }
+  CU_ASSERT (most < ACCOUNTS / 2);
+}
+
+static void
+test_keys_are_kept_for_their_time (void)
+{
+  json_t *row = json_pack ("{s:s, s:i}", "state", "done", "at", 1000);
+  json_t *none = json_pack ("{s:s}", "state", "done");
+
+  CU_ASSERT_FALSE (fl_keep_is_old (row, 1999, 1000));
+  CU_ASSERT (fl_keep_is_old (row, 2000, 1000));
+  CU_ASSERT_FALSE (fl_keep_is_old (row, 500, 1000));
+  CU_ASSERT_FALSE (fl_keep_is_old (none, 9000, 1000));
+  json_decref (row);
+  json_decref (none);
+}
+
 int
 main (void)
 {
@@ -279,6 +337,8 @@
     TEST (test_ejection_keeps_a_floor),
     TEST (test_a_retry_avoids_the_last_upstream),
     TEST (test_no_upstream_is_told_from_a_busy_one),
+    TEST (test_one_vm_deletes_the_keys_of_an_account),
+    TEST (test_keys_are_kept_for_their_time),
   };
   CU_pSuite suite;
   unsigned failures;
