Test the round trip of VM messages apart

Cause: one more message in the same test let the address sanitizer's build warn of a null pointer in it, so that make asan failed to compile. Change: a test of its own, whose allocation is asserted.

--- a/tests/net/test_peer.c
+++ b/tests/net/test_peer.c
@@ -62,7 +62,15 @@
   a->u.credits.count = PR_MAX_CREDITS;
   a->u.credits.credit[PR_MAX_CREDITS - 1].slots = 3;
   check_round_trip (a);
-  memset (a, 0, sizeof *a);
+  free (a);
+}
+
+static void
+test_codec_round_trip_of_vms (void)
+{
+  struct pr_message *a = calloc (1, sizeof *a);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (a);
   a->kind = PR_VMS;
   a->u.vms.digest = INT64_MIN;
   a->u.vms.count = PR_MAX_VMS;
@@ -331,6 +339,7 @@
   CU_initialize_registry ();
   suite = CU_add_suite ("peer", NULL, NULL);
   CU_add_test (suite, "codec round trip", test_codec_round_trip);
+  CU_add_test (suite, "codec of VMs", test_codec_round_trip_of_vms);
   CU_add_test (suite, "codec: cut or changed",
                test_codec_refuses_what_is_cut_or_changed);
   CU_add_test (suite, "codec: false lengths",
