Let the first call of a new account pass

Cause: the bucket of a new account's rate starts empty, so that a call within its first milliseconds (20 ms at 100 calls a second over two VMs) was refused with RATE; check_demo failed by it now and then. Change: the bucket starts with one call; an account without a rate has none.

--- a/src/filter/limit.c
+++ b/src/filter/limit.c
@@ -28,7 +28,8 @@
 void
 fl_limit_init (struct fl_limit *l, int64_t now_ms)
 {
-  *l = (struct fl_limit){ .filled_ms = now_ms };
+  /* The first call of a new account needs no wait.  */
+  *l = (struct fl_limit){ .filled_ms = now_ms, .tokens = 1 };
 }
 
 static void
--- a/tests/filter/test_limit.c
+++ b/tests/filter/test_limit.c
@@ -135,6 +135,16 @@
                    FL_LIMIT_PASS);
 }
 
+static void
+test_first_call_of_a_new_account_passes (void)
+{
+  struct fl_limit l = limit_of (10, 2), none = limit_of (0, 2);
+
+  CU_ASSERT_EQUAL (fl_limit_enter (&l, 0), FL_LIMIT_PASS);
+  CU_ASSERT_EQUAL (fl_limit_enter (&l, 0), FL_LIMIT_RATE);
+  CU_ASSERT_EQUAL (fl_limit_enter (&none, 0), FL_LIMIT_RATE);
+}
+
 static void
 test_concurrency_is_freed_by_leaving (void)
 {
@@ -167,6 +177,7 @@
     TEST (test_sum_stays_within_the_stated_bound),
     TEST (test_steady_demand_of_all_stays_at_the_limit),
     TEST (test_rate_is_a_bucket_of_one_period),
+    TEST (test_first_call_of_a_new_account_passes),
     TEST (test_concurrency_is_freed_by_leaving),
   };
   CU_pSuite suite;
