--- a/tests/net/test_peer.c
+++ b/tests/net/test_peer.c
@@ -70,7 +70,11 @@
 {
   struct pr_message *a = calloc (1, sizeof *a);
 
-  CU_ASSERT_PTR_NOT_NULL_FATAL (a);
+  if (!a)
+    {
+      CU_FAIL_FATAL ("no memory");
+      return;
+    }
   a->kind = PR_VMS;
   a->u.vms.digest = INT64_MIN;
   a->u.vms.count = PR_MAX_VMS;
