Make a change of the lists cost its own size

Cause: the two lists and the split were one row each. A change wrote and each daemon read all of them, and a scheduler read them each second, an entry VM each 5 s besides, to find a restored table. Change: a row an entry in config.rows, under small heads in config with a version and a digest. A daemon scans the heads each second and the rows since its last reading when the split's version rose; rows that do not amount to the digests are not used. A restored table shows in the heads. Writing back and proposing write the rows that differ, in one transaction that checks the heads. Entries keep the operator's order by places with gaps. Heads of the release before, which hold the lists, are read, and the next change writes rows. Reading is a state machine in src/config/reader.c that both daemons share; the accounts of an entry VM have a file of their own. The tests of config run on a fake table with pages, deletions and revisions; what they asserted stays, and a restored table is now told apart from an unchanged one. The split still moves groups of accounts that did not change.

--- a/include/skr/config.h
+++ b/include/skr/config.h
@@ -29,8 +29,11 @@
   CF_MAX_RATE = 1000000   /* calls a second, calls in progress, jobs */
 };
 
-/* The table and the keys of its rows.  */
+/* The table of the lists' heads {"version","digest"} and the keys of its rows;
+   the table of the entries, each under "LIST/NAME".  A head that holds the
+   list itself was written by an older release.  */
 #define CF_TABLE "config"
+#define CF_ROWS "config.rows"
 #define CF_PLANS "plans"
 #define CF_ALLOWANCES "allowances"
 #define CF_SPLIT "split"
@@ -58,16 +61,54 @@
 struct cf_store
 {
   pthread_rwlock_t lock;
-  json_t *plans, *allowances, *split; /* row values; NULL before the first */
+  json_t *plans, *allowances, *split; /* whole; NULL before the first */
+  json_t *rows;                       /* the same by their keys, or NULL */
+};
+
+/* A reading of both tables, by the scans that it asks for.  */
+struct cf_reader
+{
+  int is_fetch;        /* the table's state is wanted, whatever is in force */
+  json_t *heads;       /* array */
+  json_t *rows;        /* by their keys */
+  int64_t rev;         /* the rows in force were read up to it */
+  int64_t reading_rev; /* of the first page */
+  char after[2 * CF_NAME_SIZE];
+  int busy, again, whole;
+};
+
+enum cf_end
+{
+  CF_END_MORE,   /* NEXT is to be scanned */
+  CF_END_SAME,   /* nothing newer */
+  CF_END_NEW,    /* newer lists are in force now */
+  CF_END_OLDER,  /* the table is older than what is in force: cf_repair */
+  CF_END_READ,   /* HEADS and ROWS are the table's state */
+  CF_END_FAILED, /* no answer, or the table has changed meanwhile */
 };
 
 int cf_init (struct cf_store *store);
 void cf_fini (struct cf_store *store);
 
-/* Applies the rows of one scan of CF_TABLE ("rows" of the answer), whole and
-   only if every list is at least as new as the one in force and one is newer.
-   Returns 0 when something changed, CF_EOLD when nothing did, CF_EINVAL.  */
-int cf_apply (struct cf_store *store, const json_t *rows);
+/* Applies HEADS that hold the lists themselves, whole and only if every list
+   is at least as new as the one in force and one is newer.  Returns 0 when
+   something changed, CF_EOLD when nothing did, CF_EINVAL.  */
+int cf_apply (struct cf_store *store, const json_t *heads);
+
+void cf_reader_init (struct cf_reader *r, int is_fetch);
+void cf_reader_fini (struct cf_reader *r);
+/* Fills NEXT and returns 1; or returns 0 when a reading is in progress, to be
+   followed by another one.  NEXT holds until the next call.  */
+int cf_read_begin (struct cf_reader *r, struct tb_scan *next);
+/* Takes the answer to the scan that was asked for.  Newer lists are applied as
+   cf_apply does; rows that do not amount to the digests of the heads are not
+   used.  */
+enum cf_end cf_read_answer (struct cf_reader *r, struct cf_store *store,
+                            int error, const json_t *data,
+                            struct tb_scan *next);
+/* A new reference to what the table that R has read holds as LIST, or
+   NULL.  */
+json_t *cf_read_list (const struct cf_reader *r, const char *list);
 
 /* Versions in force; 0 before the first.  */
 int64_t cf_version (struct cf_store *store, const char *list);
@@ -93,19 +134,20 @@
                    char cell[][CF_NAME_SIZE], int max);
 
 /* Checks a change of LIST (CF_PLANS or CF_ALLOWANCES) to the entries
-   NEW_LIST (an array) against ROWS, a fresh scan of CF_TABLE, and the FLEET,
+   NEW_LIST (an array) against the TABLE, just read, and the FLEET,
    whole: every plan known, every guarantee placed in a cell, all of them at
    once with SPARE_WORKERS lost in each cell.  VERSION is the one that the
    operator edited; 0 stands for "no list yet".  On success fills TXN, to be
-   submitted by the caller; REASON tells what was wrong.  */
-int cf_propose (struct cf_store *store, const json_t *rows, const char *list,
-                int64_t version, const json_t *new_list,
+   submitted by the caller, with what changes; REASON tells what was wrong.  */
+int cf_propose (struct cf_store *store, const struct cf_reader *table,
+                const char *list, int64_t version, const json_t *new_list,
                 const struct cf_worker *fleet, int workers,
                 int32_t spare_workers, struct tb_txn *txn, char *reason);
 
-/* When ROWS, a fresh scan, is older than what is in force, fills TXN to write
-   the newer lists back and returns 1; else 0.  */
-int cf_repair (struct cf_store *store, const json_t *rows, struct tb_txn *txn);
+/* When the TABLE, just read, is older than what is in force, fills TXN to
+   write the newer lists back and returns 1; else 0.  */
+int cf_repair (struct cf_store *store, const struct cf_reader *table,
+               struct tb_txn *txn);
 
 const char *cf_strerror (int error);
 
--- a/src/config/propose.c
+++ b/src/config/propose.c
@@ -12,15 +12,17 @@
 /* The value of LIST that goes before: the table's, or that in force when the
    table was restored to an older state.  */
 static json_t *
-newest (struct cf_store *store, const json_t *rows, const char *list)
+newest (struct cf_store *store, const struct cf_reader *r, const char *list)
 {
-  json_t *table = json_object_get (cf_row (rows, list), "value");
-  json_t *held = cf_list (store, list);
+  json_t *table = cf_read_list (r, list), *held = cf_list (store, list);
 
   if (cf_value_version (held) > cf_value_version (table))
-    return held;
+    {
+      json_decref (table);
+      return held;
+    }
   json_decref (held);
-  return json_incref (table);
+  return table;
 }
 
 static int
@@ -46,24 +48,48 @@
 }
 
 static void
-put_value (struct tb_txn *txn, const char *key, json_t *value)
+put_head (struct tb_txn *txn, const char *list, const json_t *value,
+          const json_t *rows)
 {
   if (value)
-    tb_txn_put (txn, CF_TABLE, key, json_incref (value));
+    tb_txn_put (txn, CF_TABLE, list, cf_head_of (list, value, rows));
 }
 
+/* Writes all three lists: the heads, and what differs from the TABLE.  */
 static void
-fill_txn (struct tb_txn *txn, const json_t *rows, json_t *plans,
-          json_t *allowances, json_t *split, int64_t split_version)
+fill_txn (struct tb_txn *txn, const struct cf_reader *table,
+          const json_t *plans, const json_t *allowances, const json_t *split)
 {
-  check_rows (txn, rows);
-  put_value (txn, CF_PLANS, plans);
-  put_value (txn, CF_ALLOWANCES, allowances);
-  tb_txn_put (
-      txn, CF_TABLE, CF_SPLIT,
-      json_pack ("{s:I,s:I,s:I,s:O}", "version", (json_int_t)split_version,
-                 "plans", (json_int_t)cf_value_version (plans), "allowances",
-                 (json_int_t)cf_value_version (allowances), "split", split));
+  json_t *rows = cf_rows_of (plans, allowances, split, table->rows), *value;
+  const char *key;
+
+  check_rows (txn, table->heads);
+  put_head (txn, CF_PLANS, plans, rows);
+  put_head (txn, CF_ALLOWANCES, allowances, rows);
+  put_head (txn, CF_SPLIT, split, rows);
+  json_object_foreach (rows, key, value)
+  {
+    json_t *old = json_object_get (table->rows, key);
+
+    if (!old || !json_equal (old, value))
+      tb_txn_put (txn, CF_ROWS, key, json_incref (value));
+  }
+  json_object_foreach (table->rows, key, value)
+  {
+    if (!json_object_get (rows, key))
+      tb_txn_delete (txn, CF_ROWS, key);
+  }
+  json_decref (rows);
+}
+
+static json_t *
+split_value (const json_t *plans, const json_t *allowances, json_t *split,
+             int64_t version)
+{
+  return json_pack ("{s:I,s:I,s:I,s:O}", "version", (json_int_t)version,
+                    "plans", (json_int_t)cf_value_version (plans),
+                    "allowances", (json_int_t)cf_value_version (allowances),
+                    "split", split);
 }
 
 static json_t *
@@ -75,8 +101,8 @@
 }
 
 int
-cf_propose (struct cf_store *store, const json_t *rows, const char *list,
-            int64_t version, const json_t *new_list,
+cf_propose (struct cf_store *store, const struct cf_reader *table,
+            const char *list, int64_t version, const json_t *new_list,
             const struct cf_worker *fleet, int workers, int32_t spare_workers,
             struct tb_txn *txn, char *reason)
 {
@@ -86,9 +112,9 @@
 
   if (error)
     return error;
-  plans = newest (store, rows, CF_PLANS);
-  allowances = newest (store, rows, CF_ALLOWANCES);
-  old_split = newest (store, rows, CF_SPLIT);
+  plans = newest (store, table, CF_PLANS);
+  allowances = newest (store, table, CF_ALLOWANCES);
+  old_split = newest (store, table, CF_SPLIT);
   before = is_plans ? plans : allowances;
   if (cf_value_version (before) != version)
     {
@@ -111,8 +137,12 @@
   if (!error && !split)
     error = CF_EFIT;
   if (!error)
-    fill_txn (txn, rows, plans, allowances, split,
-              cf_value_version (old_split) + 1);
+    {
+      next = split_value (plans, allowances, split,
+                          cf_value_version (old_split) + 1);
+      fill_txn (txn, table, plans, allowances, next);
+      json_decref (next);
+    }
   json_decref (split);
   json_decref (old_split);
   json_decref (before);
@@ -122,20 +152,21 @@
 }
 
 int
-cf_repair (struct cf_store *store, const json_t *rows, struct tb_txn *txn)
+cf_repair (struct cf_store *store, const struct cf_reader *table,
+           struct tb_txn *txn)
 {
-  static const char *const key[] = { CF_PLANS, CF_ALLOWANCES, CF_SPLIT };
-  json_t *table_split = json_object_get (cf_row (rows, CF_SPLIT), "value");
+  const json_t *head
+      = json_object_get (cf_row (table->heads, CF_SPLIT), "value");
+  json_t *plans, *allowances, *split;
 
-  if (cf_version (store, CF_SPLIT) <= cf_value_version (table_split))
+  if (cf_version (store, CF_SPLIT) <= cf_value_version (head))
     return 0;
-  check_rows (txn, rows);
-  for (size_t i = 0; i < sizeof key / sizeof key[0]; i++)
-    {
-      json_t *value = cf_list (store, key[i]);
-
-      put_value (txn, key[i], value);
-      json_decref (value);
-    }
+  plans = cf_list (store, CF_PLANS);
+  allowances = cf_list (store, CF_ALLOWANCES);
+  split = cf_list (store, CF_SPLIT);
+  fill_txn (txn, table, plans, allowances, split);
+  json_decref (plans);
+  json_decref (allowances);
+  json_decref (split);
   return 1;
 }
--- a/src/config/store.c
+++ b/src/config/store.c
@@ -37,6 +37,7 @@
   json_decref (store->plans);
   json_decref (store->allowances);
   json_decref (store->split);
+  json_decref (store->rows);
   pthread_rwlock_destroy (&store->lock);
 }
 
@@ -96,11 +97,9 @@
 }
 
 int
-cf_apply (struct cf_store *store, const json_t *rows)
+cf_take (struct cf_store *store, json_t *plans, json_t *allowances,
+         json_t *split, json_t *rows)
 {
-  json_t *plans = json_object_get (cf_row (rows, CF_PLANS), "value");
-  json_t *allowances = json_object_get (cf_row (rows, CF_ALLOWANCES), "value");
-  json_t *split = json_object_get (cf_row (rows, CF_SPLIT), "value");
   char reason[CF_REASON_SIZE];
   int error = CF_EOLD;
 
@@ -117,12 +116,32 @@
       replace (&store->plans, plans);
       replace (&store->allowances, allowances);
       replace (&store->split, split);
+      replace (&store->rows, rows);
       error = CF_OK;
     }
   pthread_rwlock_unlock (&store->lock);
   return error;
 }
 
+int
+cf_apply (struct cf_store *store, const json_t *heads)
+{
+  return cf_take (store, json_object_get (cf_row (heads, CF_PLANS), "value"),
+                  json_object_get (cf_row (heads, CF_ALLOWANCES), "value"),
+                  json_object_get (cf_row (heads, CF_SPLIT), "value"), NULL);
+}
+
+json_t *
+cf_rows (struct cf_store *store)
+{
+  json_t *rows;
+
+  pthread_rwlock_rdlock (&store->lock);
+  rows = json_incref (store->rows);
+  pthread_rwlock_unlock (&store->lock);
+  return rows;
+}
+
 int64_t
 cf_version (struct cf_store *store, const char *list)
 {
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -29,7 +29,6 @@
   EN_TICK_MS = 10,           /* step of the deadlines */
   EN_POLL_MS = 1000,         /* configuration, cells */
   EN_VMS_MS = 100,           /* whether to read the VM list */
-  EN_POLL_WHOLE_MS = 5000,   /* configuration, whatever has changed */
   EN_PEERS = 128,            /* daemons on other VMs */
   EN_PEER_DEAD_MS = 5000,    /* a silent peer counts as gone */
   EN_PEER_FIRST_MS = 3000,   /* after the start: listed peers are heard */
@@ -138,6 +137,7 @@
 {
   const char *name; /* CF_PLANS or CF_ALLOWANCES */
   int tries, maybe, committing;
+  struct cf_reader reader; /* of the table's state */
 };
 
 struct en_page
@@ -190,7 +190,6 @@
 {
   const struct en_settings *set;
   int64_t now_ms, started_ms, hedge_ms;
-  int64_t config_rev, config_ms; /* of the last whole reading */
   struct hs_server *server;
   struct hc_client *hc_table, *hc_up;
   struct tb_client *tb;
@@ -204,6 +203,7 @@
   GQueue wanting; /* calls that wait for a slot */
   struct fl_env env;
   struct cf_store config;
+  struct cf_reader reader;
   struct rg_ring ring;
   struct en_queued queued;
   struct tm_service timers;
@@ -214,8 +214,7 @@
   enum en_fault fault;
   atomic_int peer_queued, live_now, leaving, stop;
   int accounts_room, shard, live_count, table_failures, peers, dialled;
-  int config_whole; /* the reading in progress has all rows */
-  int polls;        /* of the core that are in progress, by bits of en_tag */
+  int polls; /* of the core that are in progress, by bits of en_tag */
   char incarnation[EN_INCARNATION + 1];
   struct pr_key_file keys; /* in use; empty without CURVE */
   struct pr_place place;
@@ -317,7 +316,8 @@
 void en_list_put (struct en_core *core, struct en_request *req);
 void en_list_table (struct en_core *core, struct en_request *req,
                     const struct en_event *ev);
-/* Makes the accounts follow the lists in force.  */
+
+/* accounts.c.  Makes the accounts follow the lists in force.  */
 void en_accounts (struct en_core *core);
 
 /* view.c */
--- a/src/entry/lists.c
+++ b/src/entry/lists.c
@@ -41,8 +41,13 @@
 static void
 scan_lists (struct en_core *core, struct en_request *req)
 {
-  req->u.list.committing = 0;
-  en_scan (core, req, EN_TAG_STEP, &(struct tb_scan){ .table = CF_TABLE });
+  struct en_list *l = &req->u.list;
+  struct tb_scan next;
+
+  l->committing = 0;
+  cf_reader_init (&l->reader, 1);
+  cf_read_begin (&l->reader, &next);
+  en_scan (core, req, EN_TAG_STEP, &next);
 }
 
 void
@@ -105,16 +110,18 @@
 }
 
 static void
-propose (struct en_core *core, struct en_request *req, json_t *rows)
+propose (struct en_core *core, struct en_request *req,
+         const struct cf_reader *table)
 {
   struct cf_worker *fleet = g_new0 (struct cf_worker, EN_FLEET);
   char reason[CF_REASON_SIZE] = "";
   struct en_list *l = &req->u.list;
   struct tb_txn txn;
+  json_t *current;
   int error;
 
   tb_txn_init (&txn);
-  error = cf_propose (&core->config, rows, l->name, req->fr.u.version,
+  error = cf_propose (&core->config, table, l->name, req->fr.u.version,
                       req->fr.json, fleet, fleet_of (core, fleet),
                       (int32_t)core->set->spare_workers, &txn, reason);
   g_free (fleet);
@@ -126,7 +133,9 @@
       break;
     case CF_ECONFLICT:
     case CF_EOLD:
-      refuse_version (core, req, value_in (rows, l->name), reason);
+      current = cf_read_list (table, l->name);
+      refuse_version (core, req, current, reason);
+      json_decref (current);
       break;
     case CF_EFIT:
       en_refuse (core, req, FL_PROBLEM_NO_FIT, reason);
@@ -153,20 +162,32 @@
                   etag);
 }
 
+/* True when the table holds the change that REQ asked for.  */
+static int
+is_made (const struct en_request *req, const struct cf_reader *table)
+{
+  const char *name = req->u.list.name;
+  json_t *value;
+  int made;
+
+  if (version_in (table->heads, name) != req->fr.u.version + 1)
+    return 0;
+  value = cf_read_list (table, name);
+  made = json_equal (json_object_get (value, "list"), req->fr.json);
+  json_decref (value);
+  return made;
+}
+
 /* A change whose answer was lost shows in the rows, or it was not made.  */
 static void
-on_rows (struct en_core *core, struct en_request *req, json_t *rows)
+on_rows (struct en_core *core, struct en_request *req,
+         const struct cf_reader *table)
 {
-  json_t *value = value_in (rows, req->u.list.name);
-
-  if (req->u.list.maybe
-      && json_integer_value (json_object_get (value, "version"))
-             == req->fr.u.version + 1
-      && json_equal (json_object_get (value, "list"), req->fr.json))
+  if (req->u.list.maybe && is_made (req, table))
     accepted (core, req);
-  else if (en_lists_are_newest (core, version_in (rows, CF_PLANS),
-                                version_in (rows, CF_ALLOWANCES)))
-    propose (core, req, rows);
+  else if (en_lists_are_newest (core, version_in (table->heads, CF_PLANS),
+                                version_in (table->heads, CF_ALLOWANCES)))
+    propose (core, req, table);
   else
     /* A table that was set back is not built upon before a VM that has the
        newer lists has written them back.  */
@@ -195,17 +216,13 @@
                "nothing was changed: the table does not answer");
 }
 
-void
-en_list_table (struct en_core *core, struct en_request *req,
-               const struct en_event *ev)
+/* The table did not answer, or changed while it was read.  */
+static void
+on_unread (struct en_core *core, struct en_request *req, int error)
 {
   struct en_list *l = &req->u.list;
 
-  if (l->committing)
-    on_committed (core, req, ev->u.table.error);
-  else if (!ev->u.table.error)
-    on_rows (core, req, json_object_get (ev->u.table.data, "rows"));
-  else if (l->maybe && ++l->tries < MAX_TRIES)
+  if ((l->maybe || !error) && ++l->tries < MAX_TRIES)
     scan_lists (core, req);
   else
     en_refuse (core, req,
@@ -214,51 +231,33 @@
                         : "nothing was changed: the table does not answer");
 }
 
-static struct fl_account *
-account_of (struct en_core *core, const char *name)
+void
+en_list_table (struct en_core *core, struct en_request *req,
+               const struct en_event *ev)
 {
-  struct fl_env *env = &core->env;
+  struct en_list *l = &req->u.list;
+  int error = ev->u.table.error;
+  struct cf_reader table;
+  struct tb_scan next;
+  enum cf_end end;
 
-  for (int i = 0; i < env->accounts; i++)
-    if (!strcmp (env->account[i].name, name))
-      return &env->account[i];
-  if (env->accounts == core->accounts_room)
+  if (l->committing)
     {
-      core->accounts_room = core->accounts_room ? core->accounts_room * 2 : 8;
-      env->account
-          = g_renew (struct fl_account, env->account, core->accounts_room);
+      on_committed (core, req, error);
+      return;
     }
-  env->account[env->accounts] = (struct fl_account){ .name = "" };
-  g_strlcpy (env->account[env->accounts].name, name, PR_ID);
-  fl_limit_init (&env->account[env->accounts].limit, core->now_ms);
-  return &env->account[env->accounts++];
-}
-
-static void
-take_account (void *arg, const struct cf_account *in)
-{
-  struct en_core *core = arg;
-  struct fl_account *a = account_of (core, in->name);
-
-  memcpy (a->key_digest, in->key_digest, sizeof a->key_digest);
-  a->limit.calls_per_second = (int32_t)in->calls_per_second;
-  a->queued_jobs = (int32_t)in->queued_jobs;
-  a->limit.concurrent_calls = (int32_t)in->concurrent_calls;
-}
-
-/* Handles stay: requests in progress hold them.  An account that is gone
-   keeps its place without a key.  */
-void
-en_accounts (struct en_core *core)
-{
-  for (int i = 0; i < core->env.accounts; i++)
-    memset (core->env.account[i].key_digest, 0, BS_DIGEST_SIZE);
-  cf_each_account (&core->config, take_account, core);
-  for (int i = 0; i < core->env.accounts; i++)
+  end = cf_read_answer (&l->reader, &core->config, error, ev->u.table.data,
+                        &next);
+  if (end == CF_END_MORE)
     {
-      struct fl_account *a = &core->env.account[i];
-
-      a->homes = cf_home_cells (&core->config, a->name, a->home, PR_MAX_CELLS);
+      en_scan (core, req, EN_TAG_STEP, &next);
+      return;
     }
-  en_limits (core);
+  table = l->reader;
+  cf_reader_init (&l->reader, 1);
+  if (end == CF_END_READ)
+    on_rows (core, req, &table);
+  else
+    on_unread (core, req, error);
+  cf_reader_fini (&table);
 }
--- a/src/entry/poll.c
+++ b/src/entry/poll.c
@@ -21,23 +21,15 @@
   return 1;
 }
 
-static void
-scan_config (struct en_core *core, int64_t since)
-{
-  if (!en_poll_start (core, EN_TAG_POLL_CONFIG))
-    return;
-  core->config_whole = since == 0;
-  en_scan (core, NULL, EN_TAG_POLL_CONFIG,
-           &(struct tb_scan){ .table = CF_TABLE, .since = since });
-}
-
-/* A poll that is in progress may be older than the reason for this one: its
-   answer is followed by another.  */
+/* A reading that is in progress may be older than the reason for this one: it
+   is followed by another.  */
 void
 en_poll_config (struct en_core *core)
 {
-  core->config_rev = 0;
-  scan_config (core, 0);
+  struct tb_scan next;
+
+  if (cf_read_begin (&core->reader, &next))
+    en_scan (core, NULL, EN_TAG_POLL_CONFIG, &next);
 }
 
 /* The p95 of answered attempts, once there are enough of them.  */
@@ -64,11 +56,8 @@
   struct en_core *core = arg;
 
   (void)now_ms;
-  /* Revisions that went back and were passed again since do not show.  */
-  if (core->now_ms - core->config_ms >= EN_POLL_WHOLE_MS)
+  if (!core->reader.busy)
     en_poll_config (core);
-  else
-    scan_config (core, core->config_rev);
   if (en_poll_start (core, EN_TAG_POLL_CELLS))
     en_scan (core, NULL, EN_TAG_POLL_CELLS,
              &(struct tb_scan){ .table = "cells" });
@@ -79,37 +68,40 @@
 /* A table that was set back to an older state is given the newer lists that
    are in force here.  */
 static void
-repair (struct en_core *core, const json_t *rows)
+repair (struct en_core *core)
 {
   struct tb_txn txn;
 
   tb_txn_init (&txn);
-  if (cf_repair (&core->config, rows, &txn)
+  if (cf_repair (&core->config, &core->reader, &txn)
       && en_poll_start (core, EN_TAG_REPAIR))
     en_commit (core, NULL, EN_TAG_REPAIR, &txn);
   tb_txn_fini (&txn);
 }
 
 static void
-on_config (struct en_core *core, const json_t *data)
+on_config (struct en_core *core, int error, const json_t *data)
 {
-  const json_t *rows = json_object_get (data, "rows");
-  int64_t rev = json_integer_value (json_object_get (data, "rev"));
+  struct tb_scan next;
 
-  if (!core->config_whole)
+  switch (cf_read_answer (&core->reader, &core->config, error, data, &next))
     {
-      if (json_array_size (rows) || rev < core->config_rev
-          || !core->config_rev)
-        en_poll_config (core);
-      else
-        core->config_rev = rev;
+    case CF_END_MORE:
+      en_scan (core, NULL, EN_TAG_POLL_CONFIG, &next);
       return;
+    case CF_END_NEW:
+      en_accounts (core);
+      break;
+    case CF_END_OLDER:
+      repair (core);
+      break;
+    case CF_END_SAME:
+    case CF_END_READ:
+    case CF_END_FAILED:
+      break;
     }
-  core->config_rev = rev;
-  core->config_ms = core->now_ms;
-  if (cf_apply (&core->config, rows) == CF_OK)
-    en_accounts (core);
-  repair (core, rows);
+  if (core->reader.again)
+    en_poll_config (core);
 }
 
 static int
@@ -165,15 +157,14 @@
   json_t *data = ev->u.table.data;
 
   core->polls &= ~(1 << ev->u.table.tag);
+  if (ev->u.table.tag == EN_TAG_POLL_CONFIG)
+    on_config (core, ev->u.table.error, data);
   if (ev->u.table.tag == EN_TAG_POLL_VMS)
     en_vms_read (core, ev->u.table.error ? NULL : data);
   if (ev->u.table.error)
     return;
   switch (ev->u.table.tag)
     {
-    case EN_TAG_POLL_CONFIG:
-      on_config (core, data);
-      break;
     case EN_TAG_POLL_CELLS:
       on_cells (core, data);
       break;
@@ -183,6 +174,7 @@
     case EN_TAG_REPAIR:
       en_poll_config (core);
       break;
+    case EN_TAG_POLL_CONFIG:
     case EN_TAG_POLL_VMS:
     case EN_TAG_STEP:
     case EN_TAG_RECORD:
--- a/src/entry/start.c
+++ b/src/entry/start.c
@@ -101,6 +101,7 @@
     g_free (item);
   tb_free (core->tb);
   rg_fini (&core->ring);
+  cf_reader_fini (&core->reader);
   cf_fini (&core->config);
   for (int i = 0; i < core->peers; i++)
     {
--- a/src/sched/cells.c
+++ b/src/sched/cells.c
@@ -2,7 +2,6 @@
 #include <string.h>
 
 #include "sched/sched.h"
-#include "skr/log.h"
 
 struct cl_cell *
 sc_find_cell (struct sched *s, const char *name)
@@ -48,27 +47,20 @@
   return s ? s : "";
 }
 
-static void
-scan (struct sched *s, enum sc_kind kind, const char *table, int *asking)
-{
-  struct tb_scan what = { .table = table };
-  struct sc_event *e;
-
-  if (*asking)
-    return;
-  e = sc_new_event (s, kind);
-  *asking = tb_scan (s->tb, &what, sc_table_done, e) == TB_OK;
-  if (!*asking)
-    sc_free_event (e);
-}
-
 void
 sc_poll_cells (void *sched, int64_t now_ms)
 {
   struct sched *s = sched;
+  struct tb_scan what = { .table = CL_TABLE };
+  struct sc_event *e;
 
   (void)now_ms;
-  scan (s, SC_CELLS, CL_TABLE, &s->asking_cells);
+  if (s->asking_cells)
+    return;
+  e = sc_new_event (s, SC_CELLS);
+  s->asking_cells = tb_scan (s->tb, &what, sc_table_done, e) == TB_OK;
+  if (!s->asking_cells)
+    sc_free_event (e);
 }
 
 static const json_t *
@@ -110,52 +102,6 @@
     }
 }
 
-void
-sc_poll_config (void *sched, int64_t now_ms)
-{
-  struct sched *s = sched;
-
-  (void)now_ms;
-  scan (s, SC_CONFIG, CF_TABLE, &s->asking_config);
-}
-
-/* Lists in the table that are older than what is in force come from a
-   restored table: the newer ones are written back.  */
-static void
-repair (struct sched *s, const json_t *rows)
-{
-  struct sc_event *e;
-  struct tb_txn txn;
-
-  tb_txn_init (&txn);
-  if (cf_repair (&s->config, rows, &txn) == 1)
-    {
-      e = sc_new_event (s, SC_REPAIR);
-      if (tb_commit (s->tb, &txn, sc_table_done, e))
-        sc_free_event (e);
-    }
-  tb_txn_fini (&txn);
-}
-
-void
-sc_config_done (struct sched *s, int error, json_t *data)
-{
-  json_t *rows = json_object_get (data, "rows");
-
-  s->asking_config = 0;
-  if (error || !json_is_array (rows))
-    return;
-  if (cf_apply (&s->config, rows) == CF_OK)
-    {
-      struct lg_field field[]
-          = { lg_int ("plans", cf_version (&s->config, CF_PLANS)),
-              lg_int ("allowances", cf_version (&s->config, CF_ALLOWANCES)) };
-
-      lg_log (LG_CONFIG_APPLIED, 2, field);
-    }
-  repair (s, rows);
-}
-
 static int
 held_by (const struct sched *s, const char *vm)
 {
--- a/src/sched/loop.c
+++ b/src/sched/loop.c
@@ -187,6 +187,7 @@
       g_free (s->cell[i]);
     }
   gr_fini (&s->book);
+  cf_reader_fini (&s->reader);
   cf_fini (&s->config);
   vl_fini (&s->follow);
   json_decref (s->vms);
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -90,6 +90,7 @@
   struct tb_client *tb;
   struct pr_net *net;
   struct cf_store config;
+  struct cf_reader reader;
   struct rg_ring ring;
   atomic_int peer_queued, stop, stopped;
   int shard; /* of the control thread, in STAT */
@@ -104,7 +105,7 @@
   struct vl_follow follow; /* the VM list */
   json_t *vms;             /* the same as an array, or NULL */
   json_t *cell_rows;       /* array of the last scan of the cells */
-  int asking_cells, asking_config;
+  int asking_cells;
   int64_t give_at_ms, give_wait_ms;
 
   struct sc_entry entry[SC_MAX_VMS];
@@ -135,12 +136,14 @@
 int sc_held (const struct sched *s);
 struct cl_cell *sc_add_cell (struct sched *s, const char *name);
 void sc_poll_cells (void *sched, int64_t now_ms);
-void sc_poll_config (void *sched, int64_t now_ms);
 void sc_cells_done (struct sched *s, int error, json_t *data);
-void sc_config_done (struct sched *s, int error, json_t *data);
 void sc_rebalance (void *sched, int64_t now_ms);
 int64_t sc_take_delay (struct sched *s, struct cl_cell *c);
 
+/* config.c */
+void sc_poll_config (void *sched, int64_t now_ms);
+void sc_config_done (struct sched *s, int error, json_t *data);
+
 /* vms.c */
 void sc_poll_vms (void *sched, int64_t now_ms);
 void sc_vms_done (struct sched *s, int error, json_t *data);
--- a/tests/config/bench_config.c
+++ b/tests/config/bench_config.c
@@ -2,6 +2,7 @@
    each account has two groups of eight accelerators.  */
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "skr/config.h"
 
@@ -52,31 +53,78 @@
     }
 }
 
+/* The table of a platform that holds what TXN writes.  */
+static void
+write_table (struct cf_reader *table, const struct tb_txn *txn)
+{
+  size_t i;
+  json_t *o;
+
+  json_decref (table->heads);
+  table->heads = json_array ();
+  json_array_foreach (txn->ops, i, o)
+  {
+    const char *key = json_string_value (json_object_get (o, "key"));
+    json_t *value = json_object_get (o, "value");
+
+    if (strcmp (json_string_value (json_object_get (o, "table")), CF_ROWS)
+        == 0)
+      json_object_set (table->rows, key, value);
+    else
+      json_array_append_new (table->heads,
+                             json_pack ("{s:s,s:i,s:O}", "key", key, "version",
+                                        1, "value", value));
+  }
+}
+
+/* Writes PLANS and prints the time and the bytes of the transaction.  */
 static int
-measure (int accounts, int workers)
+write_plans (struct cf_reader *table, int64_t version, const json_t *plans,
+             const struct cf_worker *fleet, int workers)
 {
-  struct cf_worker *fleet = calloc ((size_t)workers, sizeof *fleet);
   struct bs_clock clock = bs_clock_system ();
-  json_t *rows = allowances_rows (), *plans = make_plans (accounts);
+  int64_t start = bs_now_ms (&clock);
   char reason[CF_REASON_SIZE] = "";
   struct cf_store store;
   struct tb_txn txn;
-  int64_t start;
   int error;
 
-  fill_fleet (fleet, workers);
   cf_init (&store);
   tb_txn_init (&txn);
-  start = bs_now_ms (&clock);
-  error = cf_propose (&store, rows, CF_PLANS, 0, plans, fleet, workers, 1,
-                      &txn, reason);
-  printf ("%8d %8d %8lld %8zu %s\n", accounts, workers,
-          (long long)(bs_now_ms (&clock) - start),
+  error = cf_propose (&store, table, CF_PLANS, version, plans, fleet, workers,
+                      1, &txn, reason);
+  printf (" %8lld %8zu %s", (long long)(bs_now_ms (&clock) - start),
           json_dumpb (txn.ops, NULL, 0, JSON_COMPACT), reason);
+  write_table (table, &txn);
   tb_txn_fini (&txn);
   cf_fini (&store);
+  return error;
+}
+
+static int
+measure (int accounts, int workers)
+{
+  struct cf_worker *fleet = calloc ((size_t)workers, sizeof *fleet);
+  json_t *plans = make_plans (accounts);
+  struct cf_reader table;
+  char digest[BS_DIGEST_SIZE];
+  int error;
+
+  fill_fleet (fleet, workers);
+  cf_reader_init (&table, 1);
+  table.heads = allowances_rows ();
+  table.rows = json_object ();
+  printf ("%8d %8d", accounts, workers);
+  error = write_plans (&table, 0, plans, fleet, workers);
+  bs_digest (digest, "another key");
+  json_object_set_new (json_array_get (plans, 0), "key_digest",
+                       json_string (digest));
+  error |= write_plans (&table, 1, plans, fleet, workers);
+  json_array_remove (plans, (size_t)accounts / 2);
+  error |= write_plans (&table, 2, plans, fleet, workers);
+  printf ("\n");
+  cf_reader_fini (&table);
   json_decref (plans);
-  json_decref (rows);
   free (fleet);
   return error;
 }
@@ -87,7 +135,10 @@
   int error = 0;
 
   bs_init ();
-  printf ("accounts  workers       ms    bytes\n");
+  printf (
+      "                  all               a key             an account "
+      "less\naccounts  workers       ms    bytes       ms    bytes       ms"
+      "    bytes\n");
   error |= measure (8, 150);
   error |= measure (61, 3250);
   error |= measure (122, 6500);
--- a/tests/config/test_config.c
+++ b/tests/config/test_config.c
@@ -1,4 +1,5 @@
 #include <CUnit/Basic.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -14,10 +15,16 @@
   FLEET = 6 /* workers: three cells of two */
 };
 
+enum
+{
+  PAGE = 2 /* rows of one answer of the fake platform */
+};
+
 static struct cf_worker fleet[FLEET];
-/* The table of a fake platform: rows as a scan gives them.  */
+/* The table of a fake platform: rows, in the order of their keys.  */
 static json_t *rows;
 static int64_t rev;
+static int scans, scanned; /* answers that were given, rows in them */
 
 static json_t *
 parse (const char *text)
@@ -28,17 +35,60 @@
   return value;
 }
 
-static json_t *
-find_row (const char *key)
+static const char *
+text_of (const json_t *o, const char *name)
+{
+  return json_string_value (json_object_get (o, name));
+}
+
+static int64_t
+version_of (const json_t *row)
+{
+  return json_integer_value (json_object_get (row, "version"));
+}
+
+/* Where the row of TABLE and KEY stands or would stand.  */
+static size_t
+place_of (const char *table, const char *key, json_t **found)
 {
   size_t i;
   json_t *row;
 
-  json_array_foreach (
-      rows, i,
-      row) if (!strcmp (json_string_value (json_object_get (row, "key")),
-                        key)) return row;
-  return NULL;
+  *found = NULL;
+  json_array_foreach (rows, i, row)
+  {
+    int order = strcmp (text_of (row, "table"), table);
+
+    if (!order)
+      order = strcmp (text_of (row, "key"), key);
+    if (!order)
+      *found = row;
+    if (order >= 0)
+      return i;
+  }
+  return json_array_size (rows);
+}
+
+static void
+put (const char *table, const char *key, json_t *value)
+{
+  json_t *row;
+  size_t at = place_of (table, key, &row);
+
+  if (!row)
+    {
+      row = json_pack ("{s:s,s:s}", "table", table, "key", key);
+      json_array_insert_new (rows, at, row);
+    }
+  json_object_set_new (row, "version", json_integer (rev));
+  if (value)
+    {
+      json_object_set (row, "value", value);
+      json_object_del (row, "deleted");
+      return;
+    }
+  json_object_del (row, "value");
+  json_object_set_new (row, "deleted", json_true ());
 }
 
 /* Applies TXN as the platform would; returns 0 when a check does not hold. */
@@ -46,42 +96,97 @@
 commit (const struct tb_txn *txn)
 {
   size_t i;
-  json_t *o;
+  json_t *o, *row;
 
   json_array_foreach (txn->checks, i, o)
   {
-    json_t *row = find_row (json_string_value (json_object_get (o, "key")));
-
-    if (json_integer_value (json_object_get (o, "version"))
-        != json_integer_value (json_object_get (row, "version")))
+    place_of (text_of (o, "table"), text_of (o, "key"), &row);
+    if (version_of (o) != version_of (row))
       return 0;
   }
   rev++;
   json_array_foreach (txn->ops, i, o)
   {
-    const char *key = json_string_value (json_object_get (o, "key"));
-    json_t *row = find_row (key);
-
-    if (!row)
-      {
-        row = json_pack ("{s:s}", "key", key);
-        json_array_append_new (rows, row);
-      }
-    json_object_set_new (row, "version", json_integer (rev));
-    json_object_set (row, "value", json_object_get (o, "value"));
+    put (text_of (o, "table"), text_of (o, "key"),
+         json_object_get (o, "value"));
   }
   return 1;
 }
 
+static json_t *
+answer (const struct tb_scan *scan)
+{
+  json_t *page = json_array (), *row;
+  int more = 0;
+  size_t i;
+
+  json_array_foreach (rows, i, row)
+  {
+    if (strcmp (text_of (row, "table"), scan->table) != 0
+        || (scan->after && strcmp (text_of (row, "key"), scan->after) <= 0)
+        || version_of (row) <= scan->since
+        || (!scan->since && json_object_get (row, "deleted")))
+      continue;
+    more = json_array_size (page) == PAGE
+           && strcmp (scan->table, CF_TABLE) != 0;
+    if (more)
+      break;
+    json_array_append_new (page, json_deep_copy (row));
+  }
+  scans++;
+  scanned += (int)json_array_size (page);
+  return json_pack ("{s:I,s:o,s:b}", "rev", (json_int_t)rev, "rows", page,
+                    "more", more);
+}
+
+/* One step of a reading; NEXT is the scan to be answered.  */
+static enum cf_end
+step (struct cf_reader *r, struct cf_store *store, struct tb_scan *next)
+{
+  json_t *data = answer (next);
+  enum cf_end end = cf_read_answer (r, store, 0, data, next);
+
+  json_decref (data);
+  return end;
+}
+
+static enum cf_end
+read_table (struct cf_reader *r, struct cf_store *store)
+{
+  struct tb_scan next;
+  enum cf_end end;
+
+  scans = scanned = 0;
+  CU_ASSERT_TRUE_FATAL (cf_read_begin (r, &next));
+  do
+    end = step (r, store, &next);
+  while (end == CF_END_MORE);
+  return end;
+}
+
+/* A daemon that follows the lists.  */
+static struct cf_reader follower;
+
+static enum cf_end
+follow (struct cf_store *store)
+{
+  return read_table (&follower, store);
+}
+
 static int
 propose (struct cf_store *store, const char *list, int64_t version,
          const char *text, struct tb_txn *txn)
 {
   char reason[CF_REASON_SIZE] = "";
   json_t *new_list = parse (text);
-  int error = cf_propose (store, rows, list, version, new_list, fleet, FLEET,
-                          0, txn, reason);
+  struct cf_reader table;
+  int error;
 
+  cf_reader_init (&table, 1);
+  CU_ASSERT_EQUAL (read_table (&table, store), CF_END_READ);
+  error = cf_propose (store, &table, list, version, new_list, fleet, FLEET, 0,
+                      txn, reason);
+  cf_reader_fini (&table);
   json_decref (new_list);
   return error;
 }
@@ -101,6 +206,22 @@
   return error;
 }
 
+/* Writes back what is in force when the table is older; returns 0 when it is
+   not.  */
+static int
+repair (struct cf_store *store)
+{
+  struct tb_txn txn;
+  int done;
+
+  if (follow (store) != CF_END_OLDER)
+    return 0;
+  tb_txn_init (&txn);
+  done = cf_repair (store, &follower, &txn) && commit (&txn);
+  tb_txn_fini (&txn);
+  return done;
+}
+
 static const char allowances_text[]
     = "[{\"plan\":\"gold\",\"guarantee\":[{\"size\":8,\"count\":1}],"
       "\"calls_per_second\":10,\"concurrent_calls\":5,\"queued_jobs\":9}]";
@@ -113,6 +234,8 @@
   json_decref (rows);
   rows = json_array ();
   rev = 0;
+  cf_reader_fini (&follower);
+  cf_reader_init (&follower, 0);
   for (int i = 0; i < FLEET; i++)
     {
       fleet[i] = (struct cf_worker){ .accelerators = 8, .slots = 8 };
@@ -129,7 +252,7 @@
   setup (store);
   CU_ASSERT_EQUAL (change (store, CF_ALLOWANCES, 0, allowances_text), CF_OK);
   CU_ASSERT_EQUAL (change (store, CF_PLANS, 0, plans_text), CF_OK);
-  CU_ASSERT_EQUAL (cf_apply (store, rows), CF_OK);
+  CU_ASSERT_EQUAL (follow (store), CF_END_NEW);
 }
 
 static void
@@ -186,7 +309,7 @@
                    CF_EINVAL);
   CU_ASSERT_EQUAL (change (&store, CF_PLANS, 1, "{}"), CF_EINVAL);
   CU_ASSERT_EQUAL (change (&store, "other", 1, "[]"), CF_EINVAL);
-  CU_ASSERT_EQUAL (cf_apply (&store, rows), CF_EOLD);
+  CU_ASSERT_EQUAL (follow (&store), CF_END_SAME);
   CU_ASSERT_EQUAL (cf_version (&store, CF_ALLOWANCES), 1);
   cf_fini (&store);
 }
@@ -195,25 +318,220 @@
 test_restored_table_never_reverts (void)
 {
   struct cf_store store;
-  struct tb_txn txn;
   json_t *snapshot;
 
   setup_lists (&store);
   snapshot = json_deep_copy (rows);
   CU_ASSERT_EQUAL (change (&store, CF_PLANS, 1, "[]"), CF_OK);
-  CU_ASSERT_EQUAL (cf_apply (&store, rows), CF_OK);
+  CU_ASSERT_EQUAL (follow (&store), CF_END_NEW);
   CU_ASSERT_EQUAL (cf_version (&store, CF_PLANS), 2);
   json_decref (rows);
   rows = snapshot;
-  CU_ASSERT_EQUAL (cf_apply (&store, rows), CF_EOLD);
+  CU_ASSERT_EQUAL (follow (&store), CF_END_OLDER);
   CU_ASSERT_EQUAL (cf_version (&store, CF_PLANS), 2);
+  CU_ASSERT_TRUE (repair (&store));
+  CU_ASSERT_FALSE (repair (&store));
+  CU_ASSERT_EQUAL (follow (&store), CF_END_SAME);
+  CU_ASSERT_EQUAL (change (&store, CF_PLANS, 1, plans_text), CF_ECONFLICT);
+  CU_ASSERT_EQUAL (change (&store, CF_PLANS, 2, plans_text), CF_OK);
+  cf_fini (&store);
+}
+
+/* Plans of the accounts that BITS names, each with a key of its own.  */
+static void
+plans_of (unsigned bits, char key, char *out, size_t size)
+{
+  size_t n = 0;
+
+  out[n++] = '[';
+  for (int i = 0; i < 16; i++)
+    if (bits & 1u << i)
+      n += (size_t)snprintf (out + n, size - n,
+                             "%s{\"account\":\"a%02d\",\"plan\":\"none\","
+                             "\"key_digest\":\"%062d%c%c\"}",
+                             n > 1 ? "," : "", i, 0, 'a' + i % 6,
+                             i / 6 == 0 ? key : '0' + i / 6);
+  snprintf (out + n, size - n, "]");
+}
+
+static const char none_text[]
+    = "[{\"plan\":\"none\",\"guarantee\":[],\"calls_per_second\":10,"
+      "\"concurrent_calls\":5,\"queued_jobs\":9}]";
+
+static void
+test_change_costs_its_own_size (void)
+{
+  char text[4096];
+  struct cf_store store;
+  struct cf_account account;
+  struct tb_txn txn;
+
+  setup (&store);
+  plans_of (0xffff, 'd', text, sizeof text);
+  CU_ASSERT_EQUAL (change (&store, CF_ALLOWANCES, 0, none_text), CF_OK);
+  CU_ASSERT_EQUAL (change (&store, CF_PLANS, 0, text), CF_OK);
+  CU_ASSERT_EQUAL (follow (&store), CF_END_NEW);
+  CU_ASSERT_EQUAL (scanned, 3 + 1 + 16 * 2);
+  CU_ASSERT_EQUAL (follow (&store), CF_END_SAME);
+  CU_ASSERT_EQUAL (scanned, 3);
   tb_txn_init (&txn);
-  CU_ASSERT_TRUE (cf_repair (&store, rows, &txn));
+  plans_of (0xfffd, 'd', text, sizeof text);
+  CU_ASSERT_EQUAL (propose (&store, CF_PLANS, 1, text, &txn), CF_OK);
+  CU_ASSERT_EQUAL (scanned, 3); /* the rest is what is in force */
+  CU_ASSERT_EQUAL (json_array_size (txn.ops), 3 + 2);
   CU_ASSERT_TRUE (commit (&txn));
-  CU_ASSERT_FALSE (cf_repair (&store, rows, &txn));
   tb_txn_fini (&txn);
-  CU_ASSERT_EQUAL (change (&store, CF_PLANS, 1, plans_text), CF_ECONFLICT);
-  CU_ASSERT_EQUAL (change (&store, CF_PLANS, 2, plans_text), CF_OK);
+  CU_ASSERT_EQUAL (follow (&store), CF_END_NEW);
+  CU_ASSERT_EQUAL (scanned, 3 + 2);
+  CU_ASSERT_EQUAL (cf_find_account (&store, "a01", &account), CF_EINVAL);
+  CU_ASSERT_EQUAL (cf_find_account (&store, "a02", &account), CF_OK);
+  cf_fini (&store);
+}
+
+/* The list is read as it was written, and what stays in place costs
+   nothing.  */
+static void
+test_order_is_kept (void)
+{
+  static const char *const orders[]
+      = { "abcd", "dabc", "dabxc", "ayxcd", "dcxya", "a", "qwertyuiopa" };
+  struct cf_store store;
+
+  setup (&store);
+  CU_ASSERT_EQUAL (change (&store, CF_ALLOWANCES, 0, none_text), CF_OK);
+  for (int i = 0; i < (int)(sizeof orders / sizeof *orders); i++)
+    {
+      json_t *list = json_array (), *held;
+      char *text;
+
+      for (const char *c = orders[i]; *c; c++)
+        {
+          char name[2] = { *c, '\0' }, digest[BS_DIGEST_SIZE];
+
+          bs_digest (digest, name);
+          json_array_append_new (list, json_pack ("{s:s,s:s,s:s}", "account",
+                                                  name, "plan", "none",
+                                                  "key_digest", digest));
+        }
+      text = json_dumps (list, 0);
+      CU_ASSERT_EQUAL (change (&store, CF_PLANS, i, text), CF_OK);
+      CU_ASSERT_EQUAL (follow (&store), CF_END_NEW);
+      if (i == 2) /* one more in the middle: the heads, its plan and split */
+        CU_ASSERT_EQUAL (scanned, 3 + 2);
+      held = cf_list (&store, CF_PLANS);
+      CU_ASSERT_TRUE (json_equal (json_object_get (held, "list"), list));
+      json_decref (held);
+      json_decref (list);
+      free (text);
+    }
+  cf_fini (&store);
+}
+
+/* The lists change between the heads and the rows, and between two pages.  */
+static void
+test_torn_reading_is_not_used (void)
+{
+  char text[4096];
+
+  for (int steps = 1; steps < 4; steps++)
+    {
+      struct cf_store store, other;
+      struct tb_scan next;
+      enum cf_end end = CF_END_MORE;
+
+      setup (&store);
+      cf_init (&other);
+      plans_of (0xff, 'd', text, sizeof text);
+      CU_ASSERT_EQUAL (change (&store, CF_ALLOWANCES, 0, none_text), CF_OK);
+      CU_ASSERT_EQUAL (change (&store, CF_PLANS, 0, text), CF_OK);
+      cf_read_begin (&follower, &next);
+      for (int i = 0; i < steps; i++)
+        end = step (&follower, &store, &next);
+      CU_ASSERT_EQUAL_FATAL (end, CF_END_MORE);
+      plans_of (0xfe, 'e', text, sizeof text);
+      CU_ASSERT_EQUAL (change (&other, CF_PLANS, 1, text), CF_OK);
+      while (end == CF_END_MORE)
+        end = step (&follower, &store, &next);
+      CU_ASSERT_EQUAL (end, CF_END_FAILED);
+      CU_ASSERT_EQUAL (cf_version (&store, CF_PLANS), 0);
+      CU_ASSERT_EQUAL (follow (&store), CF_END_NEW);
+      CU_ASSERT_EQUAL (cf_version (&store, CF_PLANS), 2);
+      cf_fini (&other);
+      cf_fini (&store);
+    }
+}
+
+/* A table that was set back and has gone on: revisions that were seen stand
+   for other rows now.  */
+static void
+test_restored_table_that_went_on (void)
+{
+  char text[4096];
+  struct cf_store store, other;
+  struct cf_account account;
+  json_t *snapshot;
+  int64_t old_rev;
+
+  setup (&store);
+  plans_of (0xff, 'd', text, sizeof text);
+  CU_ASSERT_EQUAL (change (&store, CF_ALLOWANCES, 0, none_text), CF_OK);
+  CU_ASSERT_EQUAL (change (&store, CF_PLANS, 0, text), CF_OK);
+  snapshot = json_deep_copy (rows);
+  old_rev = rev;
+  plans_of (0xfe, 'd', text, sizeof text);
+  CU_ASSERT_EQUAL (change (&store, CF_PLANS, 1, text), CF_OK);
+  rev += 10; /* of other tables */
+  CU_ASSERT_EQUAL (follow (&store), CF_END_NEW);
+  json_decref (rows);
+  rows = snapshot;
+  rev = old_rev;
+  cf_init (&other);
+  for (int version = 1; version < 4; version++)
+    {
+      plans_of (0x7f, (char)('c' + version), text, sizeof text);
+      CU_ASSERT_EQUAL (change (&other, CF_PLANS, version, text), CF_OK);
+    }
+  CU_ASSERT_EQUAL (follow (&store), CF_END_NEW);
+  CU_ASSERT_EQUAL (cf_version (&store, CF_PLANS), 4);
+  CU_ASSERT_EQUAL (cf_find_account (&store, "a00", &account), CF_OK);
+  CU_ASSERT_EQUAL (cf_find_account (&store, "a07", &account), CF_EINVAL);
+  cf_fini (&other);
+  cf_fini (&store);
+}
+
+/* Heads that hold the lists, as an older release wrote them.  */
+static void
+test_older_release (void)
+{
+  struct cf_store store;
+  struct cf_account account;
+  json_t *o;
+
+  setup (&store);
+  rev++;
+  o = json_pack ("{s:i,s:o}", "version", 7, "list", parse (plans_text));
+  put (CF_TABLE, CF_PLANS, o);
+  json_decref (o);
+  o = json_pack ("{s:i,s:o}", "version", 5, "list", parse (allowances_text));
+  put (CF_TABLE, CF_ALLOWANCES, o);
+  json_decref (o);
+  o = parse ("{\"version\":9,\"split\":{}}");
+  put (CF_TABLE, CF_SPLIT, o);
+  json_decref (o);
+  o = parse ("{}");
+  put (CF_ROWS, "plans/left-over", o);
+  json_decref (o);
+  CU_ASSERT_EQUAL (follow (&store), CF_END_NEW);
+  CU_ASSERT_EQUAL (cf_version (&store, CF_PLANS), 7);
+  CU_ASSERT_EQUAL (follow (&store), CF_END_SAME);
+  CU_ASSERT_EQUAL (change (&store, CF_PLANS, 7, "[]"), CF_OK);
+  CU_ASSERT_EQUAL (follow (&store), CF_END_NEW);
+  CU_ASSERT_EQUAL (cf_version (&store, CF_PLANS), 8);
+  CU_ASSERT_EQUAL (cf_version (&store, CF_ALLOWANCES), 5);
+  CU_ASSERT_EQUAL (change (&store, CF_PLANS, 8, plans_text), CF_OK);
+  CU_ASSERT_EQUAL (follow (&store), CF_END_NEW);
+  CU_ASSERT_EQUAL (cf_find_account (&store, "desk", &account), CF_OK);
+  CU_ASSERT_EQUAL (account.queued_jobs, 9);
   cf_fini (&store);
 }
 
@@ -230,9 +548,15 @@
   CU_add_test (suite, "race", test_racing_operators_conflict);
   CU_add_test (suite, "whole", test_whole_list_is_checked);
   CU_add_test (suite, "restored", test_restored_table_never_reverts);
+  CU_add_test (suite, "own size", test_change_costs_its_own_size);
+  CU_add_test (suite, "order", test_order_is_kept);
+  CU_add_test (suite, "torn", test_torn_reading_is_not_used);
+  CU_add_test (suite, "went on", test_restored_table_that_went_on);
+  CU_add_test (suite, "older release", test_older_release);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
   CU_cleanup_registry ();
+  cf_reader_fini (&follower);
   json_decref (rows);
   return failures ? EXIT_FAILURE : EXIT_SUCCESS;
 }
