--- /dev/null
+++ b/tests/config/test_cells.c
@@ -0,0 +1,96 @@
+/* How failure domains are parted into cells, over the life of a table.  */
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "skr/config.h"
+
+/* The rows of the configuration's table, as a scan gives them.  */
+static json_t *rows;
+
+/* Writes what TXN, a change of the one row, puts; 0 when the row is there. */
+static int
+commit (const struct tb_txn *txn)
+{
+  const json_t *check = json_array_get (txn->checks, 0);
+  const json_t *op = json_array_get (txn->ops, 0);
+
+  CU_ASSERT_EQUAL (json_array_size (txn->ops), 1);
+  if (json_integer_value (json_object_get (check, "version"))
+      != (json_int_t)json_array_size (rows))
+    return 0;
+  json_array_append_new (
+      rows, json_pack ("{s:O, s:i, s:O}", "key", json_object_get (op, "key"),
+                       "version", 1, "value", json_object_get (op, "value")));
+  return 1;
+}
+
+static void
+test_parts_of_a_domain_never_change (void)
+{
+  struct cf_store store, later;
+  char cell[CF_NAME_SIZE], again[CF_NAME_SIZE];
+  struct tb_txn txn;
+  int seen[4] = { 0 };
+
+  json_decref (rows);
+  rows = json_array ();
+  cf_init (&store);
+  CU_ASSERT_EQUAL (cf_cells (&store), 0);
+  tb_txn_init (&txn);
+  CU_ASSERT (cf_seed_cells (&store, rows, 4, &txn));
+  CU_ASSERT_TRUE (commit (&txn));
+  tb_txn_fini (&txn);
+  tb_txn_init (&txn); /* another scheduler, told otherwise and too late */
+  CU_ASSERT_FALSE (cf_seed_cells (&store, rows, 9, &txn));
+  tb_txn_fini (&txn);
+  CU_ASSERT (cf_learn_cells (&store, rows));
+  CU_ASSERT_FALSE (cf_learn_cells (&store, rows));
+  CU_ASSERT_EQUAL (cf_cells (&store), 4);
+  json_decref (rows); /* the table is set back to before */
+  rows = json_array ();
+  CU_ASSERT_FALSE (cf_learn_cells (&store, rows));
+  CU_ASSERT_EQUAL (cf_cells (&store), 4);
+  tb_txn_init (&txn);
+  CU_ASSERT (cf_seed_cells (&store, rows, 9, &txn));
+  CU_ASSERT_TRUE (commit (&txn));
+  tb_txn_fini (&txn);
+  cf_init (&later);
+  CU_ASSERT (cf_learn_cells (&later, rows));
+  CU_ASSERT_EQUAL (cf_cells (&later), 4);
+  cf_cell_name (cell, "d1", "r1", 1);
+  CU_ASSERT_STRING_EQUAL (cell, "d1");
+  for (int i = 0; i < 100; i++)
+    {
+      char rack[16];
+
+      snprintf (rack, sizeof rack, "r%d", i);
+      cf_cell_name (cell, "d1", rack, 4);
+      cf_cell_name (again, "d1", rack, 4);
+      CU_ASSERT_STRING_EQUAL (cell, again);
+      CU_ASSERT (!strncmp (cell, "d1.", 3) && cell[3] >= '1' && cell[3] <= '4'
+                 && !cell[4]);
+      seen[cell[3] - '1']++;
+    }
+  for (int i = 0; i < 4; i++)
+    CU_ASSERT (seen[i] > 0);
+  cf_fini (&store);
+  cf_fini (&later);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("cells", NULL, NULL);
+  CU_ADD_TEST (suite, test_parts_of_a_domain_never_change);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  json_decref (rows);
+  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+}
