--- a/stand/platform/platform.c
+++ b/stand/platform/platform.c
@@ -187,10 +187,13 @@
     sv_fail (reply, 404, "no such call");
 }
 
-/* Waits until the mode is set back.  Call with the lock held.  */
+/* Waits for another mode; when that is "down", the answer is lost.  Call with
+   the lock held.  */
 static void
-hold_answer (struct sp_platform *sp)
+hold_answer (struct sp_platform *sp, struct sv_reply *reply)
 {
+  if (sp->mode != SP_MODE_HOLD)
+    return;
   sp->counters.held++;
   while (sp->mode == SP_MODE_HOLD && !atomic_load (&sp->server.stopping))
     {
@@ -199,6 +202,8 @@
       pthread_mutex_lock (&sp->lock);
     }
   sp->counters.held--;
+  if (sp->mode == SP_MODE_DOWN)
+    reply->close = 1;
 }
 
 void
@@ -230,7 +235,7 @@
   else
     {
       route_write (sp, request, reply);
-      hold_answer (sp);
+      hold_answer (sp, reply);
     }
   pthread_mutex_unlock (&sp->lock);
 }
--- a/tests/stand/check_platform.sh
+++ b/tests/stand/check_platform.sh
@@ -88,6 +88,15 @@
 wait "$holder"
 expect "until it is released" true "$(jq '.rev > 0' "$work/held")"
 
+faults '{"mode":"hold"}'
+txn "{\"ops\":[$(put gone 1)]}" > /dev/null &
+holder=$!
+wait_for "$HANG" counter_is held 1
+faults '{"mode":"down"}'
+wait "$holder"
+expect "one that is down then loses the answer" 52 "$?"
+faults '{"mode":"ok"}'
+
 # A clean stop ends the silent connection: all that ever came over it is read.
 stop platform
 expect "stops cleanly" 0 "$STATUS"
--- a/tests/stand/scenario_lists.sh
+++ b/tests/stand/scenario_lists.sh
@@ -10,7 +10,7 @@
 # put_at ENTRY VERSION CALLS_PER_SECOND: HTTP status.
 put_at ()
 {
-  curl -s -o "$work/put.$1" -w '%{http_code}' -m 10 -X PUT \
+  curl -s -o "$work/put.$1" -w "%{http_code}" -m 120 -X PUT \
     -H "Authorization: Bearer $OPERATOR_KEY" -H "If-Match: \"$2\"" \
     -d "[{\"plan\":\"p\",\"guarantee\":[{\"size\":4,\"count\":1}],
       \"calls_per_second\":$3,\"concurrent_calls\":500,\"queued_jobs\":1000}]" \
