--- a/stand/platform/platform.c
+++ b/stand/platform/platform.c
@@ -187,6 +187,25 @@
     sv_fail (reply, 404, "no such call");
 }
 
+/* Waits for another mode; when that is "down", the answer is lost.  Call with
+   the lock held.  */
+static void
+hold_answer (struct sp_platform *sp, struct sv_reply *reply)
+{
+  if (sp->mode != SP_MODE_HOLD)
+    return;
+  sp->counters.held++;
+  while (sp->mode == SP_MODE_HOLD && !atomic_load (&sp->server.stopping))
+    {
+      pthread_mutex_unlock (&sp->lock);
+      usleep (SP_HOLD_STEP_MS * 1000);
+      pthread_mutex_lock (&sp->lock);
+    }
+  sp->counters.held--;
+  if (sp->mode == SP_MODE_DOWN)
+    reply->close = 1;
+}
+
 void
 sp_handle (void *arg, const struct sv_request *request, struct sv_reply *reply)
 {
@@ -214,6 +233,9 @@
   else if (!strcmp (request->method, "GET"))
     route_read (sp, request, reply);
   else
-    route_write (sp, request, reply);
+    {
+      route_write (sp, request, reply);
+      hold_answer (sp, reply);
+    }
   pthread_mutex_unlock (&sp->lock);
 }
