Judge refused plans by groups that lie whole

Cause: for a refused plan the outside check let the rest of a group that runs in part lie on another worker than the part, or on a worker that still has to prove itself after its quarantine; both are no room to reclaim. It also took preemptible work within a guarantee for work that may not move, and so passed most refusals.

--- a/tests/replay/check_verify.sh
+++ b/tests/replay/check_verify.sh
@@ -257,5 +257,66 @@
 doctor '/preempt/d;/ u/d;s/9000 done x/&\n9000 done y/' \
   'waits for its guarantee'
 
+# A group closes around work of its account that may not move.
+trace <<'END'
+0 worker w0 r0 d0 8 8
+0 submit x a urgent 1 4 9000
+1000 plan a 1 8 1
+9000 end -
+END
+good='0 start x 1 w0:0,1,2,3
+1000 plan_accepted a 1
+9000 done x
+9000 summary'
+doctor '' ''
+doctor 's/plan_accepted/plan_refused/' 'refused that can be met'
+
+# Half a group here and half there is no group.
+trace <<'END'
+0 worker w0 r0 d0 8 8
+0 worker w1 r0 d0 8 8
+0 submit x a urgent 1 4 9000
+0 submit y b urgent 1 4 9000
+0 submit z b urgent 1 4 5000
+1000 plan a 1 8 1
+6000 plan a 2 8 1
+9000 end -
+END
+good='0 start x 1 w0:0,1,2,3
+0 start y 1 w0:4,5,6,7
+0 start z 1 w1:0,1,2,3
+1000 plan_refused a 1
+5000 done z
+6000 plan_accepted a 2
+9000 done x
+9000 done y
+9000 summary'
+doctor '' ''
+doctor 's/6000 plan_accepted/6000 plan_refused/' 'refused that can be met'
+
+# A worker that was readmitted holds no guarantee until it has proved itself.
+trace <<'END'
+0 worker w0 r0 d0 8 8
+0 worker_fails_all w0
+100 worker_heals w0
+2000 plan a 1 8 1
+3000 submit x a bulk 1 4 1000
+5000 plan a 2 8 1
+200000 plan a 3 8 1
+200000 end -
+END
+good='0 quarantine w0
+1000 readmit w0
+2000 plan_refused a 1
+3000 start x 1 w0:0,1,2,3
+4000 done x
+5000 plan_accepted a 2
+200000 plan_accepted a 3
+200000 summary'
+doctor '' ''
+doctor 's/5000 plan_accepted/5000 plan_refused/' 'refused that can be met'
+doctor '/ x/d;s/plan_accepted/plan_refused/' \
+  'at 200000: a plan was refused that can be met'
+
 printf '%d doctored files, %d failures\n' "$count" "$failed"
 [ "$failed" -eq 0 ]
