Close a cell around all the work it can take in a second packing

Cause: on a worker whose slots run short before its accelerators, closing a cell around its account's fixed work gains no whole cell, so it was not done, and the accelerators of that work were taken twice. Change: when the first packing fails, a second one lets each cell close around as much as it can take.

--- a/src/decide/pack.c
+++ b/src/decide/pack.c
@@ -1,8 +1,8 @@
 /* Packs cells from the largest down.  A cell goes where a gang of its account
    that may not move stands, if the worker holds one more cell that way; else
-   where it was, else into the tightest worker.  With sizes that divide each
-   other and cells in one worker no other order packs more; with others it
-   may.  */
+   where it was, else into the tightest worker.  Where only slots run short, or
+   sizes do not divide each other, closing around all that a cell can take may
+   pack more: p->most.  */
 #include "pack.h"
 
 /* Gives ITEM room for TASKS of its units on WORKER.  */
@@ -64,9 +64,10 @@
       p->shares.v[i].item = DC_NONE;
 }
 
-/* Takes gangs out of FIRST to END for ITEM, the largest first, until their
-   worker holds one more of its cells around them.  Returns what they hold;
-   nothing if they are too few.  */
+/* Takes gangs out of FIRST to END for ITEM, the largest first: until their
+   worker holds one more of its cells around them, or with p->most all that
+   one cell can close around.  Returns what they hold; nothing if that does not
+   help.  */
 static struct dc_amount
 gather (struct pk_packing *p, uint32_t first, uint32_t end, uint32_t item)
 {
@@ -83,9 +84,11 @@
         continue;
       s->item = item;
       sum = dc_plus (sum, s->need, 1);
-      if (dc_tasks_in (dc_plus (room, sum, 1), unit) > had)
+      if (!p->most && dc_tasks_in (dc_plus (room, sum, 1), unit) > had)
         return sum;
     }
+  if (p->most && dc_covers (dc_plus (room, sum, 1), unit))
+    return sum;
   leave (p, first, end, item);
   return (struct dc_amount){ 0, 0 };
 }
--- a/src/decide/pack.h
+++ b/src/decide/pack.h
@@ -28,6 +28,7 @@
 struct pk_packing
 {
   struct dc *dc;
+  bool most; /* a cell closes around all the work that it can take */
   struct dc_amount *room; /* of each worker, without what may not move */
   int32_t *sum;           /* scratch: of each rack or domain */
   DC_VECTOR (struct pk_share) shares; /* by account, worker, size */
@@ -36,7 +37,7 @@
 };
 
 /* pack_read.c */
-int pk_init (struct pk_packing *p, struct dc *dc);
+int pk_init (struct pk_packing *p, struct dc *dc, bool most);
 void pk_fini (struct pk_packing *p);
 /* pack.c */
 bool pk_solve (struct pk_packing *p);
--- a/src/decide/pack_apply.c
+++ b/src/decide/pack_apply.c
@@ -70,13 +70,19 @@
   return true;
 }
 
-/* Returns whether all cells are bound then; if not, all is as before.  */
-bool
-dc_pack (struct dc *dc)
+static bool
+pack (struct dc *dc, bool most)
 {
   struct pk_packing p;
-  bool done = !pk_init (&p, dc) && pk_solve (&p) && apply (dc, &p);
+  bool done = !pk_init (&p, dc, most) && pk_solve (&p) && apply (dc, &p);
 
   pk_fini (&p);
   return done;
 }
+
+/* Returns whether all cells are bound then; if not, all is as before.  */
+bool
+dc_pack (struct dc *dc)
+{
+  return pack (dc, false) || pack (dc, true);
+}
--- a/src/decide/pack_read.c
+++ b/src/decide/pack_read.c
@@ -97,9 +97,9 @@
 }
 
 int
-pk_init (struct pk_packing *p, struct dc *dc)
+pk_init (struct pk_packing *p, struct dc *dc, bool most)
 {
-  *p = (struct pk_packing){ .dc = dc };
+  *p = (struct pk_packing){ .dc = dc, .most = most };
   p->room = calloc (dc->workers.n + 1, sizeof *p->room);
   p->sum = calloc (dc->racks.n + dc->domains.n + 1, sizeof *p->sum);
   if (!p->room || !p->sum)
--- a/tests/replay/check_refusals.sh
+++ b/tests/replay/check_refusals.sh
@@ -22,5 +22,12 @@
   run --seed "$seed" --events 4000 --faults plan-race,plan-misfit,down
   run --seed "$seed" --events 3000 --workers 7 --accounts 2
 done
+# Seeds of plans that fit only when a cell closes around all it can take.
+for seed in 103 105 149; do
+  run --seed "$seed" --events 3000 --workers 7 --accounts 2
+done
+run --seed 152 --events 4000 --faults plan-race,plan-misfit,down
+run --seed 157 --events 3000 --workers 22 --accounts 4 \
+  --faults plan-race,plan-misfit,down,leaving,worker-fails
 printf '%d failures\n' "$failed"
 [ "$failed" -eq 0 ]
