Take "adjacent" in a guarantee as it is taken for a gang

The trace format says: in one worker if the largest can hold it, else in one rack if the largest rack can, else in one failure domain. So the plan is right and the check was wrong. The same sentence shows a fault of the core: beside such a rack it bound a group of 8 to 4 + 4 in two racks, where a gang of eight tasks may not start. Change: a cell has one level, the narrowest at which any split into equal blocks fits the fleet, and lies within it, with the largest blocks that fit (bind.c, taken out of cell.c).

--- /dev/null
+++ b/src/decide/bind.c
@@ -0,0 +1,110 @@
+/* Where a cell may lie, and binding it there.  */
+#include "state.h"
+
+/* What a cell sets aside in one worker for a block of ACCELERATORS.  */
+struct dc_amount
+dc_cell_unit (const struct dc *dc, int32_t accelerators)
+{
+  int32_t slots = dc->slots_with[accelerators];
+
+  return (struct dc_amount){ accelerators,
+                             slots < accelerators ? slots : accelerators };
+}
+
+/* The accelerators of the largest worker that has slots.  */
+int32_t
+dc_cell_largest (const struct dc *dc)
+{
+  int32_t size = DC_MAX_ACCELERATORS;
+
+  while (size > 0 && dc->slots_with[size] == 0)
+    size--;
+  return size;
+}
+
+/* What "adjacent" means for SIZE accelerators: one worker if the largest holds
+   so many, else one rack if any split into equal blocks fits the largest rack,
+   else one failure domain.  */
+enum dc_level
+dc_cell_level (const struct dc *dc, int32_t size)
+{
+  enum dc_level least = DC_LEVEL_NONE;
+
+  if (size <= dc_cell_largest (dc))
+    return DC_LEVEL_WORKER;
+  for (int32_t block = dc_cell_largest (dc); block > 0; block--)
+    if (size % block == 0)
+      {
+        enum dc_level level = dc_level_of (dc, size / block, block);
+
+        if (level != DC_LEVEL_WORKER && level < least)
+          least = level;
+      }
+  return least;
+}
+
+/* Searches room for a cell of SIZE: one worker, or the largest equal blocks
+   that fit.  */
+static bool
+search_cell (struct dc *dc, int32_t size, enum dc_capacity cap,
+             struct dc_want *want)
+{
+  int32_t block = dc_cell_largest (dc);
+
+  want->level = dc_cell_level (dc, size);
+  if (block == 0 || want->level == DC_LEVEL_NONE)
+    return false;
+  if (want->level == DC_LEVEL_WORKER)
+    block = size;
+  for (; block > 0; block--)
+    if (size % block == 0)
+      {
+        want->tasks = size / block;
+        want->unit = dc_cell_unit (dc, block);
+        if (dc_search (dc, want, cap))
+          return true;
+        if (want->level == DC_LEVEL_WORKER)
+          return false;
+      }
+  return false;
+}
+
+/* Binds CELL, which is bound nowhere, where there is room of kind CAP.  */
+bool
+dc_cell_bind (struct dc *dc, uint32_t cell, enum dc_capacity cap)
+{
+  struct dc_want want = { 0 };
+  struct dc_cell *c = &dc->cells.v[cell];
+
+  if (!search_cell (dc, c->size, cap, &want))
+    return false;
+  c->level = want.level;
+  return dc_cell_bind_spots (dc, cell, want.unit);
+}
+
+/* Whether CELL could be bound to WORKER alone.  */
+bool
+dc_cell_fits_at (const struct dc *dc, uint32_t cell, uint32_t worker)
+{
+  const struct dc_cell *c = &dc->cells.v[cell];
+  const struct dc_worker *w = &dc->workers.v[worker];
+
+  return c->size <= w->total.accelerators && dc_worker_open (w)
+         && dc_covers (dc_capacity (dc, w, DC_CAP_UNRESERVED),
+                       dc_cell_unit (dc, c->size));
+}
+
+/* Binds a cell to one worker, if its size and the room there allow it.  */
+bool
+dc_cell_bind_at (struct dc *dc, uint32_t cell, uint32_t worker)
+{
+  struct dc_cell *c = &dc->cells.v[cell];
+
+  if (!dc_cell_fits_at (dc, cell, worker))
+    return false;
+  dc->spots.n = 0;
+  if (dc_add_spot (dc, worker, 1))
+    return false;
+  c->level = DC_LEVEL_WORKER;
+  return dc_cell_bind_spots (dc, cell, dc_cell_unit (dc, c->size));
+}
--- a/src/decide/cell.c
+++ b/src/decide/cell.c
@@ -102,67 +102,6 @@
   return true;
 }
 
-/* What a cell sets aside in one worker for a block of ACCELERATORS.  */
-struct dc_amount
-dc_cell_unit (const struct dc *dc, int32_t accelerators)
-{
-  int32_t slots = dc->slots_with[accelerators];
-
-  return (struct dc_amount){ accelerators,
-                             slots < accelerators ? slots : accelerators };
-}
-
-/* The accelerators of the largest worker that has slots.  */
-int32_t
-dc_cell_largest (const struct dc *dc)
-{
-  int32_t size = DC_MAX_ACCELERATORS;
-
-  while (size > 0 && dc->slots_with[size] == 0)
-    size--;
-  return size;
-}
-
-/* Searches room for a cell of SIZE: one worker, or whole workers of a rack
-   or domain, or the largest equal blocks that fit.  */
-static bool
-search_cell (struct dc *dc, int32_t size, enum dc_capacity cap,
-             struct dc_want *want)
-{
-  int32_t block = dc_cell_largest (dc);
-
-  if (block == 0)
-    return false;
-  if (size <= block)
-    {
-      *want = (struct dc_want){ 1, dc_cell_unit (dc, size), DC_LEVEL_WORKER };
-      return dc_search (dc, want, cap);
-    }
-  for (; block > 0; block--)
-    if (size % block == 0)
-      {
-        *want = (struct dc_want){ size / block, dc_cell_unit (dc, block) };
-        want->level = dc_level_of (dc, want->tasks, block);
-        if (want->level != DC_LEVEL_NONE && want->level != DC_LEVEL_WORKER
-            && dc_search (dc, want, cap))
-          return true;
-      }
-  return false;
-}
-
-/* Binds CELL, which is bound nowhere, where there is room of kind CAP.  */
-bool
-dc_cell_bind (struct dc *dc, uint32_t cell, enum dc_capacity cap)
-{
-  struct dc_want want;
-  struct dc_cell *c = &dc->cells.v[cell];
-
-  if (!search_cell (dc, c->size, cap, &want))
-    return false;
-  c->level = want.level;
-  return dc_cell_bind_spots (dc, cell, want.unit);
-}
-
 void
 dc_cell_unbind (struct dc *dc, uint32_t cell)
 {
@@ -276,33 +215,6 @@
     }
 }
 
-/* Whether CELL could be bound to WORKER alone.  */
-bool
-dc_cell_fits_at (const struct dc *dc, uint32_t cell, uint32_t worker)
-{
-  const struct dc_cell *c = &dc->cells.v[cell];
-  const struct dc_worker *w = &dc->workers.v[worker];
-
-  return c->size <= w->total.accelerators && dc_worker_open (w)
-         && dc_covers (dc_capacity (dc, w, DC_CAP_UNRESERVED),
-                       dc_cell_unit (dc, c->size));
-}
-
-/* Binds a cell to one worker, if its size and the room there allow it.  */
-bool
-dc_cell_bind_at (struct dc *dc, uint32_t cell, uint32_t worker)
-{
-  struct dc_cell *c = &dc->cells.v[cell];
-
-  if (!dc_cell_fits_at (dc, cell, worker))
-    return false;
-  dc->spots.n = 0;
-  if (dc_add_spot (dc, worker, 1))
-    return false;
-  c->level = DC_LEVEL_WORKER;
-  return dc_cell_bind_spots (dc, cell, dc_cell_unit (dc, c->size));
-}
-
 /* Takes unused cells off WORKER until its books hold again.  */
 void
 dc_cell_settle (struct dc *dc, uint32_t worker)
--- a/src/decide/pack_groups.c
+++ b/src/decide/pack_groups.c
@@ -141,6 +141,9 @@
 {
   if (keep (p, item))
     return true;
+  item->level = dc_cell_level (p->dc, item->size);
+  if (item->level == DC_LEVEL_NONE)
+    return false;
   for (int32_t block = dc_cell_largest (p->dc); block > 0; block--)
     {
       int32_t blocks = item->size / block;
@@ -149,9 +152,6 @@
       if (item->size % block != 0)
         continue;
       item->unit = dc_cell_unit (p->dc, block);
-      item->level = dc_level_of (p->dc, blocks, block);
-      if (item->level == DC_LEVEL_NONE || item->level == DC_LEVEL_WORKER)
-        continue;
       group = tightest_group (p, item, blocks);
       if (group == DC_NONE)
         continue;
--- a/src/decide/state.h
+++ b/src/decide/state.h
@@ -328,12 +328,7 @@
 /* cell.c */
 int dc_cell_new (struct dc *dc, uint32_t account, int32_t size,
                  uint32_t *cell);
-int32_t dc_cell_largest (const struct dc *dc);
-struct dc_amount dc_cell_unit (const struct dc *dc, int32_t accelerators);
-bool dc_cell_bind (struct dc *dc, uint32_t cell, enum dc_capacity cap);
 bool dc_cell_bind_spots (struct dc *dc, uint32_t cell, struct dc_amount unit);
-bool dc_cell_fits_at (const struct dc *dc, uint32_t cell, uint32_t worker);
-bool dc_cell_bind_at (struct dc *dc, uint32_t cell, uint32_t worker);
 void dc_cell_settle (struct dc *dc, uint32_t worker);
 void dc_cell_unbind (struct dc *dc, uint32_t cell);
 void dc_cell_restore (struct dc *dc, uint32_t cell, uint8_t level,
@@ -345,6 +340,13 @@
 void dc_cell_rebind_all (struct dc *dc);
 struct dc_part *dc_cell_part (const struct dc *dc, uint32_t cell,
                               uint32_t worker);
+/* bind.c */
+int32_t dc_cell_largest (const struct dc *dc);
+struct dc_amount dc_cell_unit (const struct dc *dc, int32_t accelerators);
+enum dc_level dc_cell_level (const struct dc *dc, int32_t size);
+bool dc_cell_bind (struct dc *dc, uint32_t cell, enum dc_capacity cap);
+bool dc_cell_fits_at (const struct dc *dc, uint32_t cell, uint32_t worker);
+bool dc_cell_bind_at (struct dc *dc, uint32_t cell, uint32_t worker);
 /* repack.c */
 bool dc_repack (struct dc *dc);
 /* pack_apply.c */
--- a/tests/replay/check_verify.sh
+++ b/tests/replay/check_verify.sh
@@ -318,5 +318,29 @@
 doctor '/ x/d;s/plan_accepted/plan_refused/' \
   'at 200000: a plan was refused that can be met'
 
+# Groups wider than a worker lie in one rack, whatever they are made of.
+trace <<'END'
+0 worker w0 r0 d0 4 8
+0 worker w1 r0 d0 2 8
+0 worker w2 r0 d0 2 8
+0 worker w3 r1 d0 4 8
+0 worker w4 r2 d0 4 8
+0 plan a 1 8 1
+0 plan a 2 8 2
+0 plan a 3 16 1
+0 plan b 1 4 2
+0 plan b 2 4 3
+9000 end -
+END
+good='0 plan_accepted a 1
+0 plan_refused a 2
+0 plan_refused a 3
+0 plan_accepted b 1
+0 plan_refused b 2
+9000 summary'
+doctor '' ''
+doctor 's/plan_refused a 2/plan_accepted a 2/' "that can't be met"
+doctor 's/plan_refused b 2/plan_accepted b 2/' "that can't be met"
+
 printf '%d doctored files, %d failures\n' "$count" "$failed"
 [ "$failed" -eq 0 ]
