Keep a stored plan that no longer fits

Cause: a cell applies the operator's list, which was accepted whole, as if each plan were asked for anew. After a restart with fewer workers, or with work in the way that may not move, a plan was refused and its guarantee gone until the next change of the list. Change: the event says that a plan was accepted before. Such a plan is never refused; cells that find no room wait as those of a lost worker do, and the log says so (516 guarantee-waits). Waiting cells are also tried again when a place falls free, not only when a worker joins. Conclusion: an accepted plan is in force or waits; it never reverts.

--- a/include/skr/decide.h
+++ b/include/skr/decide.h
@@ -86,6 +86,8 @@
       int64_t version;
       int shapes;
       struct dc_shape shape[DC_MAX_SHAPES];
+      int accepted; /* a past fact: it is not refused, what does not fit the
+                       fleet of now waits until it does */
     } plan;
     struct
     {
@@ -132,7 +134,8 @@
   uint32_t id; /* account, job or worker, by KIND */
   int32_t attempt;
   int64_t version;              /* of a plan */
-  const char *reason;           /* static text, or NULL */
+  const char *reason;           /* static text, or NULL; of a plan accepted
+                                   before: what does not fit now */
   const struct dc_place *place; /* start: one for each task */
   int32_t places;
 };
--- a/include/skr/events.h
+++ b/include/skr/events.h
@@ -34,6 +34,7 @@
   LG_PEER_KEYS = 513,
   LG_CONFIG_APPLIED = 514,
   LG_JOB_ROW_BAD = 515,
+  LG_GUARANTEE_WAITS = 516,
 
   /* filter */
   LG_REQUEST_UNKNOWN = 601,
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -65,6 +65,10 @@
   { LG_JOB_ROW_BAD, LG_ERROR, "job-row-bad", "cell job",
     "A job's row can't be read; the job is refused.",
     "see which program wrote the row" },
+  { LG_GUARANTEE_WAITS, LG_WARNING, "guarantee-waits", "cell account reason",
+    "Part of the account's guarantee has no room in the cell until work that "
+    "may not move ends or a worker joins.",
+    "check the fleet, then the allowances" },
 
   /* filter */
   { LG_REQUEST_UNKNOWN, LG_WARNING, "request-unknown",
--- a/src/control/cell_decide.c
+++ b/src/control/cell_decide.c
@@ -84,14 +84,14 @@
 }
 
 static void
-log_refused_plan (struct cl_cell *c, const struct dc_action *act)
+log_plan (struct cl_cell *c, enum lg_event event, const struct dc_action *act)
 {
   struct lg_field field[]
       = { lg_str ("cell", c->name),
           lg_str ("account", g_ptr_array_index (c->accounts, act->id)),
           lg_str ("reason", act->reason) };
 
-  lg_log (LG_GUARANTEE_REFUSED, 3, field);
+  lg_log (event, 3, field);
 }
 
 static void
@@ -143,9 +143,11 @@
   switch (act->kind)
     {
     case DC_ACT_PLAN_ACCEPTED:
+      if (act->reason)
+        log_plan (c, LG_GUARANTEE_WAITS, act);
       return;
     case DC_ACT_PLAN_REFUSED:
-      log_refused_plan (c, act);
+      log_plan (c, LG_GUARANTEE_REFUSED, act);
       return;
     case DC_ACT_QUARANTINE:
       log_worker (c, LG_WORKER_QUARANTINED, act->id, act->reason);
@@ -245,11 +247,13 @@
 
   e.u.plan.account = cl_account (c, account);
   e.u.plan.version = version;
+  e.u.plan.accepted = 1;
   e.u.plan.shapes = cf_guarantee (c->config, account, c->name, e.u.plan.shape);
   cl_apply (c, &e);
 }
 
-/* An account that is no longer listed has a guarantee of nothing.  */
+/* What the list holds was accepted with it, whatever runs here now.  An
+   account that is no longer listed has a guarantee of nothing.  */
 void
 cl_plans (struct cl_cell *c)
 {
--- a/src/decide/plan.c
+++ b/src/decide/plan.c
@@ -180,37 +180,67 @@
 }
 
 static bool
-add_all (struct dc *dc, const struct dc_event *e)
+grows (const struct dc *dc, const struct dc_event *e)
 {
-  bool short_of = dc->unbound.n > 0;
+  for (int i = 0; i < e->u.plan.shapes; i++)
+    if (wanted (e, e->u.plan.shape[i].size)
+        > kept_of (dc, e->u.plan.account, e->u.plan.shape[i].size))
+      return true;
+  return false;
+}
 
-  if (groups (e) > dc->accelerators || !add_spares (dc, &short_of))
+static bool
+add_all (struct dc *dc, const struct dc_event *e, bool *short_of)
+{
+  if (!e->u.plan.accepted && groups (e) > dc->accelerators)
     return false;
   for (int32_t size = next_size (e, INT32_MAX); size > 0;
        size = next_size (e, size))
-    if (!add_size (dc, e, size, &short_of))
+    if (!add_size (dc, e, size, short_of))
       return false;
-  return !short_of || dc_repack (dc) || dc_pack (dc);
+  return true;
+}
+
+/* Adds what is missing and binds it.  ADDED is whether all of it is there,
+   bound or not.  */
+static bool
+fit (struct dc *dc, const struct dc_event *e, bool *added)
+{
+  bool short_of = dc->unbound.n > 0;
+
+  *added = true;
+  if (!grows (dc, e))
+    return true;
+  *added = add_spares (dc, &short_of) && add_all (dc, e, &short_of);
+  return *added && (!short_of || dc_repack (dc) || dc_pack (dc));
 }
 
+/* Cells of an accepted plan that found no room wait for it.  */
 static void
-act (struct dc *dc, const struct dc_event *e, bool accepted)
+wait_unbound (struct dc *dc, uint32_t account)
 {
-  dc_act (dc, accepted ? DC_ACT_PLAN_ACCEPTED : DC_ACT_PLAN_REFUSED,
-          e->u.plan.account, 0,
-          accepted ? NULL : "the guarantees do not all fit at once");
-  if (dc->actions.n)
-    dc->actions.v[dc->actions.n - 1].version = e->u.plan.version;
+  for (uint32_t c = dc->accounts.v[account].cells; c != DC_NONE;
+       c = dc->cells.v[c].next)
+    if (dc->cells.v[c].parts == 0)
+      dc_cell_wait (dc, c);
 }
 
-static bool
-grows (const struct dc *dc, const struct dc_event *e)
+static const char *
+reason_of (bool fits, bool accepted)
 {
-  for (int i = 0; i < e->u.plan.shapes; i++)
-    if (wanted (e, e->u.plan.shape[i].size)
-        > kept_of (dc, e->u.plan.account, e->u.plan.shape[i].size))
-      return true;
-  return false;
+  if (fits)
+    return NULL;
+  return accepted ? "part of the guarantee waits for room"
+                  : "the guarantees do not all fit at once";
+}
+
+static void
+act (struct dc *dc, const struct dc_event *e, bool fits, bool accepted)
+{
+  dc_act (dc, accepted ? DC_ACT_PLAN_ACCEPTED : DC_ACT_PLAN_REFUSED,
+          e->u.plan.account, 0, reason_of (fits, accepted));
+  if (dc->actions.n)
+    dc->actions.v[dc->actions.n - 1].version = e->u.plan.version;
 }
 
 int
@@ -218,7 +248,7 @@
 {
   uint32_t id = e->u.plan.account;
   struct dc_account *account;
-  bool fits;
+  bool fits, added, accepted;
 
   if (!valid (e))
     return DC_EINVAL;
@@ -228,15 +258,17 @@
   if (account->known && e->u.plan.version <= account->version)
     return DC_OK;
   mark_kept (dc, e);
-  fits = !grows (dc, e) || add_all (dc, e);
+  fits = fit (dc, e, &added);
+  accepted = fits || (added && e->u.plan.accepted);
   for (uint32_t c = account->cells; c != DC_NONE; c = dc->cells.v[c].next)
     if (!dc->cells.v[c].kept)
       dc_cell_suspend (dc, c, 1);
-  drop (dc, id, !fits);
+  drop (dc, id, !accepted);
   drop_spares (dc);
   for (uint32_t c = account->cells; c != DC_NONE; c = dc->cells.v[c].next)
     dc->cells.v[c].added = false;
-  if (fits)
+  wait_unbound (dc, id);
+  if (accepted)
     {
       account->known = true;
       account->version = e->u.plan.version;
@@ -245,6 +277,6 @@
     }
   dc->freed = dc->rebind = true;
   dc_account_touch (dc, id);
-  act (dc, e, fits);
+  act (dc, e, fits, accepted);
   return DC_OK;
 }
--- a/src/decide/run.c
+++ b/src/decide/run.c
@@ -264,7 +264,7 @@
   int error = DC_OK;
 
   dc_health_tick (dc);
-  if (dc->rebind)
+  if (dc->rebind || (dc->freed && dc->unbound.n > 0))
     {
       dc->rebind = false;
       dc_cell_rebind_all (dc);
--- a/tests/decide/fake_fleet.c
+++ b/tests/decide/fake_fleet.c
@@ -190,18 +190,33 @@
   ff_apply (f, &e);
 }
 
-void
-ff_plan (struct ff_fleet *f, uint32_t account, int32_t size, int32_t count)
+static void
+plan (struct ff_fleet *f, uint32_t account, struct dc_shape shape,
+      int accepted)
 {
   struct dc_event e = { .kind = DC_EV_PLAN };
 
   e.u.plan.account = account;
   e.u.plan.version = ++f->version;
   e.u.plan.shapes = 1;
-  e.u.plan.shape[0] = (struct dc_shape){ size, count };
+  e.u.plan.shape[0] = shape;
+  e.u.plan.accepted = accepted;
   ff_apply (f, &e);
 }
 
+void
+ff_plan (struct ff_fleet *f, uint32_t account, int32_t size, int32_t count)
+{
+  plan (f, account, (struct dc_shape){ size, count }, 0);
+}
+
+void
+ff_stored_plan (struct ff_fleet *f, uint32_t account, int32_t size,
+                int32_t count)
+{
+  plan (f, account, (struct dc_shape){ size, count }, 1);
+}
+
 uint32_t
 ff_submit (struct ff_fleet *f, struct dc_job_spec spec, int64_t actual_ms)
 {
--- a/tests/decide/fake_fleet.h
+++ b/tests/decide/fake_fleet.h
@@ -60,6 +60,9 @@
                       uint32_t id);
 void ff_plan (struct ff_fleet *f, uint32_t account, int32_t size,
               int32_t count);
+/* A plan that was accepted before a restart.  */
+void ff_stored_plan (struct ff_fleet *f, uint32_t account, int32_t size,
+                     int32_t count);
 /* Submits a job; returns its handle.  */
 uint32_t ff_submit (struct ff_fleet *f, struct dc_job_spec spec,
                     int64_t actual_ms);
--- a/tests/decide/test_decide.c
+++ b/tests/decide/test_decide.c
@@ -326,6 +326,53 @@
   ff_fini (&f);
 }
 
+static uint32_t
+reclaim (struct ff_fleet *f, uint32_t account, int64_t within_ms)
+{
+  uint32_t job = ff_submit (f, urgent (account, 1, 8), 1000);
+
+  ff_run (f, f->now_ms + within_ms + 1);
+  return f->job[job].first_ms >= 0 && f->job[job].starts > 0;
+}
+
+/* A restart finds less room than there was when the plan was accepted.  */
+static void
+test_stored_plan_is_kept (void)
+{
+  struct ff_fleet f;
+  uint32_t fixed;
+
+  ff_init (&f, &checked);
+  ff_stored_plan (&f, 0, 8, 2);
+  CU_ASSERT_EQUAL (f.accepted, 1);
+  ff_worker (&f, 0, 0, 0, 8, 8);
+  fixed = ff_submit (&f, urgent (2, 1, 8), 50000);
+  ff_run (&f, 1000);
+  CU_ASSERT (f.job[fixed].starts == 0);
+  ff_worker (&f, 1, 0, 0, 8, 8);
+  ff_run (&f, 2000);
+  CU_ASSERT (f.job[fixed].starts == 0);
+  ff_worker (&f, 2, 0, 0, 8, 8);
+  ff_run (&f, 3000);
+  CU_ASSERT (f.job[fixed].starts == 1);
+  ff_plan (&f, 1, 8, 1);
+  CU_ASSERT_EQUAL (f.refused, 1);
+  ff_stored_plan (&f, 1, 8, 1);
+  CU_ASSERT_EQUAL (f.accepted, 2);
+  CU_ASSERT_EQUAL (f.refused, 1);
+  CU_ASSERT (reclaim (&f, 0, 0));
+  CU_ASSERT (!reclaim (&f, 1, 2000));
+  ff_run (&f, 60000);
+  fixed = ff_submit (&f, urgent (2, 1, 8), 50000);
+  for (int i = 0; i < 8; i++)
+    ff_submit (&f, bulk (2, 1, 3), 100000);
+  ff_run (&f, 61000);
+  CU_ASSERT (f.job[fixed].starts == 0);
+  CU_ASSERT (reclaim (&f, 1, 2000));
+  CU_ASSERT_EQUAL (f.error, 0);
+  ff_fini (&f);
+}
+
 static void
 random_event (struct ff_fleet *f, gsl_rng *r, int workers, int accounts)
 {
@@ -342,8 +389,9 @@
   else if (kind < 6)
     ff_worker (f, w, w / 4, w / 8, w % 5 == 4 ? 0 : 8, 8);
   else if (kind == 6)
-    ff_plan (f, a, 1 << gsl_rng_uniform_int (r, 5),
-             (int)gsl_rng_uniform_int (r, 4));
+    (gsl_rng_uniform (r) < 0.8 ? ff_plan : ff_stored_plan) (
+        f, a, 1 << gsl_rng_uniform_int (r, 5),
+        (int)gsl_rng_uniform_int (r, 4));
   else if (kind == 7)
     f->fails_all[w] = gsl_rng_uniform (r) < 0.2;
   else if (kind < 10 && f->jobs)
@@ -419,6 +467,7 @@
                test_bad_worker_is_quarantined_and_readmitted);
   CU_add_test (suite, "large gang", test_large_gang_starts_among_small_jobs);
   CU_add_test (suite, "adopt", test_adopt);
+  CU_add_test (suite, "stored plan", test_stored_plan_is_kept);
   CU_add_test (suite, "random runs", test_random_runs_break_nothing);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
