Pack all cells anew for one that lost its worker

Cause: a cell that lost its worker waited when only a used cell stood in its way, though the work in it may be preempted: a guarantee that the workers up could hold was not reclaimable. Change: when unused cells alone do not make room, all cells are packed anew as for a change of plan, but for the spare ones that gave way. Conclusion: a lost cell waits only where no packing was found.

--- a/src/decide/pack.h
+++ b/src/decide/pack.h
@@ -28,7 +28,8 @@
 struct pk_packing
 {
   struct dc *dc;
-  bool most; /* a cell closes around all the work that it can take */
+  bool most;   /* a cell closes around all the work that it can take */
+  bool spares; /* also those that gave way */
   struct dc_amount *room; /* of each worker, without what may not move */
   int32_t *sum;           /* scratch: of each rack or domain */
   DC_VECTOR (struct pk_share) shares; /* by account, worker, size */
@@ -37,7 +38,7 @@
 };
 
 /* pack_read.c */
-int pk_init (struct pk_packing *p, struct dc *dc, bool most);
+int pk_init (struct pk_packing *p, struct dc *dc);
 void pk_fini (struct pk_packing *p);
 /* pack.c */
 bool pk_solve (struct pk_packing *p);
--- a/src/decide/pack_apply.c
+++ b/src/decide/pack_apply.c
@@ -71,18 +71,19 @@
 }
 
 static bool
-pack (struct dc *dc, bool most)
+pack (struct dc *dc, bool spares, bool most)
 {
-  struct pk_packing p;
-  bool done = !pk_init (&p, dc, most) && pk_solve (&p) && apply (dc, &p);
+  struct pk_packing p = { .spares = spares, .most = most };
+  bool done = !pk_init (&p, dc) && pk_solve (&p) && apply (dc, &p);
 
   pk_fini (&p);
   return done;
 }
 
-/* Returns whether all cells are bound then; if not, all is as before.  */
+/* Returns whether all cells are bound then, spare ones that gave way only with
+   SPARES; if not, all is as before.  */
 bool
-dc_pack (struct dc *dc)
+dc_pack (struct dc *dc, bool spares)
 {
-  return pack (dc, false) || pack (dc, true);
+  return pack (dc, spares, false) || pack (dc, spares, true);
 }
--- a/src/decide/pack_read.c
+++ b/src/decide/pack_read.c
@@ -62,7 +62,8 @@
   const struct dc_cell *c = &p->dc->cells.v[id];
   uint32_t at = p->items.n;
 
-  if (!c->live || c->suspended)
+  if (!c->live || c->suspended
+      || (c->account == DC_SPARE && c->waiting && !p->spares))
     return DC_OK;
   if (DC_GROW (p->dc, p->items, at))
     return DC_ENOMEM;
@@ -97,9 +98,9 @@
 }
 
 int
-pk_init (struct pk_packing *p, struct dc *dc, bool most)
+pk_init (struct pk_packing *p, struct dc *dc)
 {
-  *p = (struct pk_packing){ .dc = dc, .most = most };
+  p->dc = dc;
   p->room = calloc (dc->workers.n + 1, sizeof *p->room);
   p->sum = calloc (dc->racks.n + dc->domains.n + 1, sizeof *p->sum);
   if (!p->room || !p->sum)
--- a/src/decide/plan.c
+++ b/src/decide/plan.c
@@ -212,7 +212,7 @@
   if (!grows (dc, e))
     return true;
   *added = add_spares (dc, &short_of) && add_all (dc, e, &short_of);
-  return *added && (!short_of || dc_repack (dc) || dc_pack (dc));
+  return *added && (!short_of || dc_repack (dc) || dc_pack (dc, true));
 }
 
 /* Cells of an accepted plan that found no room wait for it.  */
--- a/src/decide/rebind.c
+++ b/src/decide/rebind.c
@@ -64,6 +64,21 @@
     dc_account_touch (dc, c->account);
 }
 
+/* Takes those that are bound now out of the first N; returns how many are
+   left.  */
+static uint32_t
+note_bound (struct dc *dc, uint32_t n)
+{
+  uint32_t left = 0;
+
+  for (uint32_t i = 0; i < n; i++)
+    if (dc->cells.v[dc->unbound.v[i]].parts)
+      bound (dc, dc->unbound.v[i]);
+    else
+      dc->unbound.v[left++] = dc->unbound.v[i];
+  return left;
+}
+
 void
 dc_cell_rebind_all (struct dc *dc)
 {
@@ -88,12 +103,9 @@
       else
         dc->unbound.v[kept++] = cell;
     }
-  if (kept > 0 && n == dc->unbound.n && dc_repack (dc))
-    {
-      for (uint32_t i = 0; i < kept; i++)
-        bound (dc, dc->unbound.v[i]);
-      kept = 0;
-    }
+  if (kept > 0 && n == dc->unbound.n
+      && (dc_repack (dc) || dc_pack (dc, false)))
+    kept = note_bound (dc, kept);
   for (uint32_t i = n; i < dc->unbound.n; i++)
     dc->unbound.v[kept++] = dc->unbound.v[i];
   dc->unbound.n = kept;
--- a/src/decide/state.h
+++ b/src/decide/state.h
@@ -350,7 +350,7 @@
 /* repack.c */
 bool dc_repack (struct dc *dc);
 /* pack_apply.c */
-bool dc_pack (struct dc *dc);
+bool dc_pack (struct dc *dc, bool spares);
 
 /* move.c */
 bool dc_cell_move (struct dc *dc, uint32_t cell);
--- a/tests/decide/test_decide.c
+++ b/tests/decide/test_decide.c
@@ -373,6 +373,39 @@
   ff_fini (&f);
 }
 
+/* A cell that lost its worker fits only if a used one moves.  */
+static void
+test_lost_cell_moves_used_ones (void)
+{
+  struct ff_fleet f;
+  uint32_t lost = 0;
+
+  ff_init (&f, &checked);
+  ff_worker (&f, 0, 0, 0, 8, 8);
+  ff_worker (&f, 1, 0, 0, 8, 8);
+  ff_submit (&f, urgent (3, 1, 6), 1000);
+  ff_run (&f, 100);
+  ff_plan (&f, 0, 4, 1);
+  ff_submit (&f, urgent (2, 1, 2), 100000);
+  ff_submit (&f, bulk (0, 1, 4), 100000);
+  ff_run (&f, 2000);
+  CU_ASSERT_EQUAL (f.job[0].place[0].worker, f.job[1].place[0].worker);
+  CU_ASSERT_NOT_EQUAL (f.job[1].place[0].worker, f.job[2].place[0].worker);
+  ff_worker (&f, 2, 0, 0, 8, 8);
+  ff_plan (&f, 1, 8, 1);
+  CU_ASSERT_EQUAL (f.accepted, 2);
+  ff_run (&f, 3000);
+  ff_worker_event (&f, DC_EV_DOWN, 2);
+  ff_run (&f, 4000);
+  lost = ff_submit (&f, urgent (1, 2, 4), 1000);
+  ff_run (&f, 4000 + DC_CHECKPOINT_MS + 1);
+  CU_ASSERT_EQUAL (f.job[lost].starts, 1);
+  ff_run (&f, 20000);
+  CU_ASSERT_EQUAL (f.job[2].state, FF_RUNNING);
+  CU_ASSERT_EQUAL (f.error, 0);
+  ff_fini (&f);
+}
+
 static void
 random_event (struct ff_fleet *f, gsl_rng *r, int workers, int accounts)
 {
@@ -468,6 +501,7 @@
   CU_add_test (suite, "large gang", test_large_gang_starts_among_small_jobs);
   CU_add_test (suite, "adopt", test_adopt);
   CU_add_test (suite, "stored plan", test_stored_plan_is_kept);
+  CU_add_test (suite, "lost cell", test_lost_cell_moves_used_ones);
   CU_add_test (suite, "random runs", test_random_runs_break_nothing);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
