--- a/tests/decide/bench_policy.c
+++ b/tests/decide/bench_policy.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "fake_fleet.h"
+#include "fake_split.h"
 
 enum
 {
@@ -27,6 +28,7 @@
   struct group group[ACCOUNTS][MAX_GROUPS];
   int groups[ACCOUNTS];
   double frag, used, whole; /* accelerator-ms */
+  double split[FS_CAUSES];  /* of frag */
   int8_t *within;           /* urgent jobs: group + 1 that holds it */
 };
 
@@ -53,8 +55,10 @@
             && need (&f->job[i]) <= WORKERS * 8 - used;
   r->used += used * dt;
   r->whole += WORKERS * 8 * dt;
-  if (stuck)
-    r->frag += (WORKERS * 8 - used) * dt;
+  if (!stuck)
+    return;
+  r->frag += (WORKERS * 8 - used) * dt;
+  fs_split (f->dc, dt, r->split);
 }
 
 static void
@@ -212,6 +216,10 @@
           (long long)quantile (v, n, 0.99));
   printf (" | %5.2f%% %5.1f%% | %ld %ld\n", 100 * r->frag / r->whole,
           100 * r->used / r->whole, preempted, starts);
+  for (int i = 0; i < FS_CAUSES; i++)
+    printf ("%s%s %.2f%%", i ? ", " : "    ", fs_name[i],
+            100 * r->split[i] / r->whole);
+  printf ("\n");
   free (v);
 }
 
