--- a/include/skr/events.h
+++ b/include/skr/events.h
@@ -37,6 +37,7 @@
   LG_JOB_MOVED = 516,
   LG_JOB_NO_ROOM = 517,
   LG_TABLE_PUT_BACK = 518,
+  LG_GUARANTEE_WAITS = 519,
 
   /* filter */
   LG_REQUEST_UNKNOWN = 601,
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -74,6 +74,10 @@
   { LG_TABLE_PUT_BACK, LG_ERROR, "table-put-back", "cell epoch",
     "The platform's table holds an earlier state than was written.",
     "see FAILURES.md, a table that is put back" },
+  { LG_GUARANTEE_WAITS, LG_WARNING, "guarantee-waits", "cell account reason",
+    "Part of the account's guarantee has no room in the cell until work that "
+    "may not move ends or a worker joins.",
+    "check the fleet, then the allowances" },
 
   /* filter */
   { LG_REQUEST_UNKNOWN, LG_WARNING, "request-unknown",
--- a/src/decide/pack.h
+++ b/src/decide/pack.h
@@ -28,6 +28,8 @@
 struct pk_packing
 {
   struct dc *dc;
+  bool most;   /* a cell closes around all the work that it can take */
+  bool spares; /* also those that gave way */
   struct dc_amount *room; /* of each worker, without what may not move */
   int32_t *sum;           /* scratch: of each rack or domain */
   DC_VECTOR (struct pk_share) shares; /* by account, worker, size */
