Keep a job's row as text

Cause: the holder kept the parsed row of each job; jansson takes several times the text's room. Change: struct jb_job keeps the compact text and parses it for a write, a hold, an end, or a change. Nothing else is kept twice.

--- a/src/control/cell.h
+++ b/src/control/cell.h
@@ -84,8 +84,8 @@
     struct
     {
       const char *job;
-      const json_t *row;
-      int is_end; /* else the job goes on */
+      const json_t *row; /* of an end, else NULL */
+      int is_end;        /* else the job goes on */
     } ended;
   } u;
 };
--- a/src/control/cell_home.c
+++ b/src/control/cell_home.c
@@ -86,11 +86,12 @@
 static void
 end (struct cl_cell *c, struct jb_job *job)
 {
-  int began
-      = json_integer_value (json_object_get (job->row, "started_at")) != 0;
+  json_t *row = jb_row (job);
+  int began = json_integer_value (json_object_get (row, "started_at")) != 0;
 
   cl_take_back (c, job);
-  json_object_set_new (job->row, "retry_after_s", json_integer (HM_RETRY_S));
+  json_decref (row);
+  jb_update (job, json_pack ("{s:i}", "retry_after_s", HM_RETRY_S));
   log_job (c, LG_JOB_NO_ROOM, job, NULL);
   cl_set_state (c, job, began ? JB_FAILED : JB_REFUSED,
                 "no cell holds it any more");
--- a/src/control/cell_job.c
+++ b/src/control/cell_job.c
@@ -217,11 +217,14 @@
 {
   struct cl_effect e = { .kind = CL_ENDED, .cell = c };
   struct wk_gang *g = job->gang;
+  json_t *row;
 
   e.u.ended.job = job->id;
-  e.u.ended.row = job->row;
   e.u.ended.is_end = jb_has_ended (job);
+  row = e.u.ended.is_end ? jb_row (job) : NULL;
+  e.u.ended.row = row;
   c->emit (c->arg, &e);
+  json_decref (row);
   if (jb_has_ended (job) || job->to)
     {
       cl_forget (c, job, job->version);
--- a/src/control/cell_order.c
+++ b/src/control/cell_order.c
@@ -30,7 +30,8 @@
            const struct jb_job *job)
 {
   json_t *tasks = json_array ();
-  json_t *payload = job ? json_object_get (job->row, "payload") : NULL;
+  json_t *row = job ? jb_row (job) : NULL;
+  json_t *payload = json_object_get (row, "payload");
   json_t *body;
 
   for (int i = p->first; i < p->first + p->tasks; i++)
@@ -42,6 +43,7 @@
                     (json_int_t)(job ? job->progress_ms : 0));
   if (payload)
     json_object_set (body, "payload", payload);
+  json_decref (row);
   return body;
 }
 
--- a/src/control/cell_recover.c
+++ b/src/control/cell_recover.c
@@ -43,9 +43,9 @@
    names a worker that is not there.  */
 static int
 read_placement (struct cl_cell *c, const struct jb_job *job,
-                struct dc_place *place)
+                const json_t *list, struct dc_place *place)
 {
-  const json_t *list = json_object_get (job->row, "placement"), *o, *a;
+  const json_t *o, *a;
   size_t i, k;
 
   if (json_array_size (list) != (size_t)job->spec.tasks)
@@ -75,9 +75,12 @@
 cl_expect (struct cl_cell *c, struct jb_job *job)
 {
   struct dc_place *place = calloc ((size_t)job->spec.tasks, sizeof *place);
+  json_t *row = jb_row (job);
 
-  if (place && !read_placement (c, job, place))
+  if (place
+      && !read_placement (c, job, json_object_get (row, "placement"), place))
     job->gang = cl_add_gang (c, job->id, job->attempt, job->spec.tasks, place);
+  json_decref (row);
   free (place);
 }
 
--- a/src/control/cell_rows.c
+++ b/src/control/cell_rows.c
@@ -22,12 +22,6 @@
     }
 }
 
-static size_t
-row_size (const json_t *row)
-{
-  return json_dumpb (row, NULL, 0, JSON_COMPACT);
-}
-
 /* Rows of urgent jobs go first: they never wait behind bulk.  */
 GQueue *
 cl_next_row (struct cl_cell *c)
@@ -48,7 +42,7 @@
   snprintf (table, sizeof table, "jobs.%s", job->to);
   tb_txn_check (txn, table, job->id, job->to_version);
   if (!job->is_there)
-    tb_txn_put (txn, table, job->id, json_deep_copy (job->row));
+    tb_txn_put (txn, table, job->id, jb_row (job));
   tb_txn_put (txn, c->table, job->id, jb_moved (job));
   c->tokens--;
 }
@@ -65,12 +59,12 @@
       struct jb_job *job = g_queue_pop_head (queue);
 
       job->in_queue = 0;
-      bytes += row_size (job->row);
+      bytes += strlen (job->text);
       tb_txn_check (txn, c->table, job->id, job->version);
       if (job->to)
         add_move (c, txn, job);
       else
-        tb_txn_put (txn, c->table, job->id, json_deep_copy (job->row));
+        tb_txn_put (txn, c->table, job->id, jb_row (job));
       job->dirty = job->rewrite = 0;
       job->writing = 1;
       c->tokens--;
--- a/src/control/job.c
+++ b/src/control/job.c
@@ -89,10 +89,10 @@
       return NULL;
     }
   snprintf (job->id, CT_NAME, "%s", id);
-  job->row = json_incref (value);
+  job->text = json_dumps (value, JSON_COMPACT);
   job->version = version;
   job->handle = JB_NO_HANDLE;
-  *error = read_row (job, value);
+  *error = job->text ? read_row (job, value) : CT_ENOMEM;
   if (!*error)
     return job;
   jb_free (job);
@@ -114,34 +114,56 @@
 {
   if (!job)
     return;
-  json_decref (job->row);
+  free (job->text);
   json_decref (job->results);
   free_seen (job->seen);
   free (job);
 }
 
-static void
-set_field (struct jb_job *job, const char *name, json_t *value)
+json_t *
+jb_row (const struct jb_job *job)
 {
-  json_object_set_new (job->row, name, value);
+  json_t *row = json_loads (job->text, 0, NULL);
+
+  if (!row)
+    abort (); /* it was printed from a value: no memory */
+  return row;
+}
+
+void
+jb_update (struct jb_job *job, json_t *fields)
+{
+  json_t *row = jb_row (job);
+  char *text;
+
+  json_object_update (row, fields);
+  text = json_dumps (row, JSON_COMPACT);
+  if (!text)
+    abort ();
+  free (job->text);
+  job->text = text;
+  json_decref (row);
+  json_decref (fields);
 }
 
 void
 jb_set_state (struct jb_job *job, enum jb_state state, const char *reason)
 {
+  json_t *f = json_pack ("{s:s, s:i}", "state", jb_state_name (state),
+                         "attempt", job->attempt);
+
   job->state = state;
-  set_field (job, "state", json_string (jb_state_name (state)));
-  set_field (job, "attempt", json_integer (job->attempt));
   if (job->progress_ms)
-    set_field (job, "progress_ms", json_integer (job->progress_ms));
+    json_object_set_new (f, "progress_ms", json_integer (job->progress_ms));
   if (reason)
-    set_field (job, "reason", json_string (reason));
+    json_object_set_new (f, "reason", json_string (reason));
   if (state == JB_QUEUED)
-    set_field (job, "placement", json_array ());
+    json_object_set_new (f, "placement", json_array ());
   if (state == JB_DONE && job->results)
-    set_field (job, "results", json_incref (job->results));
+    json_object_set (f, "results", job->results);
   if (state >= JB_DONE)
-    set_field (job, "ended_at", json_integer (bs_wall_ms ()));
+    json_object_set_new (f, "ended_at", json_integer (bs_wall_ms ()));
+  jb_update (job, f);
   job->dirty = 1;
 }
 
@@ -160,7 +182,7 @@
 jb_set_placement (struct jb_job *job, const struct wk_gang *gang,
                   const char *(*worker_name) (void *arg, uint32_t), void *arg)
 {
-  json_t *list = json_array ();
+  json_t *list = json_array (), *row, *fields;
 
   for (int t = 0; t < gang->tasks; t++)
     json_array_append_new (
@@ -169,10 +191,12 @@
                    worker_name (arg, gang->place[t].worker), "accelerators",
                    print_accelerators (gang->place[t].accelerators)));
   job->attempt = gang->attempt;
-  set_field (job, "placement", list);
-  if (!json_object_get (job->row, "started_at")
-      || !json_integer_value (json_object_get (job->row, "started_at")))
-    set_field (job, "started_at", json_integer (bs_wall_ms ()));
+  row = jb_row (job);
+  fields = json_pack ("{s:o}", "placement", list);
+  if (!json_integer_value (json_object_get (row, "started_at")))
+    json_object_set_new (fields, "started_at", json_integer (bs_wall_ms ()));
+  json_decref (row);
+  jb_update (job, fields);
 }
 
 void
@@ -193,10 +217,11 @@
 {
   json_t *row = json_pack ("{s:s, s:s, s:i}", "account", job->account,
                            "moved_to", job->to, "attempt", job->attempt);
-  json_t *key = json_object_get (job->row, "key");
+  json_t *was = jb_row (job), *key = json_object_get (was, "key");
 
   if (key)
     json_object_set (row, "key", key);
+  json_decref (was);
   return row;
 }
 
@@ -260,6 +285,6 @@
   if (json_is_true (json_object_get (value, "cancel")))
     {
       job->cancel = 1;
-      set_field (job, "cancel", json_true ());
+      jb_update (job, json_pack ("{s:b}", "cancel", 1));
     }
 }
--- a/src/control/job.h
+++ b/src/control/job.h
@@ -38,7 +38,9 @@
 {
   char id[CT_NAME];
   char account[CT_NAME];
-  json_t *row;     /* the row's value, as last read or made */
+  /* The row's value as last read or made, as text: parsed it takes several
+     times the room.  */
+  char *text;
   int64_t version; /* of the row as last read or written */
   enum jb_state state;
   struct dc_job_spec spec; /* without the account's handle */
@@ -66,13 +68,18 @@
   int64_t misfit_ms;    /* since when its cell does not hold it; see home.h */
 };
 
-/* Reads a row and keeps VALUE, which is the job's alone from then on.
+/* Reads a row and keeps a copy of VALUE.
    Returns NULL for one without an account, tasks and the like:
    CT_EINVAL in *ERROR, or CT_ENOMEM.  */
 struct jb_job *jb_new (const char *id, json_t *value, int64_t version,
                        int *error);
 void jb_free (struct jb_job *job);
 
+/* The row's value, parsed anew: a new reference.  */
+json_t *jb_row (const struct jb_job *job);
+/* Sets the fields of FIELDS in the row; takes over the reference.  */
+void jb_update (struct jb_job *job, json_t *fields);
+
 int jb_has_ended (const struct jb_job *job);
 const char *jb_state_name (enum jb_state state);
 enum jb_state jb_parse_state (const char *text);
