--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -348,22 +348,24 @@
 void en_peers_dial (struct en_core *core);
 void en_heartbeat (void *arg, int64_t now_ms);
 void en_on_peer (struct en_core *core, const struct pr_message *m);
-/* Tells the holder of CELL about JOB.  */
-void en_tell_job (struct en_core *core, const char *cell, const char *job);
 /* True when no VM is known, or too new to be known, to have lists in force
    that are newer than these versions.  */
 int en_lists_are_newest (struct en_core *core, int64_t plans,
                          int64_t allowances);
-void en_tell_config (struct en_core *core, const char *list);
 /* True when the VM that made TOKEN is known to be gone.  */
 int en_is_dead (struct en_core *core, const char *vm, const char *token);
-void en_send_all (struct en_core *core, const struct pr_message *m);
-/* To the daemons of the own failure domain.  */
-void en_send_domain (struct en_core *core, const struct pr_message *m);
 /* Finds, or with ADD makes, what is known of a daemon; NULL without.  */
 struct en_peer *en_peer_of (struct en_core *core, const char *vm, int role,
                             int add);
 
+/* tell.c */
+void en_send_all (struct en_core *core, const struct pr_message *m);
+/* To the daemons of the own failure domain.  */
+void en_send_domain (struct en_core *core, const struct pr_message *m);
+/* Tells the holder of CELL about JOB.  */
+void en_tell_job (struct en_core *core, const char *cell, const char *job);
+void en_tell_config (struct en_core *core, const char *list);
+
 /* usage.c */
 void en_send_usage (struct en_core *core);
 void en_on_usage (struct en_core *core, const struct pr_usage *u);
