Let bulk within its guarantee wait for urgent gangs

Cause: bulk within its own guarantee started at once in its idle cell while an urgent gang that the cell could hold waited for a checkpoint; and a place that fell free for bulk went to it although an urgent gang of its account and shape had none yet. Change: such bulk keeps its place idle until no such urgent gang waits, for one checkpoint at the most, so that both promises hold. A place that falls free goes to the urgent gang of the account first; the bulk gang takes over the place that was being freed for it.

--- a/src/decide/gang.c
+++ b/src/decide/gang.c
@@ -154,6 +154,35 @@
   return DC_OK;
 }
 
+static void
+rename_tasks (struct dc *dc, uint32_t id)
+{
+  const struct dc_job *job = &dc->jobs.v[id];
+
+  for (int32_t i = 0; i < job->spec.tasks; i++)
+    dc_gang_task (dc, job, i)->job = id;
+}
+
+/* Exchanges the places of two pending gangs of one account and shape, both
+   in cells.  */
+void
+dc_gang_swap (struct dc *dc, uint32_t a, uint32_t b)
+{
+  struct dc_job *x = &dc->jobs.v[a], *y = &dc->jobs.v[b];
+  uint32_t task = x->task, cell = x->cell;
+
+  book_all (dc, x, -1);
+  book_all (dc, y, -1);
+  x->task = y->task;
+  x->cell = y->cell;
+  y->task = task;
+  y->cell = cell;
+  rename_tasks (dc, a);
+  rename_tasks (dc, b);
+  book_all (dc, x, 1);
+  book_all (dc, y, 1);
+}
+
 /* Takes COUNT bits of FREE: an aligned block if there is one, in the fullest
    block of twice its size.  */
 static uint64_t
--- a/src/decide/pending.c
+++ b/src/decide/pending.c
@@ -10,6 +10,7 @@
 
   job->pending_next = DC_NONE;
   job->pending_ms = dc->now_ms;
+  job->behind = false;
   dc->soft_pending += job->kind == DC_KIND_SOFT;
   if (dc->pending == DC_NONE)
     dc->pending = id;
@@ -198,28 +199,65 @@
     }
 }
 
+static bool
+held_up (struct dc *dc, struct dc_job *job, bool soft)
+{
+  if (soft)
+    return dc_pending_urgent (dc, job);
+  job->behind = dc_pending_behind (dc, job);
+  return job->behind;
+}
+
 static void
+start (struct dc *dc, uint32_t id)
+{
+  const struct dc_job *job = &dc->jobs.v[id];
+
+  forget_ahead (dc, job);
+  dc_pending_unlink (dc, id);
+  if (job->kind == DC_KIND_SOFT && !job->spec.preemptible
+      && dc->config.policy == DC_POLICY_DEFAULT)
+    dc_gang_set (dc, id, DC_PENDING, DC_KIND_HARD, DC_NONE);
+  dc_gang_start (dc, id);
+}
+
+/* Starts pending gang ID, whose place is free, or an urgent one of its
+   account in this place.  Returns whether an urgent gang was started.  */
+static bool
+start_first (struct dc *dc, uint32_t id)
+{
+  uint32_t urgent = dc_urgent_alike (dc, &dc->jobs.v[id]);
+
+  if (urgent == DC_NONE)
+    {
+      start (dc, id);
+      return dc->jobs.v[id].spec.class == DC_URGENT;
+    }
+  dc_gang_swap (dc, id, urgent);
+  start (dc, urgent);
+  count_ahead (dc, &dc->jobs.v[id]);
+  return true;
+}
+
+/* Returns whether an urgent gang was started.  */
+static bool
 walk_kind (struct dc *dc, bool soft)
 {
   uint32_t id = dc->pending;
+  bool urgent = false;
 
+  dc->walk_round++;
   while (id != DC_NONE)
     {
       struct dc_job *job = &dc->jobs.v[id];
-      uint32_t next = job->pending_next;
+      uint32_t after = job->pending_next;
 
       if ((job->kind == DC_KIND_SOFT) == soft && count_ahead (dc, job)
-          && (!soft || !dc_pending_urgent (dc, job)))
-        {
-          forget_ahead (dc, job);
-          dc_pending_unlink (dc, id);
-          if (job->kind == DC_KIND_SOFT && !job->spec.preemptible
-              && dc->config.policy == DC_POLICY_DEFAULT)
-            dc_gang_set (dc, id, DC_PENDING, DC_KIND_HARD, DC_NONE);
-          dc_gang_start (dc, id);
-        }
-      id = next;
+          && !held_up (dc, job, soft))
+        urgent |= start_first (dc, id);
+      id = job->state == DC_PENDING ? job->pending_next : after;
     }
+  return urgent;
 }
 
 /* Starts every pending gang whose places are free, the oldest first.  */
@@ -228,8 +266,7 @@
 {
   if (dc->pending == DC_NONE)
     return;
-  dc->walk_round++;
-  walk_kind (dc, false);
-  dc->walk_round++;
+  while (walk_kind (dc, false))
+    continue;
   walk_kind (dc, true);
 }
--- a/src/decide/place.c
+++ b/src/decide/place.c
@@ -87,6 +87,7 @@
   if (error)
     return error;
   dc_pending_add (dc, id);
+  dc->jobs.v[id].behind = dc_pending_behind (dc, &dc->jobs.v[id]);
   dc_pending_make_room (dc, id);
   return DC_OK;
 }
@@ -122,6 +123,16 @@
          && dc_spots_idle (dc, job);
 }
 
+/* Bulk work does not start while an urgent gang that its room could hold
+   waits for a checkpoint.  */
+static bool
+behind_urgent (const struct dc *dc, const struct dc_job *job)
+{
+  if (job->spec.class == DC_URGENT || dc->config.policy != DC_POLICY_DEFAULT)
+    return false;
+  return dc_pending_urgent (dc, job);
+}
+
 static enum dc_kind
 kind_in (const struct dc_job *job, uint32_t cell)
 {
@@ -135,6 +146,7 @@
 {
   const struct dc_job *job = &dc->jobs.v[id];
   uint32_t other;
+  bool wait = behind_urgent (dc, job);
   enum dc_level level = dc_level_of (dc, job->spec.tasks, job->spec.per_task);
 
   if (!dc_charge_spots (dc, cell, job, level, false))
@@ -143,11 +155,11 @@
       if (!dc_charge_spots (dc, cell, job, level, false))
         return DC_EBROKEN;
     }
-  if (dc_spots_idle (dc, job))
-    return dc_place_start (dc, id, DC_KIND_GUARANTEED, cell);
-  if (move_to_idle (dc, cell, job, level))
-    return dc_place_start (dc, id, DC_KIND_GUARANTEED, cell);
-  if (search (dc, job, job->spec.preemptible ? DC_CAP_IDLE : DC_CAP_FIRM))
+  if (dc_spots_idle (dc, job) || move_to_idle (dc, cell, job, level))
+    return wait ? pend (dc, id, DC_KIND_GUARANTEED, cell)
+                : dc_place_start (dc, id, DC_KIND_GUARANTEED, cell);
+  if (!wait
+      && search (dc, job, job->spec.preemptible ? DC_CAP_IDLE : DC_CAP_FIRM))
     return dc_place_start (dc, id, kind_in (job, DC_NONE), DC_NONE);
   if (dc_urgent_now (dc, job, &other))
     return dc_place_start (dc, id, kind_in (job, other), other);
@@ -195,16 +207,6 @@
   return n == 0 || idle_accelerators (dc) - n >= dc_learn_reserve (dc);
 }
 
-/* Bulk work does not start while an urgent gang that its room could hold
-   waits for a checkpoint.  */
-static bool
-behind_urgent (const struct dc *dc, const struct dc_job *job)
-{
-  if (job->spec.class == DC_URGENT || dc->config.policy != DC_POLICY_DEFAULT)
-    return false;
-  return dc_pending_urgent (dc, job);
-}
-
 /* Bulk work leaves the reserve alone until it has waited for long enough;
    the reserve shrinks without an event, so it is looked at again.  */
 static bool
@@ -281,7 +283,7 @@
 int
 dc_place_waiting (struct dc *dc)
 {
-  uint32_t id = dc->pending;
+  uint32_t id = dc->pending, running = dc->running_jobs;
   int error = DC_OK;
 
   while (id != DC_NONE && !error)
@@ -294,5 +296,7 @@
         error = try_idle (dc, id);
       id = next;
     }
+  if (dc->running_jobs != running)
+    dc_pending_walk (dc);
   return error;
 }
--- a/src/decide/run.c
+++ b/src/decide/run.c
@@ -200,30 +200,43 @@
   return DC_OK;
 }
 
-/* When the place of a pending gang is given up.  */
+/* When the place of a pending gang is given up, or a firm bulk gang starts
+   beside urgent ones that wait.  */
 static int64_t
 replan_ms (const struct dc_job *job)
 {
+  if (job->behind)
+    return job->pending_ms + DC_CHECKPOINT_MS;
   if (job->kind != DC_KIND_SOFT)
     return INT64_MAX;
   return job->pending_ms + (job->draining ? REDRAIN_MS : REPLAN_MS);
 }
 
-/* Queues gangs again whose room was taken by others.  */
+/* Queues gangs again whose room was taken by others, and has firm ones start
+   that have let urgent ones go first for long enough.  */
 static void
 run_replan (struct dc *dc)
 {
   uint32_t id = dc->pending;
+  bool due = false;
 
   while (id != DC_NONE)
     {
-      const struct dc_job *job = &dc->jobs.v[id];
+      struct dc_job *job = &dc->jobs.v[id];
       uint32_t next = job->pending_next;
+      bool over = dc->now_ms >= replan_ms (job);
 
-      if (dc->now_ms >= replan_ms (job))
+      if (over && job->behind)
+        {
+          due = true;
+          job->behind = false;
+        }
+      else if (over)
         dc_pending_drop (dc, id);
       id = next;
     }
+  if (due)
+    dc_pending_walk (dc);
 }
 
 /* Gives each worker on probation one repeatable job.  */
--- a/src/decide/state.h
+++ b/src/decide/state.h
@@ -188,6 +188,7 @@
   uint8_t level; /* of adjacency, when it was placed */
   bool adopted;
   bool draining; /* pending until work there ends by itself */
+  bool behind;   /* pending until urgent gangs have started */
   uint8_t kind;  /* while pending, running or checkpointing */
 };
 
@@ -369,6 +370,7 @@
 void dc_gang_unplace (struct dc *dc, uint32_t job);
 void dc_gang_set (struct dc *dc, uint32_t job, enum dc_state state,
                   enum dc_kind kind, uint32_t cell);
+void dc_gang_swap (struct dc *dc, uint32_t a, uint32_t b);
 void dc_gang_start (struct dc *dc, uint32_t job);
 void dc_gang_adopt (struct dc *dc, uint32_t job, const struct dc_place *place);
 void dc_gang_end_task (struct dc *dc, uint32_t job, int32_t task);
@@ -385,6 +387,8 @@
 
 /* urgent.c: urgent gangs beside bulk ones that are pending.  */
 bool dc_pending_urgent (const struct dc *dc, const struct dc_job *job);
+uint32_t dc_urgent_alike (const struct dc *dc, const struct dc_job *job);
+bool dc_pending_behind (const struct dc *dc, const struct dc_job *job);
 bool dc_urgent_now (struct dc *dc, const struct dc_job *job, uint32_t *cell);
 
 /* job.c */
--- a/src/decide/urgent.c
+++ b/src/decide/urgent.c
@@ -27,6 +27,38 @@
   return false;
 }
 
+/* Whether firm bulk JOB leaves its place idle for a while yet: an urgent gang
+   that it could hold waits, and JOB has not waited for a checkpoint.  */
+bool
+dc_pending_behind (const struct dc *dc, const struct dc_job *job)
+{
+  return job->kind != DC_KIND_SOFT
+         && dc->now_ms - job->pending_ms < DC_CHECKPOINT_MS
+         && dc_pending_urgent (dc, job);
+}
+
+/* The first urgent gang of JOB's account and shape that is pending in a cell,
+   if bulk JOB is so too; else DC_NONE.  */
+uint32_t
+dc_urgent_alike (const struct dc *dc, const struct dc_job *job)
+{
+  uint32_t id = dc->pending;
+
+  if (job->spec.class != DC_BULK || job->kind != DC_KIND_GUARANTEED)
+    return DC_NONE;
+  for (; id != DC_NONE; id = dc->jobs.v[id].pending_next)
+    {
+      const struct dc_job *other = &dc->jobs.v[id];
+
+      if (other->spec.class == DC_URGENT && other->kind == DC_KIND_GUARANTEED
+          && other->spec.account == job->spec.account
+          && other->spec.tasks == job->spec.tasks
+          && other->spec.per_task == job->spec.per_task)
+        return id;
+    }
+  return DC_NONE;
+}
+
 /* Whether JOB could start on W now, in room that is kept for soft gangs.  */
 static bool
 holds_now (const struct dc *dc, const struct dc_worker *w,
