Hold bulk back for every urgent gang that was promised room

Cause: bulk beyond its guarantee was held only for urgent gangs that wait in a cell, not for those whose room outside cells is being freed; and a probe on a readmitted worker was not held at all. Change: both are held like all bulk until the urgent gang has started.

--- a/src/decide/run.c
+++ b/src/decide/run.c
@@ -257,6 +257,7 @@
           const struct dc_job *j = &dc->jobs.v[job];
 
           if (!j->spec.repeatable || !j->spec.preemptible || j->failures
+              || dc_pending_urgent (dc, j)
               || !dc_covers (w->free, dc_need (j, j->spec.tasks)))
             continue;
           dc->spots.n = 0;
--- a/src/decide/urgent.c
+++ b/src/decide/urgent.c
@@ -19,7 +19,7 @@
     {
       const struct dc_job_spec *spec = &dc->jobs.v[id].spec;
 
-      if (spec->class == DC_URGENT && dc->jobs.v[id].cell != DC_NONE
+      if (spec->class == DC_URGENT && dc->jobs.v[id].kind != DC_KIND_SOFT
           && spec->tasks <= job->spec.tasks
           && spec->per_task <= job->spec.per_task)
         return true;
