Read a cell's rows only once its workers are known

Cause: a new holder that had not been shown the VM list read rows whose placements named workers it did not know, took the gangs for broken and ended jobs that may not be repeated as unknown while they ran (check_cells on a busy machine: 5 of 14 after a planned hand-over). Change: the rows are scanned after the first list of the tenure. Watched cells are shown each change again, so that workers which leave the list stay known; the list is parted by cell once for each change, and a cell is shown its own workers alone. The checks of the entry VM keep to ports below 32768.

--- a/src/control/cell.c
+++ b/src/control/cell.c
@@ -230,6 +230,9 @@
 
   if (c->scanning || c->now_ms < (c->scan_soon ? 0 : c->scan_at_ms))
     return;
+  /* The rows name workers: they are read once the list is known.  */
+  if (c->phase == CL_LOADING && !c->fleet_listed)
+    return;
   c->scan_soon = 0;
   c->scanning = 1;
   e.serial = c->scan_serial = ++c->serial;
--- a/src/sched/cells.c
+++ b/src/sched/cells.c
@@ -39,8 +39,8 @@
   return c;
 }
 
-static const char *
-text (const json_t *o, const char *name)
+const char *
+sc_text (const json_t *o, const char *name)
 {
   const char *s = json_string_value (json_object_get (o, name));
 
@@ -71,7 +71,7 @@
 
   json_array_foreach (rows, i, o)
   {
-    if (!strcmp (text (o, "key"), key))
+    if (!strcmp (sc_text (o, "key"), key))
       return o;
   }
   return NULL;
@@ -96,7 +96,7 @@
   json_array_foreach (rows, i, o)
   {
     if (cf_cells (&s->config))
-      sc_add_cell (s, text (o, "key"));
+      sc_add_cell (s, sc_text (o, "key"));
   }
   for (int c = 0; c < s->cells; c++)
     {
@@ -117,7 +117,7 @@
 
   json_array_foreach (s->cell_rows, i, o)
   {
-    n += !strcmp (text (json_object_get (o, "value"), "holder"), vm);
+    n += !strcmp (sc_text (json_object_get (o, "value"), "holder"), vm);
   }
   return n;
 }
@@ -135,13 +135,13 @@
   {
     int held;
 
-    if (strcmp (text (vm, "role"), "entry") != 0
-        || strcmp (text (vm, "state"), "leaving") == 0)
+    if (strcmp (sc_text (vm, "role"), "entry") != 0
+        || strcmp (sc_text (vm, "state"), "leaving") == 0)
       continue;
     s->live_vms++;
-    if (!strcmp (text (vm, "id"), s->set->vm))
+    if (!strcmp (sc_text (vm, "id"), s->set->vm))
       continue;
-    held = held_by (s, text (vm, "id"));
+    held = held_by (s, sc_text (vm, "id"));
     if (held < s->least_held)
       s->least_held = held;
   }
--- a/src/sched/config.c
+++ b/src/sched/config.c
@@ -57,7 +57,7 @@
   if (!s->reader.heads)
     return;
   if (cf_learn_cells (&s->config, s->reader.heads))
-    sc_take_up (s);
+    sc_fleet_changed (s);
   tb_txn_init (&txn);
   if (cf_seed_cells (&s->config, s->reader.heads,
                      (int)s->set->cells_per_domain, &txn))
--- a/src/sched/loop.c
+++ b/src/sched/loop.c
@@ -198,5 +198,6 @@
   cf_fini (&s->config);
   vl_fini (&s->follow);
   json_decref (s->vms);
+  json_decref (s->workers);
   json_decref (s->cell_rows);
 }
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -108,6 +108,7 @@
   int live_vms, least_held; /* entry VMs; cells of another with fewest */
   struct vl_follow follow;  /* the VM list */
   json_t *vms;              /* the same as an array, or NULL */
+  json_t *workers;          /* of each cell: an array by its name; or NULL */
   json_t *cell_rows;        /* array of the last scan of the cells */
   int asking_cells;
   int64_t give_at_ms, give_wait_ms;
@@ -139,8 +140,8 @@
 struct cl_cell *sc_find_cell (struct sched *s, const char *name);
 int sc_held (const struct sched *s);
 struct cl_cell *sc_add_cell (struct sched *s, const char *name);
-/* Finds the cells of the VM list as it is known.  */
-void sc_take_up (struct sched *s);
+/* A member that is a string, else "".  */
+const char *sc_text (const json_t *o, const char *name);
 void sc_count_vms (struct sched *s);
 void sc_poll_cells (void *sched, int64_t now_ms);
 void sc_cells_done (struct sched *s, int error, json_t *data);
@@ -153,6 +154,8 @@
 
 /* vms.c */
 void sc_poll_vms (void *sched, int64_t now_ms);
+/* Takes the VM list up as it is known, and how domains are parted.  */
+void sc_fleet_changed (struct sched *s);
 void sc_vms_done (struct sched *s, int error, json_t *data);
 void sc_vms_told (struct sched *s, const struct pr_vms *word);
 
--- a/src/sched/vms.c
+++ b/src/sched/vms.c
@@ -18,45 +18,70 @@
     vl_begin (&s->follow, now_ms);
 }
 
-void
-sc_take_up (struct sched *s)
+static void
+add_worker (struct sched *s, json_t *vm, int per_domain)
+{
+  char cell[CF_NAME_SIZE];
+  json_t *list;
+
+  cf_cell_name (cell, sc_text (vm, "domain"), sc_text (vm, "rack"),
+                per_domain);
+  list = json_object_get (s->workers, cell);
+  if (!list)
+    {
+      list = json_array ();
+      json_object_set_new (s->workers, cell, list);
+      sc_add_cell (s, cell);
+    }
+  json_array_append (list, vm);
+}
+
+static void
+take_up (struct sched *s)
 {
   int per_domain = cf_cells (&s->config);
-  json_t *all = vl_list_json (&s->follow.list);
-  GTree *line = s->follow.list.line;
+  json_t *all = vl_list_json (&s->follow.list), *vm;
+  size_t i;
 
   json_decref (s->vms);
+  json_decref (s->workers);
   s->vms = json_incref (json_object_get (all, "vms"));
+  s->workers = json_object ();
   json_decref (all);
-  for (GTreeNode *n = g_tree_node_first (line); n; n = g_tree_node_next (n))
-    {
-      const struct pr_vm *vm = g_tree_node_value (n);
-
-      char cell[CF_NAME_SIZE];
-
-      if (vm->is_entry || !per_domain)
-        continue;
-      cf_cell_name (cell, vm->domain, vm->rack, per_domain);
-      sc_add_cell (s, cell);
-    }
+  json_array_foreach (s->vms, i, vm)
+  {
+    if (per_domain && !strcmp (sc_text (vm, "role"), "worker"))
+      add_worker (s, vm, per_domain);
+  }
   sc_count_vms (s);
   sc_dial (s);
 }
 
 /* A cell's new holder waits until it has been shown a list.  */
 static void
-show_cells (struct sched *s)
+show (struct sched *s, struct cl_cell *c)
 {
-  for (int c = 0; c < s->cells; c++)
-    if (s->cell[c]->phase != CL_WATCHING)
-      cl_fleet (s->cell[c], s->now_ms, s->vms);
+  cl_fleet (c, s->now_ms, json_object_get (s->workers, c->name));
 }
 
 static void
 show_if_fresh (struct sched *s)
 {
-  if (vl_is_fresh (&s->follow, s->now_ms))
-    show_cells (s);
+  if (!vl_is_fresh (&s->follow, s->now_ms))
+    return;
+  for (int c = 0; c < s->cells; c++)
+    if (s->cell[c]->phase != CL_WATCHING)
+      show (s, s->cell[c]);
+}
+
+/* Who takes a cell knows its workers before, also those that leave the list
+   as they end their work.  */
+void
+sc_fleet_changed (struct sched *s)
+{
+  take_up (s);
+  for (int c = 0; c < s->cells; c++)
+    show (s, s->cell[c]);
 }
 
 void
@@ -65,7 +90,7 @@
   json_t *vms = error ? NULL : json_object_get (data, "vms");
 
   if (vl_end (&s->follow, s->now_ms, vms))
-    sc_take_up (s);
+    sc_fleet_changed (s);
   if (json_is_array (vms))
     show_if_fresh (s);
 }
@@ -73,13 +98,9 @@
 void
 sc_vms_told (struct sched *s, const struct pr_vms *word)
 {
-  int changed = vl_told (&s->follow, s->now_ms, word);
-
-  if (changed)
-    sc_take_up (s);
   /* What is told is in force at once, whether or not all of it is here.  */
-  if (changed)
-    show_cells (s);
+  if (vl_told (&s->follow, s->now_ms, word))
+    sc_fleet_changed (s);
   else if (!word->more)
     show_if_fresh (s);
 }
--- a/tests/entry/lib.sh
+++ b/tests/entry/lib.sh
@@ -11,7 +11,7 @@
   local name=$1 domain=$2 peer try
   shift 2
   for try in 1 2 3 4 5 6 7 8 9 10; do
-    peer=127.0.0.1:$((20000 + RANDOM % 20000))
+    peer=127.0.0.1:$((20000 + RANDOM % 12000))
     "$BIN/skr-entry" --vm "$name" --domain "$domain" --listen 127.0.0.1:0 \
       --peer "$peer" --platform "http://${ADDR[platform]}" \
       --operator-digest "$("$BIN/skr" key digest $OPERATOR)" "$@" \
