Test that a new holder waits for the list before it reads rows

Cause: the wait had no unit test that fails without it. Change: in the fake world a VM may be shown the VM list late. Conclusion: covered.

--- a/tests/control/fake_world.c
+++ b/tests/control/fake_world.c
@@ -583,8 +583,9 @@
 }
 
 static void
-poll_platform (struct fw_world *w, struct cl_cell *c)
+poll_platform (struct fw_world *w, struct fw_vm *vm)
 {
+  struct cl_cell *c = &vm->cell;
   int up = w->table == FW_TABLE_OK || w->table == FW_TABLE_LOSSY;
   struct row *row = find_row (w, CL_TABLE, "d1");
   json_t *vms, *rows;
@@ -602,7 +603,7 @@
       else
         cl_row_failed (c);
     }
-  if (w->now_ms % POLL_VMS_MS == 0 && up)
+  if (w->now_ms % POLL_VMS_MS == 0 && up && w->now_ms >= vm->list_from_ms)
     {
       vms = list_vms (w);
       cl_fleet (c, w->now_ms, vms);
@@ -622,7 +623,7 @@
   cl_tick (&vm->cell, w->now_ms, vm->take_delay_ms);
   while ((r = g_queue_pop_head (&vm->inbox)))
     answer (w, r);
-  poll_platform (w, &vm->cell);
+  poll_platform (w, vm);
 }
 
 void
--- a/tests/control/fake_world.h
+++ b/tests/control/fake_world.h
@@ -61,6 +61,7 @@
   struct cl_settings set;
   int alive, paused, generation;
   int64_t take_delay_ms; /* below 0: takes no cell */
+  int64_t list_from_ms;  /* when it is first shown the VM list */
   GQueue inbox;          /* answers that came while it was paused */
 };
 
--- a/tests/control/test_cell.c
+++ b/tests/control/test_cell.c
@@ -621,6 +621,31 @@
 }
 
 /* A holder that is paused past its lease does no harm when it goes on.  */
+/* The next holder started anew and has not seen the VM list when the job rows
+   could be read.  */
+static void
+test_rows_wait_for_the_list (void)
+{
+  struct fw_world w;
+
+  start (&w, SEED);
+  w.run_ms = 3000;
+  fw_put_job (&w, JOB, 2, 8, 0, 0);
+  fw_run (&w, 1000);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "running");
+  fw_start_vm (&w, 1);
+  w.vm[1].list_from_ms = w.now_ms + 900;
+  w.vm[0].take_delay_ms = -1;
+  cl_give_up (&w.vm[0].cell);
+  fw_run (&w, 600);
+  CU_ASSERT_NOT_EQUAL (w.vm[1].cell.phase, CL_WATCHING);
+  fw_run (&w, 6000);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "done");
+  CU_ASSERT_EQUAL (fw_attempts_run (&w, JOB), 1);
+  check_rows_came_first (&w);
+  fw_fini (&w);
+}
+
 static void
 test_paused_holder (void)
 {
@@ -1101,6 +1126,7 @@
   CU_ADD_TEST (suite, test_holder_dies_at_every_step);
   CU_ADD_TEST (suite, test_running_gang_is_adopted);
   CU_ADD_TEST (suite, test_survey_waits_for_leases);
+  CU_ADD_TEST (suite, test_rows_wait_for_the_list);
   CU_ADD_TEST (suite, test_paused_holder);
   CU_ADD_TEST (suite, test_release_is_taken_at_once);
   CU_ADD_TEST (suite, test_put_back_repeats_nothing);
