Read the VM list in the same turn as the other readings

Cause: the reading had drifted away from the other polls of an entry VM, so that these left three, not four open connections to the table. With all of them silent and new ones working, a success came between the failures that make the table known down, and check_outage failed now and then. Change: the reader keeps to the daemon's turn each second; the timer of 100 ms serves what can't wait: the first reading, a silent reader, a list that differs. The fake world of test_vms gives the same turns.

--- a/include/skr/vms.h
+++ b/include/skr/vms.h
@@ -79,8 +79,10 @@
 void vl_fini (struct vl_follow *f);
 void vl_heard (struct vl_follow *f, int64_t now_ms,
                const struct pr_heartbeat *h);
-/* True when the list is to be read now; vl_begin tells that it is.  */
-int vl_due (const struct vl_follow *f, int64_t now_ms);
+/* True when the list is to be read now; vl_begin tells that it is.  IS_TURN
+   comes once in VL_READ_MS, together with the daemon's other readings; a
+   reader keeps to it.  */
+int vl_due (const struct vl_follow *f, int64_t now_ms, int is_turn);
 void vl_begin (struct vl_follow *f, int64_t now_ms);
 /* The answer's "vms", or NULL when there is none.  Returns 1 when the list has
    changed.  */
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -335,6 +335,7 @@
 
 /* vms.c */
 void en_vms_poll (void *arg, int64_t now_ms);
+void en_vms_turn (struct en_core *core);
 void en_vms_read (struct en_core *core, const json_t *data);
 void en_vms_told (struct en_core *core, const struct pr_vms *word);
 
--- a/src/entry/poll.c
+++ b/src/entry/poll.c
@@ -58,6 +58,7 @@
   (void)now_ms;
   if (!core->reader.busy)
     en_poll_config (core);
+  en_vms_turn (core);
   if (en_poll_start (core, EN_TAG_POLL_CELLS))
     en_scan (core, NULL, EN_TAG_POLL_CELLS,
              &(struct tb_scan){ .table = "cells" });
--- a/src/entry/vms.c
+++ b/src/entry/vms.c
@@ -53,18 +53,30 @@
   en_feed (core);
 }
 
-void
-en_vms_poll (void *arg, int64_t now_ms)
+static void
+poll (struct en_core *core, int is_turn)
 {
-  struct en_core *core = arg;
-
   core->vms.may_tell = !atomic_load (&core->leaving);
-  if (!vl_due (&core->vms, now_ms) || !en_poll_start (core, EN_TAG_POLL_VMS))
+  if (!vl_due (&core->vms, core->now_ms, is_turn)
+      || !en_poll_start (core, EN_TAG_POLL_VMS))
     return;
-  vl_begin (&core->vms, now_ms);
+  vl_begin (&core->vms, core->now_ms);
   en_get_vms (core);
 }
 
+void
+en_vms_turn (struct en_core *core)
+{
+  poll (core, 1);
+}
+
+void
+en_vms_poll (void *arg, int64_t now_ms)
+{
+  (void)now_ms;
+  poll (arg, 0);
+}
+
 void
 en_vms_read (struct en_core *core, const json_t *data)
 {
--- a/src/sched/vms.c
+++ b/src/sched/vms.c
@@ -9,7 +9,7 @@
   struct sched *s = sched;
   struct sc_event *e;
 
-  if (!vl_due (&s->follow, now_ms))
+  if (!vl_due (&s->follow, now_ms, now_ms - s->follow.begun_ms >= VL_READ_MS))
     return;
   e = sc_new_event (s, SC_VMS);
   if (tb_vms (s->tb, sc_table_done, e))
--- a/src/table/reader.c
+++ b/src/table/reader.c
@@ -106,12 +106,19 @@
 }
 
 int
-vl_due (const struct vl_follow *f, int64_t now_ms)
+vl_due (const struct vl_follow *f, int64_t now_ms, int is_turn)
 {
-  if (f->reading || (f->begun_ms >= 0 && now_ms - f->begun_ms < VL_READ_MS))
+  int64_t since = now_ms - f->begun_ms;
+
+  if (f->reading)
+    return 0;
+  if (f->begun_ms >= 0 && since < (is_turn ? VL_READ_MS / 2 : VL_READ_MS))
     return 0;
-  return f->read_ms < 0 || now_ms >= f->whole_ms || has_drifted (f, now_ms)
-         || vl_hears_no_reader (f, now_ms);
+  if (f->read_ms < 0 || now_ms >= f->whole_ms || has_drifted (f, now_ms))
+    return 1;
+  if (rank (f, now_ms) == 0)
+    return is_turn || since >= VL_SILENT_MS;
+  return vl_hears_no_reader (f, now_ms);
 }
 
 void
--- a/tests/table/test_vms.c
+++ b/tests/table/test_vms.c
@@ -159,7 +159,7 @@
         heartbeats ();
       arrive ();
       for (int d = 0; d < DAEMONS; d++)
-        if (!w.mute[d] && vl_due (&w.f[d], w.now))
+        if (!w.mute[d] && vl_due (&w.f[d], w.now, w.now % VL_READ_MS == 0))
           read_and_tell (d);
     }
 }
