Let a failed job hold up no other of its shape

Change: a head that finds no place for this reason goes behind those submitted until now, and the next one is tried. The test for bulk behind urgent gangs stood twice, now once.

--- a/src/decide/place.c
+++ b/src/decide/place.c
@@ -28,8 +28,8 @@
 }
 
 /* How long JOB, which failed before, waits for a worker new to it.  */
-static int64_t
-retry_delay (const struct dc_job *job)
+int64_t
+dc_retry_delay (const struct dc_job *job)
 {
   int64_t delay = RETRY_MS;
 
@@ -42,7 +42,7 @@
 bool
 dc_retry_later (struct dc *dc, const struct dc_job *job)
 {
-  int64_t retry = job->queued_ms + retry_delay (job);
+  int64_t retry = job->queued_ms + dc_retry_delay (job);
 
   if (retry <= dc->now_ms)
     return false;
@@ -123,16 +123,6 @@
          && dc_spots_idle (dc, job);
 }
 
-/* Bulk work does not start while an urgent gang that its room could hold
-   waits for a checkpoint.  */
-static bool
-behind_urgent (const struct dc *dc, const struct dc_job *job)
-{
-  if (job->spec.class == DC_URGENT || dc->config.policy != DC_POLICY_DEFAULT)
-    return false;
-  return dc_pending_urgent (dc, job);
-}
-
 static enum dc_kind
 kind_in (const struct dc_job *job, uint32_t cell)
 {
@@ -146,7 +136,7 @@
 {
   const struct dc_job *job = &dc->jobs.v[id];
   uint32_t other;
-  bool wait = behind_urgent (dc, job);
+  bool wait = dc_pending_urgent (dc, job);
   enum dc_level level = dc_level_of (dc, job->spec.tasks, job->spec.per_task);
 
   if (!dc_charge_spots (dc, cell, job, level, false))
@@ -225,18 +215,21 @@
 {
   const struct dc_job *job = &dc->jobs.v[id];
   bool hard = !job->spec.preemptible;
+  int error = DC_OK;
 
   *done = false;
-  if (behind_urgent (dc, job) || keeps_off (dc, job))
+  if (dc_pending_urgent (dc, job) || keeps_off (dc, job))
     return DC_OK;
   *done = true;
   if (search (dc, job, hard ? DC_CAP_FIRM : DC_CAP_IDLE))
     return dc_place_start (dc, id, hard ? DC_KIND_HARD : DC_KIND_SOFT,
                            DC_NONE);
-  if (job->spec.class == DC_URGENT && hard)
-    return dc_place_by_preemption (dc, id, done);
   *done = false;
-  return DC_OK;
+  if (job->spec.class == DC_URGENT && hard)
+    error = dc_place_by_preemption (dc, id, done);
+  if (!error && !*done)
+    *done = dc_queue_defer (dc, id);
+  return error;
 }
 
 int
--- a/src/decide/queue.c
+++ b/src/decide/queue.c
@@ -168,6 +168,29 @@
   order_queue (dc, job->queue);
 }
 
+/* Moves a job that waits for a worker where it has not failed behind those
+   that were submitted until now, so that it holds up no other of its shape.
+   Returns whether it was before them.  */
+bool
+dc_queue_defer (struct dc *dc, uint32_t id)
+{
+  struct dc_job *job = &dc->jobs.v[id];
+  struct hp_order in_queue = { job_before, moved_in_queue, dc };
+  struct hp_order in_lane = { job_before, moved_in_lane, dc };
+  int64_t retry_ms = job->queued_ms + dc_retry_delay (job);
+  int64_t key = dc->now_ms + 1;
+
+  if (job->spec.class == DC_BULK)
+    key += dc_learn_delay (dc, job);
+  if (job->failures == 0 || retry_ms <= dc->now_ms || job->key >= key)
+    return false;
+  job->key = key;
+  hp_update (&dc->queues.v[job->queue].jobs, &in_queue, job->position[0]);
+  hp_update (&dc->lanes.v[job->lane].jobs, &in_lane, job->position[1]);
+  order_queue (dc, job->queue);
+  return true;
+}
+
 /* Sets aside a queue whose head does not fit now.  */
 void
 dc_queue_block (struct dc *dc, uint32_t id)
--- a/src/decide/run.c
+++ b/src/decide/run.c
@@ -56,6 +56,11 @@
       if (best != DC_NONE && !head_before (dc, lane->jobs.v[0], best))
         continue;
       found = find_cell (dc, job);
+      while (found == DC_NONE && dc_queue_defer (dc, lane->jobs.v[0]))
+        {
+          job = &dc->jobs.v[lane->jobs.v[0]];
+          found = find_cell (dc, job);
+        }
       if (found == DC_NONE)
         continue;
       best = lane->jobs.v[0];
--- a/src/decide/state.h
+++ b/src/decide/state.h
@@ -413,6 +413,7 @@
 /* queue.c */
 int dc_queue_add (struct dc *dc, uint32_t job);
 void dc_queue_remove (struct dc *dc, uint32_t job);
+bool dc_queue_defer (struct dc *dc, uint32_t job);
 void dc_queue_block (struct dc *dc, uint32_t queue);
 void dc_queue_unblock (struct dc *dc);
 void dc_account_touch (struct dc *dc, uint32_t account);
@@ -439,6 +440,7 @@
 int dc_place_waiting (struct dc *dc);
 bool dc_spots_idle (const struct dc *dc, const struct dc_job *job);
 bool dc_place_leaves_reserve (const struct dc *dc, int32_t accelerators);
+int64_t dc_retry_delay (const struct dc_job *job);
 bool dc_retry_later (struct dc *dc, const struct dc_job *job);
 
 /* run.c */
--- a/src/decide/urgent.c
+++ b/src/decide/urgent.c
@@ -8,7 +8,8 @@
   MAX_MOVED = 8 /* unused cells that make way on one worker */
 };
 
-/* Whether an urgent gang that the room of bulk JOB could hold is pending.  */
+/* Whether an urgent gang that the room of bulk JOB could hold is pending:
+   such bulk does not start then.  */
 bool
 dc_pending_urgent (const struct dc *dc, const struct dc_job *job)
 {
