Drain for the oldest gang that a place can be drained for

Cause: only the oldest gang beyond the age limit was considered. One that no place can be drained for, such as firm work where cells are in the way, kept all younger ones from being drained for.

--- a/src/decide/run.c
+++ b/src/decide/run.c
@@ -153,9 +153,10 @@
   return DC_OK;
 }
 
-/* The blocked gang that has waited longest, if beyond the age limit.  */
+/* The blocked gang that has waited longest, if beyond the age limit, of those
+   queued after AFTER_MS.  */
 static uint32_t
-oldest_aged (const struct dc *dc)
+oldest_aged (const struct dc *dc, int64_t after_ms)
 {
   uint32_t oldest = DC_NONE;
   int64_t since = dc->now_ms - AGE_LIMIT_MS;
@@ -168,7 +169,7 @@
       if (q->jobs.n == 0)
         continue;
       job = &dc->jobs.v[q->jobs.v[0]];
-      if (job->queued_ms >= since)
+      if (job->queued_ms >= since || job->queued_ms <= after_ms)
         continue;
       since = job->queued_ms;
       oldest = q->jobs.v[0];
@@ -176,25 +177,44 @@
   return oldest;
 }
 
+/* Leaves in dc->spots a place to drain for the oldest gang beyond the age
+   limit that has one; DC_NONE if none of those tried has.  */
+static uint32_t
+plan_aged (struct dc *dc)
+{
+  int64_t after_ms = -1;
+
+  for (int tries = 0; tries < MAX_PLANS; tries++)
+    {
+      uint32_t id = oldest_aged (dc, after_ms);
+      const struct dc_job *job;
+
+      if (id == DC_NONE)
+        return DC_NONE;
+      job = &dc->jobs.v[id];
+      if (dc_room_plan (dc, job,
+                        dc_level_of (dc, job->spec.tasks, job->spec.per_task),
+                        true)
+          >= 0)
+        return id;
+      after_ms = job->queued_ms;
+    }
+  return DC_NONE;
+}
+
 /* Keeps a place free of new work for the oldest gang beyond the age limit
    until what runs there has ended.  */
 static int
 run_aged (struct dc *dc)
 {
   uint32_t id;
-  const struct dc_job *job;
   int error;
 
   if (dc->drains > 0)
     return DC_OK;
-  id = oldest_aged (dc);
+  id = plan_aged (dc);
   if (id == DC_NONE)
     return DC_OK;
-  job = &dc->jobs.v[id];
-  if (dc_room_plan (
-          dc, job, dc_level_of (dc, job->spec.tasks, job->spec.per_task), true)
-      < 0)
-    return DC_OK;
   dc_queue_remove (dc, id);
   error = dc_gang_place (dc, id, DC_KIND_SOFT, DC_NONE);
   if (error)
