Grant slots to an entry VM that leaves until it is silent

Cause: the holder of a cell took an entry VM for gone as soon as it said that it leaves, and granted its slots to the others. With all slots in use its own waiting calls met 429 until their retry budget was spent and were refused as not run: a planned stop that cost calls (sigterm_full). Change: grants go to every entry VM that is heard.

--- a/src/sched/peers.c
+++ b/src/sched/peers.c
@@ -137,7 +137,6 @@
     }
   is_new = strcmp (e->address, h->address) != 0;
   g_strlcpy (e->address, h->address, sizeof e->address);
-  e->leaving = h->leaving;
   e->stamp_ms = h->stamp_ms;
   e->heard_ms = s->now_ms;
   qsort (s->entry, (size_t)s->entries, sizeof *s->entry, by_name);
@@ -182,10 +181,12 @@
     }
 }
 
+/* One that leaves still has calls that wait for a slot; it is heard until they
+   have ended.  */
 static int
 is_live (const struct sched *s, const struct sc_entry *e)
 {
-  return !e->leaving && s->now_ms - e->heard_ms < ENTRY_DEAD_MS;
+  return s->now_ms - e->heard_ms < ENTRY_DEAD_MS;
 }
 
 /* What calls may use of a worker: the slots kept for them.  */
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -81,7 +81,6 @@
 struct sc_entry
 {
   char vm[CT_NAME], address[CT_ADDRESS];
-  int leaving;
   int64_t stamp_ms, heard_ms;
 };
 
