Move no cell to a worker for a job that failed there

Change: for a job that failed before, a cell moves only by the search that leaves those workers out. Gangs that wait are left.

--- a/src/decide/place.c
+++ b/src/decide/place.c
@@ -114,7 +114,8 @@
 {
   if (level != DC_LEVEL_WORKER)
     return false;
-  if (dc_cell_move (dc, cell) && dc_charge_spots (dc, cell, job, level, false)
+  if (job->failures == 0 && dc_cell_move (dc, cell)
+      && dc_charge_spots (dc, cell, job, level, false)
       && dc_spots_idle (dc, job))
     return true;
   return search (dc, job, DC_CAP_IDLE)
