Let an attempt point to its job

Cause: each step looked the job of every gang up by its id. Change: a gang keeps a pointer to its job, set when either comes into memory and cleared when the job goes. The random world checks it against the look-up.

--- a/src/control/cell_fleet.c
+++ b/src/control/cell_fleet.c
@@ -212,7 +212,7 @@
   for (guint i = 0; i < c->gangs->len; i++)
     {
       struct wk_gang *g = g_ptr_array_index (c->gangs, i);
-      struct jb_job *job = cl_find_job (c, g->job);
+      struct jb_job *job = g->owner;
 
       if (g->phase == WK_HOLD && wk_find_part (g, worker) && job
           && job->gang == g)
--- a/src/control/cell_gang.c
+++ b/src/control/cell_gang.c
@@ -38,12 +38,22 @@
       free (g);
       return NULL;
     }
+  g->owner = cl_find_job (c, job);
   g->next = g_hash_table_lookup (c->gangs_of, job);
   g_hash_table_replace (c->gangs_of, g->job, g);
   g_ptr_array_add (c->gangs, g);
   return g;
 }
 
+void
+cl_own_gangs (struct cl_cell *c, const char *job, struct jb_job *owner)
+{
+  struct wk_gang *g = g_hash_table_lookup (c->gangs_of, job);
+
+  for (; g; g = g->next)
+    g->owner = owner;
+}
+
 static void
 remove_gang (struct cl_cell *c, guint index)
 {
@@ -199,7 +209,7 @@
   for (guint i = 0; i < c->gangs->len;)
     {
       struct wk_gang *g = g_ptr_array_index (c->gangs, i);
-      struct jb_job *job = cl_find_job (c, g->job);
+      struct jb_job *job = g->owner;
 
       if (job && job->gang == g)
         step_current (c, job, g);
--- a/src/control/cell_impl.h
+++ b/src/control/cell_impl.h
@@ -48,6 +48,8 @@
 struct wk_gang *cl_add_gang (struct cl_cell *c, const char *job,
                              int32_t attempt, int tasks,
                              const struct dc_place *place);
+/* The job of that id has come into memory, or goes (OWNER is NULL).  */
+void cl_own_gangs (struct cl_cell *c, const char *job, struct jb_job *owner);
 /* Ends JOB's attempt and parts it from JOB.  */
 void cl_stop_gang (struct cl_cell *c, struct jb_job *job);
 void cl_gangs_step (struct cl_cell *c);
--- a/src/control/cell_job.c
+++ b/src/control/cell_job.c
@@ -97,6 +97,7 @@
   cl_take_back (c, job);
   g_hash_table_replace (c->gone, g_strdup (job->id),
                         g_memdup2 (&version, sizeof version));
+  cl_own_gangs (c, job->id, NULL);
   g_hash_table_remove (c->jobs, job->id);
 }
 
@@ -181,6 +182,7 @@
       return NULL;
     }
   g_hash_table_insert (c->jobs, job->id, job);
+  cl_own_gangs (c, job->id, job);
   return job;
 }
 
--- a/src/control/gang.h
+++ b/src/control/gang.h
@@ -80,6 +80,8 @@
   int64_t progress_ms;  /* the least of these */
 };
 
+struct jb_job;
+
 struct wk_gang
 {
   char job[CT_NAME];
@@ -93,6 +95,7 @@
   struct dc_place *place; /* by task number */
   unsigned char *told;    /* enum wk_told, by task */
   struct wk_gang *next;   /* of the same job */
+  struct jb_job *owner;   /* the job, or NULL when it is not in memory */
   int preempted;          /* the checkpoint was the decision layer's wish */
 };
 
--- a/tests/control/test_cell.c
+++ b/tests/control/test_cell.c
@@ -759,6 +759,18 @@
     }
 }
 
+/* What is kept with a gang is what a look-up would find.  */
+static void
+check_gangs (const struct cl_cell *c)
+{
+  for (guint i = 0; i < c->gangs->len; i++)
+    {
+      const struct wk_gang *g = g_ptr_array_index (c->gangs, i);
+
+      CU_ASSERT_PTR_EQUAL (g->owner, g_hash_table_lookup (c->jobs, g->job));
+    }
+}
+
 static void
 random_run (unsigned long seed)
 {
@@ -783,6 +795,9 @@
         }
       one_random_fault (&w);
       fw_run (&w, 10 * (int64_t)gsl_rng_uniform_int (w.rng, 100));
+      for (int v = 0; v < FW_VMS; v++)
+        if (w.vm[v].alive)
+          check_gangs (&w.vm[v].cell);
     }
   heal (&w);
   fw_run (&w, 60000);
