List a cell's gangs by worker

Cause: each answer to a poll of one worker, and each worker's end, walked all gangs for those with a part there. Change: the cell keeps a list of gangs for each worker. The random world checks that every part is listed once and nothing else is.

--- a/src/control/cell.c
+++ b/src/control/cell.c
@@ -50,6 +50,7 @@
   c->free_handles = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   c->gangs = g_ptr_array_new_with_free_func (cl_free_gang);
   c->gangs_of = g_hash_table_new (g_str_hash, g_str_equal);
+  c->gangs_on = g_ptr_array_new_with_free_func (cl_free_list);
   c->batch = g_ptr_array_new ();
   c->old = g_ptr_array_new_with_free_func (g_free);
   g_queue_init (&c->events);
@@ -80,6 +81,7 @@
   g_queue_clear (&c->waiting);
   g_ptr_array_set_size (c->batch, 0);
   g_hash_table_remove_all (c->gangs_of);
+  g_ptr_array_set_size (c->gangs_on, 0);
   g_ptr_array_set_size (c->gangs, 0);
   g_hash_table_remove_all (c->jobs);
   g_hash_table_remove_all (c->gone);
@@ -106,6 +108,7 @@
   g_ptr_array_free (c->by_handle, TRUE);
   g_array_free (c->free_handles, TRUE);
   g_hash_table_destroy (c->gangs_of);
+  g_ptr_array_free (c->gangs_on, TRUE);
   g_ptr_array_free (c->gangs, TRUE);
   g_ptr_array_free (c->batch, TRUE);
   g_ptr_array_free (c->old, TRUE);
--- a/src/control/cell.h
+++ b/src/control/cell.h
@@ -151,6 +151,7 @@
   GQueue waiting;   /* struct jb_job to be given to the decision layer */
   GPtrArray *gangs; /* struct wk_gang, all attempts that workers may know */
   GHashTable *gangs_of; /* job to its first gang */
+  GPtrArray *gangs_on;  /* by worker: GPtrArray of gangs with a part there */
 
   json_t *cell_rows; /* of all cells as last read, or NULL */
   int64_t home_at_ms;
--- a/src/control/cell_fleet.c
+++ b/src/control/cell_fleet.c
@@ -209,13 +209,14 @@
 static void
 lose_worker (struct cl_cell *c, uint32_t worker)
 {
-  for (guint i = 0; i < c->gangs->len; i++)
+  GPtrArray *gangs = cl_gangs_on (c, worker);
+
+  for (guint i = 0; i < gangs->len; i++)
     {
-      struct wk_gang *g = g_ptr_array_index (c->gangs, i);
+      struct wk_gang *g = g_ptr_array_index (gangs, i);
       struct jb_job *job = g->owner;
 
-      if (g->phase == WK_HOLD && wk_find_part (g, worker) && job
-          && job->gang == g)
+      if (g->phase == WK_HOLD && job && job->gang == g)
         cl_resubmit (c, job, 0);
       wk_worker_down (g, worker);
     }
--- a/src/control/cell_gang.c
+++ b/src/control/cell_gang.c
@@ -16,6 +16,20 @@
   free (gang);
 }
 
+void
+cl_free_list (void *list)
+{
+  g_ptr_array_free (list, TRUE);
+}
+
+GPtrArray *
+cl_gangs_on (struct cl_cell *c, uint32_t worker)
+{
+  while (c->gangs_on->len <= worker)
+    g_ptr_array_add (c->gangs_on, g_ptr_array_new ());
+  return g_ptr_array_index (c->gangs_on, worker);
+}
+
 struct wk_gang *
 cl_find_gang (struct cl_cell *c, const char *job, int32_t attempt,
               uint32_t worker)
@@ -42,6 +56,8 @@
   g->next = g_hash_table_lookup (c->gangs_of, job);
   g_hash_table_replace (c->gangs_of, g->job, g);
   g_ptr_array_add (c->gangs, g);
+  for (int i = 0; i < g->parts; i++)
+    g_ptr_array_add (cl_gangs_on (c, g->part[i].worker), g);
   return g;
 }
 
@@ -69,6 +85,8 @@
         p->next = g->next;
   if (first)
     g_hash_table_insert (c->gangs_of, first->job, first);
+  for (int i = 0; i < g->parts; i++)
+    g_ptr_array_remove_fast (cl_gangs_on (c, g->part[i].worker), g);
   g_ptr_array_remove_index_fast (c->gangs, index);
 }
 
--- a/src/control/cell_impl.h
+++ b/src/control/cell_impl.h
@@ -54,6 +54,9 @@
 void cl_stop_gang (struct cl_cell *c, struct jb_job *job);
 void cl_gangs_step (struct cl_cell *c);
 void cl_free_gang (void *gang);
+/* The gangs with a part on WORKER.  */
+GPtrArray *cl_gangs_on (struct cl_cell *c, uint32_t worker);
+void cl_free_list (void *list);
 
 /* cell_order.c */
 void cl_send_orders (struct cl_cell *c, struct wk_gang *g,
--- a/src/control/cell_report.c
+++ b/src/control/cell_report.c
@@ -88,6 +88,7 @@
 cl_read_report (struct cl_cell *c, uint32_t worker, int64_t asked_ms,
                 const json_t *tasks)
 {
+  GPtrArray *gangs;
   const json_t *o;
   size_t i;
 
@@ -95,13 +96,11 @@
   if (c->phase != CL_SERVING)
     json_array_foreach (tasks, i, o) { note_begun (c, worker, o); }
   json_array_foreach (tasks, i, o) { read_task (c, worker, o); }
-  for (guint n = 0; n < c->gangs->len; n++)
+  gangs = cl_gangs_on (c, worker);
+  for (guint n = 0; n < gangs->len; n++)
     {
-      struct wk_gang *g = g_ptr_array_index (c->gangs, n);
-      struct wk_part *p = wk_find_part (g, worker);
+      struct wk_part *p = wk_find_part (g_ptr_array_index (gangs, n), worker);
 
-      if (!p)
-        continue;
       if (p->listed)
         wk_reported (p, p->lowest, c->now_ms);
       else
--- a/tests/control/test_cell.c
+++ b/tests/control/test_cell.c
@@ -763,12 +763,21 @@
 static void
 check_gangs (const struct cl_cell *c)
 {
+  guint parts = 0;
+
   for (guint i = 0; i < c->gangs->len; i++)
     {
       const struct wk_gang *g = g_ptr_array_index (c->gangs, i);
 
       CU_ASSERT_PTR_EQUAL (g->owner, g_hash_table_lookup (c->jobs, g->job));
+      for (int p = 0; p < g->parts; p++)
+        CU_ASSERT (g_ptr_array_find (
+            g_ptr_array_index (c->gangs_on, g->part[p].worker), g, NULL));
+      parts += (guint)g->parts;
     }
+  for (guint i = 0; i < c->gangs_on->len; i++)
+    parts -= ((GPtrArray *)g_ptr_array_index (c->gangs_on, i))->len;
+  CU_ASSERT_EQUAL (parts, 0);
 }
 
 static void
