Clear a worker of unused cells in one place

Cause: two copies of the same loop, for a cell and for an urgent gang. Change: dc_cells_clear takes what the books must leave.

--- a/src/decide/bind.c
+++ b/src/decide/bind.c
@@ -83,8 +83,8 @@
 }
 
 /* Whether CELL could be bound to WORKER alone.  */
-bool
-dc_cell_fits_at (const struct dc *dc, uint32_t cell, uint32_t worker)
+static bool
+fits_at (const struct dc *dc, uint32_t cell, uint32_t worker)
 {
   const struct dc_cell *c = &dc->cells.v[cell];
   const struct dc_worker *w = &dc->workers.v[worker];
@@ -100,7 +100,7 @@
 {
   struct dc_cell *c = &dc->cells.v[cell];
 
-  if (!dc_cell_fits_at (dc, cell, worker))
+  if (!fits_at (dc, cell, worker))
     return false;
   dc->spots.n = 0;
   if (dc_add_spot (dc, worker, 1))
--- a/src/decide/move.c
+++ b/src/decide/move.c
@@ -2,11 +2,6 @@
    once instead of waiting for a checkpoint.  */
 #include "state.h"
 
-enum
-{
-  MAX_MOVED = 8 /* cells that make way for one */
-};
-
 /* Moves an unused cell to idle room outside all cells.  */
 bool
 dc_cell_move (struct dc *dc, uint32_t cell)
@@ -24,16 +19,18 @@
   return false;
 }
 
-/* Unbinds unused one-worker cells of WORKER until CELL would fit there.
+/* Unbinds unused one-worker cells of WORKER until its books leave NEED.
    Returns how many.  */
-static int
-clear (struct dc *dc, uint32_t cell, uint32_t worker,
-       uint32_t moved[MAX_MOVED])
+int
+dc_cells_clear (struct dc *dc, uint32_t worker, struct dc_amount need,
+                uint32_t moved[DC_MAX_MOVED])
 {
-  uint32_t id = dc->workers.v[worker].parts;
+  const struct dc_worker *w = &dc->workers.v[worker];
+  uint32_t id = w->parts;
   int n = 0;
 
-  while (id != DC_NONE && n < MAX_MOVED && !dc_cell_fits_at (dc, cell, worker))
+  while (id != DC_NONE && n < DC_MAX_MOVED
+         && !dc_covers (dc_capacity (dc, w, DC_CAP_UNRESERVED), need))
     {
       const struct dc_part *part = pl_at (&dc->parts, id);
       const struct dc_cell *c = &dc->cells.v[part->cell];
@@ -53,7 +50,7 @@
 dc_cell_displace (struct dc *dc, uint32_t cell, uint32_t worker)
 {
   const struct dc_cell *c = &dc->cells.v[cell];
-  uint32_t moved[MAX_MOVED], from;
+  uint32_t moved[DC_MAX_MOVED], from;
   bool done;
   int n, placed = 0;
 
@@ -63,7 +60,7 @@
   if (from == worker)
     return true;
   dc_cell_unbind (dc, cell);
-  n = clear (dc, cell, worker, moved);
+  n = dc_cells_clear (dc, worker, dc_cell_unit (dc, c->size), moved);
   done = dc_cell_bind_at (dc, cell, worker);
   while (done && placed < n)
     {
--- a/src/decide/state.h
+++ b/src/decide/state.h
@@ -347,7 +347,6 @@
 struct dc_amount dc_cell_unit (const struct dc *dc, int32_t accelerators);
 enum dc_level dc_cell_level (const struct dc *dc, int32_t size);
 bool dc_cell_bind (struct dc *dc, uint32_t cell, enum dc_capacity cap);
-bool dc_cell_fits_at (const struct dc *dc, uint32_t cell, uint32_t worker);
 bool dc_cell_bind_at (struct dc *dc, uint32_t cell, uint32_t worker);
 /* repack.c */
 bool dc_repack (struct dc *dc);
@@ -355,6 +354,12 @@
 bool dc_pack (struct dc *dc, bool spares);
 
 /* move.c */
+enum
+{
+  DC_MAX_MOVED = 8 /* unused cells that make way on one worker */
+};
+int dc_cells_clear (struct dc *dc, uint32_t worker, struct dc_amount need,
+                    uint32_t moved[DC_MAX_MOVED]);
 bool dc_cell_move (struct dc *dc, uint32_t cell);
 bool dc_cell_displace (struct dc *dc, uint32_t cell, uint32_t worker);
 /* promote.c */
--- a/src/decide/urgent.c
+++ b/src/decide/urgent.c
@@ -4,8 +4,7 @@
 enum
 {
   MAX_IDLE_TRIED = 16, /* workers */
-  MAX_CELLS_TRIED = 8,
-  MAX_MOVED = 8 /* unused cells that make way on one worker */
+  MAX_CELLS_TRIED = 8
 };
 
 /* Whether an urgent gang that the room of bulk JOB could hold is pending:
@@ -190,30 +189,6 @@
   return false;
 }
 
-/* Unbinds unused cells of W until its books hold.  Returns how many.  */
-static int
-unbind_unused (struct dc *dc, const struct dc_worker *w,
-               uint32_t moved[MAX_MOVED])
-{
-  uint32_t id = w->parts;
-  int n = 0;
-
-  while (id != DC_NONE && n < MAX_MOVED
-         && !dc_covers (dc_capacity (dc, w, DC_CAP_UNRESERVED),
-                        (struct dc_amount){ 0, 0 }))
-    {
-      const struct dc_part *part = pl_at (&dc->parts, id);
-      const struct dc_cell *c = &dc->cells.v[part->cell];
-
-      id = part->next;
-      if (c->jobs || c->parts != 1)
-        continue;
-      moved[n++] = part->cell;
-      dc_cell_unbind (dc, part->cell);
-    }
-  return n;
-}
-
 /* Moves unused cells off WORKER until the books allow JOB, which is not
    preemptible, to start there.  Changes nothing if that fails.  */
 static bool
@@ -221,12 +196,12 @@
 {
   struct dc_worker *w = &dc->workers.v[worker];
   struct dc_amount need = dc_need (job, job->spec.tasks);
-  uint32_t moved[MAX_MOVED];
+  uint32_t moved[DC_MAX_MOVED];
   int n, placed = 0;
   bool done;
 
   w->hard = dc_plus (w->hard, need, 1);
-  n = unbind_unused (dc, w, moved);
+  n = dc_cells_clear (dc, worker, (struct dc_amount){ 0, 0 }, moved);
   dc_fleet_refresh (dc, worker);
   done = dc_covers (dc_capacity (dc, w, DC_CAP_UNRESERVED),
                     (struct dc_amount){ 0, 0 });
