--- a/tests/control/test_cell.c
+++ b/tests/control/test_cell.c
@@ -780,6 +780,30 @@
   CU_ASSERT_EQUAL (parts, 0);
 }
 
+/* An attempt that was given up is known before its job's row comes.  */
+static void
+test_job_comes_after_its_gang (void)
+{
+  struct dc_place place = { .worker = 0, .accelerators = 1 };
+  struct fw_world w;
+  struct wk_gang *g;
+
+  start (&w, SEED);
+  fw_run (&w, 500);
+  g = cl_add_gang (&w.vm[0].cell, JOB, 7, 1, &place);
+  g->phase = WK_STOP;
+  g->part[0].in_flight = 1; /* it stays */
+  fw_put_job (&w, JOB, 1, 1, 1, 0);
+  fw_run (&w, 500);
+  CU_ASSERT_PTR_NOT_NULL (g->owner);
+  check_gangs (&w.vm[0].cell);
+  g->part[0].in_flight = 0;
+  fw_run (&w, 4000);
+  CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "done");
+  CU_ASSERT_EQUAL (w.vm[0].cell.gangs->len, 0);
+  fw_fini (&w);
+}
+
 static void
 random_run (unsigned long seed)
 {
@@ -1161,6 +1185,7 @@
   CU_ADD_TEST (suite, test_doubt_is_handed_on);
   CU_ADD_TEST (suite, test_put_back_loses_no_job_that_is_known);
   CU_ADD_TEST (suite, test_old_rows_go);
+  CU_ADD_TEST (suite, test_job_comes_after_its_gang);
   CU_ADD_TEST (suite, test_random_faults);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
