Show a new holder the list of workers at once

Cause: a new holder waited for the next reading of the VM list, up to a second, before it read the cell's rows. Change: a cell that was just taken is shown the list if it is known to be right, by the same rule as before.

--- a/src/sched/loop.c
+++ b/src/sched/loop.c
@@ -76,6 +76,7 @@
 
   s->now_ms = bs_now_ms (&s->clock);
   wait = tm_run (&s->timers, s->now_ms);
+  sc_show_new_holders (s);
   for (int i = 0; i < s->cells; i++)
     {
       s->now_ms = bs_now_ms (&s->clock);
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -153,6 +153,8 @@
 
 /* vms.c */
 void sc_poll_vms (void *sched, int64_t now_ms);
+/* Shows cells that were just taken the list, if it is known to be right.  */
+void sc_show_new_holders (struct sched *s);
 /* Takes the VM list up as it is known, and how domains are parted.  */
 void sc_fleet_changed (struct sched *s);
 void sc_vms_done (struct sched *s, int error, json_t *data);
--- a/src/sched/vms.c
+++ b/src/sched/vms.c
@@ -64,6 +64,15 @@
   cl_fleet (c, s->now_ms, json_object_get (s->workers, c->name));
 }
 
+void
+sc_show_new_holders (struct sched *s)
+{
+  for (int c = 0; c < s->cells; c++)
+    if (s->cell[c]->phase == CL_LOADING && !s->cell[c]->fleet_listed
+        && vl_is_fresh (&s->follow, s->now_ms))
+      show (s, s->cell[c]);
+}
+
 static void
 show_if_fresh (struct sched *s)
 {
