Put a call that met no free slot back in line

Cause: without a grant each VM counts on its own share of a worker's slots. When a VM leaves the list the others count its slots as theirs while its calls still run there; the worker's 429 then cost a retry each, at once and at the same worker, until the budget was spent and calls were refused as not run with their deadline far off: a planned stop that cost calls. Change: a 429 ends an attempt as busy: the call waits for a slot again until its deadline, no retry is counted, and the worker gets nothing new for 100 ms.

--- a/src/entry/upstream.c
+++ b/src/entry/upstream.c
@@ -62,7 +62,10 @@
            || (in->status >= CLIENT_ERROR && in->status < SERVER_ERROR))
     ev->u.upstream.end = FL_UP_NOT_RUN;
   if (in->status == TOO_MANY)
-    ev->u.upstream.outcome = FL_OUTCOME_BUSY;
+    {
+      ev->u.upstream.end = FL_UP_BUSY;
+      ev->u.upstream.outcome = FL_OUTCOME_BUSY;
+    }
   if (in->status == UNAVAILABLE)
     ev->u.upstream.outcome = FL_OUTCOME_LEAVING;
 }
@@ -170,6 +173,8 @@
       return "end=\"failed\"";
     case FL_UP_NOT_RUN:
       return "end=\"not_run\"";
+    case FL_UP_BUSY:
+      return "end=\"busy\"";
     case FL_UP_LOST:
       break;
     }
--- a/src/filter/call.c
+++ b/src/filter/call.c
@@ -219,12 +219,25 @@
   return FL_DO_DISPATCH;
 }
 
+/* The slot that it was given was no longer there: it goes back in line, which
+   costs the upstream nothing, so that no retry is counted.  */
+static unsigned
+wait_again (struct fl_call *c, const struct fl_moment *at)
+{
+  c->busy++;
+  if (c->in_flight)
+    return 0;
+  if (at->now_ms >= c->deadline_ms)
+    return give_up (c, at, FL_WHY_DEADLINE);
+  return unwant (c) | want (c);
+}
+
 static unsigned
 retry (struct fl_call *c, const struct fl_moment *at, enum fl_why why)
 {
   if (at->now_ms >= c->deadline_ms)
     return give_up (c, at, FL_WHY_DEADLINE);
-  if (c->attempts >= FL_CALL_MAX_ATTEMPTS
+  if (c->attempts - c->busy >= FL_CALL_MAX_ATTEMPTS
       || !fl_budget_take (c->budget, at->now_ms))
     return give_up (c, at, why);
   return unwant (c) | want (c);
@@ -245,6 +258,7 @@
       c->end = FL_END_FAILED;
       break;
     case FL_UP_NOT_RUN:
+    case FL_UP_BUSY:
       c->end = FL_END_NOT_RUN;
       break;
     case FL_UP_LOST:
@@ -259,6 +273,8 @@
   c->in_flight--;
   if (c->state == FL_CALL_ENDED)
     return on_late_upstream (c, ev);
+  if (ev->upstream == FL_UP_BUSY)
+    return wait_again (c, &ev->at);
   if (ev->upstream == FL_UP_DONE)
     return finish (c, &ev->at, FL_END_DONE, FL_WHY_NONE);
   if (ev->upstream == FL_UP_LOST)
--- a/src/filter/call.h
+++ b/src/filter/call.h
@@ -72,6 +72,7 @@
   FL_UP_DONE,    /* whole answer to this very request */
   FL_UP_FAILED,  /* started and failed */
   FL_UP_NOT_RUN, /* proof that it was not started */
+  FL_UP_BUSY,    /* the same: every slot there was taken */
   FL_UP_LOST
 };
 
@@ -123,6 +124,7 @@
   int ambiguous; /* an attempt's effect is unknown */
   int failed;    /* an attempt ran and failed */
   int attempts, in_flight, wanted;
+  int busy; /* attempts that met no free slot */
   int record_again;
   int64_t deadline_ms;
   int64_t answer_by_ms; /* with an end that waits for its row */
--- a/src/filter/pool.c
+++ b/src/filter/pool.c
@@ -215,6 +215,8 @@
 static int
 free_slots (const struct fl_pool *p, int i, int64_t now_ms)
 {
+  if (now_ms < p->up[i].busy_until_ms)
+    return 0;
   return fl_pool_allowed (p, i, now_ms) - p->up[i].in_flight;
 }
 
@@ -306,6 +308,7 @@
       u->ejections = 0;
       break;
     case FL_OUTCOME_BUSY:
+      u->busy_until_ms = now_ms + FL_POOL_BUSY_MS;
       break;
     case FL_OUTCOME_LEAVING:
       u->left_until_ms = now_ms + FL_POOL_LEAVING_MS;
--- a/src/filter/pool.h
+++ b/src/filter/pool.h
@@ -23,6 +23,7 @@
   FL_POOL_EJECT_MS = 5000, /* the first; it doubles */
   FL_POOL_EJECT_MAX_MS = 60000,
   FL_POOL_UNREACHED_MS = 1000, /* out of use after each such failure */
+  FL_POOL_BUSY_MS = 100,       /* nothing new after its 429 */
   FL_POOL_FLOOR_PERCENT = 50,  /* of upstreams that stay in use */
   FL_POOL_LEAVING_MS = 60000,  /* an upstream's own word counts so long */
   FL_POOL_NONE = -1
@@ -42,6 +43,7 @@
   int failures, ejections;
   int64_t ejected_until_ms;
   int64_t left_until_ms; /* it said itself that it leaves */
+  int64_t busy_until_ms; /* it said that its slots are taken */
 };
 
 struct fl_grant
--- a/tests/filter/test_call.c
+++ b/tests/filter/test_call.c
@@ -276,6 +276,23 @@
   CU_ASSERT_EQUAL (call.why, FL_WHY_UPSTREAMS);
 }
 
+static void
+test_taken_slot_costs_no_retry (void)
+{
+  dispatch_once ();
+  while (fl_budget_take (&budget, now))
+    continue;
+  for (int i = 0; i < 50; i++)
+    {
+      CU_ASSERT_EQUAL (upstream (FL_UP_BUSY), FL_DO_WANT);
+      CU_ASSERT_EQUAL (event (FL_EV_SLOT), FL_DO_DISPATCH);
+    }
+  now = DEADLINE_MS;
+  upstream (FL_UP_BUSY);
+  CU_ASSERT_NOT_EQUAL (call.end, FL_END_DONE);
+  CU_ASSERT_NOT_EQUAL (call.state, FL_CALL_WAITING);
+}
+
 static void
 test_known_table_outage_refuses_at_once (void)
 {
@@ -495,6 +512,7 @@
     TEST (test_late_answer_during_the_record_is_kept),
     TEST (test_proof_of_not_run_goes_to_another_upstream),
     TEST (test_refusal_is_final_at_once_when_the_budget_is_used_up),
+    TEST (test_taken_slot_costs_no_retry),
     TEST (test_known_table_outage_refuses_at_once),
     TEST (test_failing_table_is_tried_again_until_the_outage_is_known),
     TEST (test_unresolved_claim_is_recorded_as_not_run),
--- a/tests/filter/test_pool.c
+++ b/tests/filter/test_pool.c
@@ -206,6 +206,26 @@
   CU_ASSERT (fl_pool_allowed (&pool[0], w, FL_POOL_EJECT_MS) > 0);
 }
 
+static void
+test_worker_that_is_full_gets_nothing_for_a_moment (void)
+{
+  int w, taken;
+
+  start ();
+  w = usable ();
+  for (int i = 0; i < WORKERS; i++)
+    if (i != w)
+      pool[0].up[i].used = 0;
+  taken = fl_pool_take (&pool[0], 0, FL_POOL_NONE, rng);
+  CU_ASSERT_EQUAL (taken, w);
+  fl_pool_give (&pool[0], w, FL_OUTCOME_BUSY, 0);
+  CU_ASSERT_EQUAL (
+      fl_pool_take (&pool[0], FL_POOL_BUSY_MS - 1, FL_POOL_NONE, rng),
+      FL_EBUSY);
+  CU_ASSERT_EQUAL (fl_pool_take (&pool[0], FL_POOL_BUSY_MS, FL_POOL_NONE, rng),
+                   w);
+}
+
 static void
 test_an_unreached_upstream_is_passed_by_for_a_moment (void)
 {
@@ -334,6 +354,7 @@
     TEST (test_a_new_process_under_an_old_name_starts_clean),
     TEST (test_ejection_needs_failures_in_a_row),
     TEST (test_an_unreached_upstream_is_passed_by_for_a_moment),
+    TEST (test_worker_that_is_full_gets_nothing_for_a_moment),
     TEST (test_ejection_keeps_a_floor),
     TEST (test_a_retry_avoids_the_last_upstream),
     TEST (test_no_upstream_is_told_from_a_busy_one),
