--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 # Each folder of src/ named in LIBS goes into one archive; each folder named
 # in PROGS or STANDS is a program; each tests/*/test_*.c is a CUnit program.
 
-LIBS = base decide trace net table config control filter
-PROGS = entry sched cli replay load burn
+LIBS = base decide steps queue trace net table config control filter
+PROGS = entry sched batch cli replay load burn
 STANDS = platform worker
 
 PREFIX ?= /usr/local
@@ -17,11 +17,13 @@
 PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null)
 CFLAGS_ALL = -std=c11 -D_GNU_SOURCE -Wall -Wextra -Werror -Wshadow \
   -Wstrict-prototypes -Wmissing-prototypes -Wno-missing-field-initializers \
-  $(OPT) $(SAN) -Iinclude -Isrc $(PKG_CFLAGS) $(CFLAGS)
+  $(OPT) $(SAN) -Iinclude -Isrc -I. $(PKG_CFLAGS) $(CFLAGS)
 LIBS_ALL = $(PKG_LIBS) -lpthread -lm
 
 LIB_SRC := $(foreach d,$(LIBS),$(wildcard src/$d/*.c))
 LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
+# The adapter to the users' platform; skr-batch links it.
+PORT_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard platform/*.c))
 LIB = $(BUILD)/libskr.a
 name_cli = skr
 prog_name = $(or $(name_$1),skr-$1)
@@ -32,7 +34,7 @@
 TEST_SRC := $(wildcard tests/*/test_*.c)
 TEST_BIN := $(TEST_SRC:tests/%.c=$(BUILD)/tests/%)
 SCRIPTS := $(sort $(wildcard tests/*/check_*.sh))
-C_FILES := $(shell find include src stand tests -name '*.[ch]' 2>/dev/null)
+C_FILES := $(shell find include src platform stand tests -name '*.[ch]' 2>/dev/null)
 C_UNITS := $(filter %.c,$(C_FILES))
 
 all: $(PROG_BIN) $(STAND_BIN)
@@ -54,6 +56,7 @@
 	$$(CC) $$(SAN) -o $$@ $$(filter %.o,$$^) $(LIB) $$(LIBS_ALL)
 endef
 $(foreach p,$(PROG_DIRS),$(eval $(call program,$(call prog_name,$p),src/$p)))
+$(BIN)/skr-batch: $(PORT_OBJ)
 $(foreach p,$(STAND_DIRS),$(eval $(call program,skr-$p,stand/$p stand/common)))
 
 # Each fake_*.c of a test folder is linked into every test of that folder.
--- a/include/skr/base.h
+++ b/include/skr/base.h
@@ -33,6 +33,9 @@
 
 /* The system's monotonic clock.  */
 struct bs_clock bs_clock_system (void);
+/* The same, but it also counts time during which the VM was suspended: for
+   leases that others see run out meanwhile.  */
+struct bs_clock bs_clock_boot (void);
 int64_t bs_now_ms (const struct bs_clock *clock);
 
 /* Wall-clock milliseconds since 1970, for stored rows and logs only; never
@@ -74,6 +77,11 @@
 
 /* Installs handlers for SIGTERM and SIGINT and ignores SIGPIPE.  */
 void bs_stop_on_signals (void);
+/* Installs a handler for SIGHUP, which asks for a reload.  */
+void bs_reload_on_signal (void);
+/* 1 once SIGHUP arrived; bs_reload_wanted also takes note of it.  */
+int bs_reload_pending (void);
+int bs_reload_wanted (void);
 /* Waits up to TIMEOUT_MS for a stop signal; returns 1 once one arrived.  */
 int bs_stop_wait (int timeout_ms);
 
--- a/include/skr/log.h
+++ b/include/skr/log.h
@@ -50,6 +50,12 @@
 /* PROGRAM stands in each line; OUTPUT is "plain", "json" or "journald";
    lines above LEVEL are dropped.  Returns 0 or BS_EINVAL.  */
 int lg_init (const char *program, const char *output, enum lg_level level);
+/* Lines go to standard output instead of standard error.  A line is dropped
+   and counted, never waited for, when the output does not take it.  */
+void lg_to_stdout (void);
+/* Puts LEVEL in force, and at most RATE lines a second (0: no limit); those
+   dropped are counted in event 106 once a second.  */
+void lg_tune (enum lg_level level, int rate);
 /* Logs event ID with COUNT fields.  Never give it a key or a secret.  */
 void lg_log (enum lg_event id, int count, const struct lg_field *fields);
 
--- a/include/skr/opt.h
+++ b/include/skr/opt.h
@@ -33,6 +33,18 @@
   const char **args;
 };
 
+/* Puts the lines NAME=VALUE of the file named by --settings or SKR_SETTINGS
+   into the environment, where a variable is not set already; to be called
+   before opt_parse.  Exits 2 when the file can't be read.  */
+void opt_load_file (int argc, char **argv);
+/* Reads the same lines into TARGET, checked; names that DEFS lacks are passed
+   over.  Returns 0, or BS_EINVAL with a sentence in REASON and TARGET not to
+   be used.  Strings are not taken.  */
+int opt_read_file (const struct opt_def *defs, void *target, const char *path,
+                   char *reason, size_t size);
+/* A number that differs once the file has changed; 0 without a file.  */
+int64_t opt_file_stamp (const char *path);
+
 void opt_rest_fini (struct opt_rest *rest);
 
 /* Fills TARGET from the DEFS (ended by a NULL name), ARGV and environment.
--- a/include/skr/serve.h
+++ b/include/skr/serve.h
@@ -69,6 +69,8 @@
 /* Value of a query argument, or NULL; holds until hs_answer,
    from any thread, as the connection waits.  */
 const char *hs_query (struct hs_exchange *ex, const char *name);
+/* Value of a request's header, or NULL; the same.  */
+const char *hs_header (struct hs_exchange *ex, const char *name);
 void hs_answer (struct hs_exchange *ex, const struct hs_answer *answer);
 
 /* From now on every answer closes its connection.  */
--- a/src/base/base.c
+++ b/src/base/base.c
@@ -9,7 +9,7 @@
 
 #include "skr/base.h"
 
-static volatile sig_atomic_t stop_flag;
+static volatile sig_atomic_t stop_flag, reload_flag;
 
 const char *
 bs_strerror (int error)
@@ -44,6 +44,22 @@
   return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
 }
 
+static int64_t
+boot_now_ms (void *arg)
+{
+  struct timespec ts;
+
+  (void)arg;
+  clock_gettime (CLOCK_BOOTTIME, &ts);
+  return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+struct bs_clock
+bs_clock_boot (void)
+{
+  return (struct bs_clock){ boot_now_ms, NULL };
+}
+
 struct bs_clock
 bs_clock_system (void)
 {
@@ -114,6 +130,36 @@
   sigaction (SIGPIPE, &sa, NULL);
 }
 
+static void
+on_reload (int sig)
+{
+  (void)sig;
+  reload_flag = 1;
+}
+
+void
+bs_reload_on_signal (void)
+{
+  struct sigaction sa = { .sa_handler = on_reload };
+
+  sigaction (SIGHUP, &sa, NULL);
+}
+
+int
+bs_reload_pending (void)
+{
+  return reload_flag != 0;
+}
+
+int
+bs_reload_wanted (void)
+{
+  int wanted = bs_reload_pending ();
+
+  reload_flag = 0;
+  return wanted;
+}
+
 int
 bs_stop_wait (int timeout_ms)
 {
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,8 +1,11 @@
 #define G_LOG_DOMAIN "skr"
 #include <glib.h>
 #include <jansson.h>
+#include <poll.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "skr/base.h"
 #include "skr/log.h"
@@ -23,6 +26,14 @@
 static const char *log_program = "skr";
 static enum output log_output = OUT_PLAIN;
 static enum lg_level log_level = LG_INFO;
+static int to_stdout, log_rate;
+static atomic_int lines_in_second, lines_dropped;
+static atomic_llong second_began_ms;
+
+enum
+{
+  SECOND_MS = 1000
+};
 
 static GLogLevelFlags
 glib_level (enum lg_level level)
@@ -43,6 +54,19 @@
   return G_LOG_LEVEL_MESSAGE;
 }
 
+/* A pipe that takes a whole buffer never makes a line wait.  */
+static void
+write_at_once (const char *line)
+{
+  struct pollfd out = { .fd = STDOUT_FILENO, .events = POLLOUT };
+  char *text = g_strconcat (line, "\n", NULL);
+
+  if (poll (&out, 1, 0) != 1 || !(out.revents & POLLOUT)
+      || write (STDOUT_FILENO, text, strlen (text)) < 0)
+    atomic_fetch_add (&lines_dropped, 1);
+  g_free (text);
+}
+
 static GLogWriterOutput
 write_line (GLogLevelFlags level, const GLogField *fields, gsize count,
             gpointer arg)
@@ -51,7 +75,9 @@
   if (log_output == OUT_JOURNALD)
     return g_log_writer_journald (level, fields, count, NULL);
   for (gsize i = 0; i < count; i++)
-    if (!strcmp (fields[i].key, "MESSAGE"))
+    if (!strcmp (fields[i].key, "MESSAGE") && to_stdout)
+      write_at_once (fields[i].value);
+    else if (!strcmp (fields[i].key, "MESSAGE"))
       fprintf (stderr, "%s\n", (const char *)fields[i].value);
   return G_LOG_WRITER_HANDLED;
 }
@@ -120,6 +146,43 @@
   return line;
 }
 
+void
+lg_to_stdout (void)
+{
+  to_stdout = 1;
+}
+
+void
+lg_tune (enum lg_level level, int rate)
+{
+  log_level = level;
+  log_rate = rate;
+}
+
+/* Whether this second still has room for a line.  */
+static int
+within_rate (void)
+{
+  const struct bs_clock clock = bs_clock_system ();
+  long long now = bs_now_ms (&clock), began = atomic_load (&second_began_ms);
+  struct lg_field lost;
+
+  if (now - began < SECOND_MS)
+    {
+      if (atomic_fetch_add (&lines_in_second, 1) < log_rate)
+        return 1;
+      atomic_fetch_add (&lines_dropped, 1);
+      return 0;
+    }
+  if (!atomic_compare_exchange_strong (&second_began_ms, &began, now))
+    return 1;
+  atomic_store (&lines_in_second, 1);
+  lost = lg_int ("lines", atomic_exchange (&lines_dropped, 0));
+  if (lost.number)
+    lg_log (LG_LINES_DROPPED, 1, &lost);
+  return 1;
+}
+
 void
 lg_log (enum lg_event id, int count, const struct lg_field *fields)
 {
@@ -130,6 +193,8 @@
 
   if (e->name && e->level > log_level)
     return;
+  if (log_rate && id != LG_LINES_DROPPED && !within_rate ())
+    return;
   if (count > MAX_FIELDS)
     count = MAX_FIELDS;
   line = log_output == OUT_JSON ? json_line (e, count, fields)
--- /dev/null
+++ b/src/base/opt_file.c
@@ -0,0 +1,158 @@
+/* The settings file: lines NAME=VALUE with the names of the flags.  */
+#include <ctype.h>
+#include <errno.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+
+#include "skr/base.h"
+#include "skr/opt.h"
+
+enum
+{
+  EXIT_USAGE = 2,
+  NAME_SIZE = 64, /* bytes */
+  LINE_SIZE = 1024
+};
+
+/* Cuts LINE at its end and splits it.  Returns 0 for a line without a
+   setting.  */
+static int
+split_line (char *line, char **value)
+{
+  char *equals;
+
+  line[strcspn (line, "\r\n")] = '\0';
+  equals = strchr (line, '=');
+  if (*line == '#' || !equals || equals == line)
+    return 0;
+  *equals = '\0';
+  *value = equals + 1;
+  return 1;
+}
+
+static void
+set_variable (const char *name, const char *value)
+{
+  char variable[NAME_SIZE] = "SKR_";
+  size_t n = strlen (variable);
+
+  for (; *name && n + 1 < sizeof variable; name++)
+    variable[n++] = *name == '-' ? '_' : (char)toupper ((unsigned char)*name);
+  variable[n] = '\0';
+  setenv (variable, value, 0);
+}
+
+static const char *
+find_path (int argc, char **argv)
+{
+  static const char flag[] = "--settings";
+  size_t n = sizeof flag - 1;
+
+  for (int i = 1; i < argc; i++)
+    {
+      if (!strncmp (argv[i], flag, n) && argv[i][n] == '=')
+        return argv[i] + n + 1;
+      if (!strcmp (argv[i], flag) && i + 1 < argc)
+        return argv[i + 1];
+    }
+  return getenv ("SKR_SETTINGS");
+}
+
+void
+opt_load_file (int argc, char **argv)
+{
+  const char *path = find_path (argc, argv);
+  char line[LINE_SIZE], *value;
+  FILE *file;
+
+  if (!path || !*path)
+    return;
+  file = fopen (path, "r");
+  if (!file)
+    {
+      fprintf (stderr, "%s: %s: %s\n", argv[0], path, strerror (errno));
+      exit (EXIT_USAGE);
+    }
+  while (fgets (line, sizeof line, file))
+    if (split_line (line, &value))
+      set_variable (line, value);
+  fclose (file);
+}
+
+static int
+read_number (const struct opt_def *def, void *target, const char *value)
+{
+  char *field = (char *)target + def->offset;
+  char *end;
+  double n;
+
+  errno = 0;
+  n = strtod (value, &end);
+  if (errno || end == value || *end || !isfinite (n) || n < (double)def->min
+      || n > (double)def->max)
+    return BS_EINVAL;
+  if (def->type == OPT_REAL)
+    *(double *)(void *)field = n;
+  else if (def->type == OPT_FLAG)
+    *(int *)(void *)field = n != 0;
+  else
+    *(int64_t *)(void *)field = (int64_t)n;
+  return BS_OK;
+}
+
+static int
+read_setting (const struct opt_def *def, void *target, const char *value)
+{
+  int64_t n = (int64_t)strlen (value);
+
+  if (def->type != OPT_STRING)
+    return read_number (def, target, value);
+  return n < def->min || n > def->max ? BS_EINVAL : BS_OK;
+}
+
+int
+opt_read_file (const struct opt_def *defs, void *target, const char *path,
+               char *reason, size_t size)
+{
+  FILE *file = fopen (path, "r");
+  char line[LINE_SIZE], *value;
+  int error = BS_OK;
+
+  if (!file)
+    {
+      snprintf (reason, size, "%s", strerror (errno));
+      return BS_EINVAL;
+    }
+  while (!error && fgets (line, sizeof line, file))
+    {
+      const struct opt_def *d = defs;
+
+      if (!split_line (line, &value))
+        continue;
+      while (d->name && strcmp (d->name, line) != 0)
+        d++;
+      if (!d->name || !read_setting (d, target, value))
+        continue;
+      snprintf (reason, size,
+                "%s: \"%s\" is not allowed; must be %lld to "
+                "%lld %s",
+                d->name, value, (long long)d->min, (long long)d->max, d->unit);
+      error = BS_EINVAL;
+    }
+  fclose (file);
+  return error;
+}
+
+int64_t
+opt_file_stamp (const char *path)
+{
+  struct stat st;
+
+  if (!path || !*path || stat (path, &st))
+    return 0;
+  return st.st_mtim.tv_sec * 1000000000LL + st.st_mtim.tv_nsec
+         + (int64_t)st.st_size + (int64_t)st.st_ino;
+}
--- /dev/null
+++ b/src/batch/batch.h
@@ -0,0 +1,307 @@
+/* skr-batch: one process on each entry VM.  It takes callers' requests about
+   jobs of steps, follows the store's tables, and, while it holds the lease,
+   schedules the jobs on the workers.
+
+   One loop thread owns all state here.  The HTTP server's and client's
+   threads hand it events over a bounded ring.  */
+#ifndef SKR_BATCH_H
+#define SKR_BATCH_H
+
+#include <glib.h>
+#include <stdatomic.h>
+
+#include "batch/lease.h"
+#include "batch/view.h"
+#include "skr/base.h"
+#include "skr/log.h"
+#include "skr/port.h"
+#include "skr/ring.h"
+#include "skr/serve.h"
+#include "skr/stat.h"
+
+struct ba_settings
+{
+  const char *vm, *listen, *ready_listen, *metrics_listen, *store;
+  const char *log_output, *settings;
+  int64_t log_level, log_rate;
+  int64_t hold_ms, stop_ms, far_factor, revoke_ms, grace_ms, keep_s;
+  int64_t lease_ms, take_ms, renew_ms;
+  int64_t max_requests;
+};
+
+/* Why rows were asked for.  */
+enum ba_purpose
+{
+  BA_READ,   /* a whole table, a page at a time */
+  BA_FOLLOW, /* what changed in a table */
+  BA_LOAD_RECORDS,
+  BA_LOAD_JOBS,
+  BA_COMMIT,
+  BA_SUBMIT,
+  BA_LOOKUP,
+  BA_CANCEL
+};
+
+struct ba_follow;
+struct ba_pending;
+
+struct ba_ask
+{
+  struct batch *b;
+  enum ba_purpose purpose;
+  int64_t sent_ms;
+  int serial; /* of the holder's turn, for loads */
+  struct ba_follow *follow;
+  struct ba_pending *pending;
+};
+
+enum ba_kind
+{
+  BA_ROWS,
+  BA_REQUEST,
+  BA_ORDER,
+  BA_LISTING
+};
+
+/* An order under way.  */
+struct ba_order
+{
+  struct batch *b;
+  int serial; /* of the holder's turn */
+  enum sj_order_kind kind;
+  char *worker;
+  struct sj_run run;
+  int64_t sent_ms;
+};
+
+struct ba_event
+{
+  enum ba_kind kind;
+  union
+  {
+    struct
+    {
+      struct ba_ask *ask;
+      struct po_rows *rows;
+    } rows;
+    struct hs_exchange *request;
+    struct
+    {
+      struct ba_order *order;
+      struct po_order_answer answer;
+    } order;
+    struct
+    {
+      struct ba_order *order; /* names the worker and the time */
+      struct po_listing *listing;
+    } listing;
+  } u;
+};
+
+/* Follows one table: reads it whole, then hears of changes.  */
+struct ba_follow
+{
+  struct batch *b;
+  const char *table;
+  int wait_ms;   /* of one long wait */
+  int gap_ms;    /* from an answer to the next question */
+  int on;        /* wanted at all */
+  int in_flight; /* questions asked; old ones are told by SERIAL */
+  int serial;
+  int whole;     /* a whole reading has ended; changes are followed */
+  char from[64]; /* next key of the reading */
+  int64_t after, read_version, next_ms;
+  int64_t fresh_ms; /* what is known was true at this time */
+  int failures;     /* answers missing in a row */
+  int generation;   /* of whole readings, to drop rows that are gone */
+  void (*row) (struct batch *b, const struct po_row *row, int generation);
+  void (*read_whole) (struct batch *b, int generation);
+};
+
+/* A worker as the holder talks to it.  */
+struct ba_worker
+{
+  char *id, *address;
+  int64_t life;
+  int generation;
+  int64_t clock_ms, clock_at_ms; /* its clock, and when that was heard */
+  int64_t taken;                 /* last end taken in */
+  int64_t committing;            /* last end in the records being stored */
+  int64_t seen;                  /* last end whose record is stored */
+  int64_t told;                  /* last end that the worker was let forget */
+  int holding;                   /* a hold is under way */
+  int surveyed, listed, failures, draining;
+  int64_t next_hold_ms, hold_sent_ms;
+};
+
+enum ba_phase
+{
+  BA_FOLLOWS, /* another VM holds the lease */
+  BA_LOADING, /* the lease is ours; jobs are being read */
+  BA_HOLDS
+};
+
+/* What the holder writes; one transaction at a time.  */
+enum ba_commit_kind
+{
+  BA_TAKE,    /* the lease row with a higher epoch */
+  BA_RECORDS, /* a renewal, with the records that changed */
+  BA_FREE     /* the lease row without a holder */
+};
+
+enum
+{
+  BA_COMMIT_JOBS = 40, /* records in one transaction; two rows each */
+  BA_COMMIT_OLD = 4    /* jobs deleted in one; four rows each */
+};
+
+struct ba_commit
+{
+  int open;      /* built and not yet known to be done */
+  int in_flight; /* sent and not answered */
+  enum ba_commit_kind kind;
+  GPtrArray *text; /* backs the entries */
+  struct po_entry entry[PO_MAX_ENTRIES];
+  int entries;
+  int64_t serial, next_ms, first_sent_ms;
+  int tries;
+};
+
+struct ba_counters
+{
+  int shard;
+  int answers, submits, accepted, refused, unknown;
+  int starts, stops, ends, commits, calls, holds;
+  int request_us, commit_us;
+  int waiting, runs, used, workers, holder;
+};
+
+struct batch
+{
+  const struct ba_settings *set;
+  struct bs_clock clock;
+  int64_t now, wall_offset, wall_seen_ms;
+  struct rg_ring ring;
+  struct hc_client *client;
+  struct po_port port;
+  struct hs_server *front, *ready_server, *metrics_server;
+  struct bs_thread thread;
+  atomic_int ready, stop, stopped, dropped;
+  char token[33]; /* names this process's life */
+
+  struct qu_config *config;
+  struct ba_follow config_follow, job_follow, worker_follow;
+  struct vw_view view;
+  int store_down;
+  int64_t store_ok_ms, store_clock_ms, store_clock_at_ms;
+  GPtrArray *pending; /* struct ba_pending */
+
+  struct le_lease lease;
+  enum ba_phase phase;
+  int turn; /* counts the times that this VM became the holder */
+  struct sj_cluster *cluster;
+  GHashTable *workers; /* id -> struct ba_worker */
+  GHashTable *records; /* id -> json_t, while loading */
+  GPtrArray *loaded;   /* struct sj_job, while loading */
+  char load_from[64];
+  enum ba_purpose load_next;
+  int load_in_flight;
+  int64_t load_at_ms, take_at_ms, taken_version, taken_ms;
+  struct ba_commit commit;
+  int64_t decide_at_ms, stopping_at_ms, counted_ms;
+
+  struct st_registry stats;
+  struct ba_counters count;
+};
+
+/* loop.c */
+int ba_start (struct batch *b, const struct ba_settings *set);
+void ba_stop (struct batch *b);
+void ba_push (struct batch *b, struct ba_event *e);
+
+/* ask.c */
+struct ba_ask *ba_new_ask (struct batch *b, enum ba_purpose purpose);
+void ba_on_rows (void *arg, struct po_rows *rows);
+void ba_heard_store (struct batch *b, const struct po_rows *rows);
+/* The store's clock now, in its milliseconds; 0 when it was never heard.  */
+int64_t ba_store_clock (const struct batch *b);
+
+/* follow.c */
+void fo_init (struct batch *b, struct ba_follow *f, const char *table,
+              int wait_ms, int gap_ms);
+void fo_start (struct ba_follow *f);
+void fo_stop (struct ba_follow *f);
+void fo_tick (struct ba_follow *f);
+void fo_answer (struct ba_follow *f, struct ba_ask *ask, struct po_rows *rows);
+
+/* tables.c: what is done with the rows of the followed tables */
+void ta_init (struct batch *b);
+void ta_set_pace (struct batch *b);
+void ba_apply_guarantees (struct batch *b);
+/* Keys of callers are believed at all: the store was heard lately.  */
+int ba_is_fresh (const struct batch *b);
+
+/* front.c */
+void fr_handle (void *arg, struct hs_exchange *ex);
+void fr_request (struct batch *b, struct hs_exchange *ex);
+void fr_answer (struct batch *b, struct hs_exchange *ex, const char *id,
+                const char *call, int status, const char *body,
+                const char *reason);
+void fr_ready (void *arg, struct hs_exchange *ex);
+void fr_metrics (void *arg, struct hs_exchange *ex);
+int64_t ba_retry_ms (const struct batch *b);
+
+/* pending.c: requests that wait for the store */
+struct ba_pending
+{
+  struct batch *b;
+  enum ba_purpose purpose;
+  struct hs_exchange *ex;
+  char id[SJ_ID];
+  char *value; /* of the row to write */
+  char *queue, *account;
+  int64_t began_ms, deadline_ms, next_ms;
+  int64_t version; /* of the job's row, for a cancel */
+  int in_flight, maybe_done, cancel_after_lookup;
+};
+
+void pe_submit (struct batch *b, struct hs_exchange *ex, struct sj_job *job,
+                int wait_ms);
+void pe_lookup (struct batch *b, struct hs_exchange *ex, const char *id,
+                const char *account, int cancel, int wait_ms);
+void pe_cancel (struct batch *b, struct hs_exchange *ex,
+                const struct vw_job *job, int wait_ms);
+void pe_answer (struct ba_pending *p, struct po_rows *rows);
+void pe_tick (struct batch *b);
+void pe_free (void *pending);
+
+/* holder.c */
+void ho_tick (struct batch *b);
+void ho_loaded (struct batch *b, struct ba_ask *ask, struct po_rows *rows);
+void ho_committed (struct batch *b, struct ba_ask *ask, struct po_rows *rows);
+/* A row of the job table, while this VM is the holder.  */
+void ho_job_row (struct batch *b, const struct po_row *row);
+void ho_step_down (struct batch *b, const char *reason);
+/* Logs a change of what the scheduler believes of a job.  */
+void ho_log_state (struct batch *b, const char *id, enum sj_state state);
+
+/* workers.c */
+void wk_do_order (void *arg, const struct sj_order *order);
+void wk_row (struct batch *b, const struct po_row *row, int generation);
+void wk_whole (struct batch *b, int generation);
+void wk_tick (struct batch *b);
+void wk_order_answered (struct batch *b, struct ba_order *order,
+                        const struct po_order_answer *answer);
+void wk_listed (struct batch *b, struct ba_order *order,
+                struct po_listing *listing);
+void wk_commit_begins (struct batch *b);
+void wk_commit_ends (struct batch *b, int ok);
+void wk_free_order (struct ba_order *order);
+void wk_free (void *worker);
+
+/* count.c */
+int co_init (struct batch *b);
+void co_add (struct batch *b, int series, int64_t n);
+void co_tick (struct batch *b);
+
+#endif
--- /dev/null
+++ b/src/batch/count.c
@@ -0,0 +1,53 @@
+/* Counters and latency histograms of the process.  */
+#include "batch/batch.h"
+
+int
+co_init (struct batch *b)
+{
+  struct ba_counters *c = &b->count;
+  struct st_registry *r = &b->stats;
+
+  st_init (r);
+  c->shard = st_attach (r);
+  c->answers = st_series (r, ST_COUNTER, "skr_batch_answers_total", "");
+  c->submits = st_series (r, ST_COUNTER, "skr_batch_submits_total", "");
+  c->accepted = st_series (r, ST_COUNTER, "skr_batch_accepted_total", "");
+  c->refused = st_series (r, ST_COUNTER, "skr_batch_refused_total", "");
+  c->unknown = st_series (r, ST_COUNTER, "skr_batch_unknown_total", "");
+  c->starts = st_series (r, ST_COUNTER, "skr_batch_starts_total", "");
+  c->stops = st_series (r, ST_COUNTER, "skr_batch_stops_total", "");
+  c->ends = st_series (r, ST_COUNTER, "skr_batch_ends_total", "");
+  c->commits = st_series (r, ST_COUNTER, "skr_batch_commits_total", "");
+  c->calls = st_series (r, ST_COUNTER, "skr_batch_store_calls_total", "");
+  c->holds = st_series (r, ST_COUNTER, "skr_batch_holds_total", "");
+  c->request_us
+      = st_series (r, ST_HISTOGRAM, "skr_batch_store_wait_seconds", "");
+  c->commit_us = st_series (r, ST_HISTOGRAM, "skr_batch_commit_seconds", "");
+  c->waiting = st_series (r, ST_GAUGE, "skr_batch_waiting_jobs", "");
+  c->runs = st_series (r, ST_GAUGE, "skr_batch_runs", "");
+  c->used = st_series (r, ST_GAUGE, "skr_batch_accelerators_used", "");
+  c->workers = st_series (r, ST_GAUGE, "skr_batch_usable_workers", "");
+  c->holder = st_series (r, ST_GAUGE, "skr_batch_holder", "");
+  return c->shard < 0 ? BS_ENOMEM : BS_OK;
+}
+
+void
+co_add (struct batch *b, int series, int64_t n)
+{
+  st_add (&b->stats, b->count.shard, series, n);
+}
+
+void
+co_tick (struct batch *b)
+{
+  struct ba_counters *c = &b->count;
+  struct sj_counts n = { 0 };
+
+  if (b->cluster)
+    sj_count (b->cluster, &n);
+  st_set (&b->stats, c->shard, c->waiting, n.waiting);
+  st_set (&b->stats, c->shard, c->runs, n.runs);
+  st_set (&b->stats, c->shard, c->used, n.accelerators_used);
+  st_set (&b->stats, c->shard, c->workers, n.usable_workers);
+  st_set (&b->stats, c->shard, c->holder, b->phase == BA_HOLDS);
+}
--- /dev/null
+++ b/src/batch/front.c
@@ -0,0 +1,297 @@
+/* Callers' requests: whose they are, what they ask, and what can be answered
+   from memory at once.  */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "batch/batch.h"
+
+enum
+{
+  BODY_SIZE = 256,       /* bytes of an answer */
+  STALE_MS = 6000,       /* a state in memory is shown no longer unheard */
+  RETRY_MS = 1000,       /* while the cause is not known to last longer */
+  WAIT_MS = 2500,        /* of a caller that names no deadline */
+  WAIT_MAX_MS = 4000,    /* longest wait for the store */
+  ANSWER_SLACK_MS = 300, /* for the answer on its way back */
+  OK = 200,
+  BAD_REQUEST = 400,
+  UNAUTHORIZED = 401,
+  NOT_FOUND = 404,
+  NO_METHOD = 405,
+  GONE = 410,
+  UNPROCESSABLE = 422,
+  UNAVAILABLE = 503
+};
+
+int64_t
+ba_retry_ms (const struct batch *b)
+{
+  (void)b;
+  return RETRY_MS;
+}
+
+static int
+asks_to_return (int status)
+{
+  return status == UNAVAILABLE || status == 429;
+}
+
+void
+fr_answer (struct batch *b, struct hs_exchange *ex, const char *id,
+           const char *call, int status, const char *body, const char *reason)
+{
+  char text[BODY_SIZE], after[16];
+  struct hs_answer a
+      = { .status = status, .content_type = "application/json", .body = body };
+  struct lg_field f[]
+      = { lg_str ("id", id),
+          lg_str ("call", call),
+          lg_int ("status", status),
+          lg_str ("reason", reason),
+          lg_int ("version", b->config ? b->config->version : 0),
+          lg_int ("config_age_ms", b->now - b->config_follow.fresh_ms),
+          lg_int ("jobs_age_ms", b->now - b->job_follow.fresh_ms) };
+
+  if (!body)
+    {
+      snprintf (text, sizeof text, "{\"error\":\"%s\"}", reason);
+      a.body = text;
+    }
+  if (asks_to_return (status))
+    {
+      snprintf (after, sizeof after, "%d", qu_retry_after_s (ba_retry_ms (b)));
+      a.header[0] = (struct hs_header){ "Retry-After", after };
+    }
+  lg_log (status >= UNAVAILABLE ? LG_REQUEST_GIVEN_UP : LG_REQUEST_ANSWERED, 7,
+          f);
+  co_add (b, b->count.answers, 1);
+  if (asks_to_return (status))
+    co_add (b, b->count.refused, 1);
+  hs_answer (ex, &a);
+}
+
+static int
+wait_of (struct hs_exchange *ex)
+{
+  const char *text = hs_header (ex, po_deadline_header ());
+  long ms = text ? strtol (text, NULL, 10) : 0;
+
+  if (ms <= 0)
+    return WAIT_MS;
+  ms -= ANSWER_SLACK_MS;
+  if (ms < ANSWER_SLACK_MS)
+    ms = ANSWER_SLACK_MS;
+  return ms < WAIT_MAX_MS ? (int)ms : WAIT_MAX_MS;
+}
+
+static void
+submit (struct batch *b, struct hs_exchange *ex, const char *id,
+        const struct qu_queue *q, const char *account)
+{
+  const struct vw_job *known = vw_find (&b->view, id);
+  const char *reason;
+  struct sj_job *job;
+
+  if (known && known->version)
+    {
+      fr_answer (b, ex, id, "submit", OK, "{\"state\":\"queued\"}",
+                 "stored before");
+      return;
+    }
+  if (q->needs_advice)
+    {
+      fr_answer (b, ex, id, "submit", UNPROCESSABLE, NULL,
+                 "queues with advice are not served");
+      return;
+    }
+  job = po_job_read (id, hs_request_of (ex)->body, q, account, &reason);
+  if (!job)
+    {
+      fr_answer (b, ex, id, "submit", BAD_REQUEST, NULL, reason);
+      return;
+    }
+  if (b->store_down)
+    {
+      sj_job_free (job);
+      fr_answer (b, ex, id, "submit", UNAVAILABLE, NULL,
+                 "not run: the store is away");
+      return;
+    }
+  pe_submit (b, ex, job, wait_of (ex));
+}
+
+static int
+is_callers (const struct vw_job *j, const char *account)
+{
+  return !j->account || !account || !strcmp (j->account, account);
+}
+
+static void
+show (struct batch *b, struct hs_exchange *ex, const struct vw_job *j)
+{
+  char body[BODY_SIZE];
+
+  po_state_body (body, sizeof body, j->state);
+  fr_answer (b, ex, j->id, "state", OK, body, sj_state_name (j->state));
+}
+
+static void
+state (struct batch *b, struct hs_exchange *ex, const char *id,
+       const char *account)
+{
+  const struct vw_job *j = vw_find (&b->view, id);
+
+  if (!j || !j->version)
+    pe_lookup (b, ex, id, account, 0, wait_of (ex));
+  else if (!is_callers (j, account))
+    fr_answer (b, ex, id, "state", GONE, NULL, "no such job");
+  else if (j->state < SJ_COMPLETED
+           && b->now - b->job_follow.fresh_ms > STALE_MS)
+    fr_answer (b, ex, id, "state", UNAVAILABLE, NULL,
+               "the state is not known now");
+  else
+    show (b, ex, j);
+}
+
+static void
+cancel (struct batch *b, struct hs_exchange *ex, const char *id,
+        const char *account)
+{
+  const struct vw_job *j = vw_find (&b->view, id);
+
+  if (!j || !j->version)
+    pe_lookup (b, ex, id, account, 1, wait_of (ex));
+  else if (!is_callers (j, account))
+    fr_answer (b, ex, id, "cancel", GONE, NULL, "no such job");
+  else if (j->cancelled || j->state >= SJ_COMPLETED)
+    fr_answer (b, ex, id, "cancel", OK, "{}", "stored before");
+  else
+    pe_cancel (b, ex, j, wait_of (ex));
+}
+
+static void
+waiting (struct batch *b, struct hs_exchange *ex, const struct qu_queue *q)
+{
+  char body[BODY_SIZE];
+
+  if (b->now - b->job_follow.fresh_ms > STALE_MS || !b->job_follow.whole)
+    {
+      fr_answer (b, ex, "", "count", UNAVAILABLE, NULL,
+                 "the count is not known now");
+      return;
+    }
+  po_count_body (body, sizeof body, vw_waiting (&b->view, q->name));
+  fr_answer (b, ex, "", "count", OK, body, "counted");
+}
+
+static void
+dispatch (struct batch *b, struct hs_exchange *ex, const struct qu_queue *q,
+          const char *account, const char *rest)
+{
+  switch (po_call_of (hs_request_of (ex)->method, rest))
+    {
+    case PO_SUBMIT:
+      submit (b, ex, rest, q, account);
+      break;
+    case PO_STATE:
+      state (b, ex, rest, account);
+      break;
+    case PO_CANCEL:
+      cancel (b, ex, rest, account);
+      break;
+    case PO_COUNT:
+      waiting (b, ex, q);
+      break;
+    case PO_NO_METHOD:
+      fr_answer (b, ex, rest, "?", NO_METHOD, NULL, "no such method");
+      break;
+    case PO_NO_PATH:
+      fr_answer (b, ex, "", "?", NOT_FOUND, NULL, "no such path");
+      break;
+    }
+}
+
+void
+fr_request (struct batch *b, struct hs_exchange *ex)
+{
+  const struct hs_request *r = hs_request_of (ex);
+  const char *key = po_key_of (r->authorization), *rest = "";
+  const struct qu_account *account;
+  const struct qu_queue *q;
+
+  if (!b->config)
+    {
+      fr_answer (b, ex, "", "?", UNAVAILABLE, NULL,
+                 "not run: no configuration yet");
+      return;
+    }
+  q = qu_find (b->config, hs_header (ex, "Host"), r->path, &rest);
+  if (!ba_is_fresh (b) && !(q && q->is_public))
+    {
+      fr_answer (b, ex, rest, "?", UNAVAILABLE, NULL,
+                 "not run: the configuration may be old");
+      return;
+    }
+  if (!q)
+    {
+      fr_answer (b, ex, "", "?", NOT_FOUND, NULL, "no such queue");
+      return;
+    }
+  account = qu_account_of (b->config, key);
+  if (!account && !q->is_public)
+    {
+      fr_answer (b, ex, rest, "?", UNAUTHORIZED, NULL, "no such key");
+      return;
+    }
+  dispatch (b, ex, q, account ? account->name : NULL, rest);
+}
+
+/* Runs on the server's thread.  */
+void
+fr_handle (void *arg, struct hs_exchange *ex)
+{
+  struct batch *b = arg;
+  struct ba_event *e;
+
+  if (hs_request_of (ex)->too_large
+      || hs_in_progress (b->front) > b->set->max_requests)
+    {
+      struct hs_answer a
+          = { .status = hs_request_of (ex)->too_large ? 413 : UNAVAILABLE,
+              .body = "{\"error\":\"not run: too much at once\"}",
+              .content_type = "application/json",
+              .header = { { "Retry-After", "1" } } };
+
+      hs_answer (ex, &a);
+      return;
+    }
+  e = g_new (struct ba_event, 1);
+  e->kind = BA_REQUEST;
+  e->u.request = ex;
+  ba_push (b, e);
+}
+
+void
+fr_ready (void *arg, struct hs_exchange *ex)
+{
+  struct batch *b = arg;
+  int ready
+      = atomic_load (&b->ready) && po_is_ready_path (hs_request_of (ex)->path);
+  struct hs_answer a = { .status = ready ? OK : UNAVAILABLE, .body = "" };
+
+  hs_answer (ex, &a);
+}
+
+void
+fr_metrics (void *arg, struct hs_exchange *ex)
+{
+  struct batch *b = arg;
+  char *text = st_text (&b->stats);
+  struct hs_answer a = { .status = text ? OK : UNAVAILABLE,
+                         .content_type = "text/plain; version=0.0.4",
+                         .body = text };
+
+  hs_answer (ex, &a);
+  free (text);
+}
--- /dev/null
+++ b/src/batch/lease.c
@@ -0,0 +1,163 @@
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "batch/lease.h"
+
+static void
+copy (char out[LE_NAME], const char *text)
+{
+  size_t n = text ? strlen (text) : 0;
+
+  if (n > LE_NAME - 1)
+    n = LE_NAME - 1;
+  if (n)
+    memcpy (out, text, n);
+  out[n] = '\0';
+}
+
+void
+le_init (struct le_lease *l, const struct le_settings *set, const char *vm,
+         const char *token)
+{
+  memset (l, 0, sizeof *l);
+  l->set = *set;
+  copy (l->vm, vm);
+  copy (l->token, token);
+}
+
+int
+le_seen (struct le_lease *l, int64_t version, const char *value, int64_t now)
+{
+  json_t *o;
+
+  if (l->known && version <= l->version)
+    return 0;
+  o = json_loads (value, 0, NULL);
+  l->known = 1;
+  l->version = version;
+  l->changed_ms = now;
+  l->epoch = json_integer_value (json_object_get (o, "epoch"));
+  l->serial = json_integer_value (json_object_get (o, "serial"));
+  copy (l->holder, json_string_value (json_object_get (o, "token")));
+  copy (l->holder_vm, json_string_value (json_object_get (o, "vm")));
+  json_decref (o);
+  if (!l->held || !strcmp (l->holder, l->token))
+    return 0;
+  l->held = 0;
+  return 1;
+}
+
+void
+le_read (struct le_lease *l, int64_t now)
+{
+  if (l->known)
+    return;
+  l->known = 1;
+  l->changed_ms = now;
+}
+
+void
+le_heard_again (struct le_lease *l, int64_t now)
+{
+  l->changed_ms = now;
+}
+
+int
+le_may_take (const struct le_lease *l, int64_t now)
+{
+  if (!l->known || l->held)
+    return 0;
+  return !*l->holder || now - l->changed_ms >= l->set.take_ms;
+}
+
+int
+le_valid (const struct le_lease *l, int64_t now)
+{
+  return l->held && now < l->valid_until_ms;
+}
+
+int64_t
+le_renew_at (const struct le_lease *l)
+{
+  return l->renewed_ms + l->set.renew_ms;
+}
+
+static char *
+write_value (const struct le_lease *l, const char *token, int64_t epoch,
+             int64_t serial)
+{
+  json_t *o
+      = json_pack ("{s:s,s:s,s:I,s:I}", "token", token, "vm", l->vm, "epoch",
+                   (json_int_t)epoch, "serial", (json_int_t)serial);
+  char *text = json_dumps (o, JSON_COMPACT);
+
+  json_decref (o);
+  return text;
+}
+
+char *
+le_take_value (const struct le_lease *l)
+{
+  return write_value (l, l->token, l->epoch + 1, 1);
+}
+
+char *
+le_renew_value (const struct le_lease *l, int64_t *serial)
+{
+  *serial = l->serial + 1;
+  return write_value (l, l->token, l->epoch, *serial);
+}
+
+char *
+le_free_value (const struct le_lease *l)
+{
+  return write_value (l, "", l->epoch, l->serial + 1);
+}
+
+static void
+hold (struct le_lease *l, int64_t version, int64_t sent_ms, int64_t now)
+{
+  copy (l->holder, l->token);
+  copy (l->holder_vm, l->vm);
+  if (version > l->version)
+    l->version = version;
+  l->changed_ms = now;
+  l->renewed_ms = sent_ms;
+  l->valid_until_ms = sent_ms + l->set.valid_ms;
+}
+
+void
+le_taken (struct le_lease *l, int64_t version, int64_t sent_ms, int64_t now)
+{
+  l->held = 1;
+  l->epoch++;
+  l->serial = 1;
+  hold (l, version, sent_ms, now);
+}
+
+void
+le_renewed (struct le_lease *l, int64_t version, int64_t serial,
+            int64_t sent_ms, int64_t now)
+{
+  l->serial = serial;
+  hold (l, version, sent_ms, now);
+}
+
+int
+le_conflict (struct le_lease *l, int64_t version, const char *value,
+             int64_t now, int64_t *serial)
+{
+  int64_t epoch = l->epoch;
+
+  l->version = version - 1;
+  le_seen (l, version, value, now);
+  *serial = l->serial;
+  return l->held && l->epoch == epoch;
+}
+
+void
+le_drop (struct le_lease *l)
+{
+  l->held = 0;
+}
--- /dev/null
+++ b/src/batch/lease.h
@@ -0,0 +1,69 @@
+/* The lease by which one VM schedules, as a row of the store.  Pure: rows
+   and times come in.  Times are of a clock that also runs while the VM is
+   suspended.  */
+#ifndef SKR_BATCH_LEASE_H
+#define SKR_BATCH_LEASE_H
+
+#include <stdint.h>
+
+enum
+{
+  LE_NAME = 64 /* bytes of a holder's name with its NUL */
+};
+
+struct le_settings
+{
+  int64_t valid_ms; /* from a renewal's sending, the holder may act */
+  int64_t take_ms;  /* unchanged for so long, the row may be taken */
+  int64_t renew_ms; /* between two renewals */
+};
+
+struct le_lease
+{
+  struct le_settings set;
+  char token[LE_NAME]; /* of this process's life */
+  char vm[LE_NAME];
+  /* The row as last known.  */
+  int known; /* the table was read: the row is as below, or absent */
+  int64_t version, epoch, serial;
+  char holder[LE_NAME], holder_vm[LE_NAME]; /* token and VM; "" free */
+  int64_t changed_ms; /* when it was last seen to change */
+  /* As its holder.  */
+  int held;
+  int64_t valid_until_ms, renewed_ms;
+};
+
+void le_init (struct le_lease *l, const struct le_settings *set,
+              const char *vm, const char *token);
+/* The row was read with VALUE ("" when absent) at VERSION.  Returns 1 when
+   it names another holder than this one, which held it.  */
+int le_seen (struct le_lease *l, int64_t version, const char *value,
+             int64_t now);
+/* The table was read whole, and there may be no row.  */
+void le_read (struct le_lease *l, int64_t now);
+/* The store was not heard for a while: an unchanged row proves nothing.  */
+void le_heard_again (struct le_lease *l, int64_t now);
+int le_may_take (const struct le_lease *l, int64_t now);
+/* 1 while orders may be sent.  */
+int le_valid (const struct le_lease *l, int64_t now);
+/* When a renewal is due.  */
+int64_t le_renew_at (const struct le_lease *l);
+
+/* The value to write for a take (a higher epoch) or a renewal, with the
+   serial that it carries.  Free by free.  */
+char *le_take_value (const struct le_lease *l);
+char *le_renew_value (const struct le_lease *l, int64_t *serial);
+char *le_free_value (const struct le_lease *l);
+/* The write of SERIAL, sent at SENT_MS, is done at VERSION.  */
+void le_taken (struct le_lease *l, int64_t version, int64_t sent_ms,
+               int64_t now);
+void le_renewed (struct le_lease *l, int64_t version, int64_t serial,
+                 int64_t sent_ms, int64_t now);
+/* A write met the row with VALUE at VERSION instead of what it expected.
+   Returns 1 when the row is still this holder's; *SERIAL is then what it
+   carries.  */
+int le_conflict (struct le_lease *l, int64_t version, const char *value,
+                 int64_t now, int64_t *serial);
+void le_drop (struct le_lease *l);
+
+#endif
--- /dev/null
+++ b/src/batch/main.c
@@ -0,0 +1,158 @@
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "batch/batch.h"
+#include "skr/opt.h"
+
+enum
+{
+  MINUTE_MS = 60000,
+  WAIT_MS = 500,
+  SETTINGS_MS = 2000 /* between two looks at the settings file */
+};
+
+#define FIELD(name) offsetof (struct ba_settings, name)
+
+static const struct opt_def defs[] = {
+  { "vm", OPT_STRING, "", 1, 60, "vm1", "name of this VM", FIELD (vm) },
+  { "listen", OPT_STRING, "IP:PORT", 0, 60, "127.0.0.1:7300",
+    "address for callers", FIELD (listen) },
+  { "ready-listen", OPT_STRING, "IP:PORT", 0, 60, "",
+    "address where the balancer asks whether this VM takes connections; "
+    "empty: none",
+    FIELD (ready_listen) },
+  { "metrics-listen", OPT_STRING, "IP:PORT", 0, 60, "",
+    "address of /metrics; empty: none", FIELD (metrics_listen) },
+  { "store", OPT_STRING, "IP:PORT", 1, 60, "127.0.0.1:7000",
+    "the platform's store of rows", FIELD (store) },
+  { "settings", OPT_STRING, "file", 0, 400, "",
+    "file of lines NAME=VALUE with the names of these flags; a flag or "
+    "variable goes before it; read again when it changes or at SIGHUP, "
+    "which puts log-level and log-rate in force",
+    FIELD (settings) },
+  { "log-output", OPT_STRING, "", 1, 16, "json", "plain, json or journald",
+    FIELD (log_output) },
+  { "log-level", OPT_INT, "", LG_ERROR, LG_DEBUG, "3",
+    "0 error, 1 warning, 2 notice, 3 info, 4 debug", FIELD (log_level) },
+  { "log-rate", OPT_INT, "lines a second", 1, 100000, "300",
+    "more are dropped and counted", FIELD (log_rate) },
+  { "hold-ms", OPT_INT, "ms", 1000, 10 * MINUTE_MS, "6000",
+    "longest lease of a worker's runs", FIELD (hold_ms) },
+  { "stop-ms", OPT_INT, "ms", 1, MINUTE_MS, "400",
+    "longest time a worker takes to stop a run", FIELD (stop_ms) },
+  { "far-factor", OPT_INT, "", 1, 100, "3",
+    "how many times longer a task runs away from its data",
+    FIELD (far_factor) },
+  { "revoke-ms", OPT_INT, "ms", 1500, MINUTE_MS, "5000",
+    "after this a key that was taken away must not pass", FIELD (revoke_ms) },
+  { "grace-ms", OPT_INT, "ms", 1000, 10 * MINUTE_MS, "6000",
+    "from SIGTERM until the process is killed", FIELD (grace_ms) },
+  { "keep-s", OPT_INT, "s", 1, 864000, "240",
+    "an ended job is shown for so long", FIELD (keep_s) },
+  { "lease-ms", OPT_INT, "ms", 300, MINUTE_MS, "1600",
+    "the scheduler acts for so long after a renewal was sent",
+    FIELD (lease_ms) },
+  { "take-ms", OPT_INT, "ms", 400, MINUTE_MS, "2100",
+    "its lease may be taken when unchanged for so long", FIELD (take_ms) },
+  { "renew-ms", OPT_INT, "ms", 50, MINUTE_MS, "500", "between two renewals",
+    FIELD (renew_ms) },
+  { "max-requests", OPT_INT, "requests", 1, 100000, "512",
+    "callers' requests in progress; more are refused", FIELD (max_requests) },
+  { NULL, OPT_INT, "", 0, 0, NULL, NULL, 0 }
+};
+
+static void
+fail (const char *what)
+{
+  fprintf (stderr, "skr-batch: %s\n", what);
+  exit (EXIT_FAILURE);
+}
+
+static void
+check (const struct ba_settings *set)
+{
+  if (set->lease_ms * 5 / 4 > set->take_ms)
+    fail ("--take-ms must be a quarter above --lease-ms at least");
+  if (set->renew_ms * 2 > set->lease_ms)
+    fail ("--renew-ms must be at most half of --lease-ms");
+}
+
+static void
+reload (const struct ba_settings *set, const char *cause)
+{
+  struct ba_settings next = *set;
+  char reason[200] = "";
+  int error
+      = opt_read_file (defs, &next, set->settings, reason, sizeof reason);
+  struct lg_field f[]
+      = { lg_str ("file", set->settings), lg_str ("cause", cause),
+          lg_str ("reason", error ? reason : "applied") };
+
+  if (!error)
+    lg_tune ((enum lg_level)next.log_level, (int)next.log_rate);
+  lg_log (error ? LG_RELOAD_REFUSED : LG_RELOADED, 3, f);
+}
+
+static void
+watch_settings (const struct ba_settings *set, int64_t *stamp)
+{
+  int64_t now = opt_file_stamp (set->settings);
+
+  if (!*set->settings)
+    return;
+  if (bs_reload_wanted ())
+    reload (set, "SIGHUP");
+  else if (now != *stamp)
+    reload (set, "the file changed");
+  *stamp = now;
+}
+
+static void
+serve (const struct ba_settings *set)
+{
+  int64_t stamp = opt_file_stamp (set->settings);
+  int waited = 0;
+
+  while (!bs_stop_wait (WAIT_MS))
+    {
+      waited += WAIT_MS;
+      if (!bs_reload_pending () && waited < SETTINGS_MS)
+        continue;
+      waited = 0;
+      watch_settings (set, &stamp);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  static struct batch batch;
+  struct ba_settings set;
+  struct lg_field field;
+
+  opt_load_file (argc, argv);
+  opt_parse (defs, &set, argc, argv, "[OPTION...]",
+             "Takes jobs of steps and schedules them on workers.", NULL);
+  check (&set);
+  if (lg_init ("skr-batch", set.log_output, (enum lg_level)set.log_level))
+    fail ("--log-output must be plain, json or journald");
+  lg_to_stdout ();
+  lg_tune ((enum lg_level)set.log_level, (int)set.log_rate);
+  if (bs_init () != BS_OK)
+    fail ("a library could not be initialised");
+  bs_stop_on_signals ();
+  bs_reload_on_signal ();
+  if (ba_start (&batch, &set))
+    fail ("cannot start: check the addresses to listen on");
+  field = lg_str ("address", set.listen);
+  lg_log (LG_STARTED, 1, &field);
+  serve (&set);
+  field = lg_int ("in_progress", hs_in_progress (batch.front));
+  lg_log (LG_STOPPING, 1, &field);
+  ba_stop (&batch);
+  field = lg_int ("cut", hs_in_progress (batch.front));
+  lg_log (LG_STOPPED, 1, &field);
+  return EXIT_SUCCESS;
+}
--- a/src/net/serve.c
+++ b/src/net/serve.c
@@ -264,6 +264,12 @@
                                       name);
 }
 
+const char *
+hs_header (struct hs_exchange *ex, const char *name)
+{
+  return header_of (ex->connection, name);
+}
+
 void
 hs_answer (struct hs_exchange *ex, const struct hs_answer *answer)
 {
--- /dev/null
+++ b/src/queue/queue.c
@@ -0,0 +1,93 @@
+#include <glib.h>
+#include <sodium.h>
+#include <string.h>
+
+#include "skr/queue.h"
+
+enum
+{
+  SECOND_MS = 1000
+};
+
+void
+qu_free (struct qu_config *config)
+{
+  if (!config)
+    return;
+  for (int i = 0; i < config->queues; i++)
+    {
+      g_free (config->queue[i].name);
+      g_free (config->queue[i].host);
+      g_free (config->queue[i].prefix);
+      g_free (config->queue[i].service);
+    }
+  for (int i = 0; i < config->accounts; i++)
+    {
+      for (int k = 0; k < config->account[i].keys; k++)
+        g_free (config->account[i].key[k]);
+      g_free (config->account[i].key);
+      g_free (config->account[i].name);
+    }
+  g_free (config->queue);
+  g_free (config->account);
+  g_free (config);
+}
+
+static int
+is_host (const char *name, const char *host)
+{
+  size_t n = strcspn (host, ":");
+
+  return strlen (name) == n && !g_ascii_strncasecmp (name, host, n);
+}
+
+const struct qu_queue *
+qu_find (const struct qu_config *config, const char *host, const char *path,
+         const char **rest)
+{
+  const struct qu_queue *best = NULL;
+  size_t longest = 0;
+
+  for (int i = 0; host && i < config->queues; i++)
+    {
+      const struct qu_queue *q = &config->queue[i];
+      size_t n = strlen (q->prefix);
+
+      if (!is_host (q->host, host) || strncmp (path, q->prefix, n)
+          || (best && n <= longest))
+        continue;
+      best = q;
+      longest = n;
+    }
+  if (best)
+    *rest = path + longest;
+  return best;
+}
+
+static int
+is_key (const char *a, const char *b)
+{
+  size_t n = strlen (a);
+
+  return n == strlen (b) && !sodium_memcmp (a, b, n);
+}
+
+const struct qu_account *
+qu_account_of (const struct qu_config *config, const char *key)
+{
+  const struct qu_account *found = NULL;
+
+  for (int i = 0; key && i < config->accounts; i++)
+    for (int k = 0; k < config->account[i].keys; k++)
+      if (is_key (config->account[i].key[k], key))
+        found = &config->account[i];
+  return found;
+}
+
+int
+qu_retry_after_s (int64_t wait_ms)
+{
+  int64_t s = (wait_ms + SECOND_MS - 1) / SECOND_MS;
+
+  return s < 1 ? 1 : (int)s;
+}
--- /dev/null
+++ b/src/steps/job.c
@@ -0,0 +1,266 @@
+/* Jobs: occurrences fall due, steps take their turn, and the job ends.  */
+#include <string.h>
+
+#include "steps/steps.h"
+
+const struct sj_step *
+un_step (const struct unit *u)
+{
+  return &u->job->spec->step[u->step];
+}
+
+struct job *
+jb_find (struct sj_cluster *c, const char *id)
+{
+  return g_hash_table_lookup (c->jobs, id);
+}
+
+void
+un_free (void *unit)
+{
+  struct unit *u = unit;
+
+  if (u->member)
+    for (int i = 0; i < u->count; i++)
+      if (u->member[i].state != MB_ENDED)
+        wo_release (&u->member[i]);
+  g_free (u->member);
+  if (u->avoid)
+    g_ptr_array_free (u->avoid, TRUE);
+  g_free (u);
+}
+
+static void
+free_occurrence (void *occurrence)
+{
+  struct occurrence *o = occurrence;
+
+  g_free (o->step_left);
+  g_free (o);
+}
+
+void
+jb_free (void *job)
+{
+  struct job *j = job;
+
+  g_ptr_array_free (j->unit, TRUE);
+  g_ptr_array_free (j->occurrence, TRUE);
+  sj_job_free (j->spec);
+  g_free (j);
+}
+
+int
+jb_ended (const struct job *j)
+{
+  return j->state >= SJ_COMPLETED;
+}
+
+void
+jb_mark (struct job *j)
+{
+  j->dirty = 1;
+}
+
+static int
+times_of (const struct job *j)
+{
+  return j->spec->times > 0 ? j->spec->times : 1;
+}
+
+struct occurrence *
+jb_occurrence (struct job *j, int number)
+{
+  for (guint i = 0; i < j->occurrence->len; i++)
+    {
+      struct occurrence *o = g_ptr_array_index (j->occurrence, i);
+
+      if (o->number == number)
+        return o;
+    }
+  return NULL;
+}
+
+struct unit *
+jb_new_unit (struct job *j, int occurrence, int step, int first, int64_t now)
+{
+  struct unit *u = g_new0 (struct unit, 1);
+  const struct sj_step *s = &j->spec->step[step];
+
+  u->job = j;
+  u->occurrence = occurrence;
+  u->step = step;
+  u->first = first;
+  u->count = s->gang ? s->count : 1;
+  u->ready_ms = now;
+  g_ptr_array_add (j->unit, u);
+  return u;
+}
+
+static void
+expand_step (struct job *j, struct occurrence *o, int step, int64_t now)
+{
+  const struct sj_step *s = &j->spec->step[step];
+
+  o->step_left[step] = s->gang ? 1 : s->count;
+  for (int i = 0; i < o->step_left[step]; i++)
+    jb_new_unit (j, o->number, step, i, now);
+}
+
+static int
+turn_has_come (const struct job *j, const struct occurrence *o, int step)
+{
+  for (int k = 0; k < step; k++)
+    if (j->spec->step[step].after >> k & 1 && o->step_left[k] != 0)
+      return 0;
+  return 1;
+}
+
+void
+jb_expand (struct sj_cluster *c, struct job *j, struct occurrence *o,
+           int64_t now)
+{
+  for (int i = 0; i < j->spec->steps; i++)
+    if (o->step_left[i] < 0 && turn_has_come (j, o, i))
+      {
+        expand_step (j, o, i, now);
+        c->changed = 1;
+      }
+}
+
+struct occurrence *
+jb_open (struct job *j, int number)
+{
+  struct occurrence *o = g_new0 (struct occurrence, 1);
+
+  o->number = number;
+  o->steps_left = j->spec->steps;
+  o->step_left = g_new (int, j->spec->steps);
+  for (int i = 0; i < j->spec->steps; i++)
+    o->step_left[i] = -1;
+  g_ptr_array_add (j->occurrence, o);
+  return o;
+}
+
+void
+jb_open_due (struct sj_cluster *c, struct job *j, int64_t now, int64_t wall_ms)
+{
+  while (j->next_occurrence < times_of (j)
+         && (!j->spec->times
+             || wall_ms >= j->spec->first_due_ms
+                               + j->next_occurrence * j->spec->interval_ms))
+    {
+      jb_expand (c, j, jb_open (j, j->next_occurrence), now);
+      j->next_occurrence++;
+    }
+}
+
+static void
+end_occurrence (struct sj_cluster *c, struct job *j, struct occurrence *o,
+                int64_t now)
+{
+  g_ptr_array_remove_fast (j->occurrence, o);
+  j->occurrences_done++;
+  if (j->occurrences_done == times_of (j))
+    jb_finish (c, j, SJ_COMPLETED, now);
+}
+
+/* The unit stays until no member of it takes room; see sj_decide.  */
+void
+jb_unit_done (struct sj_cluster *c, struct unit *u, int64_t now)
+{
+  struct job *j = u->job;
+  struct occurrence *o = jb_occurrence (j, u->occurrence);
+
+  u->state = UN_DONE;
+  jb_mark (j);
+  c->changed = 1;
+  if (!o || jb_ended (j))
+    return;
+  if (--o->step_left[u->step] > 0)
+    return;
+  if (--o->steps_left == 0)
+    end_occurrence (c, j, o, now);
+  else
+    jb_expand (c, j, o, now);
+}
+
+void
+jb_finish (struct sj_cluster *c, struct job *j, enum sj_state state,
+           int64_t now)
+{
+  if (jb_ended (j))
+    return;
+  j->state = state;
+  jb_mark (j);
+  c->changed = 1;
+  for (guint i = 0; i < j->unit->len; i++)
+    {
+      struct unit *u = g_ptr_array_index (j->unit, i);
+
+      if (u->state == UN_ACTIVE)
+        ru_abort (c, u, now);
+    }
+}
+
+static void
+measure (struct job *j)
+{
+  j->chain_ms = sj_job_chain_ms (j->spec);
+  for (int i = 0; i < j->spec->steps; i++)
+    {
+      const struct sj_step *s = &j->spec->step[i];
+      int64_t n = s->need.accelerators * s->count;
+
+      if (n > j->accelerators)
+        j->accelerators = n;
+    }
+}
+
+int
+sj_job_add (struct sj_cluster *c, struct sj_job *spec, const json_t *record,
+            int64_t waited_ms, int64_t now)
+{
+  const char *reason;
+  struct job *j;
+
+  if (sj_has_job (c, spec->id) || sj_job_check (spec, &reason))
+    {
+      int error = sj_has_job (c, spec->id) ? SJ_EEXIST : SJ_EINVAL;
+
+      sj_job_free (spec);
+      return error;
+    }
+  j = g_new0 (struct job, 1);
+  j->spec = spec;
+  j->accepted_ms = now - waited_ms;
+  j->occurrence = g_ptr_array_new_with_free_func (free_occurrence);
+  j->unit = g_ptr_array_new_with_free_func (un_free);
+  measure (j);
+  c->changed = 1;
+  if (record && rc_read (c, j, record, now))
+    {
+      jb_free (j);
+      return SJ_EINVAL;
+    }
+  g_hash_table_insert (c->jobs, spec->id, j);
+  g_ptr_array_add (c->job_list, j);
+  return SJ_OK;
+}
+
+int
+sj_job_cancel (struct sj_cluster *c, const char *id, int64_t now)
+{
+  struct job *j = jb_find (c, id);
+
+  if (!j)
+    return SJ_EUNKNOWN;
+  jb_finish (c, j, SJ_CANCELLED, now);
+  return SJ_OK;
+}
+
+int
+sj_has_job (struct sj_cluster *c, const char *id)
+{
+  return jb_find (c, id) != NULL;
+}
