Add no job twice when the job table is read again

Cause: after the store dropped its history the holder read the job table whole; jobs that had ended and left its memory came as new, without record. Change: rows up to the version told before are passed over.

--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -116,6 +116,7 @@
   int generation;   /* of whole readings, to drop rows that are gone */
   void (*row) (struct batch *b, const struct po_row *row, int generation);
   void (*read_whole) (struct batch *b, int generation);
+  void (*told) (struct batch *b, int64_t version); /* or NULL */
 };
 
 /* A worker as the holder talks to it.  */
@@ -206,7 +207,8 @@
   char load_from[64];
   enum ba_purpose load_next;
   int load_in_flight;
-  int64_t load_at_ms, take_at_ms, taken_version, taken_ms;
+  int64_t load_at_ms, take_at_ms, taken_ms;
+  int64_t jobs_up_to; /* jobs stored up to this version were added before */
   struct ba_commit commit;
   int64_t decide_at_ms, stopping_at_ms, counted_ms;
 
@@ -279,6 +281,8 @@
 void ho_tick (struct batch *b);
 void ho_loaded (struct batch *b, struct ba_ask *ask, struct po_rows *rows);
 void ho_committed (struct batch *b, struct ba_ask *ask, struct po_rows *rows);
+/* All rows of the job table up to VERSION were told.  */
+void ho_jobs_told (struct batch *b, int64_t version);
 /* A row of the job table, while this VM is the holder.  */
 void ho_job_row (struct batch *b, const struct po_row *row);
 void ho_step_down (struct batch *b, const char *reason);
--- a/src/batch/follow.c
+++ b/src/batch/follow.c
@@ -103,6 +103,8 @@
   f->after = f->read_version;
   f->fresh_ms = ask->sent_ms;
   f->read_whole (f->b, f->generation);
+  if (f->told)
+    f->told (f->b, f->after);
 }
 
 /* A wait that ended without rows proves that nothing had changed when it
@@ -123,6 +125,8 @@
   if (rows->version > f->after)
     f->after = rows->version;
   f->next_ms = f->b->now + f->gap_ms;
+  if (f->told)
+    f->told (f->b, f->after);
 }
 
 void
--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -189,7 +189,7 @@
 
   b->turn++;
   b->phase = BA_LOADING;
-  b->taken_version = b->lease.version;
+  b->jobs_up_to = b->lease.version;
   b->taken_ms = b->now;
   b->cluster = sj_new (&set, wk_do_order, b);
   b->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, wk_free);
@@ -377,6 +377,13 @@
     finish_load (b);
 }
 
+void
+ho_jobs_told (struct batch *b, int64_t version)
+{
+  if (b->phase != BA_FOLLOWS && version > b->jobs_up_to)
+    b->jobs_up_to = version;
+}
+
 void
 ho_job_row (struct batch *b, const struct po_row *row)
 {
@@ -393,8 +400,9 @@
     }
   if (kind != VW_JOB || sj_has_job (b->cluster, id))
     return;
-  /* Older ones are loaded with their records.  */
-  if (b->phase == BA_LOADING && row->version <= b->taken_version)
+  /* Older ones were loaded with their records, or have ended: a table that is
+     read again shows them once more.  */
+  if (row->version <= b->jobs_up_to)
     return;
   job = read_job_row (row);
   if (job)
--- a/src/batch/tables.c
+++ b/src/batch/tables.c
@@ -110,6 +110,7 @@
   fo_init (b, &b->job_follow, "jobs", JOB_WAIT_MS, JOB_GAP_MS);
   b->job_follow.row = job_row;
   b->job_follow.read_whole = job_whole;
+  b->job_follow.told = ho_jobs_told;
   fo_init (b, &b->worker_follow, po_worker_table (), WORKER_WAIT_MS, 0);
   b->worker_follow.row = wk_row;
   b->worker_follow.read_whole = wk_whole;
