Take the lease by its own epoch, and at once on a restarted VM

Change: a take keeps the version it expects and the epoch it writes and is dropped when the row changed; a VM whose earlier process held the lease takes it at once.

--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,9 @@
 LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
 # The adapter to the users' platform; skr-batch links it.
 PORT_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard platform/*.c))
+# skr-batch without its main, for tests.
+BATCH_LIB = $(BUILD)/libbatch.a
+BATCH_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(filter-out %/main.c,$(wildcard src/batch/*.c)))
 LIB = $(BUILD)/libskr.a
 name_cli = skr
 prog_name = $(or $(name_$1),skr-$1)
@@ -50,6 +53,10 @@
 	@rm -f $@
 	ar rcs $@ $^
 
+$(BATCH_LIB): $(BATCH_OBJ) $(PORT_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
 define program
 $(BIN)/$1: $(patsubst %.c,$(BUILD)/%.o,$(wildcard $(addsuffix /*.c,$2))) $(LIB)
 	@mkdir -p $(BIN)
@@ -63,9 +70,9 @@
 .SECONDEXPANSION:
 $(BUILD)/tests/%: $(BUILD)/tests/%.o \
     $$(addprefix $(BUILD)/,$$(addsuffix .o,$$(basename \
-      $$(wildcard tests/$$(*D)/fake_*.c)))) $(LIB)
+      $$(wildcard tests/$$(*D)/fake_*.c)))) $(BATCH_LIB) $(LIB)
 	@mkdir -p $(@D)
-	$(CC) $(SAN) -o $@ $(filter %.o,$^) $(LIB) $(LIBS_ALL) -lcunit
+	$(CC) $(SAN) -o $@ $(filter %.o,$^) $(BATCH_LIB) $(LIB) $(LIBS_ALL) -lcunit
 
 # The outside check of skr-replay's actions.
 VERIFY := $(BUILD)/tests/replay/verify
--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -57,6 +57,8 @@
 
 /* Commits.  */
 
+static void commit_done (struct batch *b, int64_t version);
+
 static void
 end_commit (struct batch *b)
 {
@@ -102,6 +104,25 @@
   add (c, PO_PUT, "jobs", strdup (vw_lease_key ()), lease_value);
 }
 
+/* The row may have changed while a take waited to be sent again.  */
+static int
+take_is_open (struct batch *b)
+{
+  switch (le_take_state (&b->lease))
+    {
+    case LE_TAKE_OPEN:
+      return 1;
+    case LE_TAKE_DONE:
+      commit_done (b, b->lease.version);
+      return 0;
+    case LE_TAKE_STALE:
+      break;
+    }
+  end_commit (b);
+  b->take_at_ms = 0;
+  return 0;
+}
+
 static void
 send_commit (struct batch *b)
 {
@@ -110,6 +131,8 @@
 
   if (!c->open || c->in_flight || b->now < c->next_ms)
     return;
+  if (c->kind == BA_TAKE && !take_is_open (b))
+    return;
   ask = ba_new_ask (b, BA_COMMIT);
   if (!c->first_sent_ms)
     c->first_sent_ms = b->now;
@@ -239,7 +262,11 @@
 {
   if (b->phase == BA_FOLLOWS)
     return;
-  log_turn (b, LG_LEASE_LOST, reason);
+  /* The feed may show the freed row before its write is answered.  */
+  if (b->commit.open && b->commit.kind == BA_FREE)
+    log_turn (b, LG_LEASE_RELEASED, "stopping");
+  else
+    log_turn (b, LG_LEASE_LOST, reason);
   end_turn (b);
 }
 
@@ -439,19 +466,6 @@
     }
 }
 
-static int
-is_own_take (const struct batch *b, const char *value)
-{
-  json_t *o = json_loads (value, 0, NULL);
-  const char *token = json_string_value (json_object_get (o, "token"));
-  int own = token && !strcmp (token, b->token)
-            && json_integer_value (json_object_get (o, "epoch"))
-                   == b->lease.epoch + 1;
-
-  json_decref (o);
-  return own;
-}
-
 static void
 commit_conflict (struct batch *b, const struct po_rows *rows)
 {
@@ -460,15 +474,15 @@
 
   if (b->commit.kind == BA_TAKE)
     {
-      if (row && is_own_take (b, row->value))
+      if (row)
+        le_seen (&b->lease, row->version, row->value, b->now);
+      if (le_take_state (&b->lease) == LE_TAKE_DONE)
         {
-          commit_done (b, row->version);
+          commit_done (b, b->lease.version);
           return;
         }
       end_commit (b);
       b->take_at_ms = 0;
-      if (row)
-        le_seen (&b->lease, row->version, row->value, b->now);
       return;
     }
   if (!row
--- a/src/batch/lease.c
+++ b/src/batch/lease.c
@@ -68,6 +68,8 @@
 {
   if (!l->known || l->held)
     return 0;
+  if (!strcmp (l->holder_vm, l->vm) && strcmp (l->holder, l->token) != 0)
+    return 1;
   return !*l->holder || now - l->changed_ms >= l->set.take_ms;
 }
 
@@ -97,9 +99,21 @@
 }
 
 char *
-le_take_value (const struct le_lease *l)
+le_take_value (struct le_lease *l)
 {
-  return write_value (l, l->token, l->epoch + 1, 1);
+  l->take_version = l->version;
+  l->take_epoch = l->epoch + 1;
+  return write_value (l, l->token, l->take_epoch, 1);
+}
+
+enum le_take
+le_take_state (const struct le_lease *l)
+{
+  if (l->version == l->take_version)
+    return LE_TAKE_OPEN;
+  return !strcmp (l->holder, l->token) && l->epoch == l->take_epoch
+             ? LE_TAKE_DONE
+             : LE_TAKE_STALE;
 }
 
 char *
@@ -131,7 +145,7 @@
 le_taken (struct le_lease *l, int64_t version, int64_t sent_ms, int64_t now)
 {
   l->held = 1;
-  l->epoch++;
+  l->epoch = l->take_epoch;
   l->serial = 1;
   hold (l, version, sent_ms, now);
 }
--- a/src/batch/lease.h
+++ b/src/batch/lease.h
@@ -28,6 +28,8 @@
   int64_t version, epoch, serial;
   char holder[LE_NAME], holder_vm[LE_NAME]; /* token and VM; "" free */
   int64_t changed_ms; /* when it was last seen to change */
+  /* The row that a take under way expects, and the epoch that it writes.  */
+  int64_t take_version, take_epoch;
   /* As its holder.  */
   int held;
   int64_t valid_until_ms, renewed_ms;
@@ -43,18 +45,29 @@
 void le_read (struct le_lease *l, int64_t now);
 /* The store was not heard for a while: an unchanged row proves nothing.  */
 void le_heard_again (struct le_lease *l, int64_t now);
+/* 1 when the row is free, has not changed for take_ms, or is of an earlier
+   process on this VM, which is gone.  */
 int le_may_take (const struct le_lease *l, int64_t now);
 /* 1 while orders may be sent.  */
 int le_valid (const struct le_lease *l, int64_t now);
 /* When a renewal is due.  */
 int64_t le_renew_at (const struct le_lease *l);
 
-/* The value to write for a take (a higher epoch) or a renewal, with the
-   serial that it carries.  Free by free.  */
-char *le_take_value (const struct le_lease *l);
+/* Begins a take: the value to write over the row as known now, with a higher
+   epoch.  Free by free.  */
+char *le_take_value (struct le_lease *l);
+/* What became of the take, by the row as known now.  */
+enum le_take
+{
+  LE_TAKE_OPEN,  /* the row is as it was */
+  LE_TAKE_DONE,  /* the row is this take's */
+  LE_TAKE_STALE  /* another write came first: the take must not be sent */
+};
+enum le_take le_take_state (const struct le_lease *l);
+/* The value of a renewal, with the serial that it carries.  */
 char *le_renew_value (const struct le_lease *l, int64_t *serial);
 char *le_free_value (const struct le_lease *l);
-/* The write of SERIAL, sent at SENT_MS, is done at VERSION.  */
+/* The take, or the write of SERIAL, sent at SENT_MS, is done at VERSION.  */
 void le_taken (struct le_lease *l, int64_t version, int64_t sent_ms,
                int64_t now);
 void le_renewed (struct le_lease *l, int64_t version, int64_t serial,
