Move runs that stand still or crawl, and let silent workers lapse

Change: urgent runs are listed each 0.5 s; slow is what runs far below the pace of the step's other tasks; a silent worker is asked without a lease.

--- a/include/skr/events.h
+++ b/include/skr/events.h
@@ -52,6 +52,7 @@
   LG_QUEUES_APPLIED = 528,
   LG_QUEUES_REFUSED = 529,
   LG_ROW_UNREADABLE = 530,
+  LG_JOB_KNOWN = 531,
 
   /* filter */
   LG_REQUEST_UNKNOWN = 601,
--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -194,6 +194,9 @@
                           int64_t now);
 /* 1 while runs may be there that need their lease renewed.  */
 int sj_worker_busy (struct sj_cluster *c, const char *id);
+/* 1 while its runs should be listed more often: urgent ones, and those whose
+   pace is not known yet.  */
+int sj_watch_closely (struct sj_cluster *c, const char *worker);
 /* Runs FN for each known worker.  */
 void sj_each_worker (struct sj_cluster *c,
                      void (*fn) (void *arg, const char *id, int busy),
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -121,6 +121,12 @@
   { LG_ROW_UNREADABLE, LG_WARNING, "row-unreadable", "table key",
     "A row of the store can't be read and is passed over.",
     "find out who wrote it" },
+  { LG_JOB_KNOWN, LG_INFO, "job-known",
+    "id queue account priority steps tasks accelerators chain_ms waited_ms "
+    "recorded",
+    "The scheduler took a job in; recorded tells whether an earlier holder "
+    "had begun it.",
+    "none" },
 
   /* filter */
   { LG_REQUEST_UNKNOWN, LG_WARNING, "request-unknown",
--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -338,6 +338,30 @@
     g_ptr_array_add (b->loaded, job);
 }
 
+static void
+log_known (const struct sj_job *job, int64_t waited_ms, int recorded)
+{
+  int64_t tasks = 0, accelerators = 0;
+
+  for (int i = 0; i < job->steps; i++)
+    {
+      tasks += job->step[i].count;
+      accelerators += job->step[i].count * job->step[i].need.accelerators;
+    }
+  struct lg_field f[] = { lg_str ("id", job->id),
+                          lg_str ("queue", job->queue),
+                          lg_str ("account", job->account),
+                          lg_int ("priority", job->priority),
+                          lg_int ("steps", job->steps),
+                          lg_int ("tasks", tasks),
+                          lg_int ("accelerators", accelerators),
+                          lg_int ("chain_ms", sj_job_chain_ms (job)),
+                          lg_int ("waited_ms", waited_ms),
+                          lg_int ("recorded", recorded) };
+
+  lg_log (LG_JOB_KNOWN, 10, f);
+}
+
 static void
 add_job (struct batch *b, struct sj_job *job, const json_t *record)
 {
@@ -352,6 +376,7 @@
       sj_job_free (job);
       return;
     }
+  log_known (job, waited, record != NULL);
   error
       = sj_job_add (b->cluster, job, record, waited > 0 ? waited : 0, b->now);
   if (error && error != SJ_EEXIST)
--- a/src/batch/workers.c
+++ b/src/batch/workers.c
@@ -7,6 +7,7 @@
 enum
 {
   HOLD_WAIT_MS = 1500,   /* a quarter of the shortest lease */
+  WATCH_WAIT_MS = 500,  /* while runs are watched closely */
   HOLD_SLACK_MS = 800,   /* for the answer on its way */
   PROBE_MS = 600,        /* of a question that does not wait */
   PROBE_GAP_MS = 400,    /* between questions to one that is silent */
@@ -322,7 +323,12 @@
   int waits = busy && w->surveyed && !w->failures && w->taken == w->seen;
   int64_t lease
       = b->set->hold_ms < LEASE_MAX_MS ? b->set->hold_ms : LEASE_MAX_MS;
-  int64_t until = busy && w->clock_at_ms ? clock_of (b, w) + lease : 0;
+  int wait = sj_watch_closely (b->cluster, w->id) ? WATCH_WAIT_MS
+                                                  : HOLD_WAIT_MS;
+  /* A silent worker is only asked: were its lease renewed by questions that
+     may have reached it, its runs would never be known to have ended.  */
+  int64_t until
+      = busy && w->clock_at_ms && !w->failures ? clock_of (b, w) + lease : 0;
 
   o->run.number = w->seen; /* what the worker may forget */
   if (until)
@@ -331,8 +337,8 @@
   w->hold_sent_ms = b->now;
   w->next_hold_ms = b->now + UNSTORED_GAP_MS;
   co_add (b, b->count.holds, 1);
-  if (!po_hold (&b->port, &t, w->seen, until, waits ? HOLD_WAIT_MS : 0,
-                waits ? HOLD_WAIT_MS + HOLD_SLACK_MS : PROBE_MS, on_listing,
+  if (!po_hold (&b->port, &t, w->seen, until, waits ? wait : 0,
+                waits ? wait + HOLD_SLACK_MS : PROBE_MS, on_listing,
                 o))
     return;
   w->holding = 0;
--- a/src/steps/health.c
+++ b/src/steps/health.c
@@ -1,4 +1,7 @@
-/* Workers that fail all they start, stand still or are slow.  */
+/* Workers that fail all they start, stand still or are slow.
+
+   Each task of a gang advances at its own worker's pace and waits at the end
+   for the others, so that a slow worker can be told from its gang.  */
 #include <string.h>
 
 #include "steps/steps.h"
@@ -7,10 +10,18 @@
 {
   FAILURES_IN_A_ROW = 2, /* of different jobs, before a worker is suspected */
   SUSPECT_MS = 3000,     /* without new starts, then one more try */
-  STILL_MS = 4000,       /* a run without any progress for so long is stuck;
-                            one percent of the longest known run at a sixth
-                            of the speed, far from its data, takes half */
-  LEARN_DIVISOR = 4      /* weight of a new observation */
+  STILL_MS = 700,        /* without progress, at least, a run is stuck; */
+  STILL_PERCENT = 20,    /* and so much of the declared run time: a run that
+                            is six times slow takes a third of it for one
+                            percent */
+  MARK_MS = 300,         /* shortest time over which a pace is taken; */
+  MARK_PERCENT = 8,      /* and so much of the declared run time */
+  NEARLY_PERCENT = 98,   /* beyond it a task may wait for its gang */
+  SLOW_PERCENT = 40,     /* of the pace of the step's other tasks, */
+  SLOW_ALONE_PERCENT = 15, /* or of the declared one, which may be off by a
+                              factor of three */
+  SLOW_LASTS_MS = 6000,  /* a worker is not expected to stay slow longer */
+  MOVE_MS = 600          /* what a move costs: stop, store, start */
 };
 
 static void
@@ -44,65 +55,180 @@
     }
 }
 
-static void
-learn_speed (struct member *m, int percent, int64_t now)
+/* The declared run time where the unit runs.  */
+static int64_t
+declared_ms (const struct sj_cluster *c, const struct unit *u)
+{
+  int64_t ms = un_step (u)->estimate_ms;
+
+  return u->far ? ms * c->set.far_factor : ms;
+}
+
+int
+he_is_slow (const struct sj_cluster *c, const struct worker *w)
+{
+  return w->slow_ms && c->now - w->slow_ms < SLOW_LASTS_MS;
+}
+
+static int
+best_pace_of (const struct unit *u, const struct worker *but)
+{
+  int best = 0;
+
+  for (int i = 0; u->member && i < u->count; i++)
+    if (u->member[i].worker != but && u->member[i].pace > best)
+      best = u->member[i].pace;
+  return best;
+}
+
+/* The best pace of the step's tasks on other workers, which tells how far its
+   declared run time is off; 0 without any.  */
+static int
+reference_pace (const struct member *m)
 {
   const struct unit *u = m->unit;
-  int64_t estimate = un_step (u)->estimate_ms, took;
-  double seen;
+  int best = 0;
+
+  for (guint i = 0; i < u->job->unit->len; i++)
+    {
+      const struct unit *other = g_ptr_array_index (u->job->unit, i);
+      int pace;
 
-  if (estimate <= 0 || u->far || percent <= m->start_percent)
+      if (other->step != u->step || other->occurrence != u->occurrence)
+        continue;
+      pace = best_pace_of (other, m->worker);
+      if (pace > best)
+        best = pace;
+    }
+  return best;
+}
+
+static int
+is_slow_pace (const struct member *m)
+{
+  int reference = reference_pace (m);
+
+  if (!reference)
+    return m->pace < SLOW_ALONE_PERCENT;
+  return m->pace * 100 < reference * SLOW_PERCENT;
+}
+
+static void
+take_pace (const struct sj_cluster *c, struct member *m, int percent,
+           int64_t now)
+{
+  int64_t declared = declared_ms (c, m->unit);
+  int64_t took = now - m->mark_ms;
+
+  if (took < MARK_MS || took * 100 < declared * MARK_PERCENT)
     return;
-  took = (now - m->started_ms) * 100 / (percent - m->start_percent);
-  seen = (double)took / (double)estimate;
-  m->worker->slowness += (seen - m->worker->slowness) / LEARN_DIVISOR;
+  if (declared > 0 && percent < NEARLY_PERCENT)
+    {
+      m->pace = (int)((percent - m->mark_percent) * declared / took);
+      m->worker->slow_ms = is_slow_pace (m) ? now : 0;
+    }
+  m->mark_ms = now;
+  m->mark_percent = percent;
 }
 
 void
-he_progress (struct member *m, int percent, int64_t now)
+he_progress (const struct sj_cluster *c, struct member *m, int percent,
+             int64_t now)
 {
+  int first = !m->last_listed_ms;
+
   m->last_listed_ms = now;
   if (percent < 0)
     return;
-  if (m->adopted && !m->start_percent)
-    m->start_percent = percent;
-  if (percent > m->percent)
+  if (first)
     {
-      m->progress_ms = now;
-      if (!m->adopted)
-        learn_speed (m, percent, now);
+      m->mark_ms = now;
+      m->mark_percent = percent;
+      m->pace = -1;
     }
+  else
+    take_pace (c, m, percent, now);
+  if (percent > m->percent || first)
+    m->progress_ms = now;
   m->percent = percent;
 }
 
 static int
-is_still (const struct unit *u, int64_t now)
+is_still (const struct sj_cluster *c, const struct member *m)
 {
-  if (u->state != UN_ACTIVE || un_step (u)->lasts)
+  int64_t limit = declared_ms (c, m->unit) * STILL_PERCENT / 100;
+
+  if (limit < STILL_MS)
+    limit = STILL_MS;
+  return m->last_listed_ms > m->progress_ms + limit;
+}
+
+/* What is left at the pace seen, if the worker recovers in time.  */
+static int64_t
+left_here (int64_t run_ms, const struct member *m, int pace)
+{
+  int64_t left = run_ms * (100 - m->percent) / 100;
+  int64_t slow_part = SLOW_LASTS_MS * pace / 100;
+
+  if (slow_part > left)
+    return pace > 0 ? left * 100 / pace : SLOW_LASTS_MS;
+  return SLOW_LASTS_MS + left - slow_part;
+}
+
+static int64_t
+left_elsewhere (int64_t run_ms, const struct member *m)
+{
+  if (un_step (m->unit)->saves)
+    return MOVE_MS + run_ms * (100 - m->percent) / 100;
+  return MOVE_MS + run_ms;
+}
+
+/* Moving helps only where the unit runs too slowly, and by much.  */
+static int
+is_better_moved (const struct sj_cluster *c, const struct member *m)
+{
+  int reference = reference_pace (m);
+  int64_t run_ms = declared_ms (c, m->unit);
+  int pace = m->pace;
+
+  if (m->pace < 0 || !is_slow_pace (m))
     return 0;
-  for (int i = 0; i < u->count; i++)
+  if (reference)
     {
-      const struct member *m = &u->member[i];
-
-      if (m->state == MB_RUNNING && m->worker->reachable
-          && now - m->progress_ms > STILL_MS
-          && m->last_listed_ms > m->progress_ms + STILL_MS)
-        return 1;
+      run_ms = run_ms * 100 / reference;
+      pace = pace * 100 / reference;
     }
-  return 0;
+  return left_here (run_ms, m, pace) * 2 > left_elsewhere (run_ms, m) * 3;
+}
+
+static int
+holds_up (const struct sj_cluster *c, const struct member *m)
+{
+  if (m->state != MB_RUNNING || !m->last_listed_ms
+      || m->percent >= NEARLY_PERCENT)
+    return 0;
+  return is_still (c, m) || is_better_moved (c, m);
 }
 
-/* Which worker of a gang stands still can't be told: all are avoided.  */
 static void
-stop_still (struct sj_cluster *c, struct unit *u, int64_t now)
+watch_unit (struct sj_cluster *c, struct unit *u, int64_t now)
 {
+  int move = 0;
+
+  if (u->state != UN_ACTIVE || un_step (u)->lasts)
+    return;
   for (int i = 0; i < u->count; i++)
     {
-      ru_avoid (u, u->member[i].worker->id);
-      if (u->count == 1)
-        suspect (c, u->member[i].worker, now);
+      struct member *m = &u->member[i];
+
+      if (!holds_up (c, m))
+        continue;
+      ru_avoid (u, m->worker->id);
+      suspect (c, m->worker, now);
+      move = 1;
     }
-  ru_abort (c, u, now);
+  if (move)
+    ru_abort (c, u, now);
 }
 
 void
@@ -113,11 +239,22 @@
       struct job *j = g_ptr_array_index (c->job_list, i);
 
       for (guint k = 0; k < j->unit->len; k++)
-        {
-          struct unit *u = g_ptr_array_index (j->unit, k);
+        watch_unit (c, g_ptr_array_index (j->unit, k), now);
+    }
+}
+
+int
+sj_watch_closely (struct sj_cluster *c, const char *worker)
+{
+  struct worker *w = wo_find (c, worker);
 
-          if (is_still (u, now))
-            stop_still (c, u, now);
-        }
+  for (guint i = 0; w && i < w->member->len; i++)
+    {
+      const struct member *m = g_ptr_array_index (w->member, i);
+
+      if (m->unit->job->spec->priority == 0 || m->pace < 0
+          || !m->last_listed_ms)
+        return 1;
     }
+  return 0;
 }
--- a/src/steps/listing.c
+++ b/src/steps/listing.c
@@ -24,7 +24,8 @@
 }
 
 static void
-take_running (struct member *m, const struct sj_listed *l, int64_t now)
+take_running (const struct sj_cluster *c, struct member *m,
+              const struct sj_listed *l, int64_t now)
 {
   struct unit *u = m->unit;
 
@@ -39,7 +40,7 @@
     }
   if (un_step (u)->saves && l->checkpoint && *l->checkpoint)
     g_strlcpy (u->checkpoint, l->checkpoint, sizeof u->checkpoint);
-  he_progress (m, l->percent, now);
+  he_progress (c, m, l->percent, now);
 }
 
 /* The worker lists neither a running nor an ended run.  */
@@ -76,7 +77,7 @@
       if (end)
         ru_member_end (c, m, end, now);
       else if (run)
-        take_running (m, run, now);
+        take_running (c, m, run, now);
       else if (surely_absent (m, l))
         ru_member_gone (c, m, now);
     }
--- a/src/steps/place.c
+++ b/src/steps/place.c
@@ -5,15 +5,11 @@
 
 #include "steps/steps.h"
 
-enum
-{
-  SLOW_PERCENT = 180 /* of the estimate: such a worker is taken last */
-};
-
 struct choice
 {
   struct worker *worker;
   int times; /* tasks of the unit that fit */
+  int slow;
 };
 
 static int
@@ -100,21 +96,15 @@
   return nd_times (&need, soon ? &w->soon : &w->free, left_per_worker (u, w));
 }
 
-static int
-is_slow (const struct worker *w)
-{
-  return w->slowness * 100 > SLOW_PERCENT;
-}
-
 /* Best first: sound, then with the least left over.  */
 static int
 by_fit (const void *a, const void *b)
 {
-  const struct worker *x = ((const struct choice *)a)->worker;
-  const struct worker *y = ((const struct choice *)b)->worker;
+  const struct choice *p = a, *q = b;
+  const struct worker *x = p->worker, *y = q->worker;
 
-  if (is_slow (x) != is_slow (y))
-    return is_slow (x) - is_slow (y);
+  if (p->slow != q->slow)
+    return p->slow - q->slow;
   if (x->free.accelerators != y->free.accelerators)
     return x->free.accelerators < y->free.accelerators ? -1 : 1;
   if (x->free.memory_mb != y->free.memory_mb)
@@ -140,7 +130,7 @@
       times = times_at (c, u, w, soon);
       if (!times)
         continue;
-      out[n++] = (struct choice){ w, times };
+      out[n++] = (struct choice){ w, times, he_is_slow (c, w) };
       *total += times;
     }
   return n;
--- a/src/steps/steps.h
+++ b/src/steps/steps.h
@@ -34,7 +34,8 @@
   int64_t progress_ms; /* when PERCENT last rose */
   int64_t last_listed_ms;
   int64_t started_ms;
-  int start_percent;
+  int mark_percent, pace; /* percent of the declared pace; -1 not known */
+  int64_t mark_ms;
 };
 
 enum unit_state
@@ -97,7 +98,7 @@
   int failures;      /* in a row, of different jobs */
   char last_failed[SJ_ID];
   int64_t suspect_until_ms;
-  double slowness; /* smoothed run time against the estimate; 1 is sound */
+  int64_t slow_ms; /* when a run there was last seen to be slow; 0: sound */
 };
 
 struct sj_cluster
@@ -204,8 +205,11 @@
 /* health.c */
 void he_ended (struct sj_cluster *c, struct worker *w, struct unit *u,
                enum sj_end end, int64_t now);
-void he_progress (struct member *m, int percent, int64_t now);
-/* Stops runs that stand still.  */
+void he_progress (const struct sj_cluster *c, struct member *m, int percent,
+                  int64_t now);
+/* All that was seen there lately ran far below its declared pace.  */
+int he_is_slow (const struct sj_cluster *c, const struct worker *w);
+/* Moves runs that stand still or go too slowly.  */
 void he_watch (struct sj_cluster *c, int64_t now);
 
 #endif
--- a/src/steps/worker.c
+++ b/src/steps/worker.c
@@ -74,7 +74,6 @@
   w->id = g_strdup (id);
   w->member = g_ptr_array_new ();
   w->reachable = 1;
-  w->slowness = 1;
   w->added_ms = now;
   g_hash_table_insert (c->workers, w->id, w);
   g_ptr_array_add (c->worker_list, w);
@@ -91,7 +90,7 @@
   w->reachable = 1;
   w->failures = 0;
   w->suspect_until_ms = 0;
-  w->slowness = 1;
+  w->slow_ms = 0;
   w->lease_until_ms = 0;
   w->added_ms = now;
 }
