Tell slow workers from tasks that are long by themselves

Change: slow is a fifth of the pace of the step's other tasks, and a task is moved for it once; a stop names its cause in the log.

--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -116,6 +116,23 @@
   SJ_STOP
 };
 
+/* Why a run is given up.  */
+enum sj_cause
+{
+  SJ_NO_CAUSE,
+  SJ_PREEMPTED, /* for work of higher rank */
+  SJ_STILL,     /* it made no progress */
+  SJ_SLOW,      /* it would end sooner elsewhere */
+  SJ_LEAVING,   /* its worker leaves before it can end */
+  SJ_PARTIAL,   /* another member was refused, lost or ended */
+  SJ_UNHEARD,   /* its start was not answered */
+  SJ_JOB_ENDED, /* the job was cancelled or failed */
+  SJ_STRANGER,  /* the worker runs it, and nothing is known of it */
+  SJ_DONE_ELSEWHERE
+};
+
+const char *sj_cause_name (enum sj_cause cause);
+
 struct sj_order
 {
   enum sj_order_kind kind;
@@ -123,6 +140,7 @@
   int64_t life;
   struct sj_run run;
   const char *payload, *checkpoint; /* of a start; checkpoint or "" */
+  enum sj_cause cause;              /* of a stop */
 };
 
 /* How an order ended.  */
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -71,6 +71,7 @@
   enum sj_order_kind kind;
   char *worker;
   struct sj_run run;
+  enum sj_cause cause;
   int64_t sent_ms;
 };
 
--- a/src/batch/workers.c
+++ b/src/batch/workers.c
@@ -124,7 +124,8 @@
     lg_int ("step", o->run.step),     lg_int ("task", o->run.index),
     lg_int ("run", o->run.number),    lg_str ("worker", o->worker),
     lg_int ("epoch", b->lease.epoch), lg_str ("answer", answers[a->answer]),
-    lg_int ("status", a->status),     lg_str ("reason", a->reason),
+    lg_int ("status", a->status),     lg_str ("reason",
+              *a->reason ? a->reason : sj_cause_name (o->cause)),
     lg_int ("took_ms", a->took_ms)
   };
 
@@ -151,6 +152,7 @@
     o = new_order (b, w);
   o->kind = order->kind;
   o->run = order->run;
+  o->cause = order->cause;
   if (!w || send_order (b, w, o, order))
     on_order (o, &unsent);
 }
--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -261,7 +261,7 @@
       left = un_step (u)->estimate_ms * (100 - m->percent) / 100;
       if (!un_step (u)->lasts && now + left <= m->worker->drain_end_ms)
         continue;
-      ru_abort (c, u, now);
+      ru_abort (c, u, SJ_LEAVING, now);
       return;
     }
 }
--- a/src/steps/health.c
+++ b/src/steps/health.c
@@ -14,11 +14,13 @@
   STILL_PERCENT = 20,    /* and so much of the declared run time: a run that
                             is six times slow takes a third of it for one
                             percent */
-  MARK_MS = 300,         /* shortest time over which a pace is taken; */
-  MARK_PERCENT = 8,      /* and so much of the declared run time */
+  BEGIN_MS = 1200,       /* longest time until a sound run advances */
+  MARK_MS = 500,         /* shortest time over which a pace is taken; */
+  MARK_PERCENT = 10,     /* and so much of the declared run time */
   NEARLY_PERCENT = 98,   /* beyond it a task may wait for its gang */
-  SLOW_PERCENT = 40,     /* of the pace of the step's other tasks, */
-  SLOW_ALONE_PERCENT = 15, /* or of the declared one, which may be off by a
+  SLOW_PERCENT = 22,     /* of the pace of the step's other tasks, whose run
+                            times may differ by a factor of four, */
+  SLOW_ALONE_PERCENT = 12, /* or of the declared one, which may be off by a
                               factor of three */
   SLOW_LASTS_MS = 6000,  /* a worker is not expected to stay slow longer */
   MOVE_MS = 600          /* what a move costs: stop, store, start */
@@ -135,7 +137,11 @@
 he_progress (const struct sj_cluster *c, struct member *m, int percent,
              int64_t now)
 {
-  int first = !m->last_listed_ms;
+  /* A run resumes its checkpoint, or waits for its gang, before it
+     advances.  */
+  int first = !m->last_listed_ms
+              || (m->pace < 0 && percent == m->mark_percent
+                  && now - m->started_ms < BEGIN_MS);
 
   m->last_listed_ms = now;
   if (percent < 0)
@@ -191,7 +197,8 @@
   int64_t run_ms = declared_ms (c, m->unit);
   int pace = m->pace;
 
-  if (m->pace < 0 || !is_slow_pace (m))
+  /* What is slow in two places is slow by itself.  */
+  if (m->pace < 0 || m->unit->moved || !is_slow_pace (m))
     return 0;
   if (reference)
     {
@@ -201,34 +208,39 @@
   return left_here (run_ms, m, pace) * 2 > left_elsewhere (run_ms, m) * 3;
 }
 
-static int
-holds_up (const struct sj_cluster *c, const struct member *m)
+static enum sj_cause
+why_move (const struct sj_cluster *c, const struct member *m)
 {
   if (m->state != MB_RUNNING || !m->last_listed_ms
       || m->percent >= NEARLY_PERCENT)
-    return 0;
-  return is_still (c, m) || is_better_moved (c, m);
+    return SJ_NO_CAUSE;
+  if (is_still (c, m))
+    return SJ_STILL;
+  return is_better_moved (c, m) ? SJ_SLOW : SJ_NO_CAUSE;
 }
 
 static void
 watch_unit (struct sj_cluster *c, struct unit *u, int64_t now)
 {
-  int move = 0;
+  enum sj_cause move = SJ_NO_CAUSE;
 
   if (u->state != UN_ACTIVE || un_step (u)->lasts)
     return;
   for (int i = 0; i < u->count; i++)
     {
       struct member *m = &u->member[i];
+      enum sj_cause cause = why_move (c, m);
 
-      if (!holds_up (c, m))
+      if (!cause)
         continue;
       ru_avoid (u, m->worker->id);
       suspect (c, m->worker, now);
-      move = 1;
+      move = cause;
     }
-  if (move)
-    ru_abort (c, u, now);
+  if (!move)
+    return;
+  u->moved = 1;
+  ru_abort (c, u, move, now);
 }
 
 void
--- a/src/steps/job.c
+++ b/src/steps/job.c
@@ -199,7 +199,7 @@
       struct unit *u = g_ptr_array_index (j->unit, i);
 
       if (u->state == UN_ACTIVE)
-        ru_abort (c, u, now);
+        ru_abort (c, u, SJ_JOB_ENDED, now);
     }
 }
 
--- a/src/steps/json.c
+++ b/src/steps/json.c
@@ -21,6 +21,16 @@
   return "unknown error";
 }
 
+const char *
+sj_cause_name (enum sj_cause cause)
+{
+  static const char *const names[]
+      = { "",        "preempted", "still",     "slow",     "leaving",
+          "partial", "unheard",   "job ended", "stranger", "done elsewhere" };
+
+  return names[cause];
+}
+
 static const char *const state_names[]
     = { "queued", "running", "completed", "failed", "cancelled" };
 
--- a/src/steps/listing.c
+++ b/src/steps/listing.c
@@ -95,7 +95,7 @@
       || end->run.number > u->run)
     return;
   if (u->state == UN_ACTIVE)
-    ru_abort (c, u, now);
+    ru_abort (c, u, SJ_DONE_ELSEWHERE, now);
   jb_unit_done (c, u, now);
 }
 
@@ -113,7 +113,8 @@
                                 .life = w->life,
                                 .run = l->run[i].run,
                                 .payload = "",
-                                .checkpoint = "" };
+                                .checkpoint = "",
+                                .cause = SJ_STRANGER };
 
       if (ru_find (c, w, &l->run[i].run))
         continue;
--- a/src/steps/preempt.c
+++ b/src/steps/preempt.c
@@ -270,7 +270,7 @@
   for (int i = 0; i < victim->count; i++)
     if (victim->member[i].state != MB_ENDED)
       nd_add (&victim->member[i].worker->soon, &need);
-  ru_abort (c, victim, now);
+  ru_abort (c, victim, SJ_PREEMPTED, now);
 }
 
 int
--- a/src/steps/run.c
+++ b/src/steps/run.c
@@ -27,7 +27,8 @@
                             .worker = m->worker->id,
                             .life = m->worker->life,
                             .payload = m->unit->job->spec->payload,
-                            .checkpoint = m->unit->checkpoint };
+                            .checkpoint = m->unit->checkpoint,
+                            .cause = m->unit->cause };
 
   fill_run (&order.run, m);
   c->do_order (c->arg, &order);
@@ -72,7 +73,7 @@
 {
   if (!can_start (c, u))
     {
-      ru_abort (c, u, now);
+      ru_abort (c, u, SJ_PARTIAL, now);
       return;
     }
   u->job->begun = 1;
@@ -119,13 +120,15 @@
 }
 
 void
-ru_abort (struct sj_cluster *c, struct unit *u, int64_t now)
+ru_abort (struct sj_cluster *c, struct unit *u, enum sj_cause cause,
+          int64_t now)
 {
   int ended = 1;
 
   if (u->state != UN_ACTIVE)
     return;
   u->state = UN_ENDING;
+  u->cause = cause;
   jb_mark (u->job);
   for (int i = 0; i < u->count; i++)
     {
@@ -153,7 +156,7 @@
   wo_release (m);
   c->changed = 1;
   if (u->state == UN_ACTIVE && !all_ended (u))
-    ru_abort (c, u, now);
+    ru_abort (c, u, SJ_PARTIAL, now);
   else
     settle (c, u, now);
 }
@@ -284,7 +287,7 @@
       if (m->state == MB_RUNNING)
         m->start_settled = 1;
       else if (m->unit->state == UN_ACTIVE)
-        ru_abort (c, m->unit, now);
+        ru_abort (c, m->unit, SJ_UNHEARD, now);
       break;
     }
 }
--- a/src/steps/steps.h
+++ b/src/steps/steps.h
@@ -59,6 +59,8 @@
   GPtrArray *avoid;      /* ids of workers where it failed */
   int64_t ready_ms;
   int far;        /* runs away from its data or over racks */
+  int moved; /* from a worker where it stood still or was slow */
+  enum sj_cause cause; /* why its run was given up */
   int stored_run; /* 1: its run is in a record being stored, 2: stored */
 };
 
@@ -167,7 +169,8 @@
               int far, int64_t now);
 void ru_send (struct sj_cluster *c, struct unit *u, int64_t now);
 /* Stops all that is left of the run, which ends without success.  */
-void ru_abort (struct sj_cluster *c, struct unit *u, int64_t now);
+void ru_abort (struct sj_cluster *c, struct unit *u, enum sj_cause cause,
+               int64_t now);
 void ru_stop_member (struct sj_cluster *c, struct member *m, int64_t now);
 /* The member takes no room any more.  */
 void ru_member_gone (struct sj_cluster *c, struct member *m, int64_t now);
