Leave room for urgent work before batch that saves nothing

Change: a batch unit starts only while 25 % of the accelerators (8 % if it saves) stay idle, for 20 s at most and not while most are idle.

--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -10,6 +10,9 @@
   ROUND_MS = 250,      /* longest time between two rounds */
   STOP_AGAIN_MS = 500, /* a stop without an answer is sent again */
   FAR_URGENT_MS = 900, /* an urgent unit waits for its rack so long */
+  HEADROOM_PERCENT = 25,       /* of the accelerators */
+  HEADROOM_SAVING_PERCENT = 8,
+  HEADROOM_MS = 20000, /* a unit leaves room no longer */
   FAR_IDLE_MS = 1500   /* any unit, while most of the room is free */
 };
 
@@ -201,12 +204,48 @@
   return placed;
 }
 
+/* Accelerators that no unit has been given, on workers in use.  */
+static int64_t
+idle_accelerators (const struct sj_cluster *c, int64_t *all)
+{
+  int64_t idle = 0;
+
+  *all = 0;
+  for (guint i = 0; i < c->worker_list->len; i++)
+    {
+      const struct worker *w = g_ptr_array_index (c->worker_list, i);
+
+      if (!wo_usable (c, w))
+        continue;
+      *all += w->capacity.accelerators;
+      if (w->free.accelerators > 0)
+        idle += w->free.accelerators;
+    }
+  return idle;
+}
+
+/* Batch work whose stop would lose its work leaves room for urgent work that
+   is still to come.  */
+static int
+must_leave_room (const struct unit *u, int64_t idle, int64_t all,
+                 int64_t now)
+{
+  const struct sj_step *s = un_step (u);
+  int64_t need = s->need.accelerators * u->count;
+
+  if (u->job->rank < RANK_BATCH || now - u->ready_ms > HEADROOM_MS)
+    return 0;
+  return (idle - need) * 100 < all * (s->saves ? HEADROOM_SAVING_PERCENT
+                                               : HEADROOM_PERCENT);
+}
+
 static void
 place_all (struct sj_cluster *c, int64_t now, int64_t wall_offset)
 {
   GArray *ready = list_ready (c, wall_offset);
   const struct unit *blocked = NULL;
-  int idle = mostly_idle (c);
+  int is_idle = mostly_idle (c);
+  int64_t idle, all;
 
   for (guint i = 0; i < ready->len; i++)
     {
@@ -215,7 +254,13 @@
       /* A victim of this round starts again in a later one.  */
       if (u->state != UN_READY || same_step (blocked, u))
         continue;
-      if (!start_or_reserve (c, u, may_go_far (c, u, idle, now), now))
+      idle = idle_accelerators (c, &all);
+      if (!is_idle && must_leave_room (u, idle, all, now))
+        {
+          blocked = u;
+          continue;
+        }
+      if (!start_or_reserve (c, u, may_go_far (c, u, is_idle, now), now))
         blocked = u;
     }
   g_array_free (ready, TRUE);
