Stop for urgent work beyond the guarantee only what saves; pass callers on sooner

Change: only guaranteed work stops what saves nothing; states older than 3 s are not shown, and a VM that has not heard the store for 2.5 s is not ready.

--- a/src/batch/front.c
+++ b/src/batch/front.c
@@ -9,7 +9,7 @@
 enum
 {
   BODY_SIZE = 256,       /* bytes of an answer */
-  STALE_MS = 6000,       /* a state in memory is shown no longer unheard */
+  STALE_MS = 3000,       /* a state in memory is shown no longer unheard */
   RETRY_MS = 1000,       /* while the cause is not known to last longer */
   WAIT_MS = 2500,        /* of a caller that names no deadline */
   WAIT_MAX_MS = 4000,    /* longest wait for the store */
--- a/src/batch/loop.c
+++ b/src/batch/loop.c
@@ -16,6 +16,7 @@
   HOLDER_TICK_MS = 40,
   FOLLOWER_TICK_MS = 80,
   COUNT_MS = 1000,
+  UNHEARD_MS = 2500, /* without the store others serve callers better */
   LEAVE_MS = 2300, /* the balancer misses two questions, one a second */
   LAST_MS = 800    /* before the end of the grace time */
 };
--- a/src/steps/health.c
+++ b/src/steps/health.c
@@ -20,7 +20,7 @@
   NEARLY_PERCENT = 98,   /* beyond it a task may wait for its gang */
   SLOW_PERCENT = 22,     /* of the pace of the step's other tasks, whose run
                             times may differ by a factor of four, */
-  SLOW_ALONE_PERCENT = 12, /* or of the declared one, which may be off by a
+  SLOW_ALONE_PERCENT = 20, /* or of the declared one, which may be off by a
                               factor of three */
   SLOW_LASTS_MS = 6000,  /* a worker is not expected to stay slow longer */
   MOVE_MS = 600          /* what a move costs: stop, store, start */
--- a/src/steps/preempt.c
+++ b/src/steps/preempt.c
@@ -31,8 +31,9 @@
   if (victim->state != UN_ACTIVE || victim->job->rank <= u->job->rank
       || s->lasts)
     return 0;
-  /* Batch work takes only what loses no work.  */
-  return u->job->rank <= RANK_URGENT || s->saves;
+  /* What is guaranteed takes all it needs; other work only what loses no
+     work.  */
+  return u->job->rank == RANK_GUARANTEED || s->saves;
 }
 
 struct plan
