--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -27,6 +27,7 @@
   int64_t hold_ms, stop_ms, far_factor, revoke_ms, grace_ms, keep_s;
   int64_t lease_ms, take_ms, renew_ms;
   int64_t max_requests;
+  double processor;
 };
 
 /* Why rows were asked for.  */
@@ -211,7 +212,7 @@
   int64_t load_at_ms, take_at_ms, taken_ms;
   int64_t jobs_up_to; /* jobs stored up to this version were added before */
   struct ba_commit commit;
-  int64_t decide_at_ms, stopping_at_ms, counted_ms;
+  int64_t decide_at_ms, stopping_at_ms, counted_ms, ticked_ms;
 
   struct st_registry stats;
   struct ba_counters count;
--- a/src/batch/lease.h
+++ b/src/batch/lease.h
@@ -59,9 +59,9 @@
 /* What became of the take, by the row as known now.  */
 enum le_take
 {
-  LE_TAKE_OPEN,  /* the row is as it was */
-  LE_TAKE_DONE,  /* the row is this take's */
-  LE_TAKE_STALE  /* another write came first: the take must not be sent */
+  LE_TAKE_OPEN, /* the row is as it was */
+  LE_TAKE_DONE, /* the row is this take's */
+  LE_TAKE_STALE /* another write came first: the take must not be sent */
 };
 enum le_take le_take_state (const struct le_lease *l);
 /* The value of a renewal, with the serial that it carries.  */
--- a/src/batch/loop.c
+++ b/src/batch/loop.c
@@ -14,11 +14,12 @@
   IDLE_S = 30,
   BATCH = 256, /* events between two ticks */
   HOLDER_TICK_MS = 40,
+  ROUND_GAP_MS = 8, /* between two rounds of decisions, at least */
   FOLLOWER_TICK_MS = 80,
   COUNT_MS = 1000,
   UNHEARD_MS = 2500, /* without the store others serve callers better */
-  LEAVE_MS = 2300, /* the balancer misses two questions, one a second */
-  LAST_MS = 800    /* before the end of the grace time */
+  LEAVE_MS = 2300,   /* the balancer misses two questions, one a second */
+  LAST_MS = 800      /* before the end of the grace time */
 };
 
 void
@@ -108,7 +109,7 @@
 static void
 tick (struct batch *b)
 {
-  b->now = bs_now_ms (&b->clock);
+  b->now = b->ticked_ms = bs_now_ms (&b->clock);
   fo_tick (&b->config_follow);
   fo_tick (&b->job_follow);
   fo_tick (&b->worker_follow);
@@ -120,7 +121,8 @@
       co_tick (b);
     }
   atomic_store (&b->ready, b->config && b->job_follow.whole && ba_is_fresh (b)
-                               && !b->stopping_at_ms);
+                               && !b->stopping_at_ms
+                               && b->now - b->store_ok_ms < UNHEARD_MS);
 }
 
 /* Serves on until the balancer has noticed, then ends connections with
@@ -143,6 +145,22 @@
   return !hs_connections (b->front) && b->phase == BA_FOLLOWS;
 }
 
+/* A round of decisions costs the same for one event as for many: those that
+   follow at once are taken along.  */
+static void
+gather_events (struct batch *b)
+{
+  int64_t left;
+
+  if (b->phase == BA_FOLLOWS)
+    return;
+  while ((left = b->ticked_ms + ROUND_GAP_MS - b->now) > 0)
+    {
+      take_events (b, (int)left);
+      b->now = bs_now_ms (&b->clock);
+    }
+}
+
 static void *
 loop_main (void *arg)
 {
@@ -152,6 +170,7 @@
     {
       take_events (b,
                    b->phase == BA_FOLLOWS ? FOLLOWER_TICK_MS : HOLDER_TICK_MS);
+      gather_events (b);
       tick (b);
     }
   atomic_store (&b->stopped, 1);
--- a/src/batch/main.c
+++ b/src/batch/main.c
@@ -58,6 +58,10 @@
     "its lease may be taken when unchanged for so long", FIELD (take_ms) },
   { "renew-ms", OPT_INT, "ms", 50, MINUTE_MS, "500", "between two renewals",
     FIELD (renew_ms) },
+  { "processor", OPT_REAL, "cores", 0, 1024, "1",
+    "processor time that this VM has; VMs with less take the scheduler's "
+    "lease later",
+    FIELD (processor) },
   { "max-requests", OPT_INT, "requests", 1, 100000, "512",
     "callers' requests in progress; more are refused", FIELD (max_requests) },
   { NULL, OPT_INT, "", 0, 0, NULL, NULL, 0 }
--- a/src/batch/workers.c
+++ b/src/batch/workers.c
@@ -7,7 +7,7 @@
 enum
 {
   HOLD_WAIT_MS = 1500,   /* a quarter of the shortest lease */
-  WATCH_WAIT_MS = 500,  /* while runs are watched closely */
+  WATCH_WAIT_MS = 500,   /* while runs are watched closely */
   HOLD_SLACK_MS = 800,   /* for the answer on its way */
   PROBE_MS = 600,        /* of a question that does not wait */
   PROBE_GAP_MS = 400,    /* between questions to one that is silent */
@@ -119,15 +119,18 @@
            const struct po_order_answer *a)
 {
   static const char *const answers[] = { "taken", "refused", "unknown" };
-  struct lg_field f[] = {
-    lg_str ("id", o->run.job),        lg_int ("occurrence", o->run.occurrence),
-    lg_int ("step", o->run.step),     lg_int ("task", o->run.index),
-    lg_int ("run", o->run.number),    lg_str ("worker", o->worker),
-    lg_int ("epoch", b->lease.epoch), lg_str ("answer", answers[a->answer]),
-    lg_int ("status", a->status),     lg_str ("reason",
-              *a->reason ? a->reason : sj_cause_name (o->cause)),
-    lg_int ("took_ms", a->took_ms)
-  };
+  struct lg_field f[]
+      = { lg_str ("id", o->run.job),
+          lg_int ("occurrence", o->run.occurrence),
+          lg_int ("step", o->run.step),
+          lg_int ("task", o->run.index),
+          lg_int ("run", o->run.number),
+          lg_str ("worker", o->worker),
+          lg_int ("epoch", b->lease.epoch),
+          lg_str ("answer", answers[a->answer]),
+          lg_int ("status", a->status),
+          lg_str ("reason", *a->reason ? a->reason : sj_cause_name (o->cause)),
+          lg_int ("took_ms", a->took_ms) };
 
   lg_log (o->kind == SJ_START ? LG_RUN_STARTED : LG_RUN_STOPPED, 11, f);
 }
@@ -325,8 +328,8 @@
   int waits = busy && w->surveyed && !w->failures && w->taken == w->seen;
   int64_t lease
       = b->set->hold_ms < LEASE_MAX_MS ? b->set->hold_ms : LEASE_MAX_MS;
-  int wait = sj_watch_closely (b->cluster, w->id) ? WATCH_WAIT_MS
-                                                  : HOLD_WAIT_MS;
+  int wait
+      = sj_watch_closely (b->cluster, w->id) ? WATCH_WAIT_MS : HOLD_WAIT_MS;
   /* A silent worker is only asked: were its lease renewed by questions that
      may have reached it, its runs would never be known to have ended.  */
   int64_t until
@@ -340,8 +343,7 @@
   w->next_hold_ms = b->now + UNSTORED_GAP_MS;
   co_add (b, b->count.holds, 1);
   if (!po_hold (&b->port, &t, w->seen, until, waits ? wait : 0,
-                waits ? wait + HOLD_SLACK_MS : PROBE_MS, on_listing,
-                o))
+                waits ? wait + HOLD_SLACK_MS : PROBE_MS, on_listing, o))
     return;
   w->holding = 0;
   wk_free_order (o);
--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -7,10 +7,10 @@
 
 enum
 {
-  ROUND_MS = 250,      /* longest time between two rounds */
-  STOP_AGAIN_MS = 500, /* a stop without an answer is sent again */
-  FAR_URGENT_MS = 900, /* an urgent unit waits for its rack so long */
-  HEADROOM_PERCENT = 25,       /* of the accelerators */
+  ROUND_MS = 250,        /* longest time between two rounds */
+  STOP_AGAIN_MS = 500,   /* a stop without an answer is sent again */
+  FAR_URGENT_MS = 900,   /* an urgent unit waits for its rack so long */
+  HEADROOM_PERCENT = 25, /* of the accelerators */
   HEADROOM_SAVING_PERCENT = 8,
   HEADROOM_MS = 20000, /* a unit leaves room no longer */
   FAR_IDLE_MS = 1500   /* any unit, while most of the room is free */
@@ -227,16 +227,15 @@
 /* Batch work whose stop would lose its work leaves room for urgent work that
    is still to come.  */
 static int
-must_leave_room (const struct unit *u, int64_t idle, int64_t all,
-                 int64_t now)
+must_leave_room (const struct unit *u, int64_t idle, int64_t all, int64_t now)
 {
   const struct sj_step *s = un_step (u);
   int64_t need = s->need.accelerators * u->count;
 
   if (u->job->rank < RANK_BATCH || now - u->ready_ms > HEADROOM_MS)
     return 0;
-  return (idle - need) * 100 < all * (s->saves ? HEADROOM_SAVING_PERCENT
-                                               : HEADROOM_PERCENT);
+  return (idle - need) * 100
+         < all * (s->saves ? HEADROOM_SAVING_PERCENT : HEADROOM_PERCENT);
 }
 
 static void
--- a/src/steps/health.c
+++ b/src/steps/health.c
@@ -22,8 +22,8 @@
                             times may differ by a factor of four, */
   SLOW_ALONE_PERCENT = 20, /* or of the declared one, which may be off by a
                               factor of three */
-  SLOW_LASTS_MS = 6000,  /* a worker is not expected to stay slow longer */
-  MOVE_MS = 600          /* what a move costs: stop, store, start */
+  SLOW_LASTS_MS = 6000,    /* a worker is not expected to stay slow longer */
+  MOVE_MS = 600            /* what a move costs: stop, store, start */
 };
 
 static void
--- a/src/steps/steps.h
+++ b/src/steps/steps.h
@@ -58,10 +58,10 @@
   struct member *member; /* COUNT of them while ACTIVE or ENDING */
   GPtrArray *avoid;      /* ids of workers where it failed */
   int64_t ready_ms;
-  int far;        /* runs away from its data or over racks */
-  int moved; /* from a worker where it stood still or was slow */
+  int far;             /* runs away from its data or over racks */
+  int moved;           /* from a worker where it stood still or was slow */
   enum sj_cause cause; /* why its run was given up */
-  int stored_run; /* 1: its run is in a record being stored, 2: stored */
+  int stored_run;      /* 1: its run is in a record being stored, 2: stored */
 };
 
 struct occurrence
--- a/tests/batch/test_lease.c
+++ b/tests/batch/test_lease.c
@@ -144,7 +144,8 @@
   CU_add_test (suite, "loss", test_holder_learns_that_it_lost);
   CU_add_test (suite, "silence",
                test_unchanged_row_proves_nothing_after_silence);
-  CU_add_test (suite, "restart", test_restarted_vm_takes_its_own_lease_at_once);
+  CU_add_test (suite, "restart",
+               test_restarted_vm_takes_its_own_lease_at_once);
   CU_add_test (suite, "lost answer", test_lost_answer_is_told_by_the_serial);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
--- a/tests/steps/fake_farm.c
+++ b/tests/steps/fake_farm.c
@@ -7,7 +7,7 @@
 enum
 {
   COMMIT_MS = 10,
-  LIST_MS = 500,  /* between two listings of a busy worker */
+  LIST_MS = 500, /* between two listings of a busy worker */
   STOP_MS = 200,
   START_MS = 2500, /* a start is refused later */
   CANCEL_MS = 3000,
@@ -82,10 +82,10 @@
     {
       f->stopped++;
       if (!x->saves)
-        f->wasted += (double)(f->now - x->began_ms)
-                     * (double)(x->need.cpu_milli
-                                + x->need.accelerators * 8000)
-                     / 1e6;
+        f->wasted
+            += (double)(f->now - x->began_ms)
+               * (double)(x->need.cpu_milli + x->need.accelerators * 8000)
+               / 1e6;
     }
   if (how == SJ_END_ALONE)
     f->alone++;
@@ -144,8 +144,8 @@
 {
   const struct sj_job *job = job_of (f, r->job);
   const struct sj_step *s = &job->step[r->step];
-  int64_t cancelled = (int64_t)GPOINTER_TO_SIZE (
-      g_hash_table_lookup (f->cancelled, r->job));
+  int64_t cancelled
+      = (int64_t)GPOINTER_TO_SIZE (g_hash_table_lookup (f->cancelled, r->job));
 
   for (int i = 0; i < f->workers; i++)
     for (guint k = 0; k < f->worker[i].run->len; k++)
@@ -201,8 +201,11 @@
 {
   const struct sj_job *job = job_of (f, o->run.job);
   const struct sj_step *s = &job->step[o->run.step];
-  struct fa_run x = { .run = o->run, .gang = s->gang, .saves = s->saves,
-                      .began_ms = f->now, .work_ms = s->estimate_ms,
+  struct fa_run x = { .run = o->run,
+                      .gang = s->gang,
+                      .saves = s->saves,
+                      .began_ms = f->now,
+                      .work_ms = s->estimate_ms,
                       .need = s->need };
   struct fa_run *old;
 
@@ -223,8 +226,7 @@
       || f->now > sent_ms + START_MS)
     return SJ_REFUSED;
   check_start (f, &o->run);
-  x.fails = w->fails_all
-            || g_rand_double (f->rand) < f->faults.task_fails;
+  x.fails = w->fails_all || g_rand_double (f->rand) < f->faults.task_fails;
   g_array_append_val (w->run, x);
   f->starts++;
   if (!g_hash_table_contains (f->begun, o->run.job))
@@ -277,9 +279,8 @@
   if (!w || !w->up)
     a = SJ_REFUSED;
   else if (!w->cut)
-    a = l->life == w->life
-            ? carry_out (f, w, &l->order, l->token, l->sent_ms)
-            : SJ_REFUSED;
+    a = l->life == w->life ? carry_out (f, w, &l->order, l->token, l->sent_ms)
+                           : SJ_REFUSED;
   if (l->order.life < 0)
     a = SJ_UNKNOWN;
   answer (f, l, a);
@@ -463,9 +464,9 @@
       char *id = g_ptr_array_index (f->commit_id, i);
       int state = g_array_index (f->commit_state, int, i);
 
-      g_hash_table_replace (f->record, g_strdup (id),
-                            g_strdup (g_ptr_array_index (f->commit_record,
-                                                         i)));
+      g_hash_table_replace (
+          f->record, g_strdup (id),
+          g_strdup (g_ptr_array_index (f->commit_record, i)));
       g_hash_table_replace (f->state, g_strdup (id),
                             GINT_TO_POINTER (state + 1));
       if (state >= SJ_COMPLETED && !g_hash_table_contains (f->ended, id))
@@ -568,8 +569,7 @@
   f->state = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   f->done = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   f->well = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  f->cancelled
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  f->cancelled = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   f->accepted = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   f->begun = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   f->ended = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -707,7 +707,7 @@
 {
   int state = GPOINTER_TO_INT (g_hash_table_lookup (f->state, id));
 
-  return state ? (enum sj_state)(state - 1) : SJ_QUEUED;
+  return state ? (enum sj_state) (state - 1) : SJ_QUEUED;
 }
 
 static int64_t
--- a/tests/steps/fake_farm.h
+++ b/tests/steps/fake_farm.h
@@ -36,8 +36,8 @@
   char id[16], rack[16];
   struct sj_need capacity;
   int64_t life, token, lease_ms, end_number, seen;
-  GArray *run;   /* struct fa_run */
-  GArray *ended; /* struct sj_listed, numbers from SEEN + 1 */
+  GArray *run;        /* struct fa_run */
+  GArray *ended;      /* struct sj_listed, numbers from SEEN + 1 */
   GHashTable *closed; /* task name -> highest run stopped or ended */
   int up, cut, listed, draining;
   int fails_all, stands_still;
@@ -47,9 +47,9 @@
 
 struct fa_faults
 {
-  double lost;      /* share of orders without an answer, carried out */
-  double late;      /* share without an answer, carried out seconds later */
-  double store;     /* share of commits that fail */
+  double lost;       /* share of orders without an answer, carried out */
+  double late;       /* share without an answer, carried out seconds later */
+  double store;      /* share of commits that fail */
   double task_fails; /* share of runs that fail by themselves */
 };
 
@@ -61,14 +61,14 @@
   int64_t now, token, commit_ms;
   int workers;
   struct fa_worker worker[FA_MAX_WORKERS];
-  GHashTable *record;  /* id -> json text, as stored */
-  GHashTable *job;     /* id -> json text of the job */
-  GHashTable *state;   /* id -> state + 1, as stored */
-  GHashTable *done;    /* task name -> 1: an end as done was let go */
-  GHashTable *well;    /* task name -> 1: a run ended as done */
+  GHashTable *record; /* id -> json text, as stored */
+  GHashTable *job;    /* id -> json text of the job */
+  GHashTable *state;  /* id -> state + 1, as stored */
+  GHashTable *done;   /* task name -> 1: an end as done was let go */
+  GHashTable *well;   /* task name -> 1: a run ended as done */
   GHashTable *cancelled;
   GHashTable *accepted, *begun, *ended; /* id -> ms */
-  GArray *late;        /* struct fa_late */
+  GArray *late;                         /* struct fa_late */
   struct fa_faults faults;
   GPtrArray *commit_id, *commit_record;
   GArray *commit_state;
--- a/tests/steps/test_steps.c
+++ b/tests/steps/test_steps.c
@@ -255,10 +255,9 @@
 random_job (GRand *r, unsigned number)
 {
   static const int gpus[] = { 1, 1, 2, 4, 8 };
-  struct sj_job *job
-      = fa_job (number, g_rand_int_range (r, 0, 3),
-                g_rand_int_range (r, 1, 12), gpus[g_rand_int_range (r, 0, 5)],
-                g_rand_int_range (r, 300, 4000));
+  struct sj_job *job = fa_job (
+      number, g_rand_int_range (r, 0, 3), g_rand_int_range (r, 1, 12),
+      gpus[g_rand_int_range (r, 0, 5)], g_rand_int_range (r, 300, 4000));
 
   job->step[0].gang = g_rand_boolean (r);
   job->step[0].saves = g_rand_boolean (r);
@@ -316,9 +315,9 @@
 
   fa_init (&farm, 16, 4, seed);
   sj_set_guarantee (farm.cluster, "a", 40);
-  farm.faults
-      = (struct fa_faults){ .lost = .03, .late = .03, .store = .05,
-                            .task_fails = .03 };
+  farm.faults = (struct fa_faults){
+    .lost = .03, .late = .03, .store = .05, .task_fails = .03
+  };
   for (int i = 0; i < 150; i++)
     {
       fa_submit (&farm, random_job (farm.rand, ++submitted));
