--- /dev/null
+++ b/tests/batch/test_workers.c
@@ -0,0 +1,264 @@
+/* The holder's talk with workers over a port that only takes notes.  */
+#include <CUnit/Basic.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "batch/batch.h"
+
+static struct batch batch;
+static struct ba_settings settings
+    = { .vm = "vm1", .hold_ms = 6000, .stop_ms = 200, .far_factor = 3 };
+
+/* The last hold that was sent.  */
+static int64_t hold_seen, hold_until;
+static int holds, starts;
+static po_listing_done *hold_done;
+static void *hold_arg;
+
+int
+po_hold (struct po_port *port, const struct po_target *target, int64_t seen,
+         int64_t until_ms, int wait_ms, int timeout_ms, po_listing_done *done,
+         void *arg)
+{
+  (void)port;
+  (void)target;
+  (void)wait_ms;
+  (void)timeout_ms;
+  holds++;
+  hold_seen = seen;
+  hold_until = until_ms;
+  hold_done = done;
+  hold_arg = arg;
+  return 0;
+}
+
+int
+po_start (struct po_port *port, const struct po_target *target,
+          const struct sj_order *order, int64_t until_ms, int timeout_ms,
+          po_order_done *done, void *arg)
+{
+  struct po_order_answer taken = { .answer = SJ_TAKEN, .clock_ms = 100 };
+
+  (void)port;
+  (void)target;
+  (void)order;
+  (void)until_ms;
+  (void)timeout_ms;
+  starts++;
+  done (arg, &taken);
+  return 0;
+}
+
+int
+po_stop (struct po_port *port, const struct po_target *target,
+         const struct sj_run *run, int timeout_ms, po_order_done *done,
+         void *arg)
+{
+  (void)port;
+  (void)target;
+  (void)run;
+  (void)timeout_ms;
+  (void)done;
+  (void)arg;
+  return PO_EFULL;
+}
+
+void
+po_listing_free (struct po_listing *listing)
+{
+  g_free (listing);
+}
+
+static void
+take_events (void)
+{
+  void *item;
+
+  while (rg_pop (&batch.ring, &item, 0) == BS_OK)
+    {
+      struct ba_event *e = item;
+
+      if (e->kind == BA_ORDER)
+        {
+          wk_order_answered (&batch, e->u.order.order, &e->u.order.answer);
+          wk_free_order (e->u.order.order);
+        }
+      else
+        {
+          wk_listed (&batch, e->u.listing.order, e->u.listing.listing);
+          wk_free_order (e->u.listing.order);
+          po_listing_free (e->u.listing.listing);
+        }
+      g_free (e);
+    }
+}
+
+static void
+answer_hold (enum sj_answer answer, const struct sj_listed *end)
+{
+  struct po_listing *l = g_new0 (struct po_listing, 1);
+
+  l->answer = (struct po_order_answer){ .answer = answer, .clock_ms = 100 };
+  l->list = (struct sj_listing){ .ended = end != NULL, .end = end };
+  l->last_end = end ? 1 : 0;
+  hold_done (hold_arg, l);
+  take_events ();
+}
+
+static void
+pass (int64_t ms)
+{
+  batch.now += ms;
+  wk_tick (&batch);
+}
+
+/* A holder with one worker that was asked once and runs one task.  */
+static void
+begin (void)
+{
+  struct le_settings le
+      = { .valid_ms = 1000000, .take_ms = 2000000, .renew_ms = 500 };
+  struct sj_settings sj = { .hold_ms = 6000, .far_factor = 3,
+                            .survey_ms = 6000 };
+  struct po_row row
+      = { .table = (char *)"servers",
+          .key = (char *)"i-1",
+          .value = (char *)"{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+                           "\"state\":\"ready\",\"born\":7,\"capacity\":"
+                           "{\"cpu\":1000,\"memory_request_mb\":1000,"
+                           "\"gpu\":1},\"labels\":[\"a\",\"r\"]}" };
+  struct sj_job *job = g_new0 (struct sj_job, 1);
+  struct sj_dirty dirty[4];
+  int n;
+
+  memset (&batch, 0, sizeof batch);
+  holds = starts = 0;
+  batch.set = &settings;
+  batch.now = 100000;
+  rg_init (&batch.ring, 64);
+  co_init (&batch);
+  le_init (&batch.lease, &le, "vm1", "token");
+  free (le_take_value (&batch.lease));
+  le_taken (&batch.lease, 1, batch.now, batch.now);
+  batch.phase = BA_HOLDS;
+  batch.cluster = sj_new (&sj, wk_do_order, &batch);
+  batch.workers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, wk_free);
+  wk_row (&batch, &row, 1);
+  pass (0);
+  answer_hold (SJ_TAKEN, NULL);
+  memcpy (job->id, "00000000000000a1", SJ_ID);
+  job->service = g_strdup ("s");
+  job->payload = g_strdup ("");
+  job->max_attempts = 1;
+  job->steps = 1;
+  job->step = g_new0 (struct sj_step, 1);
+  job->step[0].count = 1;
+  job->step[0].need.accelerators = 1;
+  sj_job_add (batch.cluster, job, NULL, 0, batch.now);
+  sj_decide (batch.cluster, batch.now, batch.now);
+  n = sj_dirty (batch.cluster, dirty, 4);
+  for (int i = 0; i < n; i++)
+    json_decref (dirty[i].record);
+  sj_committed (batch.cluster, 1, batch.now);
+  take_events ();
+}
+
+static void
+end (void)
+{
+  sj_free (batch.cluster);
+  g_hash_table_destroy (batch.workers);
+  rg_fini (&batch.ring);
+  st_fini (&batch.stats);
+}
+
+static void
+test_busy_worker_is_held (void)
+{
+  begin ();
+  CU_ASSERT_EQUAL (starts, 1);
+  pass (10);
+  CU_ASSERT_EQUAL (holds, 2);
+  CU_ASSERT (hold_until > 0);
+  end ();
+}
+
+/* Else its runs would count as running for good.  */
+static void
+test_silent_worker_is_asked_without_a_lease (void)
+{
+  begin ();
+  pass (10);
+  answer_hold (SJ_UNKNOWN, NULL);
+  for (int i = 0; i < 20; i++)
+    {
+      pass (500);
+      CU_ASSERT_EQUAL (hold_until, 0);
+      answer_hold (SJ_UNKNOWN, NULL);
+    }
+  sj_decide (batch.cluster, batch.now, batch.now);
+  CU_ASSERT_FALSE (sj_worker_busy (batch.cluster, "i-1"));
+  end ();
+}
+
+static void
+test_end_is_let_go_only_once_stored (void)
+{
+  struct sj_listed done
+      = { .run = { .job = "00000000000000a1", .number = 1 },
+          .end = SJ_END_DONE,
+          .checkpoint = "" };
+
+  begin ();
+  pass (10);
+  answer_hold (SJ_TAKEN, &done);
+  holds = 0;
+  pass (1000);
+  CU_ASSERT (!holds || !hold_seen);
+  wk_commit_begins (&batch);
+  wk_commit_ends (&batch, 0);
+  pass (1000);
+  CU_ASSERT (!holds || !hold_seen);
+  wk_commit_begins (&batch);
+  wk_commit_ends (&batch, 1);
+  pass (1000);
+  CU_ASSERT_EQUAL (holds, 1);
+  CU_ASSERT_EQUAL (hold_seen, 1);
+  end ();
+}
+
+static void
+test_nothing_is_sent_without_the_lease (void)
+{
+  begin ();
+  batch.lease.valid_until_ms = batch.now;
+  holds = 0;
+  wk_do_order (&batch, &(struct sj_order){ .kind = SJ_START,
+                                           .worker = "i-1",
+                                           .payload = "",
+                                           .checkpoint = "" });
+  CU_ASSERT_EQUAL (starts, 1);
+  take_events ();
+  end ();
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  bs_init ();
+  lg_init ("test", "plain", LG_ERROR);
+  CU_initialize_registry ();
+  suite = CU_add_suite ("workers", NULL, NULL);
+  CU_add_test (suite, "held", test_busy_worker_is_held);
+  CU_add_test (suite, "silent", test_silent_worker_is_asked_without_a_lease);
+  CU_add_test (suite, "ends", test_end_is_let_go_only_once_stored);
+  CU_add_test (suite, "lease", test_nothing_is_sent_without_the_lease);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/platform/test_decode.c
@@ -0,0 +1,190 @@
+/* Bytes from the platform, good and bad, and the types they become.  */
+#include <CUnit/Basic.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "skr/port.h"
+
+static struct po_worker *
+worker (const char *value, const char **reason)
+{
+  struct po_row row = { .table = (char *)"servers",
+                        .key = (char *)"i-1",
+                        .value = (char *)(uintptr_t)value };
+
+  return po_worker_read (&row, reason);
+}
+
+static void
+test_worker_is_read (void)
+{
+  const char *reason;
+  struct po_worker *w = worker (
+      "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+      "\"state\":\"draining\",\"remaining_ms\":1500,\"born\":77,"
+      "\"capacity\":{\"cpu\":128000,\"memory_request_mb\":262144,\"gpu\":8},"
+      "\"labels\":[\"a\",\"r1-3\"],\"unknown\":[1]}",
+      &reason);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (w);
+  CU_ASSERT_STRING_EQUAL (w->kind, "a");
+  CU_ASSERT_STRING_EQUAL (w->rack, "r1-3");
+  CU_ASSERT_EQUAL (w->capacity.accelerators, 8);
+  CU_ASSERT_EQUAL (w->capacity.memory_mb, 262144);
+  CU_ASSERT (w->draining);
+  CU_ASSERT_EQUAL (w->remaining_ms, 1500);
+  CU_ASSERT_EQUAL (w->life, 77);
+  po_worker_free (w);
+}
+
+static void
+test_odd_workers_are_passed_over (void)
+{
+  static const char *const values[] = {
+    "",
+    "not JSON",
+    "[]",
+    "7",
+    "{}",
+    "{\"service\":1,\"address\":\"a:1\",\"state\":\"ready\"}",
+    "{\"service\":\"s\",\"address\":\"a:1\",\"state\":\"asleep\","
+    "\"capacity\":{\"cpu\":1,\"memory_request_mb\":1}}",
+    "{\"service\":\"s\",\"address\":\"a:1\",\"state\":\"ready\","
+    "\"capacity\":{\"cpu\":\"1\",\"memory_request_mb\":1}}",
+    "{\"service\":\"s\",\"address\":\"a:1\",\"state\":\"ready\","
+    "\"capacity\":[]}",
+  };
+
+  for (size_t i = 0; i < sizeof values / sizeof *values; i++)
+    {
+      const char *reason = NULL;
+
+      CU_ASSERT_PTR_NULL (worker (values[i], &reason));
+      CU_ASSERT_PTR_NOT_NULL (reason);
+    }
+}
+
+static void
+test_configuration_is_read (void)
+{
+  const char *reason;
+  struct qu_config *c = po_config_read (
+      "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+      "\"prefix\":\"/p/\",\"service\":\"s\",\"priority\":2,"
+      "\"max_attempts\":4,\"stretch\":3.0,\"target_duration_ms\":3000,"
+      "\"public\":false}],\"tenants\":[{\"name\":\"t\","
+      "\"api_keys\":[\"k\",5],\"guaranteed\":{\"gpu\":72}}]}",
+      &reason);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (c);
+  CU_ASSERT_EQUAL (c->version, 7);
+  CU_ASSERT_EQUAL (c->queue[0].max_attempts, 4);
+  CU_ASSERT_EQUAL (c->account[0].keys, 1);
+  CU_ASSERT_EQUAL (c->account[0].guaranteed, 72);
+  qu_free (c);
+}
+
+static void
+test_odd_configurations_are_refused (void)
+{
+  static const char *const values[]
+      = { "", "{", "[]", "{\"version\":\"7\"}",
+          "{\"version\":7,\"routes\":[{\"name\":\"r\"}]}",
+          "{\"version\":7,\"routes\":[],\"tenants\":[{}]}" };
+
+  for (size_t i = 0; i < sizeof values / sizeof *values; i++)
+    {
+      const char *reason = NULL;
+
+      CU_ASSERT_PTR_NULL (po_config_read (values[i], &reason));
+      CU_ASSERT_PTR_NOT_NULL (reason);
+    }
+}
+
+static struct qu_queue queue
+    = { .name = (char *)"r", .service = (char *)"s", .max_attempts = 2 };
+
+static struct sj_job *
+job (const char *body, const char **reason)
+{
+  return po_job_read ("00000000000000a1", body, &queue, "t", reason);
+}
+
+static void
+test_job_is_read (void)
+{
+  const char *reason;
+  struct sj_job *j
+      = job ("{\"specification\":\"x\",\"steps\":[{\"count\":4,\"cpu\":500,"
+             "\"memory_request_mb\":256,\"estimated_ms\":900,"
+             "\"affinity\":\"r1-3\"},{\"count\":20,\"cpu\":2000,\"gpu\":1,"
+             "\"after\":[0],\"checkpointing\":true,\"gang\":true,"
+             "\"same_rack\":true,\"requirements\":\"a\","
+             "\"max_per_server\":2}]}",
+             &reason);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (j);
+  CU_ASSERT_EQUAL (j->steps, 2);
+  CU_ASSERT_STRING_EQUAL (j->step[0].data_rack, "r1-3");
+  CU_ASSERT_EQUAL (j->step[1].after, 1);
+  CU_ASSERT (j->step[1].saves && j->step[1].gang && j->step[1].one_rack);
+  CU_ASSERT_STRING_EQUAL (j->step[1].label, "a");
+  CU_ASSERT_EQUAL (j->step[1].max_per_worker, 2);
+  CU_ASSERT_EQUAL (sj_job_chain_ms (j), 900);
+  sj_job_free (j);
+}
+
+static void
+test_odd_jobs_are_refused (void)
+{
+  static const char *const values[]
+      = { "", "7", "{}", "{\"steps\":[]}", "{\"steps\":[{}]}",
+          "{\"steps\":[{\"count\":-1}]}",
+          "{\"steps\":[{\"count\":1,\"after\":[0]}]}",
+          "{\"steps\":[{\"count\":1,\"gpu\":-1}]}",
+          "{\"steps\":[{\"count\":1}],\"repetitions\":5}" };
+
+  for (size_t i = 0; i < sizeof values / sizeof *values; i++)
+    {
+      const char *reason = NULL;
+
+      CU_ASSERT_PTR_NULL (job (values[i], &reason));
+      CU_ASSERT_PTR_NOT_NULL (reason);
+    }
+}
+
+static void
+test_calls_are_told_apart (void)
+{
+  CU_ASSERT_EQUAL (po_call_of ("POST", "00000000000000a1"), PO_SUBMIT);
+  CU_ASSERT_EQUAL (po_call_of ("GET", "00000000000000a1"), PO_STATE);
+  CU_ASSERT_EQUAL (po_call_of ("DELETE", "00000000000000a1"), PO_CANCEL);
+  CU_ASSERT_EQUAL (po_call_of ("GET", ""), PO_COUNT);
+  CU_ASSERT_EQUAL (po_call_of ("PUT", "00000000000000a1"), PO_NO_METHOD);
+  CU_ASSERT_EQUAL (po_call_of ("GET", "too-short"), PO_NO_PATH);
+  CU_ASSERT_STRING_EQUAL (po_key_of ("Bearer k1"), "k1");
+  CU_ASSERT_PTR_NULL (po_key_of ("Basic k1"));
+  CU_ASSERT_PTR_NULL (po_key_of (NULL));
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("decode", NULL, NULL);
+  CU_add_test (suite, "worker", test_worker_is_read);
+  CU_add_test (suite, "odd workers", test_odd_workers_are_passed_over);
+  CU_add_test (suite, "configuration", test_configuration_is_read);
+  CU_add_test (suite, "odd configurations",
+               test_odd_configurations_are_refused);
+  CU_add_test (suite, "job", test_job_is_read);
+  CU_add_test (suite, "odd jobs", test_odd_jobs_are_refused);
+  CU_add_test (suite, "calls", test_calls_are_told_apart);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/queue/test_queue.c
@@ -0,0 +1,85 @@
+#include <CUnit/Basic.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "skr/queue.h"
+
+static struct qu_config *
+two_queues (void)
+{
+  struct qu_config *c = g_new0 (struct qu_config, 1);
+  static const char *const prefixes[] = { "/a/", "/a/b/" };
+
+  c->queues = 2;
+  c->queue = g_new0 (struct qu_queue, 2);
+  for (int i = 0; i < 2; i++)
+    {
+      c->queue[i].name = g_strdup (prefixes[i]);
+      c->queue[i].host = g_strdup ("one.example");
+      c->queue[i].prefix = g_strdup (prefixes[i]);
+      c->queue[i].service = g_strdup ("s");
+    }
+  c->accounts = 1;
+  c->account = g_new0 (struct qu_account, 1);
+  c->account[0].name = g_strdup ("acme");
+  c->account[0].key = g_new0 (char *, 2);
+  c->account[0].key[0] = g_strdup ("secret-1");
+  c->account[0].key[1] = g_strdup ("secret-2");
+  c->account[0].keys = 2;
+  return c;
+}
+
+static void
+test_longest_prefix_wins (void)
+{
+  struct qu_config *c = two_queues ();
+  const char *rest;
+
+  CU_ASSERT_STRING_EQUAL (qu_find (c, "one.example:80", "/a/b/x", &rest)->name,
+                          "/a/b/");
+  CU_ASSERT_STRING_EQUAL (rest, "x");
+  CU_ASSERT_STRING_EQUAL (qu_find (c, "ONE.example", "/a/x", &rest)->name,
+                          "/a/");
+  CU_ASSERT_PTR_NULL (qu_find (c, "two.example", "/a/x", &rest));
+  CU_ASSERT_PTR_NULL (qu_find (c, "one.example", "/b/x", &rest));
+  CU_ASSERT_PTR_NULL (qu_find (c, NULL, "/a/x", &rest));
+  qu_free (c);
+}
+
+static void
+test_any_key_names_its_account (void)
+{
+  struct qu_config *c = two_queues ();
+
+  CU_ASSERT_PTR_EQUAL (qu_account_of (c, "secret-2"), &c->account[0]);
+  CU_ASSERT_PTR_NULL (qu_account_of (c, "secret-3"));
+  CU_ASSERT_PTR_NULL (qu_account_of (c, "secret-22"));
+  CU_ASSERT_PTR_NULL (qu_account_of (c, NULL));
+  qu_free (c);
+}
+
+static void
+test_retry_after_is_rounded_up (void)
+{
+  CU_ASSERT_EQUAL (qu_retry_after_s (0), 1);
+  CU_ASSERT_EQUAL (qu_retry_after_s (1000), 1);
+  CU_ASSERT_EQUAL (qu_retry_after_s (1001), 2);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("queue", NULL, NULL);
+  CU_add_test (suite, "longest prefix", test_longest_prefix_wins);
+  CU_add_test (suite, "keys", test_any_key_names_its_account);
+  CU_add_test (suite, "retry after", test_retry_after_is_rounded_up);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+}
