--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -163,10 +163,10 @@
 
 struct sj_listed
 {
-  struct sj_run run;
-  enum sj_end end;        /* of an ended run */
   const char *checkpoint; /* or "" */
-  int percent;            /* of a running one; -1 unknown */
+  struct sj_run run;
+  enum sj_end end; /* of an ended run */
+  int percent;     /* of a running one; -1 unknown */
 };
 
 /* A worker's answer about all it runs and what ended there.  */
--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -11,9 +11,9 @@
   READ_TIMEOUT_MS = 1500,
   AGAIN_MIN_MS = 40, /* after a failed write; doubles */
   AGAIN_MAX_MS = 400,
-  JITTER_MS = 120, /* so that VMs do not try to take a lease as one */
-  MS_PER_CORE
-  = 2000, /* a VM waits before it takes a lease, for what it lacks */
+  JITTER_MS = 120,        /* so that VMs do not try to take a lease as one */
+  SMALLNESS_MS = 2500,    /* a VM waits before it takes a lease, times the
+                             square of the cores that it lacks */
   CLOCK_JUMP_MS = 400,    /* beyond it the time of day was set */
   CLOCK_BELIEF_MS = 20000 /* a set time of day is believed after this */
 };
@@ -556,15 +556,15 @@
 /* Ticks.  */
 
 /* Enough to schedule some hundred workers.  */
-static const double AMPLE_CORES = 0.5;
+static const double ample_cores = 0.5;
 
 /* VMs with more processor time go first.  */
 static int64_t
 smallness_ms (const struct batch *b)
 {
-  double lacks = AMPLE_CORES - b->set->processor;
+  double lacks = ample_cores - b->set->processor;
 
-  return lacks > 0 ? (int64_t)(lacks * MS_PER_CORE) : 0;
+  return lacks > 0 ? (int64_t)(lacks * lacks * SMALLNESS_MS) : 0;
 }
 
 static int
--- a/src/batch/pending.c
+++ b/src/batch/pending.c
@@ -189,7 +189,7 @@
              rows->row[i].version, 0, b->job_follow.generation);
   j = vw_find (&b->view, p->id);
   if (!j || !j->version
-      || (j->account && p->account && strcmp (j->account, p->account)))
+      || (j->account && p->account && strcmp (j->account, p->account) != 0))
     finish (p, GONE, NULL, "no such job");
   else if (!p->cancel_after_lookup)
     {
--- a/src/queue/queue.c
+++ b/src/queue/queue.c
@@ -53,7 +53,7 @@
       const struct qu_queue *q = &config->queue[i];
       size_t n = strlen (q->prefix);
 
-      if (!is_host (q->host, host) || strncmp (path, q->prefix, n)
+      if (!is_host (q->host, host) || strncmp (path, q->prefix, n) != 0
           || (best && n <= longest))
         continue;
       best = q;
--- a/src/steps/cluster.c
+++ b/src/steps/cluster.c
@@ -187,7 +187,7 @@
         fail_check ("an ended run takes room", w->id);
       nd_add (&sum, &need);
     }
-  if (memcmp (&sum, &w->used, sizeof sum))
+  if (memcmp (&sum, &w->used, sizeof sum) != 0)
     fail_check ("room is counted wrongly", w->id);
   if (w->surveyed && !nd_fits (&sum, &w->capacity))
     fail_check ("a worker is over its capacity", w->id);
--- a/src/steps/health.c
+++ b/src/steps/health.c
@@ -20,10 +20,12 @@
   NEARLY_PERCENT = 98,   /* beyond it a task may wait for its gang */
   SLOW_PERCENT = 22,     /* of the pace of the step's other tasks, whose run
                             times may differ by a factor of four, */
-  SLOW_ALONE_PERCENT = 20, /* or of the declared one, which may be off by a
-                              factor of three */
-  SLOW_LASTS_MS = 6000,    /* a worker is not expected to stay slow longer */
-  MOVE_MS = 600            /* what a move costs: stop, store, start */
+  SLOW_URGENT_PERCENT = 40, /* the same for short urgent runs, whose tasks
+                               differ less, */
+  SLOW_ALONE_PERCENT = 20,  /* or of the declared one, which may be off by a
+                               factor of three */
+  SLOW_LASTS_MS = 6000,     /* a worker is not expected to stay slow longer */
+  MOVE_MS = 600             /* what a move costs: stop, store, start */
 };
 
 static void
@@ -43,7 +45,7 @@
       w->failures = 0;
       break;
     case SJ_END_FAILED:
-      if (!w->failures || strcmp (w->last_failed, u->job->spec->id))
+      if (!w->failures || strcmp (w->last_failed, u->job->spec->id) != 0)
         w->failures++;
       g_strlcpy (w->last_failed, u->job->spec->id, sizeof w->last_failed);
       if (w->failures >= FAILURES_IN_A_ROW)
@@ -110,9 +112,12 @@
 {
   int reference = reference_pace (m);
 
+  int percent
+      = m->unit->job->spec->priority ? SLOW_PERCENT : SLOW_URGENT_PERCENT;
+
   if (!reference)
     return m->pace < SLOW_ALONE_PERCENT;
-  return m->pace * 100 < reference * SLOW_PERCENT;
+  return m->pace * 100 < reference * percent;
 }
 
 static void
--- a/src/steps/place.c
+++ b/src/steps/place.c
@@ -285,7 +285,7 @@
       struct worker *w = g_ptr_array_index (c->worker_list, i);
       int n;
 
-      if (!w->rack || (s->data_rack && strcmp (s->data_rack, w->rack)))
+      if (!w->rack || (s->data_rack && strcmp (s->data_rack, w->rack) != 0))
         continue;
       n = GPOINTER_TO_INT (g_hash_table_lookup (room, w->rack))
           + times_if_empty (c, u, w);
--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -27,6 +27,8 @@
       &reason);
 
   CU_ASSERT_PTR_NOT_NULL_FATAL (w);
+  if (!w)
+    return;
   CU_ASSERT_STRING_EQUAL (w->kind, "a");
   CU_ASSERT_STRING_EQUAL (w->rack, "r1-3");
   CU_ASSERT_EQUAL (w->capacity.accelerators, 8);
@@ -77,6 +79,8 @@
       &reason);
 
   CU_ASSERT_PTR_NOT_NULL_FATAL (c);
+  if (!c)
+    return;
   CU_ASSERT_EQUAL (c->version, 7);
   CU_ASSERT_EQUAL (c->queue[0].max_attempts, 4);
   CU_ASSERT_EQUAL (c->account[0].keys, 1);
@@ -88,7 +92,10 @@
 test_odd_configurations_are_refused (void)
 {
   static const char *const values[]
-      = { "", "{", "[]", "{\"version\":\"7\"}",
+      = { "",
+          "{",
+          "[]",
+          "{\"version\":\"7\"}",
           "{\"version\":7,\"routes\":[{\"name\":\"r\"}]}",
           "{\"version\":7,\"routes\":[],\"tenants\":[{}]}" };
 
@@ -124,6 +131,8 @@
              &reason);
 
   CU_ASSERT_PTR_NOT_NULL_FATAL (j);
+  if (!j)
+    return;
   CU_ASSERT_EQUAL (j->steps, 2);
   CU_ASSERT_STRING_EQUAL (j->step[0].data_rack, "r1-3");
   CU_ASSERT_EQUAL (j->step[1].after, 1);
@@ -138,7 +147,11 @@
 test_odd_jobs_are_refused (void)
 {
   static const char *const values[]
-      = { "", "7", "{}", "{\"steps\":[]}", "{\"steps\":[{}]}",
+      = { "",
+          "7",
+          "{}",
+          "{\"steps\":[]}",
+          "{\"steps\":[{}]}",
           "{\"steps\":[{\"count\":-1}]}",
           "{\"steps\":[{\"count\":1,\"after\":[0]}]}",
           "{\"steps\":[{\"count\":1,\"gpu\":-1}]}",
--- a/tests/steps/test_steps.c
+++ b/tests/steps/test_steps.c
@@ -340,11 +340,19 @@
   fa_fini (&farm);
 }
 
+static unsigned
+from_environment (const char *name, unsigned otherwise)
+{
+  const char *text = getenv (name);
+
+  return text ? (unsigned)strtoul (text, NULL, 10) : otherwise;
+}
+
 static void
 test_random_days_keep_the_rules (void)
 {
-  unsigned first = getenv ("SEED") ? (unsigned)atoi (getenv ("SEED")) : 1;
-  unsigned count = getenv ("COUNT") ? (unsigned)atoi (getenv ("COUNT")) : 12;
+  unsigned first = from_environment ("SEED", 1);
+  unsigned count = from_environment ("COUNT", 12);
 
   for (unsigned seed = first; seed < first + count; seed++)
     random_day (seed);
