Notice a silent store after 1.5 s and refuse before anything is sent

Cause: a VM whose store fell silent took jobs for up to 3 s, could not tell whether they were stored, and kept callers until their deadline. Change: the job table is heard each 1.05 s at least; after 1.5 s of silence new requests are refused with 503 (nothing was sent) and the VM is not ready.

--- a/src/batch/ask.c
+++ b/src/batch/ask.c
@@ -3,7 +3,8 @@
 
 enum
 {
-  SILENT_MS = 1500 /* without any answer the store counts as away */
+  SILENT_MS = 1500 /* without any answer the store counts as away; it is
+                      heard each 1.05 s and its own delay at least */
 };
 
 struct ba_ask *
@@ -41,12 +42,14 @@
   lg_log (LG_TABLE_BACK, 1, &f);
 }
 
+/* Requests that come from now on are refused before anything is sent, so
+   that their refusal is true.  */
 static void
-store_away (struct batch *b, const struct po_rows *rows)
+store_away (struct batch *b)
 {
   struct lg_field f[]
-      = { lg_str ("reason", rows->status ? "refuses" : "no answer"),
-          lg_int ("status", rows->status) };
+      = { lg_str ("reason", b->store_status ? "refuses" : "no answer"),
+          lg_int ("status", b->store_status) };
 
   b->store_down = 1;
   lg_log (LG_TABLE_DOWN, 2, f);
@@ -57,12 +60,9 @@
 {
   int sound = rows->result != PO_NOT_DONE && rows->result != PO_UNKNOWN;
 
+  b->store_status = sound ? 0 : rows->status;
   if (!sound)
-    {
-      if (!b->store_down && b->now - b->store_ok_ms > SILENT_MS)
-        store_away (b, rows);
-      return;
-    }
+    return;
   if (b->store_down)
     store_back (b);
   b->store_ok_ms = b->now;
@@ -72,6 +72,13 @@
   b->store_clock_at_ms = b->now;
 }
 
+void
+ba_watch_store (struct batch *b)
+{
+  if (!b->store_down && b->now - b->store_ok_ms > SILENT_MS)
+    store_away (b);
+}
+
 int64_t
 ba_store_clock (const struct batch *b)
 {
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -196,6 +196,7 @@
   struct ba_follow config_follow, job_follow, worker_follow;
   struct vw_view view;
   int store_down;
+  long store_status; /* of the last answer that was not sound; 0: none */
   int64_t store_ok_ms, store_clock_ms, store_clock_at_ms;
   GPtrArray *pending; /* struct ba_pending */
 
@@ -227,6 +228,8 @@
 struct ba_ask *ba_new_ask (struct batch *b, enum ba_purpose purpose);
 void ba_on_rows (void *arg, struct po_rows *rows);
 void ba_heard_store (struct batch *b, const struct po_rows *rows);
+/* Takes note when the store has been silent.  */
+void ba_watch_store (struct batch *b);
 /* The store's clock now, in its milliseconds; 0 when it was never heard.  */
 int64_t ba_store_clock (const struct batch *b);
 
--- a/src/batch/loop.c
+++ b/src/batch/loop.c
@@ -17,9 +17,8 @@
   ROUND_GAP_MS = 8, /* between two rounds of decisions, at least */
   FOLLOWER_TICK_MS = 80,
   COUNT_MS = 1000,
-  UNHEARD_MS = 2500, /* without the store others serve callers better */
-  LEAVE_MS = 2300,   /* the balancer misses two questions, one a second */
-  LAST_MS = 800      /* before the end of the grace time */
+  LEAVE_MS = 2300, /* the balancer misses two questions, one a second */
+  LAST_MS = 800    /* before the end of the grace time */
 };
 
 void
@@ -110,6 +109,7 @@
 tick (struct batch *b)
 {
   b->now = b->ticked_ms = bs_now_ms (&b->clock);
+  ba_watch_store (b);
   fo_tick (&b->config_follow);
   fo_tick (&b->job_follow);
   fo_tick (&b->worker_follow);
@@ -121,8 +121,7 @@
       co_tick (b);
     }
   atomic_store (&b->ready, b->config && b->job_follow.whole && ba_is_fresh (b)
-                               && !b->stopping_at_ms
-                               && b->now - b->store_ok_ms < UNHEARD_MS);
+                               && !b->stopping_at_ms && !b->store_down);
 }
 
 /* Serves on until the balancer has noticed, then ends connections with
--- a/src/batch/tables.c
+++ b/src/batch/tables.c
@@ -5,7 +5,7 @@
 enum
 {
   CONFIG_WAIT_MS = 1500, /* half of what a revoked key may still pass */
-  JOB_WAIT_MS = 1500,
+  JOB_WAIT_MS = 800,     /* with the gap, how often the store is heard */
   WORKER_WAIT_MS = 2000,
   JOB_GAP_MS = 250,     /* a follower shows a new state within this time */
   FRESH_SLACK_MS = 1000 /* for a request on its way to the store */
