--- a/docs/mkdocs.sh
+++ b/docs/mkdocs.sh
@@ -5,7 +5,7 @@
 set -eu
 bin=$1
 out=$2
-programs="skr skr-burn skr-entry skr-load skr-replay skr-sched"
+programs="skr skr-batch skr-burn skr-entry skr-load skr-replay skr-sched"
 mkdir -p "$out/docs" "$out/man"
 
 # One line a setting: name, variable, help.
--- a/src/batch/workers.c
+++ b/src/batch/workers.c
@@ -155,7 +155,7 @@
     o = new_order (b, w);
   o->kind = order->kind;
   o->run = order->run;
-  o->cause = order->cause;
+  o->cause = order->kind == SJ_STOP ? order->cause : SJ_NO_CAUSE;
   if (!w || send_order (b, w, o, order))
     on_order (o, &unsent);
 }
@@ -284,8 +284,10 @@
   struct sj_listing *list = &listing->list;
 
   list->sent_ms = o->sent_ms;
+  /* Those not let go are listed again; the new ones come last.  */
   for (int i = 0; i < list->ended; i++)
-    log_end (b, w, &list->end[i]);
+    if (listing->last_end - (list->ended - 1 - i) > w->taken)
+      log_end (b, w, &list->end[i]);
   if (listing->unread)
     log_worker (w, "odd", "entries of its lists can't be read");
   w->surveyed = 1;
--- /dev/null
+++ b/tests/batch/test_front.c
@@ -0,0 +1,311 @@
+/* Callers' requests over a server and a port that only take notes.  */
+#include <CUnit/Basic.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "batch/batch.h"
+
+#define ID "00000000000000a1"
+
+struct hs_exchange
+{
+  struct hs_request request;
+  int status, answers;
+  char body[256];
+  int retry_after;
+};
+
+static struct batch batch;
+static struct ba_settings settings
+    = { .vm = "vm1", .revoke_ms = 5000, .max_requests = 8 };
+static struct hs_exchange ex;
+
+/* The last question to the store.  */
+static struct ba_ask *asked;
+static int writes, reads;
+
+const struct hs_request *
+hs_request_of (const struct hs_exchange *e)
+{
+  return &e->request;
+}
+
+const char *
+hs_header (struct hs_exchange *e, const char *name)
+{
+  (void)e;
+  return !strcmp (name, "Host") ? "h" : NULL;
+}
+
+int
+hs_in_progress (struct hs_server *hs)
+{
+  (void)hs;
+  return 0;
+}
+
+void
+hs_answer (struct hs_exchange *e, const struct hs_answer *answer)
+{
+  e->status = answer->status;
+  e->answers++;
+  e->retry_after = answer->header[0].name != NULL;
+  g_strlcpy (e->body, answer->body, sizeof e->body);
+}
+
+void
+ba_push (struct batch *b, struct ba_event *e)
+{
+  (void)b;
+  g_free (e);
+}
+
+int
+po_write (struct po_port *port, const struct po_entry *entry, int count,
+          int timeout_ms, po_rows_done *done, void *arg)
+{
+  (void)port;
+  (void)entry;
+  (void)count;
+  (void)timeout_ms;
+  (void)done;
+  writes++;
+  asked = arg;
+  return 0;
+}
+
+int
+po_read (struct po_port *port, const char *table, const char *from,
+         const char *to, int timeout_ms, po_rows_done *done, void *arg)
+{
+  (void)port;
+  (void)table;
+  (void)from;
+  (void)to;
+  (void)timeout_ms;
+  (void)done;
+  reads++;
+  asked = arg;
+  return 0;
+}
+
+int
+po_follow (struct po_port *port, const char *table, int64_t after, int wait_ms,
+           po_rows_done *done, void *arg)
+{
+  (void)port;
+  (void)table;
+  (void)after;
+  (void)wait_ms;
+  (void)done;
+  (void)arg;
+  return PO_EFULL;
+}
+
+void
+po_rows_free (struct po_rows *rows)
+{
+  (void)rows;
+}
+
+static void
+store_says (enum po_result result)
+{
+  struct po_rows rows = { .result = result, .version = 9 };
+  struct ba_ask *ask = asked;
+
+  asked = NULL;
+  pe_answer (ask->pending, &rows);
+  g_free (ask);
+}
+
+static void
+call (const char *method, const char *path, const char *key, const char *body)
+{
+  memset (&ex, 0, sizeof ex);
+  ex.request = (struct hs_request){
+    .method = method, .path = path, .authorization = key, .body = body
+  };
+  fr_request (&batch, &ex);
+}
+
+static void
+submit (void)
+{
+  call ("POST", "/p/" ID, "Bearer k",
+        "{\"specification\":\"x\",\"steps\":[{\"count\":1}]}");
+}
+
+static void
+begin (void)
+{
+  const char *reason;
+
+  memset (&batch, 0, sizeof batch);
+  asked = NULL;
+  writes = reads = 0;
+  batch.set = &settings;
+  batch.now = 100000;
+  co_init (&batch);
+  vw_init (&batch.view);
+  batch.pending = g_ptr_array_new_with_free_func (pe_free);
+  batch.config = po_config_read (
+      "{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"h\","
+      "\"prefix\":\"/p/\",\"service\":\"s\"}],"
+      "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"]}]}",
+      &reason);
+  batch.config_follow.whole = batch.job_follow.whole = 1;
+  batch.config_follow.fresh_ms = batch.job_follow.fresh_ms = batch.now;
+}
+
+static void
+end (void)
+{
+  g_free (asked);
+  g_ptr_array_free (batch.pending, TRUE);
+  vw_fini (&batch.view);
+  qu_free (batch.config);
+  st_fini (&batch.stats);
+}
+
+static void
+test_refusals_come_at_once (void)
+{
+  begin ();
+  call ("GET", "/other/" ID, "Bearer k", "");
+  CU_ASSERT_EQUAL (ex.status, 404);
+  call ("GET", "/p/" ID, "Bearer other", "");
+  CU_ASSERT_EQUAL (ex.status, 401);
+  call ("POST", "/p/" ID, "Bearer k", "not JSON");
+  CU_ASSERT_EQUAL (ex.status, 400);
+  batch.store_down = 1;
+  submit ();
+  CU_ASSERT_EQUAL (ex.status, 503);
+  CU_ASSERT (ex.retry_after);
+  CU_ASSERT_EQUAL (writes + reads, 0);
+  end ();
+}
+
+/* A key that was taken away might still be in the configuration held.  */
+static void
+test_old_keys_are_not_trusted (void)
+{
+  begin ();
+  batch.now += 3999;
+  call ("GET", "/p/", "Bearer k", "");
+  CU_ASSERT_NOT_EQUAL (ex.body[0], '\0');
+  batch.now += 1;
+  submit ();
+  CU_ASSERT_EQUAL (ex.status, 503);
+  CU_ASSERT_EQUAL (writes, 0);
+  end ();
+}
+
+static void
+test_job_is_acknowledged_once_stored (void)
+{
+  begin ();
+  submit ();
+  CU_ASSERT_EQUAL (ex.answers, 0);
+  store_says (PO_DONE);
+  CU_ASSERT_EQUAL (ex.status, 200);
+  call ("GET", "/p/" ID, "Bearer k", "");
+  CU_ASSERT_STRING_EQUAL (ex.body, "{\"state\":\"queued\"}");
+  submit ();
+  CU_ASSERT_EQUAL (ex.status, 200);
+  CU_ASSERT_EQUAL (writes, 1);
+  end ();
+}
+
+/* The first write was done and its answer lost: the row is there.  */
+static void
+test_lost_answer_is_told_by_the_row (void)
+{
+  begin ();
+  submit ();
+  store_says (PO_UNKNOWN);
+  pe_tick (&batch);
+  CU_ASSERT_EQUAL (writes, 2);
+  store_says (PO_CONFLICT);
+  CU_ASSERT_EQUAL (ex.status, 200);
+  end ();
+}
+
+static void
+test_not_run_is_said_only_when_true (void)
+{
+  begin ();
+  submit ();
+  store_says (PO_NOT_DONE);
+  batch.now += 800;
+  pe_tick (&batch);
+  CU_ASSERT_EQUAL (ex.status, 503);
+  CU_ASSERT (ex.retry_after);
+  submit ();
+  store_says (PO_UNKNOWN);
+  pe_tick (&batch);
+  store_says (PO_NOT_DONE);
+  batch.now += 10000;
+  pe_tick (&batch);
+  CU_ASSERT_EQUAL (ex.status, 504);
+  end ();
+}
+
+static void
+test_unknown_job_is_looked_up (void)
+{
+  struct po_row row = { .table = (char *)"jobs",
+                        .key = (char *)ID,
+                        .value = (char *)"{\"job\":{\"account\":\"t\"}}",
+                        .version = 4 };
+  struct po_rows found = { .result = PO_DONE, .count = 1, .row = &row };
+
+  begin ();
+  call ("GET", "/p/" ID, "Bearer k", "");
+  CU_ASSERT_EQUAL (reads, 1);
+  store_says (PO_DONE);
+  CU_ASSERT_EQUAL (ex.status, 410);
+  call ("GET", "/p/" ID, "Bearer k", "");
+  pe_answer (asked->pending, &found);
+  CU_ASSERT_EQUAL (ex.status, 200);
+  end ();
+}
+
+static void
+test_cancel_is_acknowledged_once_stored (void)
+{
+  begin ();
+  submit ();
+  store_says (PO_DONE);
+  call ("DELETE", "/p/" ID, "Bearer k", "");
+  CU_ASSERT_EQUAL (ex.answers, 0);
+  store_says (PO_DONE);
+  CU_ASSERT_EQUAL (ex.status, 200);
+  call ("DELETE", "/p/" ID, "Bearer k", "");
+  CU_ASSERT_EQUAL (ex.status, 200);
+  CU_ASSERT_EQUAL (writes, 2);
+  end ();
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  bs_init ();
+  lg_init ("test", "plain", LG_ERROR);
+  CU_initialize_registry ();
+  suite = CU_add_suite ("front", NULL, NULL);
+  CU_add_test (suite, "refusals", test_refusals_come_at_once);
+  CU_add_test (suite, "old keys", test_old_keys_are_not_trusted);
+  CU_add_test (suite, "stored", test_job_is_acknowledged_once_stored);
+  CU_add_test (suite, "lost answer", test_lost_answer_is_told_by_the_row);
+  CU_add_test (suite, "not run", test_not_run_is_said_only_when_true);
+  CU_add_test (suite, "lookup", test_unknown_job_is_looked_up);
+  CU_add_test (suite, "cancel", test_cancel_is_acknowledged_once_stored);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/batch/test_holder.c
@@ -0,0 +1,252 @@
+/* The scheduler's turn over a store that only takes notes.  */
+#include <CUnit/Basic.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "batch/batch.h"
+
+#define ID "00000000000000a1"
+
+static struct batch batch;
+static struct ba_settings settings = { .vm = "vm1",
+                                       .hold_ms = 6000,
+                                       .far_factor = 3,
+                                       .take_ms = 1600,
+                                       .keep_s = 240,
+                                       .processor = 1 };
+static struct ba_ask *asked;
+static int writes, reads;
+static int64_t expected;
+
+int
+po_write (struct po_port *port, const struct po_entry *entry, int count,
+          int timeout_ms, po_rows_done *done, void *arg)
+{
+  (void)port;
+  (void)count;
+  (void)timeout_ms;
+  (void)done;
+  writes++;
+  expected = entry[0].version;
+  asked = arg;
+  return 0;
+}
+
+int
+po_read (struct po_port *port, const char *table, const char *from,
+         const char *to, int timeout_ms, po_rows_done *done, void *arg)
+{
+  (void)port;
+  (void)table;
+  (void)from;
+  (void)to;
+  (void)timeout_ms;
+  (void)done;
+  reads++;
+  asked = arg;
+  return 0;
+}
+
+int
+po_follow (struct po_port *port, const char *table, int64_t after, int wait_ms,
+           po_rows_done *done, void *arg)
+{
+  (void)port;
+  (void)table;
+  (void)after;
+  (void)wait_ms;
+  (void)done;
+  (void)arg;
+  return PO_EFULL;
+}
+
+void
+po_rows_free (struct po_rows *rows)
+{
+  (void)rows;
+}
+
+static void
+store_says (enum po_result result, int64_t version, struct po_row *row)
+{
+  struct po_rows rows = {
+    .result = result, .version = version, .count = row != NULL, .row = row
+  };
+  struct ba_ask *ask = asked;
+
+  asked = NULL;
+  if (ask->purpose == BA_COMMIT)
+    ho_committed (&batch, ask, &rows);
+  else
+    ho_loaded (&batch, ask, &rows);
+  g_free (ask);
+}
+
+static void
+tick (int64_t ms)
+{
+  batch.now += ms;
+  ho_tick (&batch);
+}
+
+/* Takes the free lease at version 10 and loads empty tables.  */
+static void
+begin (void)
+{
+  const char *reason;
+  struct le_settings le
+      = { .valid_ms = 1200, .take_ms = 1600, .renew_ms = 400 };
+
+  memset (&batch, 0, sizeof batch);
+  writes = reads = 0;
+  batch.set = &settings;
+  batch.now = 100000;
+  co_init (&batch);
+  vw_init (&batch.view);
+  rg_init (&batch.ring, 64);
+  le_init (&batch.lease, &le, "vm1", "token");
+  le_read (&batch.lease, batch.now);
+  ta_init (&batch);
+  batch.config = po_config_read (
+      "{\"version\":1,\"routes\":[],\"tenants\":[]}", &reason);
+  batch.job_follow.whole = 1;
+  batch.job_follow.fresh_ms = batch.now;
+  tick (0);
+  tick (500);
+  store_says (PO_DONE, 10, NULL);
+  tick (1);
+  store_says (PO_DONE, 10, NULL);
+  tick (1);
+  store_says (PO_DONE, 10, NULL);
+}
+
+static void
+end (void)
+{
+  ho_step_down (&batch, "test");
+  g_free (asked);
+  vw_fini (&batch.view);
+  qu_free (batch.config);
+  rg_fini (&batch.ring);
+  st_fini (&batch.stats);
+  if (batch.commit.text)
+    g_ptr_array_free (batch.commit.text, TRUE);
+}
+
+static void
+test_lease_is_taken_then_jobs_are_loaded (void)
+{
+  begin ();
+  CU_ASSERT_EQUAL (batch.lease.epoch, 1);
+  CU_ASSERT_EQUAL (writes, 1);
+  CU_ASSERT_EQUAL (reads, 2);
+  CU_ASSERT_PTR_NOT_NULL (batch.cluster);
+  end ();
+}
+
+static struct po_row *
+job_row (int64_t version)
+{
+  static struct po_row row;
+
+  row = (struct po_row){
+    .table = (char *)"jobs",
+    .key = (char *)ID,
+    .value = (char *)"{\"accepted\":1,\"job\":{\"id\":\"" ID
+                     "\",\"service\":\"s\",\"payload\":\"\",\"attempts\":1,"
+                     "\"steps\":[{\"count\":1}]}}",
+    .version = version
+  };
+  return &row;
+}
+
+/* A table that is read again shows jobs that have ended once more.  */
+static void
+test_job_told_before_is_not_added_again (void)
+{
+  begin ();
+  ho_job_row (&batch, job_row (11));
+  CU_ASSERT (sj_has_job (batch.cluster, ID));
+  ho_jobs_told (&batch, 11);
+  sj_job_cancel (batch.cluster, ID, batch.now);
+  sj_decide (batch.cluster, batch.now, batch.now);
+  sj_committed (batch.cluster, 1, batch.now);
+  for (int i = 0; i < 2; i++)
+    {
+      struct sj_dirty d[2];
+      int n = sj_dirty (batch.cluster, d, 2);
+
+      for (int k = 0; k < n; k++)
+        json_decref (d[k].record);
+      sj_committed (batch.cluster, 1, batch.now);
+      sj_decide (batch.cluster, batch.now, batch.now);
+    }
+  CU_ASSERT_FALSE (sj_has_job (batch.cluster, ID));
+  ho_job_row (&batch, job_row (11));
+  CU_ASSERT_FALSE (sj_has_job (batch.cluster, ID));
+  end ();
+}
+
+/* The version in an answer may be that of a later write by another VM.  */
+static void
+test_wrong_version_is_corrected_by_the_row (void)
+{
+  int64_t serial;
+  char *value;
+  struct po_row row = { .table = (char *)"jobs", .key = (char *)"~lease" };
+
+  begin ();
+  batch.lease.version = 15;
+  tick (500);
+  CU_ASSERT_EQUAL (expected, 15);
+  value = le_renew_value (&batch.lease, &serial);
+  free (value);
+  batch.lease.serial = 0;
+  row.value = le_renew_value (&batch.lease, &serial);
+  batch.lease.serial = 1;
+  row.version = 10;
+  store_says (PO_CONFLICT, 16, &row);
+  CU_ASSERT_NOT_EQUAL (batch.phase, BA_FOLLOWS);
+  tick (1);
+  CU_ASSERT_EQUAL (expected, 10);
+  free (row.value);
+  end ();
+}
+
+static void
+test_turn_ends_when_the_row_is_anothers (void)
+{
+  struct po_row row
+      = { .table = (char *)"jobs",
+          .key = (char *)"~lease",
+          .value = (char *)"{\"token\":\"other\",\"vm\":\"vm2\",\"epoch\":2,"
+                           "\"serial\":1}",
+          .version = 12 };
+
+  begin ();
+  tick (500);
+  store_says (PO_CONFLICT, 12, &row);
+  CU_ASSERT_EQUAL (batch.phase, BA_FOLLOWS);
+  CU_ASSERT_PTR_NULL (batch.cluster);
+  end ();
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  bs_init ();
+  lg_init ("test", "plain", LG_ERROR);
+  CU_initialize_registry ();
+  suite = CU_add_suite ("holder", NULL, NULL);
+  CU_add_test (suite, "load", test_lease_is_taken_then_jobs_are_loaded);
+  CU_add_test (suite, "no job twice", test_job_told_before_is_not_added_again);
+  CU_add_test (suite, "version", test_wrong_version_is_corrected_by_the_row);
+  CU_add_test (suite, "loss", test_turn_ends_when_the_row_is_anothers);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -118,8 +118,8 @@
 {
   struct le_settings le
       = { .valid_ms = 1000000, .take_ms = 2000000, .renew_ms = 500 };
-  struct sj_settings sj = { .hold_ms = 6000, .far_factor = 3,
-                            .survey_ms = 6000 };
+  struct sj_settings sj
+      = { .hold_ms = 6000, .far_factor = 3, .survey_ms = 6000 };
   struct po_row row
       = { .table = (char *)"servers",
           .key = (char *)"i-1",
@@ -205,10 +205,9 @@
 static void
 test_end_is_let_go_only_once_stored (void)
 {
-  struct sj_listed done
-      = { .run = { .job = "00000000000000a1", .number = 1 },
-          .end = SJ_END_DONE,
-          .checkpoint = "" };
+  struct sj_listed done = { .run = { .job = "00000000000000a1", .number = 1 },
+                            .end = SJ_END_DONE,
+                            .checkpoint = "" };
 
   begin ();
   pass (10);
