Ask a store that is away by short questions

Change: when the store counts as away, questions under way are given up, and short ones go out each 0.15 s.

--- a/include/skr/port.h
+++ b/include/skr/port.h
@@ -64,7 +64,7 @@
 /* Rows of TABLE that changed after version AFTER; waits up to WAIT_MS for
    one.  */
 int po_follow (struct po_port *port, const char *table, int64_t after,
-               int wait_ms, po_rows_done *done, void *arg);
+               int wait_ms, int timeout_ms, po_rows_done *done, void *arg);
 
 enum po_entry_kind
 {
--- a/src/batch/ask.c
+++ b/src/batch/ask.c
@@ -52,6 +52,9 @@
           lg_int ("status", b->store_status) };
 
   b->store_down = 1;
+  fo_ask_again (&b->config_follow);
+  fo_ask_again (&b->job_follow);
+  fo_ask_again (&b->worker_follow);
   lg_log (LG_TABLE_DOWN, 2, f);
 }
 
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -52,6 +52,7 @@
   enum ba_purpose purpose;
   int64_t sent_ms;
   int serial; /* of the holder's turn, for loads */
+  int wait_ms; /* of a long wait */
   struct ba_follow *follow;
   struct ba_pending *pending;
 };
@@ -238,6 +239,8 @@
               int wait_ms, int gap_ms);
 void fo_start (struct ba_follow *f);
 void fo_stop (struct ba_follow *f);
+/* Gives the question under way up and asks anew.  */
+void fo_ask_again (struct ba_follow *f);
 void fo_tick (struct ba_follow *f);
 void fo_answer (struct ba_follow *f, struct ba_ask *ask, struct po_rows *rows);
 
--- a/src/batch/follow.c
+++ b/src/batch/follow.c
@@ -7,8 +7,11 @@
 enum
 {
   READ_TIMEOUT_MS = 1500,
+  SLACK_MS = 1500,    /* beyond a long wait: the store may be slow */
+  PROBE_MS = 500,     /* of a question to a store that is away */
   RETRY_MIN_MS = 100, /* after a failed question; doubles */
-  RETRY_MAX_MS = 800
+  RETRY_MAX_MS = 800,
+  PROBE_GAP_MS = 150
 };
 
 void
@@ -50,9 +53,34 @@
   int64_t wait = RETRY_MIN_MS << (f->failures < 4 ? f->failures : 4);
 
   f->failures++;
+  if (f->b->store_down)
+    wait = PROBE_GAP_MS;
   f->next_ms = f->b->now + (wait < RETRY_MAX_MS ? wait : RETRY_MAX_MS);
 }
 
+/* Questions to a store that is away are short, so that its return is heard
+   at once.  */
+static int
+ask_changes (struct ba_follow *f, struct ba_ask *ask)
+{
+  int wait_ms = f->b->store_down ? 0 : f->wait_ms;
+
+  ask->wait_ms = wait_ms;
+  return po_follow (&f->b->port, f->table, f->after, wait_ms,
+                    f->b->store_down ? PROBE_MS : wait_ms + SLACK_MS,
+                    ba_on_rows, ask);
+}
+
+void
+fo_ask_again (struct ba_follow *f)
+{
+  if (!f->on)
+    return;
+  f->serial++;
+  f->in_flight = 0;
+  f->next_ms = f->b->now;
+}
+
 void
 fo_tick (struct ba_follow *f)
 {
@@ -66,8 +94,7 @@
   ask->serial = f->serial;
   f->in_flight = 1;
   if (f->whole)
-    error = po_follow (&f->b->port, f->table, f->after, f->wait_ms, ba_on_rows,
-                       ask);
+    error = ask_changes (f, ask);
   else
     error = po_read (&f->b->port, f->table, f->from, "", READ_TIMEOUT_MS,
                      ba_on_rows, ask);
@@ -117,7 +144,7 @@
 
   take_rows (f, rows);
   if (!rows->count)
-    fresh += f->wait_ms;
+    fresh += ask->wait_ms;
   if (fresh > f->b->now)
     fresh = f->b->now;
   if (fresh > f->fresh_ms)
--- a/tests/batch/test_front.c
+++ b/tests/batch/test_front.c
@@ -91,12 +91,13 @@
 
 int
 po_follow (struct po_port *port, const char *table, int64_t after, int wait_ms,
-           po_rows_done *done, void *arg)
+           int timeout_ms, po_rows_done *done, void *arg)
 {
   (void)port;
   (void)table;
   (void)after;
   (void)wait_ms;
+  (void)timeout_ms;
   (void)done;
   (void)arg;
   return PO_EFULL;
