Pause longer after a long round, look at paces each 0.12 s

Cause: at 350 workers a round scanned all workers for each waiting unit and all runs each 8 ms; in bursts the holder's processor was full. Change: idle accelerators are summed once a round and after each placement; paces are looked at each 0.12 s; a round is followed by a pause of four times its length, up to 0.2 s.

--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -51,7 +51,7 @@
   struct batch *b;
   enum ba_purpose purpose;
   int64_t sent_ms;
-  int serial; /* of the holder's turn, for loads */
+  int serial;  /* of the holder's turn, for loads */
   int wait_ms; /* of a long wait */
   struct ba_follow *follow;
   struct ba_pending *pending;
@@ -214,7 +214,7 @@
   int64_t load_at_ms, take_at_ms, taken_ms;
   int64_t jobs_up_to; /* jobs stored up to this version were added before */
   struct ba_commit commit;
-  int64_t decide_at_ms, stopping_at_ms, counted_ms, ticked_ms;
+  int64_t decide_at_ms, stopping_at_ms, counted_ms, ticked_ms, tick_took_ms;
 
   struct st_registry stats;
   struct ba_counters count;
--- a/src/batch/loop.c
+++ b/src/batch/loop.c
@@ -14,7 +14,9 @@
   IDLE_S = 30,
   BATCH = 256, /* events between two ticks */
   HOLDER_TICK_MS = 40,
-  ROUND_GAP_MS = 8, /* between two rounds of decisions, at least */
+  ROUND_GAP_MS = 8,       /* between two rounds of decisions, at least, */
+  ROUND_PAUSE = 4,        /* and so many times what the last one took, */
+  ROUND_GAP_MAX_MS = 200, /* up to this */
   FOLLOWER_TICK_MS = 80,
   COUNT_MS = 1000,
   LEAVE_MS = 2300, /* the balancer misses two questions, one a second */
@@ -145,15 +147,20 @@
 }
 
 /* A round of decisions costs the same for one event as for many: those that
-   follow at once are taken along.  */
+   follow at once are taken along.  A round that took long is followed by a
+   longer pause, so that leases are renewed in time whatever waits.  */
 static void
 gather_events (struct batch *b)
 {
-  int64_t left;
+  int64_t gap = b->tick_took_ms * ROUND_PAUSE, left;
 
   if (b->phase == BA_FOLLOWS)
     return;
-  while ((left = b->ticked_ms + ROUND_GAP_MS - b->now) > 0)
+  if (gap < ROUND_GAP_MS)
+    gap = ROUND_GAP_MS;
+  if (gap > ROUND_GAP_MAX_MS)
+    gap = ROUND_GAP_MAX_MS;
+  while ((left = b->ticked_ms + gap - b->now) > 0)
     {
       take_events (b, (int)left);
       b->now = bs_now_ms (&b->clock);
@@ -171,6 +178,7 @@
                    b->phase == BA_FOLLOWS ? FOLLOWER_TICK_MS : HOLDER_TICK_MS);
       gather_events (b);
       tick (b);
+      b->tick_took_ms = bs_now_ms (&b->clock) - b->ticked_ms;
     }
   atomic_store (&b->stopped, 1);
   return NULL;
--- a/src/batch/workers.c
+++ b/src/batch/workers.c
@@ -354,11 +354,14 @@
 static void
 tend (struct batch *b, struct ba_worker *w)
 {
-  int busy = sj_worker_busy (b->cluster, w->id);
-  int wanted = busy || (w->listed && (!w->surveyed || w->failures))
-               || w->seen > w->told;
+  int busy, wanted;
 
-  if (w->holding || !wanted || b->now < w->next_hold_ms)
+  if (w->holding || b->now < w->next_hold_ms)
+    return;
+  busy = sj_worker_busy (b->cluster, w->id);
+  wanted = busy || (w->listed && (!w->surveyed || w->failures))
+           || w->seen > w->told;
+  if (!wanted)
     return;
   /* Asked now, the worker would list the same ends at once.  */
   if (w->surveyed && w->taken > w->seen
--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -7,6 +7,7 @@
 
 enum
 {
+  WATCH_MS = 120,        /* between two looks at the pace of all runs */
   ROUND_MS = 250,        /* longest time between two rounds */
   STOP_AGAIN_MS = 500,   /* a stop without an answer is sent again */
   FAR_URGENT_MS = 900,   /* an urgent unit waits for its rack so long */
@@ -244,7 +245,7 @@
   GArray *ready = list_ready (c, wall_offset);
   const struct unit *blocked = NULL;
   int is_idle = mostly_idle (c);
-  int64_t idle, all;
+  int64_t all, idle = idle_accelerators (c, &all);
 
   for (guint i = 0; i < ready->len; i++)
     {
@@ -253,13 +254,14 @@
       /* A victim of this round starts again in a later one.  */
       if (u->state != UN_READY || same_step (blocked, u))
         continue;
-      idle = idle_accelerators (c, &all);
       if (!is_idle && must_leave_room (u, idle, all, now))
         {
           blocked = u;
           continue;
         }
-      if (!start_or_reserve (c, u, may_go_far (c, u, is_idle, now), now))
+      if (start_or_reserve (c, u, may_go_far (c, u, is_idle, now), now))
+        idle = idle_accelerators (c, &all);
+      else
         blocked = u;
     }
   g_array_free (ready, TRUE);
@@ -358,7 +360,11 @@
 {
   c->now = now;
   wo_collect (c);
-  he_watch (c, now);
+  if (now - c->watched_ms >= WATCH_MS)
+    {
+      c->watched_ms = now;
+      he_watch (c, now);
+    }
   tend_jobs (c, now, wall_ms);
   if (!c->changed && now - c->decided_ms < ROUND_MS)
     return ROUND_MS - (now - c->decided_ms);
--- a/src/steps/steps.h
+++ b/src/steps/steps.h
@@ -111,7 +111,7 @@
   GHashTable *workers, *jobs, *guarantee;
   GPtrArray *worker_list, *job_list;
   int changed; /* since the last decision */
-  int64_t now, decided_ms;
+  int64_t now, decided_ms, watched_ms;
 };
 
 enum
