Ask workers less often when there are many

Change: waits grow with the number of busy workers up to 2 s, then pauses of up to 1.5 s follow them.

--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -263,7 +263,7 @@
 
 struct sj_counts
 {
-  int jobs, waiting, runs, workers, usable_workers;
+  int jobs, waiting, runs, workers, usable_workers, busy_workers;
   int64_t accelerators_used, accelerators;
 };
 void sj_count (struct sj_cluster *c, struct sj_counts *out);
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -214,6 +214,7 @@
   int64_t load_at_ms, take_at_ms, taken_ms;
   int64_t jobs_up_to; /* jobs stored up to this version were added before */
   struct ba_commit commit;
+  int busy_workers; /* as of the last count */
   int64_t decide_at_ms, stopping_at_ms, counted_ms, ticked_ms, tick_took_ms;
 
   struct st_registry stats;
--- a/src/batch/count.c
+++ b/src/batch/count.c
@@ -45,6 +45,7 @@
 
   if (b->cluster)
     sj_count (b->cluster, &n);
+  b->busy_workers = n.busy_workers;
   st_set (&b->stats, c->shard, c->waiting, n.waiting);
   st_set (&b->stats, c->shard, c->runs, n.runs);
   st_set (&b->stats, c->shard, c->used, n.accelerators_used);
--- a/src/batch/workers.c
+++ b/src/batch/workers.c
@@ -6,14 +6,17 @@
 
 enum
 {
-  HOLD_WAIT_MS = 1500,   /* a quarter of the shortest lease */
-  WATCH_WAIT_MS = 500,   /* while runs are watched closely */
-  HOLD_SLACK_MS = 800,   /* for the answer on its way */
-  PROBE_MS = 600,        /* of a question that does not wait */
-  PROBE_GAP_MS = 400,    /* between questions to one that is silent */
-  UNSTORED_GAP_MS = 800, /* while ends can't be stored */
-  LEASE_MAX_MS = 6000,   /* covers the take-over by another VM */
-  START_LEASE_MS = 2500, /* a late start is refused after this */
+  HOLD_WAIT_MS = 1500,     /* a quarter of the shortest lease */
+  WATCH_WAIT_MS = 500,     /* while runs are watched closely */
+  WAIT_PER_1000_MS = 1200, /* of a wait for each thousand busy workers */
+  LONGEST_WAIT_MS = 2000,  /* that a worker allows */
+  LONGEST_PAUSE_MS = 1500, /* with the wait, well within a lease */
+  HOLD_SLACK_MS = 800,     /* for the answer on its way */
+  PROBE_MS = 600,          /* of a question that does not wait */
+  PROBE_GAP_MS = 400,      /* between questions to one that is silent */
+  UNSTORED_GAP_MS = 800,   /* while ends can't be stored */
+  LEASE_MAX_MS = 6000,     /* covers the take-over by another VM */
+  START_LEASE_MS = 2500,   /* a late start is refused after this */
   ORDER_TIMEOUT_MS = 700,
   SILENT_AFTER = 2 /* unanswered questions before a worker is silent */
 };
@@ -277,6 +280,30 @@
   return 0;
 }
 
+/* With many workers each is asked less often, so that questions stay within
+   what a quarter of a core can do.  */
+static int
+wait_for (struct batch *b, const struct ba_worker *w)
+{
+  int least
+      = sj_watch_closely (b->cluster, w->id) ? WATCH_WAIT_MS : HOLD_WAIT_MS;
+  int by_number = b->busy_workers * WAIT_PER_1000_MS / 1000;
+
+  if (by_number < least)
+    return least;
+  return by_number < LONGEST_WAIT_MS ? by_number : LONGEST_WAIT_MS;
+}
+
+static int
+pause_after (const struct batch *b)
+{
+  int beyond = b->busy_workers * WAIT_PER_1000_MS / 1000 - LONGEST_WAIT_MS;
+
+  if (beyond < 0)
+    return 0;
+  return beyond < LONGEST_PAUSE_MS ? beyond : LONGEST_PAUSE_MS;
+}
+
 static void
 take_listing (struct batch *b, struct ba_worker *w, struct ba_order *o,
               struct po_listing *listing)
@@ -294,7 +321,7 @@
   if (listing->last_end > w->taken)
     w->taken = listing->last_end;
   sj_listing_take (b->cluster, w->id, list, b->now);
-  w->next_hold_ms = b->now;
+  w->next_hold_ms = b->now + pause_after (b);
 }
 
 void
@@ -330,8 +357,7 @@
   int waits = busy && w->surveyed && !w->failures && w->taken == w->seen;
   int64_t lease
       = b->set->hold_ms < LEASE_MAX_MS ? b->set->hold_ms : LEASE_MAX_MS;
-  int wait
-      = sj_watch_closely (b->cluster, w->id) ? WATCH_WAIT_MS : HOLD_WAIT_MS;
+  int wait = wait_for (b, w);
   /* A silent worker is only asked: were its lease renewed by questions that
      may have reached it, its runs would never be known to have ended.  */
   int64_t until
--- a/src/steps/cluster.c
+++ b/src/steps/cluster.c
@@ -161,6 +161,7 @@
 
       out->runs += (int)w->member->len;
       out->usable_workers += wo_usable (c, w);
+      out->busy_workers += w->member->len > 0;
       out->accelerators_used += w->used.accelerators;
       out->accelerators += w->listed ? w->capacity.accelerators : 0;
     }
