--- a/src/batch/loop.c
+++ b/src/batch/loop.c
@@ -15,7 +15,7 @@
   BATCH = 256, /* events between two ticks */
   HOLDER_TICK_MS = 40,
   ROUND_GAP_MS = 8,       /* between two rounds of decisions, at least, */
-  ROUND_PAUSE = 4,        /* and so many times what the last one took, */
+  ROUND_PAUSE = 2,        /* and so many times what the last one took, */
   ROUND_GAP_MAX_MS = 200, /* up to this */
   FOLLOWER_TICK_MS = 80,
   COUNT_MS = 1000,
