--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -45,7 +45,7 @@
   char *image;           /* what the tasks run; or NULL */
   int max_per_worker;    /* tasks of one occurrence; 0: no limit */
   int64_t latency_ms;    /* target of tasks that serve users; 0: none */
-  int may_miss;          /* tasks that may be away by our own orders */
+  int max_away;          /* tasks that may be away by our own orders */
   unsigned gang : 1;     /* all tasks run together or none */
   unsigned one_rack : 1; /* tasks are slow when spread over racks */
   unsigned saves : 1;    /* writes checkpoints and resumes from them */
@@ -180,7 +180,6 @@
 struct sj_settings
 {
   int64_t hold_ms;    /* longest lease of a worker's runs */
-  int64_t stop_ms;    /* longest time from a stop to the run's end */
   int64_t far_factor; /* run time away from the data or over racks */
   int64_t survey_ms;  /* after which a worker that never answered is empty */
 };
--- a/src/batch/ask.c
+++ b/src/batch/ask.c
@@ -75,6 +75,25 @@
   b->store_clock_at_ms = b->now;
 }
 
+int
+ba_next_key (char from[64], const struct po_rows *rows)
+{
+  if (!rows->more || !rows->count)
+    return 0;
+  /* The least key in byte order that is greater and can occur.  */
+  g_strlcpy (from, rows->row[rows->count - 1].key, 63);
+  g_strlcat (from, "!", 64);
+  return 1;
+}
+
+void
+ba_log_bad_row (const char *table, const char *key)
+{
+  struct lg_field f[] = { lg_str ("table", table), lg_str ("key", key) };
+
+  lg_log (LG_ROW_UNREADABLE, 2, f);
+}
+
 void
 ba_watch_store (struct batch *b)
 {
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -24,7 +24,7 @@
   const char *vm, *listen, *ready_listen, *metrics_listen, *store;
   const char *log_output, *settings;
   int64_t log_level, log_rate;
-  int64_t hold_ms, stop_ms, far_factor, revoke_ms, grace_ms, keep_s;
+  int64_t hold_ms, far_factor, revoke_ms, grace_ms, keep_s;
   int64_t lease_ms, take_ms, renew_ms;
   int64_t max_requests;
   double processor;
@@ -211,11 +211,11 @@
   char load_from[64];
   enum ba_purpose load_next;
   int load_in_flight;
-  int64_t load_at_ms, take_at_ms, taken_ms;
+  int64_t load_at_ms, take_at_ms;
   int64_t jobs_up_to; /* jobs stored up to this version were added before */
   struct ba_commit commit;
   int busy_workers; /* as of the last count */
-  int64_t decide_at_ms, stopping_at_ms, counted_ms, ticked_ms, tick_took_ms;
+  int64_t stopping_at_ms, counted_ms, ticked_ms, tick_took_ms;
 
   struct st_registry stats;
   struct ba_counters count;
@@ -230,6 +230,10 @@
 struct ba_ask *ba_new_ask (struct batch *b, enum ba_purpose purpose);
 void ba_on_rows (void *arg, struct po_rows *rows);
 void ba_heard_store (struct batch *b, const struct po_rows *rows);
+/* Where the reading of a table goes on behind ROWS; 0 when they were the
+   last.  */
+int ba_next_key (char from[64], const struct po_rows *rows);
+void ba_log_bad_row (const char *table, const char *key);
 /* Takes note when the store has been silent.  */
 void ba_watch_store (struct batch *b);
 /* The store's clock now, in its milliseconds; 0 when it was never heard.  */
@@ -260,7 +264,6 @@
                 const char *reason);
 void fr_ready (void *arg, struct hs_exchange *ex);
 void fr_metrics (void *arg, struct hs_exchange *ex);
-int64_t ba_retry_ms (const struct batch *b);
 
 /* pending.c: requests that wait for the store */
 struct ba_pending
@@ -295,8 +298,6 @@
 /* A row of the job table, while this VM is the holder.  */
 void ho_job_row (struct batch *b, const struct po_row *row);
 void ho_step_down (struct batch *b, const char *reason);
-/* Logs a change of what the scheduler believes of a job.  */
-void ho_log_state (struct batch *b, const char *id, enum sj_state state);
 
 /* workers.c */
 void wk_do_order (void *arg, const struct sj_order *order);
--- a/src/batch/follow.c
+++ b/src/batch/follow.c
@@ -119,13 +119,8 @@
   if (!f->read_version)
     f->read_version = rows->version;
   take_rows (f, rows);
-  if (rows->more && rows->count)
-    {
-      /* The next key in byte order.  */
-      g_strlcpy (f->from, rows->row[rows->count - 1].key, sizeof f->from - 1);
-      g_strlcat (f->from, "!", sizeof f->from);
-      return;
-    }
+  if (ba_next_key (f->from, rows))
+    return;
   f->whole = 1;
   f->after = f->read_version;
   f->fresh_ms = ask->sent_ms;
--- a/src/batch/front.c
+++ b/src/batch/front.c
@@ -24,13 +24,6 @@
   UNAVAILABLE = 503
 };
 
-int64_t
-ba_retry_ms (const struct batch *b)
-{
-  (void)b;
-  return RETRY_MS;
-}
-
 static int
 asks_to_return (int status)
 {
@@ -60,7 +53,7 @@
     }
   if (asks_to_return (status))
     {
-      snprintf (after, sizeof after, "%d", qu_retry_after_s (ba_retry_ms (b)));
+      snprintf (after, sizeof after, "%d", qu_retry_after_s (RETRY_MS));
       a.header[0] = (struct hs_header){ "Retry-After", after };
     }
   lg_log (status >= UNAVAILABLE ? LG_REQUEST_GIVEN_UP : LG_REQUEST_ANSWERED, 7,
--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -30,8 +30,8 @@
   lg_log (event, 5, f);
 }
 
-void
-ho_log_state (struct batch *b, const char *id, enum sj_state state)
+static void
+log_state (struct batch *b, const char *id, enum sj_state state)
 {
   struct lg_field f[]
       = { lg_str ("id", id), lg_str ("state", sj_state_name (state)),
@@ -168,7 +168,7 @@
       vw_key (key, dirty[i].id, VW_STATE);
       add (c, PO_PUT, "jobs", strdup (key),
            vw_state_value (dirty[i].state, at));
-      ho_log_state (b, dirty[i].id, dirty[i].state);
+      log_state (b, dirty[i].id, dirty[i].state);
     }
 }
 
@@ -208,14 +208,12 @@
 begin_turn (struct batch *b)
 {
   struct sj_settings set = { .hold_ms = b->set->hold_ms,
-                             .stop_ms = b->set->stop_ms,
                              .far_factor = b->set->far_factor,
                              .survey_ms = b->set->hold_ms * 51 / 50 + 200 };
 
   b->turn++;
   b->phase = BA_LOADING;
   b->jobs_up_to = b->lease.version;
-  b->taken_ms = b->now;
   b->cluster = sj_new (&set, wk_do_order, b);
   b->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, wk_free);
   b->records = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
@@ -292,14 +290,6 @@
   b->load_at_ms = b->now + AGAIN_MAX_MS;
 }
 
-static void
-log_bad_row (const char *table, const char *key)
-{
-  struct lg_field f[] = { lg_str ("table", table), lg_str ("key", key) };
-
-  lg_log (LG_ROW_UNREADABLE, 2, f);
-}
-
 static struct sj_job *
 read_job_row (const struct po_row *row)
 {
@@ -308,7 +298,7 @@
 
   json_decref (o);
   if (!job)
-    log_bad_row (row->table, row->key);
+    ba_log_bad_row (row->table, row->key);
   return job;
 }
 
@@ -320,7 +310,7 @@
   if (o)
     g_hash_table_replace (b->records, g_strdup (row->key), o);
   else
-    log_bad_row (row->table, row->key);
+    ba_log_bad_row (row->table, row->key);
 }
 
 static void
@@ -382,7 +372,7 @@
   error
       = sj_job_add (b->cluster, job, record, waited > 0 ? waited : 0, b->now);
   if (error && error != SJ_EEXIST)
-    log_bad_row ("runs", id);
+    ba_log_bad_row ("runs", id);
   if (!error && j && j->cancelled)
     sj_job_cancel (b->cluster, id, b->now);
 }
@@ -417,13 +407,8 @@
       take_record (b, &rows->row[i]);
     else
       take_loaded_row (b, &rows->row[i]);
-  if (rows->more && rows->count)
-    {
-      g_strlcpy (b->load_from, rows->row[rows->count - 1].key,
-                 sizeof b->load_from - 1);
-      g_strlcat (b->load_from, "!", sizeof b->load_from);
-      return;
-    }
+  if (ba_next_key (b->load_from, rows))
+    return;
   b->load_from[0] = '\0';
   if (ask->purpose == BA_LOAD_RECORDS)
     b->load_next = BA_LOAD_JOBS;
@@ -586,13 +571,10 @@
 static void
 tick_holder (struct batch *b)
 {
-  int64_t wait;
-
   if (le_valid (&b->lease, b->now))
     {
       wk_tick (b);
-      wait = sj_decide (b->cluster, b->now, wall_ms (b));
-      b->decide_at_ms = b->now + wait;
+      sj_decide (b->cluster, b->now, wall_ms (b));
     }
   if (b->commit.open)
     return;
--- a/src/batch/main.c
+++ b/src/batch/main.c
@@ -40,8 +40,6 @@
     "more are dropped and counted", FIELD (log_rate) },
   { "hold-ms", OPT_INT, "ms", 1000, 10 * MINUTE_MS, "6000",
     "longest lease of a worker's runs", FIELD (hold_ms) },
-  { "stop-ms", OPT_INT, "ms", 1, MINUTE_MS, "400",
-    "longest time a worker takes to stop a run", FIELD (stop_ms) },
   { "far-factor", OPT_INT, "", 1, 100, "3",
     "how many times longer a task runs away from its data",
     FIELD (far_factor) },
--- a/src/batch/workers.c
+++ b/src/batch/workers.c
@@ -512,13 +512,9 @@
   if (p)
     take_worker (b, p, generation);
   else
-    unlist (b, row->key, reason);
-  if (!p)
     {
-      struct lg_field f[]
-          = { lg_str ("table", row->table), lg_str ("key", row->key) };
-
-      lg_log (LG_ROW_UNREADABLE, 2, f);
+      unlist (b, row->key, reason);
+      ba_log_bad_row (row->table, row->key);
     }
   po_worker_free (p);
 }
--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -191,12 +191,12 @@
   if (placed)
     {
       ru_plan (c, u, place, far, now);
-      pl_reserve (u, place, 1);
+      pl_reserve (u, place);
     }
   else if (u->job->rank <= RANK_BATCH
            && pl_place (c, u, 1, far_ok, place, &far))
     {
-      pl_reserve (u, place, 1);
+      pl_reserve (u, place);
       placed = 1;
     }
   else if (u->job->rank <= RANK_BATCH)
--- a/src/steps/json.c
+++ b/src/steps/json.c
@@ -80,7 +80,7 @@
     *reason = "a need is negative";
   else if (n < SJ_MAX_STEPS && s->after >> n)
     *reason = "a step waits for itself or a later one";
-  else if (s->max_per_worker < 0 || s->may_miss < 0 || s->estimate_ms < 0)
+  else if (s->max_per_worker < 0 || s->max_away < 0 || s->estimate_ms < 0)
     *reason = "a number of a step is negative";
   else
     return SJ_OK;
@@ -157,7 +157,7 @@
   set_text (o, "image", s->image);
   set_int (o, "max_per_worker", s->max_per_worker);
   set_int (o, "latency", s->latency_ms);
-  set_int (o, "may_miss", s->may_miss);
+  set_int (o, "max_away", s->max_away);
   set_int (o, "gang", s->gang);
   set_int (o, "one_rack", s->one_rack);
   set_int (o, "saves", s->saves);
@@ -216,7 +216,7 @@
   s->image = get_text (o, "image");
   s->max_per_worker = (int)get_int (o, "max_per_worker");
   s->latency_ms = get_int (o, "latency");
-  s->may_miss = (int)get_int (o, "may_miss");
+  s->max_away = (int)get_int (o, "max_away");
   s->gang = get_int (o, "gang") != 0;
   s->one_rack = get_int (o, "one_rack") != 0;
   s->saves = get_int (o, "saves") != 0;
--- a/src/steps/place.c
+++ b/src/steps/place.c
@@ -297,14 +297,13 @@
 }
 
 void
-pl_reserve (const struct unit *u, struct worker **place, int now_too)
+pl_reserve (const struct unit *u, struct worker **place)
 {
   struct sj_need need = nd_of_step (un_step (u));
 
   for (int i = 0; i < u->count; i++)
     {
       nd_sub (&place[i]->soon, &need);
-      if (now_too)
-        nd_sub (&place[i]->free, &need);
+      nd_sub (&place[i]->free, &need);
     }
 }
--- a/src/steps/preempt.c
+++ b/src/steps/preempt.c
@@ -288,7 +288,7 @@
   place = g_new (struct worker *, u->count);
   placed = pl_place (c, u, 1, allow_far, place, &far);
   if (placed)
-    pl_reserve (u, place, 1);
+    pl_reserve (u, place);
   g_free (place);
   return placed;
 }
--- a/src/steps/steps.h
+++ b/src/steps/steps.h
@@ -197,7 +197,8 @@
                const struct worker *w);
 /* Whether a rack could hold all of U were it empty.  */
 int pl_rack_could (const struct sj_cluster *c, const struct unit *u);
-void pl_reserve (const struct unit *u, struct worker **place, int now_too);
+/* No other unit of this round may have the room of PLACE.  */
+void pl_reserve (const struct unit *u, struct worker **place);
 
 /* preempt.c */
 /* Stops work of lower rank so that U fits, and reserves the room.  Returns 1
