--- a/include/skr/events.h
+++ b/include/skr/events.h
@@ -53,6 +53,7 @@
   LG_QUEUES_REFUSED = 529,
   LG_ROW_UNREADABLE = 530,
   LG_JOB_KNOWN = 531,
+  LG_NOT_SERVED = 532,
 
   /* filter */
   LG_REQUEST_UNKNOWN = 601,
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -127,6 +127,9 @@
     "The scheduler took a job in; recorded tells whether an earlier holder "
     "had begun it.",
     "none" },
+  { LG_NOT_SERVED, LG_WARNING, "not-served", "table key",
+    "The operators ask for something that this release does not do.",
+    "see docs/PLATFORM.md, not built" },
 
   /* filter */
   { LG_REQUEST_UNKNOWN, LG_WARNING, "request-unknown",
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -289,7 +289,7 @@
 void pe_tick (struct batch *b);
 void pe_free (void *pending);
 
-/* holder.c */
+/* holder.c, commit.c, load.c */
 void ho_tick (struct batch *b);
 void ho_loaded (struct batch *b, struct ba_ask *ask, struct po_rows *rows);
 void ho_committed (struct batch *b, struct ba_ask *ask, struct po_rows *rows);
@@ -299,7 +299,7 @@
 void ho_job_row (struct batch *b, const struct po_row *row);
 void ho_step_down (struct batch *b, const char *reason);
 
-/* workers.c */
+/* workers.c, orders.c, hold.c */
 void wk_do_order (void *arg, const struct sj_order *order);
 void wk_row (struct batch *b, const struct po_row *row, int generation);
 void wk_whole (struct batch *b, int generation);
--- /dev/null
+++ b/src/batch/load.c
@@ -0,0 +1,187 @@
+/* A new holder reads all jobs and their records, then those that come.  */
+#include <string.h>
+
+#include "batch/holder.h"
+
+enum
+{
+  READ_TIMEOUT_MS = 1500,
+  AGAIN_MIN_MS = 40, /* after a failed reading, */
+  AGAIN_MAX_MS = 400 /* or one that could not be sent */
+};
+
+void
+ld_send (struct batch *b)
+{
+  const char *table = b->load_next == BA_LOAD_RECORDS ? "runs" : "jobs";
+  struct ba_ask *ask;
+
+  if (b->load_in_flight || b->now < b->load_at_ms || !b->records)
+    return;
+  ask = ba_new_ask (b, b->load_next);
+  b->load_in_flight = 1;
+  if (!po_read (&b->port, table, b->load_from, "", READ_TIMEOUT_MS, ba_on_rows,
+                ask))
+    return;
+  g_free (ask);
+  b->load_in_flight = 0;
+  b->load_at_ms = b->now + AGAIN_MAX_MS;
+}
+
+static struct sj_job *
+read_job_row (const struct po_row *row)
+{
+  json_t *o = json_loads (row->value, 0, NULL);
+  struct sj_job *job = sj_job_from_json (json_object_get (o, "job"));
+
+  json_decref (o);
+  if (!job)
+    ba_log_bad_row (row->table, row->key);
+  return job;
+}
+
+static void
+take_record (struct batch *b, const struct po_row *row)
+{
+  json_t *o = json_loads (row->value, 0, NULL);
+
+  if (o)
+    g_hash_table_replace (b->records, g_strdup (row->key), o);
+  else
+    ba_log_bad_row (row->table, row->key);
+}
+
+static void
+take_loaded_row (struct batch *b, const struct po_row *row)
+{
+  char id[SJ_ID];
+  struct sj_job *job;
+
+  if (vw_kind (row->key, id) == VW_LEASE)
+    return;
+  vw_take (&b->view, row->key, row->value, row->version, 0,
+           b->job_follow.generation);
+  if (vw_kind (row->key, id) != VW_JOB)
+    return;
+  job = read_job_row (row);
+  if (job)
+    g_ptr_array_add (b->loaded, job);
+}
+
+static void
+log_known (const struct sj_job *job, int64_t waited_ms, int recorded)
+{
+  int64_t tasks = 0, accelerators = 0;
+
+  for (int i = 0; i < job->steps; i++)
+    {
+      tasks += job->step[i].count;
+      accelerators += job->step[i].count * job->step[i].need.accelerators;
+    }
+  struct lg_field f[] = { lg_str ("id", job->id),
+                          lg_str ("queue", job->queue),
+                          lg_str ("account", job->account),
+                          lg_int ("priority", job->priority),
+                          lg_int ("steps", job->steps),
+                          lg_int ("tasks", tasks),
+                          lg_int ("accelerators", accelerators),
+                          lg_int ("chain_ms", sj_job_chain_ms (job)),
+                          lg_int ("waited_ms", waited_ms),
+                          lg_int ("recorded", recorded) };
+
+  lg_log (LG_JOB_KNOWN, 10, f);
+}
+
+static void
+add_job (struct batch *b, struct sj_job *job, const json_t *record)
+{
+  const struct vw_job *j = vw_find (&b->view, job->id);
+  char id[SJ_ID];
+  int64_t waited = j ? ba_store_clock (b) - j->accepted_ms : 0;
+  int error;
+
+  memcpy (id, job->id, sizeof id);
+  if (j && j->state >= SJ_COMPLETED)
+    {
+      sj_job_free (job);
+      return;
+    }
+  log_known (job, waited, record != NULL);
+  error
+      = sj_job_add (b->cluster, job, record, waited > 0 ? waited : 0, b->now);
+  if (error && error != SJ_EEXIST)
+    ba_log_bad_row ("runs", id);
+  if (!error && j && j->cancelled)
+    sj_job_cancel (b->cluster, id, b->now);
+}
+
+static void
+finish_load (struct batch *b)
+{
+  for (guint i = 0; i < b->loaded->len; i++)
+    {
+      struct sj_job *job = g_ptr_array_index (b->loaded, i);
+
+      b->loaded->pdata[i] = NULL;
+      add_job (b, job, g_hash_table_lookup (b->records, job->id));
+    }
+  ld_end (b);
+  fo_start (&b->worker_follow);
+}
+
+void
+ho_loaded (struct batch *b, struct ba_ask *ask, struct po_rows *rows)
+{
+  if (ask->serial != b->turn || b->phase != BA_LOADING)
+    return;
+  b->load_in_flight = 0;
+  if (rows->result != PO_DONE)
+    {
+      b->load_at_ms = b->now + AGAIN_MIN_MS;
+      return;
+    }
+  for (int i = 0; i < rows->count; i++)
+    if (ask->purpose == BA_LOAD_RECORDS)
+      take_record (b, &rows->row[i]);
+    else
+      take_loaded_row (b, &rows->row[i]);
+  if (ba_next_key (b->load_from, rows))
+    return;
+  b->load_from[0] = '\0';
+  if (ask->purpose == BA_LOAD_RECORDS)
+    b->load_next = BA_LOAD_JOBS;
+  else
+    finish_load (b);
+}
+
+void
+ho_jobs_told (struct batch *b, int64_t version)
+{
+  if (b->phase != BA_FOLLOWS && version > b->jobs_up_to)
+    b->jobs_up_to = version;
+}
+
+void
+ho_job_row (struct batch *b, const struct po_row *row)
+{
+  char id[SJ_ID];
+  enum vw_row kind = vw_kind (row->key, id);
+  struct sj_job *job;
+
+  if (row->deleted)
+    return;
+  if (kind == VW_CANCEL)
+    {
+      sj_job_cancel (b->cluster, id, b->now);
+      return;
+    }
+  if (kind != VW_JOB || sj_has_job (b->cluster, id))
+    return;
+  /* Older ones were loaded with their records, or have ended: a table that is
+     read again shows them once more.  */
+  if (row->version <= b->jobs_up_to)
+    return;
+  job = read_job_row (row);
+  if (job)
+    add_job (b, job, NULL);
+}
--- /dev/null
+++ b/src/batch/orders.c
@@ -0,0 +1,128 @@
+/* Starts and stops, and how they were answered.  */
+#include "batch/workers.h"
+
+enum
+{
+  START_LEASE_MS = 2500, /* a late start is refused after this */
+  ORDER_TIMEOUT_MS = 700
+};
+
+void
+wk_free_order (struct ba_order *order)
+{
+  g_free (order->worker);
+  g_free (order);
+}
+
+struct ba_order *
+wk_new_order (struct batch *b, const struct ba_worker *w)
+{
+  struct ba_order *o = g_new0 (struct ba_order, 1);
+
+  o->b = b;
+  o->serial = b->turn;
+  o->worker = g_strdup (w->id);
+  o->sent_ms = b->now;
+  return o;
+}
+
+static void
+on_order (void *arg, const struct po_order_answer *answer)
+{
+  struct ba_order *o = arg;
+  struct ba_event *e = g_new (struct ba_event, 1);
+
+  e->kind = BA_ORDER;
+  e->u.order.order = o;
+  e->u.order.answer = *answer;
+  ba_push (o->b, e);
+}
+
+static int
+send_order (struct batch *b, struct ba_worker *w, struct ba_order *o,
+            const struct sj_order *order)
+{
+  struct po_target t = { w->address, w->id, b->lease.epoch };
+
+  if (!le_valid (&b->lease, b->now) || !w->clock_at_ms)
+    return PO_EINVAL;
+  if (order->kind == SJ_STOP)
+    {
+      co_add (b, b->count.stops, 1);
+      return po_stop (&b->port, &t, &order->run, ORDER_TIMEOUT_MS, on_order,
+                      o);
+    }
+  co_add (b, b->count.starts, 1);
+  sj_worker_leased (b->cluster, w->id, wk_surely_over (b, START_LEASE_MS));
+  if (!w->holding)
+    w->next_hold_ms = b->now;
+  return po_start (&b->port, &t, order, wk_clock (b, w) + START_LEASE_MS,
+                   ORDER_TIMEOUT_MS, on_order, o);
+}
+
+static void
+log_order (struct batch *b, const struct ba_order *o,
+           const struct po_order_answer *a)
+{
+  static const char *const answers[] = { "taken", "refused", "unknown" };
+  struct lg_field f[]
+      = { lg_str ("id", o->run.job),
+          lg_int ("occurrence", o->run.occurrence),
+          lg_int ("step", o->run.step),
+          lg_int ("task", o->run.index),
+          lg_int ("run", o->run.number),
+          lg_str ("worker", o->worker),
+          lg_int ("epoch", b->lease.epoch),
+          lg_str ("answer", answers[a->answer]),
+          lg_int ("status", a->status),
+          lg_str ("reason", *a->reason ? a->reason : sj_cause_name (o->cause)),
+          lg_int ("took_ms", a->took_ms) };
+
+  lg_log (o->kind == SJ_START ? LG_RUN_STARTED : LG_RUN_STOPPED, 11, f);
+}
+
+void
+wk_do_order (void *arg, const struct sj_order *order)
+{
+  struct batch *b = arg;
+  struct ba_worker *w = wk_find (b, order->worker);
+  struct po_order_answer unsent
+      = { .answer = order->kind == SJ_START ? SJ_REFUSED : SJ_UNKNOWN,
+          .reason = "not sent" };
+  struct ba_order *o;
+
+  if (!w)
+    {
+      struct ba_worker unknown = { .id = (char *)(uintptr_t)order->worker };
+
+      o = wk_new_order (b, &unknown);
+    }
+  else
+    o = wk_new_order (b, w);
+  o->kind = order->kind;
+  o->run = order->run;
+  o->cause = order->kind == SJ_STOP ? order->cause : SJ_NO_CAUSE;
+  if (!w || send_order (b, w, o, order))
+    on_order (o, &unsent);
+}
+
+void
+wk_order_answered (struct batch *b, struct ba_order *o,
+                   const struct po_order_answer *a)
+{
+  struct ba_worker *w = wk_find (b, o->worker);
+
+  if (o->serial != b->turn)
+    return;
+  log_order (b, o, a);
+  if (wk_check_fence (b, a))
+    return;
+  if (w)
+    wk_heard_clock (b, w, a->clock_ms);
+  if (w && a->answer == SJ_UNKNOWN)
+    wk_was_silent (b, w);
+  if (o->kind == SJ_START)
+    sj_start_answered (b->cluster, o->worker, &o->run, a->answer, b->now);
+  else
+    sj_stop_answered (b->cluster, o->worker, &o->run, a->answer, b->now);
+}
--- a/src/batch/tables.c
+++ b/src/batch/tables.c
@@ -39,8 +39,16 @@
   struct qu_config *c;
 
   (void)generation;
-  if (!po_is_config (row) || row->deleted)
+  if (row->deleted)
     return;
+  if (!po_is_config (row))
+    {
+      struct lg_field f[]
+          = { lg_str ("table", row->table), lg_str ("key", row->key) };
+
+      lg_log (LG_NOT_SERVED, 2, f);
+      return;
+    }
   c = po_config_read (row->value, &reason);
   if (c && b->config && c->version <= b->config->version)
     {
