Leave room for urgent work from the first round on

Change: headroom holds always, but for units too wide to ever leave it. Tests: headroom, slow worker, long run.

--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -232,11 +232,14 @@
 {
   const struct sj_step *s = un_step (u);
   int64_t need = s->need.accelerators * u->count;
+  int percent = s->saves ? HEADROOM_SAVING_PERCENT : HEADROOM_PERCENT;
 
   if (u->job->rank < RANK_BATCH || now - u->ready_ms > HEADROOM_MS)
     return 0;
-  return (idle - need) * 100
-         < all * (s->saves ? HEADROOM_SAVING_PERCENT : HEADROOM_PERCENT);
+  /* What is too wide to leave that room ever starts on an idle fleet.  */
+  if (need * 100 > all * (100 - percent) && idle * 2 > all)
+    return 0;
+  return (idle - need) * 100 < all * percent;
 }
 
 static void
@@ -254,7 +257,7 @@
       /* A victim of this round starts again in a later one.  */
       if (u->state != UN_READY || same_step (blocked, u))
         continue;
-      if (!is_idle && must_leave_room (u, idle, all, now))
+      if (must_leave_room (u, idle, all, now))
         {
           blocked = u;
           continue;
