--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -102,6 +102,7 @@
   l->list = (struct sj_listing){ .ended = end != NULL, .end = end };
   l->last_end = end ? 1 : 0;
   hold_done (hold_arg, l);
+  hold_arg = NULL;
   take_events ();
 }
 
@@ -167,6 +168,9 @@
 static void
 end (void)
 {
+  if (hold_arg)
+    wk_free_order (hold_arg);
+  hold_arg = NULL;
   sj_free (batch.cluster);
   g_hash_table_destroy (batch.workers);
   rg_fini (&batch.ring);
