Bound what one commit stores, and a job's tasks

Cause, by reading: 40 records of wide jobs can pass the 1 MB of a transaction, which the store refuses for good, and nothing would be stored any more. Change: a commit takes records up to 500 KB; a job has at most 1,000 tasks.

--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -22,6 +22,7 @@
   SJ_ID = 17,           /* bytes of a job's id with its NUL */
   SJ_MAX_STEPS = 64,    /* of a job; a bit each in sj_step.after */
   SJ_MAX_COUNT = 4096,  /* tasks of a step */
+  SJ_MAX_TASKS = 1000,  /* of all steps; a record stays under 64 KB */
   SJ_MAX_TIMES = 10000, /* occurrences of a job */
   SJ_CHECKPOINT = 64    /* bytes of a checkpoint's name with its NUL */
 };
--- a/src/batch/commit.c
+++ b/src/batch/commit.c
@@ -8,7 +8,8 @@
 enum
 {
   WRITE_TIMEOUT_MS = 800,
-  AGAIN_MIN_MS = 40, /* after a failed write; doubles */
+  COMMIT_BYTES = 500000, /* of records; the store takes 1 MB in base64 */
+  AGAIN_MIN_MS = 40,     /* after a failed write; doubles */
   AGAIN_MAX_MS = 400
 };
 
@@ -111,28 +112,35 @@
   c->next_ms = b->now + AGAIN_MAX_MS;
 }
 
-static void
-add_records (struct batch *b)
+/* Returns the bytes that were added.  */
+static size_t
+add_record (struct batch *b, const struct sj_dirty *d)
 {
   struct ba_commit *c = &b->commit;
-  struct sj_dirty dirty[BA_COMMIT_JOBS];
-  int n = sj_dirty (b->cluster, dirty, BA_COMMIT_JOBS);
-  int64_t at = ba_store_clock (b);
+  char *record = json_dumps (d->record, JSON_COMPACT), key[VW_KEY];
 
-  for (int i = 0; i < n; i++)
+  add (c, PO_PUT, "runs", strdup (d->id), record);
+  json_decref (d->record);
+  if (d->state_changed)
     {
-      char key[VW_KEY];
-
-      add (c, PO_PUT, "runs", strdup (dirty[i].id),
-           json_dumps (dirty[i].record, JSON_COMPACT));
-      json_decref (dirty[i].record);
-      if (!dirty[i].state_changed)
-        continue;
-      vw_key (key, dirty[i].id, VW_STATE);
+      vw_key (key, d->id, VW_STATE);
       add (c, PO_PUT, "jobs", strdup (key),
-           vw_state_value (dirty[i].state, at));
-      log_state (b, dirty[i].id, dirty[i].state);
+           vw_state_value (d->state, ba_store_clock (b)));
+      log_state (b, d->id, d->state);
     }
+  return strlen (record);
+}
+
+static void
+add_records (struct batch *b)
+{
+  struct sj_dirty dirty;
+  size_t bytes = 0;
+
+  for (int i = 0; i < BA_COMMIT_JOBS && bytes < COMMIT_BYTES
+                  && sj_dirty (b->cluster, &dirty, 1);
+       i++)
+    bytes += add_record (b, &dirty);
 }
 
 static void
--- a/src/steps/json.c
+++ b/src/steps/json.c
@@ -90,7 +90,7 @@
 int
 sj_job_check (const struct sj_job *job, const char **reason)
 {
-  int error = SJ_OK;
+  int error = SJ_OK, tasks = 0;
 
   *reason = NULL;
   if (strspn (job->id, "0123456789abcdefABCDEF") != SJ_ID - 1
@@ -104,8 +104,14 @@
   if (*reason)
     return SJ_EINVAL;
   for (int i = 0; i < job->steps && !error; i++)
-    error = check_step (job, i, reason);
-  return error;
+    {
+      error = check_step (job, i, reason);
+      tasks += job->step[i].count;
+    }
+  if (error || tasks <= SJ_MAX_TASKS)
+    return error;
+  *reason = "a job has too many tasks";
+  return SJ_EINVAL;
 }
 
 int64_t
--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -155,6 +155,7 @@
           "{\"steps\":[{\"count\":-1}]}",
           "{\"steps\":[{\"count\":1,\"after\":[0]}]}",
           "{\"steps\":[{\"count\":1,\"gpu\":-1}]}",
+          "{\"steps\":[{\"count\":600},{\"count\":600}]}",
           "{\"steps\":[{\"count\":1}],\"repetitions\":5}" };
 
   for (size_t i = 0; i < sizeof values / sizeof *values; i++)
