--- a/src/batch/workers.c
+++ b/src/batch/workers.c
@@ -152,7 +152,11 @@
       w->address = g_strdup (p->address);
     }
   if (!w->listed)
-    wk_log (w, "listed", p->draining ? "draining" : "ready");
+    {
+      wk_log (w, "listed", p->draining ? "draining" : "ready");
+      /* The decisions may have forgotten it meanwhile.  */
+      w->surveyed = 0;
+    }
   else if (w->draining != p->draining)
     wk_log (w, p->draining ? "draining" : "ready", "by the list");
   w->listed = 1;
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -113,6 +113,14 @@
   wk_tick (&batch);
 }
 
+static const struct po_row worker_row
+    = { .table = (char *)"servers",
+        .key = (char *)"i-1",
+        .value = (char *)"{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+                         "\"state\":\"ready\",\"born\":7,\"capacity\":"
+                         "{\"cpu\":1000,\"memory_request_mb\":1000,"
+                         "\"gpu\":1},\"labels\":[\"a\",\"r\"]}" };
+
 /* A holder with one worker that was asked once and runs one task.  */
 static void
 begin (void)
@@ -121,13 +129,7 @@
       = { .valid_ms = 1000000, .take_ms = 2000000, .renew_ms = 500 };
   struct sj_settings sj
       = { .hold_ms = 6000, .far_factor = 3, .survey_ms = 6000 };
-  struct po_row row
-      = { .table = (char *)"servers",
-          .key = (char *)"i-1",
-          .value = (char *)"{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
-                           "\"state\":\"ready\",\"born\":7,\"capacity\":"
-                           "{\"cpu\":1000,\"memory_request_mb\":1000,"
-                           "\"gpu\":1},\"labels\":[\"a\",\"r\"]}" };
+  struct po_row row = worker_row;
   struct sj_job *job = g_new0 (struct sj_job, 1);
   struct sj_dirty dirty[4];
   int n;
@@ -231,6 +233,32 @@
   end ();
 }
 
+/* The store may drop the rows of live workers and have them back later.  */
+static void
+test_worker_that_is_listed_again_is_asked_again (void)
+{
+  struct po_row row = worker_row, gone = worker_row;
+
+  begin ();
+  pass (10);
+  answer_hold (SJ_TAKEN, &(struct sj_listed){
+                             .run = { .job = "00000000000000a1", .number = 1 },
+                             .end = SJ_END_DONE,
+                             .checkpoint = "" });
+  wk_commit_begins (&batch);
+  wk_commit_ends (&batch, 1);
+  pass (1000);
+  answer_hold (SJ_TAKEN, NULL);
+  gone.deleted = 1;
+  wk_row (&batch, &gone, 1);
+  sj_decide (batch.cluster, batch.now, batch.now);
+  holds = 0;
+  wk_row (&batch, &row, 1);
+  pass (1000);
+  CU_ASSERT_EQUAL (holds, 1);
+  end ();
+}
+
 static void
 test_nothing_is_sent_without_the_lease (void)
 {
@@ -259,6 +287,8 @@
   CU_add_test (suite, "held", test_busy_worker_is_held);
   CU_add_test (suite, "silent", test_silent_worker_is_asked_without_a_lease);
   CU_add_test (suite, "ends", test_end_is_let_go_only_once_stored);
+  CU_add_test (suite, "listed again",
+               test_worker_that_is_listed_again_is_asked_again);
   CU_add_test (suite, "lease", test_nothing_is_sent_without_the_lease);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
