--- a/src/batch/commit.c
+++ b/src/batch/commit.c
@@ -169,7 +169,10 @@
   cm_begin (b, BA_RECORDS, value);
   add_records (b);
   add_drops (b);
-  wk_commit_begins (b);
+  /* An end is let go only with its record, which may be among those that
+     this commit had no room for.  */
+  if (!sj_is_dirty (b->cluster))
+    wk_commit_begins (b);
   co_add (b, b->count.commits, 1);
 }
 
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -1,9 +1,10 @@
 /* The holder's talk with workers over a port that only takes notes.  */
 #include <CUnit/Basic.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "batch/batch.h"
+#include "batch/holder.h"
 
 static struct batch batch;
 static struct ba_settings settings
@@ -121,6 +122,31 @@
                          "{\"cpu\":1000,\"memory_request_mb\":1000,"
                          "\"gpu\":1},\"labels\":[\"a\",\"r\"]}" };
 
+static const char *
+job_id (int number)
+{
+  static char id[SJ_ID];
+
+  snprintf (id, sizeof id, "%016x", (unsigned)number + 1);
+  return id;
+}
+
+static struct sj_job *
+one_task (int number)
+{
+  struct sj_job *job = g_new0 (struct sj_job, 1);
+
+  g_strlcpy (job->id, job_id (number), sizeof job->id);
+  job->service = g_strdup ("s");
+  job->payload = g_strdup ("");
+  job->max_attempts = 1;
+  job->steps = 1;
+  job->step = g_new0 (struct sj_step, 1);
+  job->step[0].count = 1;
+  job->step[0].need.accelerators = 1;
+  return job;
+}
+
 /* A holder with one worker that was asked once and runs one task.  */
 static void
 begin (void)
@@ -130,7 +156,7 @@
   struct sj_settings sj
       = { .hold_ms = 6000, .far_factor = 3, .survey_ms = 6000 };
   struct po_row row = worker_row;
-  struct sj_job *job = g_new0 (struct sj_job, 1);
+  struct sj_job *job = one_task (0xa0);
   struct sj_dirty dirty[4];
   int n;
 
@@ -150,14 +176,6 @@
   wk_row (&batch, &row, 1);
   pass (0);
   answer_hold (SJ_TAKEN, NULL);
-  memcpy (job->id, "00000000000000a1", SJ_ID);
-  job->service = g_strdup ("s");
-  job->payload = g_strdup ("");
-  job->max_attempts = 1;
-  job->steps = 1;
-  job->step = g_new0 (struct sj_step, 1);
-  job->step[0].count = 1;
-  job->step[0].need.accelerators = 1;
   sj_job_add (batch.cluster, job, NULL, 0, batch.now);
   sj_decide (batch.cluster, batch.now, batch.now);
   n = sj_dirty (batch.cluster, dirty, 4);
@@ -259,6 +277,40 @@
   end ();
 }
 
+/* A commit takes so many records; ends whose records it leaves out stay.  */
+static void
+test_end_stays_while_its_record_waits (void)
+{
+  struct sj_listed done = { .run = { .job = "00000000000000a1", .number = 1 },
+                            .end = SJ_END_DONE,
+                            .checkpoint = "" };
+
+  begin ();
+  vw_init (&batch.view);
+  pass (10);
+  answer_hold (SJ_TAKEN, &done);
+  for (int i = 0; i < BA_COMMIT_JOBS; i++)
+    {
+      struct sj_job *job = one_task (i);
+
+      sj_job_add (batch.cluster, job, NULL, 0, batch.now);
+    }
+  sj_decide (batch.cluster, batch.now, batch.now);
+  for (int i = 0; i < BA_COMMIT_JOBS; i++)
+    sj_job_cancel (batch.cluster, job_id (i), batch.now);
+  CU_ASSERT (sj_is_dirty (batch.cluster));
+  cm_begin_records (&batch);
+  CU_ASSERT (sj_is_dirty (batch.cluster));
+  wk_commit_ends (&batch, 1);
+  holds = 0;
+  pass (2000);
+  CU_ASSERT (!holds || !hold_seen);
+  cm_end (&batch);
+  g_ptr_array_free (batch.commit.text, TRUE);
+  vw_fini (&batch.view);
+  end ();
+}
+
 static void
 test_nothing_is_sent_without_the_lease (void)
 {
@@ -289,6 +341,7 @@
   CU_add_test (suite, "ends", test_end_is_let_go_only_once_stored);
   CU_add_test (suite, "listed again",
                test_worker_that_is_listed_again_is_asked_again);
+  CU_add_test (suite, "record waits", test_end_stays_while_its_record_waits);
   CU_add_test (suite, "lease", test_nothing_is_sent_without_the_lease);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
