Read once more: one piece for what stood twice, dead parts removed

Same step of two units, limit of tasks a worker, the run that a listing names, taking a checkpoint: one function each. Settings of a file go through the check of flags and variables (a file's 1.5 for a whole number was cut to 1 at a reload; it is refused now as at the start). ld_end stands in load.c. Unused parameters, fields and sj_each_worker are gone; a pace is compared with one look at its siblings, and a wait is worked out only where one is sent.

--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -180,7 +180,6 @@
 
 struct sj_settings
 {
-  int64_t hold_ms;    /* longest lease of a worker's runs */
   int64_t far_factor; /* run time away from the data or over racks */
   int64_t survey_ms;  /* after which a worker that never answered is empty */
 };
@@ -202,23 +201,18 @@
                     int64_t now);
 /* The list no longer names the worker.  It may run on until its lease
    ends.  */
-void sj_worker_unlisted (struct sj_cluster *c, const char *id, int64_t now);
+void sj_worker_unlisted (struct sj_cluster *c, const char *id);
 /* Proof that the incarnation runs nothing any more.  */
 void sj_worker_dead (struct sj_cluster *c, const char *id, int64_t now);
 /* The worker was told a lease that has surely ended at UNTIL_MS.  */
 void sj_worker_leased (struct sj_cluster *c, const char *id, int64_t until_ms);
 /* Whether orders to it are answered.  */
-void sj_worker_reachable (struct sj_cluster *c, const char *id, int yes,
-                          int64_t now);
+void sj_worker_reachable (struct sj_cluster *c, const char *id, int yes);
 /* 1 while runs may be there that need their lease renewed.  */
 int sj_worker_busy (struct sj_cluster *c, const char *id);
 /* 1 while its runs should be listed more often: urgent ones, and those whose
    pace is not known yet.  */
 int sj_watch_closely (struct sj_cluster *c, const char *worker);
-/* Runs FN for each known worker.  */
-void sj_each_worker (struct sj_cluster *c,
-                     void (*fn) (void *arg, const char *id, int busy),
-                     void *arg);
 int sj_listing_take (struct sj_cluster *c, const char *worker,
                      const struct sj_listing *listing, int64_t now);
 
--- a/src/base/opt.c
+++ b/src/base/opt.c
@@ -6,26 +6,24 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/opt.h"
 #include "skr/base.h"
-#include "skr/opt.h"
 
 enum
 {
-  EXIT_USAGE = 2,
-  NAME_SIZE = 64, /* bytes */
   MAX_DEFS = 96,
   OPT_VERSION = MAX_DEFS + 1,
   OPT_HELP = MAX_DEFS + 2
 };
 
-static void
-env_name (char *out, const char *name)
+void
+opt_variable (char out[OPT_NAME_SIZE], const char *name)
 {
   static const char prefix[] = "SKR_";
   size_t n = sizeof prefix - 1;
 
   memcpy (out, prefix, n);
-  for (; *name && n + 1 < NAME_SIZE; name++)
+  for (; *name && n + 1 < OPT_NAME_SIZE; name++)
     out[n++] = *name == '-' ? '_' : (char)toupper ((unsigned char)*name);
   out[n] = '\0';
 }
@@ -33,34 +31,43 @@
 static void
 reject (const char *prog, const struct opt_def *def, const char *value)
 {
-  char env[NAME_SIZE];
+  char env[OPT_NAME_SIZE];
   const char *what = def->type == OPT_STRING ? " characters" : "";
 
-  env_name (env, def->name);
+  opt_variable (env, def->name);
   fprintf (stderr,
            "%s: --%s (%s): \"%s\" is not allowed; "
            "must be %lld to %lld%s%s%s\n",
            prog, def->name, env, value, (long long)def->min,
            (long long)def->max, what, *def->unit ? ", unit " : "", def->unit);
-  exit (EXIT_USAGE);
+  exit (OPT_EXIT_USAGE);
 }
 
-static void
-assign_real (const char *prog, const struct opt_def *def, double *field,
-             const char *value)
+static int
+take_real (const struct opt_def *def, double *field, const char *value)
 {
   char *end;
+  double n;
 
   errno = 0;
-  *field = strtod (value, &end);
-  if (errno || end == value || *end || !isfinite (*field)
-      || *field < (double)def->min || *field > (double)def->max)
-    reject (prog, def, value);
+  n = strtod (value, &end);
+  if (errno || end == value || *end || !isfinite (n) || n < (double)def->min
+      || n > (double)def->max)
+    return BS_EINVAL;
+  *field = n;
+  return BS_OK;
 }
 
-static void
-assign (const char *prog, const struct opt_def *def, void *target,
-        const char *value)
+int
+opt_check_text (const struct opt_def *def, const char *value)
+{
+  long long n = (long long)strlen (value);
+
+  return n < def->min || n > def->max ? BS_EINVAL : BS_OK;
+}
+
+int
+opt_take (const struct opt_def *def, void *target, const char *value)
 {
   char *field = (char *)target + def->offset;
   char *end;
@@ -68,37 +75,42 @@
 
   if (def->type == OPT_STRING)
     {
-      n = (long long)strlen (value);
-      if (n < def->min || n > def->max)
-        reject (prog, def, value);
+      if (opt_check_text (def, value))
+        return BS_EINVAL;
       memcpy (field, &value, sizeof value);
-      return;
+      return BS_OK;
     }
   if (def->type == OPT_REAL)
-    {
-      assign_real (prog, def, (double *)(void *)field, value);
-      return;
-    }
+    return take_real (def, (double *)(void *)field, value);
   errno = 0;
   n = strtoll (value, &end, 10);
   if (errno || end == value || *end || n < def->min || n > def->max)
-    reject (prog, def, value);
+    return BS_EINVAL;
   if (def->type == OPT_FLAG)
     *(int *)(void *)field = n != 0;
   else
     *(int64_t *)(void *)field = n;
+  return BS_OK;
+}
+
+static void
+assign (const char *prog, const struct opt_def *def, void *target,
+        const char *value)
+{
+  if (opt_take (def, target, value))
+    reject (prog, def, value);
 }
 
 static void
 print_help (const struct opt_def *defs, const char *prog, const char *usage,
             const char *about)
 {
-  char env[NAME_SIZE];
+  char env[OPT_NAME_SIZE];
 
   printf ("Usage: %s %s\n%s\n\nSettings:\n", prog, usage, about);
   for (const struct opt_def *d = defs; d->name; d++)
     {
-      env_name (env, d->name);
+      opt_variable (env, d->name);
       printf ("  --%s%s (%s)\n      %s", d->name,
               d->type == OPT_FLAG ? "" : "=VALUE", env, d->help);
       if (d->type == OPT_INT || d->type == OPT_REAL)
@@ -153,7 +165,7 @@
   if (!rest && n)
     {
       fprintf (stderr, "%s: unexpected argument \"%s\"\n", prog, args[0]);
-      exit (EXIT_USAGE);
+      exit (OPT_EXIT_USAGE);
     }
   if (!rest)
     return;
@@ -189,7 +201,7 @@
 {
   struct poptOption table[MAX_DEFS + 3];
   const char *prog = base_name (argv[0]);
-  char env[NAME_SIZE];
+  char env[OPT_NAME_SIZE];
   poptContext ctx;
   int id;
 
@@ -197,7 +209,7 @@
     {
       const char *value;
 
-      env_name (env, d->name);
+      opt_variable (env, d->name);
       value = getenv (env);
       assign (prog, d, target, value ? value : d->def);
     }
@@ -221,7 +233,7 @@
     {
       fprintf (stderr, "%s: %s: %s\n", prog, poptBadOption (ctx, 0),
                poptStrerror (id));
-      exit (EXIT_USAGE);
+      exit (OPT_EXIT_USAGE);
     }
   take_rest (ctx, prog, rest);
   poptFreeContext (ctx);
--- a/src/base/opt_file.c
+++ b/src/base/opt_file.c
@@ -1,19 +1,15 @@
 /* The settings file: lines NAME=VALUE with the names of the flags.  */
-#include <ctype.h>
 #include <errno.h>
-#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/stat.h>
 
+#include "base/opt.h"
 #include "skr/base.h"
-#include "skr/opt.h"
 
 enum
 {
-  EXIT_USAGE = 2,
-  NAME_SIZE = 64, /* bytes */
   LINE_SIZE = 1024
 };
 
@@ -36,12 +32,9 @@
 static void
 set_variable (const char *name, const char *value)
 {
-  char variable[NAME_SIZE] = "SKR_";
-  size_t n = strlen (variable);
+  char variable[OPT_NAME_SIZE];
 
-  for (; *name && n + 1 < sizeof variable; name++)
-    variable[n++] = *name == '-' ? '_' : (char)toupper ((unsigned char)*name);
-  variable[n] = '\0';
+  opt_variable (variable, name);
   setenv (variable, value, 0);
 }
 
@@ -74,7 +67,7 @@
   if (!file)
     {
       fprintf (stderr, "%s: %s: %s\n", argv[0], path, strerror (errno));
-      exit (EXIT_USAGE);
+      exit (OPT_EXIT_USAGE);
     }
   while (fgets (line, sizeof line, file))
     if (split_line (line, &value))
@@ -82,35 +75,13 @@
   fclose (file);
 }
 
-static int
-read_number (const struct opt_def *def, void *target, const char *value)
-{
-  char *field = (char *)target + def->offset;
-  char *end;
-  double n;
-
-  errno = 0;
-  n = strtod (value, &end);
-  if (errno || end == value || *end || !isfinite (n) || n < (double)def->min
-      || n > (double)def->max)
-    return BS_EINVAL;
-  if (def->type == OPT_REAL)
-    *(double *)(void *)field = n;
-  else if (def->type == OPT_FLAG)
-    *(int *)(void *)field = n != 0;
-  else
-    *(int64_t *)(void *)field = (int64_t)n;
-  return BS_OK;
-}
-
+/* A string in the line's buffer would not last.  */
 static int
 read_setting (const struct opt_def *def, void *target, const char *value)
 {
-  int64_t n = (int64_t)strlen (value);
-
-  if (def->type != OPT_STRING)
-    return read_number (def, target, value);
-  return n < def->min || n > def->max ? BS_EINVAL : BS_OK;
+  if (def->type == OPT_STRING)
+    return opt_check_text (def, value);
+  return opt_take (def, target, value);
 }
 
 int
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -118,8 +118,8 @@
   int failures;     /* answers missing in a row */
   int generation;   /* of whole readings, to drop rows that are gone */
   void (*row) (struct batch *b, const struct po_row *row, int generation);
-  void (*read_whole) (struct batch *b, int generation);
-  void (*told) (struct batch *b, int64_t version); /* or NULL */
+  void (*read_whole) (struct batch *b, int generation); /* or NULL */
+  void (*told) (struct batch *b, int64_t version);      /* or NULL */
 };
 
 /* A worker as the holder talks to it.  */
@@ -190,7 +190,7 @@
   struct po_port port;
   struct hs_server *front, *ready_server, *metrics_server;
   struct bs_thread thread;
-  atomic_int ready, stop, stopped, dropped;
+  atomic_int ready, stop;
   char token[33]; /* names this process's life */
 
   struct qu_config *config;
--- a/src/batch/follow.c
+++ b/src/batch/follow.c
@@ -124,7 +124,8 @@
   f->whole = 1;
   f->after = f->read_version;
   f->fresh_ms = ask->sent_ms;
-  f->read_whole (f->b, f->generation);
+  if (f->read_whole)
+    f->read_whole (f->b, f->generation);
   if (f->told)
     f->told (f->b, f->after);
 }
--- a/src/batch/hold.c
+++ b/src/batch/hold.c
@@ -140,7 +140,7 @@
   int waits = busy && w->surveyed && !w->failures && w->taken == w->seen;
   int64_t lease
       = b->set->hold_ms < LEASE_MAX_MS ? b->set->hold_ms : LEASE_MAX_MS;
-  int wait = wait_for (b, w);
+  int wait = waits ? wait_for (b, w) : 0;
   /* A silent worker is only asked: were its lease renewed by questions that
      may have reached it, its runs would never be known to have ended.  */
   int64_t until
@@ -153,7 +153,7 @@
   w->hold_sent_ms = b->now;
   w->next_hold_ms = b->now + UNSTORED_GAP_MS;
   co_add (b, b->count.holds, 1);
-  if (!po_hold (&b->port, &t, w->seen, until, waits ? wait : 0,
+  if (!po_hold (&b->port, &t, w->seen, until, wait,
                 waits ? wait + HOLD_SLACK_MS : PROBE_MS, on_listing, o))
     return;
   w->holding = 0;
--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -45,8 +45,7 @@
 void
 ho_begin_turn (struct batch *b)
 {
-  struct sj_settings set = { .hold_ms = b->set->hold_ms,
-                             .far_factor = b->set->far_factor,
+  struct sj_settings set = { .far_factor = b->set->far_factor,
                              .survey_ms = b->set->hold_ms * 51 / 50 + 200 };
 
   b->turn++;
@@ -66,17 +65,6 @@
   ho_log_turn (b, LG_LEASE_TAKEN, "");
 }
 
-void
-ld_end (struct batch *b)
-{
-  if (b->records)
-    g_hash_table_destroy (b->records);
-  if (b->loaded)
-    g_ptr_array_free (b->loaded, TRUE);
-  b->records = NULL;
-  b->loaded = NULL;
-}
-
 void
 ho_end_turn (struct batch *b)
 {
--- a/src/batch/load.c
+++ b/src/batch/load.c
@@ -115,6 +115,17 @@
     sj_job_cancel (b->cluster, id, b->now);
 }
 
+void
+ld_end (struct batch *b)
+{
+  if (b->records)
+    g_hash_table_destroy (b->records);
+  if (b->loaded)
+    g_ptr_array_free (b->loaded, TRUE);
+  b->records = NULL;
+  b->loaded = NULL;
+}
+
 static void
 finish_load (struct batch *b)
 {
--- a/src/batch/loop.c
+++ b/src/batch/loop.c
@@ -29,7 +29,6 @@
   if (!rg_push (&b->ring, e))
     return;
   /* Only requests can outrun the loop: calls in progress are bounded.  */
-  atomic_fetch_add (&b->dropped, 1);
   if (e->kind == BA_REQUEST)
     {
       struct hs_answer a = { .status = 503,
@@ -180,7 +179,6 @@
       tick (b);
       b->tick_took_ms = bs_now_ms (&b->clock) - b->ticked_ms;
     }
-  atomic_store (&b->stopped, 1);
   return NULL;
 }
 
--- a/src/batch/tables.c
+++ b/src/batch/tables.c
@@ -63,13 +63,6 @@
   ba_apply_guarantees (b);
 }
 
-static void
-config_whole (struct batch *b, int generation)
-{
-  (void)b;
-  (void)generation;
-}
-
 static void
 lease_row (struct batch *b, const struct po_row *row)
 {
@@ -114,7 +107,6 @@
 {
   fo_init (b, &b->config_follow, po_config_table (), CONFIG_WAIT_MS, 0);
   b->config_follow.row = config_row;
-  b->config_follow.read_whole = config_whole;
   fo_init (b, &b->job_follow, "jobs", JOB_WAIT_MS, JOB_GAP_MS);
   b->job_follow.row = job_row;
   b->job_follow.read_whole = job_whole;
--- a/src/batch/workers.c
+++ b/src/batch/workers.c
@@ -67,7 +67,7 @@
   w->next_hold_ms = b->now + (w->failures > 1 ? PROBE_GAP_MS : 0);
   if (w->failures != SILENT_AFTER)
     return;
-  sj_worker_reachable (b->cluster, w->id, 0, b->now);
+  sj_worker_reachable (b->cluster, w->id, 0);
   wk_log (w, "silent", "questions were not answered");
 }
 
@@ -77,7 +77,7 @@
   if (w->failures >= SILENT_AFTER)
     wk_log (w, "heard", "it answers again");
   w->failures = 0;
-  sj_worker_reachable (b->cluster, w->id, 1, b->now);
+  sj_worker_reachable (b->cluster, w->id, 1);
 }
 
 /* A higher token was seen: another VM is the holder by now.  */
@@ -110,7 +110,7 @@
     return;
   w->listed = 0;
   wk_log (w, "unlisted", reason);
-  sj_worker_unlisted (b->cluster, id, b->now);
+  sj_worker_unlisted (b->cluster, id);
 }
 
 static struct ba_worker *
--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -174,13 +174,6 @@
   return !pl_rack_could (c, u);
 }
 
-static int
-same_step (const struct unit *a, const struct unit *b)
-{
-  return a && a->job == b->job && a->step == b->step
-         && a->occurrence == b->occurrence;
-}
-
 static int
 start_or_reserve (struct sj_cluster *c, struct unit *u, int far_ok,
                   int64_t now)
@@ -190,7 +183,7 @@
 
   if (placed)
     {
-      ru_plan (c, u, place, far, now);
+      ru_plan (u, place, far, now);
       pl_reserve (u, place);
     }
   else if (u->job->rank <= RANK_BATCH
@@ -255,7 +248,7 @@
       struct unit *u = g_array_index (ready, struct ready, i).unit;
 
       /* A victim of this round starts again in a later one.  */
-      if (u->state != UN_READY || same_step (blocked, u))
+      if (u->state != UN_READY || (blocked && un_same_step (blocked, u)))
         continue;
       if (must_leave_room (u, idle, all, now))
         {
--- a/src/steps/health.c
+++ b/src/steps/health.c
@@ -98,7 +98,7 @@
       const struct unit *other = g_ptr_array_index (u->job->unit, i);
       int pace;
 
-      if (other->step != u->step || other->occurrence != u->occurrence)
+      if (!un_same_step (other, u))
         continue;
       pace = best_pace_of (other, m->worker);
       if (pace > best)
@@ -108,10 +108,8 @@
 }
 
 static int
-is_slow_pace (const struct member *m)
+is_slow_pace (const struct member *m, int reference)
 {
-  int reference = reference_pace (m);
-
   int percent
       = m->unit->job->spec->priority ? SLOW_PERCENT : SLOW_URGENT_PERCENT;
 
@@ -132,7 +130,7 @@
   if (declared > 0 && percent < NEARLY_PERCENT)
     {
       m->pace = (int)((percent - m->mark_percent) * declared / took);
-      m->worker->slow_ms = is_slow_pace (m) ? now : 0;
+      m->worker->slow_ms = is_slow_pace (m, reference_pace (m)) ? now : 0;
     }
   m->mark_ms = now;
   m->mark_percent = percent;
@@ -198,12 +196,14 @@
 static int
 is_better_moved (const struct sj_cluster *c, const struct member *m)
 {
-  int reference = reference_pace (m);
   int64_t run_ms = declared_ms (c, m->unit);
-  int pace = m->pace;
+  int reference, pace = m->pace;
 
   /* What is slow in two places is slow by itself.  */
-  if (m->pace < 0 || m->unit->moved || !is_slow_pace (m))
+  if (m->pace < 0 || m->unit->moved)
+    return 0;
+  reference = reference_pace (m);
+  if (!is_slow_pace (m, reference))
     return 0;
   if (reference)
     {
--- a/src/steps/job.c
+++ b/src/steps/job.c
@@ -9,6 +9,13 @@
   return &u->job->spec->step[u->step];
 }
 
+int
+un_same_step (const struct unit *a, const struct unit *b)
+{
+  return a->job == b->job && a->step == b->step
+         && a->occurrence == b->occurrence;
+}
+
 struct job *
 jb_find (struct sj_cluster *c, const char *id)
 {
--- a/src/steps/listing.c
+++ b/src/steps/listing.c
@@ -12,14 +12,8 @@
 find_listed (const struct sj_listed *list, int count, const struct member *m)
 {
   for (int i = 0; i < count; i++)
-    {
-      const struct sj_run *r = &list[i].run;
-
-      if (r->index == m->index && r->number == m->unit->run
-          && r->step == m->unit->step && r->occurrence == m->unit->occurrence
-          && !strcmp (r->job, m->unit->job->spec->id))
-        return &list[i];
-    }
+    if (ru_names (&list[i].run, m))
+      return &list[i];
   return NULL;
 }
 
@@ -27,8 +21,6 @@
 take_running (const struct sj_cluster *c, struct member *m,
               const struct sj_listed *l, int64_t now)
 {
-  struct unit *u = m->unit;
-
   if (m->state == MB_ORDERED)
     {
       m->state = MB_RUNNING;
@@ -38,8 +30,7 @@
           m->settled_ms = now;
         }
     }
-  if (un_step (u)->saves && l->checkpoint && *l->checkpoint)
-    g_strlcpy (u->checkpoint, l->checkpoint, sizeof u->checkpoint);
+  ru_take_checkpoint (m->unit, l->checkpoint);
   he_progress (c, m, l->percent, now);
 }
 
@@ -116,7 +107,7 @@
                                 .checkpoint = "",
                                 .cause = SJ_STRANGER };
 
-      if (ru_find (c, w, &l->run[i].run))
+      if (ru_find (w, &l->run[i].run))
         continue;
       strangers++;
       c->do_order (c->arg, &order);
--- a/src/steps/place.c
+++ b/src/steps/place.c
@@ -39,11 +39,12 @@
          && (!s->label || has_label (w, s->label)) && !is_avoided (u, w);
 }
 
-static int
-of_same_step (const struct unit *a, const struct unit *b)
+int
+pl_limit (const struct unit *u)
 {
-  return a->job == b->job && a->step == b->step
-         && a->occurrence == b->occurrence;
+  int limit = un_step (u)->max_per_worker;
+
+  return limit && limit < u->count ? limit : u->count;
 }
 
 /* Tasks of the step that may still go to W.  */
@@ -58,7 +59,7 @@
     {
       const struct member *m = g_ptr_array_index (w->member, i);
 
-      there += of_same_step (m->unit, u);
+      there += un_same_step (m->unit, u);
     }
   limit -= there;
   if (limit < 0)
@@ -207,7 +208,7 @@
     {
       const struct unit *other = g_ptr_array_index (j->unit, i);
 
-      if (other != u && other->member && of_same_step (other, u))
+      if (other != u && other->member && un_same_step (other, u))
         return other->member[0].worker->rack;
     }
   return NULL;
@@ -259,15 +260,11 @@
 times_if_empty (const struct sj_cluster *c, const struct unit *u,
                 const struct worker *w)
 {
-  const struct sj_step *s = un_step (u);
-  struct sj_need need = nd_of_step (s);
+  struct sj_need need = nd_of_step (un_step (u));
 
   if (!pl_allows (c, u, w))
     return 0;
-  return nd_times (&need, &w->capacity,
-                   s->max_per_worker && s->max_per_worker < u->count
-                       ? s->max_per_worker
-                       : u->count);
+  return nd_times (&need, &w->capacity, pl_limit (u));
 }
 
 int
--- a/src/steps/preempt.c
+++ b/src/steps/preempt.c
@@ -41,7 +41,6 @@
   struct unit *victim[MAX_VICTIMS];
   int victims;
   int64_t cost;
-  int tasks; /* of the unit that then fit */
 };
 
 static int
@@ -72,7 +71,6 @@
 
 struct offer
 {
-  struct worker *worker;
   struct unit *victim[MAX_VICTIMS];
   int victims, tasks; /* more tasks that fit for these victims */
   int64_t cost;
@@ -128,7 +126,7 @@
   struct sj_need need = nd_of_step (un_step (u)), room = room_after (p, w);
   int had = nd_times (&need, &room, limit);
 
-  *o = (struct offer){ .worker = w };
+  *o = (struct offer){ 0 };
   while (o->victims < MAX_VICTIMS && nd_times (&need, &room, limit) == had)
     {
       struct unit *victim = cheapest_there (p, o, u, w, now);
@@ -149,14 +147,6 @@
   return !rack || !g_strcmp0 (rack, w->rack);
 }
 
-static int
-limit_at (const struct unit *u)
-{
-  int limit = un_step (u)->max_per_worker;
-
-  return limit && limit < u->count ? limit : u->count;
-}
-
 static int
 best_offer (struct sj_cluster *c, const struct plan *p, const struct unit *u,
             const char *rack, struct offer *best, int64_t now)
@@ -169,7 +159,7 @@
       struct offer o;
 
       if (!in_rack (w, rack) || !pl_allows (c, u, w)
-          || !make_offer (p, u, w, limit_at (u), &o, now))
+          || !make_offer (p, u, w, pl_limit (u), &o, now))
         continue;
       if (!found || o.cost * best->tasks < best->cost * o.tasks)
         *best = o;
@@ -193,7 +183,7 @@
       if (!in_rack (w, rack) || !pl_allows (c, u, w))
         continue;
       room = room_after (p, w);
-      n += nd_times (&need, &room, limit_at (u));
+      n += nd_times (&need, &room, pl_limit (u));
     }
   return n;
 }
--- a/src/steps/record.c
+++ b/src/steps/record.c
@@ -86,7 +86,7 @@
   if (w)
     return w;
   sj_worker_set (c, &info, now);
-  sj_worker_unlisted (c, id, now);
+  sj_worker_unlisted (c, id);
   return wo_find (c, id);
 }
 
--- a/src/steps/run.c
+++ b/src/steps/run.c
@@ -35,10 +35,8 @@
 }
 
 void
-ru_plan (struct sj_cluster *c, struct unit *u, struct worker **place, int far,
-         int64_t now)
+ru_plan (struct unit *u, struct worker **place, int far, int64_t now)
 {
-  (void)c;
   u->state = UN_ACTIVE;
   u->run++;
   u->far = far;
@@ -114,7 +112,6 @@
 ru_stop_member (struct sj_cluster *c, struct member *m, int64_t now)
 {
   m->state = MB_STOPPING;
-  m->stop_sent = 1;
   m->stop_ms = now;
   send_order (c, m, SJ_STOP);
 }
@@ -183,8 +180,8 @@
     jb_finish (c, u->job, SJ_FAILED, now);
 }
 
-static void
-take_checkpoint (struct unit *u, const char *checkpoint)
+void
+ru_take_checkpoint (struct unit *u, const char *checkpoint)
 {
   if (un_step (u)->saves && checkpoint && *checkpoint)
     g_strlcpy (u->checkpoint, checkpoint, sizeof u->checkpoint);
@@ -207,14 +204,14 @@
           jb_unit_done (c, u, now);
         break;
       case SJ_END_FAILED:
-        take_checkpoint (u, end->checkpoint);
+        ru_take_checkpoint (u, end->checkpoint);
         count_failure (c, m, now);
         break;
       case SJ_END_STOPPED:
       case SJ_END_LAPSED:
       case SJ_END_BROKEN:
       case SJ_END_ALONE:
-        take_checkpoint (u, end->checkpoint);
+        ru_take_checkpoint (u, end->checkpoint);
         break;
       }
   if (lasts)
@@ -222,19 +219,24 @@
   ru_member_gone (c, m, now);
 }
 
+int
+ru_names (const struct sj_run *run, const struct member *m)
+{
+  const struct unit *u = m->unit;
+
+  return m->index == run->index && u->step == run->step
+         && u->occurrence == run->occurrence && u->run == run->number
+         && !strcmp (u->job->spec->id, run->job);
+}
+
 struct member *
-ru_find (struct sj_cluster *c, const struct worker *w,
-         const struct sj_run *run)
+ru_find (const struct worker *w, const struct sj_run *run)
 {
-  (void)c;
   for (guint i = 0; i < w->member->len; i++)
     {
       struct member *m = g_ptr_array_index (w->member, i);
-      const struct unit *u = m->unit;
 
-      if (m->index == run->index && u->step == run->step
-          && u->occurrence == run->occurrence && u->run == run->number
-          && !strcmp (u->job->spec->id, run->job))
+      if (ru_names (run, m))
         return m;
     }
   return NULL;
@@ -264,7 +266,7 @@
                    int64_t now)
 {
   struct worker *w = wo_find (c, worker);
-  struct member *m = w ? ru_find (c, w, run) : NULL;
+  struct member *m = w ? ru_find (w, run) : NULL;
 
   c->now = now;
   if (!m || m->start_settled)
@@ -297,7 +299,7 @@
                   const struct sj_run *run, enum sj_answer answer, int64_t now)
 {
   struct worker *w = wo_find (c, worker);
-  struct member *m = w ? ru_find (c, w, run) : NULL;
+  struct member *m = w ? ru_find (w, run) : NULL;
 
   if (!m || answer != SJ_TAKEN || m->stop_taken)
     return;
--- a/src/steps/steps.h
+++ b/src/steps/steps.h
@@ -27,7 +27,7 @@
   int adopted;        /* known from a record only, not from the worker */
   int start_settled;  /* the start was answered, or never sent */
   int64_t settled_ms; /* when that was; a listing asked for later shows it */
-  int stop_sent, stop_taken;
+  int stop_taken;
   int64_t stop_ms;       /* of the last stop */
   int64_t stop_taken_ms; /* a listing asked for later shows its effect */
   int percent;
@@ -145,6 +145,8 @@
 
 /* job.c */
 const struct sj_step *un_step (const struct unit *u);
+/* Units of one step of one occurrence.  */
+int un_same_step (const struct unit *a, const struct unit *b);
 struct job *jb_find (struct sj_cluster *c, const char *id);
 void jb_free (void *job);
 void un_free (void *unit);
@@ -165,8 +167,7 @@
 
 /* run.c */
 /* Plans a run of U; PLACE has a worker for each task.  */
-void ru_plan (struct sj_cluster *c, struct unit *u, struct worker **place,
-              int far, int64_t now);
+void ru_plan (struct unit *u, struct worker **place, int far, int64_t now);
 void ru_send (struct sj_cluster *c, struct unit *u, int64_t now);
 /* Stops all that is left of the run, which ends without success.  */
 void ru_abort (struct sj_cluster *c, struct unit *u, enum sj_cause cause,
@@ -178,8 +179,10 @@
                     const struct sj_listed *end, int64_t now);
 /* Later runs of U go elsewhere.  */
 void ru_avoid (struct unit *u, const char *worker);
-struct member *ru_find (struct sj_cluster *c, const struct worker *w,
-                        const struct sj_run *run);
+void ru_take_checkpoint (struct unit *u, const char *checkpoint);
+/* Whether RUN is the present one of M.  */
+int ru_names (const struct sj_run *run, const struct member *m);
+struct member *ru_find (const struct worker *w, const struct sj_run *run);
 struct unit *ru_unit (struct sj_cluster *c, const struct sj_run *run);
 
 /* record.c */
@@ -195,6 +198,8 @@
               struct worker **place, int *far);
 int pl_allows (const struct sj_cluster *c, const struct unit *u,
                const struct worker *w);
+/* Tasks of U that one worker may have.  */
+int pl_limit (const struct unit *u);
 /* Whether a rack could hold all of U were it empty.  */
 int pl_rack_could (const struct sj_cluster *c, const struct unit *u);
 /* No other unit of this round may have the room of PLACE.  */
--- a/src/steps/worker.c
+++ b/src/steps/worker.c
@@ -121,11 +121,10 @@
 }
 
 void
-sj_worker_unlisted (struct sj_cluster *c, const char *id, int64_t now)
+sj_worker_unlisted (struct sj_cluster *c, const char *id)
 {
   struct worker *w = wo_find (c, id);
 
-  (void)now;
   if (!w)
     return;
   w->listed = 0;
@@ -153,12 +152,10 @@
 }
 
 void
-sj_worker_reachable (struct sj_cluster *c, const char *id, int yes,
-                     int64_t now)
+sj_worker_reachable (struct sj_cluster *c, const char *id, int yes)
 {
   struct worker *w = wo_find (c, id);
 
-  (void)now;
   if (!w || w->reachable == yes)
     return;
   w->reachable = yes;
@@ -173,18 +170,6 @@
   return w && w->member->len > 0;
 }
 
-void
-sj_each_worker (struct sj_cluster *c,
-                void (*fn) (void *arg, const char *id, int busy), void *arg)
-{
-  for (guint i = 0; i < c->worker_list->len; i++)
-    {
-      struct worker *w = g_ptr_array_index (c->worker_list, i);
-
-      fn (arg, w->id, w->member->len > 0);
-    }
-}
-
 static int
 is_silent (const struct worker *w)
 {
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -153,8 +153,7 @@
 {
   struct le_settings le
       = { .valid_ms = 1000000, .take_ms = 2000000, .renew_ms = 500 };
-  struct sj_settings sj
-      = { .hold_ms = 6000, .far_factor = 3, .survey_ms = 6000 };
+  struct sj_settings sj = { .far_factor = 3, .survey_ms = 6000 };
   struct po_row row = worker_row;
   struct sj_job *job = one_task (0xa0);
   struct sj_dirty dirty[4];
--- a/tests/steps/fake_farm.c
+++ b/tests/steps/fake_farm.c
@@ -393,7 +393,7 @@
 
   if (w->cut || !w->up)
     {
-      sj_worker_reachable (f->cluster, w->id, 0, f->now);
+      sj_worker_reachable (f->cluster, w->id, 0);
       return;
     }
   w->token = f->token;
@@ -415,7 +415,7 @@
   for (guint k = 0; k < w->ended->len && k < MAX_LISTED; k++)
     end[l.ended++] = g_array_index (w->ended, struct sj_listed, k);
   f->taken[i] = w->seen + l.ended;
-  sj_worker_reachable (f->cluster, w->id, 1, f->now);
+  sj_worker_reachable (f->cluster, w->id, 1);
   sj_listing_take (f->cluster, w->id, &l, f->now);
 }
 
@@ -556,8 +556,7 @@
 fa_init (struct fa_farm *f, int workers, int per_rack, unsigned seed)
 {
   memset (f, 0, sizeof *f);
-  f->set = (struct sj_settings){ .hold_ms = HOLD_MS,
-                                 .far_factor = 3,
+  f->set = (struct sj_settings){ .far_factor = 3,
                                  .survey_ms = HOLD_MS * 51 / 50 + 200 };
   f->rand = g_rand_new_with_seed (seed);
   f->now = 100000;
