Start drained gangs after the urgent work that waits

A bulk gang beyond the age limit has a place drained for it. When the place was free it started before the queued urgent jobs were looked at, and one of them preempted it in the same millisecond; it went back to its queue with its age at zero and held up the two gangs behind it (j33917 three times, 357 and 507 s apart). Ruled out: the age of a gang whose place is given up (it is kept). Change: firm gangs, then queued urgent jobs, then drained gangs, then bulk.

--- a/src/decide/pending.c
+++ b/src/decide/pending.c
@@ -260,13 +260,22 @@
   return urgent;
 }
 
-/* Starts every pending gang whose places are free, the oldest first.  */
+/* Starts every firm pending gang whose places are free, the oldest first.  */
 void
-dc_pending_walk (struct dc *dc)
+dc_pending_walk_firm (struct dc *dc)
 {
   if (dc->pending == DC_NONE)
     return;
   while (walk_kind (dc, false))
     continue;
+}
+
+/* Starts every soft pending gang whose places are free, the oldest first.  */
+void
+dc_pending_walk_soft (struct dc *dc)
+{
+  if (dc->pending == DC_NONE)
+    return;
+  dc_pending_walk_firm (dc);
   walk_kind (dc, true);
 }
--- a/src/decide/place.c
+++ b/src/decide/place.c
@@ -291,6 +291,6 @@
       id = next;
     }
   if (dc->running_jobs != running)
-    dc_pending_walk (dc);
+    dc_pending_walk_firm (dc);
   return error;
 }
--- a/src/decide/run.c
+++ b/src/decide/run.c
@@ -104,10 +104,11 @@
   return error;
 }
 
+/* Places the queued jobs up to class LAST that fit.  */
 static int
-run_queues (struct dc *dc)
+run_queues (struct dc *dc, enum dc_class last)
 {
-  while (dc->order.n > 0)
+  while (dc->order.n > 0 && dc->queues.v[dc->order.v[0]].class <= last)
     {
       uint32_t queue = dc->order.v[0];
       uint32_t id = dc->queues.v[queue].jobs.v[0];
@@ -261,7 +262,7 @@
       id = next;
     }
   if (due)
-    dc_pending_walk (dc);
+    dc_pending_walk_firm (dc);
 }
 
 /* Gives each worker on probation one repeatable job.  */
@@ -301,6 +302,7 @@
 dc_run (struct dc *dc)
 {
   int error = DC_OK;
+  bool freed;
 
   dc_health_tick (dc);
   if (dc->rebind || (dc->freed && dc->unbound.n > 0))
@@ -315,10 +317,11 @@
       for (uint32_t i = 0; i < dc->accounts.n; i++)
         dc_account_touch (dc, i);
     }
-  if (dc->freed)
+  freed = dc->freed;
+  if (freed)
     {
       dc->freed = false;
-      dc_pending_walk (dc);
+      dc_pending_walk_firm (dc);
       error = dc_place_waiting (dc);
       if (error)
         return error;
@@ -331,8 +334,13 @@
     }
   if (!error)
     error = run_probes (dc);
+  if (!error && dc->config.policy == DC_POLICY_DEFAULT)
+    error = run_queues (dc, DC_URGENT);
+  /* Soft gangs last: a queued urgent one would preempt them at once.  */
+  if (!error && freed)
+    dc_pending_walk_soft (dc);
   if (!error)
-    error = run_queues (dc);
+    error = run_queues (dc, DC_BULK);
   if (!error && dc->config.policy == DC_POLICY_DEFAULT)
     error = run_blocked (dc);
   if (!error && dc->config.policy == DC_POLICY_DEFAULT)
--- a/src/decide/state.h
+++ b/src/decide/state.h
@@ -394,7 +394,8 @@
 void dc_pending_unlink (struct dc *dc, uint32_t job);
 void dc_pending_drop (struct dc *dc, uint32_t job);
 void dc_pending_make_room (struct dc *dc, uint32_t job);
-void dc_pending_walk (struct dc *dc);
+void dc_pending_walk_firm (struct dc *dc);
+void dc_pending_walk_soft (struct dc *dc);
 void dc_preempt (struct dc *dc, uint32_t job);
 
 /* urgent.c: urgent gangs beside bulk ones that are pending.  */
--- a/tests/replay/check_long.sh
+++ b/tests/replay/check_long.sh
@@ -21,6 +21,7 @@
 run 2043 6 3  # a late guarantee
 run 2028 31 6 # a healthy worker quarantined
 run 2163 6 3  # gangs that wait
+run 4019 6 3  # an urgent job behind bulk in room kept for a gang
 run 2193 36 3 # accelerators held twice in one moment
 run 2229 32 3 # the same
 run 3002 5 4  # a group over 4 + 2 + 2 in one rack; jobs started too often
