Add a fault soak with a stand-in of the users' platform

Change: platform/stand plays store and workers in the platform's protocol; tests/soak has a proxy with a fault of its own for each link, clients over sockets of their own, twenty kinds of fault in series and overlapping, and a book of what clients asked and workers did that checks each promise. test_book breaks each promise once. The stages of a planned stop are a function of their own, with a test; so are the versions of the configuration (rows of docs/RULES.md that were not proved). Mutations: a lower version taken and a stop without the first stage fail the new tests.

--- a/Makefile
+++ b/Makefile
@@ -80,7 +80,18 @@
 	@mkdir -p $(@D)
 	$(CC) $(SAN) -o $@ $^ $(LIBS_ALL)
 
-build-tests: $(TEST_BIN) $(VERIFY)
+# The fault soak; its stand-in of the platform speaks the platform's protocol.
+FARM_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard platform/stand/*.c)) \
+  $(patsubst %.c,$(BUILD)/%.o,$(wildcard stand/common/*.c))
+SOAK := $(BUILD)/tests/soak/soak
+SOAK_SRC := $(filter-out tests/soak/test_%,$(wildcard tests/soak/*.c))
+$(SOAK): $(SOAK_SRC:%.c=$(BUILD)/%.o) $(FARM_OBJ) $(PORT_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(SAN) -o $@ $(filter %.o,$^) $(LIB) $(LIBS_ALL)
+$(BUILD)/tests/soak/test_book: $(BUILD)/tests/soak/book.o $(FARM_OBJ)
+$(BUILD)/tests/platform/test_bodies: $(FARM_OBJ)
+
+build-tests: $(TEST_BIN) $(VERIFY) $(SOAK)
 
 check: deps
 	@$(MAKE) -s -j$(shell nproc) all build-tests
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -226,6 +226,18 @@
 void ba_stop (struct batch *b);
 void ba_push (struct batch *b, struct ba_event *e);
 
+/* stop.c: what a VM does since it was told to stop */
+enum ba_stage
+{
+  BA_SERVE, /* as before, but no longer ready: the balancer notices */
+  BA_DRAIN, /* connections end with their next answer */
+  BA_END
+};
+
+/* SINCE_MS after the signal; CONNECTIONS are open, HOLDS the lease.  */
+enum ba_stage ba_stop_stage (int64_t since_ms, int64_t grace_ms,
+                             int connections, int holds);
+
 /* ask.c */
 struct ba_ask *ba_new_ask (struct batch *b, enum ba_purpose purpose);
 void ba_on_rows (void *arg, struct po_rows *rows);
--- a/src/batch/loop.c
+++ b/src/batch/loop.c
@@ -18,9 +18,7 @@
   ROUND_PAUSE = 2,        /* and so many times what the last one took, */
   ROUND_GAP_MAX_MS = 200, /* up to this */
   FOLLOWER_TICK_MS = 80,
-  COUNT_MS = 1000,
-  LEAVE_MS = 2300, /* the balancer misses two questions, one a second */
-  LAST_MS = 800    /* before the end of the grace time */
+  COUNT_MS = 1000
 };
 
 void
@@ -125,24 +123,20 @@
                                && !b->stopping_at_ms && !b->store_down);
 }
 
-/* Serves on until the balancer has noticed, then ends connections with
-   their next answer, then stops.  */
 static int
 is_stopped (struct batch *b)
 {
-  int64_t since;
+  enum ba_stage stage;
 
   if (!atomic_load (&b->stop))
     return 0;
   if (!b->stopping_at_ms)
     b->stopping_at_ms = b->now;
-  since = b->now - b->stopping_at_ms;
-  if (since < LEAVE_MS)
-    return 0;
-  hs_drain (b->front);
-  if (since >= b->set->grace_ms - LAST_MS)
-    return 1;
-  return !hs_connections (b->front) && b->phase == BA_FOLLOWS;
+  stage = ba_stop_stage (b->now - b->stopping_at_ms, b->set->grace_ms,
+                         hs_connections (b->front), b->phase != BA_FOLLOWS);
+  if (stage != BA_SERVE)
+    hs_drain (b->front);
+  return stage == BA_END;
 }
 
 /* A round of decisions costs the same for one event as for many: those that
--- a/stand/common/serve.c
+++ b/stand/common/serve.c
@@ -314,6 +314,18 @@
   return text ? strtoll (text, NULL, 10) : absent;
 }
 
+void
+sv_local_ip (const struct sv_request *request, char out[SV_ADDRESS])
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  struct sockaddr_in address = { 0 };
+  socklen_t size = sizeof address;
+
+  getsockname (info->connect_fd, (struct sockaddr *)&address, &size);
+  inet_ntop (AF_INET, &address.sin_addr, out, SV_ADDRESS);
+}
+
 void
 sv_fail (struct sv_reply *reply, int status, const char *text)
 {
--- a/stand/common/serve.h
+++ b/stand/common/serve.h
@@ -81,6 +81,8 @@
 const char *sv_query (const struct sv_request *request, const char *name);
 int64_t sv_query_int (const struct sv_request *request, const char *name,
                       int64_t absent);
+/* Address without port at which the connection arrived.  */
+void sv_local_ip (const struct sv_request *request, char out[SV_ADDRESS]);
 /* Answers STATUS with {"error": TEXT}.  */
 void sv_fail (struct sv_reply *reply, int status, const char *text);
 /* The rest of PATH after PREFIX, or NULL.  */
--- /dev/null
+++ b/tests/batch/test_config.c
@@ -0,0 +1,112 @@
+/* Versions of the configuration come in any order; the newest stands.  */
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "batch/fake_store.h"
+
+enum
+{
+  VALUE_SIZE = 400
+};
+
+static struct batch batch;
+static struct ba_settings settings = { .vm = "vm1", .revoke_ms = 5000 };
+
+void
+ba_push (struct batch *b, struct ba_event *e)
+{
+  (void)b;
+  g_free (e);
+}
+
+static void
+begin (void)
+{
+  memset (&batch, 0, sizeof batch);
+  fs_reset ();
+  batch.set = &settings;
+  vw_init (&batch.view);
+  ta_init (&batch);
+}
+
+static void
+end (void)
+{
+  qu_free (batch.config);
+  vw_fini (&batch.view);
+  fs_reset ();
+}
+
+static void
+take (const char *value, int deleted)
+{
+  struct po_row row = { .table = (char *)po_config_table (),
+                        .key = (char *)"config",
+                        .value = (char *)value,
+                        .version = 5,
+                        .deleted = deleted };
+
+  batch.config_follow.row (&batch, &row, 1);
+}
+
+static void
+take_version (int version)
+{
+  char value[VALUE_SIZE];
+
+  snprintf (value, sizeof value,
+            "{\"version\":%d,\"routes\":[{\"name\":\"q%d\","
+            "\"host\":\"h\",\"prefix\":\"/p/\",\"service\":\"s\"}],"
+            "\"tenants\":[]}",
+            version, version);
+  take (value, 0);
+}
+
+static void
+test_newest_stands (void)
+{
+  static const int order[] = { 3, 1, 7, 7, 5, 6 };
+  int64_t highest = 0;
+
+  begin ();
+  for (size_t i = 0; i < sizeof order / sizeof *order; i++)
+    {
+      take_version (order[i]);
+      highest = order[i] > highest ? order[i] : highest;
+      CU_ASSERT_EQUAL (batch.config->version, highest);
+    }
+  CU_ASSERT_STRING_EQUAL (batch.config->queue[0].name, "q7");
+  end ();
+}
+
+static void
+test_bad_one_leaves_the_old (void)
+{
+  begin ();
+  take_version (3);
+  take ("{\"version\":\"9\"}", 0);
+  take ("no JSON", 0);
+  take ("", 1);
+  CU_ASSERT_EQUAL (batch.config->version, 3);
+  end ();
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  bs_init ();
+  lg_init ("test", "plain", LG_ERROR);
+  CU_initialize_registry ();
+  suite = CU_add_suite ("config", NULL, NULL);
+  CU_add_test (suite, "newest", test_newest_stands);
+  CU_add_test (suite, "bad", test_bad_one_leaves_the_old);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/soak/exchange.c
@@ -0,0 +1,178 @@
+/* HTTP over sockets of its own: it tells whether a connection ended after
+   the request was sent, and sends nothing again by itself.  */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "tests/soak/soak.h"
+
+enum
+{
+  REQUEST_SIZE = 8192,  /* bytes */
+  DEADLINE_MS = 3000,   /* a client waits for an answer */
+  NOT_SENT_ANSWER = 502 /* of the proxy: the VM takes no connection */
+};
+
+void
+sk_hang_up (struct sk_connection *c)
+{
+  if (c->fd >= 0)
+    close (c->fd);
+  c->fd = -1;
+}
+
+/* The other end has closed an idle connection.  */
+static int
+is_stale (int fd)
+{
+  struct pollfd p = { fd, POLLIN, 0 };
+
+  return poll (&p, 1, 0) > 0;
+}
+
+static int
+dial (struct soak *s, struct sk_connection *c)
+{
+  struct sockaddr_in a = { .sin_family = AF_INET };
+  char ip[SF_ADDRESS];
+
+  if (c->fd >= 0 && !is_stale (c->fd))
+    return 0;
+  sk_hang_up (c);
+  snprintf (ip, sizeof ip, "127.%d.0.%d", SK_CALLERS_NET, c->vm + 1);
+  inet_pton (AF_INET, ip, &a.sin_addr);
+  a.sin_port = htons ((uint16_t)s->proxy.port);
+  c->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (c->fd < 0)
+    return -1;
+  if (!connect (c->fd, (struct sockaddr *)&a, sizeof a))
+    return 0;
+  sk_hang_up (c);
+  return -1;
+}
+
+static int
+format (const struct sk_exchange *x, char out[REQUEST_SIZE])
+{
+  size_t n = x->body ? strlen (x->body) : 0;
+
+  return snprintf (out, REQUEST_SIZE,
+                   "%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s"
+                   "\r\n%s: %d\r\nContent-Type: application/json\r\n"
+                   "Content-Length: %zu\r\n\r\n%s",
+                   x->method, x->path, x->host, x->key, po_deadline_header (),
+                   DEADLINE_MS, n, x->body ? x->body : "");
+}
+
+static const char *
+header (const char *head, const char *name)
+{
+  const char *at = strcasestr (head, name);
+
+  return at ? at + strlen (name) : NULL;
+}
+
+/* Whether TEXT of N bytes is a whole answer; *BODY points at its body.  */
+static int
+is_whole (char *text, size_t n, char **body)
+{
+  char *end = strstr (text, "\r\n\r\n");
+  const char *length;
+
+  if (!end)
+    return 0;
+  *body = end + 4;
+  length = header (text, "\nContent-Length:");
+  return n - (size_t)(*body - text)
+         >= (length ? strtoul (length, NULL, 10) : 0);
+}
+
+static void
+receive (struct sk_connection *c, struct sk_exchange *x)
+{
+  char text[sizeof x->answer + 1024] = "", *body = text;
+  const char *value;
+  size_t n = 0;
+
+  while (!is_whole (text, n, &body))
+    {
+      struct pollfd p = { c->fd, POLLIN, 0 };
+      int64_t left = x->sent_ms + DEADLINE_MS - sf_now ();
+      ssize_t got;
+
+      if (left <= 0 || poll (&p, 1, (int)left) <= 0)
+        {
+          x->end = SK_LOST;
+          return;
+        }
+      got = recv (c->fd, text + n, sizeof text - 1 - n, 0);
+      if (got <= 0)
+        {
+          x->end = SK_BROKEN;
+          return;
+        }
+      n += (size_t)got;
+      text[n] = '\0';
+    }
+  x->end = SK_ANSWERED;
+  x->status = atoi (text + sizeof "HTTP/1.1");
+  value = header (text, "\nRetry-After:");
+  x->retry_after = value ? atoi (value) : 0;
+  g_strlcpy (x->answer, body, sizeof x->answer);
+  value = header (text, "\nConnection: close");
+  if (value)
+    sk_hang_up (c);
+}
+
+/* A planned stop must not cut a request that was read.  */
+static void
+check_cut (struct soak *s, const struct sk_connection *c,
+           const struct sk_exchange *x)
+{
+  sk_lock (s);
+  if (x->ended_ms - x->sent_ms > SK_LOSS_SLACK_MS
+      && sk_in_touch (s, c->vm, x->sent_ms))
+    bk_breach (&s->book, "vm%d cut %s %s after %lld ms (%s)", c->vm, x->method,
+               x->path, (long long)(x->ended_ms - x->sent_ms),
+               s->vm[c->vm].stopping ? "is stopping" : "not stopping");
+  sk_unlock (s);
+}
+
+void
+sk_exchange (struct soak *s, struct sk_connection *c, struct sk_exchange *x)
+{
+  char text[REQUEST_SIZE];
+  int n = format (x, text);
+
+  atomic_fetch_add (&s->calls, 1);
+  x->status = x->retry_after = 0;
+  x->end = SK_NOT_SENT;
+  *x->answer = '\0';
+  if (dial (s, c))
+    return;
+  x->sent_ms = sf_now ();
+  if (send (c->fd, text, (size_t)n, MSG_NOSIGNAL) != n)
+    {
+      x->end = SK_LOST;
+      sk_hang_up (c);
+      return;
+    }
+  receive (c, x);
+  x->ended_ms = sf_now ();
+  if (x->end == SK_ANSWERED && x->status == NOT_SENT_ANSWER)
+    x->end = SK_NOT_SENT;
+  if (x->end == SK_BROKEN)
+    check_cut (s, c, x);
+  if (x->end != SK_ANSWERED)
+    sk_hang_up (c);
+  if (x->end == SK_ANSWERED)
+    atomic_fetch_add (&s->answered, 1);
+  else
+    atomic_fetch_add (&s->lost, 1);
+}
--- /dev/null
+++ b/tests/soak/main.c
@@ -0,0 +1,180 @@
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "skr/opt.h"
+#include "tests/soak/soak.h"
+
+enum
+{
+  POLL_MS = 200,
+  MAX_SECONDS = 86400
+};
+
+#define FIELD(name) offsetof (struct soak, name)
+
+static const struct opt_def defs[]
+    = { { "seed", OPT_INT, "", 0, UINT32_MAX, "1", "of faults and load",
+          FIELD (seed) },
+        { "vms", OPT_INT, "", 1, SF_MAX_VMS - 1, "4", "processes under test",
+          FIELD (vms) },
+        { "workers", OPT_INT, "", 1, SF_MAX_WORKERS, "8", "of the stand-in",
+          FIELD (workers) },
+        { "clients", OPT_INT, "", 1, SK_MAX_CLIENTS, "8", "threads that call",
+          FIELD (clients) },
+        { "seconds", OPT_INT, "s", 1, MAX_SECONDS, "20",
+          "faults come for so long", FIELD (seconds) },
+        { "settle", OPT_INT, "s", 1, MAX_SECONDS, "60",
+          "then all that was accepted must end within", FIELD (settle_s) },
+        { "program", OPT_STRING, "file", 1, 400, "bin/skr-batch", "under test",
+          FIELD (program) },
+        { "dir", OPT_STRING, "directory", 1, 300, "/tmp/soak",
+          "of logs and settings", FIELD (dir) },
+        { NULL, OPT_INT, "", 0, 0, NULL, NULL, 0 } };
+
+static void
+fail (const char *what)
+{
+  fprintf (stderr, "soak: %s\n", what);
+  exit (2);
+}
+
+static void
+write_settings (const struct soak *s)
+{
+  mkdir (s->dir, 0755);
+  for (int n = 0; n < s->vms; n++)
+    {
+      char path[400];
+      FILE *f;
+
+      snprintf (path, sizeof path, "%s/vm%d.conf", s->dir, n);
+      f = fopen (path, "w");
+      if (!f || fputs ("log-rate=2000\n", f) < 0 || fclose (f))
+        fail ("the directory can't be written");
+    }
+}
+
+static void
+set_up (struct soak *s)
+{
+  struct sf_watch watch;
+
+  pthread_mutex_init (&s->lock, NULL);
+  bk_init (&s->book, s->seed);
+  bk_watch (&s->book, &watch);
+  if (px_init (&s->proxy, (int)s->vms, (int)s->workers)
+      || sf_init (&s->farm, (int)s->vms, (int)s->workers, s->proxy.port,
+                  &watch))
+    fail ("no address to listen on");
+  s->vm_port = sk_vm_port ();
+  s->proxy.farm_port = sf_port (&s->farm);
+  s->proxy.vm_port = s->vm_port;
+  if (px_start (&s->proxy))
+    fail ("no thread");
+  sk_configure (s);
+  write_settings (s);
+  for (int n = 0; n < s->vms; n++)
+    sk_vm_start (s, n);
+}
+
+/* Waits until all that was accepted has ended.  */
+static void
+settle (struct soak *s)
+{
+  int64_t until = sf_now () + s->settle_s * 1000;
+
+  atomic_store (&s->quiet, 1);
+  while (bk_open (&s->book) > 0 && sf_now () < until)
+    {
+      sk_vm_watch (s);
+      usleep (POLL_MS * 1000);
+    }
+  printf ("%6lld ms  settled, %d jobs open\n",
+          (long long)(sf_now () - s->book.begun_ms), bk_open (&s->book));
+  bk_check_end (&s->book);
+}
+
+static void
+stop_all (struct soak *s)
+{
+  int left = 1;
+
+  for (int n = 0; n < s->vms; n++)
+    sk_vm_signal (s, n, SIGTERM);
+  while (left)
+    {
+      sk_vm_watch (s);
+      left = 0;
+      sk_lock (s);
+      for (int n = 0; n < s->vms; n++)
+        left += s->vm[n].up;
+      sk_unlock (s);
+      usleep (POLL_MS * 1000);
+    }
+}
+
+static int
+report (const struct soak *s)
+{
+  int accepted = 0, starts = 0;
+
+  for (guint i = 0; i < s->book.jobs->len; i++)
+    {
+      const struct bk_job *j = s->book.jobs->pdata[i];
+
+      accepted += j->accepted > 0;
+      starts += j->starts;
+    }
+  printf ("seed %llu: %ld faults, %ld calls (%ld answered, %ld lost, %ld "
+          "submits refused), %u jobs, %d accepted, %d starts, %d breaches\n",
+          (unsigned long long)s->seed, atomic_load (&s->faults),
+          atomic_load (&s->calls), atomic_load (&s->answered),
+          atomic_load (&s->lost), atomic_load (&s->refused), s->book.jobs->len,
+          accepted, starts, s->book.breaches);
+  return s->book.breaches ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+int
+main (int argc, char **argv)
+{
+  static struct soak soak;
+  static struct sk_client client[SK_MAX_CLIENTS];
+  struct soak *s = &soak;
+  pthread_t ready;
+  int error = 0, result;
+
+  opt_parse (defs, s, argc, argv, "[OPTION...]",
+             "Plays faults of chance against skr-batch and checks what must "
+             "hold.",
+             NULL);
+  if (bs_init () != BS_OK)
+    fail ("a library could not be initialised");
+  signal (SIGPIPE, SIG_IGN);
+  set_up (s);
+  error |= pthread_create (&ready, NULL, sk_ready_run, s);
+  for (int i = 0; i < s->clients; i++)
+    {
+      client[i] = (struct sk_client){
+        .soak = s, .seed = (uint32_t)(s->seed * SK_MAX_CLIENTS) + (uint32_t)i
+      };
+      error |= pthread_create (&client[i].thread, NULL, sk_client_run,
+                               &client[i]);
+    }
+  if (error)
+    fail ("no thread");
+  sk_plan_run (s);
+  settle (s);
+  stop_all (s);
+  atomic_store (&s->stopping, 1);
+  for (int i = 0; i < s->clients; i++)
+    pthread_join (client[i].thread, NULL);
+  pthread_join (ready, NULL);
+  px_fini (&s->proxy);
+  sf_fini (&s->farm);
+  result = report (s);
+  bk_fini (&s->book);
+  return result;
+}
--- /dev/null
+++ b/tests/soak/vms.c
@@ -0,0 +1,180 @@
+/* The processes under test.  */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "tests/soak/soak.h"
+
+enum
+{
+  MAX_ARGS = 12,
+  ARG_SIZE = 400,
+  BEGIN_MS = 500 /* a new process has installed its handlers by then */
+};
+
+void
+sk_lock (struct soak *s)
+{
+  pthread_mutex_lock (&s->lock);
+}
+
+void
+sk_unlock (struct soak *s)
+{
+  pthread_mutex_unlock (&s->lock);
+}
+
+int
+sk_vm_port (void)
+{
+  struct sockaddr_in a = { .sin_family = AF_INET };
+  socklen_t size = sizeof a;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int port = 0;
+
+  if (!bind (fd, (struct sockaddr *)&a, sizeof a)
+      && !getsockname (fd, (struct sockaddr *)&a, &size))
+    port = ntohs (a.sin_port);
+  close (fd);
+  return port;
+}
+
+static int
+spawn (const struct soak *s, char *const *argv, int n, pid_t *pid)
+{
+  posix_spawn_file_actions_t files;
+  char log[ARG_SIZE];
+  int error;
+
+  snprintf (log, sizeof log, "%s/vm%d.log", s->dir, n);
+  posix_spawn_file_actions_init (&files);
+  posix_spawn_file_actions_addopen (&files, 1, log,
+                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2 (&files, 1, 2);
+  error = posix_spawn (pid, s->program, &files, NULL, argv, environ);
+  posix_spawn_file_actions_destroy (&files);
+  return error;
+}
+
+void
+sk_vm_start (struct soak *s, int n)
+{
+  char arg[MAX_ARGS][ARG_SIZE];
+  char *argv[MAX_ARGS + 1] = { NULL };
+  struct sk_vm *vm = &s->vm[n];
+  int count = 0, error;
+
+  snprintf (arg[count++], ARG_SIZE, "%s", s->program);
+  snprintf (arg[count++], ARG_SIZE, "--vm=vm%d", n);
+  snprintf (arg[count++], ARG_SIZE, "--listen=127.0.%d.%d:%d", SK_VM_NET,
+            n + 1, s->vm_port);
+  snprintf (arg[count++], ARG_SIZE, "--ready-listen=127.0.%d.%d:%d",
+            SK_READY_NET, n + 1, s->vm_port);
+  snprintf (arg[count++], ARG_SIZE, "--metrics-listen=127.0.%d.%d:%d",
+            SK_METRICS_NET, n + 1, s->vm_port);
+  snprintf (arg[count++], ARG_SIZE, "--store=127.%d.%d.1:%d", SF_LINK_NET + n,
+            SK_STORE_NET, s->proxy.port);
+  snprintf (arg[count++], ARG_SIZE, "--hold-ms=%d", SF_HOLD_MS);
+  snprintf (arg[count++], ARG_SIZE, "--grace-ms=%d", SK_GRACE_MS);
+  snprintf (arg[count++], ARG_SIZE, "--revoke-ms=%d", SK_REVOKE_MS);
+  snprintf (arg[count++], ARG_SIZE, "--settings=%s/vm%d.conf", s->dir, n);
+  for (int i = 0; i < count; i++)
+    argv[i] = arg[i];
+  sk_lock (s);
+  error = spawn (s, argv, n, &vm->pid);
+  vm->up = !error;
+  vm->frozen = vm->stopping = vm->ready = vm->missed = 0;
+  vm->shown_version = 0;
+  vm->begun_ms = sf_now ();
+  vm->incarnation++;
+  sk_unlock (s);
+  if (error)
+    bk_breach (&s->book, "%s: %s", s->program, strerror (error));
+}
+
+static void
+ended (struct soak *s, int n, int status)
+{
+  struct sk_vm *vm = &s->vm[n];
+  int killed = WIFSIGNALED (status) && WTERMSIG (status) == SIGKILL;
+  int stopped
+      = vm->stopping && WIFEXITED (status) && WEXITSTATUS (status) == 0;
+
+  vm->up = 0;
+  if (!killed && !stopped)
+    bk_breach (&s->book, "vm%d ended by itself, wait status %d", n, status);
+}
+
+void
+sk_vm_watch (struct soak *s)
+{
+  sk_lock (s);
+  for (int n = 0; n < s->vms; n++)
+    {
+      struct sk_vm *vm = &s->vm[n];
+      int status;
+
+      if (vm->up && waitpid (vm->pid, &status, WNOHANG) == vm->pid)
+        ended (s, n, status);
+      if (vm->up && vm->stopping && sf_now () - vm->stop_ms > SK_GRACE_MS)
+        {
+          bk_breach (&s->book, "vm%d did not end within its grace", n);
+          kill (vm->pid, SIGKILL);
+          vm->stopping = 0;
+        }
+    }
+  sk_unlock (s);
+}
+
+/* A process takes these once it has begun to run.  */
+static int
+is_polite (int signal)
+{
+  return signal == SIGTERM || signal == SIGHUP;
+}
+
+void
+sk_vm_signal (struct soak *s, int n, int signal)
+{
+  struct sk_vm *vm = &s->vm[n];
+
+  sk_lock (s);
+  if (vm->up && !(is_polite (signal) && sf_now () - vm->begun_ms < BEGIN_MS))
+    {
+      if (signal == SIGTERM && !vm->stopping)
+        {
+          vm->stopping = 1;
+          vm->stop_ms = sf_now ();
+        }
+      vm->frozen = signal == SIGSTOP || (vm->frozen && signal != SIGCONT);
+      kill (vm->pid, signal);
+    }
+  sk_unlock (s);
+}
+
+void
+sk_vm_trouble (struct soak *s, int n, int64_t until_ms)
+{
+  sk_lock (s);
+  if (n < 0)
+    s->store_trouble_ms = MAX (s->store_trouble_ms, until_ms);
+  else
+    s->vm[n].trouble_ms = MAX (s->vm[n].trouble_ms, until_ms);
+  sk_unlock (s);
+}
+
+int
+sk_in_touch (const struct soak *s, int n, int64_t from_ms)
+{
+  int64_t quiet = from_ms - SK_TOUCH_MS;
+
+  return s->vm[n].trouble_ms <= quiet && s->store_trouble_ms <= quiet;
+}
