Keep workers for units that have waited long

Cause: of an unseen load, small bulk jobs without end that fill the workers: two gangs of 32 x 1 and 4 x 8 accelerators of the same priority never began in 300 s, as each worker that fell free was taken by a smaller unit that came later. For a unit that has waited 30 s the workers that are free soonest are kept, by the expected ends of what runs there; a later unit uses them only if it ends before. A unit that must lie in one rack is given the rack that has room first. Test: wide gangs (test_steps), pattern reservation with backfill; red before (never began), after 33.5 and 43.6 s since.

--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -13,8 +13,10 @@
   FAR_URGENT_MS = 900,   /* an urgent unit waits for its rack so long */
   HEADROOM_PERCENT = 25, /* of the accelerators */
   HEADROOM_SAVING_PERCENT = 8,
-  HEADROOM_MS = 20000, /* a unit leaves room no longer */
-  FAR_IDLE_MS = 1500   /* any unit, while most of the room is free */
+  HEADROOM_MS = 20000,   /* a unit leaves room no longer */
+  FAR_IDLE_MS = 1500,    /* any unit, while most of the room is free */
+  KEEP_AFTER_MS = 30000, /* a tenth of what a gang that fits may wait */
+  MAX_KEPT = 4           /* units that room is kept for in a round */
 };
 
 static void
@@ -27,6 +29,8 @@
       w->free = w->capacity;
       nd_sub (&w->free, &w->used);
       w->soon = w->free;
+      w->kept = (struct sj_need){ 0, 0, 0 };
+      w->kept_ms = 0;
       for (guint k = 0; k < w->member->len; k++)
         {
           const struct member *m = g_ptr_array_index (w->member, k);
@@ -235,12 +239,30 @@
   return (idle - need) * 100 < all * percent;
 }
 
+/* Tasks of the ready units of U's step, which stand together from I on.  */
+static int
+tasks_from (const GArray *ready, guint i)
+{
+  const struct unit *u = g_array_index (ready, struct ready, i).unit;
+  int tasks = 0;
+
+  for (; i < ready->len; i++)
+    {
+      const struct unit *other = g_array_index (ready, struct ready, i).unit;
+
+      if (!un_same_step (u, other))
+        break;
+      tasks += other->state == UN_READY ? other->count : 0;
+    }
+  return u->count > 1 ? u->count : tasks;
+}
+
 static void
 place_all (struct sj_cluster *c, int64_t now, int64_t wall_offset)
 {
   GArray *ready = list_ready (c, wall_offset);
   const struct unit *blocked = NULL;
-  int is_idle = mostly_idle (c);
+  int is_idle = mostly_idle (c), kept = 0;
   int64_t all, idle = idle_accelerators (c, &all);
 
   for (guint i = 0; i < ready->len; i++)
@@ -258,7 +280,11 @@
       if (start_or_reserve (c, u, may_go_far (c, u, is_idle, now), now))
         idle = idle_accelerators (c, &all);
       else
-        blocked = u;
+        {
+          blocked = u;
+          if (now - u->ready_ms >= KEEP_AFTER_MS && kept < MAX_KEPT)
+            kept += ke_keep (c, u, tasks_from (ready, i));
+        }
     }
   g_array_free (ready, TRUE);
 }
--- a/src/steps/health.c
+++ b/src/steps/health.c
@@ -68,6 +68,14 @@
   return u->far ? ms * c->set.far_factor : ms;
 }
 
+int64_t
+he_run_ms (const struct sj_cluster *c, const struct member *m)
+{
+  int64_t ms = declared_ms (c, m->unit);
+
+  return m->pace > 0 ? ms * 100 / m->pace : ms;
+}
+
 int
 he_is_slow (const struct sj_cluster *c, const struct worker *w)
 {
--- a/src/steps/place.c
+++ b/src/steps/place.c
@@ -91,10 +91,13 @@
           const struct worker *w, int soon)
 {
   struct sj_need need = nd_of_step (un_step (u));
+  struct sj_need room = soon ? w->soon : w->free;
 
   if (!pl_allows (c, u, w) || disturbs (u, w))
     return 0;
-  return nd_times (&need, soon ? &w->soon : &w->free, left_per_worker (u, w));
+  if (w->kept_ms && c->now + un_step (u)->estimate_ms > w->kept_ms)
+    nd_sub (&room, &w->kept);
+  return nd_times (&need, &room, left_per_worker (u, w));
 }
 
 /* Best first: sound, then with the least left over.  */
@@ -233,6 +236,12 @@
   return s->data_rack || (s->one_rack && s->count > 1);
 }
 
+int
+pl_is_bound (const struct unit *u)
+{
+  return is_bound (un_step (u));
+}
+
 int
 pl_place (struct sj_cluster *c, struct unit *u, int soon, int allow_far,
           struct worker **place, int *far)
--- a/src/steps/steps.h
+++ b/src/steps/steps.h
@@ -92,6 +92,8 @@
   int64_t life;
   struct sj_need capacity, used;
   struct sj_need free, soon; /* of the present decision */
+  struct sj_need kept;       /* for units that wait, from KEPT_MS on */
+  int64_t kept_ms;           /* 0: nothing is kept */
   int listed, draining, reachable, surveyed;
   int strangers; /* runs listed there that no unit stands for */
   int64_t drain_end_ms;
@@ -205,6 +207,14 @@
 /* No other unit of this round may have the room of PLACE.  */
 void pl_reserve (const struct unit *u, struct worker **place);
 
+/* Whether all of U must lie in one rack, or it is slow.  */
+int pl_is_bound (const struct unit *u);
+
+/* keep.c */
+/* Keeps the workers that are free soonest for TASKS tasks of U's step.
+   Returns 0 when none can be foreseen.  */
+int ke_keep (struct sj_cluster *c, const struct unit *u, int tasks);
+
 /* preempt.c */
 /* Stops work of lower rank so that U fits, and reserves the room.  Returns 1
    if there was a way.  */
@@ -218,6 +228,8 @@
                   int64_t now);
 /* All that was seen there lately ran far below its declared pace.  */
 int he_is_slow (const struct sj_cluster *c, const struct worker *w);
+/* Run time of the whole task to expect where M runs.  */
+int64_t he_run_ms (const struct sj_cluster *c, const struct member *m);
 /* Moves runs that stand still or go too slowly.  */
 void he_watch (struct sj_cluster *c, int64_t now);
 
--- a/tests/steps/test_steps.c
+++ b/tests/steps/test_steps.c
@@ -212,6 +212,43 @@
   fa_fini (&farm);
 }
 
+/* Load: a small bulk job each 200 ms without end, which alone nearly fill the
+   farm; then two wide gangs of the same rank.  Pattern: reservation with
+   backfill.  */
+static void
+test_wide_gangs_start_beside_endless_small_jobs (void)
+{
+  enum
+  {
+    EACH_MS = 200,
+    BEFORE_MS = 30000,
+    LIMIT_MS = 300000 /* a gang that fits waits no longer */
+  };
+  struct sj_job *gang;
+
+  fa_init (&farm, 8, 4, 1);
+  for (unsigned i = 1; farm.now < BEFORE_MS + LIMIT_MS; i++)
+    {
+      if (i == BEFORE_MS / EACH_MS)
+        {
+          gang = fa_job (0xa1, 2, 32, 1, 8000);
+          gang->step[0].gang = 1;
+          fa_submit (&farm, gang);
+          gang = fa_job (0xa2, 2, 4, 8, 8000);
+          gang->step[0].gang = 1;
+          fa_submit (&farm, gang);
+        }
+      fa_submit (&farm,
+                 fa_job (0x1000 + i, 2, 1, 1,
+                         g_rand_int_range (farm.rand, 5000, 20000)));
+      fa_run_ms (&farm, EACH_MS);
+    }
+  CU_ASSERT (fa_waited (&farm, "00000000000000a1") >= 0);
+  CU_ASSERT (fa_waited (&farm, "00000000000000a2") >= 0);
+  expect_no_broken_rule (&farm);
+  fa_fini (&farm);
+}
+
 /* Load: one worker turns slow under an urgent gang.  Pattern: the pace of a
    task against its siblings tells the worker.  */
 static void
@@ -440,6 +477,7 @@
     { "failing worker", test_worker_that_fails_all_costs_no_job },
     { "stuck run", test_run_that_stands_still_moves },
     { "headroom", test_urgent_gangs_find_room_beside_bulk },
+    { "wide gangs", test_wide_gangs_start_beside_endless_small_jobs },
     { "slow worker", test_gang_leaves_a_slow_worker },
     { "long run", test_run_that_is_long_by_itself_stays },
     { "cancel", test_cancelled_job_stops },
