--- a/tests/steps/test_steps.c
+++ b/tests/steps/test_steps.c
@@ -238,9 +238,8 @@
           gang->step[0].gang = 1;
           fa_submit (&farm, gang);
         }
-      fa_submit (&farm,
-                 fa_job (0x1000 + i, 2, 1, 1,
-                         g_rand_int_range (farm.rand, 5000, 20000)));
+      fa_submit (&farm, fa_job (0x1000 + i, 2, 1, 1,
+                                g_rand_int_range (farm.rand, 5000, 20000)));
       fa_run_ms (&farm, EACH_MS);
     }
   CU_ASSERT (fa_waited (&farm, "00000000000000a1") >= 0);
