Show what each VM knows: skr batch status and job

Cause: on the platform operators had logs and metrics only; skr status, job and cells ask the product's own programs.

--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -61,6 +61,7 @@
 {
   BA_ROWS,
   BA_REQUEST,
+  BA_SHOW, /* an operator asks what is known */
   BA_ORDER,
   BA_LISTING
 };
@@ -268,6 +269,13 @@
 /* Keys of callers are believed at all: the store was heard lately.  */
 int ba_is_fresh (const struct batch *b);
 
+/* show.c */
+/* New references; NULL for a job that this VM does not know.  */
+json_t *sh_status (const struct batch *b);
+json_t *sh_job (const struct batch *b, const char *id);
+void sh_answer (struct batch *b, struct hs_exchange *ex);
+void sh_handle (void *arg, struct hs_exchange *ex);
+
 /* front.c */
 void fr_handle (void *arg, struct hs_exchange *ex);
 void fr_request (struct batch *b, struct hs_exchange *ex);
--- a/src/batch/loop.c
+++ b/src/batch/loop.c
@@ -27,7 +27,7 @@
   if (!rg_push (&b->ring, e))
     return;
   /* Only requests can outrun the loop: calls in progress are bounded.  */
-  if (e->kind == BA_REQUEST)
+  if (e->kind == BA_REQUEST || e->kind == BA_SHOW)
     {
       struct hs_answer a = { .status = 503,
                              .body = "{\"error\":\"not run: overloaded\"}",
@@ -77,6 +77,9 @@
     case BA_REQUEST:
       fr_request (b, e->u.request);
       break;
+    case BA_SHOW:
+      sh_answer (b, e->u.request);
+      break;
     case BA_ORDER:
       wk_order_answered (b, e->u.order.order, &e->u.order.answer);
       wk_free_order (e->u.order.order);
@@ -225,7 +228,7 @@
   b->port = (struct po_port){ b->client, set->store };
   ta_init (b);
   if (start_server (b, &b->ready_server, set->ready_listen, fr_ready, 64)
-      || start_server (b, &b->metrics_server, set->metrics_listen, fr_metrics,
+      || start_server (b, &b->metrics_server, set->metrics_listen, sh_handle,
                        16)
       || start_server (b, &b->front, set->listen, fr_handle, MAX_CONNECTIONS))
     return BS_EOS;
--- /dev/null
+++ b/src/batch/show.c
@@ -0,0 +1,119 @@
+/* What this VM knows, in the product's words, for operators: it is served
+   beside the metrics, and says how old it is.  */
+#include <string.h>
+
+#include "batch/batch.h"
+
+enum
+{
+  OK = 200,
+  NOT_FOUND = 404
+};
+
+static const char status_path[] = "/v1/status";
+static const char jobs_path[] = "/v1/jobs/";
+
+static const char *
+phase_name (enum ba_phase phase)
+{
+  switch (phase)
+    {
+    case BA_FOLLOWS:
+      return "follows";
+    case BA_LOADING:
+      return "loads";
+    case BA_HOLDS:
+      return "schedules";
+    }
+  return "?";
+}
+
+/* Milliseconds since THEN; -1 when it never was.  */
+static json_int_t
+age (const struct batch *b, int64_t then)
+{
+  return then ? b->now - then : -1;
+}
+
+json_t *
+sh_status (const struct batch *b)
+{
+  struct sj_counts n = { 0 };
+  json_t *o = json_pack (
+      "{s:s,s:s,s:I,s:s,s:I,s:I,s:I,s:s,s:I}", "vm", b->set->vm, "phase",
+      phase_name (b->phase), "epoch", (json_int_t)b->lease.epoch, "scheduler",
+      b->lease.holder_vm, "config_version",
+      (json_int_t)(b->config ? b->config->version : 0), "config_age_ms",
+      age (b, b->config_follow.fresh_ms), "jobs_age_ms",
+      age (b, b->job_follow.fresh_ms), "store", b->store_down ? "down" : "up",
+      "store_heard_ms", age (b, b->store_ok_ms));
+
+  if (b->cluster)
+    sj_count (b->cluster, &n);
+  json_object_set_new (o, "jobs",
+                       json_integer (g_hash_table_size (b->view.jobs)));
+  json_object_set_new (o, "in_progress", json_integer (b->pending->len));
+  if (b->phase != BA_HOLDS)
+    return o;
+  json_object_set_new (o, "open_jobs", json_integer (n.jobs));
+  json_object_set_new (o, "waiting", json_integer (n.waiting));
+  json_object_set_new (o, "runs", json_integer (n.runs));
+  json_object_set_new (o, "workers", json_integer (n.usable_workers));
+  json_object_set_new (o, "accelerators", json_integer (n.accelerators));
+  json_object_set_new (o, "accelerators_used",
+                       json_integer (n.accelerators_used));
+  return o;
+}
+
+json_t *
+sh_job (const struct batch *b, const char *id)
+{
+  const struct vw_job *j = vw_find (&b->view, id);
+
+  if (!j || !j->version)
+    return NULL;
+  return json_pack ("{s:s,s:s,s:s,s:s,s:s,s:b,s:I,s:I}", "vm", b->set->vm,
+                    "id", j->id, "queue", j->queue ? j->queue : "", "account",
+                    j->account ? j->account : "", "state",
+                    sj_state_name (j->state), "cancel_wanted", j->cancelled,
+                    "row_version", (json_int_t)j->version, "jobs_age_ms",
+                    age (b, b->job_follow.fresh_ms));
+}
+
+void
+sh_answer (struct batch *b, struct hs_exchange *ex)
+{
+  const char *path = hs_request_of (ex)->path;
+  struct hs_answer a = { .status = OK, .content_type = "application/json" };
+  json_t *o = NULL;
+  char *text;
+
+  if (!strcmp (path, status_path))
+    o = sh_status (b);
+  else if (g_str_has_prefix (path, jobs_path))
+    o = sh_job (b, path + sizeof jobs_path - 1);
+  text = o ? json_dumps (o, JSON_COMPACT) : NULL;
+  a.status = text ? OK : NOT_FOUND;
+  a.body = text ? text : "{\"error\":\"not known here\"}";
+  hs_answer (ex, &a);
+  free (text);
+  json_decref (o);
+}
+
+/* Runs on the server's thread.  */
+void
+sh_handle (void *arg, struct hs_exchange *ex)
+{
+  struct batch *b = arg;
+  struct ba_event *e;
+
+  if (!g_str_has_prefix (hs_request_of (ex)->path, "/v1/"))
+    {
+      fr_metrics (arg, ex);
+      return;
+    }
+  e = g_new (struct ba_event, 1);
+  e->kind = BA_SHOW;
+  e->u.request = ex;
+  ba_push (b, e);
+}
--- /dev/null
+++ b/tests/batch/test_show.c
@@ -0,0 +1,109 @@
+/* What operators are shown says how old it is.  */
+#include <CUnit/Basic.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "batch/fake_store.h"
+
+#define ID "00000000000000a1"
+
+static struct batch batch;
+static struct ba_settings settings = { .vm = "vm1" };
+
+void
+ba_push (struct batch *b, struct ba_event *e)
+{
+  (void)b;
+  g_free (e);
+}
+
+static void
+begin (void)
+{
+  memset (&batch, 0, sizeof batch);
+  batch.set = &settings;
+  batch.now = 50000;
+  batch.pending = g_ptr_array_new ();
+  batch.config_follow.fresh_ms = 49900;
+  batch.store_ok_ms = 48000;
+  vw_init (&batch.view);
+}
+
+static void
+end (void)
+{
+  vw_fini (&batch.view);
+  g_ptr_array_free (batch.pending, TRUE);
+}
+
+static const char *
+text (const json_t *o, const char *name)
+{
+  const char *s = json_string_value (json_object_get (o, name));
+
+  return s ? s : "";
+}
+
+static int64_t
+number (const json_t *o, const char *name)
+{
+  return json_integer_value (json_object_get (o, name));
+}
+
+static void
+test_status (void)
+{
+  json_t *o;
+
+  begin ();
+  batch.store_down = 1;
+  strcpy (batch.lease.holder_vm, "vm2");
+  o = sh_status (&batch);
+  CU_ASSERT_STRING_EQUAL (text (o, "vm"), "vm1");
+  CU_ASSERT_STRING_EQUAL (text (o, "phase"), "follows");
+  CU_ASSERT_STRING_EQUAL (text (o, "scheduler"), "vm2");
+  CU_ASSERT_STRING_EQUAL (text (o, "store"), "down");
+  CU_ASSERT_EQUAL (number (o, "config_age_ms"), 100);
+  CU_ASSERT_EQUAL (number (o, "jobs_age_ms"), -1);
+  CU_ASSERT_EQUAL (number (o, "store_heard_ms"), 2000);
+  CU_ASSERT_PTR_NULL (json_object_get (o, "runs"));
+  json_decref (o);
+  end ();
+}
+
+static void
+test_job (void)
+{
+  json_t *o;
+
+  begin ();
+  batch.job_follow.fresh_ms = 49000;
+  CU_ASSERT_PTR_NULL (sh_job (&batch, ID));
+  vw_take (&batch.view, ID,
+           "{\"accepted\":5,\"job\":{\"queue\":\"q\",\"account\":\"a\"}}", 3,
+           0, 1);
+  vw_take (&batch.view, ID ".s", "{\"state\":\"running\",\"at\":9}", 4, 0, 1);
+  o = sh_job (&batch, ID);
+  CU_ASSERT_STRING_EQUAL (text (o, "state"), "running");
+  CU_ASSERT_STRING_EQUAL (text (o, "queue"), "q");
+  CU_ASSERT_EQUAL (number (o, "row_version"), 3);
+  CU_ASSERT_EQUAL (number (o, "jobs_age_ms"), 1000);
+  json_decref (o);
+  end ();
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("show", NULL, NULL);
+  CU_add_test (suite, "status", test_status);
+  CU_add_test (suite, "job", test_job);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+}
