--- a/src/batch/tables.c
+++ b/src/batch/tables.c
@@ -7,6 +7,8 @@
   CONFIG_WAIT_MS = 1500, /* half of what a revoked key may still pass */
   JOB_WAIT_MS = 800,     /* with the gap, how often the store is heard */
   WORKER_WAIT_MS = 2000,
+  WORKER_GAP_MS = 200,  /* workers report all the time; a tenth of the 2 s
+                           after which one that leaves gets no new work */
   JOB_GAP_MS = 250,     /* a follower shows a new state within this time */
   FRESH_SLACK_MS = 1000 /* for a request on its way to the store */
 };
@@ -111,7 +113,8 @@
   b->job_follow.row = job_row;
   b->job_follow.read_whole = job_whole;
   b->job_follow.told = ho_jobs_told;
-  fo_init (b, &b->worker_follow, po_worker_table (), WORKER_WAIT_MS, 0);
+  fo_init (b, &b->worker_follow, po_worker_table (), WORKER_WAIT_MS,
+           WORKER_GAP_MS);
   b->worker_follow.row = wk_row;
   b->worker_follow.read_whole = wk_whole;
   fo_start (&b->config_follow);
--- a/tests/batch/fake_store.c
+++ b/tests/batch/fake_store.c
@@ -57,8 +57,9 @@
   (void)wait_ms;
   (void)timeout_ms;
   (void)done;
-  (void)arg;
-  return PO_EFULL;
+  fs_store.follows++;
+  fs_store.asked = arg;
+  return 0;
 }
 
 void
--- a/tests/batch/fake_store.h
+++ b/tests/batch/fake_store.h
@@ -7,7 +7,7 @@
 struct fs_store
 {
   struct ba_ask *asked; /* of the last question */
-  int writes, reads;
+  int writes, reads, follows;
   int64_t expected; /* version in the last write's first entry */
 };
 
--- a/tests/batch/test_config.c
+++ b/tests/batch/test_config.c
@@ -93,6 +93,40 @@
   end ();
 }
 
+/* Load: each of many workers reports twice a second.  Pattern: changes are
+   gathered, and asked for a few times a second.  */
+static void
+test_reports_are_gathered (void)
+{
+  enum
+  {
+    SECOND_MS = 1000,
+    EACH_MS = 10,
+    MOST = 5 /* questions a second */
+  };
+  struct po_rows rows = { .result = PO_DONE };
+
+  begin ();
+  batch.now = 1;
+  fo_start (&batch.worker_follow);
+  for (int ms = 0; ms < SECOND_MS; ms += EACH_MS)
+    {
+      struct ba_ask *ask;
+
+      fo_tick (&batch.worker_follow);
+      ask = fs_take ();
+      rows.version++;
+      if (ask)
+        fo_answer (&batch.worker_follow, ask, &rows);
+      g_free (ask);
+      batch.now += EACH_MS;
+    }
+  CU_ASSERT_EQUAL (fs_store.reads, 1);
+  CU_ASSERT (fs_store.follows <= MOST);
+  CU_ASSERT (fs_store.follows >= MOST - 1);
+  end ();
+}
+
 int
 main (void)
 {
@@ -105,6 +139,7 @@
   suite = CU_add_suite ("config", NULL, NULL);
   CU_add_test (suite, "newest", test_newest_stands);
   CU_add_test (suite, "bad", test_bad_one_leaves_the_old);
+  CU_add_test (suite, "reports", test_reports_are_gathered);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
   CU_cleanup_registry ();
--- /dev/null
+++ b/tests/steps/bench_round.c
@@ -0,0 +1,205 @@
+/* Cost of a round of decisions about jobs of steps as the fleet grows: each
+   round takes one new job and the ends of a few runs in.  */
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "skr/base.h"
+#include "skr/steps.h"
+
+enum
+{
+  ROUNDS = 400,
+  SMALL_ROUNDS = 60, /* where a round takes long */
+  ROUND_MS = 20,     /* of the decisions' clock */
+  MAX_ENDS = 4,      /* in a round */
+  DIRTY = 64,
+  CPU_MILLI = 128000, /* of a worker */
+  MEMORY_MB = 262144,
+  ACCELERATORS = 8
+};
+
+struct bench
+{
+  struct sj_cluster *c;
+  GRand *rand;
+  int64_t now;
+  int workers, jobs;
+  GArray *running; /* struct place */
+};
+
+struct place
+{
+  char worker[16];
+  struct sj_run run;
+};
+
+static void
+on_order (void *arg, const struct sj_order *order)
+{
+  struct bench *b = arg;
+  struct place p = { .run = order->run };
+
+  if (order->kind != SJ_START)
+    return;
+  g_strlcpy (p.worker, order->worker, sizeof p.worker);
+  g_array_append_val (b->running, p);
+}
+
+static void
+add_worker (struct bench *b, int n)
+{
+  char id[16], rack[16];
+  struct sj_worker_info info
+      = { .id = id,
+          .life = 1,
+          .service = "s",
+          .kind = "k",
+          .rack = rack,
+          .capacity = { CPU_MILLI, MEMORY_MB, ACCELERATORS } };
+  struct sj_listing empty = { .sent_ms = b->now };
+
+  snprintf (id, sizeof id, "w%d", n);
+  snprintf (rack, sizeof rack, "r%d", n / 8);
+  sj_worker_set (b->c, &info, b->now);
+  sj_worker_reachable (b->c, id, 1);
+  sj_listing_take (b->c, id, &empty, b->now);
+}
+
+static void
+add_job (struct bench *b)
+{
+  struct sj_job *j = g_new0 (struct sj_job, 1);
+  struct sj_step *s = g_new0 (struct sj_step, 1);
+
+  snprintf (j->id, sizeof j->id, "%016x", (unsigned)++b->jobs);
+  j->queue = g_strdup ("q");
+  j->account = g_strdup ("a");
+  j->service = g_strdup ("s");
+  j->payload = g_strdup ("payload");
+  j->priority = g_rand_int_range (b->rand, 0, 3);
+  j->max_attempts = 3;
+  j->stretch = 2;
+  j->target_ms = 1000;
+  j->steps = 1;
+  j->step = s;
+  s->count = g_rand_int_range (b->rand, 4, 17);
+  s->need = (struct sj_need){ g_rand_int_range (b->rand, 2, 40) * 1000,
+                              g_rand_int_range (b->rand, 1, 32) * 1024,
+                              g_rand_int_range (b->rand, 1, 3) };
+  s->estimate_ms = 10000;
+  s->gang = g_rand_int_range (b->rand, 0, 3) == 0;
+  sj_job_add (b->c, j, NULL, 0, b->now);
+}
+
+/* One run ends well; its worker lists only that.  */
+static void
+end_one (struct bench *b)
+{
+  guint i = (guint)g_rand_int_range (b->rand, 0, (gint32)b->running->len);
+  struct place p = g_array_index (b->running, struct place, i);
+  struct sj_listed end
+      = { .run = p.run, .end = SJ_END_DONE, .checkpoint = "" };
+  GArray *left = g_array_new (FALSE, TRUE, sizeof (struct sj_listed));
+  struct sj_listing list = { .sent_ms = b->now, .ended = 1, .end = &end };
+
+  g_array_remove_index_fast (b->running, i);
+  for (guint k = 0; k < b->running->len; k++)
+    {
+      const struct place *q = &g_array_index (b->running, struct place, k);
+      struct sj_listed run
+          = { .run = q->run, .percent = 10, .checkpoint = "" };
+
+      if (!strcmp (q->worker, p.worker))
+        g_array_append_val (left, run);
+    }
+  list.running = (int)left->len;
+  list.run = (struct sj_listed *)(void *)left->data;
+  sj_listing_take (b->c, p.worker, &list, b->now);
+  g_array_free (left, TRUE);
+}
+
+static void
+store (struct bench *b)
+{
+  struct sj_dirty dirty[DIRTY];
+  guint before = b->running->len;
+  int n;
+
+  while ((n = sj_dirty (b->c, dirty, DIRTY)) > 0)
+    {
+      for (int i = 0; i < n; i++)
+        json_decref (dirty[i].record);
+      sj_committed (b->c, 1, b->now);
+    }
+  for (guint i = before; i < b->running->len; i++)
+    {
+      const struct place *p = &g_array_index (b->running, struct place, i);
+
+      sj_start_answered (b->c, p->worker, &p->run, SJ_TAKEN, b->now);
+    }
+}
+
+static int
+by_value (const void *a, const void *b)
+{
+  const gint64 *x = a, *y = b;
+
+  return (*x > *y) - (*x < *y);
+}
+
+/* FILL: jobs to begin with.  */
+static void
+measure (int workers, int fill)
+{
+  struct sj_settings set = { 3, 0 };
+  struct bench b
+      = { .rand = g_rand_new_with_seed (1),
+          .now = 1000,
+          .workers = workers,
+          .running = g_array_new (FALSE, TRUE, sizeof (struct place)) };
+  int rounds = workers > 1000 ? SMALL_ROUNDS : ROUNDS;
+  gint64 *us = g_new (gint64, rounds);
+
+  b.c = sj_new (&set, on_order, &b);
+  sj_set_guarantee (b.c, "a", workers);
+  for (int i = 0; i < workers; i++)
+    add_worker (&b, i);
+  for (int i = 0; i < fill; i++)
+    add_job (&b);
+  sj_decide (b.c, b.now, b.now);
+  store (&b);
+  for (int r = 0; r < rounds; r++)
+    {
+      gint64 begin;
+
+      b.now += ROUND_MS;
+      add_job (&b);
+      for (int e = 0; e < MAX_ENDS && b.running->len > 0; e++)
+        end_one (&b);
+      begin = g_get_monotonic_time ();
+      sj_decide (b.c, b.now, b.now);
+      us[r] = g_get_monotonic_time () - begin;
+      store (&b);
+    }
+  qsort (us, (size_t)rounds, sizeof *us, by_value);
+  printf ("%8d %8d %8u %10.3f %10.3f\n", workers, b.jobs, b.running->len,
+          (double)us[rounds / 2] / 1000, (double)us[rounds - 1] / 1000);
+  sj_free (b.c);
+  g_rand_free (b.rand);
+  g_array_free (b.running, TRUE);
+  g_free (us);
+}
+
+int
+main (void)
+{
+  printf ("%8s %8s %8s %10s %10s\n", "workers", "jobs", "runs", "median ms",
+          "worst ms");
+  measure (48, 40);
+  measure (350, 280);
+  measure (3000, 2400);
+  measure (26000, 20000);
+  return 0;
+}
