Answer those who wait when a VM ends, and mend three data races

(1) A process whose loop has ended still read requests until it exited, and nobody answered them: cut after 0.95 to 1.0 s there, where the exit takes a second. Those waiting for the store at the end of the grace time were left as well. (2) The first request could be handled before the server's handle was set, and would have read through NULL. (3) A reload changed log level and rate under the threads that write lines; (4) a SIGHUP between two looks at its flag was forgotten. Change: the loop's end refuses what is in its ring and all that comes later, with 503, not run; what waits for the store is answered 503, or 504 when a write is on its way. The handle is set before the daemon starts; level, rate and flags are atomic. Test: test_front, end.

--- a/include/skr/serve.h
+++ b/include/skr/serve.h
@@ -63,6 +63,7 @@
   void *arg;
 };
 
+/* *OUT is set before the first request is handled.  */
 int hs_new (struct hs_server **out, const struct hs_config *config);
 int hs_port (const struct hs_server *hs);
 const struct hs_request *hs_request_of (const struct hs_exchange *ex);
--- a/src/base/base.c
+++ b/src/base/base.c
@@ -3,13 +3,15 @@
 #include <pthread.h>
 #include <signal.h>
 #include <sodium.h>
+#include <stdatomic.h>
 #include <string.h>
 #include <time.h>
 #include <unistd.h>
 
 #include "skr/base.h"
 
-static volatile sig_atomic_t stop_flag, reload_flag;
+/* Set by handlers, which may run on any thread.  */
+static atomic_int stop_flag, reload_flag;
 
 const char *
 bs_strerror (int error)
@@ -154,10 +156,7 @@
 int
 bs_reload_wanted (void)
 {
-  int wanted = bs_reload_pending ();
-
-  reload_flag = 0;
-  return wanted;
+  return atomic_exchange (&reload_flag, 0);
 }
 
 int
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -25,8 +25,9 @@
 
 static const char *log_program = "skr";
 static enum output log_output = OUT_PLAIN;
-static enum lg_level log_level = LG_INFO;
-static int to_stdout, log_rate;
+static int to_stdout;
+/* Changed by a reload while other threads write lines.  */
+static atomic_int log_level = LG_INFO, log_rate;
 static atomic_int lines_in_second, lines_dropped;
 static atomic_llong second_began_ms;
 
@@ -86,7 +87,7 @@
 lg_init (const char *program, const char *output, enum lg_level level)
 {
   log_program = program;
-  log_level = level;
+  atomic_store (&log_level, (int)level);
   if (!strcmp (output, "plain"))
     log_output = OUT_PLAIN;
   else if (!strcmp (output, "json"))
@@ -155,8 +156,8 @@
 void
 lg_tune (enum lg_level level, int rate)
 {
-  log_level = level;
-  log_rate = rate;
+  atomic_store (&log_level, (int)level);
+  atomic_store (&log_rate, rate);
 }
 
 /* Whether this second still has room for a line.  */
@@ -169,7 +170,7 @@
 
   if (now - began < SECOND_MS)
     {
-      if (atomic_fetch_add (&lines_in_second, 1) < log_rate)
+      if (atomic_fetch_add (&lines_in_second, 1) < atomic_load (&log_rate))
         return 1;
       atomic_fetch_add (&lines_dropped, 1);
       return 0;
@@ -191,9 +192,9 @@
   GLogField out[MAX_FIELDS + 2];
   char *line;
 
-  if (e->name && e->level > log_level)
+  if (e->name && (int)e->level > atomic_load (&log_level))
     return;
-  if (log_rate && id != LG_LINES_DROPPED && !within_rate ())
+  if (atomic_load (&log_rate) && id != LG_LINES_DROPPED && !within_rate ())
     return;
   if (count > MAX_FIELDS)
     count = MAX_FIELDS;
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -192,7 +192,8 @@
   struct hs_server *front, *ready_server, *metrics_server;
   struct bs_thread thread;
   atomic_int ready, stop;
-  char token[33]; /* names this process's life */
+  atomic_int closed; /* the loop takes no events any more */
+  char token[33];    /* names this process's life */
 
   struct qu_config *config;
   struct ba_follow config_follow, job_follow, worker_follow;
@@ -279,6 +280,8 @@
 /* front.c */
 void fr_handle (void *arg, struct hs_exchange *ex);
 void fr_request (struct batch *b, struct hs_exchange *ex);
+/* For requests that nothing was done for.  */
+void fr_refuse (struct hs_exchange *ex, int status, const char *body);
 void fr_answer (struct batch *b, struct hs_exchange *ex, const char *id,
                 const char *call, int status, const char *body,
                 const char *reason);
@@ -307,6 +310,8 @@
                 const struct vw_job *job, int wait_ms);
 void pe_answer (struct ba_pending *p, struct po_rows *rows);
 void pe_tick (struct batch *b);
+/* Answers all that still wait.  */
+void pe_end (struct batch *b);
 void pe_free (void *pending);
 
 /* holder.c, commit.c, load.c */
--- a/src/batch/front.c
+++ b/src/batch/front.c
@@ -20,6 +20,7 @@
   NOT_FOUND = 404,
   NO_METHOD = 405,
   GONE = 410,
+  TOO_LARGE = 413,
   UNPROCESSABLE = 422,
   UNAVAILABLE = 503
 };
@@ -64,6 +65,17 @@
   hs_answer (ex, &a);
 }
 
+void
+fr_refuse (struct hs_exchange *ex, int status, const char *body)
+{
+  struct hs_answer a = { .status = status,
+                         .body = body,
+                         .content_type = "application/json",
+                         .header = { { "Retry-After", "1" } } };
+
+  hs_answer (ex, &a);
+}
+
 static int
 wait_of (struct hs_exchange *ex)
 {
@@ -247,16 +259,14 @@
   struct batch *b = arg;
   struct ba_event *e;
 
-  if (hs_request_of (ex)->too_large
-      || hs_in_progress (b->front) > b->set->max_requests)
+  if (hs_request_of (ex)->too_large)
     {
-      struct hs_answer a
-          = { .status = hs_request_of (ex)->too_large ? 413 : UNAVAILABLE,
-              .body = "{\"error\":\"not run: too much at once\"}",
-              .content_type = "application/json",
-              .header = { { "Retry-After", "1" } } };
-
-      hs_answer (ex, &a);
+      fr_refuse (ex, TOO_LARGE, "{\"error\":\"not run: too large\"}");
+      return;
+    }
+  if (hs_in_progress (b->front) > b->set->max_requests)
+    {
+      fr_refuse (ex, UNAVAILABLE, "{\"error\":\"not run: too much at once\"}");
       return;
     }
   e = g_new (struct ba_event, 1);
--- a/src/batch/loop.c
+++ b/src/batch/loop.c
@@ -18,24 +18,20 @@
   ROUND_PAUSE = 2,        /* and so many times what the last one took, */
   ROUND_GAP_MAX_MS = 200, /* up to this */
   FOLLOWER_TICK_MS = 80,
-  COUNT_MS = 1000
+  COUNT_MS = 1000,
+  UNAVAILABLE = 503,
+  CLOSE_WAIT_MS = 20 /* for a request that is being handed over */
 };
 
 void
 ba_push (struct batch *b, struct ba_event *e)
 {
-  if (!rg_push (&b->ring, e))
+  if (!atomic_load (&b->closed) && !rg_push (&b->ring, e))
     return;
   /* Only requests can outrun the loop: calls in progress are bounded.  */
   if (e->kind == BA_REQUEST || e->kind == BA_SHOW)
-    {
-      struct hs_answer a = { .status = 503,
-                             .body = "{\"error\":\"not run: overloaded\"}",
-                             .content_type = "application/json",
-                             .header = { { "Retry-After", "1" } } };
-
-      hs_answer (e->u.request, &a);
-    }
+    fr_refuse (e->u.request, UNAVAILABLE,
+               "{\"error\":\"not run: overloaded or stopping\"}");
   g_free (e);
 }
 
@@ -163,6 +159,23 @@
     }
 }
 
+/* From now on nothing is taken in; whoever still waits is told so.  */
+static void
+refuse_left (struct batch *b)
+{
+  void *item;
+
+  atomic_store (&b->closed, 1);
+  while (rg_pop (&b->ring, &item, CLOSE_WAIT_MS) == BS_OK)
+    {
+      struct ba_event *e = item;
+
+      if (e->kind == BA_REQUEST || e->kind == BA_SHOW)
+        ba_push (b, e);
+    }
+  pe_end (b);
+}
+
 static void *
 loop_main (void *arg)
 {
@@ -176,6 +189,7 @@
       tick (b);
       b->tick_took_ms = bs_now_ms (&b->clock) - b->ticked_ms;
     }
+  refuse_left (b);
   return NULL;
 }
 
--- a/src/batch/pending.c
+++ b/src/batch/pending.c
@@ -272,3 +272,17 @@
         send (p);
     }
 }
+
+void
+pe_end (struct batch *b)
+{
+  while (b->pending->len > 0)
+    {
+      struct ba_pending *p
+          = g_ptr_array_index (b->pending, b->pending->len - 1);
+
+      /* What is on its way to the store may yet be done.  */
+      p->maybe_done |= p->in_flight && p->purpose != BA_LOOKUP;
+      give_up (p);
+    }
+}
--- a/src/net/serve.c
+++ b/src/net/serve.c
@@ -233,15 +233,17 @@
   if (!hs)
     return HS_ENOMEM;
   hs->config = *config;
+  /* The first request may be handled before the daemon's start returns.  */
+  *out = hs;
   hs->daemon = start (hs, &address);
   if (!hs->daemon)
     {
+      *out = NULL;
       free (hs);
       return HS_EBIND;
     }
   info = MHD_get_daemon_info (hs->daemon, MHD_DAEMON_INFO_BIND_PORT);
   hs->port = info ? info->port : ntohs (address.sin_port);
-  *out = hs;
   return HS_OK;
 }
 
--- a/tests/batch/test_front.c
+++ b/tests/batch/test_front.c
@@ -233,6 +233,25 @@
   end ();
 }
 
+/* A VM that ends tells those who wait what it knows of their requests.  */
+static void
+test_the_end_answers_all (void)
+{
+  begin ();
+  submit ();
+  pe_end (&batch);
+  CU_ASSERT_EQUAL (ex.answers, 1);
+  CU_ASSERT_EQUAL (ex.status, 504);
+  CU_ASSERT_EQUAL (batch.pending->len, 0);
+  submit ();
+  store_says (PO_NOT_DONE);
+  CU_ASSERT_EQUAL (ex.answers, 0);
+  pe_end (&batch);
+  CU_ASSERT_EQUAL (ex.answers, 1);
+  CU_ASSERT_EQUAL (ex.status, 503);
+  end ();
+}
+
 int
 main (void)
 {
@@ -250,6 +269,7 @@
   CU_add_test (suite, "not run", test_not_run_is_said_only_when_true);
   CU_add_test (suite, "lookup", test_unknown_job_is_looked_up);
   CU_add_test (suite, "cancel", test_cancel_is_acknowledged_once_stored);
+  CU_add_test (suite, "end", test_the_end_answers_all);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
   CU_cleanup_registry ();
--- a/tests/soak/clients.c
+++ b/tests/soak/clients.c
@@ -217,6 +217,7 @@
           int yes = is_ready (client, s, n);
 
           sk_lock (s);
+          s->vm[n].has_begun |= yes;
           s->vm[n].missed = yes ? 0 : s->vm[n].missed + 1;
           if (yes || s->vm[n].missed >= READY_MISSES)
             s->vm[n].ready = yes;
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -97,22 +97,25 @@
   bk_check_end (&s->book);
 }
 
+/* VMs that never began are not stopped, but killed in the end.  */
 static void
 stop_all (struct soak *s)
 {
+  int64_t until = sf_now () + 2 * (int64_t)SK_GRACE_MS;
   int left = 1;
 
-  for (int n = 0; n < s->vms; n++)
-    sk_vm_signal (s, n, SIGTERM);
   while (left)
     {
-      sk_vm_watch (s);
       left = 0;
-      sk_lock (s);
       for (int n = 0; n < s->vms; n++)
-        left += s->vm[n].up;
-      sk_unlock (s);
+        {
+          sk_vm_signal (s, n, sf_now () < until ? SIGTERM : SIGKILL);
+          sk_lock (s);
+          left += s->vm[n].up;
+          sk_unlock (s);
+        }
       usleep (POLL_MS * 1000);
+      sk_vm_watch (s);
     }
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -31,7 +31,7 @@
   int up, frozen, stopping;
   int ready;             /* takes new connections */
   int missed;            /* questions of readiness in a row */
-  int64_t begun_ms;      /* it was started then */
+  int has_begun;         /* was ready in this incarnation */
   int64_t stop_ms;       /* SIGTERM was sent then */
   int64_t trouble_ms;    /* an unplanned fault holds until then */
   int64_t shown_version; /* of the configuration, in this incarnation */
--- a/tests/soak/vms.c
+++ b/tests/soak/vms.c
@@ -16,8 +16,7 @@
 enum
 {
   MAX_ARGS = 12,
-  ARG_SIZE = 400,
-  BEGIN_MS = 500 /* a new process has installed its handlers by then */
+  ARG_SIZE = 400
 };
 
 void
@@ -93,7 +92,7 @@
   vm->up = !error;
   vm->frozen = vm->stopping = vm->ready = vm->missed = 0;
   vm->shown_version = 0;
-  vm->begun_ms = sf_now ();
+  vm->has_begun = 0;
   vm->incarnation++;
   sk_unlock (s);
   if (error)
@@ -134,7 +133,7 @@
   sk_unlock (s);
 }
 
-/* A process takes these once it has begun to run.  */
+/* A process takes these once it has installed its handlers.  */
 static int
 is_polite (int signal)
 {
@@ -147,7 +146,7 @@
   struct sk_vm *vm = &s->vm[n];
 
   sk_lock (s);
-  if (vm->up && !(is_polite (signal) && sf_now () - vm->begun_ms < BEGIN_MS))
+  if (vm->up && (vm->has_begun || !is_polite (signal)))
     {
       if (signal == SIGTERM && !vm->stopping)
         {
