Send a start again that was not answered

Change: a start is repeatable, so it is sent up to three times, 0.3 s each, with one expiry for all, while the decisions still want it. Test: test_workers, again and not for ever; pattern retry of a repeatable call within one deadline.

--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -228,6 +228,9 @@
 void sj_start_answered (struct sj_cluster *c, const char *worker,
                         const struct sj_run *run, enum sj_answer answer,
                         int64_t now);
+/* Whether the start has no answer yet, and no stop was ordered since.  */
+int sj_start_wanted (struct sj_cluster *c, const char *worker,
+                     const struct sj_run *run);
 void sj_stop_answered (struct sj_cluster *c, const char *worker,
                        const struct sj_run *run, enum sj_answer answer,
                        int64_t now);
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -76,6 +76,10 @@
   struct sj_run run;
   enum sj_cause cause;
   int64_t sent_ms;
+  /* Of a start, which may be sent again.  */
+  char *payload, *checkpoint;
+  int64_t until_ms; /* on the worker's clock */
+  int tries;
 };
 
 struct ba_event
@@ -329,6 +333,7 @@
 void wk_row (struct batch *b, const struct po_row *row, int generation);
 void wk_whole (struct batch *b, int generation);
 void wk_tick (struct batch *b);
+/* Takes ORDER over.  */
 void wk_order_answered (struct batch *b, struct ba_order *order,
                         const struct po_order_answer *answer);
 void wk_listed (struct batch *b, struct ba_order *order,
--- a/src/batch/loop.c
+++ b/src/batch/loop.c
@@ -78,7 +78,6 @@
       break;
     case BA_ORDER:
       wk_order_answered (b, e->u.order.order, &e->u.order.answer);
-      wk_free_order (e->u.order.order);
       break;
     case BA_LISTING:
       wk_listed (b, e->u.listing.order, e->u.listing.listing);
--- a/src/batch/orders.c
+++ b/src/batch/orders.c
@@ -3,14 +3,19 @@
 
 enum
 {
-  START_LEASE_MS = 2500, /* a late start is refused after this */
-  ORDER_TIMEOUT_MS = 700
+  START_LEASE_MS = 2500,  /* a late start is refused after this */
+  START_TIMEOUT_MS = 300, /* workers answer within a few ms; a start that was
+                             not answered is sent again: it may be repeated */
+  START_TRIES = 3,        /* then its unit is given up */
+  STOP_TIMEOUT_MS = 700
 };
 
 void
 wk_free_order (struct ba_order *order)
 {
   g_free (order->worker);
+  g_free (order->payload);
+  g_free (order->checkpoint);
   g_free (order);
 }
 
@@ -38,6 +43,22 @@
   ba_push (o->b, e);
 }
 
+static int
+send_start (struct batch *b, struct ba_worker *w, struct ba_order *o)
+{
+  struct po_target t = { w->address, w->id, b->lease.epoch };
+  struct sj_order order = { .kind = SJ_START,
+                            .worker = o->worker,
+                            .run = o->run,
+                            .payload = o->payload,
+                            .checkpoint = o->checkpoint };
+
+  o->tries++;
+  co_add (b, b->count.starts, 1);
+  return po_start (&b->port, &t, &order, o->until_ms, START_TIMEOUT_MS,
+                   on_order, o);
+}
+
 static int
 send_order (struct batch *b, struct ba_worker *w, struct ba_order *o,
             const struct sj_order *order)
@@ -49,15 +70,27 @@
   if (order->kind == SJ_STOP)
     {
       co_add (b, b->count.stops, 1);
-      return po_stop (&b->port, &t, &order->run, ORDER_TIMEOUT_MS, on_order,
-                      o);
+      return po_stop (&b->port, &t, &order->run, STOP_TIMEOUT_MS, on_order, o);
     }
-  co_add (b, b->count.starts, 1);
+  o->payload = g_strdup (order->payload);
+  o->checkpoint = g_strdup (order->checkpoint);
+  o->until_ms = wk_clock (b, w) + START_LEASE_MS;
   sj_worker_leased (b->cluster, w->id, wk_surely_over (b, START_LEASE_MS));
   if (!w->holding)
     w->next_hold_ms = b->now;
-  return po_start (&b->port, &t, order, wk_clock (b, w) + START_LEASE_MS,
-                   ORDER_TIMEOUT_MS, on_order, o);
+  return send_start (b, w, o);
+}
+
+/* Sends a start again that was not answered, if it is still wanted.  All
+   tries expire at the same time.  Returns 1 when it was sent.  */
+static int
+sent_again (struct batch *b, struct ba_worker *w, struct ba_order *o,
+            enum sj_answer answer)
+{
+  return o->kind == SJ_START && answer == SJ_UNKNOWN && w
+         && o->tries < START_TRIES && le_valid (&b->lease, b->now)
+         && sj_start_wanted (b->cluster, o->worker, &o->run)
+         && !send_start (b, w, o);
 }
 
 static void
@@ -106,15 +139,10 @@
     on_order (o, &unsent);
 }
 
-void
-wk_order_answered (struct batch *b, struct ba_order *o,
-                   const struct po_order_answer *a)
+static void
+take_answer (struct batch *b, struct ba_worker *w, const struct ba_order *o,
+             const struct po_order_answer *a)
 {
-  struct ba_worker *w = wk_find (b, o->worker);
-
-  if (o->serial != b->turn)
-    return;
-  log_order (b, o, a);
   if (wk_check_fence (b, a))
     return;
   if (w)
@@ -126,3 +154,19 @@
   else
     sj_stop_answered (b->cluster, o->worker, &o->run, a->answer, b->now);
 }
+
+void
+wk_order_answered (struct batch *b, struct ba_order *o,
+                   const struct po_order_answer *a)
+{
+  struct ba_worker *w = wk_find (b, o->worker);
+
+  if (o->serial == b->turn)
+    {
+      log_order (b, o, a);
+      if (sent_again (b, w, o, a->answer))
+        return;
+      take_answer (b, w, o, a);
+    }
+  wk_free_order (o);
+}
--- a/src/steps/run.c
+++ b/src/steps/run.c
@@ -294,6 +294,16 @@
     }
 }
 
+int
+sj_start_wanted (struct sj_cluster *c, const char *worker,
+                 const struct sj_run *run)
+{
+  struct worker *w = wo_find (c, worker);
+  const struct member *m = w ? ru_find (w, run) : NULL;
+
+  return m && m->state == MB_ORDERED && m->unit->state == UN_ACTIVE;
+}
+
 void
 sj_stop_answered (struct sj_cluster *c, const char *worker,
                   const struct sj_run *run, enum sj_answer answer, int64_t now)
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -13,6 +13,8 @@
 /* The last hold that was sent.  */
 static int64_t hold_seen, hold_until;
 static int holds, starts;
+static int unanswered; /* starts to come that get no answer */
+static int64_t start_until[8];
 static po_listing_done *hold_done;
 static void *hold_arg;
 
@@ -39,14 +41,20 @@
           po_order_done *done, void *arg)
 {
   struct po_order_answer taken = { .answer = SJ_TAKEN, .clock_ms = 100 };
+  struct po_order_answer lost = { .answer = SJ_UNKNOWN };
 
   (void)port;
   (void)target;
   (void)order;
-  (void)until_ms;
   (void)timeout_ms;
-  starts++;
-  done (arg, &taken);
+  start_until[starts++ % 8] = until_ms;
+  if (unanswered > 0)
+    {
+      unanswered--;
+      done (arg, &lost);
+    }
+  else
+    done (arg, &taken);
   return 0;
 }
 
@@ -80,10 +88,7 @@
       struct ba_event *e = item;
 
       if (e->kind == BA_ORDER)
-        {
-          wk_order_answered (&batch, e->u.order.order, &e->u.order.answer);
-          wk_free_order (e->u.order.order);
-        }
+        wk_order_answered (&batch, e->u.order.order, &e->u.order.answer);
       else
         {
           wk_listed (&batch, e->u.listing.order, e->u.listing.listing);
@@ -196,6 +201,14 @@
   st_fini (&batch.stats);
 }
 
+static int
+is_silent (void)
+{
+  const struct ba_worker *w = g_hash_table_lookup (batch.workers, "i-1");
+
+  return w->failures > 0;
+}
+
 static void
 test_busy_worker_is_held (void)
 {
@@ -207,6 +220,32 @@
   end ();
 }
 
+/* Load: a worker leaves half of its orders unanswered.  Pattern: retry of a
+   repeatable call within one deadline.  */
+static void
+test_start_without_an_answer_is_sent_again (void)
+{
+  unanswered = 2;
+  begin ();
+  CU_ASSERT_EQUAL (starts, 3);
+  CU_ASSERT_EQUAL (start_until[1], start_until[0]);
+  CU_ASSERT_EQUAL (start_until[2], start_until[0]);
+  CU_ASSERT (sj_worker_busy (batch.cluster, "i-1"));
+  CU_ASSERT_FALSE (is_silent ());
+  end ();
+}
+
+static void
+test_start_is_not_sent_for_ever (void)
+{
+  unanswered = 100;
+  begin ();
+  CU_ASSERT_EQUAL (starts, 3);
+  CU_ASSERT (is_silent ());
+  unanswered = 0;
+  end ();
+}
+
 /* Else its runs would count as running for good.  */
 static void
 test_silent_worker_is_asked_without_a_lease (void)
@@ -336,6 +375,8 @@
   CU_initialize_registry ();
   suite = CU_add_suite ("workers", NULL, NULL);
   CU_add_test (suite, "held", test_busy_worker_is_held);
+  CU_add_test (suite, "again", test_start_without_an_answer_is_sent_again);
+  CU_add_test (suite, "not for ever", test_start_is_not_sent_for_ever);
   CU_add_test (suite, "silent", test_silent_worker_is_asked_without_a_lease);
   CU_add_test (suite, "ends", test_end_is_let_go_only_once_stored);
   CU_add_test (suite, "listed again",
