Let only a new incarnation's lists tell which runs are gone

Change: a new life empties nothing; what was answered before its list was asked for and is not on the list is gone, as in any life. Stops need no clock. Test: test_workers, next life (red before) and life before.

--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -202,8 +202,9 @@
 /* The list no longer names the worker.  It may run on until its lease
    ends.  */
 void sj_worker_unlisted (struct sj_cluster *c, const char *id);
-/* Proof that the incarnation runs nothing any more.  */
-void sj_worker_dead (struct sj_cluster *c, const char *id, int64_t now);
+/* Another incarnation answers under the id.  What its lists lack is gone.  */
+void sj_worker_reborn (struct sj_cluster *c, const char *id, int64_t life,
+                       int64_t now);
 /* The worker was told a lease that has surely ended at UNTIL_MS.  */
 void sj_worker_leased (struct sj_cluster *c, const char *id, int64_t until_ms);
 /* Whether orders to it are answered.  */
--- a/src/batch/hold.c
+++ b/src/batch/hold.c
@@ -56,7 +56,7 @@
   if (w->life)
     {
       wk_begin_life (b, w, listing->life);
-      sj_worker_dead (b->cluster, w->id, b->now);
+      sj_worker_reborn (b->cluster, w->id, w->life, b->now);
       return 1;
     }
   w->life = listing->life;
--- a/src/batch/orders.c
+++ b/src/batch/orders.c
@@ -65,7 +65,8 @@
 {
   struct po_target t = { w->address, w->id, b->lease.epoch };
 
-  if (!le_valid (&b->lease, b->now) || !w->clock_at_ms)
+  if (!le_valid (&b->lease, b->now)
+      || (order->kind == SJ_START && !w->clock_at_ms))
     return PO_EINVAL;
   if (order->kind == SJ_STOP)
     {
--- a/src/steps/worker.c
+++ b/src/steps/worker.c
@@ -80,19 +80,20 @@
   return w;
 }
 
-/* Another incarnation holds nothing of the one before.  */
+/* Another incarnation holds nothing of the one before.  But orders that were
+   sent in the belief that it is still the old one may be its own already, so
+   only its lists tell which runs are gone.  */
 static void
 begin_life (struct sj_cluster *c, struct worker *w, int64_t life, int64_t now)
 {
-  empty_worker (c, w, now);
   w->life = life;
   w->surveyed = 0;
   w->reachable = 1;
   w->failures = 0;
   w->suspect_until_ms = 0;
   w->slow_ms = 0;
-  w->lease_until_ms = 0;
   w->added_ms = now;
+  c->changed = 1;
 }
 
 void
@@ -132,14 +133,13 @@
 }
 
 void
-sj_worker_dead (struct sj_cluster *c, const char *id, int64_t now)
+sj_worker_reborn (struct sj_cluster *c, const char *id, int64_t life,
+                  int64_t now)
 {
   struct worker *w = wo_find (c, id);
 
-  if (!w)
-    return;
-  empty_worker (c, w, now);
-  w->listed = 0;
+  if (w)
+    begin_life (c, w, life, now);
 }
 
 void
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -222,6 +222,59 @@
   return w->failures > 0;
 }
 
+static void
+list_of_life (int64_t life, const struct sj_listed *run)
+{
+  struct po_listing *l;
+
+  if (!hold_arg)
+    return;
+  l = g_new0 (struct po_listing, 1);
+  l->answer = (struct po_order_answer){ .answer = SJ_TAKEN, .clock_ms = 5 };
+  l->life = life;
+  l->list = (struct sj_listing){ .running = run != NULL, .run = run };
+  hold_done (hold_arg, l);
+  hold_arg = NULL;
+  take_events ();
+}
+
+/* The worker came back under its id before the start was sent: the start is
+   the new incarnation's, which lists it.  */
+static void
+test_start_that_met_the_next_life_stands (void)
+{
+  struct sj_listed run = { .run = { .job = "00000000000000a1", .number = 1 },
+                           .checkpoint = "" };
+
+  begin ();
+  for (int i = 0; i < 8; i++)
+    {
+      pass (10);
+      list_of_life (8, &run);
+      sj_decide (batch.cluster, batch.now, batch.now);
+      store ();
+    }
+  CU_ASSERT_EQUAL (starts, 1);
+  CU_ASSERT (sj_worker_busy (batch.cluster, "i-1"));
+  end ();
+}
+
+/* The start was the old incarnation's.  */
+static void
+test_run_of_the_life_before_is_gone (void)
+{
+  begin ();
+  for (int i = 0; i < 8 && starts < 2; i++)
+    {
+      pass (10);
+      list_of_life (8, NULL);
+      sj_decide (batch.cluster, batch.now, batch.now);
+      store ();
+    }
+  CU_ASSERT_EQUAL (starts, 2);
+  end ();
+}
+
 static void
 test_busy_worker_is_held (void)
 {
@@ -417,6 +470,8 @@
   CU_initialize_registry ();
   suite = CU_add_suite ("workers", NULL, NULL);
   CU_add_test (suite, "held", test_busy_worker_is_held);
+  CU_add_test (suite, "next life", test_start_that_met_the_next_life_stands);
+  CU_add_test (suite, "life before", test_run_of_the_life_before_is_gone);
   CU_add_test (suite, "again", test_start_without_an_answer_is_sent_again);
   CU_add_test (suite, "second refused",
                test_refusal_of_a_second_try_proves_nothing);
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -116,6 +116,15 @@
     atomic_fetch_add (&px_of_worker (&s->proxy, vm, w)->resets, 1);
 }
 
+/* The connections of a worker end with it.  */
+static void
+kill_worker (struct soak *s, int worker)
+{
+  sf_worker_kill (&s->farm, worker);
+  for (int vm = 0; vm < s->vms; vm++)
+    atomic_fetch_add (&px_of_worker (&s->proxy, vm, worker)->resets, 1);
+}
+
 static void
 set_store (struct soak *s, enum sf_store_fault fault)
 {
@@ -200,7 +209,7 @@
     {
     case CRASH_WORKER:
     case REBORN_WORKER:
-      sf_worker_kill (&s->farm, h->worker);
+      kill_worker (s, h->worker);
       break;
     case LATE_WORKER:
       sf_worker_fault (&s->farm, h->worker, 0, LATE_MS);
@@ -267,9 +276,11 @@
       break;
     case CRASH_WORKER:
     case LEAVING_WORKER:
+      kill_worker (s, h->worker);
       sf_worker_start (&s->farm, h->worker, 1);
       break;
     case REBORN_WORKER:
+      kill_worker (s, h->worker);
       sf_worker_start (&s->farm, h->worker, 0);
       break;
     case LATE_WORKER:
