Judge a VM's going back by when the question was sent

Change: a breach only for questions sent 250 ms or more after the newer version was shown, as the users' rule has it.

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -18,6 +18,8 @@
   SK_MAX_CLIENTS = 64,
   SK_GRACE_MS = 6000,     /* from SIGTERM to SIGKILL */
   SK_TOUCH_MS = 3000,     /* after a fault a VM is in touch again */
+  SK_ROLLBACK_MS = 250,   /* a question sent this long after a VM showed a
+                             version is not answered by an older one */
   SK_CONFIG_MS = 2000,    /* a change is in force everywhere */
   SK_REVOKE_MS = 5000,    /* no VM takes a removed key */
   SK_LOSS_SLACK_MS = 200, /* a connection that ends sooner than this after
@@ -35,6 +37,7 @@
   int64_t stop_ms;       /* SIGTERM was sent then */
   int64_t trouble_ms;    /* an unplanned fault holds until then */
   int64_t shown_version; /* of the configuration, in this incarnation */
+  int64_t shown_ms;      /* and when it was shown first */
   int incarnation;
 };
 
