Read once more: one piece for racks, what is left of a run, and refusals

The racks that a unit may be bound to were listed twice (preempt.c, keep.c), what is left of a run was worked out in four places, an event that the loop does not take was refused by pushing it again, and skr batch had an exchange of its own beside sk_exchange. Names of ends belong to the product (sj_end_name). Two fields of an order's answer that nobody read, and three functions of one file in its header, are gone. Behaviour: as before.

--- a/include/skr/port.h
+++ b/include/skr/port.h
@@ -125,8 +125,6 @@
 {
   enum sj_answer answer;
   int fenced;       /* a higher token was seen there */
-  int other_life;   /* another incarnation answers at the address */
-  int sick;         /* the worker says that it is not healthy */
   long status;      /* HTTP status, 0 without an answer */
   char reason[24];  /* the worker's word, or "" */
   int64_t clock_ms; /* the worker's steady clock; 0 unknown */
--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -162,6 +162,8 @@
   SJ_END_ALONE   /* waited too long for the gang's other members */
 };
 
+const char *sj_end_name (enum sj_end end);
+
 struct sj_listed
 {
   const char *checkpoint; /* or "" */
--- a/src/batch/hold.c
+++ b/src/batch/hold.c
@@ -30,14 +30,13 @@
 static void
 log_end (struct batch *b, const struct ba_worker *w, const struct sj_listed *e)
 {
-  static const char *const names[]
-      = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
-  struct lg_field f[] = {
-    lg_str ("id", e->run.job),     lg_int ("occurrence", e->run.occurrence),
-    lg_int ("step", e->run.step),  lg_int ("task", e->run.index),
-    lg_int ("run", e->run.number), lg_str ("worker", w->id),
-    lg_str ("end", names[e->end])
-  };
+  struct lg_field f[] = { lg_str ("id", e->run.job),
+                          lg_int ("occurrence", e->run.occurrence),
+                          lg_int ("step", e->run.step),
+                          lg_int ("task", e->run.index),
+                          lg_int ("run", e->run.number),
+                          lg_str ("worker", w->id),
+                          lg_str ("end", sj_end_name (e->end)) };
 
   lg_log (LG_RUN_ENDED, 7, f);
   co_add (b, b->count.ends, 1);
--- a/src/batch/loop.c
+++ b/src/batch/loop.c
@@ -23,18 +23,24 @@
   CLOSE_WAIT_MS = 20 /* for a request that is being handed over */
 };
 
-void
-ba_push (struct batch *b, struct ba_event *e)
+/* An event that the loop does not take.  Only requests can outrun it: calls
+   in progress are bounded.  */
+static void
+refuse (struct ba_event *e)
 {
-  if (!atomic_load (&b->closed) && !rg_push (&b->ring, e))
-    return;
-  /* Only requests can outrun the loop: calls in progress are bounded.  */
   if (e->kind == BA_REQUEST || e->kind == BA_SHOW)
     fr_refuse (e->u.request, UNAVAILABLE,
                "{\"error\":\"not run: overloaded or stopping\"}");
   g_free (e);
 }
 
+void
+ba_push (struct batch *b, struct ba_event *e)
+{
+  if (atomic_load (&b->closed) || rg_push (&b->ring, e))
+    refuse (e);
+}
+
 static void
 rows_event (struct batch *b, struct ba_ask *ask, struct po_rows *rows)
 {
@@ -166,12 +172,7 @@
 
   atomic_store (&b->closed, 1);
   while (rg_pop (&b->ring, &item, CLOSE_WAIT_MS) == BS_OK)
-    {
-      struct ba_event *e = item;
-
-      if (e->kind == BA_REQUEST || e->kind == BA_SHOW)
-        ba_push (b, e);
-    }
+    refuse (item);
   pe_end (b);
 }
 
--- a/src/cli/batch.c
+++ b/src/cli/batch.c
@@ -5,12 +5,6 @@
 
 #include "cli/cli.h"
 
-enum
-{
-  ANSWER_SIZE = 65536, /* bytes */
-  STATUS_OK = 200
-};
-
 static const char *const status_names[]
     = { "address",       "vm",          "phase", "epoch", "config_version",
         "config_age_ms", "jobs_age_ms", "store", "jobs",  "waiting",
@@ -19,25 +13,16 @@
     = { "address",       "vm",          "state", "queue", "account",
         "cancel_wanted", "jobs_age_ms", NULL };
 
-/* The answer of the VM at ADDRESS to PATH, or NULL.  */
-static json_t *
-ask (struct sk_session *s, const char *address, const char *path)
+/* What the VM at ADDRESS answers to PATH.  Its metrics address takes neither
+   a key nor TLS.  */
+static struct sk_reply
+ask (const struct sk_session *s, const char *address, const char *path)
 {
-  char *url = g_strconcat ("http://", address, path, NULL);
-  char *buf = g_malloc (ANSWER_SIZE);
-  struct hc_request r
-      = { .method = "GET", .url = url, .timeout_ms = (int)s->set.timeout_ms };
-  struct hc_answer a = { .end = HC_NOT_SENT };
-  json_t *o = NULL;
+  struct sk_session one = *s;
 
-  if (hc_call (s->hc, &r, &a, buf, ANSWER_SIZE) == HC_OK
-      && a.end == HC_ANSWERED)
-    o = json_loads (buf, 0, NULL);
-  if (o && a.status != STATUS_OK)
-    json_object_clear (o);
-  g_free (buf);
-  g_free (url);
-  return o;
+  one.set.entry = address;
+  one.set.key = one.set.ca = "";
+  return sk_exchange (&one, "GET", path, NULL, NULL, -1);
 }
 
 /* Asks every VM; those that do not answer have a row without fields.  */
@@ -50,14 +35,15 @@
 
   for (int i = 0; i < count; i++)
     {
-      json_t *o = ask (s, address[i], path);
+      struct sk_reply r = ask (s, address[i], path);
+      int has = r.exit == SK_OK && json_is_object (r.body);
+      json_t *o = has ? json_incref (r.body) : json_object ();
 
-      answers += o != NULL;
-      known += json_object_size (o) > 0;
-      if (!o)
-        o = json_object ();
+      answers += r.body != NULL;
+      known += has;
       json_object_set_new (o, "address", json_string (address[i]));
       json_array_append_new (rows, o);
+      sk_reply_fini (&r);
     }
   if (s->set.json)
     sk_print_json (rows);
--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -326,7 +326,7 @@
 
       if (m->state != MB_RUNNING || !m->worker->draining)
         continue;
-      left = un_step (u)->estimate_ms * (100 - m->percent) / 100;
+      left = he_left_ms (un_step (u)->estimate_ms, m);
       if (!un_step (u)->lasts && now + left <= m->worker->drain_end_ms)
         continue;
       ru_abort (c, u, SJ_LEAVING, now);
--- a/src/steps/health.c
+++ b/src/steps/health.c
@@ -68,6 +68,12 @@
   return u->far ? ms * c->set.far_factor : ms;
 }
 
+int64_t
+he_left_ms (int64_t run_ms, const struct member *m)
+{
+  return run_ms * (100 - m->percent) / 100;
+}
+
 int64_t
 he_run_ms (const struct sj_cluster *c, const struct member *m)
 {
@@ -184,7 +190,7 @@
 static int64_t
 left_here (int64_t run_ms, const struct member *m, int pace)
 {
-  int64_t left = run_ms * (100 - m->percent) / 100;
+  int64_t left = he_left_ms (run_ms, m);
   int64_t slow_part = SLOW_LASTS_MS * pace / 100;
 
   if (slow_part > left)
@@ -196,7 +202,7 @@
 left_elsewhere (int64_t run_ms, const struct member *m)
 {
   if (un_step (m->unit)->saves)
-    return MOVE_MS + run_ms * (100 - m->percent) / 100;
+    return MOVE_MS + he_left_ms (run_ms, m);
   return MOVE_MS + run_ms;
 }
 
--- a/src/steps/job.c
+++ b/src/steps/job.c
@@ -22,8 +22,8 @@
   return g_hash_table_lookup (c->jobs, id);
 }
 
-void
-un_free (void *unit)
+static void
+free_unit (void *unit)
 {
   struct unit *u = unit;
 
@@ -75,8 +75,8 @@
   return j->spec->times > 0 ? j->spec->times : 1;
 }
 
-struct occurrence *
-jb_occurrence (struct job *j, int number)
+static struct occurrence *
+find_occurrence (struct job *j, int number)
 {
   for (guint i = 0; i < j->occurrence->len; i++)
     {
@@ -123,9 +123,9 @@
   return 1;
 }
 
-void
-jb_expand (struct sj_cluster *c, struct job *j, struct occurrence *o,
-           int64_t now)
+/* Makes the units of steps whose turn has come.  */
+static void
+expand (struct sj_cluster *c, struct job *j, struct occurrence *o, int64_t now)
 {
   for (int i = 0; i < j->spec->steps; i++)
     if (o->step_left[i] < 0 && turn_has_come (j, o, i))
@@ -157,7 +157,7 @@
              || wall_ms >= j->spec->first_due_ms
                                + j->next_occurrence * j->spec->interval_ms))
     {
-      jb_expand (c, j, jb_open (j, j->next_occurrence), now);
+      expand (c, j, jb_open (j, j->next_occurrence), now);
       j->next_occurrence++;
     }
 }
@@ -177,7 +177,7 @@
 jb_unit_done (struct sj_cluster *c, struct unit *u, int64_t now)
 {
   struct job *j = u->job;
-  struct occurrence *o = jb_occurrence (j, u->occurrence);
+  struct occurrence *o = find_occurrence (j, u->occurrence);
 
   u->state = UN_DONE;
   jb_mark (j);
@@ -189,7 +189,7 @@
   if (--o->steps_left == 0)
     end_occurrence (c, j, o, now);
   else
-    jb_expand (c, j, o, now);
+    expand (c, j, o, now);
 }
 
 void
@@ -242,7 +242,7 @@
   j->spec = spec;
   j->accepted_ms = now - waited_ms;
   j->occurrence = g_ptr_array_new_with_free_func (free_occurrence);
-  j->unit = g_ptr_array_new_with_free_func (un_free);
+  j->unit = g_ptr_array_new_with_free_func (free_unit);
   measure (j);
   c->changed = 1;
   if (record && rc_read (c, j, record, now))
--- a/src/steps/json.c
+++ b/src/steps/json.c
@@ -31,6 +31,15 @@
   return names[cause];
 }
 
+const char *
+sj_end_name (enum sj_end end)
+{
+  static const char *const names[]
+      = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
+
+  return names[end];
+}
+
 static const char *const state_names[]
     = { "queued", "running", "completed", "failed", "cancelled" };
 
--- a/src/steps/keep.c
+++ b/src/steps/keep.c
@@ -55,8 +55,7 @@
     case MB_STOPPING:
       return STOPPING_MS;
     case MB_RUNNING:
-      return MAX (
-          run_ms * (100 - m->percent) / 100 - (c->now - m->last_listed_ms), 0);
+      return MAX (he_left_ms (run_ms, m) - (c->now - m->last_listed_ms), 0);
     case MB_PLANNED:
     case MB_ORDERED:
     case MB_ENDED:
@@ -88,10 +87,9 @@
 {
   GArray *ends = list_ends (c, w);
   struct sj_need need = nd_of_step (un_step (u)), room = w->free;
-  int limit = pl_limit (u), had;
+  int limit = pl_limit (u), had = 0;
 
   nd_sub (&room, &w->kept);
-  had = 0;
   for (guint i = 0; i <= ends->len; i++)
     {
       struct opening o = { w, 0 };
@@ -140,32 +138,26 @@
 static GArray *
 best_openings (const struct sj_cluster *c, const struct unit *u, int tasks)
 {
-  GHashTable *seen;
+  GPtrArray *racks;
   GArray *best = NULL;
 
   if (!pl_is_bound (u))
     return openings_in (c, u, NULL);
-  seen = g_hash_table_new (g_str_hash, g_str_equal);
-  for (guint i = 0; i < c->worker_list->len; i++)
+  racks = pl_racks (c, u);
+  for (guint i = 0; i < racks->len; i++)
     {
-      const struct worker *w = g_ptr_array_index (c->worker_list, i);
-      const char *data = un_step (u)->data_rack;
-      GArray *here;
-
-      if (!w->rack || (data && strcmp (data, w->rack) != 0)
-          || !g_hash_table_add (seen, w->rack))
-        continue;
-      here = openings_in (c, u, w->rack);
+      GArray *here = openings_in (c, u, g_ptr_array_index (racks, i));
+
       if (best && start_ms (best, tasks) <= start_ms (here, tasks))
-        g_array_free (here, TRUE);
-      else
         {
-          if (best)
-            g_array_free (best, TRUE);
-          best = here;
+          g_array_free (here, TRUE);
+          continue;
         }
+      if (best)
+        g_array_free (best, TRUE);
+      best = here;
     }
-  g_hash_table_destroy (seen);
+  g_ptr_array_free (racks, TRUE);
   return best;
 }
 
--- a/src/steps/place.c
+++ b/src/steps/place.c
@@ -302,6 +302,26 @@
   return could;
 }
 
+GPtrArray *
+pl_racks (const struct sj_cluster *c, const struct unit *u)
+{
+  const char *data = un_step (u)->data_rack;
+  GHashTable *seen = g_hash_table_new (g_str_hash, g_str_equal);
+  GPtrArray *racks = g_ptr_array_new ();
+
+  if (data)
+    g_ptr_array_add (racks, (gpointer)(uintptr_t)data);
+  for (guint i = 0; i < c->worker_list->len && !data; i++)
+    {
+      const struct worker *w = g_ptr_array_index (c->worker_list, i);
+
+      if (w->rack && g_hash_table_add (seen, w->rack))
+        g_ptr_array_add (racks, w->rack);
+    }
+  g_hash_table_destroy (seen);
+  return racks;
+}
+
 void
 pl_reserve (const struct unit *u, struct worker **place)
 {
--- a/src/steps/preempt.c
+++ b/src/steps/preempt.c
@@ -207,28 +207,25 @@
   return 1;
 }
 
+/* The cheapest plan within one rack; *RACKS is how many there are.  */
 static int
-list_racks (struct sj_cluster *c, const struct unit *u, const char **rack)
+best_rack_plan (struct sj_cluster *c, const struct unit *u, struct plan *best,
+                guint *racks, int64_t now)
 {
-  const struct sj_step *s = un_step (u);
-  int n = 0;
-
-  if (s->data_rack)
-    {
-      rack[0] = s->data_rack;
-      return 1;
-    }
-  for (guint i = 0; i < c->worker_list->len && n < MAX_RACKS; i++)
-    {
-      const struct worker *w = g_ptr_array_index (c->worker_list, i);
-      int known = !w->rack;
+  GPtrArray *rack = pl_racks (c, u);
+  struct plan p;
+  int found = 0;
 
-      for (int k = 0; k < n && !known; k++)
-        known = !strcmp (rack[k], w->rack);
-      if (!known)
-        rack[n++] = w->rack;
-    }
-  return n;
+  for (guint i = 0; i < rack->len && i < MAX_RACKS; i++)
+    if (make_plan (c, u, g_ptr_array_index (rack, i), &p, now)
+        && (!found || p.cost < best->cost))
+      {
+        *best = p;
+        found = 1;
+      }
+  *racks = rack->len;
+  g_ptr_array_free (rack, TRUE);
+  return found;
 }
 
 static int
@@ -236,20 +233,13 @@
            struct plan *best, int64_t now)
 {
   const struct sj_step *s = un_step (u);
-  const char *rack[MAX_RACKS];
-  struct plan p;
-  int n = 0, found = 0;
+  guint racks = 0;
 
-  if (s->data_rack || (s->one_rack && u->count > 1))
-    n = list_racks (c, u, rack);
-  for (int i = 0; i < n; i++)
-    if (make_plan (c, u, rack[i], &p, now) && (!found || p.cost < best->cost))
-      {
-        *best = p;
-        found = 1;
-      }
-  if (found || (n && !allow_far))
-    return found;
+  if ((s->data_rack || (s->one_rack && u->count > 1))
+      && best_rack_plan (c, u, best, &racks, now))
+    return 1;
+  if (racks && !allow_far)
+    return 0;
   return make_plan (c, u, NULL, best, now);
 }
 
--- a/src/steps/steps.h
+++ b/src/steps/steps.h
@@ -151,16 +151,11 @@
 int un_same_step (const struct unit *a, const struct unit *b);
 struct job *jb_find (struct sj_cluster *c, const char *id);
 void jb_free (void *job);
-void un_free (void *unit);
 int jb_ended (const struct job *j);
 void jb_mark (struct job *j);
 struct occurrence *jb_open (struct job *j, int number);
 struct unit *jb_new_unit (struct job *j, int occurrence, int step, int first,
                           int64_t now);
-struct occurrence *jb_occurrence (struct job *j, int number);
-/* Makes the units of steps whose turn has come.  */
-void jb_expand (struct sj_cluster *c, struct job *j, struct occurrence *o,
-                int64_t now);
 void jb_open_due (struct sj_cluster *c, struct job *j, int64_t now,
                   int64_t wall_ms);
 void jb_unit_done (struct sj_cluster *c, struct unit *u, int64_t now);
@@ -204,6 +199,8 @@
 int pl_limit (const struct unit *u);
 /* Whether a rack could hold all of U were it empty.  */
 int pl_rack_could (const struct sj_cluster *c, const struct unit *u);
+/* Racks that U may be bound to: that of its data, or all; the caller's.  */
+GPtrArray *pl_racks (const struct sj_cluster *c, const struct unit *u);
 /* No other unit of this round may have the room of PLACE.  */
 void pl_reserve (const struct unit *u, struct worker **place);
 
@@ -228,6 +225,8 @@
                   int64_t now);
 /* All that was seen there lately ran far below its declared pace.  */
 int he_is_slow (const struct sj_cluster *c, const struct worker *w);
+/* What is left of M's run, whose whole run time is RUN_MS.  */
+int64_t he_left_ms (int64_t run_ms, const struct member *m);
 /* Run time of the whole task to expect where M runs.  */
 int64_t he_run_ms (const struct sj_cluster *c, const struct member *m);
 /* Moves runs that stand still or go too slowly.  */
