Read the soak once more: one of each, and nothing that is not read

Its prefix was the command line's (sk_); it is so_ now. Fields and a function that nobody used are gone. Checks: as before, to the same bounds.

--- a/tests/soak/book.c
+++ b/tests/soak/book.c
@@ -158,6 +158,13 @@
   return step->saves && !strncmp (o->checkpoint, prefix, n);
 }
 
+/* Every attempt to hand it in was answered by a refusal, and none follows.  */
+static int
+was_refused (const struct bk_job *j)
+{
+  return j->closed && !j->accepted && !j->unanswered;
+}
+
 /* The promise that a start breaks, or NULL.  */
 static const char *
 wrong_start (const struct bk_job *j, const struct bk_task *t,
@@ -181,7 +188,7 @@
     return "started before the step that it waits for was done";
   if (j->cancelled_ms && sf_now () - j->cancelled_ms > BK_CANCEL_MS)
     return "started long after its job was cancelled";
-  if (j->closed && !j->accepted && !j->unanswered)
+  if (was_refused (j))
     return "started, and its job was refused as not run";
   return NULL;
 }
@@ -234,8 +241,6 @@
       t->runs--;
       t->done += how == SJ_END_DONE;
       t->failed += how == SJ_END_FAILED;
-      if (how == SJ_END_DONE)
-        t->done_run = run->number;
     }
   bk_unlock (book);
 }
@@ -301,29 +306,26 @@
   return 1;
 }
 
+/* A gang's attempts are counted for all its members together.  */
 static int
-ran_out (const struct bk_job *j)
+step_ran_out (const struct bk_job *j, int step)
 {
-  for (int s = 0; s < j->job->steps; s++)
-    for (int i = 0; i < j->job->step[s].count; i++)
-      if (j->task[s][i].failed >= j->job->max_attempts)
-        return 1;
-  return 0;
+  int most = 0, sum = 0;
+
+  for (int i = 0; i < j->job->step[step].count; i++)
+    {
+      most = MAX (most, j->task[step][i].failed);
+      sum += j->task[step][i].failed;
+    }
+  return (j->job->step[step].gang ? sum : most) >= j->job->max_attempts;
 }
 
-/* A gang's attempts are counted for all its members together.  */
 static int
-gang_ran_out (const struct bk_job *j)
+ran_out (const struct bk_job *j)
 {
   for (int s = 0; s < j->job->steps; s++)
-    {
-      int failed = 0;
-
-      for (int i = 0; i < j->job->step[s].count; i++)
-        failed += j->task[s][i].failed;
-      if (j->job->step[s].gang && failed >= j->job->max_attempts)
-        return 1;
-    }
+    if (step_ran_out (j, s))
+      return 1;
   return 0;
 }
 
@@ -334,12 +336,12 @@
   if (state == SJ_COMPLETED && !all_done (j))
     bk_breach (book, "job %s is shown as completed before all of it is done",
                j->job->id);
-  if (state == SJ_FAILED && !ran_out (j) && !gang_ran_out (j))
+  if (state == SJ_FAILED && !ran_out (j))
     bk_breach (book, "job %s is shown as failed without a cause", j->job->id);
   if (state == SJ_CANCELLED && !j->cancel_sent_ms)
     bk_breach (book, "job %s is shown as cancelled, and nobody asked for it",
                j->job->id);
-  if (!j->accepted && !j->unanswered && j->closed)
+  if (was_refused (j))
     bk_breach (book, "job %s is shown, and was refused", j->job->id);
   if (state >= SJ_COMPLETED)
     j->ended = 1;
@@ -388,7 +390,7 @@
                    "job %s was accepted and has not ended (%d starts, "
                    "all done: %d)",
                    j->job->id, j->starts, all_done (j));
-      if (j->closed && !j->accepted && !j->unanswered && j->starts)
+      if (was_refused (j) && j->starts)
         bk_breach (book, "job %s was refused as not run, and ran", j->job->id);
     }
   bk_unlock (book);
--- a/tests/soak/book.h
+++ b/tests/soak/book.h
@@ -22,7 +22,7 @@
   int noted;  /* an end "done" was let go */
   int failed; /* ends */
   int failed_noted;
-  int64_t last, done_run; /* numbers of runs */
+  int64_t last; /* highest number of a run */
 };
 
 struct bk_job
@@ -30,9 +30,9 @@
   struct sj_job *job;
   char *body;
   int64_t work_ms[BK_MAX_STEPS];
-  int fails;                         /* all its tasks */
-  int accepted, refused, unanswered; /* attempts to hand it in */
-  int closed;                        /* no attempt will follow */
+  int fails;                /* all its tasks */
+  int accepted, unanswered; /* attempts to hand it in */
+  int closed;               /* no attempt will follow */
   int64_t accepted_ms, cancel_sent_ms, cancelled_ms;
   int starts, ended;
   struct bk_task task[BK_MAX_STEPS][BK_MAX_COUNT];
--- a/tests/soak/clients.c
+++ b/tests/soak/clients.c
@@ -18,48 +18,46 @@
   MAX_WAIT_S = 10   /* a longer Retry-After is no advice to wait */
 };
 
-static const char host[] = "soak.example";
-
 /* A VM that takes new connections, or any.  */
 static int
 choose_vm (struct soak *s, GRand *rand)
 {
   int ready[SF_MAX_VMS], n = 0;
 
-  sk_lock (s);
+  so_lock (s);
   for (int i = 0; i < s->vms; i++)
     if (s->vm[i].ready)
       ready[n++] = i;
-  sk_unlock (s);
+  so_unlock (s);
   return n ? ready[g_rand_int_range (rand, 0, n)]
            : g_rand_int_range (rand, 0, (gint32)s->vms);
 }
 
 static void
-connect_some (struct soak *s, struct sk_connection *c, GRand *rand)
+connect_some (struct soak *s, struct so_connection *c, GRand *rand)
 {
   if (c->fd >= 0 && g_rand_int_range (rand, 0, HOP) > 0)
     return;
-  sk_hang_up (c);
+  so_hang_up (c);
   c->vm = choose_vm (s, rand);
 }
 
 static void
-path_of (char out[SK_URL], const struct bk_job *j)
+path_of (char out[SO_URL], const struct bk_job *j)
 {
-  snprintf (out, SK_URL, "/%s/%s", j->job->queue, j->job->id);
+  snprintf (out, SO_URL, "/%s/%s", j->job->queue, j->job->id);
 }
 
 /* Returns 1 once the attempt has settled the matter.  */
 static int
-note_submit (struct soak *s, struct bk_job *j, const struct sk_exchange *x)
+note_submit (struct soak *s, struct bk_job *j, const struct so_exchange *x)
 {
   int settled = 0;
 
   bk_lock (&s->book);
-  if (x->end == SK_NOT_SENT)
+  if (x->end == SO_NOT_SENT)
     ;
-  else if (x->end != SK_ANSWERED || x->status == 504)
+  else if (x->end != SO_ANSWERED || x->status == 504)
     j->unanswered++;
   else if (x->status / 100 == 2)
     {
@@ -69,7 +67,6 @@
     }
   else if (x->status == 429 || x->status == 503)
     {
-      j->refused++;
       atomic_fetch_add (&s->refused, 1);
       if (x->retry_after < 1 || x->retry_after > MAX_WAIT_S)
         bk_breach (&s->book, "a refusal of job %s has Retry-After %d",
@@ -83,11 +80,11 @@
 }
 
 static void
-submit (struct soak *s, struct sk_connection *c, GRand *rand)
+submit (struct soak *s, struct so_connection *c, GRand *rand)
 {
   struct bk_job *j = bk_new_job (&s->book, rand);
-  struct sk_exchange x = { .method = "POST", .host = host, .key = "steady" };
-  char path[SK_URL];
+  struct so_exchange x = { .method = "POST", .key = SO_KEY };
+  char path[SO_URL];
   int repeat = g_rand_int_range (rand, 0, 10) == 0;
 
   path_of (path, j);
@@ -96,7 +93,7 @@
   for (int i = 0; i < ATTEMPTS; i++)
     {
       connect_some (s, c, rand);
-      sk_exchange (s, c, &x);
+      so_exchange (s, c, &x);
       if (note_submit (s, j, &x) && !(repeat && i == 0))
         break;
       usleep ((useconds_t)g_rand_int_range (rand, 50, 400) * 1000);
@@ -107,17 +104,17 @@
 }
 
 static void
-ask (struct soak *s, struct sk_connection *c, struct bk_job *j)
+ask (struct soak *s, struct so_connection *c, struct bk_job *j)
 {
-  struct sk_exchange x = { .method = "GET", .host = host, .key = "steady" };
-  char path[SK_URL], vm[16];
+  struct so_exchange x = { .method = "GET", .key = SO_KEY };
+  char path[SO_URL], vm[16];
   int state;
 
   path_of (path, j);
   x.path = path;
   snprintf (vm, sizeof vm, "vm%d", c->vm);
-  sk_exchange (s, c, &x);
-  if (x.end != SK_ANSWERED)
+  so_exchange (s, c, &x);
+  if (x.end != SO_ANSWERED)
     return;
   state = sf_state_of (x.answer);
   if (x.status == 200 && state < 0)
@@ -133,10 +130,10 @@
 }
 
 static void
-cancel (struct soak *s, struct sk_connection *c, struct bk_job *j)
+cancel (struct soak *s, struct so_connection *c, struct bk_job *j)
 {
-  struct sk_exchange x = { .method = "DELETE", .host = host, .key = "steady" };
-  char path[SK_URL];
+  struct so_exchange x = { .method = "DELETE", .key = SO_KEY };
+  char path[SO_URL];
 
   path_of (path, j);
   x.path = path;
@@ -144,8 +141,8 @@
   if (!j->cancel_sent_ms)
     j->cancel_sent_ms = sf_now ();
   bk_unlock (&s->book);
-  sk_exchange (s, c, &x);
-  if (x.end != SK_ANSWERED || x.status / 100 != 2)
+  so_exchange (s, c, &x);
+  if (x.end != SO_ANSWERED || x.status / 100 != 2)
     return;
   bk_lock (&s->book);
   if (!j->cancelled_ms)
@@ -154,7 +151,7 @@
 }
 
 static void
-act (struct soak *s, struct sk_connection *c, GRand *rand)
+act (struct soak *s, struct so_connection *c, GRand *rand)
 {
   int what = g_rand_int_range (rand, 0, 100);
   struct bk_job *j = bk_some_job (&s->book, rand);
@@ -163,7 +160,7 @@
   if (what < 30 && !s->quiet && bk_open (&s->book) < MAX_OPEN)
     submit (s, c, rand);
   else if (what < 40)
-    sk_probe (s, c, rand);
+    so_probe (s, c, rand);
   else if (what < 43 && j && !s->quiet)
     cancel (s, c, j);
   else if (j)
@@ -171,11 +168,11 @@
 }
 
 void *
-sk_client_run (void *arg)
+so_client_run (void *arg)
 {
-  struct sk_client *client = arg;
+  struct so_client *client = arg;
   struct soak *s = client->soak;
-  struct sk_connection c = { .fd = -1 };
+  struct so_connection c = { .fd = -1 };
   GRand *rand = g_rand_new_with_seed (client->seed);
 
   while (!atomic_load (&s->stopping))
@@ -183,7 +180,7 @@
       act (s, &c, rand);
       usleep ((useconds_t)g_rand_int_range (rand, 1, PAUSE_MS) * 1000);
     }
-  sk_hang_up (&c);
+  so_hang_up (&c);
   g_rand_free (rand);
   return NULL;
 }
@@ -191,19 +188,19 @@
 static int
 is_ready (struct hc_client *client, const struct soak *s, int n)
 {
-  char url[SK_URL], body[64];
+  char url[SO_URL], body[64];
   struct hc_request request
       = { .method = "GET", .url = url, .timeout_ms = READY_MS };
   struct hc_answer answer;
 
-  snprintf (url, sizeof url, "http://127.0.%d.%d:%d%s", SK_READY_NET, n + 1,
+  snprintf (url, sizeof url, "http://127.0.%d.%d:%d%s", SO_READY_NET, n + 1,
             s->vm_port, sf_ready_path ());
   return !hc_call (client, &request, &answer, body, sizeof body)
          && answer.end == HC_ANSWERED && answer.status == 200;
 }
 
 void *
-sk_ready_run (void *arg)
+so_ready_run (void *arg)
 {
   struct soak *s = arg;
   struct hc_config config = { .max_in_progress = 4,
@@ -217,12 +214,12 @@
         {
           int yes = is_ready (client, s, n);
 
-          sk_lock (s);
+          so_lock (s);
           s->vm[n].has_begun |= yes;
           s->vm[n].missed = yes ? 0 : s->vm[n].missed + 1;
           if (yes || s->vm[n].missed >= READY_MISSES)
             s->vm[n].ready = yes;
-          sk_unlock (s);
+          so_unlock (s);
         }
       usleep (READY_MS * 1000);
     }
--- a/tests/soak/config.c
+++ b/tests/soak/config.c
@@ -10,18 +10,16 @@
   NAME_SIZE = 40
 };
 
-static const char host[] = "soak.example";
-
 void
-sk_configure (struct soak *s)
+so_configure (struct soak *s)
 {
   int64_t version = s->config.version + 1 + s->config.version % 3;
   char probe[NAME_SIZE], prefix[NAME_SIZE], key[NAME_SIZE];
-  char *keys[] = { "steady", key };
+  char *keys[] = { (char *)SO_KEY, key };
   struct qu_queue queue[] = {
-    { "desk", (char *)host, "/desk/", "studio", 0, 3, 3, 2000, 0, 0 },
-    { "night", (char *)host, "/night/", "studio", 2, 3, 3, 20000, 0, 0 },
-    { probe, (char *)host, prefix, "studio", 2, 3, 3, 20000, 0, 0 },
+    { "desk", (char *)SO_HOST, "/desk/", "studio", 0, 3, 3, 2000, 0, 0 },
+    { "night", (char *)SO_HOST, "/night/", "studio", 2, 3, 3, 20000, 0, 0 },
+    { probe, (char *)SO_HOST, prefix, "studio", 2, 3, 3, 20000, 0, 0 },
   };
   struct qu_account account = { "a", keys, 2, 4 };
   struct qu_config config = { version, 3, 1, queue, &account };
@@ -29,34 +27,34 @@
   snprintf (probe, sizeof probe, "probe-%lld", (long long)version);
   snprintf (prefix, sizeof prefix, "/probe-%lld/", (long long)version);
   snprintf (key, sizeof key, "key-%lld", (long long)version);
-  sk_lock (s);
+  so_lock (s);
   s->config.changing = 1;
-  sk_unlock (s);
+  so_unlock (s);
   sf_configure (&s->farm, &config);
-  sk_lock (s);
+  so_lock (s);
   s->config.changing = 0;
   s->config.previous = s->config.version;
   s->config.version = version;
   s->config.changed_ms = sf_now ();
-  sk_unlock (s);
+  so_unlock (s);
 }
 
 /* A VM has shown that it holds VERSION; NEWEST was acknowledged at
    CHANGED_MS.  */
 static void
-shown (struct soak *s, const struct sk_connection *c,
-       const struct sk_exchange *x, int64_t version, int64_t newest,
+shown (struct soak *s, const struct so_connection *c,
+       const struct so_exchange *x, int64_t version, int64_t newest,
        int64_t changed_ms)
 {
-  struct sk_vm *vm = &s->vm[c->vm];
+  struct so_vm *vm = &s->vm[c->vm];
 
-  sk_lock (s);
+  so_lock (s);
   if (c->incarnation == vm->incarnation && version < vm->shown_version
-      && x->sent_ms > vm->shown_ms + SK_ROLLBACK_MS)
+      && x->sent_ms > vm->shown_ms + SO_ROLLBACK_MS)
     bk_breach (&s->book, "vm%d went back from version %lld to %lld", c->vm,
                (long long)vm->shown_version, (long long)version);
-  if (version < newest && x->sent_ms - changed_ms > SK_CONFIG_MS
-      && sk_in_touch (s, c->vm, x->sent_ms))
+  if (version < newest && x->sent_ms - changed_ms > SO_CONFIG_MS
+      && so_in_touch (s, c->vm, x->sent_ms))
     bk_breach (&s->book, "vm%d holds version %lld, and %lld is %lld ms old",
                c->vm, (long long)version, (long long)newest,
                (long long)(x->sent_ms - changed_ms));
@@ -65,33 +63,33 @@
       vm->shown_version = version;
       vm->shown_ms = sf_now ();
     }
-  sk_unlock (s);
+  so_unlock (s);
 }
 
 /* No change has begun since NOW was read.  */
 static int
-is_still (struct soak *s, const struct sk_config *now)
+is_still (struct soak *s, const struct so_config *now)
 {
   int still;
 
-  sk_lock (s);
+  so_lock (s);
   still = !s->config.changing && s->config.version == now->version;
-  sk_unlock (s);
+  so_unlock (s);
   return still;
 }
 
 static void
-probe_queue (struct soak *s, struct sk_connection *c,
-             const struct sk_config *now, int old)
+probe_queue (struct soak *s, struct so_connection *c,
+             const struct so_config *now, int old)
 {
   int64_t version = old ? now->previous : now->version;
-  struct sk_exchange x = { .method = "GET", .host = host, .key = "steady" };
-  char path[SK_URL];
+  struct so_exchange x = { .method = "GET", .key = SO_KEY };
+  char path[SO_URL];
 
   snprintf (path, sizeof path, "/probe-%lld/", (long long)version);
   x.path = path;
-  sk_exchange (s, c, &x);
-  if (x.end != SK_ANSWERED)
+  so_exchange (s, c, &x);
+  if (x.end != SO_ANSWERED)
     return;
   if (x.status == 200)
     shown (s, c, &x, version, now->version, now->changed_ms);
@@ -100,30 +98,30 @@
 }
 
 static void
-probe_key (struct soak *s, struct sk_connection *c,
-           const struct sk_config *now)
+probe_key (struct soak *s, struct so_connection *c,
+           const struct so_config *now)
 {
-  struct sk_exchange x = { .method = "GET", .host = host, .path = "/desk/" };
+  struct so_exchange x = { .method = "GET", .path = "/desk/" };
   char key[NAME_SIZE];
 
   snprintf (key, sizeof key, "key-%lld", (long long)now->previous);
   x.key = key;
-  sk_exchange (s, c, &x);
-  if (x.end == SK_ANSWERED && x.status == 200
-      && x.sent_ms - now->changed_ms > SK_REVOKE_MS)
+  so_exchange (s, c, &x);
+  if (x.end == SO_ANSWERED && x.status == 200
+      && x.sent_ms - now->changed_ms > SO_REVOKE_MS)
     bk_breach (&s->book, "vm%d took a key that was removed %lld ms before",
                c->vm, (long long)(x.sent_ms - now->changed_ms));
 }
 
 void
-sk_probe (struct soak *s, struct sk_connection *c, GRand *rand)
+so_probe (struct soak *s, struct so_connection *c, GRand *rand)
 {
-  struct sk_config now;
+  struct so_config now;
 
-  sk_lock (s);
+  so_lock (s);
   now = s->config;
   c->incarnation = s->vm[c->vm].incarnation;
-  sk_unlock (s);
+  so_unlock (s);
   if (g_rand_int_range (rand, 0, 3) == 0 && now.previous)
     probe_key (s, c, &now);
   else
--- a/tests/soak/exchange.c
+++ b/tests/soak/exchange.c
@@ -1,7 +1,6 @@
 /* HTTP over sockets of its own: it tells whether a connection ended after
    the request was sent, and sends nothing again by itself.  */
 #include <arpa/inet.h>
-#include <errno.h>
 #include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -20,7 +19,7 @@
 };
 
 void
-sk_hang_up (struct sk_connection *c)
+so_hang_up (struct so_connection *c)
 {
   if (c->fd >= 0)
     close (c->fd);
@@ -37,15 +36,15 @@
 }
 
 static int
-dial (struct soak *s, struct sk_connection *c)
+dial (struct soak *s, struct so_connection *c)
 {
   struct sockaddr_in a = { .sin_family = AF_INET };
   char ip[SF_ADDRESS];
 
   if (c->fd >= 0 && !is_stale (c->fd))
     return 0;
-  sk_hang_up (c);
-  snprintf (ip, sizeof ip, "127.%d.0.%d", SK_CALLERS_NET, c->vm + 1);
+  so_hang_up (c);
+  snprintf (ip, sizeof ip, "127.%d.0.%d", SO_CALLERS_NET, c->vm + 1);
   inet_pton (AF_INET, ip, &a.sin_addr);
   a.sin_port = htons ((uint16_t)s->proxy.port);
   c->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -53,12 +52,12 @@
     return -1;
   if (!connect (c->fd, (struct sockaddr *)&a, sizeof a))
     return 0;
-  sk_hang_up (c);
+  so_hang_up (c);
   return -1;
 }
 
 static int
-format (const struct sk_exchange *x, char out[REQUEST_SIZE])
+format (const struct so_exchange *x, char out[REQUEST_SIZE])
 {
   size_t n = x->body ? strlen (x->body) : 0;
 
@@ -66,7 +65,7 @@
                    "%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s"
                    "\r\n%s: %d\r\nContent-Type: application/json\r\n"
                    "Content-Length: %zu\r\n\r\n%s",
-                   x->method, x->path, x->host, x->key, po_deadline_header (),
+                   x->method, x->path, SO_HOST, x->key, po_deadline_header (),
                    DEADLINE_MS, n, x->body ? x->body : "");
 }
 
@@ -94,7 +93,7 @@
 }
 
 static void
-receive (struct sk_connection *c, struct sk_exchange *x)
+receive (struct so_connection *c, struct so_exchange *x)
 {
   char text[sizeof x->answer + 1024] = "", *body = text;
   const char *value;
@@ -108,70 +107,70 @@
 
       if (left <= 0 || poll (&p, 1, (int)left) <= 0)
         {
-          x->end = SK_LOST;
+          x->end = SO_LOST;
           return;
         }
       got = recv (c->fd, text + n, sizeof text - 1 - n, 0);
       if (got <= 0)
         {
-          x->end = SK_BROKEN;
+          x->end = SO_BROKEN;
           return;
         }
       n += (size_t)got;
       text[n] = '\0';
     }
-  x->end = SK_ANSWERED;
+  x->end = SO_ANSWERED;
   x->status = atoi (text + sizeof "HTTP/1.1");
   value = header (text, "\nRetry-After:");
   x->retry_after = value ? atoi (value) : 0;
   g_strlcpy (x->answer, body, sizeof x->answer);
   value = header (text, "\nConnection: close");
   if (value)
-    sk_hang_up (c);
+    so_hang_up (c);
 }
 
 /* A planned stop must not cut a request that was read.  */
 static void
-check_cut (struct soak *s, const struct sk_connection *c,
-           const struct sk_exchange *x)
+check_cut (struct soak *s, const struct so_connection *c,
+           const struct so_exchange *x)
 {
-  sk_lock (s);
-  if (x->ended_ms - x->sent_ms > SK_LOSS_SLACK_MS
-      && sk_in_touch (s, c->vm, x->sent_ms))
+  so_lock (s);
+  if (x->ended_ms - x->sent_ms > SO_LOSS_SLACK_MS
+      && so_in_touch (s, c->vm, x->sent_ms))
     bk_breach (&s->book, "vm%d cut %s %s after %lld ms (%s)", c->vm, x->method,
                x->path, (long long)(x->ended_ms - x->sent_ms),
                s->vm[c->vm].stopping ? "is stopping" : "not stopping");
-  sk_unlock (s);
+  so_unlock (s);
 }
 
 void
-sk_exchange (struct soak *s, struct sk_connection *c, struct sk_exchange *x)
+so_exchange (struct soak *s, struct so_connection *c, struct so_exchange *x)
 {
   char text[REQUEST_SIZE];
   int n = format (x, text);
 
   atomic_fetch_add (&s->calls, 1);
   x->status = x->retry_after = 0;
-  x->end = SK_NOT_SENT;
+  x->end = SO_NOT_SENT;
   *x->answer = '\0';
   if (dial (s, c))
     return;
   x->sent_ms = sf_now ();
   if (send (c->fd, text, (size_t)n, MSG_NOSIGNAL) != n)
     {
-      x->end = SK_LOST;
-      sk_hang_up (c);
+      x->end = SO_LOST;
+      so_hang_up (c);
       return;
     }
   receive (c, x);
   x->ended_ms = sf_now ();
-  if (x->end == SK_ANSWERED && x->status == NOT_SENT_ANSWER)
-    x->end = SK_NOT_SENT;
-  if (x->end == SK_BROKEN)
+  if (x->end == SO_ANSWERED && x->status == NOT_SENT_ANSWER)
+    x->end = SO_NOT_SENT;
+  if (x->end == SO_BROKEN)
     check_cut (s, c, x);
-  if (x->end != SK_ANSWERED)
-    sk_hang_up (c);
-  if (x->end == SK_ANSWERED)
+  if (x->end != SO_ANSWERED)
+    so_hang_up (c);
+  if (x->end == SO_ANSWERED)
     atomic_fetch_add (&s->answered, 1);
   else
     atomic_fetch_add (&s->lost, 1);
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -22,7 +22,7 @@
           FIELD (vms) },
         { "workers", OPT_INT, "", 1, SF_MAX_WORKERS, "8", "of the stand-in",
           FIELD (workers) },
-        { "clients", OPT_INT, "", 1, SK_MAX_CLIENTS, "8", "threads that call",
+        { "clients", OPT_INT, "", 1, SO_MAX_CLIENTS, "8", "threads that call",
           FIELD (clients) },
         { "seconds", OPT_INT, "s", 1, MAX_SECONDS, "20",
           "faults come for so long", FIELD (seconds) },
@@ -69,15 +69,15 @@
       || sf_init (&s->farm, (int)s->vms, (int)s->workers, s->proxy.port,
                   &watch))
     fail ("no address to listen on");
-  s->vm_port = sk_vm_port ();
+  s->vm_port = so_vm_port ();
   s->proxy.farm_port = sf_port (&s->farm);
   s->proxy.vm_port = s->vm_port;
   if (px_start (&s->proxy))
     fail ("no thread");
-  sk_configure (s);
+  so_configure (s);
   write_settings (s);
   for (int n = 0; n < s->vms; n++)
-    sk_vm_start (s, n);
+    so_vm_start (s, n);
 }
 
 /* Waits until all that was accepted has ended.  */
@@ -89,7 +89,7 @@
   atomic_store (&s->quiet, 1);
   while (bk_open (&s->book) > 0 && sf_now () < until)
     {
-      sk_vm_watch (s);
+      so_vm_watch (s);
       usleep (POLL_MS * 1000);
     }
   printf ("%6lld ms  settled, %d jobs open\n",
@@ -101,7 +101,7 @@
 static void
 stop_all (struct soak *s)
 {
-  int64_t until = sf_now () + 2 * (int64_t)SK_GRACE_MS;
+  int64_t until = sf_now () + 2 * (int64_t)SO_GRACE_MS;
   int left = 1;
 
   while (left)
@@ -109,13 +109,13 @@
       left = 0;
       for (int n = 0; n < s->vms; n++)
         {
-          sk_vm_signal (s, n, sf_now () < until ? SIGTERM : SIGKILL);
-          sk_lock (s);
+          so_vm_signal (s, n, sf_now () < until ? SIGTERM : SIGKILL);
+          so_lock (s);
           left += s->vm[n].up;
-          sk_unlock (s);
+          so_unlock (s);
         }
       usleep (POLL_MS * 1000);
-      sk_vm_watch (s);
+      so_vm_watch (s);
     }
 }
 
@@ -144,7 +144,7 @@
 main (int argc, char **argv)
 {
   static struct soak soak;
-  static struct sk_client client[SK_MAX_CLIENTS];
+  static struct so_client client[SO_MAX_CLIENTS];
   struct soak *s = &soak;
   pthread_t ready;
   int error = 0, result;
@@ -157,18 +157,18 @@
     fail ("a library could not be initialised");
   signal (SIGPIPE, SIG_IGN);
   set_up (s);
-  error |= pthread_create (&ready, NULL, sk_ready_run, s);
+  error |= pthread_create (&ready, NULL, so_ready_run, s);
   for (int i = 0; i < s->clients; i++)
     {
-      client[i] = (struct sk_client){
-        .soak = s, .seed = (uint32_t)(s->seed * SK_MAX_CLIENTS) + (uint32_t)i
+      client[i] = (struct so_client){
+        .soak = s, .seed = (uint32_t)(s->seed * SO_MAX_CLIENTS) + (uint32_t)i
       };
-      error |= pthread_create (&client[i].thread, NULL, sk_client_run,
+      error |= pthread_create (&client[i].thread, NULL, so_client_run,
                                &client[i]);
     }
   if (error)
     fail ("no thread");
-  sk_plan_run (s);
+  so_plan_run (s);
   settle (s);
   stop_all (s);
   atomic_store (&s->stopping, 1);
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -147,23 +147,23 @@
   switch (h->kind)
     {
     case KILL_VM:
-      sk_vm_signal (s, h->vm, SIGKILL);
+      so_vm_signal (s, h->vm, SIGKILL);
       break;
     case KILL_ALL:
       for (int vm = 0; vm < s->vms; vm++)
         {
-          sk_vm_signal (s, vm, SIGKILL);
-          sk_vm_trouble (s, vm, h->until_ms + START_MS);
+          so_vm_signal (s, vm, SIGKILL);
+          so_vm_trouble (s, vm, h->until_ms + START_MS);
         }
       break;
     case STOP_VM:
-      sk_vm_signal (s, h->vm, SIGTERM);
+      so_vm_signal (s, h->vm, SIGTERM);
       return; /* planned */
     case FREEZE_VM:
-      sk_vm_signal (s, h->vm, SIGSTOP);
+      so_vm_signal (s, h->vm, SIGSTOP);
       break;
     case RELOAD_VM:
-      sk_vm_signal (s, h->vm, SIGHUP);
+      so_vm_signal (s, h->vm, SIGHUP);
       return; /* planned */
     case CUT_STORE:
       cut (px_of_store (&s->proxy, h->vm), h->worker % 3, 1);
@@ -183,7 +183,7 @@
     default:
       break;
     }
-  sk_vm_trouble (s, h->vm, h->until_ms + START_MS);
+  so_vm_trouble (s, h->vm, h->until_ms + START_MS);
 }
 
 static void
@@ -191,7 +191,7 @@
 {
   struct soak *s = p->soak;
 
-  sk_vm_trouble (s, -1, h->until_ms);
+  so_store_trouble (s, h->until_ms);
   if (h->kind == STORE_FAULT)
     set_store (s, some_store_fault (p));
   else if (h->kind == STORE_FAULT_ONE)
@@ -225,7 +225,7 @@
       h->until_ms = sf_now () + MEMBERSHIP_MS;
       break;
     default:
-      sk_configure (s);
+      so_configure (s);
       break;
     }
 }
@@ -254,7 +254,7 @@
   switch (h->kind)
     {
     case FREEZE_VM:
-      sk_vm_signal (s, h->vm, SIGCONT);
+      so_vm_signal (s, h->vm, SIGCONT);
       break;
     case CUT_STORE:
       cut (px_of_store (&s->proxy, h->vm), 2, 0);
@@ -322,11 +322,11 @@
       for (int i = 0; i < p->count; i++)
         held |= p->held[i].kind == KILL_ALL
                 || (p->held[i].kind == KILL_VM && p->held[i].vm == n);
-      sk_lock (s);
+      so_lock (s);
       down = !s->vm[n].up;
-      sk_unlock (s);
+      so_unlock (s);
       if (down && !held)
-        sk_vm_start (s, n);
+        so_vm_start (s, n);
     }
 }
 
@@ -347,7 +347,7 @@
 }
 
 void
-sk_plan_run (struct soak *s)
+so_plan_run (struct soak *s)
 {
   struct plan p
       = { .soak = s, .rand = g_rand_new_with_seed ((guint32)s->seed) };
@@ -363,12 +363,12 @@
           next = now + draw (&p, GAP_MS);
         }
       undo_due (&p, now);
-      sk_vm_watch (s);
+      so_vm_watch (s);
       restart_vms (&p);
       usleep (TICK_MS * 1000);
     }
   undo_due (&p, INT64_MAX);
-  sk_vm_watch (s);
+  so_vm_watch (s);
   restart_vms (&p);
   g_rand_free (p.rand);
 }
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -30,7 +30,7 @@
 struct pair
 {
   int fd[2]; /* who connected, and whom it reached */
-  int seen_resets, dead, toward_caller;
+  int seen_resets, dead;
   struct px_link *link;
   GQueue *kept[2]; /* read from fd[i], for fd[1 - i] */
   size_t bytes[2];
@@ -95,15 +95,15 @@
   *port = px->farm_port;
   vm = (int)b - SF_LINK_NET;
   worker = (int)d - 1;
-  if (b == SK_CALLERS_NET && d >= 1 && (int)d <= px->vms)
+  if (b == SO_CALLERS_NET && d >= 1 && (int)d <= px->vms)
     {
-      snprintf (target, SF_ADDRESS, "127.0.%d.%u", SK_VM_NET, d);
+      snprintf (target, SF_ADDRESS, "127.0.%d.%u", SO_VM_NET, d);
       *port = px->vm_port;
       return px_of_callers (px, worker);
     }
   if (vm < 0 || vm >= px->vms)
     return NULL;
-  if (c == SK_STORE_NET)
+  if (c == SO_STORE_NET)
     {
       sf_store_ip (target, vm);
       return px_of_store (px, vm);
--- a/tests/soak/test_book.c
+++ b/tests/soak/test_book.c
@@ -153,7 +153,6 @@
 {
   begin ();
   job->accepted = 0;
-  job->refused = 1;
   start ();
   CU_ASSERT_EQUAL (finish (), 1);
 }
--- a/tests/soak/vms.c
+++ b/tests/soak/vms.c
@@ -20,19 +20,19 @@
 };
 
 void
-sk_lock (struct soak *s)
+so_lock (struct soak *s)
 {
   pthread_mutex_lock (&s->lock);
 }
 
 void
-sk_unlock (struct soak *s)
+so_unlock (struct soak *s)
 {
   pthread_mutex_unlock (&s->lock);
 }
 
 int
-sk_vm_port (void)
+so_vm_port (void)
 {
   struct sockaddr_in a = { .sin_family = AF_INET };
   socklen_t size = sizeof a;
@@ -64,37 +64,37 @@
 }
 
 void
-sk_vm_start (struct soak *s, int n)
+so_vm_start (struct soak *s, int n)
 {
   char arg[MAX_ARGS][ARG_SIZE];
   char *argv[MAX_ARGS + 1] = { NULL };
-  struct sk_vm *vm = &s->vm[n];
+  struct so_vm *vm = &s->vm[n];
   int count = 0, error;
 
   snprintf (arg[count++], ARG_SIZE, "%s", s->program);
   snprintf (arg[count++], ARG_SIZE, "--vm=vm%d", n);
-  snprintf (arg[count++], ARG_SIZE, "--listen=127.0.%d.%d:%d", SK_VM_NET,
+  snprintf (arg[count++], ARG_SIZE, "--listen=127.0.%d.%d:%d", SO_VM_NET,
             n + 1, s->vm_port);
   snprintf (arg[count++], ARG_SIZE, "--ready-listen=127.0.%d.%d:%d",
-            SK_READY_NET, n + 1, s->vm_port);
+            SO_READY_NET, n + 1, s->vm_port);
   snprintf (arg[count++], ARG_SIZE, "--metrics-listen=127.0.%d.%d:%d",
-            SK_METRICS_NET, n + 1, s->vm_port);
+            SO_METRICS_NET, n + 1, s->vm_port);
   snprintf (arg[count++], ARG_SIZE, "--store=127.%d.%d.1:%d", SF_LINK_NET + n,
-            SK_STORE_NET, s->proxy.port);
+            SO_STORE_NET, s->proxy.port);
   snprintf (arg[count++], ARG_SIZE, "--hold-ms=%d", SF_HOLD_MS);
-  snprintf (arg[count++], ARG_SIZE, "--grace-ms=%d", SK_GRACE_MS);
-  snprintf (arg[count++], ARG_SIZE, "--revoke-ms=%d", SK_REVOKE_MS);
+  snprintf (arg[count++], ARG_SIZE, "--grace-ms=%d", SO_GRACE_MS);
+  snprintf (arg[count++], ARG_SIZE, "--revoke-ms=%d", SO_REVOKE_MS);
   snprintf (arg[count++], ARG_SIZE, "--settings=%s/vm%d.conf", s->dir, n);
   for (int i = 0; i < count; i++)
     argv[i] = arg[i];
-  sk_lock (s);
+  so_lock (s);
   error = spawn (s, argv, n, &vm->pid);
   vm->up = !error;
   vm->frozen = vm->stopping = vm->ready = vm->missed = 0;
   vm->shown_version = 0;
   vm->has_begun = 0;
   vm->incarnation++;
-  sk_unlock (s);
+  so_unlock (s);
   if (error)
     bk_breach (&s->book, "%s: %s", s->program, strerror (error));
 }
@@ -102,7 +102,7 @@
 static void
 ended (struct soak *s, int n, int status)
 {
-  struct sk_vm *vm = &s->vm[n];
+  struct so_vm *vm = &s->vm[n];
   int killed = WIFSIGNALED (status) && WTERMSIG (status) == SIGKILL;
   int stopped
       = vm->stopping && WIFEXITED (status) && WEXITSTATUS (status) == 0;
@@ -113,26 +113,26 @@
 }
 
 void
-sk_vm_watch (struct soak *s)
+so_vm_watch (struct soak *s)
 {
-  sk_lock (s);
+  so_lock (s);
   for (int n = 0; n < s->vms; n++)
     {
-      struct sk_vm *vm = &s->vm[n];
+      struct so_vm *vm = &s->vm[n];
       int status;
 
       if (vm->up && waitpid (vm->pid, &status, WNOHANG) == vm->pid)
         ended (s, n, status);
-      if (vm->up && vm->stopping && sf_now () - vm->stop_ms > SK_GRACE_MS)
+      if (vm->up && vm->stopping && sf_now () - vm->stop_ms > SO_GRACE_MS)
         {
           /* One that was frozen meanwhile had no time to end.  */
-          if (sk_in_touch (s, n, vm->stop_ms))
+          if (so_in_touch (s, n, vm->stop_ms))
             bk_breach (&s->book, "vm%d did not end within its grace", n);
           kill (vm->pid, SIGKILL);
           vm->stopping = 0;
         }
     }
-  sk_unlock (s);
+  so_unlock (s);
 }
 
 /* A process takes these once it has installed its handlers.  */
@@ -143,11 +143,11 @@
 }
 
 void
-sk_vm_signal (struct soak *s, int n, int signal)
+so_vm_signal (struct soak *s, int n, int signal)
 {
-  struct sk_vm *vm = &s->vm[n];
+  struct so_vm *vm = &s->vm[n];
 
-  sk_lock (s);
+  so_lock (s);
   if (vm->up && (vm->has_begun || !is_polite (signal)))
     {
       if (signal == SIGTERM && !vm->stopping)
@@ -158,24 +158,29 @@
       vm->frozen = signal == SIGSTOP || (vm->frozen && signal != SIGCONT);
       kill (vm->pid, signal);
     }
-  sk_unlock (s);
+  so_unlock (s);
 }
 
 void
-sk_vm_trouble (struct soak *s, int n, int64_t until_ms)
+so_vm_trouble (struct soak *s, int n, int64_t until_ms)
 {
-  sk_lock (s);
-  if (n < 0)
-    s->store_trouble_ms = MAX (s->store_trouble_ms, until_ms);
-  else
-    s->vm[n].trouble_ms = MAX (s->vm[n].trouble_ms, until_ms);
-  sk_unlock (s);
+  so_lock (s);
+  s->vm[n].trouble_ms = MAX (s->vm[n].trouble_ms, until_ms);
+  so_unlock (s);
+}
+
+void
+so_store_trouble (struct soak *s, int64_t until_ms)
+{
+  so_lock (s);
+  s->store_trouble_ms = MAX (s->store_trouble_ms, until_ms);
+  so_unlock (s);
 }
 
 int
-sk_in_touch (const struct soak *s, int n, int64_t from_ms)
+so_in_touch (const struct soak *s, int n, int64_t from_ms)
 {
-  int64_t quiet = from_ms - SK_TOUCH_MS;
+  int64_t quiet = from_ms - SO_TOUCH_MS;
 
   return s->vm[n].trouble_ms <= quiet && s->store_trouble_ms <= quiet;
 }
