--- a/tests/base/test_base.c
+++ b/tests/base/test_base.c
@@ -1,9 +1,9 @@
-#include <CUnit/Basic.h>
 #include <stdlib.h>
 
 #include "skr/base.h"
 #include "skr/ring.h"
 #include "skr/timer.h"
+#include "suite.h"
 
 static void
 test_ring_is_bounded (void)
@@ -63,18 +63,13 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
+  static const CU_TestInfo tests[] = {
+    { "ring is bounded", test_ring_is_bounded },
+    { "late timer runs once", test_timer_runs_each_once_when_late },
+    { "digest", test_digest_hides_the_text },
+    CU_TEST_INFO_NULL,
+  };
 
   bs_init ();
-  CU_initialize_registry ();
-  suite = CU_add_suite ("base", NULL, NULL);
-  CU_add_test (suite, "ring is bounded", test_ring_is_bounded);
-  CU_add_test (suite, "late timer runs once",
-               test_timer_runs_each_once_when_late);
-  CU_add_test (suite, "digest", test_digest_hides_the_text);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+  return run_suite ("base", tests);
 }
--- a/tests/base/test_events.c
+++ b/tests/base/test_events.c
@@ -1,10 +1,10 @@
 /* The catalogue in docs/EVENTS.md says what the code says.  */
-#include <CUnit/Basic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "skr/log.h"
+#include "suite.h"
 
 enum
 {
@@ -71,15 +71,11 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
+  static const CU_TestInfo tests[] = {
+    { "catalogue", test_catalogue_matches },
+    { "numbers", test_numbers_rise },
+    CU_TEST_INFO_NULL,
+  };
 
-  CU_initialize_registry ();
-  suite = CU_add_suite ("events", NULL, NULL);
-  CU_add_test (suite, "catalogue", test_catalogue_matches);
-  CU_add_test (suite, "numbers", test_numbers_rise);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+  return run_suite ("events", tests);
 }
--- a/tests/base/test_stat.c
+++ b/tests/base/test_stat.c
@@ -1,9 +1,9 @@
-#include <CUnit/Basic.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "skr/base.h"
 #include "skr/stat.h"
+#include "suite.h"
 
 static struct st_registry reg;
 
@@ -73,17 +73,13 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
+  static const CU_TestInfo tests[] = {
+    { "threads are merged", test_threads_are_merged },
+    { "quantile", test_quantile_is_within_a_bucket },
+    { "text", test_text_has_each_family_once },
+    { "bad handles", test_bad_handles_count_nothing },
+    CU_TEST_INFO_NULL,
+  };
 
-  CU_initialize_registry ();
-  suite = CU_add_suite ("stat", NULL, NULL);
-  CU_add_test (suite, "threads are merged", test_threads_are_merged);
-  CU_add_test (suite, "quantile", test_quantile_is_within_a_bucket);
-  CU_add_test (suite, "text", test_text_has_each_family_once);
-  CU_add_test (suite, "bad handles", test_bad_handles_count_nothing);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+  return run_suite ("stat", tests);
 }
--- a/tests/batch/test_config.c
+++ b/tests/batch/test_config.c
@@ -1,10 +1,10 @@
 /* Versions of the configuration come in any order; the newest stands.  */
-#include <CUnit/Basic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "batch/fake_store.h"
+#include "suite.h"
 
 enum
 {
@@ -14,13 +14,6 @@
 static struct batch batch;
 static struct ba_settings settings = { .vm = "vm1", .revoke_ms = 5000 };
 
-void
-ba_push (struct batch *b, struct ba_event *e)
-{
-  (void)b;
-  g_free (e);
-}
-
 static void
 begin (void)
 {
@@ -130,18 +123,14 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
+  static const CU_TestInfo tests[] = {
+    { "newest", test_newest_stands },
+    { "bad", test_bad_one_leaves_the_old },
+    { "reports", test_reports_are_gathered },
+    CU_TEST_INFO_NULL,
+  };
 
   bs_init ();
   lg_init ("test", "plain", LG_ERROR);
-  CU_initialize_registry ();
-  suite = CU_add_suite ("config", NULL, NULL);
-  CU_add_test (suite, "newest", test_newest_stands);
-  CU_add_test (suite, "bad", test_bad_one_leaves_the_old);
-  CU_add_test (suite, "reports", test_reports_are_gathered);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+  return run_suite ("config", tests);
 }
--- a/tests/batch/test_front.c
+++ b/tests/batch/test_front.c
@@ -1,9 +1,9 @@
 /* Callers' requests over a server and a port that only take notes.  */
-#include <CUnit/Basic.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "batch/fake_store.h"
+#include "suite.h"
 
 #define ID "00000000000000a1"
 
@@ -255,23 +255,19 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
+  static const CU_TestInfo tests[] = {
+    { "refusals", test_refusals_come_at_once },
+    { "old keys", test_old_keys_are_not_trusted },
+    { "stored", test_job_is_acknowledged_once_stored },
+    { "lost answer", test_lost_answer_is_told_by_the_row },
+    { "not run", test_not_run_is_said_only_when_true },
+    { "lookup", test_unknown_job_is_looked_up },
+    { "cancel", test_cancel_is_acknowledged_once_stored },
+    { "end", test_the_end_answers_all },
+    CU_TEST_INFO_NULL,
+  };
 
   bs_init ();
   lg_init ("test", "plain", LG_ERROR);
-  CU_initialize_registry ();
-  suite = CU_add_suite ("front", NULL, NULL);
-  CU_add_test (suite, "refusals", test_refusals_come_at_once);
-  CU_add_test (suite, "old keys", test_old_keys_are_not_trusted);
-  CU_add_test (suite, "stored", test_job_is_acknowledged_once_stored);
-  CU_add_test (suite, "lost answer", test_lost_answer_is_told_by_the_row);
-  CU_add_test (suite, "not run", test_not_run_is_said_only_when_true);
-  CU_add_test (suite, "lookup", test_unknown_job_is_looked_up);
-  CU_add_test (suite, "cancel", test_cancel_is_acknowledged_once_stored);
-  CU_add_test (suite, "end", test_the_end_answers_all);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+  return run_suite ("front", tests);
 }
--- a/tests/batch/test_holder.c
+++ b/tests/batch/test_holder.c
@@ -1,9 +1,9 @@
 /* The scheduler's turn over a store that only takes notes.  */
-#include <CUnit/Basic.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "batch/fake_store.h"
+#include "suite.h"
 
 #define ID "00000000000000a1"
 
@@ -205,21 +205,16 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
+  static const CU_TestInfo tests[] = {
+    { "load", test_lease_is_taken_then_jobs_are_loaded },
+    { "no job twice", test_job_told_before_is_not_added_again },
+    { "ended", test_job_that_has_ended_is_not_added_by_its_row },
+    { "version", test_wrong_version_is_corrected_by_the_row },
+    { "loss", test_turn_ends_when_the_row_is_anothers },
+    CU_TEST_INFO_NULL,
+  };
 
   bs_init ();
   lg_init ("test", "plain", LG_ERROR);
-  CU_initialize_registry ();
-  suite = CU_add_suite ("holder", NULL, NULL);
-  CU_add_test (suite, "load", test_lease_is_taken_then_jobs_are_loaded);
-  CU_add_test (suite, "no job twice", test_job_told_before_is_not_added_again);
-  CU_add_test (suite, "ended",
-               test_job_that_has_ended_is_not_added_by_its_row);
-  CU_add_test (suite, "version", test_wrong_version_is_corrected_by_the_row);
-  CU_add_test (suite, "loss", test_turn_ends_when_the_row_is_anothers);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+  return run_suite ("holder", tests);
 }
--- a/tests/batch/test_lease.c
+++ b/tests/batch/test_lease.c
@@ -1,9 +1,9 @@
-#include <CUnit/Basic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "batch/lease.h"
+#include "suite.h"
 
 static const struct le_settings set
     = { .valid_ms = 1600, .take_ms = 2100, .renew_ms = 500 };
@@ -132,23 +132,16 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("lease", NULL, NULL);
-  CU_add_test (suite, "taken and kept", test_free_row_is_taken_and_kept);
-  CU_add_test (suite, "own take seen first",
-               test_own_take_seen_first_counts_its_epoch_once);
-  CU_add_test (suite, "stale take", test_take_is_stale_when_the_row_changed);
-  CU_add_test (suite, "loss", test_holder_learns_that_it_lost);
-  CU_add_test (suite, "silence",
-               test_unchanged_row_proves_nothing_after_silence);
-  CU_add_test (suite, "restart",
-               test_restarted_vm_takes_its_own_lease_at_once);
-  CU_add_test (suite, "lost answer", test_lost_answer_is_told_by_the_serial);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+  static const CU_TestInfo tests[] = {
+    { "taken and kept", test_free_row_is_taken_and_kept },
+    { "own take seen first", test_own_take_seen_first_counts_its_epoch_once },
+    { "stale take", test_take_is_stale_when_the_row_changed },
+    { "loss", test_holder_learns_that_it_lost },
+    { "silence", test_unchanged_row_proves_nothing_after_silence },
+    { "restart", test_restarted_vm_takes_its_own_lease_at_once },
+    { "lost answer", test_lost_answer_is_told_by_the_serial },
+    CU_TEST_INFO_NULL,
+  };
+
+  return run_suite ("lease", tests);
 }
--- a/tests/batch/test_show.c
+++ b/tests/batch/test_show.c
@@ -1,22 +1,15 @@
 /* What operators are shown says how old it is.  */
-#include <CUnit/Basic.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "batch/fake_store.h"
+#include "suite.h"
 
 #define ID "00000000000000a1"
 
 static struct batch batch;
 static struct ba_settings settings = { .vm = "vm1" };
 
-void
-ba_push (struct batch *b, struct ba_event *e)
-{
-  (void)b;
-  g_free (e);
-}
-
 static void
 begin (void)
 {
@@ -95,15 +88,11 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
+  static const CU_TestInfo tests[] = {
+    { "status", test_status },
+    { "job", test_job },
+    CU_TEST_INFO_NULL,
+  };
 
-  CU_initialize_registry ();
-  suite = CU_add_suite ("show", NULL, NULL);
-  CU_add_test (suite, "status", test_status);
-  CU_add_test (suite, "job", test_job);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+  return run_suite ("show", tests);
 }
--- a/tests/batch/test_stop.c
+++ b/tests/batch/test_stop.c
@@ -1,8 +1,8 @@
 /* A planned stop cuts no request.  */
-#include <CUnit/Basic.h>
 #include <stdlib.h>
 
 #include "batch/batch.h"
+#include "suite.h"
 
 enum
 {
@@ -44,17 +44,13 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("stop", NULL, NULL);
-  CU_add_test (suite, "serves on", test_serves_until_the_balancer_noticed);
-  CU_add_test (suite, "drains", test_open_connections_end_with_an_answer);
-  CU_add_test (suite, "lease", test_lease_is_handed_over_first);
-  CU_add_test (suite, "grace", test_ends_within_the_grace_time);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+  static const CU_TestInfo tests[] = {
+    { "serves on", test_serves_until_the_balancer_noticed },
+    { "drains", test_open_connections_end_with_an_answer },
+    { "lease", test_lease_is_handed_over_first },
+    { "grace", test_ends_within_the_grace_time },
+    CU_TEST_INFO_NULL,
+  };
+
+  return run_suite ("stop", tests);
 }
--- a/tests/batch/test_view.c
+++ b/tests/batch/test_view.c
@@ -1,8 +1,8 @@
-#include <CUnit/Basic.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "batch/view.h"
+#include "suite.h"
 
 #define ID "00000000000000a1"
 
@@ -93,18 +93,14 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
+  static const CU_TestInfo tests[] = {
+    { "keys", test_keys_tell_kinds },
+    { "waiting", test_waiting_counts_what_has_not_begun },
+    { "ends", test_an_end_stands },
+    { "sweep", test_whole_reading_drops_what_is_gone },
+    { "deleted", test_deleted_job_is_forgotten },
+    CU_TEST_INFO_NULL,
+  };
 
-  CU_initialize_registry ();
-  suite = CU_add_suite ("view", NULL, NULL);
-  CU_add_test (suite, "keys", test_keys_tell_kinds);
-  CU_add_test (suite, "waiting", test_waiting_counts_what_has_not_begun);
-  CU_add_test (suite, "ends", test_an_end_stands);
-  CU_add_test (suite, "sweep", test_whole_reading_drops_what_is_gone);
-  CU_add_test (suite, "deleted", test_deleted_job_is_forgotten);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+  return run_suite ("view", tests);
 }
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -1,10 +1,10 @@
 /* The holder's talk with workers over a port that only takes notes.  */
-#include <CUnit/Basic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "batch/holder.h"
+#include "suite.h"
 
 static struct batch batch;
 static struct ba_settings settings
@@ -462,29 +462,23 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
+  static const CU_TestInfo tests[] = {
+    { "held", test_busy_worker_is_held },
+    { "next life", test_start_that_met_the_next_life_stands },
+    { "life before", test_run_of_the_life_before_is_gone },
+    { "again", test_start_without_an_answer_is_sent_again },
+    { "second refused", test_refusal_of_a_second_try_proves_nothing },
+    { "only refused", test_refusal_of_the_only_try_is_proof },
+    { "not for ever", test_start_is_not_sent_for_ever },
+    { "silent", test_silent_worker_is_asked_without_a_lease },
+    { "ends", test_end_is_let_go_only_once_stored },
+    { "listed again", test_worker_that_is_listed_again_is_asked_again },
+    { "record waits", test_end_stays_while_its_record_waits },
+    { "lease", test_nothing_is_sent_without_the_lease },
+    CU_TEST_INFO_NULL,
+  };
 
   bs_init ();
   lg_init ("test", "plain", LG_ERROR);
-  CU_initialize_registry ();
-  suite = CU_add_suite ("workers", NULL, NULL);
-  CU_add_test (suite, "held", test_busy_worker_is_held);
-  CU_add_test (suite, "next life", test_start_that_met_the_next_life_stands);
-  CU_add_test (suite, "life before", test_run_of_the_life_before_is_gone);
-  CU_add_test (suite, "again", test_start_without_an_answer_is_sent_again);
-  CU_add_test (suite, "second refused",
-               test_refusal_of_a_second_try_proves_nothing);
-  CU_add_test (suite, "only refused", test_refusal_of_the_only_try_is_proof);
-  CU_add_test (suite, "not for ever", test_start_is_not_sent_for_ever);
-  CU_add_test (suite, "silent", test_silent_worker_is_asked_without_a_lease);
-  CU_add_test (suite, "ends", test_end_is_let_go_only_once_stored);
-  CU_add_test (suite, "listed again",
-               test_worker_that_is_listed_again_is_asked_again);
-  CU_add_test (suite, "record waits", test_end_stays_while_its_record_waits);
-  CU_add_test (suite, "lease", test_nothing_is_sent_without_the_lease);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+  return run_suite ("workers", tests);
 }
--- a/tests/config/test_cells.c
+++ b/tests/config/test_cells.c
@@ -1,10 +1,10 @@
 /* How failure domains are parted into cells, over the life of a table.  */
-#include <CUnit/Basic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "skr/config.h"
+#include "suite.h"
 
 /* The rows of the configuration's table, as a scan gives them.  */
 static json_t *rows;
@@ -82,15 +82,14 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
+  static const CU_TestInfo tests[] = {
+    { "test_parts_of_a_domain_never_change",
+      test_parts_of_a_domain_never_change },
+    CU_TEST_INFO_NULL,
+  };
+  int code;
 
-  CU_initialize_registry ();
-  suite = CU_add_suite ("cells", NULL, NULL);
-  CU_ADD_TEST (suite, test_parts_of_a_domain_never_change);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
+  code = run_suite ("cells", tests);
   json_decref (rows);
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+  return code;
 }
--- a/tests/config/test_config.c
+++ b/tests/config/test_config.c
@@ -1,9 +1,9 @@
-#include <CUnit/Basic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "skr/config.h"
+#include "suite.h"
 
 #define DIGEST_A                                                              \
   "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
@@ -538,25 +538,23 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
+  static const CU_TestInfo tests[] = {
+    { "in force", test_accepted_lists_are_in_force },
+    { "race", test_racing_operators_conflict },
+    { "whole", test_whole_list_is_checked },
+    { "restored", test_restored_table_never_reverts },
+    { "own size", test_change_costs_its_own_size },
+    { "order", test_order_is_kept },
+    { "torn", test_torn_reading_is_not_used },
+    { "went on", test_restored_table_that_went_on },
+    { "older release", test_older_release },
+    CU_TEST_INFO_NULL,
+  };
+  int code;
 
   bs_init ();
-  CU_initialize_registry ();
-  suite = CU_add_suite ("config", NULL, NULL);
-  CU_add_test (suite, "in force", test_accepted_lists_are_in_force);
-  CU_add_test (suite, "race", test_racing_operators_conflict);
-  CU_add_test (suite, "whole", test_whole_list_is_checked);
-  CU_add_test (suite, "restored", test_restored_table_never_reverts);
-  CU_add_test (suite, "own size", test_change_costs_its_own_size);
-  CU_add_test (suite, "order", test_order_is_kept);
-  CU_add_test (suite, "torn", test_torn_reading_is_not_used);
-  CU_add_test (suite, "went on", test_restored_table_that_went_on);
-  CU_add_test (suite, "older release", test_older_release);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
+  code = run_suite ("config", tests);
   cf_reader_fini (&follower);
   json_decref (rows);
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+  return code;
 }
--- a/tests/control/test_cell.c
+++ b/tests/control/test_cell.c
@@ -1,10 +1,10 @@
-#include <CUnit/Basic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "control/cell_impl.h"
 #include "fake_world.h"
+#include "suite.h"
 
 enum
 {
@@ -1143,52 +1143,52 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
+  static const CU_TestInfo tests[] = {
+    { "test_gang_runs_and_ends", test_gang_runs_and_ends },
+    { "test_one_refusal_holds_back_the_gang",
+      test_one_refusal_holds_back_the_gang },
+    { "test_cancelled_job_stops", test_cancelled_job_stops },
+    { "test_cancelled_at_every_step", test_cancelled_at_every_step },
+    { "test_failing_job_ends", test_failing_job_ends },
+    { "test_lost_worker", test_lost_worker },
+    { "test_lost_worker_ends_unknown_what_may_not_repeat",
+      test_lost_worker_ends_unknown_what_may_not_repeat },
+    { "test_worker_lost_while_held", test_worker_lost_while_held },
+    { "test_gang_goes_to_a_cell_that_holds_it",
+      test_gang_goes_to_a_cell_that_holds_it },
+    { "test_moved_once_at_every_step", test_moved_once_at_every_step },
+    { "test_goes_where_it_was_before", test_goes_where_it_was_before },
+    { "test_gang_that_no_cell_holds_ends", test_gang_that_no_cell_holds_ends },
+    { "test_old_read_brings_no_job_back", test_old_read_brings_no_job_back },
+    { "test_table_down", test_table_down },
+    { "test_table_silent", test_table_silent },
+    { "test_catch_up_is_grouped", test_catch_up_is_grouped },
+    { "test_guarantee_is_reclaimed", test_guarantee_is_reclaimed },
+    { "test_urgent_rows_go_first", test_urgent_rows_go_first },
+    { "test_older_lists_change_nothing", test_older_lists_change_nothing },
+    { "test_lapsed_gang_goes_on", test_lapsed_gang_goes_on },
+    { "test_holder_dies_at_every_step", test_holder_dies_at_every_step },
+    { "test_running_gang_is_adopted", test_running_gang_is_adopted },
+    { "test_survey_waits_for_leases", test_survey_waits_for_leases },
+    { "test_rows_wait_for_the_list", test_rows_wait_for_the_list },
+    { "test_paused_holder", test_paused_holder },
+    { "test_release_is_taken_at_once", test_release_is_taken_at_once },
+    { "test_put_back_repeats_nothing", test_put_back_repeats_nothing },
+    { "test_put_back_runs_again_what_may", test_put_back_runs_again_what_may },
+    { "test_put_back_to_an_earlier_epoch", test_put_back_to_an_earlier_epoch },
+    { "test_workers_are_witnesses", test_workers_are_witnesses },
+    { "test_one_witness_is_enough", test_one_witness_is_enough },
+    { "test_doubt_is_handed_on", test_doubt_is_handed_on },
+    { "test_put_back_loses_no_job_that_is_known",
+      test_put_back_loses_no_job_that_is_known },
+    { "test_old_rows_go", test_old_rows_go },
+    { "test_job_comes_after_its_gang", test_job_comes_after_its_gang },
+    { "test_random_faults", test_random_faults },
+    CU_TEST_INFO_NULL,
+  };
 
   if (!getenv ("TEST_LOG"))
     g_log_set_writer_func (drop_log, NULL, NULL);
   bs_init ();
-  CU_initialize_registry ();
-  suite = CU_add_suite ("cell", NULL, NULL);
-  CU_ADD_TEST (suite, test_gang_runs_and_ends);
-  CU_ADD_TEST (suite, test_one_refusal_holds_back_the_gang);
-  CU_ADD_TEST (suite, test_cancelled_job_stops);
-  CU_ADD_TEST (suite, test_cancelled_at_every_step);
-  CU_ADD_TEST (suite, test_failing_job_ends);
-  CU_ADD_TEST (suite, test_lost_worker);
-  CU_ADD_TEST (suite, test_lost_worker_ends_unknown_what_may_not_repeat);
-  CU_ADD_TEST (suite, test_worker_lost_while_held);
-  CU_ADD_TEST (suite, test_gang_goes_to_a_cell_that_holds_it);
-  CU_ADD_TEST (suite, test_moved_once_at_every_step);
-  CU_ADD_TEST (suite, test_goes_where_it_was_before);
-  CU_ADD_TEST (suite, test_gang_that_no_cell_holds_ends);
-  CU_ADD_TEST (suite, test_old_read_brings_no_job_back);
-  CU_ADD_TEST (suite, test_table_down);
-  CU_ADD_TEST (suite, test_table_silent);
-  CU_ADD_TEST (suite, test_catch_up_is_grouped);
-  CU_ADD_TEST (suite, test_guarantee_is_reclaimed);
-  CU_ADD_TEST (suite, test_urgent_rows_go_first);
-  CU_ADD_TEST (suite, test_older_lists_change_nothing);
-  CU_ADD_TEST (suite, test_lapsed_gang_goes_on);
-  CU_ADD_TEST (suite, test_holder_dies_at_every_step);
-  CU_ADD_TEST (suite, test_running_gang_is_adopted);
-  CU_ADD_TEST (suite, test_survey_waits_for_leases);
-  CU_ADD_TEST (suite, test_rows_wait_for_the_list);
-  CU_ADD_TEST (suite, test_paused_holder);
-  CU_ADD_TEST (suite, test_release_is_taken_at_once);
-  CU_ADD_TEST (suite, test_put_back_repeats_nothing);
-  CU_ADD_TEST (suite, test_put_back_runs_again_what_may);
-  CU_ADD_TEST (suite, test_put_back_to_an_earlier_epoch);
-  CU_ADD_TEST (suite, test_workers_are_witnesses);
-  CU_ADD_TEST (suite, test_one_witness_is_enough);
-  CU_ADD_TEST (suite, test_doubt_is_handed_on);
-  CU_ADD_TEST (suite, test_put_back_loses_no_job_that_is_known);
-  CU_ADD_TEST (suite, test_old_rows_go);
-  CU_ADD_TEST (suite, test_job_comes_after_its_gang);
-  CU_ADD_TEST (suite, test_random_faults);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+  return run_suite ("cell", tests);
 }
--- a/tests/control/test_lease.c
+++ b/tests/control/test_lease.c
@@ -1,8 +1,8 @@
-#include <CUnit/Basic.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "control/lease.h"
+#include "suite.h"
 
 enum
 {
@@ -346,29 +346,33 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("lease", NULL, NULL);
-  CU_ADD_TEST (suite, test_taker_waits_for_the_whole_lease);
-  CU_ADD_TEST (suite, test_renewal_starts_the_wait_anew);
-  CU_ADD_TEST (suite, test_delay_counts_from_the_first_moment);
-  CU_ADD_TEST (suite, test_two_takers_race);
-  CU_ADD_TEST (suite, test_validity_counts_from_the_sending);
-  CU_ADD_TEST (suite, test_paused_holder_finds_out);
-  CU_ADD_TEST (suite, test_lost_answer_of_a_take_over);
-  CU_ADD_TEST (suite, test_lost_request_of_a_take_over);
-  CU_ADD_TEST (suite, test_late_renewal_is_ones_own);
-  CU_ADD_TEST (suite, test_late_take_over_is_renewed_before_use);
-  CU_ADD_TEST (suite, test_earlier_process_of_the_same_vm_is_another);
-  CU_ADD_TEST (suite, test_restored_row_does_not_lower_the_epoch);
-  CU_ADD_TEST (suite, test_epoch_seen_at_a_worker);
-  CU_ADD_TEST (suite, test_outage_gives_the_holder_the_first_try);
-  CU_ADD_TEST (suite, test_released_lease_is_free_at_once);
-  CU_ADD_TEST (suite, test_row_round_trip);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+  static const CU_TestInfo tests[] = {
+    { "test_taker_waits_for_the_whole_lease",
+      test_taker_waits_for_the_whole_lease },
+    { "test_renewal_starts_the_wait_anew", test_renewal_starts_the_wait_anew },
+    { "test_delay_counts_from_the_first_moment",
+      test_delay_counts_from_the_first_moment },
+    { "test_two_takers_race", test_two_takers_race },
+    { "test_validity_counts_from_the_sending",
+      test_validity_counts_from_the_sending },
+    { "test_paused_holder_finds_out", test_paused_holder_finds_out },
+    { "test_lost_answer_of_a_take_over", test_lost_answer_of_a_take_over },
+    { "test_lost_request_of_a_take_over", test_lost_request_of_a_take_over },
+    { "test_late_renewal_is_ones_own", test_late_renewal_is_ones_own },
+    { "test_late_take_over_is_renewed_before_use",
+      test_late_take_over_is_renewed_before_use },
+    { "test_earlier_process_of_the_same_vm_is_another",
+      test_earlier_process_of_the_same_vm_is_another },
+    { "test_restored_row_does_not_lower_the_epoch",
+      test_restored_row_does_not_lower_the_epoch },
+    { "test_epoch_seen_at_a_worker", test_epoch_seen_at_a_worker },
+    { "test_outage_gives_the_holder_the_first_try",
+      test_outage_gives_the_holder_the_first_try },
+    { "test_released_lease_is_free_at_once",
+      test_released_lease_is_free_at_once },
+    { "test_row_round_trip", test_row_round_trip },
+    CU_TEST_INFO_NULL,
+  };
+
+  return run_suite ("lease", tests);
 }
--- a/tests/control/test_parts.c
+++ b/tests/control/test_parts.c
@@ -1,5 +1,4 @@
 /* The small controllers: workers, gangs, grants, shares.  */
-#include <CUnit/Basic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,6 +8,7 @@
 #include "control/home.h"
 #include "control/member.h"
 #include "control/share.h"
+#include "suite.h"
 
 static const struct mb_times times = { .lease_ms = 2000,
                                        .suspect_ms = 1000,
@@ -350,29 +350,31 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("parts", NULL, NULL);
-  CU_ADD_TEST (suite, test_list_alone_makes_no_worker);
-  CU_ADD_TEST (suite, test_each_word_of_leaving_counts);
-  CU_ADD_TEST (suite, test_worker_is_down_only_after_its_leases);
-  CU_ADD_TEST (suite, test_polls_follow_the_age_of_the_last_order);
-  CU_ADD_TEST (suite, test_bad_list_entry);
-  CU_ADD_TEST (suite, test_gang_has_a_part_for_each_worker);
-  CU_ADD_TEST (suite, test_no_part_runs_before_all_are_held);
-  CU_ADD_TEST (suite, test_refused_hold_fails_the_gang);
-  CU_ADD_TEST (suite, test_silent_hold_is_stopped_too);
-  CU_ADD_TEST (suite, test_old_lists_say_nothing);
-  CU_ADD_TEST (suite, test_end_is_kept_until_it_is_written);
-  CU_ADD_TEST (suite, test_grants_never_sum_over_the_worker);
-  CU_ADD_TEST (suite, test_grants_become_even);
-  CU_ADD_TEST (suite, test_cells_go_to_those_with_few);
-  CU_ADD_TEST (suite, test_room_counts_whole_tasks);
-  CU_ADD_TEST (suite, test_gang_without_room);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+  static const CU_TestInfo tests[] = {
+    { "test_list_alone_makes_no_worker", test_list_alone_makes_no_worker },
+    { "test_each_word_of_leaving_counts", test_each_word_of_leaving_counts },
+    { "test_worker_is_down_only_after_its_leases",
+      test_worker_is_down_only_after_its_leases },
+    { "test_polls_follow_the_age_of_the_last_order",
+      test_polls_follow_the_age_of_the_last_order },
+    { "test_bad_list_entry", test_bad_list_entry },
+    { "test_gang_has_a_part_for_each_worker",
+      test_gang_has_a_part_for_each_worker },
+    { "test_no_part_runs_before_all_are_held",
+      test_no_part_runs_before_all_are_held },
+    { "test_refused_hold_fails_the_gang", test_refused_hold_fails_the_gang },
+    { "test_silent_hold_is_stopped_too", test_silent_hold_is_stopped_too },
+    { "test_old_lists_say_nothing", test_old_lists_say_nothing },
+    { "test_end_is_kept_until_it_is_written",
+      test_end_is_kept_until_it_is_written },
+    { "test_grants_never_sum_over_the_worker",
+      test_grants_never_sum_over_the_worker },
+    { "test_grants_become_even", test_grants_become_even },
+    { "test_cells_go_to_those_with_few", test_cells_go_to_those_with_few },
+    { "test_room_counts_whole_tasks", test_room_counts_whole_tasks },
+    { "test_gang_without_room", test_gang_without_room },
+    CU_TEST_INFO_NULL,
+  };
+
+  return run_suite ("parts", tests);
 }
--- a/tests/decide/test_decide.c
+++ b/tests/decide/test_decide.c
@@ -1,9 +1,9 @@
-#include <CUnit/Basic.h>
 #include <gsl/gsl_rng.h>
 #include <stdio.h>
 #include <stdlib.h>
 
 #include "fake_fleet.h"
+#include "suite.h"
 
 static const struct dc_config checked = { .check = 1 };
 
@@ -480,31 +480,26 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("decide", NULL, NULL);
-  CU_add_test (suite, "guarantee is reclaimed", test_guarantee_is_reclaimed);
-  CU_add_test (suite, "too large is refused", test_too_large_is_refused);
-  CU_add_test (suite, "gang is adjacent", test_gang_is_adjacent);
-  CU_add_test (suite, "plans fit", test_plans_fit_together_or_not);
-  CU_add_test (suite, "plan event", test_plan_event_agrees);
-  CU_add_test (suite, "slots", test_slots_do_not_block_a_guarantee);
-  CU_add_test (suite, "fixed work", test_fixed_work_keeps_off_cells);
-  CU_add_test (suite, "lost work", test_lost_work);
-  CU_add_test (suite, "leaving", test_leaving_worker_ends_its_work);
-  CU_add_test (suite, "cancel", test_cancel_anywhere);
-  CU_add_test (suite, "poison job", test_poison_job_ends_and_spares_workers);
-  CU_add_test (suite, "bad worker",
-               test_bad_worker_is_quarantined_and_readmitted);
-  CU_add_test (suite, "large gang", test_large_gang_starts_among_small_jobs);
-  CU_add_test (suite, "adopt", test_adopt);
-  CU_add_test (suite, "stored plan", test_stored_plan_is_kept);
-  CU_add_test (suite, "lost cell", test_lost_cell_moves_used_ones);
-  CU_add_test (suite, "random runs", test_random_runs_break_nothing);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+  static const CU_TestInfo tests[] = {
+    { "guarantee is reclaimed", test_guarantee_is_reclaimed },
+    { "too large is refused", test_too_large_is_refused },
+    { "gang is adjacent", test_gang_is_adjacent },
+    { "plans fit", test_plans_fit_together_or_not },
+    { "plan event", test_plan_event_agrees },
+    { "slots", test_slots_do_not_block_a_guarantee },
+    { "fixed work", test_fixed_work_keeps_off_cells },
+    { "lost work", test_lost_work },
+    { "leaving", test_leaving_worker_ends_its_work },
+    { "cancel", test_cancel_anywhere },
+    { "poison job", test_poison_job_ends_and_spares_workers },
+    { "bad worker", test_bad_worker_is_quarantined_and_readmitted },
+    { "large gang", test_large_gang_starts_among_small_jobs },
+    { "adopt", test_adopt },
+    { "stored plan", test_stored_plan_is_kept },
+    { "lost cell", test_lost_cell_moves_used_ones },
+    { "random runs", test_random_runs_break_nothing },
+    CU_TEST_INFO_NULL,
+  };
+
+  return run_suite ("decide", tests);
 }
--- a/tests/filter/test_call.c
+++ b/tests/filter/test_call.c
@@ -1,8 +1,8 @@
 /* One call's rules: at most once, three honest ends, retries, time.  */
-#include <CUnit/Basic.h>
 #include <stdlib.h>
 
 #include "filter/call.h"
+#include "suite.h"
 
 enum
 {
@@ -492,11 +492,7 @@
 int
 main (void)
 {
-  static const struct
-  {
-    const char *name;
-    CU_TestFunc run;
-  } tests[] = {
+  static const CU_TestInfo tests[] = {
     TEST (test_claim_before_dispatch_and_row_before_answer),
     TEST (test_answer_does_not_wait_for_a_table_that_fails),
     TEST (test_answer_waits_a_bounded_time_for_a_slow_table),
@@ -528,16 +524,8 @@
     TEST (test_hedge_slot_that_comes_too_late_is_given_back),
     TEST (test_never_hedged_unless_repeatable),
     TEST (test_budget_is_a_tenth_and_a_floor),
+    CU_TEST_INFO_NULL,
   };
-  CU_pSuite suite;
-  unsigned failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("call", NULL, NULL);
-  for (size_t i = 0; i < sizeof tests / sizeof tests[0]; i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+
+  return run_suite ("call", tests);
 }
--- a/tests/filter/test_chain.c
+++ b/tests/filter/test_chain.c
@@ -1,10 +1,10 @@
 /* The filter chain: what passes, what is refused, what is left behind.  */
-#include <CUnit/Basic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "filter/chain.h"
+#include "suite.h"
 
 enum
 {
@@ -437,11 +437,7 @@
 int
 main (void)
 {
-  static const struct
-  {
-    const char *name;
-    CU_TestFunc run;
-  } tests[] = {
+  static const CU_TestInfo tests[] = {
     TEST (test_good_requests_pass),
     TEST (test_keys_open_only_what_is_theirs),
     TEST (test_an_account_that_is_gone_has_no_key),
@@ -462,18 +458,12 @@
     TEST (test_jobs_need_the_table),
     TEST (test_lists_need_a_version),
     TEST (test_problems_have_their_fields),
+    CU_TEST_INFO_NULL,
   };
-  CU_pSuite suite;
-  unsigned failures;
+  int code;
 
   bs_init ();
-  CU_initialize_registry ();
-  suite = CU_add_suite ("chain", NULL, NULL);
-  for (size_t i = 0; i < sizeof tests / sizeof tests[0]; i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
+  code = run_suite ("chain", tests);
   fl_request_fini (&env, &req);
-  CU_cleanup_registry ();
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+  return code;
 }
--- a/tests/filter/test_limit.c
+++ b/tests/filter/test_limit.c
@@ -1,9 +1,9 @@
 /* Limits of an account over several entry VMs.  */
-#include <CUnit/Basic.h>
 #include <gsl/gsl_rng.h>
 #include <stdlib.h>
 
 #include "filter/limit.h"
+#include "suite.h"
 
 enum
 {
@@ -165,11 +165,7 @@
 int
 main (void)
 {
-  static const struct
-  {
-    const char *name;
-    CU_TestFunc run;
-  } tests[] = {
+  static const CU_TestInfo tests[] = {
     TEST (test_nothing_is_allowed_of_nothing),
     TEST (test_one_vm_has_it_all),
     TEST (test_one_busy_vm_comes_to_the_whole_limit),
@@ -179,16 +175,8 @@
     TEST (test_rate_is_a_bucket_of_one_period),
     TEST (test_first_call_of_a_new_account_passes),
     TEST (test_concurrency_is_freed_by_leaving),
+    CU_TEST_INFO_NULL,
   };
-  CU_pSuite suite;
-  unsigned failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("limit", NULL, NULL);
-  for (size_t i = 0; i < sizeof tests / sizeof tests[0]; i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+
+  return run_suite ("limit", tests);
 }
--- a/tests/filter/test_pool.c
+++ b/tests/filter/test_pool.c
@@ -1,11 +1,11 @@
 /* Upstreams and one VM's part of their slots.  */
-#include <CUnit/Basic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "filter/keep.h"
 #include "filter/pool.h"
+#include "suite.h"
 
 enum
 {
@@ -340,11 +340,7 @@
 int
 main (void)
 {
-  static const struct
-  {
-    const char *name;
-    CU_TestFunc run;
-  } tests[] = {
+  static const CU_TestInfo tests[] = {
     TEST (test_shares_add_up_to_the_worker_s_slots),
     TEST (test_a_vm_that_leaves_moves_only_its_share),
     TEST (test_grant_goes_before_the_share_and_runs_out),
@@ -360,19 +356,13 @@
     TEST (test_no_upstream_is_told_from_a_busy_one),
     TEST (test_one_vm_deletes_the_keys_of_an_account),
     TEST (test_keys_are_kept_for_their_time),
+    CU_TEST_INFO_NULL,
   };
-  CU_pSuite suite;
-  unsigned failures;
+  int code;
 
   rng = gsl_rng_alloc (gsl_rng_taus2);
   gsl_rng_set (rng, SEED);
-  CU_initialize_registry ();
-  suite = CU_add_suite ("pool", NULL, NULL);
-  for (size_t i = 0; i < sizeof tests / sizeof tests[0]; i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
+  code = run_suite ("pool", tests);
   gsl_rng_free (rng);
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+  return code;
 }
--- a/tests/net/test_http.c
+++ b/tests/net/test_http.c
@@ -1,4 +1,3 @@
-#include <CUnit/Basic.h>
 #include <arpa/inet.h>
 #include <pthread.h>
 #include <stdatomic.h>
@@ -9,6 +8,7 @@
 
 #include "skr/base.h"
 #include "skr/http.h"
+#include "suite.h"
 
 enum
 {
@@ -213,22 +213,18 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
+  static const CU_TestInfo tests[] = {
+    { "broken", test_broken_connection_sends_once },
+    { "silent", test_silent_connection_ends_lost },
+    { "cut", test_cut_answer_is_not_whole },
+    { "anew", test_silent_connection_is_dialled_anew },
+    { "refused", test_refused_connection_is_not_sent },
+    { "free", test_free_ends_what_is_in_progress },
+    CU_TEST_INFO_NULL,
+  };
 
   bs_init ();
   if (start_server ())
     return EXIT_FAILURE;
-  CU_initialize_registry ();
-  suite = CU_add_suite ("http", NULL, NULL);
-  CU_add_test (suite, "broken", test_broken_connection_sends_once);
-  CU_add_test (suite, "silent", test_silent_connection_ends_lost);
-  CU_add_test (suite, "cut", test_cut_answer_is_not_whole);
-  CU_add_test (suite, "anew", test_silent_connection_is_dialled_anew);
-  CU_add_test (suite, "refused", test_refused_connection_is_not_sent);
-  CU_add_test (suite, "free", test_free_ends_what_is_in_progress);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+  return run_suite ("http", tests);
 }
--- a/tests/net/test_peer.c
+++ b/tests/net/test_peer.c
@@ -1,4 +1,3 @@
-#include <CUnit/Basic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -7,6 +6,7 @@
 
 #include "skr/base.h"
 #include "skr/peer.h"
+#include "suite.h"
 
 enum
 {
@@ -336,31 +336,21 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
+  static const CU_TestInfo tests[] = {
+    { "codec round trip", test_codec_round_trip },
+    { "codec of VMs", test_codec_round_trip_of_vms },
+    { "codec: cut or changed", test_codec_refuses_what_is_cut_or_changed },
+    { "codec: false lengths", test_codec_refuses_false_lengths },
+    { "codec: unfinished text", test_codec_refuses_an_unfinished_text },
+    { "message arrives", test_message_arrives },
+    { "queue is bounded", test_queue_of_an_absent_peer_is_bounded },
+    { "malformed is dropped", test_malformed_message_is_counted_and_dropped },
+    { "keys off loopback", test_keys_are_required_off_loopback },
+    { "foreign key", test_a_foreign_key_is_refused },
+    { "rotation", test_keys_rotate_without_a_stop },
+    CU_TEST_INFO_NULL,
+  };
 
   bs_init ();
-  CU_initialize_registry ();
-  suite = CU_add_suite ("peer", NULL, NULL);
-  CU_add_test (suite, "codec round trip", test_codec_round_trip);
-  CU_add_test (suite, "codec of VMs", test_codec_round_trip_of_vms);
-  CU_add_test (suite, "codec: cut or changed",
-               test_codec_refuses_what_is_cut_or_changed);
-  CU_add_test (suite, "codec: false lengths",
-               test_codec_refuses_false_lengths);
-  CU_add_test (suite, "codec: unfinished text",
-               test_codec_refuses_an_unfinished_text);
-  CU_add_test (suite, "message arrives", test_message_arrives);
-  CU_add_test (suite, "queue is bounded",
-               test_queue_of_an_absent_peer_is_bounded);
-  CU_add_test (suite, "malformed is dropped",
-               test_malformed_message_is_counted_and_dropped);
-  CU_add_test (suite, "keys off loopback",
-               test_keys_are_required_off_loopback);
-  CU_add_test (suite, "foreign key", test_a_foreign_key_is_refused);
-  CU_add_test (suite, "rotation", test_keys_rotate_without_a_stop);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+  return run_suite ("peer", tests);
 }
--- a/tests/net/test_serve.c
+++ b/tests/net/test_serve.c
@@ -1,5 +1,4 @@
 /* The HTTP server: answers from another thread, bounds, TLS, draining.  */
-#include <CUnit/Basic.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -11,6 +10,7 @@
 #include "skr/http.h"
 #include "skr/ring.h"
 #include "skr/serve.h"
+#include "suite.h"
 
 enum
 {
@@ -214,20 +214,15 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
+  static const CU_TestInfo tests[] = {
+    { "own answers", test_each_gets_its_own_answer },
+    { "bounded bodies", test_bodies_are_bounded },
+    { "TLS", test_tls },
+    { "bad addresses", test_bad_addresses_are_refused },
+    { "stops listening", test_a_server_that_stopped_listening_refuses },
+    CU_TEST_INFO_NULL,
+  };
 
   bs_init ();
-  CU_initialize_registry ();
-  suite = CU_add_suite ("serve", NULL, NULL);
-  CU_add_test (suite, "own answers", test_each_gets_its_own_answer);
-  CU_add_test (suite, "bounded bodies", test_bodies_are_bounded);
-  CU_add_test (suite, "TLS", test_tls);
-  CU_add_test (suite, "bad addresses", test_bad_addresses_are_refused);
-  CU_add_test (suite, "stops listening",
-               test_a_server_that_stopped_listening_refuses);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+  return run_suite ("serve", tests);
 }
--- a/tests/platform/test_bodies.c
+++ b/tests/platform/test_bodies.c
@@ -1,9 +1,9 @@
 /* What the stand-in writes as callers and the operator do is read back as
    it was meant.  */
-#include <CUnit/Basic.h>
 #include <stdlib.h>
 
 #include "platform/stand/farm.h"
+#include "suite.h"
 
 static void
 test_job (void)
@@ -76,16 +76,11 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failed;
+  static const CU_TestInfo tests[] = {
+    { "test_job", test_job },
+    { "test_config", test_config },
+    CU_TEST_INFO_NULL,
+  };
 
-  if (CU_initialize_registry () != CUE_SUCCESS)
-    return 1;
-  suite = CU_add_suite ("bodies", NULL, NULL);
-  CU_ADD_TEST (suite, test_job);
-  CU_ADD_TEST (suite, test_config);
-  CU_basic_run_tests ();
-  failed = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failed != 0;
+  return run_suite ("bodies", tests);
 }
--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -1,9 +1,9 @@
 /* Bytes from the platform, good and bad, and the types they become.  */
-#include <CUnit/Basic.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "skr/port.h"
+#include "suite.h"
 
 static struct po_worker *
 worker (const char *value, const char **reason)
@@ -184,21 +184,16 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("decode", NULL, NULL);
-  CU_add_test (suite, "worker", test_worker_is_read);
-  CU_add_test (suite, "odd workers", test_odd_workers_are_passed_over);
-  CU_add_test (suite, "configuration", test_configuration_is_read);
-  CU_add_test (suite, "odd configurations",
-               test_odd_configurations_are_refused);
-  CU_add_test (suite, "job", test_job_is_read);
-  CU_add_test (suite, "odd jobs", test_odd_jobs_are_refused);
-  CU_add_test (suite, "calls", test_calls_are_told_apart);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+  static const CU_TestInfo tests[] = {
+    { "worker", test_worker_is_read },
+    { "odd workers", test_odd_workers_are_passed_over },
+    { "configuration", test_configuration_is_read },
+    { "odd configurations", test_odd_configurations_are_refused },
+    { "job", test_job_is_read },
+    { "odd jobs", test_odd_jobs_are_refused },
+    { "calls", test_calls_are_told_apart },
+    CU_TEST_INFO_NULL,
+  };
+
+  return run_suite ("decode", tests);
 }
--- a/tests/queue/test_queue.c
+++ b/tests/queue/test_queue.c
@@ -1,9 +1,9 @@
-#include <CUnit/Basic.h>
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "skr/queue.h"
+#include "suite.h"
 
 static struct qu_config *
 two_queues (void)
@@ -70,16 +70,12 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
+  static const CU_TestInfo tests[] = {
+    { "longest prefix", test_longest_prefix_wins },
+    { "keys", test_any_key_names_its_account },
+    { "retry after", test_retry_after_is_rounded_up },
+    CU_TEST_INFO_NULL,
+  };
 
-  CU_initialize_registry ();
-  suite = CU_add_suite ("queue", NULL, NULL);
-  CU_add_test (suite, "longest prefix", test_longest_prefix_wins);
-  CU_add_test (suite, "keys", test_any_key_names_its_account);
-  CU_add_test (suite, "retry after", test_retry_after_is_rounded_up);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+  return run_suite ("queue", tests);
 }
--- a/tests/soak/test_book.c
+++ b/tests/soak/test_book.c
@@ -1,8 +1,8 @@
 /* Each promise of the book is broken once, and the book must say so.  */
-#include <CUnit/Basic.h>
 #include <stdio.h>
 #include <string.h>
 
+#include "suite.h"
 #include "tests/soak/book.h"
 
 static struct bk_book book;
@@ -205,27 +205,22 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failed;
-
-  if (CU_initialize_registry () != CUE_SUCCESS)
-    return 1;
-  suite = CU_add_suite ("book", NULL, NULL);
-  CU_ADD_TEST (suite, test_plain);
-  CU_ADD_TEST (suite, test_runs_twice);
-  CU_ADD_TEST (suite, test_started_after_end);
-  CU_ADD_TEST (suite, test_end_let_go_late);
-  CU_ADD_TEST (suite, test_end_after_lapse);
-  CU_ADD_TEST (suite, test_other_payload);
-  CU_ADD_TEST (suite, test_other_checkpoint);
-  CU_ADD_TEST (suite, test_unknown_job);
-  CU_ADD_TEST (suite, test_refused_job_runs);
-  CU_ADD_TEST (suite, test_too_many_attempts);
-  CU_ADD_TEST (suite, test_shown_too_soon);
-  CU_ADD_TEST (suite, test_shown_without_cause);
-  CU_ADD_TEST (suite, test_lost);
-  CU_basic_run_tests ();
-  failed = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failed != 0;
+  static const CU_TestInfo tests[] = {
+    { "test_plain", test_plain },
+    { "test_runs_twice", test_runs_twice },
+    { "test_started_after_end", test_started_after_end },
+    { "test_end_let_go_late", test_end_let_go_late },
+    { "test_end_after_lapse", test_end_after_lapse },
+    { "test_other_payload", test_other_payload },
+    { "test_other_checkpoint", test_other_checkpoint },
+    { "test_unknown_job", test_unknown_job },
+    { "test_refused_job_runs", test_refused_job_runs },
+    { "test_too_many_attempts", test_too_many_attempts },
+    { "test_shown_too_soon", test_shown_too_soon },
+    { "test_shown_without_cause", test_shown_without_cause },
+    { "test_lost", test_lost },
+    CU_TEST_INFO_NULL,
+  };
+
+  return run_suite ("book", tests);
 }
--- a/tests/steps/test_steps.c
+++ b/tests/steps/test_steps.c
@@ -1,9 +1,9 @@
-#include <CUnit/Basic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "steps/fake_farm.h"
+#include "suite.h"
 
 static struct fa_farm farm;
 
@@ -460,11 +460,7 @@
 int
 main (void)
 {
-  static const struct
-  {
-    const char *name;
-    void (*fn) (void);
-  } tests[] = {
+  static const CU_TestInfo tests[] = {
     { "a job runs and completes", test_job_runs_and_completes },
     { "a gang starts whole", test_gang_starts_whole_or_not_at_all },
     { "steps wait", test_steps_wait_for_one_another },
@@ -484,16 +480,8 @@
     { "lasting task", test_lasting_task_starts_again },
     { "stored form", test_record_survives_text },
     { "random days", test_random_days_keep_the_rules },
+    CU_TEST_INFO_NULL,
   };
-  CU_pSuite suite;
-  unsigned failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("steps", NULL, NULL);
-  for (size_t i = 0; i < sizeof tests / sizeof *tests; i++)
-    CU_add_test (suite, tests[i].name, tests[i].fn);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+
+  return run_suite ("steps", tests);
 }
--- a/tests/table/test_vms.c
+++ b/tests/table/test_vms.c
@@ -1,12 +1,12 @@
 /* The VM list, read by one daemon of a domain and told to the others, on a
    fake clock; then many daemons with messages that are lost, late, doubled
    and with readers that fall silent.  */
-#include <CUnit/Basic.h>
 #include <gsl/gsl_rng.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "skr/vms.h"
+#include "suite.h"
 
 enum
 {
@@ -410,18 +410,16 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-
-  if (CU_initialize_registry () != CUE_SUCCESS)
-    return CU_get_error ();
-  suite = CU_add_suite ("vms", NULL, NULL);
-  CU_add_test (suite, "lines", test_lines);
-  CU_add_test (suite, "one reads", test_one_reads);
-  CU_add_test (suite, "restored", test_restored);
-  CU_add_test (suite, "silent reader", test_silent_reader);
-  CU_add_test (suite, "many changes", test_many_changes);
-  CU_add_test (suite, "late words", test_late_words);
-  CU_add_test (suite, "random", test_random);
-  CU_basic_run_tests ();
-  return CU_get_number_of_failures () != 0;
+  static const CU_TestInfo tests[] = {
+    { "lines", test_lines },
+    { "one reads", test_one_reads },
+    { "restored", test_restored },
+    { "silent reader", test_silent_reader },
+    { "many changes", test_many_changes },
+    { "late words", test_late_words },
+    { "random", test_random },
+    CU_TEST_INFO_NULL,
+  };
+
+  return run_suite ("vms", tests);
 }
--- a/tests/trace/test_trace.c
+++ b/tests/trace/test_trace.c
@@ -1,9 +1,9 @@
-#include <CUnit/Basic.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "skr/base.h"
 #include "skr/trace.h"
+#include "suite.h"
 
 static FILE *
 file_of (const char *text)
@@ -157,16 +157,16 @@
 int
 main (void)
 {
-  CU_pSuite suite;
+  static const CU_TestInfo tests[] = {
+    { "test_events_round_trip", test_events_round_trip },
+    { "test_defaults_follow_the_class", test_defaults_follow_the_class },
+    { "test_waste_counts_free_room_a_gang_waits_beside",
+      test_waste_counts_free_room_a_gang_waits_beside },
+    { "test_percentiles_are_samples", test_percentiles_are_samples },
+    { "test_within_counts_live_jobs", test_within_counts_live_jobs },
+    CU_TEST_INFO_NULL,
+  };
 
   bs_init ();
-  CU_initialize_registry ();
-  suite = CU_add_suite ("trace", NULL, NULL);
-  CU_ADD_TEST (suite, test_events_round_trip);
-  CU_ADD_TEST (suite, test_defaults_follow_the_class);
-  CU_ADD_TEST (suite, test_waste_counts_free_room_a_gang_waits_beside);
-  CU_ADD_TEST (suite, test_percentiles_are_samples);
-  CU_ADD_TEST (suite, test_within_counts_live_jobs);
-  CU_basic_run_tests ();
-  return CU_get_number_of_failures () ? 1 : 0;
+  return run_suite ("trace", tests);
 }
