HTTP client: wait by epoll instead of visiting every transfer

Cause: curl_multi_perform and curl_multi_poll look at each transfer in progress at each wake-up, and curl looks through its whole DNS cache after each transfer. A lease holder has a long poll at each of its workers, so a request cost more the more workers there were. Change: curl_multi_socket_action with epoll; one wake-up for many queued requests; DNS entries, which are IP addresses, never expire.

--- a/src/net/http.c
+++ b/src/net/http.c
@@ -4,13 +4,13 @@
 #include <stdatomic.h>
 #include <string.h>
 
+#include "net/http_poll.h"
 #include "skr/base.h"
 #include "skr/http.h"
 #include "skr/ring.h"
 
 enum
 {
-  POLL_TIMEOUT_MS = 1000,
   /* A connection that was idle for longer is not reused.  */
   MAX_IDLE_CONNECTION_S = 10,
   /* After a connection to a host went silent (a request that may have been
@@ -38,6 +38,7 @@
 struct hc_client
 {
   CURLM *multi;
+  struct hp_poll poll;
   struct bs_thread thread;
   struct rg_ring ring;
   atomic_int in_progress, stop;
@@ -149,6 +150,9 @@
                     (long)CURL_HTTP_VERSION_1_1);
   curl_easy_setopt (t->easy, CURLOPT_TIMEOUT_MS, (long)r->timeout_ms);
   curl_easy_setopt (t->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
+  /* Hosts are IP addresses, so entries never become outdated; with a limit on
+     their age curl looks through all of them after each transfer.  */
+  curl_easy_setopt (t->easy, CURLOPT_DNS_CACHE_TIMEOUT, -1L);
   curl_easy_setopt (t->easy, CURLOPT_MAXAGE_CONN, (long)MAX_IDLE_CONNECTION_S);
   curl_easy_setopt (t->easy, CURLOPT_TCP_KEEPALIVE, 1L);
   curl_easy_setopt (t->easy, CURLOPT_FRESH_CONNECT,
@@ -320,15 +324,13 @@
 {
   struct hc_client *hc = arg;
   void *item;
-  int running;
 
   while (!atomic_load (&hc->stop))
     {
       while (rg_pop (&hc->ring, &item, 0) == BS_OK)
         start_transfer (hc, item);
-      curl_multi_perform (hc->multi, &running);
+      hp_wait (&hc->poll);
       end_completed_transfers (hc);
-      curl_multi_poll (hc->multi, NULL, 0, POLL_TIMEOUT_MS, NULL);
     }
   rg_close (&hc->ring);
   while (rg_pop (&hc->ring, &item, 0) == BS_OK)
@@ -341,7 +343,7 @@
 static void
 wake_client (void *arg)
 {
-  curl_multi_wakeup (((struct hc_client *)arg)->multi);
+  hp_wake (&((struct hc_client *)arg)->poll);
 }
 
 static void
@@ -349,6 +351,7 @@
 {
   rg_fini (&hc->ring);
   curl_multi_cleanup (hc->multi);
+  hp_fini (&hc->poll);
   g_hash_table_destroy (hc->suspects);
   g_free (hc->ca);
   g_free (hc);
@@ -371,7 +374,8 @@
   hc->multi = curl_multi_init ();
   curl_multi_setopt (hc->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
                      (long)config->connections_per_host);
-  if (rg_init (&hc->ring, (unsigned)config->max_in_progress) == BS_OK)
+  if (hp_init (&hc->poll, hc->multi) == BS_OK
+      && rg_init (&hc->ring, (unsigned)config->max_in_progress) == BS_OK)
     {
       rg_on_push (&hc->ring, wake_client, hc);
       if (bs_thread_start (&hc->thread, client_main, hc) == BS_OK)
@@ -387,7 +391,7 @@
   if (!hc)
     return;
   atomic_store (&hc->stop, 1);
-  curl_multi_wakeup (hc->multi);
+  hp_wake (&hc->poll);
   bs_thread_join (&hc->thread);
   free_client (hc);
 }
