--- a/src/net/http.c
+++ b/src/net/http.c
@@ -4,7 +4,7 @@
 #include <stdatomic.h>
 #include <string.h>
 
-#include "net/http_poll.h"
+#include "net/http_mux.h"
 #include "skr/base.h"
 #include "skr/http.h"
 #include "skr/ring.h"
@@ -38,7 +38,7 @@
 struct hc_client
 {
   CURLM *multi;
-  struct hp_poll poll;
+  struct mx_poll poll;
   struct bs_thread thread;
   struct rg_ring ring;
   atomic_int in_progress, stop;
@@ -329,7 +329,7 @@
     {
       while (rg_pop (&hc->ring, &item, 0) == BS_OK)
         start_transfer (hc, item);
-      hp_wait (&hc->poll);
+      mx_wait (&hc->poll);
       end_completed_transfers (hc);
     }
   rg_close (&hc->ring);
@@ -343,7 +343,7 @@
 static void
 wake_client (void *arg)
 {
-  hp_wake (&((struct hc_client *)arg)->poll);
+  mx_wake (&((struct hc_client *)arg)->poll);
 }
 
 static void
@@ -351,7 +351,7 @@
 {
   rg_fini (&hc->ring);
   curl_multi_cleanup (hc->multi);
-  hp_fini (&hc->poll);
+  mx_fini (&hc->poll);
   g_hash_table_destroy (hc->suspects);
   g_free (hc->ca);
   g_free (hc);
@@ -374,7 +374,7 @@
   hc->multi = curl_multi_init ();
   curl_multi_setopt (hc->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
                      (long)config->connections_per_host);
-  if (hp_init (&hc->poll, hc->multi) == BS_OK
+  if (mx_init (&hc->poll, hc->multi) == BS_OK
       && rg_init (&hc->ring, (unsigned)config->max_in_progress) == BS_OK)
     {
       rg_on_push (&hc->ring, wake_client, hc);
@@ -391,7 +391,7 @@
   if (!hc)
     return;
   atomic_store (&hc->stop, 1);
-  hp_wake (&hc->poll);
+  mx_wake (&hc->poll);
   bs_thread_join (&hc->thread);
   free_client (hc);
 }
--- a/src/net/http_poll.c
+++ b/src/net/http_mux.c
@@ -3,7 +3,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
-#include "net/http_poll.h"
+#include "net/http_mux.h"
 
 enum
 {
@@ -47,7 +47,7 @@
 static int
 watch_socket (CURL *easy, curl_socket_t fd, int what, void *arg, void *known)
 {
-  struct hp_poll *p = arg;
+  struct mx_poll *p = arg;
   struct epoll_event e = { .events = to_epoll (what), .data.fd = fd };
 
   (void)easy;
@@ -65,7 +65,7 @@
 static int
 set_timer (CURLM *multi, long timeout_ms, void *arg)
 {
-  struct hp_poll *p = arg;
+  struct mx_poll *p = arg;
 
   (void)multi;
   if (timeout_ms > MAX_TIMER_MS)
@@ -75,7 +75,7 @@
 }
 
 int
-hp_init (struct hp_poll *p, CURLM *multi)
+mx_init (struct mx_poll *p, CURLM *multi)
 {
   struct epoll_event e = { .events = EPOLLIN };
 
@@ -97,7 +97,7 @@
 }
 
 void
-hp_fini (struct hp_poll *p)
+mx_fini (struct mx_poll *p)
 {
   if (p->epoll >= 0)
     close (p->epoll);
@@ -106,7 +106,7 @@
 }
 
 void
-hp_wake (struct hp_poll *p)
+mx_wake (struct mx_poll *p)
 {
   uint64_t one = 1;
 
@@ -115,9 +115,9 @@
 }
 
 /* The flag is cleared first: what was queued before a wake-up that is then
-   left out is seen by the caller, who looks after hp_wait returned.  */
+   left out is seen by the caller, who looks after mx_wait returned.  */
 static void
-consume_wake (struct hp_poll *p)
+consume_wake (struct mx_poll *p)
 {
   uint64_t count;
 
@@ -126,7 +126,7 @@
 }
 
 static int
-wait_ms (const struct hp_poll *p)
+wait_ms (const struct mx_poll *p)
 {
   int64_t left_ms;
 
@@ -139,7 +139,7 @@
 }
 
 void
-hp_wait (struct hp_poll *p)
+mx_wait (struct mx_poll *p)
 {
   struct epoll_event e[MAX_EVENTS];
   int n = epoll_wait (p->epoll, e, MAX_EVENTS, wait_ms (p)), running;
--- a/src/net/http_poll.h
+++ b/src/net/http_mux.h
@@ -1,15 +1,15 @@
 /* Waits for the sockets and timers of a curl multi handle by epoll, so that
    the cost of a wake-up does not grow with the number of transfers.  All
-   functions but hp_wake are called on one thread.  */
-#ifndef SKR_NET_HTTP_POLL_H
-#define SKR_NET_HTTP_POLL_H
+   functions but mx_wake are called on one thread.  */
+#ifndef SKR_NET_HTTP_MUX_H
+#define SKR_NET_HTTP_MUX_H
 
 #include <curl/curl.h>
 #include <stdatomic.h>
 
 #include "skr/base.h"
 
-struct hp_poll
+struct mx_poll
 {
   CURLM *multi; /* the caller's */
   int epoll, wake_fd;
@@ -19,14 +19,14 @@
 };
 
 /* Sets P up for MULTI, whose socket and timer callbacks it takes over.
-   Returns BS_OK or BS_ENOMEM; hp_fini may be called in either case.  */
-int hp_init (struct hp_poll *p, CURLM *multi);
+   Returns BS_OK or BS_ENOMEM; mx_fini may be called in either case.  */
+int mx_init (struct mx_poll *p, CURLM *multi);
 /* Call it after the multi handle was freed.  */
-void hp_fini (struct hp_poll *p);
-/* Makes the current or the next hp_wait return.  Called on any thread.  */
-void hp_wake (struct hp_poll *p);
-/* Waits until a socket is ready, a timer expires or hp_wake is called, and
+void mx_fini (struct mx_poll *p);
+/* Makes the current or the next mx_wait return.  Called on any thread.  */
+void mx_wake (struct mx_poll *p);
+/* Waits until a socket is ready, a timer expires or mx_wake is called, and
    lets curl handle what is ready.  */
-void hp_wait (struct hp_poll *p);
+void mx_wait (struct mx_poll *p);
 
 #endif
