Decide a full fleet in the time of the shapes that wait

Cause: in a round of a full fleet each waiting unit was searched a place for and a plan to preempt, and each step of a plan looked at all workers and compared the names of their racks: 297 ms a round with 1,100 workers and 860 jobs, half of a core of a VM of 0.5 cores. A holder missed its renewals, the next holder took over into the same backlog. Change: racks are objects that hold their workers; a plan keeps an estimate a worker and refreshes those that a victim runs on; a plan that cannot reach its goal, or costs more than the best one, is given up; a unit that needs as much as one that failed in this round is not tried; the single tasks of a step share one search; the ready list has an entry a step, not a task.

--- a/src/steps/cluster.c
+++ b/src/steps/cluster.c
@@ -17,6 +17,7 @@
   c->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, jb_free);
   c->guarantees
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  rk_init (c);
   c->worker_list = g_ptr_array_new ();
   c->job_list = g_ptr_array_new ();
   return c;
@@ -30,6 +31,7 @@
   g_ptr_array_free (c->job_list, TRUE);
   g_ptr_array_free (c->worker_list, TRUE);
   g_hash_table_destroy (c->jobs);
+  rk_fini (c);
   g_hash_table_destroy (c->workers);
   g_hash_table_destroy (c->guarantees);
   g_free (c);
--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "steps/blocked.h"
 #include "steps/state.h"
 
 enum
@@ -84,9 +85,13 @@
   g_hash_table_destroy (used);
 }
 
-struct ready_unit
+/* The waiting units of one step.  They stand side by side among the units of
+   their job.  */
+struct ready_step
 {
-  struct unit *unit;
+  struct job *job;
+  guint first, end;        /* units of JOB, those that do not wait included */
+  struct unit *unit;       /* its first that waits */
   int64_t latest_start_ms; /* latest start that meets its objective */
 };
 
@@ -108,7 +113,7 @@
 static int
 by_urgency (const void *a, const void *b)
 {
-  const struct ready_unit *x = a, *y = b;
+  const struct ready_step *x = a, *y = b;
   const struct unit *p = x->unit, *q = y->unit;
   int order;
 
@@ -121,28 +126,49 @@
     return order;
   if (p->occurrence != q->occurrence)
     return p->occurrence - q->occurrence;
-  return p->step != q->step ? p->step - q->step : p->first - q->first;
+  return p->step - q->step;
+}
+
+static struct unit *
+unit_at (const struct job *j, guint i)
+{
+  return g_ptr_array_index (j->units, i);
+}
+
+/* Appends J's steps with waiting units to LIST.  */
+static void
+list_ready_steps (struct job *j, int64_t wall_offset, GArray *list)
+{
+  guint end;
+
+  for (guint i = 0; i < j->units->len; i = end)
+    {
+      struct ready_step r = { .job = j, .first = i };
+
+      for (end = i; end < j->units->len
+                    && un_same_step (unit_at (j, i), unit_at (j, end));
+           end++)
+        if (!r.unit && unit_at (j, end)->state == UN_READY)
+          r.unit = unit_at (j, end);
+      r.end = end;
+      if (!r.unit)
+        continue;
+      r.latest_start_ms = latest_start_ms (r.unit, wall_offset);
+      g_array_append_val (list, r);
+    }
 }
 
 static GArray *
 list_ready (struct sj_cluster *c, int64_t wall_offset)
 {
-  GArray *list = g_array_new (FALSE, FALSE, sizeof (struct ready_unit));
+  GArray *list = g_array_new (FALSE, FALSE, sizeof (struct ready_step));
 
   for (guint i = 0; i < c->job_list->len; i++)
     {
       struct job *j = g_ptr_array_index (c->job_list, i);
 
-      if (jb_ended (j))
-        continue;
-      for (guint k = 0; k < j->units->len; k++)
-        {
-          struct unit *u = g_ptr_array_index (j->units, k);
-          struct ready_unit r = { u, latest_start_ms (u, wall_offset) };
-
-          if (u->state == UN_READY)
-            g_array_append_val (list, r);
-        }
+      if (!jb_ended (j))
+        list_ready_steps (j, wall_offset, list);
     }
   g_array_sort (list, by_urgency);
   return list;
@@ -252,58 +278,98 @@
   return (idle - requested) * 100 < all * percent;
 }
 
-/* Number of tasks that wait in the step of entry I: those of a gang, or of the
-   step's ready units, which are adjacent in READY.  */
+/* Number of tasks of R that wait from unit U on: those of a gang, or of the
+   step's waiting units.  */
 static int
-ready_tasks_from (const GArray *ready, guint i)
+waiting_tasks (const struct ready_step *r, const struct unit *u)
 {
-  const struct unit *u = g_array_index (ready, struct ready_unit, i).unit;
-  int tasks = 0;
+  int tasks = 0, reached = 0;
 
-  for (; i < ready->len; i++)
+  if (u->count > 1)
+    return u->count;
+  for (guint i = r->first; i < r->end; i++)
     {
-      const struct unit *other
-          = g_array_index (ready, struct ready_unit, i).unit;
+      reached |= unit_at (r->job, i) == u;
+      if (reached && unit_at (r->job, i)->state == UN_READY)
+        tasks += unit_at (r->job, i)->count;
+    }
+  return tasks;
+}
 
-      if (!un_same_step (u, other))
-        break;
-      tasks += other->state == UN_READY ? other->count : 0;
+/* A round's state.  */
+struct round
+{
+  int is_idle, reservations;
+  int64_t idle, all; /* accelerators */
+  struct bl_list blocked;
+  struct pl_singles singles; /* where the single tasks of a step go */
+};
+
+/* Starts U or makes room for it, as start_or_reserve.  */
+static int
+place_unit (struct sj_cluster *c, struct round *r, struct unit *u, int64_t now)
+{
+  int allow_off_rack = may_leave_rack (c, u, r->is_idle, now);
+  struct worker *w;
+
+  if (bl_covers (&r->blocked, c, u, allow_off_rack))
+    return 0;
+  w = pl_next_single (c, &r->singles, u);
+  if (w)
+    {
+      ru_plan (u, &w, 0, now);
+      pl_reserve (u, &w);
+      r->idle -= un_step (u)->need.accelerators;
+      return 1;
+    }
+  c->searches++;
+  if (!start_or_reserve (c, u, allow_off_rack, now))
+    {
+      bl_add (&r->blocked, u, allow_off_rack, r->reservations);
+      return 0;
     }
-  return u->count > 1 ? u->count : tasks;
+  r->idle = idle_accelerators (c, &r->all);
+  return 1;
 }
 
-/* Tries to start all ready units in order of urgency.  Once a unit can't
-   start, the rest of its step is skipped in this round.  */
+/* Tries to start the units of one step.  Once a unit can't start, the rest of
+   its step is skipped in this round.  */
 static void
-place_all (struct sj_cluster *c, int64_t now, int64_t wall_offset)
+place_step (struct sj_cluster *c, struct round *r, const struct ready_step *s,
+            int64_t now)
 {
-  GArray *ready = list_ready (c, wall_offset);
-  const struct unit *blocked = NULL;
-  int is_idle = is_mostly_idle (c), reservations = 0;
-  int64_t all, idle = idle_accelerators (c, &all);
-
-  for (guint i = 0; i < ready->len; i++)
+  r->singles = (struct pl_singles){ 0 };
+  for (guint i = s->first; i < s->end; i++)
     {
-      struct unit *u = g_array_index (ready, struct ready_unit, i).unit;
+      struct unit *u = unit_at (s->job, i);
 
       /* A unit preempted in this round is considered again in a later one.  */
-      if (u->state != UN_READY || (blocked && un_same_step (blocked, u)))
+      if (u->state != UN_READY)
         continue;
-      if (must_leave_headroom (u, idle, all, now))
-        {
-          blocked = u;
-          continue;
-        }
-      if (start_or_reserve (c, u, may_leave_rack (c, u, is_idle, now), now))
-        idle = idle_accelerators (c, &all);
-      else
-        {
-          blocked = u;
-          if (now - u->ready_ms >= RESERVE_AFTER_MS
-              && reservations < MAX_RESERVATIONS)
-            reservations += rs_reserve (c, u, ready_tasks_from (ready, i));
-        }
+      if (must_leave_headroom (u, r->idle, r->all, now))
+        break;
+      if (place_unit (c, r, u, now))
+        continue;
+      if (now - u->ready_ms >= RESERVE_AFTER_MS
+          && r->reservations < MAX_RESERVATIONS)
+        r->reservations += rs_reserve (c, u, waiting_tasks (s, u));
+      break;
     }
+  pl_end_singles (&r->singles);
+}
+
+/* Tries to start all waiting units in order of urgency.  */
+static void
+place_all (struct sj_cluster *c, int64_t now, int64_t wall_offset)
+{
+  GArray *ready = list_ready (c, wall_offset);
+  struct round r = { .is_idle = is_mostly_idle (c) };
+
+  c->searches = 0;
+  r.idle = idle_accelerators (c, &r.all);
+  bl_clear (&r.blocked, c);
+  for (guint i = 0; i < ready->len; i++)
+    place_step (c, &r, &g_array_index (ready, struct ready_step, i), now);
   g_array_free (ready, TRUE);
 }
 
@@ -373,7 +439,7 @@
       struct unit *u = g_ptr_array_index (j->units, k);
 
       if ((u->state == UN_DONE || jb_ended (j)) && !occupies_capacity (u))
-        g_ptr_array_remove_index_fast (j->units, k);
+        g_ptr_array_remove_index (j->units, k);
     }
 }
 
--- a/src/steps/need.c
+++ b/src/steps/need.c
@@ -50,6 +50,11 @@
 {
   int64_t n = max;
 
+  /* Most workers of a busy fleet are full, and a division takes long.  */
+  if (!nd_fits (need, available))
+    return 0;
+  if (max <= 1)
+    return max;
   n = count_by_dimension (need->cpu_milli, available->cpu_milli, n);
   n = count_by_dimension (need->memory_mb, available->memory_mb, n);
   return (int)count_by_dimension (need->accelerators, available->accelerators,
--- a/src/steps/placement.c
+++ b/src/steps/placement.c
@@ -26,7 +26,8 @@
 static int
 has_label (const struct worker *w, const char *label)
 {
-  return !g_strcmp0 (w->kind, label) || !g_strcmp0 (w->rack, label);
+  return !g_strcmp0 (w->kind, label)
+         || (w->rack && !strcmp (w->rack->name, label));
 }
 
 int
@@ -35,7 +36,7 @@
 {
   const struct sj_step *s = un_step (u);
 
-  return wo_usable (c, w) && !g_strcmp0 (w->service, u->job->spec->service)
+  return wo_usable (c, w) && w->service == u->job->service
          && (!s->label || has_label (w, s->label)) && !is_avoided (u, w);
 }
 
@@ -125,19 +126,17 @@
    and *TOTAL with the tasks that fit.  Returns the number of workers.  */
 static int
 list_candidates (struct sj_cluster *c, const struct unit *u, int after_stops,
-                 const char *rack, struct candidate *out, int *total)
+                 const struct rack *rack, struct candidate *out, int *total)
 {
+  const GPtrArray *workers = rk_workers (c, rack);
   int n = 0;
 
   *total = 0;
-  for (guint i = 0; i < c->worker_list->len; i++)
+  for (guint i = 0; i < workers->len; i++)
     {
-      struct worker *w = g_ptr_array_index (c->worker_list, i);
-      int tasks;
+      struct worker *w = g_ptr_array_index (workers, i);
+      int tasks = tasks_fitting_on (c, u, w, after_stops);
 
-      if (rack && g_strcmp0 (rack, w->rack))
-        continue;
-      tasks = tasks_fitting_on (c, u, w, after_stops);
       if (!tasks)
         continue;
       out[n++] = (struct candidate){ w, tasks, he_is_slow_worker (c, w) };
@@ -163,7 +162,7 @@
 
 static int
 place_in_rack (struct sj_cluster *c, struct unit *u, int after_stops,
-               const char *rack, struct candidate *candidates,
+               const struct rack *rack, struct candidate *candidates,
                struct worker **placement)
 {
   int total, n = list_candidates (c, u, after_stops, rack, candidates, &total);
@@ -171,47 +170,45 @@
   return total >= u->count && assign_tasks (u, candidates, n, placement);
 }
 
+/* Tasks of U that fit in R.  */
+static int
+tasks_fitting_in (const struct sj_cluster *c, const struct unit *u,
+                  const struct rack *r, int after_stops)
+{
+  int n = 0;
+
+  for (guint i = 0; i < r->workers->len; i++)
+    n += tasks_fitting_on (c, u, g_ptr_array_index (r->workers, i),
+                           after_stops);
+  return n;
+}
+
 /* The rack that holds U with the least capacity to spare, or NULL.  */
-static const char *
+static const struct rack *
 tightest_rack (struct sj_cluster *c, const struct unit *u, int after_stops)
 {
-  GHashTable *tasks_by_rack = g_hash_table_new (g_str_hash, g_str_equal);
-  const char *best = NULL;
-  GHashTableIter iter;
-  gpointer rack, sum;
+  const struct rack *best = NULL;
   int least = 0;
 
-  for (guint i = 0; i < c->worker_list->len; i++)
-    {
-      struct worker *w = g_ptr_array_index (c->worker_list, i);
-      int tasks = w->rack ? tasks_fitting_on (c, u, w, after_stops) : 0;
-
-      if (tasks)
-        g_hash_table_insert (
-            tasks_by_rack, w->rack,
-            GINT_TO_POINTER (
-                GPOINTER_TO_INT (g_hash_table_lookup (tasks_by_rack, w->rack))
-                + tasks));
-    }
-  g_hash_table_iter_init (&iter, tasks_by_rack);
-  while (g_hash_table_iter_next (&iter, &rack, &sum))
+  for (guint i = 0; i < c->rack_list->len; i++)
     {
-      int n = GPOINTER_TO_INT (sum);
+      const struct rack *r = g_ptr_array_index (c->rack_list, i);
+      int n = tasks_fitting_in (c, u, r, after_stops);
 
       if (n >= u->count
-          && (!best || n < least || (n == least && strcmp (rack, best) < 0)))
+          && (!best || n < least
+              || (n == least && strcmp (r->name, best->name) < 0)))
         {
-          best = rack;
+          best = r;
           least = n;
         }
     }
-  g_hash_table_destroy (tasks_by_rack);
   return best;
 }
 
 /* Rack of an active unit of the same step, or NULL.  Used for a step that
    stays in one rack although its tasks start separately.  */
-static const char *
+static const struct rack *
 rack_of_siblings (const struct unit *u)
 {
   const struct job *j = u->job;
@@ -227,14 +224,14 @@
 }
 
 /* The rack in which U should run, or NULL.  */
-static const char *
+static const struct rack *
 preferred_rack (struct sj_cluster *c, const struct unit *u, int after_stops)
 {
   const struct sj_step *s = un_step (u);
-  const char *rack;
+  const struct rack *rack;
 
   if (s->data_rack)
-    return s->data_rack;
+    return rk_find (c, s->data_rack);
   if (u->count == 1 && (rack = rack_of_siblings (u)))
     return rack;
   return tightest_rack (c, u, after_stops);
@@ -258,7 +255,7 @@
 {
   struct candidate *candidates
       = g_new (struct candidate, c->worker_list->len + 1);
-  const char *rack = NULL;
+  const struct rack *rack = NULL;
   int placed = 0;
 
   *off_rack = 0;
@@ -276,6 +273,45 @@
   return placed;
 }
 
+/* Searches workers for U's step.  */
+static void
+begin_singles (struct sj_cluster *c, struct pl_singles *s, struct unit *u)
+{
+  int total;
+
+  s->list = g_new (struct candidate, c->worker_list->len + 1);
+  s->count = list_candidates (c, u, 0, NULL, s->list, &total);
+  qsort (s->list, (size_t)s->count, sizeof *s->list, by_fit);
+}
+
+/* A worker that is filled is left for the next one.  A worker that only U
+   avoids is kept for the others, and U is searched for by itself.  */
+struct worker *
+pl_next_single (struct sj_cluster *c, struct pl_singles *s, struct unit *u)
+{
+  if (u->count > 1 || is_step_rack_bound (un_step (u)))
+    return NULL;
+  if (!s->list)
+    begin_singles (c, s, u);
+  for (; s->next < s->count; s->next++)
+    {
+      struct worker *w = s->list[s->next].worker;
+
+      if (is_avoided (u, w))
+        return NULL;
+      if (tasks_fitting_on (c, u, w, 0))
+        return w;
+    }
+  return NULL;
+}
+
+void
+pl_end_singles (struct pl_singles *s)
+{
+  g_free (s->list);
+  s->list = NULL;
+}
+
 /* Tasks of U that fit on W when it is empty.  */
 static int
 tasks_if_empty (const struct sj_cluster *c, const struct unit *u,
@@ -288,49 +324,43 @@
   return nd_count_fitting (&need, &w->capacity, pl_max_per_worker (u));
 }
 
+/* Whether R would hold all of U if it were empty.  */
+static int
+can_hold (const struct sj_cluster *c, const struct unit *u,
+          const struct rack *r)
+{
+  int n = 0;
+
+  for (guint i = 0; i < r->workers->len && n < u->count; i++)
+    n += tasks_if_empty (c, u, g_ptr_array_index (r->workers, i));
+  return n >= u->count;
+}
+
 int
 pl_rack_can_hold (const struct sj_cluster *c, const struct unit *u)
 {
-  const struct sj_step *s = un_step (u);
-  GHashTable *tasks_by_rack;
-  int can_hold = 0;
+  GPtrArray *racks;
+  int found = 0;
 
-  if (!is_step_rack_bound (s))
+  if (!is_step_rack_bound (un_step (u)))
     return 1;
-  tasks_by_rack = g_hash_table_new (g_str_hash, g_str_equal);
-  for (guint i = 0; i < c->worker_list->len && !can_hold; i++)
-    {
-      struct worker *w = g_ptr_array_index (c->worker_list, i);
-      int n;
-
-      if (!w->rack || (s->data_rack && strcmp (s->data_rack, w->rack) != 0))
-        continue;
-      n = GPOINTER_TO_INT (g_hash_table_lookup (tasks_by_rack, w->rack))
-          + tasks_if_empty (c, u, w);
-      g_hash_table_insert (tasks_by_rack, w->rack, GINT_TO_POINTER (n));
-      can_hold = n >= u->count;
-    }
-  g_hash_table_destroy (tasks_by_rack);
-  return can_hold;
+  racks = pl_candidate_racks (c, u);
+  for (guint i = 0; i < racks->len && !found; i++)
+    found = can_hold (c, u, g_ptr_array_index (racks, i));
+  g_ptr_array_free (racks, TRUE);
+  return found;
 }
 
 GPtrArray *
 pl_candidate_racks (const struct sj_cluster *c, const struct unit *u)
 {
   const char *data = un_step (u)->data_rack;
-  GHashTable *seen = g_hash_table_new (g_str_hash, g_str_equal);
   GPtrArray *racks = g_ptr_array_new ();
 
-  if (data)
-    g_ptr_array_add (racks, (gpointer)(uintptr_t)data);
-  for (guint i = 0; i < c->worker_list->len && !data; i++)
-    {
-      const struct worker *w = g_ptr_array_index (c->worker_list, i);
-
-      if (w->rack && g_hash_table_add (seen, w->rack))
-        g_ptr_array_add (racks, w->rack);
-    }
-  g_hash_table_destroy (seen);
+  for (guint i = 0; i < c->rack_list->len && !data; i++)
+    g_ptr_array_add (racks, g_ptr_array_index (c->rack_list, i));
+  if (rk_find (c, data))
+    g_ptr_array_add (racks, rk_find (c, data));
   return racks;
 }
 
--- a/src/steps/preempt.c
+++ b/src/steps/preempt.c
@@ -41,16 +41,14 @@
 {
   struct unit *victim[MAX_VICTIMS];
   int victims;
+  int serial; /* marks the victims */
   int64_t cost;
 };
 
 static int
 is_victim (const struct plan *p, const struct unit *u)
 {
-  for (int i = 0; i < p->victims; i++)
-    if (p->victim[i] == u)
-      return 1;
-  return 0;
+  return u->victim_of == p->serial;
 }
 
 /* Free capacity of W after pending stops and the plan's victims.  */
@@ -148,75 +146,175 @@
   return extra->tasks > 0;
 }
 
-static int
-in_rack (const struct worker *w, const char *rack)
+/* What one more stop on a worker would bring.  Kept for each worker, as a
+   victim changes only the workers that it runs on.  */
+struct estimate
 {
-  return !rack || !g_strcmp0 (rack, w->rack);
+  struct worker *worker;
+  int fitting; /* tasks of the unit that fit under the plan */
+  int tasks;   /* that fit besides after the cheapest stops; 0: none */
+  int64_t cost;
+};
+
+static void
+refresh (const struct plan *p, const struct unit *u, struct estimate *e,
+         int64_t now)
+{
+  struct sj_resources need = nd_for_step (un_step (u)),
+                      available = free_after (p, e->worker);
+  int limit = pl_max_per_worker (u);
+  struct worker_plan extra;
+
+  e->fitting = nd_count_fitting (&need, &available, limit);
+  e->tasks = 0;
+  if (!plan_worker (p, u, e->worker, limit, &extra, now))
+    return;
+  e->tasks = extra.tasks;
+  e->cost = extra.cost;
 }
 
-/* The worker plan with the least cost per additional task.  */
-static int
-best_worker_plan (struct sj_cluster *c, const struct plan *p,
-                  const struct unit *u, const char *rack,
-                  struct worker_plan *best, int64_t now)
+/* Capacity of W once everything that U may preempt is stopped.  */
+static struct sj_resources
+free_at_most (const struct unit *u, const struct worker *w)
 {
-  int found = 0;
+  struct sj_resources available = w->free_after_stops;
 
-  for (guint i = 0; i < c->worker_list->len; i++)
+  for (guint i = 0; i < w->members->len; i++)
     {
-      struct worker *w = g_ptr_array_index (c->worker_list, i);
-      struct worker_plan extra;
+      const struct member *m = g_ptr_array_index (w->members, i);
+      struct sj_resources need = nd_for_step (un_step (m->unit));
 
-      if (!in_rack (w, rack) || !pl_is_eligible (c, u, w)
-          || !plan_worker (p, u, w, pl_max_per_worker (u), &extra, now))
-        continue;
-      if (!found || extra.cost * best->tasks < best->cost * extra.tasks)
-        *best = extra;
-      found = 1;
+      if (may_preempt (m->unit, u))
+        nd_add (&available, &need);
     }
-  return found;
+  return available;
 }
 
-/* Tasks of U that fit in RACK (any if NULL) under plan P.  */
+/* Whether U would fit in RACK (any if NULL) if everything that it may preempt
+   were stopped.  */
 static int
-count_fitting_tasks (struct sj_cluster *c, const struct plan *p,
-                     const struct unit *u, const char *rack)
+could_fit (const struct sj_cluster *c, const struct unit *u,
+           const struct rack *rack)
 {
+  const GPtrArray *workers = rk_workers (c, rack);
   struct sj_resources need = nd_for_step (un_step (u));
   int n = 0;
 
-  for (guint i = 0; i < c->worker_list->len; i++)
+  for (guint i = 0; i < workers->len && n < u->count; i++)
     {
-      struct worker *w = g_ptr_array_index (c->worker_list, i);
+      const struct worker *w = g_ptr_array_index (workers, i);
       struct sj_resources available;
 
-      if (!in_rack (w, rack) || !pl_is_eligible (c, u, w))
+      if (!pl_is_eligible (c, u, w))
         continue;
-      available = free_after (p, w);
+      available = free_at_most (u, w);
       n += nd_count_fitting (&need, &available, pl_max_per_worker (u));
     }
-  return n;
+  return n >= u->count;
+}
+
+/* Estimates for the eligible workers of RACK.  */
+static GArray *
+list_estimates (const struct sj_cluster *c, const struct plan *p,
+                const struct unit *u, const struct rack *rack, int64_t now)
+{
+  const GPtrArray *workers = rk_workers (c, rack);
+  GArray *list = g_array_sized_new (FALSE, FALSE, sizeof (struct estimate),
+                                    workers->len);
+
+  for (guint i = 0; i < workers->len; i++)
+    {
+      struct estimate e = { .worker = g_ptr_array_index (workers, i) };
+
+      if (!pl_is_eligible (c, u, e.worker))
+        continue;
+      refresh (p, u, &e, now);
+      e.worker->estimate = (int)list->len;
+      g_array_append_val (list, e);
+    }
+  return list;
+}
+
+/* The worker with the least cost per additional task, or NULL.  *FITTING is
+   set to the tasks that fit on all workers without it.  */
+static struct estimate *
+best_estimate (GArray *list, int *fitting)
+{
+  struct estimate *best = NULL;
+
+  *fitting = 0;
+  for (guint i = 0; i < list->len; i++)
+    {
+      struct estimate *e = &g_array_index (list, struct estimate, i);
+
+      *fitting += e->fitting;
+      if (e->tasks && (!best || e->cost * best->tasks < best->cost * e->tasks))
+        best = e;
+    }
+  return best;
 }
 
-/* Plans victims so that U fits in RACK (any if NULL).  Returns 0 if it can't
-   fit.  */
+/* Adds VICTIM to P and refreshes the estimates of the workers that it runs
+   on.  */
+static void
+add_victim (struct plan *p, const struct unit *u, struct unit *victim,
+            GArray *list, int64_t now)
+{
+  p->victim[p->victims++] = victim;
+  victim->victim_of = p->serial;
+  for (int i = 0; i < victim->count; i++)
+    {
+      const struct worker *w = victim->members[i].worker;
+      struct estimate *e;
+
+      if (!w || (guint)w->estimate >= list->len)
+        continue;
+      e = &g_array_index (list, struct estimate, w->estimate);
+      if (e->worker == w)
+        refresh (p, u, e, now);
+    }
+}
+
+/* Stops the cheapest victims until U fits, for less than MAX_COST.  */
 static int
-make_plan (struct sj_cluster *c, const struct unit *u, const char *rack,
-           struct plan *p, int64_t now)
+choose_victims (struct plan *p, const struct unit *u, GArray *list,
+                int64_t max_cost, int64_t now)
 {
   struct worker_plan extra;
+  struct estimate *e;
+  int fitting;
 
-  *p = (struct plan){ 0 };
-  while (count_fitting_tasks (c, p, u, rack) < u->count)
+  while ((e = best_estimate (list, &fitting), fitting < u->count))
     {
-      if (!best_worker_plan (c, p, u, rack, &extra, now)
+      if (!e || p->cost >= max_cost
+          || !plan_worker (p, u, e->worker, pl_max_per_worker (u), &extra, now)
           || p->victims + extra.victims > MAX_VICTIMS)
         return 0;
-      for (int i = 0; i < extra.victims; i++)
-        p->victim[p->victims++] = extra.victim[i];
       p->cost += extra.cost;
+      for (int i = 0; i < extra.victims; i++)
+        add_victim (p, u, extra.victim[i], list, now);
     }
-  return 1;
+  return p->cost < max_cost;
+}
+
+/* Plans victims so that U fits in RACK (any if NULL) for less than MAX_COST.
+   Returns 0 if there is no such plan.  */
+static int
+make_plan (struct sj_cluster *c, const struct unit *u, const struct rack *rack,
+           int64_t max_cost, struct plan *p, int64_t now)
+{
+  GArray *list;
+  int found;
+
+  if (!could_fit (c, u, rack))
+    return 0;
+  p->victims = 0;
+  p->cost = 0;
+  p->serial = ++c->plan_serial;
+  list = list_estimates (c, p, u, rack, now);
+  found = choose_victims (p, u, list, max_cost, now);
+  g_array_free (list, TRUE);
+  return found;
 }
 
 /* The cheapest plan within a single rack; *RACKS is the number of racks that U
@@ -230,8 +328,8 @@
   int found = 0;
 
   for (guint i = 0; i < rack_list->len && i < MAX_RACKS; i++)
-    if (make_plan (c, u, g_ptr_array_index (rack_list, i), &p, now)
-        && (!found || p.cost < best->cost))
+    if (make_plan (c, u, g_ptr_array_index (rack_list, i),
+                   found ? best->cost : INT64_MAX, &p, now))
       {
         *best = p;
         found = 1;
@@ -253,7 +351,7 @@
     return 1;
   if (racks && !allow_off_rack)
     return 0;
-  return make_plan (c, u, NULL, best, now);
+  return make_plan (c, u, NULL, INT64_MAX, best, now);
 }
 
 static void
@@ -277,6 +375,7 @@
 
   if (!best_plan (c, u, allow_off_rack, &p, now))
     return 0;
+  c->preemptions++;
   for (int i = 0; i < p.victims; i++)
     stop_victim (c, p.victim[i], now);
   placement = g_new (struct worker *, u->count);
--- a/src/steps/reservation.c
+++ b/src/steps/reservation.c
@@ -120,15 +120,17 @@
 
 /* Slots for U's step in RACK (any if NULL), the soonest first.  */
 static GArray *
-list_slots (const struct sj_cluster *c, const struct unit *u, const char *rack)
+list_slots (const struct sj_cluster *c, const struct unit *u,
+            const struct rack *rack)
 {
+  const GPtrArray *workers = rk_workers (c, rack);
   GArray *out = g_array_new (FALSE, FALSE, sizeof (struct slot));
 
-  for (guint i = 0; i < c->worker_list->len; i++)
+  for (guint i = 0; i < workers->len; i++)
     {
-      struct worker *w = g_ptr_array_index (c->worker_list, i);
+      struct worker *w = g_ptr_array_index (workers, i);
 
-      if ((!rack || !g_strcmp0 (rack, w->rack)) && pl_is_eligible (c, u, w))
+      if (pl_is_eligible (c, u, w))
         add_slots (c, u, w, out);
     }
   g_array_sort (out, by_slot_time);
--- a/src/steps/run.c
+++ b/src/steps/run.c
@@ -29,6 +29,7 @@
                             .incarnation = m->worker->incarnation,
                             .payload = m->unit->job->spec->payload,
                             .checkpoint = m->unit->checkpoint,
+                            .priority = m->unit->job->spec->priority,
                             .cause = m->unit->stop_cause };
 
   fill_run (&order.run, m);
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -74,6 +74,7 @@
   int moved;                /* was moved once off a stalled or slow worker */
   enum sj_cause stop_cause; /* why its run was aborted */
   int run_commit;           /* an enum run_commit */
+  int victim_of;            /* serial of the last plan to stop it */
 };
 
 /* An occurrence of a job that has fallen due and is not done.  */
@@ -87,9 +88,11 @@
 struct job
 {
   struct sj_job *spec;
+  const char *service; /* interned, as in struct worker */
   enum sj_state state, stored_state, commit_state;
   GPtrArray *open_occurrences; /* struct occurrence */
-  GPtrArray *units;    /* struct unit; done ones until all members ended */
+  GPtrArray *units;    /* struct unit; done ones until all members ended; those
+                          of a step side by side */
   int next_occurrence; /* number of the next to fall due */
   int occurrences_done;
   int64_t accepted_ms; /* on the caller's clock */
@@ -100,9 +103,18 @@
   int rank; /* RANK_GUARANTEED and so on, set by each decision round */
 };
 
+struct rack
+{
+  char *name;
+  GPtrArray *workers;
+  int fitting; /* tasks, in the search for one unit */
+};
+
 struct worker
 {
-  char *id, *service, *kind, *rack;
+  char *id, *kind;
+  const char *service; /* interned */
+  struct rack *rack;   /* or NULL */
   int64_t incarnation; /* 0: unknown */
   struct sj_resources capacity, used;
   struct sj_resources free, free_after_stops; /* of the current round */
@@ -120,6 +132,7 @@
   char last_failed_job[SJ_ID_SIZE];
   int64_t suspect_until_ms; /* no starts are sent to it before */
   int64_t seen_slow_ms;     /* last slow sample; 0: none or since recovered */
+  int estimate;             /* its place in the estimates of preempt.c */
 };
 
 struct sj_cluster
@@ -129,9 +142,13 @@
   void *arg;
   GHashTable *workers, *jobs; /* by id */
   GHashTable *guarantees;     /* account name to accelerators */
-  GPtrArray *worker_list, *job_list;
-  int changed; /* since the last decision round */
-  int64_t now; /* the caller's latest clock reading */
+  GHashTable *racks;          /* by name */
+  GPtrArray *worker_list, *job_list, *rack_list;
+  int changed;     /* since the last decision round */
+  int plan_serial; /* of the last plan to preempt */
+  int searches;    /* of the last round: units that were tried */
+  int preemptions; /* units for which others were stopped */
+  int64_t now;     /* the caller's latest clock reading */
   int64_t decided_ms, health_checked_ms;
 };
 
@@ -158,6 +175,17 @@
    eight cores, memory as nothing.  */
 int64_t nd_weight (const struct sj_resources *need);
 
+/* rack.c */
+void rk_init (struct sj_cluster *c);
+void rk_fini (struct sj_cluster *c);
+/* The rack NAME, or NULL if no worker is in it.  NAME may be NULL.  */
+struct rack *rk_find (const struct sj_cluster *c, const char *name);
+/* Moves W to the rack NAME (NULL: to none) and frees a rack that it leaves
+   empty.  */
+void rk_move (struct sj_cluster *c, struct worker *w, const char *name);
+/* The workers of R, or all workers if R is NULL.  */
+const GPtrArray *rk_workers (const struct sj_cluster *c, const struct rack *r);
+
 /* worker.c */
 struct worker *wo_find (struct sj_cluster *c, const char *id);
 void wo_free (void *worker);
@@ -240,6 +268,18 @@
    set to whether it is.  Returns 1 if it fits.  */
 int pl_place (struct sj_cluster *c, struct unit *u, int after_stops,
               int allow_off_rack, struct worker **placement, int *off_rack);
+/* Places the single tasks of a step one after the other, for the price of one
+   search.  Zeroed at the first.  */
+struct pl_singles
+{
+  struct candidate *list; /* best first; NULL: not searched yet */
+  int count, next;
+};
+/* The worker for U, a unit of that step, from the free capacity, or NULL if
+   pl_place must be asked.  */
+struct worker *pl_next_single (struct sj_cluster *c, struct pl_singles *s,
+                               struct unit *u);
+void pl_end_singles (struct pl_singles *s);
 /* Whether W may run tasks of U, whatever its free capacity.  */
 int pl_is_eligible (const struct sj_cluster *c, const struct unit *u,
                     const struct worker *w);
@@ -248,7 +288,7 @@
 /* Whether an empty rack would hold all of U.  */
 int pl_rack_can_hold (const struct sj_cluster *c, const struct unit *u);
 /* Racks that U may be bound to: the rack of its data, or all.  The caller
-   frees the array, not the names.  */
+   frees the array, not the racks.  */
 GPtrArray *pl_candidate_racks (const struct sj_cluster *c,
                                const struct unit *u);
 /* Subtracts the capacity for U at PLACEMENT from the workers' free capacity of
--- a/src/steps/worker.c
+++ b/src/steps/worker.c
@@ -26,9 +26,7 @@
   struct worker *w = worker;
 
   g_free (w->id);
-  g_free (w->service);
   g_free (w->kind);
-  g_free (w->rack);
   g_ptr_array_free (w->members, TRUE);
   g_free (w);
 }
@@ -113,9 +111,9 @@
     begin_incarnation (c, w, info->incarnation, now);
   if (info->incarnation)
     w->incarnation = info->incarnation;
-  set_text (&w->service, info->service);
+  w->service = g_intern_string (info->service);
   set_text (&w->kind, info->kind);
-  set_text (&w->rack, info->rack);
+  rk_move (c, w, info->rack);
   w->capacity = info->capacity;
   if (info->draining && !w->draining)
     w->drain_end_ms = now + info->remaining_ms;
@@ -192,6 +190,7 @@
       if (w->listed || w->members->len)
         continue;
       g_ptr_array_remove_index_fast (c->worker_list, i);
+      rk_move (c, w, NULL);
       g_hash_table_remove (c->workers, w->id);
     }
 }
--- a/tests/steps/bench_round.c
+++ b/tests/steps/bench_round.c
@@ -1,5 +1,7 @@
 /* Measures the time of a decision round of the step scheduler by the number of
-   workers.  Before each round one job arrives and a few runs end.  */
+   workers.  Before each round one job arrives and a few runs end.  In the
+   second table the fleet is full and jobs of the kinds of a busy morning
+   wait: urgent gangs, wide gangs and many single tasks.  */
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -15,6 +17,10 @@
   ROUND_MS = 20,             /* simulated time per round */
   MAX_ENDS = 4,              /* runs that end before a round */
   MAX_DIRTY = 64,
+  WORKERS_PER_RACK = 8,
+  CALM_JOBS_PER_100_WORKERS = 80,
+  OVERLOAD_JOBS_PER_100_WORKERS = 60, /* a third to a half of them wait */
+  OVERLOAD_ROUNDS = 200,
   /* Capacity of a worker.  */
   CPU_MILLI = 128000,
   MEMORY_MB = 262144,
@@ -27,6 +33,7 @@
   GRand *rand;
   int64_t now;
   int workers, jobs;
+  int is_overloaded;
   GArray *running; /* struct running_task */
 };
 
@@ -62,12 +69,44 @@
   struct sj_listing empty = { .requested_ms = b->now };
 
   snprintf (id, sizeof id, "w%d", n);
-  snprintf (rack, sizeof rack, "r%d", n / 8);
+  snprintf (rack, sizeof rack, "r%d", n / WORKERS_PER_RACK);
   sj_worker_set (b->c, &info, b->now);
   sj_worker_set_reachable (b->c, id, 1);
   sj_listing_apply (b->c, id, &empty, b->now);
 }
 
+/* Tasks and needs of the jobs of a busy morning, by priority.  */
+static void
+fill_overload_step (struct bench *b, struct sj_job *j, struct sj_step *s)
+{
+  static const int accelerators[] = { 1, 2, 4, 8, 8 };
+  int kind = g_rand_int_range (b->rand, 0, 25);
+
+  j->priority = kind < 20 ? 0 : kind < 22 ? 1 : 2;
+  s->gang = j->priority < 2;
+  s->one_rack = s->gang && g_rand_int_range (b->rand, 0, 10) < 7;
+  s->checkpoints = j->priority > 0 && g_rand_int_range (b->rand, 0, 2);
+  s->need.accelerators
+      = j->priority < 2 ? accelerators[g_rand_int_range (b->rand, 0, 5)] : 1;
+  switch (j->priority)
+    {
+    case 0:
+      s->count = g_rand_int_range (b->rand, 2, 15);
+      s->need.cpu_milli = 15000;
+      s->need.memory_mb = 22000;
+      break;
+    case 1:
+      s->count = g_rand_int_range (b->rand, 6, 47);
+      s->need.cpu_milli = 52000;
+      s->need.memory_mb = 140000;
+      break;
+    default:
+      s->count = g_rand_int_range (b->rand, 16, 141);
+      s->need.cpu_milli = 11000;
+      s->need.memory_mb = 16000;
+    }
+}
+
 static void
 add_job (struct bench *b)
 {
@@ -91,6 +130,8 @@
                                    g_rand_int_range (b->rand, 1, 3) };
   s->estimate_ms = 10000;
   s->gang = g_rand_int_range (b->rand, 0, 3) == 0;
+  if (b->is_overloaded)
+    fill_overload_step (b, j, s);
   sj_job_add (b->c, j, NULL, 0, b->now);
 }
 
@@ -157,17 +198,20 @@
 /* Prints the round times for WORKERS workers that begin with INITIAL_JOBS
    jobs.  */
 static void
-measure_rounds (int workers, int initial_jobs)
+measure_rounds (int workers, int initial_jobs, int is_overloaded)
 {
   struct sj_settings set = { 3, 0 };
   struct bench b
       = { .rand = g_rand_new_with_seed (1),
           .now = 1000,
           .workers = workers,
+          .is_overloaded = is_overloaded,
           .running = g_array_new (FALSE, TRUE, sizeof (struct running_task)) };
   int rounds = workers > 1000 ? LARGE_CLUSTER_ROUNDS : ROUNDS;
-  gint64 *us = g_new (gint64, rounds), median;
+  gint64 *us = g_new (gint64, MAX (rounds, OVERLOAD_ROUNDS)), median;
 
+  if (is_overloaded)
+    rounds = OVERLOAD_ROUNDS;
   b.c = sj_new (&set, on_order, &b);
   sj_set_guarantee (b.c, "a", workers);
   for (int i = 0; i < workers; i++)
@@ -202,11 +246,16 @@
 int
 main (void)
 {
+  static const int calm[] = { 48, 350, 3000, 26000 };
+  static const int overload[] = { 48, 350, 1100, 3000 };
+
   printf ("%8s %8s %8s %10s %10s\n", "workers", "jobs", "runs", "median ms",
           "worst ms");
-  measure_rounds (48, 40);
-  measure_rounds (350, 280);
-  measure_rounds (3000, 2400);
-  measure_rounds (26000, 20000);
+  for (gsize i = 0; i < G_N_ELEMENTS (calm); i++)
+    measure_rounds (calm[i], calm[i] * CALM_JOBS_PER_100_WORKERS / 100, 0);
+  printf ("full fleet, a busy morning\n");
+  for (gsize i = 0; i < G_N_ELEMENTS (overload); i++)
+    measure_rounds (overload[i],
+                    overload[i] * OVERLOAD_JOBS_PER_100_WORKERS / 100, 1);
   return 0;
 }
