Bound the orders in progress, and the questions of a new holder

Change: order_queue.c holds back what is over 256 orders, stops first, then urgent starts. A waiting start is dropped when its run is no longer wanted, its worker leaves or the lease has ended, and counts as not sent. At most 256 holds that are no long polls are in progress; 4 connections a worker.

--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -153,6 +153,7 @@
       incarnation; /* incarnation of the worker that is meant; 0: unknown */
   struct sj_run run;
   const char *payload, *checkpoint; /* for a start; checkpoint may be "" */
+  int priority;                     /* of the job; for a start */
   enum sj_cause cause;              /* for a stop */
 };
 
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -11,6 +11,7 @@
 #include <stdatomic.h>
 
 #include "batch/lease.h"
+#include "batch/order_queue.h"
 #include "batch/view.h"
 #include "skr/base.h"
 #include "skr/log.h"
@@ -70,7 +71,8 @@
   BA_WORKER_LISTING
 };
 
-/* A start, stop or hold that was sent to a worker and has no reply yet.  */
+/* A start, stop or hold that waits to be sent to a worker or has no reply
+   yet.  */
 struct ba_order
 {
   struct batch *b;
@@ -83,7 +85,8 @@
   /* Only of a start, which may be sent again.  */
   char *payload, *checkpoint;
   int64_t expires_ms; /* on the worker's clock */
-  int tries;
+  int tries;          /* 0: not sent */
+  int is_long_poll;   /* of a hold */
 };
 
 struct ba_event
@@ -195,7 +198,8 @@
   int answers, submits, accepted, refused, unknown;
   int starts, stops, ends, commits, store_calls, holds;
   int store_wait, commit_duration;
-  int waiting_jobs, runs, accelerators_used, usable_workers, is_holder;
+  int waiting_jobs, waiting_orders, runs, accelerators_used, usable_workers,
+      is_holder;
 };
 
 struct batch
@@ -228,9 +232,11 @@
   int term; /* counts both starts and ends of terms as holder, so that replies
                to calls from before are recognized */
   struct sj_cluster *cluster;
-  GHashTable *workers; /* id -> struct ba_worker */
-  GHashTable *records; /* id -> json_t, while loading */
-  GPtrArray *loaded;   /* struct sj_job, while loading */
+  GHashTable *workers;    /* id -> struct ba_worker */
+  struct oq_queue orders; /* struct ba_order, starts and stops */
+  int surveys;            /* holds in progress that are no long polls */
+  GHashTable *records;    /* id -> json_t, while loading */
+  GPtrArray *loaded;      /* struct sj_job, while loading */
   char load_next_key[64];
   enum ba_purpose load_purpose;
   int load_in_flight;
@@ -393,8 +399,12 @@
 void ho_step_down (struct batch *b, const char *reason);
 
 /* workers.c, orders.c, worker_hold.c */
-/* Sends ORDER to its worker; ARG is the struct batch.  Called by the
-   scheduler.  */
+/* Sets up the order queue of B.  */
+void wk_init_orders (struct batch *b);
+/* Drops the orders that wait at the end of a term.  */
+void wk_clear_orders (struct batch *b);
+/* Sends ORDER to its worker, or queues it while too many are in progress; ARG
+   is the struct batch.  Called by the scheduler.  */
 void wk_send_order (void *arg, const struct sj_order *order);
 /* Handles a row of the worker table.  */
 void wk_on_row (struct batch *b, const struct po_row *row, int generation);
--- a/src/batch/counters.c
+++ b/src/batch/counters.c
@@ -26,6 +26,7 @@
   c->commit_duration
       = st_series (r, ST_HISTOGRAM, "skr_batch_commit_seconds", "");
   c->waiting_jobs = st_series (r, ST_GAUGE, "skr_batch_waiting_jobs", "");
+  c->waiting_orders = st_series (r, ST_GAUGE, "skr_batch_waiting_orders", "");
   c->runs = st_series (r, ST_GAUGE, "skr_batch_runs", "");
   c->accelerators_used
       = st_series (r, ST_GAUGE, "skr_batch_accelerators_used", "");
@@ -50,6 +51,7 @@
     sj_count (b->cluster, &n);
   b->busy_workers = n.busy_workers;
   st_set (&b->stats, c->shard, c->waiting_jobs, n.waiting);
+  st_set (&b->stats, c->shard, c->waiting_orders, oq_waiting (&b->orders));
   st_set (&b->stats, c->shard, c->runs, n.runs);
   st_set (&b->stats, c->shard, c->accelerators_used, n.accelerators_used);
   st_set (&b->stats, c->shard, c->usable_workers, n.usable_workers);
--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -75,6 +75,7 @@
 {
   ld_free (b);
   cm_reset (b);
+  wk_clear_orders (b);
   le_drop (&b->lease);
   fo_stop (&b->worker_follower);
   sj_free (b->cluster);
--- a/src/batch/loop.c
+++ b/src/batch/loop.c
@@ -6,8 +6,11 @@
 enum
 {
   RING_EVENTS = 8192,
-  MAX_IN_PROGRESS = 2048, /* requests of the HTTP client */
-  CONNECTIONS_PER_HOST = 16,
+  /* Requests of the HTTP client: a long poll at each worker, orders, and calls
+     to the store.  */
+  MAX_IN_PROGRESS = 4096,
+  /* Besides the long poll, the starts of a worker's tasks.  */
+  CONNECTIONS_PER_HOST = 4,
   CONNECT_TIMEOUT_MS = 500,
   MAX_CONNECTIONS = 2048,
   MAX_BODY_BYTES = 262144, /* of a request; the largest job is far smaller */
@@ -241,6 +244,7 @@
   bs_random_hex (b->token, (sizeof b->token - 1) / 2);
   le_init (&b->lease, &le, set->vm, b->token);
   vw_init (&b->view);
+  wk_init_orders (b);
   b->pending = g_ptr_array_new_with_free_func (pe_free);
   if (co_init (b) || rg_init (&b->events, RING_EVENTS))
     return BS_ENOMEM;
--- a/src/batch/orders.c
+++ b/src/batch/orders.c
@@ -3,6 +3,9 @@
 
 enum
 {
+  /* Starts and stops in progress.  Workers answer within a few ms, so that a
+     few are enough; the others allow for workers that do not answer.  */
+  MAX_ORDERS = 256,
   /* The worker refuses a start that arrives later than this.  */
   START_LEASE_MS = 2500,
   START_TIMEOUT_MS = 300, /* workers answer within a few ms; an unanswered
@@ -22,13 +25,13 @@
 }
 
 struct ba_order *
-wk_new_order (struct batch *b, const struct ba_worker *w)
+wk_new_order (struct batch *b, const char *worker)
 {
   struct ba_order *o = g_new0 (struct ba_order, 1);
 
   o->b = b;
   o->term = b->term;
-  o->worker = g_strdup (w->id);
+  o->worker = g_strdup (worker);
   o->sent_ms = b->now_ms;
   return o;
 }
@@ -62,22 +65,37 @@
 }
 
 static int
-send_order (struct batch *b, struct ba_worker *w, struct ba_order *o,
-            const struct sj_order *order)
+send_stop (struct batch *b, struct ba_worker *w, struct ba_order *o)
 {
   struct po_target t = { w->address, w->id, b->lease.epoch };
 
-  if (!le_valid (&b->lease, b->now_ms)
-      || (order->kind == SJ_START && !w->clock_at_ms))
+  co_add (b, b->counters.stops, 1);
+  return po_stop (&b->port, &t, &o->run, STOP_TIMEOUT_MS, on_order_reply, o);
+}
+
+/* Whether start O, which has not been sent, is still wanted: its worker may
+   have begun to leave and its job may have been cancelled meanwhile.  */
+static int
+is_wanted (struct batch *b, const struct ba_worker *w,
+           const struct ba_order *o)
+{
+  return w->clock_at_ms && w->listed && !w->draining
+         && sj_start_is_pending (b->cluster, o->worker, &o->run);
+}
+
+/* Returns 0 if O was sent.  */
+static int
+send_order (struct batch *b, struct ba_order *o)
+{
+  struct ba_worker *w = wk_find (b, o->worker);
+
+  if (!w || !le_valid (&b->lease, b->now_ms))
+    return PO_EINVAL;
+  o->sent_ms = b->now_ms;
+  if (o->kind == SJ_STOP)
+    return send_stop (b, w, o);
+  if (!is_wanted (b, w, o))
     return PO_EINVAL;
-  if (order->kind == SJ_STOP)
-    {
-      co_add (b, b->counters.stops, 1);
-      return po_stop (&b->port, &t, &order->run, STOP_TIMEOUT_MS,
-                      on_order_reply, o);
-    }
-  o->payload = g_strdup (order->payload);
-  o->checkpoint = g_strdup (order->checkpoint);
   o->expires_ms = wk_clock_now_ms (b, w) + START_LEASE_MS;
   sj_worker_set_lease (b->cluster, w->id,
                        wk_lease_end_bound_ms (b, START_LEASE_MS));
@@ -119,29 +137,65 @@
   lg_log (o->kind == SJ_START ? LG_RUN_STARTED : LG_RUN_STOPPED, 11, f);
 }
 
-void
-wk_send_order (void *arg, const struct sj_order *order)
+/* Sends waiting orders until the limit of orders in progress is reached.  */
+static void
+send_waiting (struct batch *b)
 {
-  struct batch *b = arg;
-  struct ba_worker *w = wk_find (b, order->worker);
-  struct po_order_answer unsent
-      = { .answer = order->kind == SJ_START ? SJ_REFUSED : SJ_UNANSWERED,
-          .reason = "not sent" };
   struct ba_order *o;
 
-  if (!w)
+  while ((o = oq_pop (&b->orders)))
     {
-      struct ba_worker unknown = { .id = (char *)(uintptr_t)order->worker };
+      struct po_order_answer unsent
+          = { .answer = o->kind == SJ_START ? SJ_REFUSED : SJ_UNANSWERED,
+              .reason = "not sent" };
 
-      o = wk_new_order (b, &unknown);
+      if (send_order (b, o))
+        on_order_reply (o, &unsent);
     }
-  else
-    o = wk_new_order (b, w);
+}
+
+void
+wk_init_orders (struct batch *b)
+{
+  oq_init (&b->orders, MAX_ORDERS);
+}
+
+void
+wk_clear_orders (struct batch *b)
+{
+  oq_clear (&b->orders, (GDestroyNotify)wk_free_order);
+  b->surveys = 0;
+}
+
+static enum oq_class
+order_class (const struct sj_order *order)
+{
+  switch (order->kind)
+    {
+    case SJ_STOP:
+      return OQ_STOP;
+    case SJ_START:
+      break;
+    }
+  return order->priority == 0 ? OQ_URGENT : OQ_BATCH;
+}
+
+void
+wk_send_order (void *arg, const struct sj_order *order)
+{
+  struct batch *b = arg;
+  struct ba_order *o = wk_new_order (b, order->worker);
+
   o->kind = order->kind;
   o->run = order->run;
   o->cause = order->kind == SJ_STOP ? order->cause : SJ_NO_CAUSE;
-  if (!w || send_order (b, w, o, order))
-    on_order_reply (o, &unsent);
+  if (order->kind == SJ_START)
+    {
+      o->payload = g_strdup (order->payload);
+      o->checkpoint = g_strdup (order->checkpoint);
+    }
+  oq_push (&b->orders, order_class (order), o);
+  send_waiting (b);
 }
 
 /* Returns the answer that holds for all tries of an order.  The refusal of a
@@ -181,7 +235,10 @@
       log_order (b, o, a);
       if (resend_start (b, w, o, a->answer))
         return;
+      oq_done (&b->orders);
       apply_answer (b, w, o, a);
     }
   wk_free_order (o);
+  if (b->cluster)
+    send_waiting (b);
 }
--- a/src/batch/worker_hold.c
+++ b/src/batch/worker_hold.c
@@ -16,8 +16,11 @@
   HOLD_SLACK_MS = 800, /* added to a long poll's duration, for the transmission
                           of the answer */
   PROBE_TIMEOUT_MS = 600, /* timeout of a hold that is no long poll */
-  UNSTORED_GAP_MS = 800,  /* between holds while ends are not yet stored */
-  MAX_LEASE_MS = 6000     /* long enough for another VM to take over */
+  /* Holds in progress that are no long polls.  A new holder asks all workers
+     what they run; more at once would time out on a small VM.  */
+  MAX_SURVEYS = 256,
+  UNSTORED_GAP_MS = 800, /* between holds while ends are not yet stored */
+  MAX_LEASE_MS = 6000    /* long enough for another VM to take over */
 };
 
 static void
@@ -121,7 +124,10 @@
   struct ba_worker *w = wk_find (b, o->worker);
   const struct po_order_answer *a = &listing->answer;
 
-  if (o->term != b->term || !w)
+  if (o->term != b->term)
+    return;
+  b->surveys -= !o->is_long_poll;
+  if (!w)
     return;
   w->hold_in_flight = 0;
   if (wk_check_fence (b, a))
@@ -140,13 +146,20 @@
   apply_listing (b, w, o, listing);
 }
 
+/* Whether the next hold may wait at the worker for an end.  */
+static int
+may_wait (const struct ba_worker *w, int busy)
+{
+  return busy && w->runs_known && !w->failures
+         && w->received_end == w->stored_end;
+}
+
 static void
 send_hold (struct batch *b, struct ba_worker *w, int busy)
 {
   struct po_target t = { w->address, w->id, b->lease.epoch };
-  struct ba_order *o = wk_new_order (b, w);
-  int is_long_poll = busy && w->runs_known && !w->failures
-                     && w->received_end == w->stored_end;
+  struct ba_order *o = wk_new_order (b, w->id);
+  int is_long_poll = may_wait (w, busy);
   int64_t lease_ms = b->settings->hold_ms < MAX_LEASE_MS ? b->settings->hold_ms
                                                          : MAX_LEASE_MS;
   int wait_ms = is_long_poll ? long_poll_ms (b, w) : 0;
@@ -157,11 +170,13 @@
                          ? wk_clock_now_ms (b, w) + lease_ms
                          : 0;
 
+  o->is_long_poll = is_long_poll;
   o->run.number = w->stored_end; /* ends that the worker may discard */
   if (until_ms)
     sj_worker_set_lease (b->cluster, w->id,
                          wk_lease_end_bound_ms (b, lease_ms));
   w->hold_in_flight = 1;
+  b->surveys += !is_long_poll;
   w->hold_sent_ms = b->now_ms;
   w->next_hold_ms = b->now_ms + UNSTORED_GAP_MS;
   co_add (b, b->counters.holds, 1);
@@ -170,6 +185,7 @@
                 on_listing, o))
     return;
   w->hold_in_flight = 0;
+  b->surveys -= !is_long_poll;
   wk_free_order (o);
 }
 
@@ -183,7 +199,7 @@
   busy = sj_worker_has_runs (b->cluster, w->id);
   wanted = busy || (w->listed && (!w->runs_known || w->failures))
            || w->stored_end > w->acked_end;
-  if (!wanted)
+  if (!wanted || (!may_wait (w, busy) && b->surveys >= MAX_SURVEYS))
     return;
   /* A poll now would return the same ends at once.  */
   if (w->runs_known && w->received_end > w->stored_end
--- a/src/batch/workers.h
+++ b/src/batch/workers.h
@@ -27,7 +27,7 @@
                            int64_t incarnation);
 
 /* orders.c */
-/* Returns a new order to W, to be released with wk_free_order.  */
-struct ba_order *wk_new_order (struct batch *b, const struct ba_worker *w);
+/* Returns a new order to WORKER, to be released with wk_free_order.  */
+struct ba_order *wk_new_order (struct batch *b, const char *worker);
 
 #endif
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -13,6 +13,8 @@
 /* Arguments of the last hold that was sent.  */
 static int64_t hold_seen, hold_until;
 static int holds, starts;
+static int keeps_starts; /* leaves starts in progress, in kept_starts */
+static GPtrArray *kept_starts;
 static int unanswered_starts; /* number of starts to leave unanswered */
 static int refused_starts;    /* number of starts to refuse after those */
 static int64_t start_until[8];
@@ -50,7 +52,9 @@
   (void)order;
   (void)timeout_ms;
   start_until[starts++ % 8] = until_ms;
-  if (unanswered_starts > 0)
+  if (keeps_starts)
+    g_ptr_array_add (kept_starts, arg);
+  else if (unanswered_starts > 0)
     {
       unanswered_starts--;
       done (arg, &lost);
@@ -186,8 +190,9 @@
   holds = starts = 0;
   batch.settings = &settings;
   batch.now_ms = 100000;
-  rg_init (&batch.events, 64);
+  rg_init (&batch.events, 1024);
   co_init (&batch);
+  wk_init_orders (&batch);
   le_init (&batch.lease, &le, "vm1", "token");
   free (le_acquire_value (&batch.lease));
   le_acquired (&batch.lease, 1, batch.now_ms, batch.now_ms);
@@ -468,6 +473,128 @@
   teardown ();
 }
 
+static void
+answer_kept_starts (guint count)
+{
+  struct ba_order *o[512];
+
+  memcpy (o, kept_starts->pdata, count * sizeof *o);
+  g_ptr_array_remove_range (kept_starts, 0, count);
+  for (guint i = 0; i < count; i++)
+    wk_on_order_reply (
+        &batch, o[i],
+        &(struct po_order_answer){ .answer = SJ_EXECUTED, .clock_ms = 100 });
+}
+
+/* A worker with room for many tasks, and a job of TASKS tasks that is
+   started on it.  */
+static void
+start_wide_job (int tasks)
+{
+  struct po_row row = worker_row;
+  struct sj_job *job = new_one_task_job (0xb0);
+
+  keeps_starts = 1;
+  kept_starts = g_ptr_array_new ();
+  row.value = (char *)"{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+                      "\"state\":\"ready\",\"born\":7,\"capacity\":"
+                      "{\"cpu\":1000,\"memory_request_mb\":1000,"
+                      "\"gpu\":1000},\"labels\":[\"a\",\"r\"]}";
+  wk_on_row (&batch, &row, 1);
+  job->step[0].count = tasks;
+  sj_job_add (batch.cluster, job, NULL, 0, batch.now_ms);
+  sj_decide (batch.cluster, batch.now_ms, batch.now_ms);
+  starts = 0;
+  commit_all ();
+}
+
+static void
+stop_keeping_starts (void)
+{
+  for (guint i = 0; i < kept_starts->len; i++)
+    wk_free_order (g_ptr_array_index (kept_starts, i));
+  g_ptr_array_free (kept_starts, TRUE);
+  keeps_starts = 0;
+  wk_clear_orders (&batch);
+}
+
+/* The first jobs of a day order thousands of starts at once.  Sent together
+   they would time out on a small VM, and each would be sent again.  */
+static void
+test_orders_in_progress_are_limited (void)
+{
+  int first;
+
+  setup ();
+  start_wide_job (400);
+  first = starts;
+  CU_ASSERT (first > 0 && first < 400);
+  answer_kept_starts (100);
+  CU_ASSERT_EQUAL (starts, first + 100);
+  answer_kept_starts (kept_starts->len);
+  answer_kept_starts (kept_starts->len);
+  CU_ASSERT_EQUAL (starts, 400);
+  CU_ASSERT_EQUAL (oq_waiting (&batch.orders), 0);
+  stop_keeping_starts ();
+  teardown ();
+}
+
+/* A start that waits is not sent once its job is cancelled, its worker leaves
+   or the lease has ended; nothing of it then counts as running.  */
+static void
+test_waiting_start_is_dropped_when_unwanted (void)
+{
+  int first;
+
+  setup ();
+  start_wide_job (400);
+  first = starts;
+  sj_job_cancel (batch.cluster, job_id (0xb0), batch.now_ms);
+  answer_kept_starts (kept_starts->len);
+  handle_events ();
+  CU_ASSERT_EQUAL (starts, first);
+  stop_keeping_starts ();
+  teardown ();
+}
+
+static void
+test_waiting_start_is_dropped_on_leaving_worker (void)
+{
+  struct po_row row = worker_row;
+  int first;
+
+  setup ();
+  start_wide_job (400);
+  first = starts;
+  row.value = (char *)"{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+                      "\"state\":\"draining\",\"remaining_ms\":4000,"
+                      "\"born\":7,\"capacity\":{\"cpu\":1000,"
+                      "\"memory_request_mb\":1000,\"gpu\":1000},"
+                      "\"labels\":[\"a\",\"r\"]}";
+  wk_on_row (&batch, &row, 1);
+  answer_kept_starts (kept_starts->len);
+  CU_ASSERT_EQUAL (starts, first);
+  stop_keeping_starts ();
+  handle_events ();
+  teardown ();
+}
+
+static void
+test_waiting_start_is_dropped_without_lease (void)
+{
+  int first;
+
+  setup ();
+  start_wide_job (400);
+  first = starts;
+  batch.now_ms = batch.lease.valid_until_ms;
+  answer_kept_starts (kept_starts->len);
+  CU_ASSERT_EQUAL (starts, first);
+  stop_keeping_starts ();
+  handle_events ();
+  teardown ();
+}
+
 int
 main (void)
 {
@@ -484,6 +611,10 @@
     { "listed again", test_relisted_worker_is_polled_again },
     { "unstored record", test_end_waits_for_its_record },
     { "lease", test_no_orders_without_lease },
+    { "order limit", test_orders_in_progress_are_limited },
+    { "waiting, cancelled", test_waiting_start_is_dropped_when_unwanted },
+    { "waiting, leaving", test_waiting_start_is_dropped_on_leaving_worker },
+    { "waiting, no lease", test_waiting_start_is_dropped_without_lease },
     CU_TEST_INFO_NULL,
   };
 
