Logs: a limit for each event; tell why the loop is slow

Change: each event has its limit, notices and worse ten times as much; event 106 says how many of which event were dropped. Event 533 tells where a loop of over 300 ms spent its time. The default is 150 lines.

--- a/include/skr/events.h
+++ b/include/skr/events.h
@@ -54,6 +54,7 @@
   LG_ROW_UNREADABLE = 530,
   LG_JOB_KNOWN = 531,
   LG_NOT_SERVED = 532,
+  LG_LOOP_SLOW = 533,
 
   /* filter */
   LG_REQUEST_UNKNOWN = 601,
--- a/include/skr/log.h
+++ b/include/skr/log.h
@@ -55,8 +55,10 @@
 /* Writes lines to standard output instead of standard error.  A line that the
    output does not accept without blocking is dropped and counted.  */
 void lg_to_stdout (void);
-/* Sets the LEVEL, and the limit of RATE lines per second (0: no limit).  Event
-   106 reports the number of dropped lines, at most once a second.  */
+/* Sets the LEVEL, and the limit of RATE lines per second of each event (0: no
+   limit).  Notices, warnings and errors, which tell of changes of state and
+   refusals, have ten times that.  Event 106 reports the dropped lines by
+   event, at most once a second.  */
 void lg_tune (enum lg_level level, int rate);
 /* Logs event ID with the first COUNT FIELDS, 12 at most.  Fields must not
    contain keys or other secrets.  */
--- a/include/skr/ring.h
+++ b/include/skr/ring.h
@@ -29,6 +29,8 @@
    wait).  Returns 0, BS_ETIMEOUT, or BS_ECLOSED when the ring is closed and
    empty.  */
 int rg_pop (struct rg_ring *ring, void **item, int timeout_ms);
+/* Number of queued items.  */
+int rg_count (struct rg_ring *ring);
 /* Makes pushes fail and wakes all readers.  Queued items can still be
    popped.  */
 void rg_close (struct rg_ring *ring);
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -19,9 +19,9 @@
   { LG_RELOAD_REFUSED, LG_WARNING, "reload-refused", "file cause reason",
     "The settings file is invalid; the previous values stay in effect.",
     "correct the file" },
-  { LG_LINES_DROPPED, LG_WARNING, "lines-dropped", "lines",
-    "Log lines were dropped because of the rate limit or because the output "
-    "was not writable; lines is their number.",
+  { LG_LINES_DROPPED, LG_WARNING, "lines-dropped", "of lines",
+    "In the last second so many lines of one event were dropped beyond its "
+    "limit, or (of output) because the output was not writable.",
     "raise log-rate if the lines are needed" },
 
   /* net */
@@ -139,6 +139,11 @@
   { LG_NOT_SERVED, LG_WARNING, "not-served", "table key",
     "The operators request something that this release does not support.",
     "see docs/PLATFORM.md, not built" },
+  { LG_LOOP_SLOW, LG_WARNING, "loop-slow",
+    "took_ms events store_ms caller_ms order_ms listing_ms round_ms queued",
+    "The main loop took long for one round of events and decisions; the times "
+    "tell for what, and queued how many events wait.",
+    "none, unless it repeats: then the VM is too small or overloaded" },
 
   /* filter */
   { LG_REQUEST_UNKNOWN, LG_WARNING, "request-unknown",
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -28,14 +28,23 @@
 static int to_stdout;
 /* Atomic, since a reload changes them while other threads log.  */
 static atomic_int log_level = LG_INFO, log_rate;
-static atomic_int lines_in_second, lines_dropped;
 static atomic_llong second_started_ms;
 
 enum
 {
-  SECOND_MS = 1000
+  SECOND_MS = 1000,
+  MAX_EVENTS = 160, /* in the catalogue */
+  /* Lines above the level of information are changes of state and refusals.
+     Their limit only bounds what a fault may write.  */
+  IMPORTANT_FACTOR = 10
 };
 
+/* Lines of each event in this second, and those dropped.  Each event has a
+   limit of its own, so that a flood of one does not hide the others.  */
+static atomic_int lines[MAX_EVENTS], lines_dropped[MAX_EVENTS];
+/* Lines that the output did not accept.  */
+static atomic_int lines_not_written;
+
 static GLogLevelFlags
 glib_level (enum lg_level level)
 {
@@ -66,7 +75,7 @@
 
   if (poll (&out, 1, 0) != 1 || !(out.revents & POLLOUT)
       || write (STDOUT_FILENO, text, strlen (text)) < 0)
-    atomic_fetch_add (&lines_dropped, 1);
+    atomic_fetch_add (&lines_not_written, 1);
   g_free (text);
 }
 
@@ -165,31 +174,52 @@
   atomic_store (&log_rate, rate);
 }
 
-/* Whether the rate limit allows another line in this second.  Logs the number
-   of dropped lines when a new second starts.  */
-static int
-is_within_rate (void)
+static void
+log_dropped (const char *event, atomic_int *count)
+{
+  struct lg_field f[]
+      = { lg_str ("of", event), lg_int ("lines", atomic_exchange (count, 0)) };
+
+  if (f[1].number)
+    lg_log (LG_LINES_DROPPED, 2, f);
+}
+
+/* Logs the numbers of dropped lines when a new second starts.  */
+static void
+start_second (void)
 {
   const struct bs_clock clock = bs_clock_system ();
   long long now_ms = bs_now_ms (&clock),
             started_ms = atomic_load (&second_started_ms);
-  struct lg_field dropped;
 
-  if (now_ms - started_ms < SECOND_MS)
+  if (now_ms - started_ms < SECOND_MS
+      || !atomic_compare_exchange_strong (&second_started_ms, &started_ms,
+                                          now_ms))
+    return;
+  for (int i = 0; i < MAX_EVENTS && lg_catalogue[i].name; i++)
     {
-      if (atomic_fetch_add (&lines_in_second, 1) < atomic_load (&log_rate))
-        return 1;
-      atomic_fetch_add (&lines_dropped, 1);
-      return 0;
+      atomic_store (&lines[i], 0);
+      log_dropped (lg_catalogue[i].name, &lines_dropped[i]);
     }
-  if (!atomic_compare_exchange_strong (&second_started_ms, &started_ms,
-                                       now_ms))
+  log_dropped ("output", &lines_not_written);
+}
+
+/* Whether the limit of its event allows another line of ENTRY.  */
+static int
+is_within_rate (const struct lg_entry *entry)
+{
+  long i = entry - lg_catalogue;
+  int limit = atomic_load (&log_rate);
+
+  if (!limit || entry->id == LG_LINES_DROPPED || i >= MAX_EVENTS)
+    return 1;
+  start_second ();
+  if (entry->level < LG_INFO)
+    limit *= IMPORTANT_FACTOR;
+  if (atomic_fetch_add (&lines[i], 1) < limit)
     return 1;
-  atomic_store (&lines_in_second, 1);
-  dropped = lg_int ("lines", atomic_exchange (&lines_dropped, 0));
-  if (dropped.number)
-    lg_log (LG_LINES_DROPPED, 1, &dropped);
-  return 1;
+  atomic_fetch_add (&lines_dropped[i], 1);
+  return 0;
 }
 
 void
@@ -202,7 +232,7 @@
 
   if (entry->name && (int)entry->level > atomic_load (&log_level))
     return;
-  if (atomic_load (&log_rate) && id != LG_LINES_DROPPED && !is_within_rate ())
+  if (!is_within_rate (entry))
     return;
   if (count > MAX_FIELDS)
     count = MAX_FIELDS;
--- a/src/base/ring.c
+++ b/src/base/ring.c
@@ -96,6 +96,17 @@
   return error;
 }
 
+int
+rg_count (struct rg_ring *ring)
+{
+  int n;
+
+  pthread_mutex_lock (&ring->lock);
+  n = (int)ring->count;
+  pthread_mutex_unlock (&ring->lock);
+  return n;
+}
+
 void
 rg_close (struct rg_ring *ring)
 {
--- a/src/batch/loop.c
+++ b/src/batch/loop.c
@@ -10,7 +10,7 @@
      to the store.  */
   MAX_IN_PROGRESS = 4096,
   /* Besides the long poll, the starts of a worker's tasks.  */
-  CONNECTIONS_PER_HOST = 4,
+  CONNECTIONS_PER_HOST = 3,
   CONNECT_TIMEOUT_MS = 500,
   MAX_CONNECTIONS = 2048,
   MAX_BODY_BYTES = 262144, /* of a request; the largest job is far smaller */
@@ -24,6 +24,7 @@
   MAX_ROUND_GAP_MS = 200, /* longest time between two decision rounds */
   STANDBY_TICK_MS = 80,
   COUNTERS_INTERVAL_MS = 1000,
+  SLOW_LOOP_MS = 300, /* a loop that takes longer is logged */
   UNAVAILABLE = 503,
   /* Wait for requests that a server thread is still enqueuing.  */
   CLOSE_WAIT_MS = 20
@@ -102,6 +103,44 @@
   g_free (e);
 }
 
+static void
+dispatch_timed (struct batch *b, struct ba_event *e)
+{
+  enum ba_event_kind kind = e->kind;
+  int64_t begin_ms = b->now_ms;
+
+  dispatch (b, e);
+  b->times.events++;
+  b->times.ms[kind] += bs_now_ms (&b->clock) - begin_ms;
+}
+
+/* Logs and clears the loop's times after a tick.  */
+static void
+note_loop_times (struct batch *b)
+{
+  const int64_t *ms = b->times.ms;
+  int64_t took_ms = b->tick_took_ms;
+
+  for (int i = 0; i < BA_EVENT_KINDS; i++)
+    took_ms += ms[i];
+  if (took_ms > SLOW_LOOP_MS)
+    {
+      struct lg_field f[]
+          = { lg_int ("took_ms", took_ms),
+              lg_int ("events", b->times.events),
+              lg_int ("store_ms", ms[BA_STORE_REPLY]),
+              lg_int ("caller_ms",
+                      ms[BA_CLIENT_REQUEST] + ms[BA_STATUS_REQUEST]),
+              lg_int ("order_ms", ms[BA_ORDER_REPLY]),
+              lg_int ("listing_ms", ms[BA_WORKER_LISTING]),
+              lg_int ("round_ms", b->tick_took_ms),
+              lg_int ("queued", rg_count (&b->events)) };
+
+      lg_log (LG_LOOP_SLOW, 8, f);
+    }
+  b->times = (struct ba_loop_times){ 0 };
+}
+
 static void
 handle_events (struct batch *b, int wait_ms)
 {
@@ -112,7 +151,7 @@
       if (rg_pop (&b->events, &item, n ? 0 : wait_ms) != BS_OK)
         return;
       b->now_ms = bs_now_ms (&b->clock);
-      dispatch (b, item);
+      dispatch_timed (b, item);
     }
 }
 
@@ -199,6 +238,7 @@
       handle_events_until_round (b);
       tick (b);
       b->tick_took_ms = bs_now_ms (&b->clock) - b->ticked_ms;
+      note_loop_times (b);
     }
   refuse_remaining (b);
   return NULL;
--- a/src/batch/main.c
+++ b/src/batch/main.c
@@ -38,8 +38,10 @@
   { "log-level", OPT_INT, "", LG_ERROR, LG_DEBUG, "3",
     "log level: 0 error, 1 warning, 2 notice, 3 info, 4 debug",
     FIELD (log_level) },
-  { "log-rate", OPT_INT, "lines a second", 1, 100000, "300",
-    "maximum rate of log lines; excess lines are dropped and counted",
+  { "log-rate", OPT_INT, "lines a second", 1, 100000, "150",
+    "maximum rate of the log lines of each event; excess lines are dropped "
+    "and "
+    "counted; notices, warnings and errors may be ten times as many",
     FIELD (log_rate) },
   { "hold-ms", OPT_INT, "ms", 1000, 10 * MINUTE_MS, "6000",
     "maximum duration of the lease on the runs of a worker", FIELD (hold_ms) },
--- /dev/null
+++ b/tests/base/test_log.c
@@ -0,0 +1,100 @@
+/* The limit of log lines: a flood of one event must not hide the others.  */
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "skr/log.h"
+#include "suite.h"
+
+enum
+{
+  RATE = 20,
+  FLOOD = 1000
+};
+
+static char path[] = "/tmp/skr-test-log-XXXXXX";
+static char text[1 << 20];
+static int saved_stdout;
+
+/* Sends the lines to a file.  */
+static void
+begin (void)
+{
+  int fd;
+
+  strcpy (path + sizeof path - 7, "XXXXXX");
+  fd = mkstemp (path);
+  fflush (stdout);
+  saved_stdout = dup (STDOUT_FILENO);
+  dup2 (fd, STDOUT_FILENO);
+  close (fd);
+  lg_to_stdout ();
+  lg_tune (LG_INFO, RATE);
+}
+
+static void
+end (void)
+{
+  int fd = open (path, O_RDONLY);
+  ssize_t n = read (fd, text, sizeof text - 1);
+
+  text[n > 0 ? n : 0] = '\0';
+  close (fd);
+  unlink (path);
+  dup2 (saved_stdout, STDOUT_FILENO);
+  close (saved_stdout);
+  lg_tune (LG_INFO, 0);
+}
+
+static int
+count (const char *name)
+{
+  int n = 0;
+
+  for (const char *at = text; (at = strstr (at, name)); at++)
+    n++;
+  return n;
+}
+
+static void
+test_flood_hides_nothing_else (void)
+{
+  begin ();
+  for (int i = 0; i < FLOOD; i++)
+    lg_log (LG_RUN_STARTED, 0, NULL);
+  lg_log (LG_STEP_JOB_STATE, 0, NULL);
+  lg_log (LG_LEASE_LOST, 0, NULL);
+  lg_log (LG_REQUEST_GIVEN_UP, 0, NULL);
+  end ();
+  /* A second may end meanwhile, and the next one allows as many.  */
+  CU_ASSERT (count ("\"task-started\"") >= RATE);
+  CU_ASSERT (count ("\"task-started\"") <= 2 * RATE);
+  CU_ASSERT_EQUAL (count ("\"job-state\""), 1);
+  CU_ASSERT_EQUAL (count ("\"lease-lost\""), 1);
+  CU_ASSERT_EQUAL (count ("\"request-given-up\""), 1);
+}
+
+static void
+test_changes_of_state_are_kept (void)
+{
+  begin ();
+  for (int i = 0; i < 5 * RATE; i++)
+    lg_log (LG_WORKER_BELIEF, 0, NULL);
+  end ();
+  CU_ASSERT_EQUAL (count ("\"worker-belief\""), 5 * RATE);
+}
+
+int
+main (void)
+{
+  static const CU_TestInfo tests[] = {
+    { "flood", test_flood_hides_nothing_else },
+    { "changes of state", test_changes_of_state_are_kept },
+    CU_TEST_INFO_NULL,
+  };
+
+  lg_init ("test", "json", LG_INFO);
+  return run_suite ("log", tests);
+}
