--- a/tests/base/test_log.c
+++ b/tests/base/test_log.c
@@ -14,7 +14,7 @@
   FLOOD = 1000
 };
 
-static char path[] = "/tmp/skr-test-log-XXXXXX";
+static char path[64];
 static char text[1 << 20];
 static int saved_stdout;
 
@@ -24,7 +24,7 @@
 {
   int fd;
 
-  strcpy (path + sizeof path - 7, "XXXXXX");
+  snprintf (path, sizeof path, "/tmp/skr-test-log-XXXXXX");
   fd = mkstemp (path);
   fflush (stdout);
   saved_stdout = dup (STDOUT_FILENO);
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -532,17 +532,15 @@
   teardown ();
 }
 
+/* Answers the COUNT starts that were sent first.  */
 static void
 answer_kept_starts (guint count)
 {
-  struct ba_order *o[512];
+  struct po_order_answer taken = { .answer = SJ_EXECUTED, .clock_ms = 100 };
 
-  memcpy (o, kept_starts->pdata, count * sizeof *o);
-  g_ptr_array_remove_range (kept_starts, 0, count);
-  for (guint i = 0; i < count; i++)
-    wk_on_order_reply (
-        &batch, o[i],
-        &(struct po_order_answer){ .answer = SJ_EXECUTED, .clock_ms = 100 });
+  for (; count > 0; count--)
+    wk_on_order_reply (&batch, g_ptr_array_steal_index (kept_starts, 0),
+                       &taken);
 }
 
 /* A worker with room for many tasks, and a job of TASKS tasks that is
