Orders: a limit that follows the answers, stops that leave places to starts

A stop without an outcome was ordered again each 500 ms and waited again in the queue, before all starts: no start was sent from 8 to 20 s.

--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -78,6 +78,7 @@
   struct batch *b;
   int term; /* in which it was sent */
   enum sj_order_kind kind;
+  enum oq_class class; /* of a start or stop */
   char *worker;
   struct sj_run run;
   enum sj_cause cause;
@@ -254,7 +255,8 @@
   enum ba_purpose load_purpose;
   int load_in_flight;
   int64_t next_load_ms, acquire_at_ms;
-  int64_t jobs_seen_version; /* job rows up to this version were handled */
+  int64_t no_attempt_before_ms; /* to acquire the lease */
+  int64_t jobs_seen_version;    /* job rows up to this version were handled */
   struct ba_commit commit;
   int busy_workers; /* at the last update of the counters */
   int64_t stopping_at_ms, counted_ms, ticked_ms, tick_took_ms;
--- a/src/batch/commit.c
+++ b/src/batch/commit.c
@@ -15,7 +15,13 @@
   MAX_COMMIT_BYTES = 500000, /* of the records in one transaction; the store
                                 accepts 1 MB as base64 */
   RETRY_MIN_MS = 40,         /* doubles with each failed write */
-  RETRY_MAX_MS = 400
+  RETRY_MAX_MS = 400,
+  /* An attempt to acquire the lease that the store did not answer is repeated
+     later than the holder repeats its renewal, and much later on a VM much
+     smaller than the holder's: when the store answers again, the holder goes
+     on with its work.  */
+  ATTEMPT_RETRY_MS = 1000,
+  SMALL_VM_ATTEMPT_RETRY_MS = 5000
 };
 
 static void commit_done (struct batch *b, int64_t version);
@@ -260,6 +266,23 @@
     b->commit.next_ms = b->now_ms;
 }
 
+/* The attempt to acquire the lease was refused or not answered.  A refused
+   one is dropped, and the conditions for a new one are checked again.  */
+static void
+attempt_failed (struct batch *b, enum po_result result)
+{
+  struct ba_commit *c = &b->commit;
+
+  if (result == PO_UNKNOWN && !le_is_small (&b->lease))
+    {
+      c->next_ms = b->now_ms + ATTEMPT_RETRY_MS;
+      return;
+    }
+  if (result == PO_UNKNOWN)
+    b->no_attempt_before_ms = b->now_ms + SMALL_VM_ATTEMPT_RETRY_MS;
+  cm_reset (b);
+}
+
 void
 ho_on_commit_reply (struct batch *b, struct ba_store_call *call,
                     struct po_rows *rows)
@@ -283,10 +306,8 @@
       c->next_ms = b->now_ms
                    + (c->tries < 4 ? RETRY_MIN_MS << c->tries : RETRY_MAX_MS);
       c->tries++;
-      /* A refused attempt to acquire the lease is dropped, and the conditions
-         for a new one are checked again.  */
-      if (c->kind == BA_COMMIT_ACQUIRE && rows->result == PO_NOT_DONE)
-        cm_reset (b);
+      if (c->kind == BA_COMMIT_ACQUIRE)
+        attempt_failed (b, rows->result);
       break;
     }
 }
--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -10,6 +10,9 @@
   ACQUIRE_JITTER_MS = 120,
   SMALL_VM_DELAY_MS = 2500, /* delay of a small VM before it acquires the
                                lease, times the square of the missing cores */
+  /* Further delay of a VM that is much smaller than the last holder.  VMs
+     notice the end of a lease, or of an outage, up to about a second apart. */
+  SMALLER_VM_DELAY_MS = 1500,
   CLOCK_JUMP_MS = 400, /* a larger change of the time of day is a clock step */
   /* A stepped clock is accepted after this time.  */
   CLOCK_JUMP_ACCEPT_MS = 20000
@@ -123,14 +126,16 @@
   if (b->stopping_at_ms || b->commit.open || b->store_down
       || !b->job_follower.synced || !b->config
       || !le_may_acquire (&b->lease, b->now_ms)
-      || b->now_ms - b->job_follower.fresh_ms > b->settings->take_ms)
+      || b->now_ms - b->job_follower.fresh_ms > b->settings->take_ms
+      || b->now_ms < b->no_attempt_before_ms)
     {
       b->acquire_at_ms = 0;
       return 0;
     }
   if (!b->acquire_at_ms)
     b->acquire_at_ms = b->now_ms + g_random_int_range (0, ACQUIRE_JITTER_MS)
-                       + small_vm_delay_ms (b);
+                       + small_vm_delay_ms (b)
+                       + (le_is_small (&b->lease) ? SMALLER_VM_DELAY_MS : 0);
   return b->now_ms >= b->acquire_at_ms;
 }
 
--- a/src/batch/lease.c
+++ b/src/batch/lease.c
@@ -40,6 +40,7 @@
   l->changed_ms = now;
   l->epoch = json_integer_value (json_object_get (o, "epoch"));
   l->serial = json_integer_value (json_object_get (o, "serial"));
+  l->holder_cpu_milli = json_integer_value (json_object_get (o, "cpu"));
   copy_name (l->holder_token,
              json_string_value (json_object_get (o, "token")));
   copy_name (l->holder_vm, json_string_value (json_object_get (o, "vm")));
@@ -75,6 +76,12 @@
   return !*l->holder_token || now - l->changed_ms >= l->settings.takeover_ms;
 }
 
+int
+le_is_small (const struct le_lease *l)
+{
+  return l->settings.cpu_milli * 3 < l->holder_cpu_milli * 2;
+}
+
 int
 le_valid (const struct le_lease *l, int64_t now)
 {
@@ -92,8 +99,9 @@
              int64_t serial)
 {
   json_t *o
-      = json_pack ("{s:s,s:s,s:I,s:I}", "token", token, "vm", l->vm, "epoch",
-                   (json_int_t)epoch, "serial", (json_int_t)serial);
+      = json_pack ("{s:s,s:s,s:I,s:I,s:I}", "token", token, "vm", l->vm,
+                   "epoch", (json_int_t)epoch, "serial", (json_int_t)serial,
+                   "cpu", (json_int_t)l->settings.cpu_milli);
   char *text = json_dumps (o, JSON_COMPACT);
 
   json_decref (o);
@@ -136,6 +144,7 @@
 {
   copy_name (l->holder_token, l->token);
   copy_name (l->holder_vm, l->vm);
+  l->holder_cpu_milli = l->settings.cpu_milli;
   if (version > l->version)
     l->version = version;
   l->changed_ms = now;
--- a/src/batch/lease.h
+++ b/src/batch/lease.h
@@ -17,6 +17,7 @@
   int64_t takeover_ms; /* the row may be taken over after this long without a
                           change */
   int64_t renew_ms;    /* between two renewals */
+  int64_t cpu_milli;   /* processor time of this VM, thousandths of a core */
 };
 
 /* The lease as one process knows it.  */
@@ -30,7 +31,8 @@
   int64_t version, epoch, serial;
   /* Empty if the lease is free.  */
   char holder_token[LE_NAME_SIZE], holder_vm[LE_NAME_SIZE];
-  int64_t changed_ms; /* when the row was last seen to change */
+  int64_t holder_cpu_milli; /* of the last holder's VM; 0: not known */
+  int64_t changed_ms;       /* when the row was last seen to change */
   /* The row version that the current attempt to acquire the lease expects,
      and the epoch that it writes.  */
   int64_t attempt_version, attempt_epoch;
@@ -54,6 +56,9 @@
 /* Returns 1 if the row is free, has not changed for takeover_ms, or belongs
    to an earlier process on this VM, which has ended.  */
 int le_may_acquire (const struct le_lease *l, int64_t now);
+/* Returns 1 if the last holder had much more processor time than this VM, so
+   that others like it probably exist.  */
+int le_is_small (const struct le_lease *l);
 /* Returns 1 while orders may be sent.  */
 int le_valid (const struct le_lease *l, int64_t now);
 /* Returns the time at which the next renewal is due.  */
--- a/src/batch/loop.c
+++ b/src/batch/loop.c
@@ -275,7 +275,8 @@
                           .connect_timeout_ms = CONNECT_TIMEOUT_MS };
   struct le_settings le = { .valid_ms = set->lease_ms,
                             .takeover_ms = set->take_ms,
-                            .renew_ms = set->renew_ms };
+                            .renew_ms = set->renew_ms,
+                            .cpu_milli = (int64_t)(set->processor * 1000) };
 
   memset (b, 0, sizeof *b);
   b->settings = set;
--- a/src/batch/order_queue.c
+++ b/src/batch/order_queue.c
@@ -1,12 +1,43 @@
 #include "batch/order_queue.h"
 
+enum
+{
+  FAST_ANSWER_MS = 100,
+  SLOW_ANSWER_MS = 200,   /* well below the timeout of a start */
+  LOWER_INTERVAL_MS = 100 /* answers to the orders sent before a change come
+                             in meanwhile */
+};
+
 void
-oq_init (struct oq_queue *q, int limit)
+oq_init (struct oq_queue *q, int min_limit, int max_limit)
 {
+  *q = (struct oq_queue){ .limit = max_limit,
+                          .min_limit = min_limit,
+                          .max_limit = max_limit };
   for (int i = 0; i < OQ_CLASSES; i++)
     g_queue_init (&q->waiting[i]);
-  q->in_progress = 0;
-  q->limit = limit;
+}
+
+static void
+lower_limit (struct oq_queue *q, int64_t now_ms)
+{
+  if (now_ms < q->next_lower_ms)
+    return;
+  q->limit = MAX (q->limit * 3 / 4, q->min_limit);
+  q->next_lower_ms = now_ms + LOWER_INTERVAL_MS;
+  q->fast_answers = 0;
+}
+
+void
+oq_note_answer (struct oq_queue *q, int64_t took_ms, int64_t now_ms)
+{
+  if (took_ms >= SLOW_ANSWER_MS)
+    lower_limit (q, now_ms);
+  else if (took_ms < FAST_ANSWER_MS && ++q->fast_answers >= q->limit / 8)
+    {
+      q->limit = MIN (q->limit + 1, q->max_limit);
+      q->fast_answers = 0;
+    }
 }
 
 void
@@ -14,7 +45,8 @@
 {
   for (int i = 0; i < OQ_CLASSES; i++)
     g_queue_clear_full (&q->waiting[i], free_item);
-  q->in_progress = 0;
+  for (int i = 0; i < OQ_CLASSES; i++)
+    q->in_progress[i] = 0;
 }
 
 void
@@ -23,24 +55,42 @@
   g_queue_push_tail (&q->waiting[class], item);
 }
 
+int
+oq_in_progress (const struct oq_queue *q)
+{
+  int n = 0;
+
+  for (int i = 0; i < OQ_CLASSES; i++)
+    n += q->in_progress[i];
+  return n;
+}
+
+static int
+may_send (const struct oq_queue *q, int class)
+{
+  if (g_queue_is_empty ((GQueue *)&q->waiting[class]))
+    return 0;
+  return class != OQ_STOP || q->in_progress[OQ_STOP] < q->limit * 3 / 4;
+}
+
 void *
 oq_pop (struct oq_queue *q)
 {
-  if (q->in_progress >= q->limit)
+  if (oq_in_progress (q) >= q->limit)
     return NULL;
   for (int i = 0; i < OQ_CLASSES; i++)
-    if (!g_queue_is_empty (&q->waiting[i]))
+    if (may_send (q, i))
       {
-        q->in_progress++;
+        q->in_progress[i]++;
         return g_queue_pop_head (&q->waiting[i]);
       }
   return NULL;
 }
 
 void
-oq_done (struct oq_queue *q)
+oq_done (struct oq_queue *q, enum oq_class class)
 {
-  q->in_progress--;
+  q->in_progress[class]--;
 }
 
 int
--- a/src/batch/order_queue.h
+++ b/src/batch/order_queue.h
@@ -7,7 +7,9 @@
 
 #include <glib.h>
 
-/* Classes of orders, the first to send first.  */
+/* Classes of orders, the first to send first.  Stops leave a part of the limit
+   to starts: workers that do not answer their stops must not hold up all
+   starts.  */
 enum oq_class
 {
   OQ_STOP,   /* frees capacity that other work waits for */
@@ -19,11 +21,19 @@
 struct oq_queue
 {
   GQueue waiting[OQ_CLASSES]; /* of the caller's items */
-  int in_progress, limit;     /* orders */
+  int in_progress[OQ_CLASSES];
+  int limit, min_limit, max_limit;
+  int fast_answers;      /* since the limit was changed */
+  int64_t next_lower_ms; /* the limit is not lowered before */
 };
 
-/* Sets Q up for at most LIMIT orders in progress.  */
-void oq_init (struct oq_queue *q, int limit);
+/* Sets Q up for at most MAX_LIMIT orders in progress, and at least MIN_LIMIT
+   when answers are slow.  */
+void oq_init (struct oq_queue *q, int min_limit, int max_limit);
+/* An order was answered after TOOK_MS.  Workers answer at once, so slow
+   answers mean that this process or its links are overloaded: the limit
+   falls, and rises again with fast answers.  */
+void oq_note_answer (struct oq_queue *q, int64_t took_ms, int64_t now_ms);
 /* Frees the waiting items by FREE_ITEM and forgets the orders in progress.  Q
    may be used again.  */
 void oq_clear (struct oq_queue *q, GDestroyNotify free_item);
@@ -32,8 +42,10 @@
 /* Removes the next item and counts it as in progress, until oq_done.  Returns
    NULL if nothing waits or the limit is reached.  */
 void *oq_pop (struct oq_queue *q);
-/* An order that oq_pop returned has its outcome.  */
-void oq_done (struct oq_queue *q);
+/* An order of CLASS that oq_pop returned has its outcome.  */
+void oq_done (struct oq_queue *q, enum oq_class class);
+/* Number of orders in progress.  */
+int oq_in_progress (const struct oq_queue *q);
 /* Number of waiting items.  */
 int oq_waiting (const struct oq_queue *q);
 
--- a/src/batch/orders.c
+++ b/src/batch/orders.c
@@ -6,6 +6,7 @@
   /* Starts and stops in progress.  Workers answer within a few ms, so that a
      few are enough; the others allow for workers that do not answer.  */
   MAX_ORDERS = 256,
+  MIN_ORDERS = 64, /* when answers are slow, on a small or busy VM */
   /* The worker refuses a start that arrives later than this.  */
   START_LEASE_MS = 2500,
   START_TIMEOUT_MS = 300, /* workers answer within a few ms; an unanswered
@@ -157,7 +158,7 @@
 void
 wk_init_orders (struct batch *b)
 {
-  oq_init (&b->orders, MAX_ORDERS);
+  oq_init (&b->orders, MIN_ORDERS, MAX_ORDERS);
 }
 
 void
@@ -194,7 +195,8 @@
       o->payload = g_strdup (order->payload);
       o->checkpoint = g_strdup (order->checkpoint);
     }
-  oq_push (&b->orders, order_class (order), o);
+  o->class = order_class (order);
+  oq_push (&b->orders, o->class, o);
   send_waiting (b);
 }
 
@@ -235,7 +237,9 @@
       log_order (b, o, a);
       if (resend_start (b, w, o, a->answer))
         return;
-      oq_done (&b->orders);
+      oq_done (&b->orders, o->class);
+      if (a->status)
+        oq_note_answer (&b->orders, a->took_ms, b->now_ms);
       apply_answer (b, w, o, a);
     }
   wk_free_order (o);
--- a/src/batch/store.c
+++ b/src/batch/store.c
@@ -4,9 +4,12 @@
 
 enum
 {
-  STORE_TIMEOUT_MS = 1500 /* after this long without a valid reply the store
+  STORE_TIMEOUT_MS = 1500, /* after this long without a valid reply the store
                              counts as unavailable; normally one comes every
                              1.05 s plus the store's own delay */
+  /* After a shorter silence the store counts as available, but the lease
+     holder may not have been able to renew its lease either.  */
+  SILENCE_MS = 1200
 };
 
 struct ba_store_call *
@@ -70,6 +73,8 @@
     return;
   if (b->store_down)
     store_recovered (b);
+  else if (b->now_ms - b->store_heard_ms > SILENCE_MS)
+    le_store_recovered (&b->lease, b->now_ms);
   b->store_heard_ms = b->now_ms;
   if (!rows->store_clock_ms)
     return;
--- a/src/batch/worker_hold.c
+++ b/src/batch/worker_hold.c
@@ -16,11 +16,8 @@
   HOLD_SLACK_MS = 800, /* added to a long poll's duration, for the transmission
                           of the answer */
   PROBE_TIMEOUT_MS = 600, /* timeout of a hold that is no long poll */
-  /* Holds in progress that are no long polls.  A new holder asks all workers
-     what they run; more at once would time out on a small VM.  */
-  MAX_SURVEYS = 256,
-  UNSTORED_GAP_MS = 800, /* between holds while ends are not yet stored */
-  MAX_LEASE_MS = 6000    /* long enough for another VM to take over */
+  UNSTORED_GAP_MS = 800,  /* between holds while ends are not yet stored */
+  MAX_LEASE_MS = 6000     /* long enough for another VM to take over */
 };
 
 static void
@@ -202,7 +199,9 @@
   busy = sj_worker_has_runs (b->cluster, w->id);
   wanted = busy || (w->listed && (!w->runs_known || w->failures))
            || w->stored_end > w->acked_end;
-  if (!wanted || (!may_wait (w, busy) && b->surveys >= MAX_SURVEYS))
+  /* A new holder asks all workers what they run.  More at once would time out
+     on a small VM, so surveys have the limit of the orders.  */
+  if (!wanted || (!may_wait (w, busy) && b->surveys >= b->orders.limit))
     return;
   /* A poll now would return the same ends at once.  */
   if (w->runs_known && w->received_end > w->stored_end
--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -387,7 +387,7 @@
       if (u->state == UN_STOPPING
           && (m->state == MB_STARTING || m->state == MB_RUNNING))
         ru_stop_member (c, m, now);
-      else if (m->state == MB_STOPPING
+      else if (m->state == MB_STOPPING && !m->stop_pending
                && now - m->stop_sent_ms >= STOP_RESEND_MS)
         {
           int acked = m->stop_acked;
--- a/src/steps/run.c
+++ b/src/steps/run.c
@@ -116,6 +116,7 @@
 {
   m->state = MB_STOPPING;
   m->stop_sent_ms = now;
+  m->stop_pending = 1;
   send_order (c, m, SJ_STOP);
 }
 
@@ -315,6 +316,8 @@
   struct worker *w = wo_find (c, worker);
   struct member *m = w ? ru_find_member (w, run) : NULL;
 
+  if (m)
+    m->stop_pending = 0;
   if (!m || answer != SJ_EXECUTED || m->stop_acked)
     return;
   m->stop_acked = 1;
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -28,6 +28,7 @@
   int from_record;           /* restored from a stored record */
   int start_resolved;        /* start answered, or its run listed */
   int64_t start_resolved_ms; /* a listing requested later shows the outcome */
+  int stop_pending;          /* a stop has no outcome yet */
   int stop_acked;            /* the worker accepted a stop */
   int64_t stop_sent_ms;      /* when a stop was last sent */
   int64_t stop_acked_ms;     /* a listing requested later shows its effect */
--- a/tests/batch/test_holder.c
+++ b/tests/batch/test_holder.c
@@ -203,6 +203,73 @@
   teardown ();
 }
 
+/* The store was silent for 1.3 s, too short to count as unavailable.  The
+   holder could not renew its lease meanwhile, and goes on when the store is
+   back; a VM that takes over then interrupts it for nothing.  */
+static void
+test_no_take_over_after_silence (void)
+{
+  struct po_rows answer = { .result = PO_DONE };
+  struct po_row row
+      = { .table = (char *)"jobs",
+          .key = (char *)"~lease",
+          .value = (char *)"{\"token\":\"other\",\"vm\":\"vm2\",\"epoch\":2,"
+                           "\"serial\":1}",
+          .version = 12 };
+
+  setup ();
+  ho_step_down (&batch, "test");
+  le_row_seen (&batch.lease, row.version, row.value, batch.now_ms);
+  batch.store_heard_ms = batch.now_ms + 300;
+  batch.now_ms += 1600;
+  batch.job_follower.fresh_ms = batch.now_ms;
+  ba_note_store_reply (&batch, &answer);
+  fs_store.writes = 0;
+  advance (10);
+  advance (1000);
+  CU_ASSERT_EQUAL (fs_store.writes, 0);
+  for (int i = 0; i < 4; i++)
+    {
+      batch.job_follower.fresh_ms = batch.now_ms;
+      advance (500);
+    }
+  CU_ASSERT_EQUAL (fs_store.writes, 1);
+  teardown ();
+}
+
+/* The store does not answer writes for some seconds, and the holder, a larger
+   VM, is alive.  When the store is back, one of many small VMs must not be
+   the first that writes.  */
+static void
+test_small_vm_does_not_repeat_attempt (void)
+{
+  struct po_row row = { .key = (char *)"~lease", .version = 12 };
+
+  setup ();
+  ho_step_down (&batch, "test");
+  batch.lease.settings.cpu_milli = 120;
+  row.value = (char *)"{\"token\":\"other\",\"vm\":\"vm2\",\"epoch\":2,"
+                      "\"serial\":1,\"cpu\":500}";
+  le_row_seen (&batch.lease, row.version, row.value, batch.now_ms);
+  batch.store_heard_ms = batch.now_ms;
+  fs_store.writes = 0;
+  for (int i = 0; i < 80; i++)
+    {
+      batch.job_follower.fresh_ms = batch.store_heard_ms = batch.now_ms;
+      advance (50);
+      if (fs_store.last_call)
+        store_replies (PO_UNKNOWN, 0, NULL);
+    }
+  CU_ASSERT_EQUAL (fs_store.writes, 1);
+  for (int i = 0; i < 160; i++)
+    {
+      batch.job_follower.fresh_ms = batch.store_heard_ms = batch.now_ms;
+      advance (50);
+    }
+  CU_ASSERT_EQUAL (fs_store.writes, 2);
+  teardown ();
+}
+
 int
 main (void)
 {
@@ -212,6 +279,8 @@
     { "ended", test_late_row_does_not_add_ended_job },
     { "version", test_conflict_corrects_lease_version },
     { "loss", test_term_ends_when_another_vm_holds_lease },
+    { "after silence", test_no_take_over_after_silence },
+    { "small VM", test_small_vm_does_not_repeat_attempt },
     CU_TEST_INFO_NULL,
   };
 
--- a/tests/batch/test_lease.c
+++ b/tests/batch/test_lease.c
@@ -130,6 +130,50 @@
   free (value);
 }
 
+/* A VM of 0.12 cores took the lease of 350 workers over from one of 0.5 and
+   could not serve them.  */
+static void
+test_smaller_vm_knows_that_it_is (void)
+{
+  struct le_settings small = set, large = set;
+  char *value;
+
+  small.cpu_milli = 120;
+  large.cpu_milli = 500;
+  le_init (&a, &large, "vm-a", "token-a");
+  le_init (&b, &small, "vm-b", "token-b");
+  le_table_read (&a, 0);
+  le_table_read (&b, 0);
+  CU_ASSERT_FALSE (le_is_small (&b));
+  acquire_by_a (10, 0);
+  CU_ASSERT (le_is_small (&b));
+  CU_ASSERT_FALSE (le_is_small (&a));
+  value = le_release_value (&a);
+  le_row_seen (&b, 11, value, 10);
+  free (value);
+  CU_ASSERT (le_is_small (&b));
+  /* It is the holder in the end, and another of its size does not wait.  */
+  value = le_acquire_value (&b);
+  le_acquired (&b, 12, 20, 20);
+  le_init (&a, &small, "vm-a", "token-a");
+  le_row_seen (&a, 12, value, 30);
+  CU_ASSERT_FALSE (le_is_small (&a));
+  free (value);
+}
+
+/* A row of an older release does not tell the processor time.  */
+static void
+test_row_without_processor_time (void)
+{
+  struct le_settings small = set;
+
+  small.cpu_milli = 120;
+  le_init (&b, &small, "vm-b", "token-b");
+  le_row_seen (&b, 10,
+               "{\"token\":\"t\",\"vm\":\"v\",\"epoch\":1,\"serial\":1}", 0);
+  CU_ASSERT_FALSE (le_is_small (&b));
+}
+
 int
 main (void)
 {
@@ -141,6 +185,8 @@
     { "silence", test_store_outage_restarts_takeover_time },
     { "restart", test_restarted_vm_acquires_own_lease_at_once },
     { "lost reply", test_serial_identifies_write_with_lost_reply },
+    { "smaller VM", test_smaller_vm_knows_that_it_is },
+    { "older row", test_row_without_processor_time },
     CU_TEST_INFO_NULL,
   };
 
--- a/tests/steps/test_overload.c
+++ b/tests/steps/test_overload.c
@@ -20,11 +20,17 @@
 static int64_t now;
 static int jobs;
 
+static int stops;
+static struct sj_order last_stop;
+
 static void
-ignore_order (void *arg, const struct sj_order *order)
+count_stops (void *arg, const struct sj_order *order)
 {
   (void)arg;
-  (void)order;
+  if (order->kind != SJ_STOP)
+    return;
+  stops++;
+  last_stop = *order;
 }
 
 static void
@@ -80,7 +86,7 @@
 
   now = 1000;
   jobs = 0;
-  c = sj_new (&set, ignore_order, NULL);
+  c = sj_new (&set, count_stops, NULL);
   sj_set_guarantee (c, "a", 100);
   for (int i = 0; i < WORKERS; i++)
     add_worker (i);
@@ -159,6 +165,27 @@
   sj_free (c);
 }
 
+/* A stop that waits behind many others, or whose worker is silent, is not
+   repeated before it has an outcome: else the stops that wait grow in number
+   until no start is sent any more.  */
+static void
+test_stop_is_not_repeated_while_pending (void)
+{
+  set_up ();
+  run_round ();
+  stops = 0;
+  sj_job_cancel (c, "0000000000000001", now);
+  CU_ASSERT (stops > 0);
+  stops = 0;
+  for (int i = 0; i < 200; i++)
+    run_round ();
+  CU_ASSERT_EQUAL (stops, 0);
+  sj_stop_answered (c, last_stop.worker, &last_stop.run, SJ_UNANSWERED, now);
+  run_round ();
+  CU_ASSERT_EQUAL (stops, 1);
+  sj_free (c);
+}
+
 /* A worker changes its rack and leaves; nothing refers to it afterwards.  */
 static void
 test_racks_follow_workers (void)
@@ -188,6 +215,7 @@
   static const CU_TestInfo tests[] = {
     { "few searches", test_searches_are_few },
     { "nothing skipped", test_nothing_that_fits_is_skipped },
+    { "pending stops", test_stop_is_not_repeated_while_pending },
     { "racks", test_racks_follow_workers },
     CU_TEST_INFO_NULL,
   };
