--- a/src/batch/worker_hold.c
+++ b/src/batch/worker_hold.c
@@ -9,7 +9,7 @@
   CLOSE_WATCH_WAIT_MS = 500,
   /* The long poll lasts at least this long for each 1000 busy workers, up to
      MAX_WAIT_MS.  */
-  WAIT_PER_1000_WORKERS_MS = 1200,
+  WAIT_PER_1000_WORKERS_MS = 300,
   MAX_WAIT_MS = 2000, /* the longest that a worker allows */
   /* With the long poll, well below the duration of a lease.  */
   MAX_PAUSE_MS = 1500,
@@ -69,7 +69,7 @@
 }
 
 /* Returns the duration of the next long poll.  With more busy workers each
-   is polled less often, so that polling takes at most a quarter of a core.  */
+   is polled less often, which bounds the number of polls a second.  */
 static int
 long_poll_ms (struct batch *b, const struct ba_worker *w)
 {
--- a/tests/batch/test_holder.c
+++ b/tests/batch/test_holder.c
@@ -185,15 +185,18 @@
   teardown ();
 }
 
+/* The lease row of another VM.  */
+static const struct po_row other_lease
+    = { .table = (char *)"jobs",
+        .key = (char *)"~lease",
+        .value = (char *)"{\"token\":\"other\",\"vm\":\"vm2\",\"epoch\":2,"
+                         "\"serial\":1}",
+        .version = 12 };
+
 static void
 test_term_ends_when_another_vm_holds_lease (void)
 {
-  struct po_row row
-      = { .table = (char *)"jobs",
-          .key = (char *)"~lease",
-          .value = (char *)"{\"token\":\"other\",\"vm\":\"vm2\",\"epoch\":2,"
-                           "\"serial\":1}",
-          .version = 12 };
+  struct po_row row = other_lease;
 
   setup ();
   advance (500);
@@ -210,16 +213,10 @@
 test_no_take_over_after_silence (void)
 {
   struct po_rows answer = { .result = PO_DONE };
-  struct po_row row
-      = { .table = (char *)"jobs",
-          .key = (char *)"~lease",
-          .value = (char *)"{\"token\":\"other\",\"vm\":\"vm2\",\"epoch\":2,"
-                           "\"serial\":1}",
-          .version = 12 };
-
   setup ();
   ho_step_down (&batch, "test");
-  le_row_seen (&batch.lease, row.version, row.value, batch.now_ms);
+  le_row_seen (&batch.lease, other_lease.version, other_lease.value,
+               batch.now_ms);
   batch.store_heard_ms = batch.now_ms + 300;
   batch.now_ms += 1600;
   batch.job_follower.fresh_ms = batch.now_ms;
@@ -243,14 +240,14 @@
 static void
 test_small_vm_does_not_repeat_attempt (void)
 {
-  struct po_row row = { .key = (char *)"~lease", .version = 12 };
+  static const char larger[]
+      = "{\"token\":\"other\",\"vm\":\"vm2\",\"epoch\":2,"
+        "\"serial\":1,\"cpu\":500}";
 
   setup ();
   ho_step_down (&batch, "test");
   batch.lease.settings.cpu_milli = 120;
-  row.value = (char *)"{\"token\":\"other\",\"vm\":\"vm2\",\"epoch\":2,"
-                      "\"serial\":1,\"cpu\":500}";
-  le_row_seen (&batch.lease, row.version, row.value, batch.now_ms);
+  le_row_seen (&batch.lease, 12, larger, batch.now_ms);
   batch.store_heard_ms = batch.now_ms;
   fs_store.writes = 0;
   for (int i = 0; i < 80; i++)
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -168,31 +168,25 @@
   return job;
 }
 
-/* Stores all changed records, which sends the starts.  */
+/* A commit of the changed records, which the store takes if OK.  */
 static void
-commit_all (void)
+commit (int ok)
 {
   struct sj_dirty dirty[4];
   int n = sj_dirty (batch.cluster, dirty, 4);
 
   for (int i = 0; i < n; i++)
     json_decref (dirty[i].record);
-  sj_committed (batch.cluster, 1, batch.now_ms);
+  sj_committed (batch.cluster, ok, batch.now_ms);
   wk_note_stored (&batch);
   handle_events ();
 }
 
-/* The store refuses the changed records.  */
+/* Stores all changed records, which sends the starts.  */
 static void
-fail_commit (void)
+commit_all (void)
 {
-  struct sj_dirty dirty[4];
-  int n = sj_dirty (batch.cluster, dirty, 4);
-
-  for (int i = 0; i < n; i++)
-    json_decref (dirty[i].record);
-  sj_committed (batch.cluster, 0, batch.now_ms);
-  wk_note_stored (&batch);
+  commit (1);
 }
 
 /* A lease holder with one worker, which was polled once and runs one task.  */
@@ -402,7 +396,7 @@
   holds = 0;
   advance (1000);
   CU_ASSERT (!holds || !hold_seen);
-  fail_commit ();
+  commit (0);
   advance (1000);
   CU_ASSERT (!holds || !hold_seen);
   commit_all ();
