HTTP client: lose no wake-up

Cause: the flag that a wake-up is under way was cleared before the wake-up was read. One that came between was read with it, the flag stayed, and no later one was written: requests then waited for the next event, up to 1 s on a quiet VM. Change: read first. test_http_mux fails in each run without.

--- a/src/net/http_mux.c
+++ b/src/net/http_mux.c
@@ -145,15 +145,16 @@
     (void)!write (m->wake_fd, &one, sizeof one);
 }
 
-/* The flag is cleared first: what was queued before a wake-up that is then
-   left out is seen by the caller, who looks after mx_wait returned.  */
+/* The flag is cleared last: with the flag set and nothing to read no wake-up
+   would be written any more.  What was queued before a wake-up that is left
+   out is seen by the caller, who looks after mx_wait returned.  */
 static void
 consume_wake (struct mx_mux *m)
 {
   uint64_t count;
 
-  atomic_store (&m->woken, 0);
   (void)!read (m->wake_fd, &count, sizeof count);
+  atomic_store (&m->woken, 0);
 }
 
 /* Milliseconds until the first timer.  */
