Small VMs wait 8 s for a larger one's lease; an unsent stop is no silence

Stops that were not sent, as the lease had lapsed, counted as unanswered, and two of them made a worker silent. Change: SMALLER_VM_DELAY_MS 1,500 -> 8,000; only a sent order that is not answered speaks against its worker. Both tests fail without.

--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -88,6 +88,7 @@
   int64_t expires_ms; /* on the worker's clock */
   int tries;          /* 0: not sent */
   int is_long_poll;   /* of a hold */
+  int is_sent;        /* of a start or stop: it was sent to the worker */
 };
 
 struct ba_event
--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -10,9 +10,11 @@
   ACQUIRE_JITTER_MS = 120,
   SMALL_VM_DELAY_MS = 2500, /* delay of a small VM before it acquires the
                                lease, times the square of the missing cores */
-  /* Further delay of a VM that is much smaller than the last holder.  VMs
-     notice the end of a lease, or of an outage, up to about a second apart. */
-  SMALLER_VM_DELAY_MS = 1500,
+  /* Further delay of a VM that is much smaller than the last holder.  Longer
+     than most outages of the store, in which the holder lives; with the time
+     of a take-over below the 12 s in which a deployment must recover if all
+     larger VMs are lost.  */
+  SMALLER_VM_DELAY_MS = 8000,
   CLOCK_JUMP_MS = 400, /* a larger change of the time of day is a clock step */
   /* A stepped clock is accepted after this time.  */
   CLOCK_JUMP_ACCEPT_MS = 20000
--- a/src/batch/orders.c
+++ b/src/batch/orders.c
@@ -150,8 +150,11 @@
           = { .answer = o->kind == SJ_START ? SJ_REFUSED : SJ_UNANSWERED,
               .reason = "not sent" };
 
-      if (send_order (b, o))
-        on_order_reply (o, &unsent);
+      o->is_sent = 1;
+      if (!send_order (b, o))
+        continue;
+      o->is_sent = 0;
+      on_order_reply (o, &unsent);
     }
 }
 
@@ -217,7 +220,7 @@
     return;
   if (w)
     wk_set_clock (b, w, a->clock_ms);
-  if (w && a->answer == SJ_UNANSWERED)
+  if (w && o->is_sent && a->answer == SJ_UNANSWERED)
     wk_note_no_reply (b, w);
   if (o->kind == SJ_START)
     sj_start_answered (b->cluster, o->worker, &o->run,
--- a/tests/batch/test_holder.c
+++ b/tests/batch/test_holder.c
@@ -236,7 +236,7 @@
 
 /* The store does not answer writes for some seconds, and the holder, a larger
    VM, is alive.  When the store is back, one of many small VMs must not be
-   the first that writes.  */
+   the first that writes, nor may a write of theirs be carried out then.  */
 static void
 test_small_vm_does_not_repeat_attempt (void)
 {
@@ -250,6 +250,12 @@
   le_row_seen (&batch.lease, 12, larger, batch.now_ms);
   batch.store_heard_ms = batch.now_ms;
   fs_store.writes = 0;
+  for (int i = 0; i < 140; i++)
+    {
+      batch.job_follower.fresh_ms = batch.store_heard_ms = batch.now_ms;
+      advance (50);
+    }
+  CU_ASSERT_EQUAL (fs_store.writes, 0);
   for (int i = 0; i < 80; i++)
     {
       batch.job_follower.fresh_ms = batch.store_heard_ms = batch.now_ms;
@@ -258,7 +264,7 @@
         store_replies (PO_UNKNOWN, 0, NULL);
     }
   CU_ASSERT_EQUAL (fs_store.writes, 1);
-  for (int i = 0; i < 160; i++)
+  for (int i = 0; i < 320; i++)
     {
       batch.job_follower.fresh_ms = batch.store_heard_ms = batch.now_ms;
       advance (50);
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -526,6 +526,23 @@
   teardown ();
 }
 
+/* A stop that was not sent, as the lease had ended, tells nothing about its
+   worker, which must not count as silent.  */
+static void
+test_unsent_stop_is_no_silence (void)
+{
+  setup ();
+  batch.lease.valid_until_ms = batch.now_ms;
+  for (int i = 0; i < 3; i++)
+    wk_send_order (&batch, &(struct sj_order){ .kind = SJ_STOP,
+                                               .worker = "i-1",
+                                               .payload = "",
+                                               .checkpoint = "" });
+  handle_events ();
+  CU_ASSERT_FALSE (has_failures ());
+  teardown ();
+}
+
 /* Answers the COUNT starts that were sent first.  */
 static void
 answer_kept_starts (guint count)
@@ -663,6 +680,7 @@
     { "unstored record", test_end_waits_for_its_record },
     { "unstored records of others", test_end_is_acknowledged_under_load },
     { "lease", test_no_orders_without_lease },
+    { "unsent stop", test_unsent_stop_is_no_silence },
     { "order limit", test_orders_in_progress_are_limited },
     { "waiting, cancelled", test_waiting_start_is_dropped_when_unwanted },
     { "waiting, leaving", test_waiting_start_is_dropped_on_leaving_worker },
