--- a/include/skr/events.h
+++ b/include/skr/events.h
@@ -55,6 +55,8 @@
   LG_JOB_KNOWN = 531,
   LG_NOT_SERVED = 532,
   LG_LOOP_SLOW = 533,
+  LG_RUN_LOST = 534,
+  LG_WORKER_CAPACITY = 535,
 
   /* filter */
   LG_REQUEST_UNKNOWN = 601,
--- a/include/skr/port.h
+++ b/include/skr/port.h
@@ -130,6 +130,7 @@
 {
   enum sj_answer answer;
   int fenced;       /* refused: the worker has seen a higher token */
+  int replaced;     /* refused: another worker answers at the address */
   long status;      /* HTTP status, 0 without an answer */
   char reason[24];  /* reason given by the worker, or "" */
   int64_t clock_ms; /* monotonic clock of the worker; 0: unknown */
--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -196,6 +196,45 @@
   const struct sj_listed_run *runs, *ends;
 };
 
+/* Why a run ended without its worker having listed an end.  */
+enum sj_loss
+{
+  SJ_LOSS_CRASH,   /* another incarnation of the worker is running */
+  SJ_LOSS_EXPIRED, /* the worker was silent until its lease had expired */
+  SJ_LOSS_LEFT     /* the same, after the worker had begun to drain */
+};
+
+const char *sj_loss_name (enum sj_loss loss);
+
+enum sj_note_kind
+{
+  SJ_NOTE_RUN_LOST,
+  SJ_NOTE_CAPACITY /* a worker's capacity has changed */
+};
+
+/* Something that the scheduler learned, for the log.  Its strings are valid
+   during the call only.  */
+struct sj_note
+{
+  enum sj_note_kind kind;
+  const char *worker;
+  union
+  {
+    struct
+    {
+      struct sj_run run;
+      enum sj_loss loss;
+      int neighbours; /* runs of other units on the worker at the time */
+    } lost;
+    struct
+    {
+      struct sj_resources capacity, used;
+    } capacity;
+  } u;
+};
+
+typedef void sj_note_fn (void *arg, const struct sj_note *note);
+
 struct sj_settings
 {
   int64_t off_rack_factor; /* factor on the run time off the preferred rack */
@@ -213,6 +252,9 @@
 struct sj_cluster *sj_new (const struct sj_settings *settings,
                            sj_order_fn *on_order, void *arg);
 void sj_free (struct sj_cluster *c);
+/* Calls ON_NOTE with ARG for each note from now on.  It must not call back
+   into the scheduler.  */
+void sj_set_note_fn (struct sj_cluster *c, sj_note_fn *on_note, void *arg);
 
 /* Guarantees ACCOUNT's jobs of priority 0 that many accelerators.  */
 void sj_set_guarantee (struct sj_cluster *c, const char *account,
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -144,6 +144,18 @@
     "The main loop took long for one round of events and decisions; the times "
     "tell for what, and queued how many events wait.",
     "none, unless it repeats: then the VM is too small or overloaded" },
+  { LG_RUN_LOST, LG_NOTICE, "task-lost",
+    "id occurrence step task run worker cause neighbours",
+    "A run ended with its worker: the worker's process has ended (crash), or "
+    "it was silent until its lease had expired (expired), after draining "
+    "(left); neighbours counts the runs of other tasks on the worker.",
+    "if one task is lost again and again, look at the task" },
+  { LG_WORKER_CAPACITY, LG_NOTICE, "worker-capacity",
+    "worker cpu_milli memory_mb accelerators used_cpu_milli used_memory_mb "
+    "used_accelerators",
+    "The worker reports another capacity than before; used is what is ordered "
+    "or runs there.",
+    "none" },
 
   /* filter */
   { LG_REQUEST_UNKNOWN, LG_WARNING, "request-unknown",
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -156,6 +156,7 @@
   int runs_known; /* listed its runs since it restarted or was listed */
   int listed;     /* in the worker table */
   int failures;   /* requests without an answer in a row */
+  int replaced;   /* another worker answers at its address */
   int draining;
   int64_t next_hold_ms, hold_sent_ms;
 };
@@ -211,7 +212,7 @@
 {
   int shard;
   int answers, submits, accepted, refused, unknown;
-  int starts, stops, ends, commits, store_calls, holds;
+  int starts, stops, ends, lost_runs, commits, store_calls, holds;
   int store_wait, commit_duration;
   int waiting_jobs, waiting_orders, runs, accelerators_used, usable_workers,
       is_holder;
@@ -415,6 +416,10 @@
 /* Ends the term, if there is one, and logs REASON.  */
 void ho_step_down (struct batch *b, const char *reason);
 
+/* note.c */
+/* Logs and counts what the scheduler notes; ARG is the struct batch.  */
+void ba_on_note (void *arg, const struct sj_note *note);
+
 /* workers.c, orders.c, worker_hold.c */
 /* Sets up the order queue of B.  */
 void wk_init_orders (struct batch *b);
--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -62,6 +62,7 @@
   b->phase = BA_LOADING;
   b->jobs_seen_version = b->lease.version;
   b->cluster = sj_new (&set, wk_send_order, b);
+  sj_set_note_fn (b->cluster, ba_on_note, b);
   b->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, wk_free);
   b->records = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                       (GDestroyNotify)json_decref);
--- a/src/batch/orders.c
+++ b/src/batch/orders.c
@@ -219,7 +219,10 @@
   if (wk_check_fence (b, a))
     return;
   if (w)
-    wk_set_clock (b, w, a->clock_ms);
+    {
+      wk_set_clock (b, w, a->clock_ms);
+      wk_check_replaced (w, a);
+    }
   if (w && o->is_sent && a->answer == SJ_UNANSWERED)
     wk_note_no_reply (b, w);
   if (o->kind == SJ_START)
--- a/src/batch/workers.c
+++ b/src/batch/workers.c
@@ -83,6 +83,15 @@
   sj_worker_set_reachable (b->cluster, w->id, 1);
 }
 
+void
+wk_check_replaced (struct ba_worker *w, const struct po_order_answer *a)
+{
+  if (!a->replaced || w->replaced)
+    return;
+  w->replaced = 1;
+  wk_log_state (w, "replaced", "another worker answers at its address");
+}
+
 /* Another VM is the holder if the worker has seen a higher fencing token.  */
 int
 wk_check_fence (struct batch *b, const struct po_order_answer *a)
@@ -99,6 +108,7 @@
 {
   wk_log_state (w, "restarted", "another incarnation");
   w->incarnation = incarnation;
+  w->replaced = 0;
   w->stored_end = w->received_end = w->waiting_end = w->acked_end = 0;
   w->clock_ms = w->clock_at_ms = 0;
   w->runs_known = 0;
--- a/src/steps/cluster.c
+++ b/src/steps/cluster.c
@@ -24,6 +24,13 @@
   return c;
 }
 
+void
+sj_set_note_fn (struct sj_cluster *c, sj_note_fn *on_note, void *arg)
+{
+  c->on_note = on_note;
+  c->note_arg = arg;
+}
+
 void
 sj_free (struct sj_cluster *c)
 {
--- a/src/steps/listing.c
+++ b/src/steps/listing.c
@@ -72,7 +72,11 @@
       else if (run)
         apply_running (c, m, run, now);
       else if (is_proven_absent (m, l))
-        ru_release_member (c, m, now);
+        {
+          if (wo_has_crashed_under (m))
+            lo_note_run (c, m, SJ_LOSS_CRASH);
+          ru_release_member (c, m, now);
+        }
     }
   g_ptr_array_free (known, TRUE);
 }
--- a/src/steps/run.c
+++ b/src/steps/run.c
@@ -9,8 +9,8 @@
   MAX_AVOIDED = 16 /* workers that a unit avoids; the oldest is dropped */
 };
 
-static void
-fill_run (struct sj_run *run, const struct member *m)
+void
+ru_fill (struct sj_run *run, const struct member *m)
 {
   const struct unit *u = m->unit;
 
@@ -32,7 +32,7 @@
                             .priority = m->unit->job->spec->priority,
                             .cause = m->unit->stop_cause };
 
-  fill_run (&order.run, m);
+  ru_fill (&order.run, m);
   c->on_order (c->arg, &order);
 }
 
@@ -52,6 +52,7 @@
       m->worker = placement[i];
       m->index = u->first + i;
       m->state = MB_PLANNED;
+      m->life_tag = wo_life_tag (m->worker->incarnation);
       m->last_progress_ms = m->started_ms = now;
       wo_add_member (m);
     }
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -25,8 +25,10 @@
   struct worker *worker;
   int index; /* of the task in its step */
   enum member_state state;
-  int from_record;           /* restored from a stored record */
-  int start_resolved;        /* start answered, or its run listed */
+  int from_record;    /* restored from a stored record */
+  int life_tag;       /* of the worker's incarnation it was planned for; 0:
+                         unknown */
+  int start_resolved; /* start answered, or its run listed */
   int64_t start_resolved_ms; /* a listing requested later shows the outcome */
   int stop_pending;          /* a stop has no outcome yet */
   int stop_acked;            /* the worker accepted a stop */
@@ -145,6 +147,8 @@
   struct sj_settings settings;
   sj_order_fn *on_order;
   void *arg;
+  sj_note_fn *on_note; /* NULL: notes are not wanted */
+  void *note_arg;
   GHashTable *workers, *jobs; /* by id */
   GHashTable *guarantees;     /* account name to accelerators */
   GHashTable *racks;          /* by name */
@@ -193,7 +197,17 @@
 /* The workers of R, or all workers if R is NULL.  */
 const GPtrArray *rk_workers (const struct sj_cluster *c, const struct rack *r);
 
+/* loss.c */
+/* Reports that M's run ended for LOSS without an end being listed.  Called
+   before M is released.  */
+void lo_note_run (struct sj_cluster *c, const struct member *m,
+                  enum sj_loss loss);
+
 /* worker.c */
+/* Short form of an incarnation that a record holds, 0 if it is unknown.  */
+int wo_life_tag (int64_t incarnation);
+/* Whether M's run was sent to an earlier incarnation of its worker.  */
+int wo_has_crashed_under (const struct member *m);
 struct worker *wo_find (struct sj_cluster *c, const char *id);
 void wo_free (void *worker);
 /* Adds M to, or removes it from, the members that occupy its worker's
@@ -231,6 +245,8 @@
                 int64_t now);
 
 /* run.c */
+/* Fills RUN with the identity of M's run.  */
+void ru_fill (struct sj_run *run, const struct member *m);
 /* Plans a run of U; PLACEMENT names the worker of each task.  */
 void ru_plan (struct unit *u, struct worker **placement, int off_rack,
               int64_t now);
--- a/src/steps/worker.c
+++ b/src/steps/worker.c
@@ -4,6 +4,25 @@
 
 #include "steps/state.h"
 
+enum
+{
+  LIFE_TAG_MODULUS = 65521 /* keeps a tag at five digits */
+};
+
+int
+wo_life_tag (int64_t incarnation)
+{
+  return incarnation ? 1 + (int)(incarnation % LIFE_TAG_MODULUS) : 0;
+}
+
+int
+wo_has_crashed_under (const struct member *m)
+{
+  int tag = wo_life_tag (m->worker->incarnation);
+
+  return m->life_tag && tag && m->life_tag != tag;
+}
+
 struct worker *
 wo_find (struct sj_cluster *c, const char *id)
 {
@@ -56,10 +75,13 @@
          && !w->unknown_runs && c->now >= w->suspect_until_ms;
 }
 
-/* Releases all members of W, whose runs have all ended.  */
+/* Releases all members of W, whose runs have all ended for LOSS.  */
 static void
-release_all_members (struct sj_cluster *c, struct worker *w, int64_t now)
+release_all_members (struct sj_cluster *c, struct worker *w, enum sj_loss loss,
+                     int64_t now)
 {
+  for (guint i = 0; i < w->members->len; i++)
+    lo_note_run (c, g_ptr_array_index (w->members, i), loss);
   while (w->members->len)
     ru_release_member (c, g_ptr_array_index (w->members, 0), now);
   c->changed = 1;
@@ -96,6 +118,31 @@
   c->changed = 1;
 }
 
+static void
+note_capacity (const struct sj_cluster *c, const struct worker *w)
+{
+  struct sj_note note = { .kind = SJ_NOTE_CAPACITY,
+                          .worker = w->id,
+                          .u.capacity = { w->capacity, w->used } };
+
+  if (c->on_note)
+    c->on_note (c->note_arg, &note);
+}
+
+static void
+set_capacity (const struct sj_cluster *c, struct worker *w,
+              const struct sj_resources *capacity)
+{
+  static const struct sj_resources unknown;
+  int known = memcmp (&w->capacity, &unknown, sizeof unknown) != 0;
+
+  if (!memcmp (&w->capacity, capacity, sizeof *capacity))
+    return;
+  w->capacity = *capacity;
+  if (known)
+    note_capacity (c, w);
+}
+
 void
 sj_worker_set (struct sj_cluster *c, const struct sj_worker_info *info,
                int64_t now)
@@ -114,7 +161,7 @@
   w->service = g_intern_string (info->service);
   set_text (&w->kind, info->kind);
   rk_move (c, w, info->rack);
-  w->capacity = info->capacity;
+  set_capacity (c, w, &info->capacity);
   if (info->draining && !w->draining)
     w->drain_end_ms = now + info->remaining_ms;
   w->draining = info->draining;
@@ -186,7 +233,8 @@
 
       if (w->members->len && is_unreachable (w) && c->now > w->lease_end_ms
           && c->now > w->added_ms + c->settings.silent_timeout_ms)
-        release_all_members (c, w, c->now);
+        release_all_members (
+            c, w, w->draining ? SJ_LOSS_LEFT : SJ_LOSS_EXPIRED, c->now);
       if (w->listed || w->members->len)
         continue;
       g_ptr_array_remove_index_fast (c->worker_list, i);
