--- a/tests/steps/fake_cluster.c
+++ b/tests/steps/fake_cluster.c
@@ -7,7 +7,14 @@
 
 enum
 {
-  COMMIT_MS = 10,           /* duration of a commit */
+  COMMIT_MS = 10,      /* default duration of a commit */
+  BEAT_MS = 1500,      /* until a change of a worker is reported */
+  UNLIST_MS = 4500,    /* until the entry of a silent worker is removed */
+  CONTACT_MS = 3000,   /* with a beat, until a change must be known */
+  CRASHES_ALLOWED = 3, /* workers that may crash under a task */
+  STARTS_ALLOWED = 2,  /* further starts after these */
+  CORE_MILLI_PER_GPU = 16000, /* of a worker */
+  MEMORY_PER_GPU_MB = 32768,
   POLL_MS = 500,            /* between two listings of a worker */
   STOP_TIME_MS = 200,       /* time that a run takes to stop */
   START_DEADLINE_MS = 2500, /* a start that arrives later is refused */
@@ -72,6 +79,42 @@
   return NULL;
 }
 
+/* Adds one to the number of R's task in TABLE and returns it.  */
+static int
+count_task (GHashTable *table, const struct sj_run *r)
+{
+  char name[80];
+  int n;
+
+  format_task_name (name, r);
+  n = GPOINTER_TO_INT (g_hash_table_lookup (table, name)) + 1;
+  g_hash_table_replace (table, g_strdup (name), GINT_TO_POINTER (n));
+  return n;
+}
+
+/* Reports a start of a task that was started often enough after three workers
+   had crashed under it.  */
+static void
+check_crash_budget (struct fa_cluster *f, const struct sj_run *r)
+{
+  char name[80];
+
+  format_task_name (name, r);
+  if (GPOINTER_TO_INT (g_hash_table_lookup (f->crashes, name))
+          >= CRASHES_ALLOWED
+      && count_task (f->late_starts, r) > STARTS_ALLOWED)
+    report_violation (f, "started again after it crashed three workers", r);
+}
+
+static int
+is_deadly (const struct fa_cluster *f, const struct sj_run *r)
+{
+  gpointer index;
+
+  return g_hash_table_lookup_extended (f->deadly, r->job, NULL, &index)
+         && (!index || GPOINTER_TO_INT (index) == r->index + 1);
+}
+
 static void close_run (struct fa_worker *w, const struct sj_run *r);
 
 /* Ends run I of W and lists its end with the next poll.  */
@@ -114,12 +157,22 @@
   return g_hash_table_lookup (f->jobs, id);
 }
 
-/* Reports W's runs that together exceed its capacity.  */
+static int
+fits (const struct sj_resources *sum, const struct sj_resources *capacity)
+{
+  return sum->cpu_milli <= capacity->cpu_milli
+         && sum->memory_mb <= capacity->memory_mb
+         && sum->accelerators <= capacity->accelerators;
+}
+
+/* Reports W's runs that together exceed its capacity.  A smaller capacity
+   counts once it must be known.  */
 static void
 check_capacity (struct fa_cluster *f, struct fa_worker *w,
                 const struct sj_run *r)
 {
   struct sj_resources sum = { 0, 0, 0 };
+  int is_new = w->shrunk_ms && f->now <= w->shrunk_ms + CONTACT_MS + BEAT_MS;
 
   for (guint i = 0; i < w->runs->len; i++)
     {
@@ -129,9 +182,8 @@
       sum.memory_mb += x->need.memory_mb;
       sum.accelerators += x->need.accelerators;
     }
-  if (sum.cpu_milli > w->capacity.cpu_milli
-      || sum.memory_mb > w->capacity.memory_mb
-      || sum.accelerators > w->capacity.accelerators)
+  if (!fits (&sum, &w->capacity)
+      && !(is_new && fits (&sum, &w->larger_capacity)))
     report_violation (f, "worker over capacity", r);
 }
 
@@ -246,6 +298,8 @@
       || f->now > sent_ms + START_DEADLINE_MS)
     return SJ_REFUSED;
   check_start (f, &o->run);
+  check_crash_budget (f, &o->run);
+  x.deadly = is_deadly (f, &o->run);
   x.fails = w->fails_all || g_rand_double (f->rand) < f->faults.task_fails;
   g_array_append_val (w->runs, x);
   f->starts++;
@@ -411,9 +465,26 @@
     end_gang (f, &r, how == SJ_END_DONE ? SJ_END_DONE : SJ_END_GANG_BROKEN);
 }
 
+/* Whether a deadly run of W is far enough to crash it.  */
+static int
+crashes_now (const struct fa_cluster *f, const struct fa_worker *w)
+{
+  for (guint k = 0; k < w->runs->len; k++)
+    {
+      const struct fa_run *x = &g_array_index (w->runs, struct fa_run, k);
+
+      if (x->deadly && f->now - x->started_ms >= f->crash_mode.work_ms)
+        return 1;
+    }
+  return 0;
+}
+
 static void
 advance (struct fa_cluster *f)
 {
+  for (int i = 0; i < f->worker_count; i++)
+    if (crashes_now (f, &f->worker[i]))
+      fa_lose (f, i);
   for (int i = 0; i < f->worker_count; i++)
     for (guint k = f->worker[i].runs->len; k-- > 0;)
       if (k < f->worker[i].runs->len)
@@ -542,7 +613,73 @@
     }
   memcpy (f->committing_ends, f->listed_ends, sizeof f->committing_ends);
   f->commit_pending = 1;
-  f->commit_end_ms = f->now + COMMIT_MS;
+  f->commit_end_ms = f->now + f->commit_ms;
+}
+
+static void
+list_worker (struct fa_cluster *f, struct fa_worker *w, const char *id,
+             int64_t incarnation)
+{
+  struct sj_worker_info info = { .id = id,
+                                 .incarnation = incarnation,
+                                 .service = "s",
+                                 .kind = "a",
+                                 .rack = w->rack,
+                                 .capacity = w->capacity,
+                                 .draining = w->draining,
+                                 .remaining_ms = 2000 };
+
+  sj_worker_set (f->scheduler, &info, f->now);
+}
+
+static void
+set_worker_info (struct fa_cluster *f, struct fa_worker *w)
+{
+  list_worker (f, w, w->id, w->incarnation);
+}
+
+/* Ends W's outage, under a new id if the mode says so.  */
+static void
+bring_back (struct fa_cluster *f, int i)
+{
+  struct fa_worker *w = &f->worker[i];
+
+  w->back_ms = 0;
+  w->is_up = 1;
+  w->incarnation++;
+  w->highest_token = w->acked_ends = w->ends_total = w->lease_end_ms = 0;
+  f->listed_ends[i] = f->committing_ends[i] = 0;
+  w->polled_ms = 0;
+  if (f->crash_mode.new_id)
+    snprintf (w->id, sizeof w->id, "w%03d.%d", i % FA_MAX_WORKERS,
+              ++w->renames % 1000);
+  else
+    w->unlist_ms = 0;
+  w->report_ms = 0;
+  set_worker_info (f, w);
+}
+
+/* Reports changes of the workers that are due.  */
+static void
+report_workers (struct fa_cluster *f)
+{
+  for (int i = 0; i < f->worker_count; i++)
+    {
+      struct fa_worker *w = &f->worker[i];
+
+      if (w->back_ms && f->now >= w->back_ms)
+        bring_back (f, i);
+      if (w->report_ms && w->is_up && f->now >= w->report_ms)
+        {
+          w->report_ms = 0;
+          set_worker_info (f, w);
+        }
+      if (w->unlist_ms && f->now >= w->unlist_ms)
+        {
+          w->unlist_ms = 0;
+          sj_worker_unlisted (f->scheduler, w->old_id);
+        }
+    }
 }
 
 static void
@@ -551,6 +688,7 @@
   f->now += FA_TICK_MS;
   deliver_orders (f);
   advance (f);
+  report_workers (f);
   poll_workers (f);
   sj_decide (f->scheduler, f->now, f->now);
   if (f->commit_pending && f->now >= f->commit_end_ms)
@@ -567,21 +705,6 @@
     tick (f);
 }
 
-static void
-set_worker_info (struct fa_cluster *f, struct fa_worker *w)
-{
-  struct sj_worker_info info = { .id = w->id,
-                                 .incarnation = w->incarnation,
-                                 .service = "s",
-                                 .kind = "a",
-                                 .rack = w->rack,
-                                 .capacity = w->capacity,
-                                 .draining = w->draining,
-                                 .remaining_ms = 2000 };
-
-  sj_worker_set (f->scheduler, &info, f->now);
-}
-
 /* Creates a scheduler with the next fencing token.  */
 static void
 new_scheduler (struct fa_cluster *f)
@@ -614,6 +737,12 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   f->completed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   f->cancelled = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  f->deadly = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  f->crashes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  f->late_starts
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  f->crash_mode = (struct fa_crash_mode){ .work_ms = 10, .down_ms = 3500 };
+  f->commit_ms = COMMIT_MS;
   f->accepted_ms
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   f->started_ms
@@ -667,6 +796,9 @@
   g_hash_table_destroy (f->acked_done);
   g_hash_table_destroy (f->completed);
   g_hash_table_destroy (f->cancelled);
+  g_hash_table_destroy (f->deadly);
+  g_hash_table_destroy (f->crashes);
+  g_hash_table_destroy (f->late_starts);
   g_hash_table_destroy (f->accepted_ms);
   g_hash_table_destroy (f->started_ms);
   g_hash_table_destroy (f->ended_ms);
@@ -733,6 +865,9 @@
   for (int i = 0; i < f->worker_count; i++)
     {
       f->worker[i].polled_ms = 0;
+      if (f->worker[i].unlist_ms)
+        list_worker (f, &f->worker[i], f->worker[i].old_id,
+                     f->worker[i].incarnation - f->worker[i].is_up);
       if (f->worker[i].is_up)
         set_worker_info (f, &f->worker[i]);
     }
@@ -753,6 +888,81 @@
   set_worker_info (f, w);
 }
 
+void
+fa_lose (struct fa_cluster *f, int i)
+{
+  struct fa_worker *w = &f->worker[i];
+
+  for (guint k = 0; k < w->runs->len; k++)
+    count_task (f->crashes, &g_array_index (w->runs, struct fa_run, k).run);
+  g_array_set_size (w->runs, 0);
+  g_hash_table_remove_all (w->closed_runs);
+  g_array_set_size (w->unacked_ends, 0);
+  w->is_up = 0;
+  memcpy (w->old_id, w->id, sizeof w->old_id);
+  w->unlist_ms = f->now + UNLIST_MS;
+  w->back_ms = f->now + f->crash_mode.down_ms;
+}
+
+void
+fa_set_deadly (struct fa_cluster *f, const char *id, int index)
+{
+  g_hash_table_insert (f->deadly, g_strdup (id), GINT_TO_POINTER (index + 1));
+}
+
+static void
+resize (struct fa_cluster *f, struct fa_worker *w, int accelerators)
+{
+  struct sj_resources capacity
+      = { (int64_t)accelerators * CORE_MILLI_PER_GPU,
+          (int64_t)accelerators * MEMORY_PER_GPU_MB, accelerators };
+
+  if (accelerators < w->capacity.accelerators)
+    {
+      w->larger_capacity = w->capacity;
+      w->shrunk_ms = f->now;
+    }
+  w->capacity = capacity;
+  w->report_ms = f->now + BEAT_MS;
+}
+
+void
+fa_set_capacity (struct fa_cluster *f, int i, int accelerators)
+{
+  resize (f, &f->worker[i], accelerators);
+}
+
+void
+fa_restart_with (struct fa_cluster *f, int i, int accelerators)
+{
+  struct fa_worker *w = &f->worker[i];
+
+  g_array_set_size (w->runs, 0);
+  g_hash_table_remove_all (w->closed_runs);
+  g_array_set_size (w->unacked_ends, 0);
+  w->incarnation++;
+  w->highest_token = w->acked_ends = w->ends_total = w->lease_end_ms = 0;
+  f->listed_ends[i] = f->committing_ends[i] = 0;
+  w->polled_ms = 0;
+  resize (f, w, accelerators);
+  w->shrunk_ms = 0;
+  sj_worker_restarted (f->scheduler, w->id, w->incarnation, f->now);
+}
+
+int
+fa_crashes_under (const struct fa_cluster *f, const char *id)
+{
+  GHashTableIter iter;
+  gpointer name, n;
+  int most = 0;
+
+  g_hash_table_iter_init (&iter, f->crashes);
+  while (g_hash_table_iter_next (&iter, &name, &n))
+    if (g_str_has_prefix (name, id) && GPOINTER_TO_INT (n) > most)
+      most = GPOINTER_TO_INT (n);
+  return most;
+}
+
 enum sj_state
 fa_state (const struct fa_cluster *f, const char *id)
 {
--- a/tests/steps/fake_cluster.h
+++ b/tests/steps/fake_cluster.h
@@ -18,7 +18,7 @@
 struct fa_run
 {
   struct sj_run run;
-  int gang, saves, fails;
+  int gang, saves, fails, deadly;
   int64_t started_ms, work_ms, done_ms; /* done_ms: work done */
   int64_t stop_at_ms;                   /* 0: no stop ordered */
   struct sj_resources need;
@@ -36,8 +36,15 @@
 /* A simulated worker.  */
 struct fa_worker
 {
-  char id[16], rack[16];
+  char id[24], rack[16];
   struct sj_resources capacity;
+  struct sj_resources larger_capacity; /* before it shrank at SHRUNK_MS */
+  int64_t shrunk_ms;                   /* 0: never */
+  int64_t report_ms;                   /* of its state; 0: nothing to report */
+  int64_t back_ms;                     /* end of its outage; 0: none */
+  char old_id[24];   /* the id whose entry is removed at UNLIST_MS */
+  int64_t unlist_ms; /* 0: none */
+  int renames;
   int64_t incarnation, highest_token, lease_end_ms, ends_total, acked_ends;
   GArray *runs;            /* struct fa_run */
   GArray *unacked_ends;    /* struct sj_listed_run, not acknowledged */
@@ -58,6 +65,14 @@
   double task_fails;   /* share of runs that fail */
 };
 
+/* How the workers come back that a deadly task has crashed.  */
+struct fa_crash_mode
+{
+  int64_t work_ms; /* from the start of a deadly task to the crash */
+  int64_t down_ms;
+  int new_id; /* under a new id at the same address */
+};
+
 /* The scheduler under test with its workers and its stored records.  */
 struct fa_cluster
 {
@@ -67,12 +82,18 @@
   int64_t now, token, commit_end_ms; /* token: fencing token of the holder */
   int worker_count;
   struct fa_worker worker[FA_MAX_WORKERS];
-  GHashTable *records;    /* id -> stored record as JSON text */
-  GHashTable *jobs;       /* id -> struct sj_job */
-  GHashTable *states;     /* id -> stored state + 1 */
-  GHashTable *acked_done; /* task names: a done run was acknowledged */
-  GHashTable *completed;  /* task names: a run ended as done */
-  GHashTable *cancelled;  /* id -> ms */
+  GHashTable *records;     /* id -> stored record as JSON text */
+  GHashTable *jobs;        /* id -> struct sj_job */
+  GHashTable *states;      /* id -> stored state + 1 */
+  GHashTable *acked_done;  /* task names: a done run was acknowledged */
+  GHashTable *completed;   /* task names: a run ended as done */
+  GHashTable *cancelled;   /* id -> ms */
+  GHashTable *deadly;      /* id -> index + 1 of the task that crashes its
+                              worker; 0: all do */
+  GHashTable *crashes;     /* task name -> workers that crashed under it */
+  GHashTable *late_starts; /* task name -> starts after three crashes */
+  struct fa_crash_mode crash_mode;
+  int64_t commit_ms;                               /* duration of a commit */
   GHashTable *accepted_ms, *started_ms, *ended_ms; /* id -> ms + 1 */
   GArray *pending_orders; /* struct fa_pending_order */
   struct fa_faults faults;
@@ -99,6 +120,18 @@
 void fa_take_over (struct fa_cluster *f);
 /* Restarts WORKER as a new incarnation without its runs.  */
 void fa_crash (struct fa_cluster *f, int worker);
+/* Ends WORKER with its runs; it comes back as crash_mode says.  */
+void fa_lose (struct fa_cluster *f, int worker);
+/* Task INDEX of each step of the job, or any task if it is -1, crashes the
+   worker that runs it.  */
+void fa_set_deadly (struct fa_cluster *f, const char *id, int index);
+/* Changes WORKER's capacity; the scheduler learns of it a beat later.  */
+void fa_set_capacity (struct fa_cluster *f, int worker, int accelerators);
+/* Restarts WORKER under its id with that capacity.  The incarnation is known
+   at once, the capacity a beat later.  */
+void fa_restart_with (struct fa_cluster *f, int worker, int accelerators);
+/* Most workers that crashed under one task of the job.  */
+int fa_crashes_under (const struct fa_cluster *f, const char *id);
 /* The stored state of the job, or SJ_QUEUED without one.  */
 enum sj_state fa_state (const struct fa_cluster *f, const char *id);
 /* Milliseconds from acceptance to the first start, and to the end; -1: not
--- /dev/null
+++ b/tests/steps/test_crashes.c
@@ -0,0 +1,265 @@
+/* Tasks that crash the workers that start them, beside tasks that do not.  */
+#include <stdio.h>
+#include <string.h>
+
+#include "steps/fake_cluster.h"
+#include "suite.h"
+
+#define DEADLY "0000000000000001"
+
+static struct fa_cluster cluster;
+
+static void
+expect_no_violations (void)
+{
+  if (cluster.violations)
+    printf ("\n%s\n", cluster.first_violation);
+  CU_ASSERT_EQUAL (cluster.violations, 0);
+}
+
+/* A deadly job of COUNT tasks, of which task INDEX (-1: all) is deadly, on 8
+   workers.  */
+static struct sj_job *
+begin (int count, int gpus, int index)
+{
+  fa_init (&cluster, 8, 4, 1);
+  fa_set_deadly (&cluster, DEADLY, index);
+  return fa_new_job (1, 1, count, gpus, 4000);
+}
+
+static void
+expect_given_up (int64_t within_ms)
+{
+  fa_run_ms (&cluster, within_ms);
+  CU_ASSERT_EQUAL (fa_state (&cluster, DEADLY), SJ_FAILED);
+  expect_no_violations ();
+}
+
+/* Guards against BUDGET: a task crashed worker after worker, for ever.  */
+static void
+test_task_that_crashes_workers_is_given_up (void)
+{
+  struct sj_job *job = begin (1, 8, 0);
+
+  fa_submit (&cluster, job);
+  expect_given_up (60000);
+  CU_ASSERT (fa_crashes_under (&cluster, DEADLY) >= 2);
+  fa_fini (&cluster);
+}
+
+/* The same with workers that come back under a new id.  */
+static void
+test_workers_that_return_under_new_ids_count (void)
+{
+  struct sj_job *job = begin (1, 8, 0);
+
+  cluster.crash_mode.new_id = 1;
+  fa_submit (&cluster, job);
+  expect_given_up (60000);
+  fa_fini (&cluster);
+}
+
+/* The workers come back after the leases of their runs have ended.  */
+static void
+test_late_return_counts (void)
+{
+  for (int new_id = 0; new_id < 2; new_id++)
+    {
+      struct sj_job *job = begin (1, 8, 0);
+
+      cluster.crash_mode.new_id = new_id;
+      cluster.crash_mode.down_ms = 9000;
+      fa_submit (&cluster, job);
+      expect_given_up (120000);
+      fa_fini (&cluster);
+    }
+}
+
+/* Counts that a holder has in memory only begin anew with each take-over.  */
+static void
+test_crashes_count_across_take_overs (void)
+{
+  for (int64_t gap_ms = 700; gap_ms < 6000; gap_ms += 1300)
+    for (int new_id = 0; new_id < 2; new_id++)
+      {
+        struct sj_job *job = begin (1, 8, 0);
+
+        cluster.crash_mode.new_id = new_id;
+        fa_submit (&cluster, job);
+        for (int64_t t = 0; t < 30000; t += gap_ms)
+          {
+            fa_run_ms (&cluster, gap_ms);
+            fa_take_over (&cluster);
+          }
+        expect_given_up (60000);
+        fa_fini (&cluster);
+      }
+}
+
+static void
+test_gang_with_deadly_task_is_given_up (void)
+{
+  for (int index = -1; index < 2; index++)
+    {
+      struct sj_job *job = begin (4, 8, index);
+
+      job->step[0].gang = 1;
+      cluster.crash_mode.new_id = index < 0;
+      fa_submit (&cluster, job);
+      expect_given_up (90000);
+      fa_fini (&cluster);
+    }
+}
+
+static void
+test_task_that_resumes_and_crashes_is_given_up (void)
+{
+  struct sj_job *job = begin (1, 4, 0);
+
+  job->step[0].checkpoints = 1;
+  job->step[0].estimate_ms = 9000;
+  cluster.crash_mode.work_ms = 2500;
+  fa_submit (&cluster, job);
+  expect_given_up (90000);
+  fa_fini (&cluster);
+}
+
+static void
+test_lost_answers_hide_no_crash (void)
+{
+  for (int new_id = 0; new_id < 2; new_id++)
+    {
+      struct sj_job *job = begin (1, 8, 0);
+
+      cluster.crash_mode.new_id = new_id;
+      cluster.faults.answer_lost = .5;
+      cluster.faults.delayed = .2;
+      fa_submit (&cluster, job);
+      expect_given_up (240000);
+      fa_fini (&cluster);
+    }
+}
+
+static void
+test_continuous_task_that_crashes_is_given_up (void)
+{
+  struct sj_job *job = begin (1, 4, 0);
+
+  job->step[0].is_continuous = 1;
+  fa_submit (&cluster, job);
+  expect_given_up (90000);
+  fa_fini (&cluster);
+}
+
+/* A task that runs for days survives crashes of its workers.  */
+static void
+test_continuous_task_survives_rare_crashes (void)
+{
+  struct sj_job *job = fa_new_job (1, 1, 1, 8, 3600000);
+
+  fa_init (&cluster, 8, 4, 1);
+  job->step[0].is_continuous = 1;
+  fa_submit (&cluster, job);
+  for (int i = 0; i < 6; i++)
+    {
+      fa_run_ms (&cluster, 60000);
+      for (int w = 0; w < cluster.worker_count; w++)
+        if (cluster.worker[w].runs->len)
+          fa_lose (&cluster, w);
+    }
+  fa_run_ms (&cluster, 10000);
+  CU_ASSERT_EQUAL (fa_state (&cluster, DEADLY), SJ_RUNNING);
+  CU_ASSERT_EQUAL (cluster.starts, 7);
+  expect_no_violations ();
+  fa_fini (&cluster);
+}
+
+/* Small tasks share the workers that a deadly one crashes again and again.  */
+static void
+test_neighbours_of_deadly_task_complete (void)
+{
+  for (int new_id = 0; new_id < 2; new_id++)
+    {
+      struct sj_job *job = begin (1, 1, 0);
+
+      cluster.crash_mode.new_id = new_id;
+      cluster.crash_mode.work_ms = 300;
+      for (unsigned i = 2; i < 6; i++)
+        fa_submit (&cluster, fa_new_job (i, 2, 14, 1, 6000));
+      fa_submit (&cluster, job);
+      fa_run_ms (&cluster, 120000);
+      for (unsigned i = 2; i < 6; i++)
+        {
+          char id[SJ_ID_SIZE];
+
+          snprintf (id, sizeof id, "%016x", i);
+          CU_ASSERT_EQUAL (fa_state (&cluster, id), SJ_COMPLETED);
+        }
+      expect_given_up (0);
+      fa_fini (&cluster);
+    }
+}
+
+/* Three partitions are no crashes: the worker runs on and comes back.  */
+static void
+test_task_under_partitions_completes (void)
+{
+  fa_init (&cluster, 8, 4, 1);
+  fa_submit (&cluster, fa_new_job (1, 1, 1, 8, 5000));
+  for (int i = 0; i < 4; i++)
+    {
+      fa_run_ms (&cluster, 1500);
+      for (int w = 0; w < cluster.worker_count; w++)
+        cluster.worker[w].partitioned = cluster.worker[w].runs->len > 0;
+      fa_run_ms (&cluster, 9000);
+      for (int w = 0; w < cluster.worker_count; w++)
+        cluster.worker[w].partitioned = 0;
+    }
+  fa_run_ms (&cluster, 20000);
+  CU_ASSERT_EQUAL (fa_state (&cluster, DEADLY), SJ_COMPLETED);
+  expect_no_violations ();
+  fa_fini (&cluster);
+}
+
+/* Two crashes that are not the task's doing.  */
+static void
+test_task_under_two_crashes_completes (void)
+{
+  fa_init (&cluster, 8, 4, 1);
+  fa_submit (&cluster, fa_new_job (1, 1, 1, 8, 5000));
+  for (int i = 0; i < 2; i++)
+    {
+      fa_run_ms (&cluster, 1500);
+      for (int w = 0; w < cluster.worker_count; w++)
+        if (cluster.worker[w].runs->len)
+          fa_lose (&cluster, w);
+      fa_run_ms (&cluster, 6500);
+    }
+  fa_run_ms (&cluster, 20000);
+  CU_ASSERT_EQUAL (fa_state (&cluster, DEADLY), SJ_COMPLETED);
+  CU_ASSERT_EQUAL (cluster.starts, 3);
+  expect_no_violations ();
+  fa_fini (&cluster);
+}
+
+int
+main (void)
+{
+  static const CU_TestInfo tests[] = {
+    { "deadly task", test_task_that_crashes_workers_is_given_up },
+    { "new ids", test_workers_that_return_under_new_ids_count },
+    { "late return", test_late_return_counts },
+    { "take-overs", test_crashes_count_across_take_overs },
+    { "gang", test_gang_with_deadly_task_is_given_up },
+    { "checkpoints", test_task_that_resumes_and_crashes_is_given_up },
+    { "lost answers", test_lost_answers_hide_no_crash },
+    { "continuous task", test_continuous_task_that_crashes_is_given_up },
+    { "rare crashes", test_continuous_task_survives_rare_crashes },
+    { "neighbours", test_neighbours_of_deadly_task_complete },
+    { "partitions", test_task_under_partitions_completes },
+    { "two crashes", test_task_under_two_crashes_completes },
+    CU_TEST_INFO_NULL,
+  };
+
+  return run_suite ("crashes", tests);
+}
