--- a/include/skr/events.h
+++ b/include/skr/events.h
@@ -57,6 +57,7 @@
   LG_LOOP_SLOW = 533,
   LG_RUN_LOST = 534,
   LG_WORKER_CAPACITY = 535,
+  LG_TASK_GIVEN_UP = 536,
 
   /* filter */
   LG_REQUEST_UNKNOWN = 601,
--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -209,7 +209,8 @@
 enum sj_note_kind
 {
   SJ_NOTE_RUN_LOST,
-  SJ_NOTE_CAPACITY /* a worker's capacity has changed */
+  SJ_NOTE_TASK_GIVEN_UP, /* too many workers crashed under it */
+  SJ_NOTE_CAPACITY       /* a worker's capacity has changed */
 };
 
 /* Something that the scheduler learned, for the log.  Its strings are valid
@@ -225,8 +226,15 @@
       struct sj_run run;
       enum sj_loss loss;
       int neighbours; /* runs of other units on the worker at the time */
+      int crashes;    /* workers that have crashed under the task */
+      int unresolved; /* lost runs of it that may have been crashes */
     } lost;
     struct
+    {
+      struct sj_run run; /* the last one */
+      int crashes;
+    } given_up;
+    struct
     {
       struct sj_resources capacity, used;
     } capacity;
@@ -271,6 +279,9 @@
    ended.  */
 void sj_worker_restarted (struct sj_cluster *c, const char *id, int64_t life,
                           int64_t now);
+/* Another worker answers at the address of worker ID, so that ID's process and
+   its runs have ended.  */
+void sj_worker_replaced (struct sj_cluster *c, const char *id, int64_t now);
 /* The worker was granted a lease that has expired by UNTIL_MS at the
    latest.  */
 void sj_worker_set_lease (struct sj_cluster *c, const char *id,
@@ -297,6 +308,10 @@
 /* Returns 1 if the job is known, 0 otherwise.  */
 int sj_has_job (struct sj_cluster *c, const char *id);
 
+/* Reports that the start of RUN is being sent, so that the worker may execute
+   it from now on.  */
+void sj_start_sent (struct sj_cluster *c, const char *worker,
+                    const struct sj_run *run);
 /* Report the outcome of a start or stop.  */
 void sj_start_answered (struct sj_cluster *c, const char *worker,
                         const struct sj_run *run, enum sj_answer answer,
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -145,10 +145,12 @@
     "tell for what, and queued how many events wait.",
     "none, unless it repeats: then the VM is too small or overloaded" },
   { LG_RUN_LOST, LG_NOTICE, "task-lost",
-    "id occurrence step task run worker cause neighbours",
+    "id occurrence step task run worker cause neighbours crashes unresolved",
     "A run ended with its worker: the worker's process has ended (crash), or "
     "it was silent until its lease had expired (expired), after draining "
-    "(left); neighbours counts the runs of other tasks on the worker.",
+    "(left); neighbours counts the runs of other tasks on the worker, crashes "
+    "the workers that crashed under the task, unresolved its losses that may "
+    "have been crashes.",
     "if one task is lost again and again, look at the task" },
   { LG_WORKER_CAPACITY, LG_NOTICE, "worker-capacity",
     "worker cpu_milli memory_mb accelerators used_cpu_milli used_memory_mb "
@@ -156,6 +158,11 @@
     "The worker reports another capacity than before; used is what is ordered "
     "or runs there.",
     "none" },
+  { LG_TASK_GIVEN_UP, LG_WARNING, "task-given-up",
+    "id occurrence step task run crashes",
+    "Workers have crashed under the task, of a gang under one of its tasks, "
+    "again and again; its job fails.",
+    "find out what the job does to its workers" },
 
   /* filter */
   { LG_REQUEST_UNKNOWN, LG_WARNING, "request-unknown",
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -212,7 +212,8 @@
 {
   int shard;
   int answers, submits, accepted, refused, unknown;
-  int starts, stops, ends, lost_runs, commits, store_calls, holds;
+  int starts, stops, ends, lost_runs, given_up_tasks, commits, store_calls,
+      holds;
   int store_wait, commit_duration;
   int waiting_jobs, waiting_orders, runs, accelerators_used, usable_workers,
       is_holder;
@@ -249,6 +250,7 @@
                to calls from before are recognized */
   struct sj_cluster *cluster;
   GHashTable *workers;    /* id -> struct ba_worker */
+  GHashTable *by_address; /* the latest struct ba_worker at each address */
   struct oq_queue orders; /* struct ba_order, starts and stops */
   int surveys;            /* holds in progress that are no long polls */
   GHashTable *records;    /* id -> json_t, while loading */
@@ -421,6 +423,9 @@
 void ba_on_note (void *arg, const struct sj_note *note);
 
 /* workers.c, orders.c, worker_hold.c */
+/* Set up and free the tables of workers of a term.  */
+void wk_init_workers (struct batch *b);
+void wk_fini_workers (struct batch *b);
 /* Sets up the order queue of B.  */
 void wk_init_orders (struct batch *b);
 /* Drops the orders that wait at the end of a term.  */
@@ -444,7 +449,6 @@
    commit.  */
 void wk_note_stored (struct batch *b);
 void wk_free_order (struct ba_order *order);
-void wk_free (void *worker);
 
 /* counters.c */
 /* Registers all series.  Returns BS_OK or BS_ENOMEM.  */
--- a/src/batch/counters.c
+++ b/src/batch/counters.c
@@ -18,6 +18,8 @@
   c->stops = st_series (r, ST_COUNTER, "skr_batch_stops_total", "");
   c->ends = st_series (r, ST_COUNTER, "skr_batch_ends_total", "");
   c->lost_runs = st_series (r, ST_COUNTER, "skr_batch_lost_runs_total", "");
+  c->given_up_tasks
+      = st_series (r, ST_COUNTER, "skr_batch_given_up_tasks_total", "");
   c->commits = st_series (r, ST_COUNTER, "skr_batch_commits_total", "");
   c->store_calls
       = st_series (r, ST_COUNTER, "skr_batch_store_calls_total", "");
--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -63,7 +63,7 @@
   b->jobs_seen_version = b->lease.version;
   b->cluster = sj_new (&set, wk_send_order, b);
   sj_set_note_fn (b->cluster, ba_on_note, b);
-  b->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, wk_free);
+  wk_init_workers (b);
   b->records = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                       (GDestroyNotify)json_decref);
   b->loaded = g_ptr_array_new_with_free_func ((GDestroyNotify)sj_job_free);
@@ -86,9 +86,7 @@
   fo_stop (&b->worker_follower);
   sj_free (b->cluster);
   b->cluster = NULL;
-  if (b->workers)
-    g_hash_table_destroy (b->workers);
-  b->workers = NULL;
+  wk_fini_workers (b);
   b->phase = BA_STANDBY;
   b->term++;
   b->acquire_at_ms = 0;
--- a/src/batch/orders.c
+++ b/src/batch/orders.c
@@ -100,6 +100,7 @@
   o->expires_ms = wk_clock_now_ms (b, w) + START_LEASE_MS;
   sj_worker_set_lease (b->cluster, w->id,
                        wk_lease_end_bound_ms (b, START_LEASE_MS));
+  sj_start_sent (b->cluster, w->id, &o->run);
   if (!w->hold_in_flight)
     w->next_hold_ms = b->now_ms;
   return send_start (b, w, o);
@@ -219,10 +220,7 @@
   if (wk_check_fence (b, a))
     return;
   if (w)
-    {
-      wk_set_clock (b, w, a->clock_ms);
-      wk_check_replaced (w, a);
-    }
+    wk_set_clock (b, w, a->clock_ms);
   if (w && o->is_sent && a->answer == SJ_UNANSWERED)
     wk_note_no_reply (b, w);
   if (o->kind == SJ_START)
@@ -230,6 +228,9 @@
                        effective_answer (o, a->answer), b->now_ms);
   else
     sj_stop_answered (b->cluster, o->worker, &o->run, a->answer, b->now_ms);
+  /* After the answer, so that a start that was refused counts as such.  */
+  if (w)
+    wk_check_replaced (b, w, a);
 }
 
 void
--- a/src/batch/workers.c
+++ b/src/batch/workers.c
@@ -11,7 +11,7 @@
   UNREACHABLE_FAILURES = 2
 };
 
-void
+static void
 wk_free (void *worker)
 {
   struct ba_worker *w = worker;
@@ -21,6 +21,24 @@
   g_free (w);
 }
 
+void
+wk_init_workers (struct batch *b)
+{
+  b->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, wk_free);
+  b->by_address
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+}
+
+void
+wk_fini_workers (struct batch *b)
+{
+  if (!b->workers)
+    return;
+  g_hash_table_destroy (b->by_address);
+  g_hash_table_destroy (b->workers);
+  b->by_address = b->workers = NULL;
+}
+
 struct ba_worker *
 wk_find (struct batch *b, const char *id)
 {
@@ -83,13 +101,21 @@
   sj_worker_set_reachable (b->cluster, w->id, 1);
 }
 
-void
-wk_check_replaced (struct ba_worker *w, const struct po_order_answer *a)
+static void
+note_replaced (struct batch *b, struct ba_worker *w)
 {
-  if (!a->replaced || w->replaced)
-    return;
+  if (!w->replaced)
+    wk_log_state (w, "replaced", "another worker is at its address");
   w->replaced = 1;
-  wk_log_state (w, "replaced", "another worker answers at its address");
+  sj_worker_replaced (b->cluster, w->id, b->now_ms);
+}
+
+void
+wk_check_replaced (struct batch *b, struct ba_worker *w,
+                   const struct po_order_answer *a)
+{
+  if (a->replaced)
+    note_replaced (b, w);
 }
 
 /* Another VM is the holder if the worker has seen a higher fencing token.  */
@@ -141,6 +167,25 @@
   return w;
 }
 
+/* Two workers at one address are incarnations of one after the other: the one
+   that started earlier has ended.  */
+static void
+check_address (struct batch *b, struct ba_worker *w)
+{
+  struct ba_worker *other = g_hash_table_lookup (b->by_address, w->address);
+
+  if (other == w || !w->incarnation)
+    return;
+  if (other && other->incarnation > w->incarnation)
+    {
+      note_replaced (b, w);
+      return;
+    }
+  if (other && other->incarnation && !strcmp (other->address, w->address))
+    note_replaced (b, other);
+  g_hash_table_replace (b->by_address, g_strdup (w->address), w);
+}
+
 static void
 apply_worker (struct batch *b, const struct po_worker *p, int generation)
 {
@@ -179,6 +224,7 @@
   w->draining = p->draining;
   w->generation = generation;
   sj_worker_set (b->cluster, &info, b->now_ms);
+  check_address (b, w);
 }
 
 void
--- a/src/steps/cluster.c
+++ b/src/steps/cluster.c
@@ -17,6 +17,9 @@
   c->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, jb_free);
   c->guarantees
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  c->unresolved_workers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  c->given_up = g_ptr_array_new ();
   rk_init (c);
   g_queue_init (&c->dirty_jobs);
   c->worker_list = g_ptr_array_new ();
@@ -43,6 +46,8 @@
   rk_fini (c);
   g_hash_table_destroy (c->workers);
   g_hash_table_destroy (c->guarantees);
+  g_hash_table_destroy (c->unresolved_workers);
+  g_ptr_array_free (c->given_up, TRUE);
   g_free (c);
 }
 
--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -344,7 +344,8 @@
       struct unit *u = unit_at (s->job, i);
 
       /* A unit preempted in this round is considered again in a later one.  */
-      if (u->state != UN_READY)
+      if (u->state != UN_READY || !su_may_start (u)
+          || lo_give_up_if_spent (c, u, now))
         continue;
       if (must_leave_headroom (u, r->idle, r->all, now))
         break;
@@ -476,6 +477,7 @@
     {
       c->health_checked_ms = now;
       he_check_runs (c, now);
+      lo_settle_old_losses (c);
     }
   update_jobs (c, now, wall_ms);
   if (!c->changed && now - c->decided_ms < ROUND_MS)
--- a/src/steps/listing.c
+++ b/src/steps/listing.c
@@ -31,6 +31,7 @@
           m->start_resolved_ms = now;
         }
     }
+  m->life_tag = wo_life_tag (m->worker->incarnation);
   ru_set_checkpoint (m->unit, l->checkpoint);
   he_record_progress (c, m, l->percent, now);
 }
@@ -49,6 +50,29 @@
   return m->stop_acked && l->requested_ms > m->stop_acked_ms;
 }
 
+/* Loses the members whose runs were sent to an earlier incarnation of W and
+   are proven absent from this one.  */
+static void
+lose_crashed_members (struct sj_cluster *c, struct worker *w,
+                      const struct sj_listing *l, int64_t now)
+{
+  GPtrArray *lost = g_ptr_array_new ();
+
+  for (guint i = 0; i < w->members->len; i++)
+    {
+      struct member *m = g_ptr_array_index (w->members, i);
+
+      if (m->state != MB_PLANNED && wo_has_crashed_under (m)
+          && !find_listed (l->ends, l->end_count, m)
+          && !find_listed (l->runs, l->run_count, m)
+          && is_proven_absent (m, l))
+        g_ptr_array_add (lost, m);
+    }
+  if (lost->len)
+    lo_lose_members (c, lost, SJ_LOSS_CRASH, now);
+  g_ptr_array_free (lost, TRUE);
+}
+
 static void
 apply_to_members (struct sj_cluster *c, struct worker *w,
                   const struct sj_listing *l, int64_t now)
@@ -72,11 +96,7 @@
       else if (run)
         apply_running (c, m, run, now);
       else if (is_proven_absent (m, l))
-        {
-          if (wo_has_crashed_under (m))
-            lo_note_run (c, m, SJ_LOSS_CRASH);
-          ru_release_member (c, m, now);
-        }
+        ru_release_member (c, m, now);
     }
   g_ptr_array_free (known, TRUE);
 }
@@ -139,6 +159,8 @@
     c->changed = 1;
   w->runs_known = 1;
   w->reachable = 1;
+  lo_worker_is_alive (c, w);
+  lose_crashed_members (c, w, l, now);
   apply_to_members (c, w, l, now);
   for (int i = 0; i < l->end_count; i++)
     apply_late_end (c, &l->ends[i], now);
--- a/src/steps/placement.c
+++ b/src/steps/placement.c
@@ -9,7 +9,7 @@
 {
   struct worker *worker;
   int tasks; /* tasks of the unit that fit */
-  int is_slow;
+  int is_slow, is_risky;
 };
 
 static int
@@ -37,7 +37,8 @@
   const struct sj_step *s = un_step (u);
 
   return wo_usable (c, w) && w->service == u->job->service
-         && (!s->label || has_label (w, s->label)) && !is_avoided (u, w);
+         && (!s->label || has_label (w, s->label)) && !is_avoided (u, w)
+         && su_may_share (c, u, w);
 }
 
 int
@@ -106,7 +107,7 @@
   return nd_count_fitting (&need, &available, remaining_per_worker (u, w));
 }
 
-/* Best first: not slow, then with the least free capacity.  */
+/* Best first: not slow, not risky, then with the least free capacity.  */
 static int
 by_fit (const void *a, const void *b)
 {
@@ -115,6 +116,8 @@
 
   if (p->is_slow != q->is_slow)
     return p->is_slow - q->is_slow;
+  if (p->is_risky != q->is_risky)
+    return p->is_risky - q->is_risky;
   if (x->free.accelerators != y->free.accelerators)
     return x->free.accelerators < y->free.accelerators ? -1 : 1;
   if (x->free.memory_mb != y->free.memory_mb)
@@ -139,7 +142,8 @@
 
       if (!tasks)
         continue;
-      out[n++] = (struct candidate){ w, tasks, he_is_slow_worker (c, w) };
+      out[n++] = (struct candidate){ w, tasks, he_is_slow_worker (c, w),
+                                     su_is_risky (c, u, w) };
       *total += tasks;
     }
   return n;
@@ -289,7 +293,7 @@
 struct worker *
 pl_next_single (struct sj_cluster *c, struct pl_singles *s, struct unit *u)
 {
-  if (u->count > 1 || is_step_rack_bound (un_step (u)))
+  if (u->count > 1 || is_step_rack_bound (un_step (u)) || lo_crashes (u))
     return NULL;
   if (!s->list)
     begin_singles (c, s, u);
--- a/src/steps/record.c
+++ b/src/steps/record.c
@@ -14,9 +14,20 @@
   UNIT_FAILURES,
   UNIT_CHECKPOINT,
   UNIT_PLACEMENT,
+  UNIT_LIFE_TAGS, /* of the workers' incarnations, 0 where unknown */
+  /* Only if workers have crashed, or may have, under its tasks: */
+  UNIT_CRASHES, /* for each of these tasks its index, number, certain ones */
+  UNIT_LAST_RUN,
+  UNIT_UNRESOLVED, /* losses that may have been crashes */
   UNIT_FIELDS
 };
 
+enum
+{
+  MAX_RECORDED_CRASHES = 16, /* of one task */
+  MAX_RECORDED_LOSSES = 64   /* unresolved ones of one job */
+};
+
 static int
 never_started (const struct unit *u)
 {
@@ -39,17 +50,94 @@
 }
 
 static json_t *
-write_unit (const struct unit *u)
+write_life_tags (const struct unit *u)
+{
+  json_t *tags = json_array ();
+
+  if (u->members)
+    for (int i = 0; i < u->count; i++)
+      json_array_append_new (tags, json_integer (u->members[i].life_tag));
+  return tags;
+}
+
+static json_t *
+write_crashes (const struct unit *u)
+{
+  json_t *list = json_array ();
+
+  for (int i = u->first; u->crashes && i < u->first + u->count; i++)
+    {
+      int all = 0, certain = 0;
+
+      for (guint k = 0; k < u->crashes->len; k++)
+        {
+          const struct crash *crash
+              = &g_array_index (u->crashes, struct crash, k);
+
+          all += crash->index == i;
+          certain += crash->index == i && crash->is_certain;
+        }
+      if (all)
+        json_array_append_new (list, json_pack ("[i,i,i]", i, all, certain));
+    }
+  return list;
+}
+
+/* An array for each loss.  */
+static json_t *
+write_unresolved (const struct unit *u)
+{
+  json_t *losses = json_array ();
+
+  for (guint i = 0; u->unresolved && i < u->unresolved->len; i++)
+    {
+      const struct unresolved_loss *l
+          = &g_array_index (u->unresolved, struct unresolved_loss, i);
+
+      json_array_append_new (losses,
+                             json_pack ("[i,s,i,i]", l->index, l->worker,
+                                        l->life_tag, l->is_certain));
+    }
+  return losses;
+}
+
+static json_t *
+write_unit (const struct unit *u, int with_unresolved)
+{
+  json_t *value = json_pack (
+      "[i,i,I,i,s,o,o]", u->step, u->first, (json_int_t)u->run_number,
+      u->failures, u->checkpoint, write_placement (u), write_life_tags (u));
+
+  if (!lo_possible_crashes (u))
+    return value;
+  json_array_append_new (value, write_crashes (u));
+  json_array_append_new (value, json_integer (u->last_run));
+  if (with_unresolved)
+    json_array_append_new (value, write_unresolved (u));
+  return value;
+}
+
+/* Whether J's unresolved losses are recorded.  Where there are very many, the
+   workers were cut off, and the record would become too large.  */
+static int
+records_unresolved (const struct job *j)
 {
-  return json_pack ("[i,i,I,i,s,o]", u->step, u->first,
-                    (json_int_t)u->run_number, u->failures, u->checkpoint,
-                    write_placement (u));
+  guint n = 0;
+
+  for (guint i = 0; i < j->units->len; i++)
+    {
+      const struct unit *u = g_ptr_array_index (j->units, i);
+
+      n += u->unresolved ? u->unresolved->len : 0;
+    }
+  return n <= MAX_RECORDED_LOSSES;
 }
 
 static json_t *
 write_occurrence (const struct job *j, const struct occurrence *o)
 {
   json_t *units_left = json_array (), *units = json_array ();
+  int with_unresolved = records_unresolved (j);
 
   for (int i = 0; i < j->spec->step_count; i++)
     json_array_append_new (units_left, json_integer (o->units_not_done[i]));
@@ -60,7 +148,7 @@
       if (u->occurrence == o->number && u->state != UN_DONE)
         json_array_append_new (
             units, never_started (u) ? json_pack ("[i,i]", u->step, u->first)
-                                     : write_unit (u));
+                                     : write_unit (u, with_unresolved));
     }
   return json_pack ("{s:i,s:o,s:o}", "n", o->number, "left", units_left,
                     "units", units);
@@ -100,7 +188,7 @@
    was sent is unknown until the worker lists its runs.  */
 static void
 restore_members (struct sj_cluster *c, struct unit *u, const json_t *placement,
-                 int64_t now)
+                 const json_t *life_tags, int64_t now)
 {
   u->state = UN_ACTIVE;
   u->run_commit = RUN_STORED;
@@ -115,6 +203,8 @@
                             .index = u->first + i,
                             .state = id ? MB_STARTING : MB_ENDED,
                             .from_record = 1,
+                            .life_tag = (int)json_integer_value (
+                                json_array_get (life_tags, (size_t)i)),
                             .last_progress_ms = now,
                             .started_ms = now };
       if (!id)
@@ -136,6 +226,52 @@
   return 0;
 }
 
+static int
+is_task_of (const struct unit *u, int index)
+{
+  return index >= u->first && index < u->first + u->count;
+}
+
+static void
+restore_crashes (struct unit *u, json_t *list)
+{
+  size_t i;
+  json_t *value;
+
+  json_array_foreach (list, i, value)
+  {
+    int index, all, certain;
+
+    if (json_unpack (value, "[i,i,i]", &index, &all, &certain)
+        || !is_task_of (u, index))
+      continue;
+    for (int k = 0; k < all && k < MAX_RECORDED_CRASHES; k++)
+      lo_add_crash (
+          u, &(struct crash){ .index = index, .is_certain = k < certain });
+  }
+}
+
+static void
+restore_unresolved (struct sj_cluster *c, struct unit *u, json_t *losses,
+                    int64_t now)
+{
+  size_t i;
+  json_t *value;
+
+  json_array_foreach (losses, i, value)
+  {
+    struct unresolved_loss l = { .lost_ms = now };
+    const char *worker;
+
+    if (json_unpack (value, "[i,s,i,i]", &l.index, &worker, &l.life_tag,
+                     &l.is_certain)
+        || !is_task_of (u, l.index))
+      continue;
+    l.worker = (char *)worker;
+    lo_add_loss (c, u, &l);
+  }
+}
+
 static int
 read_unit (struct sj_cluster *c, struct job *j, struct occurrence *o,
            const json_t *value, int64_t now)
@@ -156,11 +292,15 @@
     g_strlcpy (u->checkpoint,
                json_string_value (json_array_get (value, UNIT_CHECKPOINT)),
                sizeof u->checkpoint);
+  restore_crashes (u, json_array_get (value, UNIT_CRASHES));
+  u->last_run = json_integer_value (json_array_get (value, UNIT_LAST_RUN));
+  restore_unresolved (c, u, json_array_get (value, UNIT_UNRESOLVED), now);
   if (!json_array_size (placement))
     return SJ_OK;
   if (json_array_size (placement) != (size_t)u->count)
     return SJ_EINVAL;
-  restore_members (c, u, placement, now);
+  restore_members (c, u, placement, json_array_get (value, UNIT_LIFE_TAGS),
+                   now);
   if (has_ended_members (placement))
     u->state = UN_STOPPING;
   return SJ_OK;
--- a/src/steps/run.c
+++ b/src/steps/run.c
@@ -65,6 +65,7 @@
 {
   for (int i = 0; i < u->count; i++)
     if (u->members[i].state != MB_PLANNED
+        || wo_has_crashed_under (&u->members[i])
         || !wo_usable (c, u->members[i].worker))
       return 0;
   return 1;
@@ -294,12 +295,25 @@
     case SJ_UNANSWERED:
       if (m->state == MB_RUNNING)
         m->start_resolved = 1;
+      else if (w->replaced)
+        wo_lose_member (c, m, now);
       else if (m->unit->state == UN_ACTIVE)
         ru_abort (c, m->unit, SJ_START_UNANSWERED, now);
       break;
     }
 }
 
+void
+sj_start_sent (struct sj_cluster *c, const char *worker,
+               const struct sj_run *run)
+{
+  struct worker *w = wo_find (c, worker);
+  struct member *m = w ? ru_find_member (w, run) : NULL;
+
+  if (m)
+    m->start_sent = 1;
+}
+
 int
 sj_start_is_pending (struct sj_cluster *c, const char *worker,
                      const struct sj_run *run)
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -28,6 +28,7 @@
   int from_record;    /* restored from a stored record */
   int life_tag;       /* of the worker's incarnation it was planned for; 0:
                          unknown */
+  int start_sent;     /* the worker may have executed the start */
   int start_resolved; /* start answered, or its run listed */
   int64_t start_resolved_ms; /* a listing requested later shows the outcome */
   int stop_pending;          /* a stop has no outcome yet */
@@ -60,6 +61,26 @@
   RUN_STORED
 };
 
+/* A worker that crashed under a task.  */
+struct crash
+{
+  int index;        /* of the task in its step */
+  int is_certain;   /* the task is known to have run there */
+  int is_explained; /* by another task that was given up */
+  int64_t event;    /* serial of the worker's crash; 0: from a record */
+};
+
+/* A run that counts as ended because its worker's lease has expired.  It is
+   not known whether the worker has crashed.  */
+struct unresolved_loss
+{
+  int index;      /* of the task in its step */
+  int is_certain; /* as in struct crash */
+  int life_tag;   /* of the worker's incarnation */
+  char *worker;   /* its id */
+  int64_t lost_ms;
+};
+
 /* The tasks that start together: a whole gang, or a single task.  */
 struct unit
 {
@@ -72,6 +93,9 @@
   char checkpoint[SJ_CHECKPOINT_SIZE]; /* to resume from, or "" */
   struct member *members;              /* COUNT of them in a run, else NULL */
   GPtrArray *avoided_workers; /* ids of workers it must not run on again */
+  GArray *crashes;            /* struct crash; NULL: none */
+  GArray *unresolved;         /* struct unresolved_loss; NULL: none */
+  int64_t last_run;           /* no run has a higher number; 0: no limit */
   int64_t ready_ms;           /* since when it waits for a start */
   int off_rack;             /* slow: away from its data or spread over racks */
   int moved;                /* was moved once off a stalled or slow worker */
@@ -131,8 +155,10 @@
   int draining, reachable;
   int runs_known;   /* this incarnation has listed its runs */
   int unknown_runs; /* runs it listed that belong to no unit */
+  int replaced;     /* its process has ended */
   int64_t drain_end_ms;
   int64_t lease_end_ms;     /* its runs end by then without a renewal */
+  int64_t restarted_ms;     /* when it last came back under its id; 0: never */
   int64_t added_ms;         /* when this incarnation became known */
   GPtrArray *members;       /* struct member that occupy capacity */
   int consecutive_failures; /* of different jobs */
@@ -155,11 +181,16 @@
   GPtrArray *worker_list, *job_list, *rack_list;
   GQueue dirty_jobs;     /* struct job, by dirty_since */
   int64_t change_serial; /* of the latest change of a record */
-  int changed;           /* since the last decision round */
-  int plan_serial;       /* of the last plan to preempt */
-  int searches;          /* of the last round: units that were tried */
-  int preemptions;       /* units for which others were stopped */
-  int64_t now;           /* the caller's latest clock reading */
+  int64_t crash_serial;  /* of the latest crash of a worker */
+  int suspects;          /* units under which a worker has crashed */
+  /* Ids of the workers that unresolved losses name.  */
+  GHashTable *unresolved_workers;
+  GPtrArray *given_up; /* struct unit, whose jobs are about to fail */
+  int changed;         /* since the last decision round */
+  int plan_serial;     /* of the last plan to preempt */
+  int searches;        /* of the last round: units that were tried */
+  int preemptions;     /* units for which others were stopped */
+  int64_t now;         /* the caller's latest clock reading */
   int64_t decided_ms, health_checked_ms;
 };
 
@@ -198,10 +229,43 @@
 const GPtrArray *rk_workers (const struct sj_cluster *c, const struct rack *r);
 
 /* loss.c */
-/* Reports that M's run ended for LOSS without an end being listed.  Called
-   before M is released.  */
-void lo_note_run (struct sj_cluster *c, const struct member *m,
-                  enum sj_loss loss);
+/* Accounts for MEMBERS, an array of struct member of one worker whose runs
+   have ended for LOSS without a listed end, and releases them.  */
+void lo_lose_members (struct sj_cluster *c, const GPtrArray *members,
+                      enum sj_loss loss, int64_t now);
+/* W, which is silent no more, runs the incarnation that is known of it.  */
+void lo_worker_is_alive (struct sj_cluster *c, const struct worker *w);
+/* The process of worker ID ended if its incarnation was not LIFE_TAG (0: any
+   of its incarnations).  */
+void lo_worker_has_crashed (struct sj_cluster *c, const char *id, int life_tag,
+                            int64_t now);
+/* Most unexplained crashes under a task of U.  */
+int lo_crashes (const struct unit *u);
+/* The same with explained ones and losses that may have been crashes.  */
+int lo_possible_crashes (const struct unit *u);
+/* Adds a copy of CRASH to U.  */
+void lo_add_crash (struct unit *u, const struct crash *crash);
+/* Gives U up, if it has had all the runs that are allowed after the crashes
+   under it.  Returns 1 if it has.  */
+int lo_give_up_if_spent (struct sj_cluster *c, struct unit *u, int64_t now);
+/* Adds a copy of LOSS to U.  */
+void lo_add_loss (struct sj_cluster *c, struct unit *u,
+                  const struct unresolved_loss *loss);
+/* Settles the losses whose workers should have come back by now.  */
+void lo_settle_old_losses (struct sj_cluster *c);
+void lo_free (struct unit *u);
+
+/* suspect.c */
+/* Whether U may start now, as far as the crashes under it are known.  */
+int su_may_start (const struct unit *u);
+/* Whether the crashes under U and under what runs on W allow that they share
+   W.  */
+int su_may_share (const struct sj_cluster *c, const struct unit *u,
+                  const struct worker *w);
+/* Whether U should rather not go to W, because one of them may crash the
+   other's work.  */
+int su_is_risky (const struct sj_cluster *c, const struct unit *u,
+                 const struct worker *w);
 
 /* worker.c */
 /* Short form of an incarnation that a record holds, 0 if it is unknown.  */
@@ -216,6 +280,8 @@
 void wo_remove_member (struct member *m);
 /* Whether starts may be sent to W.  */
 int wo_usable (const struct sj_cluster *c, const struct worker *w);
+/* Loses M, whose worker has ended.  */
+void wo_lose_member (struct sj_cluster *c, struct member *m, int64_t now);
 /* Ends the runs of silent workers whose lease has expired, and frees unlisted
    workers without members.  */
 void wo_remove_expired (struct sj_cluster *c);
--- a/src/steps/worker.c
+++ b/src/steps/worker.c
@@ -72,21 +72,45 @@
 wo_usable (const struct sj_cluster *c, const struct worker *w)
 {
   return w->listed && !w->draining && w->reachable && w->runs_known
-         && !w->unknown_runs && c->now >= w->suspect_until_ms;
+         && !w->unknown_runs && !w->replaced && c->now >= w->suspect_until_ms;
 }
 
-/* Releases all members of W, whose runs have all ended for LOSS.  */
+/* Whether the answer to M's start will tell whether it was executed.  */
+static int
+awaits_answer (const struct member *m)
+{
+  return m->state == MB_STARTING && m->start_sent && !m->start_resolved
+         && !m->from_record;
+}
+
+/* Loses the members of W, whose runs have all ended for LOSS.  */
 static void
-release_all_members (struct sj_cluster *c, struct worker *w, enum sj_loss loss,
-                     int64_t now)
+lose_all_members (struct sj_cluster *c, struct worker *w, enum sj_loss loss,
+                  int64_t now)
 {
+  GPtrArray *members = g_ptr_array_sized_new (w->members->len + 1);
+
   for (guint i = 0; i < w->members->len; i++)
-    lo_note_run (c, g_ptr_array_index (w->members, i), loss);
-  while (w->members->len)
-    ru_release_member (c, g_ptr_array_index (w->members, 0), now);
+    {
+      struct member *m = g_ptr_array_index (w->members, i);
+
+      if (!awaits_answer (m))
+        g_ptr_array_add (members, m);
+    }
+  lo_lose_members (c, members, loss, now);
+  g_ptr_array_free (members, TRUE);
   c->changed = 1;
 }
 
+/* Why a run on W ends that W does not list any more.  */
+static enum sj_loss
+loss_with (const struct worker *w)
+{
+  if (w->draining)
+    return SJ_LOSS_LEFT;
+  return w->replaced ? SJ_LOSS_CRASH : SJ_LOSS_EXPIRED;
+}
+
 static struct worker *
 new_worker (struct sj_cluster *c, const char *id, int64_t now)
 {
@@ -110,12 +134,14 @@
 {
   w->incarnation = incarnation;
   w->runs_known = 0;
+  w->replaced = 0;
   w->reachable = 1;
   w->consecutive_failures = 0;
   w->suspect_until_ms = 0;
   w->seen_slow_ms = 0;
-  w->added_ms = now;
+  w->added_ms = w->restarted_ms = now;
   c->changed = 1;
+  lo_worker_has_crashed (c, w->id, wo_life_tag (incarnation), now);
 }
 
 static void
@@ -156,6 +182,8 @@
     return;
   if (w->incarnation && info->incarnation > w->incarnation)
     begin_incarnation (c, w, info->incarnation, now);
+  if (info->incarnation && !w->incarnation)
+    lo_worker_has_crashed (c, w->id, wo_life_tag (info->incarnation), now);
   if (info->incarnation)
     w->incarnation = info->incarnation;
   w->service = g_intern_string (info->service);
@@ -190,6 +218,28 @@
     begin_incarnation (c, w, incarnation, now);
 }
 
+void
+sj_worker_replaced (struct sj_cluster *c, const char *id, int64_t now)
+{
+  struct worker *w = wo_find (c, id);
+
+  lo_worker_has_crashed (c, id, 0, now);
+  if (!w || w->replaced)
+    return;
+  w->replaced = 1;
+  lose_all_members (c, w, loss_with (w), now);
+}
+
+void
+wo_lose_member (struct sj_cluster *c, struct member *m, int64_t now)
+{
+  GPtrArray *members = g_ptr_array_new ();
+
+  g_ptr_array_add (members, m);
+  lo_lose_members (c, members, loss_with (m->worker), now);
+  g_ptr_array_free (members, TRUE);
+}
+
 void
 sj_worker_set_lease (struct sj_cluster *c, const char *id, int64_t until_ms)
 {
@@ -221,7 +271,7 @@
 static int
 is_unreachable (const struct worker *w)
 {
-  return !w->reachable || !w->listed;
+  return !w->reachable || !w->listed || w->replaced;
 }
 
 void
@@ -233,8 +283,8 @@
 
       if (w->members->len && is_unreachable (w) && c->now > w->lease_end_ms
           && c->now > w->added_ms + c->settings.silent_timeout_ms)
-        release_all_members (
-            c, w, w->draining ? SJ_LOSS_LEFT : SJ_LOSS_EXPIRED, c->now);
+        lose_all_members (c, w, w->draining ? SJ_LOSS_LEFT : SJ_LOSS_EXPIRED,
+                          c->now);
       if (w->listed || w->members->len)
         continue;
       g_ptr_array_remove_index_fast (c->worker_list, i);
--- a/tests/steps/fake_cluster.h
+++ b/tests/steps/fake_cluster.h
@@ -44,6 +44,7 @@
   int64_t back_ms;                     /* end of its outage; 0: none */
   char old_id[24];   /* the id whose entry is removed at UNLIST_MS */
   int64_t unlist_ms; /* 0: none */
+  int64_t old_token; /* of the holder that knew that id */
   int renames;
   int64_t incarnation, highest_token, lease_end_ms, ends_total, acked_ends;
   GArray *runs;            /* struct fa_run */
