--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -316,10 +316,11 @@
 void sj_start_answered (struct sj_cluster *c, const char *worker,
                         const struct sj_run *run, enum sj_answer answer,
                         int64_t now);
-/* Returns 1 while the start of RUN has no answer and no stop of it was
-   ordered, so that the start may be sent again.  */
-int sj_start_is_pending (struct sj_cluster *c, const char *worker,
-                         const struct sj_run *run);
+/* Returns 1 while the start of RUN may be sent, for the first time or again:
+   it has no answer, no stop of it was ordered, and what is ordered and runs on
+   the worker fits its capacity as it is known now.  */
+int sj_may_send_start (struct sj_cluster *c, const char *worker,
+                       const struct sj_run *run);
 void sj_stop_answered (struct sj_cluster *c, const char *worker,
                        const struct sj_run *run, enum sj_answer answer,
                        int64_t now);
--- a/src/batch/orders.c
+++ b/src/batch/orders.c
@@ -81,7 +81,7 @@
            const struct ba_order *o)
 {
   return w->clock_at_ms && w->listed && !w->draining
-         && sj_start_is_pending (b->cluster, o->worker, &o->run);
+         && sj_may_send_start (b->cluster, o->worker, &o->run);
 }
 
 /* Returns 0 if O was sent.  */
@@ -114,7 +114,7 @@
 {
   return o->kind == SJ_START && answer == SJ_UNANSWERED && w
          && o->tries < MAX_START_TRIES && le_valid (&b->lease, b->now_ms)
-         && sj_start_is_pending (b->cluster, o->worker, &o->run)
+         && sj_may_send_start (b->cluster, o->worker, &o->run)
          && !send_start (b, w, o);
 }
 
--- a/src/steps/cluster.c
+++ b/src/steps/cluster.c
@@ -238,10 +238,13 @@
   abort ();
 }
 
+/* A worker may shrink below what runs there, but nothing may be planned beyond
+   the capacity that is known.  */
 static void
 check_worker (const struct worker *w)
 {
   struct sj_resources sum = { 0, 0, 0 };
+  int planned = 0;
 
   for (guint i = 0; i < w->members->len; i++)
     {
@@ -250,11 +253,13 @@
 
       if (m->state == MB_ENDED || m->worker != w)
         abort_check ("ended run still occupies capacity", w->id);
+      planned
+          |= m->capacity_serial && m->capacity_serial == w->capacity_serial;
       nd_add (&sum, &need);
     }
   if (memcmp (&sum, &w->used, sizeof sum) != 0)
     abort_check ("used capacity differs from the sum of runs", w->id);
-  if (w->runs_known && !nd_fits (&sum, &w->capacity))
+  if (planned && !nd_fits (&sum, &w->capacity))
     abort_check ("worker over capacity", w->id);
 }
 
--- a/src/steps/run.c
+++ b/src/steps/run.c
@@ -53,21 +53,26 @@
       m->index = u->first + i;
       m->state = MB_PLANNED;
       m->life_tag = wo_life_tag (m->worker->incarnation);
+      m->capacity_serial = m->worker->capacity_serial;
       m->last_progress_ms = m->started_ms = now;
       wo_add_member (m);
     }
   jb_mark_dirty (u->job);
 }
 
-/* Whether all members are planned on usable workers.  */
+/* Whether all members are planned on workers that are usable and have the
+   capacity still.  */
 static int
 can_start (const struct sj_cluster *c, const struct unit *u)
 {
   for (int i = 0; i < u->count; i++)
-    if (u->members[i].state != MB_PLANNED
-        || wo_has_crashed_under (&u->members[i])
-        || !wo_usable (c, u->members[i].worker))
-      return 0;
+    {
+      const struct member *m = &u->members[i];
+
+      if (m->state != MB_PLANNED || wo_has_crashed_under (m)
+          || !wo_usable (c, m->worker) || !wo_fits_capacity (m->worker))
+        return 0;
+    }
   return 1;
 }
 
@@ -315,13 +320,14 @@
 }
 
 int
-sj_start_is_pending (struct sj_cluster *c, const char *worker,
-                     const struct sj_run *run)
+sj_may_send_start (struct sj_cluster *c, const char *worker,
+                   const struct sj_run *run)
 {
   struct worker *w = wo_find (c, worker);
   const struct member *m = w ? ru_find_member (w, run) : NULL;
 
-  return m && m->state == MB_STARTING && m->unit->state == UN_ACTIVE;
+  return m && m->state == MB_STARTING && m->unit->state == UN_ACTIVE
+         && wo_fits_capacity (w);
 }
 
 void
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -25,11 +25,12 @@
   struct worker *worker;
   int index; /* of the task in its step */
   enum member_state state;
-  int from_record;    /* restored from a stored record */
-  int life_tag;       /* of the worker's incarnation it was planned for; 0:
-                         unknown */
-  int start_sent;     /* the worker may have executed the start */
-  int start_resolved; /* start answered, or its run listed */
+  int from_record;     /* restored from a stored record */
+  int life_tag;        /* of the worker's incarnation it was planned for; 0:
+                          unknown */
+  int capacity_serial; /* of its worker when it was planned; 0: before that */
+  int start_sent;      /* the worker may have executed the start */
+  int start_resolved;  /* start answered, or its run listed */
   int64_t start_resolved_ms; /* a listing requested later shows the outcome */
   int stop_pending;          /* a stop has no outcome yet */
   int stop_acked;            /* the worker accepted a stop */
@@ -148,6 +149,7 @@
   struct rack *rack;   /* or NULL */
   int64_t incarnation; /* 0: unknown */
   struct sj_resources capacity, used;
+  int capacity_serial;                        /* changes of it so far */
   struct sj_resources free, free_after_stops; /* of the current round */
   struct sj_resources reserved; /* for waiting units, from reserved_from_ms */
   int64_t reserved_from_ms;     /* 0: no reservation */
@@ -278,6 +280,8 @@
    capacity.  */
 void wo_add_member (struct member *m);
 void wo_remove_member (struct member *m);
+/* Whether what is ordered and runs on W fits its capacity.  */
+int wo_fits_capacity (const struct worker *w);
 /* Whether starts may be sent to W.  */
 int wo_usable (const struct sj_cluster *c, const struct worker *w);
 /* Loses M, whose worker has ended.  */
--- a/src/steps/worker.c
+++ b/src/steps/worker.c
@@ -68,6 +68,12 @@
     nd_sub (&m->worker->used, &need);
 }
 
+int
+wo_fits_capacity (const struct worker *w)
+{
+  return nd_fits (&w->used, &w->capacity);
+}
+
 int
 wo_usable (const struct sj_cluster *c, const struct worker *w)
 {
@@ -165,6 +171,7 @@
   if (!memcmp (&w->capacity, capacity, sizeof *capacity))
     return;
   w->capacity = *capacity;
+  w->capacity_serial++;
   if (known)
     note_capacity (c, w);
 }
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -769,6 +769,29 @@
   teardown ();
 }
 
+/* Guards against LIMIT: a start that waited in the queue was sent although its
+   worker had shrunk meanwhile.  */
+static void
+test_waiting_start_is_dropped_on_shrunk_worker (void)
+{
+  struct po_row row = worker_row;
+  int first;
+
+  setup ();
+  start_wide_job (400);
+  first = starts;
+  row.value = (char *)"{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+                      "\"state\":\"ready\",\"born\":7,\"capacity\":"
+                      "{\"cpu\":1000,\"memory_request_mb\":1000,"
+                      "\"gpu\":100},\"labels\":[\"a\",\"r\"]}";
+  wk_on_row (&batch, &row, 1);
+  answer_kept_starts (kept_starts->len);
+  CU_ASSERT_EQUAL (starts, first);
+  stop_keeping_starts ();
+  handle_events ();
+  teardown ();
+}
+
 int
 main (void)
 {
@@ -791,6 +814,7 @@
     { "waiting, cancelled", test_waiting_start_is_dropped_when_unwanted },
     { "waiting, leaving", test_waiting_start_is_dropped_on_leaving_worker },
     { "waiting, no lease", test_waiting_start_is_dropped_without_lease },
+    { "waiting, shrunk", test_waiting_start_is_dropped_on_shrunk_worker },
     { "replaced", test_other_worker_that_answers_tells_a_crash },
     { "later at the address", test_later_worker_at_the_address_tells_a_crash },
     { "earlier at the address",
