--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -149,7 +149,8 @@
   struct rack *rack;   /* or NULL */
   int64_t incarnation; /* 0: unknown */
   struct sj_resources capacity, used;
-  int capacity_serial;                        /* changes of it so far */
+  int capacity_known;  /* it is that of this incarnation */
+  int capacity_serial; /* changes of it so far */
   struct sj_resources free, free_after_stops; /* of the current round */
   struct sj_resources reserved; /* for waiting units, from reserved_from_ms */
   int64_t reserved_from_ms;     /* 0: no reservation */
--- a/src/steps/worker.c
+++ b/src/steps/worker.c
@@ -77,8 +77,9 @@
 int
 wo_usable (const struct sj_cluster *c, const struct worker *w)
 {
-  return w->listed && !w->draining && w->reachable && w->runs_known
-         && !w->unknown_runs && !w->replaced && c->now >= w->suspect_until_ms;
+  return w->listed && w->capacity_known && !w->draining && w->reachable
+         && w->runs_known && !w->unknown_runs && !w->replaced
+         && c->now >= w->suspect_until_ms;
 }
 
 /* Whether the answer to M's start will tell whether it was executed.  */
@@ -139,7 +140,7 @@
                    int64_t now)
 {
   w->incarnation = incarnation;
-  w->runs_known = 0;
+  w->runs_known = w->capacity_known = 0;
   w->replaced = 0;
   w->reachable = 1;
   w->consecutive_failures = 0;
@@ -168,6 +169,7 @@
   static const struct sj_resources unknown;
   int known = memcmp (&w->capacity, &unknown, sizeof unknown) != 0;
 
+  w->capacity_known = 1;
   if (!memcmp (&w->capacity, capacity, sizeof *capacity))
     return;
   w->capacity = *capacity;
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -278,19 +278,35 @@
   teardown ();
 }
 
-/* The start reached the old incarnation, so the new one does not list the
-   run.  */
 static void
-test_run_of_old_incarnation_is_restarted (void)
+run_until_restart (int64_t incarnation)
 {
-  setup ();
   for (int i = 0; i < 8 && starts < 2; i++)
     {
       advance (10);
-      answer_hold_from (8, NULL);
+      answer_hold_from (incarnation, NULL);
       sj_decide (batch.cluster, batch.now_ms, batch.now_ms);
       commit_all ();
     }
+}
+
+/* The start reached the old incarnation, so the new one does not list the
+   run.  It is started again once the capacity of the new one is known.  */
+static void
+test_run_of_old_incarnation_is_restarted (void)
+{
+  struct po_row row = worker_row;
+
+  setup ();
+  run_until_restart (8);
+  CU_ASSERT_EQUAL (starts, 1);
+  CU_ASSERT_FALSE (sj_worker_has_runs (batch.cluster, "i-1"));
+  row.value = (char *)"{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+                      "\"state\":\"ready\",\"born\":8,\"capacity\":"
+                      "{\"cpu\":1000,\"memory_request_mb\":1000,"
+                      "\"gpu\":1},\"labels\":[\"a\",\"r\"]}";
+  wk_on_row (&batch, &row, 1);
+  run_until_restart (8);
   CU_ASSERT_EQUAL (starts, 2);
   teardown ();
 }
