--- a/include/skr/events.h
+++ b/include/skr/events.h
@@ -58,6 +58,7 @@
   LG_RUN_LOST = 534,
   LG_WORKER_CAPACITY = 535,
   LG_TASK_GIVEN_UP = 536,
+  LG_STARTS_HELD = 537,
 
   /* filter */
   LG_REQUEST_UNKNOWN = 601,
--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -325,6 +325,10 @@
                        const struct sj_run *run, enum sj_answer answer,
                        int64_t now);
 
+/* While HELD, no start is decided or sent, as the workers' states are not
+   known well enough.  */
+void sj_hold_starts (struct sj_cluster *c, int held);
+
 /* Decides which runs start and stop.  WALL_MS is the time of day in
    milliseconds since 1970.  Stops are ordered immediately, starts once their
    records are stored.  Returns the milliseconds after which it must be called
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -163,6 +163,10 @@
     "Workers have crashed under the task, of a gang under one of its tasks, "
     "again and again; its job fails.",
     "find out what the job does to its workers" },
+  { LG_STARTS_HELD, LG_NOTICE, "starts-held", "held age_ms",
+    "No task starts while the table of workers was not confirmed for too long "
+    "(held 1), or tasks start again (held 0).",
+    "check the platform's table" },
 
   /* filter */
   { LG_REQUEST_UNKNOWN, LG_WARNING, "request-unknown",
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -252,6 +252,7 @@
   GHashTable *workers;    /* id -> struct ba_worker */
   GHashTable *by_address; /* the latest struct ba_worker at each address */
   struct oq_queue orders; /* struct ba_order, starts and stops */
+  int starts_held;        /* the worker table is too old */
   int surveys;            /* holds in progress that are no long polls */
   GHashTable *records;    /* id -> json_t, while loading */
   GPtrArray *loaded;      /* struct sj_job, while loading */
@@ -339,6 +340,8 @@
 void ta_init (struct batch *b);
 /* Sets the poll interval of the job table for the current phase.  */
 void ta_set_poll_gap (struct batch *b);
+/* Holds starts while the worker table is not known to be recent.  */
+void ta_check_workers (struct batch *b);
 /* Passes the accounts' guarantees to the scheduler, if there is one.  */
 void ba_apply_guarantees (struct batch *b);
 /* Returns 1 while the configuration is recent enough that a revoked key is
--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -64,6 +64,7 @@
   b->cluster = sj_new (&set, wk_send_order, b);
   sj_set_note_fn (b->cluster, ba_on_note, b);
   wk_init_workers (b);
+  b->starts_held = 0;
   b->records = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                       (GDestroyNotify)json_decref);
   b->loaded = g_ptr_array_new_with_free_func ((GDestroyNotify)sj_job_free);
@@ -145,6 +146,7 @@
 {
   if (le_valid (&b->lease, b->now_ms))
     {
+      ta_check_workers (b);
       wk_tick (b);
       sj_decide (b->cluster, b->now_ms, wall_ms (b));
     }
--- a/src/batch/tables.c
+++ b/src/batch/tables.c
@@ -11,10 +11,13 @@
      available, so JOB_WAIT_MS + JOB_GAP_MS must stay below the store's
      timeout.  */
   JOB_WAIT_MS = 800,
-  WORKER_WAIT_MS = 2000,
+  WORKER_WAIT_MS = 1500,
   WORKER_GAP_MS = 200, /* workers report all the time; a tenth of the 2 s after
                           which a leaving worker gets no new tasks */
   JOB_GAP_MS = 250,    /* a standby VM shows a new state within this time */
+  /* Starts are held while the worker table was not confirmed for so long: the
+     workers may have shrunk or begun to leave.  */
+  WORKER_TABLE_MAX_AGE_MS = 3000,
   /* Allowance for the transmission of a request to the store.  */
   FRESH_SLACK_MS = 1000
 };
@@ -110,6 +113,20 @@
                 < b->settings->revoke_ms - FRESH_SLACK_MS;
 }
 
+void
+ta_check_workers (struct batch *b)
+{
+  int64_t age_ms = b->now_ms - b->worker_follower.fresh_ms;
+  int held = age_ms > WORKER_TABLE_MAX_AGE_MS;
+  struct lg_field f[] = { lg_int ("held", held), lg_int ("age_ms", age_ms) };
+
+  if (held == b->starts_held)
+    return;
+  b->starts_held = held;
+  lg_log (LG_STARTS_HELD, 2, f);
+  sj_hold_starts (b->cluster, held);
+}
+
 void
 ta_init (struct batch *b)
 {
--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -468,6 +468,13 @@
     }
 }
 
+void
+sj_hold_starts (struct sj_cluster *c, int held)
+{
+  c->changed |= c->starts_held != held;
+  c->starts_held = held;
+}
+
 int64_t
 sj_decide (struct sj_cluster *c, int64_t now, int64_t wall_ms)
 {
@@ -486,6 +493,7 @@
   c->decided_ms = now;
   rank_jobs (c);
   reset_free_capacity (c);
-  place_all (c, now, wall_ms - now);
+  if (!c->starts_held)
+    place_all (c, now, wall_ms - now);
   return ROUND_MS;
 }
--- a/src/steps/run.c
+++ b/src/steps/run.c
@@ -73,7 +73,7 @@
           || !wo_usable (c, m->worker) || !wo_fits_capacity (m->worker))
         return 0;
     }
-  return 1;
+  return !c->starts_held;
 }
 
 void
@@ -327,7 +327,7 @@
   const struct member *m = w ? ru_find_member (w, run) : NULL;
 
   return m && m->state == MB_STARTING && m->unit->state == UN_ACTIVE
-         && w->capacity_known && wo_fits_capacity (w);
+         && !c->starts_held && w->capacity_known && wo_fits_capacity (w);
 }
 
 void
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -190,6 +190,7 @@
   GHashTable *unresolved_workers;
   GPtrArray *given_up; /* struct unit, whose jobs are about to fail */
   int changed;         /* since the last decision round */
+  int starts_held;     /* no start is decided or sent */
   int plan_serial;     /* of the last plan to preempt */
   int searches;        /* of the last round: units that were tried */
   int preemptions;     /* units for which others were stopped */
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -808,6 +808,32 @@
   teardown ();
 }
 
+/* The table of workers cannot be read while commits succeed: a worker may have
+   shrunk, so nothing starts until the table is confirmed again.  */
+static void
+test_starts_are_held_while_workers_are_not_known (void)
+{
+  setup ();
+  batch.worker_follower.fresh_ms = batch.now_ms;
+  ta_check_workers (&batch);
+  sj_job_add (batch.cluster, new_one_task_job (0xb1), NULL, 0, batch.now_ms);
+  advance (10);
+  answer_hold (SJ_EXECUTED, &first_end);
+  sj_decide (batch.cluster, batch.now_ms, batch.now_ms);
+  batch.now_ms += 4000;
+  ta_check_workers (&batch);
+  commit_all ();
+  sj_decide (batch.cluster, batch.now_ms, batch.now_ms);
+  commit_all ();
+  CU_ASSERT_EQUAL (starts, 1);
+  batch.worker_follower.fresh_ms = batch.now_ms;
+  ta_check_workers (&batch);
+  sj_decide (batch.cluster, batch.now_ms, batch.now_ms);
+  commit_all ();
+  CU_ASSERT_EQUAL (starts, 2);
+  teardown ();
+}
+
 int
 main (void)
 {
@@ -831,6 +857,7 @@
     { "waiting, leaving", test_waiting_start_is_dropped_on_leaving_worker },
     { "waiting, no lease", test_waiting_start_is_dropped_without_lease },
     { "waiting, shrunk", test_waiting_start_is_dropped_on_shrunk_worker },
+    { "workers not known", test_starts_are_held_while_workers_are_not_known },
     { "replaced", test_other_worker_that_answers_tells_a_crash },
     { "later at the address", test_later_worker_at_the_address_tells_a_crash },
     { "earlier at the address",
