--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -110,6 +110,7 @@
   struct sj_resources capacity;
   int draining;
   int64_t remaining_ms; /* while draining: minimum time left */
+  int64_t version;      /* another one with each report of the worker */
 };
 
 /* Identifies one run of one task.  */
--- a/src/batch/workers.c
+++ b/src/batch/workers.c
@@ -187,7 +187,8 @@
 }
 
 static void
-apply_worker (struct batch *b, const struct po_worker *p, int generation)
+apply_worker (struct batch *b, const struct po_worker *p, int64_t version,
+              int generation)
 {
   struct ba_worker *w = find_or_add (b, p->id);
   struct sj_worker_info info = { .id = p->id,
@@ -197,7 +198,8 @@
                                  .rack = p->rack,
                                  .capacity = p->capacity,
                                  .draining = p->draining,
-                                 .remaining_ms = p->remaining_ms };
+                                 .remaining_ms = p->remaining_ms,
+                                 .version = version };
 
   if (w->incarnation && p->incarnation && p->incarnation < w->incarnation)
     return;
@@ -242,7 +244,7 @@
     }
   p = po_worker_read (row, &reason);
   if (p)
-    apply_worker (b, p, generation);
+    apply_worker (b, p, row->version, generation);
   else
     {
       unlist (b, row->key, reason);
--- a/src/steps/run.c
+++ b/src/steps/run.c
@@ -327,7 +327,8 @@
   const struct member *m = w ? ru_find_member (w, run) : NULL;
 
   return m && m->state == MB_STARTING && m->unit->state == UN_ACTIVE
-         && !c->starts_held && w->capacity_known && wo_fits_capacity (w);
+         && !c->starts_held && w->capacity_known
+         && !wo_report_is_overdue (c, w) && wo_fits_capacity (w);
 }
 
 void
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -151,6 +151,9 @@
   struct sj_resources capacity, used;
   int capacity_known;  /* it is that of this incarnation */
   int capacity_serial; /* changes of it so far */
+  int64_t version;     /* of its last report */
+  int64_t reported_ms; /* when that arrived */
+  int reports;         /* of this incarnation */
   struct sj_resources free, free_after_stops; /* of the current round */
   struct sj_resources reserved; /* for waiting units, from reserved_from_ms */
   int64_t reserved_from_ms;     /* 0: no reservation */
@@ -282,6 +285,9 @@
    capacity.  */
 void wo_add_member (struct member *m);
 void wo_remove_member (struct member *m);
+/* Whether W reported regularly and no longer does, so that its capacity may be
+   another one now.  */
+int wo_report_is_overdue (const struct sj_cluster *c, const struct worker *w);
 /* Whether what is ordered and runs on W fits its capacity.  */
 int wo_fits_capacity (const struct worker *w);
 /* Whether starts may be sent to W.  */
--- a/src/steps/worker.c
+++ b/src/steps/worker.c
@@ -6,6 +6,12 @@
 
 enum
 {
+  /* Reports of an incarnation from which on further ones are expected.  A
+     platform may pass on only those that tell something new.  */
+  REGULAR_REPORTS = 4,
+  /* Below the time after which a smaller capacity counts, 3 s and one
+     interval of 1.5 s after it is reported, by the time of an order.  */
+  REPORT_MAX_AGE_MS = 4000,
   LIFE_TAG_MODULUS = 65521 /* keeps a tag at five digits */
 };
 
@@ -68,6 +74,13 @@
     nd_sub (&m->worker->used, &need);
 }
 
+int
+wo_report_is_overdue (const struct sj_cluster *c, const struct worker *w)
+{
+  return w->reports >= REGULAR_REPORTS
+         && c->now - w->reported_ms > REPORT_MAX_AGE_MS;
+}
+
 int
 wo_fits_capacity (const struct worker *w)
 {
@@ -77,9 +90,9 @@
 int
 wo_usable (const struct sj_cluster *c, const struct worker *w)
 {
-  return w->listed && w->capacity_known && !w->draining && w->reachable
-         && w->runs_known && !w->unknown_runs && !w->replaced
-         && c->now >= w->suspect_until_ms;
+  return w->listed && w->capacity_known && !wo_report_is_overdue (c, w)
+         && !w->draining && w->reachable && w->runs_known && !w->unknown_runs
+         && !w->replaced && c->now >= w->suspect_until_ms;
 }
 
 /* Whether the answer to M's start will tell whether it was executed.  */
@@ -140,7 +153,7 @@
                    int64_t now)
 {
   w->incarnation = incarnation;
-  w->runs_known = w->capacity_known = 0;
+  w->runs_known = w->capacity_known = w->reports = 0;
   w->replaced = 0;
   w->reachable = 1;
   w->consecutive_failures = 0;
@@ -178,6 +191,16 @@
     note_capacity (c, w);
 }
 
+static void
+note_report (struct worker *w, int64_t version, int64_t now)
+{
+  if (version == w->version)
+    return;
+  w->version = version;
+  w->reported_ms = now;
+  w->reports++;
+}
+
 void
 sj_worker_set (struct sj_cluster *c, const struct sj_worker_info *info,
                int64_t now)
@@ -199,6 +222,7 @@
   set_text (&w->kind, info->kind);
   rk_move (c, w, info->rack);
   set_capacity (c, w, &info->capacity);
+  note_report (w, info->version, now);
   if (info->draining && !w->draining)
     w->drain_end_ms = now + info->remaining_ms;
   w->draining = info->draining;
--- a/tests/steps/fake_cluster.c
+++ b/tests/steps/fake_cluster.c
@@ -632,7 +632,8 @@
                                  .rack = w->rack,
                                  .capacity = w->capacity,
                                  .draining = w->draining,
-                                 .remaining_ms = 2000 };
+                                 .remaining_ms = 2000,
+                                 .version = ++f->reports };
 
   sj_worker_set (f->scheduler, &info, f->now);
 }
@@ -640,6 +641,7 @@
 static void
 set_worker_info (struct fa_cluster *f, struct fa_worker *w)
 {
+  w->report_ms = f->now + BEAT_MS;
   list_worker (f, w, w->id, w->incarnation);
 }
 
@@ -665,11 +667,10 @@
     }
   else
     w->unlist_ms = 0;
-  w->report_ms = 0;
   set_worker_info (f, w);
 }
 
-/* Reports changes of the workers that are due.  */
+/* Reports the state of the workers that is due.  */
 static void
 report_workers (struct fa_cluster *f)
 {
@@ -679,11 +680,8 @@
 
       if (w->back_ms && f->now >= w->back_ms)
         bring_back (f, i);
-      if (w->report_ms && w->is_up && f->now >= w->report_ms)
-        {
-          w->report_ms = 0;
-          set_worker_info (f, w);
-        }
+      if (w->is_up && !w->mute && f->now >= w->report_ms)
+        set_worker_info (f, w);
       if (w->unlist_ms && f->now >= w->unlist_ms)
         {
           w->unlist_ms = 0;
@@ -942,7 +940,6 @@
       w->shrunk_ms = f->now;
     }
   w->capacity = capacity;
-  w->report_ms = f->now + BEAT_MS;
 }
 
 void
@@ -965,6 +962,7 @@
   w->polled_ms = 0;
   resize (f, w, accelerators);
   w->shrunk_ms = 0;
+  w->report_ms = f->now + BEAT_MS;
   sj_worker_restarted (f->scheduler, w->id, w->incarnation, f->now);
 }
 
--- a/tests/steps/fake_cluster.h
+++ b/tests/steps/fake_cluster.h
@@ -40,7 +40,7 @@
   struct sj_resources capacity;
   struct sj_resources larger_capacity; /* before it shrank at SHRUNK_MS */
   int64_t shrunk_ms;                   /* 0: never */
-  int64_t report_ms;                   /* of its state; 0: nothing to report */
+  int64_t report_ms;                   /* of the next report */
   int64_t back_ms;                     /* end of its outage; 0: none */
   char old_id[24];   /* the id whose entry is removed at UNLIST_MS */
   int64_t unlist_ms; /* 0: none */
@@ -52,9 +52,9 @@
   GHashTable *closed_runs; /* task name -> highest run number stopped or
                               ended, which can't start any more */
   int is_up, partitioned, listed, draining;
-  int fails_all, stalled;
-  int64_t polled_ms; /* last listing; 0: list at once */
-  double speed;      /* 1: runs take their declared time */
+  int fails_all, stalled, mute; /* mute: its reports do not arrive */
+  int64_t polled_ms;            /* last listing; 0: list at once */
+  double speed;                 /* 1: runs take their declared time */
 };
 
 /* Injected faults, each with its probability.  */
@@ -81,6 +81,7 @@
   struct sj_settings settings;
   GRand *rand;
   int64_t now, token, commit_end_ms; /* token: fencing token of the holder */
+  int64_t reports;                   /* of all workers */
   int worker_count;
   struct fa_worker worker[FA_MAX_WORKERS];
   GHashTable *records;     /* id -> stored record as JSON text */
--- a/tests/steps/test_capacity.c
+++ b/tests/steps/test_capacity.c
@@ -112,6 +112,27 @@
   fa_fini (&cluster);
 }
 
+/* Guards against LIMIT: a worker whose reports do not arrive got starts by the
+   capacity that it had before.  */
+static void
+test_worker_that_does_not_report_gets_no_starts (void)
+{
+  fa_init (&cluster, 1, 1, 1);
+  fa_run_ms (&cluster, 10000);
+  cluster.worker[0].mute = 1;
+  fa_set_capacity (&cluster, 0, 4);
+  fa_run_ms (&cluster, 5000);
+  fa_submit (&cluster, fa_new_job (1, 1, 1, 8, 1000));
+  fa_run_ms (&cluster, 5000);
+  CU_ASSERT_EQUAL (cluster.starts, 0);
+  cluster.worker[0].mute = 0;
+  fa_set_capacity (&cluster, 0, 8);
+  fa_run_ms (&cluster, 5000);
+  CU_ASSERT_EQUAL (fa_state (&cluster, "0000000000000001"), SJ_COMPLETED);
+  expect_no_violations ();
+  fa_fini (&cluster);
+}
+
 int
 main (void)
 {
@@ -124,6 +145,7 @@
     { "previous incarnation",
       test_capacity_of_previous_incarnation_does_not_count },
     { "stopping runs", test_stopping_runs_count_on_shrunk_worker },
+    { "no reports", test_worker_that_does_not_report_gets_no_starts },
     CU_TEST_INFO_NULL,
   };
 
