--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -10,13 +10,15 @@
 enum
 {
   TICK_MS = 10,
-  MAX_GAP_MS = 900,        /* between two faults */
-  MAX_FAULT_MS = 6000,     /* longest duration of a fault */
-  MIN_FAULT_MS = 200,      /* shortest duration of a fault */
-  MAX_ACTIVE_FAULTS = 64,  /* concurrent faults */
-  MAX_LINK_DELAY_MS = 300, /* of a slow link */
-  ORDER_DELAY_MS = 2000,   /* delay of orders on a late worker */
+  MAX_GAP_MS = 900,         /* between two faults */
+  MAX_SHRINK_GAP_MS = 3000, /* between two workers that shrink */
+  MAX_FAULT_MS = 6000,      /* longest duration of a fault */
+  MIN_FAULT_MS = 200,       /* shortest duration of a fault */
+  MAX_ACTIVE_FAULTS = 64,   /* concurrent faults */
+  MAX_LINK_DELAY_MS = 300,  /* of a slow link */
+  ORDER_DELAY_MS = 2000,    /* delay of orders on a late worker */
   RESTART_MS = 300,    /* from the end of a fault to the restart of its VM */
+  SHRUNK_PERCENT = 50, /* of its capacity that a worker keeps */
   MEMBERSHIP_MS = 4000 /* until the store reports a worker change */
 };
 
@@ -42,15 +44,18 @@
   UNREACHABLE_WORKER,
   LEAVING_WORKER,
   CHANGE_CONFIG,
+  RANDOM_FAULTS, /* number of those that are drawn at random */
+  SHRUNK_WORKER = RANDOM_FAULTS,
   FAULT_COUNT
 };
 
 static const char *const names[FAULT_COUNT]
-    = { "kill VM",      "kill all VMs", "stop VM",       "freeze VM",
-        "reload VM",    "cut store",    "cut workers",   "cut callers",
-        "slow links",   "reset links",  "store fault",   "store fault, one",
-        "history gone", "worker crash", "worker reborn", "worker late",
-        "worker fails", "worker cut",   "worker leaves", "configuration" };
+    = { "kill VM",       "kill all VMs", "stop VM",       "freeze VM",
+        "reload VM",     "cut store",    "cut workers",   "cut callers",
+        "slow links",    "reset links",  "store fault",   "store fault, one",
+        "history gone",  "worker crash", "worker reborn", "worker late",
+        "worker fails",  "worker cut",   "worker leaves", "configuration",
+        "worker shrinks" };
 
 /* A fault in effect.  */
 struct active_fault
@@ -64,6 +69,7 @@
 {
   struct soak *soak;
   GRand *rand;
+  GRand *shrink_rand; /* its own, so that a seed plays the same other faults */
   struct active_fault active[MAX_ACTIVE_FAULTS];
   int active_count;
 };
@@ -225,6 +231,9 @@
       sf_worker_drain (&s->platform, h->worker, 1);
       h->end_ms = sf_now_ms () + MEMBERSHIP_MS;
       break;
+    case SHRUNK_WORKER:
+      sf_set_capacity (&s->platform, h->worker, SHRUNK_PERCENT);
+      break;
     default:
       so_change_config (s);
       break;
@@ -292,6 +301,9 @@
     case UNREACHABLE_WORKER:
       pause_worker (s, h->worker, 2, 0);
       break;
+    case SHRUNK_WORKER:
+      sf_set_capacity (&s->platform, h->worker, 100);
+      break;
     default:
       break;
     }
@@ -336,7 +348,7 @@
 inject_fault (struct injector *p, int64_t now)
 {
   struct active_fault h
-      = { (enum fault)random_below (p, FAULT_COUNT),
+      = { (enum fault)random_below (p, RANDOM_FAULTS),
           random_below (p, p->soak->vms), random_below (p, p->soak->workers),
           now + MIN_FAULT_MS + random_below (p, MAX_FAULT_MS - MIN_FAULT_MS) };
 
@@ -350,12 +362,30 @@
   p->active[p->active_count++] = h;
 }
 
+static void
+shrink_worker (struct injector *p, int64_t now)
+{
+  GRand *r = p->shrink_rand;
+  struct active_fault h
+      = { .kind = SHRUNK_WORKER,
+          .worker = g_rand_int_range (r, 0, (gint32)p->soak->workers),
+          .end_ms = now + g_rand_int_range (r, MIN_FAULT_MS, MAX_FAULT_MS) };
+
+  if (p->active_count == MAX_ACTIVE_FAULTS)
+    return;
+  start_fault (p, &h);
+  p->active[p->active_count++] = h;
+}
+
 void
 so_run_faults (struct soak *s)
 {
   struct injector p
-      = { .soak = s, .rand = g_rand_new_with_seed ((guint32)s->seed) };
+      = { .soak = s,
+          .rand = g_rand_new_with_seed ((guint32)s->seed),
+          .shrink_rand = g_rand_new_with_seed ((guint32)~s->seed) };
   int64_t end = sf_now_ms () + s->seconds * 1000, next = sf_now_ms ();
+  int64_t next_shrink = next;
 
   while (sf_now_ms () < end)
     {
@@ -366,6 +396,12 @@
           inject_fault (&p, now);
           next = now + random_below (&p, MAX_GAP_MS);
         }
+      if (now >= next_shrink)
+        {
+          shrink_worker (&p, now);
+          next_shrink
+              = now + g_rand_int_range (p.shrink_rand, 0, MAX_SHRINK_GAP_MS);
+        }
       end_due_faults (&p, now);
       so_vm_reap (s);
       restart_vms (&p);
@@ -375,4 +411,5 @@
   so_vm_reap (s);
   restart_vms (&p);
   g_rand_free (p.rand);
+  g_rand_free (p.shrink_rand);
 }
--- a/tests/soak/job_model.c
+++ b/tests/soak/job_model.c
@@ -9,7 +9,12 @@
 {
   MAX_PRINTED = 30,
   LINE_SIZE = 400,
-  MAX_ATTEMPTS = 3
+  MAX_ATTEMPTS = 3,
+  DEADLY_ONE_IN = 40, /* jobs */
+  CRASH_MS = 100,     /* work of a deadly task until its worker crashes */
+  CRASHES_BEFORE_LIMIT = 3,
+  STARTS_AFTER_LIMIT = 2, /* of a deadly task after so many crashes */
+  CRASHES_TO_GIVE_UP = 2  /* with fewer, a task may not be given up */
 };
 
 void
@@ -50,6 +55,8 @@
   model->by_id = g_hash_table_new (g_str_hash, g_str_equal);
   model->started_ms = sf_now_ms ();
   model->seed = seed;
+  /* Its own, so that a seed plays the same jobs without it.  */
+  model->deadly_rand = g_rand_new_with_seed ((guint32)~seed);
 }
 
 void
@@ -65,6 +72,7 @@
     }
   g_ptr_array_free (model->jobs, TRUE);
   g_hash_table_destroy (model->by_id);
+  g_rand_free (model->deadly_rand);
 }
 
 static void
@@ -104,6 +112,7 @@
     }
   j->body = sf_encode_job (job);
   bk_lock (model);
+  j->is_deadly = g_rand_int_range (model->deadly_rand, 0, DEADLY_ONE_IN) == 0;
   g_ptr_array_add (model->jobs, j);
   g_hash_table_insert (model->by_id, job->id, j);
   bk_unlock (model);
@@ -168,6 +177,12 @@
   return j->submit_finished && !j->accepted_submits && !j->unanswered_submits;
 }
 
+static int
+is_deadly_task (const struct bk_job *j, const struct sj_run *run)
+{
+  return j->is_deadly && run->step == 0 && run->index == 0;
+}
+
 /* Returns the guarantee that a start violates, or NULL.  */
 static const char *
 check_start (const struct bk_job *j, const struct bk_task *t,
@@ -191,6 +206,8 @@
     return "started before the step that it waits for was done";
   if (j->cancelled_ms && sf_now_ms () - j->cancelled_ms > BK_CANCEL_GRACE_MS)
     return "started long after its job was cancelled";
+  if (is_deadly_task (j, &o->run) && t->late_starts >= STARTS_AFTER_LIMIT)
+    return "started again after it has crashed three workers";
   if (was_refused (j))
     return "started, and its job was refused as not run";
   return NULL;
@@ -220,9 +237,12 @@
                                 .work_ms = j->work_ms[o->run.step],
                                 .members = step->gang ? step->count : 0,
                                 .fails = j->fails,
+                                .crash_ms
+                                = is_deadly_task (j, &o->run) ? CRASH_MS : 0,
                                 .checkpoints = step->checkpoints,
                                 .need = step->need };
       t->runs++;
+      t->late_starts += t->crashes >= CRASHES_BEFORE_LIMIT;
       t->last_number = MAX (t->last_number, o->run.number);
       j->starts++;
     }
@@ -285,7 +305,10 @@
   bk_lock (model);
   t = find_task (model, run, &j);
   if (t)
-    t->runs--;
+    {
+      t->runs--;
+      t->crashes++;
+    }
   bk_unlock (model);
 }
 
@@ -326,11 +349,22 @@
   return (j->job->step[step].gang ? sum : most) >= j->job->max_attempts;
 }
 
+/* Returns whether workers have crashed under a task, so that it may be given
+   up.  */
+static int
+step_has_crashes (const struct bk_job *j, int step)
+{
+  for (int i = 0; i < j->job->step[step].count; i++)
+    if (j->task[step][i].crashes >= CRASHES_TO_GIVE_UP)
+      return 1;
+  return 0;
+}
+
 static int
 is_exhausted (const struct bk_job *j)
 {
   for (int s = 0; s < j->job->step_count; s++)
-    if (step_is_exhausted (j, s))
+    if (step_is_exhausted (j, s) || step_has_crashes (j, s))
       return 1;
   return 0;
 }
--- a/tests/soak/job_model.h
+++ b/tests/soak/job_model.h
@@ -22,6 +22,8 @@
   int done_acknowledged; /* the scheduler acknowledged an end "done" */
   int failed;            /* ends */
   int failed_acknowledged;
+  int crashes;         /* workers that ended while they ran it */
+  int late_starts;     /* after three of those */
   int64_t last_number; /* highest number of a run */
 };
 
@@ -30,7 +32,8 @@
   struct sj_job *job;
   char *body;
   int64_t work_ms[BK_MAX_STEPS];
-  int fails;                                /* all its tasks fail */
+  int fails;     /* all its tasks fail */
+  int is_deadly; /* the first task of its first step crashes its workers */
   int accepted_submits, unanswered_submits; /* numbers of submit attempts */
   int submit_finished;                      /* no submit attempt follows */
   int64_t accepted_ms, cancel_sent_ms, cancelled_ms;
@@ -46,6 +49,7 @@
   int violations;
   int64_t started_ms;
   uint64_t seed;
+  GRand *deadly_rand;
 };
 
 void bk_init (struct bk_model *model, uint64_t seed);
--- a/tests/soak/test_job_model.c
+++ b/tests/soak/test_job_model.c
@@ -203,6 +203,50 @@
   CU_ASSERT_EQUAL (tear_down (), 2);
 }
 
+static void
+lose_worker (int times)
+{
+  for (int i = 0; i < times; i++)
+    {
+      start ();
+      watch.on_lost (watch.arg, &order.run, 0);
+      order.run.number++;
+    }
+}
+
+static void
+test_deadly_task_started_again (void)
+{
+  set_up ();
+  job->is_deadly = 1;
+  lose_worker (5);
+  CU_ASSERT_EQUAL (model.violations, 0);
+  lose_worker (1);
+  CU_ASSERT_EQUAL (tear_down (), 1);
+}
+
+/* The task does not crash its workers; they crash by themselves.  */
+static void
+test_other_task_started_again (void)
+{
+  set_up ();
+  job->is_deadly = 0;
+  lose_worker (6);
+  CU_ASSERT_EQUAL (tear_down (), 0);
+}
+
+static void
+test_given_up_too_soon (void)
+{
+  set_up ();
+  lose_worker (1);
+  bk_check_state (&model, job, SJ_FAILED);
+  CU_ASSERT_EQUAL (model.violations, 1);
+  lose_worker (1);
+  bk_check_state (&model, job, SJ_FAILED);
+  CU_ASSERT_EQUAL (tear_down (), 1);
+}
+
 int
 main (void)
 {
@@ -220,6 +264,9 @@
     { "test_shown_too_soon", test_shown_too_soon },
     { "test_shown_without_cause", test_shown_without_cause },
     { "test_lost", test_lost },
+    { "test_deadly_task_started_again", test_deadly_task_started_again },
+    { "test_other_task_started_again", test_other_task_started_again },
+    { "test_given_up_too_soon", test_given_up_too_soon },
     CU_TEST_INFO_NULL,
   };
 
