--- a/src/control/cell_gang.c
+++ b/src/control/cell_gang.c
@@ -112,6 +112,7 @@
 report_part_lost (struct cl_cell *c, struct jb_job *job, struct wk_gang *g,
                   const struct wk_part *p)
 {
+  cl_note_gangs_lost (c, p->worker, 0);
   for (int i = p->first_task; i < p->first_task + p->tasks && job->gang == g;
        i++)
     if (g->end_report[g->tasks_by_part[i]] != WK_END_REPORTED)
--- a/src/control/cell_impl.h
+++ b/src/control/cell_impl.h
@@ -192,4 +192,13 @@
    submission.  */
 void cl_recover (struct cl_cell *c);
 
+/* cell_loss.c */
+/* Accounts for the running gangs that lost their part on WORKER; ALL: they all
+   did, else those whose part is gone.  Jobs may end or be queued again by it,
+   so that they have no gang any more.  */
+void cl_note_gangs_lost (struct cl_cell *c, uint32_t worker, int all);
+/* Accounts for the attempt of a job that can be repeated, which a new holder
+   finds incomplete.  Returns 1 if the job was given up and has ended.  */
+int cl_note_attempt_lost (struct cl_cell *c, struct jb_job *job);
+
 #endif
--- a/src/control/cell_recover.c
+++ b/src/control/cell_recover.c
@@ -166,6 +166,8 @@
       n->unknown++;
       return;
     }
+  if (cl_note_attempt_lost (c, job))
+    return;
   cl_resubmit (c, job, 0);
   n->requeued++;
 }
--- a/src/control/cell_workers.c
+++ b/src/control/cell_workers.c
@@ -215,6 +215,8 @@
 {
   GPtrArray *gangs = cl_worker_gangs (c, worker);
 
+  cl_note_gangs_lost (c, worker, 1);
+
   for (guint i = 0; i < gangs->len; i++)
     {
       struct wk_gang *g = g_ptr_array_index (gangs, i);
--- a/src/control/gang.h
+++ b/src/control/gang.h
@@ -103,6 +103,7 @@
   unsigned char *end_report;   /* enum wk_end_report, by task */
   struct wk_gang *next_of_job; /* next attempt of the same job */
   struct jb_job *owner;        /* NULL when the job is not in memory */
+  int loss_noted;              /* its loss was accounted for */
   int preempted;               /* the decision layer ordered the checkpoint */
 };
 
--- a/src/control/job.c
+++ b/src/control/job.c
@@ -41,21 +41,23 @@
 {
   const char *account, *class, *state;
   json_int_t tasks, per_task, declared_ms = 0, attempt = 0, progress = 0;
-  json_int_t submitted = 0;
+  json_int_t submitted = 0, lost = 0;
   int repeatable = 1, preemptible = 1, cancel = 0;
 
   if (json_unpack (value,
                    "{s:s, s:s, s:I, s:I, s?I, s?b, s?b, s:s, s?I, s?b, s?I, "
-                   "s?I}",
+                   "s?I, s?I}",
                    "account", &account, "class", &class, "tasks", &tasks,
                    "per_task", &per_task, "declared_ms", &declared_ms,
                    "repeatable", &repeatable, "preemptible", &preemptible,
                    "state", &state, "attempt", &attempt, "cancel", &cancel,
-                   "progress_ms", &progress, "submitted_at", &submitted))
+                   "progress_ms", &progress, "submitted_at", &submitted,
+                   "lost_attempts", &lost))
     return CT_EINVAL;
   if (!in_range (tasks, 1, DC_MAX_TASKS)
       || !in_range (per_task, 0, DC_MAX_ACCELERATORS)
-      || !in_range (attempt, 0, INT32_MAX / 2) || strlen (account) >= CT_NAME)
+      || !in_range (attempt, 0, INT32_MAX / 2)
+      || !in_range (lost, 0, INT32_MAX / 2) || strlen (account) >= CT_NAME)
     return CT_EINVAL;
   snprintf (job->account, CT_NAME, "%s", account);
   job->state = jb_parse_state (state);
@@ -70,6 +72,7 @@
   job->attempt = job->attempt_base = (int32_t)attempt;
   job->cancel = cancel;
   job->progress_ms = progress;
+  job->lost_attempts = (int32_t)lost;
   job->submitted_ms = submitted;
   return CT_OK;
 }
@@ -155,6 +158,9 @@
   job->state = state;
   if (job->progress_ms)
     json_object_set_new (f, "progress_ms", json_integer (job->progress_ms));
+  if (job->lost_attempts)
+    json_object_set_new (f, "lost_attempts",
+                         json_integer (job->lost_attempts));
   if (reason)
     json_object_set_new (f, "reason", json_string (reason));
   if (state == JB_QUEUED)
--- a/src/control/job.h
+++ b/src/control/job.h
@@ -55,8 +55,9 @@
   struct jb_reported *reported;
   /* Number of the current attempt in the decision layer.  */
   int32_t decide_attempt;
-  int64_t progress_ms;  /* progress at the last checkpoint */
-  int64_t submitted_ms; /* wall clock; used for ordering only */
+  int32_t lost_attempts; /* that ended with a worker, see cell_loss.c */
+  int64_t progress_ms;   /* progress at the last checkpoint */
+  int64_t submitted_ms;  /* wall clock; used for ordering only */
   int64_t submit_at_ms; /* earliest time of submission to the decision layer */
   uint32_t handle;      /* JB_NO_HANDLE: not submitted to the decision layer */
   int cancel;
--- a/stand/worker/gangs.c
+++ b/stand/worker/gangs.c
@@ -1,3 +1,4 @@
+#include <stdlib.h>
 #include <string.h>
 
 #include "gangs.h"
@@ -160,6 +161,7 @@
   gang->job = g_strdup (job);
   sw_fake_parse (&fake, payload, run_ms);
   gang->run_ms = fake.run_ms;
+  gang->crashes = fake.crashes;
   gang->fails = fake.fails || json_is_true (fails);
   gang->progress_ms = (double)progress_ms;
   gang->percent = 100;
@@ -281,6 +283,8 @@
 static void
 advance_gang (struct sw_gangs *gangs, struct sw_gang *gang, int64_t now_ms)
 {
+  if (gang->crashes)
+    abort ();
   gang->progress_ms
       += (double)(now_ms - gangs->ticked_ms) * (double)gang->percent / 100;
   if (gangs->fail_all)
--- a/stand/worker/gangs.h
+++ b/stand/worker/gangs.h
@@ -43,6 +43,7 @@
   double progress_ms;      /* of run_ms, so far */
   int64_t percent;         /* of full speed */
   int fails;               /* the tasks end as failed */
+  int crashes;             /* they end the process */
   uint64_t accelerators;   /* of all tasks, bit i: accelerator i */
   int slots;               /* of tasks without an accelerator */
   json_t *tasks;           /* from the order */
--- a/stand/worker/payload.c
+++ b/stand/worker/payload.c
@@ -15,6 +15,7 @@
   if (json_is_integer (own_ms))
     fake->run_ms = json_integer_value (own_ms);
   fake->fails = json_is_true (fails) || json_integer_value (fails) > 0;
+  fake->crashes = json_is_true (json_object_get (o, "crashes"));
   fake->hold = json_is_true (json_object_get (o, "hold"));
   fake->answer_bytes
       = json_integer_value (json_object_get (o, "answer_bytes"));
--- a/stand/worker/payload.h
+++ b/stand/worker/payload.h
@@ -18,7 +18,8 @@
 {
   int64_t run_ms;
   int fails;
-  int hold; /* a call runs until the worker is told to release it */
+  int crashes; /* of a job: it ends the process when it begins to run */
+  int hold;    /* a call runs until the worker is told to release it */
   int64_t answer_bytes; /* padding of the answer */
 };
 
--- a/tests/control/test_cell.c
+++ b/tests/control/test_cell.c
@@ -1163,6 +1163,65 @@
   return G_LOG_WRITER_HANDLED;
 }
 
+/* Ends each worker that runs a task of JOB; it is back two steps later.  */
+static void
+crash_workers_of (struct fw_cluster *w, const char *job)
+{
+  for (int i = 0; i < w->workers; i++)
+    {
+      struct fw_worker *x = &w->worker[i];
+      int runs = 0;
+
+      for (guint k = 0; k < x->gangs->len; k++)
+        {
+          const struct fw_gang *g
+              = &g_array_index (x->gangs, struct fw_gang, k);
+
+          runs |= g->state == WK_RUNNING && !strcmp (g->job, job);
+        }
+      x->mode = runs ? FW_WORKER_DEAD : FW_WORKER_OK;
+    }
+}
+
+/* Runs for MS, or until both jobs have ended.  */
+static void
+run_with_crashes (struct fw_cluster *w, int64_t ms, int take_overs)
+{
+  int64_t until = w->now_ms + ms;
+
+  for (int n = 1;
+       w->now_ms < until && !(has_ended (w, JOB) && has_ended (w, JOB2)); n++)
+    {
+      crash_workers_of (w, JOB);
+      fw_run (w, 2 * FW_STEP_MS);
+      if (take_overs && n % 100 == 0)
+        {
+          fw_kill_vm (w, 0);
+          fw_start_vm (w, 0);
+        }
+    }
+}
+
+/* Guards against a job that crashes its workers for ever.  A job beside it is
+   not given up.  */
+static void
+test_job_that_crashes_workers_is_given_up (void)
+{
+  for (int take_overs = 0; take_overs < 2; take_overs++)
+    {
+      struct fw_cluster w;
+
+      start (&w, SEED);
+      fw_put_job (&w, JOB, 1, 1, 1, 0);
+      fw_put_job (&w, JOB2, 4, 1, 1, 0);
+      run_with_crashes (&w, 30000, take_overs);
+      CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB), "failed");
+      CU_ASSERT_STRING_EQUAL (fw_job_state (&w, JOB2), "done");
+      CU_ASSERT (fw_attempts_run (&w, JOB) <= 5);
+      fw_fini (&w);
+    }
+}
+
 int
 main (void)
 {
@@ -1207,6 +1266,7 @@
     { "test_old_rows_go", test_old_rows_go },
     { "test_job_comes_after_its_gang", test_job_comes_after_its_gang },
     { "test_random_faults", test_random_faults },
+    { "deadly job", test_job_that_crashes_workers_is_given_up },
     CU_TEST_INFO_NULL,
   };
 
