--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -344,7 +344,7 @@
       struct unit *u = unit_at (s->job, i);
 
       /* A unit preempted in this round is considered again in a later one.  */
-      if (u->state != UN_READY || !su_may_start (u)
+      if (u->state != UN_READY || now < u->not_before_ms || !su_may_start (u)
           || lo_give_up_if_spent (c, u, now))
         continue;
       ru_end_avoidance (c, u, now);
--- a/src/steps/run.c
+++ b/src/steps/run.c
@@ -10,7 +10,10 @@
   /* Longest wait for a worker that the unit does not avoid, if it avoids as
      many as there are, and if others may come free.  */
   AVOID_ALL_WAIT_MS = 3000,
-  AVOID_WAIT_MS = 30000
+  AVOID_WAIT_MS = 30000,
+  /* A unit that is refused again waits, twice as long each time.  */
+  FIRST_BACKOFF_MS = 100,
+  MAX_BACKOFF_MS = 2000
 };
 
 void
@@ -198,6 +201,21 @@
   u->avoided_workers = NULL;
 }
 
+/* W has refused a start of U, which then tries others, and more and more
+   rarely.  */
+static void
+note_refusal (struct unit *u, const struct worker *w, int64_t now)
+{
+  int64_t backoff_ms = 0;
+
+  for (int i = 0; i < u->refusals && backoff_ms < MAX_BACKOFF_MS; i++)
+    backoff_ms = backoff_ms ? backoff_ms * 2 : FIRST_BACKOFF_MS;
+  u->refusals++;
+  u->not_before_ms
+      = now + (backoff_ms < MAX_BACKOFF_MS ? backoff_ms : MAX_BACKOFF_MS);
+  ru_avoid_worker (u, w->id);
+}
+
 /* Counts M's failed run and fails the job after too many.  */
 static void
 count_failure (struct sj_cluster *c, struct member *m, int64_t now)
@@ -307,10 +325,13 @@
     case SJ_EXECUTED:
       m->start_resolved = 1;
       m->start_resolved_ms = now;
+      m->unit->refusals = 0;
       if (m->state == MB_STARTING)
         m->state = MB_RUNNING;
       break;
     case SJ_REFUSED:
+      if (m->start_sent && m->state == MB_STARTING)
+        note_refusal (m->unit, w, now);
       m->start_resolved = 1;
       m->start_resolved_ms = now;
       if (m->state != MB_RUNNING)
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -96,6 +96,8 @@
   GPtrArray *avoided_workers; /* ids of workers it must not run on again */
   GArray *crashes;            /* struct crash; NULL: none */
   GArray *unresolved;         /* struct unresolved_loss; NULL: none */
+  int refusals;               /* starts refused in a row */
+  int64_t not_before_ms;      /* it waits until then after a refusal */
   int64_t last_run;           /* no run has a higher number; 0: no limit */
   int64_t ready_ms;           /* since when it waits for a start */
   int off_rack;             /* slow: away from its data or spread over racks */
--- a/tests/steps/fake_cluster.c
+++ b/tests/steps/fake_cluster.c
@@ -298,6 +298,11 @@
   if (o->run.number <= highest_closed_run (w, &o->run)
       || f->now > sent_ms + START_DEADLINE_MS)
     return SJ_REFUSED;
+  if (w->refuses)
+    {
+      f->refusals++;
+      return SJ_REFUSED;
+    }
   check_start (f, &o->run);
   check_crash_budget (f, &o->run);
   x.deadly = is_deadly (f, &o->run);
--- a/tests/steps/fake_cluster.h
+++ b/tests/steps/fake_cluster.h
@@ -52,6 +52,7 @@
   GHashTable *closed_runs; /* task name -> highest run number stopped or
                               ended, which can't start any more */
   int is_up, partitioned, listed, draining;
+  int refuses;                  /* every start */
   int fails_all, stalled, mute; /* mute: its reports do not arrive */
   int64_t polled_ms;            /* last listing; 0: list at once */
   double speed;                 /* 1: runs take their declared time */
@@ -105,7 +106,7 @@
   int64_t listed_ends[FA_MAX_WORKERS], committing_ends[FA_MAX_WORKERS];
   int commit_pending;
   /* Counted events.  */
-  int starts, done_runs, stopped, gang_timeouts, violations;
+  int refusals, starts, done_runs, stopped, gang_timeouts, violations;
   double wasted_core_s; /* of stopped runs without checkpoints */
   char first_violation[200];
 };
