--- a/src/steps/health.c
+++ b/src/steps/health.c
@@ -16,6 +16,10 @@
      slow takes a third of STALL_PERCENT for one percent.  */
   STALL_MS = 700,
   STALL_PERCENT = 20,
+  /* From this number of stalls on each one lets a unit stall twice as long
+     before it moves, and says nothing about the worker.  */
+  PATIENT_STALLS = 2,
+  MAX_PATIENCE_DOUBLINGS = 8,
   FIRST_PROGRESS_MS = 1200, /* longest time until a healthy run advances */
   /* A pace sample covers at least both; the second is a percentage of the
      declared run time.  */
@@ -190,6 +194,14 @@
   m->progress_percent = percent;
 }
 
+static int
+patience_doublings (const struct unit *u)
+{
+  if (u->stalls < PATIENT_STALLS)
+    return 0;
+  return MIN (u->stalls - PATIENT_STALLS + 1, MAX_PATIENCE_DOUBLINGS);
+}
+
 /* Whether the last listing still showed no progress after the limit.  */
 static int
 is_stalled (const struct sj_cluster *c, const struct member *m)
@@ -198,6 +210,7 @@
 
   if (limit < STALL_MS)
     limit = STALL_MS;
+  limit <<= patience_doublings (m->unit);
   return m->last_listed_ms > m->last_progress_ms + limit;
 }
 
@@ -274,12 +287,14 @@
       if (!cause)
         continue;
       ru_avoid_worker (u, m->worker->id);
-      mark_suspect (c, m->worker, now);
+      if (!patience_doublings (u))
+        mark_suspect (c, m->worker, now);
       move = cause;
     }
   if (!move)
     return;
   u->moved = 1;
+  u->stalls += move == SJ_STALLED;
   ru_abort (c, u, move, now);
 }
 
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -96,6 +96,7 @@
   GPtrArray *avoided_workers; /* ids of workers it must not run on again */
   GArray *crashes;            /* struct crash; NULL: none */
   GArray *unresolved;         /* struct unresolved_loss; NULL: none */
+  int stalls;                 /* moves because it stalled */
   int refusals;               /* starts refused in a row */
   int64_t not_before_ms;      /* it waits until then after a refusal */
   int64_t last_run;           /* no run has a higher number; 0: no limit */
--- a/tests/steps/fake_cluster.c
+++ b/tests/steps/fake_cluster.c
@@ -461,7 +461,7 @@
     }
   else
     {
-      if (!w->stalled)
+      if (!w->stalled && !g_hash_table_contains (f->stalling, x->run.job))
         x->done_ms += (int64_t)(FA_TICK_MS * w->speed);
       if (x->done_ms < x->work_ms
           && !(x->fails && x->done_ms > x->work_ms / 4))
@@ -751,6 +751,7 @@
   f->completed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   f->cancelled = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   f->deadly = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  f->stalling = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   f->crashes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   f->late_starts
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -811,6 +812,7 @@
   g_hash_table_destroy (f->cancelled);
   g_hash_table_destroy (f->deadly);
   g_hash_table_destroy (f->crashes);
+  g_hash_table_destroy (f->stalling);
   g_hash_table_destroy (f->late_starts);
   g_hash_table_destroy (f->accepted_ms);
   g_hash_table_destroy (f->started_ms);
--- a/tests/steps/fake_cluster.h
+++ b/tests/steps/fake_cluster.h
@@ -93,6 +93,7 @@
   GHashTable *cancelled;   /* id -> ms */
   GHashTable *deadly;      /* id -> index + 1 of the task that crashes its
                               worker; 0: all do */
+  GHashTable *stalling;    /* ids of jobs whose tasks never advance */
   GHashTable *crashes;     /* task name -> workers that crashed under it */
   GHashTable *late_starts; /* task name -> starts after three crashes */
   struct fa_crash_mode crash_mode;
--- a/tests/steps/test_steps.c
+++ b/tests/steps/test_steps.c
@@ -208,6 +208,30 @@
 /* Batch jobs without checkpoints fill the cluster, then urgent gangs arrive
    one after another.  Without headroom the gangs would wait, or preempt the
    batch runs and lose their work.  */
+/* Guards against a task that stands still wherever it runs, and keeps each
+   worker in turn from work that would advance.  */
+static void
+test_task_that_stalls_everywhere_moves_rarely (void)
+{
+  fa_init (&cluster, 4, 4, 1);
+  g_hash_table_add (cluster.stalling, g_strdup ("0000000000000001"));
+  fa_submit (&cluster, fa_new_job (1, 1, 1, 1, 1000));
+  fa_run_ms (&cluster, 60000);
+  CU_ASSERT (cluster.starts <= 10);
+  for (unsigned i = 2; i < 10; i++)
+    fa_submit (&cluster, fa_new_job (i, 1, 4, 1, 1000));
+  fa_run_ms (&cluster, 3000);
+  for (unsigned i = 2; i < 10; i++)
+    {
+      char id[SJ_ID_SIZE];
+
+      snprintf (id, sizeof id, "%016x", i);
+      CU_ASSERT_EQUAL (fa_state (&cluster, id), SJ_COMPLETED);
+    }
+  expect_no_violations (&cluster);
+  fa_fini (&cluster);
+}
+
 static void
 test_headroom_for_urgent_gangs_beside_batch (void)
 {
@@ -501,6 +525,7 @@
     { "attempts exhausted", test_job_fails_after_max_attempts },
     { "failing worker", test_failing_worker_fails_no_job },
     { "stalled run", test_stalled_run_moves },
+    { "stalls everywhere", test_task_that_stalls_everywhere_moves_rarely },
     { "headroom", test_headroom_for_urgent_gangs_beside_batch },
     { "wide gangs", test_wide_gangs_start_under_stream_of_small_jobs },
     { "slow worker", test_gang_leaves_a_slow_worker },
