--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -157,6 +157,7 @@
   int listed;     /* in the worker table */
   int failures;   /* requests without an answer in a row */
   int replaced;   /* another worker answers at its address */
+  int questions;  /* requests left that ask whether one does */
   int draining;
   int64_t next_hold_ms, hold_sent_ms;
 };
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -32,9 +32,10 @@
          void *arg)
 {
   (void)port;
-  (void)target;
   (void)wait_ms;
   (void)timeout_ms;
+  if (strcmp (target->id, "i-1") != 0)
+    return PO_EFULL;
   holds++;
   hold_seen = seen;
   hold_until = until_ms;
@@ -709,38 +710,85 @@
   wk_on_row (&batch, &row, 1);
 }
 
-/* Guards against BUDGET: a worker that came back under another id was taken
-   for silent, and the crash under its runs was not counted.  */
 static void
-test_other_worker_that_answers_tells_a_crash (void)
+answer_as_successor (void)
 {
   struct po_listing *l = g_new0 (struct po_listing, 1);
 
-  setup ();
-  begin_counting_lost_runs ();
-  advance (10);
   l->answer = (struct po_order_answer){ .answer = SJ_REFUSED,
                                         .replaced = 1,
                                         .status = 421 };
   hold_done (hold_arg, l);
   hold_arg = NULL;
   handle_events ();
+}
+
+/* Guards against BUDGET: a worker that came back under another id was taken
+   for silent, and the crash under its runs was not counted.  */
+static void
+test_other_worker_that_answers_tells_a_crash (void)
+{
+  setup ();
+  begin_counting_lost_runs ();
+  advance (10);
+  answer_as_successor ();
   CU_ASSERT_EQUAL (lost_runs, 1);
   CU_ASSERT_FALSE (sj_worker_has_runs (batch.cluster, "i-1"));
   teardown ();
 }
 
+/* The row alone proves nothing: it may be from another writer.  */
 static void
-test_later_worker_at_the_address_tells_a_crash (void)
+test_later_worker_at_the_address_is_asked (void)
 {
   setup ();
   begin_counting_lost_runs ();
+  advance (10);
+  answer_hold (SJ_UNANSWERED, NULL);
   list_successor ();
+  CU_ASSERT_EQUAL (lost_runs, 0);
+  CU_ASSERT (sj_worker_has_runs (batch.cluster, "i-1"));
+  holds = 0;
+  advance (10);
+  CU_ASSERT_EQUAL (holds, 1);
+  answer_as_successor ();
   CU_ASSERT_EQUAL (lost_runs, 1);
   CU_ASSERT_FALSE (sj_worker_has_runs (batch.cluster, "i-1"));
   teardown ();
 }
 
+/* The run was given up with the lease, and the row is gone: the address is
+   asked all the same, so that the crash is known.  */
+static void
+test_address_of_forgotten_worker_is_asked (void)
+{
+  struct po_row gone = worker_row;
+
+  setup ();
+  advance (10);
+  answer_hold (SJ_UNANSWERED, NULL);
+  gone.deleted = 1;
+  wk_on_row (&batch, &gone, 1);
+  for (int i = 0; i < 20; i++)
+    {
+      advance (1000);
+      if (hold_arg)
+        answer_hold (SJ_UNANSWERED, NULL);
+      sj_decide (batch.cluster, batch.now_ms, batch.now_ms);
+    }
+  CU_ASSERT_FALSE (sj_worker_has_runs (batch.cluster, "i-1"));
+  holds = 0;
+  list_successor ();
+  for (int i = 0; i < 30; i++)
+    {
+      advance (1000);
+      if (hold_arg)
+        answer_hold (SJ_UNANSWERED, NULL);
+    }
+  CU_ASSERT (holds >= 10 && holds < 15);
+  teardown ();
+}
+
 /* The row of an earlier worker at the address is an old one.  */
 static void
 test_earlier_worker_at_the_address_tells_nothing (void)
@@ -859,9 +907,10 @@
     { "waiting, shrunk", test_waiting_start_is_dropped_on_shrunk_worker },
     { "workers not known", test_starts_are_held_while_workers_are_not_known },
     { "replaced", test_other_worker_that_answers_tells_a_crash },
-    { "later at the address", test_later_worker_at_the_address_tells_a_crash },
+    { "later at the address", test_later_worker_at_the_address_is_asked },
     { "earlier at the address",
       test_earlier_worker_at_the_address_tells_nothing },
+    { "forgotten worker", test_address_of_forgotten_worker_is_asked },
     { "not executed", test_start_that_was_not_executed_is_no_crash },
     CU_TEST_INFO_NULL,
   };
