--- a/src/steps/record.c
+++ b/src/steps/record.c
@@ -25,7 +25,10 @@
 enum
 {
   MAX_RECORDED_CRASHES = 16, /* of one task */
-  MAX_RECORDED_LOSSES = 64   /* unresolved ones of one job */
+  MAX_RECORDED_LOSSES = 64,  /* unresolved ones of one job */
+  /* Units of one job whose crashes are recorded.  What happened to more of
+     them is not the doing of one task.  */
+  MAX_RECORDED_SUSPECTS = 150
 };
 
 static int
@@ -101,43 +104,63 @@
   return losses;
 }
 
+/* What is recorded of a job's units, so that its record stays small.  */
+struct extent
+{
+  int least_crashes;   /* of units whose crashes are recorded */
+  int with_unresolved; /* unresolved losses are recorded */
+};
+
 static json_t *
-write_unit (const struct unit *u, int with_unresolved)
+write_unit (const struct unit *u, const struct extent *extent)
 {
   json_t *value = json_pack (
       "[i,i,I,i,s,o,o]", u->step, u->first, (json_int_t)u->run_number,
       u->failures, u->checkpoint, write_placement (u), write_life_tags (u));
 
-  if (!lo_possible_crashes (u))
+  if (lo_possible_crashes (u) < extent->least_crashes)
     return value;
   json_array_append_new (value, write_crashes (u));
   json_array_append_new (value, json_integer (u->last_run));
-  if (with_unresolved)
+  if (extent->with_unresolved)
     json_array_append_new (value, write_unresolved (u));
   return value;
 }
 
-/* Whether J's unresolved losses are recorded.  Where there are very many, the
-   workers were cut off, and the record would become too large.  */
 static int
-records_unresolved (const struct job *j)
+count_suspects (const struct job *j, int least_crashes)
+{
+  int n = 0;
+
+  for (guint i = 0; i < j->units->len; i++)
+    n += lo_possible_crashes (g_ptr_array_index (j->units, i))
+         >= least_crashes;
+  return n;
+}
+
+static struct extent
+choose_extent (const struct job *j)
 {
-  guint n = 0;
+  struct extent extent = { .least_crashes = 1 };
+  guint losses = 0;
 
+  while (count_suspects (j, extent.least_crashes) > MAX_RECORDED_SUSPECTS)
+    extent.least_crashes++;
   for (guint i = 0; i < j->units->len; i++)
     {
       const struct unit *u = g_ptr_array_index (j->units, i);
 
-      n += u->unresolved ? u->unresolved->len : 0;
+      losses += u->unresolved ? u->unresolved->len : 0;
     }
-  return n <= MAX_RECORDED_LOSSES;
+  extent.with_unresolved = losses <= MAX_RECORDED_LOSSES;
+  return extent;
 }
 
 static json_t *
 write_occurrence (const struct job *j, const struct occurrence *o)
 {
   json_t *units_left = json_array (), *units = json_array ();
-  int with_unresolved = records_unresolved (j);
+  struct extent extent = choose_extent (j);
 
   for (int i = 0; i < j->spec->step_count; i++)
     json_array_append_new (units_left, json_integer (o->units_not_done[i]));
@@ -148,7 +171,7 @@
       if (u->occurrence == o->number && u->state != UN_DONE)
         json_array_append_new (
             units, never_started (u) ? json_pack ("[i,i]", u->step, u->first)
-                                     : write_unit (u, with_unresolved));
+                                     : write_unit (u, &extent));
     }
   return json_pack ("{s:i,s:o,s:o}", "n", o->number, "left", units_left,
                     "units", units);
--- a/tests/steps/test_crashes.c
+++ b/tests/steps/test_crashes.c
@@ -242,6 +242,47 @@
   fa_fini (&cluster);
 }
 
+/* A job of the largest size, under whose tasks all workers crash: its record
+   must fit into a row of 64 KB, with the ids and checkpoints of the users'
+   platform, which are longer than the fake ones.  */
+static void
+test_record_of_largest_job_stays_small (void)
+{
+  enum
+  {
+    ROW_BYTES = 65536,
+    LONGER_ID = 8,          /* bytes of a task's record */
+    LONGER_CHECKPOINT = 11, /* likewise */
+    LONGER_LIFE_TAG = 4     /* likewise */
+  };
+  size_t longest = 0;
+  struct sj_job *job = fa_new_job (1, 1, SJ_MAX_TASKS, 1, 60000);
+
+  fa_init (&cluster, SJ_MAX_TASKS / 8, 25, 1);
+  job->step[0].checkpoints = 1;
+  fa_submit (&cluster, job);
+  for (int i = 0; i < 3; i++)
+    {
+      fa_run_ms (&cluster, 4000);
+      for (int w = 0; w < cluster.worker_count; w++)
+        if (cluster.worker[w].is_up)
+          fa_lose (&cluster, w);
+      for (int t = 0; t < 100; t++)
+        {
+          const char *record;
+
+          fa_run_ms (&cluster, 100);
+          record = g_hash_table_lookup (cluster.records, DEADLY);
+          longest = MAX (longest, strlen (record));
+        }
+    }
+  longest += SJ_MAX_TASKS * (LONGER_ID + LONGER_CHECKPOINT + LONGER_LIFE_TAG);
+  CU_ASSERT (longest < ROW_BYTES);
+  if (longest >= ROW_BYTES)
+    printf ("\n%zu bytes\n", longest);
+  fa_fini (&cluster);
+}
+
 static struct sj_job *
 random_job (GRand *r, unsigned number)
 {
@@ -378,6 +419,7 @@
     { "neighbours", test_neighbours_of_deadly_task_complete },
     { "partitions", test_task_under_partitions_completes },
     { "two crashes", test_task_under_two_crashes_completes },
+    { "largest job", test_record_of_largest_job_stays_small },
     { "random events", test_random_crashes },
     CU_TEST_INFO_NULL,
   };
