--- a/include/skr/events.h
+++ b/include/skr/events.h
@@ -59,6 +59,7 @@
   LG_WORKER_CAPACITY = 535,
   LG_TASK_GIVEN_UP = 536,
   LG_STARTS_HELD = 537,
+  LG_ATTEMPT_LOST = 538,
 
   /* filter */
   LG_REQUEST_UNKNOWN = 601,
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -167,6 +167,11 @@
     "No task starts while the table of workers was not confirmed for too long "
     "(held 1), or tasks start again (held 0).",
     "check the platform's table" },
+  { LG_ATTEMPT_LOST, LG_NOTICE, "attempt-lost",
+    "cell job attempt lost_attempts given_up",
+    "An attempt of a job was lost with a worker and is taken for the cause; "
+    "given_up tells whether the job was ended for it.",
+    "if one job is lost again and again, look at the job" },
 
   /* filter */
   { LG_REQUEST_UNKNOWN, LG_WARNING, "request-unknown",
--- a/src/control/cell_loss.c
+++ b/src/control/cell_loss.c
@@ -4,6 +4,7 @@
    last is taken for the cause; they start again one after the other, so that a
    later crash tells which of them it is.  */
 #include "control/cell_impl.h"
+#include "skr/log.h"
 
 enum
 {
@@ -68,6 +69,17 @@
   return NULL;
 }
 
+static void
+log_loss (const struct cl_cell *c, const struct jb_job *job, int given_up)
+{
+  struct lg_field f[] = { lg_str ("cell", c->name), lg_str ("job", job->id),
+                          lg_int ("attempt", job->attempt),
+                          lg_int ("lost_attempts", job->lost_attempts),
+                          lg_int ("given_up", given_up) };
+
+  lg_log (LG_ATTEMPT_LOST, 5, f);
+}
+
 /* Counts a lost attempt of JOB that ran for RAN_MS.  Returns 1 if the job was
    given up.  */
 static int
@@ -75,6 +87,7 @@
 {
   job->lost_attempts = ran_ms < STABLE_RUN_MS ? job->lost_attempts + 1 : 1;
   cl_mark_dirty (c, job);
+  log_loss (c, job, job->lost_attempts >= MAX_LOST_ATTEMPTS);
   if (job->lost_attempts < MAX_LOST_ATTEMPTS)
     return 0;
   cl_stop_gang (c, job);
--- a/tests/steps/test_crashes.c
+++ b/tests/steps/test_crashes.c
@@ -221,6 +221,32 @@
   fa_fini (&cluster);
 }
 
+/* Workers that drain and leave have not crashed.  */
+static void
+test_task_on_leaving_workers_completes (void)
+{
+  fa_init (&cluster, 8, 4, 1);
+  fa_submit (&cluster, fa_new_job (1, 1, 1, 8, 5000));
+  for (int i = 0; i < 4; i++)
+    {
+      fa_run_ms (&cluster, 2000);
+      for (int w = 0; w < cluster.worker_count; w++)
+        if (cluster.worker[w].runs->len)
+          {
+            cluster.worker[w].draining = 1;
+            cluster.worker[w].report_ms = cluster.now;
+            fa_run_ms (&cluster, 20);
+            fa_lose (&cluster, w);
+            cluster.worker[w].draining = 0;
+          }
+      fa_run_ms (&cluster, 7000);
+    }
+  fa_run_ms (&cluster, 20000);
+  CU_ASSERT_EQUAL (fa_state (&cluster, DEADLY), SJ_COMPLETED);
+  expect_no_violations ();
+  fa_fini (&cluster);
+}
+
 /* Two crashes that are not the task's doing.  */
 static void
 test_task_under_two_crashes_completes (void)
@@ -418,6 +444,7 @@
     { "rare crashes", test_continuous_task_survives_rare_crashes },
     { "neighbours", test_neighbours_of_deadly_task_complete },
     { "partitions", test_task_under_partitions_completes },
+    { "leaving workers", test_task_on_leaving_workers_completes },
     { "two crashes", test_task_under_two_crashes_completes },
     { "largest job", test_record_of_largest_job_stays_small },
     { "random events", test_random_crashes },
