--- a/src/steps/loss.c
+++ b/src/steps/loss.c
@@ -344,9 +344,24 @@
   return 1;
 }
 
+/* Releases those of MEMBERS that W still has.  The release of one may end, and
+   free, others of its unit.  */
+static void
+release_members (struct sj_cluster *c, const struct worker *w,
+                 const GPtrArray *members, int64_t now)
+{
+  for (guint i = 0; i < members->len; i++)
+    {
+      struct member *m = g_ptr_array_index (members, i);
+
+      if (g_ptr_array_find (w->members, m, NULL))
+        ru_release_member (c, m, now);
+    }
+}
+
 void
-lo_lose_members (struct sj_cluster *c, const GPtrArray *members,
-                 enum sj_loss loss, int64_t now)
+lo_lose_members (struct sj_cluster *c, const struct worker *w,
+                 const GPtrArray *members, enum sj_loss loss, int64_t now)
 {
   int64_t event = ++c->crash_serial;
 
@@ -358,14 +373,7 @@
           && !jb_ended (m->unit->job))
         account_for (c, m, loss, count_others (members, m->unit), event, now);
     }
-  for (guint i = 0; i < members->len; i++)
-    {
-      struct member *m = g_ptr_array_index (members, i);
-
-      /* The release of another one may have ended it.  */
-      if (g_ptr_array_find (m->worker->members, m, NULL))
-        ru_release_member (c, m, now);
-    }
+  release_members (c, w, members, now);
   fail_given_up (c, now);
 }
 
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -239,10 +239,11 @@
 const GPtrArray *rk_workers (const struct sj_cluster *c, const struct rack *r);
 
 /* loss.c */
-/* Accounts for MEMBERS, an array of struct member of one worker whose runs
-   have ended for LOSS without a listed end, and releases them.  */
-void lo_lose_members (struct sj_cluster *c, const GPtrArray *members,
-                      enum sj_loss loss, int64_t now);
+/* Accounts for MEMBERS, an array of struct member of W whose runs have ended
+   for LOSS without a listed end, and releases them.  */
+void lo_lose_members (struct sj_cluster *c, const struct worker *w,
+                      const GPtrArray *members, enum sj_loss loss,
+                      int64_t now);
 /* W, which is silent no more, runs the incarnation that is known of it.  */
 void lo_worker_is_alive (struct sj_cluster *c, const struct worker *w);
 /* The process of worker ID ended if its incarnation was not LIFE_TAG (0: any
--- a/src/steps/worker.c
+++ b/src/steps/worker.c
@@ -117,7 +117,7 @@
       if (!awaits_answer (m))
         g_ptr_array_add (members, m);
     }
-  lo_lose_members (c, members, loss, now);
+  lo_lose_members (c, w, members, loss, now);
   g_ptr_array_free (members, TRUE);
   c->changed = 1;
 }
@@ -269,7 +269,7 @@
   GPtrArray *members = g_ptr_array_new ();
 
   g_ptr_array_add (members, m);
-  lo_lose_members (c, members, loss_with (m->worker), now);
+  lo_lose_members (c, m->worker, members, loss_with (m->worker), now);
   g_ptr_array_free (members, TRUE);
 }
 
--- a/tests/steps/test_crashes.c
+++ b/tests/steps/test_crashes.c
@@ -268,6 +268,26 @@
   fa_fini (&cluster);
 }
 
+/* The tasks of a planned gang leave its worker together, when that has ended
+   before their record is stored.  */
+static void
+test_planned_gang_leaves_lost_worker (void)
+{
+  struct sj_job *gang = fa_new_job (1, 1, 3, 1, 1000);
+
+  gang->step[0].gang = 1;
+  fa_init (&cluster, 1, 1, 1);
+  fa_run_ms (&cluster, 500);
+  cluster.commit_ms = 4000;
+  fa_submit (&cluster, gang);
+  fa_run_ms (&cluster, 500);
+  sj_worker_replaced (cluster.scheduler, "w000", cluster.now);
+  CU_ASSERT_FALSE (sj_worker_has_runs (cluster.scheduler, "w000"));
+  fa_run_ms (&cluster, 5000);
+  expect_no_violations ();
+  fa_fini (&cluster);
+}
+
 /* A job of the largest size, under whose tasks all workers crash: its record
    must fit into a row of 64 KB, with the ids and checkpoints of the users'
    platform, which are longer than the fake ones.  */
@@ -446,6 +466,7 @@
     { "partitions", test_task_under_partitions_completes },
     { "leaving workers", test_task_on_leaving_workers_completes },
     { "two crashes", test_task_under_two_crashes_completes },
+    { "planned gang", test_planned_gang_leaves_lost_worker },
     { "largest job", test_record_of_largest_job_stays_small },
     { "random events", test_random_crashes },
     CU_TEST_INFO_NULL,
