--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -339,7 +339,7 @@
             int64_t now)
 {
   r->singles = (struct pl_singles){ 0 };
-  for (guint i = s->first; i < s->end; i++)
+  for (guint i = s->first; i < s->end && !jb_ended (s->job); i++)
     {
       struct unit *u = unit_at (s->job, i);
 
--- a/tests/steps/test_crashes.c
+++ b/tests/steps/test_crashes.c
@@ -268,6 +268,25 @@
   fa_fini (&cluster);
 }
 
+/* Guards against starts of a job that a decision has just given up.  */
+static void
+test_given_up_job_starts_nothing (void)
+{
+  static const char spent[]
+      = "{\"state\":\"queued\",\"next\":1,\"done\":0,\"begun\":true,"
+        "\"open\":[{\"n\":0,\"left\":[3],\"units\":["
+        "[0,0,5,0,\"\",[],[],[[0,3,1]],5,[]],[0,1],[0,2]]}]}";
+
+  fa_init (&cluster, 8, 4, 1);
+  fa_submit (&cluster, fa_new_job (1, 1, 3, 1, 4000));
+  g_hash_table_replace (cluster.records, g_strdup (DEADLY), g_strdup (spent));
+  fa_take_over (&cluster);
+  fa_run_ms (&cluster, 3000);
+  CU_ASSERT_EQUAL (fa_state (&cluster, DEADLY), SJ_FAILED);
+  CU_ASSERT_EQUAL (cluster.starts, 0);
+  fa_fini (&cluster);
+}
+
 /* The tasks of a planned gang leave its worker together, when that has ended
    before their record is stored.  */
 static void
@@ -466,6 +485,7 @@
     { "partitions", test_task_under_partitions_completes },
     { "leaving workers", test_task_on_leaving_workers_completes },
     { "two crashes", test_task_under_two_crashes_completes },
+    { "job given up", test_given_up_job_starts_nothing },
     { "planned gang", test_planned_gang_leaves_lost_worker },
     { "largest job", test_record_of_largest_job_stays_small },
     { "random events", test_random_crashes },
