--- a/src/steps/listing.c
+++ b/src/steps/listing.c
@@ -69,7 +69,8 @@
         g_ptr_array_add (lost, m);
     }
   if (lost->len)
-    lo_lose_members (c, w, lost, SJ_LOSS_CRASH, now);
+    lo_lose_members (c, w, lost, w->has_left ? SJ_LOSS_LEFT : SJ_LOSS_CRASH,
+                     now);
   g_ptr_array_free (lost, TRUE);
 }
 
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -165,6 +165,7 @@
   int runs_known;   /* this incarnation has listed its runs */
   int unknown_runs; /* runs it listed that belong to no unit */
   int replaced;     /* its process has ended */
+  int has_left;     /* its previous incarnation was draining */
   int64_t drain_end_ms;
   int64_t lease_end_ms;     /* its runs end by then without a renewal */
   int64_t restarted_ms;     /* when it last came back under its id; 0: never */
--- a/src/steps/worker.c
+++ b/src/steps/worker.c
@@ -153,6 +153,7 @@
                    int64_t now)
 {
   w->incarnation = incarnation;
+  w->has_left = w->draining;
   w->runs_known = w->capacity_known = w->reports = 0;
   w->replaced = 0;
   w->reachable = 1;
--- a/tests/steps/test_crashes.c
+++ b/tests/steps/test_crashes.c
@@ -226,7 +226,7 @@
 test_task_on_leaving_workers_completes (void)
 {
   fa_init (&cluster, 8, 4, 1);
-  fa_submit (&cluster, fa_new_job (1, 1, 1, 8, 5000));
+  fa_submit (&cluster, fa_new_job (1, 1, 1, 8, 20000));
   for (int i = 0; i < 4; i++)
     {
       fa_run_ms (&cluster, 2000);
@@ -241,7 +241,7 @@
           }
       fa_run_ms (&cluster, 7000);
     }
-  fa_run_ms (&cluster, 20000);
+  fa_run_ms (&cluster, 40000);
   CU_ASSERT_EQUAL (fa_state (&cluster, DEADLY), SJ_COMPLETED);
   expect_no_violations ();
   fa_fini (&cluster);
