--- a/src/batch/workers.c
+++ b/src/batch/workers.c
@@ -100,7 +100,7 @@
 {
   if (w->failures >= UNREACHABLE_FAILURES)
     wk_log_state (w, "heard", "it answers again");
-  w->failures = w->questions = 0;
+  w->failures = w->questions = w->replaced = 0;
   sj_worker_set_reachable (b->cluster, w->id, 1);
 }
 
--- a/src/steps/listing.c
+++ b/src/steps/listing.c
@@ -160,6 +160,7 @@
     c->changed = 1;
   w->runs_known = 1;
   w->reachable = 1;
+  w->replaced = 0;
   lo_worker_is_alive (c, w);
   lose_crashed_members (c, w, l, now);
   apply_to_members (c, w, l, now);
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -737,6 +737,25 @@
   teardown ();
 }
 
+/* The worker answers itself after all, so that it is used again.  */
+static void
+test_worker_that_answers_again_is_used (void)
+{
+  setup ();
+  advance (10);
+  answer_as_successor ();
+  for (int i = 0; i < 8 && starts < 2; i++)
+    {
+      advance (500);
+      if (hold_arg)
+        answer_hold (SJ_EXECUTED, NULL);
+      sj_decide (batch.cluster, batch.now_ms, batch.now_ms);
+      commit_all ();
+    }
+  CU_ASSERT_EQUAL (starts, 2);
+  teardown ();
+}
+
 /* The row alone proves nothing: it may be from another writer.  */
 static void
 test_later_worker_at_the_address_is_asked (void)
@@ -907,6 +926,7 @@
     { "waiting, shrunk", test_waiting_start_is_dropped_on_shrunk_worker },
     { "workers not known", test_starts_are_held_while_workers_are_not_known },
     { "replaced", test_other_worker_that_answers_tells_a_crash },
+    { "answers again", test_worker_that_answers_again_is_used },
     { "later at the address", test_later_worker_at_the_address_is_asked },
     { "earlier at the address",
       test_earlier_worker_at_the_address_tells_nothing },
