--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -153,11 +153,11 @@
   int64_t stored_end;      /* last end whose record is stored */
   int64_t acked_end;       /* last end whose acknowledgement the worker got */
   int hold_in_flight;
-  int runs_known; /* listed its runs since it restarted or was listed */
-  int listed;     /* in the worker table */
-  int failures;   /* requests without an answer in a row */
-  int replaced;   /* another worker answers at its address */
-  int questions;  /* requests left that ask whether one does */
+  int runs_known;  /* listed its runs since it restarted or was listed */
+  int listed;      /* in the worker table */
+  int failures;    /* requests without an answer in a row */
+  int replaced;    /* another worker answers at its address */
+  int probes_left; /* polls left that find out whether one does */
   int draining;
   int64_t next_hold_ms, hold_sent_ms;
 };
--- a/src/batch/worker_hold.c
+++ b/src/batch/worker_hold.c
@@ -198,7 +198,7 @@
   if (w->hold_in_flight || b->now_ms < w->next_hold_ms)
     return;
   busy = sj_worker_has_runs (b->cluster, w->id);
-  wanted = busy || w->questions > 0
+  wanted = busy || w->probes_left > 0
            || (w->listed && (!w->runs_known || w->failures))
            || w->stored_end > w->acked_end;
   /* A new holder asks all workers what they run.  More at once would time out
--- a/src/batch/workers.c
+++ b/src/batch/workers.c
@@ -7,8 +7,8 @@
 enum
 {
   PROBE_INTERVAL_MS = 400, /* between polls of an unreachable worker */
-  /* Requests to an address at which another worker is listed too.  */
-  MAX_QUESTIONS = 10,
+  /* Polls of an address at which another worker is listed too.  */
+  MAX_ADDRESS_PROBES = 10,
   /* Unanswered requests after which a worker is unreachable.  */
   UNREACHABLE_FAILURES = 2
 };
@@ -87,7 +87,7 @@
 wk_note_no_reply (struct batch *b, struct ba_worker *w)
 {
   w->failures++;
-  w->questions -= w->questions > 0;
+  w->probes_left -= w->probes_left > 0;
   w->next_hold_ms = b->now_ms + (w->failures > 1 ? PROBE_INTERVAL_MS : 0);
   if (w->failures != UNREACHABLE_FAILURES)
     return;
@@ -100,7 +100,7 @@
 {
   if (w->failures >= UNREACHABLE_FAILURES)
     wk_log_state (w, "heard", "it answers again");
-  w->failures = w->questions = w->replaced = 0;
+  w->failures = w->probes_left = w->replaced = 0;
   sj_worker_set_reachable (b->cluster, w->id, 1);
 }
 
@@ -110,7 +110,7 @@
   if (!w->replaced)
     wk_log_state (w, "replaced", "another worker is at its address");
   w->replaced = 1;
-  w->questions = 0;
+  w->probes_left = 0;
   sj_worker_replaced (b->cluster, w->id, b->now_ms);
 }
 
@@ -172,11 +172,11 @@
 }
 
 static void
-ask_who_is_there (const struct batch *b, struct ba_worker *w)
+probe_address (const struct batch *b, struct ba_worker *w)
 {
   if (w->replaced)
     return;
-  w->questions = MAX_QUESTIONS;
+  w->probes_left = MAX_ADDRESS_PROBES;
   w->next_hold_ms = b->now_ms;
 }
 
@@ -191,11 +191,11 @@
     return;
   if (other && other->incarnation > w->incarnation)
     {
-      ask_who_is_there (b, w);
+      probe_address (b, w);
       return;
     }
   if (other && !strcmp (other->address, w->address))
-    ask_who_is_there (b, other);
+    probe_address (b, other);
   g_hash_table_replace (b->by_address, g_strdup (w->address), w);
 }
 
--- a/src/control/cell_loss.c
+++ b/src/control/cell_loss.c
@@ -1,8 +1,8 @@
 /* Attempts that are lost with a worker.  A job that crashes the workers that
    run it would be started again for ever, so it is given up after some such
-   attempts.  Of the gangs that are lost together the one that began to run
-   last is taken for the cause; they start again one after the other, so that a
-   later crash tells which of them it is.  */
+   attempts.  Of the gangs that are lost together one is taken for the cause:
+   that which was lost most often, or else began to run last.  They start again
+   one after the other, so that a later crash tells which of them it is.  */
 #include "control/cell_impl.h"
 #include "skr/log.h"
 
--- a/src/steps/suspect.c
+++ b/src/steps/suspect.c
@@ -67,17 +67,19 @@
 su_is_risky (const struct sj_cluster *c, const struct unit *u,
              const struct worker *w)
 {
+  int is_suspect;
+
   if (!c->suspects)
     return 0;
-  if (lo_crashes (u) && w->restarted_ms
-      && c->now - w->restarted_ms < RESTARTED_MS)
+  is_suspect = lo_crashes (u) > 0;
+  if (is_suspect && w->restarted_ms && c->now - w->restarted_ms < RESTARTED_MS)
     return 1;
   for (guint i = 0; i < w->members->len; i++)
     {
       const struct unit *other
           = ((const struct member *)g_ptr_array_index (w->members, i))->unit;
 
-      if (other != u && (lo_crashes (u) || lo_crashes (other)))
+      if (other != u && (is_suspect || lo_crashes (other)))
         return 1;
     }
   return 0;
--- a/src/steps/worker.c
+++ b/src/steps/worker.c
@@ -9,8 +9,8 @@
   /* Reports of an incarnation from which on further ones are expected.  A
      platform may pass on only those that tell something new.  */
   REGULAR_REPORTS = 4,
-  /* Below the time after which a smaller capacity counts, 3 s and one
-     interval of 1.5 s after it is reported, by the time of an order.  */
+  /* A smaller capacity counts 4.5 s after it is reported: 3 s and one interval
+     between reports.  This is less by the time of an order.  */
   REPORT_MAX_AGE_MS = 4000,
   LIFE_TAG_MODULUS = 65521 /* keeps a tag at five digits */
 };
