--- a/src/steps/blocked.c
+++ b/src/steps/blocked.c
@@ -16,9 +16,8 @@
 {
   const struct sj_step *s = un_step (u);
 
-  return !u->avoided_workers && !lo_crashes (u) && !s->max_per_worker
-         && !s->filler && !s->latency_target_ms
-         && !(pl_is_rack_bound (u) && u->count == 1);
+  return !u->avoided_workers && !s->max_per_worker && !s->filler
+         && !s->latency_target_ms && !(pl_is_rack_bound (u) && u->count == 1);
 }
 
 void
--- a/src/steps/cluster.c
+++ b/src/steps/cluster.c
@@ -20,6 +20,7 @@
   c->unresolved_workers
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   c->given_up = g_ptr_array_new ();
+  c->kept_apart = g_new0 (int, 1);
   rk_init (c);
   g_queue_init (&c->dirty_jobs);
   c->worker_list = g_ptr_array_new ();
@@ -48,6 +49,7 @@
   g_hash_table_destroy (c->guarantees);
   g_hash_table_destroy (c->unresolved_workers);
   g_ptr_array_free (c->given_up, TRUE);
+  g_free (c->kept_apart);
   g_free (c);
 }
 
--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -323,9 +323,13 @@
       return 1;
     }
   c->searches++;
+  *c->kept_apart = 0;
   if (!start_or_reserve (c, u, allow_off_rack, now))
     {
-      bl_add (&r->blocked, u, allow_off_rack, r->reservations);
+      /* The failure of a unit that is kept from workers tells nothing about
+         others.  */
+      if (!*c->kept_apart)
+        bl_add (&r->blocked, u, allow_off_rack, r->reservations);
       return 0;
     }
   r->idle = idle_accelerators (c, &r->all);
@@ -494,6 +498,7 @@
   c->decided_ms = now;
   rank_jobs (c);
   reset_free_capacity (c);
+  su_count_suspects (c);
   if (!c->starts_held)
     place_all (c, now, wall_ms - now);
   return ROUND_MS;
--- a/src/steps/loss.c
+++ b/src/steps/loss.c
@@ -130,19 +130,9 @@
 {
   if (!u->crashes)
     u->crashes = g_array_new (FALSE, FALSE, sizeof *crash);
-  if (!u->crashes->len)
-    u->job->cluster->suspects++;
   g_array_append_val (u->crashes, *crash);
 }
 
-static void
-remove_crash (struct unit *u, guint i)
-{
-  g_array_remove_index_fast (u->crashes, i);
-  if (!u->crashes->len)
-    u->job->cluster->suspects--;
-}
-
 void
 lo_add_loss (struct sj_cluster *c, struct unit *u,
              const struct unresolved_loss *loss)
@@ -166,8 +156,6 @@
 void
 lo_free (struct unit *u)
 {
-  while (crash_count (u))
-    remove_crash (u, 0);
   while (loss_count (u))
     remove_loss (u, 0);
   if (u->crashes)
@@ -181,7 +169,7 @@
 {
   for (guint i = crash_count (u); i-- > 0;)
     if (crash_at (u, i)->index == index)
-      remove_crash (u, i);
+      g_array_remove_index_fast (u->crashes, i);
   for (guint i = loss_count (u); i-- > 0;)
     if (loss_at (u, i)->index == index)
       remove_loss (u, i);
@@ -213,7 +201,8 @@
 static int
 has_run (const struct member *m)
 {
-  return m->start_resolved || m->last_listed_ms || m->state == MB_RUNNING;
+  return m->state != MB_STOPPING
+         && (m->start_resolved || m->last_listed_ms || m->state == MB_RUNNING);
 }
 
 static void
--- a/src/steps/placement.c
+++ b/src/steps/placement.c
@@ -9,7 +9,7 @@
 {
   struct worker *worker;
   int tasks; /* tasks of the unit that fit */
-  int is_slow, is_risky;
+  int is_slow;
 };
 
 static int
@@ -107,7 +107,7 @@
   return nd_count_fitting (&need, &available, remaining_per_worker (u, w));
 }
 
-/* Best first: not slow, not risky, then with the least free capacity.  */
+/* Best first: not slow, then with the least free capacity.  */
 static int
 by_fit (const void *a, const void *b)
 {
@@ -116,8 +116,6 @@
 
   if (p->is_slow != q->is_slow)
     return p->is_slow - q->is_slow;
-  if (p->is_risky != q->is_risky)
-    return p->is_risky - q->is_risky;
   if (x->free.accelerators != y->free.accelerators)
     return x->free.accelerators < y->free.accelerators ? -1 : 1;
   if (x->free.memory_mb != y->free.memory_mb)
@@ -142,8 +140,7 @@
 
       if (!tasks)
         continue;
-      out[n++] = (struct candidate){ w, tasks, he_is_slow_worker (c, w),
-                                     su_is_risky (c, u, w) };
+      out[n++] = (struct candidate){ w, tasks, he_is_slow_worker (c, w) };
       *total += tasks;
     }
   return n;
@@ -289,11 +286,12 @@
 }
 
 /* A worker that is filled is left for the next one.  A worker that only U
-   avoids is kept for the others, and U is searched for by itself.  */
+   avoids or may not share is kept for the others, and U is searched for by
+   itself.  */
 struct worker *
 pl_next_single (struct sj_cluster *c, struct pl_singles *s, struct unit *u)
 {
-  if (u->count > 1 || is_step_rack_bound (un_step (u)) || lo_crashes (u))
+  if (u->count > 1 || is_step_rack_bound (un_step (u)))
     return NULL;
   if (!s->list)
     begin_singles (c, s, u);
@@ -301,7 +299,7 @@
     {
       struct worker *w = s->list[s->next].worker;
 
-      if (is_avoided (u, w))
+      if (is_avoided (u, w) || !su_may_share (c, u, w))
         return NULL;
       if (tasks_fitting_on (c, u, w, 0))
         return w;
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -168,7 +168,6 @@
   int has_left;     /* its previous incarnation was draining */
   int64_t drain_end_ms;
   int64_t lease_end_ms;     /* its runs end by then without a renewal */
-  int64_t restarted_ms;     /* when it last came back under its id; 0: never */
   int64_t added_ms;         /* when this incarnation became known */
   GPtrArray *members;       /* struct member that occupy capacity */
   int consecutive_failures; /* of different jobs */
@@ -192,7 +191,8 @@
   GQueue dirty_jobs;     /* struct job, by dirty_since */
   int64_t change_serial; /* of the latest change of a record */
   int64_t crash_serial;  /* of the latest crash of a worker */
-  int suspects;          /* units under which a worker has crashed */
+  int suspects;          /* units that should have a worker for themselves */
+  int *kept_apart;       /* set when a unit may not share a worker */
   /* Ids of the workers that unresolved losses name.  */
   GHashTable *unresolved_workers;
   GPtrArray *given_up; /* struct unit, whose jobs are about to fail */
@@ -271,13 +271,11 @@
 /* Whether U may start now, as far as the crashes under it are known.  */
 int su_may_start (const struct unit *u);
 /* Whether the crashes under U and under what runs on W allow that they share
-   W.  */
+   W.  If not, sets *kept_apart of C.  */
 int su_may_share (const struct sj_cluster *c, const struct unit *u,
                   const struct worker *w);
-/* Whether U should rather not go to W, because one of them may crash the
-   other's work.  */
-int su_is_risky (const struct sj_cluster *c, const struct unit *u,
-                 const struct worker *w);
+/* Counts the suspects among the units.  */
+void su_count_suspects (struct sj_cluster *c);
 
 /* worker.c */
 /* Short form of an incarnation that a record holds, 0 if it is unknown.  */
--- a/src/steps/worker.c
+++ b/src/steps/worker.c
@@ -160,7 +160,7 @@
   w->consecutive_failures = 0;
   w->suspect_until_ms = 0;
   w->seen_slow_ms = 0;
-  w->added_ms = w->restarted_ms = now;
+  w->added_ms = now;
   c->changed = 1;
   lo_worker_has_crashed (c, w->id, wo_life_tag (incarnation), now);
 }
