check_outage: a table that answers nothing, also on new connections

Cause: the stand-in's mode "silent" silences only the connections that are open when it is set. When skr-entry opened new ones at once, the table was there for it, and the check expected refusals.

The stand-in gets the mode "mute", in which no request is answered, and the check uses it where it expects refusals; every expectation is kept. The mode "silent" is checked for what it does: the call is done, once.

--- a/stand/common/serve.c
+++ b/stand/common/serve.c
@@ -33,7 +33,8 @@
 is_silent (struct sv_server *sv,
            const struct connection_state *connection_state)
 {
-  return connection_state->number < atomic_load (&sv->silent_below);
+  return atomic_load (&sv->muted)
+         || connection_state->number < atomic_load (&sv->silent_below);
 }
 
 /* Waits until the client closes the connection or the server stops.  */
@@ -280,6 +281,12 @@
   atomic_store (&sv->silent_below, atomic_load (&sv->next_number));
 }
 
+void
+sv_set_muted (struct sv_server *sv, int muted)
+{
+  atomic_store (&sv->muted, muted);
+}
+
 int
 sv_drain (struct sv_server *sv, int timeout_ms)
 {
--- a/stand/common/serve.h
+++ b/stand/common/serve.h
@@ -57,6 +57,7 @@
   sv_closed *closed;       /* may be NULL */
   void *arg;               /* for HANDLE and CLOSED */
   atomic_int silent_below; /* connections with lower numbers are silent */
+  atomic_int muted;        /* every connection is silent */
   atomic_int next_number;  /* of the next connection */
   atomic_int requests_in_progress;
   atomic_int silenced; /* requests on silent connections */
@@ -74,6 +75,9 @@
 void sv_fini (struct sv_server *sv);
 /* Makes every connection that is open now silent: it gets no more answers.  */
 void sv_silence (struct sv_server *sv);
+/* While MUTED, every connection is silent, also one that is opened later.  A
+   request that came while it was gets no answer afterwards either.  */
+void sv_set_muted (struct sv_server *sv, int muted);
 /* Waits up to TIMEOUT_MS for the requests in progress to end.  Returns how
    many are still in progress.  */
 int sv_drain (struct sv_server *sv, int timeout_ms);
--- a/stand/platform/admin.c
+++ b/stand/platform/admin.c
@@ -3,7 +3,7 @@
 #include "platform.h"
 
 static const char *const mode_names[]
-    = { "ok", "down", "silent", "slow", "lost", "hold" };
+    = { "ok", "down", "silent", "slow", "lost", "hold", "mute" };
 
 static int
 parse_mode (const char *name)
@@ -35,6 +35,7 @@
       sp->slow_ms = slow_ms;
       sp->lost_percent = lost_percent;
       sp->list_lag_ms = lag_ms;
+      sv_set_muted (&sp->server, sp->mode == SP_MODE_MUTE);
       if (sp->mode == SP_MODE_SILENT)
         sv_silence (&sp->server);
       reply->json = json_pack ("{s:s}", "mode", name);
--- a/stand/platform/platform.h
+++ b/stand/platform/platform.h
@@ -33,7 +33,8 @@
   SP_MODE_SILENT, /* connections open when it was set get no answer */
   SP_MODE_SLOW,   /* requests are delayed by slow_ms */
   SP_MODE_LOST,   /* lost_percent of the writes are applied, not answered */
-  SP_MODE_HOLD    /* writes are applied, and their answers held back */
+  SP_MODE_HOLD,   /* writes are applied, and their answers held back */
+  SP_MODE_MUTE    /* no request gets an answer */
 };
 
 struct sp_counters
--- a/tests/entry/check_outage.sh
+++ b/tests/entry/check_outage.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# The platform's table loses its replies, is down, or does not answer.  Guards
+# The platform's table loses its replies, is down, does not answer at all, or
+# answers only on new connections.  Guards
 # against calls that run twice or are reported as not run although they may
 # have run, and against refusals that outlast the caller.
 cd "$(dirname "$0")/../.." || exit 1
@@ -18,6 +19,10 @@
 {
   [ "$(operator e1 /v1/status | jq .table_down)" = "$1" ]
 }
+is_done ()
+{
+  [ "$(call e1 "$1" false 300000 10)" = "200 done" ]
+}
 start_all 3 1 --table-timeout-ms 300
 platform_fault '{"mode":"lost","lost_percent":100}'
 expect "lost claims are read back" "200 done" \
@@ -25,7 +30,7 @@
 expect "and it ran once" 1 "$(count_starts lost1)"
 expect "a lost job is read back" "202 queued" "$(job lost-job)"
 
-for mode in down silent; do
+for mode in down mute; do
   platform_fault "{\"mode\":\"$mode\"}"
   wait_for "$HANG" table_down true
   expect "$mode: what may be repeated goes on" "200 done" \
@@ -45,4 +50,12 @@
     "$(call e1 "$mode-n" false 300000 10)"
   expect "$mode: once" 1 "$(count_starts "$mode-n")"
 done
+
+# The open connections to the table get no more answers, new ones work.
+platform_fault '{"mode":"silent"}'
+first_attempt e1 stale-n false 300000 10 > /dev/null
+wait_for "$HANG" is_done stale-n
+expect "silent connections: it is done" "200 done" \
+  "$(call e1 stale-n false 300000 10)"
+expect "silent connections: once" 1 "$(count_starts stale-n)"
 exit "$failed"
