Refuse writes at once while the store answers none

While the store answered reads and no writes, submissions waited until their callers' deadline and ended as unknown. Each VM now keeps a state of its reads and writes from evidence (src/access): answers to its own writes and probes, rows of other VMs, refusals. With refuse-stalled-writes=1 a new submission or cancellation gets 503 "not run" while writes are stalled, with a Retry-After that follows the outage and the number of refused callers; one that was sent gets 504 once the outage has lasted as long as its caller would still wait. Probes and callers' requests get an HTTP client of their own, because the other one has 3 connections a host, which long polls and unanswered writes fill. With the default 0 nothing changes.

--- a/include/skr/events.h
+++ b/include/skr/events.h
@@ -60,6 +60,8 @@
   LG_TASK_GIVEN_UP = 536,
   LG_STARTS_HELD = 537,
   LG_ATTEMPT_LOST = 538,
+  LG_STORE_ACCESS = 552,
+  LG_RETRY_AFTER = 553,
 
   /* filter */
   LG_REQUEST_UNKNOWN = 601,
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -172,6 +172,18 @@
     "An attempt of a job was lost with a worker and is taken for the cause; "
     "given_up tells whether the job was ended for it.",
     "if one job is lost again and again, look at the job" },
+  { LG_STORE_ACCESS, LG_NOTICE, "store-access",
+    "path state evidence before_ms unanswered_ms seen_ms",
+    "The state of this VM's reads or writes of the store changed; before_ms "
+    "is how long ago the new state began, unanswered_ms and seen_ms the ages "
+    "of the first call without an answer and of the last sign of a write "
+    "(-1: none).",
+    "check the platform's table if a state other than available lasts" },
+  { LG_RETRY_AFTER, LG_INFO, "retry-after",
+    "id call retry_after_s outage_ms refused earlier",
+    "A caller was refused and asked to return later; refused counts the "
+    "callers in this outage, earlier the refusals of this one before.",
+    "none" },
 
   /* filter */
   { LG_REQUEST_UNKNOWN, LG_WARNING, "request-unknown",
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -13,6 +13,7 @@
 #include "batch/lease.h"
 #include "batch/order_queue.h"
 #include "batch/view.h"
+#include "skr/access.h"
 #include "skr/base.h"
 #include "skr/log.h"
 #include "skr/port.h"
@@ -28,7 +29,7 @@
   int64_t log_level, log_rate;
   int64_t hold_ms, far_factor, revoke_ms, grace_ms, keep_s;
   int64_t lease_ms, take_ms, renew_ms;
-  int64_t max_requests;
+  int64_t max_requests, refuse_stalled_writes;
   double processor;
 };
 
@@ -42,7 +43,8 @@
   BA_COMMIT,
   BA_SUBMIT,
   BA_LOOKUP,
-  BA_CANCEL
+  BA_CANCEL,
+  BA_PROBE /* a write without effect; see access.c */
 };
 
 struct ba_table_follower;
@@ -58,7 +60,7 @@
                  reply is outdated */
   int wait_ms; /* of a long poll */
   struct ba_table_follower *follower;
-  struct ba_pending *pending;
+  struct ba_pending *pending; /* NULL if it was answered meanwhile */
 };
 
 /* Events that other threads pass to the loop thread.  */
@@ -215,6 +217,8 @@
   int answers, submits, accepted, refused, unknown;
   int starts, stops, ends, lost_runs, given_up_tasks, commits, store_calls,
       holds;
+  int probes, stalled_refusals, early_unknown;
+  int reads_state, writes_state;
   int store_wait, commit_duration;
   int waiting_jobs, waiting_orders, runs, accelerators_used, usable_workers,
       is_holder;
@@ -230,6 +234,9 @@
   struct rg_ring events;
   struct hc_client *client;
   struct po_port port;
+  /* For callers' requests and probes: with connections of its own, unless the
+     access to the store is not tracked.  */
+  struct po_port entry_port;
   struct hs_server *caller_server, *ready_server, *metrics_server;
   struct bs_thread thread;
   atomic_int ready, stop_requested;
@@ -243,6 +250,7 @@
   long store_error_status; /* HTTP status of the last reply if the call failed,
                               else 0 */
   int64_t store_heard_ms, store_clock_ms, store_clock_at_ms;
+  struct ac_access access;
   GPtrArray *pending; /* of struct ba_pending */
 
   struct le_lease lease;
@@ -319,6 +327,24 @@
    yet.  */
 int64_t ba_store_clock_now_ms (const struct batch *b);
 
+/* access.c: this VM's access to the store; tracked only while a setting uses
+   it */
+int ba_tracks_access (const struct batch *b);
+/* Returns 1 if new writes are refused because the store does not answer
+   writes.  */
+int ba_refuses_writes (const struct batch *b);
+/* Notes that CALL was sent, or its reply.  */
+void ba_note_sent (struct batch *b, const struct ba_store_call *call);
+void ba_note_reply (struct batch *b, const struct ba_store_call *call,
+                    enum po_result result);
+/* Notes a row that a VM has just written.  */
+void ba_note_write_seen (struct batch *b);
+/* Updates the states and sends a probe if it is due.  */
+void ba_access_tick (struct batch *b);
+/* Returns after how many seconds the refused caller of job ID should
+   return.  */
+int ba_retry_after_s (struct batch *b, const char *id, const char *call);
+
 /* follow.c */
 /* Sets F up to follow TABLE with polls of WAIT_MS, GAP_MS after each reply,
    once it is started.  */
@@ -388,6 +414,7 @@
   int64_t began_ms, deadline_ms, next_ms;
   int64_t version; /* of the job's row, which a cancellation expects */
   int in_flight, may_be_done, cancel_after_lookup;
+  struct ba_store_call *call; /* while in flight */
 };
 
 /* Start a pending request, which is given up after WAIT_MS.  pe_submit takes
--- a/src/batch/counters.c
+++ b/src/batch/counters.c
@@ -24,6 +24,14 @@
   c->store_calls
       = st_series (r, ST_COUNTER, "skr_batch_store_calls_total", "");
   c->holds = st_series (r, ST_COUNTER, "skr_batch_holds_total", "");
+  c->probes = st_series (r, ST_COUNTER, "skr_batch_store_probes_total", "");
+  c->stalled_refusals
+      = st_series (r, ST_COUNTER, "skr_batch_stalled_refusals_total", "");
+  c->early_unknown
+      = st_series (r, ST_COUNTER, "skr_batch_early_unknown_total", "");
+  c->reads_state = st_series (r, ST_GAUGE, "skr_batch_store_reads_state", "");
+  c->writes_state
+      = st_series (r, ST_GAUGE, "skr_batch_store_writes_state", "");
   c->store_wait
       = st_series (r, ST_HISTOGRAM, "skr_batch_store_wait_seconds", "");
   c->commit_duration
@@ -59,4 +67,7 @@
   st_set (&b->stats, c->shard, c->accelerators_used, n.accelerators_used);
   st_set (&b->stats, c->shard, c->usable_workers, n.usable_workers);
   st_set (&b->stats, c->shard, c->is_holder, b->phase == BA_ACTIVE);
+  st_set (&b->stats, c->shard, c->reads_state, b->access.path[AC_READS].state);
+  st_set (&b->stats, c->shard, c->writes_state,
+          b->access.path[AC_WRITES].state);
 }
--- a/src/batch/front.c
+++ b/src/batch/front.c
@@ -11,8 +11,6 @@
   BODY_SIZE = 256, /* bytes of an answer */
   /* A state that was last confirmed longer ago is not returned.  */
   STALE_MS = 3000,
-  /* Suggested delay when the length of the outage is unknown.  */
-  RETRY_AFTER_MS = 1000,
   /* Wait for the store when the client sends no deadline.  */
   DEFAULT_WAIT_MS = 2500,
   MAX_WAIT_MS = 4000,    /* longest wait for the store */
@@ -59,7 +57,7 @@
   if (sends_retry_after (status))
     {
       snprintf (retry_after, sizeof retry_after, "%d",
-                qu_retry_after_s (RETRY_AFTER_MS));
+                ba_retry_after_s (b, id, call));
       a.header[0] = (struct hs_header){ "Retry-After", retry_after };
     }
   lg_log (status >= UNAVAILABLE ? LG_REQUEST_GIVEN_UP : LG_REQUEST_ANSWERED, 7,
@@ -95,6 +93,15 @@
   return ms < MAX_WAIT_MS ? (int)ms : MAX_WAIT_MS;
 }
 
+static void
+refuse_stalled (struct batch *b, struct hs_exchange *ex, const char *id,
+                const char *call)
+{
+  co_add (b, b->counters.stalled_refusals, 1);
+  fr_answer (b, ex, id, call, UNAVAILABLE, NULL,
+             "not run: the store answers no writes");
+}
+
 static void
 handle_submit (struct batch *b, struct hs_exchange *ex, const char *id,
                const struct qu_queue *q, const char *account)
@@ -128,6 +135,12 @@
                  "not run: the store is away");
       return;
     }
+  if (ba_refuses_writes (b))
+    {
+      sj_job_free (job);
+      refuse_stalled (b, ex, id, "submit");
+      return;
+    }
   pe_submit (b, ex, job, store_wait_ms (ex));
 }
 
@@ -176,6 +189,8 @@
     fr_answer (b, ex, id, "cancel", GONE, NULL, "no such job");
   else if (j->cancelled || j->state >= SJ_COMPLETED)
     fr_answer (b, ex, id, "cancel", OK, "{}", "already stored");
+  else if (ba_refuses_writes (b))
+    refuse_stalled (b, ex, id, "cancel");
   else
     pe_cancel (b, ex, j, store_wait_ms (ex));
 }
--- a/src/batch/loop.c
+++ b/src/batch/loop.c
@@ -12,6 +12,9 @@
   /* Besides the long poll, the starts of a worker's tasks.  */
   CONNECTIONS_PER_HOST = 3,
   CONNECT_TIMEOUT_MS = 500,
+  /* Without answers each write keeps its connection; a probe must not wait for
+     one.  */
+  ENTRY_CONNECTIONS = 32,
   MAX_CONNECTIONS = 2048,
   MAX_BODY_BYTES = 262144, /* of a request; the largest job is far smaller */
   IDLE_TIMEOUT_S = 30,
@@ -54,6 +57,7 @@
                     struct po_rows *rows)
 {
   ba_note_store_reply (b, rows);
+  ba_note_reply (b, call, rows->result);
   switch (call->purpose)
     {
     case BA_SCAN:
@@ -70,7 +74,10 @@
     case BA_SUBMIT:
     case BA_LOOKUP:
     case BA_CANCEL:
-      pe_on_reply (call->pending, rows);
+      if (call->pending)
+        pe_on_reply (call->pending, rows);
+      break;
+    case BA_PROBE:
       break;
     }
   po_rows_free (rows);
@@ -160,6 +167,7 @@
 {
   b->now_ms = b->ticked_ms = bs_now_ms (&b->clock);
   ba_check_store_timeout (b);
+  ba_access_tick (b);
   fo_tick (&b->config_follower);
   fo_tick (&b->job_follower);
   fo_tick (&b->worker_follower);
@@ -267,6 +275,23 @@
   return error;
 }
 
+/* The long polls take up to CONNECTIONS_PER_HOST connections to the store, so
+   that writes without an answer would delay others.  Returns 0 or a
+   bs_error.  */
+static int
+open_entry_port (struct batch *b)
+{
+  struct hc_config hc = { .max_in_progress = MAX_IN_PROGRESS,
+                          .connections_per_host = ENTRY_CONNECTIONS,
+                          .connect_timeout_ms = CONNECT_TIMEOUT_MS };
+
+  b->entry_port = b->port;
+  if (!ba_tracks_access (b))
+    return BS_OK;
+  b->entry_port.client = hc_new (&hc);
+  return b->entry_port.client ? BS_OK : BS_ENOMEM;
+}
+
 int
 ba_start (struct batch *b, const struct ba_settings *set)
 {
@@ -283,6 +308,7 @@
   b->clock = bs_clock_boot ();
   b->now_ms = b->store_heard_ms = bs_now_ms (&b->clock);
   bs_random_hex (b->token, (sizeof b->token - 1) / 2);
+  ac_init (&b->access, b->now_ms);
   le_init (&b->lease, &le, set->vm, b->token);
   vw_init (&b->view);
   wk_init_orders (b);
@@ -293,6 +319,8 @@
   if (!b->client)
     return BS_ENOMEM;
   b->port = (struct po_port){ b->client, set->store };
+  if (open_entry_port (b))
+    return BS_ENOMEM;
   ta_init (b);
   if (start_server (b, &b->ready_server, set->ready_listen, fr_ready, 64)
       || start_server (b, &b->metrics_server, set->metrics_listen, sh_handle,
--- a/src/batch/main.c
+++ b/src/batch/main.c
@@ -74,6 +74,10 @@
     "maximum number of client requests in progress; further requests are "
     "refused",
     FIELD (max_requests) },
+  { "refuse-stalled-writes", OPT_INT, "", 0, 1, "0",
+    "1: while the store answers no writes, refuse submissions and "
+    "cancellations at once, with a Retry-After that follows the outage",
+    FIELD (refuse_stalled_writes) },
   { NULL, OPT_INT, "", 0, 0, NULL, NULL, 0 }
 };
 
--- a/src/batch/pending.c
+++ b/src/batch/pending.c
@@ -52,13 +52,18 @@
 static void
 give_up (struct ba_pending *p)
 {
+  /* The reply to an attempt in flight is then ignored.  */
+  if (p->call)
+    p->call->pending = NULL;
   if (p->may_be_done)
     {
       co_add (p->b, p->b->counters.unknown, 1);
       finish (p, OUTCOME_UNKNOWN, NULL, "unknown: the store did not answer");
     }
   else
-    finish (p, UNAVAILABLE, NULL, "not run: the store refuses");
+    finish (p, UNAVAILABLE, NULL,
+            ba_refuses_writes (p->b) ? "not run: the store answers no writes"
+                                     : "not run: the store refuses");
 }
 
 static struct ba_pending *
@@ -91,7 +96,8 @@
   e[1] = (struct po_entry){
     .kind = PO_PUT, .table = "jobs", .key = key, .value = p->value
   };
-  return po_write (&p->b->port, e, 2, timeout_ms, ba_on_store_reply, call);
+  return po_write (&p->b->entry_port, e, 2, timeout_ms, ba_on_store_reply,
+                   call);
 }
 
 static int
@@ -101,7 +107,7 @@
 
   g_strlcpy (to, p->id, sizeof to);
   g_strlcat (to, "~", sizeof to);
-  return po_read (&p->b->port, "jobs", p->id, to, timeout_ms,
+  return po_read (&p->b->entry_port, "jobs", p->id, to, timeout_ms,
                   ba_on_store_reply, call);
 }
 
@@ -115,6 +121,7 @@
   int error;
 
   call->pending = p;
+  p->call = call;
   p->in_flight = 1;
   if (p->purpose == BA_LOOKUP)
     error = send_lookup (p, call, timeout_ms);
@@ -123,6 +130,7 @@
   if (!error)
     return;
   g_free (call);
+  p->call = NULL;
   p->in_flight = 0;
   p->next_ms = p->b->now_ms + RETRY_MS;
 }
@@ -205,6 +213,8 @@
     }
   else if (j->cancelled || j->state >= SJ_COMPLETED)
     finish (p, OK, "{}", "already stored");
+  else if (ba_refuses_writes (b))
+    give_up (p);
   else
     {
       p->purpose = BA_CANCEL;
@@ -242,6 +252,7 @@
 pe_on_reply (struct ba_pending *p, struct po_rows *rows)
 {
   p->in_flight = 0;
+  p->call = NULL;
   if (rows->result == PO_UNKNOWN && p->purpose != BA_LOOKUP)
     p->may_be_done = 1;
   if (rows->result == PO_NOT_DONE || rows->result == PO_UNKNOWN
@@ -260,6 +271,51 @@
     on_cancel_reply (p);
 }
 
+static enum ac_path_name
+path_of (const struct ba_pending *p)
+{
+  return p->purpose == BA_LOOKUP ? AC_READS : AC_WRITES;
+}
+
+/* Gives P up if no success can be expected before its deadline.  An attempt in
+   flight may still be executed.  Returns 1 if P was answered.  */
+static int
+give_up_hopeless (struct ba_pending *p)
+{
+  struct batch *b = p->b;
+
+  if (!b->settings->refuse_stalled_writes
+      || !ac_is_hopeless (&b->access, path_of (p), p->deadline_ms - b->now_ms,
+                          b->now_ms))
+    return 0;
+  p->may_be_done |= p->in_flight && p->purpose != BA_LOOKUP;
+  if (p->may_be_done)
+    co_add (b, b->counters.early_unknown, 1);
+  give_up (p);
+  return 1;
+}
+
+/* Nothing was done for P, and the store does not serve such requests now.  */
+static int
+is_refused (const struct ba_pending *p)
+{
+  const struct batch *b = p->b;
+
+  if (p->may_be_done)
+    return 0;
+  return b->store_down || b->now_ms - p->began_ms > REFUSED_GIVE_UP_MS
+         || (b->settings->refuse_stalled_writes
+             && b->access.path[path_of (p)].state != AC_AVAILABLE);
+}
+
+/* While the store answers no writes, only the probes of access.c are sent.  */
+static int
+may_send (const struct ba_pending *p)
+{
+  return p->b->now_ms >= p->next_ms
+         && (p->purpose == BA_LOOKUP || !ba_refuses_writes (p->b));
+}
+
 void
 pe_tick (struct batch *b)
 {
@@ -267,14 +323,11 @@
     {
       struct ba_pending *p = g_ptr_array_index (b->pending, i);
 
-      if (p->in_flight)
+      if (give_up_hopeless (p) || p->in_flight)
         continue;
-      if (b->now_ms >= p->deadline_ms
-          || (!p->may_be_done
-              && (b->store_down
-                  || b->now_ms - p->began_ms > REFUSED_GIVE_UP_MS)))
+      if (b->now_ms >= p->deadline_ms || is_refused (p))
         give_up (p);
-      else if (b->now_ms >= p->next_ms)
+      else if (may_send (p))
         send (p);
     }
 }
--- a/src/batch/show.c
+++ b/src/batch/show.c
@@ -36,6 +36,36 @@
   return since_ms ? b->now_ms - since_ms : -1;
 }
 
+static json_t *
+path_status (const struct batch *b, enum ac_path_name path)
+{
+  const struct ac_path *p = &b->access.path[path];
+
+  return json_pack ("{s:s,s:s,s:I}", "state", ac_state_name (p->state),
+                    "evidence", ac_evidence_name (p->evidence), "since_ms",
+                    age_ms (b, p->since_ms));
+}
+
+/* Adds the access to the store, if it is tracked.  */
+static void
+add_access (json_t *o, const struct batch *b)
+{
+  const struct ac_access *a = &b->access;
+
+  if (!ba_tracks_access (b))
+    return;
+  json_object_set_new (o, "reads",
+                       json_string (ac_state_name (a->path[AC_READS].state)));
+  json_object_set_new (o, "writes",
+                       json_string (ac_state_name (a->path[AC_WRITES].state)));
+  json_object_set_new (o, "access",
+                       json_pack ("{s:o,s:o,s:I,s:i}", "reads",
+                                  path_status (b, AC_READS), "writes",
+                                  path_status (b, AC_WRITES), "write_seen_ms",
+                                  (json_int_t)(a->awake_ms - a->seen_ms),
+                                  "refused_callers", a->refused));
+}
+
 json_t *
 sh_status (const struct batch *b)
 {
@@ -55,6 +85,7 @@
   json_object_set_new (o, "jobs",
                        json_integer (g_hash_table_size (b->view.jobs)));
   json_object_set_new (o, "in_progress", json_integer (b->pending->len));
+  add_access (o, b);
   if (b->phase != BA_ACTIVE)
     return o;
   json_object_set_new (o, "open_jobs", json_integer (n.jobs));
--- a/src/batch/store.c
+++ b/src/batch/store.c
@@ -22,6 +22,7 @@
   call->sent_ms = b->now_ms;
   call->serial = b->term;
   co_add (b, b->counters.store_calls, 1);
+  ba_note_sent (b, call);
   return call;
 }
 
--- a/src/batch/tables.c
+++ b/src/batch/tables.c
@@ -87,6 +87,9 @@
 {
   char id[SJ_ID_SIZE];
 
+  /* A scan also returns rows that were written long ago.  */
+  if (b->job_follower.synced)
+    ba_note_write_seen (b);
   if (vw_parse_key (row->key, id) == VW_LEASE)
     {
       apply_lease_row (b, row);
--- a/tests/batch/test_front.c
+++ b/tests/batch/test_front.c
@@ -12,7 +12,7 @@
   struct hs_request request;
   int status, answers;
   char body[256];
-  int retry_after;
+  int retry_after; /* seconds; 0: none */
 };
 
 static struct batch batch;
@@ -45,7 +45,7 @@
 {
   e->status = answer->status;
   e->answers++;
-  e->retry_after = answer->header[0].name != NULL;
+  e->retry_after = answer->header[0].name ? atoi (answer->header[0].value) : 0;
   g_strlcpy (e->body, answer->body, sizeof e->body);
 }
 
@@ -62,7 +62,9 @@
   struct po_rows rows = { .result = result, .version = 9 };
   struct ba_store_call *store_call = fs_take_call ();
 
-  pe_on_reply (store_call->pending, &rows);
+  ba_note_reply (&batch, store_call, result);
+  if (store_call->pending)
+    pe_on_reply (store_call->pending, &rows);
   g_free (store_call);
 }
 
@@ -83,6 +85,25 @@
         "{\"specification\":\"x\",\"steps\":[{\"count\":1}]}");
 }
 
+/* Lets MS pass without a reply of the store.  The calls meanwhile are
+   dropped, except the first.  */
+static void
+wait_without_reply (int ms)
+{
+  struct ba_store_call *first = fs_take_call ();
+
+  for (int i = 0; i < ms; i += 20)
+    {
+      batch.now_ms += 20;
+      batch.job_follower.fresh_ms = batch.now_ms;
+      batch.config_follower.fresh_ms = batch.now_ms;
+      ba_access_tick (&batch);
+      pe_tick (&batch);
+      g_free (fs_take_call ());
+    }
+  fs_store.last_call = first;
+}
+
 static void
 setup (void)
 {
@@ -92,6 +113,8 @@
   fs_reset ();
   batch.settings = &settings;
   batch.now_ms = 100000;
+  settings.refuse_stalled_writes = 0;
+  ac_init (&batch.access, batch.now_ms);
   co_init (&batch);
   vw_init (&batch.view);
   batch.pending = g_ptr_array_new_with_free_func (pe_free);
@@ -254,6 +277,76 @@
   teardown ();
 }
 
+/* Guards against submissions that wait until the caller's deadline while the
+   store answers no writes, and against "not run" for one that was sent.  */
+static void
+test_stalled_writes_are_refused_at_once (void)
+{
+  setup ();
+  settings.refuse_stalled_writes = 1;
+  submit ();
+  wait_without_reply (800);
+  CU_ASSERT_EQUAL (ex.answers, 0);
+  wait_without_reply (460);
+  CU_ASSERT_EQUAL (ex.status, 504);
+  CU_ASSERT_EQUAL (batch.pending->len, 0);
+  store_replies (PO_UNKNOWN);
+  submit ();
+  CU_ASSERT_EQUAL (ex.status, 503);
+  CU_ASSERT (ex.retry_after >= 1);
+  CU_ASSERT_EQUAL (batch.pending->len, 0);
+  teardown ();
+}
+
+/* Guards against refusals after the store has recovered, which the lease row
+   shows first.  */
+static void
+test_lease_row_ends_the_stall (void)
+{
+  setup ();
+  settings.refuse_stalled_writes = 1;
+  submit ();
+  wait_without_reply (820);
+  ba_note_write_seen (&batch);
+  pe_tick (&batch);
+  g_free (fs_take_call ());
+  submit ();
+  CU_ASSERT_EQUAL (ex.answers, 0);
+  store_replies (PO_DONE);
+  CU_ASSERT_EQUAL (ex.status, 200);
+  teardown ();
+}
+
+/* Guards against a change for deployments that do not enable the refusal.  */
+static void
+test_stalled_writes_wait_unless_enabled (void)
+{
+  setup ();
+  submit ();
+  wait_without_reply (1400);
+  CU_ASSERT_EQUAL (ex.answers, 0);
+  CU_ASSERT_EQUAL (fs_store.writes, 1);
+  store_replies (PO_DONE);
+  CU_ASSERT_EQUAL (ex.status, 200);
+  teardown ();
+}
+
+/* Guards against a cancellation that is sent although it will not be
+   answered.  */
+static void
+test_stalled_cancel_is_refused (void)
+{
+  setup ();
+  settings.refuse_stalled_writes = 1;
+  submit ();
+  store_replies (PO_DONE);
+  batch.access.path[AC_WRITES].state = AC_STALLED;
+  call ("DELETE", "/p/" ID, "Bearer k", "");
+  CU_ASSERT_EQUAL (ex.status, 503);
+  CU_ASSERT_EQUAL (fs_store.writes, 1);
+  teardown ();
+}
+
 int
 main (void)
 {
@@ -266,6 +359,10 @@
     { "lookup", test_unknown_job_is_looked_up },
     { "cancel", test_cancel_is_acknowledged_once_stored },
     { "end", test_stop_answers_pending_requests },
+    { "stalled", test_stalled_writes_are_refused_at_once },
+    { "stall ends", test_lease_row_ends_the_stall },
+    { "not enabled", test_stalled_writes_wait_unless_enabled },
+    { "stalled cancel", test_stalled_cancel_is_refused },
     CU_TEST_INFO_NULL,
   };
 
