Steps: start nothing in a closed failure domain

A worker in a closed domain is not usable: nothing is planned there, a planned run whose record was stored meanwhile is requeued as a whole, starts that wait or are repeated are dropped, and its capacity counts for no headroom, reservation or rack. What runs there goes on. A report without a domain keeps the known one. A unit that avoids all workers of open domains waits as briefly as one that avoids all workers.

Each worker takes 24 more bytes.

--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -9,6 +9,8 @@
 #include <jansson.h>
 #include <stdint.h>
 
+#include "skr/domains.h"
+
 enum sj_error
 {
   SJ_OK = 0,
@@ -107,10 +109,12 @@
   const char *id;
   int64_t incarnation; /* start time of the incarnation; 0: unknown */
   const char *service, *kind, *rack;
+  const char *domain; /* failure domain; NULL: as known before, or unknown */
   struct sj_resources capacity;
   int draining;
-  int64_t remaining_ms; /* while draining: minimum time left */
-  int64_t version;      /* another one with each report of the worker */
+  int64_t remaining_ms;      /* while draining: minimum time left */
+  int64_t cold_remaining_ms; /* it is slow for so long after the report */
+  int64_t version;           /* another one with each report of the worker */
 };
 
 /* Identifies one run of one task.  */
@@ -250,6 +254,10 @@
   /* Least time from when a silent worker became known until its runs count
      as ended.  */
   int64_t silent_timeout_ms;
+  /* Closed failure domains, where nothing starts.  NULL: requests to close
+     domains are not served, and cold workers are treated as others.  Must
+     outlive the scheduler.  */
+  const struct dm_domains *domains;
 };
 
 struct sj_cluster; /* opaque */
@@ -326,6 +334,12 @@
                        const struct sj_run *run, enum sj_answer answer,
                        int64_t now);
 
+/* Applies a change of the closed domains.  */
+void sj_domains_changed (struct sj_cluster *c);
+/* Counts the workers of failure domain NAME and the runs on them.  */
+void sj_count_domain (const struct sj_cluster *c, const char *name,
+                      int *workers, int *runs);
+
 /* While HELD, no start is decided or sent, as the workers' states are not
    known well enough.  */
 void sj_hold_starts (struct sj_cluster *c, int held);
@@ -361,6 +375,7 @@
 struct sj_counts
 {
   int jobs, waiting, runs, workers, usable_workers, busy_workers;
+  int closed_workers; /* in closed failure domains */
   int64_t accelerators_used, accelerators;
 };
 /* Fills OUT with the current counts.  */
--- a/src/steps/cluster.c
+++ b/src/steps/cluster.c
@@ -227,6 +227,7 @@
 
       out->runs += (int)w->members->len;
       out->usable_workers += wo_usable (c, w);
+      out->closed_workers += w->listed && w->domain_closed;
       out->busy_workers += w->members->len > 0;
       out->accelerators_used += w->used.accelerators;
       out->accelerators += w->listed ? w->capacity.accelerators : 0;
--- a/src/steps/run.c
+++ b/src/steps/run.c
@@ -186,6 +186,18 @@
   g_ptr_array_add (u->avoided_workers, g_strdup (worker));
 }
 
+/* Workers outside closed domains.  */
+static guint
+count_open_workers (const struct sj_cluster *c)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < c->worker_list->len; i++)
+    n += !((const struct worker *)g_ptr_array_index (c->worker_list, i))
+              ->domain_closed;
+  return n;
+}
+
 void
 ru_end_avoidance (const struct sj_cluster *c, struct unit *u, int64_t now)
 {
@@ -193,7 +205,7 @@
 
   if (!u->avoided_workers)
     return;
-  if (u->avoided_workers->len >= c->worker_list->len)
+  if (u->avoided_workers->len >= count_open_workers (c))
     wait_ms = AVOID_ALL_WAIT_MS;
   if (now - u->ready_ms < wait_ms)
     return;
@@ -367,7 +379,7 @@
   const struct member *m = w ? ru_find_member (w, run) : NULL;
 
   return m && m->state == MB_STARTING && m->unit->state == UN_ACTIVE
-         && !c->starts_held && w->capacity_known
+         && !c->starts_held && !w->domain_closed && w->capacity_known
          && !wo_report_is_overdue (c, w) && wo_fits_capacity (w);
 }
 
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -150,6 +150,8 @@
   char *id, *kind;
   const char *service; /* interned */
   struct rack *rack;   /* or NULL */
+  const char *domain;  /* interned; or NULL */
+  int domain_closed;   /* no work may be started there */
   int64_t incarnation; /* 0: unknown */
   struct sj_resources capacity, used;
   int capacity_known;  /* it is that of this incarnation */
@@ -174,6 +176,7 @@
   char last_failed_job[SJ_ID_SIZE];
   int64_t suspect_until_ms; /* no starts are sent to it before */
   int64_t seen_slow_ms;     /* last slow sample; 0: none or since recovered */
+  int64_t cold_until_ms;    /* 0: it was warm at its last report */
   int estimate;             /* its place in the estimates of preempt.c */
 };
 
@@ -293,6 +296,9 @@
 int wo_report_is_overdue (const struct sj_cluster *c, const struct worker *w);
 /* Whether what is ordered and runs on W fits its capacity.  */
 int wo_fits_capacity (const struct worker *w);
+/* Whether W is still slow after its start.  Always 0 unless closed domains are
+   served.  */
+int wo_is_cold (const struct sj_cluster *c, const struct worker *w);
 /* Whether starts may be sent to W.  */
 int wo_usable (const struct sj_cluster *c, const struct worker *w);
 /* Loses M, whose worker has ended.  */
--- a/src/steps/worker.c
+++ b/src/steps/worker.c
@@ -92,7 +92,44 @@
 {
   return w->listed && w->capacity_known && !wo_report_is_overdue (c, w)
          && !w->draining && w->reachable && w->runs_known && !w->unknown_runs
-         && !w->replaced && c->now >= w->suspect_until_ms;
+         && !w->replaced && c->now >= w->suspect_until_ms && !w->domain_closed;
+}
+
+int
+wo_is_cold (const struct sj_cluster *c, const struct worker *w)
+{
+  return c->settings.domains && c->now < w->cold_until_ms;
+}
+
+static void
+update_domain_closed (const struct sj_cluster *c, struct worker *w)
+{
+  w->domain_closed = c->settings.domains
+                     && dm_find (c->settings.domains, w->domain) != NULL;
+}
+
+void
+sj_domains_changed (struct sj_cluster *c)
+{
+  for (guint i = 0; i < c->worker_list->len; i++)
+    update_domain_closed (c, g_ptr_array_index (c->worker_list, i));
+  c->changed = 1;
+}
+
+void
+sj_count_domain (const struct sj_cluster *c, const char *name, int *workers,
+                 int *runs)
+{
+  *workers = *runs = 0;
+  for (guint i = 0; i < c->worker_list->len; i++)
+    {
+      const struct worker *w = g_ptr_array_index (c->worker_list, i);
+
+      if (g_strcmp0 (w->domain, name))
+        continue;
+      *workers += w->listed;
+      *runs += (int)w->members->len;
+    }
 }
 
 /* Whether the answer to M's start will tell whether it was executed.  */
@@ -193,13 +230,25 @@
 }
 
 static void
-note_report (struct worker *w, int64_t version, int64_t now)
+note_report (struct worker *w, const struct sj_worker_info *info, int64_t now)
 {
-  if (version == w->version)
+  if (info->version == w->version)
     return;
-  w->version = version;
+  w->version = info->version;
   w->reported_ms = now;
   w->reports++;
+  w->cold_until_ms
+      = info->cold_remaining_ms > 0 ? now + info->cold_remaining_ms : 0;
+}
+
+/* A row without a domain does not show that the worker has left its own, which
+   may be closed.  */
+static void
+set_domain (const struct sj_cluster *c, struct worker *w, const char *domain)
+{
+  if (domain && *domain)
+    w->domain = g_intern_string (domain);
+  update_domain_closed (c, w);
 }
 
 void
@@ -223,7 +272,8 @@
   set_text (&w->kind, info->kind);
   rk_move (c, w, info->rack);
   set_capacity (c, w, &info->capacity);
-  note_report (w, info->version, now);
+  set_domain (c, w, info->domain);
+  note_report (w, info, now);
   if (info->draining && !w->draining)
     w->drain_end_ms = now + info->remaining_ms;
   w->draining = info->draining;
--- a/tests/steps/fake_cluster.c
+++ b/tests/steps/fake_cluster.c
@@ -21,7 +21,9 @@
   START_LEASE_MS = 2500,    /* least lease that a start grants */
   CANCEL_GRACE_MS = 3000,   /* no start may follow a cancellation later */
   GANG_TIMEOUT_MS = 3000,   /* wait for the gang's other tasks */
-  LEASE_MS = 6000,          /* of a worker, renewed by each poll while busy */
+  EVACUATION_MS = 5000, /* after a domain was closed, nothing starts there */
+  RACKS_PER_DOMAIN = 2,
+  LEASE_MS = 6000, /* of a worker, renewed by each poll while busy */
   FIRST_CHECKPOINT_MS = 1000, /* work done before the first checkpoint */
   MAX_LISTED = 400,
   MAX_DIRTY = 64
@@ -244,6 +246,16 @@
     report_violation (f, "task started after its job was cancelled", r);
 }
 
+static void
+check_domain (struct fa_cluster *f, const struct fa_worker *w,
+              const struct sj_run *r)
+{
+  const struct dm_domain *closed = dm_find (&f->domains, w->domain);
+
+  if (closed && f->now >= closed->closed_ms + EVACUATION_MS)
+    report_violation (f, "task started in a closed domain", r);
+}
+
 /* Runs of R's task up to this number were stopped or have ended on W.  */
 static int64_t
 highest_closed_run (struct fa_worker *w, const struct sj_run *r)
@@ -304,6 +316,7 @@
       return SJ_REFUSED;
     }
   check_start (f, &o->run);
+  check_domain (f, w, &o->run);
   check_crash_budget (f, &o->run);
   x.deadly = is_deadly (f, &o->run);
   x.fails = w->fails_all || g_rand_double (f->rand) < f->faults.task_fails;
@@ -630,15 +643,18 @@
 list_worker (struct fa_cluster *f, struct fa_worker *w, const char *id,
              int64_t incarnation)
 {
-  struct sj_worker_info info = { .id = id,
-                                 .incarnation = incarnation,
-                                 .service = "s",
-                                 .kind = "a",
-                                 .rack = w->rack,
-                                 .capacity = w->capacity,
-                                 .draining = w->draining,
-                                 .remaining_ms = 2000,
-                                 .version = ++f->reports };
+  struct sj_worker_info info
+      = { .id = id,
+          .incarnation = incarnation,
+          .service = "s",
+          .kind = "a",
+          .rack = w->rack,
+          .domain = w->domain,
+          .cold_remaining_ms = w->cold_until_ms - f->now,
+          .capacity = w->capacity,
+          .draining = w->draining,
+          .remaining_ms = 2000,
+          .version = ++f->reports };
 
   sj_worker_set (f->scheduler, &info, f->now);
 }
@@ -738,7 +754,8 @@
   memset (f, 0, sizeof *f);
   f->settings
       = (struct sj_settings){ .off_rack_factor = 3,
-                              .silent_timeout_ms = LEASE_MS * 51 / 50 + 200 };
+                              .silent_timeout_ms = LEASE_MS * 51 / 50 + 200,
+                              .domains = &f->domains };
   f->rand = g_rand_new_with_seed (seed);
   f->now = 100000;
   f->worker_count = workers;
@@ -774,6 +791,8 @@
 
       snprintf (w->id, sizeof w->id, "w%03d", i);
       snprintf (w->rack, sizeof w->rack, "r%d", i / per_rack);
+      snprintf (w->domain, sizeof w->domain, "z%d",
+                i / per_rack / RACKS_PER_DOMAIN);
       w->capacity = (struct sj_resources){ 128000, 262144, 8 };
       w->incarnation = 1;
       w->runs = g_array_new (FALSE, FALSE, sizeof (struct fa_run));
@@ -791,6 +810,7 @@
 fa_fini (struct fa_cluster *f)
 {
   sj_free (f->scheduler);
+  dm_fini (&f->domains);
   for (int i = 0; i < f->worker_count; i++)
     {
       g_array_free (f->worker[i].runs, TRUE);
@@ -973,6 +993,31 @@
   sj_worker_restarted (f->scheduler, w->id, w->incarnation, f->now);
 }
 
+void
+fa_close_domain (struct fa_cluster *f, const char *name)
+{
+  dm_close (&f->domains, name, ++f->reports, 1, f->now);
+  sj_domains_changed (f->scheduler);
+}
+
+void
+fa_reopen_domain (struct fa_cluster *f, const char *name)
+{
+  dm_reopen (&f->domains, name, ++f->reports);
+  sj_domains_changed (f->scheduler);
+}
+
+int
+fa_runs_in (const struct fa_cluster *f, const char *name)
+{
+  int n = 0;
+
+  for (int i = 0; i < f->worker_count; i++)
+    if (!strcmp (f->worker[i].domain, name))
+      n += (int)f->worker[i].runs->len;
+  return n;
+}
+
 int
 fa_crashes_under (const struct fa_cluster *f, const char *id)
 {
--- a/tests/steps/fake_cluster.h
+++ b/tests/steps/fake_cluster.h
@@ -36,7 +36,8 @@
 /* A simulated worker.  */
 struct fa_worker
 {
-  char id[24], rack[16];
+  char id[24], rack[16], domain[16];
+  int64_t cold_until_ms; /* its reports say that it is slow until then */
   struct sj_resources capacity;
   struct sj_resources larger_capacity; /* before it shrank at SHRUNK_MS */
   int64_t shrunk_ms;                   /* 0: never */
@@ -80,6 +81,7 @@
 {
   struct sj_cluster *scheduler;
   struct sj_settings settings;
+  struct dm_domains domains; /* closed ones */
   GRand *rand;
   int64_t now, token, commit_end_ms; /* token: fencing token of the holder */
   int64_t reports;                   /* of all workers */
@@ -134,6 +136,13 @@
 /* Restarts WORKER under its id with that capacity.  The incarnation is known
    at once, the capacity a beat later.  */
 void fa_restart_with (struct fa_cluster *f, int worker, int accelerators);
+/* Closes or reopens failure domain NAME.  Racks 2 * N and 2 * N + 1 are in
+   domain zN.  A start that a worker accepts EVACUATION_MS after its domain was
+   closed is a violation.  */
+void fa_close_domain (struct fa_cluster *f, const char *name);
+void fa_reopen_domain (struct fa_cluster *f, const char *name);
+/* Runs on the workers of domain NAME.  */
+int fa_runs_in (const struct fa_cluster *f, const char *name);
 /* Most workers that crashed under one task of the job.  */
 int fa_crashes_under (const struct fa_cluster *f, const char *id);
 /* The stored state of the job, or SJ_QUEUED without one.  */
