Placement: leave closed racks, and use cold workers last

Tasks that stay in one rack but start one by one followed those that run in a closed domain, and waited until they could leave the rack. They now begin another rack. Workers that are still slow after their start are ranked behind all others, and racks that need them behind other racks, so that load returns gradually to a domain that is reopened.

--- a/src/steps/placement.c
+++ b/src/steps/placement.c
@@ -9,7 +9,7 @@
 {
   struct worker *worker;
   int tasks; /* tasks of the unit that fit */
-  int is_slow;
+  int is_slow, is_cold;
 };
 
 static int
@@ -107,13 +107,15 @@
   return nd_count_fitting (&need, &available, remaining_per_worker (u, w));
 }
 
-/* Best first: not slow, then with the least free capacity.  */
+/* Best first: warm, not slow, then with the least free capacity.  */
 static int
 by_fit (const void *a, const void *b)
 {
   const struct candidate *p = a, *q = b;
   const struct worker *x = p->worker, *y = q->worker;
 
+  if (p->is_cold != q->is_cold)
+    return p->is_cold - q->is_cold;
   if (p->is_slow != q->is_slow)
     return p->is_slow - q->is_slow;
   if (x->free.accelerators != y->free.accelerators)
@@ -140,7 +142,8 @@
 
       if (!tasks)
         continue;
-      out[n++] = (struct candidate){ w, tasks, he_is_slow_worker (c, w) };
+      out[n++] = (struct candidate){ w, tasks, he_is_slow_worker (c, w),
+                                     wo_is_cold (c, w) };
       *total += tasks;
     }
   return n;
@@ -171,44 +174,54 @@
   return total >= u->count && assign_tasks (u, candidates, n, placement);
 }
 
-/* Tasks of U that fit in R.  */
+/* Tasks of U that fit in R; *IS_COLD is set if U needs cold workers there.  */
 static int
 tasks_fitting_in (const struct sj_cluster *c, const struct unit *u,
-                  const struct rack *r, int after_stops)
+                  const struct rack *r, int after_stops, int *is_cold)
 {
-  int n = 0;
+  int n = 0, cold = 0;
 
   for (guint i = 0; i < r->workers->len; i++)
-    n += tasks_fitting_on (c, u, g_ptr_array_index (r->workers, i),
-                           after_stops);
+    {
+      const struct worker *w = g_ptr_array_index (r->workers, i);
+      int tasks = tasks_fitting_on (c, u, w, after_stops);
+
+      n += tasks;
+      cold += wo_is_cold (c, w) ? tasks : 0;
+    }
+  *is_cold = n - cold < u->count;
   return n;
 }
 
-/* The rack that holds U with the least capacity to spare, or NULL.  */
+/* The rack that holds U with the least capacity to spare, if possible on warm
+   workers, or NULL.  */
 static const struct rack *
 tightest_rack (struct sj_cluster *c, const struct unit *u, int after_stops)
 {
   const struct rack *best = NULL;
-  int least = 0;
+  int least = 0, best_is_cold = 0;
 
   for (guint i = 0; i < c->rack_list->len; i++)
     {
       const struct rack *r = g_ptr_array_index (c->rack_list, i);
-      int n = tasks_fitting_in (c, u, r, after_stops);
+      int is_cold, n = tasks_fitting_in (c, u, r, after_stops, &is_cold);
 
-      if (n >= u->count
-          && (!best || n < least
-              || (n == least && strcmp (r->name, best->name) < 0)))
+      if (n < u->count || (best && is_cold > best_is_cold))
+        continue;
+      if (!best || is_cold < best_is_cold || n < least
+          || (n == least && strcmp (r->name, best->name) < 0))
         {
           best = r;
           least = n;
+          best_is_cold = is_cold;
         }
     }
   return best;
 }
 
-/* Rack of an active unit of the same step, or NULL.  Used for a step that
-   stays in one rack although its tasks start separately.  */
+/* Rack of an active unit of the same step that more tasks may join, or NULL.
+   Used for a step that stays in one rack although its tasks start
+   separately.  A rack in a closed domain is left behind.  */
 static const struct rack *
 rack_of_siblings (const struct unit *u)
 {
@@ -218,12 +231,30 @@
     {
       const struct unit *other = g_ptr_array_index (j->units, i);
 
-      if (other != u && other->members && un_same_step (other, u))
+      if (other != u && other->members && un_same_step (other, u)
+          && !other->members[0].worker->domain_closed)
         return other->members[0].worker->rack;
     }
   return NULL;
 }
 
+/* Whether U runs away from tasks of its step that run in a closed domain.  */
+static int
+leaves_siblings_behind (const struct unit *u)
+{
+  const struct job *j = u->job;
+
+  for (guint i = 0; i < j->units->len; i++)
+    {
+      const struct unit *other = g_ptr_array_index (j->units, i);
+
+      if (other != u && other->members && un_same_step (other, u)
+          && other->members[0].worker->domain_closed)
+        return 1;
+    }
+  return 0;
+}
+
 /* The rack in which U should run, or NULL.  */
 static const struct rack *
 preferred_rack (struct sj_cluster *c, const struct unit *u, int after_stops)
@@ -266,7 +297,8 @@
       if (rack)
         placed
             = place_in_rack (c, u, after_stops, rack, candidates, placement);
-      *off_rack = !placed;
+      *off_rack
+          = !placed || (!un_step (u)->data_rack && leaves_siblings_behind (u));
     }
   if (!placed && (!is_step_rack_bound (un_step (u)) || allow_off_rack))
     placed = place_in_rack (c, u, after_stops, NULL, candidates, placement);
--- a/tests/steps/test_evacuation.c
+++ b/tests/steps/test_evacuation.c
@@ -145,6 +145,28 @@
   finish ();
 }
 
+/* Guards against tasks that wait for the rack of their data, or of tasks of
+   their step, while that rack can't start any.  */
+static void
+test_nothing_waits_for_closed_racks (void)
+{
+  struct sj_job *data = fa_new_job (1, 1, 2, 1, 20000);
+  struct sj_job *spread = fa_new_job (2, 1, 24, 1, 20000);
+
+  data->step[0].data_rack = g_strdup ("r0");
+  spread->step[0].one_rack = 1;
+  fa_init (&cluster, 8, 2, 1);
+  fa_run_ms (&cluster, 500);
+  fa_submit (&cluster, spread);
+  fa_run_ms (&cluster, 1000);
+  CU_ASSERT (cluster.starts > 0 && cluster.starts < 24);
+  fa_close_domain (&cluster, "z0");
+  fa_submit (&cluster, data);
+  fa_run_ms (&cluster, 300);
+  CU_ASSERT_EQUAL (cluster.starts, 26);
+  finish ();
+}
+
 /* Guards against a wide unit for which capacity of a closed domain is
    reserved, so that capacity elsewhere stays unused.  */
 static void
@@ -166,6 +188,44 @@
   finish ();
 }
 
+/* After the withdrawal, work goes to workers that are still slow only once the
+   others are full.  */
+static void
+test_cold_workers_come_last (void)
+{
+  fa_init (&cluster, 4, 1, 1);
+  for (int i = 0; i < 2; i++)
+    cluster.worker[i].cold_until_ms = cluster.now + 60000;
+  fa_run_ms (&cluster, 2000);
+  fa_close_domain (&cluster, "z0");
+  fa_reopen_domain (&cluster, "z0");
+  fa_submit (&cluster, fa_new_job (1, 0, 16, 1, 30000));
+  fa_run_ms (&cluster, 500);
+  CU_ASSERT_EQUAL (fa_runs_in (&cluster, "z1"), 16);
+  fa_submit (&cluster, fa_new_job (2, 0, 2, 1, 20000));
+  fa_run_ms (&cluster, 500);
+  CU_ASSERT_EQUAL (fa_runs_in (&cluster, "z0"), 2);
+  finish ();
+}
+
+/* The same for gangs that stay in one rack.  */
+static void
+test_gang_avoids_cold_rack (void)
+{
+  struct sj_job *gang = fa_new_job (1, 0, 2, 8, 5000);
+
+  gang->step[0].gang = gang->step[0].one_rack = 1;
+  fa_init (&cluster, 5, 2, 1);
+  for (int i = 0; i < 2; i++)
+    cluster.worker[i].cold_until_ms = cluster.now + 60000;
+  fa_run_ms (&cluster, 2000);
+  fa_submit (&cluster, gang);
+  fa_run_ms (&cluster, 500);
+  CU_ASSERT_EQUAL (cluster.worker[2].runs->len, 1);
+  CU_ASSERT_EQUAL (cluster.worker[3].runs->len, 1);
+  finish ();
+}
+
 /* Guards against a worker that is taken for one outside the domain because a
    report does not name it.  */
 static void
@@ -249,7 +309,10 @@
     { "failed", test_failed_run_restarts_elsewhere },
     { "take-over", test_take_over_starts_nothing_there },
     { "all", test_jobs_wait_while_all_are_closed },
+    { "racks", test_nothing_waits_for_closed_racks },
     { "reserved", test_closed_capacity_is_not_reserved },
+    { "cold", test_cold_workers_come_last },
+    { "cold rack", test_gang_avoids_cold_rack },
     { "no domain", test_report_without_domain_keeps_it_closed },
     { "random", test_random_evacuations },
     CU_TEST_INFO_NULL,
