Batch: serve requests to evacuate a failure domain

Rows evacuate/DOMAIN of the operators' table were logged and ignored, so tasks were started in a domain that the operators evacuate. With the new setting evacuation-ms, each VM keeps the closed domains from its follower of the table, and takes the lease only after a full scan of it. A scan after a lost history reopens the domains that it does not list. Starts are held once the requests were not confirmed for the bound less 2 s, and a start's deadline at its worker lies before the last confirmation plus the bound, so that a late start can't follow a missed request either.

The kinds of operator rows are an enum with a tagged union, in place of po_is_config; worker rows have their domain and their time until warm.

--- a/include/skr/port.h
+++ b/include/skr/port.h
@@ -91,11 +91,34 @@
 int po_write (struct po_port *port, const struct po_entry *entry, int count,
               int timeout_ms, po_rows_done *done, void *arg);
 
-/* Names of the platform's own tables, and whether ROW holds the
-   configuration.  */
+/* Names of the platform's own tables.  */
 const char *po_config_table (void);
-int po_is_config (const struct po_row *row);
 const char *po_worker_table (void);
+
+/* Kinds of rows that operators write to the table po_config_table.  */
+enum po_operator_kind
+{
+  PO_OPERATOR_CONFIG,
+  PO_OPERATOR_EVACUATE,
+  PO_OPERATOR_OTHER /* not known to this release */
+};
+
+struct po_operator_row
+{
+  enum po_operator_kind kind;
+  union
+  {
+    /* The row's presence is the request, whatever its value.  */
+    struct
+    {
+      const char *domain; /* a pointer into the row's key; may be "" */
+      int value_is_valid; /* or the row is deleted */
+    } evacuate;
+  } u;
+};
+
+/* Returns what ROW means.  */
+struct po_operator_row po_operator_read (const struct po_row *row);
 /* Parses the configuration in VALUE.  The caller frees it by qu_free.  Returns
    NULL and sets *REASON, a static string, when VALUE is invalid.  */
 struct qu_config *po_config_read (const char *value, const char **reason);
@@ -106,10 +129,12 @@
 {
   char *id, *address; /* "IP:PORT" */
   char *service, *kind, *rack;
+  char *domain; /* failure domain, or NULL */
   struct sj_resources capacity;
   int draining;
-  int64_t remaining_ms; /* while draining: minimum time left */
-  int64_t incarnation;  /* start of its incarnation; 0: unknown */
+  int64_t remaining_ms;      /* while draining: minimum time left */
+  int64_t cold_remaining_ms; /* time for which it is still slow; 0: warm */
+  int64_t incarnation;       /* start of its incarnation; 0: unknown */
 };
 
 /* Parses a row of the worker table.  The caller frees the result by
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -172,6 +172,30 @@
     "An attempt of a job was lost with a worker and is taken for the cause; "
     "given_up tells whether the job was ended for it.",
     "if one job is lost again and again, look at the job" },
+  { LG_DOMAIN_CLOSED, LG_NOTICE, "domain-closed",
+    "domain version workers runs closed_ms reason",
+    "The operators evacuate a failure domain: nothing is started there, and "
+    "what runs there goes on.  Version is that of the request's row.  The "
+    "holder counts the workers and the runs there; others log -1.",
+    "none; the request is withdrawn by deleting its row" },
+  { LG_DOMAIN_REOPENED, LG_NOTICE, "domain-reopened",
+    "domain version workers runs closed_ms reason",
+    "The request to evacuate the domain was withdrawn, after closed_ms.  "
+    "Version is that of the deletion, or 0 if a full scan of the table did "
+    "not list the request.",
+    "none" },
+  { LG_EVACUATION_UNUSUAL, LG_WARNING, "evacuation-unusual",
+    "key version reason",
+    "A request to evacuate a failure domain names no domain or one without "
+    "workers, has an unreadable value, or repeats another.  All but a request "
+    "without a name count.",
+    "check the row of the request" },
+  { LG_EVACUATION_UNCONFIRMED, LG_NOTICE, "evacuation-unconfirmed",
+    "held age_ms",
+    "No task starts while the table of the operators' requests was not "
+    "confirmed for too long, as a request may have been missed (held 1), or "
+    "tasks start again (held 0).",
+    "check the platform's table" },
 
   /* filter */
   { LG_REQUEST_UNKNOWN, LG_WARNING, "request-unknown",
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -27,7 +27,7 @@
   const char *log_output, *settings;
   int64_t log_level, log_rate;
   int64_t hold_ms, far_factor, revoke_ms, grace_ms, keep_s;
-  int64_t lease_ms, take_ms, renew_ms;
+  int64_t lease_ms, take_ms, renew_ms, evacuation_ms;
   int64_t max_requests;
   double processor;
 };
@@ -217,7 +217,7 @@
       holds;
   int store_wait, commit_duration;
   int waiting_jobs, waiting_orders, runs, accelerators_used, usable_workers,
-      is_holder;
+      is_holder, closed_domains, closed_workers;
 };
 
 struct batch
@@ -238,6 +238,7 @@
 
   struct qu_config *config;
   struct ba_table_follower config_follower, job_follower, worker_follower;
+  struct dm_domains domains; /* closed ones; empty unless they are served */
   struct vw_view view;
   int store_down;
   long store_error_status; /* HTTP status of the last reply if the call failed,
@@ -254,6 +255,7 @@
   GHashTable *by_address; /* the latest struct ba_worker at each address */
   struct oq_queue orders; /* struct ba_order, starts and stops */
   int starts_held;        /* the worker table is too old */
+  int evacuations_held;   /* the requests are not confirmed recently enough */
   int surveys;            /* holds in progress that are no long polls */
   GHashTable *records;    /* id -> json_t, while loading */
   GPtrArray *loaded;      /* struct sj_job, while loading */
@@ -341,14 +343,33 @@
 void ta_init (struct batch *b);
 /* Sets the poll interval of the job table for the current phase.  */
 void ta_set_poll_gap (struct batch *b);
-/* Holds starts while the worker table is not known to be recent.  */
-void ta_check_workers (struct batch *b);
+/* Holds starts while the worker table or the requests to evacuate a domain
+   are not known to be recent.  */
+void ta_check_starts (struct batch *b);
 /* Passes the accounts' guarantees to the scheduler, if there is one.  */
 void ba_apply_guarantees (struct batch *b);
 /* Returns 1 while the configuration is recent enough that a revoked key is
    not accepted for too long.  */
 int ba_config_is_fresh (const struct batch *b);
 
+/* evacuate.c: closed failure domains */
+/* Whether requests to evacuate a domain are served.  */
+int ev_is_served (const struct batch *b);
+/* Handles the row of a request; OP is what it means.  */
+void ev_on_row (struct batch *b, const struct po_row *row,
+                const struct po_operator_row *op, int generation);
+/* Reopens the domains whose requests the full scan GENERATION did not see. */
+void ev_on_synced (struct batch *b, int generation);
+/* Whether the requests are known, so that this VM may become holder.  */
+int ev_is_known (const struct batch *b);
+/* Milliseconds from now within which a start must be executed, at most
+   MAX_MS; 0: none may be sent, as a request may have been missed.  */
+int64_t ev_start_limit_ms (const struct batch *b, int64_t max_ms);
+/* Returns 1 while starts must be held, and logs when that changes.  */
+int ev_check_starts (struct batch *b);
+/* Logs the closed domains at the start of a term.  */
+void ev_log_term (struct batch *b);
+
 /* show.c */
 /* Return new references; sh_job returns NULL for a job that this VM does not
    know.  */
--- a/src/batch/counters.c
+++ b/src/batch/counters.c
@@ -35,6 +35,8 @@
       = st_series (r, ST_GAUGE, "skr_batch_accelerators_used", "");
   c->usable_workers = st_series (r, ST_GAUGE, "skr_batch_usable_workers", "");
   c->is_holder = st_series (r, ST_GAUGE, "skr_batch_holder", "");
+  c->closed_domains = st_series (r, ST_GAUGE, "skr_batch_closed_domains", "");
+  c->closed_workers = st_series (r, ST_GAUGE, "skr_batch_closed_workers", "");
   return c->shard < 0 ? BS_ENOMEM : BS_OK;
 }
 
@@ -59,4 +61,6 @@
   st_set (&b->stats, c->shard, c->accelerators_used, n.accelerators_used);
   st_set (&b->stats, c->shard, c->usable_workers, n.usable_workers);
   st_set (&b->stats, c->shard, c->is_holder, b->phase == BA_ACTIVE);
+  st_set (&b->stats, c->shard, c->closed_domains, b->domains.count);
+  st_set (&b->stats, c->shard, c->closed_workers, n.closed_workers);
 }
--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -56,7 +56,8 @@
 {
   struct sj_settings set
       = { .off_rack_factor = b->settings->far_factor,
-          .silent_timeout_ms = b->settings->hold_ms * 51 / 50 + 200 };
+          .silent_timeout_ms = b->settings->hold_ms * 51 / 50 + 200,
+          .domains = ev_is_served (b) ? &b->domains : NULL };
 
   b->term++;
   b->phase = BA_LOADING;
@@ -64,7 +65,7 @@
   b->cluster = sj_new (&set, wk_send_order, b);
   sj_set_note_fn (b->cluster, ba_on_note, b);
   wk_init_workers (b);
-  b->starts_held = 0;
+  b->starts_held = b->evacuations_held = 0;
   b->records = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                       (GDestroyNotify)json_decref);
   b->loaded = g_ptr_array_new_with_free_func ((GDestroyNotify)sj_job_free);
@@ -126,7 +127,7 @@
 acquire_is_due (struct batch *b)
 {
   if (b->stopping_at_ms || b->commit.open || b->store_down
-      || !b->job_follower.synced || !b->config
+      || !b->job_follower.synced || !b->config || !ev_is_known (b)
       || !le_may_acquire (&b->lease, b->now_ms)
       || b->now_ms - b->job_follower.fresh_ms > b->settings->take_ms
       || b->now_ms < b->no_attempt_before_ms)
@@ -146,7 +147,7 @@
 {
   if (le_valid (&b->lease, b->now_ms))
     {
-      ta_check_workers (b);
+      ta_check_starts (b);
       wk_tick (b);
       sj_decide (b->cluster, b->now_ms, wall_ms (b));
     }
@@ -171,7 +172,10 @@
     case BA_LOADING:
       ld_send_read (b);
       if (!b->records && b->worker_follower.synced)
-        b->phase = BA_ACTIVE;
+        {
+          b->phase = BA_ACTIVE;
+          ev_log_term (b);
+        }
       if (!b->commit.open && b->now_ms >= le_renew_at (&b->lease))
         cm_begin_records (b);
       break;
--- a/src/batch/main.c
+++ b/src/batch/main.c
@@ -10,6 +10,7 @@
 {
   MINUTE_MS = 60000,
   STOP_POLL_MS = 500,
+  MIN_EVACUATION_MS = 4000,
   SETTINGS_POLL_MS = 2000 /* how often the settings file is checked */
 };
 
@@ -66,6 +67,10 @@
     "interval between renewals of the scheduler's lease; at most half of "
     "lease-ms",
     FIELD (renew_ms) },
+  { "evacuation-ms", OPT_INT, "ms", 0, 10 * MINUTE_MS, "0",
+    "time within which a request to evacuate a failure domain takes effect, "
+    "at least 4000; 0: requests are logged and not served",
+    FIELD (evacuation_ms) },
   { "processor", OPT_REAL, "cores", 0, 1024, "1",
     "processor cores of this VM; a VM with fewer than 0.5 waits longer "
     "before it acquires the scheduler's lease",
@@ -91,6 +96,10 @@
     fail ("--take-ms must be at least 1.25 times --lease-ms");
   if (set->renew_ms * 2 > set->lease_ms)
     fail ("--renew-ms must be at most half of --lease-ms");
+  /* The table of requests is polled for 1.5 s at a time, and starts are held
+     2 s before the bound.  */
+  if (set->evacuation_ms && set->evacuation_ms < MIN_EVACUATION_MS)
+    fail ("--evacuation-ms must be 0 or at least 4000");
 }
 
 static void
--- a/src/batch/orders.c
+++ b/src/batch/orders.c
@@ -89,17 +89,17 @@
 send_order (struct batch *b, struct ba_order *o)
 {
   struct ba_worker *w = wk_find (b, o->worker);
+  int64_t limit_ms = ev_start_limit_ms (b, START_LEASE_MS);
 
   if (!w || !le_valid (&b->lease, b->now_ms))
     return PO_EINVAL;
   o->sent_ms = b->now_ms;
   if (o->kind == SJ_STOP)
     return send_stop (b, w, o);
-  if (!is_wanted (b, w, o))
+  if (!limit_ms || !is_wanted (b, w, o))
     return PO_EINVAL;
-  o->expires_ms = wk_clock_now_ms (b, w) + START_LEASE_MS;
-  sj_worker_set_lease (b->cluster, w->id,
-                       wk_lease_end_bound_ms (b, START_LEASE_MS));
+  o->expires_ms = wk_clock_now_ms (b, w) + limit_ms;
+  sj_worker_set_lease (b->cluster, w->id, wk_lease_end_bound_ms (b, limit_ms));
   sj_start_sent (b->cluster, w->id, &o->run);
   if (!w->hold_in_flight)
     w->next_hold_ms = b->now_ms;
--- a/src/batch/show.c
+++ b/src/batch/show.c
@@ -36,6 +36,32 @@
   return since_ms ? b->now_ms - since_ms : -1;
 }
 
+/* The closed failure domains.  Workers and runs are known to the holder
+   only.  */
+static json_t *
+closed_domains (const struct batch *b)
+{
+  json_t *list = json_array ();
+
+  for (int i = 0; i < b->domains.count; i++)
+    {
+      const struct dm_domain *d = &b->domains.closed[i];
+      json_t *o = json_pack ("{s:s,s:I,s:I}", "domain", d->name, "version",
+                             (json_int_t)d->version, "closed_ms",
+                             age_ms (b, d->closed_ms));
+      int workers, runs;
+
+      if (b->phase == BA_ACTIVE)
+        {
+          sj_count_domain (b->cluster, d->name, &workers, &runs);
+          json_object_set_new (o, "workers", json_integer (workers));
+          json_object_set_new (o, "runs", json_integer (runs));
+        }
+      json_array_append_new (list, o);
+    }
+  return list;
+}
+
 json_t *
 sh_status (const struct batch *b)
 {
@@ -55,6 +81,7 @@
   json_object_set_new (o, "jobs",
                        json_integer (g_hash_table_size (b->view.jobs)));
   json_object_set_new (o, "in_progress", json_integer (b->pending->len));
+  json_object_set_new (o, "closed_domains", closed_domains (b));
   if (b->phase != BA_ACTIVE)
     return o;
   json_object_set_new (o, "open_jobs", json_integer (n.jobs));
--- a/src/batch/tables.c
+++ b/src/batch/tables.c
@@ -44,22 +44,23 @@
 }
 
 static void
-apply_config_row (struct batch *b, const struct po_row *row, int generation)
+log_not_served (const struct po_row *row)
+{
+  struct lg_field f[]
+      = { lg_str ("table", row->table), lg_str ("key", row->key) };
+
+  if (!row->deleted)
+    lg_log (LG_NOT_SERVED, 2, f);
+}
+
+static void
+apply_config_row (struct batch *b, const struct po_row *row)
 {
   const char *reason = "";
   struct qu_config *c;
 
-  (void)generation;
   if (row->deleted)
     return;
-  if (!po_is_config (row))
-    {
-      struct lg_field f[]
-          = { lg_str ("table", row->table), lg_str ("key", row->key) };
-
-      lg_log (LG_NOT_SERVED, 2, f);
-      return;
-    }
   c = po_config_read (row->value, &reason);
   if (c && b->config && c->version <= b->config->version)
     {
@@ -74,6 +75,28 @@
   ba_apply_guarantees (b);
 }
 
+static void
+apply_operator_row (struct batch *b, const struct po_row *row, int generation)
+{
+  struct po_operator_row op = po_operator_read (row);
+
+  switch (op.kind)
+    {
+    case PO_OPERATOR_CONFIG:
+      apply_config_row (b, row);
+      break;
+    case PO_OPERATOR_EVACUATE:
+      if (ev_is_served (b))
+        ev_on_row (b, row, &op, generation);
+      else
+        log_not_served (row);
+      break;
+    case PO_OPERATOR_OTHER:
+      log_not_served (row);
+      break;
+    }
+}
+
 static void
 apply_lease_row (struct batch *b, const struct po_row *row)
 {
@@ -114,16 +137,16 @@
 }
 
 void
-ta_check_workers (struct batch *b)
+ta_check_starts (struct batch *b)
 {
   int64_t age_ms = b->now_ms - b->worker_follower.fresh_ms;
   int held = age_ms > WORKER_TABLE_MAX_AGE_MS;
   struct lg_field f[] = { lg_int ("held", held), lg_int ("age_ms", age_ms) };
 
-  if (held == b->starts_held)
-    return;
+  if (held != b->starts_held)
+    lg_log (LG_STARTS_HELD, 2, f);
   b->starts_held = held;
-  lg_log (LG_STARTS_HELD, 2, f);
+  held |= ev_check_starts (b);
   sj_hold_starts (b->cluster, held);
 }
 
@@ -131,7 +154,8 @@
 ta_init (struct batch *b)
 {
   fo_init (b, &b->config_follower, po_config_table (), CONFIG_WAIT_MS, 0);
-  b->config_follower.on_row = apply_config_row;
+  b->config_follower.on_row = apply_operator_row;
+  b->config_follower.on_synced = ev_on_synced;
   fo_init (b, &b->job_follower, "jobs", JOB_WAIT_MS, JOB_GAP_MS);
   b->job_follower.on_row = apply_job_row;
   b->job_follower.on_synced = on_jobs_synced;
--- a/src/batch/workers.c
+++ b/src/batch/workers.c
@@ -209,9 +209,11 @@
                                  .service = p->service,
                                  .kind = p->kind,
                                  .rack = p->rack,
+                                 .domain = p->domain,
                                  .capacity = p->capacity,
                                  .draining = p->draining,
                                  .remaining_ms = p->remaining_ms,
+                                 .cold_remaining_ms = p->cold_remaining_ms,
                                  .version = version };
 
   if (w->incarnation && p->incarnation && p->incarnation < w->incarnation)
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -882,19 +882,19 @@
 {
   setup ();
   batch.worker_follower.fresh_ms = batch.now_ms;
-  ta_check_workers (&batch);
+  ta_check_starts (&batch);
   sj_job_add (batch.cluster, new_one_task_job (0xb1), NULL, 0, batch.now_ms);
   advance (10);
   answer_hold (SJ_EXECUTED, &first_end);
   sj_decide (batch.cluster, batch.now_ms, batch.now_ms);
   batch.now_ms += 4000;
-  ta_check_workers (&batch);
+  ta_check_starts (&batch);
   commit_all ();
   sj_decide (batch.cluster, batch.now_ms, batch.now_ms);
   commit_all ();
   CU_ASSERT_EQUAL (starts, 1);
   batch.worker_follower.fresh_ms = batch.now_ms;
-  ta_check_workers (&batch);
+  ta_check_starts (&batch);
   sj_decide (batch.cluster, batch.now_ms, batch.now_ms);
   commit_all ();
   CU_ASSERT_EQUAL (starts, 2);
--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -23,6 +23,7 @@
   struct po_worker *w = worker (
       "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
       "\"state\":\"draining\",\"remaining_ms\":1500,\"born\":77,"
+      "\"cold_remaining_ms\":900,"
       "\"capacity\":{\"cpu\":128000,\"memory_request_mb\":262144,\"gpu\":8},"
       "\"labels\":[\"a\",\"r1-3\"],\"unknown\":[1]}",
       &reason);
@@ -37,6 +38,8 @@
   CU_ASSERT (w->draining);
   CU_ASSERT_EQUAL (w->remaining_ms, 1500);
   CU_ASSERT_EQUAL (w->incarnation, 77);
+  CU_ASSERT_STRING_EQUAL (w->domain, "z");
+  CU_ASSERT_EQUAL (w->cold_remaining_ms, 900);
   po_worker_free (w);
 }
 
@@ -67,6 +70,44 @@
     }
 }
 
+static struct po_operator_row
+operator_row (const char *key, const char *value, int deleted)
+{
+  struct po_row row = { .table = (char *)"op",
+                        .key = (char *)(uintptr_t)key,
+                        .value = (char *)(uintptr_t)value,
+                        .deleted = deleted };
+
+  return po_operator_read (&row);
+}
+
+/* The key tells what an operator's row means; a value that can't be read
+   changes nothing about it.  */
+static void
+test_operator_rows_are_read (void)
+{
+  static const char *const values[] = { "", "{", "[]", "7", "\x01" };
+  struct po_operator_row r = operator_row ("evacuate/zone/1 b", "{}", 0);
+
+  CU_ASSERT_EQUAL (r.kind, PO_OPERATOR_EVACUATE);
+  CU_ASSERT_STRING_EQUAL (r.u.evacuate.domain, "zone/1 b");
+  CU_ASSERT (r.u.evacuate.value_is_valid);
+  for (size_t i = 0; i < sizeof values / sizeof *values; i++)
+    {
+      r = operator_row ("evacuate/", values[i], 0);
+      CU_ASSERT_EQUAL (r.kind, PO_OPERATOR_EVACUATE);
+      CU_ASSERT_STRING_EQUAL (r.u.evacuate.domain, "");
+      CU_ASSERT_FALSE (r.u.evacuate.value_is_valid);
+    }
+  r = operator_row ("evacuate/z", "", 1);
+  CU_ASSERT_EQUAL (r.kind, PO_OPERATOR_EVACUATE);
+  CU_ASSERT (r.u.evacuate.value_is_valid);
+  CU_ASSERT_EQUAL (operator_row ("config", "{}", 0).kind, PO_OPERATOR_CONFIG);
+  CU_ASSERT_EQUAL (operator_row ("evacuate", "{}", 0).kind, PO_OPERATOR_OTHER);
+  CU_ASSERT_EQUAL (operator_row ("configs", "{}", 0).kind, PO_OPERATOR_OTHER);
+  CU_ASSERT_EQUAL (operator_row ("", "{}", 0).kind, PO_OPERATOR_OTHER);
+}
+
 static void
 test_configuration_is_read (void)
 {
@@ -188,6 +229,7 @@
   static const CU_TestInfo tests[] = {
     { "worker", test_worker_is_read },
     { "invalid workers", test_invalid_workers_are_rejected },
+    { "operator rows", test_operator_rows_are_read },
     { "configuration", test_configuration_is_read },
     { "invalid configurations", test_invalid_configurations_are_rejected },
     { "job", test_job_is_read },
