--- a/src/batch/counters.c
+++ b/src/batch/counters.c
@@ -43,6 +43,8 @@
       = st_series (r, ST_GAUGE, "skr_batch_accelerators_used", "");
   c->usable_workers = st_series (r, ST_GAUGE, "skr_batch_usable_workers", "");
   c->is_holder = st_series (r, ST_GAUGE, "skr_batch_holder", "");
+  c->closed_domains = st_series (r, ST_GAUGE, "skr_batch_closed_domains", "");
+  c->closed_workers = st_series (r, ST_GAUGE, "skr_batch_closed_workers", "");
   return c->shard < 0 ? BS_ENOMEM : BS_OK;
 }
 
@@ -70,4 +72,6 @@
   st_set (&b->stats, c->shard, c->reads_state, b->access.path[AC_READS].state);
   st_set (&b->stats, c->shard, c->writes_state,
           b->access.path[AC_WRITES].state);
+  st_set (&b->stats, c->shard, c->closed_domains, b->domains.count);
+  st_set (&b->stats, c->shard, c->closed_workers, n.closed_workers);
 }
