steps: place and keep runs by learned worker speeds

An urgent run on a worker of 0.55 beside siblings at 1.2 falls near the limit of 40 % with noise and was moved, which throws its work away; gangs were placed without regard to speed. With the new setting speed-aware (0: as before), the scheduler samples the workers' speeds. Urgent work takes fast workers, other work slow ones, and a gang workers of one class. A run moves for slowness only if it is slow for its worker's class, would finish sooner by half on a worker with free capacity, and its job then meets its objective or is served. A worker whose other runs advance is not taken for slow. Within a class, the worker that is left with the least stranded capacity comes first. Expected run times use the learned ratios.

--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -211,7 +211,11 @@
 {
   SJ_NOTE_RUN_LOST,
   SJ_NOTE_TASK_GIVEN_UP, /* too many workers crashed under it */
-  SJ_NOTE_CAPACITY       /* a worker's capacity has changed */
+  SJ_NOTE_CAPACITY,      /* a worker's capacity has changed */
+  SJ_NOTE_SPEED,         /* a worker's speed class has changed */
+  SJ_NOTE_FLEET,         /* the workers' speeds have become uneven or even */
+  SJ_NOTE_SLOW_KEPT,     /* a slow run is not moved */
+  SJ_NOTE_FAST_WAIT      /* a unit waits for a fast worker */
 };
 
 /* Something that the scheduler learned, for the log.  Its strings are valid
@@ -239,6 +243,29 @@
     {
       struct sj_resources capacity, used;
     } capacity;
+    struct
+    {
+      const char *was, *is; /* names of speed classes */
+      int percent;          /* of the speed of the fast workers */
+      int samples;
+    } speed;
+    struct
+    {
+      int is_uneven, classes;
+      int spread_percent, noise_percent; /* standard deviations */
+      int fast, medium, slow, unknown;   /* workers */
+    } fleet;
+    struct
+    {
+      struct sj_run run;
+      int pace_percent;   /* of the fast siblings' */
+      int worker_percent; /* speed of its worker, as in speed */
+    } slow_kept;
+    struct
+    {
+      struct sj_run run;   /* of the unit's first task */
+      int64_t expected_ms; /* until a fast worker is free */
+    } fast_wait;
   } u;
 };
 
@@ -250,6 +277,7 @@
   /* Least time from when a silent worker became known until its runs count
      as ended.  */
   int64_t silent_timeout_ms;
+  int speed_aware; /* learn and use the workers' speeds and the run times */
 };
 
 struct sj_cluster; /* opaque */
@@ -362,6 +390,11 @@
 {
   int jobs, waiting, runs, workers, usable_workers, busy_workers;
   int64_t accelerators_used, accelerators;
+  /* With speed_aware: workers by speed class, whether their speeds differ, and
+     how often a slow run was not moved and a unit waited for a fast worker. */
+  int fast_workers, medium_workers, slow_workers, unknown_workers;
+  int speeds_uneven;
+  int64_t slow_kept, fast_waits;
 };
 /* Fills OUT with the current counts.  */
 void sj_count (struct sj_cluster *c, struct sj_counts *out);
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -172,6 +172,29 @@
     "An attempt of a job was lost with a worker and is taken for the cause; "
     "given_up tells whether the job was ended for it.",
     "if one job is lost again and again, look at the job" },
+  { LG_WORKER_SPEED, LG_INFO, "worker-speed",
+    "worker was class speed_percent samples",
+    "The worker's speed class has changed; speed_percent is the speed of its "
+    "class relative to the fast workers, samples counts the runs that show "
+    "it.",
+    "if a worker turns slow alone, check the worker" },
+  { LG_FLEET_SPEEDS, LG_NOTICE, "fleet-speeds",
+    "uneven classes spread_percent noise_percent fast medium slow unknown",
+    "The workers' speeds differ by more than a factor of 1.25 (uneven 1), so "
+    "that urgent work takes fast workers first, or no longer do (uneven 0); "
+    "the last fields count workers.",
+    "none" },
+  { LG_SLOW_RUN_KEPT, LG_INFO, "slow-run-kept",
+    "id occurrence step task run worker pace_percent worker_percent",
+    "A run is slow and is not moved: its worker is of a slow class, no worker "
+    "that would finish it much sooner has free capacity, or its job gains "
+    "nothing; pace_percent is relative to its siblings on fast workers, "
+    "worker_percent the speed of its worker.",
+    "none" },
+  { LG_FAST_WAIT, LG_INFO, "fast-wait", "id occurrence step task expected_ms",
+    "Urgent work waits for a fast worker, which is expected to be free in "
+    "expected_ms, because on the slow ones it would miss its objective.",
+    "none" },
 
   /* filter */
   { LG_REQUEST_UNKNOWN, LG_WARNING, "request-unknown",
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -28,7 +28,7 @@
   int64_t log_level, log_rate;
   int64_t hold_ms, far_factor, revoke_ms, grace_ms, keep_s;
   int64_t lease_ms, take_ms, renew_ms;
-  int64_t max_requests;
+  int64_t max_requests, speed_aware;
   double processor;
 };
 
@@ -218,6 +218,8 @@
   int store_wait, commit_duration;
   int waiting_jobs, waiting_orders, runs, accelerators_used, usable_workers,
       is_holder;
+  int slow_kept, fast_waits;
+  int fast_workers, medium_workers, slow_workers, unknown_workers;
 };
 
 struct batch
--- a/src/batch/counters.c
+++ b/src/batch/counters.c
@@ -34,6 +34,17 @@
   c->accelerators_used
       = st_series (r, ST_GAUGE, "skr_batch_accelerators_used", "");
   c->usable_workers = st_series (r, ST_GAUGE, "skr_batch_usable_workers", "");
+  c->slow_kept
+      = st_series (r, ST_COUNTER, "skr_batch_slow_runs_kept_total", "");
+  c->fast_waits = st_series (r, ST_COUNTER, "skr_batch_fast_waits_total", "");
+  c->fast_workers
+      = st_series (r, ST_GAUGE, "skr_batch_speed_workers", "class=\"fast\"");
+  c->medium_workers
+      = st_series (r, ST_GAUGE, "skr_batch_speed_workers", "class=\"medium\"");
+  c->slow_workers
+      = st_series (r, ST_GAUGE, "skr_batch_speed_workers", "class=\"slow\"");
+  c->unknown_workers = st_series (r, ST_GAUGE, "skr_batch_speed_workers",
+                                  "class=\"unknown\"");
   c->is_holder = st_series (r, ST_GAUGE, "skr_batch_holder", "");
   return c->shard < 0 ? BS_ENOMEM : BS_OK;
 }
@@ -58,5 +69,9 @@
   st_set (&b->stats, c->shard, c->runs, n.runs);
   st_set (&b->stats, c->shard, c->accelerators_used, n.accelerators_used);
   st_set (&b->stats, c->shard, c->usable_workers, n.usable_workers);
+  st_set (&b->stats, c->shard, c->fast_workers, n.fast_workers);
+  st_set (&b->stats, c->shard, c->medium_workers, n.medium_workers);
+  st_set (&b->stats, c->shard, c->slow_workers, n.slow_workers);
+  st_set (&b->stats, c->shard, c->unknown_workers, n.unknown_workers);
   st_set (&b->stats, c->shard, c->is_holder, b->phase == BA_ACTIVE);
 }
--- a/src/batch/main.c
+++ b/src/batch/main.c
@@ -74,6 +74,10 @@
     "maximum number of client requests in progress; further requests are "
     "refused",
     FIELD (max_requests) },
+  { "speed-aware", OPT_INT, "", 0, 1, "0",
+    "1: learn the workers' speeds and the run times from what runs show, and "
+    "use them to place, keep and move runs",
+    FIELD (speed_aware) },
   { NULL, OPT_INT, "", 0, 0, NULL, NULL, 0 }
 };
 
--- a/src/batch/show.c
+++ b/src/batch/show.c
@@ -36,6 +36,17 @@
   return since_ms ? b->now_ms - since_ms : -1;
 }
 
+/* The section about the workers' speeds.  */
+static json_t *
+speeds (const struct sj_counts *n)
+{
+  return json_pack (
+      "{s:b,s:i,s:i,s:i,s:i,s:I,s:I}", "uneven", n->speeds_uneven, "fast",
+      n->fast_workers, "medium", n->medium_workers, "slow", n->slow_workers,
+      "unknown", n->unknown_workers, "slow_runs_kept",
+      (json_int_t)n->slow_kept, "fast_waits", (json_int_t)n->fast_waits);
+}
+
 json_t *
 sh_status (const struct batch *b)
 {
@@ -64,6 +75,8 @@
   json_object_set_new (o, "accelerators", json_integer (n.accelerators));
   json_object_set_new (o, "accelerators_used",
                        json_integer (n.accelerators_used));
+  if (b->settings->speed_aware)
+    json_object_set_new (o, "speeds", speeds (&n));
   return o;
 }
 
--- a/src/steps/cluster.c
+++ b/src/steps/cluster.c
@@ -22,6 +22,7 @@
   c->given_up = g_ptr_array_new ();
   c->kept_apart = g_new0 (int, 1);
   rk_init (c);
+  sd_init (c);
   g_queue_init (&c->dirty_jobs);
   c->worker_list = g_ptr_array_new ();
   c->job_list = g_ptr_array_new ();
@@ -45,6 +46,7 @@
   g_ptr_array_free (c->worker_list, TRUE);
   g_hash_table_destroy (c->jobs);
   rk_fini (c);
+  sd_fini (c);
   g_hash_table_destroy (c->workers);
   g_hash_table_destroy (c->guarantees);
   g_hash_table_destroy (c->unresolved_workers);
@@ -231,6 +233,7 @@
       out->accelerators_used += w->used.accelerators;
       out->accelerators += w->listed ? w->capacity.accelerators : 0;
     }
+  sd_count (c, out);
 }
 
 static void
--- a/src/steps/health.c
+++ b/src/steps/health.c
@@ -25,6 +25,10 @@
      declared run time.  */
   PACE_SAMPLE_MS = 500,
   PACE_SAMPLE_PERCENT = 10,
+  /* The same with learned speeds.  Progress is listed in whole percent, so
+     that a run on a slow worker whose declared run time is too low advances by
+     two or three of them in the shorter sample.  */
+  SPEED_SAMPLE_PERCENT = 20,
   NEARLY_DONE_PERCENT = 98, /* from here, a task may wait for its gang */
   /* A pace is slow below this share of the best pace of the step's tasks on
      other workers.  Run times of batch tasks may differ by a factor of four;
@@ -34,6 +38,11 @@
   /* Without such tasks, the share of the declared pace, which may be off by a
      factor of three.  */
   SLOW_DECLARED_PERCENT = 20,
+  /* Speed of the slowest usual class, relative to fast workers.  Workers have
+     0.55 and 1.2 of the declared speed, or 0.46 of the fast ones.  */
+  USUAL_SPEED_PERCENT = 33,
+  SERVED_FACTOR = 3, /* a job that ends after three times its objective is not
+                        served */
   SLOW_EXPIRY_MS = 6000, /* a worker is not expected to stay slow longer */
   /* Time to stop a run, store its record and start it again.  */
   MOVE_COST_MS = 600
@@ -93,7 +102,22 @@
 {
   int64_t ms = declared_ms (c, m->unit);
 
-  return m->pace_percent > 0 ? ms * 100 / m->pace_percent : ms;
+  if (m->pace_percent > 0)
+    return ms * 100 / m->pace_percent;
+  if (!c->settings.speed_aware)
+    return ms;
+  ms = sd_run_on_ms (c, m->unit, m->worker);
+  return m->unit->off_rack ? ms * c->settings.off_rack_factor : ms;
+}
+
+int64_t
+he_expected_remaining_ms (const struct sj_cluster *c, const struct member *m)
+{
+  int64_t run_ms = he_expected_run_ms (c, m);
+
+  if (m->state != MB_RUNNING)
+    return run_ms;
+  return MAX (he_remaining_ms (run_ms, m) - (c->now - m->last_listed_ms), 0);
 }
 
 int
@@ -148,6 +172,56 @@
   return m->pace_percent * 100 < reference * percent;
 }
 
+/* The same with the learned speeds: whether M is slow even for the class of
+   its worker.  REFERENCE is the pace of a fast worker, or 0.  A class that is
+   slower than any usual worker excuses nothing.  */
+static int
+is_slow_for_class (const struct sj_cluster *c, const struct member *m,
+                   double reference)
+{
+  double speed = sd_speed (c, m->worker), percent = SLOW_BATCH_PERCENT;
+  /* It may have advanced by almost one percent more than listed.  */
+  int pace = m->pace_percent + m->pace_resolution;
+
+  if (speed * 100 < USUAL_SPEED_PERCENT)
+    speed = 1;
+  if (reference <= 0)
+    return pace < SLOW_DECLARED_PERCENT * speed;
+  /* An urgent run on a worker of unknown speed may be as slow as the slowest
+     usual class with noise.  */
+  if (!m->unit->job->spec->priority && sd_class (c, m->worker) != SP_UNKNOWN)
+    percent = SLOW_URGENT_PERCENT;
+  return pace * 100 < reference * speed * percent;
+}
+
+/* Whether a run of another step on M's worker advances as it should, so that
+   M's task is slow rather than the worker.  */
+static int
+has_healthy_neighbour (const struct sj_cluster *c, const struct member *m)
+{
+  const struct worker *w = m->worker;
+
+  for (guint i = 0; i < w->members->len; i++)
+    {
+      const struct member *other = g_ptr_array_index (w->members, i);
+
+      if (other->pace_percent > 0 && !un_same_step (other->unit, m->unit)
+          && !is_slow_for_class (c, other, sd_fast_pace (other)))
+        return 1;
+    }
+  return 0;
+}
+
+/* Whether M's pace shows that its worker is slow now.  */
+static int
+shows_slow_worker (const struct sj_cluster *c, const struct member *m)
+{
+  if (!c->settings.speed_aware)
+    return is_slow_pace (m, reference_pace (m));
+  return is_slow_for_class (c, m, sd_fast_pace (m))
+         && !has_healthy_neighbour (c, m);
+}
+
 /* Updates M's pace and its worker's state once the sample is long enough.  */
 static void
 sample_pace (const struct sj_cluster *c, struct member *m, int percent,
@@ -155,21 +229,24 @@
 {
   int64_t declared = declared_ms (c, m->unit);
   int64_t took = now - m->pace_base_ms;
+  int share
+      = c->settings.speed_aware ? SPEED_SAMPLE_PERCENT : PACE_SAMPLE_PERCENT;
 
-  if (took < PACE_SAMPLE_MS || took * 100 < declared * PACE_SAMPLE_PERCENT)
+  if (took < PACE_SAMPLE_MS || took * 100 < declared * share)
     return;
   if (declared > 0 && percent < NEARLY_DONE_PERCENT)
     {
       m->pace_percent
           = (int)((percent - m->pace_base_percent) * declared / took);
-      m->worker->seen_slow_ms = is_slow_pace (m, reference_pace (m)) ? now : 0;
+      m->pace_resolution = (int)(declared / took);
+      m->worker->seen_slow_ms = shows_slow_worker (c, m) ? now : 0;
     }
   m->pace_base_ms = now;
   m->pace_base_percent = percent;
 }
 
 void
-he_record_progress (const struct sj_cluster *c, struct member *m, int percent,
+he_record_progress (struct sj_cluster *c, struct member *m, int percent,
                     int64_t now)
 {
   /* A run loads its checkpoint or waits for its gang before it advances.
@@ -178,6 +255,8 @@
               || (m->pace_percent < 0 && percent == m->pace_base_percent
                   && now - m->started_ms < FIRST_PROGRESS_MS);
 
+  if (percent >= 0)
+    sd_record_progress (c, m, percent, declared_ms (c, m->unit), now);
   m->last_listed_ms = now;
   if (percent < 0)
     return;
@@ -259,16 +338,60 @@
          > remaining_elsewhere_ms (run_ms, m) * 3;
 }
 
+/* The same with the learned speeds: a run of a slow class stays.  Any other
+   moves if it would finish sooner by a clear margin on a worker that has free
+   capacity, and if its job then meets its objective, or is served, and would
+   not otherwise.  */
+static int
+is_move_worthwhile_by_speed (const struct sj_cluster *c,
+                             const struct member *m)
+{
+  int64_t here_ms, elsewhere_ms, run_ms = declared_ms (c, m->unit);
+  double reference, speed;
+
+  if (m->pace_percent < 0 || m->unit->moved)
+    return 0;
+  reference = sd_fast_pace (m);
+  if (!is_slow_for_class (c, m, reference))
+    return 0;
+  speed = sd_speed_elsewhere (c, m);
+  if (speed <= 0)
+    return 0;
+  here_ms = he_remaining_ms (run_ms, m) * 100 / MAX (m->pace_percent, 1);
+  run_ms = (int64_t)((double)run_ms * 100 / (reference > 0 ? reference : 100)
+                     / speed);
+  elsewhere_ms = remaining_elsewhere_ms (run_ms, m);
+  if (here_ms * 2 <= elsewhere_ms * 3)
+    return 0;
+  for (int factor = 1; factor <= SERVED_FACTOR; factor += SERVED_FACTOR - 1)
+    if (sd_meets (c, m->unit, elsewhere_ms, factor)
+        && !sd_meets (c, m->unit, here_ms, factor))
+      return 1;
+  return 0;
+}
+
+static int
+should_move (struct sj_cluster *c, struct member *m)
+{
+  if (!c->settings.speed_aware)
+    return is_move_worthwhile (c, m);
+  if (is_move_worthwhile_by_speed (c, m))
+    return 1;
+  if (!m->slow_kept && is_move_worthwhile (c, m))
+    sd_note_slow_kept (c, m);
+  return 0;
+}
+
 /* Why M's run should move, or SJ_NO_CAUSE.  */
 static enum sj_cause
-move_cause (const struct sj_cluster *c, const struct member *m)
+move_cause (struct sj_cluster *c, struct member *m)
 {
   if (m->state != MB_RUNNING || !m->last_listed_ms
       || m->progress_percent >= NEARLY_DONE_PERCENT)
     return SJ_NO_CAUSE;
   if (is_stalled (c, m))
     return SJ_STALLED;
-  return is_move_worthwhile (c, m) ? SJ_SLOW : SJ_NO_CAUSE;
+  return should_move (c, m) ? SJ_SLOW : SJ_NO_CAUSE;
 }
 
 /* Aborts U's run if any member should move, and avoids those workers.  */
@@ -287,7 +410,8 @@
       if (!cause)
         continue;
       ru_avoid_worker (u, m->worker->id);
-      if (!patience_doublings (u))
+      if (!patience_doublings (u)
+          && !(c->settings.speed_aware && has_healthy_neighbour (c, m)))
         mark_suspect (c, m->worker, now);
       move = cause;
     }
@@ -301,6 +425,7 @@
 void
 he_check_runs (struct sj_cluster *c, int64_t now)
 {
+  sd_update (c, now);
   for (guint i = 0; i < c->job_list->len; i++)
     {
       struct job *j = g_ptr_array_index (c->job_list, i);
--- a/src/steps/listing.c
+++ b/src/steps/listing.c
@@ -19,7 +19,7 @@
 }
 
 static void
-apply_running (const struct sj_cluster *c, struct member *m,
+apply_running (struct sj_cluster *c, struct member *m,
                const struct sj_listed_run *l, int64_t now)
 {
   if (m->state == MB_STARTING)
--- a/src/steps/placement.c
+++ b/src/steps/placement.c
@@ -1,6 +1,8 @@
 /* Placement of units.  Workers are chosen best-fit by free accelerators, to
    limit fragmentation; a gang bound to a rack takes the rack with the least
-   free capacity that holds it.  */
+   free capacity that holds it.  With the learned speeds, the speed class comes
+   first: urgent work takes fast workers, other work slow ones, and a gang,
+   which is as slow as its slowest worker, takes workers of one class.  */
 #include <string.h>
 
 #include "steps/state.h"
@@ -10,8 +12,40 @@
   struct worker *worker;
   int tasks; /* tasks of the unit that fit */
   int is_slow;
+  int order;    /* by speed class; the lowest first */
+  int stranded; /* by the unit, in steps of STRANDED_STEP; the least first */
+};
+
+/* Speed classes as the choice of workers sees them, the fastest first.  A
+   worker of unknown speed is more likely fast than slow.  */
+enum
+{
+  LEVELS = 4,
+  MIXED = LEVELS, /* grade of a batch gang on workers of several classes */
+  /* Workers that the unit leaves with a similar imbalance are chosen by best
+     fit.  */
+  STRANDED_STEP = 250,
+  ACCELERATOR_WEIGHT = 2 /* of stranded accelerators, against the others */
 };
 
+static int
+level_of (const struct sj_cluster *c, const struct worker *w)
+{
+  switch (sd_class (c, w))
+    {
+    case SP_FAST:
+      return 0;
+    case SP_MEDIUM:
+      return 2;
+    case SP_SLOW:
+      return 3;
+    case SP_UNKNOWN:
+    case SP_CLASSES:
+      break;
+    }
+  return 1;
+}
+
 static int
 is_avoided (const struct unit *u, const struct worker *w)
 {
@@ -102,12 +136,48 @@
   if (!pl_is_eligible (c, u, w) || conflicts_with_latency (u, w))
     return 0;
   if (w->reserved_from_ms
-      && c->now + un_step (u)->estimate_ms > w->reserved_from_ms)
+      && c->now + sd_run_on_ms (c, u, w) > w->reserved_from_ms)
     nd_sub (&available, &w->reserved);
   return nd_count_fitting (&need, &available, remaining_per_worker (u, w));
 }
 
-/* Best first: not slow, then with the least free capacity.  */
+/* Share of what is free on a worker of CAPACITY that a task which needs all
+   resources in equal shares can't use, in thousandths of the worker.  */
+static int
+stranded (const struct sj_resources *available,
+          const struct sj_resources *capacity)
+{
+  int64_t cpu = available->cpu_milli * 1000 / MAX (capacity->cpu_milli, 1);
+  int64_t memory = available->memory_mb * 1000 / MAX (capacity->memory_mb, 1);
+  int64_t accelerators
+      = available->accelerators * 1000 / MAX (capacity->accelerators, 1);
+  int64_t usable = MIN (cpu, memory);
+
+  if (capacity->accelerators)
+    usable = MIN (usable, accelerators);
+  usable = MAX (usable, 0);
+  return (int)(cpu + memory - 2 * usable
+               + MAX (accelerators - usable, 0) * ACCELERATOR_WEIGHT);
+}
+
+/* By how much a task of U increases what is stranded on W.  */
+static int
+stranded_by (const struct sj_cluster *c, const struct unit *u,
+             const struct worker *w, int after_stops)
+{
+  struct sj_resources need = nd_for_step (un_step (u));
+  struct sj_resources available = after_stops ? w->free_after_stops : w->free;
+  int before;
+
+  if (!c->settings.speed_aware)
+    return 0;
+  before = stranded (&available, &w->capacity);
+  nd_sub (&available, &need);
+  return (stranded (&available, &w->capacity) - before) / STRANDED_STEP;
+}
+
+/* Best first: not slow, of the preferred class, with the least capacity
+   stranded, then with the least free capacity.  */
 static int
 by_fit (const void *a, const void *b)
 {
@@ -116,6 +186,10 @@
 
   if (p->is_slow != q->is_slow)
     return p->is_slow - q->is_slow;
+  if (p->order != q->order)
+    return p->order - q->order;
+  if (p->stranded != q->stranded)
+    return p->stranded - q->stranded;
   if (x->free.accelerators != y->free.accelerators)
     return x->free.accelerators < y->free.accelerators ? -1 : 1;
   if (x->free.memory_mb != y->free.memory_mb)
@@ -140,12 +214,63 @@
 
       if (!tasks)
         continue;
-      out[n++] = (struct candidate){ w, tasks, he_is_slow_worker (c, w) };
+      out[n++] = (struct candidate){ .worker = w,
+                                     .tasks = tasks,
+                                     .is_slow = he_is_slow_worker (c, w),
+                                     .stranded
+                                     = stranded_by (c, u, w, after_stops) };
       *total += tasks;
     }
   return n;
 }
 
+/* The slowest level that U should use, of workers that fit TASKS tasks by
+   level.  *GRADE is set to how good that is, 0 the best.  */
+static int
+choose_level (const struct sj_cluster *c, const struct unit *u,
+              const int *tasks, int *grade)
+{
+  int sum = 0;
+
+  if (sd_wants_fast (c, u))
+    {
+      for (*grade = 0; *grade < LEVELS - 1; ++*grade)
+        if ((sum += tasks[*grade]) >= u->count)
+          break;
+      return *grade;
+    }
+  for (int level = LEVELS - 1; level >= 0; level--)
+    if (tasks[level] >= u->count)
+      {
+        *grade = LEVELS - 1 - level;
+        return level;
+      }
+  *grade = MIXED;
+  return LEVELS - 1;
+}
+
+/* Sets the order by speed of the N candidates for U.  A single task takes the
+   fastest or the slowest.  A gang that needs a slower worker is as slow as
+   that, and leaves the faster ones to others.  */
+static void
+order_by_speed (const struct sj_cluster *c, const struct unit *u,
+                struct candidate *list, int n)
+{
+  int tasks[LEVELS] = { 0 }, level, grade;
+
+  if (!c->settings.speed_aware || !c->fleet.is_uneven)
+    return;
+  for (int i = 0; i < n; i++)
+    tasks[level_of (c, list[i].worker)] += list[i].tasks;
+  level = choose_level (c, u, tasks, &grade);
+  for (int i = 0; i < n; i++)
+    {
+      int at = level_of (c, list[i].worker);
+
+      list[i].order = at <= level ? level - at : LEVELS + at;
+    }
+}
+
 /* Fills PLACEMENT from the N candidates, best first.  Returns 1 if all of U
    fits.  */
 static int
@@ -168,40 +293,55 @@
 {
   int total, n = list_candidates (c, u, after_stops, rack, candidates, &total);
 
-  return total >= u->count && assign_tasks (u, candidates, n, placement);
+  if (total < u->count)
+    return 0;
+  order_by_speed (c, u, candidates, n);
+  return assign_tasks (u, candidates, n, placement);
 }
 
-/* Tasks of U that fit in R.  */
+/* Tasks of U that fit in R.  *GRADE is set as by choose_level, to 0 without
+   speeds.  */
 static int
 tasks_fitting_in (const struct sj_cluster *c, const struct unit *u,
-                  const struct rack *r, int after_stops)
+                  const struct rack *r, int after_stops, int *grade)
 {
-  int n = 0;
+  int by_level[LEVELS] = { 0 }, n = 0;
 
   for (guint i = 0; i < r->workers->len; i++)
-    n += tasks_fitting_on (c, u, g_ptr_array_index (r->workers, i),
-                           after_stops);
+    {
+      const struct worker *w = g_ptr_array_index (r->workers, i);
+      int tasks = tasks_fitting_on (c, u, w, after_stops);
+
+      by_level[level_of (c, w)] += tasks;
+      n += tasks;
+    }
+  *grade = 0;
+  if (c->settings.speed_aware && c->fleet.is_uneven && n >= u->count)
+    choose_level (c, u, by_level, grade);
   return n;
 }
 
-/* The rack that holds U with the least capacity to spare, or NULL.  */
+/* The rack that holds U on workers of the preferred speed and with the least
+   capacity to spare, or NULL.  */
 static const struct rack *
 tightest_rack (struct sj_cluster *c, const struct unit *u, int after_stops)
 {
   const struct rack *best = NULL;
-  int least = 0;
+  int least = 0, best_grade = 0;
 
   for (guint i = 0; i < c->rack_list->len; i++)
     {
       const struct rack *r = g_ptr_array_index (c->rack_list, i);
-      int n = tasks_fitting_in (c, u, r, after_stops);
+      int grade, n = tasks_fitting_in (c, u, r, after_stops, &grade);
 
-      if (n >= u->count
-          && (!best || n < least
-              || (n == least && strcmp (r->name, best->name) < 0)))
+      if (n < u->count || (best && grade > best_grade))
+        continue;
+      if (!best || grade < best_grade || n < least
+          || (n == least && strcmp (r->name, best->name) < 0))
         {
           best = r;
           least = n;
+          best_grade = grade;
         }
     }
   return best;
@@ -282,6 +422,7 @@
 
   s->list = g_new (struct candidate, c->worker_list->len + 1);
   s->count = list_candidates (c, u, 0, NULL, s->list, &total);
+  order_by_speed (c, u, s->list, s->count);
   qsort (s->list, (size_t)s->count, sizeof *s->list, by_fit);
 }
 
--- a/src/steps/reservation.c
+++ b/src/steps/reservation.c
@@ -50,8 +50,6 @@
 static int64_t
 member_remaining_ms (const struct sj_cluster *c, const struct member *m)
 {
-  int64_t run_ms = he_expected_run_ms (c, m);
-
   if (un_step (m->unit)->is_continuous)
     return HORIZON_MS;
   switch (m->state)
@@ -59,14 +57,12 @@
     case MB_STOPPING:
       return STOPPING_MS;
     case MB_RUNNING:
-      return MAX (he_remaining_ms (run_ms, m) - (c->now - m->last_listed_ms),
-                  0);
     case MB_PLANNED:
     case MB_STARTING:
     case MB_ENDED:
       break;
     }
-  return run_ms;
+  return he_expected_remaining_ms (c, m);
 }
 
 /* Releases on W within the time considered, the soonest first.  */
--- /dev/null
+++ b/src/steps/speeds.c
@@ -0,0 +1,356 @@
+/* Uses the speeds of workers and the run times that runs have shown.  Both are
+   learned from the progress that workers list, and kept in memory only: a new
+   holder learns them again.  */
+#include <math.h>
+
+#include "steps/state.h"
+
+enum
+{
+  UPDATE_MS = 500, /* interval of the estimates */
+  /* An average pace covers at least both.  Progress is listed in whole
+     percent.  */
+  AVERAGE_MS = 350,
+  AVERAGE_PERCENT = 8,
+  NEARLY_DONE_PERCENT = 98, /* from here, a task may wait for its gang */
+  RATED_PERCENT = 50,       /* from here, the pace shows the run time */
+  MAX_RATIOS = 1024,        /* pairs of account and queue */
+  /* Longest wait of a unit for a fast worker.  With the stop of others and the
+     start, a guaranteed unit still starts within 2,700 ms.  */
+  MAX_FAST_WAIT_MS = 900,
+  START_MS = 150, /* from the decision to the start */
+  LAST_FACTOR = 3 /* a job that ends later than so many objectives is not
+                     served */
+};
+
+void
+sd_init (struct sj_cluster *c)
+{
+  c->run_ratios
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void
+sd_fini (struct sj_cluster *c)
+{
+  g_hash_table_destroy (c->run_ratios);
+}
+
+double
+sd_speed (const struct sj_cluster *c, const struct worker *w)
+{
+  return sd_class (c, w) == SP_UNKNOWN ? 1 : w->speed.speed;
+}
+
+enum sp_class
+sd_class (const struct sj_cluster *c, const struct worker *w)
+{
+  if (!c->settings.speed_aware || w->speed_incarnation != w->incarnation)
+    return SP_UNKNOWN;
+  return w->speed.class;
+}
+
+/* Another incarnation may run on other hardware.  */
+static struct sp_worker *
+speed_of (struct worker *w)
+{
+  if (w->speed_incarnation != w->incarnation)
+    w->speed = (struct sp_worker){ 0 };
+  w->speed_incarnation = w->incarnation;
+  return &w->speed;
+}
+
+/* Fills OUT with the members of M's step on other workers whose pace is known
+   and that are on or off their rack as M is.  Returns their number.  */
+static int
+list_siblings (const struct member *m, struct sp_sibling *out)
+{
+  const struct unit *u = m->unit;
+  const struct job *j = u->job;
+  int n = 0;
+
+  for (guint i = 0; i < j->units->len; i++)
+    {
+      const struct unit *other = g_ptr_array_index (j->units, i);
+
+      if (!other->members || other->off_rack != u->off_rack
+          || !un_same_step (other, u))
+        continue;
+      for (int k = 0; k < other->count; k++)
+        {
+          const struct member *o = &other->members[k];
+
+          if (o->worker == m->worker || o->average_pace <= 0)
+            continue;
+          out[n++] = (struct sp_sibling){ o->average_pace, &o->worker->speed };
+          if (n == SP_MAX_SIBLINGS)
+            return n;
+        }
+    }
+  return n;
+}
+
+double
+sd_fast_pace (const struct member *m)
+{
+  struct sp_sibling sibling[SP_MAX_SIBLINGS];
+
+  return sp_fast_pace (sibling, list_siblings (m, sibling));
+}
+
+/* The ratios of J's account and queue, or NULL if there are too many.  */
+static struct rt_ratio *
+ratio_of (struct job *j)
+{
+  struct sj_cluster *c = j->cluster;
+  const struct sj_job *s = j->spec;
+  char *key;
+
+  if (j->run_ratio)
+    return j->run_ratio;
+  key = g_strconcat (s->account ? s->account : "", "\n",
+                     s->queue ? s->queue : "", NULL);
+  j->run_ratio = g_hash_table_lookup (c->run_ratios, key);
+  if (j->run_ratio || g_hash_table_size (c->run_ratios) >= MAX_RATIOS)
+    {
+      g_free (key);
+      return j->run_ratio;
+    }
+  j->run_ratio = g_new0 (struct rt_ratio, 1);
+  g_hash_table_insert (c->run_ratios, key, j->run_ratio);
+  return j->run_ratio;
+}
+
+/* Updates M's average pace.  Returns 0 if it is not known.  */
+static int
+average_pace (struct member *m, int percent, int64_t declared_ms, int64_t now)
+{
+  int64_t took = now - m->average_base_ms;
+  int advanced = percent - m->average_base_percent;
+
+  if (!m->average_base_ms)
+    {
+      /* A run loads its checkpoint or waits for its gang before it
+         advances.  */
+      if (m->last_listed_ms && percent > m->progress_percent)
+        {
+          m->average_base_ms = now;
+          m->average_base_percent = percent;
+        }
+      return 0;
+    }
+  if (took < AVERAGE_MS || advanced < AVERAGE_PERCENT
+      || percent >= NEARLY_DONE_PERCENT || declared_ms <= 0)
+    return 0;
+  m->average_pace = (double)advanced * (double)declared_ms / (double)took;
+  return 1;
+}
+
+void
+sd_record_progress (struct sj_cluster *c, struct member *m, int percent,
+                    int64_t declared_ms, int64_t now)
+{
+  struct sp_sibling sibling[SP_MAX_SIBLINGS];
+  struct rt_ratio *ratio;
+
+  if (!c->settings.speed_aware || un_step (m->unit)->is_continuous
+      || m->state != MB_RUNNING
+      || !average_pace (m, percent, declared_ms, now))
+    return;
+  if (!m->speed_run)
+    m->speed_run = ++c->speed_runs;
+  sp_observe (speed_of (m->worker), m->speed_run, m->average_pace, sibling,
+              list_siblings (m, sibling), now);
+  if (m->rated || percent < RATED_PERCENT)
+    return;
+  m->rated = 1;
+  ratio = ratio_of (m->unit->job);
+  if (ratio)
+    rt_observe (ratio, 100 / m->average_pace * sd_speed (c, m->worker), now);
+}
+
+static void
+note_class (const struct sj_cluster *c, const struct worker *w,
+            enum sp_class was)
+{
+  struct sj_note note
+      = { .kind = SJ_NOTE_SPEED,
+          .worker = w->id,
+          .u.speed = { sp_class_name (was), sp_class_name (w->speed.class),
+                       (int)(100 * w->speed.speed), w->speed.samples } };
+
+  if (c->on_note)
+    c->on_note (c->note_arg, &note);
+}
+
+static void
+note_fleet (const struct sj_cluster *c)
+{
+  const struct sp_fleet *f = &c->fleet;
+  struct sj_note note
+      = { .kind = SJ_NOTE_FLEET,
+          .worker = "",
+          .u.fleet = { f->is_uneven, f->classes, (int)(100 * f->spread),
+                       (int)(100 * f->noise), f->workers[SP_FAST],
+                       f->workers[SP_MEDIUM], f->workers[SP_SLOW],
+                       f->workers[SP_UNKNOWN] } };
+
+  if (c->on_note)
+    c->on_note (c->note_arg, &note);
+}
+
+void
+sd_update (struct sj_cluster *c, int64_t now)
+{
+  guint n = c->worker_list->len;
+  struct sp_worker **list;
+  enum sp_class *was;
+  int was_uneven = c->fleet.is_uneven;
+
+  if (!c->settings.speed_aware || now - c->speeds_updated_ms < UPDATE_MS)
+    return;
+  c->speeds_updated_ms = now;
+  list = g_new (struct sp_worker *, n + 1);
+  was = g_new (enum sp_class, n + 1);
+  for (guint i = 0; i < n; i++)
+    {
+      list[i] = speed_of (g_ptr_array_index (c->worker_list, i));
+      was[i] = list[i]->class;
+    }
+  sp_update (&c->fleet, list, (int)n, now);
+  for (guint i = 0; i < n; i++)
+    if (list[i]->class != was[i])
+      note_class (c, g_ptr_array_index (c->worker_list, i), was[i]);
+  if (c->fleet.is_uneven != was_uneven)
+    note_fleet (c);
+  g_free (list);
+  g_free (was);
+}
+
+int64_t
+sd_run_ms (const struct sj_cluster *c, const struct unit *u)
+{
+  int64_t declared_ms = un_step (u)->estimate_ms;
+  const struct rt_ratio *ratio;
+
+  if (!c->settings.speed_aware)
+    return declared_ms;
+  ratio = ratio_of (u->job);
+  if (!ratio)
+    return declared_ms;
+  return (int64_t)((double)declared_ms * rt_median (ratio, c->now));
+}
+
+int64_t
+sd_run_on_ms (const struct sj_cluster *c, const struct unit *u,
+              const struct worker *w)
+{
+  return (int64_t)((double)sd_run_ms (c, u) / sd_speed (c, w));
+}
+
+int
+sd_meets (const struct sj_cluster *c, const struct unit *u, int64_t run_ms,
+          int factor)
+{
+  const struct job *j = u->job;
+  const struct sj_job *s = j->spec;
+  /* When an occurrence fell due is not known here; its first units were ready
+     then.  */
+  int64_t base_ms = s->occurrences ? u->ready_ms : j->accepted_ms;
+  int64_t objective_ms
+      = (int64_t)(s->stretch * (double)j->critical_path_ms) + s->target_ms;
+
+  return c->now + run_ms <= base_ms + factor * objective_ms;
+}
+
+/* Speed of the slowest class that has workers.  */
+static double
+slowest_speed (const struct sp_fleet *f)
+{
+  enum sp_class k = f->workers[SP_SLOW] ? SP_SLOW : SP_MEDIUM;
+
+  return f->workers[k] ? exp (f->level[k] - f->level[SP_FAST]) : 1;
+}
+
+int
+sd_wants_fast (const struct sj_cluster *c, const struct unit *u)
+{
+  int64_t run_ms = sd_run_ms (c, u);
+
+  if (u->job->rank < RANK_BATCH)
+    return 1;
+  return sd_meets (c, u, START_MS + run_ms, 1)
+         && !sd_meets (
+             c, u,
+             START_MS + (int64_t)((double)run_ms / slowest_speed (&c->fleet)),
+             1);
+}
+
+/* Best speed of the workers other than M's that could start M's task now;
+   0: none can.  */
+static double
+best_free_speed (const struct sj_cluster *c, const struct member *m)
+{
+  struct sj_resources need = nd_for_step (un_step (m->unit));
+  double best = 0;
+
+  for (guint i = 0; i < c->worker_list->len; i++)
+    {
+      const struct worker *w = g_ptr_array_index (c->worker_list, i);
+      struct sj_resources available = w->capacity;
+
+      nd_sub (&available, &w->used);
+      if (w == m->worker || sd_speed (c, w) <= best
+          || !nd_fits (&need, &available) || !pl_is_eligible (c, m->unit, w))
+        continue;
+      best = sd_speed (c, w);
+    }
+  return best;
+}
+
+double
+sd_speed_elsewhere (const struct sj_cluster *c, const struct member *m)
+{
+  const struct unit *u = m->unit;
+  double speed = best_free_speed (c, m);
+
+  for (int i = 0; i < u->count; i++)
+    if (u->members[i].worker != m->worker)
+      speed = MIN (speed, sd_speed (c, u->members[i].worker));
+  return speed;
+}
+
+void
+sd_note_slow_kept (struct sj_cluster *c, struct member *m)
+{
+  double pace = sd_fast_pace (m);
+  struct sj_note note
+      = { .kind = SJ_NOTE_SLOW_KEPT,
+          .worker = m->worker->id,
+          .u.slow_kept
+          = { .pace_percent = pace > 0 ? (int)(100 * m->pace_percent / pace)
+                                       : m->pace_percent,
+              .worker_percent = (int)(100 * sd_speed (c, m->worker)) } };
+
+  if (m->slow_kept)
+    return;
+  m->slow_kept = 1;
+  c->slow_kept++;
+  ru_fill (&note.u.slow_kept.run, m);
+  if (c->on_note)
+    c->on_note (c->note_arg, &note);
+}
+
+void
+sd_count (const struct sj_cluster *c, struct sj_counts *out)
+{
+  if (!c->settings.speed_aware)
+    return;
+  out->fast_workers = c->fleet.workers[SP_FAST];
+  out->medium_workers = c->fleet.workers[SP_MEDIUM];
+  out->slow_workers = c->fleet.workers[SP_SLOW];
+  out->unknown_workers = c->fleet.workers[SP_UNKNOWN];
+  out->speeds_uneven = c->fleet.is_uneven;
+  out->slow_kept = c->slow_kept;
+  out->fast_waits = c->fast_waits;
+}
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 
+#include "skr/speed.h"
 #include "skr/steps.h"
 
 struct unit;
@@ -44,6 +45,14 @@
      no progress.  It is sampled from pace_base_percent at pace_base_ms on.  */
   int pace_base_percent, pace_percent;
   int64_t pace_base_ms;
+  int pace_resolution; /* pace that one percent in the sample is */
+  /* Average pace since average_base_ms, as above; 0: unknown.  */
+  double average_pace;
+  int average_base_percent;
+  int64_t average_base_ms; /* 0: it has not advanced yet */
+  uint32_t speed_run;      /* its number in the samples; 0: none yet */
+  unsigned rated : 1;      /* its run time is in the ratios */
+  unsigned slow_kept : 1;  /* noted as slow and not moved */
 };
 
 enum unit_state
@@ -106,6 +115,7 @@
   enum sj_cause stop_cause; /* why its run was aborted */
   int run_commit;           /* an enum run_commit */
   int victim_of;            /* serial of the last plan to stop it */
+  int fast_waiting;         /* noted as waiting for a fast worker */
 };
 
 /* An occurrence of a job that has fallen due and is not done.  */
@@ -136,6 +146,7 @@
      of the first one that is.  */
   int64_t dirty_since, commit_since;
   int rank; /* RANK_GUARANTEED and so on, set by each decision round */
+  struct rt_ratio *run_ratio; /* of its account and queue; NULL: not yet */
 };
 
 struct rack
@@ -175,6 +186,8 @@
   int64_t suspect_until_ms; /* no starts are sent to it before */
   int64_t seen_slow_ms;     /* last slow sample; 0: none or since recovered */
   int estimate;             /* its place in the estimates of preempt.c */
+  struct sp_worker speed;
+  int64_t speed_incarnation; /* that the speed was learned of */
 };
 
 struct sj_cluster
@@ -203,6 +216,11 @@
   int preemptions;     /* units for which others were stopped */
   int64_t now;         /* the caller's latest clock reading */
   int64_t decided_ms, health_checked_ms;
+  struct sp_fleet fleet;
+  GHashTable *run_ratios; /* account and queue to struct rt_ratio */
+  uint32_t speed_runs;    /* numbers given to runs so far */
+  int64_t speeds_updated_ms;
+  int64_t slow_kept, fast_waits; /* so far */
 };
 
 enum
@@ -422,8 +440,8 @@
 void he_record_end (struct sj_cluster *c, struct worker *w, struct unit *u,
                     enum sj_end end, int64_t now);
 /* Accounts the progress listed for M's run; PERCENT is -1 if unknown.  */
-void he_record_progress (const struct sj_cluster *c, struct member *m,
-                         int percent, int64_t now);
+void he_record_progress (struct sj_cluster *c, struct member *m, int percent,
+                         int64_t now);
 /* Whether the latest pace sample on W was slow and is less than SLOW_EXPIRY_MS
    old.  */
 int he_is_slow_worker (const struct sj_cluster *c, const struct worker *w);
@@ -432,7 +450,44 @@
 /* Expected total run time of M's task where it runs now.  */
 int64_t he_expected_run_ms (const struct sj_cluster *c,
                             const struct member *m);
+/* Expected time until M's run ends.  */
+int64_t he_expected_remaining_ms (const struct sj_cluster *c,
+                                  const struct member *m);
 /* Aborts runs that are stalled or too slow, so that they start elsewhere.  */
 void he_check_runs (struct sj_cluster *c, int64_t now);
 
+/* speeds.c: without speed_aware, all workers have the same speed and tasks
+   take their declared time */
+void sd_init (struct sj_cluster *c);
+void sd_fini (struct sj_cluster *c);
+/* Accounts the progress listed for M's run.  Its declared run time where it
+   runs is DECLARED_MS.  */
+void sd_record_progress (struct sj_cluster *c, struct member *m, int percent,
+                         int64_t declared_ms, int64_t now);
+/* Estimates the workers' speeds anew if that is due.  */
+void sd_update (struct sj_cluster *c, int64_t now);
+/* Speed of W relative to the fast workers, at most 1.  */
+double sd_speed (const struct sj_cluster *c, const struct worker *w);
+/* Speed class of W; SP_UNKNOWN while it has no effect.  */
+enum sp_class sd_class (const struct sj_cluster *c, const struct worker *w);
+/* The pace of a fast worker that M's siblings on other workers show, in
+   percent of the declared one; 0: unknown.  */
+double sd_fast_pace (const struct member *m);
+/* Expected run time of U's tasks on a fast worker, within their rack.  */
+int64_t sd_run_ms (const struct sj_cluster *c, const struct unit *u);
+/* The same on W.  */
+int64_t sd_run_on_ms (const struct sj_cluster *c, const struct unit *u,
+                      const struct worker *w);
+/* Whether U's job meets FACTOR times its objective if U ends in RUN_MS.  */
+int sd_meets (const struct sj_cluster *c, const struct unit *u, int64_t run_ms,
+              int factor);
+/* Whether U should take fast workers rather than leave them to others.  */
+int sd_wants_fast (const struct sj_cluster *c, const struct unit *u);
+/* Speed at which M's unit would run if M moved to another worker that has free
+   capacity now; 0: there is none.  */
+double sd_speed_elsewhere (const struct sj_cluster *c, const struct member *m);
+/* Counts M's slow run, which is not moved, once.  */
+void sd_note_slow_kept (struct sj_cluster *c, struct member *m);
+void sd_count (const struct sj_cluster *c, struct sj_counts *out);
+
 #endif
--- a/tests/steps/fake_cluster.c
+++ b/tests/steps/fake_cluster.c
@@ -1,4 +1,5 @@
 /* The simulated cluster.  */
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -23,6 +24,7 @@
   GANG_TIMEOUT_MS = 3000,   /* wait for the gang's other tasks */
   LEASE_MS = 6000,          /* of a worker, renewed by each poll while busy */
   FIRST_CHECKPOINT_MS = 1000, /* work done before the first checkpoint */
+  LONG_FACTOR = 7,
   MAX_LISTED = 400,
   MAX_DIRTY = 64
 };
@@ -266,6 +268,28 @@
                           GSIZE_TO_POINTER ((gsize)r->number));
 }
 
+/* Sets the work of run X, which is declared to take DECLARED_MS.  */
+static void
+draw_work (struct fa_cluster *f, struct fa_run *x, int64_t declared_ms)
+{
+  const struct fa_run_times *t = &f->run_times;
+  double factor = 1, deviate = -6;
+
+  if (t->declared_error > 1)
+    factor
+        *= pow (t->declared_error, g_str_hash (x->run.job) % 201 / 100.0 - 1);
+  if (t->noise > 0)
+    {
+      for (int i = 0; i < 12; i++)
+        deviate += g_rand_double (f->rand);
+      factor *= exp (t->noise * deviate);
+    }
+  x->is_long = t->long_share > 0 && g_rand_double (f->rand) < t->long_share;
+  if (x->is_long)
+    factor *= LONG_FACTOR;
+  x->work_ms = (int64_t)((double)declared_ms * factor);
+}
+
 /* Executes order O on W and returns its outcome.  Orders with an older fencing
    token than the highest seen are refused.  */
 static enum sj_answer
@@ -305,6 +329,7 @@
     }
   check_start (f, &o->run);
   check_crash_budget (f, &o->run);
+  draw_work (f, &x, s->estimate_ms);
   x.deadly = is_deadly (f, &o->run);
   x.fails = w->fails_all || g_rand_double (f->rand) < f->faults.task_fails;
   g_array_append_val (w->runs, x);
@@ -319,6 +344,24 @@
   return SJ_EXECUTED;
 }
 
+/* Whether R, or another run of its gang, is a long one.  */
+static int
+is_long (const struct fa_cluster *f, const struct sj_run *r)
+{
+  for (int i = 0; i < f->worker_count; i++)
+    for (guint k = 0; k < f->worker[i].runs->len; k++)
+      {
+        const struct fa_run *x
+            = &g_array_index (f->worker[i].runs, struct fa_run, k);
+
+        if (x->is_long && x->run.number == r->number && x->run.step == r->step
+            && !strcmp (x->run.job, r->job)
+            && (x->gang || x->run.index == r->index))
+          return 1;
+      }
+  return 0;
+}
+
 /* Sends an order, with the injected faults.  */
 static void
 do_order (void *arg, const struct sj_order *o)
@@ -340,6 +383,8 @@
       = w && draw < f->faults.delayed + f->faults.answer_lost ? ANSWER_LOST
                                                               : ANSWER_ARRIVES;
   g_array_append_val (f->pending_orders, pending);
+  if (o->kind == SJ_STOP && o->cause == SJ_SLOW)
+    f->needless_moves += !is_long (f, &o->run);
   if (o->kind == SJ_START)
     sj_start_sent (f->scheduler, o->worker, &o->run);
 }
@@ -422,6 +467,24 @@
   return n == find_job (f, r->job)->step[r->step].count;
 }
 
+/* Whether a task of R's gang has work left.  */
+static int
+gang_has_work (struct fa_cluster *f, const struct sj_run *r)
+{
+  for (int i = 0; i < f->worker_count; i++)
+    for (guint k = 0; k < f->worker[i].runs->len; k++)
+      {
+        const struct fa_run *x
+            = &g_array_index (f->worker[i].runs, struct fa_run, k);
+
+        if (x->run.number == r->number && x->run.step == r->step
+            && x->run.occurrence == r->occurrence
+            && !strcmp (x->run.job, r->job) && x->done_ms < x->work_ms)
+          return 1;
+      }
+  return 0;
+}
+
 /* Ends the remaining runs of R's gang.  */
 static void
 end_gang (struct fa_cluster *f, const struct sj_run *r, enum sj_end how)
@@ -466,6 +529,9 @@
       if (x->done_ms < x->work_ms
           && !(x->fails && x->done_ms > x->work_ms / 4))
         return;
+      if (gang && f->run_times.gang_waits && !x->fails
+          && gang_has_work (f, &r))
+        return;
       how = x->fails ? SJ_END_FAILED : SJ_END_DONE;
     }
   end_run (f, w, i, how);
@@ -527,7 +593,7 @@
         .run = x->run,
         .checkpoint
         = x->saves && x->done_ms > FIRST_CHECKPOINT_MS ? "saved" : "",
-        .percent = (int)(x->done_ms * 100 / (x->work_ms + 1))
+        .percent = (int)(MIN (x->done_ms, x->work_ms) * 100 / (x->work_ms + 1))
       };
     }
   for (guint k = 0; k < w->unacked_ends->len && k < MAX_LISTED; k++)
--- a/tests/steps/fake_cluster.h
+++ b/tests/steps/fake_cluster.h
@@ -19,6 +19,7 @@
 {
   struct sj_run run;
   int gang, saves, fails, deadly;
+  int is_long; /* it takes much longer than others of its step */
   int64_t started_ms, work_ms, done_ms; /* done_ms: work done */
   int64_t stop_at_ms;                   /* 0: no stop ordered */
   struct sj_resources need;
@@ -67,6 +68,15 @@
   double task_fails;   /* share of runs that fail */
 };
 
+/* How the run times of tasks differ from the declared ones.  */
+struct fa_run_times
+{
+  double noise;      /* of each run, logarithmic standard deviation */
+  double long_share; /* share of runs that take LONG_FACTOR times as long */
+  double declared_error; /* greatest factor by which a job's is wrong; 0: 1 */
+  int gang_waits; /* a gang ends with its slowest task, not its fastest */
+};
+
 /* How the workers come back that a deadly task has crashed.  */
 struct fa_crash_mode
 {
@@ -97,6 +107,7 @@
   GHashTable *crashes;     /* task name -> workers that crashed under it */
   GHashTable *late_starts; /* task name -> starts after three crashes */
   struct fa_crash_mode crash_mode;
+  struct fa_run_times run_times;
   int64_t commit_ms;                               /* duration of a commit */
   GHashTable *accepted_ms, *started_ms, *ended_ms; /* id -> ms + 1 */
   GArray *pending_orders; /* struct fa_pending_order */
@@ -108,6 +119,9 @@
   int commit_pending;
   /* Counted events.  */
   int refusals, starts, done_runs, stopped, gang_timeouts, violations;
+  /* Stops for slowness of units of which no run is a long one, so that only
+     their workers or noise were slow.  */
+  int needless_moves;
   double wasted_core_s; /* of stopped runs without checkpoints */
   char first_violation[200];
 };
