steps: wait shortly for a fast worker; use learned run times

If only slow workers are free and an urgent unit would miss its objective on them, it waits up to 900 ms, if enough fast workers are expected to be free by then and it would still meet its objective. Latest starts and the decision to leave a draining worker use the expected run time instead of the declared one.

--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -107,7 +107,7 @@
   if (s->occurrences)
     base = s->first_due_ms + u->occurrence * s->interval_ms - wall_offset;
   return base + (int64_t)(s->stretch * (double)j->critical_path_ms)
-         + s->target_ms - un_step (u)->estimate_ms;
+         + s->target_ms - sd_run_ms (j->cluster, u);
 }
 
 static int
@@ -220,7 +220,13 @@
   struct worker **placement = g_new (struct worker *, u->count);
   int off_rack, placed = pl_place (c, u, 0, off_rack_ok, placement, &off_rack);
 
-  if (placed)
+  if (placed && sd_should_wait (c, u, placement))
+    {
+      /* Others may take the slow workers.  */
+      *c->kept_apart = 1;
+      placed = 0;
+    }
+  else if (placed)
     {
       ru_plan (u, placement, off_rack, now);
       pl_reserve (u, placement);
@@ -418,7 +424,9 @@
 
       if (m->state != MB_RUNNING || !m->worker->draining)
         continue;
-      remaining_ms = he_remaining_ms (un_step (u)->estimate_ms, m);
+      remaining_ms = c->settings.speed_aware
+                         ? he_expected_remaining_ms (c, m)
+                         : he_remaining_ms (un_step (u)->estimate_ms, m);
       if (!un_step (u)->is_continuous
           && now + remaining_ms <= m->worker->drain_end_ms)
         continue;
--- a/src/steps/speeds.c
+++ b/src/steps/speeds.c
@@ -2,6 +2,7 @@
    learned from the progress that workers list, and kept in memory only: a new
    holder learns them again.  */
 #include <math.h>
+#include <string.h>
 
 #include "steps/state.h"
 
@@ -159,8 +160,11 @@
     return;
   if (!m->speed_run)
     m->speed_run = ++c->speed_runs;
-  sp_observe (speed_of (m->worker), m->speed_run, m->average_pace, sibling,
-              list_siblings (m, sibling), now);
+  /* The holder before placed its runs by speed: siblings that all run on slow
+     workers would show these as equal to the others.  */
+  if (!m->from_record)
+    sp_observe (speed_of (m->worker), m->speed_run, m->average_pace, sibling,
+                list_siblings (m, sibling), now);
   if (m->rated || percent < RATED_PERCENT)
     return;
   m->rated = 1;
@@ -248,9 +252,9 @@
   return (int64_t)((double)sd_run_ms (c, u) / sd_speed (c, w));
 }
 
-int
-sd_meets (const struct sj_cluster *c, const struct unit *u, int64_t run_ms,
-          int factor)
+/* Time until FACTOR times the objective of U's job.  */
+static int64_t
+time_left_ms (const struct sj_cluster *c, const struct unit *u, int factor)
 {
   const struct job *j = u->job;
   const struct sj_job *s = j->spec;
@@ -260,7 +264,14 @@
   int64_t objective_ms
       = (int64_t)(s->stretch * (double)j->critical_path_ms) + s->target_ms;
 
-  return c->now + run_ms <= base_ms + factor * objective_ms;
+  return base_ms + factor * objective_ms - c->now;
+}
+
+int
+sd_meets (const struct sj_cluster *c, const struct unit *u, int64_t run_ms,
+          int factor)
+{
+  return run_ms <= time_left_ms (c, u, factor);
 }
 
 /* Speed of the slowest class that has workers.  */
@@ -341,6 +352,89 @@
     c->on_note (c->note_arg, &note);
 }
 
+/* Capacity of W that is free within MS milliseconds as far as expected.  */
+static struct sj_resources
+free_within (const struct sj_cluster *c, const struct worker *w, int64_t ms)
+{
+  struct sj_resources available = w->capacity;
+
+  nd_sub (&available, &w->used);
+  for (guint i = 0; i < w->members->len; i++)
+    {
+      const struct member *m = g_ptr_array_index (w->members, i);
+      struct sj_resources need = nd_for_step (un_step (m->unit));
+
+      if (!un_step (m->unit)->is_continuous
+          && (m->state == MB_STOPPING
+              || he_expected_remaining_ms (c, m) <= ms))
+        nd_add (&available, &need);
+    }
+  return available;
+}
+
+/* Whether U is expected to fit on fast workers within MS milliseconds.  */
+static int
+fits_fast_within (const struct sj_cluster *c, const struct unit *u, int64_t ms)
+{
+  struct sj_resources need = nd_for_step (un_step (u));
+  int tasks = 0;
+
+  for (guint i = 0; i < c->worker_list->len && tasks < u->count; i++)
+    {
+      const struct worker *w = g_ptr_array_index (c->worker_list, i);
+      struct sj_resources available;
+
+      if (sd_class (c, w) != SP_FAST || !pl_is_eligible (c, u, w))
+        continue;
+      available = free_within (c, w, ms);
+      tasks += nd_count_fitting (&need, &available, pl_max_per_worker (u));
+    }
+  return tasks >= u->count;
+}
+
+static void
+note_fast_wait (struct sj_cluster *c, struct unit *u, int64_t expected_ms)
+{
+  struct sj_note note = { .kind = SJ_NOTE_FAST_WAIT,
+                          .worker = "",
+                          .u.fast_wait = { .expected_ms = expected_ms } };
+  struct sj_run *run = &note.u.fast_wait.run;
+
+  if (u->fast_waiting)
+    return;
+  u->fast_waiting = 1;
+  c->fast_waits++;
+  *run = (struct sj_run){ .occurrence = u->occurrence,
+                          .step = u->step,
+                          .index = u->first,
+                          .number = u->run_number };
+  memcpy (run->job, u->job->spec->id, sizeof run->job);
+  if (c->on_note)
+    c->on_note (c->note_arg, &note);
+}
+
+int
+sd_should_wait (struct sj_cluster *c, struct unit *u,
+                struct worker *const *placement)
+{
+  int64_t run_ms = sd_run_ms (c, u) + START_MS;
+  int64_t wait_ms = MAX_FAST_WAIT_MS - (c->now - u->ready_ms);
+  double speed = 1;
+
+  if (!c->settings.speed_aware || !c->fleet.is_uneven
+      || u->job->rank >= RANK_BATCH || pl_is_rack_bound (u))
+    return 0;
+  for (int i = 0; i < u->count; i++)
+    speed = MIN (speed, sd_speed (c, placement[i]));
+  wait_ms = MIN (wait_ms, time_left_ms (c, u, 1) - run_ms);
+  if (speed >= 1 || wait_ms <= 0
+      || sd_meets (c, u, (int64_t)((double)run_ms / speed), 1)
+      || !fits_fast_within (c, u, wait_ms))
+    return 0;
+  note_fast_wait (c, u, wait_ms);
+  return 1;
+}
+
 void
 sd_count (const struct sj_cluster *c, struct sj_counts *out)
 {
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -488,6 +488,10 @@
 double sd_speed_elsewhere (const struct sj_cluster *c, const struct member *m);
 /* Counts M's slow run, which is not moved, once.  */
 void sd_note_slow_kept (struct sj_cluster *c, struct member *m);
+/* Whether U, which fits at PLACEMENT, should rather wait for a fast worker,
+   because it would miss its objective there.  */
+int sd_should_wait (struct sj_cluster *c, struct unit *u,
+                    struct worker *const *placement);
 void sd_count (const struct sj_cluster *c, struct sj_counts *out);
 
 #endif
--- a/tests/steps/test_speeds.c
+++ b/tests/steps/test_speeds.c
@@ -15,6 +15,7 @@
   SETTLE_MS = 2000,    /* until the capacities are known */
   LEARN_MS = 15000,    /* of load before a check */
   MEASURED_MS = 40000, /* of load that is compared */
+  RELEARN_MS = 10000,  /* after a take-over, under load */
   STEP_MS = 100
 };
 
@@ -89,19 +90,22 @@
     }
 }
 
-/* Listed workers that the scheduler takes for slow and that are, or that it
-   takes for fast and that are.  */
+/* Workers whose class the scheduler knows correctly.  *SEEN is set to those
+   that have shown a run.  */
 static int
-correctly_classed (void)
+correctly_classed (int *seen)
 {
   int n = 0;
 
+  *seen = 0;
+
   for (int i = 0; i < WORKERS; i++)
     {
       const struct worker *w
           = wo_find (cluster.scheduler, cluster.worker[i].id);
       enum sp_class class = sd_class (cluster.scheduler, w);
 
+      *seen += w->speed.samples > 0;
       n += class == (cluster.worker[i].speed < 1 ? SP_SLOW : SP_FAST);
     }
   return n;
@@ -145,6 +149,7 @@
 {
   GRand *rand = g_rand_new_with_seed (seed);
   struct outcome o;
+  int seen;
 
   set_up (seed, aware, 0.5);
   run_load (rand, LEARN_MS + MEASURED_MS);
@@ -157,7 +162,7 @@
           seed, aware, o.late, o.urgent, o.needless_moves, o.stopped,
           cluster.starts);
   if (aware)
-    CU_ASSERT (correctly_classed () * 100 >= WORKERS * 90);
+    CU_ASSERT (correctly_classed (&seen) * 10 >= WORKERS * 9);
   expect_no_violations (&cluster);
   fa_fini (&cluster);
   g_rand_free (rand);
@@ -269,6 +274,69 @@
   g_rand_free (rand);
 }
 
+/* While the fast workers are expected to be free soon, an urgent gang that
+   would miss its objective on slow ones must wait for them, but no longer than
+   a guaranteed job may.  */
+static void
+test_urgent_gang_waits_for_fast_workers (void)
+{
+  GRand *rand = g_rand_new_with_seed (9);
+  unsigned urgent;
+  int fast, slow;
+
+  set_up (9, 1, 0.5);
+  cluster.run_times = (struct fa_run_times){ .gang_waits = 1 };
+  run_load (rand, 2 * LEARN_MS);
+  fa_run_ms (&cluster, 30000);
+  submit (0, WORKERS * 3 / 4, 8, 3700, 9800, 2100);
+  fa_run_ms (&cluster, 1300);
+  urgent = submit (0, 5, 8, 3700, 9800, 2100);
+  fa_run_ms (&cluster, 900);
+  count_by_speed (urgent, &fast, &slow);
+  CU_ASSERT_EQUAL (fast, 5);
+  CU_ASSERT_EQUAL (slow, 0);
+  CU_ASSERT (cluster.scheduler->fast_waits > 0);
+  /* Without a fast worker in time, it starts on slow ones at once.  */
+  submit (0, WORKERS * 3 / 4 - 5, 8, 3700, 9800, 8000);
+  fa_run_ms (&cluster, 3000);
+  urgent = submit (0, 5, 8, 3700, 9800, 2100);
+  fa_run_ms (&cluster, 300);
+  count_by_speed (urgent, &fast, &slow);
+  CU_ASSERT_EQUAL (fast + slow, 5);
+  expect_no_violations (&cluster);
+  fa_fini (&cluster);
+  g_rand_free (rand);
+}
+
+/* A new holder knows no speeds.  Within a few seconds it must know those of
+   nine in ten of the workers that have shown a run.  */
+static void
+test_take_over_learns_again (void)
+{
+  GRand *rand = g_rand_new_with_seed (8);
+  int64_t took = 0;
+  int right, seen;
+
+  set_up (8, 1, 0.5);
+  run_load (rand, LEARN_MS + MEASURED_MS);
+  fa_take_over (&cluster);
+  sj_set_guarantee (cluster.scheduler, "a", 200);
+  do
+    {
+      run_load (rand, 500);
+      took += 500;
+      right = correctly_classed (&seen);
+    }
+  while (took < 3 * RELEARN_MS
+         && (seen < WORKERS / 2 || right * 10 < seen * 9));
+  printf ("\n%d of %d seen workers classed %d ms after the take-over", right,
+          seen, (int)took);
+  CU_ASSERT (took <= RELEARN_MS);
+  expect_no_violations (&cluster);
+  fa_fini (&cluster);
+  g_rand_free (rand);
+}
+
 int
 main (void)
 {
@@ -277,6 +345,8 @@
     { "classes", test_work_goes_to_its_class },
     { "even fleet", test_even_fleet_stays_even },
     { "sick worker", test_sick_worker_is_left },
+    { "wait for fast workers", test_urgent_gang_waits_for_fast_workers },
+    { "take-over", test_take_over_learns_again },
     CU_TEST_INFO_NULL,
   };
 
