--- a/src/batch/main.c
+++ b/src/batch/main.c
@@ -83,6 +83,10 @@
     "1: while the store answers no writes, refuse submissions and "
     "cancellations at once, with a Retry-After that follows the outage",
     FIELD (refuse_stalled_writes) },
+  { "speed-aware", OPT_INT, "", 0, 1, "0",
+    "1: learn the workers' speeds and the run times from what runs show, and "
+    "use them to place, keep and move runs",
+    FIELD (speed_aware) },
   { NULL, OPT_INT, "", 0, 0, NULL, NULL, 0 }
 };
 
