Scheduler: wait instead of stopping work, headroom by forecast

Work was stopped for other work as soon as that did not fit, even where enough runs were about to end, and also for urgent work that was late in any case.

With reclaim-ms a unit waits, and its capacity is reserved, while enough runs are expected to end before the time at which stops must be ordered. Beyond a guarantee work is stopped only if the unit then meets its objective and is more work than the stops throw away. Victims are those with the least loss since their last checkpoint, by time left and by earlier runs. A stop that is overdue is not counted on. With headroom-forecast batch work leaves what the forecast asks for. All settings are off by default.

--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -139,7 +139,8 @@
   SJ_START_UNANSWERED, /* the start was not answered */
   SJ_JOB_ENDED,        /* the job was cancelled or failed */
   SJ_UNKNOWN_RUN,      /* listed by the worker, but no job has it */
-  SJ_DONE_ELSEWHERE    /* an earlier run of the task is done */
+  SJ_DONE_ELSEWHERE,   /* an earlier run of the task is done */
+  SJ_CAUSES            /* their number */
 };
 
 const char *sj_cause_name (enum sj_cause cause);
@@ -211,7 +212,12 @@
 {
   SJ_NOTE_RUN_LOST,
   SJ_NOTE_TASK_GIVEN_UP, /* too many workers crashed under it */
-  SJ_NOTE_CAPACITY       /* a worker's capacity has changed */
+  SJ_NOTE_CAPACITY,      /* a worker's capacity has changed */
+  SJ_NOTE_PREEMPTED,     /* runs were stopped so that others fit */
+  SJ_NOTE_WAITS,         /* work waits for capacity instead */
+  SJ_NOTE_HEADROOM,      /* the capacity kept for urgent work has changed */
+  SJ_NOTE_STOP_OVERDUE,  /* a stopped run still occupies its worker */
+  SJ_NOTE_STOPPED        /* runs were stopped, for any cause */
 };
 
 /* Something that the scheduler learned, for the log.  Its strings are valid
@@ -239,6 +245,38 @@
     {
       struct sj_resources capacity, used;
     } capacity;
+    struct
+    {
+      const char *job; /* that is to start */
+      int tasks;
+      int victims, runs;    /* units and runs that were stopped */
+      int64_t lost_core_ms; /* work thrown away */
+      int64_t waited_ms;
+      const char *reason; /* why the stops were not avoided */
+    } preempted;
+    struct
+    {
+      const char *job;
+      int tasks;
+      int64_t until_ms; /* latest time from now until runs are stopped */
+    } waits;
+    struct
+    {
+      int64_t kept, used, idle; /* accelerators */
+      int is_forecast;
+      double jobs_per_s, peak_per_s; /* of urgent arrivals */
+    } headroom;
+    struct
+    {
+      struct sj_run run;
+      int64_t since_ms;
+    } overdue;
+    struct
+    {
+      enum sj_cause cause;
+      int runs;
+      int64_t lost_core_ms;
+    } stopped;
   } u;
 };
 
@@ -250,6 +288,12 @@
   /* Least time from when a silent worker became known until its runs count
      as ended.  */
   int64_t silent_timeout_ms;
+  int headroom_forecast; /* keep capacity free by the forecast of demand */
+  /* Time within which guaranteed work must start; 0: unknown, and work is
+     stopped for other work as soon as that does not fit.  */
+  int64_t reclaim_ms;
+  int64_t stop_ms;                /* longest time a stop takes; 0: unknown */
+  int64_t checkpoint_interval_ms; /* between two checkpoints; 0: unknown */
 };
 
 struct sj_cluster; /* opaque */
@@ -362,6 +406,11 @@
 {
   int jobs, waiting, runs, workers, usable_workers, busy_workers;
   int64_t accelerators_used, accelerators;
+  /* Accelerators kept free for urgent work, and those of them in use.  */
+  int64_t headroom_kept, headroom_used;
+  /* Since the cluster was created: decisions to preempt, runs stopped for any
+     cause, and the work that these threw away.  */
+  int64_t preemptions, stopped_runs, lost_core_ms;
 };
 /* Fills OUT with the current counts.  */
 void sj_count (struct sj_cluster *c, struct sj_counts *out);
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -172,6 +172,30 @@
     "An attempt of a job was lost with a worker and is taken for the cause; "
     "given_up tells whether the job was ended for it.",
     "if one job is lost again and again, look at the job" },
+  { LG_PREEMPTED, LG_NOTICE, "preempted",
+    "id tasks victims runs lost_core_ms waited_ms reason",
+    "Work of lower rank is stopped so that tasks of the job fit: victims "
+    "counts gangs and single tasks, runs their runs, lost_core_ms the work "
+    "since their last checkpoints. The reason is why the job did not wait.",
+    "if many, look at headroom (550)" },
+  { LG_PREEMPTION_AVOIDED, LG_INFO, "preemption-avoided", "id tasks until_ms",
+    "Tasks of the job wait for capacity that is expected to become free by "
+    "itself; other work is stopped for them after until_ms at the latest.",
+    "none" },
+  { LG_HEADROOM, LG_INFO, "headroom",
+    "kept used idle forecast jobs_per_10s peak_per_10s",
+    "The accelerators that batch work leaves free for urgent work have "
+    "changed "
+    "by more than a quarter; used is what urgent work occupies of them. They "
+    "follow the rate of urgent jobs now and the one expected (forecast 1), or "
+    "are a constant share until there is a history of arrivals (forecast 0).",
+    "none" },
+  { LG_STOP_OVERDUE, LG_WARNING, "stop-overdue",
+    "id occurrence step task run worker since_ms",
+    "A stopped run still occupies its worker after the time that a stop "
+    "takes. "
+    "Its capacity is not counted on any more.",
+    "look at the worker" },
 
   /* filter */
   { LG_REQUEST_UNKNOWN, LG_WARNING, "request-unknown",
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -29,6 +29,7 @@
   int64_t hold_ms, far_factor, revoke_ms, grace_ms, keep_s;
   int64_t lease_ms, take_ms, renew_ms;
   int64_t max_requests;
+  int64_t headroom_forecast, reclaim_ms, stop_ms, checkpoint_interval_ms;
   double processor;
 };
 
@@ -215,6 +216,9 @@
   int answers, submits, accepted, refused, unknown;
   int starts, stops, ends, lost_runs, given_up_tasks, commits, store_calls,
       holds;
+  int stopped_runs[SJ_CAUSES]; /* by cause */
+  int lost_core_ms, preemptions, preemptions_avoided;
+  int headroom_kept, headroom_used;
   int store_wait, commit_duration;
   int waiting_jobs, waiting_orders, runs, accelerators_used, usable_workers,
       is_holder;
--- a/src/batch/counters.c
+++ b/src/batch/counters.c
@@ -1,6 +1,23 @@
 /* Counters, gauges and latency histograms of the process.  */
+#include <stdio.h>
+
 #include "batch/batch.h"
 
+/* The series of stopped runs, one for each cause.  */
+static void
+init_causes (struct batch *b)
+{
+  for (int i = 0; i < SJ_CAUSES; i++)
+    {
+      char labels[ST_LABELS_SIZE];
+
+      snprintf (labels, sizeof labels, "cause=\"%s\"",
+                sj_cause_name ((enum sj_cause)i));
+      b->counters.stopped_runs[i] = st_series (
+          &b->stats, ST_COUNTER, "skr_batch_stopped_runs_total", labels);
+    }
+}
+
 int
 co_init (struct batch *b)
 {
@@ -24,6 +41,17 @@
   c->store_calls
       = st_series (r, ST_COUNTER, "skr_batch_store_calls_total", "");
   c->holds = st_series (r, ST_COUNTER, "skr_batch_holds_total", "");
+  init_causes (b);
+  c->lost_core_ms
+      = st_series (r, ST_COUNTER, "skr_batch_lost_core_ms_total", "");
+  c->preemptions
+      = st_series (r, ST_COUNTER, "skr_batch_preemptions_total", "");
+  c->preemptions_avoided
+      = st_series (r, ST_COUNTER, "skr_batch_preemptions_avoided_total", "");
+  c->headroom_kept
+      = st_series (r, ST_GAUGE, "skr_batch_headroom_accelerators", "");
+  c->headroom_used
+      = st_series (r, ST_GAUGE, "skr_batch_headroom_used_accelerators", "");
   c->store_wait
       = st_series (r, ST_HISTOGRAM, "skr_batch_store_wait_seconds", "");
   c->commit_duration
@@ -58,5 +86,7 @@
   st_set (&b->stats, c->shard, c->runs, n.runs);
   st_set (&b->stats, c->shard, c->accelerators_used, n.accelerators_used);
   st_set (&b->stats, c->shard, c->usable_workers, n.usable_workers);
+  st_set (&b->stats, c->shard, c->headroom_kept, n.headroom_kept);
+  st_set (&b->stats, c->shard, c->headroom_used, n.headroom_used);
   st_set (&b->stats, c->shard, c->is_holder, b->phase == BA_ACTIVE);
 }
--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -56,7 +56,11 @@
 {
   struct sj_settings set
       = { .off_rack_factor = b->settings->far_factor,
-          .silent_timeout_ms = b->settings->hold_ms * 51 / 50 + 200 };
+          .silent_timeout_ms = b->settings->hold_ms * 51 / 50 + 200,
+          .headroom_forecast = (int)b->settings->headroom_forecast,
+          .reclaim_ms = b->settings->reclaim_ms,
+          .stop_ms = b->settings->stop_ms,
+          .checkpoint_interval_ms = b->settings->checkpoint_interval_ms };
 
   b->term++;
   b->phase = BA_LOADING;
--- a/src/batch/main.c
+++ b/src/batch/main.c
@@ -74,6 +74,22 @@
     "maximum number of client requests in progress; further requests are "
     "refused",
     FIELD (max_requests) },
+  { "headroom-forecast", OPT_INT, "", 0, 1, "0",
+    "1: batch work leaves as much capacity free as the urgent jobs of the "
+    "last seconds let expect; 0: a constant share",
+    FIELD (headroom_forecast) },
+  { "reclaim-ms", OPT_INT, "ms", 0, MINUTE_MS, "0",
+    "time within which guaranteed work must start; until it is nearly over, "
+    "work waits for capacity that becomes free by itself instead of having "
+    "other work stopped; 0: unknown, it does not wait",
+    FIELD (reclaim_ms) },
+  { "stop-ms", OPT_INT, "ms", 0, MINUTE_MS, "0",
+    "longest time that a worker takes to stop a task; 0: unknown",
+    FIELD (stop_ms) },
+  { "checkpoint-interval-ms", OPT_INT, "ms", 0, 10 * MINUTE_MS, "0",
+    "time between two checkpoints of a task that writes any; 0: unknown, "
+    "stopping it counts as losing nothing",
+    FIELD (checkpoint_interval_ms) },
   { NULL, OPT_INT, "", 0, 0, NULL, NULL, 0 }
 };
 
@@ -91,6 +107,8 @@
     fail ("--take-ms must be at least 1.25 times --lease-ms");
   if (set->renew_ms * 2 > set->lease_ms)
     fail ("--renew-ms must be at most half of --lease-ms");
+  if (set->reclaim_ms && set->stop_ms * 2 > set->reclaim_ms)
+    fail ("--stop-ms must be at most half of --reclaim-ms");
 }
 
 static void
--- a/src/batch/note.c
+++ b/src/batch/note.c
@@ -50,6 +50,68 @@
   lg_log (LG_WORKER_CAPACITY, 7, f);
 }
 
+static void
+log_preempted (struct batch *b, const struct sj_note *n)
+{
+  struct lg_field f[] = { lg_str ("id", n->u.preempted.job),
+                          lg_int ("tasks", n->u.preempted.tasks),
+                          lg_int ("victims", n->u.preempted.victims),
+                          lg_int ("runs", n->u.preempted.runs),
+                          lg_int ("lost_core_ms", n->u.preempted.lost_core_ms),
+                          lg_int ("waited_ms", n->u.preempted.waited_ms),
+                          lg_str ("reason", n->u.preempted.reason) };
+
+  lg_log (LG_PREEMPTED, 7, f);
+  co_add (b, b->counters.preemptions, 1);
+}
+
+static void
+log_wait (struct batch *b, const struct sj_note *n)
+{
+  struct lg_field f[]
+      = { lg_str ("id", n->u.waits.job), lg_int ("tasks", n->u.waits.tasks),
+          lg_int ("until_ms", n->u.waits.until_ms) };
+
+  lg_log (LG_PREEMPTION_AVOIDED, 3, f);
+  co_add (b, b->counters.preemptions_avoided, 1);
+}
+
+static void
+log_headroom (const struct sj_note *n)
+{
+  struct lg_field f[]
+      = { lg_int ("kept", n->u.headroom.kept),
+          lg_int ("used", n->u.headroom.used),
+          lg_int ("idle", n->u.headroom.idle),
+          lg_int ("forecast", n->u.headroom.is_forecast),
+          lg_int ("jobs_per_10s", (int64_t)(n->u.headroom.jobs_per_s * 10)),
+          lg_int ("peak_per_10s", (int64_t)(n->u.headroom.peak_per_s * 10)) };
+
+  lg_log (LG_HEADROOM, 6, f);
+}
+
+static void
+log_overdue_stop (const struct sj_note *n)
+{
+  const struct sj_run *run = &n->u.overdue.run;
+  struct lg_field f[] = { lg_str ("id", run->job),
+                          lg_int ("occurrence", run->occurrence),
+                          lg_int ("step", run->step),
+                          lg_int ("task", run->index),
+                          lg_int ("run", run->number),
+                          lg_str ("worker", n->worker),
+                          lg_int ("since_ms", n->u.overdue.since_ms) };
+
+  lg_log (LG_STOP_OVERDUE, 7, f);
+}
+
+static void
+count_stopped (struct batch *b, const struct sj_note *n)
+{
+  co_add (b, b->counters.stopped_runs[n->u.stopped.cause], n->u.stopped.runs);
+  co_add (b, b->counters.lost_core_ms, n->u.stopped.lost_core_ms);
+}
+
 void
 ba_on_note (void *arg, const struct sj_note *note)
 {
@@ -64,5 +126,20 @@
     case SJ_NOTE_CAPACITY:
       log_capacity (note);
       break;
+    case SJ_NOTE_PREEMPTED:
+      log_preempted (arg, note);
+      break;
+    case SJ_NOTE_WAITS:
+      log_wait (arg, note);
+      break;
+    case SJ_NOTE_HEADROOM:
+      log_headroom (note);
+      break;
+    case SJ_NOTE_STOP_OVERDUE:
+      log_overdue_stop (note);
+      break;
+    case SJ_NOTE_STOPPED:
+      count_stopped (arg, note);
+      break;
     }
 }
--- a/src/batch/show.c
+++ b/src/batch/show.c
@@ -64,6 +64,11 @@
   json_object_set_new (o, "accelerators", json_integer (n.accelerators));
   json_object_set_new (o, "accelerators_used",
                        json_integer (n.accelerators_used));
+  json_object_set_new (o, "headroom", json_integer (n.headroom_kept));
+  json_object_set_new (o, "headroom_used", json_integer (n.headroom_used));
+  json_object_set_new (o, "preemptions", json_integer (n.preemptions));
+  json_object_set_new (o, "stopped_runs", json_integer (n.stopped_runs));
+  json_object_set_new (o, "lost_core_ms", json_integer (n.lost_core_ms));
   return o;
 }
 
--- a/src/steps/cluster.c
+++ b/src/steps/cluster.c
@@ -214,6 +214,11 @@
 sj_count (struct sj_cluster *c, struct sj_counts *out)
 {
   *out = (struct sj_counts){ .workers = (int)c->worker_list->len };
+  out->headroom_kept = c->headroom.kept;
+  out->headroom_used = c->headroom.used;
+  out->preemptions = c->preemptions;
+  out->stopped_runs = c->stopped_runs;
+  out->lost_core_ms = c->lost_core_ms;
   for (guint i = 0; i < c->job_list->len; i++)
     {
       const struct job *j = g_ptr_array_index (c->job_list, i);
--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -12,11 +12,6 @@
   ROUND_MS = 250,           /* longest time between two decision rounds */
   STOP_RESEND_MS = 500,     /* time until an unanswered stop is sent again */
   OFF_RACK_URGENT_MS = 900, /* longest wait for the rack, guaranteed unit */
-  /* Share of the accelerators that batch units leave free for urgent work,
-     without and with checkpoints.  */
-  HEADROOM_PERCENT = 25,
-  HEADROOM_CHECKPOINTING_PERCENT = 8,
-  HEADROOM_WAIT_MS = 20000, /* a unit that waits longer ignores the headroom */
   OFF_RACK_IDLE_MS = 1500,  /* the same in a mostly idle fleet, any unit */
   RESERVE_AFTER_MS = 30000, /* a tenth of what a gang that fits may wait */
   MAX_RESERVATIONS = 4      /* units with reserved capacity in one round */
@@ -40,7 +35,7 @@
           const struct member *m = g_ptr_array_index (w->members, k);
           struct sj_resources need = nd_for_step (un_step (m->unit));
 
-          if (m->state == MB_STOPPING)
+          if (m->state == MB_STOPPING && !vi_is_overdue (c, m))
             nd_add (&w->free_after_stops, &need);
         }
     }
@@ -211,8 +206,8 @@
   return !pl_rack_can_hold (c, u);
 }
 
-/* Starts U, reserves capacity that pending stops will free, or preempts other
-   work for it.  Returns 1 if one of these succeeded.  */
+/* Starts U or reserves capacity that pending stops will free.  Returns 1 if
+   one of these succeeded.  */
 static int
 start_or_reserve (struct sj_cluster *c, struct unit *u, int off_rack_ok,
                   int64_t now)
@@ -231,53 +226,10 @@
       pl_reserve (u, placement);
       placed = 1;
     }
-  else if (u->job->rank <= RANK_BATCH)
-    placed = pr_preempt_for (c, u, off_rack_ok, now);
   g_free (placement);
   return placed;
 }
 
-/* Free accelerators on usable workers; *ALL is their total.  */
-static int64_t
-idle_accelerators (const struct sj_cluster *c, int64_t *all)
-{
-  int64_t idle = 0;
-
-  *all = 0;
-  for (guint i = 0; i < c->worker_list->len; i++)
-    {
-      const struct worker *w = g_ptr_array_index (c->worker_list, i);
-
-      if (!wo_usable (c, w))
-        continue;
-      *all += w->capacity.accelerators;
-      if (w->free.accelerators > 0)
-        idle += w->free.accelerators;
-    }
-  return idle;
-}
-
-/* Whether batch unit U must not start so that accelerators stay free for
-   urgent work yet to come.  Work without checkpoints leaves more, as stopping
-   it loses its progress.  */
-static int
-must_leave_headroom (const struct unit *u, int64_t idle, int64_t all,
-                     int64_t now)
-{
-  const struct sj_step *s = un_step (u);
-  int64_t requested = s->need.accelerators * u->count;
-  int percent
-      = s->checkpoints ? HEADROOM_CHECKPOINTING_PERCENT : HEADROOM_PERCENT;
-
-  if (u->job->rank < RANK_BATCH || now - u->ready_ms > HEADROOM_WAIT_MS)
-    return 0;
-  /* A unit that is too wide to ever leave that many accelerators free starts
-     while more than half of the fleet is idle.  */
-  if (requested * 100 > all * (100 - percent) && idle * 2 > all)
-    return 0;
-  return (idle - requested) * 100 < all * percent;
-}
-
 /* Number of tasks of R that wait from unit U on: those of a gang, or of the
    step's waiting units.  */
 static int
@@ -300,12 +252,37 @@
 struct round
 {
   int is_idle, reservations;
-  int64_t idle, all; /* accelerators */
-  struct bl_list blocked;
+  int waits;               /* units that may wait for capacity */
+  int64_t latest_start_ms; /* of the step in work */
+  struct hd_round headroom;
+  struct bl_list blocked;    /* units that fit nowhere */
+  struct bl_list no_plan;    /* units that no stops make room for */
   struct pl_singles singles; /* where the single tasks of a step go */
 };
 
-/* Starts U or makes room for it, as start_or_reserve.  */
+/* Stops other work for U if U may not wait for capacity.  Returns 1 if U fits
+   then.  */
+static int
+preempt_for (struct sj_cluster *c, struct round *r, struct unit *u,
+             int allow_off_rack, int64_t now)
+{
+  const char *reason;
+
+  if (u->job->rank > RANK_BATCH
+      || bl_covers (&r->no_plan, c, u, allow_off_rack)
+      || wt_choose (c, u, allow_off_rack, r->latest_start_ms, &r->waits,
+                    &reason, now)
+             != WT_STOP)
+    return 0;
+  if (pr_preempt_for (c, u, allow_off_rack, reason, now))
+    return 1;
+  if (!*c->kept_apart)
+    bl_add (&r->no_plan, u, allow_off_rack, r->reservations + r->waits);
+  return 0;
+}
+
+/* Starts U, reserves capacity for it or preempts other work for it.  Returns 1
+   if one of these succeeded.  */
 static int
 place_unit (struct sj_cluster *c, struct round *r, struct unit *u, int64_t now)
 {
@@ -313,26 +290,34 @@
   struct worker *w;
 
   if (bl_covers (&r->blocked, c, u, allow_off_rack))
-    return 0;
+    {
+      /* The unit that failed may have waited, and this one may not.  */
+      if (!vi_is_sparing (c) || !preempt_for (c, r, u, allow_off_rack, now))
+        return 0;
+      hd_count (c, &r->headroom);
+      return 1;
+    }
   w = pl_next_single (c, &r->singles, u);
   if (w)
     {
+      hd_leave (&r->headroom, w);
       ru_plan (u, &w, 0, now);
       pl_reserve (u, &w);
-      r->idle -= un_step (u)->need.accelerators;
+      hd_return (&r->headroom, w);
       return 1;
     }
   c->searches++;
   *c->kept_apart = 0;
-  if (!start_or_reserve (c, u, allow_off_rack, now))
+  if (!start_or_reserve (c, u, allow_off_rack, now)
+      && !preempt_for (c, r, u, allow_off_rack, now))
     {
       /* The failure of a unit that is kept from workers tells nothing about
          others.  */
       if (!*c->kept_apart)
-        bl_add (&r->blocked, u, allow_off_rack, r->reservations);
+        bl_add (&r->blocked, u, allow_off_rack, r->reservations + r->waits);
       return 0;
     }
-  r->idle = idle_accelerators (c, &r->all);
+  hd_count (c, &r->headroom);
   return 1;
 }
 
@@ -343,6 +328,7 @@
             int64_t now)
 {
   r->singles = (struct pl_singles){ 0 };
+  r->latest_start_ms = s->latest_start_ms;
   for (guint i = s->first; i < s->end && !jb_ended (s->job); i++)
     {
       struct unit *u = unit_at (s->job, i);
@@ -352,7 +338,7 @@
           || lo_give_up_if_spent (c, u, now))
         continue;
       ru_end_avoidance (c, u, now);
-      if (must_leave_headroom (u, r->idle, r->all, now))
+      if (hd_must_wait (&r->headroom, u, now))
         break;
       if (place_unit (c, r, u, now))
         continue;
@@ -372,10 +358,12 @@
   struct round r = { .is_idle = is_mostly_idle (c) };
 
   c->searches = 0;
-  r.idle = idle_accelerators (c, &r.all);
+  hd_begin (c, &r.headroom, now);
   bl_clear (&r.blocked, c);
+  bl_clear (&r.no_plan, c);
   for (guint i = 0; i < ready->len; i++)
     place_step (c, &r, &g_array_index (ready, struct ready_step, i), now);
+  hd_end (c, &r.headroom, now);
   g_array_free (ready, TRUE);
 }
 
@@ -386,6 +374,7 @@
 {
   if (u->state != UN_STOPPING && u->state != UN_DONE)
     return;
+  vi_note_overdue (c, u);
   for (int i = 0; u->members && i < u->count; i++)
     {
       struct member *m = &u->members[i];
@@ -496,6 +485,7 @@
     return ROUND_MS - (now - c->decided_ms);
   c->changed = 0;
   c->decided_ms = now;
+  c->rounds++;
   rank_jobs (c);
   reset_free_capacity (c);
   su_count_suspects (c);
--- a/src/steps/job.c
+++ b/src/steps/job.c
@@ -270,6 +270,7 @@
     }
   g_hash_table_insert (c->jobs, spec->id, j);
   g_ptr_array_add (c->job_list, j);
+  hd_add_job (c, j, now);
   return SJ_OK;
 }
 
--- a/src/steps/preempt.c
+++ b/src/steps/preempt.c
@@ -6,25 +6,25 @@
 
 enum
 {
-  RESTART_MS = 400, /* time that any stop loses, for stopping and resuming */
   MAX_VICTIMS = 64, /* most units stopped for one unit */
   MAX_RACKS = 64    /* racks considered */
 };
 
-/* Weight of the work that stopping U loses, in core-milliseconds.  */
+/* What U may lose at most for other work that it stops.  Beyond a guarantee a
+   stop must not throw away more work than U is.  */
 static int64_t
-stop_cost (const struct unit *u, int64_t now)
+max_cost (const struct sj_cluster *c, const struct unit *u)
 {
   const struct sj_step *s = un_step (u);
-  int64_t lost = RESTART_MS;
 
-  if (!s->checkpoints)
-    lost += now - u->members[0].started_ms;
-  return lost * u->count * (nd_weight (&s->need) + 1) / 1000;
+  if (!vi_is_sparing (c) || u->job->rank == RANK_GUARANTEED)
+    return INT64_MAX;
+  return s->estimate_ms * u->count * (nd_weight (&s->need) + 1) / 1000;
 }
 
 static int
-may_preempt (const struct unit *victim, const struct unit *u)
+may_preempt (const struct sj_cluster *c, struct unit *victim,
+             const struct unit *u)
 {
   const struct sj_step *s = un_step (victim);
 
@@ -33,12 +33,17 @@
     return 0;
   /* Guaranteed work may preempt anything of lower rank; other work only what
      resumes from checkpoints.  */
-  return u->job->rank == RANK_GUARANTEED || s->checkpoints;
+  if (u->job->rank == RANK_GUARANTEED)
+    return 1;
+  return s->checkpoints
+         && !(vi_is_sparing (c) && vi_is_nearly_done (c, victim, c->now));
 }
 
 /* Units to stop for one unit.  */
 struct plan
 {
+  const struct sj_cluster *c;
+  const struct unit *unit; /* that is to fit */
   struct unit *victim[MAX_VICTIMS];
   int victims;
   int serial; /* marks the victims */
@@ -51,12 +56,26 @@
   return u->victim_of == p->serial;
 }
 
-/* Free capacity of W after pending stops and the plan's victims.  */
+/* Free capacity of W for U after pending stops.  What is reserved for other
+   units counts only if U ends before that begins, as in placement.c.  */
 static struct sj_resources
-free_after (const struct plan *p, const struct worker *w)
+free_after_stops (const struct sj_cluster *c, const struct unit *u,
+                  const struct worker *w)
 {
   struct sj_resources available = w->free_after_stops;
 
+  if (vi_is_sparing (c) && w->reserved_from_ms
+      && c->now + un_step (u)->estimate_ms > w->reserved_from_ms)
+    nd_sub (&available, &w->reserved);
+  return available;
+}
+
+/* The same with the plan's victims.  */
+static struct sj_resources
+free_after (const struct plan *p, const struct worker *w)
+{
+  struct sj_resources available = free_after_stops (p->c, p->unit, w);
+
   for (guint i = 0; i < w->members->len; i++)
     {
       const struct member *m = g_ptr_array_index (w->members, i);
@@ -87,14 +106,14 @@
   for (guint i = 0; i < w->members->len; i++)
     {
       const struct member *m = g_ptr_array_index (w->members, i);
-      int excluded = is_victim (p, m->unit) || !may_preempt (m->unit, u);
+      int excluded = is_victim (p, m->unit) || !may_preempt (p->c, m->unit, u);
       int64_t cost;
 
       for (int k = 0; k < extra->victims && !excluded; k++)
         excluded = extra->victim[k] == m->unit;
       if (excluded)
         continue;
-      cost = stop_cost (m->unit, now);
+      cost = vi_stop_cost (p->c, m->unit, now);
       if (!best || cost < least)
         {
           best = m->unit;
@@ -139,7 +158,7 @@
       if (!victim)
         return 0;
       extra->victim[extra->victims++] = victim;
-      extra->cost += stop_cost (victim, now);
+      extra->cost += vi_stop_cost (p->c, victim, now);
       add_freed_capacity (&available, w, victim);
     }
   extra->tasks = nd_count_fitting (&need, &available, limit) - fitting_now;
@@ -175,16 +194,17 @@
 
 /* Capacity of W once everything that U may preempt is stopped.  */
 static struct sj_resources
-free_at_most (const struct unit *u, const struct worker *w)
+free_at_most (const struct sj_cluster *c, const struct unit *u,
+              const struct worker *w)
 {
-  struct sj_resources available = w->free_after_stops;
+  struct sj_resources available = free_after_stops (c, u, w);
 
   for (guint i = 0; i < w->members->len; i++)
     {
       const struct member *m = g_ptr_array_index (w->members, i);
       struct sj_resources need = nd_for_step (un_step (m->unit));
 
-      if (may_preempt (m->unit, u))
+      if (may_preempt (c, m->unit, u))
         nd_add (&available, &need);
     }
   return available;
@@ -207,7 +227,7 @@
 
       if (!pl_is_eligible (c, u, w))
         continue;
-      available = free_at_most (u, w);
+      available = free_at_most (c, u, w);
       n += nd_count_fitting (&need, &available, pl_max_per_worker (u));
     }
   return n >= u->count;
@@ -275,10 +295,10 @@
     }
 }
 
-/* Stops the cheapest victims until U fits, for less than MAX_COST.  */
+/* Stops the cheapest victims until U fits, for less than LIMIT.  */
 static int
 choose_victims (struct plan *p, const struct unit *u, GArray *list,
-                int64_t max_cost, int64_t now)
+                int64_t limit, int64_t now)
 {
   struct worker_plan extra;
   struct estimate *e;
@@ -286,7 +306,7 @@
 
   while ((e = best_estimate (list, &fitting), fitting < u->count))
     {
-      if (!e || p->cost >= max_cost
+      if (!e || p->cost >= limit
           || !plan_worker (p, u, e->worker, pl_max_per_worker (u), &extra, now)
           || p->victims + extra.victims > MAX_VICTIMS)
         return 0;
@@ -294,25 +314,23 @@
       for (int i = 0; i < extra.victims; i++)
         add_victim (p, u, extra.victim[i], list, now);
     }
-  return p->cost < max_cost;
+  return p->cost < limit;
 }
 
-/* Plans victims so that U fits in RACK (any if NULL) for less than MAX_COST.
+/* Plans victims so that U fits in RACK (any if NULL) for less than LIMIT.
    Returns 0 if there is no such plan.  */
 static int
 make_plan (struct sj_cluster *c, const struct unit *u, const struct rack *rack,
-           int64_t max_cost, struct plan *p, int64_t now)
+           int64_t limit, struct plan *p, int64_t now)
 {
   GArray *list;
   int found;
 
   if (!could_fit (c, u, rack))
     return 0;
-  p->victims = 0;
-  p->cost = 0;
-  p->serial = ++c->plan_serial;
+  *p = (struct plan){ .c = c, .unit = u, .serial = ++c->plan_serial };
   list = list_estimates (c, p, u, rack, now);
-  found = choose_victims (p, u, list, max_cost, now);
+  found = choose_victims (p, u, list, limit, now);
   g_array_free (list, TRUE);
   return found;
 }
@@ -329,7 +347,7 @@
 
   for (guint i = 0; i < rack_list->len && i < MAX_RACKS; i++)
     if (make_plan (c, u, g_ptr_array_index (rack_list, i),
-                   found ? best->cost : INT64_MAX, &p, now))
+                   found ? best->cost : max_cost (c, u), &p, now))
       {
         *best = p;
         found = 1;
@@ -351,7 +369,7 @@
     return 1;
   if (racks && !allow_off_rack)
     return 0;
-  return make_plan (c, u, NULL, INT64_MAX, best, now);
+  return make_plan (c, u, NULL, max_cost (c, u), best, now);
 }
 
 static void
@@ -365,9 +383,30 @@
   ru_abort (c, victim, SJ_PREEMPTED, now);
 }
 
+static void
+note_plan (const struct sj_cluster *c, const struct plan *p,
+           const char *reason, int64_t now)
+{
+  const struct unit *u = p->unit;
+  struct sj_note note = { .kind = SJ_NOTE_PREEMPTED,
+                          .u.preempted = { .job = u->job->spec->id,
+                                           .tasks = u->count,
+                                           .victims = p->victims,
+                                           .waited_ms = now - u->ready_ms,
+                                           .reason = reason } };
+
+  for (int i = 0; i < p->victims; i++)
+    {
+      note.u.preempted.runs += p->victim[i]->count;
+      note.u.preempted.lost_core_ms += vi_lost_core_ms (c, p->victim[i], now);
+    }
+  if (c->on_note)
+    c->on_note (c->note_arg, &note);
+}
+
 int
 pr_preempt_for (struct sj_cluster *c, struct unit *u, int allow_off_rack,
-                int64_t now)
+                const char *reason, int64_t now)
 {
   struct worker **placement;
   struct plan p;
@@ -376,6 +415,7 @@
   if (!best_plan (c, u, allow_off_rack, &p, now))
     return 0;
   c->preemptions++;
+  note_plan (c, &p, reason, now);
   for (int i = 0; i < p.victims; i++)
     stop_victim (c, p.victim[i], now);
   placement = g_new (struct worker *, u->count);
--- a/src/steps/run.c
+++ b/src/steps/run.c
@@ -128,6 +128,8 @@
 void
 ru_stop_member (struct sj_cluster *c, struct member *m, int64_t now)
 {
+  if (m->state != MB_STOPPING)
+    m->stop_first_ms = now;
   m->state = MB_STOPPING;
   m->stop_sent_ms = now;
   m->stop_pending = 1;
@@ -144,6 +146,7 @@
     return;
   u->state = UN_STOPPING;
   u->stop_cause = cause;
+  vi_note_stop (c, u, now);
   jb_mark_dirty (u->job);
   for (int i = 0; i < u->count; i++)
     {
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 
+#include "skr/headroom.h"
 #include "skr/steps.h"
 
 struct unit;
@@ -34,6 +35,8 @@
   int64_t start_resolved_ms; /* a listing requested later shows the outcome */
   int stop_pending;          /* a stop has no outcome yet */
   int stop_acked;            /* the worker accepted a stop */
+  int64_t stop_first_ms;     /* when a stop was first sent */
+  int is_overdue_noted;      /* the log names it */
   int64_t stop_sent_ms;      /* when a stop was last sent */
   int64_t stop_acked_ms;     /* a listing requested later shows its effect */
   int progress_percent;      /* as last listed */
@@ -106,6 +109,9 @@
   enum sj_cause stop_cause; /* why its run was aborted */
   int run_commit;           /* an enum run_commit */
   int victim_of;            /* serial of the last plan to stop it */
+  /* Estimates of victim.c and the round that they are of.  */
+  int64_t estimated_round, remaining_ms, stop_cost;
+  int64_t noted_wait; /* number of the run that it was noted to wait for */
 };
 
 /* An occurrence of a job that has fallen due and is not done.  */
@@ -177,9 +183,20 @@
   int estimate;             /* its place in the estimates of preempt.c */
 };
 
+/* Capacity kept free for urgent work, as of the last round.  */
+struct headroom
+{
+  int has_begun; /* the forecast is initialized */
+  int is_forecast;
+  int64_t kept, used;           /* accelerators */
+  int64_t noted_ms, noted_kept; /* of the last note; 0: none */
+};
+
 struct sj_cluster
 {
   struct sj_settings settings;
+  struct hr_forecast forecast; /* of urgent demand */
+  struct headroom headroom;
   sj_order_fn *on_order;
   void *arg;
   sj_note_fn *on_note; /* NULL: notes are not wanted */
@@ -201,8 +218,10 @@
   int plan_serial;     /* of the last plan to preempt */
   int searches;        /* of the last round: units that were tried */
   int preemptions;     /* units for which others were stopped */
-  int64_t now;         /* the caller's latest clock reading */
+  int64_t stopped_runs, lost_core_ms; /* by stops for any cause */
+  int64_t now;                        /* the caller's latest clock reading */
   int64_t decided_ms, health_checked_ms;
+  int64_t rounds; /* so far */
 };
 
 enum
@@ -412,10 +431,74 @@
 int rs_reserve (struct sj_cluster *c, const struct unit *u, int tasks);
 
 /* preempt.c */
-/* Stops work of lower rank so that U fits, and reserves the capacity.
-   Returns 1 on success.  */
+/* Stops work of lower rank so that U fits, and reserves the capacity.  REASON
+   is why the stops were not avoided.  Returns 1 on success.  */
 int pr_preempt_for (struct sj_cluster *c, struct unit *u, int allow_off_rack,
-                    int64_t now);
+                    const char *reason, int64_t now);
+
+/* victim.c */
+/* Whether stops are avoided: the time within which guaranteed work must start
+   is known.  */
+int vi_is_sparing (const struct sj_cluster *c);
+/* Expected longest time that a stop takes.  */
+int64_t vi_stop_ms (const struct sj_cluster *c);
+/* Whether M should have stopped by now, so that its capacity is not counted
+   on.  */
+int vi_is_overdue (const struct sj_cluster *c, const struct member *m);
+/* Expected time until U's run ends by itself; INT64_MAX: unknown.  */
+int64_t vi_remaining_ms (const struct sj_cluster *c, struct unit *u,
+                         int64_t now);
+/* Weight of what stopping U costs, in core-milliseconds.  */
+int64_t vi_stop_cost (const struct sj_cluster *c, struct unit *u, int64_t now);
+/* Work of U's run that a stop throws away, in core-milliseconds.  */
+int64_t vi_lost_core_ms (const struct sj_cluster *c, const struct unit *u,
+                         int64_t now);
+/* Whether U's run ends about as soon as a stop would end it.  */
+int vi_is_nearly_done (const struct sj_cluster *c, struct unit *u,
+                       int64_t now);
+/* Counts and notes that U's run is stopped for its cause.  */
+void vi_note_stop (struct sj_cluster *c, const struct unit *u, int64_t now);
+/* Notes the stops of U's run that are overdue for the first time.  */
+void vi_note_overdue (const struct sj_cluster *c, struct unit *u);
+
+/* wait.c */
+enum wt_choice
+{
+  WT_STOP, /* stop other work now */
+  WT_WAIT, /* enough capacity is expected to become free in time */
+  WT_LATE  /* no stop would let the unit start in time */
+};
+/* Whether U, whose objective requires a start by LATEST_START_MS, waits for
+   capacity or has other work stopped.  Capacity that it waits for is reserved,
+   for a limited number of units in a round: *WAITS counts them.  *REASON is
+   set to why it does not wait.  */
+enum wt_choice wt_choose (struct sj_cluster *c, struct unit *u,
+                          int allow_off_rack, int64_t latest_start_ms,
+                          int *waits, const char **reason, int64_t now);
+
+/* headroom.c */
+/* A round's view of the capacity kept free for urgent work.  */
+struct hd_round
+{
+  int64_t idle, all;      /* accelerators */
+  int is_forecast;        /* else by constant shares of the accelerators */
+  struct hr_keep keep[2]; /* for work without and with checkpoints */
+  int fitting[HR_SHAPES]; /* tasks of a shape that fit in the fleet */
+};
+/* Records J, accepted at ACCEPTED_MS, as demand.  */
+void hd_add_job (struct sj_cluster *c, const struct job *j, int64_t now);
+void hd_begin (struct sj_cluster *c, struct hd_round *h, int64_t now);
+/* Counts the free capacity again.  */
+void hd_count (const struct sj_cluster *c, struct hd_round *h);
+/* Take W out of the counts before its free capacity changes, and back in
+   after that.  */
+void hd_leave (struct hd_round *h, const struct worker *w);
+void hd_return (struct hd_round *h, const struct worker *w);
+/* Whether batch unit U must not start so that capacity stays free for urgent
+   work yet to come.  */
+int hd_must_wait (const struct hd_round *h, const struct unit *u, int64_t now);
+/* Updates the cluster's headroom and notes a change of it.  */
+void hd_end (struct sj_cluster *c, const struct hd_round *h, int64_t now);
 
 /* health.c */
 /* Accounts how a run of U ended on W.  */
--- a/tests/steps/fake_cluster.c
+++ b/tests/steps/fake_cluster.c
@@ -118,6 +118,35 @@
 
 static void close_run (struct fa_worker *w, const struct sj_run *r);
 
+static double
+core_s (const struct fa_run *x, int64_t ms)
+{
+  return (double)ms * (double)(x->need.cpu_milli + x->need.accelerators * 8000)
+         / 1e6;
+}
+
+/* Counts the work of X, which ends, and saves what its checkpoints hold.  */
+static void
+count_work (struct fa_cluster *f, const struct fa_run *x, enum sj_end how)
+{
+  int64_t interval = f->checkpoint_interval_ms, saved = 0;
+  char name[80];
+
+  if (how == SJ_END_DONE)
+    {
+      f->done_core_s += core_s (x, x->done_ms - x->saved_ms);
+      return;
+    }
+  if (x->saves && interval)
+    saved = x->done_ms / interval * interval;
+  if (how == SJ_END_STOPPED)
+    f->lost_core_s += core_s (x, x->done_ms - (saved ? saved : x->saved_ms));
+  format_task_name (name, &x->run);
+  if (saved)
+    g_hash_table_replace (f->saved_ms, g_strdup (name),
+                          GSIZE_TO_POINTER ((gsize)saved));
+}
+
 /* Ends run I of W and lists its end with the next poll.  */
 static void
 end_run (struct fa_cluster *f, struct fa_worker *w, guint i, enum sj_end how)
@@ -125,6 +154,7 @@
   struct fa_run *x = &g_array_index (w->runs, struct fa_run, i);
   struct sj_listed_run end = { .run = x->run, .end = how };
 
+  count_work (f, x, how);
   close_run (w, &x->run);
   end.checkpoint = x->saves ? "saved" : "";
   if (how == SJ_END_DONE)
@@ -266,6 +296,43 @@
                           GSIZE_TO_POINTER ((gsize)r->number));
 }
 
+/* Sets the work of X's task: that of its step, scattered, less what an earlier
+   run saved.  */
+static void
+set_work (struct fa_cluster *f, struct fa_run *x)
+{
+  char name[80];
+
+  format_task_name (name, &x->run);
+  if (f->run_scatter > 0)
+    x->work_ms
+        = (int64_t)((double)x->work_ms
+                    * (g_rand_double (f->rand) < 0.03
+                           ? 7
+                           : 1
+                                 + f->run_scatter
+                                       * (2 * g_rand_double (f->rand) - 1)));
+  x->saved_ms
+      = (int64_t)GPOINTER_TO_SIZE (g_hash_table_lookup (f->saved_ms, name));
+  if (x->saved_ms)
+    x->done_ms = MIN (x->saved_ms, x->work_ms - 1);
+}
+
+/* Notes the first start of each task of a job's first step.  */
+static void
+count_first_start (struct fa_cluster *f, const struct sj_run *r)
+{
+  int left = GPOINTER_TO_INT (g_hash_table_lookup (f->unstarted, r->job)) - 1;
+
+  if (r->step || r->occurrence || r->number > 1 || left < 0)
+    return;
+  g_hash_table_replace (f->unstarted, g_strdup (r->job),
+                        GINT_TO_POINTER (left));
+  if (!left)
+    g_hash_table_insert (f->all_started_ms, g_strdup (r->job),
+                         GSIZE_TO_POINTER ((gsize)f->now + 1));
+}
+
 /* Executes order O on W and returns its outcome.  Orders with an older fencing
    token than the highest seen are refused.  */
 static enum sj_answer
@@ -289,7 +356,7 @@
   if (o->kind == SJ_STOP)
     {
       if (old && !old->stop_at_ms)
-        old->stop_at_ms = f->now + STOP_TIME_MS;
+        old->stop_at_ms = f->now + f->stop_ms;
       close_run (w, &o->run);
       return SJ_EXECUTED;
     }
@@ -307,6 +374,8 @@
   check_crash_budget (f, &o->run);
   x.deadly = is_deadly (f, &o->run);
   x.fails = w->fails_all || g_rand_double (f->rand) < f->faults.task_fails;
+  set_work (f, &x);
+  count_first_start (f, &o->run);
   g_array_append_val (w->runs, x);
   f->starts++;
   if (!g_hash_table_contains (f->started_ms, o->run.job))
@@ -757,6 +826,11 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   f->crash_mode = (struct fa_crash_mode){ .work_ms = 10, .down_ms = 3500 };
   f->commit_ms = COMMIT_MS;
+  f->stop_ms = STOP_TIME_MS;
+  f->saved_ms = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  f->unstarted = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  f->all_started_ms
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   f->accepted_ms
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   f->started_ms
@@ -814,6 +888,9 @@
   g_hash_table_destroy (f->crashes);
   g_hash_table_destroy (f->stalling);
   g_hash_table_destroy (f->late_starts);
+  g_hash_table_destroy (f->saved_ms);
+  g_hash_table_destroy (f->unstarted);
+  g_hash_table_destroy (f->all_started_ms);
   g_hash_table_destroy (f->accepted_ms);
   g_hash_table_destroy (f->started_ms);
   g_hash_table_destroy (f->ended_ms);
@@ -836,6 +913,8 @@
   g_hash_table_insert (f->jobs, g_strdup (job->id), copy_job (job));
   g_hash_table_insert (f->accepted_ms, g_strdup (job->id),
                        GSIZE_TO_POINTER ((gsize)f->now + 1));
+  g_hash_table_insert (f->unstarted, g_strdup (job->id),
+                       GINT_TO_POINTER (job->step[0].count));
   sj_job_add (f->scheduler, job, NULL, 0, f->now);
 }
 
@@ -1012,6 +1091,12 @@
   return ms_since_acceptance (f, f->started_ms, id);
 }
 
+int64_t
+fa_whole_start_delay_ms (const struct fa_cluster *f, const char *id)
+{
+  return ms_since_acceptance (f, f->all_started_ms, id);
+}
+
 int64_t
 fa_completion_ms (const struct fa_cluster *f, const char *id)
 {
--- a/tests/steps/fake_cluster.h
+++ b/tests/steps/fake_cluster.h
@@ -22,6 +22,7 @@
   int64_t started_ms, work_ms, done_ms; /* done_ms: work done */
   int64_t stop_at_ms;                   /* 0: no stop ordered */
   struct sj_resources need;
+  int64_t saved_ms; /* work done before this run and saved */
 };
 
 /* An order in flight.  */
@@ -97,7 +98,13 @@
   GHashTable *crashes;     /* task name -> workers that crashed under it */
   GHashTable *late_starts; /* task name -> starts after three crashes */
   struct fa_crash_mode crash_mode;
-  int64_t commit_ms;                               /* duration of a commit */
+  int64_t commit_ms;              /* duration of a commit */
+  int64_t stop_ms;                /* time that a run takes to stop */
+  int64_t checkpoint_interval_ms; /* 0: runs begin anew after a stop */
+  double run_scatter;    /* of run times, as a share; 3 % take 7 times */
+  GHashTable *saved_ms;  /* task name -> work saved in checkpoints */
+  GHashTable *unstarted; /* id -> tasks of its first step not started yet */
+  GHashTable *all_started_ms;                      /* id -> ms + 1 */
   GHashTable *accepted_ms, *started_ms, *ended_ms; /* id -> ms + 1 */
   GArray *pending_orders; /* struct fa_pending_order */
   struct fa_faults faults;
@@ -109,6 +116,9 @@
   /* Counted events.  */
   int refusals, starts, done_runs, stopped, gang_timeouts, violations;
   double wasted_core_s; /* of stopped runs without checkpoints */
+  /* Work that ended runs did and that stopped ones threw away; an accelerator
+     counts as eight cores.  */
+  double done_core_s, lost_core_s;
   char first_violation[200];
 };
 
@@ -141,6 +151,8 @@
 /* Milliseconds from acceptance to the first start, and to the end; -1: not
    yet.  */
 int64_t fa_start_delay_ms (const struct fa_cluster *f, const char *id);
+/* The same to the first start of the last task of the first step.  */
+int64_t fa_whole_start_delay_ms (const struct fa_cluster *f, const char *id);
 int64_t fa_completion_ms (const struct fa_cluster *f, const char *id);
 
 /* Creates a job with one step of COUNT tasks, each with GPUS accelerators.  */
