--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -30,7 +30,8 @@
   int64_t hold_ms, far_factor, revoke_ms, grace_ms, keep_s;
   int64_t lease_ms, take_ms, renew_ms, evacuation_ms;
   int64_t max_requests, refuse_stalled_writes, speed_aware;
-  double processor;
+  int64_t headroom_forecast, reclaim_ms, stop_ms;
+  double processor, checkpoint_interval_s;
 };
 
 /* Purpose of a call to the store.  */
@@ -219,6 +220,9 @@
       holds;
   int probes, stalled_refusals, early_unknown;
   int reads_state, writes_state;
+  int stopped_runs[SJ_CAUSES]; /* by cause */
+  int lost_core_ms, preemptions, preemptions_avoided;
+  int headroom_kept, headroom_used;
   int store_wait, commit_duration;
   int waiting_jobs, waiting_orders, runs, accelerators_used, usable_workers,
       is_holder, closed_domains, closed_workers;
--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -58,7 +58,12 @@
       = { .off_rack_factor = b->settings->far_factor,
           .silent_timeout_ms = b->settings->hold_ms * 51 / 50 + 200,
           .domains = ev_is_served (b) ? &b->domains : NULL,
-          .speed_aware = (int)b->settings->speed_aware };
+          .speed_aware = (int)b->settings->speed_aware,
+          .headroom_forecast = (int)b->settings->headroom_forecast,
+          .reclaim_ms = b->settings->reclaim_ms,
+          .stop_ms = b->settings->stop_ms,
+          .checkpoint_interval_ms
+          = (int64_t)(b->settings->checkpoint_interval_s * 1000) };
 
   b->term++;
   b->phase = BA_LOADING;
--- a/src/batch/main.c
+++ b/src/batch/main.c
@@ -87,6 +87,22 @@
     "1: learn the workers' speeds and the run times from what runs show, and "
     "use them to place, keep and move runs",
     FIELD (speed_aware) },
+  { "headroom-forecast", OPT_INT, "", 0, 1, "0",
+    "1: batch work leaves as much capacity free as the urgent jobs of the "
+    "last seconds let expect; 0: a constant share",
+    FIELD (headroom_forecast) },
+  { "reclaim-ms", OPT_INT, "ms", 0, MINUTE_MS, "0",
+    "time within which guaranteed work must start; until it is nearly over, "
+    "work waits for capacity that becomes free by itself instead of having "
+    "other work stopped; 0: unknown, it does not wait",
+    FIELD (reclaim_ms) },
+  { "stop-ms", OPT_INT, "ms", 0, MINUTE_MS, "0",
+    "longest time that a worker takes to stop a task; 0: unknown",
+    FIELD (stop_ms) },
+  { "checkpoint-interval-s", OPT_REAL, "s", 0, 600, "0",
+    "time between two checkpoints of a task that writes any; 0: unknown, "
+    "stopping it counts as losing nothing",
+    FIELD (checkpoint_interval_s) },
   { NULL, OPT_INT, "", 0, 0, NULL, NULL, 0 }
 };
 
@@ -108,6 +124,8 @@
      2 s before the bound.  */
   if (set->evacuation_ms && set->evacuation_ms < MIN_EVACUATION_MS)
     fail ("--evacuation-ms must be 0 or at least 4000");
+  if (set->reclaim_ms && set->stop_ms * 2 > set->reclaim_ms)
+    fail ("--stop-ms must be at most half of --reclaim-ms");
 }
 
 static void
