Relay requests from a VM that the store does not serve

A VM without the store refused callers while others had it. With relay-listen each VM publishes an address and a secret in the table vms, and a VM that the store does not serve sends submissions, cancellations and lookups to another one, once, with the caller's own headers; the receiver checks its secret and the caller's key. A request that was sent and not answered is unknown (504); one that was refused or not sent goes to one other VM. Without the setting nothing changes.

--- a/include/skr/access.h
+++ b/include/skr/access.h
@@ -109,7 +109,7 @@
 int ac_is_hopeless (const struct ac_access *a, enum ac_path_name path,
                     int64_t remaining_ms, int64_t now);
 /* Returns 1 if the store does not serve this VM's writes and serves those of
-   others.  */
+   others, or may do so, as it answers this VM's reads neither.  */
 int ac_is_cut_off (const struct ac_access *a, int64_t now);
 /* Counts the refusal of CALLER (any number that is the same when it returns)
    and returns when it should return.  */
--- a/include/skr/events.h
+++ b/include/skr/events.h
@@ -62,6 +62,8 @@
   LG_ATTEMPT_LOST = 538,
   LG_STORE_ACCESS = 552,
   LG_RETRY_AFTER = 553,
+  LG_RELAYED = 554,
+  LG_RELAY_REFUSED = 555,
 
   /* filter */
   LG_REQUEST_UNKNOWN = 601,
--- a/src/access/state.c
+++ b/src/access/state.c
@@ -18,6 +18,8 @@
   /* The holder renews its lease every 400 ms and a follower sees that 250 ms
      later; a longer silence is probed.  */
   QUIET_MS = 1000,
+  /* The poll of the table of jobs is answered after 1.05 s at the latest.  */
+  READS_SILENT_MS = 1100,
   REFUSED_MS = 300, /* writes count as refused after so long and so many */
   REFUSED_CALLS = 3
 };
@@ -233,6 +235,10 @@
   const struct ac_path *p = &a->path[AC_WRITES];
   int64_t awake = awake_ms (a, now);
 
+  int64_t unread_ms = a->path[AC_READS].unanswered_ms;
+
+  if (p->state == AC_STALLED)
+    return unread_ms && awake - unread_ms >= READS_SILENT_MS;
   if (awake - a->seen_ms >= WRITES_STALLED_MS)
     return 0;
   if (p->state == AC_REFUSED)
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -184,6 +184,14 @@
     "A caller was refused and asked to return later; refused counts the "
     "callers in this outage, earlier the refusals of this one before.",
     "none" },
+  { LG_RELAYED, LG_INFO, "relayed", "id call vm outcome status tries took_ms",
+    "A caller's request was relayed to another VM, as this one can't use the "
+    "store; tries counts the VMs, and vm is the last one.",
+    "none" },
+  { LG_RELAY_REFUSED, LG_WARNING, "relay-refused", "peer",
+    "A request to the relay's address had not the secret of this process.",
+    "none if this VM was restarted within the last minutes; else find out "
+    "who sent it" },
 
   /* filter */
   { LG_REQUEST_UNKNOWN, LG_WARNING, "request-unknown",
--- a/src/batch/access.c
+++ b/src/batch/access.c
@@ -11,7 +11,21 @@
 int
 ba_tracks_access (const struct batch *b)
 {
-  return b->settings->refuse_stalled_writes != 0;
+  return b->settings->refuse_stalled_writes || b->relay.peers;
+}
+
+int
+ba_relays_writes (const struct batch *b)
+{
+  return b->relay.peers
+         && (b->store_down || ac_is_cut_off (&b->access, b->now_ms));
+}
+
+int
+ba_relays_reads (const struct batch *b)
+{
+  return b->relay.peers
+         && (b->store_down || b->access.path[AC_READS].state != AC_AVAILABLE);
 }
 
 int
@@ -30,6 +44,7 @@
     case BA_SUBMIT:
     case BA_CANCEL:
     case BA_PROBE:
+    case BA_PUBLISH:
       return AC_WRITES;
     case BA_SCAN:
     case BA_POLL:
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -12,6 +12,7 @@
 
 #include "batch/lease.h"
 #include "batch/order_queue.h"
+#include "batch/relay.h"
 #include "batch/view.h"
 #include "skr/access.h"
 #include "skr/base.h"
@@ -25,6 +26,7 @@
 struct ba_settings
 {
   const char *vm, *listen, *ready_listen, *metrics_listen, *store;
+  const char *relay_listen; /* empty: no relay */
   const char *log_output, *settings;
   int64_t log_level, log_rate;
   int64_t hold_ms, far_factor, revoke_ms, grace_ms, keep_s;
@@ -44,7 +46,8 @@
   BA_SUBMIT,
   BA_LOOKUP,
   BA_CANCEL,
-  BA_PROBE /* a write without effect; see access.c */
+  BA_PROBE,  /* a write without effect; see access.c */
+  BA_PUBLISH /* the row for the relay */
 };
 
 struct ba_table_follower;
@@ -70,7 +73,8 @@
   BA_CLIENT_REQUEST,
   BA_STATUS_REQUEST, /* of an operator */
   BA_ORDER_REPLY,
-  BA_WORKER_LISTING
+  BA_WORKER_LISTING,
+  BA_RELAY_REPLY
 };
 
 /* A start, stop or hold that waits to be sent to a worker or has no reply
@@ -104,6 +108,7 @@
       struct po_rows *rows;
     } reply;
     struct hs_exchange *request;
+    struct rl_call *relayed;
     struct
     {
       struct ba_order *order;
@@ -200,7 +205,7 @@
 
 enum
 {
-  BA_EVENT_KINDS = BA_WORKER_LISTING + 1
+  BA_EVENT_KINDS = BA_RELAY_REPLY + 1
 };
 
 /* Where the loop's time went since the last tick.  */
@@ -218,6 +223,7 @@
   int starts, stops, ends, lost_runs, given_up_tasks, commits, store_calls,
       holds;
   int probes, stalled_refusals, early_unknown;
+  int relayed, relay_unknown, relay_not_run, relay_received;
   int reads_state, writes_state;
   int store_wait, commit_duration;
   int waiting_jobs, waiting_orders, runs, accelerators_used, usable_workers,
@@ -245,6 +251,8 @@
 
   struct qu_config *config;
   struct ba_table_follower config_follower, job_follower, worker_follower;
+  struct ba_table_follower vm_follower; /* only with a relay */
+  struct rl_relay relay;
   struct vw_view view;
   int store_down;
   long store_error_status; /* HTTP status of the last reply if the call failed,
@@ -333,6 +341,10 @@
 /* Returns 1 if new writes are refused because the store does not answer
    writes.  */
 int ba_refuses_writes (const struct batch *b);
+/* Returns 1 if another VM may be able to serve a write, or a read, that this
+   one can't.  */
+int ba_relays_writes (const struct batch *b);
+int ba_relays_reads (const struct batch *b);
 /* Notes that CALL was sent, or its reply.  */
 void ba_note_sent (struct batch *b, const struct ba_store_call *call);
 void ba_note_reply (struct batch *b, const struct ba_store_call *call,
@@ -397,6 +409,10 @@
 void fr_answer (struct batch *b, struct hs_exchange *ex, const char *id,
                 const char *call, int status, const char *body,
                 const char *reason);
+/* Like fr_answer, with a Retry-After of RETRY_AFTER_S if it is not 0.  */
+void fr_answer_after (struct batch *b, struct hs_exchange *ex, const char *id,
+                      const char *call, int status, const char *body,
+                      const char *reason, int retry_after_s);
 /* Handlers of the readiness and metrics requests, on the HTTP server's
    thread.  */
 void fr_ready (void *arg, struct hs_exchange *ex);
--- a/src/batch/counters.c
+++ b/src/batch/counters.c
@@ -29,6 +29,13 @@
       = st_series (r, ST_COUNTER, "skr_batch_stalled_refusals_total", "");
   c->early_unknown
       = st_series (r, ST_COUNTER, "skr_batch_early_unknown_total", "");
+  c->relayed = st_series (r, ST_COUNTER, "skr_batch_relayed_total", "");
+  c->relay_unknown
+      = st_series (r, ST_COUNTER, "skr_batch_relay_unknown_total", "");
+  c->relay_not_run
+      = st_series (r, ST_COUNTER, "skr_batch_relay_not_run_total", "");
+  c->relay_received
+      = st_series (r, ST_COUNTER, "skr_batch_relay_received_total", "");
   c->reads_state = st_series (r, ST_GAUGE, "skr_batch_store_reads_state", "");
   c->writes_state
       = st_series (r, ST_GAUGE, "skr_batch_store_writes_state", "");
--- a/src/batch/front.c
+++ b/src/batch/front.c
@@ -36,6 +36,14 @@
 void
 fr_answer (struct batch *b, struct hs_exchange *ex, const char *id,
            const char *call, int status, const char *body, const char *reason)
+{
+  fr_answer_after (b, ex, id, call, status, body, reason, 0);
+}
+
+void
+fr_answer_after (struct batch *b, struct hs_exchange *ex, const char *id,
+                 const char *call, int status, const char *body,
+                 const char *reason, int retry_after_s)
 {
   char text[BODY_SIZE], retry_after[16];
   struct hs_answer a
@@ -57,7 +65,8 @@
   if (sends_retry_after (status))
     {
       snprintf (retry_after, sizeof retry_after, "%d",
-                ba_retry_after_s (b, id, call));
+                retry_after_s ? retry_after_s
+                              : ba_retry_after_s (b, id, call));
       a.header[0] = (struct hs_header){ "Retry-After", retry_after };
     }
   lg_log (status >= UNAVAILABLE ? LG_REQUEST_GIVEN_UP : LG_REQUEST_ANSWERED, 7,
@@ -93,6 +102,19 @@
   return ms < MAX_WAIT_MS ? (int)ms : MAX_WAIT_MS;
 }
 
+/* Relays EX if another VM may serve it.  */
+static int
+is_relayed_away (struct batch *b, struct hs_exchange *ex, const char *id,
+                 const char *call)
+{
+  int wanted = !strcmp (call, "submit") || !strcmp (call, "cancel")
+                   ? ba_relays_writes (b)
+                   : ba_relays_reads (b);
+
+  return wanted
+         && rl_request (b, ex, id, call, b->now_ms + store_wait_ms (ex));
+}
+
 static void
 refuse_stalled (struct batch *b, struct hs_exchange *ex, const char *id,
                 const char *call)
@@ -128,6 +150,11 @@
       fr_answer (b, ex, id, "submit", BAD_REQUEST, NULL, reason);
       return;
     }
+  if (is_relayed_away (b, ex, id, "submit"))
+    {
+      sj_job_free (job);
+      return;
+    }
   if (b->store_down)
     {
       sj_job_free (job);
@@ -165,12 +192,18 @@
 {
   const struct vw_job *j = vw_find (&b->view, id);
 
+  int is_stale = b->now_ms - b->job_follower.fresh_ms > STALE_MS;
+
+  if ((!j || !j->version) && is_relayed_away (b, ex, id, "state"))
+    return;
   if (!j || !j->version)
     pe_lookup (b, ex, id, account, 0, store_wait_ms (ex));
   else if (!belongs_to (j, account))
     fr_answer (b, ex, id, "state", GONE, NULL, "no such job");
-  else if (j->state < SJ_COMPLETED
-           && b->now_ms - b->job_follower.fresh_ms > STALE_MS)
+  else if (j->state < SJ_COMPLETED && is_stale
+           && is_relayed_away (b, ex, id, "state"))
+    return;
+  else if (j->state < SJ_COMPLETED && is_stale)
     fr_answer (b, ex, id, "state", UNAVAILABLE, NULL,
                "the state is not known now");
   else
@@ -183,12 +216,16 @@
 {
   const struct vw_job *j = vw_find (&b->view, id);
 
+  if ((!j || !j->version) && is_relayed_away (b, ex, id, "cancel"))
+    return;
   if (!j || !j->version)
     pe_lookup (b, ex, id, account, 1, store_wait_ms (ex));
   else if (!belongs_to (j, account))
     fr_answer (b, ex, id, "cancel", GONE, NULL, "no such job");
   else if (j->cancelled || j->state >= SJ_COMPLETED)
     fr_answer (b, ex, id, "cancel", OK, "{}", "already stored");
+  else if (is_relayed_away (b, ex, id, "cancel"))
+    return;
   else if (ba_refuses_writes (b))
     refuse_stalled (b, ex, id, "cancel");
   else
@@ -240,6 +277,14 @@
     }
 }
 
+static const char *
+relay_call_name (const char *method)
+{
+  if (!strcmp (method, "GET"))
+    return "state";
+  return !strcmp (method, "DELETE") ? "cancel" : "submit";
+}
+
 void
 fr_request (struct batch *b, struct hs_exchange *ex)
 {
@@ -248,6 +293,8 @@
   const struct qu_account *account;
   const struct qu_queue *q;
 
+  if (rl_is_relayed (ex))
+    co_add (b, b->counters.relay_received, 1);
   if (!b->config)
     {
       fr_answer (b, ex, "", "?", UNAVAILABLE, NULL,
@@ -257,6 +304,9 @@
   q = qu_find_queue (b->config, hs_header (ex, "Host"), r->path, &subpath);
   if (!ba_config_is_fresh (b) && !(q && q->is_public))
     {
+      /* The VM that receives the request checks its key.  */
+      if (q && is_relayed_away (b, ex, subpath, relay_call_name (r->method)))
+        return;
       fr_answer (b, ex, subpath, "?", UNAVAILABLE, NULL,
                  "not run: the configuration may be old");
       return;
--- a/src/batch/loop.c
+++ b/src/batch/loop.c
@@ -6,6 +6,7 @@
 enum
 {
   RING_EVENTS = 8192,
+  RELAY_CONNECTIONS = 256,
   /* Requests of the HTTP client: a long poll at each worker, orders, and calls
      to the store.  */
   MAX_IN_PROGRESS = 4096,
@@ -79,6 +80,9 @@
       break;
     case BA_PROBE:
       break;
+    case BA_PUBLISH:
+      rl_on_publish_reply (b, rows);
+      break;
     }
   po_rows_free (rows);
   g_free (call);
@@ -95,6 +99,9 @@
     case BA_CLIENT_REQUEST:
       fr_request (b, e->u.request);
       break;
+    case BA_RELAY_REPLY:
+      rl_on_reply (b, e->u.relayed);
+      break;
     case BA_STATUS_REQUEST:
       sh_answer (b, e->u.request);
       break;
@@ -171,6 +178,7 @@
   fo_tick (&b->config_follower);
   fo_tick (&b->job_follower);
   fo_tick (&b->worker_follower);
+  rl_tick (b);
   pe_tick (b);
   ho_tick (b);
   if (b->now_ms - b->counted_ms >= COUNTERS_INTERVAL_MS)
@@ -197,6 +205,8 @@
                          b->phase != BA_STANDBY);
   if (stage != BA_SERVE)
     hs_drain (b->caller_server);
+  if (stage != BA_SERVE && b->relay.server)
+    hs_drain (b->relay.server);
   return stage == BA_END;
 }
 
@@ -232,6 +242,7 @@
   while (rg_pop (&b->events, &item, CLOSE_WAIT_MS) == BS_OK)
     refuse_event (item);
   pe_fail_all (b);
+  rl_fail_all (b);
 }
 
 static void *
@@ -318,6 +329,8 @@
   b->client = hc_new (&hc);
   if (!b->client)
     return BS_ENOMEM;
+  if (*set->relay_listen)
+    rl_init (b);
   b->port = (struct po_port){ b->client, set->store };
   if (open_entry_port (b))
     return BS_ENOMEM;
@@ -326,7 +339,9 @@
       || start_server (b, &b->metrics_server, set->metrics_listen, sh_handle,
                        16)
       || start_server (b, &b->caller_server, set->listen, fr_handle,
-                       MAX_CONNECTIONS))
+                       MAX_CONNECTIONS)
+      || start_server (b, &b->relay.server, set->relay_listen, rl_handle,
+                       RELAY_CONNECTIONS))
     return BS_EOS;
   return bs_thread_start (&b->thread, loop_main, b);
 }
--- a/src/batch/main.c
+++ b/src/batch/main.c
@@ -26,6 +26,10 @@
     "address and port of /metrics and of the requests of skr batch; empty: "
     "none",
     FIELD (metrics_listen) },
+  { "relay-listen", OPT_STRING, "IP:PORT", 0, 60, "",
+    "address and port for requests that other VMs relay while they can't "
+    "reach the store; published to them; empty: no relay",
+    FIELD (relay_listen) },
   { "store", OPT_STRING, "IP:PORT", 1, 60, "127.0.0.1:7000",
     "address and port of the platform's table store", FIELD (store) },
   { "settings", OPT_STRING, "file", 0, 400, "",
--- a/src/batch/pending.c
+++ b/src/batch/pending.c
@@ -49,6 +49,22 @@
   g_ptr_array_remove_fast (b->pending, p);
 }
 
+/* Nothing was done for P.  */
+static void
+refuse_or_relay (struct ba_pending *p)
+{
+  struct batch *b = p->b;
+  int wanted
+      = p->purpose == BA_LOOKUP ? ba_relays_reads (b) : ba_relays_writes (b);
+
+  if (wanted && rl_request (b, p->ex, p->id, call_name (p), p->deadline_ms))
+    g_ptr_array_remove_fast (b->pending, p);
+  else
+    finish (p, UNAVAILABLE, NULL,
+            ba_refuses_writes (b) ? "not run: the store answers no writes"
+                                  : "not run: the store refuses");
+}
+
 static void
 give_up (struct ba_pending *p)
 {
@@ -61,9 +77,7 @@
       finish (p, OUTCOME_UNKNOWN, NULL, "unknown: the store did not answer");
     }
   else
-    finish (p, UNAVAILABLE, NULL,
-            ba_refuses_writes (p->b) ? "not run: the store answers no writes"
-                                     : "not run: the store refuses");
+    refuse_or_relay (p);
 }
 
 static struct ba_pending *
@@ -304,7 +318,7 @@
   if (p->may_be_done)
     return 0;
   return b->store_down || b->now_ms - p->began_ms > REFUSED_GIVE_UP_MS
-         || (b->settings->refuse_stalled_writes
+         || (ba_tracks_access (b)
              && b->access.path[path_of (p)].state != AC_AVAILABLE);
 }
 
--- a/src/batch/show.c
+++ b/src/batch/show.c
@@ -64,6 +64,8 @@
                                   path_status (b, AC_WRITES), "write_seen_ms",
                                   (json_int_t)(a->awake_ms - a->seen_ms),
                                   "refused_callers", a->refused));
+  if (b->relay.peers)
+    json_object_set_new (o, "relay_peers", json_integer (b->relay.peers->len));
 }
 
 json_t *
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -18,6 +18,7 @@
   SO_VM_NET = 1,       /* 127.0.1.N: where VM N listens */
   SO_READY_NET = 2,
   SO_METRICS_NET = 3,
+  SO_RELAY_NET = 4, /* where VMs relay requests to each other */
   SO_MAX_CLIENTS = 64,
   SO_STOP_GRACE_MS = 6000, /* from SIGTERM to SIGKILL */
   SO_RECOVERY_MS = 3000,   /* a VM needs to recover from a fault */
--- a/tests/soak/vms.c
+++ b/tests/soak/vms.c
@@ -85,6 +85,13 @@
   snprintf (arg[count++], ARG_SIZE, "--grace-ms=%d", SO_STOP_GRACE_MS);
   snprintf (arg[count++], ARG_SIZE, "--revoke-ms=%d", SO_REVOKE_MS);
   snprintf (arg[count++], ARG_SIZE, "--settings=%s/vm%d.conf", s->dir, n);
+  /* Odd seeds also play the settings of access to the store.  */
+  if (s->seed % 2)
+    {
+      snprintf (arg[count++], ARG_SIZE, "--refuse-stalled-writes=1");
+      snprintf (arg[count++], ARG_SIZE, "--relay-listen=127.0.%d.%d:%d",
+                SO_RELAY_NET, n + 1, s->vm_port);
+    }
   for (int i = 0; i < count; i++)
     argv[i] = arg[i];
   so_lock (s);
