--- a/src/batch/pending.c
+++ b/src/batch/pending.c
@@ -49,6 +49,22 @@
   g_ptr_array_remove_fast (b->pending, p);
 }
 
+/* Nothing was done for P.  */
+static void
+refuse_or_relay (struct ba_pending *p)
+{
+  struct batch *b = p->b;
+  int wanted
+      = p->purpose == BA_LOOKUP ? ba_relays_reads (b) : ba_relays_writes (b);
+
+  if (wanted && rl_request (b, p->ex, p->id, call_name (p), p->deadline_ms))
+    g_ptr_array_remove_fast (b->pending, p);
+  else
+    finish (p, UNAVAILABLE, NULL,
+            ba_refuses_writes (b) ? "not run: the store answers no writes"
+                                  : "not run: the store refuses");
+}
+
 static void
 give_up (struct ba_pending *p)
 {
@@ -61,9 +77,7 @@
       finish (p, OUTCOME_UNKNOWN, NULL, "unknown: the store did not answer");
     }
   else
-    finish (p, UNAVAILABLE, NULL,
-            ba_refuses_writes (p->b) ? "not run: the store answers no writes"
-                                     : "not run: the store refuses");
+    refuse_or_relay (p);
 }
 
 static struct ba_pending *
@@ -304,10 +318,28 @@
   if (p->may_be_done)
     return 0;
   return b->store_down || b->now_ms - p->began_ms > REFUSED_GIVE_UP_MS
-         || (b->settings->refuse_stalled_writes
+         || (ba_tracks_access (b)
              && b->access.path[path_of (p)].state != AC_AVAILABLE);
 }
 
+/* Ignores the attempt in flight of P if it was sent in a stall that is over,
+   as it may never be answered.  It may still be executed; the next attempt
+   then finds the row.  */
+static void
+drop_stalled_attempt (struct ba_pending *p)
+{
+  const struct ac_path *path = &p->b->access.path[path_of (p)];
+
+  if (!ba_tracks_access (p->b) || p->purpose == BA_LOOKUP || !p->call
+      || path->state != AC_AVAILABLE || path->since_ms <= p->call->sent_ms)
+    return;
+  p->call->pending = NULL;
+  p->call = NULL;
+  p->in_flight = 0;
+  p->may_be_done = 1;
+  p->next_ms = p->b->now_ms;
+}
+
 /* While the store answers no writes, only the probes of access.c are sent.  */
 static int
 may_send (const struct ba_pending *p)
@@ -323,7 +355,10 @@
     {
       struct ba_pending *p = g_ptr_array_index (b->pending, i);
 
-      if (give_up_hopeless (p) || p->in_flight)
+      if (give_up_hopeless (p))
+        continue;
+      drop_stalled_attempt (p);
+      if (p->in_flight)
         continue;
       if (b->now_ms >= p->deadline_ms || is_refused (p))
         give_up (p);
