Scheduler: move the order of waiting steps into a file of its own

decide.c held both the ranking of jobs and the placement of units. The order of waiting steps is about to depend on the accounts' shares, so it moves to order.c unchanged; jb_unit replaces the local unit_at.

--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -1,10 +1,10 @@
-/* The decision round: opens due occurrences, ranks the waiting units, and
-   starts, reserves for or preempts in favour of each in that order.  */
+/* The decision round: opens due occurrences, and starts, reserves for or
+   preempts in favour of each waiting unit in the order of order.c.  */
 #include <stdlib.h>
 #include <string.h>
 
 #include "steps/blocked.h"
-#include "steps/state.h"
+#include "steps/order.h"
 
 enum
 {
@@ -46,134 +46,6 @@
     }
 }
 
-static int
-by_acceptance (const void *a, const void *b)
-{
-  const struct job *x = *(struct job *const *)a, *y = *(struct job *const *)b;
-
-  if (x->accepted_ms != y->accepted_ms)
-    return x->accepted_ms < y->accepted_ms ? -1 : 1;
-  return strcmp (x->spec->id, y->spec->id);
-}
-
-/* Ranks the jobs.  An account's jobs of priority 0 are guaranteed in order of
-   acceptance, as long as their accelerators fit into its guarantee.  */
-static void
-rank_jobs (struct sj_cluster *c)
-{
-  GHashTable *used = g_hash_table_new (g_str_hash, g_str_equal);
-
-  g_ptr_array_sort (c->job_list, by_acceptance);
-  for (guint i = 0; i < c->job_list->len; i++)
-    {
-      struct job *j = g_ptr_array_index (c->job_list, i);
-      const char *account = j->spec->account ? j->spec->account : "";
-      gint64 sum, *guarantee;
-
-      j->rank = RANK_URGENT + j->spec->priority;
-      if (j->spec->priority || jb_ended (j))
-        continue;
-      sum = GPOINTER_TO_INT (g_hash_table_lookup (used, account))
-            + j->peak_accelerators;
-      guarantee = g_hash_table_lookup (c->guarantees, account);
-      if (!guarantee || sum > *guarantee)
-        continue;
-      j->rank = RANK_GUARANTEED;
-      g_hash_table_insert (used, (gpointer)account,
-                           GINT_TO_POINTER ((int)sum));
-    }
-  g_hash_table_destroy (used);
-}
-
-/* The waiting units of one step.  They stand side by side among the units of
-   their job.  */
-struct ready_step
-{
-  struct job *job;
-  guint first, end;        /* units of JOB, those that do not wait included */
-  struct unit *unit;       /* its first that waits */
-  int64_t latest_start_ms; /* latest start that meets its objective */
-};
-
-/* The latest start of U that meets its job's objective.  WALL_OFFSET is the
-   time of day less the monotonic clock, in milliseconds.  */
-static int64_t
-latest_start_ms (const struct unit *u, int64_t wall_offset)
-{
-  const struct job *j = u->job;
-  const struct sj_job *s = j->spec;
-  int64_t base = j->accepted_ms;
-
-  if (s->occurrences)
-    base = s->first_due_ms + u->occurrence * s->interval_ms - wall_offset;
-  return base + (int64_t)(s->stretch * (double)j->critical_path_ms)
-         + s->target_ms - un_step (u)->estimate_ms;
-}
-
-static int
-by_urgency (const void *a, const void *b)
-{
-  const struct ready_step *x = a, *y = b;
-  const struct unit *p = x->unit, *q = y->unit;
-  int order;
-
-  if (p->job->rank != q->job->rank)
-    return p->job->rank - q->job->rank;
-  if (x->latest_start_ms != y->latest_start_ms)
-    return x->latest_start_ms < y->latest_start_ms ? -1 : 1;
-  order = strcmp (p->job->spec->id, q->job->spec->id);
-  if (order)
-    return order;
-  if (p->occurrence != q->occurrence)
-    return p->occurrence - q->occurrence;
-  return p->step - q->step;
-}
-
-static struct unit *
-unit_at (const struct job *j, guint i)
-{
-  return g_ptr_array_index (j->units, i);
-}
-
-/* Appends J's steps with waiting units to LIST.  */
-static void
-list_ready_steps (struct job *j, int64_t wall_offset, GArray *list)
-{
-  guint end;
-
-  for (guint i = 0; i < j->units->len; i = end)
-    {
-      struct ready_step r = { .job = j, .first = i };
-
-      for (end = i; end < j->units->len
-                    && un_same_step (unit_at (j, i), unit_at (j, end));
-           end++)
-        if (!r.unit && unit_at (j, end)->state == UN_READY)
-          r.unit = unit_at (j, end);
-      r.end = end;
-      if (!r.unit)
-        continue;
-      r.latest_start_ms = latest_start_ms (r.unit, wall_offset);
-      g_array_append_val (list, r);
-    }
-}
-
-static GArray *
-list_ready (struct sj_cluster *c, int64_t wall_offset)
-{
-  GArray *list = g_array_new (FALSE, FALSE, sizeof (struct ready_step));
-
-  for (guint i = 0; i < c->job_list->len; i++)
-    {
-      struct job *j = g_ptr_array_index (c->job_list, i);
-
-      if (!jb_ended (j))
-        list_ready_steps (j, wall_offset, list);
-    }
-  g_array_sort (list, by_urgency);
-  return list;
-}
-
 /* Whether less than half of the usable workers' weighted accelerators and
    cores are in use.  */
 static int
@@ -289,9 +161,9 @@
     return u->count;
   for (guint i = r->first; i < r->end; i++)
     {
-      reached |= unit_at (r->job, i) == u;
-      if (reached && unit_at (r->job, i)->state == UN_READY)
-        tasks += unit_at (r->job, i)->count;
+      reached |= jb_unit (r->job, i) == u;
+      if (reached && jb_unit (r->job, i)->state == UN_READY)
+        tasks += jb_unit (r->job, i)->count;
     }
   return tasks;
 }
@@ -345,7 +217,7 @@
   r->singles = (struct pl_singles){ 0 };
   for (guint i = s->first; i < s->end && !jb_ended (s->job); i++)
     {
-      struct unit *u = unit_at (s->job, i);
+      struct unit *u = jb_unit (s->job, i);
 
       /* A unit preempted in this round is considered again in a later one.  */
       if (u->state != UN_READY || now < u->not_before_ms || !su_may_start (u)
@@ -368,7 +240,7 @@
 static void
 place_all (struct sj_cluster *c, int64_t now, int64_t wall_offset)
 {
-  GArray *ready = list_ready (c, wall_offset);
+  GArray *ready = or_list_ready (c, wall_offset);
   struct round r = { .is_idle = is_mostly_idle (c) };
 
   c->searches = 0;
@@ -496,7 +368,7 @@
     return ROUND_MS - (now - c->decided_ms);
   c->changed = 0;
   c->decided_ms = now;
-  rank_jobs (c);
+  or_rank_jobs (c);
   reset_free_capacity (c);
   su_count_suspects (c);
   if (!c->starts_held)
--- a/src/steps/job.c
+++ b/src/steps/job.c
@@ -61,6 +61,12 @@
   g_free (j);
 }
 
+struct unit *
+jb_unit (const struct job *j, guint i)
+{
+  return g_ptr_array_index (j->units, i);
+}
+
 int
 jb_ended (const struct job *j)
 {
--- /dev/null
+++ b/src/steps/order.h
@@ -0,0 +1,26 @@
+/* The order in which the waiting steps of a decision round are tried: by rank,
+   then by the latest start that meets the objective.  */
+#ifndef SKR_STEPS_ORDER_H
+#define SKR_STEPS_ORDER_H
+
+#include "steps/state.h"
+
+/* The waiting units of one step.  They stand side by side among the units of
+   their job.  */
+struct ready_step
+{
+  struct job *job;
+  guint first, end;        /* units of JOB, those that do not wait included */
+  struct unit *unit;       /* its first that waits */
+  int64_t latest_start_ms; /* latest start that meets its objective */
+};
+
+/* Ranks the jobs.  An account's jobs of priority 0 are guaranteed in order of
+   acceptance, as long as their accelerators fit into its guarantee.  */
+void or_rank_jobs (struct sj_cluster *c);
+/* The steps with waiting units in the order in which they are tried: an array
+   of struct ready_step that the caller frees.  WALL_OFFSET is the time of day
+   less the monotonic clock, in milliseconds.  */
+GArray *or_list_ready (struct sj_cluster *c, int64_t wall_offset);
+
+#endif
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -307,6 +307,8 @@
 int un_same_step (const struct unit *a, const struct unit *b);
 struct job *jb_find (struct sj_cluster *c, const char *id);
 void jb_free (void *job);
+/* Unit I of J.  */
+struct unit *jb_unit (const struct job *j, guint i);
 /* Whether J is completed, failed or cancelled.  */
 int jb_ended (const struct job *j);
 /* Marks J's record as changed.  */
