Scheduler: fair shares of scarce capacity, off by default

Within a rank the order was by latest start alone, so that a burst of a large account made every job late that came after it. src/share keeps each account's dominant share with a decayed past and orders the waiting steps of a rank: while steps wait that do not fit, those of an account above its share are moved behind steps of others that would be late, and no more of them than that takes. A gang that is at risk may use the headroom, and capacity is reserved for it. Waiting moves steps ahead again, up to a twentieth of the fleet for an account.

The setting fair-share (0) switches it on; skr batch status lists the accounts, and skr why tells which account was ahead.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Each folder of src/ named in LIBS goes into one archive; each folder named
 # in PROGS or STANDS is a program; each tests/*/test_*.c is a CUnit program.
 
-LIBS = base decide steps queue trace net table config control filter
+LIBS = base decide share steps queue trace net table config control filter
 PROGS = entry sched batch cli replay load burn
 STANDS = platform worker
 
--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -211,7 +211,23 @@
 {
   SJ_NOTE_RUN_LOST,
   SJ_NOTE_TASK_GIVEN_UP, /* too many workers crashed under it */
-  SJ_NOTE_CAPACITY       /* a worker's capacity has changed */
+  SJ_NOTE_CAPACITY,      /* a worker's capacity has changed */
+  SJ_NOTE_PASSED_OVER,   /* a step was moved behind another account's */
+  SJ_NOTE_ACCOUNT_SHARE, /* an account is above its share, or no more */
+  SJ_NOTE_WEIGHT,        /* a weight below 1 was configured; 1 is used */
+  SJ_NOTE_SCARCE         /* units wait that do not fit, or no more */
+};
+
+/* An account's part of the fleet.  Its share is the largest of its fractions
+   of cores, memory and accelerators.  */
+struct sj_account_share
+{
+  const char *name;
+  int64_t weight;
+  int64_t running, waiting; /* tasks */
+  int share_permille;
+  int entitled_permille; /* part that is due to it */
+  int is_over;           /* above its share */
 };
 
 /* Something that the scheduler learned, for the log.  Its strings are valid
@@ -239,6 +255,25 @@
     {
       struct sj_resources capacity, used;
     } capacity;
+    struct
+    {
+      char job[SJ_ID_SIZE], ahead_job[SJ_ID_SIZE];
+      int step;
+      struct sj_account_share account, ahead;
+      int64_t waited_ms;      /* of the step that was passed over */
+      int64_t ahead_slack_ms; /* until the latest start of the other one */
+      int64_t ahead_wait_ms;  /* its wait, were it not ahead */
+    } passed_over;
+    struct sj_account_share account; /* SJ_NOTE_ACCOUNT_SHARE */
+    struct
+    {
+      const char *account;
+      int64_t weight; /* as configured */
+    } weight;
+    struct
+    {
+      int is_scarce, waiting; /* waiting: steps */
+    } scarce;
   } u;
 };
 
@@ -250,6 +285,9 @@
   /* Least time from when a silent worker became known until its runs count
      as ended.  */
   int64_t silent_timeout_ms;
+  /* 1: while capacity is scarce, accounts above their share give way to units
+     of others that would be late; 0: order by rank and latest start alone.  */
+  int64_t fair_share;
 };
 
 struct sj_cluster; /* opaque */
@@ -366,6 +404,12 @@
 /* Fills OUT with the current counts.  */
 void sj_count (struct sj_cluster *c, struct sj_counts *out);
 
+/* Fills OUT with the shares of up to MAX accounts as of the last decision
+   round and returns their number; 0 without fair shares.  The names are valid
+   until the next call that adds a job or an account.  */
+int sj_account_shares (const struct sj_cluster *c,
+                       struct sj_account_share *out, int max);
+
 /* Checks that no worker is over its capacity, that used capacity is counted
    correctly and that no unit runs in part.  Aborts with a message
    otherwise.  */
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -172,6 +172,30 @@
     "An attempt of a job was lost with a worker and is taken for the cause; "
     "given_up tells whether the job was ended for it.",
     "if one job is lost again and again, look at the job" },
+  { LG_PASSED_OVER, LG_INFO, "passed-over",
+    "id step account share_permille entitled_permille waited_ms "
+    "ahead ahead_account ahead_share_permille ahead_entitled_permille "
+    "ahead_slack_ms ahead_wait_ms",
+    "While capacity was scarce, a step of an account above its share was "
+    "moved "
+    "behind one of another account (ahead), which would have been late: its "
+    "latest start was ahead_slack_ms away and its expected wait "
+    "ahead_wait_ms. At most every 5 s for a job.",
+    "none; if it repeats for one account, it needs more capacity than its "
+    "guarantee gives" },
+  { LG_ACCOUNT_SHARE, LG_INFO, "account-share",
+    "account over share_permille entitled_permille weight running waiting",
+    "While capacity is scarce, the account uses more of the fleet than is due "
+    "to it (over 1), or no longer (over 0).",
+    "none" },
+  { LG_ACCOUNT_WEIGHT, LG_NOTICE, "account-weight", "account weight",
+    "The account guarantees no accelerators; its share is computed with a "
+    "weight of 1.",
+    "configure a guarantee if the account needs a larger share" },
+  { LG_CAPACITY_SCARCE, LG_NOTICE, "capacity-scarce", "scarce waiting",
+    "Steps wait that do not fit, so that the accounts' shares change their "
+    "order (scarce 1), or no more for 2 s (scarce 0).",
+    "if it lasts, add workers" },
 
   /* filter */
   { LG_REQUEST_UNKNOWN, LG_WARNING, "request-unknown",
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -29,9 +29,15 @@
   int64_t hold_ms, far_factor, revoke_ms, grace_ms, keep_s;
   int64_t lease_ms, take_ms, renew_ms;
   int64_t max_requests;
+  int64_t fair_share;
   double processor;
 };
 
+enum
+{
+  BA_MAX_ACCOUNTS = 128 /* in the status and the gauges */
+};
+
 /* Purpose of a call to the store.  */
 enum ba_purpose
 {
@@ -213,9 +219,10 @@
 {
   int shard;
   int answers, submits, accepted, refused, unknown;
-  int starts, stops, ends, lost_runs, given_up_tasks, commits, store_calls,
-      holds;
+  int starts, stops, ends, lost_runs, given_up_tasks, passed_over_jobs,
+      commits, store_calls, holds;
   int store_wait, commit_duration;
+  int accounts_over, accounts_waiting;
   int waiting_jobs, waiting_orders, runs, accelerators_used, usable_workers,
       is_holder;
 };
--- a/src/batch/counters.c
+++ b/src/batch/counters.c
@@ -20,6 +20,12 @@
   c->lost_runs = st_series (r, ST_COUNTER, "skr_batch_lost_runs_total", "");
   c->given_up_tasks
       = st_series (r, ST_COUNTER, "skr_batch_given_up_tasks_total", "");
+  c->passed_over_jobs
+      = st_series (r, ST_COUNTER, "skr_batch_passed_over_jobs_total", "");
+  c->accounts_over
+      = st_series (r, ST_GAUGE, "skr_batch_accounts_over_share", "");
+  c->accounts_waiting
+      = st_series (r, ST_GAUGE, "skr_batch_accounts_waiting", "");
   c->commits = st_series (r, ST_COUNTER, "skr_batch_commits_total", "");
   c->store_calls
       = st_series (r, ST_COUNTER, "skr_batch_store_calls_total", "");
@@ -44,6 +50,25 @@
   st_add (&b->stats, b->counters.shard, series, n);
 }
 
+/* Gauges of the accounts' shares; 0 without fair shares.  */
+static void
+set_account_gauges (struct batch *b)
+{
+  struct ba_counters *c = &b->counters;
+  struct sj_account_share account[BA_MAX_ACCOUNTS];
+  int n = b->cluster ? sj_account_shares (b->cluster, account, BA_MAX_ACCOUNTS)
+                     : 0;
+  int over = 0, waiting = 0;
+
+  for (int i = 0; i < n; i++)
+    {
+      over += account[i].is_over;
+      waiting += account[i].waiting > 0;
+    }
+  st_set (&b->stats, c->shard, c->accounts_over, over);
+  st_set (&b->stats, c->shard, c->accounts_waiting, waiting);
+}
+
 void
 co_tick (struct batch *b)
 {
@@ -59,4 +84,5 @@
   st_set (&b->stats, c->shard, c->accelerators_used, n.accelerators_used);
   st_set (&b->stats, c->shard, c->usable_workers, n.usable_workers);
   st_set (&b->stats, c->shard, c->is_holder, b->phase == BA_ACTIVE);
+  set_account_gauges (b);
 }
--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -56,7 +56,8 @@
 {
   struct sj_settings set
       = { .off_rack_factor = b->settings->far_factor,
-          .silent_timeout_ms = b->settings->hold_ms * 51 / 50 + 200 };
+          .silent_timeout_ms = b->settings->hold_ms * 51 / 50 + 200,
+          .fair_share = b->settings->fair_share };
 
   b->term++;
   b->phase = BA_LOADING;
--- a/src/batch/main.c
+++ b/src/batch/main.c
@@ -74,6 +74,10 @@
     "maximum number of client requests in progress; further requests are "
     "refused",
     FIELD (max_requests) },
+  { "fair-share", OPT_INT, "", 0, 1, "0",
+    "1: while work waits that does not fit, accounts above their share give "
+    "way to work of others that would be late; 0: order by objective alone",
+    FIELD (fair_share) },
   { NULL, OPT_INT, "", 0, 0, NULL, NULL, 0 }
 };
 
--- a/src/batch/show.c
+++ b/src/batch/show.c
@@ -36,6 +36,31 @@
   return since_ms ? b->now_ms - since_ms : -1;
 }
 
+/* The accounts that have work, with their shares.  */
+static json_t *
+list_accounts (const struct batch *b)
+{
+  struct sj_account_share account[BA_MAX_ACCOUNTS];
+  int n = sj_account_shares (b->cluster, account, BA_MAX_ACCOUNTS);
+  json_t *list = json_array ();
+
+  for (int i = 0; i < n; i++)
+    {
+      const struct sj_account_share *a = &account[i];
+
+      if (a->running || a->waiting || a->share_permille)
+        json_array_append_new (
+            list,
+            json_pack ("{s:s,s:I,s:I,s:I,s:b,s:I,s:I}", "account", a->name,
+                       "weight", (json_int_t)a->weight, "share_permille",
+                       (json_int_t)a->share_permille, "entitled_permille",
+                       (json_int_t)a->entitled_permille, "over", a->is_over,
+                       "running", (json_int_t)a->running, "waiting",
+                       (json_int_t)a->waiting));
+    }
+  return list;
+}
+
 json_t *
 sh_status (const struct batch *b)
 {
@@ -64,6 +89,8 @@
   json_object_set_new (o, "accelerators", json_integer (n.accelerators));
   json_object_set_new (o, "accelerators_used",
                        json_integer (n.accelerators_used));
+  if (b->settings->fair_share)
+    json_object_set_new (o, "accounts", list_accounts (b));
   return o;
 }
 
--- a/src/cli/batch.c
+++ b/src/cli/batch.c
@@ -14,6 +14,10 @@
     = { "address",       "vm",          "state", "queue", "account",
         "cancel_wanted", "jobs_age_ms", NULL };
 
+static const char *const account_names[]
+    = { "account", "weight",  "share_permille", "entitled_permille",
+        "over",    "running", "waiting",        NULL };
+
 /* Requests PATH from the VM at ADDRESS, without a key or TLS, because ADDRESS
    is its metrics listener.  */
 static struct sk_reply
@@ -26,6 +30,24 @@
   return sk_exchange (&vm_session, "GET", path, NULL, NULL, -1);
 }
 
+/* Prints the accounts that the scheduler's row has.  */
+static void
+print_accounts (const json_t *rows)
+{
+  const json_t *row;
+  size_t i;
+
+  json_array_foreach (rows, i, row)
+  {
+    const json_t *list = json_object_get (row, "accounts");
+
+    if (!json_array_size (list))
+      continue;
+    printf ("\n");
+    sk_print_table (list, account_names);
+  }
+}
+
 /* Requests PATH from every VM and prints vm_session row for each.  The row of
    a VM that does not answer usable an address only.  */
 static int
@@ -50,7 +72,10 @@
   if (s->set.json)
     sk_print_json (rows);
   else
-    sk_print_table (rows, names);
+    {
+      sk_print_table (rows, names);
+      print_accounts (rows);
+    }
   json_decref (rows);
   if (!answered)
     return SK_UNREACHABLE;
--- a/src/cli/why.c
+++ b/src/cli/why.c
@@ -84,6 +84,37 @@
          || !strcmp (name, "id");
 }
 
+static const char *
+text_of (const json_t *event, const char *name)
+{
+  const char *text = json_string_value (json_object_get (event, name));
+
+  return text ? text : "";
+}
+
+static double
+number_of (const json_t *event, const char *name)
+{
+  return (double)json_integer_value (json_object_get (event, name));
+}
+
+/* Says in words which account was ahead of the job and why.  */
+static void
+explain_passed_over (const json_t *event)
+{
+  printf ("             account %s uses %.1f %% of the fleet and is entitled "
+          "to %.1f %%;\n             %s of account %s (%.1f %% of %.1f %%) "
+          "was ahead: it had to start within %.1f s,\n             and "
+          "behind this job would have waited about %.1f s\n",
+          text_of (event, "account"), number_of (event, "share_permille") / 10,
+          number_of (event, "entitled_permille") / 10,
+          text_of (event, "ahead"), text_of (event, "ahead_account"),
+          number_of (event, "ahead_share_permille") / 10,
+          number_of (event, "ahead_entitled_permille") / 10,
+          number_of (event, "ahead_slack_ms") / 1000,
+          number_of (event, "ahead_wait_ms") / 1000);
+}
+
 static void
 print_line (const struct log_line *l, int64_t start_ms)
 {
@@ -102,6 +133,8 @@
       printf (" %s=%lld", name, (long long)json_integer_value (value));
   }
   printf ("  (%s)\n", l->file);
+  if (!strcmp (text_of (l->event, "name"), "passed-over"))
+    explain_passed_over (l->event);
 }
 
 int
--- a/src/steps/cluster.c
+++ b/src/steps/cluster.c
@@ -22,6 +22,7 @@
   c->given_up = g_ptr_array_new ();
   c->kept_apart = g_new0 (int, 1);
   rk_init (c);
+  fs_init (&c->shares);
   g_queue_init (&c->dirty_jobs);
   c->worker_list = g_ptr_array_new ();
   c->job_list = g_ptr_array_new ();
@@ -50,6 +51,7 @@
   g_hash_table_destroy (c->unresolved_workers);
   g_ptr_array_free (c->given_up, TRUE);
   g_free (c->kept_apart);
+  fs_fini (&c->shares);
   g_free (c);
 }
 
@@ -59,6 +61,7 @@
 {
   gint64 *n = g_new (gint64, 1);
 
+  as_set_weight (c, account, accelerators);
   *n = accelerators;
   g_hash_table_replace (c->guarantees, g_strdup (account), n);
   c->changed = 1;
--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -172,6 +172,8 @@
 struct round
 {
   int is_idle, reservations;
+  int kept_back;     /* a step that may be late leaves headroom */
+  int unplaced;      /* steps that did not start for want of capacity */
   int64_t idle, all; /* accelerators */
   struct bl_list blocked;
   struct pl_singles singles; /* where the single tasks of a step go */
@@ -208,6 +210,24 @@
   return 1;
 }
 
+/* Whether U is a gang that other accounts' work would make late.  Narrow tasks
+   take each place that becomes free, so the order alone does not help it: it
+   may use the headroom, and capacity is reserved for it at once.  */
+static int
+is_gang_at_risk (const struct ready_step *s, const struct unit *u)
+{
+  return s->request.is_at_risk && u->count > 1;
+}
+
+/* Whether S leaves the capacity to a step that it was moved behind and that
+   waits for headroom.  Otherwise S would take it once S has waited long enough
+   to ignore the headroom.  */
+static int
+gives_way (const struct round *r, const struct ready_step *s)
+{
+  return s->ahead && r->kept_back;
+}
+
 /* Tries to start the units of one step.  Once a unit can't start, the rest of
    its step is skipped in this round.  */
 static void
@@ -224,11 +244,21 @@
           || lo_give_up_if_spent (c, u, now))
         continue;
       ru_end_avoidance (c, u, now);
-      if (must_leave_headroom (u, r->idle, r->all, now))
-        break;
+      if ((must_leave_headroom (u, r->idle, r->all, now)
+           && !is_gang_at_risk (s, u))
+          || gives_way (r, s))
+        {
+          r->unplaced++;
+          r->kept_back |= s->request.is_at_risk;
+          break;
+        }
       if (place_unit (c, r, u, now))
-        continue;
-      if (now - u->ready_ms >= RESERVE_AFTER_MS
+        {
+          as_started (c, s, u, now);
+          continue;
+        }
+      r->unplaced++;
+      if ((now - u->ready_ms >= RESERVE_AFTER_MS || is_gang_at_risk (s, u))
           && r->reservations < MAX_RESERVATIONS)
         r->reservations += rs_reserve (c, u, waiting_tasks (s, u));
       break;
@@ -240,7 +270,7 @@
 static void
 place_all (struct sj_cluster *c, int64_t now, int64_t wall_offset)
 {
-  GArray *ready = or_list_ready (c, wall_offset);
+  GArray *ready = or_list_ready (c, now, wall_offset);
   struct round r = { .is_idle = is_mostly_idle (c) };
 
   c->searches = 0;
@@ -248,6 +278,7 @@
   bl_clear (&r.blocked, c);
   for (guint i = 0; i < ready->len; i++)
     place_step (c, &r, &g_array_index (ready, struct ready_step, i), now);
+  as_end_round (c, ready, r.unplaced, now);
   g_array_free (ready, TRUE);
 }
 
--- a/src/steps/job.c
+++ b/src/steps/job.c
@@ -265,6 +265,7 @@
   j->spec = spec;
   j->service = g_intern_string (spec->service);
   j->accepted_ms = now - waited_ms;
+  j->account = fs_find (&c->shares, spec->account ? spec->account : "");
   j->open_occurrences = g_ptr_array_new_with_free_func (free_occurrence);
   j->units = g_ptr_array_new_with_free_func (free_unit);
   summarize_steps (j);
--- a/src/steps/order.c
+++ b/src/steps/order.c
@@ -87,8 +87,12 @@
       for (end = i; end < j->units->len
                     && un_same_step (jb_unit (j, i), jb_unit (j, end));
            end++)
-        if (!r.unit && jb_unit (j, end)->state == UN_READY)
-          r.unit = jb_unit (j, end);
+        if (jb_unit (j, end)->state == UN_READY)
+          {
+            r.tasks += jb_unit (j, end)->count;
+            if (!r.unit)
+              r.unit = jb_unit (j, end);
+          }
       r.end = end;
       if (!r.unit)
         continue;
@@ -97,8 +101,86 @@
     }
 }
 
+struct fs_amount
+or_work (const struct unit *u, int tasks)
+{
+  const struct sj_step *s = un_step (u);
+  struct sj_resources need = nd_for_step (s);
+  double tasks_ms = (double)tasks * (double)s->estimate_ms;
+
+  return (struct fs_amount){ { (double)need.cpu_milli * tasks_ms,
+                               (double)need.memory_mb * tasks_ms,
+                               (double)need.accelerators * tasks_ms } };
+}
+
+static void
+fill_requests (GArray *list)
+{
+  for (guint i = 0; i < list->len; i++)
+    {
+      struct ready_step *r = &g_array_index (list, struct ready_step, i);
+
+      r->request = (struct fs_request){ .account = r->job->account,
+                                        .ready_ms = r->unit->ready_ms,
+                                        .latest_start_ms = r->latest_start_ms,
+                                        .work = or_work (r->unit, r->tasks),
+                                        .ahead = -1 };
+    }
+}
+
+/* Puts the N steps at STEP, which are of one rank, into the order of fs_order,
+   with AHEAD as the work of higher rank.  */
+static void
+order_rank (struct sj_cluster *c, struct ready_step *step, int n,
+            const struct fs_amount *ahead, int64_t now)
+{
+  struct fs_request *request = g_new (struct fs_request, n);
+  struct ready_step *old = g_memdup2 (step, (gsize)n * sizeof *step);
+  int *order = g_new (int, n);
+
+  for (int i = 0; i < n; i++)
+    request[i] = step[i].request;
+  fs_order (&c->shares, request, n, ahead, now, order);
+  for (int i = 0; i < n; i++)
+    {
+      const struct fs_request *r = &request[order[i]];
+
+      step[i] = old[order[i]];
+      step[i].request = *r;
+      if (r->ahead < 0)
+        continue;
+      step[i].ahead = old[r->ahead].unit;
+      step[i].ahead_slack_ms = old[r->ahead].latest_start_ms - now;
+      step[i].ahead_wait_ms = request[r->ahead].wait_ms;
+    }
+  g_free (request);
+  g_free (old);
+  g_free (order);
+}
+
+/* Changes the order of each rank below RANK_GUARANTEED by the accounts'
+   shares.  */
+static void
+order_by_shares (struct sj_cluster *c, GArray *list, int64_t now)
+{
+  struct ready_step *step = (struct ready_step *)(void *)list->data;
+  struct fs_amount ahead = { { 0 } };
+
+  for (guint i = 0, end; i < list->len; i = end)
+    {
+      struct fs_amount sum = ahead;
+
+      for (end = i;
+           end < list->len && step[end].job->rank == step[i].job->rank; end++)
+        fs_add_work (&sum, &step[end].request.work);
+      if (step[i].job->rank > RANK_GUARANTEED)
+        order_rank (c, &step[i], (int)(end - i), &ahead, now);
+      ahead = sum;
+    }
+}
+
 GArray *
-or_list_ready (struct sj_cluster *c, int64_t wall_offset)
+or_list_ready (struct sj_cluster *c, int64_t now, int64_t wall_offset)
 {
   GArray *list = g_array_new (FALSE, FALSE, sizeof (struct ready_step));
 
@@ -110,5 +192,11 @@
         list_ready_steps (j, wall_offset, list);
     }
   g_array_sort (list, by_urgency);
+  if (!c->settings.fair_share)
+    return list;
+  as_update (c, list, now);
+  fill_requests (list);
+  if (c->is_scarce)
+    order_by_shares (c, list, now);
   return list;
 }
--- a/src/steps/order.h
+++ b/src/steps/order.h
@@ -13,6 +13,10 @@
   guint first, end;        /* units of JOB, those that do not wait included */
   struct unit *unit;       /* its first that waits */
   int64_t latest_start_ms; /* latest start that meets its objective */
+  int tasks;               /* that wait */
+  struct fs_request request; /* input and results of fs_order */
+  const struct unit *ahead;  /* unit of the step it was moved behind */
+  int64_t ahead_slack_ms, ahead_wait_ms; /* of that step */
 };
 
 /* Ranks the jobs.  An account's jobs of priority 0 are guaranteed in order of
@@ -21,6 +25,21 @@
 /* The steps with waiting units in the order in which they are tried: an array
    of struct ready_step that the caller frees.  WALL_OFFSET is the time of day
    less the monotonic clock, in milliseconds.  */
-GArray *or_list_ready (struct sj_cluster *c, int64_t wall_offset);
+GArray *or_list_ready (struct sj_cluster *c, int64_t now, int64_t wall_offset);
+
+/* The work of TASKS tasks of U's step by their declared run time.  */
+struct fs_amount or_work (const struct unit *u, int tasks);
+
+/* shares.c */
+/* Accounts for the start of U, a unit of S.  */
+void as_started (struct sj_cluster *c, const struct ready_step *s,
+                 const struct unit *u, int64_t now);
+/* Counts what runs and what waits in READY by account, and computes the
+   accounts' shares.  */
+void as_update (struct sj_cluster *c, const GArray *ready, int64_t now);
+/* Accounts for a round over READY in which UNPLACED steps did not start for
+   want of capacity.  */
+void as_end_round (struct sj_cluster *c, const GArray *ready, int unplaced,
+                   int64_t now);
 
 #endif
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 
+#include "skr/share.h"
 #include "skr/steps.h"
 
 struct unit;
@@ -135,7 +136,9 @@
   /* Serials of the first change that is not in the record being stored, and
      of the first one that is.  */
   int64_t dirty_since, commit_since;
-  int rank; /* RANK_GUARANTEED and so on, set by each decision round */
+  int rank;    /* RANK_GUARANTEED and so on, set by each decision round */
+  int account; /* its handle in the cluster's shares */
+  int64_t passed_over_ms; /* when that was last noted; 0: never */
 };
 
 struct rack
@@ -203,6 +206,10 @@
   int preemptions;     /* units for which others were stopped */
   int64_t now;         /* the caller's latest clock reading */
   int64_t decided_ms, health_checked_ms;
+  struct fs_table shares; /* of the accounts */
+  int is_scarce;          /* units did not fit in the last round */
+  int scarce_noted;
+  int64_t scarce_ms; /* when units last did not fit */
 };
 
 enum
@@ -419,6 +426,10 @@
 int pr_preempt_for (struct sj_cluster *c, struct unit *u, int allow_off_rack,
                     int64_t now);
 
+/* shares.c */
+/* Sets ACCOUNT's weight, which is its guarantee.  */
+void as_set_weight (struct sj_cluster *c, const char *account, int64_t weight);
+
 /* health.c */
 /* Accounts how a run of U ended on W.  */
 void he_record_end (struct sj_cluster *c, struct worker *w, struct unit *u,
--- a/tests/steps/bench_round.c
+++ b/tests/steps/bench_round.c
@@ -21,6 +21,7 @@
   CALM_JOBS_PER_100_WORKERS = 80,
   OVERLOAD_JOBS_PER_100_WORKERS = 60, /* a third to a half of them wait */
   OVERLOAD_ROUNDS = 200,
+  ACCOUNTS = 10, /* with fair shares */
   /* Capacity of a worker.  */
   CPU_MILLI = 128000,
   MEMORY_MB = 262144,
@@ -33,7 +34,7 @@
   GRand *rand;
   int64_t now;
   int workers, jobs;
-  int is_overloaded;
+  int is_overloaded, many_accounts;
   GArray *running; /* struct running_task */
 };
 
@@ -115,7 +116,8 @@
 
   snprintf (j->id, sizeof j->id, "%016x", (unsigned)++b->jobs);
   j->queue = g_strdup ("q");
-  j->account = g_strdup ("a");
+  j->account = b->many_accounts ? g_strdup_printf ("a%d", b->jobs % ACCOUNTS)
+                                : g_strdup ("a");
   j->service = g_strdup ("s");
   j->payload = g_strdup ("payload");
   j->priority = g_rand_int_range (b->rand, 0, 3);
@@ -198,14 +200,16 @@
 /* Prints the round times for WORKERS workers that begin with INITIAL_JOBS
    jobs.  */
 static void
-measure_rounds (int workers, int initial_jobs, int is_overloaded)
+measure_rounds (int workers, int initial_jobs, int is_overloaded,
+                int many_accounts, int fair_share)
 {
-  struct sj_settings set = { 3, 0 };
+  struct sj_settings set = { .off_rack_factor = 3, .fair_share = fair_share };
   struct bench b
       = { .rand = g_rand_new_with_seed (1),
           .now = 1000,
           .workers = workers,
           .is_overloaded = is_overloaded,
+          .many_accounts = many_accounts,
           .running = g_array_new (FALSE, TRUE, sizeof (struct running_task)) };
   int rounds = workers > 1000 ? LARGE_CLUSTER_ROUNDS : ROUNDS;
   gint64 *us = g_new (gint64, MAX (rounds, OVERLOAD_ROUNDS)), median;
@@ -214,6 +218,13 @@
     rounds = OVERLOAD_ROUNDS;
   b.c = sj_new (&set, on_order, &b);
   sj_set_guarantee (b.c, "a", workers);
+  for (int i = 0; i < ACCOUNTS && many_accounts; i++)
+    {
+      char name[16];
+
+      snprintf (name, sizeof name, "a%d", i);
+      sj_set_guarantee (b.c, name, workers / ACCOUNTS);
+    }
   for (int i = 0; i < workers; i++)
     add_worker (&b, i);
   for (int i = 0; i < initial_jobs; i++)
@@ -252,10 +263,18 @@
   printf ("%8s %8s %8s %10s %10s\n", "workers", "jobs", "runs", "median ms",
           "worst ms");
   for (gsize i = 0; i < G_N_ELEMENTS (calm); i++)
-    measure_rounds (calm[i], calm[i] * CALM_JOBS_PER_100_WORKERS / 100, 0);
-  printf ("full fleet, a busy morning\n");
-  for (gsize i = 0; i < G_N_ELEMENTS (overload); i++)
-    measure_rounds (overload[i],
-                    overload[i] * OVERLOAD_JOBS_PER_100_WORKERS / 100, 1);
+    measure_rounds (calm[i], calm[i] * CALM_JOBS_PER_100_WORKERS / 100, 0, 0,
+                    0);
+  for (int table = 0; table < 3; table++)
+    {
+      static const char *const title[]
+          = { "one account", "ten accounts", "ten accounts, fair shares" };
+
+      printf ("full fleet, a busy morning, %s\n", title[table]);
+      for (gsize i = 0; i < G_N_ELEMENTS (overload); i++)
+        measure_rounds (overload[i],
+                        overload[i] * OVERLOAD_JOBS_PER_100_WORKERS / 100, 1,
+                        table > 0, table > 1);
+    }
   return 0;
 }
