Scheduler: reserve for batch gangs at risk only, a few in a round

Reserving capacity for urgent gangs at risk made the preemptions grow: the capacity that a preemption freed was reserved for another gang, and more was stopped in the next round.

--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -172,6 +172,7 @@
 struct round
 {
   int is_idle, reservations;
+  int gangs_at_risk; /* that were helped */
   int kept_back;     /* a step that may be late leaves headroom */
   int unplaced;      /* steps that did not start for want of capacity */
   int64_t idle, all; /* accelerators */
@@ -212,11 +213,16 @@
 
 /* Whether U is a gang that other accounts' work would make late.  Narrow tasks
    take each place that becomes free, so the order alone does not help it: it
-   may use the headroom, and capacity is reserved for it at once.  */
+   may use the headroom, and capacity is reserved for it at once.  A round
+   helps a few, as each costs a search.  Not urgent work: it stops other work,
+   and would stop it again and again for places that are reserved for others.
+ */
 static int
-is_gang_at_risk (const struct ready_step *s, const struct unit *u)
+is_gang_at_risk (struct round *r, const struct ready_step *s,
+                 const struct unit *u)
 {
-  return s->request.is_at_risk && u->count > 1;
+  return u->job->rank >= RANK_BATCH && s->request.is_at_risk && u->count > 1
+         && r->gangs_at_risk++ < MAX_RESERVATIONS;
 }
 
 /* Whether S leaves the capacity to a step that it was moved behind and that
@@ -238,14 +244,15 @@
   for (guint i = s->first; i < s->end && !jb_ended (s->job); i++)
     {
       struct unit *u = jb_unit (s->job, i);
+      int helped;
 
       /* A unit preempted in this round is considered again in a later one.  */
       if (u->state != UN_READY || now < u->not_before_ms || !su_may_start (u)
           || lo_give_up_if_spent (c, u, now))
         continue;
       ru_end_avoidance (c, u, now);
-      if ((must_leave_headroom (u, r->idle, r->all, now)
-           && !is_gang_at_risk (s, u))
+      helped = is_gang_at_risk (r, s, u);
+      if ((!helped && must_leave_headroom (u, r->idle, r->all, now))
           || gives_way (r, s))
         {
           r->unplaced++;
@@ -258,7 +265,7 @@
           continue;
         }
       r->unplaced++;
-      if ((now - u->ready_ms >= RESERVE_AFTER_MS || is_gang_at_risk (s, u))
+      if ((now - u->ready_ms >= RESERVE_AFTER_MS || helped)
           && r->reservations < MAX_RESERVATIONS)
         r->reservations += rs_reserve (c, u, waiting_tasks (s, u));
       break;
