--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 # Each folder of src/ named in LIBS goes into one archive; each folder named
 # in PROGS or STANDS is a program; each tests/*/test_*.c is a CUnit program.
 
-LIBS = base decide headroom steps speed queue trace net table config control \
-       filter access domains
+LIBS = base decide headroom share steps speed queue trace net table config \
+       control filter access domains
 PROGS = entry sched batch cli replay load burn
 STANDS = platform worker
 
--- a/src/batch/main.c
+++ b/src/batch/main.c
@@ -107,6 +107,10 @@
     "time between two checkpoints of a task that writes any; 0: unknown, "
     "stopping it counts as losing nothing",
     FIELD (checkpoint_interval_s) },
+  { "fair-share", OPT_INT, "", 0, 1, "0",
+    "1: while work waits that does not fit, accounts above their share give "
+    "way to work of others that would be late; 0: order by objective alone",
+    FIELD (fair_share) },
   { NULL, OPT_INT, "", 0, 0, NULL, NULL, 0 }
 };
 
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "skr/headroom.h"
+#include "skr/share.h"
 #include "skr/speed.h"
 #include "skr/steps.h"
 
@@ -153,6 +154,8 @@
   int64_t dirty_since, commit_since;
   int rank; /* RANK_GUARANTEED and so on, set by each decision round */
   struct rt_ratio *run_ratio; /* of its account and queue; NULL: not yet */
+  int account;                /* its handle in the cluster's shares */
+  int64_t passed_over_ms;     /* when that was last noted; 0: never */
 };
 
 struct rack
@@ -243,6 +246,10 @@
   int64_t speeds_updated_ms;
   int64_t slow_kept, fast_waits; /* so far */
   int64_t rounds;                /* so far */
+  struct fs_table shares;        /* of the accounts */
+  int is_scarce;                 /* units did not fit in the last round */
+  int scarce_noted;
+  int64_t scarce_ms; /* when units last did not fit */
 };
 
 enum
@@ -350,6 +357,8 @@
 int un_same_step (const struct unit *a, const struct unit *b);
 struct job *jb_find (struct sj_cluster *c, const char *id);
 void jb_free (void *job);
+/* Unit I of J.  */
+struct unit *jb_unit (const struct job *j, guint i);
 /* Whether J is completed, failed or cancelled.  */
 int jb_ended (const struct job *j);
 /* Marks J's record as changed.  */
@@ -524,6 +533,10 @@
 /* Updates the cluster's headroom and notes a change of it.  */
 void hd_end (struct sj_cluster *c, const struct hd_round *h, int64_t now);
 
+/* shares.c */
+/* Sets ACCOUNT's weight, which is its guarantee.  */
+void as_set_weight (struct sj_cluster *c, const char *account, int64_t weight);
+
 /* health.c */
 /* Accounts how a run of U ended on W.  */
 void he_record_end (struct sj_cluster *c, struct worker *w, struct unit *u,
