Scheduler: tests of stops under hard load; headroom from full intervals

The newest interval of the history is not over and passed for a fall of the rate, so that the headroom shrank in a rise. It is left out now. A unit without checkpoints that has waited 20 s still leaves the capacity that is expected to be needed, as it would be stopped before it could end.

The fake cluster did not count the members of a gang that end with the first stop.

--- a/include/skr/headroom.h
+++ b/include/skr/headroom.h
@@ -50,9 +50,10 @@
 /* Capacity to keep free.  */
 struct hr_keep
 {
-  int64_t accelerators;           /* in total */
-  double jobs_per_s, peak_per_s;  /* current and expected rate of arrivals */
-  int tasks[HR_SHAPES];           /* that must fit, by shape */
+  int64_t accelerators;          /* in total */
+  int64_t growth;                /* part of it that is expected to be needed */
+  double jobs_per_s, peak_per_s; /* current and expected rate of arrivals */
+  int tasks[HR_SHAPES];          /* that must fit, by shape */
   struct hr_need need[HR_SHAPES]; /* of these */
 };
 
--- a/src/headroom/forecast.c
+++ b/src/headroom/forecast.c
@@ -7,6 +7,7 @@
 enum
 {
   SECOND_MS = 1000,
+  MAX_KNOWN = HR_BUCKETS - 1, /* full buckets */
   /* Recent arrivals that the trend is fitted to.  On a load of eight jobs a
      second 4 s hold about 30 jobs, so that the rate is known to a fifth.  */
   TREND_BUCKETS = 16,
@@ -80,14 +81,15 @@
   update_mean (&f->batch_run_ms, (double)run_ms, f->batch_run_ms == 0);
 }
 
-/* Jobs of S in the N buckets that end AGE buckets before the newest.  */
+/* Jobs of S in N buckets, the last of which ends AGE buckets before the newest
+   begins.  The newest is not full yet and would pass for a fall.  */
 static double
 count_jobs (const struct hr_forecast *f, const struct hr_shape *s, int age,
             int n)
 {
   double jobs = 0;
 
-  for (int64_t b = f->newest - age - n + 1; b <= f->newest - age; b++)
+  for (int64_t b = f->newest - age - n; b < f->newest - age; b++)
     if (b >= 0)
       jobs += s->jobs[b % HR_BUCKETS];
   return jobs;
@@ -108,7 +110,7 @@
 {
   advance (f, now);
   return now - f->began_ms >= HR_MIN_HISTORY_MS
-         && count_all (f, 0, HR_BUCKETS) > 0;
+         && count_all (f, 0, MAX_KNOWN) > 0;
 }
 
 static double
@@ -121,7 +123,7 @@
 static int
 known_buckets (const struct hr_forecast *f, int max)
 {
-  int64_t n = f->newest - f->began_ms / HR_BUCKET_MS + 1;
+  int64_t n = f->newest - f->began_ms / HR_BUCKET_MS;
 
   return n < max ? (int)n : max;
 }
@@ -130,7 +132,7 @@
 static double
 highest_rate (const struct hr_forecast *f)
 {
-  int known = known_buckets (f, HR_BUCKETS);
+  int known = known_buckets (f, MAX_KNOWN);
   double highest = rate_per_s (f, 0, FAST_BUCKETS);
 
   for (int age = 0; age + RATE_BUCKETS <= known; age++)
@@ -179,12 +181,12 @@
 static struct mix
 get_mix (const struct hr_forecast *f)
 {
-  struct mix m = { .jobs = count_all (f, 0, HR_BUCKETS) };
+  struct mix m = { .jobs = count_all (f, 0, MAX_KNOWN) };
 
   for (int i = 0; i < HR_SHAPES && m.jobs > 0; i++)
     {
       const struct hr_shape *s = &f->shape[i];
-      double share = count_jobs (f, s, 0, HR_BUCKETS) / m.jobs;
+      double share = count_jobs (f, s, 0, MAX_KNOWN) / m.jobs;
       double need = s->tasks * s->accelerators;
 
       m.accelerators += share * need;
@@ -206,7 +208,7 @@
   for (int i = 0; i < HR_SHAPES; i++)
     {
       const struct hr_shape *s = &f->shape[i];
-      double jobs = count_jobs (f, s, 0, HR_BUCKETS);
+      double jobs = count_jobs (f, s, 0, MAX_KNOWN);
       double per_s = jobs / m->jobs * s->run_ms / SECOND_MS;
 
       out->need[i]
@@ -215,7 +217,7 @@
       out->tasks[i] = (int)ceil (
           s->tasks
           * (per_s * growth + (per_s * out->peak_per_s >= 1 ? 1 : 0)));
-      if (jobs > count_jobs (f, &f->shape[usual], 0, HR_BUCKETS))
+      if (jobs > count_jobs (f, &f->shape[usual], 0, MAX_KNOWN))
         usual = i;
     }
   if (!out->tasks[usual])
@@ -230,7 +232,7 @@
              int64_t now, struct hr_keep *out)
 {
   struct mix m;
-  double level, slope, least, horizon_s, run_s, keep;
+  double level, slope, least, horizon_s, run_s, growth, keep;
 
   advance (f, now);
   *out = (struct hr_keep){ 0 };
@@ -244,13 +246,14 @@
   out->jobs_per_s = level;
   /* A place that other work takes while the rate is low is still taken when
      the rate is back at its mean.  */
-  least = fmax (level, rate_per_s (f, 0, known_buckets (f, HR_BUCKETS)));
+  least = fmax (level, rate_per_s (f, 0, known_buckets (f, MAX_KNOWN)));
   out->peak_per_s = clamp (level + slope * horizon_s, least,
                            fmax (least, highest_rate (f)));
-  keep = (out->peak_per_s - level) * run_s * m.accelerators
-         + deviations * sqrt (out->peak_per_s * run_s * m.square);
+  growth = (out->peak_per_s - level) * run_s * m.accelerators;
+  keep = growth + deviations * sqrt (out->peak_per_s * run_s * m.square);
   if (guaranteed > 0)
     keep = fmin (keep, (double)guaranteed);
   out->accelerators = (int64_t)ceil (fmax (keep, m.accelerators));
+  out->growth = (int64_t)fmin (growth, (double)out->accelerators);
   set_shapes (f, &m, out);
 }
--- a/src/steps/headroom.c
+++ b/src/steps/headroom.c
@@ -11,6 +11,7 @@
   HEADROOM_PERCENT = 25,
   HEADROOM_CHECKPOINTING_PERCENT = 8,
   HEADROOM_WAIT_MS = 20000, /* a unit that waits longer ignores the headroom */
+  GROWTH_WAIT_MS = 40000,   /* and the expected growth of urgent demand */
   NOTE_MS = 1000,           /* least time between two notes of a change */
   NOTE_PERCENT = 25         /* least change that is noted */
 };
@@ -180,11 +181,26 @@
   return (h->idle - requested) * 100 >= h->all * percent;
 }
 
+/* Whether U would take capacity that is expected to be needed before it can
+   end, and would lose all of its work then.  */
+static int
+would_be_stopped (const struct hd_round *h, const struct unit *u)
+{
+  const struct sj_step *s = un_step (u);
+
+  return h->is_forecast && !s->checkpoints
+         && h->idle - s->need.accelerators * u->count < h->keep[0].growth;
+}
+
 int
 hd_must_wait (const struct hd_round *h, const struct unit *u, int64_t now)
 {
-  if (u->job->rank < RANK_BATCH || now - u->ready_ms > HEADROOM_WAIT_MS)
+  int64_t waited_ms = now - u->ready_ms;
+
+  if (u->job->rank < RANK_BATCH || waited_ms > GROWTH_WAIT_MS)
     return 0;
+  if (waited_ms > HEADROOM_WAIT_MS)
+    return would_be_stopped (h, u);
   return !(h->is_forecast ? leaves_forecast (h, u) : leaves_share (h, u));
 }
 
--- a/src/steps/victim.c
+++ b/src/steps/victim.c
@@ -151,7 +151,7 @@
   struct sj_note note
       = { .kind = SJ_NOTE_STOPPED, .u.stopped = { .cause = u->stop_cause } };
 
-  for (int i = 0; u->members && i < u->count; i++)
+  for (int i = 0; i < u->count; i++)
     note.u.stopped.runs += u->members[i].state == MB_STARTING
                            || u->members[i].state == MB_RUNNING;
   if (!note.u.stopped.runs)
--- a/tests/batch/test_show.c
+++ b/tests/batch/test_show.c
@@ -64,6 +64,27 @@
   teardown ();
 }
 
+/* The scheduler's status shows the headroom and what was stopped.  */
+static void
+test_status_of_scheduler (void)
+{
+  struct sj_settings set = { .off_rack_factor = 3 };
+  json_t *o;
+
+  setup ();
+  batch.phase = BA_ACTIVE;
+  batch.cluster = sj_new (&set, NULL, NULL);
+  o = sh_status (&batch);
+  CU_ASSERT_PTR_NOT_NULL (json_object_get (o, "headroom"));
+  CU_ASSERT_PTR_NOT_NULL (json_object_get (o, "headroom_used"));
+  CU_ASSERT_EQUAL (number (o, "preemptions"), 0);
+  CU_ASSERT_EQUAL (number (o, "stopped_runs"), 0);
+  CU_ASSERT_EQUAL (number (o, "lost_core_ms"), 0);
+  json_decref (o);
+  sj_free (batch.cluster);
+  teardown ();
+}
+
 static void
 test_job (void)
 {
@@ -91,6 +112,7 @@
 {
   static const CU_TestInfo tests[] = {
     { "status", test_status },
+    { "status of the scheduler", test_status_of_scheduler },
     { "job", test_job },
     CU_TEST_INFO_NULL,
   };
--- a/tests/steps/fake_cluster.h
+++ b/tests/steps/fake_cluster.h
@@ -53,7 +53,8 @@
   GHashTable *closed_runs; /* task name -> highest run number stopped or
                               ended, which can't start any more */
   int is_up, partitioned, listed, draining;
-  int refuses;                  /* every start */
+  int refuses; /* every start */
+  int ignores_stops;
   int fails_all, stalled, mute; /* mute: its reports do not arrive */
   int64_t polled_ms;            /* last listing; 0: list at once */
   double speed;                 /* 1: runs take their declared time */
@@ -116,6 +117,7 @@
   /* Counted events.  */
   int refusals, starts, done_runs, stopped, gang_timeouts, violations;
   double wasted_core_s; /* of stopped runs without checkpoints */
+  int stopped_runs;     /* with those whose gang another stop ended first */
   /* Work that ended runs did and that stopped ones threw away; an accelerator
      counts as eight cores.  */
   double done_core_s, lost_core_s;
