--- a/src/batch/main.c
+++ b/src/batch/main.c
@@ -10,6 +10,7 @@
 {
   MINUTE_MS = 60000,
   STOP_POLL_MS = 500,
+  MIN_EVACUATION_MS = 4000,
   SETTINGS_POLL_MS = 2000 /* how often the settings file is checked */
 };
 
@@ -26,6 +27,10 @@
     "address and port of /metrics and of the requests of skr batch; empty: "
     "none",
     FIELD (metrics_listen) },
+  { "relay-listen", OPT_STRING, "IP:PORT", 0, 60, "",
+    "address and port for requests that other VMs relay while they can't "
+    "reach the store; published to them; empty: no relay",
+    FIELD (relay_listen) },
   { "store", OPT_STRING, "IP:PORT", 1, 60, "127.0.0.1:7000",
     "address and port of the platform's table store", FIELD (store) },
   { "settings", OPT_STRING, "file", 0, 400, "",
@@ -66,6 +71,10 @@
     "interval between renewals of the scheduler's lease; at most half of "
     "lease-ms",
     FIELD (renew_ms) },
+  { "evacuation-ms", OPT_INT, "ms", 0, 10 * MINUTE_MS, "0",
+    "time within which a request to evacuate a failure domain takes effect, "
+    "at least 4000; 0: requests are logged and not served",
+    FIELD (evacuation_ms) },
   { "processor", OPT_REAL, "cores", 0, 1024, "1",
     "processor cores of this VM; a VM with fewer than 0.5 waits longer "
     "before it acquires the scheduler's lease",
@@ -74,6 +83,14 @@
     "maximum number of client requests in progress; further requests are "
     "refused",
     FIELD (max_requests) },
+  { "refuse-stalled-writes", OPT_INT, "", 0, 1, "0",
+    "1: while the store answers no writes, refuse submissions and "
+    "cancellations at once, with a Retry-After that follows the outage",
+    FIELD (refuse_stalled_writes) },
+  { "speed-aware", OPT_INT, "", 0, 1, "0",
+    "1: learn the workers' speeds and the run times from what runs show, and "
+    "use them to place, keep and move runs",
+    FIELD (speed_aware) },
   { "headroom-forecast", OPT_INT, "", 0, 1, "0",
     "1: batch work leaves as much capacity free as the urgent jobs of the "
     "last seconds let expect; 0: a constant share",
@@ -86,10 +103,10 @@
   { "stop-ms", OPT_INT, "ms", 0, MINUTE_MS, "0",
     "longest time that a worker takes to stop a task; 0: unknown",
     FIELD (stop_ms) },
-  { "checkpoint-interval-ms", OPT_INT, "ms", 0, 10 * MINUTE_MS, "0",
+  { "checkpoint-interval-s", OPT_REAL, "s", 0, 600, "0",
     "time between two checkpoints of a task that writes any; 0: unknown, "
     "stopping it counts as losing nothing",
-    FIELD (checkpoint_interval_ms) },
+    FIELD (checkpoint_interval_s) },
   { NULL, OPT_INT, "", 0, 0, NULL, NULL, 0 }
 };
 
@@ -107,6 +124,10 @@
     fail ("--take-ms must be at least 1.25 times --lease-ms");
   if (set->renew_ms * 2 > set->lease_ms)
     fail ("--renew-ms must be at most half of --lease-ms");
+  /* The table of requests is polled for 1.5 s at a time, and starts are held
+     2 s before the bound.  */
+  if (set->evacuation_ms && set->evacuation_ms < MIN_EVACUATION_MS)
+    fail ("--evacuation-ms must be 0 or at least 4000");
   if (set->reclaim_ms && set->stop_ms * 2 > set->reclaim_ms)
     fail ("--stop-ms must be at most half of --reclaim-ms");
 }
--- a/tests/steps/fake_cluster.h
+++ b/tests/steps/fake_cluster.h
@@ -19,6 +19,7 @@
 {
   struct sj_run run;
   int gang, saves, fails, deadly;
+  int is_long; /* it takes much longer than others of its step */
   int64_t started_ms, work_ms, done_ms; /* done_ms: work done */
   int64_t stop_at_ms;                   /* 0: no stop ordered */
   struct sj_resources need;
@@ -37,7 +38,8 @@
 /* A simulated worker.  */
 struct fa_worker
 {
-  char id[24], rack[16];
+  char id[24], rack[16], domain[16];
+  int64_t cold_until_ms; /* its reports say that it is slow until then */
   struct sj_resources capacity;
   struct sj_resources larger_capacity; /* before it shrank at SHRUNK_MS */
   int64_t shrunk_ms;                   /* 0: never */
@@ -69,6 +71,15 @@
   double task_fails;   /* share of runs that fail */
 };
 
+/* How the run times of tasks differ from the declared ones.  */
+struct fa_run_times
+{
+  double noise;      /* of each run, logarithmic standard deviation */
+  double long_share; /* share of runs that take LONG_FACTOR times as long */
+  double declared_error; /* greatest factor by which a job's is wrong; 0: 1 */
+  int gang_waits; /* a gang ends with its slowest task, not its fastest */
+};
+
 /* How the workers come back that a deadly task has crashed.  */
 struct fa_crash_mode
 {
@@ -82,6 +93,7 @@
 {
   struct sj_cluster *scheduler;
   struct sj_settings settings;
+  struct dm_domains domains; /* closed ones */
   GRand *rand;
   int64_t now, token, commit_end_ms; /* token: fencing token of the holder */
   int64_t reports;                   /* of all workers */
@@ -99,6 +111,7 @@
   GHashTable *crashes;     /* task name -> workers that crashed under it */
   GHashTable *late_starts; /* task name -> starts after three crashes */
   struct fa_crash_mode crash_mode;
+  struct fa_run_times run_times;
   int64_t commit_ms;              /* duration of a commit */
   int64_t stop_ms;                /* time that a run takes to stop */
   int64_t checkpoint_interval_ms; /* 0: runs begin anew after a stop */
@@ -116,6 +129,9 @@
   int commit_pending;
   /* Counted events.  */
   int refusals, starts, done_runs, stopped, gang_timeouts, violations;
+  /* Stops for slowness of units of which no run is a long one, so that only
+     their workers or noise were slow.  */
+  int needless_moves;
   double wasted_core_s; /* of stopped runs without checkpoints */
   int stopped_runs;     /* with those whose gang another stop ended first */
   /* Work that ended runs did and that stopped ones threw away; an accelerator
@@ -146,6 +162,13 @@
 /* Restarts WORKER under its id with that capacity.  The incarnation is known
    at once, the capacity a beat later.  */
 void fa_restart_with (struct fa_cluster *f, int worker, int accelerators);
+/* Closes or reopens failure domain NAME.  Racks 2 * N and 2 * N + 1 are in
+   domain zN.  A start that a worker accepts EVACUATION_MS after its domain was
+   closed is a violation.  */
+void fa_close_domain (struct fa_cluster *f, const char *name);
+void fa_reopen_domain (struct fa_cluster *f, const char *name);
+/* Runs on the workers of domain NAME.  */
+int fa_runs_in (const struct fa_cluster *f, const char *name);
 /* Most workers that crashed under one task of the job.  */
 int fa_crashes_under (const struct fa_cluster *f, const char *id);
 /* The stored state of the job, or SJ_QUEUED without one.  */
