Soak: evacuate failure domains

The stand-in's workers are in three failure domains, and a start 5 s after the request to evacuate its domain is a violation. Domains are evacuated and the requests withdrawn at random times, by a random sequence of their own, so that a seed plays the same other faults. One request in three has a value that can't be read.

--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -10,13 +10,16 @@
 enum
 {
   TICK_MS = 10,
-  MAX_GAP_MS = 900,         /* between two faults */
-  MAX_SHRINK_GAP_MS = 3000, /* between two workers that shrink */
-  MAX_FAULT_MS = 6000,      /* longest duration of a fault */
-  MIN_FAULT_MS = 200,       /* shortest duration of a fault */
-  MAX_ACTIVE_FAULTS = 64,   /* concurrent faults */
-  MAX_LINK_DELAY_MS = 300,  /* of a slow link */
-  ORDER_DELAY_MS = 2000,    /* delay of orders on a late worker */
+  MAX_GAP_MS = 900,             /* between two faults */
+  MAX_SHRINK_GAP_MS = 3000,     /* between two workers that shrink */
+  MAX_EVACUATION_GAP_MS = 6000, /* between two evacuations of a domain */
+  /* Longer than the time after which nothing may start there.  */
+  MAX_EVACUATION_MS = 2 * SF_EVACUATION_MS,
+  MAX_FAULT_MS = 6000,     /* longest duration of a fault */
+  MIN_FAULT_MS = 200,      /* shortest duration of a fault */
+  MAX_ACTIVE_FAULTS = 64,  /* concurrent faults */
+  MAX_LINK_DELAY_MS = 300, /* of a slow link */
+  ORDER_DELAY_MS = 2000,   /* delay of orders on a late worker */
   RESTART_MS = 300,    /* from the end of a fault to the restart of its VM */
   SHRUNK_PERCENT = 50, /* of its capacity that a worker keeps */
   MEMBERSHIP_MS = 4000 /* until the store reports a worker change */
@@ -46,16 +49,17 @@
   CHANGE_CONFIG,
   RANDOM_FAULTS, /* number of those that are drawn at random */
   SHRUNK_WORKER = RANDOM_FAULTS,
+  EVACUATED_DOMAIN,
   FAULT_COUNT
 };
 
 static const char *const names[FAULT_COUNT]
-    = { "kill VM",       "kill all VMs", "stop VM",       "freeze VM",
-        "reload VM",     "cut store",    "cut workers",   "cut callers",
-        "slow links",    "reset links",  "store fault",   "store fault, one",
-        "history gone",  "worker crash", "worker reborn", "worker late",
-        "worker fails",  "worker cut",   "worker leaves", "configuration",
-        "worker shrinks" };
+    = { "kill VM",        "kill all VMs", "stop VM",       "freeze VM",
+        "reload VM",      "cut store",    "cut workers",   "cut callers",
+        "slow links",     "reset links",  "store fault",   "store fault, one",
+        "history gone",   "worker crash", "worker reborn", "worker late",
+        "worker fails",   "worker cut",   "worker leaves", "configuration",
+        "worker shrinks", "evacuation" };
 
 /* A fault in effect.  */
 struct active_fault
@@ -69,7 +73,8 @@
 {
   struct soak *soak;
   GRand *rand;
-  GRand *shrink_rand; /* its own, so that a seed plays the same other faults */
+  /* Their own, so that a seed plays the same other faults.  */
+  GRand *shrink_rand, *evacuation_rand;
   struct active_fault active[MAX_ACTIVE_FAULTS];
   int active_count;
 };
@@ -234,6 +239,11 @@
     case SHRUNK_WORKER:
       sf_set_capacity (&s->platform, h->worker, SHRUNK_PERCENT);
       break;
+    case EVACUATED_DOMAIN:
+      /* The row's presence is the request, whatever its value.  */
+      sf_evacuate (&s->platform, s->platform.worker[h->worker].domain,
+                   h->worker % 3 ? "{}" : "\xff");
+      break;
     default:
       so_change_config (s);
       break;
@@ -304,6 +314,9 @@
     case SHRUNK_WORKER:
       sf_set_capacity (&s->platform, h->worker, 100);
       break;
+    case EVACUATED_DOMAIN:
+      sf_evacuate (&s->platform, s->platform.worker[h->worker].domain, NULL);
+      break;
     default:
       break;
     }
@@ -362,14 +375,15 @@
   p->active[p->active_count++] = h;
 }
 
+/* Injects a fault of KIND at a random worker.  */
 static void
-shrink_worker (struct injector *p, int64_t now)
+inject_at_worker (struct injector *p, enum fault kind, GRand *r, int max_ms,
+                  int64_t now)
 {
-  GRand *r = p->shrink_rand;
   struct active_fault h
-      = { .kind = SHRUNK_WORKER,
+      = { .kind = kind,
           .worker = g_rand_int_range (r, 0, (gint32)p->soak->workers),
-          .end_ms = now + g_rand_int_range (r, MIN_FAULT_MS, MAX_FAULT_MS) };
+          .end_ms = now + g_rand_int_range (r, MIN_FAULT_MS, max_ms) };
 
   if (p->active_count == MAX_ACTIVE_FAULTS)
     return;
@@ -383,9 +397,10 @@
   struct injector p
       = { .soak = s,
           .rand = g_rand_new_with_seed ((guint32)s->seed),
-          .shrink_rand = g_rand_new_with_seed ((guint32)~s->seed) };
+          .shrink_rand = g_rand_new_with_seed ((guint32)~s->seed),
+          .evacuation_rand = g_rand_new_with_seed ((guint32)(s->seed ^ 1)) };
   int64_t end = sf_now_ms () + s->seconds * 1000, next = sf_now_ms ();
-  int64_t next_shrink = next;
+  int64_t next_shrink = next, next_evacuation = next;
 
   while (sf_now_ms () < end)
     {
@@ -398,10 +413,19 @@
         }
       if (now >= next_shrink)
         {
-          shrink_worker (&p, now);
+          inject_at_worker (&p, SHRUNK_WORKER, p.shrink_rand, MAX_FAULT_MS,
+                            now);
           next_shrink
               = now + g_rand_int_range (p.shrink_rand, 0, MAX_SHRINK_GAP_MS);
         }
+      if (now >= next_evacuation)
+        {
+          inject_at_worker (&p, EVACUATED_DOMAIN, p.evacuation_rand,
+                            MAX_EVACUATION_MS, now);
+          next_evacuation = now
+                            + g_rand_int_range (p.evacuation_rand, 0,
+                                                MAX_EVACUATION_GAP_MS);
+        }
       end_due_faults (&p, now);
       so_vm_reap (s);
       restart_vms (&p);
@@ -412,4 +436,5 @@
   restart_vms (&p);
   g_rand_free (p.rand);
   g_rand_free (p.shrink_rand);
+  g_rand_free (p.evacuation_rand);
 }
--- a/tests/soak/vms.c
+++ b/tests/soak/vms.c
@@ -84,6 +84,7 @@
   snprintf (arg[count++], ARG_SIZE, "--hold-ms=%d", SF_MAX_LEASE_MS);
   snprintf (arg[count++], ARG_SIZE, "--grace-ms=%d", SO_STOP_GRACE_MS);
   snprintf (arg[count++], ARG_SIZE, "--revoke-ms=%d", SO_REVOKE_MS);
+  snprintf (arg[count++], ARG_SIZE, "--evacuation-ms=%d", SF_EVACUATION_MS);
   snprintf (arg[count++], ARG_SIZE, "--settings=%s/vm%d.conf", s->dir, n);
   for (int i = 0; i < count; i++)
     argv[i] = arg[i];
