Domains: allow for slow worker clocks and late confirmations

The deadline of a start is set on the worker's clock as it was last read, up to 4 s before; a clock that runs 2 % slow would refuse a late start up to 130 ms too late. The deadline is now 200 ms earlier. A poll that returns a change confirms the table as of its sending only, so two polls of 1.5 s could hold healthy starts; where requests are served, a poll now lasts 1.0 s.

--- a/include/skr/domains.h
+++ b/include/skr/domains.h
@@ -10,7 +10,10 @@
 {
   /* Before the time within which a request must take effect: covers the delay
      of a decision round and of the order that it sends.  */
-  DM_ORDER_ALLOWANCE_MS = 2000
+  DM_ORDER_ALLOWANCE_MS = 2000,
+  /* The worker's clock, on which a start's deadline is set, may run 2 % slow
+     for the 4 s since it was read and the 2.5 s until the deadline.  */
+  DM_CLOCK_ERROR_MS = 200
 };
 
 /* A closed domain.  */
@@ -58,7 +61,8 @@
 
 /* Milliseconds after NOW within which a start must be executed, so that no
    start follows a request by more than EVACUATION_MS.  All requests up to
-   CONFIRMED_MS are known; 0: none are.  Returns 0 if no start may be sent.  */
+   CONFIRMED_MS are known; 0: none are.  Returns 0 if no start may be sent.
+   Holds for deadlines on other clocks, up to DM_CLOCK_ERROR_MS.  */
 int64_t dm_start_limit_ms (int64_t confirmed_ms, int64_t evacuation_ms,
                            int64_t now);
 
--- a/src/batch/main.c
+++ b/src/batch/main.c
@@ -96,8 +96,8 @@
     fail ("--take-ms must be at least 1.25 times --lease-ms");
   if (set->renew_ms * 2 > set->lease_ms)
     fail ("--renew-ms must be at most half of --lease-ms");
-  /* The table of requests is polled for 1.5 s at a time, and starts are held
-     2 s before the bound.  */
+  /* Starts are held 2 s before the bound, and confirmations of the requests
+     are up to 2 s old.  */
   if (set->evacuation_ms && set->evacuation_ms < MIN_EVACUATION_MS)
     fail ("--evacuation-ms must be 0 or at least 4000");
 }
--- a/src/batch/tables.c
+++ b/src/batch/tables.c
@@ -7,6 +7,10 @@
 {
   CONFIG_WAIT_MS = 1500, /* below half of the default time after which a
                             revoked key must be refused */
+  /* The same while requests to evacuate a domain are served.  A poll that
+     returns a change confirms the table as of its sending only, so that a
+     confirmation may be two polls old: starts are held after 3 s.  */
+  REQUEST_WAIT_MS = 1000,
   /* Duration of a long poll for jobs.  Its reply also shows that the store is
      available, so JOB_WAIT_MS + JOB_GAP_MS must stay below the store's
      timeout.  */
@@ -153,7 +157,8 @@
 void
 ta_init (struct batch *b)
 {
-  fo_init (b, &b->config_follower, po_config_table (), CONFIG_WAIT_MS, 0);
+  fo_init (b, &b->config_follower, po_config_table (),
+           ev_is_served (b) ? REQUEST_WAIT_MS : CONFIG_WAIT_MS, 0);
   b->config_follower.on_row = apply_operator_row;
   b->config_follower.on_synced = ev_on_synced;
   fo_init (b, &b->job_follower, "jobs", JOB_WAIT_MS, JOB_GAP_MS);
--- a/src/domains/domains.c
+++ b/src/domains/domains.c
@@ -113,5 +113,7 @@
 {
   int64_t limit_ms = confirmed_ms + evacuation_ms - now;
 
-  return confirmed_ms && limit_ms >= DM_ORDER_ALLOWANCE_MS ? limit_ms : 0;
+  if (!confirmed_ms || limit_ms < DM_ORDER_ALLOWANCE_MS)
+    return 0;
+  return limit_ms - DM_CLOCK_ERROR_MS;
 }
--- a/tests/domains/test_domains.c
+++ b/tests/domains/test_domains.c
@@ -93,8 +93,8 @@
 test_starts_end_before_the_bound (void)
 {
   CU_ASSERT_EQUAL (dm_start_limit_ms (0, 5000, 100), 0);
-  CU_ASSERT_EQUAL (dm_start_limit_ms (1000, 5000, 1000), 5000);
-  CU_ASSERT_EQUAL (dm_start_limit_ms (1000, 5000, 4000), 2000);
+  CU_ASSERT_EQUAL (dm_start_limit_ms (1000, 5000, 1000), 4800);
+  CU_ASSERT_EQUAL (dm_start_limit_ms (1000, 5000, 4000), 1800);
   CU_ASSERT_EQUAL (dm_start_limit_ms (1000, 5000, 4001), 0);
   CU_ASSERT_EQUAL (dm_start_limit_ms (1000, 5000, 9000), 0);
 }
