--- a/src/cli/batch.c
+++ b/src/cli/batch.c
@@ -6,10 +6,11 @@
 
 #include "cli/cli.h"
 
-static const char *const status_names[]
-    = { "address",       "vm",          "phase", "epoch", "config_version",
-        "config_age_ms", "jobs_age_ms", "store", "jobs",  "waiting",
-        "runs",          "workers",     NULL };
+static const char *const status_names[] = {
+  "address",       "vm",          "phase",          "epoch", "config_version",
+  "config_age_ms", "jobs_age_ms", "store",          "jobs",  "waiting",
+  "runs",          "workers",     "closed_domains", NULL
+};
 static const char *const job_names[]
     = { "address",       "vm",          "state", "queue", "account",
         "cancel_wanted", "jobs_age_ms", NULL };
