Send stalled attempts again when writes recover; stall writes in the soak

An attempt that the store dropped in a stall held its request until the attempt's time-out of 1 s. It is now sent again when the state of writes returns to available; a row of the first attempt is found as before.

The platform's stand-in can leave writes unanswered while it answers reads, and the soak plays this on odd seeds.

tests/batch/test_front "stall ends" failed before.

--- a/src/batch/pending.c
+++ b/src/batch/pending.c
@@ -322,6 +322,24 @@
              && b->access.path[path_of (p)].state != AC_AVAILABLE);
 }
 
+/* Ignores the attempt in flight of P if it was sent in a stall that is over,
+   as it may never be answered.  It may still be executed; the next attempt
+   then finds the row.  */
+static void
+drop_stalled_attempt (struct ba_pending *p)
+{
+  const struct ac_path *path = &p->b->access.path[path_of (p)];
+
+  if (!ba_tracks_access (p->b) || p->purpose == BA_LOOKUP || !p->call
+      || path->state != AC_AVAILABLE || path->since_ms <= p->call->sent_ms)
+    return;
+  p->call->pending = NULL;
+  p->call = NULL;
+  p->in_flight = 0;
+  p->may_be_done = 1;
+  p->next_ms = p->b->now_ms;
+}
+
 /* While the store answers no writes, only the probes of access.c are sent.  */
 static int
 may_send (const struct ba_pending *p)
@@ -337,7 +355,10 @@
     {
       struct ba_pending *p = g_ptr_array_index (b->pending, i);
 
-      if (give_up_hopeless (p) || p->in_flight)
+      if (give_up_hopeless (p))
+        continue;
+      drop_stalled_attempt (p);
+      if (p->in_flight)
         continue;
       if (b->now_ms >= p->deadline_ms || is_refused (p))
         give_up (p);
--- a/tests/batch/test_front.c
+++ b/tests/batch/test_front.c
@@ -299,18 +299,27 @@
 }
 
 /* Guards against refusals after the store has recovered, which the lease row
-   shows first.  */
+   shows first, and against waiting for the answer to an attempt that the
+   stalled store has dropped.  */
 static void
 test_lease_row_ends_the_stall (void)
 {
+  struct ba_store_call *dropped;
+
   setup ();
   settings.refuse_stalled_writes = 1;
   submit ();
   wait_without_reply (820);
   ba_note_write_seen (&batch);
+  dropped = fs_take_call ();
   pe_tick (&batch);
-  g_free (fs_take_call ());
-  submit ();
+  CU_ASSERT_PTR_NULL (dropped->pending);
+  g_free (dropped);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (fs_store.last_call);
+  store_replies (PO_CONFLICT);
+  CU_ASSERT_EQUAL (ex.status, 200);
+  call ("POST", "/p/00000000000000a2", "Bearer k",
+        "{\"specification\":\"x\",\"steps\":[{\"count\":1}]}");
   CU_ASSERT_EQUAL (ex.answers, 0);
   store_replies (PO_DONE);
   CU_ASSERT_EQUAL (ex.status, 200);
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -12,6 +12,7 @@
   TICK_MS = 10,
   MAX_GAP_MS = 900,         /* between two faults */
   MAX_SHRINK_GAP_MS = 3000, /* between two workers that shrink */
+  MAX_STALL_GAP_MS = 12000, /* between two stalls of the writes */
   MAX_FAULT_MS = 6000,      /* longest duration of a fault */
   MIN_FAULT_MS = 200,       /* shortest duration of a fault */
   MAX_ACTIVE_FAULTS = 64,   /* concurrent faults */
@@ -46,16 +47,17 @@
   CHANGE_CONFIG,
   RANDOM_FAULTS, /* number of those that are drawn at random */
   SHRUNK_WORKER = RANDOM_FAULTS,
+  STALLED_WRITES,
   FAULT_COUNT
 };
 
 static const char *const names[FAULT_COUNT]
-    = { "kill VM",       "kill all VMs", "stop VM",       "freeze VM",
-        "reload VM",     "cut store",    "cut workers",   "cut callers",
-        "slow links",    "reset links",  "store fault",   "store fault, one",
-        "history gone",  "worker crash", "worker reborn", "worker late",
-        "worker fails",  "worker cut",   "worker leaves", "configuration",
-        "worker shrinks" };
+    = { "kill VM",        "kill all VMs",  "stop VM",       "freeze VM",
+        "reload VM",      "cut store",     "cut workers",   "cut callers",
+        "slow links",     "reset links",   "store fault",   "store fault, one",
+        "history gone",   "worker crash",  "worker reborn", "worker late",
+        "worker fails",   "worker cut",    "worker leaves", "configuration",
+        "worker shrinks", "writes stalled" };
 
 /* A fault in effect.  */
 struct active_fault
@@ -69,7 +71,8 @@
 {
   struct soak *soak;
   GRand *rand;
-  GRand *shrink_rand; /* its own, so that a seed plays the same other faults */
+  /* Of their own, so that a seed plays the same other faults.  */
+  GRand *shrink_rand, *stall_rand;
   struct active_fault active[MAX_ACTIVE_FAULTS];
   int active_count;
 };
@@ -234,6 +237,10 @@
     case SHRUNK_WORKER:
       sf_set_capacity (&s->platform, h->worker, SHRUNK_PERCENT);
       break;
+    case STALLED_WRITES:
+      so_store_set_fault_until (s, h->end_ms);
+      set_store_fault (s, SF_STORE_NO_WRITES);
+      break;
     default:
       so_change_config (s);
       break;
@@ -280,6 +287,7 @@
       slow_links (s, h->vm, 0);
       break;
     case STORE_FAULT:
+    case STALLED_WRITES:
       set_store_fault (s, SF_STORE_HEALTHY);
       break;
     case STORE_FAULT_ONE:
@@ -377,15 +385,33 @@
   p->active[p->active_count++] = h;
 }
 
+static void
+stall_writes (struct injector *p, int64_t now)
+{
+  struct active_fault h
+      = { .kind = STALLED_WRITES,
+          .end_ms
+          = now
+            + g_rand_int_range (p->stall_rand, MIN_FAULT_MS, MAX_FAULT_MS) };
+
+  if (p->active_count == MAX_ACTIVE_FAULTS)
+    return;
+  start_fault (p, &h);
+  p->active[p->active_count++] = h;
+}
+
 void
 so_run_faults (struct soak *s)
 {
   struct injector p
       = { .soak = s,
           .rand = g_rand_new_with_seed ((guint32)s->seed),
-          .shrink_rand = g_rand_new_with_seed ((guint32)~s->seed) };
+          .shrink_rand = g_rand_new_with_seed ((guint32)~s->seed),
+          .stall_rand = g_rand_new_with_seed ((guint32)s->seed ^ 0x5354414c) };
   int64_t end = sf_now_ms () + s->seconds * 1000, next = sf_now_ms ();
   int64_t next_shrink = next;
+  int64_t next_stall
+      = next + g_rand_int_range (p.stall_rand, 0, MAX_STALL_GAP_MS);
 
   while (sf_now_ms () < end)
     {
@@ -402,6 +428,13 @@
           next_shrink
               = now + g_rand_int_range (p.shrink_rand, 0, MAX_SHRINK_GAP_MS);
         }
+      /* Only with the settings of access to the store; see so_vm_start.  */
+      if (s->seed % 2 && now >= next_stall)
+        {
+          stall_writes (&p, now);
+          next_stall
+              = now + g_rand_int_range (p.stall_rand, 0, MAX_STALL_GAP_MS);
+        }
       end_due_faults (&p, now);
       so_vm_reap (s);
       restart_vms (&p);
@@ -412,4 +445,5 @@
   restart_vms (&p);
   g_rand_free (p.rand);
   g_rand_free (p.shrink_rand);
+  g_rand_free (p.stall_rand);
 }
