Relay also while the store refuses both reads and writes of a VM

Such a VM sees no rows of others, so that it refused callers until the store counted as unavailable, after 1.5 s. It now relays as soon as both states are "refused". Adds a test of the status, and frees a call in a test that LeakSanitizer reported.

tests/access/test_access "refused whole" failed before. test_access, test_front, test_relay and test_show pass with the sanitizers.

--- a/src/access/state.c
+++ b/src/access/state.c
@@ -239,6 +239,8 @@
 
   if (p->state == AC_STALLED)
     return unread_ms && awake - unread_ms >= READS_SILENT_MS;
+  if (p->state == AC_REFUSED && a->path[AC_READS].state != AC_AVAILABLE)
+    return 1;
   if (awake - a->seen_ms >= WRITES_STALLED_MS)
     return 0;
   if (p->state == AC_REFUSED)
--- a/tests/access/test_access.c
+++ b/tests/access/test_access.c
@@ -209,6 +209,27 @@
   CU_ASSERT_EQUAL (writes (), AC_AVAILABLE);
 }
 
+/* Guards against refusals by a VM that the store refuses whole, as it then
+   sees no writes of others.  */
+static void
+test_cut_off_without_reads (void)
+{
+  setup ();
+  store.refuses = 1;
+  for (int i = 0; i < 10; i++)
+    {
+      send_write ();
+      run (100);
+    }
+  CU_ASSERT (!ac_is_cut_off (&access, now));
+  for (int i = 0; i < 10; i++)
+    {
+      ac_replied (&access, AC_READS, AC_NOT_DONE, now);
+      run (100);
+    }
+  CU_ASSERT (ac_is_cut_off (&access, now));
+}
+
 /* Guards against giving up a request that the store could still serve.  */
 static void
 test_hopeless_once_the_outage_is_longer_than_the_rest (void)
@@ -304,6 +325,7 @@
     { "take-over", test_take_over_is_no_stall },
     { "one lost", test_one_lost_write_is_no_stall },
     { "refusals", test_refusals },
+    { "refused whole", test_cut_off_without_reads },
     { "hopeless", test_hopeless_once_the_outage_is_longer_than_the_rest },
     { "reads", test_reads_have_their_own_state },
     { "retry-after", test_retry_after_grows_and_spreads },
--- a/tests/batch/test_front.c
+++ b/tests/batch/test_front.c
@@ -265,6 +265,7 @@
   setup ();
   submit ();
   pe_fail_all (&batch);
+  g_free (fs_take_call ());
   CU_ASSERT_EQUAL (ex.answers, 1);
   CU_ASSERT_EQUAL (ex.status, 504);
   CU_ASSERT_EQUAL (batch.pending->len, 0);
--- a/tests/batch/test_show.c
+++ b/tests/batch/test_show.c
@@ -86,12 +86,35 @@
   teardown ();
 }
 
+/* Guards against a VM whose refusals can't be explained by its status, and
+   against a change where the access is not tracked.  */
+static void
+test_access (void)
+{
+  json_t *o;
+
+  setup ();
+  ac_init (&batch.access, batch.now_ms);
+  o = sh_status (&batch);
+  CU_ASSERT_PTR_NULL (json_object_get (o, "writes"));
+  json_decref (o);
+  settings.refuse_stalled_writes = 1;
+  batch.access.path[AC_WRITES].state = AC_STALLED;
+  o = sh_status (&batch);
+  CU_ASSERT_STRING_EQUAL (text (o, "writes"), "stalled");
+  CU_ASSERT_STRING_EQUAL (text (o, "reads"), "available");
+  json_decref (o);
+  settings.refuse_stalled_writes = 0;
+  teardown ();
+}
+
 int
 main (void)
 {
   static const CU_TestInfo tests[] = {
     { "status", test_status },
     { "job", test_job },
+    { "access", test_access },
     CU_TEST_INFO_NULL,
   };
 
