--- a/tests/batch/test_show.c
+++ b/tests/batch/test_show.c
@@ -149,6 +149,27 @@
   sj_free (batch.cluster);
   batch.cluster = NULL;
   batch.settings = &settings;
+}
+
+/* Guards against a VM whose refusals can't be explained by its status, and
+   against a change where the access is not tracked.  */
+static void
+test_access (void)
+{
+  json_t *o;
+
+  setup ();
+  ac_init (&batch.access, batch.now_ms);
+  o = sh_status (&batch);
+  CU_ASSERT_PTR_NULL (json_object_get (o, "writes"));
+  json_decref (o);
+  settings.refuse_stalled_writes = 1;
+  batch.access.path[AC_WRITES].state = AC_STALLED;
+  o = sh_status (&batch);
+  CU_ASSERT_STRING_EQUAL (text (o, "writes"), "stalled");
+  CU_ASSERT_STRING_EQUAL (text (o, "reads"), "available");
+  json_decref (o);
+  settings.refuse_stalled_writes = 0;
   teardown ();
 }
 
@@ -160,6 +181,7 @@
     { "status of the scheduler", test_status_of_scheduler },
     { "job", test_job },
     { "accounts", test_accounts },
+    { "access", test_access },
     CU_TEST_INFO_NULL,
   };
 
