Relay counts, and lookups that were sent before the store was lost

A lookup in flight when the VM lost the store waited for its deadline, and counts were refused. Both change nothing, so they are relayed as soon as another VM may serve them.

tests/batch/test_relay "lookup" is new.

--- a/src/batch/front.c
+++ b/src/batch/front.c
@@ -241,6 +241,8 @@
   if (b->now_ms - b->job_follower.fresh_ms > STALE_MS
       || !b->job_follower.synced)
     {
+      if (is_relayed_away (b, ex, "", "count"))
+        return;
       fr_answer (b, ex, "", "count", UNAVAILABLE, NULL,
                  "the count is not known now");
       return;
--- a/src/batch/pending.c
+++ b/src/batch/pending.c
@@ -49,20 +49,30 @@
   g_ptr_array_remove_fast (b->pending, p);
 }
 
-/* Nothing was done for P.  */
-static void
-refuse_or_relay (struct ba_pending *p)
+/* Relays P, for which nothing was done, if another VM may serve it.  Returns 1
+   if P was passed on.  */
+static int
+relay (struct ba_pending *p)
 {
   struct batch *b = p->b;
   int wanted
       = p->purpose == BA_LOOKUP ? ba_relays_reads (b) : ba_relays_writes (b);
 
-  if (wanted && rl_request (b, p->ex, p->id, call_name (p), p->deadline_ms))
-    g_ptr_array_remove_fast (b->pending, p);
-  else
-    finish (p, UNAVAILABLE, NULL,
-            ba_refuses_writes (b) ? "not run: the store answers no writes"
-                                  : "not run: the store refuses");
+  if (!wanted || !rl_request (b, p->ex, p->id, call_name (p), p->deadline_ms))
+    return 0;
+  /* The reply to a lookup in flight is then ignored.  */
+  if (p->call)
+    p->call->pending = NULL;
+  g_ptr_array_remove_fast (b->pending, p);
+  return 1;
+}
+
+static const char *
+refusal_reason (const struct ba_pending *p)
+{
+  if (p->purpose != BA_LOOKUP && ba_refuses_writes (p->b))
+    return "not run: the store answers no writes";
+  return "not run: the store refuses";
 }
 
 static void
@@ -76,8 +86,8 @@
       co_add (p->b, p->b->counters.unknown, 1);
       finish (p, OUTCOME_UNKNOWN, NULL, "unknown: the store did not answer");
     }
-  else
-    refuse_or_relay (p);
+  else if (!relay (p))
+    finish (p, UNAVAILABLE, NULL, refusal_reason (p));
 }
 
 static struct ba_pending *
@@ -228,7 +238,7 @@
   else if (j->cancelled || j->state >= SJ_COMPLETED)
     finish (p, OK, "{}", "already stored");
   else if (ba_refuses_writes (b))
-    give_up (p);
+    finish (p, UNAVAILABLE, NULL, "not run: the store answers no writes");
   else
     {
       p->purpose = BA_CANCEL;
@@ -355,7 +365,7 @@
     {
       struct ba_pending *p = g_ptr_array_index (b->pending, i);
 
-      if (give_up_hopeless (p))
+      if ((p->purpose == BA_LOOKUP && relay (p)) || give_up_hopeless (p))
         continue;
       drop_stalled_attempt (p);
       if (p->in_flight)
--- a/tests/batch/test_relay.c
+++ b/tests/batch/test_relay.c
@@ -22,6 +22,7 @@
 static GAsyncQueue *queue;
 static struct hc_client *client;
 static int is_answered;
+static int goes_down; /* CUT loses its store once it handled a request */
 static struct hc_answer answer;
 
 struct item
@@ -181,6 +182,11 @@
     rl_on_reply (b, item->e->u.relayed);
   else
     fr_request (b, item->e->u.request);
+  if (goes_down && b == &vm[CUT])
+    {
+      b->store_down = 1;
+      pe_tick (b);
+    }
   g_free (item->e);
 }
 
@@ -191,7 +197,7 @@
   struct po_rows rows = { .result = PO_DONE, .version = 9 };
   struct ba_store_call *call = fs_take_call ();
 
-  if (call)
+  if (call && call->pending)
     pe_on_reply (call->pending, &rows);
   g_free (call);
 }
@@ -301,6 +307,23 @@
   teardown ();
 }
 
+/* Guards against a lookup that waits for its deadline because it was sent just
+   before the VM lost the store.  */
+static void
+test_lookup_in_flight (void)
+{
+  setup ();
+  call ("POST", "k", 2000, 0);
+  vm[CUT].store_down = 0;
+  goes_down = 1;
+  call ("GET", "k", 2000, 0);
+  goes_down = 0;
+  CU_ASSERT_EQUAL (answer.status, 200);
+  CU_ASSERT_EQUAL (fs_store.reads, 1);
+  CU_ASSERT_EQUAL (vm[CUT].pending->len, 0);
+  teardown ();
+}
+
 /* Guards against requests that VMs without the store relay to each other.  */
 static void
 test_relayed_once (void)
@@ -355,6 +378,7 @@
     { "decisions", test_decisions },
     { "choice", test_choice_of_a_vm },
     { "served", test_served_by_the_other_vm },
+    { "lookup", test_lookup_in_flight },
     { "once", test_relayed_once },
     { "secret", test_wrong_secret },
     { "unknown", test_unanswered_is_unknown },
