speed: one sample for each step on a worker; better evidence before a move

Tasks of one step on one worker share the error of their reference, and a step that ran mostly on slow workers made these look fast with many samples, so that gangs were moved off them. A sample is now the median pace of a step's runs on a worker, compared with one median for each other worker. A run that is slow by whole percents of one listing is judged by its whole run, urgent runs are judged by their worker's class only once six steps show it, and a moved unit takes a fast worker. Batch work whose run times scatter so much that it may miss its objective on slow workers takes fast ones while 35 % of their accelerators are free.

--- a/include/skr/speed.h
+++ b/include/skr/speed.h
@@ -9,8 +9,8 @@
 
 enum
 {
-  SP_SAMPLES = 16,     /* runs that an estimate is based on, at most */
-  SP_MIN_SIBLINGS = 2, /* fewer can't tell a slow worker from a long task */
+  SP_SAMPLES = 16,     /* steps that an estimate is based on, at most */
+  SP_MIN_SIBLINGS = 2, /* on fewer workers: no comparison */
   SP_MAX_SIBLINGS = 32 /* that a run is compared with */
 };
 
@@ -27,13 +27,13 @@
 /* The class's name; a static string.  */
 const char *sp_class_name (enum sp_class class);
 
-/* What one run showed.  */
+/* What the runs of one step on the worker showed.  */
 struct sp_sample
 {
   int64_t at_ms;
-  uint32_t run;   /* the caller's number of the run */
-  uint16_t count; /* siblings that it was compared with */
-  float value;    /* logarithm of its pace relative to the fleet's centre */
+  uint32_t step;  /* the caller's number of the step */
+  uint16_t count; /* workers that it was compared with */
+  float value;    /* logarithm of the pace relative to the fleet's centre */
 };
 
 /* A worker's speed.  Zeroed for a new worker or incarnation.  */
@@ -72,10 +72,11 @@
   const struct sp_worker *worker;
 };
 
-/* Accounts the pace that run RUN of W has shown so far, relative to its N
-   siblings.  A later call for the same run replaces the earlier one, unless
-   there were more siblings then.  Returns 0 if the siblings are too few.  */
-int sp_observe (struct sp_worker *w, uint32_t run, double pace,
+/* Accounts the median pace that the runs of step STEP on W have shown so far,
+   relative to their N siblings on other workers.  A later call for the same
+   step replaces the earlier one, unless there were more workers to compare
+   with then.  Returns 0 if they are too few.  */
+int sp_observe (struct sp_worker *w, uint32_t step, double pace,
                 const struct sp_sibling *sibling, int n, int64_t now);
 /* The pace of a fast worker that the N siblings show, in the unit of theirs;
    0: unknown.  */
--- a/src/speed/worker_speed.c
+++ b/src/speed/worker_speed.c
@@ -46,7 +46,7 @@
 static const double divide_above = 0.095, join_below = 0.085;
 /* Variances between workers count beyond this many of their own standard
    errors.  */
-static const double significance = 4;
+static const double significance = 3;
 /* Levels of neighbouring classes differ at least by this, and a slow class by
    this from the fast one if there is no third.  */
 static const double min_step = 0.18, slow_distance = 0.335;
@@ -86,13 +86,44 @@
   return n % 2 ? value[n / 2] : (value[n / 2 - 1] + value[n / 2]) / 2;
 }
 
-/* Logarithm of the pace of a worker of the fleet's centre.  */
+static int
+by_worker (const void *a, const void *b)
+{
+  const struct sp_sibling *x = a, *y = b;
+
+  return (x->worker > y->worker) - (x->worker < y->worker);
+}
+
+/* Fills OUT with one sibling for each worker, of the median pace there: runs
+   on the same worker share its speed.  Returns their number.  */
+static int
+merge_by_worker (const struct sp_sibling *sibling, int n,
+                 struct sp_sibling *out)
+{
+  struct sp_sibling sorted[SP_MAX_SIBLINGS];
+  double pace[SP_MAX_SIBLINGS];
+  int workers = 0, end;
+
+  n = MIN (n, SP_MAX_SIBLINGS);
+  memcpy (sorted, sibling, (size_t)n * sizeof *sibling);
+  qsort (sorted, (size_t)n, sizeof *sorted, by_worker);
+  for (int i = 0; i < n; i = end)
+    {
+      for (end = i; end < n && sorted[end].worker == sorted[i].worker; end++)
+        pace[end - i] = sorted[end].pace;
+      out[workers++]
+          = (struct sp_sibling){ median (pace, end - i), sorted[i].worker };
+    }
+  return workers;
+}
+
+/* Logarithm of the pace of a worker of the fleet's centre that N siblings on
+   different workers show.  */
 static double
 centre_pace (const struct sp_sibling *sibling, int n)
 {
   double value[SP_MAX_SIBLINGS];
 
-  n = MIN (n, SP_MAX_SIBLINGS);
   for (int i = 0; i < n; i++)
     value[i] = log (sibling[i].pace) - sibling[i].worker->log_speed;
   return median (value, n);
@@ -101,16 +132,17 @@
 double
 sp_fast_pace (const struct sp_sibling *sibling, int n)
 {
+  struct sp_sibling other[SP_MAX_SIBLINGS];
   double value[SP_MAX_SIBLINGS];
 
-  n = MIN (n, SP_MAX_SIBLINGS);
+  n = merge_by_worker (sibling, n, other);
   if (!n)
     return 0;
   for (int i = 0; i < n; i++)
     {
-      double speed = sibling[i].worker->speed;
+      double speed = other[i].worker->speed;
 
-      value[i] = sibling[i].pace / (speed > 0 ? speed : 1);
+      value[i] = other[i].pace / (speed > 0 ? speed : 1);
     }
   return median (value, n);
 }
@@ -142,20 +174,22 @@
 }
 
 static struct sp_sample *
-find_sample (struct sp_worker *w, uint32_t run)
+find_sample (struct sp_worker *w, uint32_t step)
 {
   for (int i = 0; i < w->samples; i++)
-    if (w->sample[i].run == run)
+    if (w->sample[i].step == step)
       return &w->sample[i];
   return NULL;
 }
 
 int
-sp_observe (struct sp_worker *w, uint32_t run, double pace,
+sp_observe (struct sp_worker *w, uint32_t step, double pace,
             const struct sp_sibling *sibling, int n, int64_t now)
 {
-  struct sp_sample *s = find_sample (w, run);
+  struct sp_sibling other[SP_MAX_SIBLINGS];
+  struct sp_sample *s = find_sample (w, step);
 
+  n = merge_by_worker (sibling, n, other);
   if (n < SP_MIN_SIBLINGS || pace <= 0)
     return 0;
   if (s && s->count > n)
@@ -167,10 +201,10 @@
       s = &w->sample[w->samples++];
     }
   *s = (struct sp_sample){ .at_ms = now,
-                           .run = run,
+                           .step = step,
                            .count = (uint16_t)MIN (n, UINT16_MAX),
                            .value
-                           = (float)(log (pace) - centre_pace (sibling, n)) };
+                           = (float)(log (pace) - centre_pace (other, n)) };
   return 1;
 }
 
@@ -280,20 +314,21 @@
   return n ? sum / n : 0;
 }
 
-/* Variance between the workers of G that the errors do not explain.  */
+/* Variance between the workers of G that the errors do not explain.  It is
+ *CERTAIN if it exceeds what the errors of its estimate explain.  */
 static double
-spread_variance (const struct group *g)
+spread_variance (const struct group *g, int *certain)
 {
   double mean = mean_of (g->mean, g->count), squares = 0, variance;
 
+  *certain = 0;
   if (g->count < MIN_MEASURED)
     return 0;
   for (int i = 0; i < g->count; i++)
     squares += (g->mean[i] - mean) * (g->mean[i] - mean);
   variance = squares / (g->count - 1);
-  if (variance < g->error * (1 + significance * sqrt (2.0 / g->count)))
-    return 0;
-  return variance - g->error;
+  *certain = variance > g->error * (1 + significance * sqrt (2.0 / g->count));
+  return MAX (variance - g->error, 0);
 }
 
 /* Divides G where the two parts differ most.  Returns the size of the slower
@@ -335,16 +370,16 @@
 set_levels (struct sp_fleet *f, const struct group *g)
 {
   double limit = f->classes == 3 ? join_below : divide_above, step;
-  int cut = divide (g), again = 0;
+  int cut = divide (g), again = 0, certain;
   struct group slower = { g->mean, cut, g->error };
   struct group faster = { g->mean + cut, g->count - cut, g->error };
 
   f->classes = cut ? 2 : 1;
   if (!cut)
     return;
-  if (spread_variance (&slower) > limit * limit)
+  if (spread_variance (&slower, &certain) > limit * limit && certain)
     again = divide (&slower);
-  if (!again && spread_variance (&faster) > limit * limit
+  if (!again && spread_variance (&faster, &certain) > limit * limit && certain
       && (again = divide (&faster)))
     again += cut;
   f->classes = again ? 3 : 2;
@@ -379,6 +414,7 @@
 {
   struct group g = { .mean = g_new (double, n + 1) }, trimmed;
   double limit = f->is_uneven ? even_below : uneven_above;
+  int certain;
 
   for (int i = 0; i < n; i++)
     if (is_comparable (workers[i]))
@@ -390,8 +426,8 @@
   f->measured = g.count;
   f->centre = g.count ? (float)median (g.mean, g.count) : 0;
   trimmed = trim (&g);
-  f->spread = (float)sqrt (spread_variance (&trimmed));
-  f->is_uneven = f->spread > limit;
+  f->spread = (float)sqrt (spread_variance (&trimmed, &certain));
+  f->is_uneven = f->spread > limit && certain;
   if (f->is_uneven)
     set_levels (f, &trimmed);
   f->is_uneven &= f->classes > 1;
--- a/src/steps/health.c
+++ b/src/steps/health.c
@@ -41,6 +41,10 @@
   /* Speed of the slowest usual class, relative to fast workers.  Workers have
      0.55 and 1.2 of the declared speed, or 0.46 of the fast ones.  */
   USUAL_SPEED_PERCENT = 33,
+  /* Runs that make a worker's class certain enough to find its own runs slow
+     by it.  With three, slow workers that were taken for fast had gangs moved
+     off them.  */
+  CERTAIN_SAMPLES = 6,
   SERVED_FACTOR = 3, /* a job that ends after three times its objective is not
                         served */
   SLOW_EXPIRY_MS = 6000, /* a worker is not expected to stay slow longer */
@@ -172,6 +176,23 @@
   return m->pace_percent * 100 < reference * percent;
 }
 
+/* Whether M's pace is below LIMIT even if it has advanced by almost one
+   percent more than listed.  Over the whole run, that percent weighs less than
+   in one sample.  */
+static int
+is_pace_below (const struct sj_cluster *c, const struct member *m,
+               double limit)
+{
+  int64_t took = m->last_listed_ms - m->average_base_ms;
+  int advanced = m->progress_percent - m->average_base_percent;
+
+  if (m->pace_percent + m->pace_resolution < limit)
+    return 1;
+  return m->pace_percent < limit && m->average_base_ms && took > 0
+         && (double)(advanced + 1) * (double)declared_ms (c, m->unit)
+                < limit * (double)took;
+}
+
 /* The same with the learned speeds: whether M is slow even for the class of
    its worker.  REFERENCE is the pace of a fast worker, or 0.  A class that is
    slower than any usual worker excuses nothing.  */
@@ -180,18 +201,19 @@
                    double reference)
 {
   double speed = sd_speed (c, m->worker), percent = SLOW_BATCH_PERCENT;
-  /* It may have advanced by almost one percent more than listed.  */
-  int pace = m->pace_percent + m->pace_resolution;
+  int is_usual = speed * 100 >= USUAL_SPEED_PERCENT;
 
-  if (speed * 100 < USUAL_SPEED_PERCENT)
+  if (!is_usual)
     speed = 1;
   if (reference <= 0)
-    return pace < SLOW_DECLARED_PERCENT * speed;
-  /* An urgent run on a worker of unknown speed may be as slow as the slowest
-     usual class with noise.  */
-  if (!m->unit->job->spec->priority && sd_class (c, m->worker) != SP_UNKNOWN)
+    return is_pace_below (c, m, SLOW_DECLARED_PERCENT * speed);
+  /* An urgent run on a worker whose speed is not certain may be as slow as the
+     slowest usual class with noise.  */
+  if (!m->unit->job->spec->priority && is_usual
+      && sd_class (c, m->worker) != SP_UNKNOWN
+      && m->worker->speed.inliers >= CERTAIN_SAMPLES)
     percent = SLOW_URGENT_PERCENT;
-  return pace * 100 < reference * speed * percent;
+  return is_pace_below (c, m, reference * speed * percent / 100);
 }
 
 /* Whether a run of another step on M's worker advances as it should, so that
--- a/src/steps/speeds.c
+++ b/src/steps/speeds.c
@@ -19,6 +19,9 @@
   /* Longest wait of a unit for a fast worker.  With the stop of others and the
      start, a guaranteed unit still starts within 2,700 ms.  */
   MAX_FAST_WAIT_MS = 900,
+  /* While more of the fast workers' accelerators are free, batch work that may
+     miss its objective on slow ones leaves enough to urgent work.  */
+  FAST_IDLE_PERCENT = 35,
   START_MS = 150, /* from the decision to the start */
   LAST_FACTOR = 3 /* a job that ends later than so many objectives is not
                      served */
@@ -147,24 +150,62 @@
   return 1;
 }
 
+/* Number of M's step, the same for all its tasks that are on or off their rack
+   as M is.  */
+static uint32_t
+step_number (const struct member *m)
+{
+  const struct unit *u = m->unit;
+  uint32_t n = g_str_hash (u->job->spec->id);
+
+  n = n * 31 + (uint32_t)u->occurrence;
+  n = n * 31 + (uint32_t)u->step;
+  return n * 2 + (u->off_rack != 0);
+}
+
+/* The median pace of the runs of M's step on M's worker.  */
+static double
+pace_on_worker (const struct member *m)
+{
+  const struct worker *w = m->worker;
+  struct sp_sibling run[SP_MAX_SIBLINGS];
+  struct sp_worker any = { .speed = 1 };
+  int n = 0;
+
+  for (guint i = 0; i < w->members->len && n < SP_MAX_SIBLINGS; i++)
+    {
+      const struct member *o = g_ptr_array_index (w->members, i);
+
+      if (o->average_pace > 0 && o->unit->off_rack == m->unit->off_rack
+          && un_same_step (o->unit, m->unit))
+        run[n++] = (struct sp_sibling){ o->average_pace, &any };
+    }
+  return sp_fast_pace (run, n);
+}
+
+static void
+observe (const struct member *m, int64_t now)
+{
+  struct sp_sibling sibling[SP_MAX_SIBLINGS];
+
+  sp_observe (speed_of (m->worker), step_number (m), pace_on_worker (m),
+              sibling, list_siblings (m, sibling), now);
+}
+
 void
 sd_record_progress (struct sj_cluster *c, struct member *m, int percent,
                     int64_t declared_ms, int64_t now)
 {
-  struct sp_sibling sibling[SP_MAX_SIBLINGS];
   struct rt_ratio *ratio;
 
   if (!c->settings.speed_aware || un_step (m->unit)->is_continuous
       || m->state != MB_RUNNING
       || !average_pace (m, percent, declared_ms, now))
     return;
-  if (!m->speed_run)
-    m->speed_run = ++c->speed_runs;
   /* The holder before placed its runs by speed: siblings that all run on slow
      workers would show these as equal to the others.  */
   if (!m->from_record)
-    sp_observe (speed_of (m->worker), m->speed_run, m->average_pace, sibling,
-                list_siblings (m, sibling), now);
+    observe (m, now);
   if (m->rated || percent < RATED_PERCENT)
     return;
   m->rated = 1;
@@ -203,6 +244,24 @@
     c->on_note (c->note_arg, &note);
 }
 
+/* Share of the fast workers' accelerators that are free.  */
+static int
+fast_idle_percent (const struct sj_cluster *c)
+{
+  int64_t used = 0, all = 0;
+
+  for (guint i = 0; i < c->worker_list->len; i++)
+    {
+      const struct worker *w = g_ptr_array_index (c->worker_list, i);
+
+      if (sd_class (c, w) != SP_FAST || !wo_usable (c, w))
+        continue;
+      used += w->used.accelerators;
+      all += w->capacity.accelerators;
+    }
+  return all > used ? (int)((all - used) * 100 / all) : 0;
+}
+
 void
 sd_update (struct sj_cluster *c, int64_t now)
 {
@@ -227,6 +286,7 @@
       note_class (c, g_ptr_array_index (c->worker_list, i), was[i]);
   if (c->fleet.is_uneven != was_uneven)
     note_fleet (c);
+  c->fast_idle_percent = fast_idle_percent (c);
   g_free (list);
   g_free (was);
 }
@@ -235,16 +295,26 @@
 sd_run_ms (const struct sj_cluster *c, const struct unit *u)
 {
   int64_t declared_ms = un_step (u)->estimate_ms;
-  const struct rt_ratio *ratio;
+  const struct rt_ratio *ratio
+      = c->settings.speed_aware ? ratio_of (u->job) : NULL;
 
-  if (!c->settings.speed_aware)
-    return declared_ms;
-  ratio = ratio_of (u->job);
   if (!ratio)
     return declared_ms;
   return (int64_t)((double)declared_ms * rt_median (ratio, c->now));
 }
 
+int64_t
+sd_tail_ms (const struct sj_cluster *c, const struct unit *u)
+{
+  int64_t declared_ms = un_step (u)->estimate_ms;
+  const struct rt_ratio *ratio
+      = c->settings.speed_aware ? ratio_of (u->job) : NULL;
+
+  if (!ratio)
+    return declared_ms;
+  return (int64_t)((double)declared_ms * rt_tail (ratio, c->now));
+}
+
 int64_t
 sd_run_on_ms (const struct sj_cluster *c, const struct unit *u,
               const struct worker *w)
@@ -286,15 +356,16 @@
 int
 sd_wants_fast (const struct sj_cluster *c, const struct unit *u)
 {
-  int64_t run_ms = sd_run_ms (c, u);
+  int64_t run_ms = sd_run_ms (c, u), slow_ms;
 
-  if (u->job->rank < RANK_BATCH)
+  /* A unit that was moved is behind its siblings.  */
+  if (u->job->rank < RANK_BATCH || u->moved)
     return 1;
+  slow_ms
+      = c->fast_idle_percent >= FAST_IDLE_PERCENT ? sd_tail_ms (c, u) : run_ms;
+  slow_ms = (int64_t)((double)slow_ms / slowest_speed (&c->fleet));
   return sd_meets (c, u, START_MS + run_ms, 1)
-         && !sd_meets (
-             c, u,
-             START_MS + (int64_t)((double)run_ms / slowest_speed (&c->fleet)),
-             1);
+         && !sd_meets (c, u, START_MS + slow_ms, 1);
 }
 
 /* Best speed of the workers other than M's that could start M's task now;
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -50,7 +50,6 @@
   double average_pace;
   int average_base_percent;
   int64_t average_base_ms; /* 0: it has not advanced yet */
-  uint32_t speed_run;      /* its number in the samples; 0: none yet */
   unsigned rated : 1;      /* its run time is in the ratios */
   unsigned slow_kept : 1;  /* noted as slow and not moved */
 };
@@ -218,8 +217,8 @@
   int64_t decided_ms, health_checked_ms;
   struct sp_fleet fleet;
   GHashTable *run_ratios; /* account and queue to struct rt_ratio */
-  uint32_t speed_runs;    /* numbers given to runs so far */
   int64_t speeds_updated_ms;
+  int fast_idle_percent; /* of the accelerators of fast workers, then */
   int64_t slow_kept, fast_waits; /* so far */
 };
 
@@ -475,7 +474,9 @@
 double sd_fast_pace (const struct member *m);
 /* Expected run time of U's tasks on a fast worker, within their rack.  */
 int64_t sd_run_ms (const struct sj_cluster *c, const struct unit *u);
-/* The same on W.  */
+/* A time that one run in ten exceeds there.  */
+int64_t sd_tail_ms (const struct sj_cluster *c, const struct unit *u);
+/* Expected run time of U's tasks on W, within their rack.  */
 int64_t sd_run_on_ms (const struct sj_cluster *c, const struct unit *u,
                       const struct worker *w);
 /* Whether U's job meets FACTOR times its objective if U ends in RUN_MS.  */
