--- a/tests/soak/vms.c
+++ b/tests/soak/vms.c
@@ -15,7 +15,7 @@
 
 enum
 {
-  MAX_ARGS = 12,
+  MAX_ARGS = 16,
   ARG_SIZE = 400
 };
 
