--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -12,7 +12,9 @@
 
 #include "batch/lease.h"
 #include "batch/order_queue.h"
+#include "batch/relay.h"
 #include "batch/view.h"
+#include "skr/access.h"
 #include "skr/base.h"
 #include "skr/log.h"
 #include "skr/port.h"
@@ -24,12 +26,19 @@
 struct ba_settings
 {
   const char *vm, *listen, *ready_listen, *metrics_listen, *store;
+  const char *relay_listen; /* empty: no relay */
   const char *log_output, *settings;
   int64_t log_level, log_rate;
   int64_t hold_ms, far_factor, revoke_ms, grace_ms, keep_s;
   int64_t lease_ms, take_ms, renew_ms, evacuation_ms;
-  int64_t max_requests;
-  double processor;
+  int64_t max_requests, refuse_stalled_writes, speed_aware;
+  int64_t headroom_forecast, reclaim_ms, stop_ms, fair_share;
+  double processor, checkpoint_interval_s;
+};
+
+enum
+{
+  BA_MAX_ACCOUNTS = 128 /* in the status and the gauges */
 };
 
 /* Purpose of a call to the store.  */
@@ -42,7 +51,9 @@
   BA_COMMIT,
   BA_SUBMIT,
   BA_LOOKUP,
-  BA_CANCEL
+  BA_CANCEL,
+  BA_PROBE,  /* a write without effect; see access.c */
+  BA_PUBLISH /* the row for the relay */
 };
 
 struct ba_table_follower;
@@ -58,7 +69,7 @@
                  reply is outdated */
   int wait_ms; /* of a long poll */
   struct ba_table_follower *follower;
-  struct ba_pending *pending;
+  struct ba_pending *pending; /* NULL if it was answered meanwhile */
 };
 
 /* Events that other threads pass to the loop thread.  */
@@ -68,7 +79,8 @@
   BA_CLIENT_REQUEST,
   BA_STATUS_REQUEST, /* of an operator */
   BA_ORDER_REPLY,
-  BA_WORKER_LISTING
+  BA_WORKER_LISTING,
+  BA_RELAY_REPLY
 };
 
 /* A start, stop or hold that waits to be sent to a worker or has no reply
@@ -102,6 +114,7 @@
       struct po_rows *rows;
     } reply;
     struct hs_exchange *request;
+    struct rl_call *relayed;
     struct
     {
       struct ba_order *order;
@@ -198,7 +211,7 @@
 
 enum
 {
-  BA_EVENT_KINDS = BA_WORKER_LISTING + 1
+  BA_EVENT_KINDS = BA_RELAY_REPLY + 1
 };
 
 /* Where the loop's time went since the last tick.  */
@@ -213,11 +226,20 @@
 {
   int shard;
   int answers, submits, accepted, refused, unknown;
-  int starts, stops, ends, lost_runs, given_up_tasks, commits, store_calls,
-      holds;
+  int starts, stops, ends, lost_runs, given_up_tasks, passed_over_jobs,
+      commits, store_calls, holds;
+  int probes, stalled_refusals, early_unknown;
+  int relayed, relay_unknown, relay_not_run, relay_received;
+  int reads_state, writes_state;
+  int stopped_runs[SJ_CAUSES]; /* by cause */
+  int lost_core_ms, preemptions, preemptions_avoided;
+  int headroom_kept, headroom_used;
   int store_wait, commit_duration;
+  int accounts_over, accounts_waiting;
   int waiting_jobs, waiting_orders, runs, accelerators_used, usable_workers,
       is_holder, closed_domains, closed_workers;
+  int slow_kept, fast_waits;
+  int fast_workers, medium_workers, slow_workers, unknown_workers;
 };
 
 struct batch
@@ -230,6 +252,9 @@
   struct rg_ring events;
   struct hc_client *client;
   struct po_port port;
+  /* For callers' requests and probes: with connections of its own, unless the
+     access to the store is not tracked.  */
+  struct po_port entry_port;
   struct hs_server *caller_server, *ready_server, *metrics_server;
   struct bs_thread thread;
   atomic_int ready, stop_requested;
@@ -239,11 +264,14 @@
   struct qu_config *config;
   struct ba_table_follower config_follower, job_follower, worker_follower;
   struct dm_domains domains; /* closed ones; empty unless they are served */
+  struct ba_table_follower vm_follower; /* only with a relay */
+  struct rl_relay relay;
   struct vw_view view;
   int store_down;
   long store_error_status; /* HTTP status of the last reply if the call failed,
                               else 0 */
   int64_t store_heard_ms, store_clock_ms, store_clock_at_ms;
+  struct ac_access access;
   GPtrArray *pending; /* of struct ba_pending */
 
   struct le_lease lease;
@@ -321,6 +349,28 @@
    yet.  */
 int64_t ba_store_clock_now_ms (const struct batch *b);
 
+/* access.c: this VM's access to the store; tracked only while a setting uses
+   it */
+int ba_tracks_access (const struct batch *b);
+/* Returns 1 if new writes are refused because the store does not answer
+   writes.  */
+int ba_refuses_writes (const struct batch *b);
+/* Returns 1 if another VM may be able to serve a write, or a read, that this
+   one can't.  */
+int ba_relays_writes (const struct batch *b);
+int ba_relays_reads (const struct batch *b);
+/* Notes that CALL was sent, or its reply.  */
+void ba_note_sent (struct batch *b, const struct ba_store_call *call);
+void ba_note_reply (struct batch *b, const struct ba_store_call *call,
+                    enum po_result result);
+/* Notes a row that a VM has just written.  */
+void ba_note_write_seen (struct batch *b);
+/* Updates the states and sends a probe if it is due.  */
+void ba_access_tick (struct batch *b);
+/* Returns after how many seconds the refused caller of job ID should
+   return.  */
+int ba_retry_after_s (struct batch *b, const char *id, const char *call);
+
 /* follow.c */
 /* Sets F up to follow TABLE with polls of WAIT_MS, GAP_MS after each reply,
    once it is started.  */
@@ -392,6 +442,10 @@
 void fr_answer (struct batch *b, struct hs_exchange *ex, const char *id,
                 const char *call, int status, const char *body,
                 const char *reason);
+/* Like fr_answer, with a Retry-After of RETRY_AFTER_S if it is not 0.  */
+void fr_answer_after (struct batch *b, struct hs_exchange *ex, const char *id,
+                      const char *call, int status, const char *body,
+                      const char *reason, int retry_after_s);
 /* Handlers of the readiness and metrics requests, on the HTTP server's
    thread.  */
 void fr_ready (void *arg, struct hs_exchange *ex);
@@ -409,6 +463,7 @@
   int64_t began_ms, deadline_ms, next_ms;
   int64_t version; /* of the job's row, which a cancellation expects */
   int in_flight, may_be_done, cancel_after_lookup;
+  struct ba_store_call *call; /* while in flight */
 };
 
 /* Start a pending request, which is given up after WAIT_MS.  pe_submit takes
--- a/src/batch/loop.c
+++ b/src/batch/loop.c
@@ -6,12 +6,16 @@
 enum
 {
   RING_EVENTS = 8192,
+  RELAY_CONNECTIONS = 256,
   /* Requests of the HTTP client: a long poll at each worker, orders, and calls
      to the store.  */
   MAX_IN_PROGRESS = 4096,
   /* Besides the long poll, the starts of a worker's tasks.  */
   CONNECTIONS_PER_HOST = 3,
   CONNECT_TIMEOUT_MS = 500,
+  /* Without answers each write keeps its connection; a probe must not wait for
+     one.  */
+  ENTRY_CONNECTIONS = 32,
   MAX_CONNECTIONS = 2048,
   MAX_BODY_BYTES = 262144, /* of a request; the largest job is far smaller */
   IDLE_TIMEOUT_S = 30,
@@ -54,6 +58,7 @@
                     struct po_rows *rows)
 {
   ba_note_store_reply (b, rows);
+  ba_note_reply (b, call, rows->result);
   switch (call->purpose)
     {
     case BA_SCAN:
@@ -70,7 +75,13 @@
     case BA_SUBMIT:
     case BA_LOOKUP:
     case BA_CANCEL:
-      pe_on_reply (call->pending, rows);
+      if (call->pending)
+        pe_on_reply (call->pending, rows);
+      break;
+    case BA_PROBE:
+      break;
+    case BA_PUBLISH:
+      rl_on_publish_reply (b, rows);
       break;
     }
   po_rows_free (rows);
@@ -88,6 +99,9 @@
     case BA_CLIENT_REQUEST:
       fr_request (b, e->u.request);
       break;
+    case BA_RELAY_REPLY:
+      rl_on_reply (b, e->u.relayed);
+      break;
     case BA_STATUS_REQUEST:
       sh_answer (b, e->u.request);
       break;
@@ -160,9 +174,11 @@
 {
   b->now_ms = b->ticked_ms = bs_now_ms (&b->clock);
   ba_check_store_timeout (b);
+  ba_access_tick (b);
   fo_tick (&b->config_follower);
   fo_tick (&b->job_follower);
   fo_tick (&b->worker_follower);
+  rl_tick (b);
   pe_tick (b);
   ho_tick (b);
   if (b->now_ms - b->counted_ms >= COUNTERS_INTERVAL_MS)
@@ -189,6 +205,8 @@
                          b->phase != BA_STANDBY);
   if (stage != BA_SERVE)
     hs_drain (b->caller_server);
+  if (stage != BA_SERVE && b->relay.server)
+    hs_drain (b->relay.server);
   return stage == BA_END;
 }
 
@@ -224,6 +242,7 @@
   while (rg_pop (&b->events, &item, CLOSE_WAIT_MS) == BS_OK)
     refuse_event (item);
   pe_fail_all (b);
+  rl_fail_all (b);
 }
 
 static void *
@@ -267,6 +286,23 @@
   return error;
 }
 
+/* The long polls take up to CONNECTIONS_PER_HOST connections to the store, so
+   that writes without an answer would delay others.  Returns 0 or a
+   bs_error.  */
+static int
+open_entry_port (struct batch *b)
+{
+  struct hc_config hc = { .max_in_progress = MAX_IN_PROGRESS,
+                          .connections_per_host = ENTRY_CONNECTIONS,
+                          .connect_timeout_ms = CONNECT_TIMEOUT_MS };
+
+  b->entry_port = b->port;
+  if (!ba_tracks_access (b))
+    return BS_OK;
+  b->entry_port.client = hc_new (&hc);
+  return b->entry_port.client ? BS_OK : BS_ENOMEM;
+}
+
 int
 ba_start (struct batch *b, const struct ba_settings *set)
 {
@@ -283,6 +319,7 @@
   b->clock = bs_clock_boot ();
   b->now_ms = b->store_heard_ms = bs_now_ms (&b->clock);
   bs_random_hex (b->token, (sizeof b->token - 1) / 2);
+  ac_init (&b->access, b->now_ms);
   le_init (&b->lease, &le, set->vm, b->token);
   vw_init (&b->view);
   wk_init_orders (b);
@@ -292,13 +329,19 @@
   b->client = hc_new (&hc);
   if (!b->client)
     return BS_ENOMEM;
+  if (*set->relay_listen)
+    rl_init (b);
   b->port = (struct po_port){ b->client, set->store };
+  if (open_entry_port (b))
+    return BS_ENOMEM;
   ta_init (b);
   if (start_server (b, &b->ready_server, set->ready_listen, fr_ready, 64)
       || start_server (b, &b->metrics_server, set->metrics_listen, sh_handle,
                        16)
       || start_server (b, &b->caller_server, set->listen, fr_handle,
-                       MAX_CONNECTIONS))
+                       MAX_CONNECTIONS)
+      || start_server (b, &b->relay.server, set->relay_listen, rl_handle,
+                       RELAY_CONNECTIONS))
     return BS_EOS;
   return bs_thread_start (&b->thread, loop_main, b);
 }
--- a/src/batch/main.c
+++ b/src/batch/main.c
@@ -27,6 +27,10 @@
     "address and port of /metrics and of the requests of skr batch; empty: "
     "none",
     FIELD (metrics_listen) },
+  { "relay-listen", OPT_STRING, "IP:PORT", 0, 60, "",
+    "address and port for requests that other VMs relay while they can't "
+    "reach the store; published to them; empty: no relay",
+    FIELD (relay_listen) },
   { "store", OPT_STRING, "IP:PORT", 1, 60, "127.0.0.1:7000",
     "address and port of the platform's table store", FIELD (store) },
   { "settings", OPT_STRING, "file", 0, 400, "",
@@ -79,6 +83,34 @@
     "maximum number of client requests in progress; further requests are "
     "refused",
     FIELD (max_requests) },
+  { "refuse-stalled-writes", OPT_INT, "", 0, 1, "0",
+    "1: while the store answers no writes, refuse submissions and "
+    "cancellations at once, with a Retry-After that follows the outage",
+    FIELD (refuse_stalled_writes) },
+  { "speed-aware", OPT_INT, "", 0, 1, "0",
+    "1: learn the workers' speeds and the run times from what runs show, and "
+    "use them to place, keep and move runs",
+    FIELD (speed_aware) },
+  { "headroom-forecast", OPT_INT, "", 0, 1, "0",
+    "1: batch work leaves as much capacity free as the urgent jobs of the "
+    "last seconds let expect; 0: a constant share",
+    FIELD (headroom_forecast) },
+  { "reclaim-ms", OPT_INT, "ms", 0, MINUTE_MS, "0",
+    "time within which guaranteed work must start; until it is nearly over, "
+    "work waits for capacity that becomes free by itself instead of having "
+    "other work stopped; 0: unknown, it does not wait",
+    FIELD (reclaim_ms) },
+  { "stop-ms", OPT_INT, "ms", 0, MINUTE_MS, "0",
+    "longest time that a worker takes to stop a task; 0: unknown",
+    FIELD (stop_ms) },
+  { "checkpoint-interval-s", OPT_REAL, "s", 0, 600, "0",
+    "time between two checkpoints of a task that writes any; 0: unknown, "
+    "stopping it counts as losing nothing",
+    FIELD (checkpoint_interval_s) },
+  { "fair-share", OPT_INT, "", 0, 1, "0",
+    "1: while work waits that does not fit, accounts above their share give "
+    "way to work of others that would be late; 0: order by objective alone",
+    FIELD (fair_share) },
   { NULL, OPT_INT, "", 0, 0, NULL, NULL, 0 }
 };
 
@@ -100,6 +132,8 @@
      are up to 2 s old.  */
   if (set->evacuation_ms && set->evacuation_ms < MIN_EVACUATION_MS)
     fail ("--evacuation-ms must be 0 or at least 4000");
+  if (set->reclaim_ms && set->stop_ms * 2 > set->reclaim_ms)
+    fail ("--stop-ms must be at most half of --reclaim-ms");
 }
 
 static void
--- a/src/steps/cluster.c
+++ b/src/steps/cluster.c
@@ -22,6 +22,8 @@
   c->given_up = g_ptr_array_new ();
   c->kept_apart = g_new0 (int, 1);
   rk_init (c);
+  sd_init (c);
+  fs_init (&c->shares);
   g_queue_init (&c->dirty_jobs);
   c->worker_list = g_ptr_array_new ();
   c->job_list = g_ptr_array_new ();
@@ -45,11 +47,13 @@
   g_ptr_array_free (c->worker_list, TRUE);
   g_hash_table_destroy (c->jobs);
   rk_fini (c);
+  sd_fini (c);
   g_hash_table_destroy (c->workers);
   g_hash_table_destroy (c->guarantees);
   g_hash_table_destroy (c->unresolved_workers);
   g_ptr_array_free (c->given_up, TRUE);
   g_free (c->kept_apart);
+  fs_fini (&c->shares);
   g_free (c);
 }
 
@@ -59,6 +63,7 @@
 {
   gint64 *n = g_new (gint64, 1);
 
+  as_set_weight (c, account, accelerators);
   *n = accelerators;
   g_hash_table_replace (c->guarantees, g_strdup (account), n);
   c->changed = 1;
@@ -214,6 +219,11 @@
 sj_count (struct sj_cluster *c, struct sj_counts *out)
 {
   *out = (struct sj_counts){ .workers = (int)c->worker_list->len };
+  out->headroom_kept = c->headroom.kept;
+  out->headroom_used = c->headroom.used;
+  out->preemptions = c->preemptions;
+  out->stopped_runs = c->stopped_runs;
+  out->lost_core_ms = c->lost_core_ms;
   for (guint i = 0; i < c->job_list->len; i++)
     {
       const struct job *j = g_ptr_array_index (c->job_list, i);
@@ -232,6 +242,7 @@
       out->accelerators_used += w->used.accelerators;
       out->accelerators += w->listed ? w->capacity.accelerators : 0;
     }
+  sd_count (c, out);
 }
 
 static void
--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -1,10 +1,10 @@
-/* The decision round: opens due occurrences, ranks the waiting units, and
-   starts, reserves for or preempts in favour of each in that order.  */
+/* The decision round: opens due occurrences, and starts, reserves for or
+   preempts in favour of each waiting unit in the order of order.c.  */
 #include <stdlib.h>
 #include <string.h>
 
 #include "steps/blocked.h"
-#include "steps/state.h"
+#include "steps/order.h"
 
 enum
 {
@@ -12,14 +12,10 @@
   ROUND_MS = 250,           /* longest time between two decision rounds */
   STOP_RESEND_MS = 500,     /* time until an unanswered stop is sent again */
   OFF_RACK_URGENT_MS = 900, /* longest wait for the rack, guaranteed unit */
-  /* Share of the accelerators that batch units leave free for urgent work,
-     without and with checkpoints.  */
-  HEADROOM_PERCENT = 25,
-  HEADROOM_CHECKPOINTING_PERCENT = 8,
-  HEADROOM_WAIT_MS = 20000, /* a unit that waits longer ignores the headroom */
   OFF_RACK_IDLE_MS = 1500,  /* the same in a mostly idle fleet, any unit */
   RESERVE_AFTER_MS = 30000, /* a tenth of what a gang that fits may wait */
-  MAX_RESERVATIONS = 4      /* units with reserved capacity in one round */
+  MAX_RESERVATIONS = 4,     /* units with reserved capacity in one round */
+  MAX_GANGS_HELPED = 1      /* gangs at risk in one round */
 };
 
 /* Computes each worker's free capacity and clears all reservations.  */
@@ -40,140 +36,12 @@
           const struct member *m = g_ptr_array_index (w->members, k);
           struct sj_resources need = nd_for_step (un_step (m->unit));
 
-          if (m->state == MB_STOPPING)
+          if (m->state == MB_STOPPING && !vi_is_overdue (c, m))
             nd_add (&w->free_after_stops, &need);
         }
     }
 }
 
-static int
-by_acceptance (const void *a, const void *b)
-{
-  const struct job *x = *(struct job *const *)a, *y = *(struct job *const *)b;
-
-  if (x->accepted_ms != y->accepted_ms)
-    return x->accepted_ms < y->accepted_ms ? -1 : 1;
-  return strcmp (x->spec->id, y->spec->id);
-}
-
-/* Ranks the jobs.  An account's jobs of priority 0 are guaranteed in order of
-   acceptance, as long as their accelerators fit into its guarantee.  */
-static void
-rank_jobs (struct sj_cluster *c)
-{
-  GHashTable *used = g_hash_table_new (g_str_hash, g_str_equal);
-
-  g_ptr_array_sort (c->job_list, by_acceptance);
-  for (guint i = 0; i < c->job_list->len; i++)
-    {
-      struct job *j = g_ptr_array_index (c->job_list, i);
-      const char *account = j->spec->account ? j->spec->account : "";
-      gint64 sum, *guarantee;
-
-      j->rank = RANK_URGENT + j->spec->priority;
-      if (j->spec->priority || jb_ended (j))
-        continue;
-      sum = GPOINTER_TO_INT (g_hash_table_lookup (used, account))
-            + j->peak_accelerators;
-      guarantee = g_hash_table_lookup (c->guarantees, account);
-      if (!guarantee || sum > *guarantee)
-        continue;
-      j->rank = RANK_GUARANTEED;
-      g_hash_table_insert (used, (gpointer)account,
-                           GINT_TO_POINTER ((int)sum));
-    }
-  g_hash_table_destroy (used);
-}
-
-/* The waiting units of one step.  They stand side by side among the units of
-   their job.  */
-struct ready_step
-{
-  struct job *job;
-  guint first, end;        /* units of JOB, those that do not wait included */
-  struct unit *unit;       /* its first that waits */
-  int64_t latest_start_ms; /* latest start that meets its objective */
-};
-
-/* The latest start of U that meets its job's objective.  WALL_OFFSET is the
-   time of day less the monotonic clock, in milliseconds.  */
-static int64_t
-latest_start_ms (const struct unit *u, int64_t wall_offset)
-{
-  const struct job *j = u->job;
-  const struct sj_job *s = j->spec;
-  int64_t base = j->accepted_ms;
-
-  if (s->occurrences)
-    base = s->first_due_ms + u->occurrence * s->interval_ms - wall_offset;
-  return base + (int64_t)(s->stretch * (double)j->critical_path_ms)
-         + s->target_ms - un_step (u)->estimate_ms;
-}
-
-static int
-by_urgency (const void *a, const void *b)
-{
-  const struct ready_step *x = a, *y = b;
-  const struct unit *p = x->unit, *q = y->unit;
-  int order;
-
-  if (p->job->rank != q->job->rank)
-    return p->job->rank - q->job->rank;
-  if (x->latest_start_ms != y->latest_start_ms)
-    return x->latest_start_ms < y->latest_start_ms ? -1 : 1;
-  order = strcmp (p->job->spec->id, q->job->spec->id);
-  if (order)
-    return order;
-  if (p->occurrence != q->occurrence)
-    return p->occurrence - q->occurrence;
-  return p->step - q->step;
-}
-
-static struct unit *
-unit_at (const struct job *j, guint i)
-{
-  return g_ptr_array_index (j->units, i);
-}
-
-/* Appends J's steps with waiting units to LIST.  */
-static void
-list_ready_steps (struct job *j, int64_t wall_offset, GArray *list)
-{
-  guint end;
-
-  for (guint i = 0; i < j->units->len; i = end)
-    {
-      struct ready_step r = { .job = j, .first = i };
-
-      for (end = i; end < j->units->len
-                    && un_same_step (unit_at (j, i), unit_at (j, end));
-           end++)
-        if (!r.unit && unit_at (j, end)->state == UN_READY)
-          r.unit = unit_at (j, end);
-      r.end = end;
-      if (!r.unit)
-        continue;
-      r.latest_start_ms = latest_start_ms (r.unit, wall_offset);
-      g_array_append_val (list, r);
-    }
-}
-
-static GArray *
-list_ready (struct sj_cluster *c, int64_t wall_offset)
-{
-  GArray *list = g_array_new (FALSE, FALSE, sizeof (struct ready_step));
-
-  for (guint i = 0; i < c->job_list->len; i++)
-    {
-      struct job *j = g_ptr_array_index (c->job_list, i);
-
-      if (!jb_ended (j))
-        list_ready_steps (j, wall_offset, list);
-    }
-  g_array_sort (list, by_urgency);
-  return list;
-}
-
 /* Whether less than half of the usable workers' weighted accelerators and
    cores are in use.  */
 static int
@@ -211,8 +79,8 @@
   return !pl_rack_can_hold (c, u);
 }
 
-/* Starts U, reserves capacity that pending stops will free, or preempts other
-   work for it.  Returns 1 if one of these succeeded.  */
+/* Starts U or reserves capacity that pending stops will free.  Returns 1 if
+   one of these succeeded.  */
 static int
 start_or_reserve (struct sj_cluster *c, struct unit *u, int off_rack_ok,
                   int64_t now)
@@ -220,7 +88,13 @@
   struct worker **placement = g_new (struct worker *, u->count);
   int off_rack, placed = pl_place (c, u, 0, off_rack_ok, placement, &off_rack);
 
-  if (placed)
+  if (placed && sd_should_wait (c, u, placement))
+    {
+      /* Others may take the slow workers.  */
+      *c->kept_apart = 1;
+      placed = 0;
+    }
+  else if (placed)
     {
       ru_plan (u, placement, off_rack, now);
       pl_reserve (u, placement);
@@ -231,53 +105,10 @@
       pl_reserve (u, placement);
       placed = 1;
     }
-  else if (u->job->rank <= RANK_BATCH)
-    placed = pr_preempt_for (c, u, off_rack_ok, now);
   g_free (placement);
   return placed;
 }
 
-/* Free accelerators on usable workers; *ALL is their total.  */
-static int64_t
-idle_accelerators (const struct sj_cluster *c, int64_t *all)
-{
-  int64_t idle = 0;
-
-  *all = 0;
-  for (guint i = 0; i < c->worker_list->len; i++)
-    {
-      const struct worker *w = g_ptr_array_index (c->worker_list, i);
-
-      if (!wo_usable (c, w))
-        continue;
-      *all += w->capacity.accelerators;
-      if (w->free.accelerators > 0)
-        idle += w->free.accelerators;
-    }
-  return idle;
-}
-
-/* Whether batch unit U must not start so that accelerators stay free for
-   urgent work yet to come.  Work without checkpoints leaves more, as stopping
-   it loses its progress.  */
-static int
-must_leave_headroom (const struct unit *u, int64_t idle, int64_t all,
-                     int64_t now)
-{
-  const struct sj_step *s = un_step (u);
-  int64_t requested = s->need.accelerators * u->count;
-  int percent
-      = s->checkpoints ? HEADROOM_CHECKPOINTING_PERCENT : HEADROOM_PERCENT;
-
-  if (u->job->rank < RANK_BATCH || now - u->ready_ms > HEADROOM_WAIT_MS)
-    return 0;
-  /* A unit that is too wide to ever leave that many accelerators free starts
-     while more than half of the fleet is idle.  */
-  if (requested * 100 > all * (100 - percent) && idle * 2 > all)
-    return 0;
-  return (idle - requested) * 100 < all * percent;
-}
-
 /* Number of tasks of R that wait from unit U on: those of a gang, or of the
    step's waiting units.  */
 static int
@@ -289,9 +120,9 @@
     return u->count;
   for (guint i = r->first; i < r->end; i++)
     {
-      reached |= unit_at (r->job, i) == u;
-      if (reached && unit_at (r->job, i)->state == UN_READY)
-        tasks += unit_at (r->job, i)->count;
+      reached |= jb_unit (r->job, i) == u;
+      if (reached && jb_unit (r->job, i)->state == UN_READY)
+        tasks += jb_unit (r->job, i)->count;
     }
   return tasks;
 }
@@ -300,12 +131,40 @@
 struct round
 {
   int is_idle, reservations;
-  int64_t idle, all; /* accelerators */
-  struct bl_list blocked;
+  int waits;               /* units that may wait for capacity */
+  int64_t latest_start_ms; /* of the step in work */
+  int gangs_at_risk;       /* that were helped */
+  int kept_back;           /* a step that may be late leaves headroom */
+  int unplaced;            /* steps that did not start for want of capacity */
+  struct hd_round headroom;
+  struct bl_list blocked;    /* units that fit nowhere */
+  struct bl_list no_plan;    /* units that no stops make room for */
   struct pl_singles singles; /* where the single tasks of a step go */
 };
 
-/* Starts U or makes room for it, as start_or_reserve.  */
+/* Stops other work for U if U may not wait for capacity.  Returns 1 if U fits
+   then.  */
+static int
+preempt_for (struct sj_cluster *c, struct round *r, struct unit *u,
+             int allow_off_rack, int64_t now)
+{
+  const char *reason;
+
+  if (u->job->rank > RANK_BATCH
+      || bl_covers (&r->no_plan, c, u, allow_off_rack)
+      || wt_choose (c, u, allow_off_rack, r->latest_start_ms, &r->waits,
+                    &reason, now)
+             != WT_STOP)
+    return 0;
+  if (pr_preempt_for (c, u, allow_off_rack, reason, now))
+    return 1;
+  if (!*c->kept_apart)
+    bl_add (&r->no_plan, u, allow_off_rack, r->reservations + r->waits);
+  return 0;
+}
+
+/* Starts U, reserves capacity for it or preempts other work for it.  Returns 1
+   if one of these succeeded.  */
 static int
 place_unit (struct sj_cluster *c, struct round *r, struct unit *u, int64_t now)
 {
@@ -313,29 +172,61 @@
   struct worker *w;
 
   if (bl_covers (&r->blocked, c, u, allow_off_rack))
-    return 0;
+    {
+      /* The unit that failed may have waited, and this one may not.  */
+      if (!vi_is_sparing (c) || !preempt_for (c, r, u, allow_off_rack, now))
+        return 0;
+      hd_count (c, &r->headroom);
+      return 1;
+    }
   w = pl_next_single (c, &r->singles, u);
   if (w)
     {
+      hd_leave (&r->headroom, w);
       ru_plan (u, &w, 0, now);
       pl_reserve (u, &w);
-      r->idle -= un_step (u)->need.accelerators;
+      hd_return (&r->headroom, w);
       return 1;
     }
   c->searches++;
   *c->kept_apart = 0;
-  if (!start_or_reserve (c, u, allow_off_rack, now))
+  if (!start_or_reserve (c, u, allow_off_rack, now)
+      && !preempt_for (c, r, u, allow_off_rack, now))
     {
       /* The failure of a unit that is kept from workers tells nothing about
          others.  */
       if (!*c->kept_apart)
-        bl_add (&r->blocked, u, allow_off_rack, r->reservations);
+        bl_add (&r->blocked, u, allow_off_rack, r->reservations + r->waits);
       return 0;
     }
-  r->idle = idle_accelerators (c, &r->all);
+  hd_count (c, &r->headroom);
   return 1;
 }
 
+/* Whether U is a gang that other accounts' work would make late.  Narrow tasks
+   take each place that becomes free, so the order alone does not help it: it
+   may use the headroom, and capacity is reserved for it at once.  A round
+   helps one, as it costs a search and a plan to preempt.  Not urgent work: it
+   stops other work, and would stop it again and again for places that are
+   reserved for others.
+ */
+static int
+is_gang_at_risk (struct round *r, const struct ready_step *s,
+                 const struct unit *u)
+{
+  return u->job->rank >= RANK_BATCH && s->request.is_at_risk && u->count > 1
+         && r->gangs_at_risk++ < MAX_GANGS_HELPED;
+}
+
+/* Whether S leaves the capacity to a step that it was moved behind and that
+   waits for headroom.  Otherwise S would take it once S has waited long enough
+   to ignore the headroom.  */
+static int
+gives_way (const struct round *r, const struct ready_step *s)
+{
+  return s->ahead && r->kept_back;
+}
+
 /* Tries to start the units of one step.  Once a unit can't start, the rest of
    its step is skipped in this round.  */
 static void
@@ -343,20 +234,31 @@
             int64_t now)
 {
   r->singles = (struct pl_singles){ 0 };
+  r->latest_start_ms = s->latest_start_ms;
   for (guint i = s->first; i < s->end && !jb_ended (s->job); i++)
     {
-      struct unit *u = unit_at (s->job, i);
+      struct unit *u = jb_unit (s->job, i);
+      int helped;
 
       /* A unit preempted in this round is considered again in a later one.  */
       if (u->state != UN_READY || now < u->not_before_ms || !su_may_start (u)
           || lo_give_up_if_spent (c, u, now))
         continue;
       ru_end_avoidance (c, u, now);
-      if (must_leave_headroom (u, r->idle, r->all, now))
-        break;
+      helped = is_gang_at_risk (r, s, u);
+      if ((!helped && hd_must_wait (&r->headroom, u, now)) || gives_way (r, s))
+        {
+          r->unplaced++;
+          r->kept_back |= s->request.is_at_risk;
+          break;
+        }
       if (place_unit (c, r, u, now))
-        continue;
-      if (now - u->ready_ms >= RESERVE_AFTER_MS
+        {
+          as_started (c, s, u, now);
+          continue;
+        }
+      r->unplaced++;
+      if ((now - u->ready_ms >= RESERVE_AFTER_MS || helped)
           && r->reservations < MAX_RESERVATIONS)
         r->reservations += rs_reserve (c, u, waiting_tasks (s, u));
       break;
@@ -368,14 +270,17 @@
 static void
 place_all (struct sj_cluster *c, int64_t now, int64_t wall_offset)
 {
-  GArray *ready = list_ready (c, wall_offset);
+  GArray *ready = or_list_ready (c, now, wall_offset);
   struct round r = { .is_idle = is_mostly_idle (c) };
 
   c->searches = 0;
-  r.idle = idle_accelerators (c, &r.all);
+  hd_begin (c, &r.headroom, now);
   bl_clear (&r.blocked, c);
+  bl_clear (&r.no_plan, c);
   for (guint i = 0; i < ready->len; i++)
     place_step (c, &r, &g_array_index (ready, struct ready_step, i), now);
+  hd_end (c, &r.headroom, now);
+  as_end_round (c, ready, r.unplaced, now);
   g_array_free (ready, TRUE);
 }
 
@@ -386,6 +291,7 @@
 {
   if (u->state != UN_STOPPING && u->state != UN_DONE)
     return;
+  vi_note_overdue (c, u);
   for (int i = 0; u->members && i < u->count; i++)
     {
       struct member *m = &u->members[i];
@@ -418,7 +324,9 @@
 
       if (m->state != MB_RUNNING || !m->worker->draining)
         continue;
-      remaining_ms = he_remaining_ms (un_step (u)->estimate_ms, m);
+      remaining_ms = c->settings.speed_aware
+                         ? he_expected_remaining_ms (c, m)
+                         : he_remaining_ms (un_step (u)->estimate_ms, m);
       if (!un_step (u)->is_continuous
           && now + remaining_ms <= m->worker->drain_end_ms)
         continue;
@@ -496,7 +404,8 @@
     return ROUND_MS - (now - c->decided_ms);
   c->changed = 0;
   c->decided_ms = now;
-  rank_jobs (c);
+  c->rounds++;
+  or_rank_jobs (c);
   reset_free_capacity (c);
   su_count_suspects (c);
   if (!c->starts_held)
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -12,6 +12,7 @@
   TICK_MS = 10,
   MAX_GAP_MS = 900,             /* between two faults */
   MAX_SHRINK_GAP_MS = 3000,     /* between two workers that shrink */
+  MAX_STALL_GAP_MS = 12000,     /* between two stalls of the writes */
   MAX_EVACUATION_GAP_MS = 6000, /* between two evacuations of a domain */
   /* Longer than the time after which nothing may start there.  */
   MAX_EVACUATION_MS = 2 * SF_EVACUATION_MS,
@@ -49,17 +50,19 @@
   CHANGE_CONFIG,
   RANDOM_FAULTS, /* number of those that are drawn at random */
   SHRUNK_WORKER = RANDOM_FAULTS,
+  STALLED_WRITES,
   EVACUATED_DOMAIN,
   FAULT_COUNT
 };
 
-static const char *const names[FAULT_COUNT]
-    = { "kill VM",        "kill all VMs", "stop VM",       "freeze VM",
-        "reload VM",      "cut store",    "cut workers",   "cut callers",
-        "slow links",     "reset links",  "store fault",   "store fault, one",
-        "history gone",   "worker crash", "worker reborn", "worker late",
-        "worker fails",   "worker cut",   "worker leaves", "configuration",
-        "worker shrinks", "evacuation" };
+static const char *const names[FAULT_COUNT] = {
+  "kill VM",        "kill all VMs",   "stop VM",       "freeze VM",
+  "reload VM",      "cut store",      "cut workers",   "cut callers",
+  "slow links",     "reset links",    "store fault",   "store fault, one",
+  "history gone",   "worker crash",   "worker reborn", "worker late",
+  "worker fails",   "worker cut",     "worker leaves", "configuration",
+  "worker shrinks", "writes stalled", "evacuation"
+};
 
 /* A fault in effect.  */
 struct active_fault
@@ -73,8 +76,8 @@
 {
   struct soak *soak;
   GRand *rand;
-  /* Their own, so that a seed plays the same other faults.  */
-  GRand *shrink_rand, *evacuation_rand;
+  /* Of their own, so that a seed plays the same other faults.  */
+  GRand *shrink_rand, *stall_rand, *evacuation_rand;
   struct active_fault active[MAX_ACTIVE_FAULTS];
   int active_count;
 };
@@ -239,6 +242,10 @@
     case SHRUNK_WORKER:
       sf_set_capacity (&s->platform, h->worker, SHRUNK_PERCENT);
       break;
+    case STALLED_WRITES:
+      so_store_set_fault_until (s, h->end_ms);
+      set_store_fault (s, SF_STORE_NO_WRITES);
+      break;
     case EVACUATED_DOMAIN:
       /* The row's presence is the request, whatever its value.  */
       sf_evacuate (&s->platform, s->platform.worker[h->worker].domain,
@@ -290,6 +297,7 @@
       slow_links (s, h->vm, 0);
       break;
     case STORE_FAULT:
+    case STALLED_WRITES:
       set_store_fault (s, SF_STORE_HEALTHY);
       break;
     case STORE_FAULT_ONE:
@@ -391,6 +399,21 @@
   p->active[p->active_count++] = h;
 }
 
+static void
+stall_writes (struct injector *p, int64_t now)
+{
+  struct active_fault h
+      = { .kind = STALLED_WRITES,
+          .end_ms
+          = now
+            + g_rand_int_range (p->stall_rand, MIN_FAULT_MS, MAX_FAULT_MS) };
+
+  if (p->active_count == MAX_ACTIVE_FAULTS)
+    return;
+  start_fault (p, &h);
+  p->active[p->active_count++] = h;
+}
+
 void
 so_run_faults (struct soak *s)
 {
@@ -398,9 +421,12 @@
       = { .soak = s,
           .rand = g_rand_new_with_seed ((guint32)s->seed),
           .shrink_rand = g_rand_new_with_seed ((guint32)~s->seed),
+          .stall_rand = g_rand_new_with_seed ((guint32)s->seed ^ 0x5354414c),
           .evacuation_rand = g_rand_new_with_seed ((guint32)(s->seed ^ 1)) };
   int64_t end = sf_now_ms () + s->seconds * 1000, next = sf_now_ms ();
   int64_t next_shrink = next, next_evacuation = next;
+  int64_t next_stall
+      = next + g_rand_int_range (p.stall_rand, 0, MAX_STALL_GAP_MS);
 
   while (sf_now_ms () < end)
     {
@@ -426,6 +452,13 @@
                             + g_rand_int_range (p.evacuation_rand, 0,
                                                 MAX_EVACUATION_GAP_MS);
         }
+      /* Only with the settings of access to the store; see so_vm_start. */
+      if (s->seed % 2 && now >= next_stall)
+        {
+          stall_writes (&p, now);
+          next_stall
+              = now + g_rand_int_range (p.stall_rand, 0, MAX_STALL_GAP_MS);
+        }
       end_due_faults (&p, now);
       so_vm_reap (s);
       restart_vms (&p);
@@ -437,4 +470,5 @@
   g_rand_free (p.rand);
   g_rand_free (p.shrink_rand);
   g_rand_free (p.evacuation_rand);
+  g_rand_free (p.stall_rand);
 }
