--- a/tests/batch/test_show.c
+++ b/tests/batch/test_show.c
@@ -64,6 +64,27 @@
   teardown ();
 }
 
+/* The scheduler's status shows the headroom and what was stopped.  */
+static void
+test_status_of_scheduler (void)
+{
+  struct sj_settings set = { .off_rack_factor = 3 };
+  json_t *o;
+
+  setup ();
+  batch.phase = BA_ACTIVE;
+  batch.cluster = sj_new (&set, NULL, NULL);
+  o = sh_status (&batch);
+  CU_ASSERT_PTR_NOT_NULL (json_object_get (o, "headroom"));
+  CU_ASSERT_PTR_NOT_NULL (json_object_get (o, "headroom_used"));
+  CU_ASSERT_EQUAL (number (o, "preemptions"), 0);
+  CU_ASSERT_EQUAL (number (o, "stopped_runs"), 0);
+  CU_ASSERT_EQUAL (number (o, "lost_core_ms"), 0);
+  json_decref (o);
+  sj_free (batch.cluster);
+  teardown ();
+}
+
 static void
 test_job (void)
 {
@@ -128,6 +149,27 @@
   sj_free (batch.cluster);
   batch.cluster = NULL;
   batch.settings = &settings;
+}
+
+/* Guards against a VM whose refusals can't be explained by its status, and
+   against a change where the access is not tracked.  */
+static void
+test_access (void)
+{
+  json_t *o;
+
+  setup ();
+  ac_init (&batch.access, batch.now_ms);
+  o = sh_status (&batch);
+  CU_ASSERT_PTR_NULL (json_object_get (o, "writes"));
+  json_decref (o);
+  settings.refuse_stalled_writes = 1;
+  batch.access.path[AC_WRITES].state = AC_STALLED;
+  o = sh_status (&batch);
+  CU_ASSERT_STRING_EQUAL (text (o, "writes"), "stalled");
+  CU_ASSERT_STRING_EQUAL (text (o, "reads"), "available");
+  json_decref (o);
+  settings.refuse_stalled_writes = 0;
   teardown ();
 }
 
@@ -136,8 +178,10 @@
 {
   static const CU_TestInfo tests[] = {
     { "status", test_status },
+    { "status of the scheduler", test_status_of_scheduler },
     { "job", test_job },
     { "accounts", test_accounts },
+    { "access", test_access },
     CU_TEST_INFO_NULL,
   };
 
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -12,15 +12,15 @@
   TICK_MS = 10,
   MAX_GAP_MS = 900,             /* between two faults */
   MAX_SHRINK_GAP_MS = 3000,     /* between two workers that shrink */
-  MAX_STALL_GAP_MS = 12000,     /* between two stalls of the writes */
   MAX_EVACUATION_GAP_MS = 6000, /* between two evacuations of a domain */
   /* Longer than the time after which nothing may start there.  */
   MAX_EVACUATION_MS = 2 * SF_EVACUATION_MS,
-  MAX_FAULT_MS = 6000,     /* longest duration of a fault */
-  MIN_FAULT_MS = 200,      /* shortest duration of a fault */
-  MAX_ACTIVE_FAULTS = 64,  /* concurrent faults */
-  MAX_LINK_DELAY_MS = 300, /* of a slow link */
-  ORDER_DELAY_MS = 2000,   /* delay of orders on a late worker */
+  MAX_STALL_GAP_MS = 12000, /* between two stalls of the writes */
+  MAX_FAULT_MS = 6000,      /* longest duration of a fault */
+  MIN_FAULT_MS = 200,       /* shortest duration of a fault */
+  MAX_ACTIVE_FAULTS = 64,   /* concurrent faults */
+  MAX_LINK_DELAY_MS = 300,  /* of a slow link */
+  ORDER_DELAY_MS = 2000,    /* delay of orders on a late worker */
   RESTART_MS = 300,    /* from the end of a fault to the restart of its VM */
   SHRUNK_PERCENT = 50, /* of its capacity that a worker keeps */
   MEMBERSHIP_MS = 4000 /* until the store reports a worker change */
@@ -444,6 +444,13 @@
           next_shrink
               = now + g_rand_int_range (p.shrink_rand, 0, MAX_SHRINK_GAP_MS);
         }
+      /* Only with the settings of access to the store; see so_vm_start.  */
+      if (s->seed % 2 && now >= next_stall)
+        {
+          stall_writes (&p, now);
+          next_stall
+              = now + g_rand_int_range (p.stall_rand, 0, MAX_STALL_GAP_MS);
+        }
       if (now >= next_evacuation)
         {
           inject_at_worker (&p, EVACUATED_DOMAIN, p.evacuation_rand,
@@ -452,13 +459,6 @@
                             + g_rand_int_range (p.evacuation_rand, 0,
                                                 MAX_EVACUATION_GAP_MS);
         }
-      /* Only with the settings of access to the store; see so_vm_start. */
-      if (s->seed % 2 && now >= next_stall)
-        {
-          stall_writes (&p, now);
-          next_stall
-              = now + g_rand_int_range (p.stall_rand, 0, MAX_STALL_GAP_MS);
-        }
       end_due_faults (&p, now);
       so_vm_reap (s);
       restart_vms (&p);
@@ -469,6 +469,6 @@
   restart_vms (&p);
   g_rand_free (p.rand);
   g_rand_free (p.shrink_rand);
-  g_rand_free (p.evacuation_rand);
   g_rand_free (p.stall_rand);
+  g_rand_free (p.evacuation_rand);
 }
