--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -285,6 +285,7 @@
   int starts_held;        /* the worker table is too old */
   int evacuations_held;   /* the requests are not confirmed recently enough */
   int surveys;            /* holds in progress that are no long polls */
+  int busy_workers;       /* at the last update of the counters */
   GHashTable *records;    /* id -> json_t, while loading */
   GPtrArray *loaded;      /* struct sj_job, while loading */
   char load_next_key[64];
@@ -294,7 +295,6 @@
   int64_t no_attempt_before_ms; /* to acquire the lease */
   int64_t jobs_seen_version;    /* job rows up to this version were handled */
   struct ba_commit commit;
-  int busy_workers; /* at the last update of the counters */
   int64_t stopping_at_ms, counted_ms, ticked_ms, tick_took_ms;
   struct ba_loop_times times;
 
