Scheduler: victims with fewer runs; targets on the deployment's fleet

The target of 8 % counts runs, and each stop costs orders, a record and a new start. Victims were compared by work alone, so that many small runs were stopped where one large one would have done. Each run counts five core seconds now.

test_stop_targets plays the fleet that the target is stated for: a quarter of the workers at 0.55 of their speed, the others at 1.2, with speed-aware. The fake cluster rounds speeds down no more.

--- a/src/steps/victim.c
+++ b/src/steps/victim.c
@@ -14,7 +14,10 @@
      percent of 8 s.  */
   NO_PROGRESS_MS = 1200,
   GANG_WAIT_PERCENT = 98, /* from here a task may wait for its gang */
-  NEARLY_DONE_FACTOR = 4  /* on the cost of stopping what ends anyway */
+  NEARLY_DONE_FACTOR = 4, /* on the cost of stopping what ends anyway */
+  /* Cost of the orders, the record and the new start of each run.  Without it
+     many small runs are stopped where one large one would do.  */
+  RUN_CORE_MS = 5000
 };
 
 int
@@ -110,6 +113,7 @@
     return cost;
   if (u->remaining_ms <= vi_stop_ms (c) + RESTART_MS)
     cost *= NEARLY_DONE_FACTOR;
+  cost += RUN_CORE_MS * (int64_t)u->count;
   return cost * MAX (u->run_number, 1);
 }
 
--- a/tests/steps/fake_cluster.c
+++ b/tests/steps/fake_cluster.c
@@ -588,6 +588,17 @@
       }
 }
 
+/* Work that X does in a tick at SPEED.  Ticks are rounded so that no speed is
+   lost in a run.  */
+static int64_t
+work_in_tick (const struct fa_cluster *f, const struct fa_run *x, double speed)
+{
+  int64_t ran_ms = f->now - x->started_ms;
+
+  return (int64_t)((double)ran_ms * speed)
+         - (int64_t)((double)(ran_ms - FA_TICK_MS) * speed);
+}
+
 /* Advances run I of W by a tick and ends it if it is due.  A gang advances
    only while all its tasks run.  */
 static void
@@ -611,7 +622,7 @@
   else
     {
       if (!w->stalled && !g_hash_table_contains (f->stalling, x->run.job))
-        x->done_ms += (int64_t)(FA_TICK_MS * w->speed);
+        x->done_ms += work_in_tick (f, x, w->speed);
       if (x->done_ms < x->work_ms
           && !(x->fails && x->done_ms > x->work_ms / 4))
         return;
--- a/tests/steps/fake_load.c
+++ b/tests/steps/fake_load.c
@@ -81,7 +81,7 @@
 
 void
 fl_init (struct fl_load *l, struct fa_cluster *f, unsigned seed,
-         double checkpointing)
+         double checkpointing, int uneven)
 {
   *l = (struct fl_load){ .cluster = f,
                          .checkpointing = checkpointing,
@@ -89,10 +89,15 @@
                          .account = "a" };
   fa_init (f, FL_WORKERS, FL_PER_RACK, seed);
   for (int i = 0; i < FL_WORKERS; i++)
-    f->worker[i].capacity = (struct sj_resources){ 32000, 65536, 8 };
+    {
+      f->worker[i].capacity = (struct sj_resources){ 32000, 65536, 8 };
+      if (uneven)
+        f->worker[i].speed = i % 4 ? 1.2 : 0.55;
+    }
   f->checkpoint_interval_ms = FL_CHECKPOINT_MS;
   f->run_scatter = 0.25;
   fl_set (&f->settings);
+  f->settings.speed_aware = uneven;
   fa_take_over (f);
   sj_set_note_fn (f->scheduler, count_preempted, l);
   sj_set_guarantee (f->scheduler, "a", FL_GUARANTEED);
@@ -152,14 +157,14 @@
 }
 
 void
-fl_play_oscillation (struct fl_total *t, struct fa_cluster *f)
+fl_play_oscillation (struct fl_total *t, struct fa_cluster *f, int uneven)
 {
   static struct fl_load l;
 
   *t = (struct fl_total){ 0 };
   for (unsigned seed = 1; seed <= FLEETS; seed++)
     {
-      fl_init (&l, f, seed, 0.45);
+      fl_init (&l, f, seed, 0.45, uneven);
       fl_run (&l, 60000, 2.5, 2.2);
       fa_run_ms (f, 5000);
       add_day (t, &l);
@@ -168,14 +173,14 @@
 }
 
 void
-fl_play_bursts (struct fl_total *t, struct fa_cluster *f)
+fl_play_bursts (struct fl_total *t, struct fa_cluster *f, int uneven)
 {
   static struct fl_load l;
 
   *t = (struct fl_total){ 0 };
   for (unsigned seed = 1; seed <= FLEETS; seed++)
     {
-      fl_init (&l, f, seed, 0.45);
+      fl_init (&l, f, seed, 0.45, uneven);
       fl_run (&l, 20000, 1, 2.2);
       fl_run (&l, 4000, 3, 2.2);
       fl_run (&l, 20000, 1, 2.2);
--- a/tests/steps/fake_load.h
+++ b/tests/steps/fake_load.h
@@ -40,9 +40,11 @@
 
 /* Sets the scheduler's settings against stops.  */
 void fl_set (struct sj_settings *settings);
-/* Begins F, a fleet of the deployment's shape with these settings.  */
+/* Begins F, a fleet of the deployment's shape with these settings.  If it is
+   UNEVEN, a quarter of the workers run at 0.55 of their speed and the others
+   at 1.2, and the scheduler learns the speeds.  */
 void fl_init (struct fl_load *l, struct fa_cluster *f, unsigned seed,
-              double checkpointing);
+              double checkpointing, int uneven);
 void fl_fini (struct fl_load *l);
 void fl_submit (struct fl_load *l, const struct fl_kind *k);
 /* Submits jobs for MS milliseconds, at multiples of the usual rates.  */
@@ -60,9 +62,10 @@
 
 /* Plays five fleets, as many workers as the deployment has, so loaded that a
    quarter of the runs are stopped without the settings.  */
-void fl_play_oscillation (struct fl_total *t, struct fa_cluster *f);
+void fl_play_oscillation (struct fl_total *t, struct fa_cluster *f,
+                          int uneven);
 /* The same with bursts of three times the urgent load.  */
-void fl_play_bursts (struct fl_total *t, struct fa_cluster *f);
+void fl_play_bursts (struct fl_total *t, struct fa_cluster *f, int uneven);
 void fl_print (const struct fl_total *t);
 
 #endif
--- a/tests/steps/test_hard_load.c
+++ b/tests/steps/test_hard_load.c
@@ -34,7 +34,7 @@
 {
   struct fl_total t;
 
-  fl_play_oscillation (&t, &cluster);
+  fl_play_oscillation (&t, &cluster, 0);
   check_preemptions (&t);
 }
 
@@ -44,7 +44,7 @@
 {
   struct fl_total t;
 
-  fl_play_bursts (&t, &cluster);
+  fl_play_bursts (&t, &cluster, 0);
   check_preemptions (&t);
 }
 
@@ -101,7 +101,7 @@
 {
   static struct fl_load l;
 
-  fl_init (&l, &cluster, seed, checkpointing);
+  fl_init (&l, &cluster, seed, checkpointing, 0);
   for (int i = 0; i < 40; i++)
     fl_submit (&l, i % 2 ? &fl_batch_wide : &fl_batch_narrow);
   l.account = "b";
@@ -278,7 +278,7 @@
   static struct fl_load l;
   struct sj_counts n;
 
-  fl_init (&l, &cluster, 1, 0.45);
+  fl_init (&l, &cluster, 1, 0.45, 0);
   fl_run (&l, 10000, 1, 3);
   for (int i = 0; i < 3; i++)
     fl_submit (&l, &fl_urgent);
--- a/tests/steps/test_stop_targets.c
+++ b/tests/steps/test_stop_targets.c
@@ -23,7 +23,7 @@
 {
   struct fl_total t;
 
-  fl_play_oscillation (&t, &cluster);
+  fl_play_oscillation (&t, &cluster, 1);
   check_targets (&t);
 }
 
@@ -33,7 +33,7 @@
 {
   struct fl_total t;
 
-  fl_play_bursts (&t, &cluster);
+  fl_play_bursts (&t, &cluster, 1);
   check_targets (&t);
 }
 
