--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -9,6 +9,8 @@
 #include <jansson.h>
 #include <stdint.h>
 
+#include "skr/domains.h"
+
 enum sj_error
 {
   SJ_OK = 0,
@@ -107,10 +109,12 @@
   const char *id;
   int64_t incarnation; /* start time of the incarnation; 0: unknown */
   const char *service, *kind, *rack;
+  const char *domain; /* failure domain; NULL: as known before, or unknown */
   struct sj_resources capacity;
   int draining;
-  int64_t remaining_ms; /* while draining: minimum time left */
-  int64_t version;      /* another one with each report of the worker */
+  int64_t remaining_ms;      /* while draining: minimum time left */
+  int64_t cold_remaining_ms; /* it is slow for so long after the report */
+  int64_t version;           /* another one with each report of the worker */
 };
 
 /* Identifies one run of one task.  */
@@ -139,7 +143,8 @@
   SJ_START_UNANSWERED, /* the start was not answered */
   SJ_JOB_ENDED,        /* the job was cancelled or failed */
   SJ_UNKNOWN_RUN,      /* listed by the worker, but no job has it */
-  SJ_DONE_ELSEWHERE    /* an earlier run of the task is done */
+  SJ_DONE_ELSEWHERE,   /* an earlier run of the task is done */
+  SJ_CAUSES            /* their number */
 };
 
 const char *sj_cause_name (enum sj_cause cause);
@@ -215,7 +220,28 @@
   SJ_NOTE_SPEED,         /* a worker's speed class has changed */
   SJ_NOTE_FLEET,         /* the workers' speeds have become uneven or even */
   SJ_NOTE_SLOW_KEPT,     /* a slow run is not moved */
-  SJ_NOTE_FAST_WAIT      /* a unit waits for a fast worker */
+  SJ_NOTE_FAST_WAIT,     /* a unit waits for a fast worker */
+  SJ_NOTE_PREEMPTED,     /* runs were stopped so that others fit */
+  SJ_NOTE_WAITS,         /* work waits for capacity instead */
+  SJ_NOTE_HEADROOM,      /* the capacity kept for urgent work has changed */
+  SJ_NOTE_STOP_OVERDUE,  /* a stopped run still occupies its worker */
+  SJ_NOTE_STOPPED,       /* runs were stopped, for any cause */
+  SJ_NOTE_PASSED_OVER,   /* a step was moved behind another account's */
+  SJ_NOTE_ACCOUNT_SHARE, /* an account is above its share, or no more */
+  SJ_NOTE_WEIGHT,        /* a weight below 1 was configured; 1 is used */
+  SJ_NOTE_SCARCE         /* units wait that do not fit, or no more */
+};
+
+/* An account's part of the fleet.  Its share is the largest of its fractions
+   of cores, memory and accelerators.  */
+struct sj_account_share
+{
+  const char *name;
+  int64_t weight;
+  int64_t running, waiting; /* tasks */
+  int share_permille;
+  int entitled_permille; /* part that is due to it */
+  int is_over;           /* above its share */
 };
 
 /* Something that the scheduler learned, for the log.  Its strings are valid
@@ -266,6 +292,57 @@
       struct sj_run run;   /* of the unit's first task */
       int64_t expected_ms; /* until a fast worker is free */
     } fast_wait;
+    struct
+    {
+      const char *job; /* that is to start */
+      int tasks;
+      int victims, runs;    /* units and runs that were stopped */
+      int64_t lost_core_ms; /* work thrown away */
+      int64_t waited_ms;
+      const char *reason; /* why the stops were not avoided */
+    } preempted;
+    struct
+    {
+      const char *job;
+      int tasks;
+      int64_t until_ms; /* latest time from now until runs are stopped */
+    } waits;
+    struct
+    {
+      int64_t kept, used, idle; /* accelerators */
+      int is_forecast;
+      double jobs_per_s, peak_per_s; /* of urgent arrivals */
+    } headroom;
+    struct
+    {
+      struct sj_run run;
+      int64_t since_ms;
+    } overdue;
+    struct
+    {
+      enum sj_cause cause;
+      int runs;
+      int64_t lost_core_ms;
+    } stopped;
+    struct
+    {
+      char job[SJ_ID_SIZE], ahead_job[SJ_ID_SIZE];
+      int step;
+      struct sj_account_share account, ahead;
+      int64_t waited_ms;      /* of the step that was passed over */
+      int64_t ahead_slack_ms; /* until the latest start of the other one */
+      int64_t ahead_wait_ms;  /* its wait, were it not ahead */
+    } passed_over;
+    struct sj_account_share account; /* SJ_NOTE_ACCOUNT_SHARE */
+    struct
+    {
+      const char *account;
+      int64_t weight; /* as configured */
+    } weight;
+    struct
+    {
+      int is_scarce, waiting; /* waiting: steps */
+    } scarce;
   } u;
 };
 
@@ -277,7 +354,20 @@
   /* Least time from when a silent worker became known until its runs count
      as ended.  */
   int64_t silent_timeout_ms;
+  /* Closed failure domains, where nothing starts.  NULL: requests to close
+     domains are not served, and cold workers are treated as others.  Must
+     outlive the scheduler.  */
+  const struct dm_domains *domains;
   int speed_aware; /* learn and use the workers' speeds and the run times */
+  int headroom_forecast; /* keep capacity free by the forecast of demand */
+  /* Time within which guaranteed work must start; 0: unknown, and work is
+     stopped for other work as soon as that does not fit.  */
+  int64_t reclaim_ms;
+  int64_t stop_ms;                /* longest time a stop takes; 0: unknown */
+  int64_t checkpoint_interval_ms; /* between two checkpoints; 0: unknown */
+  /* 1: while capacity is scarce, accounts above their share give way to units
+     of others that would be late; 0: order by rank and latest start alone.  */
+  int64_t fair_share;
 };
 
 struct sj_cluster; /* opaque */
@@ -354,6 +444,12 @@
                        const struct sj_run *run, enum sj_answer answer,
                        int64_t now);
 
+/* Applies a change of the closed domains.  */
+void sj_domains_changed (struct sj_cluster *c);
+/* Counts the workers of failure domain NAME and the runs on them.  */
+void sj_count_domain (const struct sj_cluster *c, const char *name,
+                      int *workers, int *runs);
+
 /* While HELD, no start is decided or sent, as the workers' states are not
    known well enough.  */
 void sj_hold_starts (struct sj_cluster *c, int held);
@@ -389,16 +485,28 @@
 struct sj_counts
 {
   int jobs, waiting, runs, workers, usable_workers, busy_workers;
+  int closed_workers; /* in closed failure domains */
   int64_t accelerators_used, accelerators;
   /* With speed_aware: workers by speed class, whether their speeds differ, and
      how often a slow run was not moved and a unit waited for a fast worker. */
   int fast_workers, medium_workers, slow_workers, unknown_workers;
   int speeds_uneven;
   int64_t slow_kept, fast_waits;
+  /* Accelerators kept free for urgent work, and those of them in use.  */
+  int64_t headroom_kept, headroom_used;
+  /* Since the cluster was created: decisions to preempt, runs stopped for any
+     cause, and the work that these threw away.  */
+  int64_t preemptions, stopped_runs, lost_core_ms;
 };
 /* Fills OUT with the current counts.  */
 void sj_count (struct sj_cluster *c, struct sj_counts *out);
 
+/* Fills OUT with the shares of up to MAX accounts as of the last decision
+   round and returns their number; 0 without fair shares.  The names are valid
+   until the next call that adds a job or an account.  */
+int sj_account_shares (const struct sj_cluster *c,
+                       struct sj_account_share *out, int max);
+
 /* Checks that no worker is over its capacity, that used capacity is counted
    correctly and that no unit runs in part.  Aborts with a message
    otherwise.  */
--- a/src/batch/counters.c
+++ b/src/batch/counters.c
@@ -1,6 +1,23 @@
 /* Counters, gauges and latency histograms of the process.  */
+#include <stdio.h>
+
 #include "batch/batch.h"
 
+/* The series of stopped runs, one for each cause.  */
+static void
+init_causes (struct batch *b)
+{
+  for (int i = 0; i < SJ_CAUSES; i++)
+    {
+      char labels[ST_LABELS_SIZE];
+
+      snprintf (labels, sizeof labels, "cause=\"%s\"",
+                sj_cause_name ((enum sj_cause)i));
+      b->counters.stopped_runs[i] = st_series (
+          &b->stats, ST_COUNTER, "skr_batch_stopped_runs_total", labels);
+    }
+}
+
 int
 co_init (struct batch *b)
 {
@@ -20,10 +37,42 @@
   c->lost_runs = st_series (r, ST_COUNTER, "skr_batch_lost_runs_total", "");
   c->given_up_tasks
       = st_series (r, ST_COUNTER, "skr_batch_given_up_tasks_total", "");
+  c->passed_over_jobs
+      = st_series (r, ST_COUNTER, "skr_batch_passed_over_jobs_total", "");
+  c->accounts_over
+      = st_series (r, ST_GAUGE, "skr_batch_accounts_over_share", "");
+  c->accounts_waiting
+      = st_series (r, ST_GAUGE, "skr_batch_accounts_waiting", "");
   c->commits = st_series (r, ST_COUNTER, "skr_batch_commits_total", "");
   c->store_calls
       = st_series (r, ST_COUNTER, "skr_batch_store_calls_total", "");
   c->holds = st_series (r, ST_COUNTER, "skr_batch_holds_total", "");
+  c->probes = st_series (r, ST_COUNTER, "skr_batch_store_probes_total", "");
+  c->stalled_refusals
+      = st_series (r, ST_COUNTER, "skr_batch_stalled_refusals_total", "");
+  c->early_unknown
+      = st_series (r, ST_COUNTER, "skr_batch_early_unknown_total", "");
+  c->relayed = st_series (r, ST_COUNTER, "skr_batch_relayed_total", "");
+  c->relay_unknown
+      = st_series (r, ST_COUNTER, "skr_batch_relay_unknown_total", "");
+  c->relay_not_run
+      = st_series (r, ST_COUNTER, "skr_batch_relay_not_run_total", "");
+  c->relay_received
+      = st_series (r, ST_COUNTER, "skr_batch_relay_received_total", "");
+  c->reads_state = st_series (r, ST_GAUGE, "skr_batch_store_reads_state", "");
+  c->writes_state
+      = st_series (r, ST_GAUGE, "skr_batch_store_writes_state", "");
+  init_causes (b);
+  c->lost_core_ms
+      = st_series (r, ST_COUNTER, "skr_batch_lost_core_ms_total", "");
+  c->preemptions
+      = st_series (r, ST_COUNTER, "skr_batch_preemptions_total", "");
+  c->preemptions_avoided
+      = st_series (r, ST_COUNTER, "skr_batch_preemptions_avoided_total", "");
+  c->headroom_kept
+      = st_series (r, ST_GAUGE, "skr_batch_headroom_accelerators", "");
+  c->headroom_used
+      = st_series (r, ST_GAUGE, "skr_batch_headroom_used_accelerators", "");
   c->store_wait
       = st_series (r, ST_HISTOGRAM, "skr_batch_store_wait_seconds", "");
   c->commit_duration
@@ -46,6 +95,8 @@
   c->unknown_workers = st_series (r, ST_GAUGE, "skr_batch_speed_workers",
                                   "class=\"unknown\"");
   c->is_holder = st_series (r, ST_GAUGE, "skr_batch_holder", "");
+  c->closed_domains = st_series (r, ST_GAUGE, "skr_batch_closed_domains", "");
+  c->closed_workers = st_series (r, ST_GAUGE, "skr_batch_closed_workers", "");
   return c->shard < 0 ? BS_ENOMEM : BS_OK;
 }
 
@@ -55,6 +106,25 @@
   st_add (&b->stats, b->counters.shard, series, n);
 }
 
+/* Gauges of the accounts' shares; 0 without fair shares.  */
+static void
+set_account_gauges (struct batch *b)
+{
+  struct ba_counters *c = &b->counters;
+  struct sj_account_share account[BA_MAX_ACCOUNTS];
+  int n = b->cluster ? sj_account_shares (b->cluster, account, BA_MAX_ACCOUNTS)
+                     : 0;
+  int over = 0, waiting = 0;
+
+  for (int i = 0; i < n; i++)
+    {
+      over += account[i].is_over;
+      waiting += account[i].waiting > 0;
+    }
+  st_set (&b->stats, c->shard, c->accounts_over, over);
+  st_set (&b->stats, c->shard, c->accounts_waiting, waiting);
+}
+
 void
 co_tick (struct batch *b)
 {
@@ -73,5 +143,13 @@
   st_set (&b->stats, c->shard, c->medium_workers, n.medium_workers);
   st_set (&b->stats, c->shard, c->slow_workers, n.slow_workers);
   st_set (&b->stats, c->shard, c->unknown_workers, n.unknown_workers);
+  st_set (&b->stats, c->shard, c->headroom_kept, n.headroom_kept);
+  st_set (&b->stats, c->shard, c->headroom_used, n.headroom_used);
   st_set (&b->stats, c->shard, c->is_holder, b->phase == BA_ACTIVE);
+  st_set (&b->stats, c->shard, c->reads_state, b->access.path[AC_READS].state);
+  st_set (&b->stats, c->shard, c->writes_state,
+          b->access.path[AC_WRITES].state);
+  st_set (&b->stats, c->shard, c->closed_domains, b->domains.count);
+  st_set (&b->stats, c->shard, c->closed_workers, n.closed_workers);
+  set_account_gauges (b);
 }
--- a/src/batch/tables.c
+++ b/src/batch/tables.c
@@ -7,6 +7,10 @@
 {
   CONFIG_WAIT_MS = 1500, /* below half of the default time after which a
                             revoked key must be refused */
+  /* The same while requests to evacuate a domain are served.  A poll that
+     returns a change confirms the table as of its sending only, so that a
+     confirmation may be two polls old: starts are held after 3 s.  */
+  REQUEST_WAIT_MS = 1000,
   /* Duration of a long poll for jobs.  Its reply also shows that the store is
      available, so JOB_WAIT_MS + JOB_GAP_MS must stay below the store's
      timeout.  */
@@ -44,22 +48,23 @@
 }
 
 static void
-apply_config_row (struct batch *b, const struct po_row *row, int generation)
+log_not_served (const struct po_row *row)
+{
+  struct lg_field f[]
+      = { lg_str ("table", row->table), lg_str ("key", row->key) };
+
+  if (!row->deleted)
+    lg_log (LG_NOT_SERVED, 2, f);
+}
+
+static void
+apply_config_row (struct batch *b, const struct po_row *row)
 {
   const char *reason = "";
   struct qu_config *c;
 
-  (void)generation;
   if (row->deleted)
     return;
-  if (!po_is_config (row))
-    {
-      struct lg_field f[]
-          = { lg_str ("table", row->table), lg_str ("key", row->key) };
-
-      lg_log (LG_NOT_SERVED, 2, f);
-      return;
-    }
   c = po_config_read (row->value, &reason);
   if (c && b->config && c->version <= b->config->version)
     {
@@ -74,6 +79,28 @@
   ba_apply_guarantees (b);
 }
 
+static void
+apply_operator_row (struct batch *b, const struct po_row *row, int generation)
+{
+  struct po_operator_row op = po_operator_read (row);
+
+  switch (op.kind)
+    {
+    case PO_OPERATOR_CONFIG:
+      apply_config_row (b, row);
+      break;
+    case PO_OPERATOR_EVACUATE:
+      if (ev_is_served (b))
+        ev_on_row (b, row, &op, generation);
+      else
+        log_not_served (row);
+      break;
+    case PO_OPERATOR_OTHER:
+      log_not_served (row);
+      break;
+    }
+}
+
 static void
 apply_lease_row (struct batch *b, const struct po_row *row)
 {
@@ -87,6 +114,9 @@
 {
   char id[SJ_ID_SIZE];
 
+  /* A scan also returns rows that were written long ago.  */
+  if (b->job_follower.synced)
+    ba_note_write_seen (b);
   if (vw_parse_key (row->key, id) == VW_LEASE)
     {
       apply_lease_row (b, row);
@@ -114,24 +144,26 @@
 }
 
 void
-ta_check_workers (struct batch *b)
+ta_check_starts (struct batch *b)
 {
   int64_t age_ms = b->now_ms - b->worker_follower.fresh_ms;
   int held = age_ms > WORKER_TABLE_MAX_AGE_MS;
   struct lg_field f[] = { lg_int ("held", held), lg_int ("age_ms", age_ms) };
 
-  if (held == b->starts_held)
-    return;
+  if (held != b->starts_held)
+    lg_log (LG_STARTS_HELD, 2, f);
   b->starts_held = held;
-  lg_log (LG_STARTS_HELD, 2, f);
+  held |= ev_check_starts (b);
   sj_hold_starts (b->cluster, held);
 }
 
 void
 ta_init (struct batch *b)
 {
-  fo_init (b, &b->config_follower, po_config_table (), CONFIG_WAIT_MS, 0);
-  b->config_follower.on_row = apply_config_row;
+  fo_init (b, &b->config_follower, po_config_table (),
+           ev_is_served (b) ? REQUEST_WAIT_MS : CONFIG_WAIT_MS, 0);
+  b->config_follower.on_row = apply_operator_row;
+  b->config_follower.on_synced = ev_on_synced;
   fo_init (b, &b->job_follower, "jobs", JOB_WAIT_MS, JOB_GAP_MS);
   b->job_follower.on_row = apply_job_row;
   b->job_follower.on_synced = on_jobs_synced;
--- a/src/steps/cluster.c
+++ b/src/steps/cluster.c
@@ -23,6 +23,7 @@
   c->kept_apart = g_new0 (int, 1);
   rk_init (c);
   sd_init (c);
+  fs_init (&c->shares);
   g_queue_init (&c->dirty_jobs);
   c->worker_list = g_ptr_array_new ();
   c->job_list = g_ptr_array_new ();
@@ -52,6 +53,7 @@
   g_hash_table_destroy (c->unresolved_workers);
   g_ptr_array_free (c->given_up, TRUE);
   g_free (c->kept_apart);
+  fs_fini (&c->shares);
   g_free (c);
 }
 
@@ -61,6 +63,7 @@
 {
   gint64 *n = g_new (gint64, 1);
 
+  as_set_weight (c, account, accelerators);
   *n = accelerators;
   g_hash_table_replace (c->guarantees, g_strdup (account), n);
   c->changed = 1;
@@ -216,6 +219,11 @@
 sj_count (struct sj_cluster *c, struct sj_counts *out)
 {
   *out = (struct sj_counts){ .workers = (int)c->worker_list->len };
+  out->headroom_kept = c->headroom.kept;
+  out->headroom_used = c->headroom.used;
+  out->preemptions = c->preemptions;
+  out->stopped_runs = c->stopped_runs;
+  out->lost_core_ms = c->lost_core_ms;
   for (guint i = 0; i < c->job_list->len; i++)
     {
       const struct job *j = g_ptr_array_index (c->job_list, i);
@@ -229,6 +237,7 @@
 
       out->runs += (int)w->members->len;
       out->usable_workers += wo_usable (c, w);
+      out->closed_workers += w->listed && w->domain_closed;
       out->busy_workers += w->members->len > 0;
       out->accelerators_used += w->used.accelerators;
       out->accelerators += w->listed ? w->capacity.accelerators : 0;
--- a/src/steps/placement.c
+++ b/src/steps/placement.c
@@ -11,7 +11,7 @@
 {
   struct worker *worker;
   int tasks; /* tasks of the unit that fit */
-  int is_slow;
+  int is_slow, is_cold;
   int order;    /* by speed class; the lowest first */
   int stranded; /* by the unit, in steps of STRANDED_STEP; the least first */
 };
@@ -21,7 +21,8 @@
 enum
 {
   LEVELS = 4,
-  MIXED = LEVELS, /* grade of a batch gang on workers of several classes */
+  MIXED = LEVELS,    /* grade of a batch gang on workers of several classes */
+  COLD = 2 * LEVELS, /* added to the grade of a rack with cold workers */
   /* Workers that the unit leaves with a similar imbalance are chosen by best
      fit.  */
   STRANDED_STEP = 250,
@@ -176,7 +177,7 @@
   return (stranded (&available, &w->capacity) - before) / STRANDED_STEP;
 }
 
-/* Best first: not slow, of the preferred class, with the least capacity
+/* Best first: warm, not slow, of the preferred class, with the least capacity
    stranded, then with the least free capacity.  */
 static int
 by_fit (const void *a, const void *b)
@@ -184,6 +185,8 @@
   const struct candidate *p = a, *q = b;
   const struct worker *x = p->worker, *y = q->worker;
 
+  if (p->is_cold != q->is_cold)
+    return p->is_cold - q->is_cold;
   if (p->is_slow != q->is_slow)
     return p->is_slow - q->is_slow;
   if (p->order != q->order)
@@ -217,6 +220,7 @@
       out[n++] = (struct candidate){ .worker = w,
                                      .tasks = tasks,
                                      .is_slow = he_is_slow_worker (c, w),
+                                     .is_cold = wo_is_cold (c, w),
                                      .stranded
                                      = stranded_by (c, u, w, after_stops) };
       *total += tasks;
@@ -300,29 +304,32 @@
 }
 
 /* Tasks of U that fit in R.  *GRADE is set as by choose_level, to 0 without
-   speeds.  */
+   speeds, and is higher by COLD if U needs cold workers there.  */
 static int
 tasks_fitting_in (const struct sj_cluster *c, const struct unit *u,
                   const struct rack *r, int after_stops, int *grade)
 {
-  int by_level[LEVELS] = { 0 }, n = 0;
+  int by_level[LEVELS] = { 0 }, n = 0, cold = 0;
 
   for (guint i = 0; i < r->workers->len; i++)
     {
       const struct worker *w = g_ptr_array_index (r->workers, i);
       int tasks = tasks_fitting_on (c, u, w, after_stops);
 
+      cold += wo_is_cold (c, w) ? tasks : 0;
       by_level[level_of (c, w)] += tasks;
       n += tasks;
     }
   *grade = 0;
   if (c->settings.speed_aware && c->fleet.is_uneven && n >= u->count)
     choose_level (c, u, by_level, grade);
+  if (n - cold < u->count)
+    *grade += COLD;
   return n;
 }
 
-/* The rack that holds U on workers of the preferred speed and with the least
-   capacity to spare, or NULL.  */
+/* The rack that holds U on warm workers, if possible, of the preferred speed
+   and with the least capacity to spare, or NULL.  */
 static const struct rack *
 tightest_rack (struct sj_cluster *c, const struct unit *u, int after_stops)
 {
@@ -347,8 +354,9 @@
   return best;
 }
 
-/* Rack of an active unit of the same step, or NULL.  Used for a step that
-   stays in one rack although its tasks start separately.  */
+/* Rack of an active unit of the same step that more tasks may join, or NULL.
+   Used for a step that stays in one rack although its tasks start
+   separately.  A rack in a closed domain is left behind.  */
 static const struct rack *
 rack_of_siblings (const struct unit *u)
 {
@@ -358,12 +366,30 @@
     {
       const struct unit *other = g_ptr_array_index (j->units, i);
 
-      if (other != u && other->members && un_same_step (other, u))
+      if (other != u && other->members && un_same_step (other, u)
+          && !other->members[0].worker->domain_closed)
         return other->members[0].worker->rack;
     }
   return NULL;
 }
 
+/* Whether U runs away from tasks of its step that run in a closed domain.  */
+static int
+leaves_siblings_behind (const struct unit *u)
+{
+  const struct job *j = u->job;
+
+  for (guint i = 0; i < j->units->len; i++)
+    {
+      const struct unit *other = g_ptr_array_index (j->units, i);
+
+      if (other != u && other->members && un_same_step (other, u)
+          && other->members[0].worker->domain_closed)
+        return 1;
+    }
+  return 0;
+}
+
 /* The rack in which U should run, or NULL.  */
 static const struct rack *
 preferred_rack (struct sj_cluster *c, const struct unit *u, int after_stops)
@@ -406,7 +432,8 @@
       if (rack)
         placed
             = place_in_rack (c, u, after_stops, rack, candidates, placement);
-      *off_rack = !placed;
+      *off_rack
+          = !placed || (!un_step (u)->data_rack && leaves_siblings_behind (u));
     }
   if (!placed && (!is_step_rack_bound (un_step (u)) || allow_off_rack))
     placed = place_in_rack (c, u, after_stops, NULL, candidates, placement);
