--- a/src/steps/placement.c
+++ b/src/steps/placement.c
@@ -231,12 +231,12 @@
 /* The slowest level that U should use, of workers that fit TASKS tasks by
    level.  *GRADE is set to how good that is, 0 the best.  */
 static int
-choose_level (const struct sj_cluster *c, const struct unit *u,
-              const int *tasks, int *grade)
+choose_level (const struct unit *u, int wants_fast, const int *tasks,
+              int *grade)
 {
   int sum = 0;
 
-  if (sd_wants_fast (c, u))
+  if (wants_fast)
     {
       for (*grade = 0; *grade < LEVELS - 1; ++*grade)
         if ((sum += tasks[*grade]) >= u->count)
@@ -266,7 +266,7 @@
     return;
   for (int i = 0; i < n; i++)
     tasks[level_of (c, list[i].worker)] += list[i].tasks;
-  level = choose_level (c, u, tasks, &grade);
+  level = choose_level (u, sd_wants_fast (c, u), tasks, &grade);
   for (int i = 0; i < n; i++)
     {
       int at = level_of (c, list[i].worker);
@@ -307,7 +307,8 @@
    speeds, and is higher by COLD if U needs cold workers there.  */
 static int
 tasks_fitting_in (const struct sj_cluster *c, const struct unit *u,
-                  const struct rack *r, int after_stops, int *grade)
+                  const struct rack *r, int after_stops, int wants_fast,
+                  int *grade)
 {
   int by_level[LEVELS] = { 0 }, n = 0, cold = 0;
 
@@ -322,7 +323,7 @@
     }
   *grade = 0;
   if (c->settings.speed_aware && c->fleet.is_uneven && n >= u->count)
-    choose_level (c, u, by_level, grade);
+    choose_level (u, wants_fast, by_level, grade);
   if (n - cold < u->count)
     *grade += COLD;
   return n;
@@ -335,11 +336,13 @@
 {
   const struct rack *best = NULL;
   int least = 0, best_grade = 0;
+  int wants_fast = c->settings.speed_aware && sd_wants_fast (c, u);
 
   for (guint i = 0; i < c->rack_list->len; i++)
     {
       const struct rack *r = g_ptr_array_index (c->rack_list, i);
-      int grade, n = tasks_fitting_in (c, u, r, after_stops, &grade);
+      int grade,
+          n = tasks_fitting_in (c, u, r, after_stops, wants_fast, &grade);
 
       if (n < u->count || (best && grade > best_grade))
         continue;
