Probe reads while a write probe has no answer

A VM that got no answers at all told that from a stall of all writes by the age of its polls. It now probes reads too, and relays once that has had no answer for 300 ms.

tests/access/test_access "silent whole" is new.

--- a/include/skr/access.h
+++ b/include/skr/access.h
@@ -70,6 +70,8 @@
   int64_t probe_ms;      /* first probe since the last sign of a write */
   int64_t own_probe_ms;  /* first probe since the last own answer */
   int64_t next_probe_ms; /* earliest time of the next probe */
+  int64_t read_probe_ms; /* first read probe since the last one was answered */
+  int64_t next_read_probe_ms;
   int64_t refused_at_ms; /* of the last refused caller */
   int refused;           /* callers since the last pause in refusals */
   struct ac_caller caller[AC_CALLERS];
@@ -96,6 +98,12 @@
 int ac_probe_is_due (const struct ac_access *a, int64_t now);
 /* Notes that a probe was sent; also counts as ac_sent.  */
 void ac_probe_sent (struct ac_access *a, int64_t now);
+/* The same for reads, while a write probe has no answer.  The polls of the
+   tables do not show it: one that was sent before an outage is answered up to
+   its length later.  */
+int ac_read_probe_is_due (const struct ac_access *a, int64_t now);
+void ac_read_probe_sent (struct ac_access *a, int64_t now);
+void ac_read_probe_answered (struct ac_access *a);
 /* Updates the states; called regularly.  A gap between two calls counts as
    200 ms at most, so that answers that wait while the VM is suspended are not
    taken for missing.  Returns a bit for each path whose state has changed
--- a/src/access/state.c
+++ b/src/access/state.c
@@ -18,8 +18,6 @@
   /* The holder renews its lease every 400 ms and a follower sees that 250 ms
      later; a longer silence is probed.  */
   QUIET_MS = 1000,
-  /* The poll of the table of jobs is answered after 1.05 s at the latest.  */
-  READS_SILENT_MS = 1100,
   REFUSED_MS = 300, /* writes count as refused after so long and so many */
   REFUSED_CALLS = 3
 };
@@ -154,6 +152,29 @@
   ac_sent (a, AC_WRITES, now);
 }
 
+int
+ac_read_probe_is_due (const struct ac_access *a, int64_t now)
+{
+  return a->own_probe_ms && awake_ms (a, now) >= a->next_read_probe_ms;
+}
+
+void
+ac_read_probe_sent (struct ac_access *a, int64_t now)
+{
+  int64_t awake = awake_ms (a, now);
+
+  a->next_read_probe_ms = awake + PROBE_GAP_MS;
+  if (!a->read_probe_ms)
+    a->read_probe_ms = awake;
+  ac_sent (a, AC_READS, now);
+}
+
+void
+ac_read_probe_answered (struct ac_access *a)
+{
+  a->read_probe_ms = 0;
+}
+
 /* Returns 1 if writes of this VM have had no answer since FROM, the awake
    time, and the probe sent at PROBE_MS confirms it.  */
 static int
@@ -235,10 +256,8 @@
   const struct ac_path *p = &a->path[AC_WRITES];
   int64_t awake = awake_ms (a, now);
 
-  int64_t unread_ms = a->path[AC_READS].unanswered_ms;
-
   if (p->state == AC_STALLED)
-    return unread_ms && awake - unread_ms >= READS_SILENT_MS;
+    return a->read_probe_ms && awake - a->read_probe_ms >= PROBE_CONFIRMS_MS;
   if (p->state == AC_REFUSED && a->path[AC_READS].state != AC_AVAILABLE)
     return 1;
   if (awake - a->seen_ms >= WRITES_STALLED_MS)
--- a/src/batch/access.c
+++ b/src/batch/access.c
@@ -24,8 +24,14 @@
 int
 ba_relays_reads (const struct batch *b)
 {
+  const struct ac_access *a = &b->access;
+  /* Then a read probe has no answer either.  */
+  int is_silent
+      = a->path[AC_WRITES].state == AC_STALLED && ac_is_cut_off (a, b->now_ms);
+
   return b->relay.peers
-         && (b->store_down || b->access.path[AC_READS].state != AC_AVAILABLE);
+         && (b->store_down || is_silent
+             || a->path[AC_READS].state != AC_AVAILABLE);
 }
 
 int
@@ -51,6 +57,7 @@
     case BA_LOAD_RECORDS:
     case BA_LOAD_JOBS:
     case BA_LOOKUP:
+    case BA_READ_PROBE:
       break;
     }
   return AC_READS;
@@ -73,6 +80,8 @@
     reply = AC_NOT_DONE;
   else if (result == PO_UNKNOWN)
     reply = AC_LOST;
+  if (call->purpose == BA_READ_PROBE && reply == AC_ANSWERED)
+    ac_read_probe_answered (&b->access);
   ac_replied (&b->access, path_of (call->purpose), reply, b->now_ms);
 }
 
@@ -121,6 +130,20 @@
   co_add (b, b->counters.probes, 1);
 }
 
+static void
+send_read_probe (struct batch *b)
+{
+  struct ba_store_call *call = ba_new_store_call (b, BA_READ_PROBE);
+
+  if (po_read (&b->entry_port, "jobs", "~probe", "~probe~", PROBE_TIMEOUT_MS,
+               ba_on_store_reply, call))
+    {
+      g_free (call);
+      return;
+    }
+  ac_read_probe_sent (&b->access, b->now_ms);
+}
+
 void
 ba_access_tick (struct batch *b)
 {
@@ -136,6 +159,8 @@
      returns.  */
   if (!b->store_down && ac_probe_is_due (&b->access, b->now_ms))
     send_probe (b);
+  else if (!b->store_down && ac_read_probe_is_due (&b->access, b->now_ms))
+    send_read_probe (b);
 }
 
 int
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -46,7 +46,8 @@
   BA_SUBMIT,
   BA_LOOKUP,
   BA_CANCEL,
-  BA_PROBE,  /* a write without effect; see access.c */
+  BA_PROBE, /* a write without effect; see access.c */
+  BA_READ_PROBE,
   BA_PUBLISH /* the row for the relay */
 };
 
--- a/src/batch/loop.c
+++ b/src/batch/loop.c
@@ -79,6 +79,7 @@
         pe_on_reply (call->pending, rows);
       break;
     case BA_PROBE:
+    case BA_READ_PROBE:
       break;
     case BA_PUBLISH:
       rl_on_publish_reply (b, rows);
--- a/tests/access/test_access.c
+++ b/tests/access/test_access.c
@@ -16,6 +16,7 @@
 static struct
 {
   int silent, refuses;
+  int reads_silent;
   int delay_ms;
   int64_t answer_at_ms[MAX_WRITES];
   int waiting, probes;
@@ -44,6 +45,12 @@
         store.answer_at_ms[i] = store.answer_at_ms[--store.waiting];
       }
   ac_tick (&access, now);
+  if (ac_read_probe_is_due (&access, now))
+    {
+      ac_read_probe_sent (&access, now);
+      if (!store.reads_silent)
+        ac_read_probe_answered (&access);
+    }
   if (!ac_probe_is_due (&access, now))
     return;
   ac_probe_sent (&access, now);
@@ -230,6 +237,24 @@
   CU_ASSERT (ac_is_cut_off (&access, now));
 }
 
+/* Guards against refusals by a VM that the store does not answer at all, while
+   an earlier poll is still answered.  */
+static void
+test_cut_off_without_answers (void)
+{
+  setup ();
+  store.silent = store.reads_silent = 1;
+  send_write ();
+  run (820);
+  ac_replied (&access, AC_READS, AC_ANSWERED, now);
+  CU_ASSERT_EQUAL (writes (), AC_STALLED);
+  CU_ASSERT (ac_is_cut_off (&access, now));
+  store.reads_silent = 0;
+  run (500);
+  CU_ASSERT_EQUAL (writes (), AC_STALLED);
+  CU_ASSERT (!ac_is_cut_off (&access, now));
+}
+
 /* Guards against giving up a request that the store could still serve.  */
 static void
 test_hopeless_once_the_outage_is_longer_than_the_rest (void)
@@ -326,6 +351,7 @@
     { "one lost", test_one_lost_write_is_no_stall },
     { "refusals", test_refusals },
     { "refused whole", test_cut_off_without_reads },
+    { "silent whole", test_cut_off_without_answers },
     { "hopeless", test_hopeless_once_the_outage_is_longer_than_the_rest },
     { "reads", test_reads_have_their_own_state },
     { "retry-after", test_retry_after_grows_and_spreads },
