--- a/src/base/events.c
+++ b/src/base/events.c
@@ -172,6 +172,97 @@
     "An attempt of a job was lost with a worker and is taken for the cause; "
     "given_up tells whether the job was ended for it.",
     "if one job is lost again and again, look at the job" },
+  { LG_DOMAIN_CLOSED, LG_NOTICE, "domain-closed",
+    "domain version workers runs closed_ms reason",
+    "The operators evacuate a failure domain: nothing is started there, and "
+    "what runs there goes on.  Version is that of the request's row.  The "
+    "holder counts the workers and the runs there; others log -1.",
+    "none; the request is withdrawn by deleting its row" },
+  { LG_DOMAIN_REOPENED, LG_NOTICE, "domain-reopened",
+    "domain version workers runs closed_ms reason",
+    "The request to evacuate the domain was withdrawn, after closed_ms.  "
+    "Version is that of the deletion, or 0 if a full scan of the table did "
+    "not list the request.",
+    "none" },
+  { LG_EVACUATION_UNUSUAL, LG_WARNING, "evacuation-unusual",
+    "key version reason",
+    "A request to evacuate a failure domain names no domain or one without "
+    "workers, has an unreadable value, or repeats another.  All but a request "
+    "without a name count.",
+    "check the row of the request" },
+  { LG_EVACUATION_UNCONFIRMED, LG_NOTICE, "evacuation-unconfirmed",
+    "held age_ms",
+    "No task starts while the table of the operators' requests was not "
+    "confirmed for too long, as a request may have been missed (held 1), or "
+    "tasks start again (held 0).",
+    "check the platform's table" },
+  { LG_WORKER_SPEED, LG_INFO, "worker-speed",
+    "worker was class speed_percent samples",
+    "The worker's speed class has changed; speed_percent is the speed of its "
+    "class relative to the fast workers, samples counts the runs that show "
+    "it.",
+    "if a worker turns slow alone, check the worker" },
+  { LG_FLEET_SPEEDS, LG_NOTICE, "fleet-speeds",
+    "uneven classes spread_percent noise_percent fast medium slow unknown",
+    "The workers' speeds differ by more than a factor of 1.25 (uneven 1), so "
+    "that urgent work takes fast workers first, or no longer do (uneven 0); "
+    "the last fields count workers.",
+    "none" },
+  { LG_SLOW_RUN_KEPT, LG_INFO, "slow-run-kept",
+    "id occurrence step task run worker pace_percent worker_percent",
+    "A run is slow and is not moved: its worker is of a slow class, no worker "
+    "that would finish it much sooner has free capacity, or its job gains "
+    "nothing; pace_percent is relative to its siblings on fast workers, "
+    "worker_percent the speed of its worker.",
+    "none" },
+  { LG_FAST_WAIT, LG_INFO, "fast-wait", "id occurrence step task expected_ms",
+    "Urgent work waits for a fast worker, which is expected to be free in "
+    "expected_ms, because on the slow ones it would miss its objective.",
+    "none" },
+  { LG_PREEMPTED, LG_NOTICE, "preempted",
+    "id tasks victims runs lost_core_ms waited_ms reason",
+    "Work of lower rank is stopped so that tasks of the job fit: victims "
+    "counts gangs and single tasks, runs their runs, lost_core_ms the work "
+    "since their last checkpoints. The reason is why the job did not wait.",
+    "if many, look at headroom (550)" },
+  { LG_PREEMPTION_AVOIDED, LG_INFO, "preemption-avoided", "id tasks until_ms",
+    "Tasks of the job wait for capacity that is expected to become free by "
+    "itself; other work is stopped for them after until_ms at the latest.",
+    "none" },
+  { LG_HEADROOM, LG_INFO, "headroom",
+    "kept used idle forecast jobs_per_10s peak_per_10s",
+    "The accelerators that batch work leaves free for urgent work have "
+    "changed "
+    "by more than a quarter; used is what urgent work occupies of them. They "
+    "follow the rate of urgent jobs now and the one expected (forecast 1), or "
+    "are a constant share until there is a history of arrivals (forecast 0).",
+    "none" },
+  { LG_STOP_OVERDUE, LG_WARNING, "stop-overdue",
+    "id occurrence step task run worker since_ms",
+    "A stopped run still occupies its worker after the time that a stop "
+    "takes. "
+    "Its capacity is not counted on any more.",
+    "look at the worker" },
+  { LG_STORE_ACCESS, LG_NOTICE, "store-access",
+    "path state evidence before_ms unanswered_ms seen_ms",
+    "The state of this VM's reads or writes of the store changed; before_ms "
+    "is how long ago the new state began, unanswered_ms and seen_ms the ages "
+    "of the first call without an answer and of the last sign of a write "
+    "(-1: none).",
+    "check the platform's table if a state other than available lasts" },
+  { LG_RETRY_AFTER, LG_INFO, "retry-after",
+    "id call retry_after_s outage_ms refused earlier",
+    "A caller was refused and asked to return later; refused counts the "
+    "callers in this outage, earlier the refusals of this one before.",
+    "none" },
+  { LG_RELAYED, LG_INFO, "relayed", "id call vm outcome status tries took_ms",
+    "A caller's request was relayed to another VM, as this one can't use the "
+    "store; tries counts the VMs, and vm is the last one.",
+    "none" },
+  { LG_RELAY_REFUSED, LG_WARNING, "relay-refused", "peer",
+    "A request to the relay's address had not the secret of this process.",
+    "none if this VM was restarted within the last minutes; else find out "
+    "who sent it" },
   { LG_PASSED_OVER, LG_INFO, "passed-over",
     "id step account share_permille entitled_permille waited_ms "
     "ahead ahead_account ahead_share_permille ahead_entitled_permille "
--- a/src/batch/show.c
+++ b/src/batch/show.c
@@ -36,6 +36,64 @@
   return since_ms ? b->now_ms - since_ms : -1;
 }
 
+static json_t *
+path_status (const struct batch *b, enum ac_path_name path)
+{
+  const struct ac_path *p = &b->access.path[path];
+
+  return json_pack ("{s:s,s:s,s:I}", "state", ac_state_name (p->state),
+                    "evidence", ac_evidence_name (p->evidence), "since_ms",
+                    age_ms (b, p->since_ms));
+}
+
+/* Adds the access to the store, if it is tracked.  */
+static void
+add_access (json_t *o, const struct batch *b)
+{
+  const struct ac_access *a = &b->access;
+
+  if (!ba_tracks_access (b))
+    return;
+  json_object_set_new (o, "reads",
+                       json_string (ac_state_name (a->path[AC_READS].state)));
+  json_object_set_new (o, "writes",
+                       json_string (ac_state_name (a->path[AC_WRITES].state)));
+  json_object_set_new (o, "access",
+                       json_pack ("{s:o,s:o,s:I,s:i}", "reads",
+                                  path_status (b, AC_READS), "writes",
+                                  path_status (b, AC_WRITES), "write_seen_ms",
+                                  (json_int_t)(a->awake_ms - a->seen_ms),
+                                  "refused_callers", a->refused));
+  if (b->relay.peers)
+    json_object_set_new (o, "relay_peers", json_integer (b->relay.peers->len));
+}
+
+/* The closed failure domains.  Workers and runs are known to the holder
+   only.  */
+static json_t *
+closed_domains (const struct batch *b)
+{
+  json_t *list = json_array ();
+
+  for (int i = 0; i < b->domains.count; i++)
+    {
+      const struct dm_domain *d = &b->domains.closed[i];
+      json_t *o = json_pack ("{s:s,s:I,s:I}", "domain", d->name, "version",
+                             (json_int_t)d->version, "closed_ms",
+                             age_ms (b, d->closed_ms));
+      int workers, runs;
+
+      if (b->phase == BA_ACTIVE)
+        {
+          sj_count_domain (b->cluster, d->name, &workers, &runs);
+          json_object_set_new (o, "workers", json_integer (workers));
+          json_object_set_new (o, "runs", json_integer (runs));
+        }
+      json_array_append_new (list, o);
+    }
+  return list;
+}
+
 /* The accounts that have work, with their shares.  */
 static json_t *
 list_accounts (const struct batch *b)
@@ -61,6 +119,17 @@
   return list;
 }
 
+/* The section about the workers' speeds.  */
+static json_t *
+speeds (const struct sj_counts *n)
+{
+  return json_pack (
+      "{s:b,s:i,s:i,s:i,s:i,s:I,s:I}", "uneven", n->speeds_uneven, "fast",
+      n->fast_workers, "medium", n->medium_workers, "slow", n->slow_workers,
+      "unknown", n->unknown_workers, "slow_runs_kept",
+      (json_int_t)n->slow_kept, "fast_waits", (json_int_t)n->fast_waits);
+}
+
 json_t *
 sh_status (const struct batch *b)
 {
@@ -80,6 +149,8 @@
   json_object_set_new (o, "jobs",
                        json_integer (g_hash_table_size (b->view.jobs)));
   json_object_set_new (o, "in_progress", json_integer (b->pending->len));
+  add_access (o, b);
+  json_object_set_new (o, "closed_domains", closed_domains (b));
   if (b->phase != BA_ACTIVE)
     return o;
   json_object_set_new (o, "open_jobs", json_integer (n.jobs));
@@ -89,6 +160,13 @@
   json_object_set_new (o, "accelerators", json_integer (n.accelerators));
   json_object_set_new (o, "accelerators_used",
                        json_integer (n.accelerators_used));
+  if (b->settings->speed_aware)
+    json_object_set_new (o, "speeds", speeds (&n));
+  json_object_set_new (o, "headroom", json_integer (n.headroom_kept));
+  json_object_set_new (o, "headroom_used", json_integer (n.headroom_used));
+  json_object_set_new (o, "preemptions", json_integer (n.preemptions));
+  json_object_set_new (o, "stopped_runs", json_integer (n.stopped_runs));
+  json_object_set_new (o, "lost_core_ms", json_integer (n.lost_core_ms));
   if (b->settings->fair_share)
     json_object_set_new (o, "accounts", list_accounts (b));
   return o;
--- a/src/steps/cluster.c
+++ b/src/steps/cluster.c
@@ -22,6 +22,7 @@
   c->given_up = g_ptr_array_new ();
   c->kept_apart = g_new0 (int, 1);
   rk_init (c);
+  sd_init (c);
   fs_init (&c->shares);
   g_queue_init (&c->dirty_jobs);
   c->worker_list = g_ptr_array_new ();
@@ -46,6 +47,7 @@
   g_ptr_array_free (c->worker_list, TRUE);
   g_hash_table_destroy (c->jobs);
   rk_fini (c);
+  sd_fini (c);
   g_hash_table_destroy (c->workers);
   g_hash_table_destroy (c->guarantees);
   g_hash_table_destroy (c->unresolved_workers);
@@ -217,6 +219,11 @@
 sj_count (struct sj_cluster *c, struct sj_counts *out)
 {
   *out = (struct sj_counts){ .workers = (int)c->worker_list->len };
+  out->headroom_kept = c->headroom.kept;
+  out->headroom_used = c->headroom.used;
+  out->preemptions = c->preemptions;
+  out->stopped_runs = c->stopped_runs;
+  out->lost_core_ms = c->lost_core_ms;
   for (guint i = 0; i < c->job_list->len; i++)
     {
       const struct job *j = g_ptr_array_index (c->job_list, i);
@@ -230,10 +237,12 @@
 
       out->runs += (int)w->members->len;
       out->usable_workers += wo_usable (c, w);
+      out->closed_workers += w->listed && w->domain_closed;
       out->busy_workers += w->members->len > 0;
       out->accelerators_used += w->used.accelerators;
       out->accelerators += w->listed ? w->capacity.accelerators : 0;
     }
+  sd_count (c, out);
 }
 
 static void
--- a/src/steps/order.c
+++ b/src/steps/order.c
@@ -52,7 +52,7 @@
   if (s->occurrences)
     base = s->first_due_ms + u->occurrence * s->interval_ms - wall_offset;
   return base + (int64_t)(s->stretch * (double)j->critical_path_ms)
-         + s->target_ms - un_step (u)->estimate_ms;
+         + s->target_ms - sd_run_ms (j->cluster, u);
 }
 
 static int
--- a/src/steps/run.c
+++ b/src/steps/run.c
@@ -128,6 +128,8 @@
 void
 ru_stop_member (struct sj_cluster *c, struct member *m, int64_t now)
 {
+  if (m->state != MB_STOPPING)
+    m->stop_first_ms = now;
   m->state = MB_STOPPING;
   m->stop_sent_ms = now;
   m->stop_pending = 1;
@@ -144,6 +146,7 @@
     return;
   u->state = UN_STOPPING;
   u->stop_cause = cause;
+  vi_note_stop (c, u, now);
   jb_mark_dirty (u->job);
   for (int i = 0; i < u->count; i++)
     {
@@ -186,6 +189,18 @@
   g_ptr_array_add (u->avoided_workers, g_strdup (worker));
 }
 
+/* Workers outside closed domains.  */
+static guint
+count_open_workers (const struct sj_cluster *c)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < c->worker_list->len; i++)
+    n += !((const struct worker *)g_ptr_array_index (c->worker_list, i))
+              ->domain_closed;
+  return n;
+}
+
 void
 ru_end_avoidance (const struct sj_cluster *c, struct unit *u, int64_t now)
 {
@@ -193,7 +208,7 @@
 
   if (!u->avoided_workers)
     return;
-  if (u->avoided_workers->len >= c->worker_list->len)
+  if (u->avoided_workers->len >= count_open_workers (c))
     wait_ms = AVOID_ALL_WAIT_MS;
   if (now - u->ready_ms < wait_ms)
     return;
@@ -367,7 +382,7 @@
   const struct member *m = w ? ru_find_member (w, run) : NULL;
 
   return m && m->state == MB_STARTING && m->unit->state == UN_ACTIVE
-         && !c->starts_held && w->capacity_known
+         && !c->starts_held && !w->domain_closed && w->capacity_known
          && !wo_report_is_overdue (c, w) && wo_fits_capacity (w);
 }
 
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -4,7 +4,9 @@
 
 #include <glib.h>
 
+#include "skr/headroom.h"
 #include "skr/share.h"
+#include "skr/speed.h"
 #include "skr/steps.h"
 
 struct unit;
@@ -35,6 +37,8 @@
   int64_t start_resolved_ms; /* a listing requested later shows the outcome */
   int stop_pending;          /* a stop has no outcome yet */
   int stop_acked;            /* the worker accepted a stop */
+  int64_t stop_first_ms;     /* when a stop was first sent */
+  int is_overdue_noted;      /* the log names it */
   int64_t stop_sent_ms;      /* when a stop was last sent */
   int64_t stop_acked_ms;     /* a listing requested later shows its effect */
   int progress_percent;      /* as last listed */
@@ -45,6 +49,14 @@
      no progress.  It is sampled from pace_base_percent at pace_base_ms on.  */
   int pace_base_percent, pace_percent;
   int64_t pace_base_ms;
+  int pace_resolution; /* pace that one percent in the sample is */
+  /* Average pace since average_base_ms, as above; 0: unknown.  */
+  double average_pace;
+  int average_base_percent;
+  int64_t average_base_ms; /* 0: it has not advanced yet */
+  uint32_t speed_run;      /* its number in the samples; 0: none yet */
+  unsigned rated : 1;      /* its run time is in the ratios */
+  unsigned slow_kept : 1;  /* noted as slow and not moved */
 };
 
 enum unit_state
@@ -107,6 +119,10 @@
   enum sj_cause stop_cause; /* why its run was aborted */
   int run_commit;           /* an enum run_commit */
   int victim_of;            /* serial of the last plan to stop it */
+  int fast_waiting;         /* noted as waiting for a fast worker */
+  /* Estimates of victim.c and the round that they are of.  */
+  int64_t estimated_round, remaining_ms, stop_cost;
+  int64_t noted_wait; /* number of the run that it was noted to wait for */
 };
 
 /* An occurrence of a job that has fallen due and is not done.  */
@@ -136,9 +152,10 @@
   /* Serials of the first change that is not in the record being stored, and
      of the first one that is.  */
   int64_t dirty_since, commit_since;
-  int rank;    /* RANK_GUARANTEED and so on, set by each decision round */
-  int account; /* its handle in the cluster's shares */
-  int64_t passed_over_ms; /* when that was last noted; 0: never */
+  int rank; /* RANK_GUARANTEED and so on, set by each decision round */
+  struct rt_ratio *run_ratio; /* of its account and queue; NULL: not yet */
+  int account;                /* its handle in the cluster's shares */
+  int64_t passed_over_ms;     /* when that was last noted; 0: never */
 };
 
 struct rack
@@ -153,6 +170,8 @@
   char *id, *kind;
   const char *service; /* interned */
   struct rack *rack;   /* or NULL */
+  const char *domain;  /* interned; or NULL */
+  int domain_closed;   /* no work may be started there */
   int64_t incarnation; /* 0: unknown */
   struct sj_resources capacity, used;
   int capacity_known;  /* it is that of this incarnation */
@@ -177,12 +196,26 @@
   char last_failed_job[SJ_ID_SIZE];
   int64_t suspect_until_ms; /* no starts are sent to it before */
   int64_t seen_slow_ms;     /* last slow sample; 0: none or since recovered */
+  int64_t cold_until_ms;    /* 0: it was warm at its last report */
   int estimate;             /* its place in the estimates of preempt.c */
+  struct sp_worker speed;
+  int64_t speed_incarnation; /* that the speed was learned of */
+};
+
+/* Capacity kept free for urgent work, as of the last round.  */
+struct headroom
+{
+  int has_begun; /* the forecast is initialized */
+  int is_forecast;
+  int64_t kept, used;           /* accelerators */
+  int64_t noted_ms, noted_kept; /* of the last note; 0: none */
 };
 
 struct sj_cluster
 {
   struct sj_settings settings;
+  struct hr_forecast forecast; /* of urgent demand */
+  struct headroom headroom;
   sj_order_fn *on_order;
   void *arg;
   sj_note_fn *on_note; /* NULL: notes are not wanted */
@@ -204,10 +237,17 @@
   int plan_serial;     /* of the last plan to preempt */
   int searches;        /* of the last round: units that were tried */
   int preemptions;     /* units for which others were stopped */
-  int64_t now;         /* the caller's latest clock reading */
+  int64_t stopped_runs, lost_core_ms; /* by stops for any cause */
+  int64_t now;                        /* the caller's latest clock reading */
   int64_t decided_ms, health_checked_ms;
-  struct fs_table shares; /* of the accounts */
-  int is_scarce;          /* units did not fit in the last round */
+  struct sp_fleet fleet;
+  GHashTable *run_ratios; /* account and queue to struct rt_ratio */
+  uint32_t speed_runs;    /* numbers given to runs so far */
+  int64_t speeds_updated_ms;
+  int64_t slow_kept, fast_waits; /* so far */
+  int64_t rounds;                /* so far */
+  struct fs_table shares;        /* of the accounts */
+  int is_scarce;                 /* units did not fit in the last round */
   int scarce_noted;
   int64_t scarce_ms; /* when units last did not fit */
 };
@@ -300,6 +340,9 @@
 int wo_report_is_overdue (const struct sj_cluster *c, const struct worker *w);
 /* Whether what is ordered and runs on W fits its capacity.  */
 int wo_fits_capacity (const struct worker *w);
+/* Whether W is still slow after its start.  Always 0 unless closed domains are
+   served.  */
+int wo_is_cold (const struct sj_cluster *c, const struct worker *w);
 /* Whether starts may be sent to W.  */
 int wo_usable (const struct sj_cluster *c, const struct worker *w);
 /* Loses M, whose worker has ended.  */
@@ -421,10 +464,74 @@
 int rs_reserve (struct sj_cluster *c, const struct unit *u, int tasks);
 
 /* preempt.c */
-/* Stops work of lower rank so that U fits, and reserves the capacity.
-   Returns 1 on success.  */
+/* Stops work of lower rank so that U fits, and reserves the capacity.  REASON
+   is why the stops were not avoided.  Returns 1 on success.  */
 int pr_preempt_for (struct sj_cluster *c, struct unit *u, int allow_off_rack,
-                    int64_t now);
+                    const char *reason, int64_t now);
+
+/* victim.c */
+/* Whether stops are avoided: the time within which guaranteed work must start
+   is known.  */
+int vi_is_sparing (const struct sj_cluster *c);
+/* Expected longest time that a stop takes.  */
+int64_t vi_stop_ms (const struct sj_cluster *c);
+/* Whether M should have stopped by now, so that its capacity is not counted
+   on.  */
+int vi_is_overdue (const struct sj_cluster *c, const struct member *m);
+/* Expected time until U's run ends by itself; INT64_MAX: unknown.  */
+int64_t vi_remaining_ms (const struct sj_cluster *c, struct unit *u,
+                         int64_t now);
+/* Weight of what stopping U costs, in core-milliseconds.  */
+int64_t vi_stop_cost (const struct sj_cluster *c, struct unit *u, int64_t now);
+/* Work of U's run that a stop throws away, in core-milliseconds.  */
+int64_t vi_lost_core_ms (const struct sj_cluster *c, const struct unit *u,
+                         int64_t now);
+/* Whether U's run ends about as soon as a stop would end it.  */
+int vi_is_nearly_done (const struct sj_cluster *c, struct unit *u,
+                       int64_t now);
+/* Counts and notes that U's run is stopped for its cause.  */
+void vi_note_stop (struct sj_cluster *c, const struct unit *u, int64_t now);
+/* Notes the stops of U's run that are overdue for the first time.  */
+void vi_note_overdue (const struct sj_cluster *c, struct unit *u);
+
+/* wait.c */
+enum wt_choice
+{
+  WT_STOP, /* stop other work now */
+  WT_WAIT, /* enough capacity is expected to become free in time */
+  WT_LATE  /* no stop would let the unit start in time */
+};
+/* Whether U, whose objective requires a start by LATEST_START_MS, waits for
+   capacity or has other work stopped.  Capacity that it waits for is reserved,
+   for a limited number of units in a round: *WAITS counts them.  *REASON is
+   set to why it does not wait.  */
+enum wt_choice wt_choose (struct sj_cluster *c, struct unit *u,
+                          int allow_off_rack, int64_t latest_start_ms,
+                          int *waits, const char **reason, int64_t now);
+
+/* headroom.c */
+/* A round's view of the capacity kept free for urgent work.  */
+struct hd_round
+{
+  int64_t idle, all;      /* accelerators */
+  int is_forecast;        /* else by constant shares of the accelerators */
+  struct hr_keep keep[2]; /* for work without and with checkpoints */
+  int fitting[HR_SHAPES]; /* tasks of a shape that fit in the fleet */
+};
+/* Records J, accepted at ACCEPTED_MS, as demand.  */
+void hd_add_job (struct sj_cluster *c, const struct job *j, int64_t now);
+void hd_begin (struct sj_cluster *c, struct hd_round *h, int64_t now);
+/* Counts the free capacity again.  */
+void hd_count (const struct sj_cluster *c, struct hd_round *h);
+/* Take W out of the counts before its free capacity changes, and back in
+   after that.  */
+void hd_leave (struct hd_round *h, const struct worker *w);
+void hd_return (struct hd_round *h, const struct worker *w);
+/* Whether batch unit U must not start so that capacity stays free for urgent
+   work yet to come.  */
+int hd_must_wait (const struct hd_round *h, const struct unit *u, int64_t now);
+/* Updates the cluster's headroom and notes a change of it.  */
+void hd_end (struct sj_cluster *c, const struct hd_round *h, int64_t now);
 
 /* shares.c */
 /* Sets ACCOUNT's weight, which is its guarantee.  */
@@ -435,8 +542,8 @@
 void he_record_end (struct sj_cluster *c, struct worker *w, struct unit *u,
                     enum sj_end end, int64_t now);
 /* Accounts the progress listed for M's run; PERCENT is -1 if unknown.  */
-void he_record_progress (const struct sj_cluster *c, struct member *m,
-                         int percent, int64_t now);
+void he_record_progress (struct sj_cluster *c, struct member *m, int percent,
+                         int64_t now);
 /* Whether the latest pace sample on W was slow and is less than SLOW_EXPIRY_MS
    old.  */
 int he_is_slow_worker (const struct sj_cluster *c, const struct worker *w);
@@ -445,7 +552,48 @@
 /* Expected total run time of M's task where it runs now.  */
 int64_t he_expected_run_ms (const struct sj_cluster *c,
                             const struct member *m);
+/* Expected time until M's run ends.  */
+int64_t he_expected_remaining_ms (const struct sj_cluster *c,
+                                  const struct member *m);
 /* Aborts runs that are stalled or too slow, so that they start elsewhere.  */
 void he_check_runs (struct sj_cluster *c, int64_t now);
 
+/* speeds.c: without speed_aware, all workers have the same speed and tasks
+   take their declared time */
+void sd_init (struct sj_cluster *c);
+void sd_fini (struct sj_cluster *c);
+/* Accounts the progress listed for M's run.  Its declared run time where it
+   runs is DECLARED_MS.  */
+void sd_record_progress (struct sj_cluster *c, struct member *m, int percent,
+                         int64_t declared_ms, int64_t now);
+/* Estimates the workers' speeds anew if that is due.  */
+void sd_update (struct sj_cluster *c, int64_t now);
+/* Speed of W relative to the fast workers, at most 1.  */
+double sd_speed (const struct sj_cluster *c, const struct worker *w);
+/* Speed class of W; SP_UNKNOWN while it has no effect.  */
+enum sp_class sd_class (const struct sj_cluster *c, const struct worker *w);
+/* The pace of a fast worker that M's siblings on other workers show, in
+   percent of the declared one; 0: unknown.  */
+double sd_fast_pace (const struct member *m);
+/* Expected run time of U's tasks on a fast worker, within their rack.  */
+int64_t sd_run_ms (const struct sj_cluster *c, const struct unit *u);
+/* The same on W.  */
+int64_t sd_run_on_ms (const struct sj_cluster *c, const struct unit *u,
+                      const struct worker *w);
+/* Whether U's job meets FACTOR times its objective if U ends in RUN_MS.  */
+int sd_meets (const struct sj_cluster *c, const struct unit *u, int64_t run_ms,
+              int factor);
+/* Whether U should take fast workers rather than leave them to others.  */
+int sd_wants_fast (const struct sj_cluster *c, const struct unit *u);
+/* Speed at which M's unit would run if M moved to another worker that has free
+   capacity now; 0: there is none.  */
+double sd_speed_elsewhere (const struct sj_cluster *c, const struct member *m);
+/* Counts M's slow run, which is not moved, once.  */
+void sd_note_slow_kept (struct sj_cluster *c, struct member *m);
+/* Whether U, which fits at PLACEMENT, should rather wait for a fast worker,
+   because it would miss its objective there.  */
+int sd_should_wait (struct sj_cluster *c, struct unit *u,
+                    struct worker *const *placement);
+void sd_count (const struct sj_cluster *c, struct sj_counts *out);
+
 #endif
--- a/tests/steps/bench_round.c
+++ b/tests/steps/bench_round.c
@@ -1,7 +1,8 @@
 /* Measures the time of a decision round of the step scheduler by the number of
    workers.  Before each round one job arrives and a few runs end.  In the
    second table the fleet is full and jobs of the kinds of a busy morning
-   wait: urgent gangs, wide gangs and many single tasks.  */
+   wait: urgent gangs, wide gangs and many single tasks.  The third is the same
+   with the settings against stops.  */
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -34,7 +35,8 @@
   GRand *rand;
   int64_t now;
   int workers, jobs;
-  int is_overloaded, many_accounts;
+  int is_overloaded; /* 2: with the settings against stops */
+  int many_accounts;
   GArray *running; /* struct running_task */
 };
 
@@ -216,6 +218,13 @@
 
   if (is_overloaded)
     rounds = OVERLOAD_ROUNDS;
+  if (is_overloaded > 1)
+    {
+      set.headroom_forecast = 1;
+      set.reclaim_ms = 2700;
+      set.stop_ms = 200;
+      set.checkpoint_interval_ms = 1000;
+    }
   b.c = sj_new (&set, on_order, &b);
   sj_set_guarantee (b.c, "a", workers);
   for (int i = 0; i < ACCOUNTS && many_accounts; i++)
@@ -276,5 +285,10 @@
                         overload[i] * OVERLOAD_JOBS_PER_100_WORKERS / 100, 1,
                         table > 0, table > 1);
     }
+  printf ("the same, one account, with settings against stops\n");
+  for (gsize i = 0; i < G_N_ELEMENTS (overload); i++)
+    measure_rounds (overload[i],
+                    overload[i] * OVERLOAD_JOBS_PER_100_WORKERS / 100, 2, 0,
+                    0);
   return 0;
 }
--- a/tests/steps/fake_cluster.c
+++ b/tests/steps/fake_cluster.c
@@ -1,4 +1,5 @@
 /* The simulated cluster.  */
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -21,8 +22,11 @@
   START_LEASE_MS = 2500,    /* least lease that a start grants */
   CANCEL_GRACE_MS = 3000,   /* no start may follow a cancellation later */
   GANG_TIMEOUT_MS = 3000,   /* wait for the gang's other tasks */
-  LEASE_MS = 6000,          /* of a worker, renewed by each poll while busy */
+  EVACUATION_MS = 5000, /* after a domain was closed, nothing starts there */
+  RACKS_PER_DOMAIN = 2,
+  LEASE_MS = 6000, /* of a worker, renewed by each poll while busy */
   FIRST_CHECKPOINT_MS = 1000, /* work done before the first checkpoint */
+  LONG_FACTOR = 7,
   MAX_LISTED = 400,
   MAX_DIRTY = 64
 };
@@ -118,6 +122,39 @@
 
 static void close_run (struct fa_worker *w, const struct sj_run *r);
 
+static double
+core_s (const struct fa_run *x, int64_t ms)
+{
+  return (double)ms * (double)(x->need.cpu_milli + x->need.accelerators * 8000)
+         / 1e6;
+}
+
+/* Counts the work of X, which ends, and saves what its checkpoints hold.  */
+static void
+count_work (struct fa_cluster *f, const struct fa_run *x, enum sj_end how)
+{
+  int64_t interval = f->checkpoint_interval_ms, saved = 0;
+  int is_stopped
+      = how == SJ_END_STOPPED || (how == SJ_END_GANG_BROKEN && x->stop_at_ms);
+  char name[80];
+
+  f->stopped_runs += is_stopped;
+
+  if (how == SJ_END_DONE)
+    {
+      f->done_core_s += core_s (x, x->done_ms - x->saved_ms);
+      return;
+    }
+  if (x->saves && interval)
+    saved = x->done_ms / interval * interval;
+  if (is_stopped)
+    f->lost_core_s += core_s (x, x->done_ms - (saved ? saved : x->saved_ms));
+  format_task_name (name, &x->run);
+  if (saved)
+    g_hash_table_replace (f->saved_ms, g_strdup (name),
+                          GSIZE_TO_POINTER ((gsize)saved));
+}
+
 /* Ends run I of W and lists its end with the next poll.  */
 static void
 end_run (struct fa_cluster *f, struct fa_worker *w, guint i, enum sj_end how)
@@ -125,6 +162,7 @@
   struct fa_run *x = &g_array_index (w->runs, struct fa_run, i);
   struct sj_listed_run end = { .run = x->run, .end = how };
 
+  count_work (f, x, how);
   close_run (w, &x->run);
   end.checkpoint = x->saves ? "saved" : "";
   if (how == SJ_END_DONE)
@@ -244,6 +282,16 @@
     report_violation (f, "task started after its job was cancelled", r);
 }
 
+static void
+check_domain (struct fa_cluster *f, const struct fa_worker *w,
+              const struct sj_run *r)
+{
+  const struct dm_domain *closed = dm_find (&f->domains, w->domain);
+
+  if (closed && f->now >= closed->closed_ms + EVACUATION_MS)
+    report_violation (f, "task started in a closed domain", r);
+}
+
 /* Runs of R's task up to this number were stopped or have ended on W.  */
 static int64_t
 highest_closed_run (struct fa_worker *w, const struct sj_run *r)
@@ -266,6 +314,65 @@
                           GSIZE_TO_POINTER ((gsize)r->number));
 }
 
+/* Sets the work of run X, which is declared to take DECLARED_MS.  */
+static void
+draw_work (struct fa_cluster *f, struct fa_run *x, int64_t declared_ms)
+{
+  const struct fa_run_times *t = &f->run_times;
+  double factor = 1, deviate = -6;
+
+  if (t->declared_error > 1)
+    factor
+        *= pow (t->declared_error, g_str_hash (x->run.job) % 201 / 100.0 - 1);
+  if (t->noise > 0)
+    {
+      for (int i = 0; i < 12; i++)
+        deviate += g_rand_double (f->rand);
+      factor *= exp (t->noise * deviate);
+    }
+  x->is_long = t->long_share > 0 && g_rand_double (f->rand) < t->long_share;
+  if (x->is_long)
+    factor *= LONG_FACTOR;
+  x->work_ms = (int64_t)((double)declared_ms * factor);
+}
+
+/* Sets the work of X's task: that of its step, scattered, less what an earlier
+   run saved.  */
+static void
+set_work (struct fa_cluster *f, struct fa_run *x)
+{
+  char name[80];
+
+  format_task_name (name, &x->run);
+  if (f->run_scatter > 0)
+    x->work_ms
+        = (int64_t)((double)x->work_ms
+                    * (g_rand_double (f->rand) < 0.03
+                           ? 7
+                           : 1
+                                 + f->run_scatter
+                                       * (2 * g_rand_double (f->rand) - 1)));
+  x->saved_ms
+      = (int64_t)GPOINTER_TO_SIZE (g_hash_table_lookup (f->saved_ms, name));
+  if (x->saved_ms)
+    x->done_ms = MIN (x->saved_ms, x->work_ms - 1);
+}
+
+/* Notes the first start of each task of a job's first step.  */
+static void
+count_first_start (struct fa_cluster *f, const struct sj_run *r)
+{
+  int left = GPOINTER_TO_INT (g_hash_table_lookup (f->unstarted, r->job)) - 1;
+
+  if (r->step || r->occurrence || r->number > 1 || left < 0)
+    return;
+  g_hash_table_replace (f->unstarted, g_strdup (r->job),
+                        GINT_TO_POINTER (left));
+  if (!left)
+    g_hash_table_insert (f->all_started_ms, g_strdup (r->job),
+                         GSIZE_TO_POINTER ((gsize)f->now + 1));
+}
+
 /* Executes order O on W and returns its outcome.  Orders with an older fencing
    token than the highest seen are refused.  */
 static enum sj_answer
@@ -289,7 +396,7 @@
   if (o->kind == SJ_STOP)
     {
       if (old && !old->stop_at_ms)
-        old->stop_at_ms = f->now + STOP_TIME_MS;
+        old->stop_at_ms = f->now + f->stop_ms;
       close_run (w, &o->run);
       return SJ_EXECUTED;
     }
@@ -304,9 +411,13 @@
       return SJ_REFUSED;
     }
   check_start (f, &o->run);
+  check_domain (f, w, &o->run);
   check_crash_budget (f, &o->run);
+  draw_work (f, &x, s->estimate_ms);
   x.deadly = is_deadly (f, &o->run);
   x.fails = w->fails_all || g_rand_double (f->rand) < f->faults.task_fails;
+  set_work (f, &x);
+  count_first_start (f, &o->run);
   g_array_append_val (w->runs, x);
   f->starts++;
   if (!g_hash_table_contains (f->started_ms, o->run.job))
@@ -319,6 +430,24 @@
   return SJ_EXECUTED;
 }
 
+/* Whether R, or another run of its gang, is a long one.  */
+static int
+is_long (const struct fa_cluster *f, const struct sj_run *r)
+{
+  for (int i = 0; i < f->worker_count; i++)
+    for (guint k = 0; k < f->worker[i].runs->len; k++)
+      {
+        const struct fa_run *x
+            = &g_array_index (f->worker[i].runs, struct fa_run, k);
+
+        if (x->is_long && x->run.number == r->number && x->run.step == r->step
+            && !strcmp (x->run.job, r->job)
+            && (x->gang || x->run.index == r->index))
+          return 1;
+      }
+  return 0;
+}
+
 /* Sends an order, with the injected faults.  */
 static void
 do_order (void *arg, const struct sj_order *o)
@@ -340,6 +469,8 @@
       = w && draw < f->faults.delayed + f->faults.answer_lost ? ANSWER_LOST
                                                               : ANSWER_ARRIVES;
   g_array_append_val (f->pending_orders, pending);
+  if (o->kind == SJ_STOP && o->cause == SJ_SLOW)
+    f->needless_moves += !is_long (f, &o->run);
   if (o->kind == SJ_START)
     sj_start_sent (f->scheduler, o->worker, &o->run);
 }
@@ -422,6 +553,24 @@
   return n == find_job (f, r->job)->step[r->step].count;
 }
 
+/* Whether a task of R's gang has work left.  */
+static int
+gang_has_work (struct fa_cluster *f, const struct sj_run *r)
+{
+  for (int i = 0; i < f->worker_count; i++)
+    for (guint k = 0; k < f->worker[i].runs->len; k++)
+      {
+        const struct fa_run *x
+            = &g_array_index (f->worker[i].runs, struct fa_run, k);
+
+        if (x->run.number == r->number && x->run.step == r->step
+            && x->run.occurrence == r->occurrence
+            && !strcmp (x->run.job, r->job) && x->done_ms < x->work_ms)
+          return 1;
+      }
+  return 0;
+}
+
 /* Ends the remaining runs of R's gang.  */
 static void
 end_gang (struct fa_cluster *f, const struct sj_run *r, enum sj_end how)
@@ -451,7 +600,7 @@
 
   if (f->now >= w->lease_end_ms)
     how = SJ_END_LEASE_EXPIRED;
-  else if (x->stop_at_ms && f->now >= x->stop_at_ms)
+  else if (x->stop_at_ms && f->now >= x->stop_at_ms && !w->ignores_stops)
     how = SJ_END_STOPPED;
   else if (gang && !gang_is_whole (f, &r))
     {
@@ -466,6 +615,9 @@
       if (x->done_ms < x->work_ms
           && !(x->fails && x->done_ms > x->work_ms / 4))
         return;
+      if (gang && f->run_times.gang_waits && !x->fails
+          && gang_has_work (f, &r))
+        return;
       how = x->fails ? SJ_END_FAILED : SJ_END_DONE;
     }
   end_run (f, w, i, how);
@@ -527,7 +679,7 @@
         .run = x->run,
         .checkpoint
         = x->saves && x->done_ms > FIRST_CHECKPOINT_MS ? "saved" : "",
-        .percent = (int)(x->done_ms * 100 / (x->work_ms + 1))
+        .percent = (int)(MIN (x->done_ms, x->work_ms) * 100 / (x->work_ms + 1))
       };
     }
   for (guint k = 0; k < w->unacked_ends->len && k < MAX_LISTED; k++)
@@ -630,15 +782,18 @@
 list_worker (struct fa_cluster *f, struct fa_worker *w, const char *id,
              int64_t incarnation)
 {
-  struct sj_worker_info info = { .id = id,
-                                 .incarnation = incarnation,
-                                 .service = "s",
-                                 .kind = "a",
-                                 .rack = w->rack,
-                                 .capacity = w->capacity,
-                                 .draining = w->draining,
-                                 .remaining_ms = 2000,
-                                 .version = ++f->reports };
+  struct sj_worker_info info
+      = { .id = id,
+          .incarnation = incarnation,
+          .service = "s",
+          .kind = "a",
+          .rack = w->rack,
+          .domain = w->domain,
+          .cold_remaining_ms = w->cold_until_ms - f->now,
+          .capacity = w->capacity,
+          .draining = w->draining,
+          .remaining_ms = 2000,
+          .version = ++f->reports };
 
   sj_worker_set (f->scheduler, &info, f->now);
 }
@@ -738,7 +893,8 @@
   memset (f, 0, sizeof *f);
   f->settings
       = (struct sj_settings){ .off_rack_factor = 3,
-                              .silent_timeout_ms = LEASE_MS * 51 / 50 + 200 };
+                              .silent_timeout_ms = LEASE_MS * 51 / 50 + 200,
+                              .domains = &f->domains };
   f->rand = g_rand_new_with_seed (seed);
   f->now = 100000;
   f->worker_count = workers;
@@ -757,6 +913,11 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   f->crash_mode = (struct fa_crash_mode){ .work_ms = 10, .down_ms = 3500 };
   f->commit_ms = COMMIT_MS;
+  f->stop_ms = STOP_TIME_MS;
+  f->saved_ms = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  f->unstarted = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  f->all_started_ms
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   f->accepted_ms
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   f->started_ms
@@ -774,6 +935,8 @@
 
       snprintf (w->id, sizeof w->id, "w%03d", i);
       snprintf (w->rack, sizeof w->rack, "r%d", i / per_rack);
+      snprintf (w->domain, sizeof w->domain, "z%d",
+                i / per_rack / RACKS_PER_DOMAIN);
       w->capacity = (struct sj_resources){ 128000, 262144, 8 };
       w->incarnation = 1;
       w->runs = g_array_new (FALSE, FALSE, sizeof (struct fa_run));
@@ -791,6 +954,7 @@
 fa_fini (struct fa_cluster *f)
 {
   sj_free (f->scheduler);
+  dm_fini (&f->domains);
   for (int i = 0; i < f->worker_count; i++)
     {
       g_array_free (f->worker[i].runs, TRUE);
@@ -814,6 +978,9 @@
   g_hash_table_destroy (f->crashes);
   g_hash_table_destroy (f->stalling);
   g_hash_table_destroy (f->late_starts);
+  g_hash_table_destroy (f->saved_ms);
+  g_hash_table_destroy (f->unstarted);
+  g_hash_table_destroy (f->all_started_ms);
   g_hash_table_destroy (f->accepted_ms);
   g_hash_table_destroy (f->started_ms);
   g_hash_table_destroy (f->ended_ms);
@@ -836,6 +1003,8 @@
   g_hash_table_insert (f->jobs, g_strdup (job->id), copy_job (job));
   g_hash_table_insert (f->accepted_ms, g_strdup (job->id),
                        GSIZE_TO_POINTER ((gsize)f->now + 1));
+  g_hash_table_insert (f->unstarted, g_strdup (job->id),
+                       GINT_TO_POINTER (job->step[0].count));
   sj_job_add (f->scheduler, job, NULL, 0, f->now);
 }
 
@@ -973,6 +1142,31 @@
   sj_worker_restarted (f->scheduler, w->id, w->incarnation, f->now);
 }
 
+void
+fa_close_domain (struct fa_cluster *f, const char *name)
+{
+  dm_close (&f->domains, name, ++f->reports, 1, f->now);
+  sj_domains_changed (f->scheduler);
+}
+
+void
+fa_reopen_domain (struct fa_cluster *f, const char *name)
+{
+  dm_reopen (&f->domains, name, ++f->reports);
+  sj_domains_changed (f->scheduler);
+}
+
+int
+fa_runs_in (const struct fa_cluster *f, const char *name)
+{
+  int n = 0;
+
+  for (int i = 0; i < f->worker_count; i++)
+    if (!strcmp (f->worker[i].domain, name))
+      n += (int)f->worker[i].runs->len;
+  return n;
+}
+
 int
 fa_crashes_under (const struct fa_cluster *f, const char *id)
 {
@@ -1012,6 +1206,12 @@
   return ms_since_acceptance (f, f->started_ms, id);
 }
 
+int64_t
+fa_whole_start_delay_ms (const struct fa_cluster *f, const char *id)
+{
+  return ms_since_acceptance (f, f->all_started_ms, id);
+}
+
 int64_t
 fa_completion_ms (const struct fa_cluster *f, const char *id)
 {
