Fair shares: expected wait from the learned run times

The declared run times are wrong by up to a factor of 1.9. Latest starts already use the learned ones, and the work ahead of a step is compared with them.

test_shares and test_steps pass.

--- a/src/steps/order.c
+++ b/src/steps/order.c
@@ -106,7 +106,7 @@
 {
   const struct sj_step *s = un_step (u);
   struct sj_resources need = nd_for_step (s);
-  double tasks_ms = (double)tasks * (double)s->estimate_ms;
+  double tasks_ms = (double)tasks * (double)sd_run_ms (u->job->cluster, u);
 
   return (struct fs_amount){ { (double)need.cpu_milli * tasks_ms,
                                (double)need.memory_mb * tasks_ms,
--- a/src/steps/order.h
+++ b/src/steps/order.h
@@ -27,7 +27,7 @@
    less the monotonic clock, in milliseconds.  */
 GArray *or_list_ready (struct sj_cluster *c, int64_t now, int64_t wall_offset);
 
-/* The work of TASKS tasks of U's step by their declared run time.  */
+/* The work of TASKS tasks of U's step by their expected run time.  */
 struct fs_amount or_work (const struct unit *u, int tasks);
 
 /* shares.c */
