--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -10,8 +10,11 @@
 enum
 {
   TICK_MS = 10,
-  MAX_GAP_MS = 900,         /* between two faults */
-  MAX_SHRINK_GAP_MS = 3000, /* between two workers that shrink */
+  MAX_GAP_MS = 900,             /* between two faults */
+  MAX_SHRINK_GAP_MS = 3000,     /* between two workers that shrink */
+  MAX_EVACUATION_GAP_MS = 6000, /* between two evacuations of a domain */
+  /* Longer than the time after which nothing may start there.  */
+  MAX_EVACUATION_MS = 2 * SF_EVACUATION_MS,
   MAX_STALL_GAP_MS = 12000, /* between two stalls of the writes */
   MAX_FAULT_MS = 6000,      /* longest duration of a fault */
   MIN_FAULT_MS = 200,       /* shortest duration of a fault */
@@ -48,16 +51,18 @@
   RANDOM_FAULTS, /* number of those that are drawn at random */
   SHRUNK_WORKER = RANDOM_FAULTS,
   STALLED_WRITES,
+  EVACUATED_DOMAIN,
   FAULT_COUNT
 };
 
-static const char *const names[FAULT_COUNT]
-    = { "kill VM",        "kill all VMs",  "stop VM",       "freeze VM",
-        "reload VM",      "cut store",     "cut workers",   "cut callers",
-        "slow links",     "reset links",   "store fault",   "store fault, one",
-        "history gone",   "worker crash",  "worker reborn", "worker late",
-        "worker fails",   "worker cut",    "worker leaves", "configuration",
-        "worker shrinks", "writes stalled" };
+static const char *const names[FAULT_COUNT] = {
+  "kill VM",        "kill all VMs",   "stop VM",       "freeze VM",
+  "reload VM",      "cut store",      "cut workers",   "cut callers",
+  "slow links",     "reset links",    "store fault",   "store fault, one",
+  "history gone",   "worker crash",   "worker reborn", "worker late",
+  "worker fails",   "worker cut",     "worker leaves", "configuration",
+  "worker shrinks", "writes stalled", "evacuation"
+};
 
 /* A fault in effect.  */
 struct active_fault
@@ -72,7 +77,7 @@
   struct soak *soak;
   GRand *rand;
   /* Of their own, so that a seed plays the same other faults.  */
-  GRand *shrink_rand, *stall_rand;
+  GRand *shrink_rand, *stall_rand, *evacuation_rand;
   struct active_fault active[MAX_ACTIVE_FAULTS];
   int active_count;
 };
@@ -241,6 +246,11 @@
       so_store_set_fault_until (s, h->end_ms);
       set_store_fault (s, SF_STORE_NO_WRITES);
       break;
+    case EVACUATED_DOMAIN:
+      /* The row's presence is the request, whatever its value.  */
+      sf_evacuate (&s->platform, s->platform.worker[h->worker].domain,
+                   h->worker % 3 ? "{}" : "\xff");
+      break;
     default:
       so_change_config (s);
       break;
@@ -312,6 +322,9 @@
     case SHRUNK_WORKER:
       sf_set_capacity (&s->platform, h->worker, 100);
       break;
+    case EVACUATED_DOMAIN:
+      sf_evacuate (&s->platform, s->platform.worker[h->worker].domain, NULL);
+      break;
     default:
       break;
     }
@@ -370,14 +383,15 @@
   p->active[p->active_count++] = h;
 }
 
+/* Injects a fault of KIND at a random worker.  */
 static void
-shrink_worker (struct injector *p, int64_t now)
+inject_at_worker (struct injector *p, enum fault kind, GRand *r, int max_ms,
+                  int64_t now)
 {
-  GRand *r = p->shrink_rand;
   struct active_fault h
-      = { .kind = SHRUNK_WORKER,
+      = { .kind = kind,
           .worker = g_rand_int_range (r, 0, (gint32)p->soak->workers),
-          .end_ms = now + g_rand_int_range (r, MIN_FAULT_MS, MAX_FAULT_MS) };
+          .end_ms = now + g_rand_int_range (r, MIN_FAULT_MS, max_ms) };
 
   if (p->active_count == MAX_ACTIVE_FAULTS)
     return;
@@ -407,9 +421,10 @@
       = { .soak = s,
           .rand = g_rand_new_with_seed ((guint32)s->seed),
           .shrink_rand = g_rand_new_with_seed ((guint32)~s->seed),
-          .stall_rand = g_rand_new_with_seed ((guint32)s->seed ^ 0x5354414c) };
+          .stall_rand = g_rand_new_with_seed ((guint32)s->seed ^ 0x5354414c),
+          .evacuation_rand = g_rand_new_with_seed ((guint32)(s->seed ^ 1)) };
   int64_t end = sf_now_ms () + s->seconds * 1000, next = sf_now_ms ();
-  int64_t next_shrink = next;
+  int64_t next_shrink = next, next_evacuation = next;
   int64_t next_stall
       = next + g_rand_int_range (p.stall_rand, 0, MAX_STALL_GAP_MS);
 
@@ -424,7 +439,8 @@
         }
       if (now >= next_shrink)
         {
-          shrink_worker (&p, now);
+          inject_at_worker (&p, SHRUNK_WORKER, p.shrink_rand, MAX_FAULT_MS,
+                            now);
           next_shrink
               = now + g_rand_int_range (p.shrink_rand, 0, MAX_SHRINK_GAP_MS);
         }
@@ -435,6 +451,14 @@
           next_stall
               = now + g_rand_int_range (p.stall_rand, 0, MAX_STALL_GAP_MS);
         }
+      if (now >= next_evacuation)
+        {
+          inject_at_worker (&p, EVACUATED_DOMAIN, p.evacuation_rand,
+                            MAX_EVACUATION_MS, now);
+          next_evacuation = now
+                            + g_rand_int_range (p.evacuation_rand, 0,
+                                                MAX_EVACUATION_GAP_MS);
+        }
       end_due_faults (&p, now);
       so_vm_reap (s);
       restart_vms (&p);
@@ -446,4 +470,5 @@
   g_rand_free (p.rand);
   g_rand_free (p.shrink_rand);
   g_rand_free (p.stall_rand);
+  g_rand_free (p.evacuation_rand);
 }
