Scheduler: a wait for a fast worker is bounded by the time to reclaim

The bound of 900 ms was fixed, and right for a deployment that promises 2,700 ms only. It is now also at most a third of reclaim-ms, where that is known.

--- a/src/steps/speeds.c
+++ b/src/steps/speeds.c
@@ -16,9 +16,11 @@
   NEARLY_DONE_PERCENT = 98, /* from here, a task may wait for its gang */
   RATED_PERCENT = 50,       /* from here, the pace shows the run time */
   MAX_RATIOS = 1024,        /* pairs of account and queue */
-  /* Longest wait of a unit for a fast worker.  With the stop of others and the
-     start, a guaranteed unit still starts within 2,700 ms.  */
+  /* Longest wait of a unit for a fast worker, and the same as a part of the
+     time within which a guaranteed unit must start: the rest is for the stop
+     of others and the start.  */
   MAX_FAST_WAIT_MS = 900,
+  RECLAIM_DIVISOR = 3,
   /* While more of the fast workers' accelerators are free, batch work that may
      miss its objective on slow ones leaves enough to urgent work.  */
   FAST_IDLE_PERCENT = 35,
@@ -484,12 +486,22 @@
     c->on_note (c->note_arg, &note);
 }
 
+static int64_t
+longest_fast_wait_ms (const struct sj_cluster *c)
+{
+  int64_t reclaim_ms = c->settings.reclaim_ms;
+
+  if (!reclaim_ms)
+    return MAX_FAST_WAIT_MS;
+  return MIN (MAX_FAST_WAIT_MS, reclaim_ms / RECLAIM_DIVISOR);
+}
+
 int
 sd_should_wait (struct sj_cluster *c, struct unit *u,
                 struct worker *const *placement)
 {
   int64_t run_ms = sd_run_ms (c, u) + START_MS;
-  int64_t wait_ms = MAX_FAST_WAIT_MS - (c->now - u->ready_ms);
+  int64_t wait_ms = longest_fast_wait_ms (c) - (c->now - u->ready_ms);
   double speed = 1;
 
   if (!c->settings.speed_aware || !c->fleet.is_uneven
