--- a/include/skr/access.h
+++ b/include/skr/access.h
@@ -38,7 +38,7 @@
   AC_LOST      /* no answer; the effect is unknown */
 };
 
-/* Times are of the awake clock (see ac_tick), 0: not set; SINCE_MS is of the
+/* Times are of the active clock (see ac_tick), 0: not set; SINCE_MS is of the
    caller's clock.  */
 struct ac_path
 {
@@ -64,7 +64,7 @@
 
 struct ac_access
 {
-  int64_t ticked_ms, awake_ms;
+  int64_t ticked_ms, active_ms;
   struct ac_path path[AC_PATHS];
   int64_t seen_ms;       /* last write of another VM */
   int64_t probe_ms;      /* first probe since the last sign of a write */
@@ -114,8 +114,8 @@
                       int64_t now);
 /* Returns 1 if PATH is stalled and no success can be expected within
    REMAINING_MS.  */
-int ac_is_hopeless (const struct ac_access *a, enum ac_path_name path,
-                    int64_t remaining_ms, int64_t now);
+int ac_outlasts (const struct ac_access *a, enum ac_path_name path,
+                 int64_t remaining_ms, int64_t now);
 /* Returns 1 if the store does not serve this VM's writes and serves those of
    others, or may do so, as it answers this VM's reads neither.  */
 int ac_is_cut_off (const struct ac_access *a, int64_t now);
--- a/src/access/state.c
+++ b/src/access/state.c
@@ -22,15 +22,15 @@
   REFUSED_CALLS = 3
 };
 
-/* Returns the awake clock at NOW.  */
+/* Returns the active clock at NOW.  */
 static int64_t
-awake_ms (const struct ac_access *a, int64_t now)
+active_ms (const struct ac_access *a, int64_t now)
 {
   int64_t step_ms = now - a->ticked_ms;
 
   if (step_ms < 0)
     step_ms = 0;
-  return a->awake_ms + (step_ms < MAX_STEP_MS ? step_ms : MAX_STEP_MS);
+  return a->active_ms + (step_ms < MAX_STEP_MS ? step_ms : MAX_STEP_MS);
 }
 
 static int64_t
@@ -55,7 +55,7 @@
 {
   memset (a, 0, sizeof *a);
   a->ticked_ms = now;
-  a->awake_ms = a->seen_ms = 1;
+  a->active_ms = a->seen_ms = 1;
   for (int i = 0; i < AC_PATHS; i++)
     a->path[i].since_ms = now;
 }
@@ -66,7 +66,7 @@
   struct ac_path *p = &a->path[path];
 
   if (!p->unanswered_ms)
-    p->unanswered_ms = awake_ms (a, now);
+    p->unanswered_ms = active_ms (a, now);
 }
 
 static void
@@ -79,7 +79,7 @@
   if (path == AC_WRITES)
     {
       a->probe_ms = a->own_probe_ms = 0;
-      a->seen_ms = awake_ms (a, now);
+      a->seen_ms = active_ms (a, now);
     }
 }
 
@@ -93,7 +93,7 @@
   if (path == AC_WRITES)
     a->probe_ms = a->own_probe_ms = 0;
   if (!p->refusals++)
-    p->refused_ms = awake_ms (a, now);
+    p->refused_ms = active_ms (a, now);
 }
 
 void
@@ -116,7 +116,7 @@
 void
 ac_write_seen (struct ac_access *a, int64_t now)
 {
-  a->seen_ms = awake_ms (a, now);
+  a->seen_ms = active_ms (a, now);
   a->probe_ms = 0;
   if (a->path[AC_WRITES].state == AC_STALLED)
     set_state (&a->path[AC_WRITES], AC_AVAILABLE, AC_OTHER_WRITE, now);
@@ -125,29 +125,29 @@
 int
 ac_probe_is_due (const struct ac_access *a, int64_t now)
 {
-  int64_t awake = awake_ms (a, now);
+  int64_t active = active_ms (a, now);
   int64_t unanswered_ms = a->path[AC_WRITES].unanswered_ms;
 
-  if (awake < a->next_probe_ms)
+  if (active < a->next_probe_ms)
     return 0;
-  return (unanswered_ms && awake - unanswered_ms >= PROBE_AFTER_MS)
+  return (unanswered_ms && active - unanswered_ms >= PROBE_AFTER_MS)
          || a->path[AC_WRITES].state != AC_AVAILABLE
-         || awake - a->seen_ms >= QUIET_MS;
+         || active - a->seen_ms >= QUIET_MS;
 }
 
 void
 ac_probe_sent (struct ac_access *a, int64_t now)
 {
-  int64_t awake = awake_ms (a, now);
+  int64_t active = active_ms (a, now);
 
-  a->next_probe_ms = awake + PROBE_GAP_MS;
+  a->next_probe_ms = active + PROBE_GAP_MS;
   /* The first write without an answer is confirmed by a second one.  */
   if (a->path[AC_WRITES].unanswered_ms)
     {
       if (!a->probe_ms)
-        a->probe_ms = awake;
+        a->probe_ms = active;
       if (!a->own_probe_ms)
-        a->own_probe_ms = awake;
+        a->own_probe_ms = active;
     }
   ac_sent (a, AC_WRITES, now);
 }
@@ -155,17 +155,17 @@
 int
 ac_read_probe_is_due (const struct ac_access *a, int64_t now)
 {
-  return a->own_probe_ms && awake_ms (a, now) >= a->next_read_probe_ms;
+  return a->own_probe_ms && active_ms (a, now) >= a->next_read_probe_ms;
 }
 
 void
 ac_read_probe_sent (struct ac_access *a, int64_t now)
 {
-  int64_t awake = awake_ms (a, now);
+  int64_t active = active_ms (a, now);
 
-  a->next_read_probe_ms = awake + PROBE_GAP_MS;
+  a->next_read_probe_ms = active + PROBE_GAP_MS;
   if (!a->read_probe_ms)
-    a->read_probe_ms = awake;
+    a->read_probe_ms = active;
   ac_sent (a, AC_READS, now);
 }
 
@@ -175,21 +175,22 @@
   a->read_probe_ms = 0;
 }
 
-/* Returns 1 if writes of this VM have had no answer since FROM, the awake
+/* Returns 1 if writes of this VM have had no answer since FROM, the active
    time, and the probe sent at PROBE_MS confirms it.  */
 static int
-is_silent (int64_t awake, int64_t from, int64_t probe_ms)
+is_silent (int64_t active, int64_t from, int64_t probe_ms)
 {
-  return awake - from >= WRITES_STALLED_MS && probe_ms
-         && awake - probe_ms >= PROBE_CONFIRMS_MS;
+  return active - from >= WRITES_STALLED_MS && probe_ms
+         && active - probe_ms >= PROBE_CONFIRMS_MS;
 }
 
 static void
 check_refused (struct ac_access *a, struct ac_path *p, int64_t now)
 {
   if (p->refusals >= REFUSED_CALLS
-      && a->awake_ms - p->refused_ms >= REFUSED_MS)
-    set_state (p, AC_REFUSED, AC_REFUSAL, now - (a->awake_ms - p->refused_ms));
+      && a->active_ms - p->refused_ms >= REFUSED_MS)
+    set_state (p, AC_REFUSED, AC_REFUSAL,
+               now - (a->active_ms - p->refused_ms));
 }
 
 static void
@@ -198,8 +199,8 @@
   struct ac_path *p = &a->path[AC_WRITES];
   int64_t from_ms = later (p->unanswered_ms, a->seen_ms);
 
-  if (p->unanswered_ms && is_silent (a->awake_ms, from_ms, a->probe_ms))
-    set_state (p, AC_STALLED, AC_NO_ANSWER, now - (a->awake_ms - from_ms));
+  if (p->unanswered_ms && is_silent (a->active_ms, from_ms, a->probe_ms))
+    set_state (p, AC_STALLED, AC_NO_ANSWER, now - (a->active_ms - from_ms));
 }
 
 static void
@@ -207,9 +208,9 @@
 {
   struct ac_path *p = &a->path[AC_READS];
 
-  if (p->unanswered_ms && a->awake_ms - p->unanswered_ms >= READS_STALLED_MS)
+  if (p->unanswered_ms && a->active_ms - p->unanswered_ms >= READS_STALLED_MS)
     set_state (p, AC_STALLED, AC_NO_ANSWER,
-               now - (a->awake_ms - p->unanswered_ms));
+               now - (a->active_ms - p->unanswered_ms));
 }
 
 unsigned
@@ -217,7 +218,7 @@
 {
   unsigned changed = 0;
 
-  a->awake_ms = awake_ms (a, now);
+  a->active_ms = active_ms (a, now);
   a->ticked_ms = now;
   check_writes (a, now);
   check_reads (a, now);
@@ -243,8 +244,8 @@
 /* An outage is expected to last about as long again as it has lasted, as its
    length is not known beforehand.  */
 int
-ac_is_hopeless (const struct ac_access *a, enum ac_path_name path,
-                int64_t remaining_ms, int64_t now)
+ac_outlasts (const struct ac_access *a, enum ac_path_name path,
+             int64_t remaining_ms, int64_t now)
 {
   return a->path[path].state == AC_STALLED
          && ac_outage_ms (a, path, now) >= remaining_ms;
@@ -254,18 +255,18 @@
 ac_is_cut_off (const struct ac_access *a, int64_t now)
 {
   const struct ac_path *p = &a->path[AC_WRITES];
-  int64_t awake = awake_ms (a, now);
+  int64_t active = active_ms (a, now);
 
   if (p->state == AC_STALLED)
-    return a->read_probe_ms && awake - a->read_probe_ms >= PROBE_CONFIRMS_MS;
+    return a->read_probe_ms && active - a->read_probe_ms >= PROBE_CONFIRMS_MS;
   if (p->state == AC_REFUSED && a->path[AC_READS].state != AC_AVAILABLE)
     return 1;
-  if (awake - a->seen_ms >= WRITES_STALLED_MS)
+  if (active - a->seen_ms >= WRITES_STALLED_MS)
     return 0;
   if (p->state == AC_REFUSED)
     return a->seen_ms > p->refused_ms;
   return p->unanswered_ms && a->seen_ms > p->unanswered_ms
-         && is_silent (awake, p->unanswered_ms, a->own_probe_ms);
+         && is_silent (active, p->unanswered_ms, a->own_probe_ms);
 }
 
 const char *
--- a/src/batch/access.c
+++ b/src/batch/access.c
@@ -102,9 +102,9 @@
           lg_str ("evidence", ac_evidence_name (p->evidence)),
           lg_int ("before_ms", b->now_ms - p->since_ms),
           lg_int ("unanswered_ms",
-                  p->unanswered_ms ? a->awake_ms - p->unanswered_ms : -1),
+                  p->unanswered_ms ? a->active_ms - p->unanswered_ms : -1),
           lg_int ("seen_ms",
-                  path == AC_WRITES ? a->awake_ms - a->seen_ms : -1) };
+                  path == AC_WRITES ? a->active_ms - a->seen_ms : -1) };
 
   lg_log (LG_STORE_ACCESS, 6, f);
 }
--- a/src/batch/pending.c
+++ b/src/batch/pending.c
@@ -304,13 +304,13 @@
 /* Gives P up if no success can be expected before its deadline.  An attempt in
    flight may still be executed.  Returns 1 if P was answered.  */
 static int
-give_up_hopeless (struct ba_pending *p)
+give_up_if_outlasted (struct ba_pending *p)
 {
   struct batch *b = p->b;
 
   if (!b->settings->refuse_stalled_writes
-      || !ac_is_hopeless (&b->access, path_of (p), p->deadline_ms - b->now_ms,
-                          b->now_ms))
+      || !ac_outlasts (&b->access, path_of (p), p->deadline_ms - b->now_ms,
+                       b->now_ms))
     return 0;
   p->may_be_done |= p->in_flight && p->purpose != BA_LOOKUP;
   if (p->may_be_done)
@@ -365,7 +365,7 @@
     {
       struct ba_pending *p = g_ptr_array_index (b->pending, i);
 
-      if ((p->purpose == BA_LOOKUP && relay (p)) || give_up_hopeless (p))
+      if ((p->purpose == BA_LOOKUP && relay (p)) || give_up_if_outlasted (p))
         continue;
       drop_stalled_attempt (p);
       if (p->in_flight)
--- a/src/batch/show.c
+++ b/src/batch/show.c
@@ -62,7 +62,7 @@
                        json_pack ("{s:o,s:o,s:I,s:i}", "reads",
                                   path_status (b, AC_READS), "writes",
                                   path_status (b, AC_WRITES), "write_seen_ms",
-                                  (json_int_t)(a->awake_ms - a->seen_ms),
+                                  (json_int_t)(a->active_ms - a->seen_ms),
                                   "refused_callers", a->refused));
   if (b->relay.peers)
     json_object_set_new (o, "relay_peers", json_integer (b->relay.peers->len));
--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -174,7 +174,7 @@
   if (bl_covers (&r->blocked, c, u, allow_off_rack))
     {
       /* The unit that failed may have waited, and this one may not.  */
-      if (!vi_is_sparing (c) || !preempt_for (c, r, u, allow_off_rack, now))
+      if (!vi_avoids_stops (c) || !preempt_for (c, r, u, allow_off_rack, now))
         return 0;
       hd_count (c, &r->headroom);
       return 1;
--- a/src/steps/preempt.c
+++ b/src/steps/preempt.c
@@ -17,7 +17,7 @@
 {
   const struct sj_step *s = un_step (u);
 
-  if (!vi_is_sparing (c) || u->job->rank == RANK_GUARANTEED)
+  if (!vi_avoids_stops (c) || u->job->rank == RANK_GUARANTEED)
     return INT64_MAX;
   return s->estimate_ms * u->count * (nd_weight (&s->need) + 1) / 1000;
 }
@@ -36,7 +36,7 @@
   if (u->job->rank == RANK_GUARANTEED)
     return 1;
   return s->checkpoints
-         && !(vi_is_sparing (c) && vi_is_nearly_done (c, victim, c->now));
+         && !(vi_avoids_stops (c) && vi_is_nearly_done (c, victim, c->now));
 }
 
 /* Units to stop for one unit.  */
@@ -64,7 +64,7 @@
 {
   struct sj_resources available = w->free_after_stops;
 
-  if (vi_is_sparing (c) && w->reserved_from_ms
+  if (vi_avoids_stops (c) && w->reserved_from_ms
       && c->now + un_step (u)->estimate_ms > w->reserved_from_ms)
     nd_sub (&available, &w->reserved);
   return available;
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -471,7 +471,7 @@
 /* victim.c */
 /* Whether stops are avoided: the time within which guaranteed work must start
    is known.  */
-int vi_is_sparing (const struct sj_cluster *c);
+int vi_avoids_stops (const struct sj_cluster *c);
 /* Expected longest time that a stop takes.  */
 int64_t vi_stop_ms (const struct sj_cluster *c);
 /* Whether M should have stopped by now, so that its capacity is not counted
--- a/src/steps/victim.c
+++ b/src/steps/victim.c
@@ -21,7 +21,7 @@
 };
 
 int
-vi_is_sparing (const struct sj_cluster *c)
+vi_avoids_stops (const struct sj_cluster *c)
 {
   return c->settings.reclaim_ms > 0;
 }
@@ -35,7 +35,7 @@
 int
 vi_is_overdue (const struct sj_cluster *c, const struct member *m)
 {
-  return vi_is_sparing (c) && m->state == MB_STOPPING
+  return vi_avoids_stops (c) && m->state == MB_STOPPING
          && c->now - m->stop_first_ms > vi_stop_ms (c) + OVERDUE_MS;
 }
 
@@ -68,7 +68,7 @@
   int64_t done_ms = now - m->started_ms;
   int64_t interval_ms = c->settings.checkpoint_interval_ms;
 
-  if (vi_is_sparing (c))
+  if (vi_avoids_stops (c))
     done_ms
         = MAX (done_ms, he_expected_run_ms (c, m) * m->progress_percent / 100);
   if (!un_step (u)->checkpoints)
@@ -109,7 +109,7 @@
 {
   int64_t cost = core_ms (u, RESTART_MS + lost_ms (c, u, now));
 
-  if (!vi_is_sparing (c))
+  if (!vi_avoids_stops (c))
     return cost;
   if (u->remaining_ms <= vi_stop_ms (c) + RESTART_MS)
     cost *= NEARLY_DONE_FACTOR;
--- a/src/steps/wait.c
+++ b/src/steps/wait.c
@@ -153,7 +153,7 @@
   int64_t until_ms;
 
   *reason = "not weighed";
-  if (!vi_is_sparing (c))
+  if (!vi_avoids_stops (c))
     return WT_STOP;
   if (u->job->rank > RANK_GUARANTEED
       && now + vi_stop_ms (c) + START_MS > latest_start_ms)
--- a/tests/access/test_access.c
+++ b/tests/access/test_access.c
@@ -257,15 +257,15 @@
 
 /* Guards against giving up a request that the store could still serve.  */
 static void
-test_hopeless_once_the_outage_is_longer_than_the_rest (void)
+test_outage_outlasts_the_deadline (void)
 {
   setup ();
   store.silent = 1;
   send_write ();
   run (1000);
-  CU_ASSERT (!ac_is_hopeless (&access, AC_WRITES, 1700, now));
-  CU_ASSERT (ac_is_hopeless (&access, AC_WRITES, 900, now));
-  CU_ASSERT (!ac_is_hopeless (&access, AC_READS, 0, now));
+  CU_ASSERT (!ac_outlasts (&access, AC_WRITES, 1700, now));
+  CU_ASSERT (ac_outlasts (&access, AC_WRITES, 900, now));
+  CU_ASSERT (!ac_outlasts (&access, AC_READS, 0, now));
 }
 
 /* Guards against reads that are taken for available because writes are, and
@@ -352,7 +352,7 @@
     { "refusals", test_refusals },
     { "refused whole", test_cut_off_without_reads },
     { "silent whole", test_cut_off_without_answers },
-    { "hopeless", test_hopeless_once_the_outage_is_longer_than_the_rest },
+    { "outlasts", test_outage_outlasts_the_deadline },
     { "reads", test_reads_have_their_own_state },
     { "retry-after", test_retry_after_grows_and_spreads },
     { "older first", test_older_callers_return_first },
