Headroom: forecast only while enough urgent jobs arrive

Cause: with two urgent jobs a second the 4 s from which the trend is taken hold eight of them; the forecast follows their scatter, keeps too much free, and batch jobs end late or never.

The test "rare arrivals" fails without the limit.

--- a/include/skr/headroom.h
+++ b/include/skr/headroom.h
@@ -44,8 +44,9 @@
                     int tasks, int64_t run_ms, int64_t at_ms, int64_t now);
 /* Records the run time of a task of other work.  */
 void hr_add_batch (struct hr_forecast *f, int64_t run_ms);
-/* Whether there is enough history for a forecast.  */
-int hr_has_history (struct hr_forecast *f, int64_t now);
+/* Whether there is enough history for a forecast, with at least MIN_PER_S jobs
+   a second.  */
+int hr_has_history (struct hr_forecast *f, int min_per_s, int64_t now);
 
 /* Capacity to keep free.  */
 struct hr_keep
--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -359,7 +359,9 @@
      outlive the scheduler.  */
   const struct dm_domains *domains;
   int speed_aware; /* learn and use the workers' speeds and the run times */
-  int headroom_forecast; /* keep capacity free by the forecast of demand */
+  /* Keep capacity free by the forecast of demand while at least so many urgent
+     jobs a second arrive; 0: never.  */
+  int headroom_forecast;
   /* Time within which guaranteed work must start; 0: unknown, and work is
      stopped for other work as soon as that does not fit.  */
   int64_t reclaim_ms;
--- a/src/batch/main.c
+++ b/src/batch/main.c
@@ -91,9 +91,10 @@
     "1: learn the workers' speeds and the run times from what runs show, and "
     "use them to place, keep and move runs",
     FIELD (speed_aware) },
-  { "headroom-forecast", OPT_INT, "", 0, 1, "0",
-    "1: batch work leaves as much capacity free as the urgent jobs of the "
-    "last seconds let expect; 0: a constant share",
+  { "headroom-forecast", OPT_INT, "jobs a second", 0, 1000, "0",
+    "while at least so many urgent jobs a second arrive, batch work leaves as "
+    "much capacity free as those of the last seconds let expect; of fewer the "
+    "trend is not known well enough; 0: always a constant share",
     FIELD (headroom_forecast) },
   { "reclaim-ms", OPT_INT, "ms", 0, MINUTE_MS, "0",
     "time within which guaranteed work must start; until it is nearly over, "
--- a/src/headroom/forecast.c
+++ b/src/headroom/forecast.c
@@ -105,12 +105,26 @@
   return jobs;
 }
 
+/* Buckets that lie within the history, at most MAX.  */
+static int
+known_buckets (const struct hr_forecast *f, int max)
+{
+  int64_t n = f->newest - f->began_ms / HR_BUCKET_MS;
+
+  return n < max ? (int)n : max;
+}
+
 int
-hr_has_history (struct hr_forecast *f, int64_t now)
+hr_has_history (struct hr_forecast *f, int min_per_s, int64_t now)
 {
+  double jobs;
+
   advance (f, now);
-  return now - f->began_ms >= HR_MIN_HISTORY_MS
-         && count_all (f, 0, MAX_KNOWN) > 0;
+  jobs = count_all (f, 0, MAX_KNOWN);
+  return now - f->began_ms >= HR_MIN_HISTORY_MS && jobs > 0
+         && jobs * SECOND_MS >= (double)min_per_s
+                                    * known_buckets (f, MAX_KNOWN)
+                                    * HR_BUCKET_MS;
 }
 
 static double
@@ -119,15 +133,6 @@
   return count_all (f, age, buckets) * SECOND_MS / (buckets * HR_BUCKET_MS);
 }
 
-/* Buckets that lie within the history, at most MAX.  */
-static int
-known_buckets (const struct hr_forecast *f, int max)
-{
-  int64_t n = f->newest - f->began_ms / HR_BUCKET_MS;
-
-  return n < max ? (int)n : max;
-}
-
 /* The highest rate within the history.  A rate above it is not expected.  */
 static double
 highest_rate (const struct hr_forecast *f)
--- a/src/steps/headroom.c
+++ b/src/steps/headroom.c
@@ -123,7 +123,8 @@
 {
   begin_forecast (c, now);
   h->is_forecast
-      = c->settings.headroom_forecast && hr_has_history (&c->forecast, now);
+      = c->settings.headroom_forecast
+        && hr_has_history (&c->forecast, c->settings.headroom_forecast, now);
   for (int i = 0; i < 2 && h->is_forecast; i++)
     hr_get_keep (&c->forecast, deviations[i], sum_of_guarantees (c), now,
                  &h->keep[i]);
--- a/tests/headroom/test_forecast.c
+++ b/tests/headroom/test_forecast.c
@@ -64,12 +64,26 @@
   static struct load l;
 
   begin (&l);
-  CU_ASSERT_FALSE (hr_has_history (&l.f, l.now));
+  CU_ASSERT_FALSE (hr_has_history (&l.f, 1, l.now));
   run (&l, HR_MIN_HISTORY_MS - 500, 8, 0);
-  CU_ASSERT_FALSE (hr_has_history (&l.f, l.now));
+  CU_ASSERT_FALSE (hr_has_history (&l.f, 1, l.now));
   run (&l, 500, 8, 0);
-  CU_ASSERT (hr_has_history (&l.f, l.now));
-  CU_ASSERT_FALSE (hr_has_history (&l.f, l.now + 60000));
+  CU_ASSERT (hr_has_history (&l.f, 1, l.now));
+  CU_ASSERT_FALSE (hr_has_history (&l.f, 1, l.now + 60000));
+}
+
+/* Guards against a forecast from a trend that few arrivals do not show.  */
+static void
+test_no_forecast_of_rare_arrivals (void)
+{
+  static struct load l;
+
+  begin (&l);
+  run (&l, 10000, 2, 0);
+  CU_ASSERT (hr_has_history (&l.f, 1, l.now));
+  CU_ASSERT_FALSE (hr_has_history (&l.f, 4, l.now));
+  run (&l, 16000, 8, 0);
+  CU_ASSERT (hr_has_history (&l.f, 4, l.now));
 }
 
 /* Guards against headroom that grows with an even load: what runs ends as fast
@@ -155,7 +169,7 @@
     hr_add_urgent (&l.f, &need, TASKS, RUN_MS, l.now - i * 125, l.now);
   hr_add_urgent (&l.f, &need, TASKS, RUN_MS, l.now - 60000, l.now);
   hr_add_urgent (&l.f, &need, TASKS, RUN_MS, -5, l.now);
-  CU_ASSERT (hr_has_history (&l.f, l.now));
+  CU_ASSERT (hr_has_history (&l.f, 1, l.now));
   CU_ASSERT_DOUBLE_EQUAL (get_keep (&l).jobs_per_s, 8, 1.5);
 }
 
@@ -164,6 +178,7 @@
 {
   static const CU_TestInfo tests[] = {
     { "no history", test_no_forecast_without_history },
+    { "rare arrivals", test_no_forecast_of_rare_arrivals },
     { "even load", test_even_load },
     { "oscillating load", test_oscillating_load },
     { "burst", test_burst },
