Scheduler: learned speeds have no effect in an even fleet

Cause: the rule against moves off slow workers, the placement by stranded capacity and the learned run times acted in every fleet.

They act now while the fleet is uneven, the rule against moves also until half of the workers are measured.

--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -324,7 +324,7 @@
 
       if (m->state != MB_RUNNING || !m->worker->draining)
         continue;
-      remaining_ms = c->settings.speed_aware
+      remaining_ms = sd_is_active (c)
                          ? he_expected_remaining_ms (c, m)
                          : he_remaining_ms (un_step (u)->estimate_ms, m);
       if (!un_step (u)->is_continuous
--- a/src/steps/health.c
+++ b/src/steps/health.c
@@ -108,7 +108,7 @@
 
   if (m->pace_percent > 0)
     return ms * 100 / m->pace_percent;
-  if (!c->settings.speed_aware)
+  if (!sd_may_be_uneven (c))
     return ms;
   ms = sd_run_on_ms (c, m->unit, m->worker);
   return m->unit->off_rack ? ms * c->settings.off_rack_factor : ms;
@@ -238,7 +238,7 @@
 static int
 shows_slow_worker (const struct sj_cluster *c, const struct member *m)
 {
-  if (!c->settings.speed_aware)
+  if (!sd_may_be_uneven (c))
     return is_slow_pace (m, reference_pace (m));
   return is_slow_for_class (c, m, sd_fast_pace (m))
          && !has_healthy_neighbour (c, m);
@@ -252,7 +252,7 @@
   int64_t declared = declared_ms (c, m->unit);
   int64_t took = now - m->pace_base_ms;
   int share
-      = c->settings.speed_aware ? SPEED_SAMPLE_PERCENT : PACE_SAMPLE_PERCENT;
+      = sd_may_be_uneven (c) ? SPEED_SAMPLE_PERCENT : PACE_SAMPLE_PERCENT;
 
   if (took < PACE_SAMPLE_MS || took * 100 < declared * share)
     return;
@@ -395,7 +395,7 @@
 static int
 should_move (struct sj_cluster *c, struct member *m)
 {
-  if (!c->settings.speed_aware)
+  if (!sd_may_be_uneven (c))
     return is_move_worthwhile (c, m);
   if (is_move_worthwhile_by_speed (c, m))
     return 1;
@@ -433,7 +433,7 @@
         continue;
       ru_avoid_worker (u, m->worker->id);
       if (!patience_doublings (u)
-          && !(c->settings.speed_aware && has_healthy_neighbour (c, m)))
+          && !(sd_may_be_uneven (c) && has_healthy_neighbour (c, m)))
         mark_suspect (c, m->worker, now);
       move = cause;
     }
--- a/src/steps/placement.c
+++ b/src/steps/placement.c
@@ -170,7 +170,7 @@
   struct sj_resources available = after_stops ? w->free_after_stops : w->free;
   int before;
 
-  if (!c->settings.speed_aware)
+  if (!sd_is_active (c))
     return 0;
   before = stranded (&available, &w->capacity);
   nd_sub (&available, &need);
@@ -262,7 +262,7 @@
 {
   int tasks[LEVELS] = { 0 }, level, grade;
 
-  if (!c->settings.speed_aware || !c->fleet.is_uneven)
+  if (!sd_is_active (c))
     return;
   for (int i = 0; i < n; i++)
     tasks[level_of (c, list[i].worker)] += list[i].tasks;
@@ -322,7 +322,7 @@
       n += tasks;
     }
   *grade = 0;
-  if (c->settings.speed_aware && c->fleet.is_uneven && n >= u->count)
+  if (sd_is_active (c) && n >= u->count)
     choose_level (u, wants_fast, by_level, grade);
   if (n - cold < u->count)
     *grade += COLD;
@@ -336,7 +336,7 @@
 {
   const struct rack *best = NULL;
   int least = 0, best_grade = 0;
-  int wants_fast = c->settings.speed_aware && sd_wants_fast (c, u);
+  int wants_fast = sd_is_active (c) && sd_wants_fast (c, u);
 
   for (guint i = 0; i < c->rack_list->len; i++)
     {
--- a/src/steps/speeds.c
+++ b/src/steps/speeds.c
@@ -42,6 +42,12 @@
   g_hash_table_destroy (c->run_ratios);
 }
 
+int
+sd_is_active (const struct sj_cluster *c)
+{
+  return c->settings.speed_aware && c->fleet.is_uneven;
+}
+
 double
 sd_speed (const struct sj_cluster *c, const struct worker *w)
 {
@@ -56,6 +62,14 @@
   return w->speed.class;
 }
 
+int
+sd_may_be_uneven (const struct sj_cluster *c)
+{
+  return c->settings.speed_aware
+         && (c->fleet.is_uneven
+             || c->fleet.measured * 2 < (int)c->worker_list->len);
+}
+
 /* Another incarnation may run on other hardware.  */
 static struct sp_worker *
 speed_of (struct worker *w)
@@ -297,8 +311,7 @@
 sd_run_ms (const struct sj_cluster *c, const struct unit *u)
 {
   int64_t declared_ms = un_step (u)->estimate_ms;
-  const struct rt_ratio *ratio
-      = c->settings.speed_aware ? ratio_of (u->job) : NULL;
+  const struct rt_ratio *ratio = sd_is_active (c) ? ratio_of (u->job) : NULL;
 
   if (!ratio)
     return declared_ms;
@@ -309,8 +322,7 @@
 sd_tail_ms (const struct sj_cluster *c, const struct unit *u)
 {
   int64_t declared_ms = un_step (u)->estimate_ms;
-  const struct rt_ratio *ratio
-      = c->settings.speed_aware ? ratio_of (u->job) : NULL;
+  const struct rt_ratio *ratio = sd_is_active (c) ? ratio_of (u->job) : NULL;
 
   if (!ratio)
     return declared_ms;
@@ -504,8 +516,7 @@
   int64_t wait_ms = longest_fast_wait_ms (c) - (c->now - u->ready_ms);
   double speed = 1;
 
-  if (!c->settings.speed_aware || !c->fleet.is_uneven
-      || u->job->rank >= RANK_BATCH || pl_is_rack_bound (u))
+  if (!sd_is_active (c) || u->job->rank >= RANK_BATCH || pl_is_rack_bound (u))
     return 0;
   for (int i = 0; i < u->count; i++)
     speed = MIN (speed, sd_speed (c, placement[i]));
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -561,6 +561,10 @@
    take their declared time */
 void sd_init (struct sj_cluster *c);
 void sd_fini (struct sj_cluster *c);
+/* Whether what is learned has an effect: in an even fleet it has none.  */
+int sd_is_active (const struct sj_cluster *c);
+/* Whether the fleet is uneven, or too few workers are known to tell.  */
+int sd_may_be_uneven (const struct sj_cluster *c);
 /* Accounts the progress listed for M's run.  Its declared run time where it
    runs is DECLARED_MS.  */
 void sd_record_progress (struct sj_cluster *c, struct member *m, int percent,
