Log what the lease holder's processor time goes to

Nothing told whether a holder at its limit spent its time on decisions, orders or polls, or how long orders and commits waited. Events 562 and 563 tell it once a second.

--- a/include/skr/base.h
+++ b/include/skr/base.h
@@ -43,6 +43,11 @@
    be compared with the clock of another VM.  */
 int64_t bs_wall_ms (void);
 
+/* Processor time that the calling thread, or the process, has used, in
+   microseconds.  */
+int64_t bs_thread_cpu_us (void);
+int64_t bs_process_cpu_us (void);
+
 /* Writes LEN random bytes, 64 at most, as 2 * LEN lower-case hex digits and a
    NUL to OUT.  */
 void bs_random_hex (char *out, unsigned len);
--- a/include/skr/http.h
+++ b/include/skr/http.h
@@ -81,10 +81,11 @@
    SIZE - 1 bytes of the body to BUF, to which ANSWER->body points.  */
 int hc_call (struct hc_client *hc, const struct hc_request *request,
              struct hc_answer *answer, char *buf, size_t size);
-/* Totals since the client was created; bytes include headers.  */
+/* Totals since the client was created; bytes include headers.  The processor
+   time is that of the client's thread, up to a second old.  */
 struct hc_counts
 {
-  int64_t requests, bytes_out, bytes_in;
+  int64_t requests, bytes_out, bytes_in, cpu_us;
 };
 void hc_count (struct hc_client *hc, struct hc_counts *counts);
 const char *hc_strerror (int error);
--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -499,6 +499,7 @@
   /* Since the cluster was created: decisions to preempt, runs stopped for any
      cause, and the work that these threw away.  */
   int64_t preemptions, stopped_runs, lost_core_ms;
+  int64_t rounds; /* decision rounds since then */
 };
 /* Fills OUT with the current counts.  */
 void sj_count (struct sj_cluster *c, struct sj_counts *out);
--- a/src/base/base.c
+++ b/src/base/base.c
@@ -83,6 +83,28 @@
   return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
 }
 
+static int64_t
+cpu_us (clockid_t clock)
+{
+  struct timespec ts;
+
+  return clock_gettime (clock, &ts)
+             ? 0
+             : ts.tv_sec * INT64_C (1000000) + ts.tv_nsec / 1000;
+}
+
+int64_t
+bs_thread_cpu_us (void)
+{
+  return cpu_us (CLOCK_THREAD_CPUTIME_ID);
+}
+
+int64_t
+bs_process_cpu_us (void)
+{
+  return cpu_us (CLOCK_PROCESS_CPUTIME_ID);
+}
+
 void
 bs_random_hex (char *out, unsigned len)
 {
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -287,6 +287,20 @@
     "Steps wait that do not fit, so that the accounts' shares change their "
     "order (scarce 1), or no more for 2 s (scarce 0).",
     "if it lasts, add workers" },
+  { LG_HOLDER_USAGE, LG_NOTICE, "holder-usage",
+    "interval_ms process_ms loop_ms client_ms polls_ms decide_ms store_ms "
+    "listing_ms order_ms caller_ms queued_events rounds",
+    "The lease holder's processor time in the last interval_ms: process_ms of "
+    "the process, loop_ms of the loop thread, client_ms of the HTTP client's. "
+    "From polls_ms to caller_ms the loop's elapsed times by what it handled.",
+    "if process_ms is near the VM's share, the fleet needs a larger VM" },
+  { LG_HOLDER_WORK, LG_NOTICE, "holder-work",
+    "holds starts stops ends commits requests runs busy_workers waiting_jobs "
+    "waiting_orders order_wait_ms commit_ms",
+    "What the lease holder did in the interval of event 562, and its state at "
+    "the end; order_wait_ms is the longest time that an order waited to be "
+    "sent, commit_ms that of a commit.",
+    "none" },
 
   /* filter */
   { LG_REQUEST_UNKNOWN, LG_WARNING, "request-unknown",
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -222,6 +222,19 @@
   int64_t ms[BA_EVENT_KINDS]; /* by kind of event */
 };
 
+/* Totals of the process, and the longest waits of an interval.  */
+struct ba_totals
+{
+  int64_t at_ms, process_us, loop_us, client_us;
+  int64_t event_ms[BA_EVENT_KINDS], polls_ms, decide_ms;
+  int64_t holds, starts, stops, ends, commits, requests, rounds;
+};
+struct ba_usage
+{
+  struct ba_totals now, noted; /* noted: at the last log lines */
+  int64_t order_wait_ms, commit_ms;
+};
+
 /* Series of the metrics registry; SHARD is the loop thread's.  */
 struct ba_counters
 {
@@ -298,6 +311,7 @@
   struct ba_commit commit;
   int64_t stopping_at_ms, counted_ms, ticked_ms, tick_took_ms;
   struct ba_loop_times times;
+  struct ba_usage usage;
 
   struct st_registry stats;
   struct ba_counters counters;
@@ -313,6 +327,10 @@
    not fit into the ring is refused.  Called on any thread.  */
 void ba_push (struct batch *b, struct ba_event *e);
 
+/* usage.c */
+/* Logs what a holder's processor time went to since the last call.  */
+void us_tick (struct batch *b);
+
 /* stop.c: stages of a planned stop */
 enum ba_stage
 {
--- a/src/batch/commit.c
+++ b/src/batch/commit.c
@@ -213,6 +213,7 @@
 
   st_observe_us (&b->stats, b->counters.shard, b->counters.commit_duration,
                  (b->now_ms - sent_ms) * 1000);
+  b->usage.commit_ms = MAX (b->usage.commit_ms, b->now_ms - sent_ms);
   if (kind == BA_COMMIT_RECORDS)
     apply_stored_states (b, version);
   cm_reset (b);
--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -154,9 +154,14 @@
 {
   if (le_valid (&b->lease, b->now_ms))
     {
+      int64_t begin_ms = bs_now_ms (&b->clock), polled_ms;
+
       ta_check_starts (b);
       wk_tick (b);
+      polled_ms = bs_now_ms (&b->clock);
       sj_decide (b->cluster, b->now_ms, wall_ms (b));
+      b->usage.now.polls_ms += polled_ms - begin_ms;
+      b->usage.now.decide_ms += bs_now_ms (&b->clock) - polled_ms;
     }
   if (b->commit.open)
     return;
--- a/src/batch/loop.c
+++ b/src/batch/loop.c
@@ -126,7 +126,9 @@
 
   dispatch (b, e);
   b->times.events++;
-  b->times.ms[kind] += bs_now_ms (&b->clock) - begin_ms;
+  begin_ms = bs_now_ms (&b->clock) - begin_ms;
+  b->times.ms[kind] += begin_ms;
+  b->usage.now.event_ms[kind] += begin_ms;
 }
 
 /* Logs and clears the loop's times after a tick.  */
@@ -186,6 +188,7 @@
     {
       b->counted_ms = b->now_ms;
       co_tick (b);
+      us_tick (b);
     }
   atomic_store (&b->ready, b->config && b->job_follower.synced
                                && ba_config_is_fresh (b) && !b->stopping_at_ms
--- a/src/batch/orders.c
+++ b/src/batch/orders.c
@@ -93,6 +93,8 @@
 
   if (!w || !le_valid (&b->lease, b->now_ms))
     return PO_EINVAL;
+  b->usage.order_wait_ms
+      = MAX (b->usage.order_wait_ms, b->now_ms - o->sent_ms);
   o->sent_ms = b->now_ms;
   if (o->kind == SJ_STOP)
     return send_stop (b, w, o);
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -16,7 +16,8 @@
   /* After a connection to a host went silent (a request that may have been
      sent timed out), requests to that host use new connections for so long. */
   SUSPECT_DURATION_MS = 10000,
-  DEFAULT_CONNECT_TIMEOUT_MS = 1000
+  DEFAULT_CONNECT_TIMEOUT_MS = 1000,
+  CPU_READ_INTERVAL_MS = 500
 };
 
 struct transfer
@@ -42,7 +43,8 @@
   struct bs_thread thread;
   struct rg_ring ring;
   atomic_int in_progress, stop;
-  atomic_llong requests, bytes_out, bytes_in;
+  atomic_llong requests, bytes_out, bytes_in, cpu_us;
+  int64_t cpu_read_ms;
   int max_in_progress, connect_timeout_ms;
   char *ca;
   struct transfer active; /* list head */
@@ -257,6 +259,7 @@
   counts->requests = atomic_load (&hc->requests);
   counts->bytes_out = atomic_load (&hc->bytes_out);
   counts->bytes_in = atomic_load (&hc->bytes_in);
+  counts->cpu_us = atomic_load (&hc->cpu_us);
 }
 
 static void
@@ -321,6 +324,17 @@
     }
 }
 
+static void
+update_cpu_time (struct hc_client *hc)
+{
+  int64_t now_ms = bs_now_ms (&hc->clock);
+
+  if (now_ms - hc->cpu_read_ms < CPU_READ_INTERVAL_MS)
+    return;
+  hc->cpu_read_ms = now_ms;
+  atomic_store (&hc->cpu_us, bs_thread_cpu_us ());
+}
+
 static void *
 client_main (void *arg)
 {
@@ -333,6 +347,7 @@
         start_transfer (hc, item);
       mx_wait (&hc->mux);
       end_completed_transfers (hc);
+      update_cpu_time (hc);
     }
   rg_close (&hc->ring);
   while (rg_pop (&hc->ring, &item, 0) == BS_OK)
--- a/src/steps/cluster.c
+++ b/src/steps/cluster.c
@@ -224,6 +224,7 @@
   out->preemptions = c->preemptions;
   out->stopped_runs = c->stopped_runs;
   out->lost_core_ms = c->lost_core_ms;
+  out->rounds = c->rounds;
   for (guint i = 0; i < c->job_list->len; i++)
     {
       const struct job *j = g_ptr_array_index (c->job_list, i);
