--- a/tests/batch/test_holder.c
+++ b/tests/batch/test_holder.c
@@ -48,6 +48,7 @@
   memset (&batch, 0, sizeof batch);
   fs_reset ();
   batch.settings = &settings;
+  batch.clock = bs_clock_system ();
   batch.now_ms = 100000;
   co_init (&batch);
   vw_init (&batch.view);
