Scheduler: a search looks at the free capacity first

Cause: a search asked for each worker whether it may be used before it looked whether anything fits, and sorted all workers that fit although few are taken. Change: capacity first, usability once a round, a heap instead of the sort. The choice is the same.

--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -18,6 +18,17 @@
   MAX_GANGS_HELPED = 1      /* gangs at risk in one round */
 };
 
+static void
+update_usable (struct sj_cluster *c)
+{
+  for (guint i = 0; i < c->worker_list->len; i++)
+    {
+      struct worker *w = g_ptr_array_index (c->worker_list, i);
+
+      w->usable = wo_usable (c, w);
+    }
+}
+
 /* Computes each worker's free capacity and clears all reservations.  */
 static void
 reset_free_capacity (struct sj_cluster *c)
@@ -53,7 +64,7 @@
     {
       const struct worker *w = g_ptr_array_index (c->worker_list, i);
 
-      if (!wo_usable (c, w))
+      if (!w->usable)
         continue;
       used += nd_weight (&w->used);
       all += nd_weight (&w->capacity);
@@ -396,6 +407,7 @@
   if (now - c->health_checked_ms >= HEALTH_CHECK_MS)
     {
       c->health_checked_ms = now;
+      update_usable (c);
       he_check_runs (c, now);
       lo_settle_old_losses (c);
     }
@@ -406,6 +418,7 @@
   c->decided_ms = now;
   c->rounds++;
   or_rank_jobs (c);
+  update_usable (c);
   reset_free_capacity (c);
   su_count_suspects (c);
   if (!c->starts_held)
--- a/src/steps/headroom.c
+++ b/src/steps/headroom.c
@@ -98,7 +98,7 @@
     {
       const struct worker *w = g_ptr_array_index (c->worker_list, i);
 
-      if (!wo_usable (c, w))
+      if (!w->usable)
         continue;
       h->all += w->capacity.accelerators;
       count_worker (h, w, 1);
--- a/src/steps/placement.c
+++ b/src/steps/placement.c
@@ -14,6 +14,7 @@
   int is_slow, is_cold;
   int order;    /* by speed class; the lowest first */
   int stranded; /* by the unit, in steps of STRANDED_STEP; the least first */
+  int64_t accelerators, memory_mb; /* free when it was listed */
 };
 
 /* Speed classes as the choice of workers sees them, the fastest first.  A
@@ -71,7 +72,7 @@
 {
   const struct sj_step *s = un_step (u);
 
-  return wo_usable (c, w) && w->service == u->job->service
+  return w->usable && w->service == u->job->service
          && (!s->label || has_label (w, s->label)) && !is_avoided (u, w)
          && su_may_share (c, u, w);
 }
@@ -134,7 +135,9 @@
   struct sj_resources need = nd_for_step (un_step (u));
   struct sj_resources available = after_stops ? w->free_after_stops : w->free;
 
-  if (!pl_is_eligible (c, u, w) || conflicts_with_latency (u, w))
+  /* First, as most workers of a full fleet fail it.  */
+  if (!nd_fits (&need, &available) || !pl_is_eligible (c, u, w)
+      || conflicts_with_latency (u, w))
     return 0;
   if (w->reserved_from_ms
       && c->now + sd_run_on_ms (c, u, w) > w->reserved_from_ms)
@@ -180,11 +183,8 @@
 /* Best first: warm, not slow, of the preferred class, with the least capacity
    stranded, then with the least free capacity.  */
 static int
-by_fit (const void *a, const void *b)
+by_fit (const struct candidate *p, const struct candidate *q)
 {
-  const struct candidate *p = a, *q = b;
-  const struct worker *x = p->worker, *y = q->worker;
-
   if (p->is_cold != q->is_cold)
     return p->is_cold - q->is_cold;
   if (p->is_slow != q->is_slow)
@@ -193,11 +193,47 @@
     return p->order - q->order;
   if (p->stranded != q->stranded)
     return p->stranded - q->stranded;
-  if (x->free.accelerators != y->free.accelerators)
-    return x->free.accelerators < y->free.accelerators ? -1 : 1;
-  if (x->free.memory_mb != y->free.memory_mb)
-    return x->free.memory_mb < y->free.memory_mb ? -1 : 1;
-  return strcmp (x->id, y->id);
+  if (p->accelerators != q->accelerators)
+    return p->accelerators < q->accelerators ? -1 : 1;
+  if (p->memory_mb != q->memory_mb)
+    return p->memory_mb < q->memory_mb ? -1 : 1;
+  return strcmp (p->worker->id, q->worker->id);
+}
+
+/* Moves the candidate at AT of the heap down to its place.  */
+static void
+sift_down (struct candidate *heap, int n, int at)
+{
+  struct candidate moved = heap[at];
+
+  for (int child; (child = 2 * at + 1) < n; at = child)
+    {
+      if (child + 1 < n && by_fit (&heap[child + 1], &heap[child]) < 0)
+        child++;
+      if (by_fit (&moved, &heap[child]) <= 0)
+        break;
+      heap[at] = heap[child];
+    }
+  heap[at] = moved;
+}
+
+/* Makes a heap of the N candidates, the best at 0.  Few of them are used, so
+   that sorting all would take longer than the rest of a search.  */
+static void
+make_heap (struct candidate *list, int n)
+{
+  for (int i = n / 2; i-- > 0;)
+    sift_down (list, n, i);
+}
+
+/* Removes the best of the N candidates and returns how many are left.  */
+static int
+pop_heap (struct candidate *heap, int n)
+{
+  heap[0] = heap[--n];
+  if (n > 1)
+    sift_down (heap, n, 0);
+  return n;
 }
 
 /* Fills OUT with the workers of RACK (any if NULL) that fit at least one task,
@@ -219,6 +255,8 @@
         continue;
       out[n++] = (struct candidate){ .worker = w,
                                      .tasks = tasks,
+                                     .accelerators = w->free.accelerators,
+                                     .memory_mb = w->free.memory_mb,
                                      .is_slow = he_is_slow_worker (c, w),
                                      .is_cold = wo_is_cold (c, w),
                                      .stranded
@@ -283,10 +321,10 @@
 {
   int k = 0;
 
-  qsort (candidates, (size_t)n, sizeof *candidates, by_fit);
-  for (int i = 0; i < n && k < u->count; i++)
-    for (int t = 0; t < candidates[i].tasks && k < u->count; t++)
-      placement[k++] = candidates[i].worker;
+  make_heap (candidates, n);
+  for (; n && k < u->count; n = pop_heap (candidates, n))
+    for (int t = 0; t < candidates[0].tasks && k < u->count; t++)
+      placement[k++] = candidates[0].worker;
   return k == u->count;
 }
 
@@ -453,7 +491,7 @@
   s->list = g_new (struct candidate, c->worker_list->len + 1);
   s->count = list_candidates (c, u, 0, NULL, s->list, &total);
   order_by_speed (c, u, s->list, s->count);
-  qsort (s->list, (size_t)s->count, sizeof *s->list, by_fit);
+  make_heap (s->list, s->count);
 }
 
 /* A worker that is filled is left for the next one.  A worker that only U
@@ -466,9 +504,9 @@
     return NULL;
   if (!s->list)
     begin_singles (c, s, u);
-  for (; s->next < s->count; s->next++)
+  for (; s->count; s->count = pop_heap (s->list, s->count))
     {
-      struct worker *w = s->list[s->next].worker;
+      struct worker *w = s->list[0].worker;
 
       if (is_avoided (u, w) || !su_may_share (c, u, w))
         return NULL;
--- a/src/steps/preempt.c
+++ b/src/steps/preempt.c
@@ -223,12 +223,10 @@
   for (guint i = 0; i < workers->len && n < u->count; i++)
     {
       const struct worker *w = g_ptr_array_index (workers, i);
-      struct sj_resources available;
+      struct sj_resources available = free_at_most (c, u, w);
 
-      if (!pl_is_eligible (c, u, w))
-        continue;
-      available = free_at_most (c, u, w);
-      n += nd_count_fitting (&need, &available, pl_max_per_worker (u));
+      if (nd_fits (&need, &available) && pl_is_eligible (c, u, w))
+        n += nd_count_fitting (&need, &available, pl_max_per_worker (u));
     }
   return n >= u->count;
 }
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -178,6 +178,7 @@
   int64_t version;     /* of its last report */
   int64_t reported_ms; /* when that arrived */
   int reports;         /* of this incarnation */
+  int usable; /* wo_usable, as of the last round or check of the runs */
   struct sj_resources free, free_after_stops; /* of the current round */
   struct sj_resources reserved; /* for waiting units, from reserved_from_ms */
   int64_t reserved_from_ms;     /* 0: no reservation */
@@ -431,8 +432,8 @@
    search.  Zeroed at the first.  */
 struct pl_singles
 {
-  struct candidate *list; /* best first; NULL: not searched yet */
-  int count, next;
+  struct candidate *list; /* a heap; NULL: not searched yet */
+  int count;
 };
 /* The worker for U, a unit of that step, from the free capacity, or NULL if
    pl_place must be asked.  */
