Scheduler: decide no more starts than can be ordered soon

Callers: after a burst on a large fleet up to 3,300 tasks waited for up to 5 s to be ordered, each with its worker's capacity; work that was more urgent found none and stopped other work, which cost further orders. Cause: a round planned all that fits, however many orders waited; the queue kept the order of the rounds, not that of urgency. Change: starts are decided while fewer orders are open than twice those that may be in progress; stops count for at most half.

--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -456,6 +456,11 @@
    known well enough.  */
 void sj_hold_starts (struct sj_cluster *c, int held);
 
+/* No further start is decided while MAX orders have no outcome yet, so that
+   what can't be ordered soon occupies no capacity and waits in the order of
+   its urgency.  Stops count for at most half of MAX.  0: no limit.  */
+void sj_limit_orders (struct sj_cluster *c, int max);
+
 /* Decides which runs start and stop.  WALL_MS is the time of day in
    milliseconds since 1970.  Stops are ordered immediately, starts once their
    records are stored.  Returns the milliseconds after which it must be called
--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -15,6 +15,9 @@
      of a take-over below the 12 s in which a deployment must recover if all
      larger VMs are lost.  */
   SMALLER_VM_DELAY_MS = 8000,
+  /* Orders that are decided ahead, for each one that may be in progress: those
+     wait for their record meanwhile.  */
+  OPEN_ORDERS_FACTOR = 2,
   CLOCK_JUMP_MS = 400, /* a larger change of the time of day is a clock step */
   /* A stepped clock is accepted after this time.  */
   CLOCK_JUMP_ACCEPT_MS = 20000
@@ -159,6 +162,7 @@
       ta_check_starts (b);
       wk_tick (b);
       polled_ms = bs_now_ms (&b->clock);
+      sj_limit_orders (b->cluster, OPEN_ORDERS_FACTOR * b->orders.limit);
       sj_decide (b->cluster, b->now_ms, wall_ms (b));
       b->usage.now.polls_ms += polled_ms - begin_ms;
       b->usage.now.decide_ms += bs_now_ms (&b->clock) - polled_ms;
--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -29,10 +29,13 @@
     }
 }
 
-/* Computes each worker's free capacity and clears all reservations.  */
+/* Computes each worker's free capacity, clears all reservations and counts the
+   open orders.  */
 static void
 reset_free_capacity (struct sj_cluster *c)
 {
+  int starts = 0, stops = 0;
+
   for (guint i = 0; i < c->worker_list->len; i++)
     {
       struct worker *w = g_ptr_array_index (c->worker_list, i);
@@ -49,8 +52,12 @@
 
           if (m->state == MB_STOPPING && !vi_is_overdue (c, m))
             nd_add (&w->free_after_stops, &need);
+          starts += !m->from_record
+                    && (m->state == MB_PLANNED || m->state == MB_STARTING);
+          stops += m->stop_pending;
         }
     }
+  c->open_orders = starts + MIN (stops, c->max_orders / 2);
 }
 
 /* Whether less than half of the usable workers' weighted accelerators and
@@ -109,6 +116,7 @@
     {
       ru_plan (u, placement, off_rack, now);
       pl_reserve (u, placement);
+      c->open_orders += u->count;
     }
   else if (u->job->rank <= RANK_BATCH
            && pl_place (c, u, 1, off_rack_ok, placement, &off_rack))
@@ -196,6 +204,7 @@
       hd_leave (&r->headroom, w);
       ru_plan (u, &w, 0, now);
       pl_reserve (u, &w);
+      c->open_orders++;
       hd_return (&r->headroom, w);
       return 1;
     }
@@ -238,6 +247,12 @@
   return s->ahead && r->kept_back;
 }
 
+static int
+may_order (const struct sj_cluster *c)
+{
+  return !c->max_orders || c->open_orders < c->max_orders;
+}
+
 /* Tries to start the units of one step.  Once a unit can't start, the rest of
    its step is skipped in this round.  */
 static void
@@ -246,7 +261,8 @@
 {
   r->singles = (struct pl_singles){ 0 };
   r->latest_start_ms = s->latest_start_ms;
-  for (guint i = s->first; i < s->end && !jb_ended (s->job); i++)
+  for (guint i = s->first; i < s->end && !jb_ended (s->job) && may_order (c);
+       i++)
     {
       struct unit *u = jb_unit (s->job, i);
       int helped;
@@ -288,7 +304,7 @@
   hd_begin (c, &r.headroom, now);
   bl_clear (&r.blocked, c);
   bl_clear (&r.no_plan, c);
-  for (guint i = 0; i < ready->len; i++)
+  for (guint i = 0; i < ready->len && may_order (c); i++)
     place_step (c, &r, &g_array_index (ready, struct ready_step, i), now);
   hd_end (c, &r.headroom, now);
   as_end_round (c, ready, r.unplaced, now);
@@ -399,6 +415,12 @@
   c->starts_held = held;
 }
 
+void
+sj_limit_orders (struct sj_cluster *c, int max)
+{
+  c->max_orders = max;
+}
+
 int64_t
 sj_decide (struct sj_cluster *c, int64_t now, int64_t wall_ms)
 {
--- a/src/steps/run.c
+++ b/src/steps/run.c
@@ -335,6 +335,7 @@
   c->now = now;
   if (!m || m->start_resolved)
     return;
+  c->changed |= c->max_orders && c->open_orders >= c->max_orders;
   switch (answer)
     {
     case SJ_EXECUTED:
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -234,6 +234,8 @@
   GPtrArray *given_up; /* struct unit, whose jobs are about to fail */
   int changed;         /* since the last decision round */
   int starts_held;     /* no start is decided or sent */
+  int max_orders;      /* that may be open; 0: no limit */
+  int open_orders;     /* as of this round: without an outcome yet */
   int plan_serial;     /* of the last plan to preempt */
   int searches;        /* of the last round: units that were tried */
   int preemptions;     /* units for which others were stopped */
