Holder: polls give way to starts and stops

Callers: on a large fleet the starts fell from 600 to 100 a second after a burst while the holder polled its workers 2,000 times a second, for 35 s. A late start keeps its worker busy, so that it is polled. Change: the interval of polls follows the busy workers for each core of the VM, and is longest while most orders are answered late. Evidence: test_holder_overload failed before, 2.3 s after the burst (1.5 s asked), 10 ms now.

--- a/src/batch/order_queue.c
+++ b/src/batch/order_queue.c
@@ -3,7 +3,11 @@
 enum
 {
   FAST_ANSWER_MS = 100,
-  SLOW_ANSWER_MS = 200,   /* well below the timeout of a start */
+  SLOW_ANSWER_MS = 200, /* well below the timeout of a start */
+  SLOW_WEIGHT = 32,     /* one answer's weight is the inverse */
+  OVERLOADED_PERMILLE = 500,
+  TIMEOUT_FACTOR = 4, /* of the average time of an answer */
+  MAX_TIMEOUT_MS = 1500,
   LOWER_INTERVAL_MS = 100 /* answers to the orders sent before a change come
                              in meanwhile */
 };
@@ -28,9 +32,36 @@
   q->fast_answers = 0;
 }
 
+static void
+note_time (struct oq_queue *q, int64_t took_ms)
+{
+  int permille = took_ms >= SLOW_ANSWER_MS ? 1000 : 0;
+  int64_t us = MIN (took_ms, MAX_TIMEOUT_MS) * 1000;
+
+  q->slow_permille += (permille - q->slow_permille) / SLOW_WEIGHT;
+  q->average_us += (int)(us - q->average_us) / SLOW_WEIGHT;
+}
+
+void
+oq_note_timeout (struct oq_queue *q, int64_t took_ms, int64_t now_ms)
+{
+  note_time (q, took_ms);
+  if (oq_is_overloaded (q))
+    lower_limit (q, now_ms);
+}
+
+int
+oq_timeout_ms (const struct oq_queue *q, int min_ms)
+{
+  int ms = TIMEOUT_FACTOR * (q->average_us / 1000);
+
+  return CLAMP (ms, min_ms, MAX_TIMEOUT_MS);
+}
+
 void
 oq_note_answer (struct oq_queue *q, int64_t took_ms, int64_t now_ms)
 {
+  note_time (q, took_ms);
   if (took_ms >= SLOW_ANSWER_MS)
     lower_limit (q, now_ms);
   else if (took_ms < FAST_ANSWER_MS && ++q->fast_answers >= q->limit / 8)
@@ -40,6 +71,12 @@
     }
 }
 
+int
+oq_is_overloaded (const struct oq_queue *q)
+{
+  return q->slow_permille > OVERLOADED_PERMILLE;
+}
+
 void
 oq_clear (struct oq_queue *q, GDestroyNotify free_item)
 {
--- a/src/batch/worker_hold.c
+++ b/src/batch/worker_hold.c
@@ -1,5 +1,6 @@
 /* Holds: long polls that renew a worker's lease and return the runs that
    ended.  An end is acknowledged only once its record is stored.  */
+#include "batch/poll_pace.h"
 #include "batch/workers.h"
 
 enum
@@ -7,12 +8,6 @@
   DEFAULT_WAIT_MS = 1500, /* a quarter of the default lease */
   /* Long poll of a worker whose runs need frequent listing.  */
   CLOSE_WATCH_WAIT_MS = 500,
-  /* The long poll lasts at least this long for each 1000 busy workers, up to
-     MAX_WAIT_MS.  */
-  WAIT_PER_1000_WORKERS_MS = 300,
-  MAX_WAIT_MS = 2000, /* the longest that a worker allows */
-  /* With the long poll, well below the duration of a lease.  */
-  MAX_PAUSE_MS = 1500,
   HOLD_SLACK_MS = 800, /* added to a long poll's duration, for the transmission
                           of the answer */
   PROBE_TIMEOUT_MS = 600, /* timeout of a hold that is no long poll */
@@ -68,31 +63,22 @@
   return 0;
 }
 
-/* Returns the duration of the next long poll.  With more busy workers each
-   is polled less often, which bounds the number of polls a second.  */
-static int
-long_poll_ms (struct batch *b, const struct ba_worker *w)
+static struct pp_load
+poll_load (const struct batch *b)
 {
-  int min_wait_ms = sj_poll_closely (b->cluster, w->id) ? CLOSE_WATCH_WAIT_MS
-                                                        : DEFAULT_WAIT_MS;
-  int scaled_wait_ms = b->busy_workers * WAIT_PER_1000_WORKERS_MS / 1000;
-
-  if (scaled_wait_ms < min_wait_ms)
-    return min_wait_ms;
-  return scaled_wait_ms < MAX_WAIT_MS ? scaled_wait_ms : MAX_WAIT_MS;
+  return (struct pp_load){ .busy_workers = b->busy_workers,
+                           .cores = b->settings->processor,
+                           .is_overloaded = oq_is_overloaded (&b->orders) };
 }
 
-/* Returns the pause between two holds, by which the interval grows once the
-   long poll has its maximum.  */
 static int
-pause_ms (const struct batch *b)
+long_poll_ms (struct batch *b, const struct ba_worker *w)
 {
-  int excess_ms
-      = b->busy_workers * WAIT_PER_1000_WORKERS_MS / 1000 - MAX_WAIT_MS;
+  struct pp_load load = poll_load (b);
 
-  if (excess_ms < 0)
-    return 0;
-  return excess_ms < MAX_PAUSE_MS ? excess_ms : MAX_PAUSE_MS;
+  return pp_wait_ms (&load, sj_poll_closely (b->cluster, w->id)
+                                ? CLOSE_WATCH_WAIT_MS
+                                : DEFAULT_WAIT_MS);
 }
 
 static void
@@ -100,6 +86,7 @@
                struct po_listing *listing)
 {
   struct sj_listing *list = &listing->list;
+  struct pp_load load = poll_load (b);
 
   list->requested_ms = o->sent_ms;
   /* Unacknowledged ends are listed again; the new ones are the last.  */
@@ -115,7 +102,7 @@
       w->received_end = listing->last_end;
       w->received_serial = sj_change_serial (b->cluster);
     }
-  w->next_hold_ms = b->now_ms + pause_ms (b);
+  w->next_hold_ms = b->now_ms + pp_pause_ms (&load);
 }
 
 void
