Orders: a timeout that follows the time of the answers

Callers: where the lease holder's VM serves few requests a second, answers that it read late counted as none: starts were sent again, workers taken as silent and gangs stopped, which made further orders. Cause: a fixed timeout of 300 ms; only answers lowered the limit of orders in progress, so that it stayed high when none came in time. Change: the timeout is four times the average time of an answer, 300 to 1,500 ms, and timeouts lower the limit while most answers are late.

--- a/src/batch/orders.c
+++ b/src/batch/orders.c
@@ -61,7 +61,8 @@
 
   o->tries++;
   co_add (b, b->counters.starts, 1);
-  return po_start (&b->port, &t, &order, o->expires_ms, START_TIMEOUT_MS,
+  return po_start (&b->port, &t, &order, o->expires_ms,
+                   oq_timeout_ms (&b->orders, START_TIMEOUT_MS),
                    on_order_reply, o);
 }
 
@@ -71,7 +72,9 @@
   struct po_target t = { w->address, w->id, b->lease.epoch };
 
   co_add (b, b->counters.stops, 1);
-  return po_stop (&b->port, &t, &o->run, STOP_TIMEOUT_MS, on_order_reply, o);
+  return po_stop (&b->port, &t, &o->run,
+                  oq_timeout_ms (&b->orders, STOP_TIMEOUT_MS), on_order_reply,
+                  o);
 }
 
 /* Whether start O, which has not been sent, is still wanted: its worker may
@@ -244,11 +247,13 @@
   if (o->term == b->term)
     {
       log_order (b, o, a);
+      if (a->status)
+        oq_note_answer (&b->orders, a->took_ms, b->now_ms);
+      else if (o->is_sent && a->answer == SJ_UNANSWERED)
+        oq_note_timeout (&b->orders, a->took_ms, b->now_ms);
       if (resend_start (b, w, o, a->answer))
         return;
       oq_done (&b->orders, o->class);
-      if (a->status)
-        oq_note_answer (&b->orders, a->took_ms, b->now_ms);
       apply_answer (b, w, o, a);
     }
   wk_free_order (o);
--- a/src/batch/usage.c
+++ b/src/batch/usage.c
@@ -73,10 +73,14 @@
 {
   struct sj_counts counts = { 0 };
 
-  if (b->cluster)
-    sj_count (b->cluster, &counts);
+  if (b->phase != BA_ACTIVE)
+    {
+      b->usage.noted.at_ms = 0;
+      return;
+    }
+  sj_count (b->cluster, &counts);
   read_totals (b, &counts);
-  if (b->phase == BA_ACTIVE)
+  if (b->usage.noted.at_ms)
     {
       log_usage (b);
       log_work (b, &counts);
