Decode: numbers and addresses that no worker or job can have

Callers: an entry among the workers with 1e9 accelerators, the largest integer as cores, a port of 70,000 or a negative count was listed as a worker; sums over all workers overflowed (undefined behaviour, reported by the sanitizer in sj_count), and impossible addresses were polled. A job of 2^32 + 1 tasks was taken for one of a single task; one with needs beyond 64 bits made sums overflow. Cause: numbers were converted without a range, addresses not looked at.

--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -29,6 +29,7 @@
   SJ_MAX_STEP_TASKS = 4096, /* tasks of a step */
   SJ_MAX_TASKS = 1000, /* of all steps, so that a record stays under 64 KB */
   SJ_MAX_OCCURRENCES = 10000, /* of a job */
+  SJ_MAX_NEED = 1000000000,   /* of one resource, by one task */
   SJ_CHECKPOINT_SIZE = 64 /* size of a checkpoint's name with its NUL, bytes */
 };
 
--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -1,5 +1,6 @@
 /* Checks the decoding of valid and invalid data from the platform and from
    callers.  */
+#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -52,12 +53,12 @@
     "[]",
     "7",
     "{}",
-    "{\"service\":1,\"address\":\"a:1\",\"state\":\"ready\"}",
-    "{\"service\":\"s\",\"address\":\"a:1\",\"state\":\"asleep\","
+    "{\"service\":1,\"address\":\"10.0.0.1:1\",\"state\":\"ready\"}",
+    "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"state\":\"asleep\","
     "\"capacity\":{\"cpu\":1,\"memory_request_mb\":1}}",
-    "{\"service\":\"s\",\"address\":\"a:1\",\"state\":\"ready\","
+    "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"state\":\"ready\","
     "\"capacity\":{\"cpu\":\"1\",\"memory_request_mb\":1}}",
-    "{\"service\":\"s\",\"address\":\"a:1\",\"state\":\"ready\","
+    "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"state\":\"ready\","
     "\"capacity\":[]}",
   };
 
@@ -70,6 +71,132 @@
     }
 }
 
+/* Returns the value of a row with the ADDRESS, and CAPACITY as the members of
+   the capacity.  */
+static char *
+worker_value (const char *address, const char *capacity)
+{
+  return g_strdup_printf ("{\"service\":\"s\",\"address\":\"%s\",\"state\":"
+                          "\"ready\",\"capacity\":{%s}}",
+                          address, capacity);
+}
+
+static void
+assert_worker (const char *address, const char *capacity, int is_valid)
+{
+  const char *reason = NULL;
+  char *value = worker_value (address, capacity);
+  struct po_worker *w = worker (value, &reason);
+
+  CU_ASSERT_EQUAL (w != NULL, is_valid);
+  CU_ASSERT_EQUAL (reason == NULL, is_valid);
+  if ((w != NULL) != is_valid)
+    printf ("%.60s %.60s ", address, capacity);
+  po_worker_free (w);
+  g_free (value);
+}
+
+/* Guards against a row of another writer that is taken for a worker and
+   counted in sums over all workers, or polled at an impossible address.  */
+static void
+test_impossible_workers_are_rejected (void)
+{
+  static const char *const addresses[] = { "",
+                                           ":",
+                                           "10.0.0.1",
+                                           "10.0.0.1:",
+                                           "10.0.0.1:0",
+                                           "10.0.0.1:-1",
+                                           "10.0.0.1:65536",
+                                           "10.0.0.1:70000",
+                                           "10.0.0.1:99999999999999999999",
+                                           "10.0.0.1:80x",
+                                           "10.0.0.1:+80",
+                                           "%s%n:80",
+                                           "host:80",
+                                           "10.0.0.1.2:80",
+                                           "10.0.0.1/:80" };
+  static const char *const capacities[]
+      = { "\"cpu\":-1,\"memory_request_mb\":1",
+          "\"cpu\":9223372036854775807,\"memory_request_mb\":1",
+          "\"cpu\":1,\"memory_request_mb\":9223372036854775807",
+          "\"cpu\":1,\"memory_request_mb\":1,\"gpu\":1000000000",
+          "\"cpu\":1,\"memory_request_mb\":1,\"gpu\":-8",
+          "\"cpu\":1,\"memory_request_mb\":1,\"gpu\":1e300",
+          "\"cpu\":1,\"memory_request_mb\":1,\"gpu\":\"8\"",
+          "\"cpu\":1e999,\"memory_request_mb\":1",
+          "\"cpu\":1,\"memory_request_mb\":99999999999999999999999999" };
+  char *long_address = g_strnfill (30000, '1');
+
+  for (size_t i = 0; i < G_N_ELEMENTS (addresses); i++)
+    assert_worker (addresses[i], "\"cpu\":1,\"memory_request_mb\":1", 0);
+  for (size_t i = 0; i < G_N_ELEMENTS (capacities); i++)
+    assert_worker ("10.0.0.1:80", capacities[i], 0);
+  assert_worker (long_address, "\"cpu\":1,\"memory_request_mb\":1", 0);
+  assert_worker ("10.0.0.1:65535", "\"cpu\":1,\"memory_request_mb\":1", 1);
+  g_free (long_address);
+}
+
+/* Guards against a stack overflow or the conversion of a number that its type
+   cannot hold.  */
+static void
+test_extreme_values_are_read (void)
+{
+  static const int depths[] = { 100, 1900, 200000 };
+  const char *reason = NULL;
+  struct po_worker *w;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (depths); i++)
+    {
+      GString *s = g_string_new ("{\"service\":\"s\",\"state\":");
+
+      for (int k = 0; k < depths[i]; k++)
+        g_string_append_c (s, '[');
+      CU_ASSERT_PTR_NULL (worker (s->str, &reason));
+      for (int k = 0; k < depths[i]; k++)
+        g_string_append_c (s, ']');
+      g_string_append_c (s, '}');
+      CU_ASSERT_PTR_NULL (worker (s->str, &reason));
+      g_string_free (s, TRUE);
+    }
+  w = worker ("{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"state\":"
+              "\"draining\",\"capacity\":{\"cpu\":1,\"memory_request_mb\":1},"
+              "\"remaining_ms\":1e300,\"cold_remaining_ms\":-1e300,"
+              "\"born\":1e300}",
+              &reason);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (w);
+  CU_ASSERT (w->remaining_ms <= INT64_C (1) << 53);
+  CU_ASSERT (w->cold_remaining_ms >= -(INT64_C (1) << 53));
+  po_worker_free (w);
+}
+
+/* Guards against sums that overflow and numbers that are cut to small ones. */
+static void
+test_impossible_jobs_are_refused (void)
+{
+  static const char *const steps[]
+      = { "\"count\":4294967297",
+          "\"count\":1e300",
+          "\"count\":1,\"gpu\":9000000000000000000",
+          "\"count\":1,\"cpu\":1e300",
+          "\"count\":1,\"memory_request_mb\":2000000000",
+          "\"count\":1,\"estimated_ms\":1e18",
+          "\"count\":1,\"max_per_server\":-1e300" };
+  struct qu_queue queue
+      = { .name = (char *)"q", .service = (char *)"s", .max_attempts = 1 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (steps); i++)
+    {
+      char *body = g_strdup_printf ("{\"steps\":[{%s}]}", steps[i]);
+      const char *reason = NULL;
+
+      CU_ASSERT_PTR_NULL (
+          po_job_read ("0123456789abcdef", body, &queue, "a", &reason));
+      CU_ASSERT_PTR_NOT_NULL (reason);
+      g_free (body);
+    }
+}
+
 static struct po_operator_row
 operator_row (const char *key, const char *value, int deleted)
 {
@@ -229,6 +356,9 @@
   static const CU_TestInfo tests[] = {
     { "worker", test_worker_is_read },
     { "invalid workers", test_invalid_workers_are_rejected },
+    { "impossible workers", test_impossible_workers_are_rejected },
+    { "extreme values", test_extreme_values_are_read },
+    { "impossible jobs", test_impossible_jobs_are_refused },
     { "operator rows", test_operator_rows_are_read },
     { "configuration", test_configuration_is_read },
     { "invalid configurations", test_invalid_configurations_are_rejected },
