Lease: a row of another writer does not lower the fencing token

Callers: if the lease row was overwritten by something unreadable, the next holder began at epoch 1 and all workers refused its orders. Cause: the row's epoch replaced the known one whatever it was. Change: the highest epoch seen is kept; one that no holder can have written is ignored. Evidence: test_lease, "foreign row", failed before.

--- a/src/batch/lease.c
+++ b/src/batch/lease.c
@@ -1,9 +1,12 @@
+#include <glib.h>
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "batch/lease.h"
 
+static const int64_t MAX_EPOCH = INT64_C (1) << 52;
+
 static void
 copy_name (char out[LE_NAME_SIZE], const char *text)
 {
@@ -26,6 +29,15 @@
   copy_name (l->token, token);
 }
 
+/* The row's epoch, or 0 if no holder can have written it.  */
+static int64_t
+read_epoch (const json_t *row)
+{
+  int64_t epoch = json_integer_value (json_object_get (row, "epoch"));
+
+  return epoch >= 0 && epoch <= MAX_EPOCH ? epoch : 0;
+}
+
 int
 le_row_seen (struct le_lease *l, int64_t version, const char *value,
              int64_t now)
@@ -38,7 +50,8 @@
   l->known = 1;
   l->version = version;
   l->changed_ms = now;
-  l->epoch = json_integer_value (json_object_get (o, "epoch"));
+  /* A row that another writer left must not let the fencing token fall.  */
+  l->epoch = MAX (l->epoch, read_epoch (o));
   l->serial = json_integer_value (json_object_get (o, "serial"));
   l->holder_cpu_milli = json_integer_value (json_object_get (o, "cpu"));
   copy_name (l->holder_token,
--- a/tests/batch/test_lease.c
+++ b/tests/batch/test_lease.c
@@ -42,6 +42,24 @@
   CU_ASSERT (le_may_acquire (&b, 2100));
 }
 
+/* Guards against a fencing token that falls, after which the workers refuse
+   each new holder.  */
+static void
+test_foreign_row_does_not_lower_epoch (void)
+{
+  static const char *const rows[]
+      = { "", "[[[", "{\"epoch\":-5}", "{\"epoch\":9223372036854775807}",
+          "{\"epoch\":\"9\"}" };
+
+  setup ();
+  acquire_by_a (10, 0);
+  for (int i = 0; i < 5; i++)
+    {
+      le_row_seen (&b, 11 + i, rows[i], 10);
+      CU_ASSERT_EQUAL (b.epoch, 1);
+    }
+}
+
 /* The change feed may deliver this process's own row before the write's
    reply.  */
 static void
@@ -179,6 +197,7 @@
 {
   static const CU_TestInfo tests[] = {
     { "free lease", test_free_lease_is_acquired },
+    { "foreign row", test_foreign_row_does_not_lower_epoch },
     { "own row first", test_own_row_before_reply_raises_epoch_once },
     { "stale attempt", test_attempt_is_stale_after_row_change },
     { "loss", test_holder_detects_loss },
