Holder: overload is what the HTTP client can't read in time

Cause: overload was taken from the answers' times, which tell of workers as well. Change: the HTTP client tells for how long it has had more sockets ready than it handles at a time. Beyond 150 ms polls are rarest, starts have 1.5 s to be answered and unanswered ones lower the limit of orders in progress.

--- a/include/skr/http.h
+++ b/include/skr/http.h
@@ -88,6 +88,10 @@
   int64_t requests, bytes_out, bytes_in, cpu_us;
 };
 void hc_count (struct hc_client *hc, struct hc_counts *counts);
+/* For how long the thread has had more sockets ready than it handles at a
+   time; 0: it keeps up.  The answers are read that much later, through no
+   fault of the servers.  */
+int64_t hc_backlog_ms (struct hc_client *hc);
 const char *hc_strerror (int error);
 
 #endif
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -289,13 +289,15 @@
     "if it lasts, add workers" },
   { LG_HOLDER_USAGE, LG_NOTICE, "holder-usage",
     "interval_ms process_ms loop_ms client_ms polls_ms decide_ms store_ms "
-    "listing_ms order_ms caller_ms queued_events rounds",
+    "listing_ms order_ms caller_ms backlog_ms rounds",
     "The lease holder's processor time in the last interval_ms: process_ms of "
     "the process, loop_ms of the loop thread, client_ms of the HTTP client's. "
-    "From polls_ms to caller_ms the loop's elapsed times by what it handled.",
+    "From polls_ms to caller_ms the loop's elapsed times by what it handled; "
+    "backlog_ms is the longest time that answers were read late.",
     "if process_ms is near the VM's share, the fleet needs a larger VM" },
   { LG_HOLDER_WORK, LG_NOTICE, "holder-work",
-    "holds starts stops ends commits requests runs busy_workers waiting_jobs "
+    "holds starts stops ends orders_limit requests runs busy_workers "
+    "waiting_jobs "
     "waiting_orders order_wait_ms commit_ms",
     "What the lease holder did in the interval of event 562, and its state at "
     "the end; order_wait_ms is the longest time that an order waited to be "
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -227,12 +227,12 @@
 {
   int64_t at_ms, process_us, loop_us, client_us;
   int64_t event_ms[BA_EVENT_KINDS], polls_ms, decide_ms;
-  int64_t holds, starts, stops, ends, commits, requests, rounds;
+  int64_t holds, starts, stops, ends, requests, rounds;
 };
 struct ba_usage
 {
   struct ba_totals now, noted; /* noted: at the last log lines */
-  int64_t order_wait_ms, commit_ms;
+  int64_t order_wait_ms, commit_ms, backlog_ms;
 };
 
 /* Series of the metrics registry; SHARD is the loop thread's.  */
--- a/src/batch/loop.c
+++ b/src/batch/loop.c
@@ -172,6 +172,15 @@
     }
 }
 
+static void
+note_backlog (struct batch *b)
+{
+  int64_t backlog_ms = hc_backlog_ms (b->client);
+
+  b->usage.backlog_ms = MAX (b->usage.backlog_ms, backlog_ms);
+  oq_note_backlog (&b->orders, backlog_ms, b->now_ms);
+}
+
 static void
 tick (struct batch *b)
 {
@@ -183,6 +192,7 @@
   fo_tick (&b->worker_follower);
   rl_tick (b);
   pe_tick (b);
+  note_backlog (b);
   ho_tick (b);
   if (b->now_ms - b->counted_ms >= COUNTERS_INTERVAL_MS)
     {
--- a/src/batch/order_queue.c
+++ b/src/batch/order_queue.c
@@ -3,11 +3,10 @@
 enum
 {
   FAST_ANSWER_MS = 100,
-  SLOW_ANSWER_MS = 200, /* well below the timeout of a start */
-  SLOW_WEIGHT = 32,     /* one answer's weight is the inverse */
-  OVERLOADED_PERMILLE = 500,
-  TIMEOUT_FACTOR = 4, /* of the average time of an answer */
-  MAX_TIMEOUT_MS = 1500,
+  SLOW_ANSWER_MS = 200,      /* well below the timeout of a start */
+  OVERLOAD_BACKLOG_MS = 150, /* well below the timeout of a start */
+  OVERLOAD_HOLD_MS = 1000,
+  OVERLOAD_TIMEOUT_MS = 1500, /* below the time until a start expires */
   LOWER_INTERVAL_MS = 100 /* answers to the orders sent before a change come
                              in meanwhile */
 };
@@ -32,36 +31,30 @@
   q->fast_answers = 0;
 }
 
-static void
-note_time (struct oq_queue *q, int64_t took_ms)
-{
-  int permille = took_ms >= SLOW_ANSWER_MS ? 1000 : 0;
-  int64_t us = MIN (took_ms, MAX_TIMEOUT_MS) * 1000;
-
-  q->slow_permille += (permille - q->slow_permille) / SLOW_WEIGHT;
-  q->average_us += (int)(us - q->average_us) / SLOW_WEIGHT;
-}
-
 void
-oq_note_timeout (struct oq_queue *q, int64_t took_ms, int64_t now_ms)
+oq_note_timeout (struct oq_queue *q, int64_t now_ms)
 {
-  note_time (q, took_ms);
-  if (oq_is_overloaded (q))
+  if (q->is_overloaded)
     lower_limit (q, now_ms);
 }
 
 int
 oq_timeout_ms (const struct oq_queue *q, int min_ms)
 {
-  int ms = TIMEOUT_FACTOR * (q->average_us / 1000);
+  return q->is_overloaded ? MAX (min_ms, OVERLOAD_TIMEOUT_MS) : min_ms;
+}
 
-  return CLAMP (ms, min_ms, MAX_TIMEOUT_MS);
+void
+oq_note_backlog (struct oq_queue *q, int64_t backlog_ms, int64_t now_ms)
+{
+  if (backlog_ms >= OVERLOAD_BACKLOG_MS)
+    q->overloaded_until_ms = now_ms + OVERLOAD_HOLD_MS;
+  q->is_overloaded = now_ms < q->overloaded_until_ms;
 }
 
 void
 oq_note_answer (struct oq_queue *q, int64_t took_ms, int64_t now_ms)
 {
-  note_time (q, took_ms);
   if (took_ms >= SLOW_ANSWER_MS)
     lower_limit (q, now_ms);
   else if (took_ms < FAST_ANSWER_MS && ++q->fast_answers >= q->limit / 8)
@@ -71,12 +64,6 @@
     }
 }
 
-int
-oq_is_overloaded (const struct oq_queue *q)
-{
-  return q->slow_permille > OVERLOADED_PERMILLE;
-}
-
 void
 oq_clear (struct oq_queue *q, GDestroyNotify free_item)
 {
--- a/src/batch/order_queue.h
+++ b/src/batch/order_queue.h
@@ -25,8 +25,8 @@
   int limit, min_limit, max_limit;
   int fast_answers;      /* since the limit was changed */
   int64_t next_lower_ms; /* the limit is not lowered before */
-  int slow_permille;     /* of the recent answers */
-  int average_us;        /* of their times */
+  int is_overloaded;     /* this process reads the answers late */
+  int64_t overloaded_until_ms;
 };
 
 /* Sets Q up for at most MAX_LIMIT orders in progress, and at least MIN_LIMIT
@@ -36,16 +36,16 @@
    answers mean that this process or its links are overloaded: the limit
    falls, and rises again with fast answers.  */
 void oq_note_answer (struct oq_queue *q, int64_t took_ms, int64_t now_ms);
-/* An order to a worker was not answered within TOOK_MS.  The limit falls only
-   if most orders are answered late, as the worker may be silent.  */
-void oq_note_timeout (struct oq_queue *q, int64_t took_ms, int64_t now_ms);
+/* An order was not answered.  The limit falls only if this process is
+   overloaded: otherwise the worker is silent.  */
+void oq_note_timeout (struct oq_queue *q, int64_t now_ms);
 /* Time after which an order counts as not answered: MIN_MS, or longer if this
-   process is slow to read the answers, so that it does not take its own delay
-   for silence of the workers.  */
+   process is overloaded, so that it does not take its own delay for silence of
+   the workers.  */
 int oq_timeout_ms (const struct oq_queue *q, int min_ms);
-/* Whether most recent answers were slow, which is due to this process or its
-   links: the workers are many.  */
-int oq_is_overloaded (const struct oq_queue *q);
+/* Notes that the answers have been read late for BACKLOG_MS; 0: they are not.
+   What is noted holds for a while, as the load comes back at once.  */
+void oq_note_backlog (struct oq_queue *q, int64_t backlog_ms, int64_t now_ms);
 /* Frees the waiting items by FREE_ITEM and forgets the orders in progress.  Q
    may be used again.  */
 void oq_clear (struct oq_queue *q, GDestroyNotify free_item);
--- a/src/batch/orders.c
+++ b/src/batch/orders.c
@@ -250,7 +250,7 @@
       if (a->status)
         oq_note_answer (&b->orders, a->took_ms, b->now_ms);
       else if (o->is_sent && a->answer == SJ_UNANSWERED)
-        oq_note_timeout (&b->orders, a->took_ms, b->now_ms);
+        oq_note_timeout (&b->orders, b->now_ms);
       if (resend_start (b, w, o, a->answer))
         return;
       oq_done (&b->orders, o->class);
--- a/src/batch/poll_pace.h
+++ b/src/batch/poll_pace.h
@@ -9,7 +9,7 @@
 {
   int busy_workers;
   double cores;      /* of this VM */
-  int is_overloaded; /* orders are answered late */
+  int is_overloaded; /* this process reads answers late */
 };
 
 /* Milliseconds that the next long poll of a busy worker lasts, MIN_MS if the
--- a/src/batch/usage.c
+++ b/src/batch/usage.c
@@ -17,7 +17,6 @@
   t->starts = st_value (&b->stats, c->starts);
   t->stops = st_value (&b->stats, c->stops);
   t->ends = st_value (&b->stats, c->ends);
-  t->commits = st_value (&b->stats, c->commits);
   t->requests = http.requests;
   t->rounds = counts->rounds;
 }
@@ -42,7 +41,7 @@
           lg_int ("order_ms", event_ms[BA_ORDER_REPLY]),
           lg_int ("caller_ms",
                   event_ms[BA_CLIENT_REQUEST] + event_ms[BA_RELAY_REPLY]),
-          lg_int ("queued_events", rg_count (&b->events)),
+          lg_int ("backlog_ms", b->usage.backlog_ms),
           lg_int ("rounds", n->rounds - o->rounds) };
 
   lg_log (LG_HOLDER_USAGE, 12, f);
@@ -56,7 +55,7 @@
                           lg_int ("starts", n->starts - o->starts),
                           lg_int ("stops", n->stops - o->stops),
                           lg_int ("ends", n->ends - o->ends),
-                          lg_int ("commits", n->commits - o->commits),
+                          lg_int ("orders_limit", b->orders.limit),
                           lg_int ("requests", n->requests - o->requests),
                           lg_int ("runs", counts->runs),
                           lg_int ("busy_workers", counts->busy_workers),
@@ -86,5 +85,5 @@
       log_work (b, &counts);
     }
   b->usage.noted = b->usage.now;
-  b->usage.order_wait_ms = b->usage.commit_ms = 0;
+  b->usage.order_wait_ms = b->usage.commit_ms = b->usage.backlog_ms = 0;
 }
--- a/src/batch/worker_hold.c
+++ b/src/batch/worker_hold.c
@@ -68,7 +68,7 @@
 {
   return (struct pp_load){ .busy_workers = b->busy_workers,
                            .cores = b->settings->processor,
-                           .is_overloaded = oq_is_overloaded (&b->orders) };
+                           .is_overloaded = b->orders.is_overloaded };
 }
 
 static int
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -45,6 +45,7 @@
   atomic_int in_progress, stop;
   atomic_llong requests, bytes_out, bytes_in, cpu_us;
   int64_t cpu_read_ms;
+  atomic_llong backlog_since_ms; /* 0: none */
   int max_in_progress, connect_timeout_ms;
   char *ca;
   struct transfer active; /* list head */
@@ -335,6 +336,23 @@
   atomic_store (&hc->cpu_us, bs_thread_cpu_us ());
 }
 
+/* IS_FULL is whether more sockets may have been ready than were handled.  */
+static void
+note_backlog (struct hc_client *hc, int is_full)
+{
+  if (is_full == (atomic_load (&hc->backlog_since_ms) != 0))
+    return;
+  atomic_store (&hc->backlog_since_ms, is_full ? bs_now_ms (&hc->clock) : 0);
+}
+
+int64_t
+hc_backlog_ms (struct hc_client *hc)
+{
+  int64_t since_ms = atomic_load (&hc->backlog_since_ms);
+
+  return since_ms ? bs_now_ms (&hc->clock) - since_ms : 0;
+}
+
 static void *
 client_main (void *arg)
 {
@@ -345,7 +363,7 @@
     {
       while (rg_pop (&hc->ring, &item, 0) == BS_OK)
         start_transfer (hc, item);
-      mx_wait (&hc->mux);
+      note_backlog (hc, mx_wait (&hc->mux));
       end_completed_transfers (hc);
       update_cpu_time (hc);
     }
--- a/src/net/http_mux.c
+++ b/src/net/http_mux.c
@@ -209,7 +209,7 @@
     }
 }
 
-void
+int
 mx_wait (struct mx_mux *m)
 {
   struct epoll_event e[MAX_EVENTS];
@@ -218,6 +218,7 @@
   for (int i = 0; i < n; i++)
     handle_event (m, &e[i]);
   handle_timers (m);
+  return n == MAX_EVENTS;
 }
 
 CURLMsg *
--- a/src/net/http_mux.h
+++ b/src/net/http_mux.h
@@ -48,7 +48,7 @@
 void mx_wake (struct mx_mux *m);
 /* Waits until a socket is ready, a timer expires or mx_wake is called, and
    lets curl handle what is ready.  */
-void mx_wait (struct mx_mux *m);
+int mx_wait (struct mx_mux *m);
 /* Returns the next message of a transfer that has ended, or NULL.  */
 CURLMsg *mx_next_message (struct mx_mux *m);
 
--- a/tests/batch/test_holder_overload.c
+++ b/tests/batch/test_holder_overload.c
@@ -11,6 +11,7 @@
 enum
 {
   STEP_MS = 10,
+  MAX_READY = 64, /* answers that the client reads at a time */
   LONG_RUN_MS = 600000,
   MAX_RUNS = 8,      /* on one worker */
   RECLAIM_MS = 2900, /* within which guaranteed work must start */
@@ -52,7 +53,8 @@
                                        .keep_s = 240,
                                        .processor = 0.5 };
 static struct fake_worker *workers;
-static int worker_count, requests_per_s, credit;
+static int requests_per_s, credit;
+static int64_t backlog_ms;
 static GQueue ready, waiting; /* struct request; waiting: long polls */
 static int stops, started_urgent;
 
@@ -248,6 +250,8 @@
     serve (g_queue_pop_head (&ready));
   if (!ready.length)
     credit = 0;
+  backlog_ms = ready.length >= MAX_READY ? backlog_ms + STEP_MS : 0;
+  oq_note_backlog (&batch.orders, backlog_ms, batch.now_ms);
   if (batch.now_ms % 1000 == 0)
     co_tick (&batch);
   ho_tick (&batch);
@@ -298,9 +302,9 @@
   stops = started_urgent = 0;
   g_queue_init (&ready);
   g_queue_init (&waiting);
-  worker_count = count;
   requests_per_s = 100000;
   credit = 0;
+  backlog_ms = 0;
   workers = g_new0 (struct fake_worker, (gsize)count);
   batch.settings = &settings;
   batch.clock = (struct bs_clock){ fake_now_ms, NULL };
