HTTP client: fewer system calls a request

Callers: the holder of 1,100 workers spends half of its processor on its HTTP client; each request took two sends, two epoll_ctl, two polls and a receive. Cause: curl sends a body that it reads by a callback after the headers, and a connection was taken from epoll after each request and put back for the next; each request created a curl handle. Change: orders to workers, which may be repeated, hand over the whole body; idle connections stay watched; handles are used again.

--- a/include/skr/http.h
+++ b/include/skr/http.h
@@ -54,6 +54,8 @@
   int connect_timeout_ms;             /* 0: the client's default */
   int new_connection; /* use a new connection, because an open one may be stale
                 or silent */
+  int repeatable; /* may be executed twice; its body is sent at once with its
+                     headers, which is cheaper */
   hc_done *done;
   void *arg;
 };
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -3,6 +3,7 @@
 #include <pthread.h>
 #include <stdatomic.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "net/http_mux.h"
 #include "skr/base.h"
@@ -17,7 +18,8 @@
      sent timed out), requests to that host use new connections for so long. */
   SUSPECT_DURATION_MS = 10000,
   DEFAULT_CONNECT_TIMEOUT_MS = 1000,
-  CPU_READ_INTERVAL_MS = 500
+  CPU_READ_INTERVAL_MS = 500,
+  MAX_SPARE_HANDLES = 32
 };
 
 struct transfer
@@ -29,6 +31,7 @@
   char *body;
   size_t body_size, body_read;
   int body_reads; /* 0 until curl has read bytes of the body */
+  int is_repeatable;
   int64_t started_ms;
   GString *response;
   hc_done *done;
@@ -37,6 +40,15 @@
   struct transfer *next, *prev;
 };
 
+/* Easy handles for reuse: creating one takes longer than the rest of a
+   request's set-up.  */
+struct spare_handles
+{
+  pthread_mutex_t lock;
+  CURL *easy[MAX_SPARE_HANDLES];
+  int count;
+};
+
 struct hc_client
 {
   struct mx_mux mux;
@@ -49,7 +61,8 @@
   int max_in_progress, connect_timeout_ms;
   char *ca;
   struct transfer active; /* list head */
-  GHashTable *suspects;   /* host -> int64_t *, time in ms of its end */
+  struct spare_handles spare;
+  GHashTable *suspects; /* host -> int64_t *, time in ms of its end */
   struct bs_clock clock;
 };
 
@@ -111,11 +124,38 @@
   return g_strndup (start, strcspn (start, "/?"));
 }
 
+static CURL *
+take_handle (struct spare_handles *s)
+{
+  CURL *easy = NULL;
+
+  pthread_mutex_lock (&s->lock);
+  if (s->count)
+    easy = s->easy[--s->count];
+  pthread_mutex_unlock (&s->lock);
+  return easy ? easy : curl_easy_init ();
+}
+
+static void
+give_handle_back (struct spare_handles *s, CURL *easy)
+{
+  curl_easy_reset (easy);
+  pthread_mutex_lock (&s->lock);
+  if (s->count < MAX_SPARE_HANDLES)
+    {
+      s->easy[s->count++] = easy;
+      easy = NULL;
+    }
+  pthread_mutex_unlock (&s->lock);
+  if (easy)
+    curl_easy_cleanup (easy);
+}
+
 static void
-free_transfer (struct transfer *t)
+free_transfer (struct hc_client *hc, struct transfer *t)
 {
   if (t->easy)
-    curl_easy_cleanup (t->easy);
+    give_handle_back (&hc->spare, t->easy);
   curl_slist_free_all (t->headers);
   if (t->response)
     g_string_free (t->response, TRUE);
@@ -124,6 +164,20 @@
   g_free (t);
 }
 
+static curl_socket_t
+open_socket (void *arg, curlsocktype purpose, struct curl_sockaddr *a)
+{
+  int fd = socket (a->family, a->socktype | SOCK_CLOEXEC, a->protocol);
+
+  (void)purpose;
+  if (fd < 0)
+    return CURL_SOCKET_BAD;
+  mx_socket_opened (arg, fd);
+  return fd;
+}
+
+/* With the whole body known curl sends it together with the headers, but sends
+   the request again when a reused connection breaks.  */
 static void
 set_body (struct transfer *t, const struct hc_request *r)
 {
@@ -134,6 +188,12 @@
   t->body_size = strlen (r->body);
   curl_easy_setopt (t->easy, CURLOPT_POST, 1L);
   curl_easy_setopt (t->easy, CURLOPT_POSTFIELDSIZE, (long)t->body_size);
+  if (r->repeatable)
+    {
+      t->is_repeatable = 1;
+      curl_easy_setopt (t->easy, CURLOPT_POSTFIELDS, t->body);
+      return;
+    }
   curl_easy_setopt (t->easy, CURLOPT_READFUNCTION, read_body);
   curl_easy_setopt (t->easy, CURLOPT_READDATA, t);
 }
@@ -164,6 +224,8 @@
   curl_easy_setopt (t->easy, CURLOPT_WRITEFUNCTION, write_answer);
   curl_easy_setopt (t->easy, CURLOPT_WRITEDATA, t);
   curl_easy_setopt (t->easy, CURLOPT_PRIVATE, t);
+  curl_easy_setopt (t->easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
+  curl_easy_setopt (t->easy, CURLOPT_OPENSOCKETDATA, &hc->mux);
   if (hc->ca)
     curl_easy_setopt (t->easy, CURLOPT_CAINFO, hc->ca);
   if (r->body)
@@ -189,7 +251,7 @@
       return HC_EFULL;
     }
   t = g_new0 (struct transfer, 1);
-  t->easy = curl_easy_init ();
+  t->easy = take_handle (&hc->spare);
   t->response = g_string_new (NULL);
   t->host = copy_host (r->url);
   t->done = r->done;
@@ -199,7 +261,7 @@
     set_options (hc, t, r);
   if (!t->easy || rg_push (&hc->ring, t))
     {
-      free_transfer (t);
+      free_transfer (hc, t);
       atomic_fetch_sub (&hc->in_progress, 1);
       return HC_EFULL;
     }
@@ -233,7 +295,7 @@
 {
   long request_bytes = 0;
 
-  if (t->body)
+  if (t->body && !t->is_repeatable)
     return t->body_reads;
   curl_easy_getinfo (t->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
   return request_bytes > 0;
@@ -292,7 +354,7 @@
     curl_multi_remove_handle (t->multi, t->easy);
   atomic_fetch_sub (&hc->in_progress, 1);
   t->done (t->arg, &a);
-  free_transfer (t);
+  free_transfer (hc, t);
 }
 
 static void
@@ -384,6 +446,9 @@
 static void
 free_client (struct hc_client *hc)
 {
+  while (hc->spare.count)
+    curl_easy_cleanup (hc->spare.easy[--hc->spare.count]);
+  pthread_mutex_destroy (&hc->spare.lock);
   rg_fini (&hc->ring);
   mx_fini (&hc->mux);
   g_hash_table_destroy (hc->suspects);
@@ -403,6 +468,7 @@
   hc->clock = bs_clock_system ();
   hc->ca = g_strdup (config->ca);
   hc->active.next = hc->active.prev = &hc->active;
+  pthread_mutex_init (&hc->spare.lock, NULL);
   hc->suspects
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   if (mx_init (&hc->mux, config->connections_per_host) == BS_OK
--- a/src/net/http_mux.c
+++ b/src/net/http_mux.c
@@ -52,25 +52,53 @@
   return (uint64_t)handle << 32 | (uint32_t)fd;
 }
 
-/* Curl's callback for the events that it wants of socket FD.  KNOWN is not
-   NULL if the socket was added before.  */
+static struct mx_socket *
+find_socket (struct mx_mux *m, int fd)
+{
+  int needed = fd + 1;
+
+  if (needed > m->sockets)
+    {
+      m->socket = g_renew (struct mx_socket, m->socket, 2 * needed);
+      memset (m->socket + m->sockets, 0,
+              (size_t)(2 * needed - m->sockets) * sizeof *m->socket);
+      m->sockets = 2 * needed;
+    }
+  return &m->socket[fd];
+}
+
+void
+mx_socket_opened (struct mx_mux *m, int fd)
+{
+  *find_socket (m, fd) = (struct mx_socket){ 0 };
+}
+
+static void
+watch (struct mx_mux *m, struct mx_socket *s, int fd, int op)
+{
+  struct epoll_event e
+      = { .events = s->wanted, .data.u64 = pack (s->handle, fd) };
+
+  epoll_ctl (m->epoll, op, fd, &e);
+  s->watched = s->wanted;
+}
+
+/* Curl's callback for the events that it wants of socket FD.  An idle
+   connection stays watched, as the next request wants the same events: that
+   saves two system calls a request.  */
 static int
 watch_socket (CURL *easy, curl_socket_t fd, int what, void *arg, void *known)
 {
   struct mx_handle *h = arg;
   struct mx_mux *m = h->mux;
-  struct epoll_event e = { .events = to_epoll (what),
-                           .data.u64 = pack ((int)(h - m->handle), fd) };
+  struct mx_socket *s = find_socket (m, fd);
 
   (void)easy;
-  if (what == CURL_POLL_REMOVE)
-    {
-      epoll_ctl (m->epoll, EPOLL_CTL_DEL, fd, NULL);
-      return 0;
-    }
-  epoll_ctl (m->epoll, known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd, &e);
-  if (!known)
-    curl_multi_assign (h->multi, fd, h);
+  (void)known;
+  s->wanted = to_epoll (what);
+  s->handle = (int)(h - m->handle);
+  if (s->wanted && s->wanted != s->watched)
+    watch (m, s, fd, s->watched ? EPOLL_CTL_MOD : EPOLL_CTL_ADD);
   return 0;
 }
 
@@ -109,6 +137,7 @@
   for (int i = 0; i < MX_HANDLES; i++)
     if (m->handle[i].multi)
       curl_multi_cleanup (m->handle[i].multi);
+  g_free (m->socket);
   if (m->epoll >= 0)
     close (m->epoll);
   if (m->wake_fd >= 0)
@@ -187,9 +216,13 @@
 
   if (handle == WAKE)
     consume_wake (m);
-  else
+  else if (m->socket[fd].wanted)
     curl_multi_socket_action (m->handle[handle].multi, fd, to_curl (e->events),
                               &running);
+  else
+    /* The server closed an idle connection; curl finds out before it uses it
+       again.  */
+    watch (m, &m->socket[fd], fd, EPOLL_CTL_DEL);
 }
 
 static void
--- a/src/net/http_mux.h
+++ b/src/net/http_mux.h
@@ -28,6 +28,14 @@
   int64_t timer_ms; /* when curl wants to be called; -1: no timer */
 };
 
+/* What epoll watches a socket for.  */
+struct mx_socket
+{
+  uint32_t watched; /* by epoll; 0: it does not know the socket */
+  uint32_t wanted;  /* by curl; 0: the connection is idle */
+  int handle;
+};
+
 struct mx_mux
 {
   struct mx_handle handle[MX_HANDLES];
@@ -35,6 +43,8 @@
   atomic_int woken; /* a wake-up was written and not read yet */
   struct bs_clock clock;
   long connections_per_host;
+  struct mx_socket *socket; /* by number */
+  int sockets;
 };
 
 /* Sets M up.  Returns BS_OK or BS_ENOMEM; mx_fini may be called in either
@@ -44,10 +54,12 @@
 void mx_fini (struct mx_mux *m);
 /* The handle for transfers with HOST; NULL when memory is exhausted.  */
 CURLM *mx_multi (struct mx_mux *m, const char *host);
+/* To be called when a new socket has the number FD.  */
+void mx_socket_opened (struct mx_mux *m, int fd);
 /* Makes the current or the next mx_wait return.  Called on any thread.  */
 void mx_wake (struct mx_mux *m);
 /* Waits until a socket is ready, a timer expires or mx_wake is called, and
-   lets curl handle what is ready.  */
+   lets curl handle what is ready.  Returns 1 if there may be more.  */
 int mx_wait (struct mx_mux *m);
 /* Returns the next message of a transfer that has ended, or NULL.  */
 CURLMsg *mx_next_message (struct mx_mux *m);
