--- a/src/batch/lease.c
+++ b/src/batch/lease.c
@@ -5,7 +5,7 @@
 
 #include "batch/lease.h"
 
-static const int64_t MAX_EPOCH = INT64_C (1) << 52;
+static const int64_t max_epoch = INT64_C (1) << 52;
 
 static void
 copy_name (char out[LE_NAME_SIZE], const char *text)
@@ -35,7 +35,7 @@
 {
   int64_t epoch = json_integer_value (json_object_get (row, "epoch"));
 
-  return epoch >= 0 && epoch <= MAX_EPOCH ? epoch : 0;
+  return epoch >= 0 && epoch <= max_epoch ? epoch : 0;
 }
 
 int
--- a/src/steps/json.c
+++ b/src/steps/json.c
@@ -7,8 +7,8 @@
 
 /* Bounds of a job's times, so that sums and products of them keep within
    their type.  */
-static const int64_t MAX_TIME_MS = INT64_C (100) * 365 * 86400 * 1000,
-                     MAX_DUE_MS = INT64_C (10000) * 365 * 86400 * 1000;
+static const int64_t max_time_ms = INT64_C (100) * 365 * 86400 * 1000,
+                     max_due_ms = INT64_C (10000) * 365 * 86400 * 1000;
 
 const char *
 sj_strerror (int error)
@@ -96,7 +96,7 @@
   else if (s->need.cpu_milli > SJ_MAX_NEED || s->need.memory_mb > SJ_MAX_NEED
            || s->need.accelerators > SJ_MAX_NEED)
     *reason = "a need is larger than any worker";
-  else if (s->estimate_ms > MAX_TIME_MS || s->latency_target_ms > MAX_TIME_MS)
+  else if (s->estimate_ms > max_time_ms || s->latency_target_ms > max_time_ms)
     *reason = "a time of a step is too long";
   else if (n < SJ_MAX_STEPS && s->depends_on >> n)
     *reason = "a step waits for itself or a later one";
@@ -121,8 +121,8 @@
     *reason = "a job has no steps or too many";
   else if (job->occurrences < 0 || job->occurrences > SJ_MAX_OCCURRENCES
            || (job->occurrences > 1 && job->interval_ms < 1)
-           || job->interval_ms > MAX_TIME_MS || job->first_due_ms > MAX_DUE_MS
-           || job->first_due_ms < -MAX_DUE_MS)
+           || job->interval_ms > max_time_ms || job->first_due_ms > max_due_ms
+           || job->first_due_ms < -max_due_ms)
     *reason = "the occurrences can't be planned";
   if (*reason)
     return SJ_EINVAL;
