Holder, tests: what was measured or written twice is so once

No behaviour changes; the tests keep their assertions. A comment gave a reason for keeping curl handles that no run shows.

--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -328,8 +328,9 @@
 void ba_push (struct batch *b, struct ba_event *e);
 
 /* usage.c */
-/* Logs what a holder's processor time went to since the last call.  */
-void us_tick (struct batch *b);
+/* Logs what a holder's processor time went to since the last call.  COUNTS are
+   the present ones.  */
+void us_tick (struct batch *b, const struct sj_counts *counts);
 
 /* stop.c: stages of a planned stop */
 enum ba_stage
@@ -554,7 +555,8 @@
 int co_init (struct batch *b);
 /* Adds N to the counter SERIES.  */
 void co_add (struct batch *b, int series, int64_t n);
-/* Updates the gauges.  */
-void co_tick (struct batch *b);
+/* Updates the gauges and fills COUNTS, with zeros on a VM that does not hold
+   the lease.  */
+void co_tick (struct batch *b, struct sj_counts *counts);
 
 #endif
--- a/src/batch/counters.c
+++ b/src/batch/counters.c
@@ -126,30 +126,31 @@
 }
 
 void
-co_tick (struct batch *b)
+co_tick (struct batch *b, struct sj_counts *counts)
 {
   struct ba_counters *c = &b->counters;
-  struct sj_counts n = { 0 };
 
+  *counts = (struct sj_counts){ 0 };
   if (b->cluster)
-    sj_count (b->cluster, &n);
-  b->busy_workers = n.busy_workers;
-  st_set (&b->stats, c->shard, c->waiting_jobs, n.waiting);
+    sj_count (b->cluster, counts);
+  b->busy_workers = counts->busy_workers;
+  st_set (&b->stats, c->shard, c->waiting_jobs, counts->waiting);
   st_set (&b->stats, c->shard, c->waiting_orders, oq_waiting (&b->orders));
-  st_set (&b->stats, c->shard, c->runs, n.runs);
-  st_set (&b->stats, c->shard, c->accelerators_used, n.accelerators_used);
-  st_set (&b->stats, c->shard, c->usable_workers, n.usable_workers);
-  st_set (&b->stats, c->shard, c->fast_workers, n.fast_workers);
-  st_set (&b->stats, c->shard, c->medium_workers, n.medium_workers);
-  st_set (&b->stats, c->shard, c->slow_workers, n.slow_workers);
-  st_set (&b->stats, c->shard, c->unknown_workers, n.unknown_workers);
-  st_set (&b->stats, c->shard, c->headroom_kept, n.headroom_kept);
-  st_set (&b->stats, c->shard, c->headroom_used, n.headroom_used);
+  st_set (&b->stats, c->shard, c->runs, counts->runs);
+  st_set (&b->stats, c->shard, c->accelerators_used,
+          counts->accelerators_used);
+  st_set (&b->stats, c->shard, c->usable_workers, counts->usable_workers);
+  st_set (&b->stats, c->shard, c->fast_workers, counts->fast_workers);
+  st_set (&b->stats, c->shard, c->medium_workers, counts->medium_workers);
+  st_set (&b->stats, c->shard, c->slow_workers, counts->slow_workers);
+  st_set (&b->stats, c->shard, c->unknown_workers, counts->unknown_workers);
+  st_set (&b->stats, c->shard, c->headroom_kept, counts->headroom_kept);
+  st_set (&b->stats, c->shard, c->headroom_used, counts->headroom_used);
   st_set (&b->stats, c->shard, c->is_holder, b->phase == BA_ACTIVE);
   st_set (&b->stats, c->shard, c->reads_state, b->access.path[AC_READS].state);
   st_set (&b->stats, c->shard, c->writes_state,
           b->access.path[AC_WRITES].state);
   st_set (&b->stats, c->shard, c->closed_domains, b->domains.count);
-  st_set (&b->stats, c->shard, c->closed_workers, n.closed_workers);
+  st_set (&b->stats, c->shard, c->closed_workers, counts->closed_workers);
   set_account_gauges (b);
 }
--- a/src/batch/loop.c
+++ b/src/batch/loop.c
@@ -126,9 +126,7 @@
 
   dispatch (b, e);
   b->times.events++;
-  begin_ms = bs_now_ms (&b->clock) - begin_ms;
-  b->times.ms[kind] += begin_ms;
-  b->usage.now.event_ms[kind] += begin_ms;
+  b->times.ms[kind] += bs_now_ms (&b->clock) - begin_ms;
 }
 
 /* Logs and clears the loop's times after a tick.  */
@@ -139,7 +137,10 @@
   int64_t took_ms = b->tick_took_ms;
 
   for (int i = 0; i < BA_EVENT_KINDS; i++)
-    took_ms += ms[i];
+    {
+      took_ms += ms[i];
+      b->usage.now.event_ms[i] += ms[i];
+    }
   if (took_ms > SLOW_LOOP_MS)
     {
       struct lg_field f[]
@@ -184,6 +185,8 @@
 static void
 tick (struct batch *b)
 {
+  struct sj_counts counts;
+
   b->now_ms = b->ticked_ms = bs_now_ms (&b->clock);
   ba_check_store_timeout (b);
   ba_access_tick (b);
@@ -197,8 +200,8 @@
   if (b->now_ms - b->counted_ms >= COUNTERS_INTERVAL_MS)
     {
       b->counted_ms = b->now_ms;
-      co_tick (b);
-      us_tick (b);
+      co_tick (b, &counts);
+      us_tick (b, &counts);
     }
   atomic_store (&b->ready, b->config && b->job_follower.synced
                                && ba_config_is_fresh (b) && !b->stopping_at_ms
--- a/src/batch/usage.c
+++ b/src/batch/usage.c
@@ -68,21 +68,18 @@
 }
 
 void
-us_tick (struct batch *b)
+us_tick (struct batch *b, const struct sj_counts *counts)
 {
-  struct sj_counts counts = { 0 };
-
   if (b->phase != BA_ACTIVE)
     {
       b->usage.noted.at_ms = 0;
       return;
     }
-  sj_count (b->cluster, &counts);
-  read_totals (b, &counts);
+  read_totals (b, counts);
   if (b->usage.noted.at_ms)
     {
       log_usage (b);
-      log_work (b, &counts);
+      log_work (b, counts);
     }
   b->usage.noted = b->usage.now;
   b->usage.order_wait_ms = b->usage.commit_ms = b->usage.backlog_ms = 0;
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -40,8 +40,7 @@
   struct transfer *next, *prev;
 };
 
-/* Easy handles for reuse: creating one takes longer than the rest of a
-   request's set-up.  */
+/* Easy handles for reuse, as each allocates its buffers anew.  */
 struct spare_handles
 {
   pthread_mutex_t lock;
--- a/tests/batch/test_evacuation.c
+++ b/tests/batch/test_evacuation.c
@@ -4,6 +4,7 @@
 
 #include "batch/fake_store.h"
 #include "batch/holder.h"
+#include "batch/worker_events.h"
 #include "batch/workers.h"
 #include "suite.h"
 
@@ -77,27 +78,6 @@
   g_free (listing);
 }
 
-static void
-handle_events (void)
-{
-  void *item;
-
-  while (rg_pop (&batch.events, &item, 0) == BS_OK)
-    {
-      struct ba_event *e = item;
-
-      if (e->kind == BA_ORDER_REPLY)
-        wk_on_order_reply (&batch, e->u.order.order, &e->u.order.answer);
-      else
-        {
-          wk_on_listing (&batch, e->u.listing.order, e->u.listing.listing);
-          wk_free_order (e->u.listing.order);
-          po_listing_free (e->u.listing.listing);
-        }
-      g_free (e);
-    }
-}
-
 static void
 answer_hold (void)
 {
@@ -108,7 +88,7 @@
                                         .clock_ms = WORKER_CLOCK_MS };
   hold_done (hold_arg, l);
   hold_arg = NULL;
-  handle_events ();
+  handle_worker_events (&batch);
 }
 
 static void
@@ -121,7 +101,7 @@
   for (guint i = 0; i < now->len; i++)
     wk_on_order_reply (&batch, g_ptr_array_index (now, i), &a);
   g_ptr_array_free (now, TRUE);
-  handle_events ();
+  handle_worker_events (&batch);
 }
 
 static void
@@ -273,7 +253,7 @@
   for (int i = 0; i < n; i++)
     json_decref (dirty[i].record);
   sj_committed (batch.cluster, 1, batch.now_ms);
-  handle_events ();
+  handle_worker_events (&batch);
 }
 
 /* The same worker starts tasks without a request.  */
--- a/tests/batch/test_holder_overload.c
+++ b/tests/batch/test_holder_overload.c
@@ -6,6 +6,7 @@
 
 #include "batch/fake_store.h"
 #include "batch/holder.h"
+#include "batch/worker_events.h"
 #include "suite.h"
 
 enum
@@ -177,27 +178,6 @@
   r->order_done (r->arg, &a);
 }
 
-static void
-handle_events (void)
-{
-  void *item;
-
-  while (rg_pop (&batch.events, &item, 0) == BS_OK)
-    {
-      struct ba_event *e = item;
-
-      if (e->kind == BA_ORDER_REPLY)
-        wk_on_order_reply (&batch, e->u.order.order, &e->u.order.answer);
-      else
-        {
-          wk_on_listing (&batch, e->u.listing.order, e->u.listing.listing);
-          wk_free_order (e->u.listing.order);
-          po_listing_free (e->u.listing.listing);
-        }
-      g_free (e);
-    }
-}
-
 static void
 serve (struct request *r)
 {
@@ -208,7 +188,7 @@
   else
     answer_hold (r, is_late);
   g_free (r);
-  handle_events ();
+  handle_worker_events (&batch);
 }
 
 static void
@@ -242,6 +222,8 @@
 static void
 step (void)
 {
+  struct sj_counts counts;
+
   batch.now_ms += STEP_MS;
   batch.worker_follower.fresh_ms = batch.now_ms;
   move_ready ();
@@ -253,7 +235,7 @@
   backlog_ms = ready.length >= MAX_READY ? backlog_ms + STEP_MS : 0;
   oq_note_backlog (&batch.orders, backlog_ms, batch.now_ms);
   if (batch.now_ms % 1000 == 0)
-    co_tick (&batch);
+    co_tick (&batch, &counts);
   ho_tick (&batch);
   answer_commits ();
 }
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "batch/holder.h"
+#include "batch/worker_events.h"
 #include "suite.h"
 
 enum
@@ -95,27 +96,6 @@
   g_free (listing);
 }
 
-static void
-handle_events (void)
-{
-  void *item;
-
-  while (rg_pop (&batch.events, &item, 0) == BS_OK)
-    {
-      struct ba_event *e = item;
-
-      if (e->kind == BA_ORDER_REPLY)
-        wk_on_order_reply (&batch, e->u.order.order, &e->u.order.answer);
-      else
-        {
-          wk_on_listing (&batch, e->u.listing.order, e->u.listing.listing);
-          wk_free_order (e->u.listing.order);
-          po_listing_free (e->u.listing.listing);
-        }
-      g_free (e);
-    }
-}
-
 static void
 answer_hold (enum sj_answer answer, const struct sj_listed_run *end)
 {
@@ -126,7 +106,7 @@
   l->last_end = end ? 1 : 0;
   hold_done (hold_arg, l);
   hold_arg = NULL;
-  handle_events ();
+  handle_worker_events (&batch);
 }
 
 static void
@@ -180,7 +160,7 @@
     json_decref (dirty[i].record);
   sj_committed (batch.cluster, ok, batch.now_ms);
   wk_note_stored (&batch);
-  handle_events ();
+  handle_worker_events (&batch);
 }
 
 /* Stores all changed records, which sends the starts.  */
@@ -254,7 +234,7 @@
   l->list = (struct sj_listing){ .run_count = run != NULL, .runs = run };
   hold_done (hold_arg, l);
   hold_arg = NULL;
-  handle_events ();
+  handle_worker_events (&batch);
 }
 
 /* The worker restarted under its id before the start was sent.  The start
@@ -460,7 +440,7 @@
   sj_committed (batch.cluster, 1, batch.now_ms);
   wk_note_stored (&batch);
   cm_reset (&batch);
-  handle_events ();
+  handle_worker_events (&batch);
   return left;
 }
 
@@ -538,7 +518,7 @@
                                              .payload = "",
                                              .checkpoint = "" });
   CU_ASSERT_EQUAL (starts, 1);
-  handle_events ();
+  handle_worker_events (&batch);
   teardown ();
 }
 
@@ -554,7 +534,7 @@
                                                .worker = "i-1",
                                                .payload = "",
                                                .checkpoint = "" });
-  handle_events ();
+  handle_worker_events (&batch);
   CU_ASSERT_FALSE (has_failures ());
   teardown ();
 }
@@ -635,7 +615,7 @@
   first = starts;
   sj_job_cancel (batch.cluster, job_id (0xb0), batch.now_ms);
   answer_kept_starts (kept_starts->len);
-  handle_events ();
+  handle_worker_events (&batch);
   CU_ASSERT_EQUAL (starts, first);
   stop_keeping_starts ();
   teardown ();
@@ -659,7 +639,7 @@
   answer_kept_starts (kept_starts->len);
   CU_ASSERT_EQUAL (starts, first);
   stop_keeping_starts ();
-  handle_events ();
+  handle_worker_events (&batch);
   teardown ();
 }
 
@@ -675,7 +655,7 @@
   answer_kept_starts (kept_starts->len);
   CU_ASSERT_EQUAL (starts, first);
   stop_keeping_starts ();
-  handle_events ();
+  handle_worker_events (&batch);
   teardown ();
 }
 
@@ -720,7 +700,7 @@
                                         .status = 421 };
   hold_done (hold_arg, l);
   hold_arg = NULL;
-  handle_events ();
+  handle_worker_events (&batch);
 }
 
 /* Guards against BUDGET: a worker that came back under another id was taken
@@ -844,7 +824,7 @@
   while (kept_starts->len)
     wk_on_order_reply (&batch, g_ptr_array_steal_index (kept_starts, 0),
                        &other);
-  handle_events ();
+  handle_worker_events (&batch);
   CU_ASSERT_EQUAL (lost_runs, 1);
   CU_ASSERT_EQUAL (starts, first);
   CU_ASSERT_FALSE (sj_worker_has_runs (batch.cluster, "i-1"));
@@ -871,7 +851,7 @@
   answer_kept_starts (kept_starts->len);
   CU_ASSERT_EQUAL (starts, first);
   stop_keeping_starts ();
-  handle_events ();
+  handle_worker_events (&batch);
   teardown ();
 }
 
