review: a start that libcurl repeats by itself is taken for refused

A worker that executed a start and closed the connection answers the repeated start with 503. The scheduler takes the run for not started and starts the task elsewhere while the first run works.

--- a/review/stand/world.c
+++ b/review/stand/world.c
@@ -683,7 +683,8 @@
   struct wd_worker *k = arg;
   struct wd_world *w = k->world;
   const char *expected = sv_header (r, "X-Skylarkramp-Expected-Instance");
-  int delay_ms = 0;
+  int percent = g_random_int_range (0, 100);
+  int is_start = !strcmp (r->path, "/v1/run-start");
 
   wd_lock (w);
   if (!k->up)
@@ -695,15 +696,21 @@
     }
   else if (!strcmp (r->path, "/health"))
     reply->status = k->draining ? 503 : 200;
+  else if (is_start && percent < k->refused_percent)
+    {
+      sv_set_error (reply, 503, "busy");
+      wd_note (w, "refused  a start on %s with 503, nothing is done", k->id);
+    }
   else
     handle_order (w, k, r, reply);
-  if (!strcmp (r->path, "/v1/run-start"))
-    delay_ms = k->answer_delay_ms;
-  if (!reply->close && w->drops_answer && w->drops_answer (w, k, r->path))
-    reply->close = 1;
+  if (is_start && !reply->close && percent >= k->refused_percent
+      && percent < k->refused_percent + k->unanswered_percent)
+    {
+      wd_note (w, "reset    %s closes the connection of a start it executed",
+               k->id);
+      reply->close = 1;
+    }
   wd_unlock (w);
-  if (delay_ms)
-    usleep ((useconds_t)delay_ms * 1000);
 }
 
 static void
--- a/review/stand/world.h
+++ b/review/stand/world.h
@@ -58,7 +58,9 @@
   double rate; /* of its clock */
   GArray *runs, *ends;
   GHashTable *highest; /* task -> highest run stopped or ended */
-  int answer_delay_ms; /* of starts */
+  /* While the worker is unhealthy: of the starts, so many are answered with
+     503, and so many are executed without an answer.  */
+  int refused_percent, unanswered_percent;
 };
 
 /* What the client handed in.  */
@@ -105,10 +107,6 @@
                     struct wd_run *run);
   void (*on_end) (struct wd_world *w, struct wd_worker *k,
                   const struct wd_run *run, const char *how);
-  /* Whether the answer to a call of a worker is dropped, which closes the
-     connection; may be NULL.  */
-  int (*drops_answer) (struct wd_world *w, struct wd_worker *k,
-                       const char *path);
   void *arg;
 };
 
