--- a/review/stand/world.c
+++ b/review/stand/world.c
@@ -169,6 +169,33 @@
   wd_unlock (w);
 }
 
+int
+wd_holder (struct wd_world *w)
+{
+  static const char name[] = "frontend-z1-";
+  const struct wd_row *row;
+  const char *found;
+  guchar *text;
+  gsize size;
+  int vm = -1;
+
+  wd_lock (w);
+  row = g_hash_table_lookup (w->rows, "jobs/~lease");
+  if (row)
+    {
+      char *copy;
+
+      text = g_base64_decode (row->value, &size);
+      copy = g_strndup ((const char *)text, size);
+      found = strstr (copy, name);
+      vm = found ? atoi (found + sizeof name - 1) - 1 : -1;
+      g_free (copy);
+      g_free (text);
+    }
+  wd_unlock (w);
+  return vm;
+}
+
 static const char *
 text_of (const json_t *o, const char *name)
 {
--- a/review/stand/world.h
+++ b/review/stand/world.h
@@ -123,6 +123,9 @@
 int64_t wd_now_ms (void);
 void wd_lock (struct wd_world *w);
 void wd_unlock (struct wd_world *w);
+/* The VM that the lease row names, or -1.  What the system writes there is its
+   own; only the choice of the process to kill depends on it.  */
+int wd_holder (struct wd_world *w);
 /* Adds a line to the record.  */
 void wd_note (struct wd_world *w, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
