review: a gang is given up after one run with two failed members

Each member's failed end counts as an attempt of the whole gang, so that the job is shown as failed before the gang has failed max_attempts times.

--- a/review/stand/world.c
+++ b/review/stand/world.c
@@ -25,7 +25,9 @@
   READY_TIMEOUT_MS = 10000,
   CALL_TIMEOUT_MS = 3000,
   CLIENT_TRIES = 5, /* the first and four more */
-  GRACE_MS = 6000
+  GRACE_MS = 6000,
+  GANG_MS = 3000, /* gang_ms */
+  BREAK_MS = 20
 };
 
 extern char **environ;
@@ -427,7 +429,7 @@
 {
   const char *saved = strrchr (r->resumed, '=');
 
-  return wd_now_ms () - r->started_ms
+  return (r->work_from_ms ? wd_now_ms () - r->work_from_ms : 0)
          + (saved ? strtoll (saved + 1, NULL, 10) : 0);
 }
 
@@ -465,6 +467,41 @@
   *highest = MAX (*highest, number);
 }
 
+static int
+same_gang (const struct wd_run *a, const struct wd_run *b)
+{
+  size_t n = (size_t)(strrchr (a->task, '.') - a->task);
+
+  return a->number == b->number
+         && n == (size_t)(strrchr (b->task, '.') - b->task)
+         && !strncmp (a->task, b->task, n);
+}
+
+static int
+gang_present (struct wd_world *w, const struct wd_run *r)
+{
+  int count = 0;
+
+  for (int n = 0; n < w->set.workers; n++)
+    for (guint i = 0; w->worker[n].up && i < w->worker[n].runs->len; i++)
+      count += same_gang (run_at (&w->worker[n], i), r);
+  return count;
+}
+
+/* The other members hear after BREAK_MS that R has ended.  */
+static void
+break_gang (struct wd_world *w, const struct wd_run *r)
+{
+  for (int n = 0; n < w->set.workers; n++)
+    for (guint i = 0; i < w->worker[n].runs->len; i++)
+      {
+        struct wd_run *other = run_at (&w->worker[n], i);
+
+        if (same_gang (other, r) && !other->broken_from_ms)
+          other->broken_from_ms = wd_now_ms () + BREAK_MS;
+      }
+}
+
 static void
 end_run (struct wd_world *w, struct wd_worker *k, guint i, const char *how)
 {
@@ -477,6 +514,8 @@
   g_array_remove_index (k->runs, i);
   g_array_append_val (k->ends, e);
   raise_highest (k, r.task, r.number);
+  if (r.gang && strcmp (how, "done") != 0)
+    break_gang (w, &r);
   if (w->on_end)
     w->on_end (w, k, &r, how);
   pthread_cond_broadcast (&w->changed);
@@ -510,6 +549,9 @@
         w->on_end (w, k, run_at (k, i), "lost");
     }
   k->up = 0;
+  for (guint i = 0; i < k->runs->len; i++)
+    if (run_at (k, i)->gang)
+      break_gang (w, run_at (k, i));
   g_array_set_size (k->runs, 0);
   pthread_cond_broadcast (&w->changed);
 }
@@ -599,6 +641,7 @@
     return reason;
   if (w->on_start)
     w->on_start (w, k, &r);
+  r.work_from_ms = r.gang ? 0 : r.started_ms;
   g_array_append_val (k->runs, r);
   return NULL;
 }
@@ -767,6 +810,28 @@
   json_decref (o);
 }
 
+/* How run R on K ends now, or NULL.  */
+static const char *
+due_end (struct wd_world *w, const struct wd_worker *k, struct wd_run *r)
+{
+  int64_t now = wd_now_ms ();
+
+  if (r->gang && !r->work_from_ms && gang_present (w, r) >= r->gang)
+    r->work_from_ms = now;
+  if (r->stop_at_ms && now >= r->stop_at_ms)
+    return "stopped";
+  if (r->work_from_ms && k->fail_after_ms
+      && now - r->work_from_ms >= k->fail_after_ms)
+    return "failed";
+  if (r->broken_from_ms && now >= r->broken_from_ms)
+    return "broken";
+  if (!r->work_from_ms)
+    return now - r->started_ms > GANG_MS ? "alone" : NULL;
+  if (r->lasts || worked_ms (r) < r->work_ms)
+    return NULL;
+  return r->fails ? "failed" : "done";
+}
+
 static void
 advance (struct wd_world *w, struct wd_worker *k)
 {
@@ -774,12 +839,10 @@
     end_run (w, k, 0, "lapsed");
   for (guint i = k->runs->len; i-- > 0;)
     {
-      const struct wd_run *r = run_at (k, i);
+      const char *how = due_end (w, k, run_at (k, i));
 
-      if (r->stop_at_ms && wd_now_ms () >= r->stop_at_ms)
-        end_run (w, k, i, "stopped");
-      else if (!r->lasts && worked_ms (r) >= r->work_ms)
-        end_run (w, k, i, r->fails ? "failed" : "done");
+      if (how)
+        end_run (w, k, i, how);
     }
 }
 
@@ -959,6 +1022,8 @@
 void
 wd_signal_vm (struct wd_world *w, int n, int signal)
 {
+  if (w->vm[n].pid <= 0)
+    return;
   wd_note (w, "process  vm%d gets signal %d", n, signal);
   kill (w->vm[n].pid, signal);
   if (signal != SIGKILL)
--- a/review/stand/world.h
+++ b/review/stand/world.h
@@ -40,6 +40,9 @@
   int64_t number, started_ms, stop_at_ms, work_ms;
   char resumed[512]; /* checkpoint that the start carried */
   int checkpoints, lasts, fails;
+  int gang;               /* members of its gang; 0: none */
+  int64_t work_from_ms;   /* 0: it waits for its gang */
+  int64_t broken_from_ms; /* when it hears that another member ended */
 };
 
 struct wd_end
@@ -61,6 +64,7 @@
   /* While the worker is unhealthy: of the starts, so many are answered with
      503, and so many are executed without an answer.  */
   int refused_percent, unanswered_percent;
+  int fail_after_ms; /* fails all that it starts after so long; 0: sound */
 };
 
 /* What the client handed in.  */
