--- a/review/stand/world.c
+++ b/review/stand/world.c
@@ -1,3 +1,4 @@
+#include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <signal.h>
@@ -6,7 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/stat.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <time.h>
 #include <unistd.h>
@@ -973,6 +974,26 @@
   g_string_free (text, TRUE);
 }
 
+/* Exits with 2 if a port that the VM at IP needs is in use.  */
+static void
+check_free (const char *ip)
+{
+  static const int port[] = { 8521, 8523, 7000, 7015 };
+  struct sockaddr_in a = { .sin_family = AF_INET };
+
+  inet_pton (AF_INET, ip, &a.sin_addr);
+  for (size_t i = 0; i < G_N_ELEMENTS (port); i++)
+    {
+      int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), error;
+
+      a.sin_port = htons ((uint16_t)port[i]);
+      error = bind (fd, (const struct sockaddr *)&a, sizeof a);
+      close (fd);
+      if (error)
+        cannot_run ("a port on a loopback address is in use");
+    }
+}
+
 /* run-case.sh ends the processes in this file if the driver can't.  */
 static void
 note_pid (struct wd_world *w, pid_t pid)
@@ -998,11 +1019,17 @@
 
   if (!*vm->ip)
     {
-      int net = 16 + (int)(getpid () % 200);
-
-      snprintf (vm->ip, sizeof vm->ip, "127.%d.7.%d", net, n + 1);
-      snprintf (vm->front, sizeof vm->front, "127.%d.7.%d:8521", net, n + 1);
-      snprintf (vm->ready, sizeof vm->ready, "127.%d.7.%d:8523", net, n + 1);
+      /* Each driver has loopback addresses of its own, as the ports of the
+         settings template are fixed.  */
+      unsigned pid = (unsigned)getpid ();
+      unsigned net = 16 + pid % 200, host = 1 + pid / 200 % 250;
+
+      snprintf (vm->ip, sizeof vm->ip, "127.%u.%u.%d", net, host, n + 1);
+      snprintf (vm->front, sizeof vm->front, "127.%u.%u.%d:8521", net, host,
+                n + 1);
+      snprintf (vm->ready, sizeof vm->ready, "127.%u.%u.%d:8523", net, host,
+                n + 1);
+      check_free (vm->ip);
       snprintf (vm->settings, sizeof vm->settings, "%s/vm%d.conf", w->dir, n);
       snprintf (vm->log, sizeof vm->log, "%s/vm%d.log", w->dir, n);
       write_settings (w, n);
