--- a/review/4/case.c
+++ b/review/4/case.c
@@ -1,4 +1,4 @@
-/* A job of tasks that last, whose worker crashes three times.  */
+/* Gangs on workers of which two fail all that they start for a while.  */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -8,24 +8,43 @@
 
 enum
 {
-  TASKS = 2,
-  CRASHES = 3,
-  FIRST_CRASH_MS = 5000,
-  CALM_MS = 6000, /* at work before the next crash */
-  DOWN_MS = 4500, /* for_s of srv_crash */
-  WAIT_MS = 70000,
-  AFTER_MS = 12000, /* 6 s after the last run, and 3 s, with margin */
-  POLL_MS = 100
+  WORKERS = 24,
+  WIDTH = 18, /* of slot-check, at most */
+  ATTEMPTS = 2,
+  WORK_MS = 2500,
+  GREY = 2,       /* workers: 0.083 of them */
+  GREY_MS = 6500, /* for_s of srv_grey */
+  FAIL_MS = 300,  /* from the beginning of a task's work to its failure */
+  JOB_GAP_MS = 3500,
+  JOBS = 6,
+  GREY_FROM = 1, /* job with which the workers turn grey */
+  SETTLE_MS = 15000
+};
+
+struct job
+{
+  char path[40];
+  int accepted, failed_runs;
+  int64_t last_failed_run;
 };
 
 static struct wd_world world;
-static const char id[] = "5c0e7a21d94b36f8", path[] = "/desk/5c0e7a21d94b36f8",
-                  key[] = "key-inn";
+static struct job job[JOBS];
+
+static struct job *
+find_job (const char *task)
+{
+  unsigned n = JOBS;
+
+  return sscanf (task, "5c0e7a21d94b%4x", &n) == 1 && n < JOBS ? &job[n]
+                                                               : NULL;
+}
 
 static void
 on_start (struct wd_world *w, struct wd_worker *k, struct wd_run *run)
 {
-  run->lasts = 1;
+  run->work_ms = WORK_MS;
+  run->gang = WIDTH;
   wd_note (w, "run      %s run %lld on %s", run->task, (long long)run->number,
            k->id);
 }
@@ -34,9 +53,14 @@
 on_end (struct wd_world *w, struct wd_worker *k, const struct wd_run *run,
         const char *how)
 {
-  if (strcmp (how, "lost") != 0)
-    wd_note (w, "end      %s run %lld %s on %s", run->task,
-             (long long)run->number, how, k->id);
+  struct job *j = find_job (run->task);
+
+  wd_note (w, "end      %s run %lld on %s: %s", run->task,
+           (long long)run->number, k->id, how);
+  if (!j || strcmp (how, "failed") != 0 || j->last_failed_run == run->number)
+    return;
+  j->last_failed_run = run->number;
+  j->failed_runs++;
 }
 
 static void
@@ -44,49 +68,29 @@
 {
   wd_put (&world, "op", "config",
           "{\"version\":7,\"routes\":["
-          "{\"name\":\"r-desk\",\"host\":\"desk.example\",\"prefix\":\"/desk/"
+          "{\"name\":\"r-slot\",\"host\":\"desk.example\",\"prefix\":\"/slot/"
           "\",\"kind\":\"non_idempotent\",\"timeout_ms\":3000,"
-          "\"target_duration_ms\":1000,\"priority\":1,\"service\":\"desk\","
-          "\"max_attempts\":3,\"stretch\":3.0,\"public\":false}],"
+          "\"target_duration_ms\":250,\"priority\":0,\"service\":\"desk\","
+          "\"max_attempts\":2,\"stretch\":1.5,\"public\":false}],"
           "\"services\":[{\"name\":\"desk\",\"health_path\":\"/health\","
           "\"connection_limit\":64,\"protocol\":\"h1\",\"tls\":false,"
           "\"rejects_overload\":false,\"spare\":false}],\"limits\":{},"
           "\"tenants\":[{\"name\":\"inn\",\"api_keys\":[\"key-inn\"],"
-          "\"guaranteed\":{\"gpu\":8}}]}");
-}
-
-/* Waits until TASK has been at work for CALM_MS.  Returns its worker's number,
-   or -1.  */
-static int
-wait_at_work (const char *task)
-{
-  int64_t deadline = wd_now_ms () + WAIT_MS / 2, since = 0;
-  struct wd_worker *k, *last = NULL;
-
-  while (wd_now_ms () < deadline)
-    {
-      wd_lock (&world);
-      k = wd_find_run (&world, task);
-      wd_unlock (&world);
-      if (!k || k != last)
-        since = wd_now_ms ();
-      last = k;
-      if (k && wd_now_ms () - since >= CALM_MS)
-        return k->n;
-      usleep (POLL_MS * 1000);
-    }
-  return -1;
+          "\"guaranteed\":{\"gpu\":192}}]}");
 }
 
 static void
-crash (int n)
+set_grey (int yes)
 {
   wd_lock (&world);
-  wd_crash (&world, n);
-  wd_unlock (&world);
-  usleep (DOWN_MS * 1000);
-  wd_lock (&world);
-  wd_restart (&world, n);
+  for (int n = 0; n < GREY; n++)
+    {
+      struct wd_worker *k = &world.worker[n];
+
+      k->fail_after_ms = yes ? FAIL_MS : 0;
+      wd_note (&world, "worker   %s %s", k->id,
+               yes ? "fails all that it starts" : "is sound again");
+    }
   wd_unlock (&world);
 }
 
@@ -94,7 +98,7 @@
 main (void)
 {
   struct wd_settings set = { .vms = 3,
-                             .workers = 8,
+                             .workers = WORKERS,
                              .hold_max_ms = 10000,
                              .stop_ms = 200,
                              .checkpoint_interval_s = 2,
@@ -103,9 +107,8 @@
                              .memory_mb = 262144,
                              .gpu = 8 };
   int trouble = !getenv ("TROUBLE") || atoi (getenv ("TROUBLE"));
-  char task[40], answer[WD_ANSWER_SIZE] = "";
-  int status, away = 0, failed;
-  int64_t end;
+  int wrong = 0, failed = 0;
+  int64_t sound_at = 0;
 
   wd_init (&world, &set);
   world.on_start = on_start;
@@ -115,44 +118,53 @@
     wd_start_vm (&world, n);
   wd_wait_ready (&world);
   usleep (3000000);
-  status = wd_submit (&world, 0, path, key,
-                      "{\"specification\":\"serve\",\"steps\":[{\"count\":2,"
-                      "\"cpu\":4000,\"memory_request_mb\":4096,"
-                      "\"estimated_ms\":1000,\"long_running\":true}]}");
-  if (status / 100 != 2)
-    {
-      wd_fini (&world);
-      return 2;
-    }
-  snprintf (task, sizeof task, "%s.0.0.0", id);
-  for (int i = 0; i < CRASHES; i++)
+  for (int i = 0; i < JOBS; i++)
     {
-      int n = wait_at_work (task);
-
-      if (n < 0)
-        break;
-      if (trouble)
-        crash (n);
-      else
-        usleep (DOWN_MS * 1000);
+      char body[300];
+
+      if (trouble && i == GREY_FROM)
+        {
+          set_grey (1);
+          sound_at = wd_now_ms () + GREY_MS;
+        }
+      snprintf (job[i].path, sizeof job[i].path, "/slot/5c0e7a21d94b%04x", i);
+      snprintf (body, sizeof body,
+                "{\"specification\":\"check\",\"steps\":[{\"count\":%d,"
+                "\"cpu\":15000,\"memory_request_mb\":22000,\"gpu\":8,"
+                "\"estimated_ms\":%d,\"gang\":true}]}",
+                WIDTH, WORK_MS);
+      job[i].accepted
+          = wd_submit (&world, i % set.vms, job[i].path, "key-inn", body) / 100
+            == 2;
+      for (int64_t end = wd_now_ms () + JOB_GAP_MS; wd_now_ms () < end;
+           usleep (10000))
+        if (sound_at && wd_now_ms () >= sound_at)
+          {
+            set_grey (0);
+            sound_at = 0;
+          }
     }
-  /* Ten seconds are more than contact_ms and the longest lease.  */
-  usleep (10000000);
-  for (end = wd_now_ms () + AFTER_MS; wd_now_ms () < end;
-       usleep (POLL_MS * 1000))
+  usleep (SETTLE_MS * 1000);
+  for (int i = 0; i < JOBS; i++)
     {
-      wd_lock (&world);
-      away += wd_running (&world, id) < TASKS;
-      wd_unlock (&world);
+      char answer[WD_ANSWER_SIZE] = "";
+
+      wd_call (&world, i % set.vms, "GET", job[i].path, "key-inn", NULL,
+               answer);
+      if (!job[i].accepted || !strstr (answer, "\"failed\""))
+        continue;
+      failed++;
+      wrong += job[i].failed_runs < ATTEMPTS;
+      wd_note (&world, "job      %s is shown as failed after %d failed runs",
+               job[i].path, job[i].failed_runs);
     }
-  status = wd_call (&world, 1, "GET", path, key, NULL, answer);
-  failed = status == 200 && strstr (answer, "\"failed\"") != NULL;
   wd_note (&world,
-           "result   the job is shown as %s; tasks missing for %d ms of the "
-           "last %d",
-           answer, away * POLL_MS, AFTER_MS);
-  printf ("the job is shown as %s; tasks missing for %d ms of the last %d\n",
-          answer, away * POLL_MS, AFTER_MS);
+           "result   %d jobs, %d shown as failed, %d of them before the gang "
+           "failed %d times",
+           JOBS, failed, wrong, ATTEMPTS);
+  printf ("%d jobs, %d shown as failed, %d of them before the gang failed %d "
+          "times\n",
+          JOBS, failed, wrong, ATTEMPTS);
   wd_fini (&world);
-  return failed || away * POLL_MS >= AFTER_MS / 2;
+  return wrong > 0;
 }
