Log how often the HTTP client began to send an order, and the holder's try

task-started and task-stopped get the fields tries and sends, by which a start that libcurl repeated is told from one that the holder sent again. A line holds up to 16 fields; task-started has 13. No change of logic.

--- a/include/skr/http.h
+++ b/include/skr/http.h
@@ -31,6 +31,7 @@
   const char *body;   /* NUL-terminated; valid during the callback */
   size_t body_size;   /* bytes */
   const char *reason; /* why there is no answer; valid like BODY */
+  int sends;          /* how often curl began to send the request */
   int64_t duration_ms;
 };
 
--- a/include/skr/port.h
+++ b/include/skr/port.h
@@ -159,6 +159,7 @@
   long status;      /* HTTP status, 0 without an answer */
   char reason[24];  /* reason given by the worker, or "" */
   int64_t clock_ms; /* monotonic clock of the worker; 0: unknown */
+  int sends;        /* times that the HTTP client began to send the order */
   int64_t took_ms;  /* duration of the call */
 };
 
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -107,12 +107,14 @@
   { LG_STEP_JOB_STATE, LG_INFO, "job-state", "id state epoch",
     "The state of a job that is shown to callers changed.", "none" },
   { LG_RUN_STARTED, LG_INFO, "task-started",
-    "id occurrence step task run worker epoch answer status reason took_ms",
-    "A worker was ordered to start a task; answer is the outcome of the "
-    "order.",
+    "id occurrence step task run worker epoch answer status reason tries "
+    "sends took_ms",
+    "A worker was ordered to start a task; answer is the outcome of try "
+    "number tries, which the HTTP client began to send so many times.",
     "none" },
   { LG_RUN_STOPPED, LG_INFO, "task-stopped",
-    "id occurrence step task run worker epoch answer status reason took_ms",
+    "id occurrence step task run worker epoch answer status reason tries "
+    "sends took_ms",
     "A worker was ordered to stop a task.", "none" },
   { LG_RUN_ENDED, LG_INFO, "task-ended",
     "id occurrence step task run worker end",
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -12,7 +12,7 @@
 
 enum
 {
-  MAX_FIELDS = 12,
+  MAX_FIELDS = 16, /* of an event */
   LINE_SIZE = 1024 /* bytes */
 };
 
--- a/src/batch/orders.c
+++ b/src/batch/orders.c
@@ -139,9 +139,11 @@
           lg_str ("answer", answers[a->answer]),
           lg_int ("status", a->status),
           lg_str ("reason", *a->reason ? a->reason : sj_cause_name (o->cause)),
+          lg_int ("tries", o->tries),
+          lg_int ("sends", a->sends),
           lg_int ("took_ms", a->took_ms) };
 
-  lg_log (o->kind == SJ_START ? LG_RUN_STARTED : LG_RUN_STOPPED, 11, f);
+  lg_log (o->kind == SJ_START ? LG_RUN_STARTED : LG_RUN_STOPPED, 13, f);
 }
 
 /* Sends waiting orders until the limit of orders in progress is reached.  */
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -32,6 +32,7 @@
   size_t body_size, body_read;
   int body_reads; /* 0 until curl has read bytes of the body */
   int is_repeatable;
+  int sends; /* times that curl began to send the request */
   int64_t started_ms;
   GString *response;
   hc_done *done;
@@ -197,6 +198,22 @@
   curl_easy_setopt (t->easy, CURLOPT_READDATA, t);
 }
 
+/* Curl's callback before it sends the request, also before it does so
+   again.  */
+static int
+note_send (void *arg, char *remote_ip, char *local_ip, int remote_port,
+           int local_port)
+{
+  struct transfer *t = arg;
+
+  (void)remote_ip;
+  (void)local_ip;
+  (void)remote_port;
+  (void)local_port;
+  t->sends++;
+  return CURL_PREREQFUNC_OK;
+}
+
 static void
 set_options (struct hc_client *hc, struct transfer *t,
              const struct hc_request *r)
@@ -225,6 +242,8 @@
   curl_easy_setopt (t->easy, CURLOPT_PRIVATE, t);
   curl_easy_setopt (t->easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
   curl_easy_setopt (t->easy, CURLOPT_OPENSOCKETDATA, &hc->mux);
+  curl_easy_setopt (t->easy, CURLOPT_PREREQFUNCTION, note_send);
+  curl_easy_setopt (t->easy, CURLOPT_PREREQDATA, t);
   if (hc->ca)
     curl_easy_setopt (t->easy, CURLOPT_CAINFO, hc->ca);
   if (r->body)
@@ -345,6 +364,7 @@
     }
   if (code == CURLE_OPERATION_TIMEDOUT && a.outcome == HC_LOST)
     suspect_host (hc, t->host);
+  a.sends = t->sends;
   a.duration_ms = bs_now_ms (&hc->clock) - t->started_ms;
   count_transfer (hc, t->easy);
   t->prev->next = t->next;
