--- a/tests/net/test_http.c
+++ b/tests/net/test_http.c
@@ -27,7 +27,7 @@
 static int listener;
 static char url[64];
 static enum second_request_action second_request_action;
-static atomic_int bodies_seen;
+static atomic_int requests_seen;
 
 static int
 read_request (int fd)
@@ -40,9 +40,10 @@
     {
       n += (size_t)got;
       buf[n] = '\0';
-      if (strstr (buf, "{\"once\":1}"))
+      if (strstr (buf, "\r\n\r\n")
+          && (strstr (buf, "{\"once\":1}") || !strstr (buf, "Content-Length")))
         {
-          atomic_fetch_add (&bodies_seen, 1);
+          atomic_fetch_add (&requests_seen, 1);
           return 1;
         }
     }
@@ -113,20 +114,24 @@
 }
 
 static struct hc_answer
-post (struct hc_client *hc, int fresh)
+call (struct hc_client *hc, struct hc_request r)
 {
-  struct hc_request r = { .method = "POST",
-                          .url = url,
-                          .body = "{\"once\":1}",
-                          .timeout_ms = TIMEOUT_MS,
-                          .new_connection = fresh };
   struct hc_answer a = { .outcome = HC_LOST };
   static char buf[BUF_SIZE];
 
+  r.url = url;
+  r.timeout_ms = TIMEOUT_MS;
   CU_ASSERT_EQUAL (hc_call (hc, &r, &a, buf, sizeof buf), HC_OK);
   return a;
 }
 
+static struct hc_answer
+post (struct hc_client *hc)
+{
+  return call (
+      hc, (struct hc_request){ .method = "POST", .body = "{\"once\":1}" });
+}
+
 static struct hc_client *
 new_client (void)
 {
@@ -145,13 +150,13 @@
   struct hc_answer a;
 
   second_request_action = b;
-  a = post (hc, 0);
+  a = post (hc);
   CU_ASSERT_EQUAL (a.outcome, HC_ANSWERED);
   CU_ASSERT_EQUAL (a.status, 200);
-  atomic_store (&bodies_seen, 0);
-  a = post (hc, 0);
+  atomic_store (&requests_seen, 0);
+  a = post (hc);
   CU_ASSERT_EQUAL (a.outcome, HC_LOST);
-  CU_ASSERT_EQUAL (atomic_load (&bodies_seen), 1);
+  CU_ASSERT_EQUAL (atomic_load (&requests_seen), 1);
   hc_free (hc);
 }
 
@@ -161,6 +166,55 @@
   check_lost_and_delivered_once (CLOSE_AFTER_READ);
 }
 
+/* Sends R over a connection that the server closes once it has read R.  */
+static struct hc_answer
+call_on_breaking_connection (struct hc_request r)
+{
+  struct hc_client *hc = new_client ();
+  struct hc_answer a;
+
+  second_request_action = CLOSE_AFTER_READ;
+  CU_ASSERT_EQUAL (post (hc).outcome, HC_ANSWERED);
+  atomic_store (&requests_seen, 0);
+  a = call (hc, r);
+  hc_free (hc);
+  return a;
+}
+
+/* Guards against an answer to a repeated order that is taken for the answer to
+   its only try (TWICE, LIMIT).  */
+static void
+test_order_is_sent_once (void)
+{
+  struct hc_answer a = call_on_breaking_connection ((struct hc_request){
+      .method = "POST", .body = "{\"once\":1}", .repeatable = 1 });
+
+  CU_ASSERT_EQUAL (a.outcome, HC_LOST);
+  CU_ASSERT_EQUAL (atomic_load (&requests_seen), 1);
+}
+
+/* Guards against a cancel that succeeds and is answered "no such job".  */
+static void
+test_delete_is_sent_once (void)
+{
+  struct hc_answer a = call_on_breaking_connection (
+      (struct hc_request){ .method = "DELETE" });
+
+  CU_ASSERT_EQUAL (a.outcome, HC_LOST);
+  CU_ASSERT_EQUAL (atomic_load (&requests_seen), 1);
+}
+
+/* Guards against a read that fails because an idle connection was closed.  */
+static void
+test_read_survives_broken_connection (void)
+{
+  struct hc_answer a
+      = call_on_breaking_connection ((struct hc_request){ .method = "GET" });
+
+  CU_ASSERT_EQUAL (a.outcome, HC_ANSWERED);
+  CU_ASSERT_EQUAL (atomic_load (&requests_seen), 2);
+}
+
 static void
 test_silent_connection_ends_lost (void)
 {
@@ -179,10 +233,10 @@
   struct hc_client *hc = new_client ();
 
   second_request_action = NEVER_ANSWER;
-  CU_ASSERT_EQUAL (post (hc, 0).outcome, HC_ANSWERED);
-  CU_ASSERT_EQUAL (post (hc, 0).outcome, HC_LOST);
-  CU_ASSERT_EQUAL (post (hc, 0).outcome, HC_ANSWERED);
-  CU_ASSERT_EQUAL (post (hc, 0).outcome, HC_ANSWERED);
+  CU_ASSERT_EQUAL (post (hc).outcome, HC_ANSWERED);
+  CU_ASSERT_EQUAL (post (hc).outcome, HC_LOST);
+  CU_ASSERT_EQUAL (post (hc).outcome, HC_ANSWERED);
+  CU_ASSERT_EQUAL (post (hc).outcome, HC_ANSWERED);
   hc_free (hc);
 }
 
@@ -216,6 +270,9 @@
 {
   static const CU_TestInfo tests[] = {
     { "broken", test_broken_connection_sends_once },
+    { "order once", test_order_is_sent_once },
+    { "delete once", test_delete_is_sent_once },
+    { "read again", test_read_survives_broken_connection },
     { "silent", test_silent_connection_ends_lost },
     { "cut", test_truncated_answer_is_lost },
     { "anew", test_silent_connection_is_replaced },
