HTTP client: a request that may have an effect is sent once

Callers saw a task that must run once run twice at the same time (TWICE), and a worker with more tasks than it has room for (LIMIT). A start that was executed, reset, repeated and answered 503 counted as refused: the task and its capacity were given away. Change: before each send curl asks; once a byte of a request other than a GET may have been sent, it ends as lost. The flag is gone, and with it the callback that passed bodies of other calls once: all bodies go out with their headers. A request of which no byte was sent is still "not sent".

--- a/include/skr/http.h
+++ b/include/skr/http.h
@@ -1,5 +1,6 @@
 /* HTTP client over libcurl with one thread of its own.  Each answer states
-   whether the request may have had an effect.  */
+   whether the request may have had an effect.  A request is sent once, but for
+   a GET, which is sent again when a reused connection breaks.  */
 #ifndef SKR_HTTP_H
 #define SKR_HTTP_H
 
@@ -55,8 +56,6 @@
   int connect_timeout_ms;             /* 0: the client's default */
   int new_connection; /* use a new connection, because an open one may be stale
                 or silent */
-  int repeatable; /* may be executed twice; its body is sent at once with its
-                     headers, which is cheaper */
   hc_done *done;
   void *arg;
 };
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -29,10 +29,9 @@
   struct curl_slist *headers;
   char *host; /* "IP:PORT" */
   char *body;
-  size_t body_size, body_read;
-  int body_reads; /* 0 until curl has read bytes of the body */
-  int is_repeatable;
-  int sends; /* times that curl began to send the request */
+  int is_read; /* has no effect, so that curl may send it again */
+  int is_cut;  /* its connection broke before an answer */
+  int sends;   /* times that curl began to send the request */
   int64_t started_ms;
   GString *response;
   hc_done *done;
@@ -85,25 +84,6 @@
   return "unknown error";
 }
 
-/* Passes the body to curl only once.  curl resends a request on its own when a
-   reused connection breaks, which could execute a request twice that must not
-   be repeated.  */
-static size_t
-read_body (char *buf, size_t size, size_t count, void *arg)
-{
-  struct transfer *t = arg;
-  size_t n = t->body_size - t->body_read;
-
-  if (!n && t->body_size)
-    return t->body_reads++ > 1 ? CURL_READFUNC_ABORT : 0;
-  if (n > size * count)
-    n = size * count;
-  memcpy (buf, t->body + t->body_read, n);
-  t->body_read += n;
-  t->body_reads = 1;
-  return n;
-}
-
 static size_t
 write_answer (char *data, size_t size, size_t count, void *arg)
 {
@@ -176,33 +156,35 @@
   return fd;
 }
 
-/* With the whole body known curl sends it together with the headers, but sends
-   the request again when a reused connection breaks.  */
+/* With the whole body known curl sends it together with the headers.  */
 static void
-set_body (struct transfer *t, const struct hc_request *r)
+set_body (struct transfer *t, const char *body)
 {
   t->headers = curl_slist_append (t->headers, "Expect:");
   t->headers
       = curl_slist_append (t->headers, "Content-Type: application/json");
-  t->body = g_strdup (r->body);
-  t->body_size = strlen (r->body);
+  t->body = g_strdup (body);
   curl_easy_setopt (t->easy, CURLOPT_POST, 1L);
-  curl_easy_setopt (t->easy, CURLOPT_POSTFIELDSIZE, (long)t->body_size);
-  if (r->repeatable)
-    {
-      t->is_repeatable = 1;
-      curl_easy_setopt (t->easy, CURLOPT_POSTFIELDS, t->body);
-      return;
-    }
-  curl_easy_setopt (t->easy, CURLOPT_READFUNCTION, read_body);
-  curl_easy_setopt (t->easy, CURLOPT_READDATA, t);
+  curl_easy_setopt (t->easy, CURLOPT_POSTFIELDSIZE, (long)strlen (body));
+  curl_easy_setopt (t->easy, CURLOPT_POSTFIELDS, t->body);
 }
 
-/* Curl's callback before it sends the request, also before it does so
-   again.  */
 static int
-note_send (void *arg, char *remote_ip, char *local_ip, int remote_port,
-           int local_port)
+may_have_been_sent (struct transfer *t)
+{
+  long request_bytes = 0;
+
+  curl_easy_getinfo (t->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+  return request_bytes > 0;
+}
+
+/* Curl's callback before it sends the request.  Curl sends a request again on
+   its own when a reused connection breaks before an answer.  The answer to the
+   repeat would say nothing about the first request, which may have been
+   executed, so a request with an effect ends here.  */
+static int
+begin_send (void *arg, char *remote_ip, char *local_ip, int remote_port,
+            int local_port)
 {
   struct transfer *t = arg;
 
@@ -210,6 +192,9 @@
   (void)local_ip;
   (void)remote_port;
   (void)local_port;
+  t->is_cut = !t->is_read && may_have_been_sent (t);
+  if (t->is_cut)
+    return CURL_PREREQFUNC_ABORT;
   t->sends++;
   return CURL_PREREQFUNC_OK;
 }
@@ -242,12 +227,12 @@
   curl_easy_setopt (t->easy, CURLOPT_PRIVATE, t);
   curl_easy_setopt (t->easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
   curl_easy_setopt (t->easy, CURLOPT_OPENSOCKETDATA, &hc->mux);
-  curl_easy_setopt (t->easy, CURLOPT_PREREQFUNCTION, note_send);
+  curl_easy_setopt (t->easy, CURLOPT_PREREQFUNCTION, begin_send);
   curl_easy_setopt (t->easy, CURLOPT_PREREQDATA, t);
   if (hc->ca)
     curl_easy_setopt (t->easy, CURLOPT_CAINFO, hc->ca);
   if (r->body)
-    set_body (t, r);
+    set_body (t, r->body);
   curl_easy_setopt (t->easy, CURLOPT_CUSTOMREQUEST, r->method);
   for (int i = 0; i < HC_MAX_HEADERS && r->header[i]; i++)
     t->headers = curl_slist_append (t->headers, r->header[i]);
@@ -272,6 +257,7 @@
   t->easy = take_handle (&hc->spare);
   t->response = g_string_new (NULL);
   t->host = copy_host (r->url);
+  t->is_read = !strcmp (r->method, "GET");
   t->done = r->done;
   t->arg = r->arg;
   t->started_ms = bs_now_ms (&hc->clock);
@@ -308,17 +294,6 @@
   return 0;
 }
 
-static int
-may_have_been_sent (struct transfer *t)
-{
-  long request_bytes = 0;
-
-  if (t->body && !t->is_repeatable)
-    return t->body_reads;
-  curl_easy_getinfo (t->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
-  return request_bytes > 0;
-}
-
 static void
 count_transfer (struct hc_client *hc, CURL *easy)
 {
@@ -352,7 +327,9 @@
   if (code != CURLE_OK)
     {
       a.outcome = may_have_been_sent (t) ? HC_LOST : HC_NOT_SENT;
-      a.reason = *t->error ? t->error : curl_easy_strerror (code);
+      a.reason = t->is_cut   ? "the connection broke before an answer"
+                 : *t->error ? t->error
+                             : curl_easy_strerror (code);
     }
   else
     {
--- a/tests/net/bench_http.c
+++ b/tests/net/bench_http.c
@@ -109,7 +109,6 @@
                           .body = "{\"fencing_token\":1,\"last_seen\":1}",
                           .header = { "X-Instance: w1" },
                           .timeout_ms = 2 * HOLD_MS,
-                          .repeatable = 1,
                           .done = on_done,
                           .arg = c };
 
--- a/tests/net/test_http.c
+++ b/tests/net/test_http.c
@@ -186,8 +186,8 @@
 static void
 test_order_is_sent_once (void)
 {
-  struct hc_answer a = call_on_breaking_connection ((struct hc_request){
-      .method = "POST", .body = "{\"once\":1}", .repeatable = 1 });
+  struct hc_answer a = call_on_breaking_connection (
+      (struct hc_request){ .method = "POST", .body = "{\"once\":1}" });
 
   CU_ASSERT_EQUAL (a.outcome, HC_LOST);
   CU_ASSERT_EQUAL (atomic_load (&requests_seen), 1);
