Leases by a lower bound of the worker's clock

Users would see TWICE: a worker that was idle for long is given a task and then cut off, and the task starts elsewhere while it still runs there.

Cause: the deadlines of starts and holds are set on the worker's clock, taken as the clock last heard plus the time since then. The worker's clock may run 2 % slow, so that this is an upper bound: after ten idle minutes, in which nothing is heard of a worker, the deadline of a start is 12 s later than the holder's wk_lease_end_bound_ms assumes. The start can also be carried out later than its limit, which is that of an evacuation too.

Change: wk_clock_now_ms is a lower bound, and a worker that is idle is asked again 20 s after its clock was heard, so that a start loses at most 0.4 s of its 2.5 s. An idle worker costs a poll each 20 s; a busy one has one each 0.5 to 1.5 s.

test_workers, "slow clock": after ten idle minutes on a clock that is 2 % slow the run counts as ended only when the worker's clock has passed the deadlines sent. It failed before at "worker_clock_ms () >= start_until[0]".

--- a/src/batch/worker_hold.c
+++ b/src/batch/worker_hold.c
@@ -12,7 +12,10 @@
                           of the answer */
   PROBE_TIMEOUT_MS = 600, /* timeout of a hold that is no long poll */
   UNSTORED_GAP_MS = 800,  /* between holds while ends are not yet stored */
-  MAX_LEASE_MS = 6000     /* long enough for another VM to take over */
+  /* An idle worker is asked again after this time, as a start's deadline is
+     set by a clock that may have run 2 % slow since it was heard.  */
+  MAX_CLOCK_AGE_MS = 20000,
+  MAX_LEASE_MS = 6000 /* long enough for another VM to take over */
 };
 
 static void
@@ -177,6 +180,13 @@
   wk_free_order (o);
 }
 
+/* Whether W's clock was heard too long ago, and W was not asked since.  */
+static int
+is_clock_old (const struct batch *b, const struct ba_worker *w)
+{
+  return b->now_ms - MAX (w->clock_at_ms, w->hold_sent_ms) >= MAX_CLOCK_AGE_MS;
+}
+
 static void
 poll_worker (struct batch *b, struct ba_worker *w)
 {
@@ -186,7 +196,8 @@
     return;
   busy = sj_worker_has_runs (b->cluster, w->id);
   wanted = busy || w->probes_left > 0
-           || (w->listed && (!w->runs_known || w->failures))
+           || (w->listed
+               && (!w->runs_known || w->failures || is_clock_old (b, w)))
            || w->stored_end > w->acked_end;
   /* A new holder asks all workers what they run.  More at once would time out
      on a small VM, so surveys have the limit of the orders.  */
--- a/src/batch/workers.c
+++ b/src/batch/workers.c
@@ -47,11 +47,11 @@
   return b->workers ? g_hash_table_lookup (b->workers, id) : NULL;
 }
 
-/* Returns a lower bound of the worker's clock now.  */
+/* Returns a lower bound of the worker's clock now, as it may run 2 % slow.  */
 int64_t
 wk_clock_now_ms (const struct batch *b, const struct ba_worker *w)
 {
-  return w->clock_ms + b->now_ms - w->clock_at_ms;
+  return w->clock_ms + (b->now_ms - w->clock_at_ms) * 49 / 50;
 }
 
 /* Returns the time on the local clock at which a lease of MS that is sent
