Ignore the clock in an answer of an earlier incarnation

Users would see TWICE or a late start: a worker starts again under its id, its row is read, and then the answer to an order that went to its earlier incarnation. The holder takes that answer's clock for the present one's, which began anew. The deadlines of the next orders then lie far in the future: a start is never late, and a lease lasts until hold_max_ms after whenever the order is carried out, not until the bound after which the holder counts the run as ended.

Cause: apply_answer sets the worker's clock without comparing incarnations.

Change: a worker counts its incarnations and addresses, and an order notes the count as it is sent. The clock of an answer is taken only if the count is the same. A listing that does not name its incarnation is ignored if another may have written it.

test_workers, "earlier clock": a start goes to one incarnation, the row of the next one is read, then the answer; the next hold must have no deadline. It failed before at "CU_ASSERT_EQUAL(hold_until,0)".

--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -102,6 +102,7 @@
   int tries;          /* 0: not sent */
   int is_long_poll;   /* of a hold */
   int is_sent;        /* of a start or stop: it was sent to the worker */
+  int target_serial;  /* of the worker when it was sent; 0: not sent */
 };
 
 struct ba_event
@@ -158,6 +159,7 @@
 {
   char *id, *address;
   int64_t incarnation;
+  int target_serial;             /* counts its incarnations and addresses */
   int generation;                /* of the last full scan that listed it */
   int64_t clock_ms, clock_at_ms; /* its clock, and when that was received */
   int64_t received_end;          /* last end received */
--- a/src/batch/orders.c
+++ b/src/batch/orders.c
@@ -96,6 +96,7 @@
 
   if (!w || !le_valid (&b->lease, b->now_ms))
     return PO_EINVAL;
+  o->target_serial = w->target_serial;
   b->usage.order_wait_ms
       = MAX (b->usage.order_wait_ms, b->now_ms - o->sent_ms);
   o->sent_ms = b->now_ms;
@@ -226,7 +227,7 @@
 {
   if (wk_check_fence (b, a))
     return;
-  if (w)
+  if (w && wk_is_current (w, o))
     wk_set_clock (b, w, a->clock_ms);
   if (w && o->is_sent && a->answer == SJ_UNANSWERED)
     wk_note_no_reply (b, w);
--- a/src/batch/worker_hold.c
+++ b/src/batch/worker_hold.c
@@ -46,13 +46,16 @@
   co_add (b, b->counters.ends, 1);
 }
 
-/* Returns 1 if LISTING is of another incarnation than the known one.  The
-   listing may be ahead of the worker table.  */
+/* Returns 1 if LISTING, the answer to O, is of another incarnation than the
+   known one, or may be.  The listing may be ahead of the worker table.  */
 static int
 incarnation_changed (struct batch *b, struct ba_worker *w,
+                     const struct ba_order *o,
                      const struct po_listing *listing)
 {
-  if (!listing->incarnation || listing->incarnation == w->incarnation)
+  if (!listing->incarnation)
+    return !wk_is_current (w, o);
+  if (listing->incarnation == w->incarnation)
     return 0;
   if (w->incarnation && listing->incarnation < w->incarnation)
     return 1;
@@ -129,7 +132,7 @@
       return;
     }
   wk_note_reply (b, w);
-  if (incarnation_changed (b, w, listing))
+  if (incarnation_changed (b, w, o, listing))
     return;
   wk_set_clock (b, w, a->clock_ms);
   if (o->run.number > w->acked_end)
@@ -162,6 +165,7 @@
                          : 0;
 
   o->is_long_poll = is_long_poll;
+  o->target_serial = w->target_serial;
   o->run.number = w->stored_end; /* ends that the worker may discard */
   if (until_ms)
     sj_worker_set_lease (b->cluster, w->id,
--- a/src/batch/workers.c
+++ b/src/batch/workers.c
@@ -72,6 +72,12 @@
   w->clock_at_ms = b->now_ms;
 }
 
+int
+wk_is_current (const struct ba_worker *w, const struct ba_order *o)
+{
+  return o->target_serial == w->target_serial;
+}
+
 void
 wk_log_state (const struct ba_worker *w, const char *state, const char *reason)
 {
@@ -138,6 +144,7 @@
 {
   wk_log_state (w, "restarted", "another incarnation");
   w->incarnation = incarnation;
+  w->target_serial++;
   w->replaced = 0;
   w->stored_end = w->received_end = w->waiting_end = w->acked_end = 0;
   w->clock_ms = w->clock_at_ms = 0;
@@ -224,6 +231,7 @@
     w->incarnation = p->incarnation;
   if (g_strcmp0 (w->address, p->address))
     {
+      w->target_serial++;
       g_free (w->address);
       w->address = g_strdup (p->address);
     }
--- a/src/batch/workers.h
+++ b/src/batch/workers.h
@@ -14,6 +14,9 @@
 int64_t wk_lease_end_bound_ms (const struct batch *b, int64_t ms);
 /* Records the worker's clock as received now; 0 is ignored.  */
 void wk_set_clock (struct batch *b, struct ba_worker *w, int64_t clock_ms);
+/* Whether O went to the present incarnation of W, at its present address, as
+   far as they are known.  */
+int wk_is_current (const struct ba_worker *w, const struct ba_order *o);
 /* Logs a change in what is known of W.  */
 void wk_log_state (const struct ba_worker *w, const char *state,
                    const char *reason);
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -960,6 +960,57 @@
   teardown ();
 }
 
+/* The worker starts again under its id, at ADDRESS.  */
+static void
+restart_worker (const char *address)
+{
+  struct po_row row = worker_row;
+  char value[300];
+
+  snprintf (value, sizeof value,
+            "{\"service\":\"s\",\"address\":\"%s\",\"state\":\"ready\","
+            "\"born\":8,\"capacity\":{\"cpu\":1000,"
+            "\"memory_request_mb\":1000,\"gpu\":4},\"labels\":[\"a\",\"r\"]}",
+            address);
+  row.value = value;
+  wk_on_row (&batch, &row, 1);
+}
+
+/* A task whose start has no answer yet.  */
+static void
+setup_with_kept_start (void)
+{
+  keeps_starts = 1;
+  kept_starts = g_ptr_array_new ();
+  setup ();
+  CU_ASSERT_EQUAL_FATAL (kept_starts->len, 1);
+}
+
+/* Answers the start that was sent first.  */
+static void
+answer_kept_start (const struct po_order_answer *answer)
+{
+  wk_on_order_reply (&batch, g_ptr_array_steal_index (kept_starts, 0), answer);
+  handle_worker_events (&batch);
+}
+
+/* Guards against TWICE: the clock in an answer of an earlier incarnation was
+   taken for that of the present one, whose lease then lasts longer than
+   assumed, and which takes starts that are late.  */
+static void
+test_clock_of_earlier_incarnation_is_ignored (void)
+{
+  setup_with_kept_start ();
+  restart_worker ("10.0.0.1:80");
+  answer_kept_start (&(struct po_order_answer){
+      .answer = SJ_EXECUTED, .status = 200, .clock_ms = 500000 });
+  advance (10);
+  CU_ASSERT_EQUAL (holds, 2);
+  CU_ASSERT_EQUAL (hold_until, 0);
+  stop_keeping_starts ();
+  teardown ();
+}
+
 int
 main (void)
 {
@@ -992,6 +1043,7 @@
     { "earlier at the address",
       test_earlier_worker_at_the_address_tells_nothing },
     { "forgotten worker", test_address_of_forgotten_worker_is_asked },
+    { "earlier clock", test_clock_of_earlier_incarnation_is_ignored },
     { "not executed", test_start_that_was_not_executed_is_no_crash },
     CU_TEST_INFO_NULL,
   };
