Send a start again only to the incarnation of its first try

Users would see TWICE or a late start: a start is not answered, its worker starts again under its id, and the next try goes to the new incarnation with the deadline of the first, which is a time on the clock of the earlier incarnation. That clock had run for long, so that the start is never late on the new one, and the worker's lease lasts longer than the holder assumes.

Cause: resend_start does not compare the incarnations of the tries.

Change: the next try is sent only if the worker is what the first one went to; else the start counts as unanswered.

test_workers, "later try": between the tries the worker's row and listing tell a new incarnation. It failed before at "CU_ASSERT_EQUAL(starts,1)": two were sent.

--- a/src/batch/orders.c
+++ b/src/batch/orders.c
@@ -113,13 +113,15 @@
 }
 
 /* Sends an unanswered start again if it is still wanted.  All tries have the
-   same deadline.  Returns 1 if it was sent.  */
+   same deadline, on the clock of one incarnation.  Returns 1 if it was sent.
+ */
 static int
 resend_start (struct batch *b, struct ba_worker *w, struct ba_order *o,
               enum sj_answer answer)
 {
   return o->kind == SJ_START && answer == SJ_UNANSWERED && w
-         && o->tries < MAX_START_TRIES && le_valid (&b->lease, b->now_ms)
+         && wk_is_current (w, o) && o->tries < MAX_START_TRIES
+         && le_valid (&b->lease, b->now_ms)
          && sj_may_send_start (b->cluster, o->worker, &o->run)
          && !send_start (b, w, o);
 }
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -1011,6 +1011,23 @@
   teardown ();
 }
 
+/* Guards against a start that is never late, and a lease that is longer than
+   assumed: the next try of a start went to another incarnation with a deadline
+   on the clock of the earlier one.  */
+static void
+test_later_try_stays_with_its_incarnation (void)
+{
+  setup_with_kept_start ();
+  restart_worker ("10.0.0.1:80");
+  advance (1000);
+  answer_hold_from (8, NULL);
+  answer_kept_start (&(struct po_order_answer){ .answer = SJ_UNANSWERED });
+  CU_ASSERT_EQUAL (starts, 1);
+  CU_ASSERT (sj_worker_has_runs (batch.cluster, "i-1"));
+  stop_keeping_starts ();
+  teardown ();
+}
+
 int
 main (void)
 {
@@ -1043,6 +1060,7 @@
     { "earlier at the address",
       test_earlier_worker_at_the_address_tells_nothing },
     { "forgotten worker", test_address_of_forgotten_worker_is_asked },
+    { "later try", test_later_try_stays_with_its_incarnation },
     { "earlier clock", test_clock_of_earlier_incarnation_is_ignored },
     { "not executed", test_start_that_was_not_executed_is_no_crash },
     CU_TEST_INFO_NULL,
