A failed run of a gang is one attempt, however many members fail

Callers saw a job shown as failed after one failed run, though max_attempts was 2 (LOST): two members failed at the same moment, each through its worker's fault. Cause: each listed end "failed" of a member raised the unit's count of failed runs, also if another member's end of the same run had been counted. Change: the unit keeps the number of the last run that was counted as failed, and counts no second failure of that run; each worker is still avoided and judged by itself. While members of that run are left the number is in the stored record, as the last element of the unit, so that the next holder does not count the remaining ends. A failure whose record was not stored is listed again and counted then.

--- a/src/steps/record.c
+++ b/src/steps/record.c
@@ -19,6 +19,8 @@
   UNIT_CRASHES, /* for each of these tasks its index, number, certain ones */
   UNIT_LAST_RUN,
   UNIT_UNRESOLVED, /* losses that may have been crashes */
+  /* Only if a member of the current run has failed: */
+  UNIT_FAILED_RUN, /* its number; the fields before it may be null */
   UNIT_FIELDS
 };
 
@@ -118,12 +120,18 @@
       "[i,i,I,i,s,o,o]", u->step, u->first, (json_int_t)u->run_number,
       u->failures, u->checkpoint, write_placement (u), write_life_tags (u));
 
-  if (lo_possible_crashes (u) < extent->least_crashes)
+  if (lo_possible_crashes (u) >= extent->least_crashes)
+    {
+      json_array_append_new (value, write_crashes (u));
+      json_array_append_new (value, json_integer (u->last_run));
+      if (extent->with_unresolved)
+        json_array_append_new (value, write_unresolved (u));
+    }
+  if (!u->members || u->failed_run != u->run_number)
     return value;
-  json_array_append_new (value, write_crashes (u));
-  json_array_append_new (value, json_integer (u->last_run));
-  if (extent->with_unresolved)
-    json_array_append_new (value, write_unresolved (u));
+  while (json_array_size (value) < UNIT_FAILED_RUN)
+    json_array_append_new (value, json_null ());
+  json_array_append_new (value, json_integer (u->failed_run));
   return value;
 }
 
@@ -318,6 +326,7 @@
   restore_crashes (u, json_array_get (value, UNIT_CRASHES));
   u->last_run = json_integer_value (json_array_get (value, UNIT_LAST_RUN));
   restore_unresolved (c, u, json_array_get (value, UNIT_UNRESOLVED), now);
+  u->failed_run = json_integer_value (json_array_get (value, UNIT_FAILED_RUN));
   if (!json_array_size (placement))
     return SJ_OK;
   if (json_array_size (placement) != (size_t)u->count)
--- a/src/steps/run.c
+++ b/src/steps/run.c
@@ -231,15 +231,19 @@
   ru_avoid_worker (u, w->id);
 }
 
-/* Counts M's failed run and fails the job after too many.  */
+/* Counts M's failed run, once for all members, and fails the job after too
+   many.  */
 static void
 count_failure (struct sj_cluster *c, struct member *m, int64_t now)
 {
   struct unit *u = m->unit;
   int is_continuous = un_step (u)->is_continuous;
 
-  u->failures++;
   ru_avoid_worker (u, m->worker->id);
+  if (u->failed_run == u->run_number)
+    return;
+  u->failed_run = u->run_number;
+  u->failures++;
   if (!is_continuous && u->failures >= u->job->spec->max_attempts)
     jb_finish (c, u->job, SJ_FAILED, now);
 }
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -103,6 +103,7 @@
   enum unit_state state;
   int64_t run_number;                  /* number of the current or last run */
   int failures;                        /* failed runs */
+  int64_t failed_run;                  /* number of the last of them */
   char checkpoint[SJ_CHECKPOINT_SIZE]; /* to resume from, or "" */
   struct member *members;              /* COUNT of them in a run, else NULL */
   GPtrArray *avoided_workers; /* ids of workers it must not run on again */
--- a/tests/steps/fake_cluster.c
+++ b/tests/steps/fake_cluster.c
@@ -584,7 +584,10 @@
         if (x->run.number == r->number && x->run.step == r->step
             && x->run.occurrence == r->occurrence
             && !strcmp (x->run.job, r->job))
-          end_run (f, &f->worker[i], k, how);
+          end_run (f, &f->worker[i], k,
+                   f->fails_together && how == SJ_END_GANG_BROKEN && x->fails
+                       ? SJ_END_FAILED
+                       : how);
       }
 }
 
--- a/tests/steps/fake_cluster.h
+++ b/tests/steps/fake_cluster.h
@@ -122,6 +122,7 @@
   GHashTable *accepted_ms, *started_ms, *ended_ms; /* id -> ms + 1 */
   GArray *pending_orders; /* struct fa_pending_order */
   struct fa_faults faults;
+  int fails_together; /* all tasks of a gang that are to fail do so at once */
   GPtrArray *commit_ids, *commit_records;
   GArray *commit_states;
   /* Ends of each worker that were listed, and that the commit contains.  */
--- a/tests/steps/test_steps.c
+++ b/tests/steps/test_steps.c
@@ -161,6 +161,114 @@
   fa_fini (&cluster);
 }
 
+static void
+set_fails_all (int value)
+{
+  for (int i = 0; i < cluster.worker_count; i++)
+    cluster.worker[i].fails_all = value;
+}
+
+/* Submits a gang of two tasks, each of which fills a worker, that may fail
+   once and fails on both at the same moment in 500 ms.  */
+static void
+begin_failing_gang (void)
+{
+  struct sj_job *gang = fa_new_job (1, 1, 2, 8, 2000);
+
+  gang->step[0].gang = 1;
+  gang->max_attempts = 2;
+  fa_init (&cluster, 4, 4, 1);
+  cluster.fails_together = 1;
+  set_fails_all (1);
+  fa_submit (&cluster, gang);
+}
+
+/* Cuts a worker that runs a task, so that its listings arrive no more, and
+   returns its index.  */
+static int
+cut_busy_worker (void)
+{
+  int i = 0;
+
+  while (i + 1 < cluster.worker_count && !cluster.worker[i].runs->len)
+    i++;
+  CU_ASSERT_EQUAL (cluster.worker[i].runs->len, 1);
+  cluster.worker[i].partitioned = 1;
+  return i;
+}
+
+/* Lets the gang's next run succeed, and checks that it has one.  */
+static void
+expect_second_attempt (void)
+{
+  set_fails_all (0);
+  fa_run_ms (&cluster, 8000);
+  CU_ASSERT_EQUAL (fa_state (&cluster, "0000000000000001"), SJ_COMPLETED);
+  CU_ASSERT_EQUAL (cluster.starts, 4);
+  expect_no_violations (&cluster);
+  fa_fini (&cluster);
+}
+
+/* Guards against a run of a gang that counts as one attempt for each task that
+   fails in it.  */
+static void
+test_failed_run_of_gang_is_one_attempt (void)
+{
+  begin_failing_gang ();
+  fa_run_ms (&cluster, 400);
+  CU_ASSERT_EQUAL (cluster.starts, 2);
+  expect_second_attempt ();
+}
+
+/* Guards against the same if the second end is listed to another holder, after
+   the first one is stored.  */
+static void
+test_failed_run_is_one_attempt_over_take_over (void)
+{
+  int cut;
+
+  begin_failing_gang ();
+  fa_run_ms (&cluster, 300);
+  cut = cut_busy_worker ();
+  fa_run_ms (&cluster, 500);
+  CU_ASSERT_EQUAL (cluster.worker[cut].unacked_ends->len, 1);
+  fa_take_over (&cluster);
+  cluster.worker[cut].partitioned = 0;
+  expect_second_attempt ();
+}
+
+/* Guards against the same if the first end was counted and not stored.  */
+static void
+test_failed_run_is_one_attempt_if_not_stored (void)
+{
+  int cut;
+
+  begin_failing_gang ();
+  fa_run_ms (&cluster, 300);
+  cut = cut_busy_worker ();
+  cluster.faults.commit_fails = 1;
+  fa_run_ms (&cluster, 500);
+  fa_take_over (&cluster);
+  cluster.faults.commit_fails = 0;
+  cluster.worker[cut].partitioned = 0;
+  expect_second_attempt ();
+}
+
+/* Guards against a gang that is run more often than it may fail, as a failed
+   run does not count after a take-over.  */
+static void
+test_each_failed_run_of_gang_counts (void)
+{
+  begin_failing_gang ();
+  fa_run_ms (&cluster, 700);
+  fa_take_over (&cluster);
+  fa_run_ms (&cluster, 8000);
+  CU_ASSERT_EQUAL (fa_state (&cluster, "0000000000000001"), SJ_FAILED);
+  CU_ASSERT_EQUAL (cluster.starts, 4);
+  expect_no_violations (&cluster);
+  fa_fini (&cluster);
+}
+
 /* A worker that fails every run must be excluded from starts before jobs use
    up their attempts on it.  */
 static void
@@ -532,6 +640,10 @@
     { "crashed worker", test_runs_of_crashed_worker_restart },
     { "all workers avoided", test_task_that_avoids_all_workers_starts_again },
     { "attempts exhausted", test_job_fails_after_max_attempts },
+    { "attempt of a gang", test_failed_run_of_gang_is_one_attempt },
+    { "attempt and take-over", test_failed_run_is_one_attempt_over_take_over },
+    { "attempt not stored", test_failed_run_is_one_attempt_if_not_stored },
+    { "attempts of a gang", test_each_failed_run_of_gang_counts },
     { "failing worker", test_failing_worker_fails_no_job },
     { "stalled run", test_stalled_run_moves },
     { "stalls everywhere", test_task_that_stalls_everywhere_moves_rarely },
