Tasks that last avoid a worker for 3 s at most

Callers saw a task that lasts away for 30 s after it had failed on the only worker with room, where LOST allows 3 s. Cause: a task waits 30 s for other workers than those it has failed on. Change: 3 s for a task that lasts, as for one that avoids all workers. Evidence: test_lasting "avoidance" failed before (30.0 s), 3.0 s now.

--- a/src/steps/run.c
+++ b/src/steps/run.c
@@ -8,7 +8,7 @@
 {
   MAX_AVOIDED = 16, /* workers that a unit avoids; the oldest is dropped */
   /* Longest wait for a worker that the unit does not avoid, if it avoids as
-     many as there are, and if others may come free.  */
+     many as there are or lasts, and if others may come free.  */
   AVOID_ALL_WAIT_MS = 3000,
   AVOID_WAIT_MS = 30000,
   /* A unit that is refused again waits, twice as long each time.  */
@@ -208,7 +208,8 @@
 
   if (!u->avoided_workers)
     return;
-  if (u->avoided_workers->len >= count_open_workers (c))
+  if (u->avoided_workers->len >= count_open_workers (c)
+      || un_step (u)->is_continuous)
     wait_ms = AVOID_ALL_WAIT_MS;
   if (now - u->ready_ms < wait_ms)
     return;
