Tasks that last do not wait behind a task that waits for headroom

Callers saw tasks that last away for 19 s after a crash of their worker, with room for each (LOST). Cause: with fair shares, a step of an account above its share gives way to a late one of another account for as long as that one waits for the headroom. Change: not a step of tasks that last, which the headroom does not bind.

--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -240,11 +240,11 @@
 
 /* Whether S leaves the capacity to a step that it was moved behind and that
    waits for headroom.  Otherwise S would take it once S has waited long enough
-   to ignore the headroom.  */
+   to ignore the headroom.  Tasks that last wait for no headroom.  */
 static int
 gives_way (const struct round *r, const struct ready_step *s)
 {
-  return s->ahead && r->kept_back;
+  return s->ahead && r->kept_back && !un_step (s->unit)->is_continuous;
 }
 
 static int
