A task that lasts does not wait behind one that avoids the worker with room

Callers saw a task that lasts away for 30 s with room for it (LOST). Cause: once a unit of a step finds no place, the others of the step are not tried in that round, also if it found none because of workers that only it avoids or may not share. Change: of steps that last the others are tried, up to 16 failures in a round. Evidence: test_lasting "avoidance by another" failed before (30.0 s).

--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -15,7 +15,8 @@
   OFF_RACK_IDLE_MS = 1500,  /* the same in a mostly idle fleet, any unit */
   RESERVE_AFTER_MS = 30000, /* a tenth of what a gang that fits may wait */
   MAX_RESERVATIONS = 4,     /* units with reserved capacity in one round */
-  MAX_GANGS_HELPED = 1      /* gangs at risk in one round */
+  MAX_GANGS_HELPED = 1,     /* gangs at risk in one round */
+  MAX_FAILED_ALONE = 16     /* units of a step that are tried in vain */
 };
 
 static void
@@ -253,12 +254,22 @@
   return !c->max_orders || c->open_orders < c->max_orders;
 }
 
+/* Whether the failure of U tells nothing about the other units of its step,
+   which last: it is kept from workers that they may use.  */
+static int
+fails_alone (const struct sj_cluster *c, const struct unit *u)
+{
+  return un_step (u)->is_continuous && (u->avoided_workers || *c->kept_apart);
+}
+
 /* Tries to start the units of one step.  Once a unit can't start, the rest of
-   its step is skipped in this round.  */
+   its step is skipped in this round, unless it lasts.  */
 static void
 place_step (struct sj_cluster *c, struct round *r, const struct ready_step *s,
             int64_t now)
 {
+  int failed = 0;
+
   r->singles = (struct pl_singles){ 0 };
   r->latest_start_ms = s->latest_start_ms;
   for (guint i = s->first; i < s->end && !jb_ended (s->job) && may_order (c);
@@ -284,11 +295,15 @@
           as_started (c, s, u, now);
           continue;
         }
-      r->unplaced++;
-      if ((now - u->ready_ms >= RESERVE_AFTER_MS || helped)
-          && r->reservations < MAX_RESERVATIONS)
-        r->reservations += rs_reserve (c, u, waiting_tasks (s, u));
-      break;
+      if (!failed++)
+        {
+          r->unplaced++;
+          if ((now - u->ready_ms >= RESERVE_AFTER_MS || helped)
+              && r->reservations < MAX_RESERVATIONS)
+            r->reservations += rs_reserve (c, u, waiting_tasks (s, u));
+        }
+      if (failed == MAX_FAILED_ALONE || !fails_alone (c, u))
+        break;
     }
   pl_end_singles (&r->singles);
 }
