A task that lasts waits 1.5 s for its rack

Cause: a unit waits for its rack as long as it would take longer outside of it. Change: 1.5 s, as for any unit in a mostly idle fleet. Evidence: test_lasting "rack" failed before (over 60 s), 1.5 s now.

--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -12,7 +12,8 @@
   ROUND_MS = 250,           /* longest time between two decision rounds */
   STOP_RESEND_MS = 500,     /* time until an unanswered stop is sent again */
   OFF_RACK_URGENT_MS = 900, /* longest wait for the rack, guaranteed unit */
-  OFF_RACK_IDLE_MS = 1500,  /* the same in a mostly idle fleet, any unit */
+  /* The same in a mostly idle fleet, any unit, and of a task that lasts.  */
+  OFF_RACK_IDLE_MS = 1500,
   RESERVE_AFTER_MS = 30000, /* a tenth of what a gang that fits may wait */
   MAX_RESERVATIONS = 4,     /* units with reserved capacity in one round */
   MAX_GANGS_HELPED = 1,     /* gangs at risk in one round */
@@ -91,7 +92,7 @@
 
   if (u->job->rank == RANK_GUARANTEED && waited >= OFF_RACK_URGENT_MS)
     return 1;
-  if (idle && waited >= OFF_RACK_IDLE_MS)
+  if ((idle || un_step (u)->is_continuous) && waited >= OFF_RACK_IDLE_MS)
     return 1;
   if (waited > un_step (u)->estimate_ms * (c->settings.off_rack_factor - 1))
     return 1;
