HTTP client: a request that waited for the socket counts as sent

Callers could see "not sent", which stands for "no effect", for a request that was executed, and a DELETE sent twice. Cause: libcurl counts the bytes of its first send of a request only. When the socket's buffer has no room for any of them, it sends the request later and counts nothing. Change: a request may also have been sent once curl has a time of the start of its transfer. A first send that fails leaves none, so that such a request still goes to another connection, or counts as not sent. Evidence: test_http "late send" and "late send once" failed before (the request ended as not sent; it arrived twice); "failed send" passed before too.

--- a/src/net/http.c
+++ b/src/net/http.c
@@ -169,13 +169,18 @@
   curl_easy_setopt (t->easy, CURLOPT_POSTFIELDS, t->body);
 }
 
+/* Curl counts the bytes of its first send only.  When the socket takes none of
+   them curl sends the request later and counts nothing, but it has a time of
+   the start of the transfer, which a failed first send has not.  */
 static int
 may_have_been_sent (struct transfer *t)
 {
   long request_bytes = 0;
+  curl_off_t began_us = 0;
 
   curl_easy_getinfo (t->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
-  return request_bytes > 0;
+  curl_easy_getinfo (t->easy, CURLINFO_PRETRANSFER_TIME_T, &began_us);
+  return request_bytes > 0 || began_us > 0;
 }
 
 /* Curl's callback before it sends the request.  Curl sends a request again on
--- a/tests/net/test_http.c
+++ b/tests/net/test_http.c
@@ -1,4 +1,5 @@
 #include <arpa/inet.h>
+#include <errno.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdio.h>
@@ -28,6 +29,8 @@
 static char url[64];
 static enum second_request_action second_request_action;
 static atomic_int requests_seen;
+static atomic_int sends_to_fail; /* calls of send (), with send_error */
+static int send_error;
 
 static int
 read_request (int fd)
@@ -50,10 +53,22 @@
   return 0;
 }
 
+/* In place of the C library's, for curl too.  */
+ssize_t
+send (int fd, const void *data, size_t size, int flags)
+{
+  if (atomic_load (&sends_to_fail) && atomic_fetch_sub (&sends_to_fail, 1) > 0)
+    {
+      errno = send_error;
+      return -1;
+    }
+  return sendto (fd, data, size, flags, NULL, 0);
+}
+
 static void
 answer (int fd, const char *text)
 {
-  ssize_t sent = send (fd, text, strlen (text), MSG_NOSIGNAL);
+  ssize_t sent = sendto (fd, text, strlen (text), MSG_NOSIGNAL, NULL, 0);
 
   (void)sent;
 }
@@ -265,6 +280,54 @@
   hc_free (hc);
 }
 
+/* Sends a DELETE on a used connection after COUNT sends fail with ERROR.  */
+static struct hc_answer
+delete_with_failing_sends (int count, int error)
+{
+  struct hc_client *hc = new_client ();
+  struct hc_answer a;
+
+  CU_ASSERT_EQUAL (post (hc).outcome, HC_ANSWERED);
+  atomic_store (&requests_seen, 0);
+  send_error = error;
+  atomic_store (&sends_to_fail, count);
+  a = call (hc, (struct hc_request){ .method = "DELETE" });
+  hc_free (hc);
+  return a;
+}
+
+/* Guards against "not sent" for a request that waited for room in the
+   socket's buffer and was then sent.  */
+static void
+test_late_send_is_lost (void)
+{
+  second_request_action = NEVER_ANSWER;
+  CU_ASSERT_EQUAL (delete_with_failing_sends (1, EAGAIN).outcome, HC_LOST);
+  CU_ASSERT_EQUAL (atomic_load (&requests_seen), 1);
+}
+
+/* Guards against a repeat of a request that waited for room in the socket's
+   buffer and whose connection broke after it was sent.  */
+static void
+test_late_send_is_not_repeated (void)
+{
+  second_request_action = CLOSE_AFTER_READ;
+  CU_ASSERT_EQUAL (delete_with_failing_sends (1, EAGAIN).outcome, HC_LOST);
+  CU_ASSERT_EQUAL (atomic_load (&requests_seen), 1);
+}
+
+/* Guards against "lost" for a request of which no byte was taken: on another
+   connection it succeeds, and if that fails too it can be planned anew.  */
+static void
+test_failed_send_is_not_sent (void)
+{
+  second_request_action = CLOSE_AFTER_READ;
+  CU_ASSERT_EQUAL (delete_with_failing_sends (1, EPIPE).outcome, HC_ANSWERED);
+  CU_ASSERT_EQUAL (atomic_load (&requests_seen), 1);
+  CU_ASSERT_EQUAL (delete_with_failing_sends (2, EPIPE).outcome, HC_NOT_SENT);
+  CU_ASSERT_EQUAL (atomic_load (&requests_seen), 0);
+}
+
 int
 main (void)
 {
@@ -278,6 +341,9 @@
     { "anew", test_silent_connection_is_replaced },
     { "refused", test_refused_connection_is_not_sent },
     { "free", test_request_without_callback_is_invalid },
+    { "late send", test_late_send_is_lost },
+    { "late send once", test_late_send_is_not_repeated },
+    { "failed send", test_failed_send_is_not_sent },
     CU_TEST_INFO_NULL,
   };
 
