HTTP client: an answer that ends within its headers is lost

Callers could take a cut answer for a whole one: a relayed look-up was passed on as 200 with an empty body, and a status without its reason counted as the answer. Cause: libcurl ends a transfer with success when the connection ends after the status line, as an answer without Content-Length ends with the connection. Change: the client notes the end of the headers and calls an answer without it lost. An answer without Content-Length whose headers are whole still counts as answered. Evidence: test_http "cut headers" failed before; "cut chunks", "whole", "statuses" (100, 103, 408, 417) and "long" passed before.

--- a/src/net/http.c
+++ b/src/net/http.c
@@ -29,9 +29,10 @@
   struct curl_slist *headers;
   char *host; /* "IP:PORT" */
   char *body;
-  int is_read; /* has no effect, so that curl may send it again */
-  int is_cut;  /* its connection broke before an answer */
-  int sends;   /* times that curl began to send the request */
+  int is_read;     /* has no effect, so that curl may send it again */
+  int is_cut;      /* its connection broke before an answer */
+  int has_headers; /* all of the answer */
+  int sends;       /* times that curl began to send the request */
   int64_t started_ms;
   GString *response;
   hc_done *done;
@@ -95,6 +96,22 @@
   return size * count;
 }
 
+/* Curl's callback for each line of the headers.  Curl takes an answer whose
+   connection ends within the headers for a whole one.  */
+static size_t
+note_header (char *line, size_t size, size_t count, void *arg)
+{
+  static const char status_line[] = "HTTP/";
+  struct transfer *t = arg;
+
+  if (count > sizeof status_line
+      && !memcmp (line, status_line, sizeof status_line - 1))
+    t->has_headers = 0;
+  if (count && (*line == '\r' || *line == '\n'))
+    t->has_headers = 1;
+  return size * count;
+}
+
 static char *
 copy_host (const char *url)
 {
@@ -229,6 +246,8 @@
   curl_easy_setopt (t->easy, CURLOPT_ERRORBUFFER, t->error);
   curl_easy_setopt (t->easy, CURLOPT_WRITEFUNCTION, write_answer);
   curl_easy_setopt (t->easy, CURLOPT_WRITEDATA, t);
+  curl_easy_setopt (t->easy, CURLOPT_HEADERFUNCTION, note_header);
+  curl_easy_setopt (t->easy, CURLOPT_HEADERDATA, t);
   curl_easy_setopt (t->easy, CURLOPT_PRIVATE, t);
   curl_easy_setopt (t->easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
   curl_easy_setopt (t->easy, CURLOPT_OPENSOCKETDATA, &hc->mux);
@@ -329,6 +348,8 @@
   struct hc_answer a = { .outcome = HC_ANSWERED };
   curl_off_t retry_after = 0;
 
+  if (code == CURLE_OK && !t->has_headers)
+    code = CURLE_PARTIAL_FILE;
   if (code != CURLE_OK)
     {
       a.outcome = may_have_been_sent (t) ? HC_LOST : HC_NOT_SENT;
--- a/tests/net/test_http.c
+++ b/tests/net/test_http.c
@@ -22,12 +22,14 @@
 {
   CLOSE_AFTER_READ,
   NEVER_ANSWER,
-  TRUNCATE_ANSWER
+  TRUNCATE_ANSWER,
+  SEND_TEXT /* second_answer, then the connection ends */
 };
 
 static int listener;
 static char url[64];
 static enum second_request_action second_request_action;
+static const char *second_answer;
 static atomic_int requests_seen;
 static atomic_int sends_to_fail; /* calls of send (), with send_error */
 static int send_error;
@@ -91,6 +93,9 @@
       case TRUNCATE_ANSWER:
         answer (fd, "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\npart");
         break;
+      case SEND_TEXT:
+        answer (fd, second_answer);
+        break;
       }
   close (fd);
   return NULL;
@@ -280,6 +285,86 @@
   hc_free (hc);
 }
 
+/* The outcome of a POST that is answered with TEXT and the connection's end on
+   a connection that was used before.  */
+static struct hc_answer
+post_answered (const char *text)
+{
+  struct hc_client *hc = new_client ();
+  struct hc_answer a;
+
+  second_request_action = SEND_TEXT;
+  second_answer = text;
+  CU_ASSERT_EQUAL (post (hc).outcome, HC_ANSWERED);
+  atomic_store (&requests_seen, 0);
+  a = post (hc);
+  CU_ASSERT_EQUAL (atomic_load (&requests_seen), 1);
+  hc_free (hc);
+  return a;
+}
+
+/* Guards against an answer that ends within its headers and counts as
+   whole.  */
+static void
+test_cut_headers_are_lost (void)
+{
+  CU_ASSERT_EQUAL (post_answered ("HTTP/1.1 200 OK\r\n").outcome, HC_LOST);
+  CU_ASSERT_EQUAL (post_answered ("HTTP/1.1 503 Busy\r\nRetry-Af").outcome,
+                   HC_LOST);
+  CU_ASSERT_EQUAL (
+      post_answered ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n").outcome,
+      HC_LOST);
+  CU_ASSERT_EQUAL (post_answered ("HTTP/1.1 20").outcome, HC_LOST);
+  CU_ASSERT_EQUAL (post_answered ("garbage\r\n\r\n").outcome, HC_LOST);
+}
+
+/* Guards against a chunked answer that ends early and counts as whole.  */
+static void
+test_cut_chunks_are_lost (void)
+{
+  CU_ASSERT_EQUAL (post_answered ("HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                                  "chunked\r\n\r\n2\r\nok\r\n")
+                       .outcome,
+                   HC_LOST);
+}
+
+/* Guards against whole answers that count as lost.  */
+static void
+test_whole_answers (void)
+{
+  struct hc_answer a
+      = post_answered ("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nrest");
+
+  CU_ASSERT_EQUAL (a.outcome, HC_ANSWERED);
+  CU_ASSERT_EQUAL (a.body_size, 4);
+  CU_ASSERT_EQUAL (post_answered ("HTTP/1.1 204 None\r\n\r\n").outcome,
+                   HC_ANSWERED);
+  CU_ASSERT_EQUAL (post_answered ("HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                                  "chunked\r\n\r\n0\r\n\r\n")
+                       .outcome,
+                   HC_ANSWERED);
+}
+
+/* Guards against an interim answer that counts as the answer, and against a
+   request that is sent again after 417 or 408.  */
+static void
+test_statuses (void)
+{
+  CU_ASSERT_EQUAL (post_answered ("HTTP/1.1 100 Continue\r\n\r\n").outcome,
+                   HC_LOST);
+  CU_ASSERT_EQUAL (post_answered ("HTTP/1.1 103 Early\r\n\r\n"
+                                  "HTTP/1.1 409 No\r\n"
+                                  "Content-Length: 0\r\n\r\n")
+                       .status,
+                   409);
+  CU_ASSERT_EQUAL (
+      post_answered ("HTTP/1.1 417 No\r\nContent-Length: 0\r\n\r\n").status,
+      417);
+  CU_ASSERT_EQUAL (
+      post_answered ("HTTP/1.1 408 No\r\nContent-Length: 0\r\n\r\n").status,
+      408);
+}
+
 /* Sends a DELETE on a used connection after COUNT sends fail with ERROR.  */
 static struct hc_answer
 delete_with_failing_sends (int count, int error)
@@ -328,6 +413,18 @@
   CU_ASSERT_EQUAL (atomic_load (&requests_seen), 0);
 }
 
+/* Guards against a part of an answer that counts as the whole one.  */
+static void
+test_long_answer_is_lost (void)
+{
+  static const char head[] = "HTTP/1.1 200 OK\r\n\r\n";
+  static char text[sizeof head + HC_MAX_BODY + 1];
+
+  memset (text, ' ', sizeof text - 1);
+  memcpy (text, head, sizeof head - 1);
+  CU_ASSERT_EQUAL (post_answered (text).outcome, HC_LOST);
+}
+
 int
 main (void)
 {
@@ -341,9 +438,14 @@
     { "anew", test_silent_connection_is_replaced },
     { "refused", test_refused_connection_is_not_sent },
     { "free", test_request_without_callback_is_invalid },
+    { "cut headers", test_cut_headers_are_lost },
+    { "cut chunks", test_cut_chunks_are_lost },
+    { "whole", test_whole_answers },
+    { "statuses", test_statuses },
     { "late send", test_late_send_is_lost },
     { "late send once", test_late_send_is_not_repeated },
     { "failed send", test_failed_send_is_not_sent },
+    { "long", test_long_answer_is_lost },
     CU_TEST_INFO_NULL,
   };
 
