HTTP client: bytes sent before a request do not answer it

Callers could get the answer to no request, or to an earlier one, as that to their own: a server that sent a 503 unasked made the next order count as refused, while the worker executed it. Cause: libcurl reuses an idle connection that has bytes to read. Change: the client shuts an idle connection down on which bytes or the end arrive; curl then uses another one. It learns which sockets curl closes, so that a late event of a closed one does nothing to a socket of the same number. What remains: bytes that arrive within the turn of the loop that sends the next request. Evidence: test_http "unasked" failed before (status 503 for 200); "excess" and "idle closed" passed before.

--- a/src/net/http.c
+++ b/src/net/http.c
@@ -4,6 +4,7 @@
 #include <stdatomic.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "net/http_mux.h"
 #include "skr/base.h"
@@ -173,6 +174,13 @@
   return fd;
 }
 
+static int
+close_socket (void *arg, curl_socket_t fd)
+{
+  mx_socket_closed (arg, fd);
+  return close (fd);
+}
+
 /* With the whole body known curl sends it together with the headers.  */
 static void
 set_body (struct transfer *t, const char *body)
@@ -251,6 +259,8 @@
   curl_easy_setopt (t->easy, CURLOPT_PRIVATE, t);
   curl_easy_setopt (t->easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
   curl_easy_setopt (t->easy, CURLOPT_OPENSOCKETDATA, &hc->mux);
+  curl_easy_setopt (t->easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+  curl_easy_setopt (t->easy, CURLOPT_CLOSESOCKETDATA, &hc->mux);
   curl_easy_setopt (t->easy, CURLOPT_PREREQFUNCTION, begin_send);
   curl_easy_setopt (t->easy, CURLOPT_PREREQDATA, t);
   if (hc->ca)
--- a/src/net/http_mux.c
+++ b/src/net/http_mux.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "net/http_mux.h"
@@ -69,6 +70,12 @@
 
 void
 mx_socket_opened (struct mx_mux *m, int fd)
+{
+  *find_socket (m, fd) = (struct mx_socket){ .is_open = 1 };
+}
+
+void
+mx_socket_closed (struct mx_mux *m, int fd)
 {
   *find_socket (m, fd) = (struct mx_socket){ 0 };
 }
@@ -208,6 +215,16 @@
   return left_ms < MAX_WAIT_MS ? (int)left_ms : MAX_WAIT_MS;
 }
 
+/* Ends an idle connection that the server closed, or on which it sent bytes.
+   Curl reuses a connection with bytes to read, and they would count as the
+   answer to the next request.  */
+static void
+end_idle_connection (struct mx_mux *m, int fd)
+{
+  watch (m, &m->socket[fd], fd, EPOLL_CTL_DEL);
+  shutdown (fd, SHUT_RDWR);
+}
+
 static void
 handle_event (struct mx_mux *m, const struct epoll_event *e)
 {
@@ -219,10 +236,8 @@
   else if (m->socket[fd].wanted)
     curl_multi_socket_action (m->handle[handle].multi, fd, to_curl (e->events),
                               &running);
-  else
-    /* The server closed an idle connection; curl finds out before it uses it
-       again.  */
-    watch (m, &m->socket[fd], fd, EPOLL_CTL_DEL);
+  else if (m->socket[fd].is_open)
+    end_idle_connection (m, fd);
 }
 
 static void
--- a/src/net/http_mux.h
+++ b/src/net/http_mux.h
@@ -33,6 +33,7 @@
 {
   uint32_t watched; /* by epoll; 0: it does not know the socket */
   uint32_t wanted;  /* by curl; 0: the connection is idle */
+  int is_open;      /* the number is that of a socket of curl's */
   int handle;
 };
 
@@ -56,6 +57,8 @@
 CURLM *mx_multi (struct mx_mux *m, const char *host);
 /* To be called when a new socket has the number FD.  */
 void mx_socket_opened (struct mx_mux *m, int fd);
+/* To be called before the socket FD is closed.  */
+void mx_socket_closed (struct mx_mux *m, int fd);
 /* Makes the current or the next mx_wait return.  Called on any thread.  */
 void mx_wake (struct mx_mux *m);
 /* Waits until a socket is ready, a timer expires or mx_wake is called, and
--- a/tests/net/test_http.c
+++ b/tests/net/test_http.c
@@ -14,7 +14,8 @@
 enum
 {
   BUF_SIZE = 4096,
-  TIMEOUT_MS = 300
+  TIMEOUT_MS = 300,
+  UNASKED_DELAY_MS = 20
 };
 
 /* Reaction of the fake server to the second request on a connection.  */
@@ -30,6 +31,9 @@
 static char url[64];
 static enum second_request_action second_request_action;
 static const char *second_answer;
+static const char ok[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+static const char *first_answer = ok;
+static const char *after_first_answer; /* sent unasked; "" closes */
 static atomic_int requests_seen;
 static atomic_int sends_to_fail; /* calls of send (), with send_error */
 static int send_error;
@@ -79,9 +83,17 @@
 serve_connection (void *arg)
 {
   int fd = (int)(intptr_t)arg;
+  const char *unasked = after_first_answer;
 
   if (read_request (fd))
-    answer (fd, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    answer (fd, first_answer);
+  if (unasked)
+    {
+      usleep (UNASKED_DELAY_MS * 1000);
+      answer (fd, unasked);
+    }
+  if (unasked && !*unasked)
+    shutdown (fd, SHUT_WR);
   if (read_request (fd))
     switch (second_request_action)
       {
@@ -365,6 +377,55 @@
       408);
 }
 
+/* Sends a second order after the server has sent TEXT unasked.  */
+static struct hc_answer
+post_after (const char *text)
+{
+  struct hc_client *hc = new_client ();
+  struct hc_answer a;
+
+  after_first_answer = text;
+  second_request_action = CLOSE_AFTER_READ;
+  CU_ASSERT_EQUAL (post (hc).outcome, HC_ANSWERED);
+  usleep (4 * UNASKED_DELAY_MS * 1000);
+  atomic_store (&requests_seen, 0);
+  a = post (hc);
+  after_first_answer = NULL;
+  CU_ASSERT_EQUAL (atomic_load (&requests_seen), 1);
+  hc_free (hc);
+  return a;
+}
+
+/* Guards against an answer that was sent before its request and counts as the
+   answer to it.  */
+static void
+test_unasked_answer_is_ignored (void)
+{
+  struct hc_answer a
+      = post_after ("HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\nno");
+
+  CU_ASSERT_EQUAL (a.outcome, HC_ANSWERED);
+  CU_ASSERT_EQUAL (a.status, 200);
+}
+
+/* Guards against bytes beyond an answer that count as the next one.  */
+static void
+test_excess_is_ignored (void)
+{
+  first_answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+                 "HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\nno";
+  CU_ASSERT_EQUAL (post_after (NULL).status, 200);
+  first_answer = ok;
+}
+
+/* Guards against an order that is lost because the server closed an idle
+   connection.  */
+static void
+test_closed_idle_connection_is_replaced (void)
+{
+  CU_ASSERT_EQUAL (post_after ("").outcome, HC_ANSWERED);
+}
+
 /* Sends a DELETE on a used connection after COUNT sends fail with ERROR.  */
 static struct hc_answer
 delete_with_failing_sends (int count, int error)
@@ -442,6 +503,9 @@
     { "cut chunks", test_cut_chunks_are_lost },
     { "whole", test_whole_answers },
     { "statuses", test_statuses },
+    { "unasked", test_unasked_answer_is_ignored },
+    { "excess", test_excess_is_ignored },
+    { "idle closed", test_closed_idle_connection_is_replaced },
     { "late send", test_late_send_is_lost },
     { "late send once", test_late_send_is_not_repeated },
     { "failed send", test_failed_send_is_not_sent },
