test_http: large bodies, queued requests, hc_free, TLS handshakes

A body that follows its headers is sent once; a request that waited for a connection until its time-out, or until hc_free, is not sent though its handle served another one; one that was sent is lost; a failed TLS handshake sends no request.

--- a/tests/net/test_http.c
+++ b/tests/net/test_http.c
@@ -15,7 +15,8 @@
 {
   BUF_SIZE = 4096,
   TIMEOUT_MS = 300,
-  UNASKED_DELAY_MS = 20
+  UNASKED_DELAY_MS = 20,
+  LARGE_BODY = 200000 /* bytes; curl sends its headers first */
 };
 
 /* Reaction of the fake server to the second request on a connection.  */
@@ -35,7 +36,8 @@
 static const char *first_answer = ok;
 static const char *after_first_answer; /* sent unasked; "" closes */
 static atomic_int requests_seen;
-static atomic_int sends_to_fail; /* calls of send (), with send_error */
+static atomic_int connections_used; /* on which bytes arrived */
+static atomic_int sends_to_fail;    /* calls of send (), with send_error */
 static int send_error;
 
 static int
@@ -47,6 +49,8 @@
 
   while ((got = recv (fd, buf + n, sizeof buf - 1 - n, 0)) > 0)
     {
+      if (!n)
+        atomic_fetch_add (&connections_used, 1);
       n += (size_t)got;
       buf[n] = '\0';
       if (strstr (buf, "\r\n\r\n")
@@ -474,6 +478,26 @@
   CU_ASSERT_EQUAL (atomic_load (&requests_seen), 0);
 }
 
+/* Guards against a large body whose headers were sent and that counts as not
+   sent, or is sent again.  */
+static void
+test_large_body_is_sent_once (void)
+{
+  struct hc_client *hc = new_client ();
+  char *body = malloc (LARGE_BODY + 1);
+  struct hc_answer a;
+
+  memset (body, '1', LARGE_BODY);
+  body[LARGE_BODY] = '\0';
+  CU_ASSERT_EQUAL (post (hc).outcome, HC_ANSWERED);
+  atomic_store (&connections_used, 0);
+  a = call (hc, (struct hc_request){ .method = "POST", .body = body });
+  CU_ASSERT_EQUAL (a.outcome, HC_LOST);
+  CU_ASSERT_EQUAL (atomic_load (&connections_used), 1);
+  hc_free (hc);
+  free (body);
+}
+
 /* Guards against a part of an answer that counts as the whole one.  */
 static void
 test_long_answer_is_lost (void)
@@ -486,6 +510,102 @@
   CU_ASSERT_EQUAL (post_answered (text).outcome, HC_LOST);
 }
 
+/* Guards against bytes of a TLS handshake that make a request count as
+   lost.  */
+static void
+test_failed_handshake_is_not_sent (void)
+{
+  struct hc_client *hc = new_client ();
+  struct hc_request r
+      = { .method = "POST", .body = "{}", .timeout_ms = TIMEOUT_MS };
+  struct hc_answer a = { .outcome = HC_LOST };
+  char tls_url[sizeof url + 1];
+
+  snprintf (tls_url, sizeof tls_url, "https%s", url + strlen ("http"));
+  r.url = tls_url;
+  CU_ASSERT_EQUAL (hc_call (hc, &r, &a, NULL, 0), HC_OK);
+  CU_ASSERT_EQUAL (a.outcome, HC_NOT_SENT);
+  hc_free (hc);
+}
+
+struct ending
+{
+  atomic_int ended;
+  struct hc_answer answer;
+};
+
+static void
+on_end (void *arg, const struct hc_answer *a)
+{
+  struct ending *e = arg;
+
+  e->answer = *a;
+  atomic_store (&e->ended, 1);
+}
+
+static void
+start_post (struct hc_client *hc, struct ending *e)
+{
+  struct hc_request r = { .method = "POST",
+                          .url = url,
+                          .body = "{\"once\":1}",
+                          .timeout_ms = TIMEOUT_MS,
+                          .done = on_end,
+                          .arg = e };
+
+  CU_ASSERT_EQUAL (hc_submit (hc, &r), HC_OK);
+}
+
+static void
+wait_for (atomic_int *count, int wanted)
+{
+  for (int i = 0; i < 2000 && atomic_load (count) < wanted; i++)
+    usleep (1000);
+  CU_ASSERT_EQUAL (atomic_load (count), wanted);
+}
+
+/* Guards against "lost" for a request that waited for a connection until its
+   time-out: it can be planned anew at once.  */
+static void
+test_queued_request_is_not_sent (void)
+{
+  struct hc_client *hc = new_client ();
+  struct ending sent = { 0 }, queued = { 0 };
+
+  second_request_action = NEVER_ANSWER;
+  CU_ASSERT_EQUAL (post (hc).outcome, HC_ANSWERED);
+  atomic_store (&requests_seen, 0);
+  start_post (hc, &sent);
+  wait_for (&requests_seen, 1);
+  hc_call (hc,
+           &(struct hc_request){
+               .method = "POST", .url = url, .body = "{}", .timeout_ms = 50 },
+           &queued.answer, NULL, 0);
+  CU_ASSERT_EQUAL (queued.answer.outcome, HC_NOT_SENT);
+  wait_for (&sent.ended, 1);
+  CU_ASSERT_EQUAL (sent.answer.outcome, HC_LOST);
+  hc_free (hc);
+}
+
+/* Guards against hc_free that calls a request lost that was not sent, as its
+   handle served another one before, or the reverse.  */
+static void
+test_free_ends_requests (void)
+{
+  struct hc_client *hc = new_client ();
+  struct ending sent = { 0 }, queued = { 0 };
+
+  second_request_action = NEVER_ANSWER;
+  CU_ASSERT_EQUAL (post (hc).outcome, HC_ANSWERED);
+  atomic_store (&requests_seen, 0);
+  start_post (hc, &sent);
+  wait_for (&requests_seen, 1);
+  start_post (hc, &queued);
+  hc_free (hc);
+  CU_ASSERT_EQUAL (sent.answer.outcome, HC_LOST);
+  CU_ASSERT_EQUAL (queued.answer.outcome, HC_NOT_SENT);
+}
+
 int
 main (void)
 {
@@ -509,7 +629,11 @@
     { "late send", test_late_send_is_lost },
     { "late send once", test_late_send_is_not_repeated },
     { "failed send", test_failed_send_is_not_sent },
+    { "large body", test_large_body_is_sent_once },
     { "long", test_long_answer_is_lost },
+    { "handshake", test_failed_handshake_is_not_sent },
+    { "queued", test_queued_request_is_not_sent },
+    { "ended", test_free_ends_requests },
     CU_TEST_INFO_NULL,
   };
 
