Relay: a submission or cancellation whose connection breaks goes to another VM

Cause: only look-ups were sent to another VM after a lost answer. Change: submissions and cancellations too, as both may be executed twice. After a lost answer only 2xx and 410 tell the end; any refusal of the repeat, and a repeat that is not sent, is answered 504, never "not run". The test of the decisions had RL_UNKNOWN for a first lost submission; it has RL_OTHER now, and "decisions on a repeat" has RL_UNKNOWN for each refusal of the repeat. Evidence: test_relay "repeated" failed with the earlier decision (504 for 200); "refused repeat" holds with both.

--- a/src/batch/relay.c
+++ b/src/batch/relay.c
@@ -18,31 +18,50 @@
   AVOID_UNREACHABLE_MS = 5000,
   HEADER_SIZE = 600,
   OK = 200,
+  MULTIPLE_CHOICES = 300,
   FORBIDDEN = 403,
+  GONE = 410,
   PAYLOAD_TOO_LARGE = 413,
   UNAVAILABLE = 503,
   OUTCOME_UNKNOWN = 504
 };
 
+/* Whether the answer to a repeat tells how the request ended.  Submissions and
+   cancellations may be executed twice, but a refusal says nothing about the
+   earlier try.  */
+static int
+tells_end (int status)
+{
+  return (status >= OK && status < MULTIPLE_CHOICES) || status == GONE;
+}
+
+static enum rl_next
+give_up (const struct rl_try *t)
+{
+  if (t->may_be_done)
+    return RL_UNKNOWN;
+  return t->status == UNAVAILABLE ? RL_PASS : RL_NOT_RUN;
+}
+
 /* A VM that answers 403 has another secret than its row says, as it was
    restarted; with 403 and 503 it has done nothing.  */
 enum rl_next
-rl_decide (enum hc_outcome outcome, int status, int is_lookup, int tries)
+rl_decide (const struct rl_try *t)
 {
-  switch (outcome)
+  switch (t->outcome)
     {
     case HC_ANSWERED:
-      if (status != FORBIDDEN && status != UNAVAILABLE)
+      if (t->may_be_done && tells_end (t->status))
         return RL_PASS;
-      if (tries < RL_MAX_TRIES)
-        return RL_OTHER;
-      return status == UNAVAILABLE ? RL_PASS : RL_NOT_RUN;
+      if (t->status != FORBIDDEN && t->status != UNAVAILABLE)
+        return t->may_be_done ? RL_UNKNOWN : RL_PASS;
+      return t->tries < RL_MAX_TRIES ? RL_OTHER : give_up (t);
     case HC_NOT_SENT:
-      return tries < RL_MAX_TRIES ? RL_OTHER : RL_NOT_RUN;
+      return t->tries < RL_MAX_TRIES ? RL_OTHER : give_up (t);
     case HC_LOST:
-      if (!is_lookup)
-        return RL_UNKNOWN;
-      return tries < RL_MAX_TRIES ? RL_OTHER : RL_NOT_RUN;
+      if (t->tries < RL_MAX_TRIES)
+        return RL_OTHER;
+      return t->is_lookup ? RL_NOT_RUN : RL_UNKNOWN;
     }
   return RL_UNKNOWN;
 }
@@ -223,16 +242,22 @@
 void
 rl_on_reply (struct batch *b, struct rl_call *c)
 {
-  enum rl_next next
-      = rl_decide (c->outcome, c->status, is_lookup (c), c->tries);
+  struct rl_try t = { .outcome = c->outcome,
+                      .status = c->status,
+                      .is_lookup = is_lookup (c),
+                      .tries = c->tries,
+                      .may_be_done = c->may_be_done };
+  enum rl_next next = rl_decide (&t);
 
   if (next != RL_PASS)
     avoid_peer (c);
+  c->may_be_done |= c->outcome == HC_LOST && !t.is_lookup;
+  t.may_be_done = c->may_be_done;
   if (next == RL_OTHER)
     {
       if (try_peer (c))
         return;
-      next = c->status == UNAVAILABLE ? RL_PASS : RL_NOT_RUN;
+      next = give_up (&t);
     }
   switch (next)
     {
--- a/src/batch/relay.h
+++ b/src/batch/relay.h
@@ -37,6 +37,7 @@
   char *vm; /* it was sent to */
   int64_t began_ms, deadline_ms;
   int tries;
+  int may_be_done; /* an earlier try may have been executed */
   /* Set on the client's thread.  */
   enum hc_outcome outcome;
   int status, retry_after_s;
@@ -63,10 +64,17 @@
   RL_NOT_RUN
 };
 
-/* IS_LOOKUP tells that the request changes nothing; TRIES counts the ended
-   one.  */
-enum rl_next rl_decide (enum hc_outcome outcome, int status, int is_lookup,
-                        int tries);
+/* The end of a try.  */
+struct rl_try
+{
+  enum hc_outcome outcome;
+  int status;      /* 0 without an answer */
+  int is_lookup;   /* the request changes nothing */
+  int tries;       /* with this one */
+  int may_be_done; /* by an earlier try */
+};
+
+enum rl_next rl_decide (const struct rl_try *t);
 
 void rl_init (struct batch *b);
 /* Handles a row of the table of VMs.  */
--- a/tests/batch/test_relay.c
+++ b/tests/batch/test_relay.c
@@ -1,7 +1,9 @@
 /* Relayed requests: decisions without sockets, and two VMs with servers on
    loopback.  One has no store, the other a fake one.  */
+#include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "batch/fake_store.h"
 #include "suite.h"
@@ -238,21 +240,53 @@
   CU_ASSERT (is_answered);
 }
 
+/* What follows an answer of STATUS, or one of 0 after OUTCOME.  */
+static enum rl_next
+decide (enum hc_outcome outcome, int status, int is_lookup, int tries,
+        int may_be_done)
+{
+  struct rl_try t = { .outcome = outcome,
+                      .status = status,
+                      .is_lookup = is_lookup,
+                      .tries = tries,
+                      .may_be_done = may_be_done };
+
+  return rl_decide (&t);
+}
+
 /* Guards against an answer that is passed on although the request was not
    executed, or the reverse.  */
 static void
 test_decisions (void)
 {
-  CU_ASSERT_EQUAL (rl_decide (HC_ANSWERED, 200, 0, 1), RL_PASS);
-  CU_ASSERT_EQUAL (rl_decide (HC_ANSWERED, 504, 0, 1), RL_PASS);
-  CU_ASSERT_EQUAL (rl_decide (HC_ANSWERED, 503, 0, 1), RL_OTHER);
-  CU_ASSERT_EQUAL (rl_decide (HC_ANSWERED, 503, 0, 2), RL_PASS);
-  CU_ASSERT_EQUAL (rl_decide (HC_ANSWERED, 403, 0, 2), RL_NOT_RUN);
-  CU_ASSERT_EQUAL (rl_decide (HC_NOT_SENT, 0, 0, 1), RL_OTHER);
-  CU_ASSERT_EQUAL (rl_decide (HC_NOT_SENT, 0, 0, 2), RL_NOT_RUN);
-  CU_ASSERT_EQUAL (rl_decide (HC_LOST, 0, 0, 1), RL_UNKNOWN);
-  CU_ASSERT_EQUAL (rl_decide (HC_LOST, 0, 1, 1), RL_OTHER);
-  CU_ASSERT_EQUAL (rl_decide (HC_LOST, 0, 1, 2), RL_NOT_RUN);
+  CU_ASSERT_EQUAL (decide (HC_ANSWERED, 200, 0, 1, 0), RL_PASS);
+  CU_ASSERT_EQUAL (decide (HC_ANSWERED, 504, 0, 1, 0), RL_PASS);
+  CU_ASSERT_EQUAL (decide (HC_ANSWERED, 400, 0, 2, 0), RL_PASS);
+  CU_ASSERT_EQUAL (decide (HC_ANSWERED, 503, 0, 1, 0), RL_OTHER);
+  CU_ASSERT_EQUAL (decide (HC_ANSWERED, 503, 0, 2, 0), RL_PASS);
+  CU_ASSERT_EQUAL (decide (HC_ANSWERED, 403, 0, 2, 0), RL_NOT_RUN);
+  CU_ASSERT_EQUAL (decide (HC_NOT_SENT, 0, 0, 1, 0), RL_OTHER);
+  CU_ASSERT_EQUAL (decide (HC_NOT_SENT, 0, 0, 2, 0), RL_NOT_RUN);
+  CU_ASSERT_EQUAL (decide (HC_LOST, 0, 0, 1, 0), RL_OTHER);
+  CU_ASSERT_EQUAL (decide (HC_LOST, 0, 0, 2, 0), RL_UNKNOWN);
+  CU_ASSERT_EQUAL (decide (HC_LOST, 0, 1, 1, 0), RL_OTHER);
+  CU_ASSERT_EQUAL (decide (HC_LOST, 0, 1, 2, 0), RL_NOT_RUN);
+}
+
+/* Guards against a refusal of a repeat that is passed on although the first
+   try may have been executed.  */
+static void
+test_decisions_on_a_repeat (void)
+{
+  static const int refusals[] = { 400, 401, 403, 404, 405, 409, 412,
+                                  413, 421, 422, 429, 500, 503, 504 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (refusals); i++)
+    CU_ASSERT_EQUAL (decide (HC_ANSWERED, refusals[i], 0, 2, 1), RL_UNKNOWN);
+  CU_ASSERT_EQUAL (decide (HC_NOT_SENT, 0, 0, 2, 1), RL_UNKNOWN);
+  CU_ASSERT_EQUAL (decide (HC_LOST, 0, 0, 2, 1), RL_UNKNOWN);
+  CU_ASSERT_EQUAL (decide (HC_ANSWERED, 200, 0, 2, 1), RL_PASS);
+  CU_ASSERT_EQUAL (decide (HC_ANSWERED, 410, 0, 2, 1), RL_PASS);
 }
 
 /* Guards against relaying to a VM that has ended, to this one, or to one that
@@ -371,17 +405,119 @@
   teardown ();
 }
 
+/* Accepts a connection, reads a request and closes it, COUNT times.  */
+struct breaker
+{
+  GThread *thread;
+  int listener, count;
+  char address[40];
+};
+
+static void *
+break_connections (void *arg)
+{
+  struct breaker *k = arg;
+  char buf[4096];
+
+  for (int i = 0; i < k->count; i++)
+    {
+      int fd = accept (k->listener, NULL, NULL);
+
+      CU_ASSERT (recv (fd, buf, sizeof buf, 0) > 0);
+      close (fd);
+    }
+  return NULL;
+}
+
+static void
+start_breaker (struct breaker *k, int count)
+{
+  struct sockaddr_in a = { .sin_family = AF_INET };
+  socklen_t size = sizeof a;
+
+  a.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  k->count = count;
+  k->listener = socket (AF_INET, SOCK_STREAM, 0);
+  CU_ASSERT_FATAL (
+      !bind (k->listener, (struct sockaddr *)&a, sizeof a)
+      && !listen (k->listener, 4)
+      && !getsockname (k->listener, (struct sockaddr *)&a, &size));
+  snprintf (k->address, sizeof k->address, "127.0.0.1:%d", ntohs (a.sin_port));
+  k->thread = g_thread_new ("breaker", break_connections, k);
+}
+
+static void
+end_breaker (struct breaker *k)
+{
+  g_thread_join (k->thread);
+  close (k->listener);
+}
+
+/* Relays METHOD to a VM that closes the connection, and then, after which it
+   is avoided, to SERVED.  */
+static void
+call_broken (struct breaker *k, const char *method)
+{
+  struct rl_peer *first;
+
+  rl_on_synced (&vm[CUT], 2);
+  add_peer (&vm[CUT], "vm3", k->address, vm[SERVED].relay.secret, 0);
+  add_peer (&vm[CUT], "vm2", address_of (vm[SERVED].relay.server),
+            vm[SERVED].relay.secret, 0);
+  vm[CUT].relay.turn = 0;
+  first = rl_pick (&vm[CUT], NULL);
+  CU_ASSERT_STRING_EQUAL_FATAL (first->vm, "vm3");
+  call (method, "k", 2000, 0);
+}
+
+/* Guards against a submission or a cancellation of unknown outcome because a
+   connection between two VMs broke: both may be sent again.  */
+static void
+test_broken_relay_is_repeated (void)
+{
+  struct breaker k;
+
+  setup ();
+  start_breaker (&k, 2);
+  call_broken (&k, "POST");
+  CU_ASSERT_EQUAL (answer.status, 200);
+  call_broken (&k, "DELETE");
+  CU_ASSERT_EQUAL (answer.status, 200);
+  CU_ASSERT_EQUAL (fs_store.writes, 2);
+  end_breaker (&k);
+  teardown ();
+}
+
+/* Guards against "not run" from the second VM although the first one may have
+   stored the job.  */
+static void
+test_refused_repeat_is_unknown (void)
+{
+  struct breaker k;
+
+  setup ();
+  vm[SERVED].store_down = 1;
+  start_breaker (&k, 1);
+  call_broken (&k, "POST");
+  CU_ASSERT_EQUAL (answer.status, 504);
+  end_breaker (&k);
+  teardown ();
+}
+
 int
 main (void)
 {
   static const CU_TestInfo tests[] = {
     { "decisions", test_decisions },
+    { "decisions on a repeat", test_decisions_on_a_repeat },
     { "choice", test_choice_of_a_vm },
     { "served", test_served_by_the_other_vm },
     { "lookup", test_lookup_in_flight },
     { "once", test_relayed_once },
     { "secret", test_wrong_secret },
     { "unknown", test_unanswered_is_unknown },
+    { "repeated", test_broken_relay_is_repeated },
+    { "refused repeat", test_refused_repeat_is_unknown },
     CU_TEST_INFO_NULL,
   };
 
