skr: a refusal after a lost answer is unknown

Operators and scripts saw exit code 3, "not run", or 6, "not found", for a submission, a cancellation or a list that the first entry VM may have carried out before its answer was lost: skr sends the request to the next VM and took that VM's 503, 401 or 404 for the end. Change: after a lost answer only success, a conflict and "it ran and failed" tell the end of a request that changes something; any other answer gives exit code 4, and skr says that an earlier try may have been carried out. Evidence: test_exchange "refused repeat" failed before (five of five); "told" passed before.

--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -44,6 +44,7 @@
   enum sk_exit exit;
   long status;        /* HTTP status, 0 without an answer */
   long retry_after_s; /* 0 when the answer has no Retry-After */
+  int is_repeat;      /* an earlier try may have been carried out */
   json_t *body;       /* NULL when there is none */
 };
 
--- a/src/cli/exchange.c
+++ b/src/cli/exchange.c
@@ -15,6 +15,7 @@
   STATUS_CONFLICT = 409,
   STATUS_PRECONDITION_FAILED = 412,
   STATUS_TOO_MANY_REQUESTS = 429,
+  STATUS_BAD_GATEWAY = 502, /* it ran and failed */
   STATUS_UNAVAILABLE = 503,
   STATUS_GATEWAY_TIMEOUT = 504
 };
@@ -68,6 +69,17 @@
   return a.outcome;
 }
 
+/* A refusal of a repeat says nothing about the try whose answer was lost. With
+   a conflict the body tells which key or version is in force.  */
+static void
+judge_repeat (const struct hc_request *r, struct sk_reply *reply)
+{
+  reply->is_repeat = 1;
+  if (strcmp (r->method, "GET") != 0 && reply->exit != SK_OK
+      && reply->exit != SK_CONFLICT && reply->status != STATUS_BAD_GATEWAY)
+    reply->exit = SK_UNKNOWN;
+}
+
 /* Tries the entry VMs in order until one answers.  Repeating a request after
    a lost answer is safe: every request that changes state has a key or a
    version that makes it idempotent.  */
@@ -76,7 +88,7 @@
                struct sk_reply *reply)
 {
   char **address = g_strsplit (s->set.entry, ",", -1);
-  int header_count = 0;
+  int header_count = 0, is_lost = 0;
 
   while (header_count < HC_MAX_HEADERS && r->header[header_count])
     header_count++;
@@ -85,10 +97,13 @@
     {
       enum hc_outcome end = send_to_entry (s, address[i], r, path, reply);
 
+      if (end == HC_ANSWERED && is_lost)
+        judge_repeat (r, reply);
       if (end == HC_ANSWERED)
         break;
       if (end != HC_LOST)
         continue;
+      is_lost = 1;
       reply->exit = SK_UNKNOWN;
       /* The next attempt is no longer the first one.  */
       if (header_count
@@ -160,6 +175,9 @@
              *string_field (r->body, "detail") ? ": " : "",
              string_field (r->body, "detail"), *state ? "; state " : "",
              state);
+  if (r->exit == SK_UNKNOWN && r->is_repeat)
+    fprintf (stderr, "skr: an earlier try got no answer and may have been "
+                     "carried out\n");
   if (r->exit != SK_OK && r->retry_after_s)
     fprintf (stderr, "skr: retry after %ld s\n", r->retry_after_s);
   return r->exit;
--- /dev/null
+++ b/tests/cli/test_exchange.c
@@ -0,0 +1,183 @@
+/* Requests of which the first entry VM loses the answer.  */
+#include <arpa/inet.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "cli/cli.h"
+#include "skr/base.h"
+#include "suite.h"
+
+enum
+{
+  TIMEOUT_MS = 5000,
+  BUF_SIZE = 4096
+};
+
+/* An entry VM that reads one request, answers it with TEXT and closes the
+   connection.  */
+struct entry
+{
+  GThread *thread;
+  int listener, port;
+  const char *text; /* "": no answer */
+};
+
+static void *
+serve (void *arg)
+{
+  struct entry *e = arg;
+  char buf[BUF_SIZE];
+  int fd = accept (e->listener, NULL, NULL);
+
+  if (fd < 0)
+    return NULL;
+  if (recv (fd, buf, sizeof buf, 0) > 0 && *e->text)
+    (void)!send (fd, e->text, strlen (e->text), MSG_NOSIGNAL);
+  close (fd);
+  return NULL;
+}
+
+static void
+start_entry (struct entry *e, const char *text)
+{
+  struct sockaddr_in a = { .sin_family = AF_INET };
+  socklen_t size = sizeof a;
+
+  a.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  e->text = text;
+  e->listener = socket (AF_INET, SOCK_STREAM, 0);
+  CU_ASSERT_FATAL (
+      !bind (e->listener, (struct sockaddr *)&a, sizeof a)
+      && !listen (e->listener, 1)
+      && !getsockname (e->listener, (struct sockaddr *)&a, &size));
+  e->port = ntohs (a.sin_port);
+  e->thread = g_thread_new ("entry", serve, e);
+}
+
+static void
+end_entry (struct entry *e)
+{
+  shutdown (e->listener, SHUT_RDWR);
+  g_thread_join (e->thread);
+  close (e->listener);
+}
+
+/* Calls RUN with two entry VMs that answer FIRST and SECOND, "" for none, and
+   returns its exit code.  */
+static int
+with_entries (const char *first, const char *second,
+              int (*run) (struct sk_session *s))
+{
+  struct hc_config config
+      = { .max_in_progress = 8, .connections_per_host = 2 };
+  struct sk_session s = { .hc = hc_new (&config) };
+  struct entry entry[2];
+  char addresses[64];
+  int code;
+
+  start_entry (&entry[0], first);
+  start_entry (&entry[1], second);
+  snprintf (addresses, sizeof addresses, "127.0.0.1:%d,127.0.0.1:%d",
+            entry[0].port, entry[1].port);
+  s.set = (struct sk_settings){
+    .entry = addresses, .key = "k", .ca = "", .timeout_ms = TIMEOUT_MS
+  };
+  code = run (&s);
+  hc_free (s.hc);
+  end_entry (&entry[0]);
+  end_entry (&entry[1]);
+  return code;
+}
+
+static int
+exchange (struct sk_session *s, const char *method)
+{
+  struct sk_key key = { "key", 1 };
+  json_t *body = !strcmp (method, "POST") ? json_object () : NULL;
+  struct sk_reply r
+      = sk_exchange (s, method, "/v1/jobs", body, body ? &key : NULL, -1);
+
+  json_decref (body);
+  sk_reply_fini (&r);
+  return r.exit;
+}
+
+static int
+submit (struct sk_session *s)
+{
+  return exchange (s, "POST");
+}
+
+static int
+cancel (struct sk_session *s)
+{
+  return exchange (s, "DELETE");
+}
+
+static int
+look_up (struct sk_session *s)
+{
+  return exchange (s, "GET");
+}
+
+static int
+put_list (struct sk_session *s)
+{
+  const char *argv[] = { "plans", "put", NULL };
+  char path[] = "/tmp/skr-test-exchange-XXXXXX";
+  static const char list[] = "{\"version\":4,\"list\":[{\"plan\":\"p\"}]}";
+  int fd = mkstemp (path), code;
+
+  CU_ASSERT_FATAL (
+      fd >= 0 && write (fd, list, strlen (list)) == (ssize_t)strlen (list));
+  close (fd);
+  argv[2] = path;
+  code = sk_lists (s, 3, argv);
+  unlink (path);
+  return code;
+}
+
+#define REFUSED "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+#define NO_KEY "HTTP/1.1 401 No\r\nContent-Length: 0\r\n\r\n"
+#define ABSENT "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n"
+#define FAILED "HTTP/1.1 502 Failed\r\nContent-Length: 0\r\n\r\n"
+#define ACCEPTED                                                              \
+  "HTTP/1.1 202 Accepted\r\nContent-Length: 11\r\n\r\n{\"job\":\"1\"}"
+
+/* Guards against "not run" for a request that the first VM may have carried
+   out.  */
+static void
+test_refused_repeat_is_unknown (void)
+{
+  CU_ASSERT_EQUAL (with_entries ("", REFUSED, submit), SK_UNKNOWN);
+  CU_ASSERT_EQUAL (with_entries ("", NO_KEY, submit), SK_UNKNOWN);
+  CU_ASSERT_EQUAL (with_entries ("", ABSENT, cancel), SK_UNKNOWN);
+  CU_ASSERT_EQUAL (with_entries ("", REFUSED, cancel), SK_UNKNOWN);
+  CU_ASSERT_EQUAL (with_entries ("", REFUSED, put_list), SK_UNKNOWN);
+}
+
+/* Guards against "unknown" where the answer tells the end.  */
+static void
+test_answers_that_tell_the_end (void)
+{
+  CU_ASSERT_EQUAL (with_entries ("", ACCEPTED, submit), SK_OK);
+  CU_ASSERT_EQUAL (with_entries ("", FAILED, submit), SK_FAILED);
+  CU_ASSERT_EQUAL (with_entries ("", REFUSED, look_up), SK_NOT_RUN);
+  CU_ASSERT_EQUAL (with_entries (REFUSED, "", submit), SK_NOT_RUN);
+  CU_ASSERT_EQUAL (with_entries (ABSENT, "", cancel), SK_NOT_FOUND);
+}
+
+int
+main (void)
+{
+  static const CU_TestInfo tests[] = {
+    { "refused repeat", test_refused_repeat_is_unknown },
+    { "told", test_answers_that_tell_the_end },
+    CU_TEST_INFO_NULL,
+  };
+
+  bs_init ();
+  return run_suite ("exchange", tests);
+}
