skr: a list that was accepted does not conflict with itself

An operator whose list was accepted, but the answer lost, saw exit code 5 and a difference of nothing: the second entry VM refuses the repeat, as the version is taken by the first try. Change: after a lost answer skr compares the list in force. The same list as the next version is reported as accepted; after a later version the end is unknown (exit code 4); another list as the next version is a conflict as before. Evidence: test_exchange "conflict" failed before.

--- a/src/cli/lists.c
+++ b/src/cli/lists.c
@@ -90,6 +90,26 @@
   return r.exit;
 }
 
+/* The conflict of a repeat may come from the first try.  Whether that was
+   accepted shows in the list in force, if it is of the next version.  */
+static void
+judge_conflict (struct sk_reply *r, const json_t *list, json_int_t version)
+{
+  json_t *current = json_object_get (r->body, "current");
+  json_int_t in_force
+      = json_integer_value (json_object_get (current, "version"));
+
+  if (in_force > version + 1)
+    r->exit = SK_UNKNOWN;
+  if (in_force == version + 1
+      && json_equal (json_object_get (current, "list"), list))
+    {
+      json_object_set (r->body, "version",
+                       json_object_get (current, "version"));
+      r->exit = SK_OK;
+    }
+}
+
 /* Replaces the list at PATH by that of FILE.  On a version conflict, prints
    the differences between the list in force and that of FILE.  */
 static int
@@ -102,13 +122,15 @@
   if (!json_is_array (list) || !json_is_integer (version))
     return usage ();
   r = sk_exchange (s, "PUT", path, list, NULL, json_integer_value (version));
+  if (r.exit == SK_CONFLICT && r.is_repeat)
+    judge_conflict (&r, list, json_integer_value (version));
   if (r.exit == SK_OK)
     printf (
         "accepted as version %lld\n",
         (long long)json_integer_value (json_object_get (r.body, "version")));
   else
     sk_print_error (&r);
-  if (r.exit == SK_CONFLICT)
+  if (r.exit != SK_OK && json_object_get (r.body, "current"))
     print_diff (json_object_get (json_object_get (r.body, "current"), "list"),
                 list);
   sk_reply_fini (&r);
--- a/tests/cli/test_exchange.c
+++ b/tests/cli/test_exchange.c
@@ -169,12 +169,31 @@
   CU_ASSERT_EQUAL (with_entries (ABSENT, "", cancel), SK_NOT_FOUND);
 }
 
+#define CONFLICT(version, plan)                                               \
+  "HTTP/1.1 409 Conflict\r\nConnection: close\r\n\r\n{\"current\":"           \
+  "{\"version\":" version ",\"list\":[{\"plan\":\"" plan "\"}]}}"
+
+/* Guards against a conflict of a list with itself: it was accepted, and the
+   answer lost.  */
+static void
+test_conflict_of_a_repeat (void)
+{
+  CU_ASSERT_EQUAL (with_entries ("", CONFLICT ("5", "p"), put_list), SK_OK);
+  CU_ASSERT_EQUAL (with_entries ("", CONFLICT ("5", "q"), put_list),
+                   SK_CONFLICT);
+  CU_ASSERT_EQUAL (with_entries ("", CONFLICT ("6", "q"), put_list),
+                   SK_UNKNOWN);
+  CU_ASSERT_EQUAL (with_entries (CONFLICT ("5", "p"), "", put_list),
+                   SK_CONFLICT);
+}
+
 int
 main (void)
 {
   static const CU_TestInfo tests[] = {
     { "refused repeat", test_refused_repeat_is_unknown },
     { "told", test_answers_that_tell_the_end },
+    { "conflict", test_conflict_of_a_repeat },
     CU_TEST_INFO_NULL,
   };
 
