Headroom never holds back tasks that last

Callers saw tasks that last away for 20 s after a crash of one worker, with free accelerators for each of them (LOST). Cause: batch work leaves a quarter of the accelerators free for urgent work until it has waited 20 s, by the forecast until 40 s; a task that lasts was no exception, so that each end of a run on a fleet that is fuller than that was an outage. Change: the headroom does not bind tasks that last, neither their first start nor a restart. Urgent work that needs their place stops other work as it did.

--- a/src/steps/headroom.c
+++ b/src/steps/headroom.c
@@ -198,7 +198,9 @@
 {
   int64_t waited_ms = now - u->ready_ms;
 
-  if (u->job->rank < RANK_BATCH || waited_ms > GROWTH_WAIT_MS)
+  /* A task that lasts is away for as long as it waits.  */
+  if (u->job->rank < RANK_BATCH || un_step (u)->is_continuous
+      || waited_ms > GROWTH_WAIT_MS)
     return 0;
   if (waited_ms > HEADROOM_WAIT_MS)
     return would_be_stopped (h, u);
