Ignore another worker at the earlier address of a worker

Users would see TWICE: a worker starts again under its id at another address, and is given tasks there. An order that went to its earlier address is then answered with 421 by the worker that has that address now, and the holder takes all runs of the restarted worker for ended by a crash and starts them again.

Cause: wk_check_replaced does not compare the address and incarnation that the order went to with the present ones.

Change: a 421 tells of the incarnation and the address that the order went to. The refusal itself still counts for the start that it answers.

test_workers, "earlier address": a start to the earlier address is answered with 421 once a second task runs at the present one. It failed before at "CU_ASSERT_EQUAL(lost_runs,0)" and 'sj_worker_has_runs (batch.cluster, "i-1")'.

--- a/src/batch/orders.c
+++ b/src/batch/orders.c
@@ -240,7 +240,7 @@
     sj_stop_answered (b->cluster, o->worker, &o->run, a->answer, b->now_ms);
   /* After the answer, so that a start that was refused counts as such.  */
   if (w)
-    wk_check_replaced (b, w, a);
+    wk_check_replaced (b, w, o, a);
 }
 
 void
--- a/src/batch/worker_hold.c
+++ b/src/batch/worker_hold.c
@@ -125,7 +125,7 @@
   w->hold_in_flight = 0;
   if (wk_check_fence (b, a))
     return;
-  wk_check_replaced (b, w, a);
+  wk_check_replaced (b, w, o, a);
   if (a->answer != SJ_EXECUTED)
     {
       wk_note_no_reply (b, w);
--- a/src/batch/workers.c
+++ b/src/batch/workers.c
@@ -122,9 +122,9 @@
 
 void
 wk_check_replaced (struct batch *b, struct ba_worker *w,
-                   const struct po_order_answer *a)
+                   const struct ba_order *o, const struct po_order_answer *a)
 {
-  if (a->replaced)
+  if (a->replaced && wk_is_current (w, o))
     note_replaced (b, w);
 }
 
--- a/src/batch/workers.h
+++ b/src/batch/workers.h
@@ -23,8 +23,10 @@
 /* Record that a request to W was not answered, or was answered.  */
 void wk_note_no_reply (struct batch *b, struct ba_worker *w);
 void wk_note_reply (struct batch *b, struct ba_worker *w);
-/* Notes if A tells that another worker answers at W's address.  */
+/* Notes if A, the answer to O, tells that another worker answers at W's
+   present address.  */
 void wk_check_replaced (struct batch *b, struct ba_worker *w,
+                        const struct ba_order *o,
                         const struct po_order_answer *a);
 /* Ends the term and returns 1 if the worker saw a higher fencing token.  */
 int wk_check_fence (struct batch *b, const struct po_order_answer *a);
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -1028,6 +1028,32 @@
   teardown ();
 }
 
+/* Guards against TWICE: the answer of another worker at the address that this
+   one had in an earlier incarnation ended the runs of the present one.  */
+static void
+test_other_worker_at_earlier_address (void)
+{
+  setup_with_kept_start ();
+  begin_counting_lost_runs ();
+  restart_worker ("10.0.0.2:80");
+  advance (1000);
+  answer_hold_from (8, NULL);
+  sj_job_add (batch.cluster, new_one_task_job (0xb3), NULL, 0, batch.now_ms);
+  sj_decide (batch.cluster, batch.now_ms, batch.now_ms);
+  commit_all ();
+  CU_ASSERT_EQUAL_FATAL (kept_starts->len, 2);
+  /* That of the second task, on the present incarnation, is answered first. */
+  g_ptr_array_add (kept_starts, g_ptr_array_steal_index (kept_starts, 0));
+  answer_kept_start (
+      &(struct po_order_answer){ .answer = SJ_EXECUTED, .status = 200 });
+  answer_kept_start (&(struct po_order_answer){
+      .answer = SJ_REFUSED, .replaced = 1, .status = 421 });
+  CU_ASSERT_EQUAL (lost_runs, 0);
+  CU_ASSERT (sj_worker_has_runs (batch.cluster, "i-1"));
+  stop_keeping_starts ();
+  teardown ();
+}
+
 int
 main (void)
 {
@@ -1061,6 +1087,7 @@
       test_earlier_worker_at_the_address_tells_nothing },
     { "forgotten worker", test_address_of_forgotten_worker_is_asked },
     { "later try", test_later_try_stays_with_its_incarnation },
+    { "earlier address", test_other_worker_at_earlier_address },
     { "earlier clock", test_clock_of_earlier_incarnation_is_ignored },
     { "not executed", test_start_that_was_not_executed_is_no_crash },
     CU_TEST_INFO_NULL,
