Scheduler: a hold that may be there is stopped, though a repeat was refused

A worker kept capacity reserved for a gang that was given up, while the scheduler counted it as free and sent other holds there, until the hold's lease ran out. Cause: a hold without an answer is sent again; when the repeat was refused, as the worker began to leave or stayed busy, the part counted as never held, and no stop was sent. Change: a part of which a hold got no answer is stopped; the worker's "absent" ends it. A part whose only hold was refused ends without an order, as before.

--- a/src/control/gang.c
+++ b/src/control/gang.c
@@ -88,7 +88,9 @@
     case WK_CHECKPOINT:
       return p->state == WK_HELD ? WK_ORDER_RUN : WK_ORDER_CHECKPOINT;
     case WK_STOP:
-      if (p->state == WK_NEW && (!p->orders_sent || p->refused))
+      /* The refusal of a repeat says nothing about the earlier hold.  */
+      if (p->state == WK_NEW
+          && (!p->orders_sent || (p->refused && !p->unanswered)))
         {
           p->state = WK_GONE; /* never sent, or refused */
           return WK_ORDER_NONE;
@@ -161,6 +163,7 @@
       set_absent (p, order);
       return;
     case WK_NO_ANSWER:
+      p->unanswered |= order == WK_ORDER_HOLD;
       retry_later (p, now_ms);
       return;
     }
--- a/src/control/gang.h
+++ b/src/control/gang.h
@@ -81,6 +81,7 @@
   int in_flight, orders_sent; /* an order is in flight; orders sent so far */
   int64_t retry_ms, confirmed_ms; /* earliest next order; last confirmation */
   int refused;                    /* the hold was refused or stayed busy */
+  int unanswered;                 /* a hold was, so the worker may have it */
   int listed_tasks; /* number of its tasks in the list being processed */
   enum wk_state listed_state; /* lowest state of the listed tasks */
   int64_t progress_ms;        /* least progress of the listed tasks */
--- a/tests/control/test_state_machines.c
+++ b/tests/control/test_state_machines.c
@@ -201,6 +201,26 @@
   wk_fini (&g);
 }
 
+/* Guards against capacity that counts as free while a worker holds it: the
+   refusal of a repeated hold says nothing about the first one.  */
+static void
+test_refused_repeat_of_a_hold_is_stopped (void)
+{
+  struct wk_gang g;
+
+  wk_init (&g, "j", 1, 3, two_workers, 0);
+  answer (&g, 9, WK_NO_ANSWER, WK_NEW, 10);
+  answer (&g, 9, WK_REFUSED, WK_NEW, 10 + WK_RETRY_MAX_MS);
+  CU_ASSERT (wk_hold_failed (&g, 10 + WK_RETRY_MAX_MS));
+  wk_set_phase (&g, WK_STOP, 10 + WK_RETRY_MAX_MS);
+  CU_ASSERT_EQUAL (
+      wk_next_order (&g, wk_find_part (&g, 9), 10 + WK_RETRY_MAX_MS),
+      WK_ORDER_STOP);
+  answer (&g, 9, WK_ABSENT, WK_NEW, 10 + WK_RETRY_MAX_MS);
+  CU_ASSERT_EQUAL (wk_find_part (&g, 9)->state, WK_GONE);
+  wk_fini (&g);
+}
+
 /* A task list that was requested before the last confirmation, or that shows
    an earlier state, must not change a part.  */
 static void
@@ -399,6 +419,8 @@
     { "test_no_part_runs_before_all_are_held",
       test_no_part_runs_before_all_are_held },
     { "test_refused_hold_fails_the_gang", test_refused_hold_fails_the_gang },
+    { "test_refused_repeat_of_a_hold_is_stopped",
+      test_refused_repeat_of_a_hold_is_stopped },
     { "test_silent_hold_is_stopped_too", test_silent_hold_is_stopped_too },
     { "test_old_lists_say_nothing", test_old_lists_say_nothing },
     { "test_end_is_kept_until_it_is_written",
