skr: "not run" after a lost answer counts where an entry VM has proved it

An entry VM says "not_run" to a request that may be a repeat only if the table shows that no try ran; skr reports that as exit code 3 again. Evidence: test_exchange "told" has the case and failed before.

--- a/src/cli/exchange.c
+++ b/src/cli/exchange.c
@@ -69,14 +69,24 @@
   return a.outcome;
 }
 
-/* A refusal of a repeat says nothing about the try whose answer was lost. With
-   a conflict the body tells which key or version is in force.  */
+static const char *
+string_field (const json_t *body, const char *field)
+{
+  const char *s = json_string_value (json_object_get (body, field));
+
+  return s ? s : "";
+}
+
+/* A refusal of a repeat says nothing about the try whose answer was lost, but
+   with "not_run" an entry VM has proved that none ran.  With a conflict the
+   body tells which key or version is in force.  */
 static void
 judge_repeat (const struct hc_request *r, struct sk_reply *reply)
 {
   reply->is_repeat = 1;
   if (strcmp (r->method, "GET") != 0 && reply->exit != SK_OK
-      && reply->exit != SK_CONFLICT && reply->status != STATUS_BAD_GATEWAY)
+      && reply->exit != SK_CONFLICT && reply->status != STATUS_BAD_GATEWAY
+      && strcmp (string_field (reply->body, "state"), "not_run") != 0)
     reply->exit = SK_UNKNOWN;
 }
 
@@ -152,14 +162,6 @@
   json_decref (reply->body);
 }
 
-static const char *
-string_field (const json_t *body, const char *field)
-{
-  const char *s = json_string_value (json_object_get (body, field));
-
-  return s ? s : "";
-}
-
 int
 sk_print_error (const struct sk_reply *r)
 {
--- a/tests/cli/test_exchange.c
+++ b/tests/cli/test_exchange.c
@@ -143,6 +143,8 @@
 #define NO_KEY "HTTP/1.1 401 No\r\nContent-Length: 0\r\n\r\n"
 #define ABSENT "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n"
 #define FAILED "HTTP/1.1 502 Failed\r\nContent-Length: 0\r\n\r\n"
+#define PROVED                                                                \
+  "HTTP/1.1 503 Busy\r\nConnection: close\r\n\r\n{\"state\":\"not_run\"}"
 #define ACCEPTED                                                              \
   "HTTP/1.1 202 Accepted\r\nContent-Length: 11\r\n\r\n{\"job\":\"1\"}"
 
@@ -164,6 +166,7 @@
 {
   CU_ASSERT_EQUAL (with_entries ("", ACCEPTED, submit), SK_OK);
   CU_ASSERT_EQUAL (with_entries ("", FAILED, submit), SK_FAILED);
+  CU_ASSERT_EQUAL (with_entries ("", PROVED, submit), SK_NOT_RUN);
   CU_ASSERT_EQUAL (with_entries ("", REFUSED, look_up), SK_NOT_RUN);
   CU_ASSERT_EQUAL (with_entries (REFUSED, "", submit), SK_NOT_RUN);
   CU_ASSERT_EQUAL (with_entries (ABSENT, "", cancel), SK_NOT_FOUND);
