Access: a call without a key finds no job of an account

Anyone could look up and cancel a job of an account through a public queue without a key, given the job's id. Cause: a call without an account counted as the owner of each job. Change: a job of an account belongs to callers with a key of that account; others get 410 with the same body as for an id of no job, from memory and after a look-up in the store. A job that was submitted without a key still belongs to every caller. Evidence: test_front "other account" and "other account's row" failed before (200 for 410, and the cancellation was written).

--- a/src/batch/front.c
+++ b/src/batch/front.c
@@ -171,12 +171,6 @@
   pe_submit (b, ex, job, store_wait_ms (ex));
 }
 
-static int
-belongs_to (const struct vw_job *j, const char *account)
-{
-  return !j->account || !account || !strcmp (j->account, account);
-}
-
 static void
 answer_state (struct batch *b, struct hs_exchange *ex, const struct vw_job *j)
 {
@@ -198,7 +192,7 @@
     return;
   if (!j || !j->version)
     pe_lookup (b, ex, id, account, 0, store_wait_ms (ex));
-  else if (!belongs_to (j, account))
+  else if (!vw_belongs_to (j, account))
     fr_answer (b, ex, id, "state", GONE, NULL, "no such job");
   else if (j->state < SJ_COMPLETED && is_stale
            && is_relayed_away (b, ex, id, "state"))
@@ -220,7 +214,7 @@
     return;
   if (!j || !j->version)
     pe_lookup (b, ex, id, account, 1, store_wait_ms (ex));
-  else if (!belongs_to (j, account))
+  else if (!vw_belongs_to (j, account))
     fr_answer (b, ex, id, "cancel", GONE, NULL, "no such job");
   else if (j->cancelled || j->state >= SJ_COMPLETED)
     fr_answer (b, ex, id, "cancel", OK, "{}", "already stored");
--- a/src/batch/pending.c
+++ b/src/batch/pending.c
@@ -225,8 +225,7 @@
     vw_apply_row (&b->view, rows->row[i].key, rows->row[i].value,
                   rows->row[i].version, 0, b->job_follower.generation);
   j = vw_find (&b->view, p->id);
-  if (!j || !j->version
-      || (j->account && p->account && strcmp (j->account, p->account) != 0))
+  if (!j || !j->version || !vw_belongs_to (j, p->account))
     finish (p, GONE, NULL, "no such job");
   else if (!p->cancel_after_lookup)
     {
--- a/src/batch/view.c
+++ b/src/batch/view.c
@@ -65,6 +65,12 @@
   return g_hash_table_lookup (v->jobs, id);
 }
 
+int
+vw_belongs_to (const struct vw_job *j, const char *account)
+{
+  return !j->account || !g_strcmp0 (j->account, account);
+}
+
 static struct vw_job *
 find_or_add (struct vw_view *v, const char *id)
 {
--- a/src/batch/view.h
+++ b/src/batch/view.h
@@ -51,6 +51,9 @@
 const char *vw_lease_key (void);
 /* Returns the job, owned by V, or NULL.  */
 struct vw_job *vw_find (const struct vw_view *v, const char *id);
+/* Whether a caller with ACCOUNT, NULL without a key, may see and cancel J.  A
+   job that was submitted without a key belongs to every caller.  */
+int vw_belongs_to (const struct vw_job *j, const char *account);
 /* Applies one row.  Returns its job, owned by V, or NULL if the row was
    deleted or is of no job.  */
 struct vw_job *vw_apply_row (struct vw_view *v, const char *key,
--- a/tests/batch/test_front.c
+++ b/tests/batch/test_front.c
@@ -105,7 +105,7 @@
 }
 
 static void
-setup (void)
+setup_with (const char *config)
 {
   const char *reason;
 
@@ -118,15 +118,19 @@
   co_init (&batch);
   vw_init (&batch.view);
   batch.pending = g_ptr_array_new_with_free_func (pe_free);
-  batch.config = po_config_read (
-      "{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"h\","
-      "\"prefix\":\"/p/\",\"service\":\"s\"}],"
-      "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"]}]}",
-      &reason);
+  batch.config = po_config_read (config, &reason);
   batch.config_follower.synced = batch.job_follower.synced = 1;
   batch.config_follower.fresh_ms = batch.job_follower.fresh_ms = batch.now_ms;
 }
 
+static void
+setup (void)
+{
+  setup_with ("{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"h\","
+              "\"prefix\":\"/p/\",\"service\":\"s\"}],"
+              "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"]}]}");
+}
+
 static void
 teardown (void)
 {
@@ -357,6 +361,119 @@
   teardown ();
 }
 
+/* A private and a public queue, and two accounts.  */
+static void
+setup_access (void)
+{
+  setup_with (
+      "{\"version\":1,\"routes\":["
+      "{\"name\":\"q\",\"host\":\"h\",\"prefix\":\"/p/\",\"service\":\"s\"},"
+      "{\"name\":\"o\",\"host\":\"h\",\"prefix\":\"/o/\",\"service\":\"s\","
+      "\"public\":true}],"
+      "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"]},"
+      "{\"name\":\"u\",\"api_keys\":[\"l\"]}]}");
+}
+
+/* One call to a job, and the status that it gets.  */
+struct access_case
+{
+  const char *method, *prefix, *key;
+  int status;
+};
+
+static void
+walk (const struct access_case *c, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      char path[40];
+
+      snprintf (path, sizeof path, "%s%s", c[i].prefix, ID);
+      call (c[i].method, path, c[i].key,
+            "{\"specification\":\"x\",\"steps\":[{\"count\":1}]}");
+      CU_ASSERT_EQUAL (ex.status, c[i].status);
+      if (ex.status != c[i].status)
+        fprintf (stderr, "%s %s %s: %d, not %d\n", c[i].method, path,
+                 c[i].key ? c[i].key : "-", ex.status, c[i].status);
+    }
+}
+
+/* Stores a job of account t.  */
+static void
+store_job (void)
+{
+  submit ();
+  store_replies (PO_DONE);
+  CU_ASSERT_EQUAL (ex.status, 200);
+}
+
+/* Guards against a job that others than its account see or cancel, by a key
+   of theirs, one that was revoked, or none on a public queue.  */
+static void
+test_job_of_another_account (void)
+{
+  static const struct access_case cases[] = {
+    { "GET", "/p/", "Bearer l", 410 },
+    { "DELETE", "/p/", "Bearer l", 410 },
+    { "GET", "/o/", "Bearer l", 410 },
+    { "DELETE", "/o/", "Bearer l", 410 },
+    { "GET", "/p/", NULL, 401 },
+    { "DELETE", "/p/", NULL, 401 },
+    { "GET", "/p/", "Bearer gone", 401 },
+    { "DELETE", "/p/", "Bearer gone", 401 },
+    { "GET", "/o/", NULL, 410 },
+    { "DELETE", "/o/", NULL, 410 },
+    { "GET", "/p/", "Bearer k", 200 },
+    { "GET", "/o/", "Bearer k", 200 },
+  };
+
+  setup_access ();
+  store_job ();
+  walk (cases, G_N_ELEMENTS (cases));
+  CU_ASSERT_EQUAL (fs_store.writes, 1);
+  teardown ();
+}
+
+/* Guards against the same by a look-up in the store, and against an answer
+   that differs from that to an id of no job.  */
+static void
+test_looked_up_job_of_another_account (void)
+{
+  static const struct access_case callers[]
+      = { { "GET", "/p/", "Bearer l", 410 },
+          { "GET", "/o/", NULL, 410 },
+          { "DELETE", "/o/", NULL, 410 },
+          { "GET", "/p/", "Bearer k", 200 } };
+  struct po_row row = { .table = (char *)"jobs",
+                        .key = (char *)ID,
+                        .value = (char *)"{\"job\":{\"account\":\"t\"}}",
+                        .version = 4 };
+  struct po_rows found = { .result = PO_DONE, .count = 1, .row = &row };
+  char body[sizeof ex.body];
+
+  setup_access ();
+  call ("GET", "/p/" ID, "Bearer l", "");
+  store_replies (PO_DONE);
+  CU_ASSERT_EQUAL (ex.status, 410);
+  g_strlcpy (body, ex.body, sizeof body);
+  for (size_t i = 0; i < G_N_ELEMENTS (callers); i++)
+    {
+      char path[40];
+
+      snprintf (path, sizeof path, "%s%s", callers[i].prefix, ID);
+      vw_fini (&batch.view);
+      vw_init (&batch.view);
+      call (callers[i].method, path, callers[i].key, "");
+      pe_on_reply (fs_store.last_call->pending, &found);
+      g_free (fs_take_call ());
+      CU_ASSERT_EQUAL (ex.status, callers[i].status);
+      if (ex.status == 410)
+        CU_ASSERT_STRING_EQUAL (ex.body, body);
+    }
+  CU_ASSERT_EQUAL (fs_store.writes, 0);
+  teardown ();
+}
+
 int
 main (void)
 {
@@ -373,6 +490,8 @@
     { "stall ends", test_lease_row_ends_the_stall },
     { "not enabled", test_stalled_writes_wait_unless_enabled },
     { "stalled cancel", test_stalled_cancel_is_refused },
+    { "other account", test_job_of_another_account },
+    { "other account's row", test_looked_up_job_of_another_account },
     CU_TEST_INFO_NULL,
   };
 
