A stop counts for the incarnation that accepted it

Users would see TWICE: a start is not answered and its stop is accepted; the worker starts again under its id, knows nothing of the stop, and carries the start out when it arrives. The holder, which has seen a listing of the new incarnation without the run, has started the task elsewhere. The deadline does not help, as the clock began anew.

Cause: stop_acked survives a new incarnation, and an accepted stop that is read once the new incarnation is known counts for it.

Change: a new incarnation resets stop_acked, and the answer to a stop that went to an earlier incarnation counts as none. This concerns only runs whose start has no answer.

--- a/src/batch/orders.c
+++ b/src/batch/orders.c
@@ -214,12 +214,16 @@
   send_waiting (b);
 }
 
-/* Returns the answer that holds for all tries of an order.  The refusal of a
-   repeated start says nothing about the earlier try, whose run may have
-   started and even ended.  */
+/* Returns the answer that holds for all tries of order O to W.  The refusal of
+   a repeated start says nothing about the earlier try, whose run may have
+   started and even ended.  A stop that an earlier incarnation accepted says
+   nothing about the present one.  */
 static enum sj_answer
-effective_answer (const struct ba_order *o, enum sj_answer answer)
+effective_answer (const struct ba_worker *w, const struct ba_order *o,
+                  enum sj_answer answer)
 {
+  if (o->kind == SJ_STOP)
+    return w && wk_is_current (w, o) ? answer : SJ_UNANSWERED;
   return o->tries > 1 && answer == SJ_REFUSED ? SJ_UNANSWERED : answer;
 }
 
@@ -227,6 +231,8 @@
 apply_answer (struct batch *b, struct ba_worker *w, const struct ba_order *o,
               const struct po_order_answer *a)
 {
+  enum sj_answer answer = effective_answer (w, o, a->answer);
+
   if (wk_check_fence (b, a))
     return;
   if (w && wk_is_current (w, o))
@@ -234,10 +240,9 @@
   if (w && o->is_sent && a->answer == SJ_UNANSWERED)
     wk_note_no_reply (b, w);
   if (o->kind == SJ_START)
-    sj_start_answered (b->cluster, o->worker, &o->run,
-                       effective_answer (o, a->answer), b->now_ms);
+    sj_start_answered (b->cluster, o->worker, &o->run, answer, b->now_ms);
   else
-    sj_stop_answered (b->cluster, o->worker, &o->run, a->answer, b->now_ms);
+    sj_stop_answered (b->cluster, o->worker, &o->run, answer, b->now_ms);
   /* After the answer, so that a start that was refused counts as such.  */
   if (w)
     wk_check_replaced (b, w, o, a);
--- a/src/steps/worker.c
+++ b/src/steps/worker.c
@@ -182,6 +182,15 @@
   return w;
 }
 
+/* A stop that an earlier incarnation accepted does not keep the present one
+   from carrying out a start.  */
+static void
+forget_accepted_stops (struct worker *w)
+{
+  for (guint i = 0; i < w->members->len; i++)
+    ((struct member *)g_ptr_array_index (w->members, i))->stop_acked = 0;
+}
+
 /* Begins a new incarnation of W, which has no runs of the earlier one.  But
    orders sent while the earlier one was believed to be running may have
    reached the new one, so only its listings show which runs have ended.  */
@@ -199,6 +208,7 @@
   w->seen_slow_ms = 0;
   w->added_ms = now;
   c->changed = 1;
+  forget_accepted_stops (w);
   lo_worker_has_crashed (c, w->id, wo_life_tag (incarnation), now);
 }
 
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -21,6 +21,8 @@
 static int holds, starts;
 static int keeps_starts; /* leaves starts in progress, in kept_starts */
 static GPtrArray *kept_starts;
+static int keeps_stops;       /* leaves stops in progress */
+static void *kept_stop;       /* the last one */
 static int unanswered_starts; /* number of starts to leave unanswered */
 static int refused_starts;    /* number of starts to refuse after those */
 static int64_t start_until[8];
@@ -102,8 +104,10 @@
   (void)run;
   (void)timeout_ms;
   (void)done;
-  (void)arg;
-  return PO_EFULL;
+  if (!keeps_stops)
+    return PO_EFULL;
+  kept_stop = arg;
+  return 0;
 }
 
 void
@@ -1054,6 +1058,35 @@
   teardown ();
 }
 
+/* Guards against TWICE: a stop that an earlier incarnation accepted, and whose
+   answer was read late, was taken for one that keeps the present one from
+   carrying out the start.  */
+static void
+test_stop_answered_by_earlier_incarnation (void)
+{
+  struct po_order_answer lost = { .answer = SJ_UNANSWERED };
+  struct po_order_answer taken
+      = { .answer = SJ_EXECUTED, .status = 200, .clock_ms = 500000 };
+
+  setup_with_kept_start ();
+  keeps_stops = 1;
+  for (int i = 0; i < 3; i++)
+    answer_kept_start (&lost);
+  CU_ASSERT_EQUAL (starts, 3);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (kept_stop);
+  restart_worker ("10.0.0.1:80");
+  wk_on_order_reply (&batch, kept_stop, &taken);
+  keeps_stops = 0;
+  for (int i = 0; i < 3; i++)
+    {
+      advance (1000);
+      answer_hold_from (8, NULL);
+    }
+  CU_ASSERT (sj_worker_has_runs (batch.cluster, "i-1"));
+  stop_keeping_starts ();
+  teardown ();
+}
+
 int
 main (void)
 {
@@ -1088,6 +1121,7 @@
     { "forgotten worker", test_address_of_forgotten_worker_is_asked },
     { "later try", test_later_try_stays_with_its_incarnation },
     { "earlier address", test_other_worker_at_earlier_address },
+    { "earlier stop", test_stop_answered_by_earlier_incarnation },
     { "earlier clock", test_clock_of_earlier_incarnation_is_ignored },
     { "not executed", test_start_that_was_not_executed_is_no_crash },
     CU_TEST_INFO_NULL,
