Stop a run whose earlier try may reach the next incarnation

Users would see TWICE: the first try of a start is not answered, a later one is carried out and answered, and the worker starts again under its id. The new incarnation lists no runs, so that the holder starts the task elsewhere; then the first try arrives. The new incarnation knows nothing of the run, has seen no higher fencing token, and its clock is far from the deadline, so that it carries the start out.

Cause: a listing that was requested after the answer to any try counts as proof that the run has ended and can't start any more.

Change: the scheduler is told of each try, and notes that an earlier one is open. For such a run a listing of another incarnation than the one it was sent to proves nothing: the run is stopped there, and ends with a listing that was requested after the stop was accepted. A run whose only try was answered is planned anew at once, as before.

--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -430,8 +430,9 @@
 /* Returns 1 if the job is known, 0 otherwise.  */
 int sj_has_job (struct sj_cluster *c, const char *id);
 
-/* Reports that the start of RUN is being sent, so that the worker may execute
-   it from now on.  */
+/* Reports that the start of RUN is being sent, for the first time or again, so
+   that the worker may execute it from now on.  The earlier try, if there is
+   one, was not answered.  */
 void sj_start_sent (struct sj_cluster *c, const char *worker,
                     const struct sj_run *run);
 /* Report the outcome of a start or stop.  */
--- a/src/batch/orders.c
+++ b/src/batch/orders.c
@@ -60,6 +60,7 @@
                             .checkpoint = o->checkpoint };
 
   o->tries++;
+  sj_start_sent (b->cluster, w->id, &o->run);
   co_add (b, b->counters.starts, 1);
   return po_start (&b->port, &t, &order, o->expires_ms,
                    oq_timeout_ms (&b->orders, START_TIMEOUT_MS),
@@ -106,7 +107,6 @@
     return PO_EINVAL;
   o->expires_ms = wk_clock_now_ms (b, w) + limit_ms;
   sj_worker_set_lease (b->cluster, w->id, wk_lease_end_bound_ms (b, limit_ms));
-  sj_start_sent (b->cluster, w->id, &o->run);
   if (!w->hold_in_flight)
     w->next_hold_ms = b->now_ms;
   return send_start (b, w, o);
--- a/src/steps/listing.c
+++ b/src/steps/listing.c
@@ -36,6 +36,22 @@
   he_record_progress (c, m, l->percent, now);
 }
 
+/* Whether the present incarnation of M's worker, which knows nothing of M's
+   run, may still execute a try of its start.  Then only a stop that it
+   accepts prevents that.  */
+static int
+may_start_again (const struct member *m)
+{
+  return m->start_open && wo_has_crashed_under (m);
+}
+
+/* Whether L was requested after the start's outcome was known.  */
+static int
+is_after_start (const struct member *m, const struct sj_listing *l)
+{
+  return m->start_resolved && l->requested_ms > m->start_resolved_ms;
+}
+
 /* Whether listing L, which has M neither running nor ended, proves that M's
    run has ended or was never started, and can't start any more.  */
 static int
@@ -45,7 +61,7 @@
     return 0;
   if (m->from_record && !m->start_resolved)
     return 1;
-  if (m->start_resolved && l->requested_ms > m->start_resolved_ms)
+  if (is_after_start (m, l) && !may_start_again (m))
     return 1;
   return m->stop_acked && l->requested_ms > m->stop_acked_ms;
 }
@@ -98,6 +114,8 @@
         apply_running (c, m, run, now);
       else if (is_proven_absent (m, l))
         ru_release_member (c, m, now);
+      else if (is_after_start (m, l) && may_start_again (m))
+        ru_abort (c, m->unit, SJ_START_UNANSWERED, now);
     }
   g_ptr_array_free (known, TRUE);
 }
--- a/src/steps/run.c
+++ b/src/steps/run.c
@@ -360,6 +360,7 @@
         ru_release_member (c, m, now);
       break;
     case SJ_UNANSWERED:
+      m->start_open = 1;
       if (m->state == MB_RUNNING)
         m->start_resolved = 1;
       else if (w->replaced)
@@ -377,8 +378,10 @@
   struct worker *w = wo_find (c, worker);
   struct member *m = w ? ru_find_member (w, run) : NULL;
 
-  if (m)
-    m->start_sent = 1;
+  if (!m)
+    return;
+  m->start_open |= m->start_sent;
+  m->start_sent = 1;
 }
 
 int
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -33,6 +33,7 @@
                           unknown */
   int capacity_serial; /* of its worker when it was planned; 0: before that */
   int start_sent;      /* the worker may have executed the start */
+  int start_open;      /* a try had no answer: it may be executed later */
   int start_resolved;  /* start answered, or its run listed */
   int64_t start_resolved_ms; /* a listing requested later shows the outcome */
   int stop_pending;          /* a stop has no outcome yet */
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -145,6 +145,22 @@
                          "{\"cpu\":1000,\"memory_request_mb\":1000,"
                          "\"gpu\":1},\"labels\":[\"a\",\"r\"]}" };
 
+/* The worker starts again under its id, at ADDRESS.  */
+static void
+restart_worker (const char *address)
+{
+  struct po_row row = worker_row;
+  char value[300];
+
+  snprintf (value, sizeof value,
+            "{\"service\":\"s\",\"address\":\"%s\",\"state\":\"ready\","
+            "\"born\":8,\"capacity\":{\"cpu\":1000,"
+            "\"memory_request_mb\":1000,\"gpu\":4},\"labels\":[\"a\",\"r\"]}",
+            address);
+  row.value = value;
+  wk_on_row (&batch, &row, 1);
+}
+
 static const char *
 job_id (int number)
 {
@@ -339,6 +355,27 @@
   teardown ();
 }
 
+/* Guards against TWICE: the first of two tries may still be carried out by the
+   next incarnation, which must be told to stop it first.  */
+static void
+test_answered_retry_may_start_on_next_incarnation (void)
+{
+  unanswered_starts = 1;
+  setup ();
+  CU_ASSERT_EQUAL (starts, 2);
+  restart_worker ("10.0.0.1:80");
+  for (int i = 0; i < 3; i++)
+    {
+      advance (1000);
+      answer_hold_from (8, NULL);
+    }
+  sj_decide (batch.cluster, batch.now_ms, batch.now_ms);
+  commit_all ();
+  CU_ASSERT (sj_worker_has_runs (batch.cluster, "i-1"));
+  CU_ASSERT_EQUAL (starts, 2);
+  teardown ();
+}
+
 /* The refused retry says nothing about the first try, whose run may have
    ended on the worker: the task must not start again.  */
 static void
@@ -964,22 +1001,6 @@
   teardown ();
 }
 
-/* The worker starts again under its id, at ADDRESS.  */
-static void
-restart_worker (const char *address)
-{
-  struct po_row row = worker_row;
-  char value[300];
-
-  snprintf (value, sizeof value,
-            "{\"service\":\"s\",\"address\":\"%s\",\"state\":\"ready\","
-            "\"born\":8,\"capacity\":{\"cpu\":1000,"
-            "\"memory_request_mb\":1000,\"gpu\":4},\"labels\":[\"a\",\"r\"]}",
-            address);
-  row.value = value;
-  wk_on_row (&batch, &row, 1);
-}
-
 /* A task whose start has no answer yet.  */
 static void
 setup_with_kept_start (void)
@@ -1095,6 +1116,7 @@
     { "new incarnation", test_start_on_new_incarnation_is_kept },
     { "old incarnation", test_run_of_old_incarnation_is_restarted },
     { "again", test_unanswered_start_is_retried },
+    { "retry, restarted", test_answered_retry_may_start_on_next_incarnation },
     { "retry refused", test_refused_retry_is_inconclusive },
     { "first refused", test_refused_first_try_is_conclusive },
     { "retry limit", test_start_retries_are_limited },
--- a/tests/steps/test_outcomes.c
+++ b/tests/steps/test_outcomes.c
@@ -262,6 +262,43 @@
   teardown ();
 }
 
+/* Guards against TWICE: a later try of the start was answered and ended with
+   its incarnation, and the first one is carried out by the next incarnation
+   after that has listed its runs.  */
+static void
+test_earlier_try_may_reach_next_incarnation (void)
+{
+  setup (1, 0);
+  add_second ();
+  sj_start_sent (cluster, order[0].worker, &order[0].run);
+  answer_start ("a", SJ_EXECUTED);
+  list ("a", &order[0].run);
+  set_worker ("a", FIRST_LIFE + 1);
+  list ("a", NULL);
+  expect_still_on_a ();
+  CU_ASSERT_EQUAL (count_orders (SJ_STOP), 1);
+  answer_stop ("a", SJ_EXECUTED);
+  list ("a", NULL);
+  expect_started_again ();
+  teardown ();
+}
+
+/* The only try was answered, so that the next incarnation can't carry it
+   out: the task is planned anew at once.  */
+static void
+test_only_try_ends_with_its_incarnation (void)
+{
+  setup (1, 0);
+  add_second ();
+  answer_start ("a", SJ_EXECUTED);
+  list ("a", &order[0].run);
+  set_worker ("a", FIRST_LIFE + 1);
+  list ("a", NULL);
+  expect_started_again ();
+  CU_ASSERT_EQUAL (count_orders (SJ_STOP), 0);
+  teardown ();
+}
+
 int
 main (void)
 {
@@ -270,6 +307,8 @@
     { "unanswered", test_unanswered_start_needs_stop_and_listing },
     { "earlier listing", test_listing_from_before_proves_nothing },
     { "earlier stop", test_stop_of_earlier_incarnation_proves_nothing },
+    { "earlier try", test_earlier_try_may_reach_next_incarnation },
+    { "only try", test_only_try_ends_with_its_incarnation },
     CU_TEST_INFO_NULL,
   };
 
