Send no waiting start to a worker that lists an unknown run

Users would see LIMIT: a worker lists a run that the scheduler knows nothing of, one that was carried out late or belongs to a job that an earlier holder has ended. Its capacity is not counted. No start is planned there until it has ended, but starts that wait to be sent, or to be sent again, still went out and brought the worker over its capacity.

Cause: sj_may_send_start does not look at the unknown runs that wo_usable looks at when a start is planned and when its record is stored.

Change: it does; such a start counts as not sent, and its task is planned anew at once. A start that is on its way as the run is listed can't be held back.

test_outcomes, "beside unknown run": failed before at 'CU_ASSERT_FALSE(sj_may_send_start (cluster, "a", &order[0].run))'. "gang, refused" and "gang, unanswered" passed before: a refused member frees its own capacity only, and its gang starts again once the others have ended.

--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -440,8 +440,9 @@
                         const struct sj_run *run, enum sj_answer answer,
                         int64_t now);
 /* Returns 1 while the start of RUN may be sent, for the first time or again:
-   it has no answer, no stop of it was ordered, and what is ordered and runs on
-   the worker fits its capacity as it is known now.  */
+   it has no answer, no stop of it was ordered, the worker's last listing has
+   no unknown run, and what is ordered and runs on the worker fits its capacity
+   as it is known now.  */
 int sj_may_send_start (struct sj_cluster *c, const char *worker,
                        const struct sj_run *run);
 void sj_stop_answered (struct sj_cluster *c, const char *worker,
--- a/src/steps/run.c
+++ b/src/steps/run.c
@@ -393,7 +393,8 @@
 
   return m && m->state == MB_STARTING && m->unit->state == UN_ACTIVE
          && !c->starts_held && !w->domain_closed && w->capacity_known
-         && !wo_report_is_overdue (c, w) && wo_fits_capacity (w);
+         && !w->unknown_runs && !wo_report_is_overdue (c, w)
+         && wo_fits_capacity (w);
 }
 
 void
--- a/tests/steps/test_outcomes.c
+++ b/tests/steps/test_outcomes.c
@@ -299,6 +299,73 @@
   teardown ();
 }
 
+/* Guards against LIMIT: a start that waited to be sent went to a worker that
+   listed a run of which the scheduler knows nothing, whose capacity is not
+   counted.  */
+static void
+test_waiting_start_beside_unknown_run (void)
+{
+  struct sj_run stranger = { .job = "00000000000000ff", .number = 1 };
+
+  setup (1, 0);
+  CU_ASSERT (sj_may_send_start (cluster, "a", &order[0].run));
+  list ("a", &stranger);
+  CU_ASSERT_FALSE (sj_may_send_start (cluster, "a", &order[0].run));
+  CU_ASSERT_EQUAL (count_orders (SJ_STOP), 1);
+  list ("a", NULL);
+  CU_ASSERT (sj_may_send_start (cluster, "a", &order[0].run));
+  teardown ();
+}
+
+/* Guards against TWICE and LIMIT in a gang: the members that were not refused
+   keep their capacity, and no member starts again, until all have ended.  */
+static void
+test_refused_member_stops_its_gang (void)
+{
+  setup (2, 1);
+  set_worker ("c", FIRST_LIFE);
+  list ("c", NULL);
+  answer_start ("a", SJ_REFUSED);
+  CU_ASSERT_FALSE (sj_worker_has_runs (cluster, "a"));
+  CU_ASSERT (sj_worker_has_runs (cluster, "b"));
+  CU_ASSERT_PTR_NOT_NULL (last_order (SJ_STOP, "b"));
+  answer_start ("b", SJ_UNANSWERED);
+  list ("b", NULL);
+  decide_after (10);
+  CU_ASSERT_EQUAL (count_orders (SJ_START), 2);
+  answer_stop ("b", SJ_EXECUTED);
+  decide_after (10);
+  CU_ASSERT (sj_worker_has_runs (cluster, "b"));
+  CU_ASSERT_EQUAL (count_orders (SJ_START), 2);
+  list ("b", NULL);
+  decide_after (10);
+  decide_after (10);
+  CU_ASSERT_EQUAL (count_orders (SJ_START), 4);
+  teardown ();
+}
+
+/* Guards against TWICE: a member whose start was not answered keeps the whole
+   gang from starting again.  */
+static void
+test_unanswered_member_stops_its_gang (void)
+{
+  setup (2, 1);
+  answer_start ("b", SJ_EXECUTED);
+  answer_start ("a", SJ_UNANSWERED);
+  answer_stop ("b", SJ_EXECUTED);
+  list ("b", NULL);
+  list ("a", NULL);
+  decide_after (10);
+  CU_ASSERT (sj_worker_has_runs (cluster, "a"));
+  CU_ASSERT_EQUAL (count_orders (SJ_START), 2);
+  answer_stop ("a", SJ_EXECUTED);
+  list ("a", NULL);
+  decide_after (10);
+  decide_after (10);
+  CU_ASSERT_EQUAL (count_orders (SJ_START), 4);
+  teardown ();
+}
+
 int
 main (void)
 {
@@ -309,6 +376,9 @@
     { "earlier stop", test_stop_of_earlier_incarnation_proves_nothing },
     { "earlier try", test_earlier_try_may_reach_next_incarnation },
     { "only try", test_only_try_ends_with_its_incarnation },
+    { "beside unknown run", test_waiting_start_beside_unknown_run },
+    { "gang, refused", test_refused_member_stops_its_gang },
+    { "gang, unanswered", test_unanswered_member_stops_its_gang },
     CU_TEST_INFO_NULL,
   };
 
