A listing with unreadable entries proves no run absent

Users would see TWICE and LIMIT: an entry of a worker's listing can't be read; the run that it is about counts as neither running nor ended, so that its task is started again and its capacity is given away while it runs.

Cause: unreadable entries are left out of the list, and only the log names their number.

Change: sj_listing says that entries are missing; such a listing proves no run absent. What it does list still counts.

test_workers, "unreadable entry": failed before at 'sj_worker_has_runs (batch.cluster, "i-1")'.

--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -200,6 +200,7 @@
 {
   int64_t requested_ms; /* when it was requested */
   int run_count, end_count;
+  int is_incomplete; /* it has entries that can't be read */
   const struct sj_listed_run *runs, *ends;
 };
 
--- a/src/batch/worker_hold.c
+++ b/src/batch/worker_hold.c
@@ -104,6 +104,7 @@
   struct pp_load load = poll_load (b);
 
   list->requested_ms = o->sent_ms;
+  list->is_incomplete = listing->unreadable_count > 0;
   /* Unacknowledged ends are listed again; the new ones are the last.  */
   for (int i = 0; i < list->end_count; i++)
     if (listing->last_end - (list->end_count - 1 - i) > w->received_end)
--- a/src/steps/listing.c
+++ b/src/steps/listing.c
@@ -57,7 +57,7 @@
 static int
 is_proven_absent (const struct member *m, const struct sj_listing *l)
 {
-  if (l->end_count >= MAX_LISTED_ENDS)
+  if (l->end_count >= MAX_LISTED_ENDS || l->is_incomplete)
     return 0;
   if (m->from_record && !m->start_resolved)
     return 1;
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -1108,6 +1108,30 @@
   teardown ();
 }
 
+/* Guards against TWICE: a run was left out of a listing because its entry
+   can't be read, and counted as ended.  */
+static void
+test_listing_with_unreadable_entry_proves_nothing (void)
+{
+  struct po_listing *l;
+
+  setup ();
+  advance (10);
+  l = g_new0 (struct po_listing, 1);
+  l->answer = (struct po_order_answer){ .answer = SJ_EXECUTED };
+  l->unreadable_count = 1;
+  batch.now_ms += 10;
+  hold_done (hold_arg, l);
+  hold_arg = NULL;
+  handle_worker_events (&batch);
+  CU_ASSERT (sj_worker_has_runs (batch.cluster, "i-1"));
+  advance (1000);
+  if (hold_arg)
+    answer_hold (SJ_EXECUTED, NULL);
+  CU_ASSERT_FALSE (sj_worker_has_runs (batch.cluster, "i-1"));
+  teardown ();
+}
+
 int
 main (void)
 {
@@ -1144,6 +1168,7 @@
     { "later try", test_later_try_stays_with_its_incarnation },
     { "earlier address", test_other_worker_at_earlier_address },
     { "earlier stop", test_stop_answered_by_earlier_incarnation },
+    { "unreadable entry", test_listing_with_unreadable_entry_proves_nothing },
     { "earlier clock", test_clock_of_earlier_incarnation_is_ignored },
     { "not executed", test_start_that_was_not_executed_is_no_crash },
     CU_TEST_INFO_NULL,
