Tests: refusals of an only and of a later try, earlier terms, fences

No fault was found here. test_workers: each refusal (409 old, late, room and ticket, 429, 400, 503, not sent) of the only try frees the worker at once, and of the second or third try leaves the run where it may be, also after a listing; a later try that the client has no place for counts as unanswered; a listing that was asked for in an earlier term is ignored; holds carry the token of the term; a fenced start ends the term.

--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -17,10 +17,11 @@
     = { .vm = "vm1", .hold_ms = 6000, .far_factor = 3 };
 
 /* Arguments of the last hold that was sent.  */
-static int64_t hold_seen, hold_until;
+static int64_t hold_seen, hold_until, hold_token;
 static int holds, starts;
 static int keeps_starts; /* leaves starts in progress, in kept_starts */
 static GPtrArray *kept_starts;
+static int refuses_calls;     /* the client is full */
 static int keeps_stops;       /* leaves stops in progress */
 static void *kept_stop;       /* the last one */
 static int unanswered_starts; /* number of starts to leave unanswered */
@@ -57,6 +58,7 @@
   holds++;
   hold_seen = seen;
   hold_until = until_ms;
+  hold_token = target->token;
   hold_done = done;
   hold_arg = arg;
   return 0;
@@ -76,6 +78,8 @@
   (void)target;
   (void)order;
   (void)timeout_ms;
+  if (refuses_calls)
+    return PO_EFULL;
   start_until[starts++ % 8] = until_ms;
   if (keeps_starts)
     g_ptr_array_add (kept_starts, arg);
@@ -1132,6 +1136,114 @@
   teardown ();
 }
 
+static const struct
+{
+  long status;
+  const char *reason;
+} refusals[] = {
+  { 409, "old" },    { 409, "late" }, { 409, "room" },
+  { 409, "ticket" }, { 429, "" },     { 400, "" },
+  { 503, "" },       { 0, "" }, /* not sent: the connection was refused */
+};
+
+enum
+{
+  REFUSALS = sizeof refusals / sizeof *refusals
+};
+
+/* Refuses the start that was sent first, as refusal I.  */
+static void
+refuse_kept_start (int i)
+{
+  struct po_order_answer answer
+      = { .answer = SJ_REFUSED, .status = refusals[i].status };
+
+  g_strlcpy (answer.reason, refusals[i].reason, sizeof answer.reason);
+  answer_kept_start (&answer);
+}
+
+/* Guards against true refusals that cost more than a new plan.  */
+static void
+test_refusals_of_the_only_try (void)
+{
+  for (int i = 0; i < REFUSALS; i++)
+    {
+      setup_with_kept_start ();
+      refuse_kept_start (i);
+      CU_ASSERT_FALSE (sj_worker_has_runs (batch.cluster, "i-1"));
+      stop_keeping_starts ();
+      teardown ();
+    }
+}
+
+/* Guards against TWICE and LIMIT: the refusal of a later try was taken for
+   that of the earlier one, which was executed.  */
+static void
+test_refusals_of_a_later_try (void)
+{
+  for (int i = 0; i < REFUSALS; i++)
+    for (int tries = 2; tries <= 3; tries++)
+      {
+        setup_with_kept_start ();
+        for (int k = 1; k < tries; k++)
+          answer_kept_start (
+              &(struct po_order_answer){ .answer = SJ_UNANSWERED });
+        CU_ASSERT_EQUAL (starts, tries);
+        refuse_kept_start (i);
+        CU_ASSERT (sj_worker_has_runs (batch.cluster, "i-1"));
+        advance (10);
+        if (hold_arg)
+          answer_hold (SJ_EXECUTED, NULL);
+        CU_ASSERT (sj_worker_has_runs (batch.cluster, "i-1"));
+        CU_ASSERT_EQUAL (starts, tries);
+        stop_keeping_starts ();
+        teardown ();
+      }
+}
+
+/* Guards against TWICE: the client was full as a start was to be sent again,
+   and the order counted as not sent.  */
+static void
+test_later_try_that_is_not_sent (void)
+{
+  setup_with_kept_start ();
+  refuses_calls = 1;
+  answer_kept_start (&(struct po_order_answer){ .answer = SJ_UNANSWERED });
+  refuses_calls = 0;
+  CU_ASSERT_EQUAL (kept_starts->len, 0);
+  CU_ASSERT (sj_worker_has_runs (batch.cluster, "i-1"));
+  stop_keeping_starts ();
+  teardown ();
+}
+
+/* Guards against TWICE: a later holder's token does not protect against a
+   listing that its own VM asked for as an earlier holder.  */
+static void
+test_listing_of_earlier_term_is_ignored (void)
+{
+  setup ();
+  advance (10);
+  CU_ASSERT_EQUAL (hold_token, batch.lease.epoch);
+  batch.term++;
+  answer_hold (SJ_EXECUTED, NULL);
+  CU_ASSERT (sj_worker_has_runs (batch.cluster, "i-1"));
+  teardown ();
+}
+
+/* Guards against orders of a holder that another has followed: a refusal for
+   its token ends the term and proves nothing.  */
+static void
+test_fenced_start_ends_the_term (void)
+{
+  setup_with_kept_start ();
+  answer_kept_start (&(struct po_order_answer){
+      .answer = SJ_REFUSED, .fenced = 1, .status = 409 });
+  CU_ASSERT_EQUAL (batch.phase, BA_STANDBY);
+  CU_ASSERT_FALSE (le_valid (&batch.lease, batch.now_ms));
+  stop_keeping_starts ();
+  teardown ();
+}
+
 int
 main (void)
 {
@@ -1169,6 +1281,11 @@
     { "earlier address", test_other_worker_at_earlier_address },
     { "earlier stop", test_stop_answered_by_earlier_incarnation },
     { "unreadable entry", test_listing_with_unreadable_entry_proves_nothing },
+    { "only try, refused", test_refusals_of_the_only_try },
+    { "later try, refused", test_refusals_of_a_later_try },
+    { "later try, not sent", test_later_try_that_is_not_sent },
+    { "earlier term", test_listing_of_earlier_term_is_ignored },
+    { "fenced", test_fenced_start_ends_the_term },
     { "earlier clock", test_clock_of_earlier_incarnation_is_ignored },
     { "not executed", test_start_that_was_not_executed_is_no_crash },
     CU_TEST_INFO_NULL,
--- a/tests/platform/test_order_answers.c
+++ b/tests/platform/test_order_answers.c
@@ -70,9 +70,9 @@
 
 struct answer_case
 {
-  enum hc_outcome outcome;
   long status;
   const char *body;
+  enum hc_outcome outcome;
   enum sj_answer answer;
   int fenced, replaced;
 };
@@ -83,30 +83,30 @@
 test_answers_to_orders (void)
 {
   static const struct answer_case cases[] = {
-    { HC_ANSWERED, 200, "{\"clock_ms\":5}", SJ_EXECUTED, 0, 0 },
-    { HC_ANSWERED, 200, "", SJ_EXECUTED, 0, 0 },
-    { HC_ANSWERED, 409, "{\"reason\":\"fence\"}", SJ_REFUSED, 1, 0 },
-    { HC_ANSWERED, 409, "{\"reason\":\"old\"}", SJ_REFUSED, 0, 0 },
-    { HC_ANSWERED, 409, "{\"reason\":\"late\"}", SJ_REFUSED, 0, 0 },
-    { HC_ANSWERED, 409, "{\"reason\":\"room\"}", SJ_REFUSED, 0, 0 },
-    { HC_ANSWERED, 409, "{\"reason\":\"ticket\"}", SJ_REFUSED, 0, 0 },
-    { HC_ANSWERED, 409, "{\"reas", SJ_REFUSED, 0, 0 },
-    { HC_ANSWERED, 421, "", SJ_REFUSED, 0, 1 },
-    { HC_ANSWERED, 429, "", SJ_REFUSED, 0, 0 },
-    { HC_ANSWERED, 400, "", SJ_REFUSED, 0, 0 },
-    { HC_ANSWERED, 503, "", SJ_REFUSED, 0, 0 },
-    { HC_ANSWERED, 201, "", SJ_UNANSWERED, 0, 0 },
-    { HC_ANSWERED, 302, "", SJ_UNANSWERED, 0, 0 },
-    { HC_ANSWERED, 404, "", SJ_UNANSWERED, 0, 0 },
-    { HC_ANSWERED, 500, "", SJ_UNANSWERED, 0, 0 },
-    { HC_ANSWERED, 502, "", SJ_UNANSWERED, 0, 0 },
-    { HC_ANSWERED, 504, "", SJ_UNANSWERED, 0, 0 },
-    { HC_NOT_SENT, 0, NULL, SJ_REFUSED, 0, 0 },
-    { HC_LOST, 0, NULL, SJ_UNANSWERED, 0, 0 },
+    { 200, "{\"clock_ms\":5}", HC_ANSWERED, SJ_EXECUTED, 0, 0 },
+    { 200, "", HC_ANSWERED, SJ_EXECUTED, 0, 0 },
+    { 409, "{\"reason\":\"fence\"}", HC_ANSWERED, SJ_REFUSED, 1, 0 },
+    { 409, "{\"reason\":\"old\"}", HC_ANSWERED, SJ_REFUSED, 0, 0 },
+    { 409, "{\"reason\":\"late\"}", HC_ANSWERED, SJ_REFUSED, 0, 0 },
+    { 409, "{\"reason\":\"room\"}", HC_ANSWERED, SJ_REFUSED, 0, 0 },
+    { 409, "{\"reason\":\"ticket\"}", HC_ANSWERED, SJ_REFUSED, 0, 0 },
+    { 409, "{\"reas", HC_ANSWERED, SJ_REFUSED, 0, 0 },
+    { 421, "", HC_ANSWERED, SJ_REFUSED, 0, 1 },
+    { 429, "", HC_ANSWERED, SJ_REFUSED, 0, 0 },
+    { 400, "", HC_ANSWERED, SJ_REFUSED, 0, 0 },
+    { 503, "", HC_ANSWERED, SJ_REFUSED, 0, 0 },
+    { 201, "", HC_ANSWERED, SJ_UNANSWERED, 0, 0 },
+    { 302, "", HC_ANSWERED, SJ_UNANSWERED, 0, 0 },
+    { 404, "", HC_ANSWERED, SJ_UNANSWERED, 0, 0 },
+    { 500, "", HC_ANSWERED, SJ_UNANSWERED, 0, 0 },
+    { 502, "", HC_ANSWERED, SJ_UNANSWERED, 0, 0 },
+    { 504, "", HC_ANSWERED, SJ_UNANSWERED, 0, 0 },
+    { 0, NULL, HC_NOT_SENT, SJ_REFUSED, 0, 0 },
+    { 0, NULL, HC_LOST, SJ_UNANSWERED, 0, 0 },
     /* The connection ended within the answer.  */
-    { HC_LOST, 503, "{", SJ_UNANSWERED, 0, 0 },
-    { HC_LOST, 409, "{\"reason\":\"fence\"}", SJ_UNANSWERED, 0, 0 },
-    { HC_LOST, 421, "", SJ_UNANSWERED, 0, 0 },
+    { 503, "{", HC_LOST, SJ_UNANSWERED, 0, 0 },
+    { 409, "{\"reason\":\"fence\"}", HC_LOST, SJ_UNANSWERED, 0, 0 },
+    { 421, "", HC_LOST, SJ_UNANSWERED, 0, 0 },
   };
 
   for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
@@ -144,14 +144,14 @@
 test_incomplete_listings (void)
 {
   static const struct answer_case cases[] = {
-    { HC_ANSWERED, 200, "{\"running\":[],\"ended\":[]}", SJ_EXECUTED, 0, 0 },
-    { HC_ANSWERED, 200, "{\"running\":[]}", SJ_UNANSWERED, 0, 0 },
-    { HC_ANSWERED, 200, "{\"ended\":[]}", SJ_UNANSWERED, 0, 0 },
-    { HC_ANSWERED, 200, "{\"running\":{},\"ended\":[]}", SJ_UNANSWERED, 0, 0 },
-    { HC_ANSWERED, 200, "{\"running\":[],", SJ_UNANSWERED, 0, 0 },
-    { HC_ANSWERED, 200, "", SJ_UNANSWERED, 0, 0 },
-    { HC_ANSWERED, 503, "", SJ_REFUSED, 0, 0 },
-    { HC_LOST, 200, "{\"running\":[],\"ended\":[]}", SJ_UNANSWERED, 0, 0 },
+    { 200, "{\"running\":[],\"ended\":[]}", HC_ANSWERED, SJ_EXECUTED, 0, 0 },
+    { 200, "{\"running\":[]}", HC_ANSWERED, SJ_UNANSWERED, 0, 0 },
+    { 200, "{\"ended\":[]}", HC_ANSWERED, SJ_UNANSWERED, 0, 0 },
+    { 200, "{\"running\":{},\"ended\":[]}", HC_ANSWERED, SJ_UNANSWERED, 0, 0 },
+    { 200, "{\"running\":[],", HC_ANSWERED, SJ_UNANSWERED, 0, 0 },
+    { 200, "", HC_ANSWERED, SJ_UNANSWERED, 0, 0 },
+    { 503, "", HC_ANSWERED, SJ_REFUSED, 0, 0 },
+    { 200, "{\"running\":[],\"ended\":[]}", HC_LOST, SJ_UNANSWERED, 0, 0 },
   };
 
   for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
