Access: the id of another account's job is not "already stored"

A caller whose job had the id of another account's job got 200 "already stored", and the job never ran. Cause: a row with the id counted as an earlier attempt of the same submission, from memory and in the store's conflict. Change: only the account of the stored job gets 200. Others get 400, "this id can't be used": a 429 or 503 would ask them to come again for ever. A conflict without the row counts as stored, as before. Evidence: test_front "other account's id" and "other account's id stored" failed before (200 for 400).

--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -464,6 +464,8 @@
 /* front.c */
 /* Accepts a client request, on the HTTP server's thread.  */
 void fr_handle (void *arg, struct hs_exchange *ex);
+/* Reason of the refusal of a job whose id another account has used.  */
+#define FR_ID_TAKEN "not run: this id can't be used"
 /* Handles a client request, on the loop thread.  */
 void fr_request (struct batch *b, struct hs_exchange *ex);
 /* Answers a request for which nothing was done.  */
--- a/src/batch/front.c
+++ b/src/batch/front.c
@@ -132,6 +132,11 @@
   const char *reason;
   struct sj_job *job;
 
+  if (known && known->version && !vw_is_of_account (known, account))
+    {
+      fr_answer (b, ex, id, "submit", BAD_REQUEST, NULL, FR_ID_TAKEN);
+      return;
+    }
   if (known && known->version)
     {
       fr_answer (b, ex, id, "submit", OK, "{\"state\":\"queued\"}",
--- a/src/batch/pending.c
+++ b/src/batch/pending.c
@@ -13,6 +13,7 @@
   /* Once the store has refused for this long, the request is refused.  */
   REFUSED_GIVE_UP_MS = 700,
   OK = 200,
+  BAD_REQUEST = 400,
   GONE = 410,
   UNAVAILABLE = 503,
   OUTCOME_UNKNOWN = 504
@@ -195,17 +196,36 @@
   send (p);
 }
 
-/* A conflict means that an earlier attempt was committed and its answer
-   lost, as the job's row then exists.  */
+/* Applies the row of P's job that the store showed in a conflict.  Returns the
+   job, or NULL without a row.  */
+static const struct vw_job *
+apply_conflict (struct ba_pending *p, const struct po_rows *rows)
+{
+  for (int i = 0; i < rows->count; i++)
+    if (!strcmp (rows->row[i].key, p->id) && rows->row[i].version)
+      return vw_apply_row (&p->b->view, p->id, rows->row[i].value,
+                           rows->row[i].version, 0,
+                           p->b->job_follower.generation);
+  return NULL;
+}
+
+/* A conflict means that the job's row exists: an earlier attempt was committed
+   and its answer lost, or another account has used the id.  */
 static void
 on_submit_reply (struct ba_pending *p, const struct po_rows *rows)
 {
   struct batch *b = p->b;
+  const struct vw_job *j
+      = rows->result == PO_DONE ? NULL : apply_conflict (p, rows);
+  char key[VW_KEY_SIZE];
 
+  if (j && !vw_is_of_account (j, p->account))
+    {
+      finish (p, BAD_REQUEST, NULL, FR_ID_TAKEN);
+      return;
+    }
   if (rows->result == PO_DONE)
     {
-      char key[VW_KEY_SIZE];
-
       vw_make_key (key, p->id, VW_JOB);
       vw_apply_row (&b->view, key, p->value, rows->version, 0,
                     b->job_follower.generation);
--- a/src/batch/view.c
+++ b/src/batch/view.c
@@ -65,10 +65,16 @@
   return g_hash_table_lookup (v->jobs, id);
 }
 
+int
+vw_is_of_account (const struct vw_job *j, const char *account)
+{
+  return !g_strcmp0 (j->account, account);
+}
+
 int
 vw_belongs_to (const struct vw_job *j, const char *account)
 {
-  return !j->account || !g_strcmp0 (j->account, account);
+  return !j->account || vw_is_of_account (j, account);
 }
 
 static struct vw_job *
--- a/src/batch/view.h
+++ b/src/batch/view.h
@@ -54,6 +54,8 @@
 /* Whether a caller with ACCOUNT, NULL without a key, may see and cancel J.  A
    job that was submitted without a key belongs to every caller.  */
 int vw_belongs_to (const struct vw_job *j, const char *account);
+/* Whether J was submitted by ACCOUNT, NULL without a key.  */
+int vw_is_of_account (const struct vw_job *j, const char *account);
 /* Applies one row.  Returns its job, owned by V, or NULL if the row was
    deleted or is of no job.  */
 struct vw_job *vw_apply_row (struct vw_view *v, const char *key,
--- a/tests/batch/test_front.c
+++ b/tests/batch/test_front.c
@@ -474,6 +474,55 @@
   teardown ();
 }
 
+/* Guards against "already stored" for a job whose id another account has used:
+   it will never run.  */
+static void
+test_id_of_another_account (void)
+{
+  static const struct access_case cases[] = {
+    { "POST", "/p/", "Bearer l", 400 },    { "POST", "/o/", "Bearer l", 400 },
+    { "POST", "/o/", NULL, 400 },          { "POST", "/p/", NULL, 401 },
+    { "POST", "/p/", "Bearer gone", 401 }, { "POST", "/p/", "Bearer k", 200 },
+  };
+
+  setup_access ();
+  store_job ();
+  walk (cases, G_N_ELEMENTS (cases));
+  CU_ASSERT_EQUAL (fs_store.writes, 1);
+  teardown ();
+}
+
+/* Submits with KEY, without a view of the job, and lets the store show the row
+   of a job of account t.  Returns the status.  */
+static int
+submit_conflicting (const char *prefix, const char *key)
+{
+  struct po_row row = { .table = (char *)"jobs",
+                        .key = (char *)ID,
+                        .value = (char *)"{\"job\":{\"account\":\"t\"}}",
+                        .version = 4 };
+  struct po_rows shown = { .result = PO_CONFLICT, .count = 1, .row = &row };
+  char path[40];
+
+  setup_access ();
+  snprintf (path, sizeof path, "%s%s", prefix, ID);
+  call ("POST", path, key,
+        "{\"specification\":\"x\",\"steps\":[{\"count\":1}]}");
+  pe_on_reply (fs_store.last_call->pending, &shown);
+  CU_ASSERT_EQUAL (batch.pending->len, 0);
+  teardown ();
+  return ex.status;
+}
+
+/* Guards against the same when only the store knows of the other job.  */
+static void
+test_row_of_another_account (void)
+{
+  CU_ASSERT_EQUAL (submit_conflicting ("/p/", "Bearer k"), 200);
+  CU_ASSERT_EQUAL (submit_conflicting ("/p/", "Bearer l"), 400);
+  CU_ASSERT_EQUAL (submit_conflicting ("/o/", NULL), 400);
+}
+
 int
 main (void)
 {
@@ -492,6 +541,8 @@
     { "stalled cancel", test_stalled_cancel_is_refused },
     { "other account", test_job_of_another_account },
     { "other account's row", test_looked_up_job_of_another_account },
+    { "other account's id", test_id_of_another_account },
+    { "other account's id stored", test_row_of_another_account },
     CU_TEST_INFO_NULL,
   };
 
