Access: a revoked key opens nothing through a public queue

While a VM's configuration could be old, a key that had been revoked still saw and cancelled its account's jobs through a public queue, for as long as the store was away. Cause: public queues are served with an old configuration, and a key given there was looked up in it. Change: with an old configuration a call with a key is relayed or gets 503, on public queues too; a call without a key is served there as before. Evidence: test_front "old configuration" failed before (200 for 503, and the cancellation was written).

--- a/src/batch/front.c
+++ b/src/batch/front.c
@@ -303,7 +303,8 @@
       return;
     }
   q = qu_find_queue (b->config, hs_header (ex, "Host"), r->path, &subpath);
-  if (!ba_config_is_fresh (b) && !(q && q->is_public))
+  /* A key that was revoked may still be in an old configuration.  */
+  if (!ba_config_is_fresh (b) && !(q && q->is_public && !key))
     {
       /* The VM that receives the request checks its key.  */
       if (q && is_relayed_away (b, ex, subpath, relay_call_name (r->method)))
--- a/tests/batch/test_front.c
+++ b/tests/batch/test_front.c
@@ -523,6 +523,26 @@
   CU_ASSERT_EQUAL (submit_conflicting ("/o/", NULL), 400);
 }
 
+/* Guards against a revoked key that opens its account's jobs through a public
+   queue while the configuration may be old.  */
+static void
+test_old_configuration_opens_no_account (void)
+{
+  static const struct access_case cases[] = {
+    { "GET", "/o/", "Bearer k", 503 },    { "DELETE", "/o/", "Bearer k", 503 },
+    { "POST", "/o/", "Bearer k", 503 },   { "GET", "/p/", "Bearer k", 503 },
+    { "GET", "/o/", "Bearer gone", 503 }, { "GET", "/p/", NULL, 503 },
+    { "GET", "/o/", NULL, 410 },          { "DELETE", "/o/", NULL, 410 },
+  };
+
+  setup_access ();
+  store_job ();
+  batch.now_ms += settings.revoke_ms;
+  walk (cases, G_N_ELEMENTS (cases));
+  CU_ASSERT_EQUAL (fs_store.writes, 1);
+  teardown ();
+}
+
 int
 main (void)
 {
@@ -542,6 +562,7 @@
     { "other account", test_job_of_another_account },
     { "other account's row", test_looked_up_job_of_another_account },
     { "other account's id", test_id_of_another_account },
+    { "old configuration", test_old_configuration_opens_no_account },
     { "other account's id stored", test_row_of_another_account },
     CU_TEST_INFO_NULL,
   };
