Access: an unknown key gets 401 on public queues too

A call with a key that no account has, or has any more, was served on a public queue as if it had none: its jobs were stored without an account. Evidence: test_front "unknown key" failed before (200 and 410 for 401).

--- a/src/batch/front.c
+++ b/src/batch/front.c
@@ -319,7 +319,7 @@
       return;
     }
   account = qu_find_account (b->config, key);
-  if (!account && !q->is_public)
+  if (!account && (key || !q->is_public))
     {
       fr_answer (b, ex, subpath, "?", UNAUTHORIZED, NULL, "no such key");
       return;
--- a/tests/batch/test_front.c
+++ b/tests/batch/test_front.c
@@ -543,6 +543,27 @@
   teardown ();
 }
 
+/* Guards against a call that runs with a key that no account has.  */
+static void
+test_unknown_key_on_a_public_queue (void)
+{
+  static const struct access_case cases[] = {
+    { "GET", "/o/", "Bearer gone", 401 },
+    { "DELETE", "/o/", "Bearer gone", 401 },
+    { "POST", "/o/", "Bearer gone", 401 },
+    { "POST", "/o/", "Bearer ", 401 },
+  };
+
+  setup_access ();
+  walk (cases, G_N_ELEMENTS (cases));
+  call ("GET", "/o/", "Bearer gone", "");
+  CU_ASSERT_EQUAL (ex.status, 401);
+  call ("GET", "/o/", NULL, "");
+  CU_ASSERT_EQUAL (ex.status, 200);
+  CU_ASSERT_EQUAL (fs_store.writes + fs_store.reads, 0);
+  teardown ();
+}
+
 int
 main (void)
 {
@@ -563,6 +584,7 @@
     { "other account's row", test_looked_up_job_of_another_account },
     { "other account's id", test_id_of_another_account },
     { "old configuration", test_old_configuration_opens_no_account },
+    { "unknown key", test_unknown_key_on_a_public_queue },
     { "other account's id stored", test_row_of_another_account },
     CU_TEST_INFO_NULL,
   };
