HTTP client: a body is counted once

The counters of sent bytes counted a body twice: libcurl counts a body below 64 KB with the headers that it goes out with, and again as uploaded.

--- a/src/net/http.c
+++ b/src/net/http.c
@@ -20,7 +20,9 @@
   SUSPECT_DURATION_MS = 10000,
   DEFAULT_CONNECT_TIMEOUT_MS = 1000,
   CPU_READ_INTERVAL_MS = 500,
-  MAX_SPARE_HANDLES = 32
+  MAX_SPARE_HANDLES = 32,
+  /* Curl sends a shorter body with the headers and counts it with them.  */
+  MIN_SEPARATE_BODY = 64 << 10 /* bytes */
 };
 
 struct transfer
@@ -329,8 +331,10 @@
 }
 
 static void
-count_transfer (struct hc_client *hc, CURL *easy)
+count_transfer (struct hc_client *hc, const struct transfer *t)
 {
+  CURL *easy = t->easy;
+  int is_separate = t->body && strlen (t->body) >= MIN_SEPARATE_BODY;
   long request = 0, header = 0;
   curl_off_t up = 0, down = 0;
 
@@ -339,7 +343,7 @@
   curl_easy_getinfo (easy, CURLINFO_SIZE_UPLOAD_T, &up);
   curl_easy_getinfo (easy, CURLINFO_SIZE_DOWNLOAD_T, &down);
   atomic_fetch_add (&hc->requests, 1);
-  atomic_fetch_add (&hc->bytes_out, request + up);
+  atomic_fetch_add (&hc->bytes_out, request + (is_separate ? up : 0));
   atomic_fetch_add (&hc->bytes_in, header + down);
 }
 
@@ -379,7 +383,7 @@
     suspect_host (hc, t->host);
   a.sends = t->sends;
   a.duration_ms = bs_now_ms (&hc->clock) - t->started_ms;
-  count_transfer (hc, t->easy);
+  count_transfer (hc, t);
   t->prev->next = t->next;
   t->next->prev = t->prev;
   if (t->multi)
--- a/tests/net/test_http.c
+++ b/tests/net/test_http.c
@@ -37,7 +37,8 @@
 static const char *after_first_answer; /* sent unasked; "" closes */
 static atomic_int requests_seen;
 static atomic_int connections_used; /* on which bytes arrived */
-static atomic_int sends_to_fail;    /* calls of send (), with send_error */
+static atomic_int bytes_seen;
+static atomic_int sends_to_fail; /* calls of send (), with send_error */
 static int send_error;
 
 static int
@@ -52,6 +53,7 @@
       if (!n)
         atomic_fetch_add (&connections_used, 1);
       n += (size_t)got;
+      atomic_fetch_add (&bytes_seen, (int)got);
       buf[n] = '\0';
       if (strstr (buf, "\r\n\r\n")
           && (strstr (buf, "{\"once\":1}") || !strstr (buf, "Content-Length")))
@@ -528,6 +530,22 @@
   hc_free (hc);
 }
 
+/* Guards against bytes that are counted twice.  */
+static void
+test_bytes_are_counted_once (void)
+{
+  struct hc_client *hc = new_client ();
+  struct hc_counts n;
+
+  atomic_store (&bytes_seen, 0);
+  CU_ASSERT_EQUAL (post (hc).outcome, HC_ANSWERED);
+  hc_count (hc, &n);
+  CU_ASSERT_EQUAL (n.requests, 1);
+  CU_ASSERT_EQUAL (n.bytes_out, atomic_load (&bytes_seen));
+  CU_ASSERT_EQUAL (n.bytes_in, strlen (ok));
+  hc_free (hc);
+}
+
 struct ending
 {
   atomic_int ended;
@@ -632,6 +650,7 @@
     { "large body", test_large_body_is_sent_once },
     { "long", test_long_answer_is_lost },
     { "handshake", test_failed_handshake_is_not_sent },
+    { "counts", test_bytes_are_counted_once },
     { "queued", test_queued_request_is_not_sent },
     { "ended", test_free_ends_requests },
     CU_TEST_INFO_NULL,
