Entry: a list changed again after a lost commit has an unknown end

An operator could get 409, "another version is in force", or "nothing was changed" for a list that was accepted: the reply to its commit was lost, and before the entry VM read the lists again another operator had changed the list further, or the table had been restored. Change: cf_judge_change tells by the stored list whether the change is stored, is not, or can't be told, as the list is beyond the next version; the last is answered 504. Evidence: test_config "change without an answer" tests the new decision; the entry VM's answers before it were found by reading, no run shows them. check_lists, which loses a reply, passes before and after.

--- a/include/skr/config.h
+++ b/include/skr/config.h
@@ -162,6 +162,20 @@
                 const struct cf_worker *fleet, int workers,
                 int32_t spare_workers, struct tb_txn *txn, char *reason);
 
+/* What became of a change whose commit got no answer.  */
+enum cf_change_end
+{
+  CF_CHANGE_STORED,
+  CF_CHANGE_NOT_STORED,
+  CF_CHANGE_UNKNOWN /* the list has been changed again since */
+};
+
+/* Judges by the freshly read TABLE the change of LIST from VERSION to
+   NEW_LIST.  */
+enum cf_change_end cf_judge_change (const struct cf_reader *table,
+                                    const char *list, int64_t version,
+                                    const json_t *new_list);
+
 /* If the freshly read TABLE is older than the lists in force, fills TXN to
    write the newer lists back and returns 1; else returns 0.  */
 int cf_repair (struct cf_store *store, const struct cf_reader *table,
--- a/src/config/propose.c
+++ b/src/config/propose.c
@@ -175,3 +175,18 @@
   json_decref (split);
   return 1;
 }
+
+enum cf_change_end
+cf_judge_change (const struct cf_reader *table, const char *list,
+                 int64_t version, const json_t *new_list)
+{
+  json_t *value = cf_read_list (table, list);
+  int64_t stored = cf_value_version (value);
+  int is_same = json_equal (json_object_get (value, "list"), new_list);
+
+  json_decref (value);
+  if (stored > version + 1)
+    return CF_CHANGE_UNKNOWN;
+  return stored == version + 1 && is_same ? CF_CHANGE_STORED
+                                          : CF_CHANGE_NOT_STORED;
+}
--- a/src/entry/config_lists.c
+++ b/src/entry/config_lists.c
@@ -164,34 +164,45 @@
                   etag);
 }
 
-/* True when the table has the change that REQ requested.  */
-static int
-is_change_stored (const struct en_request *req, const struct cf_reader *table)
+static void
+refuse_unknown (struct en_core *core, struct en_request *req)
 {
-  const char *name = req->u.list.name;
-  json_t *value;
-  int stored;
-
-  if (find_row_version (table->heads, name) != req->fr.u.version + 1)
-    return 0;
-  value = cf_read_list (table, name);
-  stored = json_equal (json_object_get (value, "list"), req->fr.json);
-  json_decref (value);
-  return stored;
+  en_refuse (core, req, FL_PROBLEM_UNKNOWN,
+             "the table's answer is lost; read the list again");
 }
 
 /* When the reply to a commit was lost, the lists in the table show whether the
-   change was made.  */
+   change was made.  Returns 1 when REQ was answered.  */
+static int
+judge_lost_commit (struct en_core *core, struct en_request *req,
+                   const struct cf_reader *table)
+{
+  switch (cf_judge_change (table, req->u.list.name, req->fr.u.version,
+                           req->fr.json))
+    {
+    case CF_CHANGE_STORED:
+      answer_accepted (core, req);
+      return 1;
+    case CF_CHANGE_UNKNOWN:
+      refuse_unknown (core, req);
+      return 1;
+    case CF_CHANGE_NOT_STORED:
+      break;
+    }
+  return 0;
+}
+
 static void
 on_lists_read (struct en_core *core, struct en_request *req,
                const struct cf_reader *table)
 {
-  if (req->u.list.write_unknown && is_change_stored (req, table))
-    answer_accepted (core, req);
-  else if (en_lists_are_newest (
-               core, find_row_version (table->heads, CF_PLANS),
-               find_row_version (table->heads, CF_ALLOWANCES)))
+  if (req->u.list.write_unknown && judge_lost_commit (core, req, table))
+    return;
+  if (en_lists_are_newest (core, find_row_version (table->heads, CF_PLANS),
+                           find_row_version (table->heads, CF_ALLOWANCES)))
     propose_change (core, req, table);
+  else if (req->u.list.write_unknown)
+    refuse_unknown (core, req);
   else
     /* The table may have been restored to an older state.  No change is based
        on it until a VM that has the newer lists has written them back.  */
@@ -200,6 +211,16 @@
                "back in a moment");
 }
 
+static void
+on_table_silent (struct en_core *core, struct en_request *req)
+{
+  if (req->u.list.write_unknown)
+    refuse_unknown (core, req);
+  else
+    en_refuse (core, req, FL_PROBLEM_UNREADABLE,
+               "nothing was changed: the table does not answer");
+}
+
 static void
 on_commit_result (struct en_core *core, struct en_request *req, int error)
 {
@@ -212,12 +233,8 @@
   else if (++l->attempts < MAX_ATTEMPTS
            && (error == TB_ECONFLICT || error == TB_EUNKNOWN))
     scan_lists (core, req);
-  else if (l->write_unknown)
-    en_refuse (core, req, FL_PROBLEM_UNKNOWN,
-               "the table's answer is lost; read the list again");
   else
-    en_refuse (core, req, FL_PROBLEM_UNREADABLE,
-               "nothing was changed: the table does not answer");
+    on_table_silent (core, req);
 }
 
 /* The table did not answer, or its lists changed while they were read.  */
@@ -229,11 +246,7 @@
   if ((l->write_unknown || !error) && ++l->attempts < MAX_ATTEMPTS)
     scan_lists (core, req);
   else
-    en_refuse (core, req,
-               l->write_unknown ? FL_PROBLEM_UNKNOWN : FL_PROBLEM_UNREADABLE,
-               l->write_unknown
-                   ? "the table's answer is lost; read the list again"
-                   : "nothing was changed: the table does not answer");
+    on_table_silent (core, req);
 }
 
 void
--- a/tests/config/test_config.c
+++ b/tests/config/test_config.c
@@ -257,6 +257,38 @@
   CU_ASSERT_EQUAL (poll_lists (store), CF_READ_APPLIED);
 }
 
+static enum cf_change_end
+judge (struct cf_store *store, int64_t version, const char *text)
+{
+  json_t *list = parse (text);
+  struct cf_reader table;
+  enum cf_change_end end;
+
+  cf_reader_init (&table, 1);
+  CU_ASSERT_EQUAL (read_table (&table, store), CF_READ_FETCHED);
+  end = cf_judge_change (&table, CF_ALLOWANCES, version, list);
+  cf_reader_fini (&table);
+  json_decref (list);
+  return end;
+}
+
+/* Guards against a conflict for a change that was made, its answer lost, and
+   then changed by another operator.  */
+static void
+test_change_without_an_answer (void)
+{
+  struct cf_store store;
+
+  setup_lists (&store);
+  CU_ASSERT_EQUAL (judge (&store, 0, allowances_text), CF_CHANGE_STORED);
+  CU_ASSERT_EQUAL (judge (&store, 0, "[]"), CF_CHANGE_NOT_STORED);
+  CU_ASSERT_EQUAL (judge (&store, 1, allowances_text), CF_CHANGE_NOT_STORED);
+  CU_ASSERT_EQUAL (change (&store, CF_ALLOWANCES, 1, allowances_text), CF_OK);
+  CU_ASSERT_EQUAL (judge (&store, 0, allowances_text), CF_CHANGE_UNKNOWN);
+  CU_ASSERT_EQUAL (judge (&store, 1, allowances_text), CF_CHANGE_STORED);
+  cf_fini (&store);
+}
+
 static void
 test_accepted_lists_are_in_force (void)
 {
@@ -543,6 +575,7 @@
 main (void)
 {
   static const CU_TestInfo tests[] = {
+    { "change without an answer", test_change_without_an_answer },
     { "in force", test_accepted_lists_are_in_force },
     { "race", test_racing_operators_conflict },
     { "whole", test_whole_list_is_checked },
