--- /dev/null
+++ b/tests/platform/test_outcomes.c
@@ -0,0 +1,254 @@
+/* What the answers of the store and of workers are taken for.  */
+#include <arpa/inet.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "skr/base.h"
+#include "skr/port.h"
+#include "suite.h"
+
+enum
+{
+  TIMEOUT_MS = 5000,
+  BUF_SIZE = 4096
+};
+
+static int listener;
+static char address[40];
+static const char *answer_text; /* "": none */
+static struct hc_client *client;
+static GAsyncQueue *ends;
+
+static void *
+serve (void *arg)
+{
+  char buf[BUF_SIZE];
+  int fd;
+
+  while ((fd = accept (listener, NULL, NULL)) >= 0)
+    {
+      if (recv (fd, buf, sizeof buf, 0) > 0)
+        (void)!send (fd, answer_text, strlen (answer_text), MSG_NOSIGNAL);
+      close (fd);
+    }
+  return arg;
+}
+
+static int
+start_server (void)
+{
+  struct sockaddr_in a = { .sin_family = AF_INET };
+  socklen_t size = sizeof a;
+
+  a.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  listener = socket (AF_INET, SOCK_STREAM, 0);
+  if (bind (listener, (struct sockaddr *)&a, sizeof a) || listen (listener, 4)
+      || getsockname (listener, (struct sockaddr *)&a, &size))
+    return -1;
+  snprintf (address, sizeof address, "127.0.0.1:%d", ntohs (a.sin_port));
+  return g_thread_new ("server", serve, NULL) ? 0 : -1;
+}
+
+static void
+on_rows (void *arg, struct po_rows *rows)
+{
+  (void)arg;
+  g_async_queue_push (ends, GINT_TO_POINTER (rows->result + 1));
+  po_rows_free (rows);
+}
+
+static void
+on_order (void *arg, const struct po_order_answer *a)
+{
+  (void)arg;
+  g_async_queue_push (ends, GINT_TO_POINTER (a->answer + 1));
+}
+
+static void
+on_listing (void *arg, struct po_listing *listing)
+{
+  on_order (arg, &listing->answer);
+  po_listing_free (listing);
+}
+
+static int
+wait_for_end (void)
+{
+  return GPOINTER_TO_INT (g_async_queue_pop (ends)) - 1;
+}
+
+/* Returns the result of a transaction at the store at HOST that answers
+   TEXT.  */
+static enum po_result
+write_at (const char *host, const char *text)
+{
+  struct po_port port = { client, host };
+  struct po_entry e
+      = { .kind = PO_PUT, .table = "t", .key = "k", .value = "" };
+
+  answer_text = text;
+  CU_ASSERT_EQUAL_FATAL (po_write (&port, &e, 1, TIMEOUT_MS, on_rows, NULL),
+                         0);
+  return (enum po_result)wait_for_end ();
+}
+
+static char *
+status_text (int status, const char *body)
+{
+  return g_strdup_printf ("HTTP/1.1 %d X\r\nContent-Length: %zu\r\n\r\n%s",
+                          status, strlen (body), body);
+}
+
+/* Guards against a transaction that counts as not done although it may have
+   been executed, or the reverse.  */
+static void
+test_transactions (void)
+{
+  static const struct
+  {
+    int status;
+    const char *body;
+    enum po_result result;
+  } cases[] = { { 200, "{}", PO_DONE },
+                { 200, "{", PO_UNKNOWN },
+                { 204, "", PO_UNKNOWN },
+                { 400, "{}", PO_NOT_DONE },
+                { 403, "{}", PO_NOT_DONE },
+                { 410, "{}", PO_HISTORY_GONE },
+                { 412, "{\"rows\":[]}", PO_CONFLICT },
+                { 412, "", PO_UNKNOWN },
+                { 429, "{}", PO_NOT_DONE },
+                { 500, "{}", PO_UNKNOWN },
+                { 502, "{}", PO_UNKNOWN },
+                { 503, "{}", PO_NOT_DONE },
+                { 504, "{}", PO_UNKNOWN } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char *text = status_text (cases[i].status, cases[i].body);
+
+      CU_ASSERT_EQUAL (write_at (address, text), cases[i].result);
+      g_free (text);
+    }
+  CU_ASSERT_EQUAL (write_at (address, ""), PO_UNKNOWN);
+  CU_ASSERT_EQUAL (write_at (address, "HTTP/1.1 503 X\r\n"), PO_UNKNOWN);
+  CU_ASSERT_EQUAL (write_at ("127.0.0.1:1", ""), PO_NOT_DONE);
+}
+
+enum order
+{
+  START,
+  STOP,
+  HOLD
+};
+
+/* Returns what an order to the worker at HOST that answers TEXT counts as.  */
+static enum sj_answer
+order_at (const char *host, enum order order, const char *text)
+{
+  struct po_port port = { client, address };
+  struct po_target t = { .address = host, .id = "w" };
+  struct sj_order start = { .run = { .job = "00000000000000a1", .number = 1 },
+                            .payload = "x",
+                            .checkpoint = "" };
+  int error = 0;
+
+  answer_text = text;
+  switch (order)
+    {
+    case START:
+      error = po_start (&port, &t, &start, 1, TIMEOUT_MS, on_order, NULL);
+      break;
+    case STOP:
+      error = po_stop (&port, &t, &start.run, TIMEOUT_MS, on_order, NULL);
+      break;
+    case HOLD:
+      error = po_hold (&port, &t, 0, 1, 0, TIMEOUT_MS, on_listing, NULL);
+      break;
+    }
+  CU_ASSERT_EQUAL_FATAL (error, 0);
+  return (enum sj_answer)wait_for_end ();
+}
+
+/* Guards against a start that counts as refused although the worker may run
+   it (TWICE, LIMIT), or the reverse.  */
+static void
+test_orders (void)
+{
+  static const struct
+  {
+    int status;
+    enum sj_answer answer;
+  } cases[] = { { 200, SJ_EXECUTED },   { 400, SJ_REFUSED },
+                { 404, SJ_UNANSWERED }, { 408, SJ_UNANSWERED },
+                { 409, SJ_REFUSED },    { 412, SJ_UNANSWERED },
+                { 421, SJ_REFUSED },    { 429, SJ_REFUSED },
+                { 500, SJ_UNANSWERED }, { 502, SJ_UNANSWERED },
+                { 503, SJ_REFUSED },    { 504, SJ_UNANSWERED } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char *text = status_text (cases[i].status, "{}");
+
+      CU_ASSERT_EQUAL (order_at (address, START, text), cases[i].answer);
+      CU_ASSERT_EQUAL (order_at (address, STOP, text), cases[i].answer);
+      g_free (text);
+    }
+  for (enum order order = START; order <= HOLD; order++)
+    {
+      CU_ASSERT_EQUAL (order_at (address, order, ""), SJ_UNANSWERED);
+      CU_ASSERT_EQUAL (order_at (address, order, "HTTP/1.1 503 X\r\n"),
+                       SJ_UNANSWERED);
+      CU_ASSERT_EQUAL (order_at ("127.0.0.1:1", order, ""), SJ_REFUSED);
+    }
+}
+
+/* Guards against a listing without its lists, which would show that nothing
+   runs on the worker.  */
+static void
+test_listings (void)
+{
+  static const char *const incomplete[] = { "",
+                                            "{}",
+                                            "{\"running\":[]}",
+                                            "{\"ended\":[]}",
+                                            "{\"running\":{},\"ended\":[]}",
+                                            "{\"running\":[],\"ended\":[" };
+  char *text;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (incomplete); i++)
+    {
+      text = status_text (200, incomplete[i]);
+      CU_ASSERT_EQUAL (order_at (address, HOLD, text), SJ_UNANSWERED);
+      g_free (text);
+    }
+  text = status_text (200, "{\"running\":[],\"ended\":[]}");
+  CU_ASSERT_EQUAL (order_at (address, HOLD, text), SJ_EXECUTED);
+  g_free (text);
+}
+
+int
+main (void)
+{
+  struct hc_config config
+      = { .max_in_progress = 8, .connections_per_host = 1 };
+  static const CU_TestInfo tests[] = {
+    { "transactions", test_transactions },
+    { "orders", test_orders },
+    { "listings", test_listings },
+    CU_TEST_INFO_NULL,
+  };
+  int code;
+
+  bs_init ();
+  ends = g_async_queue_new ();
+  client = hc_new (&config);
+  if (start_server ())
+    return EXIT_FAILURE;
+  code = run_suite ("outcomes", tests);
+  hc_free (client);
+  g_async_queue_unref (ends);
+  return code;
+}
