--- /dev/null
+++ b/tests/table/test_table.c
@@ -0,0 +1,153 @@
+/* What the answers of the table are taken for.  */
+#include <arpa/inet.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "skr/base.h"
+#include "skr/log.h"
+#include "skr/table.h"
+#include "suite.h"
+
+enum
+{
+  TIMEOUT_MS = 5000,
+  BUF_SIZE = 4096
+};
+
+static int listener;
+static char address[40];
+static const char *answer_text; /* "": none */
+static struct hc_client *client;
+static GAsyncQueue *ends;
+
+static void *
+serve (void *arg)
+{
+  char buf[BUF_SIZE];
+  int fd;
+
+  while ((fd = accept (listener, NULL, NULL)) >= 0)
+    {
+      if (recv (fd, buf, sizeof buf, 0) > 0)
+        (void)!send (fd, answer_text, strlen (answer_text), MSG_NOSIGNAL);
+      close (fd);
+    }
+  return arg;
+}
+
+static int
+start_server (void)
+{
+  struct sockaddr_in a = { .sin_family = AF_INET };
+  socklen_t size = sizeof a;
+
+  a.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  listener = socket (AF_INET, SOCK_STREAM, 0);
+  if (bind (listener, (struct sockaddr *)&a, sizeof a) || listen (listener, 4)
+      || getsockname (listener, (struct sockaddr *)&a, &size))
+    return -1;
+  snprintf (address, sizeof address, "127.0.0.1:%d", ntohs (a.sin_port));
+  return g_thread_new ("server", serve, NULL) ? 0 : -1;
+}
+
+static void
+on_end (void *arg, int error, json_t *data)
+{
+  (void)arg;
+  (void)data;
+  /* Errors are negative; the queue holds no NULL.  */
+  g_async_queue_push (ends, GINT_TO_POINTER (1 - error));
+}
+
+/* Returns the error of a commit, or of a read, at the table at HOST that
+   answers TEXT.  */
+static int
+call (const char *host, const char *text, int is_commit)
+{
+  char *url = g_strconcat ("http://", host, NULL);
+  struct tb_config config = { .url = url, .timeout_ms = TIMEOUT_MS };
+  struct tb_client *tb = tb_new (client, &config);
+  struct tb_txn txn;
+  int error;
+
+  answer_text = text;
+  tb_txn_init (&txn);
+  error = is_commit ? tb_commit (tb, &txn, on_end, NULL)
+                    : tb_get (tb, "t", "k", on_end, NULL);
+  CU_ASSERT_EQUAL_FATAL (error, TB_OK);
+  error = 1 - GPOINTER_TO_INT (g_async_queue_pop (ends));
+  tb_txn_fini (&txn);
+  tb_free (tb);
+  g_free (url);
+  return error;
+}
+
+/* Guards against "nothing was written" for a commit that may have been.  */
+static void
+test_statuses (void)
+{
+  static const struct
+  {
+    int status, commit, read;
+    const char *body;
+  } cases[] = { { 200, TB_OK, TB_OK, "{}" },
+                { 200, TB_EUNKNOWN, TB_EDOWN, "{" },
+                { 200, TB_EUNKNOWN, TB_EDOWN, "" },
+                { 400, TB_EINVAL, TB_EINVAL, "{}" },
+                { 408, TB_EUNKNOWN, TB_EDOWN, "{}" },
+                { 409, TB_ECONFLICT, TB_ECONFLICT, "{}" },
+                { 409, TB_EUNKNOWN, TB_EDOWN, "" },
+                { 429, TB_EBUSY, TB_EBUSY, "{}" },
+                { 500, TB_EUNKNOWN, TB_EDOWN, "{}" },
+                { 502, TB_EUNKNOWN, TB_EDOWN, "{}" },
+                { 503, TB_EDOWN, TB_EDOWN, "{}" },
+                { 504, TB_EUNKNOWN, TB_EDOWN, "{}" } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char *text = g_strdup_printf (
+          "HTTP/1.1 %d X\r\nContent-Length: %zu\r\n\r\n%s", cases[i].status,
+          strlen (cases[i].body), cases[i].body);
+
+      CU_ASSERT_EQUAL (call (address, text, 1), cases[i].commit);
+      CU_ASSERT_EQUAL (call (address, text, 0), cases[i].read);
+      g_free (text);
+    }
+}
+
+/* Guards against the same for a commit without a whole answer.  */
+static void
+test_no_answer (void)
+{
+  CU_ASSERT_EQUAL (call (address, "", 1), TB_EUNKNOWN);
+  CU_ASSERT_EQUAL (call (address, "HTTP/1.1 503 X\r\n", 1), TB_EUNKNOWN);
+  CU_ASSERT_EQUAL (call (address, "", 0), TB_EDOWN);
+  CU_ASSERT_EQUAL (call ("127.0.0.1:1", "", 1), TB_EDOWN);
+  CU_ASSERT_EQUAL (call ("127.0.0.1:1", "", 0), TB_EDOWN);
+}
+
+int
+main (void)
+{
+  struct hc_config config
+      = { .max_in_progress = 8, .connections_per_host = 1 };
+  static const CU_TestInfo tests[] = {
+    { "statuses", test_statuses },
+    { "no answer", test_no_answer },
+    CU_TEST_INFO_NULL,
+  };
+  int code;
+
+  bs_init ();
+  lg_init ("test", "plain", LG_ERROR);
+  ends = g_async_queue_new ();
+  client = hc_new (&config);
+  if (start_server ())
+    return EXIT_FAILURE;
+  code = run_suite ("table", tests);
+  hc_free (client);
+  g_async_queue_unref (ends);
+  return code;
+}
