--- a/tests/batch/test_front.c
+++ b/tests/batch/test_front.c
@@ -564,6 +564,44 @@
   teardown ();
 }
 
+/* Guards against a queue's count without a key, and against a job that was
+   submitted without a key and that its callers lose.  */
+static void
+test_counts_and_jobs_without_an_account (void)
+{
+  static const struct
+  {
+    const char *path, *key;
+    int status;
+  } counts[] = {
+    { "/p/", "Bearer k", 200 },    { "/p/", "Bearer l", 200 },
+    { "/p/", NULL, 401 },          { "/p/", "Bearer gone", 401 },
+    { "/o/", "Bearer k", 200 },    { "/o/", NULL, 200 },
+    { "/o/", "Bearer gone", 401 }, { "/x/", "Bearer k", 404 },
+  };
+  static const struct access_case cases[] = {
+    { "GET", "/o/", NULL, 200 },          { "GET", "/o/", "Bearer k", 200 },
+    { "GET", "/o/", "Bearer gone", 401 }, { "GET", "/p/", NULL, 401 },
+    { "POST", "/o/", NULL, 200 },         { "POST", "/o/", "Bearer k", 400 },
+  };
+
+  setup_access ();
+  for (size_t i = 0; i < G_N_ELEMENTS (counts); i++)
+    {
+      call ("GET", counts[i].path, counts[i].key, "");
+      CU_ASSERT_EQUAL (ex.status, counts[i].status);
+    }
+  call ("POST", "/o/" ID, NULL,
+        "{\"specification\":\"x\",\"steps\":[{\"count\":1}]}");
+  store_replies (PO_DONE);
+  CU_ASSERT_EQUAL (ex.status, 200);
+  walk (cases, G_N_ELEMENTS (cases));
+  call ("DELETE", "/o/" ID, NULL, "");
+  store_replies (PO_DONE);
+  CU_ASSERT_EQUAL (ex.status, 200);
+  teardown ();
+}
+
 int
 main (void)
 {
@@ -584,6 +622,7 @@
     { "other account's row", test_looked_up_job_of_another_account },
     { "other account's id", test_id_of_another_account },
     { "old configuration", test_old_configuration_opens_no_account },
+    { "counts", test_counts_and_jobs_without_an_account },
     { "unknown key", test_unknown_key_on_a_public_queue },
     { "other account's id stored", test_row_of_another_account },
     CU_TEST_INFO_NULL,
