--- a/tests/cli/test_exchange.c
+++ b/tests/cli/test_exchange.c
@@ -1,69 +1,19 @@
 /* Requests of which the first entry VM loses the answer.  */
-#include <arpa/inet.h>
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
 
 #include "cli/cli.h"
+#include "raw_server.h"
 #include "skr/base.h"
 #include "suite.h"
 
 enum
 {
-  TIMEOUT_MS = 5000,
-  BUF_SIZE = 4096
+  TIMEOUT_MS = 5000
 };
 
-/* An entry VM that reads one request, answers it with TEXT and closes the
-   connection.  */
-struct entry
-{
-  GThread *thread;
-  int listener, port;
-  const char *text; /* "": no answer */
-};
-
-static void *
-serve (void *arg)
-{
-  struct entry *e = arg;
-  char buf[BUF_SIZE];
-  int fd = accept (e->listener, NULL, NULL);
-
-  if (fd < 0)
-    return NULL;
-  if (recv (fd, buf, sizeof buf, 0) > 0 && *e->text)
-    (void)!send (fd, e->text, strlen (e->text), MSG_NOSIGNAL);
-  close (fd);
-  return NULL;
-}
-
-static void
-start_entry (struct entry *e, const char *text)
-{
-  struct sockaddr_in a = { .sin_family = AF_INET };
-  socklen_t size = sizeof a;
-
-  a.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  e->text = text;
-  e->listener = socket (AF_INET, SOCK_STREAM, 0);
-  CU_ASSERT_FATAL (
-      !bind (e->listener, (struct sockaddr *)&a, sizeof a)
-      && !listen (e->listener, 1)
-      && !getsockname (e->listener, (struct sockaddr *)&a, &size));
-  e->port = ntohs (a.sin_port);
-  e->thread = g_thread_new ("entry", serve, e);
-}
-
-static void
-end_entry (struct entry *e)
-{
-  shutdown (e->listener, SHUT_RDWR);
-  g_thread_join (e->thread);
-  close (e->listener);
-}
-
 /* Calls RUN with two entry VMs that answer FIRST and SECOND, "" for none, and
    returns its exit code.  */
 static int
@@ -73,21 +23,21 @@
   struct hc_config config
       = { .max_in_progress = 8, .connections_per_host = 2 };
   struct sk_session s = { .hc = hc_new (&config) };
-  struct entry entry[2];
-  char addresses[64];
+  struct raw_server entry[2];
+  char addresses[2 * sizeof entry->address];
   int code;
 
-  start_entry (&entry[0], first);
-  start_entry (&entry[1], second);
-  snprintf (addresses, sizeof addresses, "127.0.0.1:%d,127.0.0.1:%d",
-            entry[0].port, entry[1].port);
+  CU_ASSERT_FATAL (!raw_server_start (&entry[0], first)
+                   && !raw_server_start (&entry[1], second));
+  snprintf (addresses, sizeof addresses, "%s,%s", entry[0].address,
+            entry[1].address);
   s.set = (struct sk_settings){
     .entry = addresses, .key = "k", .ca = "", .timeout_ms = TIMEOUT_MS
   };
   code = run (&s);
   hc_free (s.hc);
-  end_entry (&entry[0]);
-  end_entry (&entry[1]);
+  raw_server_end (&entry[0]);
+  raw_server_end (&entry[1]);
   return code;
 }
 
--- a/tests/platform/test_outcomes.c
+++ b/tests/platform/test_outcomes.c
@@ -1,56 +1,22 @@
 /* What the answers of the store and of workers are taken for.  */
-#include <arpa/inet.h>
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
-#include <unistd.h>
 
+#include "raw_server.h"
 #include "skr/base.h"
 #include "skr/port.h"
 #include "suite.h"
 
 enum
 {
-  TIMEOUT_MS = 5000,
-  BUF_SIZE = 4096
+  TIMEOUT_MS = 5000
 };
 
-static int listener;
-static char address[40];
-static const char *answer_text; /* "": none */
+static struct raw_server server;
 static struct hc_client *client;
 static GAsyncQueue *ends;
 
-static void *
-serve (void *arg)
-{
-  char buf[BUF_SIZE];
-  int fd;
-
-  while ((fd = accept (listener, NULL, NULL)) >= 0)
-    {
-      if (recv (fd, buf, sizeof buf, 0) > 0)
-        (void)!send (fd, answer_text, strlen (answer_text), MSG_NOSIGNAL);
-      close (fd);
-    }
-  return arg;
-}
-
-static int
-start_server (void)
-{
-  struct sockaddr_in a = { .sin_family = AF_INET };
-  socklen_t size = sizeof a;
-
-  a.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  listener = socket (AF_INET, SOCK_STREAM, 0);
-  if (bind (listener, (struct sockaddr *)&a, sizeof a) || listen (listener, 4)
-      || getsockname (listener, (struct sockaddr *)&a, &size))
-    return -1;
-  snprintf (address, sizeof address, "127.0.0.1:%d", ntohs (a.sin_port));
-  return g_thread_new ("server", serve, NULL) ? 0 : -1;
-}
-
 static void
 on_rows (void *arg, struct po_rows *rows)
 {
@@ -88,7 +54,7 @@
   struct po_entry e
       = { .kind = PO_PUT, .table = "t", .key = "k", .value = "" };
 
-  answer_text = text;
+  server.text = text;
   CU_ASSERT_EQUAL_FATAL (po_write (&port, &e, 1, TIMEOUT_MS, on_rows, NULL),
                          0);
   return (enum po_result)wait_for_end ();
@@ -129,11 +95,12 @@
     {
       char *text = status_text (cases[i].status, cases[i].body);
 
-      CU_ASSERT_EQUAL (write_at (address, text), cases[i].result);
+      CU_ASSERT_EQUAL (write_at (server.address, text), cases[i].result);
       g_free (text);
     }
-  CU_ASSERT_EQUAL (write_at (address, ""), PO_UNKNOWN);
-  CU_ASSERT_EQUAL (write_at (address, "HTTP/1.1 503 X\r\n"), PO_UNKNOWN);
+  CU_ASSERT_EQUAL (write_at (server.address, ""), PO_UNKNOWN);
+  CU_ASSERT_EQUAL (write_at (server.address, "HTTP/1.1 503 X\r\n"),
+                   PO_UNKNOWN);
   CU_ASSERT_EQUAL (write_at ("127.0.0.1:1", ""), PO_NOT_DONE);
 }
 
@@ -148,14 +115,14 @@
 static enum sj_answer
 order_at (const char *host, enum order order, const char *text)
 {
-  struct po_port port = { client, address };
+  struct po_port port = { client, server.address };
   struct po_target t = { .address = host, .id = "w" };
   struct sj_order start = { .run = { .job = "00000000000000a1", .number = 1 },
                             .payload = "x",
                             .checkpoint = "" };
   int error = 0;
 
-  answer_text = text;
+  server.text = text;
   switch (order)
     {
     case START:
@@ -192,14 +159,15 @@
     {
       char *text = status_text (cases[i].status, "{}");
 
-      CU_ASSERT_EQUAL (order_at (address, START, text), cases[i].answer);
-      CU_ASSERT_EQUAL (order_at (address, STOP, text), cases[i].answer);
+      CU_ASSERT_EQUAL (order_at (server.address, START, text),
+                       cases[i].answer);
+      CU_ASSERT_EQUAL (order_at (server.address, STOP, text), cases[i].answer);
       g_free (text);
     }
   for (enum order order = START; order <= HOLD; order++)
     {
-      CU_ASSERT_EQUAL (order_at (address, order, ""), SJ_UNANSWERED);
-      CU_ASSERT_EQUAL (order_at (address, order, "HTTP/1.1 503 X\r\n"),
+      CU_ASSERT_EQUAL (order_at (server.address, order, ""), SJ_UNANSWERED);
+      CU_ASSERT_EQUAL (order_at (server.address, order, "HTTP/1.1 503 X\r\n"),
                        SJ_UNANSWERED);
       CU_ASSERT_EQUAL (order_at ("127.0.0.1:1", order, ""), SJ_REFUSED);
     }
@@ -221,11 +189,11 @@
   for (size_t i = 0; i < G_N_ELEMENTS (incomplete); i++)
     {
       text = status_text (200, incomplete[i]);
-      CU_ASSERT_EQUAL (order_at (address, HOLD, text), SJ_UNANSWERED);
+      CU_ASSERT_EQUAL (order_at (server.address, HOLD, text), SJ_UNANSWERED);
       g_free (text);
     }
   text = status_text (200, "{\"running\":[],\"ended\":[]}");
-  CU_ASSERT_EQUAL (order_at (address, HOLD, text), SJ_EXECUTED);
+  CU_ASSERT_EQUAL (order_at (server.address, HOLD, text), SJ_EXECUTED);
   g_free (text);
 }
 
@@ -245,10 +213,11 @@
   bs_init ();
   ends = g_async_queue_new ();
   client = hc_new (&config);
-  if (start_server ())
+  if (raw_server_start (&server, ""))
     return EXIT_FAILURE;
   code = run_suite ("outcomes", tests);
   hc_free (client);
+  raw_server_end (&server);
   g_async_queue_unref (ends);
   return code;
 }
--- a/tests/table/test_table.c
+++ b/tests/table/test_table.c
@@ -1,10 +1,9 @@
 /* What the answers of the table are taken for.  */
-#include <arpa/inet.h>
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
-#include <unistd.h>
 
+#include "raw_server.h"
 #include "skr/base.h"
 #include "skr/log.h"
 #include "skr/table.h"
@@ -12,46 +11,13 @@
 
 enum
 {
-  TIMEOUT_MS = 5000,
-  BUF_SIZE = 4096
+  TIMEOUT_MS = 5000
 };
 
-static int listener;
-static char address[40];
-static const char *answer_text; /* "": none */
+static struct raw_server server;
 static struct hc_client *client;
 static GAsyncQueue *ends;
 
-static void *
-serve (void *arg)
-{
-  char buf[BUF_SIZE];
-  int fd;
-
-  while ((fd = accept (listener, NULL, NULL)) >= 0)
-    {
-      if (recv (fd, buf, sizeof buf, 0) > 0)
-        (void)!send (fd, answer_text, strlen (answer_text), MSG_NOSIGNAL);
-      close (fd);
-    }
-  return arg;
-}
-
-static int
-start_server (void)
-{
-  struct sockaddr_in a = { .sin_family = AF_INET };
-  socklen_t size = sizeof a;
-
-  a.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  listener = socket (AF_INET, SOCK_STREAM, 0);
-  if (bind (listener, (struct sockaddr *)&a, sizeof a) || listen (listener, 4)
-      || getsockname (listener, (struct sockaddr *)&a, &size))
-    return -1;
-  snprintf (address, sizeof address, "127.0.0.1:%d", ntohs (a.sin_port));
-  return g_thread_new ("server", serve, NULL) ? 0 : -1;
-}
-
 static void
 on_end (void *arg, int error, json_t *data)
 {
@@ -72,7 +38,7 @@
   struct tb_txn txn;
   int error;
 
-  answer_text = text;
+  server.text = text;
   tb_txn_init (&txn);
   error = is_commit ? tb_commit (tb, &txn, on_end, NULL)
                     : tb_get (tb, "t", "k", on_end, NULL);
@@ -111,8 +77,8 @@
           "HTTP/1.1 %d X\r\nContent-Length: %zu\r\n\r\n%s", cases[i].status,
           strlen (cases[i].body), cases[i].body);
 
-      CU_ASSERT_EQUAL (call (address, text, 1), cases[i].commit);
-      CU_ASSERT_EQUAL (call (address, text, 0), cases[i].read);
+      CU_ASSERT_EQUAL (call (server.address, text, 1), cases[i].commit);
+      CU_ASSERT_EQUAL (call (server.address, text, 0), cases[i].read);
       g_free (text);
     }
 }
@@ -121,9 +87,10 @@
 static void
 test_no_answer (void)
 {
-  CU_ASSERT_EQUAL (call (address, "", 1), TB_EUNKNOWN);
-  CU_ASSERT_EQUAL (call (address, "HTTP/1.1 503 X\r\n", 1), TB_EUNKNOWN);
-  CU_ASSERT_EQUAL (call (address, "", 0), TB_EDOWN);
+  CU_ASSERT_EQUAL (call (server.address, "", 1), TB_EUNKNOWN);
+  CU_ASSERT_EQUAL (call (server.address, "HTTP/1.1 503 X\r\n", 1),
+                   TB_EUNKNOWN);
+  CU_ASSERT_EQUAL (call (server.address, "", 0), TB_EDOWN);
   CU_ASSERT_EQUAL (call ("127.0.0.1:1", "", 1), TB_EDOWN);
   CU_ASSERT_EQUAL (call ("127.0.0.1:1", "", 0), TB_EDOWN);
 }
@@ -144,10 +111,11 @@
   lg_init ("test", "plain", LG_ERROR);
   ends = g_async_queue_new ();
   client = hc_new (&config);
-  if (start_server ())
+  if (raw_server_start (&server, ""))
     return EXIT_FAILURE;
   code = run_suite ("table", tests);
   hc_free (client);
+  raw_server_end (&server);
   g_async_queue_unref (ends);
   return code;
 }
