Isolation of suspects delays tasks that last for 2.5 s at most

Callers would see a task that lasts away for 30 s with room for it (LOST). Cause: a task under which two workers have crashed has its worker for itself for the first 30 s of a run, also if that worker is the only one with room. Change: a task that lasts shares it once it has waited 2.5 s, as long as tasks that were lost together are kept apart.

--- a/src/steps/suspect.c
+++ b/src/steps/suspect.c
@@ -78,14 +78,17 @@
 }
 
 /* Whether U must not run beside M.  Guaranteed work is not kept from capacity
-   for others, so that it can be started in time.  */
+   for others, so that it can be started in time, nor is a task that lasts for
+   longer than seconds.  */
 static int
 must_be_apart (const struct sj_cluster *c, const struct unit *u,
                const struct member *m)
 {
-  if (m->unit == u)
+  int has_waited = c->now - u->ready_ms >= SEPARATION_WAIT_MS;
+
+  if (m->unit == u || (has_waited && un_step (u)->is_continuous))
     return 0;
-  if (c->now - u->ready_ms < SEPARATION_WAIT_MS
+  if (!has_waited
       && (crashed_together (u, m->unit) || (isolates (c) && is_suspect (u))))
     return 1;
   return u->job->rank != RANK_GUARANTEED && isolates (c) && is_isolated (c, m);
--- a/tests/steps/test_lasting.c
+++ b/tests/steps/test_lasting.c
@@ -225,6 +225,29 @@
   end_test ();
 }
 
+/* Guards against a task that lasts and waits as long as a task that may have
+   crashed two workers has the only worker with room for itself.  */
+static void
+test_isolation_delays_lasting_task_for_seconds (void)
+{
+  static const char suspect[] = "0000000000000009";
+
+  fa_init (&cluster, 4, 4, 1);
+  fa_set_deadly (&cluster, suspect, 0);
+  fa_submit (&cluster, fa_new_job (9, 1, 1, 1, LONG_MS));
+  while (fa_crashes_under (&cluster, suspect) < 2)
+    fa_run_ms (&cluster, FA_TICK_MS);
+  g_hash_table_remove (cluster.deadly, suspect);
+  ms_until_running (suspect, 1, LONG_MS);
+  fa_submit (&cluster, new_lasting_job (1, 3, GPUS));
+  ms_until_running ("0000000000000001", 3, LONG_MS);
+  CU_ASSERT_EQUAL (count_runs (suspect), 1);
+  fa_submit (&cluster, new_lasting_job (2, 1, 1));
+  CU_ASSERT (ms_until_running ("0000000000000002", 1, LONG_MS)
+             <= SEPARATION_BOUND_MS + ORDER_MS);
+  end_test ();
+}
+
 int
 main (void)
 {
@@ -235,6 +258,7 @@
     { "reservations", test_reservations_delay_lasting_tasks_for_seconds },
     { "rack", test_rack_delays_lasting_task_for_seconds },
     { "shares", test_shares_delay_no_lasting_task },
+    { "isolation", test_isolation_delays_lasting_task_for_seconds },
     CU_TEST_INFO_NULL,
   };
 
