A checkpoint is kept byte for byte, or the task keeps its last one

Callers saw three of six tasks of a job never run again after a take-over, and a task could be resumed with a checkpoint that isn't its own (LOST, UNASKED). Cause: checkpoints were copied into 64 bytes. Longer ones were cut, also within a character; a text cut so is not valid, and the unit was missing from the record that was stored. Change: the checkpoint is an allocated string of the unit, of up to 4,000 bytes, as many as a specification has; it takes 24,000 in a record at most, where each byte is escaped. One that is longer, or not text, is not kept: the task keeps the last one that could be, and event 566 says so once for a run. A checkpoint is never altered.

--- a/include/skr/events.h
+++ b/include/skr/events.h
@@ -83,6 +83,7 @@
   LG_HOLDER_USAGE = 562,
   LG_HOLDER_WORK = 563,
   LG_RECORD_ASIDE = 564,
+  LG_CHECKPOINT_NOT_KEPT = 566,
 
   /* filter */
   LG_REQUEST_UNKNOWN = 601,
--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -30,7 +30,9 @@
   SJ_MAX_TASKS = 1000, /* of all steps, so that a record stays under 64 KB */
   SJ_MAX_OCCURRENCES = 10000, /* of a job */
   SJ_MAX_NEED = 1000000000,   /* of one resource, by one task */
-  SJ_CHECKPOINT_SIZE = 64 /* size of a checkpoint's name with its NUL, bytes */
+  /* Bytes of a checkpoint in UTF-8.  Escaped for a record it takes six times
+     as many at most, which is less than half of a row.  */
+  SJ_MAX_CHECKPOINT = 4000
 };
 
 /* Resources that a task requests or a worker has.  */
@@ -188,7 +190,7 @@
 /* A running or ended run as a worker lists it.  */
 struct sj_listed_run
 {
-  const char *checkpoint; /* or "" */
+  const char *checkpoint; /* or ""; NULL: not readable as text */
   struct sj_run run;
   enum sj_end end; /* for an ended run */
   int percent;     /* progress of a running one; -1: unknown */
@@ -231,7 +233,8 @@
   SJ_NOTE_PASSED_OVER,   /* a step was moved behind another account's */
   SJ_NOTE_ACCOUNT_SHARE, /* an account is above its share, or no more */
   SJ_NOTE_WEIGHT,        /* a weight below 1 was configured; 1 is used */
-  SJ_NOTE_SCARCE         /* units wait that do not fit, or no more */
+  SJ_NOTE_SCARCE,        /* units wait that do not fit, or no more */
+  SJ_NOTE_CHECKPOINT     /* a checkpoint can't be kept */
 };
 
 /* An account's part of the fleet.  Its share is the largest of its fractions
@@ -310,6 +313,11 @@
       int64_t until_ms; /* latest time from now until runs are stopped */
     } waits;
     struct
+    {
+      struct sj_run run;
+      int64_t bytes; /* -1: not readable as text */
+    } checkpoint;
+    struct
     {
       int64_t kept, used, idle; /* accelerators */
       int is_forecast;
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -311,6 +311,13 @@
     "stored, and the ends of its tasks are not acknowledged. The records of "
     "the other jobs are stored.",
     "cancel the job, or submit it as smaller ones" },
+  { LG_CHECKPOINT_NOT_KEPT, LG_WARNING, "checkpoint-not-kept",
+    "id occurrence step task run bytes limit",
+    "A worker listed a checkpoint that is longer than the limit, or is not "
+    "text (bytes -1): not a string, or with U+0000 or half of a surrogate "
+    "pair.  The task keeps the last one that could be kept; for a gang, task "
+    "is its first.  Logged once for a run.",
+    "let the work write shorter checkpoints, as text" },
 
   /* filter */
   { LG_REQUEST_UNKNOWN, LG_WARNING, "request-unknown",
--- a/src/batch/note.c
+++ b/src/batch/note.c
@@ -226,6 +226,21 @@
   lg_log (LG_CAPACITY_SCARCE, 2, f);
 }
 
+static void
+log_checkpoint (const struct sj_note *n)
+{
+  const struct sj_run *run = &n->u.checkpoint.run;
+  struct lg_field f[] = { lg_str ("id", run->job),
+                          lg_int ("occurrence", run->occurrence),
+                          lg_int ("step", run->step),
+                          lg_int ("task", run->index),
+                          lg_int ("run", run->number),
+                          lg_int ("bytes", n->u.checkpoint.bytes),
+                          lg_int ("limit", SJ_MAX_CHECKPOINT) };
+
+  lg_log (LG_CHECKPOINT_NOT_KEPT, 7, f);
+}
+
 void
 ba_on_note (void *arg, const struct sj_note *note)
 {
@@ -279,5 +294,8 @@
     case SJ_NOTE_SCARCE:
       log_scarcity (note);
       break;
+    case SJ_NOTE_CHECKPOINT:
+      log_checkpoint (note);
+      break;
     }
 }
--- a/src/steps/job.c
+++ b/src/steps/job.c
@@ -33,6 +33,7 @@
       if (u->members[i].state != MB_ENDED)
         wo_remove_member (&u->members[i]);
   g_free (u->members);
+  g_free (u->checkpoint);
   lo_free (u);
   if (u->avoided_workers)
     g_ptr_array_free (u->avoided_workers, TRUE);
--- a/src/steps/record.c
+++ b/src/steps/record.c
@@ -116,9 +116,10 @@
 static json_t *
 write_unit (const struct unit *u, const struct extent *extent)
 {
-  json_t *value = json_pack (
-      "[i,i,I,i,s,o,o]", u->step, u->first, (json_int_t)u->run_number,
-      u->failures, u->checkpoint, write_placement (u), write_life_tags (u));
+  json_t *value
+      = json_pack ("[i,i,I,i,s,o,o]", u->step, u->first,
+                   (json_int_t)u->run_number, u->failures, un_checkpoint (u),
+                   write_placement (u), write_life_tags (u));
 
   if (lo_possible_crashes (u) >= extent->least_crashes)
     {
@@ -310,6 +311,7 @@
   int step = (int)json_integer_value (json_array_get (value, UNIT_STEP));
   int first = (int)json_integer_value (json_array_get (value, UNIT_FIRST));
   const json_t *placement = json_array_get (value, UNIT_PLACEMENT);
+  const char *checkpoint;
   struct unit *u;
 
   if (step < 0 || step >= j->spec->step_count || first < 0
@@ -319,10 +321,9 @@
   u->run_number = json_integer_value (json_array_get (value, UNIT_RUN));
   u->failures
       = (int)json_integer_value (json_array_get (value, UNIT_FAILURES));
-  if (json_array_get (value, UNIT_CHECKPOINT))
-    g_strlcpy (u->checkpoint,
-               json_string_value (json_array_get (value, UNIT_CHECKPOINT)),
-               sizeof u->checkpoint);
+  checkpoint = json_string_value (json_array_get (value, UNIT_CHECKPOINT));
+  if (checkpoint && *checkpoint)
+    u->checkpoint = g_strdup (checkpoint);
   restore_crashes (u, json_array_get (value, UNIT_CRASHES));
   u->last_run = json_integer_value (json_array_get (value, UNIT_LAST_RUN));
   restore_unresolved (c, u, json_array_get (value, UNIT_UNRESOLVED), now);
--- a/src/steps/run.c
+++ b/src/steps/run.c
@@ -35,7 +35,7 @@
                             .worker = m->worker->id,
                             .incarnation = m->worker->incarnation,
                             .payload = m->unit->job->spec->payload,
-                            .checkpoint = m->unit->checkpoint,
+                            .checkpoint = un_checkpoint (m->unit),
                             .priority = m->unit->job->spec->priority,
                             .cause = m->unit->stop_cause };
 
@@ -250,11 +250,47 @@
     jb_finish (c, u->job, SJ_FAILED, now);
 }
 
+const char *
+un_checkpoint (const struct unit *u)
+{
+  return u->checkpoint ? u->checkpoint : "";
+}
+
+static void
+note_checkpoint (struct unit *u, int64_t bytes)
+{
+  const struct sj_cluster *c = u->job->cluster;
+  struct sj_note note = { .kind = SJ_NOTE_CHECKPOINT, .worker = "" };
+
+  if (!c->on_note || u->noted_checkpoint == u->run_number)
+    return;
+  u->noted_checkpoint = u->run_number;
+  note.u.checkpoint.bytes = bytes;
+  note.u.checkpoint.run = (struct sj_run){ .occurrence = u->occurrence,
+                                           .step = u->step,
+                                           .index = u->first,
+                                           .number = u->run_number };
+  memcpy (note.u.checkpoint.run.job, u->job->spec->id, SJ_ID_SIZE);
+  c->on_note (c->note_arg, &note);
+}
+
 void
 ru_set_checkpoint (struct unit *u, const char *checkpoint)
 {
-  if (un_step (u)->checkpoints && checkpoint && *checkpoint)
-    g_strlcpy (u->checkpoint, checkpoint, sizeof u->checkpoint);
+  size_t size = checkpoint ? strlen (checkpoint) : 0;
+  int is_text = checkpoint && g_utf8_validate (checkpoint, -1, NULL);
+
+  if (!un_step (u)->checkpoints || (checkpoint && !size))
+    return;
+  if (!is_text || size > SJ_MAX_CHECKPOINT)
+    {
+      note_checkpoint (u, is_text ? (int64_t)size : -1);
+      return;
+    }
+  if (!g_strcmp0 (u->checkpoint, checkpoint))
+    return;
+  g_free (u->checkpoint);
+  u->checkpoint = g_strdup (checkpoint);
 }
 
 void
@@ -285,7 +321,7 @@
         break;
       }
   if (is_continuous)
-    u->checkpoint[0] = '\0';
+    g_clear_pointer (&u->checkpoint, g_free);
   ru_release_member (c, m, now);
 }
 
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -102,11 +102,13 @@
   int occurrence, step;
   int first, count; /* tasks of the step: index of the first, number */
   enum unit_state state;
-  int64_t run_number;                  /* number of the current or last run */
-  int failures;                        /* failed runs */
-  int64_t failed_run;                  /* number of the last of them */
-  char checkpoint[SJ_CHECKPOINT_SIZE]; /* to resume from, or "" */
-  struct member *members;              /* COUNT of them in a run, else NULL */
+  int64_t run_number;       /* number of the current or last run */
+  int failures;             /* failed runs */
+  int64_t failed_run;       /* number of the last of them */
+  char *checkpoint;         /* to resume from; NULL: none */
+  int64_t noted_checkpoint; /* number of the run whose checkpoint was noted as
+                               not kept */
+  struct member *members;   /* COUNT of them in a run, else NULL */
   GPtrArray *avoided_workers; /* ids of workers it must not run on again */
   GArray *crashes;            /* struct crash; NULL: none */
   GArray *unresolved;         /* struct unresolved_loss; NULL: none */
@@ -420,8 +422,11 @@
    long.  */
 void ru_end_avoidance (const struct sj_cluster *c, struct unit *u,
                        int64_t now);
+/* The checkpoint that U resumes from, or "".  */
+const char *un_checkpoint (const struct unit *u);
 /* Sets the checkpoint that U resumes from, if its step writes any and
-   CHECKPOINT is neither NULL nor empty.  */
+   CHECKPOINT is not empty.  If it is NULL or longer than SJ_MAX_CHECKPOINT, U
+   keeps the one that it has, and that is noted once for a run.  */
 void ru_set_checkpoint (struct unit *u, const char *checkpoint);
 /* Whether RUN is the current run of M.  */
 int ru_matches (const struct sj_run *run, const struct member *m);
--- a/tests/soak/job_model.c
+++ b/tests/soak/job_model.c
@@ -159,7 +159,7 @@
 static int
 is_own_checkpoint (const struct sj_order *o, const struct sj_step *step)
 {
-  char prefix[SJ_CHECKPOINT_SIZE];
+  char prefix[SF_CHECKPOINT_SIZE];
   size_t n;
 
   if (!*o->checkpoint)
