A job whose texts would change or can't be stored is refused when it arrives

Cause: the adapter drops texts of another type; the check of a job has no limits for texts. Change: such jobs are answered 400 with the reason: a specification, label, rack or image that is not a string, a specification over 4,000 bytes, over 8,000 bytes of labels, racks and images in a job, text that is not UTF-8. A stored job whose id is longer than an id, or without its payload, is not read as another job.

--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -32,7 +32,9 @@
   SJ_MAX_NEED = 1000000000,   /* of one resource, by one task */
   /* Bytes of a checkpoint in UTF-8.  Escaped for a record it takes six times
      as many at most, which is less than half of a row.  */
-  SJ_MAX_CHECKPOINT = 4000
+  SJ_MAX_CHECKPOINT = 4000,
+  SJ_MAX_PAYLOAD = 4000,   /* bytes, as the users' pages say */
+  SJ_MAX_STEP_TEXTS = 8000 /* bytes of all labels, racks and images of a job */
 };
 
 /* Resources that a task requests or a worker has.  */
--- a/src/steps/json.c
+++ b/src/steps/json.c
@@ -108,6 +108,44 @@
   return SJ_EINVAL;
 }
 
+static int
+is_text (const char *text)
+{
+  return !text || g_utf8_validate (text, -1, NULL);
+}
+
+static size_t
+text_size (const char *text)
+{
+  return text ? strlen (text) : 0;
+}
+
+/* Whether all texts of JOB can be stored as they are.  */
+static int
+check_texts (const struct sj_job *job, const char **reason)
+{
+  int are_text = is_text (job->queue) && is_text (job->account)
+                 && is_text (job->service) && is_text (job->payload);
+  size_t size = 0;
+
+  for (int i = 0; i < job->step_count; i++)
+    {
+      const struct sj_step *s = &job->step[i];
+
+      are_text = are_text && is_text (s->label) && is_text (s->data_rack)
+                 && is_text (s->image);
+      size += text_size (s->label) + text_size (s->data_rack)
+              + text_size (s->image);
+    }
+  if (!are_text)
+    *reason = "a text is not valid UTF-8";
+  else if (text_size (job->payload) > SJ_MAX_PAYLOAD)
+    *reason = "the payload is too long";
+  else if (size > SJ_MAX_STEP_TEXTS)
+    *reason = "the labels, racks and images are too long";
+  return *reason ? SJ_EINVAL : SJ_OK;
+}
+
 int
 sj_job_check (const struct sj_job *job, const char **reason)
 {
@@ -124,7 +162,7 @@
            || job->interval_ms > max_time_ms || job->first_due_ms > max_due_ms
            || job->first_due_ms < -max_due_ms)
     *reason = "the occurrences can't be planned";
-  if (*reason)
+  if (*reason || check_texts (job, reason))
     return SJ_EINVAL;
   for (int i = 0; i < job->step_count && !error; i++)
     {
@@ -262,7 +300,8 @@
   const char *id = json_string_value (json_object_get (value, "id"));
   const char *reason;
 
-  g_strlcpy (job->id, id ? id : "", sizeof job->id);
+  if (id && strlen (id) < sizeof job->id)
+    memcpy (job->id, id, strlen (id));
   job->queue = get_text (value, "queue");
   job->account = get_text (value, "account");
   job->service = get_text (value, "service");
@@ -280,7 +319,7 @@
   job->step = g_new0 (struct sj_step, job->step_count + 1);
   for (int i = 0; i < job->step_count; i++)
     step_from_json (&job->step[i], json_array_get (steps, (size_t)i));
-  if (!sj_job_check (job, &reason) && job->service)
+  if (!sj_job_check (job, &reason) && job->service && job->payload)
     return job;
   sj_job_free (job);
   return NULL;
--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -312,6 +312,59 @@
   sj_job_free (j);
 }
 
+/* Reads a job with such a specification and label, both JSON.  */
+static struct sj_job *
+job_with (const char *specification, const char *label, const char **reason)
+{
+  char *body = g_strdup_printf ("{\"specification\":%s,\"steps\":[{\"count\":"
+                                "1,\"requirements\":%s}]}",
+                                specification, label);
+  struct sj_job *j = job (body, reason);
+
+  g_free (body);
+  return j;
+}
+
+static char *
+quoted (char c, size_t size)
+{
+  char *text = g_strnfill (size, c), *out = g_strdup_printf ("\"%s\"", text);
+
+  g_free (text);
+  return out;
+}
+
+/* Guards against a job that is accepted and runs with another specification or
+   without its label, or that the store refuses each time.  */
+static void
+test_texts_that_would_change_are_refused (void)
+{
+  char *longest = quoted ('x', 4000), *longer = quoted ('x', 4001);
+  char *label = quoted ('x', 10000);
+  const char *const refused[][2] = {
+    { "7", "null" },           { "[]", "null" }, { "\"a\\u0000b\"", "null" },
+    { longer, "null" },        { "\"\"", "[]" }, { "\"\"", "7" },
+    { "\"\"", "\"\\u0000\"" }, { "\"\"", label }
+  };
+  const char *reason;
+  struct sj_job *j = job_with (longest, "null", &reason);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (j);
+  CU_ASSERT_EQUAL (strlen (j->payload), 4000);
+  sj_job_free (j);
+  for (size_t i = 0; i < sizeof refused / sizeof *refused; i++)
+    {
+      reason = NULL;
+      j = job_with (refused[i][0], refused[i][1], &reason);
+      CU_ASSERT_PTR_NULL (j);
+      CU_ASSERT_PTR_NOT_NULL (reason);
+      sj_job_free (j);
+    }
+  g_free (longest);
+  g_free (longer);
+  g_free (label);
+}
+
 static void
 test_invalid_jobs_are_rejected (void)
 {
@@ -364,6 +417,7 @@
     { "invalid configurations", test_invalid_configurations_are_rejected },
     { "job", test_job_is_read },
     { "invalid jobs", test_invalid_jobs_are_rejected },
+    { "texts of a job", test_texts_that_would_change_are_refused },
     { "calls", test_calls_are_parsed },
     CU_TEST_INFO_NULL,
   };
--- a/tests/steps/test_steps.c
+++ b/tests/steps/test_steps.c
@@ -508,6 +508,23 @@
   sj_job_free (copy);
 }
 
+/* Guards against a stored job that is read as another one: with a part of its
+   id, or without its payload.  */
+static void
+test_damaged_job_is_not_read (void)
+{
+  struct sj_job *job = fa_new_job (7, 2, 5, 1, 1234);
+  json_t *o = sj_job_to_json (job);
+
+  json_object_set_new (o, "id", json_string ("00000000000000070"));
+  CU_ASSERT_PTR_NULL (sj_job_from_json (o));
+  json_object_set_new (o, "id", json_string ("0000000000000007"));
+  json_object_del (o, "payload");
+  CU_ASSERT_PTR_NULL (sj_job_from_json (o));
+  json_decref (o);
+  sj_job_free (job);
+}
+
 static struct sj_job *
 random_job (GRand *r, unsigned number)
 {
@@ -655,6 +672,7 @@
     { "occurrences", test_occurrences_start_when_due },
     { "continuous task", test_continuous_task_restarts },
     { "JSON round trip", test_job_round_trips_through_json },
+    { "damaged job", test_damaged_job_is_not_read },
     { "random events", test_random_events_violate_no_rules },
     CU_TEST_INFO_NULL,
   };
