Avoidance looks at the workers that a task may use

Callers saw a task whose label only two workers have wait 30 s after both had failed it, while both were sound and idle again; at the end of the traffic that breaks LOST. Cause: a task waits 3 s instead of 30 s once it avoids as many workers as there are; all workers outside closed domains were counted, also those that it can't use. Change: it waits 30 s only while there is a worker that it does not avoid, of its service, with its label and enough capacity, that is listed and not draining. Evidence: test_steps "avoided label" failed before.

--- a/src/steps/placement.c
+++ b/src/steps/placement.c
@@ -80,6 +80,25 @@
          && su_may_share (c, u, w);
 }
 
+int
+pl_has_other_worker (const struct sj_cluster *c, const struct unit *u)
+{
+  const struct sj_step *s = un_step (u);
+  struct sj_resources need = nd_for_step (s);
+
+  for (guint i = 0; i < c->worker_list->len; i++)
+    {
+      const struct worker *w = g_ptr_array_index (c->worker_list, i);
+
+      if (w->listed && !w->draining && !w->domain_closed
+          && w->service == u->job->service
+          && (!s->label || has_label (w, s->label))
+          && nd_fits (&need, &w->capacity) && !is_avoided (u, w))
+        return 1;
+    }
+  return 0;
+}
+
 int
 pl_max_per_worker (const struct unit *u)
 {
--- a/src/steps/run.c
+++ b/src/steps/run.c
@@ -7,8 +7,8 @@
 enum
 {
   MAX_AVOIDED = 16, /* workers that a unit avoids; the oldest is dropped */
-  /* Longest wait for a worker that the unit does not avoid, if it avoids as
-     many as there are or lasts, and if others may come free.  */
+  /* Longest wait for a worker that the unit does not avoid, if it avoids all
+     that it may use or lasts, and if others may come free.  */
   AVOID_ALL_WAIT_MS = 3000,
   AVOID_WAIT_MS = 30000,
   /* A unit that is refused again waits, twice as long each time.  */
@@ -190,29 +190,15 @@
   g_ptr_array_add (u->avoided_workers, g_strdup (worker));
 }
 
-/* Workers outside closed domains.  */
-static guint
-count_open_workers (const struct sj_cluster *c)
-{
-  guint n = 0;
-
-  for (guint i = 0; i < c->worker_list->len; i++)
-    n += !((const struct worker *)g_ptr_array_index (c->worker_list, i))
-              ->domain_closed;
-  return n;
-}
-
 void
 ru_end_avoidance (const struct sj_cluster *c, struct unit *u, int64_t now)
 {
-  int64_t wait_ms = AVOID_WAIT_MS;
+  int64_t waited_ms = now - u->ready_ms;
 
-  if (!u->avoided_workers)
+  if (!u->avoided_workers || waited_ms < AVOID_ALL_WAIT_MS)
     return;
-  if (u->avoided_workers->len >= count_open_workers (c)
-      || un_step (u)->is_continuous)
-    wait_ms = AVOID_ALL_WAIT_MS;
-  if (now - u->ready_ms < wait_ms)
+  if (waited_ms < AVOID_WAIT_MS && !un_step (u)->is_continuous
+      && pl_has_other_worker (c, u))
     return;
   g_ptr_array_free (u->avoided_workers, TRUE);
   u->avoided_workers = NULL;
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -474,6 +474,9 @@
 /* Whether W may run tasks of U, whatever its free capacity.  */
 int pl_is_eligible (const struct sj_cluster *c, const struct unit *u,
                     const struct worker *w);
+/* Whether a worker that U does not avoid may become free for a task of U: it
+   has the label and enough capacity, and stays.  */
+int pl_has_other_worker (const struct sj_cluster *c, const struct unit *u);
 /* Most tasks of U that one worker may run.  */
 int pl_max_per_worker (const struct unit *u);
 /* Whether U, a task that lasts, has waited long enough to use capacity that is
--- a/tests/steps/test_steps.c
+++ b/tests/steps/test_steps.c
@@ -149,6 +149,27 @@
   fa_fini (&cluster);
 }
 
+/* Guards against a task that waits 30 s after it has failed on each worker
+   that has its label, as others without the label are counted.  */
+static void
+test_avoidance_counts_workers_with_the_label (void)
+{
+  struct sj_job *job = fa_new_job (1, 1, 1, 1, 1000);
+
+  fa_init (&cluster, 8, 2, 1);
+  job->step[0].label = g_strdup ("r0");
+  cluster.worker[0].fails_all = cluster.worker[1].fails_all = 1;
+  fa_submit (&cluster, job);
+  fa_run_ms (&cluster, 1500);
+  CU_ASSERT_EQUAL (cluster.starts, 2);
+  cluster.worker[0].fails_all = cluster.worker[1].fails_all = 0;
+  fa_run_ms (&cluster, 6000);
+  CU_ASSERT_EQUAL (fa_state (&cluster, "0000000000000001"), SJ_COMPLETED);
+  CU_ASSERT_EQUAL (cluster.starts, 3);
+  expect_no_violations (&cluster);
+  fa_fini (&cluster);
+}
+
 static void
 test_job_fails_after_max_attempts (void)
 {
@@ -656,6 +677,7 @@
       test_partitioned_worker_keeps_runs_until_lease_expires },
     { "crashed worker", test_runs_of_crashed_worker_restart },
     { "all workers avoided", test_task_that_avoids_all_workers_starts_again },
+    { "avoided label", test_avoidance_counts_workers_with_the_label },
     { "attempts exhausted", test_job_fails_after_max_attempts },
     { "attempt of a gang", test_failed_run_of_gang_is_one_attempt },
     { "attempt and take-over", test_failed_run_is_one_attempt_over_take_over },
