Whether a service is mostly idle is counted by its own workers

Callers would see a job wait for its rack up to twice its run time in an idle service, since another service was busy; and leave its rack early in a busy one. Cause: used and free capacity were summed over the workers of all services. Change: summed by service, in one pass of the workers for each round. Evidence: test_steps "rack and service" failed before.

--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -12,7 +12,7 @@
   ROUND_MS = 250,           /* longest time between two decision rounds */
   STOP_RESEND_MS = 500,     /* time until an unanswered stop is sent again */
   OFF_RACK_URGENT_MS = 900, /* longest wait for the rack, guaranteed unit */
-  /* The same in a mostly idle fleet, any unit, and of a task that lasts.  */
+  /* The same in a mostly idle service, any unit, and of a task that lasts.  */
   OFF_RACK_IDLE_MS = 1500,
   RESERVE_AFTER_MS = 30000, /* a tenth of what a gang that fits may wait */
   MAX_RESERVATIONS = 4,     /* units with reserved capacity in one round */
@@ -62,23 +62,56 @@
   c->open_orders = starts + MIN (stops, c->max_orders / 2);
 }
 
-/* Whether less than half of the usable workers' weighted accelerators and
-   cores are in use.  */
-static int
-is_mostly_idle (const struct sj_cluster *c)
+/* Weighted accelerators and cores of a service's usable workers.  */
+struct service_load
+{
+  const char *service; /* interned */
+  int64_t used, all;
+};
+
+static struct service_load *
+find_load (GArray *loads, const char *service)
 {
-  int64_t used = 0, all = 0;
+  for (guint i = 0; i < loads->len; i++)
+    if (g_array_index (loads, struct service_load, i).service == service)
+      return &g_array_index (loads, struct service_load, i);
+  return NULL;
+}
+
+/* The loads of all services, which the caller frees.  */
+static GArray *
+list_loads (const struct sj_cluster *c)
+{
+  GArray *loads = g_array_new (FALSE, FALSE, sizeof (struct service_load));
 
   for (guint i = 0; i < c->worker_list->len; i++)
     {
       const struct worker *w = g_ptr_array_index (c->worker_list, i);
+      struct service_load *l;
 
       if (!w->usable)
         continue;
-      used += nd_weight (&w->used);
-      all += nd_weight (&w->capacity);
+      l = find_load (loads, w->service);
+      if (!l)
+        {
+          struct service_load new_load = { .service = w->service };
+
+          g_array_append_val (loads, new_load);
+          l = find_load (loads, w->service);
+        }
+      l->used += nd_weight (&w->used);
+      l->all += nd_weight (&w->capacity);
     }
-  return used * 2 < all;
+  return loads;
+}
+
+/* Whether less than half of SERVICE is in use.  */
+static int
+is_mostly_idle (GArray *loads, const char *service)
+{
+  const struct service_load *l = find_load (loads, service);
+
+  return l && l->used * 2 < l->all;
 }
 
 /* Whether U may run outside its preferred rack.  Such a run takes longer
@@ -151,7 +184,9 @@
 /* A round's state.  */
 struct round
 {
-  int is_idle, reservations;
+  GArray *loads; /* of the services, as of its begin */
+  int is_idle;   /* the service of the step in work is mostly idle */
+  int reservations;
   int waits;               /* units that may wait for capacity */
   int64_t latest_start_ms; /* of the step in work */
   int gangs_at_risk;       /* that were helped */
@@ -273,6 +308,7 @@
 
   r->singles = (struct pl_singles){ 0 };
   r->latest_start_ms = s->latest_start_ms;
+  r->is_idle = is_mostly_idle (r->loads, s->job->service);
   for (guint i = s->first; i < s->end && !jb_ended (s->job) && may_order (c)
                            && ad_may_plan (s->job);
        i++)
@@ -315,7 +351,7 @@
 place_all (struct sj_cluster *c, int64_t now, int64_t wall_offset)
 {
   GArray *ready = or_list_ready (c, now, wall_offset);
-  struct round r = { .is_idle = is_mostly_idle (c) };
+  struct round r = { .loads = list_loads (c) };
 
   c->searches = 0;
   hd_begin (c, &r.headroom, now);
@@ -325,6 +361,7 @@
     place_step (c, &r, &g_array_index (ready, struct ready_step, i), now);
   hd_end (c, &r.headroom, now);
   as_end_round (c, ready, r.unplaced, now);
+  g_array_free (r.loads, TRUE);
   g_array_free (ready, TRUE);
 }
 
--- a/tests/steps/fake_cluster.c
+++ b/tests/steps/fake_cluster.c
@@ -799,7 +799,7 @@
   struct sj_worker_info info
       = { .id = id,
           .incarnation = incarnation,
-          .service = "s",
+          .service = w->service,
           .kind = "a",
           .rack = w->rack,
           .domain = w->domain,
@@ -951,6 +951,7 @@
       snprintf (w->rack, sizeof w->rack, "r%d", i / per_rack);
       snprintf (w->domain, sizeof w->domain, "z%d",
                 i / per_rack / RACKS_PER_DOMAIN);
+      w->service = "s";
       w->capacity = (struct sj_resources){ 128000, 262144, 8 };
       w->incarnation = 1;
       w->runs = g_array_new (FALSE, FALSE, sizeof (struct fa_run));
--- a/tests/steps/fake_cluster.h
+++ b/tests/steps/fake_cluster.h
@@ -39,6 +39,7 @@
 struct fa_worker
 {
   char id[24], rack[16], domain[16];
+  const char *service;
   int64_t cold_until_ms; /* its reports say that it is slow until then */
   struct sj_resources capacity;
   struct sj_resources larger_capacity; /* before it shrank at SHRUNK_MS */
--- a/tests/steps/test_steps.c
+++ b/tests/steps/test_steps.c
@@ -170,6 +170,36 @@
   fa_fini (&cluster);
 }
 
+/* Guards against a task that waits for its rack in an idle service, since
+   another service is busy.  */
+static void
+test_rack_wait_counts_own_service (void)
+{
+  struct sj_job *busy = fa_new_job (1, 1, 2, 8, 60000), *job;
+
+  fa_init (&cluster, 16, 2, 1);
+  for (int i = 8; i < 16; i++)
+    cluster.worker[i].service = "t";
+  fa_take_over (&cluster);
+  busy->step[0].need.cpu_milli = 128000;
+  busy->step[0].data_rack = g_strdup ("r0");
+  fa_submit (&cluster, busy);
+  busy = fa_new_job (2, 0, 8, 8, 60000);
+  busy->step[0].need.cpu_milli = 128000;
+  g_free (busy->service);
+  busy->service = g_strdup ("t");
+  fa_submit (&cluster, busy);
+  fa_run_ms (&cluster, 1000);
+  CU_ASSERT_EQUAL (cluster.starts, 10);
+  job = fa_new_job (3, 1, 1, 1, 10000);
+  job->step[0].data_rack = g_strdup ("r0");
+  fa_submit (&cluster, job);
+  fa_run_ms (&cluster, 2500);
+  CU_ASSERT_EQUAL (cluster.starts, 11);
+  expect_no_violations (&cluster);
+  fa_fini (&cluster);
+}
+
 static void
 test_job_fails_after_max_attempts (void)
 {
@@ -678,6 +708,7 @@
     { "crashed worker", test_runs_of_crashed_worker_restart },
     { "all workers avoided", test_task_that_avoids_all_workers_starts_again },
     { "avoided label", test_avoidance_counts_workers_with_the_label },
+    { "rack and service", test_rack_wait_counts_own_service },
     { "attempts exhausted", test_job_fails_after_max_attempts },
     { "attempt of a gang", test_failed_run_of_gang_is_one_attempt },
     { "attempt and take-over", test_failed_run_is_one_attempt_over_take_over },
