--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -349,8 +349,8 @@
   const char *reason;
   struct sj_job *j = job_with (longest, "null", &reason);
 
-  CU_ASSERT_PTR_NOT_NULL_FATAL (j);
-  CU_ASSERT_EQUAL (strlen (j->payload), 4000);
+  CU_ASSERT_PTR_NOT_NULL (j);
+  CU_ASSERT (j && strlen (j->payload) == 4000);
   sj_job_free (j);
   for (size_t i = 0; i < sizeof refused / sizeof *refused; i++)
     {
