Acknowledge ends only until the worker has answered

Users would see TWICE: a task that is done is started again. A worker that has nothing to do starts again under its id, which its row does not tell yet, and is given a task. The poll after the start still has the last number of the earlier incarnation, so the worker forgets the end of that task, which counts as noted. The next listing has it neither running nor ended, and the task is started anew.

Cause: each poll repeats the number of the last end that is stored, although the worker has answered to it, and an incarnation counts its ends anew.

Change: a poll has the number only until it is answered, and 0 after that.

test_workers, "unnoticed incarnation": an idle worker starts again under its id, is given a task and ends it before the poll; the task must not be started again, and its end is acknowledged later. It failed before at "CU_ASSERT_EQUAL(starts,2)".

--- a/src/batch/worker_hold.c
+++ b/src/batch/worker_hold.c
@@ -165,6 +165,9 @@
   struct po_target t = { w->address, w->id, b->lease.epoch };
   struct ba_order *o = wk_new_order (b, w->id);
   int is_long_poll = may_wait (w, busy);
+  /* The worker may have started again unnoticed and counts its ends anew then,
+     so that a number is sent only until it is acknowledged.  */
+  int64_t seen = w->stored_end > w->acked_end ? w->stored_end : 0;
   int64_t lease_ms = b->settings->hold_ms < MAX_LEASE_MS ? b->settings->hold_ms
                                                          : MAX_LEASE_MS;
   int wait_ms = is_long_poll ? long_poll_ms (b, w) : 0;
@@ -177,7 +180,7 @@
 
   o->is_long_poll = is_long_poll;
   o->target_serial = w->target_serial;
-  o->run.number = w->stored_end; /* ends that the worker may discard */
+  o->run.number = seen; /* ends that the worker may discard */
   if (until_ms)
     sj_worker_set_lease (b->cluster, w->id,
                          wk_lease_end_bound_ms (b, lease_ms));
@@ -186,7 +189,7 @@
   w->hold_sent_ms = b->now_ms;
   w->next_hold_ms = b->now_ms + UNSTORED_GAP_MS;
   co_add (b, b->counters.holds, 1);
-  if (!po_hold (&b->port, &t, w->stored_end, until_ms, wait_ms,
+  if (!po_hold (&b->port, &t, seen, until_ms, wait_ms,
                 is_long_poll ? wait_ms + HOLD_SLACK_MS : PROBE_TIMEOUT_MS,
                 on_listing, o))
     return;
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -464,6 +464,77 @@
   teardown ();
 }
 
+/* The worker has started again under its id, and its run of JOB, the first
+   that it was given, is done.  IS_FORGOTTEN becomes 1 once a poll acknowledges
+   that end.  */
+static void
+answer_hold_of_new_incarnation (const char *job, int *is_forgotten)
+{
+  struct sj_listed_run done = { .end = SJ_END_DONE, .checkpoint = "" };
+  struct po_listing *l = g_new0 (struct po_listing, 1);
+
+  g_strlcpy (done.run.job, job, sizeof done.run.job);
+  done.run.number = 1;
+  *is_forgotten |= hold_seen >= 1;
+  l->answer
+      = (struct po_order_answer){ .answer = SJ_EXECUTED, .clock_ms = 500 };
+  l->incarnation = 8;
+  if (!*is_forgotten)
+    {
+      l->list = (struct sj_listing){ .end_count = 1, .ends = &done };
+      l->last_end = 1;
+    }
+  hold_done (hold_arg, l);
+  hold_arg = NULL;
+  handle_worker_events (&batch);
+}
+
+/* Guards against TWICE: a worker that has nothing to do starts again under its
+   id, and the row of the new incarnation comes late.  Its first poll still
+   acknowledged ends by the numbers of the earlier one, and so the end of a run
+   that it was given meanwhile, which then was started again.  */
+static void
+test_end_of_unnoticed_incarnation_is_not_acknowledged (void)
+{
+  struct sj_listed_run done
+      = { .run = { .job = "00000000000000a1", .number = 1 },
+          .end = SJ_END_DONE,
+          .checkpoint = "" };
+  struct po_row row = worker_row;
+  char value[300];
+  int is_forgotten = 0;
+
+  setup ();
+  advance (10);
+  answer_hold (SJ_EXECUTED, &done);
+  commit_all ();
+  advance (1000);
+  CU_ASSERT_EQUAL (hold_seen, 1);
+  answer_hold (SJ_EXECUTED, NULL);
+  sj_job_add (batch.cluster, new_one_task_job (0xb2), NULL, 0, batch.now_ms);
+  sj_decide (batch.cluster, batch.now_ms, batch.now_ms);
+  commit_all ();
+  CU_ASSERT_EQUAL_FATAL (starts, 2);
+  handle_worker_events (&batch);
+  snprintf (value, sizeof value,
+            "{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+            "\"state\":\"ready\",\"born\":8,\"capacity\":{\"cpu\":1000,"
+            "\"memory_request_mb\":1000,\"gpu\":1},\"labels\":[\"a\",\"r\"]}");
+  row.value = value;
+  for (int i = 0; i < 8; i++)
+    {
+      advance (1000);
+      if (hold_arg)
+        answer_hold_of_new_incarnation ("00000000000000b3", &is_forgotten);
+      wk_on_row (&batch, &row, 1);
+      sj_decide (batch.cluster, batch.now_ms, batch.now_ms);
+      commit_all ();
+    }
+  CU_ASSERT (is_forgotten);
+  CU_ASSERT_EQUAL (starts, 2);
+  teardown ();
+}
+
 /* The first task ends, and its worker, whose clock runs at RATE, is idle for
    MS.  Then a second task starts there.  */
 static void
@@ -1258,6 +1329,8 @@
     { "retry limit", test_start_retries_are_limited },
     { "silent", test_unreachable_worker_lease_is_not_renewed },
     { "ends", test_end_is_acknowledged_once_stored },
+    { "unnoticed incarnation",
+      test_end_of_unnoticed_incarnation_is_not_acknowledged },
     { "slow clock", test_slow_clock_after_idle_time },
     { "right clock", test_right_clock_after_idle_time },
     { "listed again", test_relisted_worker_is_polled_again },
