skr-sched: cell leases on the clock that counts a suspension

Callers would see two VMs that give orders for one cell: a VM is suspended for longer than the cell's lease and goes on as if no time had passed. A worker that has not heard of the next holder's epoch carries its orders out.

Cause: skr-sched measures its leases by CLOCK_MONOTONIC, which stands still while the VM is suspended; skr-batch measures its own by CLOCK_BOOTTIME.

Change: skr-sched uses bs_clock_boot too.

--- a/src/sched/loop.c
+++ b/src/sched/loop.c
@@ -172,7 +172,7 @@
 {
   memset (s, 0, sizeof *s);
   s->settings = set;
-  s->clock = bs_clock_system ();
+  s->clock = bs_clock_boot ();
   s->now_ms = bs_now_ms (&s->clock);
   bs_random_hex (s->token, (CT_TOKEN - 1) / 2);
   gr_init (&s->grants);
