An order is not sent after the lease under which it was given

Users would see orders of a holder that is none any more: a process is paused, or its VM suspended, after it has checked its lease and while an order waits in the HTTP client for its thread or for a connection; the order goes out when the process goes on. The fencing token holds it back only at workers that have seen the next one, not at one that started again meanwhile.

Cause: the lease is checked when the order is submitted; libcurl's time-out begins later, and does not count a suspension.

Change: a request may have a time, on the clock that counts a suspension, from which on it is not sent any more. The client looks at it when curl comes to send the request, and the request ends as not sent.

test_http, "limit": a request is submitted on the client's thread, which is then busy until the limit has passed; it must end as not sent and the server must not see it; with a later limit it is answered.

--- a/include/skr/http.h
+++ b/include/skr/http.h
@@ -56,6 +56,8 @@
   int connect_timeout_ms;             /* 0: the client's default */
   int new_connection; /* use a new connection, because an open one may be stale
                 or silent */
+  int64_t send_until_ms; /* time of bs_clock_boot from which on the request is
+                            not sent any more; 0: none */
   hc_done *done;
   void *arg;
 };
--- a/include/skr/port.h
+++ b/include/skr/port.h
@@ -146,11 +146,13 @@
                                   const char **reason);
 void po_worker_free (struct po_worker *worker);
 
-/* The worker that an order is sent to, and the fencing token.  */
+/* The worker that an order is sent to, the fencing token, and the end of the
+   lease under which it is sent, on bs_clock_boot.  */
 struct po_target
 {
   const char *address, *id;
   int64_t token; /* a worker refuses tokens below the highest it saw */
+  int64_t valid_until_ms;
 };
 
 struct po_order_answer
--- a/src/batch/orders.c
+++ b/src/batch/orders.c
@@ -52,7 +52,8 @@
 static int
 send_start (struct batch *b, struct ba_worker *w, struct ba_order *o)
 {
-  struct po_target t = { w->address, w->id, b->lease.epoch };
+  struct po_target t
+      = { w->address, w->id, b->lease.epoch, b->lease.valid_until_ms };
   struct sj_order order = { .kind = SJ_START,
                             .worker = o->worker,
                             .run = o->run,
@@ -70,7 +71,8 @@
 static int
 send_stop (struct batch *b, struct ba_worker *w, struct ba_order *o)
 {
-  struct po_target t = { w->address, w->id, b->lease.epoch };
+  struct po_target t
+      = { w->address, w->id, b->lease.epoch, b->lease.valid_until_ms };
 
   co_add (b, b->counters.stops, 1);
   return po_stop (&b->port, &t, &o->run,
--- a/src/batch/worker_hold.c
+++ b/src/batch/worker_hold.c
@@ -162,7 +162,8 @@
 static void
 send_hold (struct batch *b, struct ba_worker *w, int busy)
 {
-  struct po_target t = { w->address, w->id, b->lease.epoch };
+  struct po_target t
+      = { w->address, w->id, b->lease.epoch, b->lease.valid_until_ms };
   struct ba_order *o = wk_new_order (b, w->id);
   int is_long_poll = may_wait (w, busy);
   /* The worker may have started again unnoticed and counts its ends anew then,
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -36,7 +36,8 @@
   int is_cut;      /* its connection broke before an answer */
   int has_headers; /* all of the answer */
   int sends;       /* times that curl began to send the request */
-  int64_t started_ms;
+  int is_late;     /* its limit had passed when curl came to send it */
+  int64_t started_ms, send_until_ms;
   GString *response;
   hc_done *done;
   void *arg;
@@ -210,6 +211,14 @@
   return request_bytes > 0 || began_us > 0;
 }
 
+static int
+is_past_limit (const struct transfer *t)
+{
+  const struct bs_clock clock = bs_clock_boot ();
+
+  return t->send_until_ms && bs_now_ms (&clock) >= t->send_until_ms;
+}
+
 /* Curl's callback before it sends the request.  Curl sends a request again on
    its own when a reused connection breaks before an answer.  The answer to the
    repeat would say nothing about the first request, which may have been
@@ -225,7 +234,8 @@
   (void)remote_port;
   (void)local_port;
   t->is_cut = !t->is_read && may_have_been_sent (t);
-  if (t->is_cut)
+  t->is_late = !t->is_cut && is_past_limit (t);
+  if (t->is_cut || t->is_late)
     return CURL_PREREQFUNC_ABORT;
   t->sends++;
   return CURL_PREREQFUNC_OK;
@@ -297,6 +307,7 @@
   t->done = r->done;
   t->arg = r->arg;
   t->started_ms = bs_now_ms (&hc->clock);
+  t->send_until_ms = r->send_until_ms;
   if (t->easy)
     set_options (hc, t, r);
   if (!t->easy || rg_push (&hc->ring, t))
@@ -367,9 +378,10 @@
   if (code != CURLE_OK)
     {
       a.outcome = may_have_been_sent (t) ? HC_LOST : HC_NOT_SENT;
-      a.reason = t->is_cut   ? "the connection broke before an answer"
-                 : *t->error ? t->error
-                             : curl_easy_strerror (code);
+      a.reason = t->is_cut    ? "the connection broke before an answer"
+                 : t->is_late ? "its time to be sent had passed"
+                 : *t->error  ? t->error
+                              : curl_easy_strerror (code);
     }
   else
     {
--- a/src/sched/io.c
+++ b/src/sched/io.c
@@ -69,6 +69,15 @@
          && !ce_may_act (&effect->cell->lease, bs_now_ms (&s->clock));
 }
 
+/* An order may wait for a connection, and the process may be paused then.  */
+static int64_t
+send_until_ms (const struct cl_effect *effect)
+{
+  return effect->u.order.ticket.request == CL_PART
+             ? effect->cell->lease.valid_until_ms
+             : 0;
+}
+
 static void
 send_order (struct sched *s, const struct cl_effect *effect,
             struct sc_event *event)
@@ -84,6 +93,7 @@
           .header = { body ? "Content-Type: application/json" : NULL },
           .timeout_ms = effect->u.order.timeout_ms,
           .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+          .send_until_ms = send_until_ms (effect),
           .done = on_order,
           .arg = event };
 
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -56,6 +56,7 @@
   if (strcmp (target->id, "i-1") != 0)
     return PO_EFULL;
   holds++;
+  CU_ASSERT_EQUAL (target->valid_until_ms, batch.lease.valid_until_ms);
   hold_seen = seen;
   hold_until = until_ms;
   hold_token = target->token;
@@ -75,9 +76,9 @@
   struct po_order_answer old = { .answer = SJ_REFUSED, .reason = "old" };
 
   (void)port;
-  (void)target;
   (void)order;
   (void)timeout_ms;
+  CU_ASSERT_EQUAL (target->valid_until_ms, batch.lease.valid_until_ms);
   if (refuses_calls)
     return PO_EFULL;
   start_until[starts++ % 8] = until_ms;
--- a/tests/net/test_http.c
+++ b/tests/net/test_http.c
@@ -624,6 +624,67 @@
   CU_ASSERT_EQUAL (queued.answer.outcome, HC_NOT_SENT);
 }
 
+/* A request that is submitted on the client's thread, which is then busy for
+   DELAY_MS.  */
+struct delayed
+{
+  struct hc_client *hc;
+  struct ending end;
+  int delay_ms, limit_ms;
+};
+
+static void
+submit_and_delay (void *arg, const struct hc_answer *a)
+{
+  const struct bs_clock clock = bs_clock_boot ();
+  struct delayed *d = arg;
+  int64_t now_ms = bs_now_ms (&clock);
+  struct hc_request r = { .method = "POST",
+                          .url = url,
+                          .body = "{\"once\":1}",
+                          .timeout_ms = 10 * TIMEOUT_MS,
+                          .send_until_ms = now_ms + d->limit_ms,
+                          .done = on_end,
+                          .arg = &d->end };
+
+  CU_ASSERT_EQUAL (a->outcome, HC_ANSWERED);
+  CU_ASSERT_EQUAL (hc_submit (d->hc, &r), HC_OK);
+  while (bs_now_ms (&clock) < now_ms + d->delay_ms)
+    usleep (1000);
+}
+
+static struct hc_answer
+call_delayed (int delay_ms, int limit_ms)
+{
+  struct delayed d
+      = { .hc = new_client (), .delay_ms = delay_ms, .limit_ms = limit_ms };
+  struct hc_request r = { .method = "POST",
+                          .url = url,
+                          .body = "{\"once\":1}",
+                          .timeout_ms = 10 * TIMEOUT_MS,
+                          .done = submit_and_delay,
+                          .arg = &d };
+
+  second_answer = ok;
+  second_request_action = SEND_TEXT;
+  atomic_store (&requests_seen, 0);
+  CU_ASSERT_EQUAL (hc_submit (d.hc, &r), HC_OK);
+  wait_for (&d.end.ended, 1);
+  hc_free (d.hc);
+  return d.end.answer;
+}
+
+/* Guards against an order that goes out after the lease under which it was
+   given, as the process was paused, or the VM suspended, in between.  */
+static void
+test_request_is_not_sent_after_its_limit (void)
+{
+  CU_ASSERT_EQUAL (call_delayed (20, 20).outcome, HC_NOT_SENT);
+  CU_ASSERT_EQUAL (atomic_load (&requests_seen), 1);
+  CU_ASSERT_EQUAL (call_delayed (0, 100000).outcome, HC_ANSWERED);
+  CU_ASSERT_EQUAL (atomic_load (&requests_seen), 2);
+}
+
 int
 main (void)
 {
@@ -653,6 +714,7 @@
     { "counts", test_bytes_are_counted_once },
     { "queued", test_queued_request_is_not_sent },
     { "ended", test_free_ends_requests },
+    { "limit", test_request_is_not_sent_after_its_limit },
     CU_TEST_INFO_NULL,
   };
 
