--- a/tests/batch/test_records.c
+++ b/tests/batch/test_records.c
@@ -48,7 +48,7 @@
   (void)until_ms;
   (void)wait_ms;
   (void)timeout_ms;
-  hold_seen = seen;
+  hold_seen = MAX (hold_seen, seen);
   hold_done = done;
   hold_arg = arg;
   return 0;
