Soak: a grey worker, chosen faults, and counts of TWICE and LIMIT

One worker at a time is grey for 0.2 to 6 s, and while it is, it may come back under its id or under another within 0.4 s. "store fault, one" is now "store fault at one", as names are separated by commas.

--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -15,6 +15,10 @@
   MAX_EVACUATION_GAP_MS = 6000, /* between two evacuations of a domain */
   /* Longer than the time after which nothing may start there.  */
   MAX_EVACUATION_MS = 2 * SF_EVACUATION_MS,
+  MAX_GREY_GAP_MS = 1000, /* from one grey worker to the next */
+  MAX_GREY_REBORN_GAP_MS = 1500,
+  /* A try of a start goes unanswered for 300 ms.  */
+  MAX_GREY_REBORN_MS = 400,
   MAX_STALL_GAP_MS = 12000, /* between two stalls of the writes */
   MAX_FAULT_MS = 6000,      /* longest duration of a fault */
   MIN_FAULT_MS = 200,       /* shortest duration of a fault */
@@ -52,16 +56,20 @@
   SHRUNK_WORKER = RANDOM_FAULTS,
   STALLED_WRITES,
   EVACUATED_DOMAIN,
+  GREY_WORKER,
+  REBORN_GREY_WORKER,
+  REPLACED_GREY_WORKER,
   FAULT_COUNT
 };
 
 static const char *const names[FAULT_COUNT] = {
   "kill VM",        "kill all VMs",   "stop VM",       "freeze VM",
   "reload VM",      "cut store",      "cut workers",   "cut callers",
-  "slow links",     "reset links",    "store fault",   "store fault, one",
+  "slow links",     "reset links",    "store fault",   "store fault at one",
   "history gone",   "worker crash",   "worker reborn", "worker late",
   "worker fails",   "worker cut",     "worker leaves", "configuration",
-  "worker shrinks", "writes stalled", "evacuation"
+  "worker shrinks", "writes stalled", "evacuation",    "worker grey",
+  "grey reborn",    "grey replaced"
 };
 
 /* A fault in effect.  */
@@ -72,12 +80,23 @@
   int64_t end_ms;
 };
 
+/* Faults of one kind at random workers, with random numbers of their own, so
+   that a seed plays the same other faults.  */
+struct stream
+{
+  enum fault kind;
+  int max_gap_ms, max_ms;
+  GRand *rand;
+  int64_t next_ms;
+};
+
 struct injector
 {
   struct soak *soak;
   GRand *rand;
-  /* Of their own, so that a seed plays the same other faults.  */
-  GRand *shrink_rand, *stall_rand, *evacuation_rand;
+  enum fault drawn[RANDOM_FAULTS]; /* kinds that are drawn at random */
+  int drawn_count;
+  GRand *stall_rand; /* its own, as those of the streams */
   struct active_fault active[MAX_ACTIVE_FAULTS];
   int active_count;
 };
@@ -224,8 +243,14 @@
     {
     case CRASH_WORKER:
     case RESTARTED_WORKER:
+    case REBORN_GREY_WORKER:
+    case REPLACED_GREY_WORKER:
       kill_worker (s, h->worker);
       break;
+    case GREY_WORKER:
+      sf_set_grey (&s->platform, h->worker, 1,
+                   (uint32_t)(s->seed + h->worker));
+      break;
     case LATE_WORKER:
       sf_set_worker_fault (&s->platform, h->worker, 0, ORDER_DELAY_MS);
       break;
@@ -305,13 +330,18 @@
       break;
     case CRASH_WORKER:
     case LEAVING_WORKER:
+    case REPLACED_GREY_WORKER:
       kill_worker (s, h->worker);
       sf_worker_start (&s->platform, h->worker, 1);
       break;
     case RESTARTED_WORKER:
+    case REBORN_GREY_WORKER:
       kill_worker (s, h->worker);
       sf_worker_start (&s->platform, h->worker, 0);
       break;
+    case GREY_WORKER:
+      sf_set_grey (&s->platform, h->worker, 0, 0);
+      break;
     case LATE_WORKER:
     case FAILING_WORKER:
       sf_set_worker_fault (&s->platform, h->worker, 0, 0);
@@ -369,7 +399,7 @@
 inject_fault (struct injector *p, int64_t now)
 {
   struct active_fault h
-      = { (enum fault)random_below (p, RANDOM_FAULTS),
+      = { p->drawn[random_below (p, p->drawn_count)],
           random_below (p, p->soak->vms), random_below (p, p->soak->workers),
           now + MIN_FAULT_MS + random_below (p, MAX_FAULT_MS - MIN_FAULT_MS) };
 
@@ -383,17 +413,38 @@
   p->active[p->active_count++] = h;
 }
 
-/* Injects a fault of KIND at a random worker.  */
+/* Returns the worker that is grey, or -1.  */
+static int
+find_grey_worker (const struct injector *p)
+{
+  for (int i = 0; i < p->active_count; i++)
+    if (p->active[i].kind == GREY_WORKER)
+      return p->active[i].worker;
+  return -1;
+}
+
+static int
+is_at_grey_worker (enum fault kind)
+{
+  return kind == REBORN_GREY_WORKER || kind == REPLACED_GREY_WORKER;
+}
+
+/* Injects the next fault of a stream.  */
 static void
-inject_at_worker (struct injector *p, enum fault kind, GRand *r, int max_ms,
-                  int64_t now)
+inject_at_worker (struct injector *p, struct stream *t, int64_t now)
 {
   struct active_fault h
-      = { .kind = kind,
-          .worker = g_rand_int_range (r, 0, (gint32)p->soak->workers),
-          .end_ms = now + g_rand_int_range (r, MIN_FAULT_MS, max_ms) };
-
-  if (p->active_count == MAX_ACTIVE_FAULTS)
+      = { .kind = t->kind,
+          .worker = g_rand_int_range (t->rand, 0, (gint32)p->soak->workers),
+          .end_ms
+          = now + g_rand_int_range (t->rand, MIN_FAULT_MS, t->max_ms) };
+
+  /* One worker at a time is grey.  */
+  t->next_ms = (t->kind == GREY_WORKER ? h.end_ms : now)
+               + g_rand_int_range (t->rand, 0, t->max_gap_ms);
+  if (is_at_grey_worker (t->kind))
+    h.worker = find_grey_worker (p);
+  if (h.worker < 0 || p->active_count == MAX_ACTIVE_FAULTS)
     return;
   start_fault (p, &h);
   p->active[p->active_count++] = h;
@@ -414,51 +465,88 @@
   p->active[p->active_count++] = h;
 }
 
+static int
+is_chosen (const struct soak *s, enum fault kind)
+{
+  return (int)(s->kinds >> kind & 1);
+}
+
+int
+so_choose_faults (struct soak *s)
+{
+  char **list = g_strsplit (s->only, ",", -1);
+  int error = 0;
+
+  s->kinds = *s->only ? 0 : ((uint64_t)1 << FAULT_COUNT) - 1;
+  for (int i = 0; list[i]; i++)
+    {
+      int kind = 0;
+
+      while (kind < FAULT_COUNT && strcmp (names[kind], list[i]) != 0)
+        kind++;
+      if (kind == FAULT_COUNT)
+        error = -1;
+      else
+        s->kinds |= (uint64_t)1 << kind;
+    }
+  g_strfreev (list);
+  return error;
+}
+
+static void
+inject_due_faults (struct injector *p, struct stream *stream, int n,
+                   int64_t now)
+{
+  for (int i = 0; i < n; i++)
+    if (now >= stream[i].next_ms && is_chosen (p->soak, stream[i].kind))
+      inject_at_worker (p, &stream[i], now);
+}
+
 void
 so_run_faults (struct soak *s)
 {
+  guint32 seed = (guint32)s->seed;
+  struct stream stream[] = {
+    { SHRUNK_WORKER, MAX_SHRINK_GAP_MS, MAX_FAULT_MS,
+      g_rand_new_with_seed (~seed), 0 },
+    { EVACUATED_DOMAIN, MAX_EVACUATION_GAP_MS, MAX_EVACUATION_MS,
+      g_rand_new_with_seed (seed ^ 1), 0 },
+    { GREY_WORKER, MAX_GREY_GAP_MS, MAX_FAULT_MS,
+      g_rand_new_with_seed (seed ^ 0x47524559), 0 },
+    { REBORN_GREY_WORKER, MAX_GREY_REBORN_GAP_MS, MAX_GREY_REBORN_MS,
+      g_rand_new_with_seed (seed ^ 0x42524e47), 0 },
+    { REPLACED_GREY_WORKER, MAX_GREY_REBORN_GAP_MS, MAX_GREY_REBORN_MS,
+      g_rand_new_with_seed (seed ^ 0x52504c47), 0 },
+  };
+  int streams = (int)G_N_ELEMENTS (stream);
   struct injector p
       = { .soak = s,
-          .rand = g_rand_new_with_seed ((guint32)s->seed),
-          .shrink_rand = g_rand_new_with_seed ((guint32)~s->seed),
-          .stall_rand = g_rand_new_with_seed ((guint32)s->seed ^ 0x5354414c),
-          .evacuation_rand = g_rand_new_with_seed ((guint32)(s->seed ^ 1)) };
+          .rand = g_rand_new_with_seed (seed),
+          .stall_rand = g_rand_new_with_seed (seed ^ 0x5354414c) };
   int64_t end = sf_now_ms () + s->seconds * 1000, next = sf_now_ms ();
-  int64_t next_shrink = next, next_evacuation = next;
   int64_t next_stall
       = next + g_rand_int_range (p.stall_rand, 0, MAX_STALL_GAP_MS);
 
+  for (int kind = 0; kind < RANDOM_FAULTS; kind++)
+    if (is_chosen (s, (enum fault)kind))
+      p.drawn[p.drawn_count++] = (enum fault)kind;
   while (sf_now_ms () < end)
     {
       int64_t now = sf_now_ms ();
 
-      if (now >= next)
+      if (p.drawn_count && now >= next)
         {
           inject_fault (&p, now);
           next = now + random_below (&p, MAX_GAP_MS);
         }
-      if (now >= next_shrink)
-        {
-          inject_at_worker (&p, SHRUNK_WORKER, p.shrink_rand, MAX_FAULT_MS,
-                            now);
-          next_shrink
-              = now + g_rand_int_range (p.shrink_rand, 0, MAX_SHRINK_GAP_MS);
-        }
       /* Only with the settings of access to the store; see so_vm_start.  */
-      if (s->seed % 2 && now >= next_stall)
+      if (s->seed % 2 && now >= next_stall && is_chosen (s, STALLED_WRITES))
         {
           stall_writes (&p, now);
           next_stall
               = now + g_rand_int_range (p.stall_rand, 0, MAX_STALL_GAP_MS);
         }
-      if (now >= next_evacuation)
-        {
-          inject_at_worker (&p, EVACUATED_DOMAIN, p.evacuation_rand,
-                            MAX_EVACUATION_MS, now);
-          next_evacuation = now
-                            + g_rand_int_range (p.evacuation_rand, 0,
-                                                MAX_EVACUATION_GAP_MS);
-        }
+      inject_due_faults (&p, stream, streams, now);
       end_due_faults (&p, now);
       so_vm_reap (s);
       restart_vms (&p);
@@ -468,7 +556,7 @@
   so_vm_reap (s);
   restart_vms (&p);
   g_rand_free (p.rand);
-  g_rand_free (p.shrink_rand);
   g_rand_free (p.stall_rand);
-  g_rand_free (p.evacuation_rand);
+  for (int i = 0; i < streams; i++)
+    g_rand_free (stream[i].rand);
 }
--- a/tests/soak/job_model.c
+++ b/tests/soak/job_model.c
@@ -55,6 +55,7 @@
   model->by_id = g_hash_table_new (g_str_hash, g_str_equal);
   model->started_ms = sf_now_ms ();
   model->seed = seed;
+  model->gangs = 1;
   /* Its own, so that a seed plays the same jobs without it.  */
   model->deadly_rand = g_rand_new_with_seed ((guint32)~seed);
 }
@@ -76,14 +77,14 @@
 }
 
 static void
-init_random_step (struct sj_step *s, GRand *rand, int i)
+init_random_step (struct sj_step *s, GRand *rand, int i, int gangs)
 {
   s->count = g_rand_int_range (rand, 1, BK_MAX_TASKS + 1);
   s->need.cpu_milli = g_rand_int_range (rand, 1, 8) * 1000;
   s->need.memory_mb = g_rand_int_range (rand, 1, 5) * 1024;
   s->need.accelerators = g_rand_int_range (rand, 0, 5);
   s->depends_on = i > 0 ? (uint64_t)1 << (i - 1) : 0;
-  s->gang = g_rand_int_range (rand, 0, 4) == 0;
+  s->gang = g_rand_int_range (rand, 0, 4) < gangs;
   s->checkpoints = g_rand_int_range (rand, 0, 3) == 0;
 }
 
@@ -106,13 +107,14 @@
   j->fails = g_rand_int_range (rand, 0, 30) == 0;
   for (int i = 0; i < job->step_count; i++)
     {
-      init_random_step (&job->step[i], rand, i);
+      init_random_step (&job->step[i], rand, i, model->gangs);
       j->work_ms[i] = g_rand_int_range (rand, 30, urgent ? 300 : 900);
       job->step[i].estimate_ms = j->work_ms[i];
     }
   j->body = sf_encode_job (job);
   bk_lock (model);
-  j->is_deadly = g_rand_int_range (model->deadly_rand, 0, DEADLY_ONE_IN) == 0;
+  j->is_deadly = g_rand_int_range (model->deadly_rand, 0, DEADLY_ONE_IN) == 0
+                 && !model->none_deadly;
   g_ptr_array_add (model->jobs, j);
   g_hash_table_insert (model->by_id, job->id, j);
   bk_unlock (model);
@@ -241,6 +243,7 @@
                                 = is_deadly_task (j, &o->run) ? CRASH_MS : 0,
                                 .checkpoints = step->checkpoints,
                                 .need = step->need };
+      model->twice += t->runs > 0;
       t->runs++;
       t->late_starts += t->crashes >= CRASHES_BEFORE_LIMIT;
       t->last_number = MAX (t->last_number, o->run.number);
--- a/tests/soak/job_model.h
+++ b/tests/soak/job_model.h
@@ -47,6 +47,9 @@
   GPtrArray *jobs; /* bk_job */
   GHashTable *by_id;
   int violations;
+  int twice;       /* starts of a task while a run of it works */
+  int gangs;       /* of four steps, on average */
+  int none_deadly; /* no job crashes its workers */
   int64_t started_ms;
   uint64_t seed;
   GRand *deadly_rand;
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -28,6 +28,12 @@
           "duration of the fault injection", FIELD (seconds) },
         { "settle", OPT_INT, "s", 1, MAX_SECONDS, "60",
           "time for accepted jobs to end afterwards", FIELD (settle_s) },
+        { "gangs", OPT_INT, "", 0, 4, "1", "gangs of four steps",
+          FIELD (gangs) },
+        { "only", OPT_STRING, "faults", 0, 300, "",
+          "names of the faults to play, with commas; then no job crashes its "
+          "workers; all by default",
+          FIELD (only) },
         { "program", OPT_STRING, "file", 1, 400, "bin/skr-batch",
           "program under test", FIELD (program) },
         { "dir", OPT_STRING, "directory", 1, 300, "/tmp/soak",
@@ -64,6 +70,8 @@
 
   pthread_mutex_init (&s->lock, NULL);
   bk_init (&s->model, s->seed);
+  s->model.gangs = (int)s->gangs;
+  s->model.none_deadly = *s->only != '\0';
   bk_init_observer (&s->model, &watch);
   if (px_init (&s->proxy, (int)s->vms, (int)s->workers)
       || sf_init (&s->platform, (int)s->vms, (int)s->workers, s->proxy.port,
@@ -133,11 +141,14 @@
       starts += j->starts;
     }
   printf ("seed %llu: %ld faults, %ld calls (%ld answered, %ld lost, %ld "
-          "submits refused), %u jobs, %d accepted, %d starts, %d breaches\n",
+          "submits refused), %u jobs, %d accepted, %d starts, %d breaches, %d "
+          "starts beside a run of the task, %d "
+          "starts over a capacity\n",
           (unsigned long long)s->seed, atomic_load (&s->faults),
           atomic_load (&s->calls), atomic_load (&s->answered),
           atomic_load (&s->lost), atomic_load (&s->refused),
-          s->model.jobs->len, accepted, starts, s->model.violations);
+          s->model.jobs->len, accepted, starts, s->model.violations,
+          s->model.twice, s->platform.over_capacity);
   return s->model.violations ? EXIT_FAILURE : EXIT_SUCCESS;
 }
 
@@ -156,6 +167,8 @@
              NULL);
   if (bs_init () != BS_OK)
     fail ("a library could not be initialised");
+  if (so_choose_faults (s))
+    fail ("--only names an unknown fault");
   signal (SIGPIPE, SIG_IGN);
   set_up (s);
   error |= pthread_create (&ready, NULL, so_poll_readiness, s);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -55,8 +55,10 @@
 struct soak
 {
   uint64_t seed;
-  int64_t vms, workers, clients, seconds, settle_s;
+  int64_t vms, workers, clients, seconds, settle_s, gangs;
   const char *program, *dir;
+  const char *only; /* names of the faults to play; "": all */
+  uint64_t kinds;   /* bit set of those faults */
   struct sf_platform platform;
   struct px_proxy proxy;
   struct bk_model model;
@@ -128,6 +130,9 @@
 void so_check_config (struct soak *s, struct so_connection *c, GRand *rand);
 void so_change_config (struct soak *s);
 
+/* Sets the kinds of faults from the option.  Returns 0, or -1 if a name is
+   unknown.  */
+int so_choose_faults (struct soak *s);
 /* Injects faults for the configured seconds, then ends all of them.  */
 void so_run_faults (struct soak *s);
 
