Ends are acknowledged to the incarnation that listed them

Callers would see nothing, but the worker lists its ends again and again until it is busy: a poll that acknowledges ends is sent, the worker starts again under its id, and the answer counts as the acknowledgement by the new incarnation of as many ends, whose numbers began anew.

Cause: wk_on_listing raises acked_end whichever incarnation the poll went to.

Change: only for a poll that went to the present one.

test_workers, "acknowledged anew": failed before at "hold_arg" (no poll was sent) and "CU_ASSERT_EQUAL(hold_seen,1)".

--- a/src/batch/worker_hold.c
+++ b/src/batch/worker_hold.c
@@ -146,7 +146,7 @@
   if (incarnation_changed (b, w, o, listing))
     return;
   wk_set_clock (b, w, a->clock_ms);
-  if (o->run.number > w->acked_end)
+  if (wk_is_current (w, o) && o->run.number > w->acked_end)
     w->acked_end = o->run.number;
   apply_listing (b, w, o, listing);
 }
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -1316,6 +1316,44 @@
   teardown ();
 }
 
+/* The first task has ended, and the worker knows that its end is stored.  */
+static void
+setup_with_acknowledged_end (void)
+{
+  setup ();
+  advance (10);
+  answer_hold (SJ_EXECUTED, &first_end);
+  commit_all ();
+  advance (1000);
+  CU_ASSERT_EQUAL (hold_seen, 1);
+}
+
+/* Guards against ends that are listed for ever: the answer to a poll that was
+   sent to an earlier incarnation counted for the present one.  */
+static void
+test_end_of_next_incarnation_is_acknowledged (void)
+{
+  struct sj_listed_run done
+      = { .run = { .job = "00000000000000b6", .number = 1 },
+          .end = SJ_END_DONE,
+          .checkpoint = "" };
+
+  setup_with_acknowledged_end ();
+  restart_worker ("10.0.0.1:80");
+  answer_hold_from (8, NULL);
+  sj_job_add (batch.cluster, new_one_task_job (0xb5), NULL, 0, batch.now_ms);
+  sj_decide (batch.cluster, batch.now_ms, batch.now_ms);
+  commit_all ();
+  CU_ASSERT_EQUAL_FATAL (starts, 2);
+  advance (1000);
+  answer_hold (SJ_EXECUTED, &done);
+  commit_all ();
+  advance (1000);
+  CU_ASSERT_PTR_NOT_NULL (hold_arg);
+  CU_ASSERT_EQUAL (hold_seen, 1);
+  teardown ();
+}
+
 int
 main (void)
 {
@@ -1360,6 +1398,7 @@
     { "later try, not sent", test_later_try_that_is_not_sent },
     { "earlier term", test_listing_of_earlier_term_is_ignored },
     { "fenced", test_fenced_start_ends_the_term },
+    { "acknowledged anew", test_end_of_next_incarnation_is_acknowledged },
     { "earlier clock", test_clock_of_earlier_incarnation_is_ignored },
     { "not executed", test_start_that_was_not_executed_is_no_crash },
     CU_TEST_INFO_NULL,
