--- a/tests/soak/job_model.c
+++ b/tests/soak/job_model.c
@@ -228,8 +228,10 @@
   t = find_task (model, &o->run, &j);
   violation = t ? check_start (j, t, o) : "belongs to no submitted job";
   if (violation)
-    bk_report_violation (model, "task %s.%d.%d run %lld on worker %d %s",
+    bk_report_violation (model, "task %s.%d.%d%s run %lld on worker %d %s",
                          o->run.job, o->run.step, o->run.index,
+                         t && j->job->step[o->run.step].gang ? " of a gang"
+                                                             : "",
                          (long long)o->run.number, worker, violation);
   if (t)
     {
