--- a/tests/platform/test_outcomes.c
+++ b/tests/platform/test_outcomes.c
@@ -63,8 +63,9 @@
 static char *
 status_text (int status, const char *body)
 {
-  return g_strdup_printf ("HTTP/1.1 %d X\r\nContent-Length: %zu\r\n\r\n%s",
-                          status, strlen (body), body);
+  return g_strdup_printf (
+      "HTTP/1.1 %d X\r\nConnection: close\r\nContent-Length: %zu\r\n\r\n%s",
+      status, strlen (body), body);
 }
 
 /* Guards against a transaction that counts as not done although it may have
--- a/tests/table/test_table.c
+++ b/tests/table/test_table.c
@@ -73,9 +73,10 @@
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
-      char *text = g_strdup_printf (
-          "HTTP/1.1 %d X\r\nContent-Length: %zu\r\n\r\n%s", cases[i].status,
-          strlen (cases[i].body), cases[i].body);
+      char *text = g_strdup_printf ("HTTP/1.1 %d X\r\nConnection: "
+                                    "close\r\nContent-Length: %zu\r\n\r\n%s",
+                                    cases[i].status, strlen (cases[i].body),
+                                    cases[i].body);
 
       CU_ASSERT_EQUAL (call (server.address, text, 1), cases[i].commit);
       CU_ASSERT_EQUAL (call (server.address, text, 0), cases[i].read);
