Log lines hold text from outside as it came, escaped

Operators could read a line that no event had written: in the plain format text from outside, a worker's id or reason with a newline or quotes, ended its line and began another. In JSON, text that is not UTF-8 was missing from its line. Cause: the plain format wrote text as it was; the JSON library refuses what is not UTF-8. Change: controls, quotes and backslashes are escaped in the plain format, as JSON did; in both, text that is not UTF-8 has its bytes beyond ASCII as octal escapes.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -12,8 +12,9 @@
 
 enum
 {
-  MAX_FIELDS = 16, /* of an event */
-  LINE_SIZE = 1024 /* bytes */
+  MAX_FIELDS = 16,  /* of an event */
+  LINE_SIZE = 1024, /* bytes */
+  FIRST_BEYOND_ASCII = 128
 };
 
 enum output
@@ -121,6 +122,44 @@
   return entry;
 }
 
+/* TEXT with quotes, backslashes and controls escaped, and all bytes beyond
+   ASCII too if it is not UTF-8.  */
+static char *
+escape (const char *text)
+{
+  char beyond_ascii[FIRST_BEYOND_ASCII + 1];
+
+  if (!g_utf8_validate (text, -1, NULL))
+    return g_strescape (text, NULL);
+  for (int i = 0; i < FIRST_BEYOND_ASCII; i++)
+    beyond_ascii[i] = (char)(FIRST_BEYOND_ASCII + i);
+  beyond_ascii[FIRST_BEYOND_ASCII] = '\0';
+  return g_strescape (text, beyond_ascii);
+}
+
+static void
+add_plain_text (GString *s, const struct lg_field *f)
+{
+  char *text = escape (f->text);
+
+  g_string_append_printf (s, " %s=\"%s\"", f->name, text);
+  g_free (text);
+}
+
+static json_t *
+json_text (const char *text)
+{
+  json_t *value = json_string (text);
+  char *escaped;
+
+  if (value)
+    return value;
+  escaped = escape (text);
+  value = json_string (escaped);
+  g_free (escaped);
+  return value;
+}
+
 static char *
 format_plain_line (const struct lg_entry *entry, int count,
                    const struct lg_field *f)
@@ -131,7 +170,7 @@
                    (int)entry->id, entry->name ? entry->name : "?");
   for (int i = 0; i < count; i++)
     if (f[i].text)
-      g_string_append_printf (s, " %s=\"%s\"", f[i].name, f[i].text);
+      add_plain_text (s, &f[i]);
     else
       g_string_append_printf (s, " %s=%lld", f[i].name,
                               (long long)f[i].number);
@@ -152,7 +191,7 @@
                        json_string (entry->name ? entry->name : "?"));
   for (int i = 0; i < count; i++)
     json_object_set_new (o, f[i].name,
-                         f[i].text ? json_string (f[i].text)
+                         f[i].text ? json_text (f[i].text)
                                    : json_integer (f[i].number));
   dump = json_dumps (o, JSON_COMPACT);
   line = g_strdup (dump ? dump : "{}");
--- a/tests/base/test_log.c
+++ b/tests/base/test_log.c
@@ -86,12 +86,29 @@
   CU_ASSERT_EQUAL (count ("\"worker-belief\""), 5 * RATE);
 }
 
+/* Guards against text from outside that is missing from its line.  */
+static void
+test_text_from_outside_is_in_its_line (void)
+{
+  const struct lg_field odd[] = { lg_str ("key", "\xc3\xa4 \xff") };
+  const struct lg_field valid[] = { lg_str ("key", "a\n\xc3\xa4") };
+
+  begin ();
+  lg_log (LG_ROW_UNREADABLE, 1, odd);
+  lg_log (LG_ROW_UNREADABLE, 1, valid);
+  end ();
+  CU_ASSERT_EQUAL (count ("\"key\":\"\\\\303\\\\244 \\\\377\""), 1);
+  CU_ASSERT_EQUAL (count ("\"key\":\"a\\n\xc3\xa4\""), 1);
+  CU_ASSERT_EQUAL (count ("\n"), 2);
+}
+
 int
 main (void)
 {
   static const CU_TestInfo tests[] = {
     { "flood", test_flood_hides_nothing_else },
     { "changes of state", test_changes_of_state_are_kept },
+    { "text from outside", test_text_from_outside_is_in_its_line },
     CU_TEST_INFO_NULL,
   };
 
