No orders once the lease is being released

Users would see TWICE: a VM that stops as planned releases the lease, and the reply is late or lost. Another VM takes the lease at once, but the first one went on renewing the workers' leases until its own validity ended, up to 1.2 s later. If the next holder can't reach a worker that the first one reaches, it counts the runs there as ended 6.3 s after its term began, while they may run for up to 1 s more, and starts them elsewhere.

Cause: the lease counts as valid until the reply to the release.

Change: it ends with the sending of the release. What is not released stays with the validity of 1.2 s as before.

test_holder, "released": failed before at "CU_ASSERT_FALSE(le_valid (&batch.lease, batch.now_ms))", twice.

--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -172,7 +172,10 @@
     return;
   sj_retry_aside (b->cluster, b->now_ms);
   if (b->stopping_at_ms)
-    cm_begin (b, BA_COMMIT_RELEASE, le_release_value (&b->lease));
+    {
+      cm_begin (b, BA_COMMIT_RELEASE, le_release_value (&b->lease));
+      le_end_orders (&b->lease, b->now_ms);
+    }
   else if (sj_is_dirty (b->cluster) || b->now_ms >= le_renew_at (&b->lease))
     cm_begin_records (b);
 }
--- a/src/batch/lease.c
+++ b/src/batch/lease.c
@@ -194,6 +194,12 @@
   return l->held && l->epoch == epoch;
 }
 
+void
+le_end_orders (struct le_lease *l, int64_t now)
+{
+  l->valid_until_ms = now;
+}
+
 void
 le_drop (struct le_lease *l)
 {
--- a/src/batch/lease.h
+++ b/src/batch/lease.h
@@ -90,6 +90,9 @@
    a write whose reply was lost is recognized.  */
 int le_conflict (struct le_lease *l, int64_t version, const char *value,
                  int64_t now, int64_t *serial);
+/* No more orders may be sent, as the lease is being released: another VM may
+   hold it before the reply arrives.  */
+void le_end_orders (struct le_lease *l, int64_t now);
 /* The process gives up its role as holder.  */
 void le_drop (struct le_lease *l);
 
--- a/tests/batch/test_holder.c
+++ b/tests/batch/test_holder.c
@@ -274,6 +274,32 @@
   teardown ();
 }
 
+/* Guards against TWICE: a VM that stops renewed the leases of workers after it
+   had released its own, so that the next holder, which can't reach a worker,
+   counted its runs as ended too early.  */
+static void
+test_no_orders_once_the_lease_is_released (void)
+{
+  setup ();
+  batch.worker_follower.synced = 1;
+  advance (10);
+  CU_ASSERT_EQUAL (batch.phase, BA_ACTIVE);
+  CU_ASSERT (le_valid (&batch.lease, batch.now_ms));
+  batch.stopping_at_ms = batch.now_ms;
+  fs_store.writes = 0;
+  advance (10);
+  CU_ASSERT_EQUAL (fs_store.writes, 1);
+  CU_ASSERT_EQUAL (batch.commit.kind, BA_COMMIT_RELEASE);
+  CU_ASSERT_FALSE (le_valid (&batch.lease, batch.now_ms));
+  store_replies (PO_UNKNOWN, 0, NULL);
+  advance (100);
+  CU_ASSERT_EQUAL (fs_store.writes, 2);
+  CU_ASSERT_FALSE (le_valid (&batch.lease, batch.now_ms));
+  store_replies (PO_DONE, 30, NULL);
+  CU_ASSERT_EQUAL (batch.phase, BA_STANDBY);
+  teardown ();
+}
+
 int
 main (void)
 {
@@ -284,6 +310,7 @@
     { "version", test_conflict_corrects_lease_version },
     { "loss", test_term_ends_when_another_vm_holds_lease },
     { "after silence", test_no_take_over_after_silence },
+    { "released", test_no_orders_once_the_lease_is_released },
     { "small VM", test_small_vm_does_not_repeat_attempt },
     CU_TEST_INFO_NULL,
   };
