--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -1273,6 +1273,22 @@
       }
 }
 
+/* Another worker answers the second try: the process that may have executed
+   the first has ended.  */
+static void
+test_later_try_answered_by_other_worker (void)
+{
+  setup_with_kept_start ();
+  begin_counting_lost_runs ();
+  answer_kept_start (&(struct po_order_answer){ .answer = SJ_UNANSWERED });
+  answer_kept_start (&(struct po_order_answer){
+      .answer = SJ_REFUSED, .replaced = 1, .status = 421 });
+  CU_ASSERT_EQUAL (lost_runs, 1);
+  CU_ASSERT_FALSE (sj_worker_has_runs (batch.cluster, "i-1"));
+  stop_keeping_starts ();
+  teardown ();
+}
+
 /* Guards against TWICE: the client was full as a start was to be sent again,
    and the order counted as not sent.  */
 static void
@@ -1395,6 +1411,7 @@
     { "unreadable entry", test_listing_with_unreadable_entry_proves_nothing },
     { "only try, refused", test_refusals_of_the_only_try },
     { "later try, refused", test_refusals_of_a_later_try },
+    { "later try, replaced", test_later_try_answered_by_other_worker },
     { "later try, not sent", test_later_try_that_is_not_sent },
     { "earlier term", test_listing_of_earlier_term_is_ignored },
     { "fenced", test_fenced_start_ends_the_term },
--- a/tests/steps/test_outcomes.c
+++ b/tests/steps/test_outcomes.c
@@ -283,6 +283,22 @@
   teardown ();
 }
 
+/* The worker that carried a later try out rejects the earlier one, so that no
+   stop is needed.  */
+static void
+test_earlier_try_is_rejected_by_the_same_worker (void)
+{
+  setup (1, 0);
+  add_second ();
+  sj_start_sent (cluster, order[0].worker, &order[0].run);
+  answer_start ("a", SJ_EXECUTED);
+  list ("a", &order[0].run);
+  list ("a", NULL);
+  expect_started_again ();
+  CU_ASSERT_EQUAL (count_orders (SJ_STOP), 0);
+  teardown ();
+}
+
 /* The only try was answered, so that the next incarnation can't carry it
    out: the task is planned anew at once.  */
 static void
@@ -366,6 +382,50 @@
   teardown ();
 }
 
+/* The next holder adds the job from its record, in which its task runs on
+   "a".  */
+static void
+take_over (void)
+{
+  struct sj_settings set = { .off_rack_factor = 3, .silent_timeout_ms = 6000 };
+  struct sj_job *job = fa_new_job (1, 0, 1, 2, 1000);
+  json_t *record = json_loads (
+      "{\"state\":\"running\",\"next\":1,\"done\":0,\"begun\":true,"
+      "\"open\":[{\"n\":0,\"left\":[1],\"units\":"
+      "[[0,0,1,0,\"\",[\"a\"],[8]]]}]}",
+      0, NULL);
+
+  now = 100000;
+  orders = 0;
+  cluster = sj_new (&set, note_order, NULL);
+  CU_ASSERT_EQUAL_FATAL (sj_job_add (cluster, job, record, 0, now), SJ_OK);
+  json_decref (record);
+  set_worker ("a", FIRST_LIFE);
+  add_second ();
+}
+
+/* Guards against TWICE: the start of an earlier holder was taken for one that
+   was not carried out before its worker had seen the next holder's token, or
+   before the lease that it may have given had ended.  */
+static void
+test_start_of_earlier_holder (void)
+{
+  take_over ();
+  for (int i = 0; i < 59; i++)
+    {
+      sj_worker_set_reachable (cluster, "a", 0);
+      decide_after (100);
+      CU_ASSERT_EQUAL (orders, 0);
+    }
+  list ("a", NULL);
+  decide_after (10);
+  CU_ASSERT_FALSE (sj_worker_has_runs (cluster, "a")
+                   && sj_worker_has_runs (cluster, "b"));
+  CU_ASSERT_EQUAL (count_orders (SJ_START), 1);
+  CU_ASSERT_EQUAL (order[0].run.number, 2);
+  teardown ();
+}
+
 int
 main (void)
 {
@@ -375,10 +435,13 @@
     { "earlier listing", test_listing_from_before_proves_nothing },
     { "earlier stop", test_stop_of_earlier_incarnation_proves_nothing },
     { "earlier try", test_earlier_try_may_reach_next_incarnation },
+    { "earlier try, same worker",
+      test_earlier_try_is_rejected_by_the_same_worker },
     { "only try", test_only_try_ends_with_its_incarnation },
     { "beside unknown run", test_waiting_start_beside_unknown_run },
     { "gang, refused", test_refused_member_stops_its_gang },
     { "gang, unanswered", test_unanswered_member_stops_its_gang },
+    { "earlier holder", test_start_of_earlier_holder },
     CU_TEST_INFO_NULL,
   };
 
