--- a/tests/net/test_http.c
+++ b/tests/net/test_http.c
@@ -713,6 +713,7 @@
 main (void)
 {
   static const CU_TestInfo tests[] = {
+    { "counts", test_bytes_are_counted_once },
     { "broken", test_broken_connection_sends_once },
     { "order once", test_order_is_sent_once },
     { "delete once", test_delete_is_sent_once },
@@ -735,7 +736,6 @@
     { "large body", test_large_body_is_sent_once },
     { "long", test_long_answer_is_lost },
     { "handshake", test_failed_handshake_is_not_sent },
-    { "counts", test_bytes_are_counted_once },
     { "queued", test_queued_request_is_not_sent },
     { "ended", test_free_ends_requests },
     { "limit", test_request_is_not_sent_after_its_limit },
