Records the store refuses for good: set aside with their job

What callers saw: one wide job with overlapping occurrences has a record of over 64 KB.

Cause: a refusal that can't change (400) was taken for a temporary one, and the same transaction, with the lease and the other jobs' records, was sent again for ever.

Change: the store's client tells a call that must not be repeated unchanged (PO_REFUSED) from one that was not done now. A record that exceeds a row is known before it is sent. After a refusal fewer records are tried at a time, down to one; a transaction without it shows whether it is at fault, so that no record is blamed for a store that refuses all. The job at fault is set aside: event 564 and counters, its unstored plans are withdrawn, nothing of it starts, no occurrence of it is opened, the ends of its runs are not acknowledged, and what runs goes on. Its record is tried again alone: when it was too large, after it has changed, else after 1 s to 60 s. A job whose plans made the record too large plans half as many tasks at a time, so that it goes on near the limit.

--- a/include/skr/events.h
+++ b/include/skr/events.h
@@ -82,6 +82,7 @@
   LG_CAPACITY_SCARCE = 561,
   LG_HOLDER_USAGE = 562,
   LG_HOLDER_WORK = 563,
+  LG_RECORD_ASIDE = 564,
 
   /* filter */
   LG_REQUEST_UNKNOWN = 601,
--- a/include/skr/port.h
+++ b/include/skr/port.h
@@ -32,6 +32,7 @@
   PO_CONFLICT,     /* a PO_EXPECT did not hold; ROW has the current rows */
   PO_HISTORY_GONE, /* history was trimmed: read the whole table again */
   PO_NOT_DONE,     /* refused or not sent: nothing was executed */
+  PO_REFUSED,      /* the same, and the call must not be repeated unchanged */
   PO_UNKNOWN       /* no usable answer: may be executed, now or later */
 };
 
@@ -77,7 +78,8 @@
 
 enum
 {
-  PO_MAX_ENTRIES = 100 /* per transaction, the store's limit */
+  PO_MAX_ENTRIES = 100,      /* per transaction, the store's limit */
+  PO_MAX_VALUE_BYTES = 65536 /* of a row, likewise */
 };
 
 struct po_entry
--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -478,7 +478,8 @@
 };
 
 /* Fills OUT with up to MAX changed records and returns their number.  They
-   count as being stored until sj_committed is called.  */
+   count as being stored until sj_committed is called.  The record of a job
+   that was set aside is the only one until then.  */
 int sj_dirty (struct sj_cluster *c, struct sj_dirty *out, int max);
 /* Reports that the records returned since the last call are stored (OK) or
    not.  Starts that stored records contain are ordered now.  */
@@ -487,12 +488,37 @@
 int sj_is_dirty (struct sj_cluster *c);
 /* Changes of records are numbered.  Returns the serial of the latest one.  */
 int64_t sj_change_serial (const struct sj_cluster *c);
-/* Returns the highest serial up to which all changes are stored.  */
+/* Returns the highest serial up to which all changes are stored, but for those
+   of jobs that are set aside.  */
 int64_t sj_stored_serial (const struct sj_cluster *c);
 
+/* Why a job's record can't be stored.  */
+enum sj_aside_reason
+{
+  SJ_TOO_LARGE,     /* it exceeds a row */
+  SJ_REFUSED_RECORD /* the store has refused it */
+};
+
+const char *sj_aside_reason_name (enum sj_aside_reason reason);
+
+/* The record of job ID can't be stored as it is.  Nothing of the job starts
+   until it is stored; what runs goes on.  sj_dirty does not return it until
+   some time has passed and, if it was too large, it has changed.  It must not
+   be among the records that are being stored, or be reported by this call
+   instead of sj_committed. Returns 1 unless the job had been set aside before.
+ */
+int sj_set_aside (struct sj_cluster *c, const char *id,
+                  enum sj_aside_reason reason, int64_t now);
+/* Lets sj_dirty return the changed records of jobs that were set aside, when
+   they are due.  */
+void sj_retry_aside (struct sj_cluster *c, int64_t now);
+/* Returns 1 while the job is set aside: its ends must not be acknowledged.  */
+int sj_is_aside (struct sj_cluster *c, const char *id);
+
 struct sj_counts
 {
   int jobs, waiting, runs, workers, usable_workers, busy_workers;
+  int aside_jobs;     /* that are set aside */
   int closed_workers; /* in closed failure domains */
   int64_t accelerators_used, accelerators;
   /* With speed_aware: workers by speed class, whether their speeds differ, and
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -305,6 +305,12 @@
     "the end; order_wait_ms is the longest time that an order waited to be "
     "sent, commit_ms that of a commit.",
     "none" },
+  { LG_RECORD_ASIDE, LG_ERROR, "record-aside", "id bytes status reason",
+    "The record of a job can't be stored: it is too large for a row, or the "
+    "store has refused it (status). Nothing of the job starts until it is "
+    "stored, and the ends of its tasks are not acknowledged. The records of "
+    "the other jobs are stored.",
+    "cancel the job, or submit it as smaller ones" },
 
   /* filter */
   { LG_REQUEST_UNKNOWN, LG_WARNING, "request-unknown",
--- a/src/batch/access.c
+++ b/src/batch/access.c
@@ -76,7 +76,7 @@
 {
   enum ac_reply reply = AC_ANSWERED;
 
-  if (result == PO_NOT_DONE)
+  if (result == PO_NOT_DONE || result == PO_REFUSED)
     reply = AC_NOT_DONE;
   else if (result == PO_UNKNOWN)
     reply = AC_LOST;
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -173,6 +173,7 @@
   int replaced;    /* another worker answers at its address */
   int probes_left; /* polls left that find out whether one does */
   int draining;
+  int ends_held; /* an end may be of a job that is set aside */
   int64_t next_hold_ms, hold_sent_ms;
 };
 
@@ -208,6 +209,13 @@
   int entries;
   int64_t serial, next_ms, first_sent_ms;
   int tries;
+  int records;                  /* among the entries */
+  char last_record[SJ_ID_SIZE]; /* job of the last one of them */
+  size_t last_bytes;            /* its size */
+  /* Over several transactions, after the store has refused one: */
+  int max_records;          /* in the next one; 0: no limit */
+  char suspect[SJ_ID_SIZE]; /* job whose record alone was refused, or "" */
+  long refused_status;      /* HTTP status of the last refusal */
 };
 
 enum
@@ -244,6 +252,7 @@
       commits, store_calls, holds;
   int probes, stalled_refusals, early_unknown;
   int relayed, relay_unknown, relay_not_run, relay_received;
+  int aside_records, aside_jobs, refused_commits;
   int reads_state, writes_state;
   int stopped_runs[SJ_CAUSES]; /* by cause */
   int lost_core_ms, preemptions, preemptions_avoided;
@@ -548,6 +557,9 @@
 /* Ends whose records are stored may be acknowledged.  Called after each
    commit.  */
 void wk_note_stored (struct batch *b);
+/* A job is set aside: the ends that were received are acknowledged once a
+   later listing shows that none of them is of such a job.  */
+void wk_hold_ends (struct batch *b);
 void wk_free_order (struct ba_order *order);
 
 /* counters.c */
--- a/src/batch/commit.c
+++ b/src/batch/commit.c
@@ -8,6 +8,7 @@
 enum
 {
   WRITE_TIMEOUT_MS = 800,
+  LEASE_ENTRIES = 2,    /* its condition and its new value */
   ROWS_PER_RECORD = 2,  /* the record, and the state if it changed */
   ROWS_PER_EXPIRED = 4, /* rows of an expired job */
   MAX_RECORD_ENTRIES
@@ -41,7 +42,7 @@
 {
   struct ba_commit *c = &b->commit;
 
-  c->open = c->in_flight = c->entries = c->tries = 0;
+  c->open = c->in_flight = c->entries = c->tries = c->records = 0;
   if (c->strings)
     g_ptr_array_set_size (c->strings, 0);
 }
@@ -125,15 +126,42 @@
   c->next_ms = b->now_ms + RETRY_MAX_MS;
 }
 
+/* Sets job ID aside, whose record the store does not take.  The ends of its
+   runs are not acknowledged until its record is stored.  */
+static void
+set_aside (struct batch *b, const char *id, enum sj_aside_reason reason,
+           size_t bytes)
+{
+  struct lg_field f[] = { lg_str ("id", id), lg_int ("bytes", (int64_t)bytes),
+                          lg_int ("status", b->commit.refused_status),
+                          lg_str ("reason", sj_aside_reason_name (reason)) };
+
+  if (!sj_set_aside (b->cluster, id, reason, b->now_ms))
+    return;
+  wk_hold_ends (b);
+  lg_log (LG_RECORD_ASIDE, 4, f);
+  co_add (b, b->counters.aside_records, 1);
+}
+
 /* Returns the number of bytes added.  */
 static size_t
 add_record (struct batch *b, const struct sj_dirty *d)
 {
   struct ba_commit *c = &b->commit;
   char *record = json_dumps (d->record, JSON_COMPACT), key[VW_KEY_SIZE];
+  size_t bytes = strlen (record);
 
-  add_entry (c, PO_PUT, "runs", strdup (d->id), record);
   json_decref (d->record);
+  if (bytes > PO_MAX_VALUE_BYTES)
+    {
+      free (record);
+      set_aside (b, d->id, SJ_TOO_LARGE, bytes);
+      return 0;
+    }
+  add_entry (c, PO_PUT, "runs", strdup (d->id), record);
+  c->records++;
+  memcpy (c->last_record, d->id, SJ_ID_SIZE);
+  c->last_bytes = bytes;
   if (d->state_changed)
     {
       vw_make_key (key, d->id, VW_STATE);
@@ -141,7 +169,7 @@
                  vw_state_value (d->state, ba_store_clock_now_ms (b)));
       log_state (b, d->id, d->state);
     }
-  return strlen (record);
+  return bytes;
 }
 
 static void
@@ -150,7 +178,8 @@
   struct sj_dirty dirty;
   size_t bytes = 0;
 
-  while (b->commit.entries + ROWS_PER_RECORD <= MAX_RECORD_ENTRIES
+  while ((!b->commit.max_records || b->commit.records < b->commit.max_records)
+         && b->commit.entries + ROWS_PER_RECORD <= MAX_RECORD_ENTRIES
          && bytes < MAX_COMMIT_BYTES && sj_dirty (b->cluster, &dirty, 1))
     bytes += add_record (b, &dirty);
 }
@@ -180,11 +209,59 @@
   char *value = le_renew_value (&b->lease, &b->commit.serial);
 
   cm_begin (b, BA_COMMIT_RECORDS, value);
-  add_records (b);
-  add_deletions (b);
+  if (!*b->commit.suspect)
+    add_records (b);
+  if (!b->commit.max_records)
+    add_deletions (b);
   co_add (b, b->counters.commits, 1);
 }
 
+void
+cm_begin_term (struct batch *b)
+{
+  b->commit.max_records = 0;
+  b->commit.suspect[0] = '\0';
+}
+
+/* The store refuses the transaction for good.  Fewer records are tried at a
+   time until the one at fault is alone, then none, which shows whether it is
+   at fault.  The order of the records stays the same.  */
+static void
+commit_refused (struct batch *b, long status)
+{
+  struct ba_commit *c = &b->commit;
+  int records = c->records;
+
+  c->refused_status = status;
+  co_add (b, b->counters.refused_commits, 1);
+  sj_committed (b->cluster, 0, b->now_ms);
+  if (records == 1)
+    memcpy (c->suspect, c->last_record, SJ_ID_SIZE);
+  c->max_records = MAX (records / 2, 1);
+  cm_reset (b);
+}
+
+/* The store has taken a transaction.  If it was sent without the record of
+   the suspect, that record is at fault.  */
+static void
+note_accepted (struct batch *b)
+{
+  struct ba_commit *c = &b->commit;
+
+  if (*c->suspect)
+    {
+      char id[SJ_ID_SIZE];
+
+      memcpy (id, c->suspect, sizeof id);
+      c->suspect[0] = '\0';
+      set_aside (b, id, SJ_REFUSED_RECORD, c->last_bytes);
+      return;
+    }
+  c->max_records *= 2;
+  if (c->max_records > MAX_RECORD_ENTRIES)
+    c->max_records = 0;
+}
+
 /* Applies the states that a commit stored.  The table's change feed may
    deliver them later; without them a finished job would be added again when
    its own row arrives.  */
@@ -226,6 +303,7 @@
     case BA_COMMIT_RECORDS:
       le_renewed (&b->lease, version, serial, sent_ms, b->now_ms);
       sj_committed (b->cluster, 1, b->now_ms);
+      note_accepted (b);
       wk_note_stored (b);
       break;
     case BA_COMMIT_RELEASE:
@@ -284,6 +362,13 @@
   cm_reset (b);
 }
 
+/* Whether the transaction has more than the lease row.  */
+static int
+has_more_than_lease (const struct ba_commit *c)
+{
+  return c->entries > LEASE_ENTRIES;
+}
+
 void
 ho_on_commit_reply (struct batch *b, struct ba_store_call *call,
                     struct po_rows *rows)
@@ -301,6 +386,14 @@
     case PO_CONFLICT:
       commit_conflict (b, rows);
       break;
+    case PO_REFUSED:
+      if (c->kind == BA_COMMIT_RECORDS && has_more_than_lease (c))
+        {
+          commit_refused (b, rows->status);
+          break;
+        }
+      c->suspect[0] = '\0';
+      /* fallthrough */
     case PO_HISTORY_GONE:
     case PO_NOT_DONE:
     case PO_UNKNOWN:
--- a/src/batch/counters.c
+++ b/src/batch/counters.c
@@ -18,6 +18,21 @@
     }
 }
 
+/* The series of transactions and of records that can't be stored.  */
+static void
+init_commits (struct batch *b)
+{
+  struct ba_counters *c = &b->counters;
+  struct st_registry *r = &b->stats;
+
+  c->commits = st_series (r, ST_COUNTER, "skr_batch_commits_total", "");
+  c->refused_commits
+      = st_series (r, ST_COUNTER, "skr_batch_refused_commits_total", "");
+  c->aside_records
+      = st_series (r, ST_COUNTER, "skr_batch_aside_records_total", "");
+  c->aside_jobs = st_series (r, ST_GAUGE, "skr_batch_aside_jobs", "");
+}
+
 int
 co_init (struct batch *b)
 {
@@ -43,7 +58,7 @@
       = st_series (r, ST_GAUGE, "skr_batch_accounts_over_share", "");
   c->accounts_waiting
       = st_series (r, ST_GAUGE, "skr_batch_accounts_waiting", "");
-  c->commits = st_series (r, ST_COUNTER, "skr_batch_commits_total", "");
+  init_commits (b);
   c->store_calls
       = st_series (r, ST_COUNTER, "skr_batch_store_calls_total", "");
   c->holds = st_series (r, ST_COUNTER, "skr_batch_holds_total", "");
@@ -135,6 +150,7 @@
     sj_count (b->cluster, counts);
   b->busy_workers = counts->busy_workers;
   st_set (&b->stats, c->shard, c->waiting_jobs, counts->waiting);
+  st_set (&b->stats, c->shard, c->aside_jobs, counts->aside_jobs);
   st_set (&b->stats, c->shard, c->waiting_orders, oq_waiting (&b->orders));
   st_set (&b->stats, c->shard, c->runs, counts->runs);
   st_set (&b->stats, c->shard, c->accelerators_used,
--- a/src/batch/follow.c
+++ b/src/batch/follow.c
@@ -175,6 +175,7 @@
       break;
     case PO_CONFLICT:
     case PO_NOT_DONE:
+    case PO_REFUSED:
     case PO_UNKNOWN:
       schedule_retry (f);
       break;
--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -74,6 +74,7 @@
   b->jobs_seen_version = b->lease.version;
   b->cluster = sj_new (&set, wk_send_order, b);
   sj_set_note_fn (b->cluster, ba_on_note, b);
+  cm_begin_term (b);
   wk_init_workers (b);
   b->starts_held = b->evacuations_held = 0;
   b->records = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
@@ -169,6 +170,7 @@
     }
   if (b->commit.open)
     return;
+  sj_retry_aside (b->cluster, b->now_ms);
   if (b->stopping_at_ms)
     cm_begin (b, BA_COMMIT_RELEASE, le_release_value (&b->lease));
   else if (sj_is_dirty (b->cluster) || b->now_ms >= le_renew_at (&b->lease))
--- a/src/batch/holder.h
+++ b/src/batch/holder.h
@@ -21,6 +21,8 @@
 void cm_begin_records (struct batch *b);
 /* Sends the open commit if it is due.  */
 void cm_send (struct batch *b);
+/* Prepares the first commit of a term.  */
+void cm_begin_term (struct batch *b);
 /* Discards the open commit.  */
 void cm_reset (struct batch *b);
 
--- a/src/batch/pending.c
+++ b/src/batch/pending.c
@@ -279,8 +279,8 @@
   p->call = NULL;
   if (rows->result == PO_UNKNOWN && p->purpose != BA_LOOKUP)
     p->may_be_done = 1;
-  if (rows->result == PO_NOT_DONE || rows->result == PO_UNKNOWN
-      || rows->result == PO_HISTORY_GONE)
+  if (rows->result == PO_NOT_DONE || rows->result == PO_REFUSED
+      || rows->result == PO_UNKNOWN || rows->result == PO_HISTORY_GONE)
     {
       p->next_ms = p->b->now_ms + (rows->result == PO_UNKNOWN ? 0 : RETRY_MS);
       return;
--- a/src/batch/store.c
+++ b/src/batch/store.c
@@ -67,7 +67,8 @@
 void
 ba_note_store_reply (struct batch *b, const struct po_rows *rows)
 {
-  int is_valid = rows->result != PO_NOT_DONE && rows->result != PO_UNKNOWN;
+  int is_valid = rows->result == PO_DONE || rows->result == PO_CONFLICT
+                 || rows->result == PO_HISTORY_GONE;
 
   b->store_error_status = is_valid ? 0 : rows->status;
   if (!is_valid)
--- a/src/batch/worker_hold.c
+++ b/src/batch/worker_hold.c
@@ -81,6 +81,15 @@
                                 : DEFAULT_WAIT_MS);
 }
 
+static int
+has_end_of_aside_job (struct batch *b, const struct sj_listing *list)
+{
+  for (int i = 0; i < list->end_count; i++)
+    if (sj_is_aside (b->cluster, list->ends[i].run.job))
+      return 1;
+  return 0;
+}
+
 static void
 apply_listing (struct batch *b, struct ba_worker *w, struct ba_order *o,
                struct po_listing *listing)
@@ -97,6 +106,7 @@
     wk_log_state (w, "odd", "entries of its listing are unreadable");
   w->runs_known = 1;
   sj_listing_apply (b->cluster, w->id, list, b->now_ms);
+  w->ends_held = has_end_of_aside_job (b, list);
   if (listing->last_end > w->received_end)
     {
       w->received_end = listing->last_end;
@@ -187,7 +197,7 @@
   busy = sj_worker_has_runs (b->cluster, w->id);
   wanted = busy || w->probes_left > 0
            || (w->listed && (!w->runs_known || w->failures))
-           || w->stored_end > w->acked_end;
+           || w->stored_end > w->acked_end || w->ends_held;
   /* A new holder asks all workers what they run.  More at once would time out
      on a small VM, so surveys have the limit of the orders.  */
   if (!wanted || (!may_wait (w, busy) && b->surveys >= b->orders.limit))
@@ -215,7 +225,7 @@
 static void
 note_stored (struct ba_worker *w, int64_t stored_serial)
 {
-  for (int i = 0; i < 2; i++)
+  for (int i = 0; i < 2 && !w->ends_held; i++)
     {
       if (w->waiting_end > w->stored_end && w->waiting_serial <= stored_serial)
         w->stored_end = w->waiting_end;
@@ -237,3 +247,18 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     note_stored (value, stored_serial);
 }
+
+void
+wk_hold_ends (struct batch *b)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, b->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct ba_worker *w = value;
+
+      w->ends_held |= w->received_end > w->stored_end;
+    }
+}
--- a/src/steps/cluster.c
+++ b/src/steps/cluster.c
@@ -25,6 +25,7 @@
   sd_init (c);
   fs_init (&c->shares);
   g_queue_init (&c->dirty_jobs);
+  c->aside_jobs = g_ptr_array_new ();
   c->worker_list = g_ptr_array_new ();
   c->job_list = g_ptr_array_new ();
   return c;
@@ -53,6 +54,7 @@
   g_hash_table_destroy (c->unresolved_workers);
   g_ptr_array_free (c->given_up, TRUE);
   g_free (c->kept_apart);
+  g_ptr_array_free (c->aside_jobs, TRUE);
   fs_fini (&c->shares);
   g_free (c);
 }
@@ -80,6 +82,10 @@
 static void
 begin_job_commit (struct job *j)
 {
+  j->dirty = 0;
+  j->in_commit = 1;
+  j->commit_since = j->dirty_since;
+  j->planned_tasks = 0;
   for (guint i = 0; i < j->units->len; i++)
     {
       struct unit *u = g_ptr_array_index (j->units, i);
@@ -92,25 +98,26 @@
     }
 }
 
-/* Jobs whose records changed first come first, so that none waits long.  */
+/* Jobs whose records changed first come first, so that none waits long.  A job
+   that was set aside is tried alone.  */
 int
 sj_dirty (struct sj_cluster *c, struct sj_dirty *out, int max)
 {
   int n = 0;
   GList *next;
 
-  for (GList *l = c->dirty_jobs.head; l && n < max; l = next)
+  for (GList *l = c->dirty_jobs.head; l && n < max && !c->records_closed;
+       l = next)
     {
       struct job *j = l->data;
 
       next = l->next;
-      if (j->in_commit)
+      if (j->in_commit || (j->aside && c->records_out))
         continue;
       g_queue_delete_link (&c->dirty_jobs, l);
       begin_job_commit (j);
-      j->dirty = 0;
-      j->in_commit = 1;
-      j->commit_since = j->dirty_since;
+      c->records_out++;
+      c->records_closed = j->aside;
       j->commit_state = reported_state (j);
       out[n] = (struct sj_dirty){ .record = rc_write (j),
                                   .state = j->commit_state,
@@ -139,15 +146,22 @@
 int64_t
 sj_stored_serial (const struct sj_cluster *c)
 {
-  const GList *head = c->dirty_jobs.head;
-  int64_t serial = head ? ((const struct job *)head->data)->dirty_since - 1
-                        : c->change_serial;
+  int64_t serial = c->change_serial;
 
+  for (const GList *l = c->dirty_jobs.head; l; l = l->next)
+    {
+      const struct job *j = l->data;
+
+      if (j->aside)
+        continue;
+      serial = j->dirty_since - 1;
+      break;
+    }
   for (guint i = 0; i < c->job_list->len; i++)
     {
       const struct job *j = g_ptr_array_index (c->job_list, i);
 
-      if (j->in_commit && j->commit_since <= serial)
+      if (j->in_commit && !j->aside && j->commit_since <= serial)
         serial = j->commit_since - 1;
     }
   return serial;
@@ -193,6 +207,7 @@
 sj_committed (struct sj_cluster *c, int ok, int64_t now)
 {
   c->now = now;
+  c->records_out = c->records_closed = 0;
   for (guint i = 0; i < c->job_list->len; i++)
     {
       struct job *j = g_ptr_array_index (c->job_list, i);
@@ -201,7 +216,10 @@
         continue;
       j->in_commit = 0;
       if (ok)
-        j->stored_state = j->commit_state;
+        {
+          j->stored_state = j->commit_state;
+          ad_stored (j);
+        }
       else
         mark_dirty_again (c, j);
       finish_unit_commits (c, j, ok, now);
@@ -225,6 +243,7 @@
   out->stopped_runs = c->stopped_runs;
   out->lost_core_ms = c->lost_core_ms;
   out->rounds = c->rounds;
+  out->aside_jobs = (int)c->aside_jobs->len;
   for (guint i = 0; i < c->job_list->len; i++)
     {
       const struct job *j = g_ptr_array_index (c->job_list, i);
--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -261,7 +261,8 @@
 {
   r->singles = (struct pl_singles){ 0 };
   r->latest_start_ms = s->latest_start_ms;
-  for (guint i = s->first; i < s->end && !jb_ended (s->job) && may_order (c);
+  for (guint i = s->first; i < s->end && !jb_ended (s->job) && may_order (c)
+                           && ad_may_plan (s->job);
        i++)
     {
       struct unit *u = jb_unit (s->job, i);
@@ -393,7 +394,7 @@
     {
       struct job *j = g_ptr_array_index (c->job_list, i);
 
-      if (!jb_ended (j))
+      if (!jb_ended (j) && !j->aside)
         jb_open_due_occurrences (c, j, now, wall_ms);
       for (guint k = 0; k < j->units->len; k++)
         {
--- a/src/steps/job.c
+++ b/src/steps/job.c
@@ -55,6 +55,7 @@
 
   if (j->dirty)
     g_queue_remove (&j->cluster->dirty_jobs, j);
+  ad_remove (j);
   g_ptr_array_free (j->units, TRUE);
   g_ptr_array_free (j->open_occurrences, TRUE);
   sj_job_free (j->spec);
@@ -78,7 +79,7 @@
 {
   struct sj_cluster *c = j->cluster;
 
-  c->change_serial++;
+  j->changed_serial = ++c->change_serial;
   if (j->dirty)
     return;
   j->dirty = 1;
--- a/src/steps/order.c
+++ b/src/steps/order.c
@@ -188,7 +188,7 @@
     {
       struct job *j = g_ptr_array_index (c->job_list, i);
 
-      if (!jb_ended (j))
+      if (!jb_ended (j) && ad_may_plan (j))
         list_ready_steps (j, wall_offset, list);
     }
   g_array_sort (list, by_urgency);
--- a/src/steps/run.c
+++ b/src/steps/run.c
@@ -50,6 +50,7 @@
   u->run_number++;
   u->off_rack = off_rack;
   u->run_commit = RUN_NOT_STORED;
+  u->job->planned_tasks += u->count;
   u->members = g_new0 (struct member, u->count);
   for (int i = 0; i < u->count; i++)
     {
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -148,6 +148,16 @@
   int64_t peak_accelerators; /* of the widest step, for the guarantee */
   int started;               /* its first run is stored or being stored */
   int dirty, in_commit;
+  /* Set aside until its record is stored; parked: not among the dirty jobs
+     meanwhile.  */
+  int aside, parked;
+  enum sj_aside_reason aside_reason;
+  int64_t changed_serial; /* of its latest change */
+  int64_t aside_serial;   /* the same when it was set aside */
+  int64_t retry_ms;       /* when its record may be tried again */
+  int64_t aside_ms;       /* wait before that */
+  int planned_tasks;      /* since its record was last written */
+  int plan_limit;         /* of them; 0: none */
   /* Serials of the first change that is not in the record being stored, and
      of the first one that is.  */
   int64_t dirty_since, commit_since;
@@ -225,6 +235,9 @@
   GHashTable *racks;          /* by name */
   GPtrArray *worker_list, *job_list, *rack_list;
   GQueue dirty_jobs;     /* struct job, by dirty_since */
+  GPtrArray *aside_jobs; /* struct job that are set aside */
+  int records_out;       /* records returned since the last commit */
+  int records_closed;    /* no more are returned before the next one */
   int64_t change_serial; /* of the latest change of a record */
   int64_t crash_serial;  /* of the latest crash of a worker */
   int suspects;          /* units that should have a worker for themselves */
@@ -423,6 +436,15 @@
 int rc_read (struct sj_cluster *c, struct job *j, const json_t *record,
              int64_t now);
 
+/* aside.c */
+/* Whether a further unit of J may be planned: its record can be stored and
+   has not grown too much since it was stored.  */
+int ad_may_plan (const struct job *j);
+/* J's record was stored with its plans.  */
+void ad_stored (struct job *j);
+/* J is about to be freed.  */
+void ad_remove (struct job *j);
+
 /* placement.c */
 /* Fills PLACEMENT with a worker for each task of U, from the workers' free
    capacity or, if AFTER_STOPS, from what is free once pending stops have
