Records of large jobs in pieces

What callers saw: a job's record is one row. A wide job whose occurrences overlap passes the 64 KB of a row, and is set aside until tasks have ended; each end of a task writes the whole job.

Change: a job that has had more than 32 open tasks is stored as a head and a piece for 16 tasks of a step each. A change writes its changed pieces, and the head only if it differs from the stored one. It may take several transactions: pieces, then the head, then deletions of what the head no longer names. Starts are sent and ends acknowledged once all of them are stored; a failed transaction's rows are returned again with what changed meanwhile. In a transaction a job has at most 32 rows, and changes begun earlier 48, so that small jobs do not wait. docs/design/records.md says what each incomplete state means and what take-over does with it. Rows of the earlier format are read, and those of large jobs rewritten in pieces with the next change. The record of a small job is as before, one row.

Tests: test_pieces replaces the holder after each transaction of a job, and a third one some transactions later, with one to three rows in each: steps of single tasks, gangs over three pieces, overlapping occurrences, failed commits and crashes at random, the earlier format. Nothing starts twice or out of order, all ends, and no piece is left. An end of one of 90 tasks changes one row of less than 4 KB; before it changed the whole record.

The fake of tests/steps stores rows by key, acknowledges ends by the scheduler's serial as the product does, instead of with the next commit, and counts a task's first start whatever its run's number: after a plan that was withdrawn because a worker had become unusable it is not 1, and test_hard_load took such a job as never started. "Largest job" of test_crashes looks at all rows, with the same bound. The commits of test_workers and test_evacuation take up to 64 rows, as "all changed records" is now more than 4 for a job of 300 tasks.

--- a/src/steps/aside.c
+++ b/src/steps/aside.c
@@ -84,17 +84,11 @@
   if (!j)
     return 0;
   c->now = now;
-  if (j->in_commit)
-    {
-      j->dirty_since = j->commit_since;
-      c->records_out--;
-      c->records_closed = 0;
-    }
-  else if (!j->dirty)
+  if (!j->in_commit && !j->dirty)
     j->dirty_since = c->change_serial;
+  ch_cancel (c, j);
   if (j->dirty)
     g_queue_remove (&c->dirty_jobs, j);
-  j->in_commit = 0;
   j->dirty = j->aside = j->parked = 1;
   if (is_new)
     g_ptr_array_add (c->aside_jobs, j);
