max-tasks: the largest job is a setting

What callers saw: a job of over 1,000 tasks was refused with 400, as its record could pass the 64 KB of a row.

What remains is that each decision looks at all tasks: the setting max-tasks (10,000, which is also the most) lets an operator refuse larger jobs. It is checked when a job is submitted, so that a lower value drops no accepted job. A step still has at most 4,096 tasks.

--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -29,7 +29,7 @@
   SJ_ROW_TASKS = 32, /* open tasks of a job whose record is a single row */
   SJ_MAX_STEPS = 64, /* of a job; a dependency mask has a bit for each */
   SJ_MAX_STEP_TASKS = 4096, /* tasks of a step */
-  SJ_MAX_TASKS = 1000, /* of all steps, so that a record stays under 64 KB */
+  SJ_MAX_TASKS = 10000, /* of all steps: each decision looks at all of them */
   SJ_MAX_OCCURRENCES = 10000, /* of a job */
   SJ_MAX_NEED = 1000000000,   /* of one resource, by one task */
   SJ_CHECKPOINT_SIZE = 64 /* size of a checkpoint's name with its NUL, bytes */
@@ -83,6 +83,8 @@
 void sj_job_free (struct sj_job *job);
 /* Returns 0, or SJ_EINVAL with *REASON set to a static description.  */
 int sj_job_check (const struct sj_job *job, const char **reason);
+/* Number of tasks of all its steps, in one occurrence.  */
+int sj_job_tasks (const struct sj_job *job);
 /* The stored form of JOB; a new reference.  */
 json_t *sj_job_to_json (const struct sj_job *job);
 /* Parses the stored form.  Returns a job that the caller frees, or NULL if
--- a/src/batch/main.c
+++ b/src/batch/main.c
@@ -83,6 +83,11 @@
     "maximum number of client requests in progress; further requests are "
     "refused",
     FIELD (max_requests) },
+  { "max-tasks", OPT_INT, "tasks", 1, SJ_MAX_TASKS, "10000",
+    "largest number of tasks in all steps of a job; larger jobs are refused. "
+    "Each decision looks at all tasks of all jobs, so that a lower number "
+    "keeps decisions of a small VM short; accepted jobs are not affected",
+    FIELD (max_tasks) },
   { "refuse-stalled-writes", OPT_INT, "", 0, 1, "0",
     "1: while the store answers no writes, refuse submissions and "
     "cancellations at once, with a Retry-After that follows the outage",
