A worker that came back under its id gets a higher fencing token

What callers could see: a task run twice (TWICE), or a worker over its capacity (LIMIT). An order names the id of its worker only, so one that was on its way, or that the worker left unanswered, could be carried out by the worker's next incarnation under the same id. Its task had been given to another worker by then.

Cause: the next incarnation has seen no fencing token, its clock and its numbers begin anew, and it got the token of the orders to the earlier one. The protocol has nothing else by which an order could be tied to an incarnation (PROTOCOL.md: "A worker keeps the highest fencing_token value that it has seen"; the expected instance is the id).

Change: the epoch of the lease, which is the token, rises with the holder's next transaction once an incarnation ends whose id is used again. The worker is asked and gets orders only once that is stored, and a listing that was asked for with an earlier token proves nothing. So from its first listing on, a worker refuses whatever was sent to its earlier incarnations: starts, stops, leases, acknowledged ends. A refusal for the holder's own earlier token does not end its term. Until that listing nothing is started there, and what it carried out before is in it.

Cost: no transaction more than the renewals, each raise is part of one.

--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -96,6 +96,7 @@
   struct sj_run run;
   enum sj_cause cause;
   int64_t sent_ms;
+  int64_t token; /* fencing token it was last sent with; 0: not sent */
   /* Only of a start, which may be sent again.  */
   char *payload, *checkpoint;
   int64_t expires_ms; /* on the worker's clock */
@@ -159,8 +160,9 @@
 {
   char *id, *address;
   int64_t incarnation;
-  int target_serial;             /* counts its incarnations and addresses */
-  int generation;                /* of the last full scan that listed it */
+  int target_serial;   /* counts its incarnations and addresses */
+  int64_t least_token; /* orders to an earlier incarnation had lower ones */
+  int generation;      /* of the last full scan that listed it */
   int64_t clock_ms, clock_at_ms; /* its clock, and when that was received */
   int64_t received_end;          /* last end received */
   int64_t received_serial; /* the scheduler's sj_change_serial after that */
--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -176,7 +176,8 @@
       cm_begin (b, BA_COMMIT_RELEASE, le_release_value (&b->lease));
       le_end_orders (&b->lease, b->now_ms);
     }
-  else if (sj_is_dirty (b->cluster) || b->now_ms >= le_renew_at (&b->lease))
+  else if (sj_is_dirty (b->cluster) || le_wants_raise (&b->lease)
+           || b->now_ms >= le_renew_at (&b->lease))
     cm_begin_records (b);
 }
 
--- a/src/batch/lease.c
+++ b/src/batch/lease.c
@@ -139,11 +139,25 @@
              : LE_ATTEMPT_STALE;
 }
 
+int64_t
+le_raise (struct le_lease *l)
+{
+  l->wanted_epoch = l->epoch + 1;
+  return l->wanted_epoch;
+}
+
+int
+le_wants_raise (const struct le_lease *l)
+{
+  return l->wanted_epoch > l->epoch;
+}
+
 char *
-le_renew_value (const struct le_lease *l, int64_t *serial)
+le_renew_value (struct le_lease *l, int64_t *serial)
 {
   *serial = l->serial + 1;
-  return write_value (l, l->token, l->epoch, *serial);
+  l->attempt_epoch = MAX (l->epoch, l->wanted_epoch);
+  return write_value (l, l->token, l->attempt_epoch, *serial);
 }
 
 char *
@@ -179,6 +193,7 @@
             int64_t sent_ms, int64_t now)
 {
   l->serial = serial;
+  l->epoch = MAX (l->epoch, l->attempt_epoch);
   set_held (l, version, sent_ms, now);
 }
 
@@ -191,7 +206,7 @@
   l->version = version - 1;
   le_row_seen (l, version, value, now);
   *serial = l->serial;
-  return l->held && l->epoch == epoch;
+  return l->held && (l->epoch == epoch || l->epoch == l->attempt_epoch);
 }
 
 void
--- a/src/batch/lease.h
+++ b/src/batch/lease.h
@@ -34,8 +34,9 @@
   int64_t holder_cpu_milli; /* of the last holder's VM; 0: not known */
   int64_t changed_ms;       /* when the row was last seen to change */
   /* The row version that the current attempt to acquire the lease expects,
-     and the epoch that it writes.  */
+     and the epoch that it, or the current renewal, writes.  */
   int64_t attempt_version, attempt_epoch;
+  int64_t wanted_epoch; /* the next renewal writes at least this one */
   /* State of this process as holder.  */
   int held;
   int64_t valid_until_ms, renewed_ms;
@@ -75,9 +76,14 @@
   LE_ATTEMPT_STALE /* another write came first; the attempt must not be sent */
 };
 enum le_attempt le_attempt_state (const struct le_lease *l);
+/* Raises the epoch with the next renewal.  Returns the epoch that it will be
+   at least.  The holder stays the same.  */
+int64_t le_raise (struct le_lease *l);
+/* Returns 1 if the epoch is to be raised.  */
+int le_wants_raise (const struct le_lease *l);
 /* Return the value of a renewal, whose serial is stored in SERIAL, and the
    value that releases the lease; to be released with free.  */
-char *le_renew_value (const struct le_lease *l, int64_t *serial);
+char *le_renew_value (struct le_lease *l, int64_t *serial);
 char *le_release_value (const struct le_lease *l);
 /* The attempt, or the renewal with SERIAL, sent at SENT_MS, was committed at
    VERSION.  */
--- a/src/batch/orders.c
+++ b/src/batch/orders.c
@@ -52,8 +52,7 @@
 static int
 send_start (struct batch *b, struct ba_worker *w, struct ba_order *o)
 {
-  struct po_target t
-      = { w->address, w->id, b->lease.epoch, b->lease.valid_until_ms };
+  struct po_target t = wk_target (b, w, o);
   struct sj_order order = { .kind = SJ_START,
                             .worker = o->worker,
                             .run = o->run,
@@ -71,8 +70,7 @@
 static int
 send_stop (struct batch *b, struct ba_worker *w, struct ba_order *o)
 {
-  struct po_target t
-      = { w->address, w->id, b->lease.epoch, b->lease.valid_until_ms };
+  struct po_target t = wk_target (b, w, o);
 
   co_add (b, b->counters.stops, 1);
   return po_stop (&b->port, &t, &o->run,
@@ -235,7 +233,7 @@
 {
   enum sj_answer answer = effective_answer (w, o, a->answer);
 
-  if (wk_check_fence (b, a))
+  if (wk_check_fence (b, o, a))
     return;
   if (w && wk_is_current (w, o))
     wk_set_clock (b, w, a->clock_ms);
--- a/src/batch/worker_hold.c
+++ b/src/batch/worker_hold.c
@@ -134,8 +134,13 @@
   if (!w)
     return;
   w->hold_in_flight = 0;
-  if (wk_check_fence (b, a))
+  if (wk_check_fence (b, o, a))
     return;
+  if (a->fenced)
+    {
+      w->next_hold_ms = b->now_ms;
+      return;
+    }
   wk_check_replaced (b, w, o, a);
   if (a->answer != SJ_EXECUTED)
     {
@@ -143,7 +148,9 @@
       return;
     }
   wk_note_reply (b, w);
-  if (incarnation_changed (b, w, o, listing))
+  /* Without the present token it would prove nothing of orders that went to
+     an earlier incarnation.  */
+  if (incarnation_changed (b, w, o, listing) || o->token < w->least_token)
     return;
   wk_set_clock (b, w, a->clock_ms);
   if (wk_is_current (w, o) && o->run.number > w->acked_end)
@@ -162,9 +169,8 @@
 static void
 send_hold (struct batch *b, struct ba_worker *w, int busy)
 {
-  struct po_target t
-      = { w->address, w->id, b->lease.epoch, b->lease.valid_until_ms };
   struct ba_order *o = wk_new_order (b, w->id);
+  struct po_target t = wk_target (b, w, o);
   int is_long_poll = may_wait (w, busy);
   /* The worker may have started again unnoticed and counts its ends anew then,
      so that a number is sent only until it is acknowledged.  */
@@ -211,7 +217,7 @@
 {
   int busy, wanted;
 
-  if (w->hold_in_flight || b->now_ms < w->next_hold_ms)
+  if (w->hold_in_flight || b->now_ms < w->next_hold_ms || !wk_is_fenced (b, w))
     return;
   busy = sj_worker_has_runs (b->cluster, w->id);
   wanted = busy || w->probes_left > 0
--- a/src/batch/workers.c
+++ b/src/batch/workers.c
@@ -72,6 +72,21 @@
   w->clock_at_ms = b->now_ms;
 }
 
+struct po_target
+wk_target (const struct batch *b, const struct ba_worker *w,
+           struct ba_order *o)
+{
+  o->token = b->lease.epoch;
+  return (struct po_target){ w->address, w->id, o->token,
+                             b->lease.valid_until_ms };
+}
+
+int
+wk_is_fenced (const struct batch *b, const struct ba_worker *w)
+{
+  return b->lease.epoch >= w->least_token;
+}
+
 int
 wk_is_current (const struct ba_worker *w, const struct ba_order *o)
 {
@@ -128,11 +143,13 @@
     note_replaced (b, w);
 }
 
-/* Another VM is the holder if the worker has seen a higher fencing token.  */
+/* Another VM is the holder if the worker has seen a higher fencing token than
+   this one's latest.  */
 int
-wk_check_fence (struct batch *b, const struct po_order_answer *a)
+wk_check_fence (struct batch *b, const struct ba_order *o,
+                const struct po_order_answer *a)
 {
-  if (!a->fenced)
+  if (!a->fenced || o->token < b->lease.epoch)
     return 0;
   ho_step_down (b, "a worker has seen a higher fencing token");
   return 1;
@@ -145,6 +162,9 @@
   wk_log_state (w, "restarted", "another incarnation");
   w->incarnation = incarnation;
   w->target_serial++;
+  /* An order names the worker's id only, so that one to the earlier
+     incarnation is kept from this one by a higher token.  */
+  w->least_token = le_raise (&b->lease);
   w->replaced = 0;
   w->stored_end = w->received_end = w->waiting_end = w->acked_end = 0;
   w->clock_ms = w->clock_at_ms = 0;
--- a/src/batch/workers.h
+++ b/src/batch/workers.h
@@ -28,8 +28,16 @@
 void wk_check_replaced (struct batch *b, struct ba_worker *w,
                         const struct ba_order *o,
                         const struct po_order_answer *a);
-/* Ends the term and returns 1 if the worker saw a higher fencing token.  */
-int wk_check_fence (struct batch *b, const struct po_order_answer *a);
+/* The target of O, which is about to be sent to W; notes its token in O.  */
+struct po_target wk_target (const struct batch *b, const struct ba_worker *w,
+                            struct ba_order *o);
+/* Whether W refuses the orders that went to its earlier incarnations, once it
+   has been sent one with the present token.  */
+int wk_is_fenced (const struct batch *b, const struct ba_worker *w);
+/* Ends the term and returns 1 if the worker that answered O with A has seen
+   another holder's fencing token.  */
+int wk_check_fence (struct batch *b, const struct ba_order *o,
+                    const struct po_order_answer *a);
 /* Resets what is known of W after it restarted.  */
 void wk_begin_incarnation (struct batch *b, struct ba_worker *w,
                            int64_t incarnation);
--- a/tests/batch/test_lease.c
+++ b/tests/batch/test_lease.c
@@ -148,6 +148,33 @@
   free (value);
 }
 
+/* Guards against a holder that raises its token for a worker that came back
+   and takes the row that it wrote so, whose reply was lost, for another's.  */
+static void
+test_raised_epoch_stays_the_holders (void)
+{
+  int64_t serial, found;
+  char *value;
+
+  setup ();
+  acquire_by_a (10, 0);
+  CU_ASSERT_FALSE (le_wants_raise (&a));
+  CU_ASSERT_EQUAL (le_raise (&a), 2);
+  CU_ASSERT (le_wants_raise (&a));
+  CU_ASSERT_EQUAL (a.epoch, 1);
+  value = le_renew_value (&a, &serial);
+  CU_ASSERT (le_conflict (&a, 12, value, 600, &found));
+  CU_ASSERT_EQUAL (found, serial);
+  le_renewed (&a, 12, serial, 500, 600);
+  CU_ASSERT_EQUAL (a.epoch, 2);
+  CU_ASSERT_FALSE (le_wants_raise (&a));
+  le_row_seen (&b, 12, value, 600);
+  free (value);
+  /* The next holder's token is higher than each that was used.  */
+  free (le_acquire_value (&b));
+  CU_ASSERT_EQUAL (b.attempt_epoch, 3);
+}
+
 /* A VM of 0.12 cores took the lease of 350 workers over from one of 0.5 and
    could not serve them.  */
 static void
@@ -204,6 +231,7 @@
     { "silence", test_store_outage_restarts_takeover_time },
     { "restart", test_restarted_vm_acquires_own_lease_at_once },
     { "lost reply", test_serial_identifies_write_with_lost_reply },
+    { "raised", test_raised_epoch_stays_the_holders },
     { "smaller VM", test_smaller_vm_knows_that_it_is },
     { "older row", test_row_without_processor_time },
     CU_TEST_INFO_NULL,
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -29,8 +29,9 @@
 static int64_t start_until[8];
 static po_listing_done *hold_done;
 static void *hold_arg;
-static double clock_rate; /* of the worker's clock, which began at CLOCK_BEGIN
-                             when the test began; 0: it stands still */
+static int holds_renewals; /* the store takes no renewal of the lease */
+static double clock_rate;  /* of the worker's clock, which began at CLOCK_BEGIN
+                              when the test began; 0: it stands still */
 
 enum
 {
@@ -135,10 +136,23 @@
   handle_worker_events (&batch);
 }
 
+/* The store takes the next renewal of the lease at once.  */
+static void
+renew_lease (void)
+{
+  int64_t serial;
+
+  free (le_renew_value (&batch.lease, &serial));
+  le_renewed (&batch.lease, batch.lease.version + 1, serial, batch.now_ms,
+              batch.now_ms);
+}
+
 static void
 advance (int64_t ms)
 {
   batch.now_ms += ms;
+  if (le_wants_raise (&batch.lease) && !holds_renewals)
+    renew_lease ();
   wk_tick (&batch);
 }
 
@@ -1332,6 +1346,68 @@
   teardown ();
 }
 
+/* Guards against TWICE: an order names the id of its worker only, so that one
+   to the earlier incarnation was carried out by the next one under that id,
+   when its task had been given to another worker.  A higher token keeps it
+   from that, and nothing is asked or ordered before it is stored.  */
+static void
+test_next_incarnation_gets_a_higher_token (void)
+{
+  setup ();
+  CU_ASSERT_EQUAL (batch.lease.epoch, 1);
+  holds_renewals = 1;
+  restart_worker ("10.0.0.1:80");
+  for (int i = 0; i < 3; i++)
+    advance (1000);
+  CU_ASSERT_EQUAL (holds, 1);
+  holds_renewals = 0;
+  advance (10);
+  CU_ASSERT_EQUAL (holds, 2);
+  CU_ASSERT_EQUAL (hold_token, 2);
+  answer_hold_from (8, NULL);
+  /* One raise is enough.  */
+  advance (1000);
+  CU_ASSERT_EQUAL (batch.lease.epoch, 2);
+  teardown ();
+}
+
+/* Guards against TWICE: a listing of the next incarnation that was asked for
+   with the token of the orders to the earlier one proved its runs absent,
+   though an order on its way could still be carried out.  */
+static void
+test_listing_with_earlier_token_proves_nothing (void)
+{
+  setup ();
+  advance (10);
+  CU_ASSERT_EQUAL_FATAL (holds, 2);
+  restart_worker ("10.0.0.1:80");
+  answer_hold_from (8, NULL);
+  CU_ASSERT (sj_worker_has_runs (batch.cluster, "i-1"));
+  advance (10);
+  CU_ASSERT_EQUAL_FATAL (holds, 3);
+  CU_ASSERT_EQUAL (hold_token, 2);
+  answer_hold_from (8, NULL);
+  CU_ASSERT_FALSE (sj_worker_has_runs (batch.cluster, "i-1"));
+  teardown ();
+}
+
+/* Guards against a holder that takes its own raised token for another
+   holder's, when a worker refuses an order with the one before.  */
+static void
+test_own_later_token_does_not_end_the_term (void)
+{
+  setup_with_kept_start ();
+  renew_lease ();
+  le_raise (&batch.lease);
+  renew_lease ();
+  answer_kept_start (&(struct po_order_answer){
+      .answer = SJ_REFUSED, .fenced = 1, .status = 409 });
+  CU_ASSERT_EQUAL (batch.phase, BA_ACTIVE);
+  CU_ASSERT_FALSE (sj_worker_has_runs (batch.cluster, "i-1"));
+  stop_keeping_starts ();
+  teardown ();
+}
+
 /* The first task has ended, and the worker knows that its end is stored.  */
 static void
 setup_with_acknowledged_end (void)
@@ -1357,6 +1433,8 @@
   setup_with_acknowledged_end ();
   restart_worker ("10.0.0.1:80");
   answer_hold_from (8, NULL);
+  advance (10);
+  answer_hold_from (8, NULL);
   sj_job_add (batch.cluster, new_one_task_job (0xb5), NULL, 0, batch.now_ms);
   sj_decide (batch.cluster, batch.now_ms, batch.now_ms);
   commit_all ();
@@ -1415,6 +1493,9 @@
     { "later try, not sent", test_later_try_that_is_not_sent },
     { "earlier term", test_listing_of_earlier_term_is_ignored },
     { "fenced", test_fenced_start_ends_the_term },
+    { "higher token", test_next_incarnation_gets_a_higher_token },
+    { "earlier token", test_listing_with_earlier_token_proves_nothing },
+    { "own later token", test_own_later_token_does_not_end_the_term },
     { "acknowledged anew", test_end_of_next_incarnation_is_acknowledged },
     { "earlier clock", test_clock_of_earlier_incarnation_is_ignored },
     { "not executed", test_start_that_was_not_executed_is_no_crash },
