A crash counts as certain only while the run can't have ended

Cause: a run whose start was answered counted as running until its worker crashed, though it may have come to its end before, which the worker had not listed yet. Two such crashes and one true or unclear one gave the task up.

Change: a crash is certain only if the run, by its expected run time and its last listed progress, can't have ended by the time at which the crash is known. The exact time of a crash is not known: a worker that is cut off crashes behind the cut. Tasks whose crashes are less certain now are started twice after the third, as before (MAX_RUNS_AFTER_CRASHES), which the users' rules allow.

--- a/src/steps/loss.c
+++ b/src/steps/loss.c
@@ -197,13 +197,29 @@
   return m->state != MB_PLANNED && (m->start_sent || m->from_record);
 }
 
-/* Whether M's run is known to have been executed.  One that was to be stopped
-   may have ended before its worker crashed.  */
+/* Whether M's run may have ended, its end not listed yet, before its worker
+   did, of which no more is known than that it has by now.  */
 static int
-has_run (const struct member *m)
+may_be_over (const struct sj_cluster *c, const struct member *m, int64_t now)
+{
+  int64_t run_ms = he_expected_run_ms (c, m), since_ms = m->started_ms;
+
+  if (m->last_listed_ms)
+    {
+      run_ms = he_remaining_ms (run_ms, m);
+      since_ms = m->last_listed_ms;
+    }
+  return !un_step (m->unit)->is_continuous && now - since_ms >= run_ms;
+}
+
+/* Whether M's run is known to have been executed until its worker crashed.
+   One that was to be stopped may have ended before.  */
+static int
+has_run (const struct sj_cluster *c, const struct member *m, int64_t now)
 {
   return m->state != MB_STOPPING
-         && (m->start_resolved || m->last_listed_ms || m->state == MB_RUNNING);
+         && (m->start_resolved || m->last_listed_ms || m->state == MB_RUNNING)
+         && !may_be_over (c, m, now);
 }
 
 static void
@@ -237,16 +253,17 @@
     case SJ_LOSS_CRASH:
       count_crash (c, u,
                    &(struct crash){ .index = m->index,
-                                    .is_certain = has_run (m),
+                                    .is_certain = has_run (c, m, now),
                                     .event = event });
       break;
     case SJ_LOSS_EXPIRED:
-      lo_add_loss (c, u,
-                   &(struct unresolved_loss){ .index = m->index,
-                                              .is_certain = has_run (m),
-                                              .worker = m->worker->id,
-                                              .life_tag = m->life_tag,
-                                              .lost_ms = now });
+      lo_add_loss (
+          c, u,
+          &(struct unresolved_loss){ .index = m->index,
+                                     .is_certain = has_run (c, m, now),
+                                     .worker = m->worker->id,
+                                     .life_tag = m->life_tag,
+                                     .lost_ms = now });
       jb_mark_dirty (u->job);
       break;
     case SJ_LOSS_LEFT:
--- a/tests/steps/test_crashes.c
+++ b/tests/steps/test_crashes.c
@@ -268,6 +268,48 @@
   fa_fini (&cluster);
 }
 
+/* Runs until a worker has a run.  Returns the worker.  */
+static int
+run_until_start (void)
+{
+  for (int tick = 0; tick < 3000; tick++)
+    {
+      fa_run_ms (&cluster, FA_TICK_MS);
+      for (int w = 0; w < cluster.worker_count; w++)
+        if (cluster.worker[w].runs->len)
+          return w;
+    }
+  CU_FAIL_FATAL ("nothing was started");
+  return -1;
+}
+
+/* Guards against LOST: a job was shown as failed after one crash under its
+   task.  Two other workers had crashed once they had run it to its end, which
+   they had not listed yet.  */
+static void
+test_crash_after_the_end_of_a_run_is_not_certain (void)
+{
+  fa_init (&cluster, 8, 4, 1);
+  fa_submit (&cluster, fa_new_job (1, 0, 1, 8, 300));
+  for (int i = 0; i < 2; i++)
+    {
+      int w = run_until_start ();
+
+      cluster.worker[w].partitioned = 1;
+      fa_run_ms (&cluster, 500);
+      CU_ASSERT_EQUAL (cluster.worker[w].runs->len, 0);
+      fa_lose (&cluster, w);
+      cluster.worker[w].partitioned = 0;
+    }
+  CU_ASSERT_EQUAL (fa_crashes_under (&cluster, DEADLY), 0);
+  fa_lose (&cluster, run_until_start ());
+  CU_ASSERT_EQUAL (fa_crashes_under (&cluster, DEADLY), 1);
+  fa_run_ms (&cluster, 30000);
+  CU_ASSERT_EQUAL (fa_state (&cluster, DEADLY), SJ_COMPLETED);
+  expect_no_violations ();
+  fa_fini (&cluster);
+}
+
 /* Guards against starts of a job that a decision has just given up.  */
 static void
 test_given_up_job_starts_nothing (void)
@@ -487,6 +529,8 @@
     { "partitions", test_task_under_partitions_completes },
     { "leaving workers", test_task_on_leaving_workers_completes },
     { "two crashes", test_task_under_two_crashes_completes },
+    { "crash after the end",
+      test_crash_after_the_end_of_a_run_is_not_certain },
     { "job given up", test_given_up_job_starts_nothing },
     { "planned gang", test_planned_gang_leaves_lost_worker },
     { "largest job", test_record_of_largest_job_stays_small },
