Long checkpoints never make a job's record larger than a row

What callers could see: a job of many tasks with long checkpoints that is never run to its end (LOST). Once 17 of its tasks with checkpoints of 4,000 bytes had ended without success, by a lease that expired, a stop or a hand-over, its record was larger than a row and the job was set aside: nothing of it is started then, and as its tasks wait, the record does not shrink.

Cause: the limit of 4,000 bytes is for one checkpoint; nothing limited those of a job.

Change: a record that would be too large is written without its longest checkpoints, by halving the longest length that is kept. The holder still has them and resumes its tasks with them; after a take-over such a task resumes from what its worker lists, or begins anew. A record with less than 2,000 bytes of checkpoints is not measured.

Evidence: test_checkpoints "many" (20 tasks, 4,000 bytes each) failed before: the record did not fit.

--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -382,6 +382,7 @@
   /* 1: while capacity is scarce, accounts above their share give way to units
      of others that would be late; 0: order by rank and latest start alone.  */
   int64_t fair_share;
+  int64_t max_record_bytes; /* of a job's record as JSON; 0: no limit */
 };
 
 struct sj_cluster; /* opaque */
--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -67,7 +67,8 @@
           .stop_ms = b->settings->stop_ms,
           .checkpoint_interval_ms
           = (int64_t)(b->settings->checkpoint_interval_s * 1000),
-          .fair_share = b->settings->fair_share };
+          .fair_share = b->settings->fair_share,
+          .max_record_bytes = PO_MAX_VALUE_BYTES };
 
   b->term++;
   b->phase = BA_LOADING;
--- a/src/steps/record.c
+++ b/src/steps/record.c
@@ -28,6 +28,9 @@
 {
   MAX_RECORDED_CRASHES = 16, /* of one task */
   MAX_RECORDED_LOSSES = 64,  /* unresolved ones of one job */
+  /* A record whose checkpoints have fewer bytes in all fits a row with them.
+   */
+  FEW_CHECKPOINT_BYTES = 2000,
   /* Units of one job whose crashes are recorded.  What happened to more of
      them is not the doing of one task.  */
   MAX_RECORDED_SUSPECTS = 150
@@ -109,17 +112,26 @@
 /* What is recorded of a job's units, so that its record stays small.  */
 struct extent
 {
-  int least_crashes;   /* of units whose crashes are recorded */
-  int with_unresolved; /* unresolved losses are recorded */
+  int least_crashes;     /* of units whose crashes are recorded */
+  int with_unresolved;   /* unresolved losses are recorded */
+  size_t max_checkpoint; /* bytes of a checkpoint that is recorded */
 };
 
+static const char *
+recorded_checkpoint (const struct unit *u, const struct extent *extent)
+{
+  const char *checkpoint = un_checkpoint (u);
+
+  return strlen (checkpoint) <= extent->max_checkpoint ? checkpoint : "";
+}
+
 static json_t *
 write_unit (const struct unit *u, const struct extent *extent)
 {
-  json_t *value
-      = json_pack ("[i,i,I,i,s,o,o]", u->step, u->first,
-                   (json_int_t)u->run_number, u->failures, un_checkpoint (u),
-                   write_placement (u), write_life_tags (u));
+  json_t *value = json_pack ("[i,i,I,i,s,o,o]", u->step, u->first,
+                             (json_int_t)u->run_number, u->failures,
+                             recorded_checkpoint (u, extent),
+                             write_placement (u), write_life_tags (u));
 
   if (lo_possible_crashes (u) >= extent->least_crashes)
     {
@@ -150,7 +162,8 @@
 static struct extent
 choose_extent (const struct job *j)
 {
-  struct extent extent = { .least_crashes = 1 };
+  struct extent extent
+      = { .least_crashes = 1, .max_checkpoint = SJ_MAX_CHECKPOINT };
   guint losses = 0;
 
   while (count_suspects (j, extent.least_crashes) > MAX_RECORDED_SUSPECTS)
@@ -166,10 +179,10 @@
 }
 
 static json_t *
-write_occurrence (const struct job *j, const struct occurrence *o)
+write_occurrence (const struct job *j, const struct occurrence *o,
+                  const struct extent *extent)
 {
   json_t *units_left = json_array (), *units = json_array ();
-  struct extent extent = choose_extent (j);
 
   for (int i = 0; i < j->spec->step_count; i++)
     json_array_append_new (units_left, json_integer (o->units_not_done[i]));
@@ -180,27 +193,65 @@
       if (u->occurrence == o->number && u->state != UN_DONE)
         json_array_append_new (
             units, never_started (u) ? json_pack ("[i,i]", u->step, u->first)
-                                     : write_unit (u, &extent));
+                                     : write_unit (u, extent));
     }
   return json_pack ("{s:i,s:o,s:o}", "n", o->number, "left", units_left,
                     "units", units);
 }
 
-json_t *
-rc_write (const struct job *j)
+static json_t *
+write_record (const struct job *j, const struct extent *extent)
 {
   json_t *open = json_array ();
 
   if (!jb_ended (j))
     for (guint i = 0; i < j->open_occurrences->len; i++)
       json_array_append_new (
-          open,
-          write_occurrence (j, g_ptr_array_index (j->open_occurrences, i)));
+          open, write_occurrence (
+                    j, g_ptr_array_index (j->open_occurrences, i), extent));
   return json_pack ("{s:s,s:i,s:i,s:b,s:o}", "state", sj_state_name (j->state),
                     "next", j->next_occurrence, "done", j->occurrences_done,
                     "begun", j->started, "open", open);
 }
 
+static int
+has_long_checkpoints (const struct job *j)
+{
+  size_t bytes = 0;
+
+  for (guint i = 0; i < j->units->len; i++)
+    bytes += strlen (un_checkpoint (g_ptr_array_index (j->units, i)));
+  return bytes >= FEW_CHECKPOINT_BYTES;
+}
+
+static int
+is_too_large (const struct job *j, const json_t *record)
+{
+  int64_t limit = j->cluster->settings.max_record_bytes;
+
+  return limit && json_dumpb (record, NULL, 0, JSON_COMPACT) > (size_t)limit;
+}
+
+/* The longest checkpoints are left out of a record that would be too large
+   with them.  This holder still has them; the next one resumes the tasks from
+   what their workers list, or from the beginning.  */
+json_t *
+rc_write (const struct job *j)
+{
+  struct extent extent = choose_extent (j);
+  json_t *record = write_record (j, &extent);
+
+  if (!has_long_checkpoints (j))
+    return record;
+  while (extent.max_checkpoint && is_too_large (j, record))
+    {
+      extent.max_checkpoint /= 2;
+      json_decref (record);
+      record = write_record (j, &extent);
+    }
+  return record;
+}
+
 /* Returns worker ID.  A worker that only a record names is added as
    unlisted.  */
 static struct worker *
--- a/tests/steps/test_checkpoints.c
+++ b/tests/steps/test_checkpoints.c
@@ -14,24 +14,27 @@
   LIMIT = 4000, /* bytes of a checkpoint, as documented */
   PLAYS = 400,
   MEMBERS = 2,
+  MANY = 20, /* tasks whose checkpoints do not fit a row together */
+  ROW_BYTES = 65536,
   START_MS = 100000,
   LEASE_MS = 6000
 };
 
-static const struct sj_settings settings
-    = { .off_rack_factor = 3, .silent_timeout_ms = LEASE_MS };
+static const struct sj_settings settings = { .off_rack_factor = 3,
+                                             .silent_timeout_ms = LEASE_MS,
+                                             .max_record_bytes = ROW_BYTES };
 static struct sj_cluster *cluster;
 static int64_t now;
 /* Starts ordered by the cluster, and what they carry.  */
-static struct sj_run started[MEMBERS];
-static char *carried[MEMBERS];
+static struct sj_run started[MANY];
+static char *carried[MANY];
 static int starts, notes;
 
 static void
 on_order (void *arg, const struct sj_order *o)
 {
   (void)arg;
-  if (o->kind != SJ_START || starts == MEMBERS)
+  if (o->kind != SJ_START || starts == MANY)
     return;
   started[starts] = o->run;
   g_free (carried[starts]);
@@ -54,8 +57,9 @@
   sj_listing_apply (cluster, "w", &copy, now);
 }
 
+/* A job of COUNT tasks, which are a GANG or not, on one worker.  */
 static void
-new_cluster (const json_t *record)
+new_cluster (int count, int gang, const json_t *record)
 {
   struct sj_worker_info info = { .id = "w",
                                  .incarnation = 1,
@@ -75,10 +79,10 @@
   job->stretch = 1;
   job->step_count = 1;
   job->step = g_new0 (struct sj_step, 1);
-  job->step[0] = (struct sj_step){ .count = MEMBERS,
-                                   .need = { 1000, 1024, 1 },
+  job->step[0] = (struct sj_step){ .count = count,
+                                   .need = { 1000, 1024, 0 },
                                    .estimate_ms = 10000,
-                                   .gang = 1,
+                                   .gang = gang,
                                    .checkpoints = 1 };
   sj_worker_set (cluster, &info, now);
   sj_worker_set_lease (cluster, "w", now + LEASE_MS);
@@ -124,7 +128,7 @@
 
   now = START_MS;
   starts = notes = 0;
-  new_cluster (NULL);
+  new_cluster (MEMBERS, 1, NULL);
   list_runs (&empty);
   json_decref (commit ());
   CU_ASSERT_EQUAL (starts, MEMBERS);
@@ -149,7 +153,7 @@
   CU_ASSERT_PTR_NOT_NULL_FATAL (record);
   sj_free (cluster);
   starts = 0;
-  new_cluster (record);
+  new_cluster (MEMBERS, 1, record);
   json_decref (record);
   list_runs (&ended);
   json_decref (commit ());
@@ -228,12 +232,87 @@
   g_free (longer);
 }
 
+/* Lists the MANY runs that were started, as running with CHECKPOINT or, if it
+   is NULL, as ended with their leases.  */
+static void
+list_many (const char *checkpoint)
+{
+  struct sj_listed_run run[MANY];
+  struct sj_listing l = { .runs = run, .ends = run };
+
+  for (int i = 0; i < MANY; i++)
+    {
+      sj_start_answered (cluster, "w", &started[i], SJ_EXECUTED, now);
+      run[i]
+          = (struct sj_listed_run){ .run = started[i],
+                                    .checkpoint = checkpoint ? checkpoint : "",
+                                    .end = SJ_END_LEASE_EXPIRED };
+    }
+  *(checkpoint ? &l.run_count : &l.end_count) = MANY;
+  list_runs (&l);
+}
+
+/* Stores the job's record, which has to fit a row, until it does not change
+   any more.  Returns the last one.  */
+static json_t *
+commit_all (void)
+{
+  json_t *last = NULL, *next;
+
+  while ((next = commit ()))
+    {
+      CU_ASSERT (json_dumpb (next, NULL, 0, JSON_COMPACT) <= ROW_BYTES);
+      json_decref (last);
+      last = next;
+    }
+  CU_ASSERT_PTR_NOT_NULL_FATAL (last);
+  return last;
+}
+
+/* Guards against a job that is set aside for good, as the checkpoints of its
+   tasks make its record larger than a row once their runs have ended.  */
+static void
+test_record_with_many_long_checkpoints_fits (void)
+{
+  struct sj_listing empty = { .run_count = 0 };
+  char *text = g_strnfill (LIMIT, '"');
+  json_t *record;
+
+  now = START_MS;
+  starts = 0;
+  new_cluster (MANY, 0, NULL);
+  list_runs (&empty);
+  json_decref (commit_all ());
+  CU_ASSERT_EQUAL (starts, MANY);
+  list_many (text);
+  list_many (NULL);
+  starts = 0;
+  record = commit_all ();
+  /* This holder has what the record does not hold.  */
+  CU_ASSERT_EQUAL (starts, MANY);
+  for (int i = 0; i < MANY; i++)
+    CU_ASSERT (!g_strcmp0 (carried[i], text));
+  sj_free (cluster);
+  /* The next one has none, and never another task's or a part of one.  */
+  new_cluster (MANY, 0, record);
+  json_decref (record);
+  starts = 0;
+  list_many (NULL);
+  json_decref (commit_all ());
+  CU_ASSERT_EQUAL (starts, MANY);
+  for (int i = 0; i < MANY; i++)
+    CU_ASSERT (!*carried[i] || !g_strcmp0 (carried[i], text));
+  sj_free (cluster);
+  g_free (text);
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = {
     { "any text", test_any_text_comes_back },
     { "not kept", test_what_cannot_be_kept_is_refused },
+    { "many", test_record_with_many_long_checkpoints_fits },
     CU_TEST_INFO_NULL,
   };
 
