--- a/tests/steps/test_steps.c
+++ b/tests/steps/test_steps.c
@@ -305,6 +305,31 @@
   expect_second_attempt ();
 }
 
+/* Guards against the same over two take-overs, if the first end was stored and
+   if it was not.  */
+static void
+test_failed_run_is_one_attempt_over_two_take_overs (void)
+{
+  for (int stored = 0; stored < 2; stored++)
+    {
+      int cut;
+
+      begin_failing_gang ();
+      fa_run_ms (&cluster, 300);
+      cut = cut_busy_worker ();
+      cluster.faults.commit_fails = !stored;
+      fa_run_ms (&cluster, 500);
+      for (int i = 0; i < 2; i++)
+        {
+          fa_take_over (&cluster);
+          cluster.faults.commit_fails = 0;
+          fa_run_ms (&cluster, 700);
+        }
+      cluster.worker[cut].partitioned = 0;
+      expect_second_attempt ();
+    }
+}
+
 /* Guards against a gang that is run more often than it may fail, as a failed
    run does not count after a take-over.  */
 static void
@@ -713,6 +738,8 @@
     { "attempt of a gang", test_failed_run_of_gang_is_one_attempt },
     { "attempt and take-over", test_failed_run_is_one_attempt_over_take_over },
     { "attempt not stored", test_failed_run_is_one_attempt_if_not_stored },
+    { "attempt and two take-overs",
+      test_failed_run_is_one_attempt_over_two_take_overs },
     { "attempts of a gang", test_each_failed_run_of_gang_counts },
     { "failing worker", test_failing_worker_fails_no_job },
     { "stalled run", test_stalled_run_moves },
