A guaranteed gang that waits keeps the place that is freed for it

Cause: a search for an idle place for a waiting gang may exchange cells and then find the new place not idle after all. The gang's own cell has moved meanwhile, here from worker 13 to 15, and the gang waited in its new place, where work ran that was never told to stop. The order in which random arguments are evaluated differs between x86-64 and arm64, so that only the latter drew this case.

Change: the cell goes back to the worker where work was stopped for it; if that fails, work in the new place is stopped.

--- a/src/decide/place.c
+++ b/src/decide/place.c
@@ -271,13 +271,21 @@
                : DC_OK;
 }
 
-/* Starts a pending gang in capacity that became idle, or leaves it
-   pending.  */
+static uint32_t
+worker_of_cell (const struct dc *dc, uint32_t cell)
+{
+  return ((struct dc_part *)pl_at (&dc->parts, dc->cells.v[cell].part))
+      ->worker;
+}
+
+/* Starts a pending gang in capacity that became idle, or leaves it pending,
+   in the place that is being freed for it if possible.  */
 static int
 try_idle (struct dc *dc, uint32_t id)
 {
   const struct dc_job *job = &dc->jobs.v[id];
   uint32_t own_cell = job->cell, cell = own_cell;
+  uint32_t worker = dc_gang_task (dc, job, 0)->worker;
   bool found;
   int error;
 
@@ -286,10 +294,21 @@
            && move_cell_to_idle (dc, own_cell, job, DC_LEVEL_WORKER))
           || dc_urgent_place_now (dc, job, &cell);
   if (!found)
-    dc_charge_allocate (dc, own_cell, job, DC_LEVEL_WORKER, false);
+    {
+      /* The search may have moved the cell away.  */
+      if (dc->cells.v[own_cell].parts == 1
+          && worker_of_cell (dc, own_cell) != worker)
+        dc_cell_exchange (dc, own_cell, worker);
+      dc_charge_allocate (dc, own_cell, job, DC_LEVEL_WORKER, false);
+    }
   error = dc_gang_place (dc, id, usage_in (job, cell), cell);
-  if (error || !found)
+  if (error)
     return error;
+  if (!found)
+    {
+      dc_pending_preempt (dc, id);
+      return DC_OK;
+    }
   dc->preemptible_pending += job->usage == DC_USAGE_PREEMPTIBLE;
   dc_pending_unlink (dc, id);
   dc_gang_start (dc, id);
