test_lasting: the bounds of refusals, suspect workers and unsettled losses

docs/design/reserves.md named four bounds without a test; the wait for fast workers is left. Each of the new cases fails with a larger constant (MAX_BACKOFF_MS, SUSPECT_MS, RESOLVE_WAIT_MS).

--- a/tests/steps/test_lasting.c
+++ b/tests/steps/test_lasting.c
@@ -17,7 +17,10 @@
   SEPARATION_BOUND_MS = 2500,
   AVOIDANCE_BOUND_MS = 3000,
   RESERVATION_BOUND_MS = 2000,
-  RACK_BOUND_MS = 1500
+  RACK_BOUND_MS = 1500,
+  REFUSAL_BOUND_MS = 2000,
+  SUSPECT_BOUND_MS = 3000,
+  UNSETTLED_BOUND_MS = 10000
 };
 
 static struct fa_cluster cluster;
@@ -248,6 +251,70 @@
   end_test ();
 }
 
+/* Guards against a task that lasts and, refused again and again, waits longer
+   and longer for a worker with room that would take it.  */
+static void
+test_refusals_delay_lasting_task_for_seconds (void)
+{
+  fa_init (&cluster, 6, 4, 1);
+  for (int i = 0; i < 6; i++)
+    cluster.worker[i].refuses = 1;
+  fa_submit (&cluster, new_lasting_job (1, 1, GPUS));
+  fa_run_ms (&cluster, 20000);
+  CU_ASSERT (cluster.refusals > 6);
+  for (int i = 0; i < 6; i++)
+    cluster.worker[i].refuses = 0;
+  /* It avoids those that have refused it.  */
+  CU_ASSERT (ms_until_running ("0000000000000001", 1, LONG_MS)
+             <= MAX (REFUSAL_BOUND_MS, AVOIDANCE_BOUND_MS) + ORDER_MS);
+  end_test ();
+}
+
+/* Guards against a task that lasts and waits for long as the only worker with
+   room has failed two jobs.  */
+static void
+test_suspect_worker_delays_lasting_task_for_seconds (void)
+{
+  fa_init (&cluster, 1, 1, 1);
+  cluster.worker[0].fails_all = 1;
+  for (unsigned i = 2; i < 4; i++)
+    {
+      struct sj_job *job = fa_new_job (i, 1, 1, 1, 400);
+
+      job->max_attempts = 1;
+      fa_submit (&cluster, job);
+    }
+  while (fa_state (&cluster, "0000000000000002") != SJ_FAILED
+         || fa_state (&cluster, "0000000000000003") != SJ_FAILED)
+    fa_run_ms (&cluster, FA_TICK_MS);
+  cluster.worker[0].fails_all = 0;
+  fa_submit (&cluster, new_lasting_job (1, 1, 1));
+  CU_ASSERT (ms_until_running ("0000000000000001", 1, LONG_MS)
+             <= SUSPECT_BOUND_MS + ORDER_MS);
+  end_test ();
+}
+
+/* Guards against a task that lasts and waits for ever to learn whether the
+   workers that it was lost with have crashed.  */
+static void
+test_unsettled_losses_delay_lasting_task_for_seconds (void)
+{
+  fa_init (&cluster, 4, 4, 1);
+  fa_submit (&cluster, new_lasting_job (1, 1, GPUS));
+  for (int i = 0; i < 3; i++)
+    {
+      ms_until_running ("0000000000000001", 1, LONG_MS);
+      fa_run_ms (&cluster, 1000);
+      for (int w = 0; w < cluster.worker_count; w++)
+        cluster.worker[w].partitioned |= cluster.worker[w].runs->len > 0;
+      /* Until its lease has expired.  */
+      fa_run_ms (&cluster, 6500);
+    }
+  CU_ASSERT (ms_until_running ("0000000000000001", 1, LONG_MS)
+             <= UNSETTLED_BOUND_MS + ORDER_MS);
+  end_test ();
+}
+
 int
 main (void)
 {
@@ -259,6 +326,10 @@
     { "rack", test_rack_delays_lasting_task_for_seconds },
     { "shares", test_shares_delay_no_lasting_task },
     { "isolation", test_isolation_delays_lasting_task_for_seconds },
+    { "refusals", test_refusals_delay_lasting_task_for_seconds },
+    { "suspect worker", test_suspect_worker_delays_lasting_task_for_seconds },
+    { "unsettled losses",
+      test_unsettled_losses_delay_lasting_task_for_seconds },
     CU_TEST_INFO_NULL,
   };
 
