--- a/src/batch/worker_hold.c
+++ b/src/batch/worker_hold.c
@@ -136,7 +136,7 @@
   w->hold_in_flight = 0;
   if (wk_check_fence (b, o, a))
     return;
-  if (a->fenced)
+  if (a->fenced) /* for a token that this VM has raised since */
     {
       w->next_hold_ms = b->now_ms;
       return;
--- a/src/batch/workers.c
+++ b/src/batch/workers.c
@@ -143,8 +143,8 @@
     note_replaced (b, w);
 }
 
-/* Another VM is the holder if the worker has seen a higher fencing token than
-   this one's latest.  */
+/* Another VM is the holder if the worker refuses this one's latest fencing
+   token.  */
 int
 wk_check_fence (struct batch *b, const struct ba_order *o,
                 const struct po_order_answer *a)
--- a/src/batch/workers.h
+++ b/src/batch/workers.h
@@ -31,8 +31,8 @@
 /* The target of O, which is about to be sent to W; notes its token in O.  */
 struct po_target wk_target (const struct batch *b, const struct ba_worker *w,
                             struct ba_order *o);
-/* Whether W refuses the orders that went to its earlier incarnations, once it
-   has been sent one with the present token.  */
+/* Whether the present token is higher than those of all orders to earlier
+   incarnations of W, so that W refuses these once it has seen it.  */
 int wk_is_fenced (const struct batch *b, const struct ba_worker *w);
 /* Ends the term and returns 1 if the worker that answered O with A has seen
    another holder's fencing token.  */
--- a/src/steps/record.c
+++ b/src/steps/record.c
@@ -28,8 +28,7 @@
 {
   MAX_RECORDED_CRASHES = 16, /* of one task */
   MAX_RECORDED_LOSSES = 64,  /* unresolved ones of one job */
-  /* A record whose checkpoints have fewer bytes in all fits a row with them.
-   */
+  /* With fewer bytes of checkpoints in all a record is not measured.  */
   FEW_CHECKPOINT_BYTES = 2000,
   /* Units of one job whose crashes are recorded.  What happened to more of
      them is not the doing of one task.  */
