--- a/tests/soak/check_soak.sh
+++ b/tests/soak/check_soak.sh
@@ -16,6 +16,13 @@
     failed=$((failed + 1))
     printf 'FAIL seed %s for %s s (%s)\n' "$seed" "$seconds" "$why"
     cat "$dir/out"
+    # What the VMs logged of the tasks and jobs that the breaches name.
+    grep BREACH "$dir/out" > "$dir/breaches"
+    for id in $(grep -oE '[0-9a-f]{16}' "$dir/breaches" | sort -u); do
+      grep -h "$id" "$dir/$seed"/vm*.log
+    done | cut -c 1-300 | sort -u >> "$dir/lines"
+    cat "$dir/breaches" >> "$dir/lines"
   fi
 done < tests/soak/seeds.txt
+[ "$failed" -eq 0 ] || tail -n 60 "$dir/lines"
 [ "$failed" -eq 0 ]
