An acknowledgement that was lost is not repeated before the worker has answered

Cause, by reading: the poll that acknowledges an end is lost, often because its worker has ended; the next poll acknowledged again, by the number of the earlier incarnation. If the worker is back under its id and has ended a run that it was given meanwhile, it forgets that end, and the holder, which never saw it, starts the task again.

Change: after a request without an answer a poll acknowledges nothing; its answer tells the incarnation. The same one lists the end again, at the cost of one more poll.

--- a/src/batch/worker_hold.c
+++ b/src/batch/worker_hold.c
@@ -173,8 +173,10 @@
   struct po_target t = wk_target (b, w, o);
   int is_long_poll = may_wait (w, busy);
   /* The worker may have started again unnoticed and counts its ends anew then,
-     so that a number is sent only until it is acknowledged.  */
-  int64_t seen = w->stored_end > w->acked_end ? w->stored_end : 0;
+     so that a number is sent only until it is acknowledged, and not after a
+     request without an answer.  */
+  int64_t seen
+      = w->stored_end > w->acked_end && !w->failures ? w->stored_end : 0;
   int64_t lease_ms = b->settings->hold_ms < MAX_LEASE_MS ? b->settings->hold_ms
                                                          : MAX_LEASE_MS;
   int wait_ms = is_long_poll ? long_poll_ms (b, w) : 0;
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -550,6 +550,40 @@
   teardown ();
 }
 
+/* Guards against TWICE: the poll that acknowledged an end was lost as its
+   worker ended, and the next one acknowledged an end of the worker's next
+   incarnation by that number, whose task was then started again.  */
+static void
+test_lost_acknowledgement_is_not_repeated_blindly (void)
+{
+  struct sj_listed_run done
+      = { .run = { .job = "00000000000000a1", .number = 1 },
+          .end = SJ_END_DONE,
+          .checkpoint = "" };
+  int is_forgotten = 0;
+
+  setup ();
+  advance (10);
+  answer_hold (SJ_EXECUTED, &done);
+  commit_all ();
+  advance (1000);
+  CU_ASSERT_EQUAL (hold_seen, 1);
+  answer_hold (SJ_UNANSWERED, NULL);
+  advance (1000);
+  CU_ASSERT_EQUAL_FATAL (hold_seen, 0);
+  /* The same incarnation still has the end.  */
+  answer_hold (SJ_EXECUTED, &done);
+  advance (1000);
+  CU_ASSERT_EQUAL (hold_seen, 1);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (hold_arg);
+  answer_hold (SJ_UNANSWERED, NULL);
+  advance (1000);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (hold_arg);
+  answer_hold_of_new_incarnation ("00000000000000b3", &is_forgotten);
+  CU_ASSERT_FALSE (is_forgotten);
+  teardown ();
+}
+
 /* The first task ends, and its worker, whose clock runs at RATE, is idle for
    MS.  Then a second task starts there.  */
 static void
@@ -1464,6 +1498,8 @@
     { "ends", test_end_is_acknowledged_once_stored },
     { "unnoticed incarnation",
       test_end_of_unnoticed_incarnation_is_not_acknowledged },
+    { "lost acknowledgement",
+      test_lost_acknowledgement_is_not_repeated_blindly },
     { "slow clock", test_slow_clock_after_idle_time },
     { "right clock", test_right_clock_after_idle_time },
     { "listed again", test_relisted_worker_is_polled_again },
