--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -455,17 +455,18 @@
   teardown ();
 }
 
+/* The end of the task that setup starts.  */
+static const struct sj_listed_run first_end
+    = { .run = { .job = "00000000000000a1", .number = 1 },
+        .end = SJ_END_DONE,
+        .checkpoint = "" };
+
 static void
 test_end_is_acknowledged_once_stored (void)
 {
-  struct sj_listed_run done
-      = { .run = { .job = "00000000000000a1", .number = 1 },
-          .end = SJ_END_DONE,
-          .checkpoint = "" };
-
   setup ();
   advance (10);
-  answer_hold (SJ_EXECUTED, &done);
+  answer_hold (SJ_EXECUTED, &first_end);
   holds = 0;
   advance (1000);
   CU_ASSERT (!holds || !hold_seen);
@@ -511,17 +512,13 @@
 static void
 test_end_of_unnoticed_incarnation_is_not_acknowledged (void)
 {
-  struct sj_listed_run done
-      = { .run = { .job = "00000000000000a1", .number = 1 },
-          .end = SJ_END_DONE,
-          .checkpoint = "" };
   struct po_row row = worker_row;
   char value[300];
   int is_forgotten = 0;
 
   setup ();
   advance (10);
-  answer_hold (SJ_EXECUTED, &done);
+  answer_hold (SJ_EXECUTED, &first_end);
   commit_all ();
   advance (1000);
   CU_ASSERT_EQUAL (hold_seen, 1);
@@ -556,15 +553,11 @@
 static void
 test_lost_acknowledgement_is_not_repeated_blindly (void)
 {
-  struct sj_listed_run done
-      = { .run = { .job = "00000000000000a1", .number = 1 },
-          .end = SJ_END_DONE,
-          .checkpoint = "" };
   int is_forgotten = 0;
 
   setup ();
   advance (10);
-  answer_hold (SJ_EXECUTED, &done);
+  answer_hold (SJ_EXECUTED, &first_end);
   commit_all ();
   advance (1000);
   CU_ASSERT_EQUAL (hold_seen, 1);
@@ -572,7 +565,7 @@
   advance (1000);
   CU_ASSERT_EQUAL_FATAL (hold_seen, 0);
   /* The same incarnation still has the end.  */
-  answer_hold (SJ_EXECUTED, &done);
+  answer_hold (SJ_EXECUTED, &first_end);
   advance (1000);
   CU_ASSERT_EQUAL (hold_seen, 1);
   CU_ASSERT_PTR_NOT_NULL_FATAL (hold_arg);
@@ -589,15 +582,10 @@
 static void
 start_after_idle_time (double rate, int64_t ms)
 {
-  struct sj_listed_run done
-      = { .run = { .job = "00000000000000a1", .number = 1 },
-          .end = SJ_END_DONE,
-          .checkpoint = "" };
-
   clock_rate = rate;
   setup ();
   advance (10);
-  answer_hold (SJ_EXECUTED, &done);
+  answer_hold (SJ_EXECUTED, &first_end);
   commit_all ();
   holds = starts = 0;
   for (int64_t until_ms = batch.now_ms + ms; batch.now_ms < until_ms;)
@@ -698,11 +686,6 @@
     sj_job_cancel (batch.cluster, job_id (i), batch.now_ms);
 }
 
-static const struct sj_listed_run first_end
-    = { .run = { .job = "00000000000000a1", .number = 1 },
-        .end = SJ_END_DONE,
-        .checkpoint = "" };
-
 /* A commit holds a limited number of records.  An end whose record was left
    out must not be acknowledged.  */
 static void
