review: case 8, a scheduled job whose runs pile up never runs

Rule: LOST (RULES.md): a job has nothing running while its tasks are due. Disruption: herd_kill, all VMs without power for 9.5 s, once.

--- a/review/stand-2/play.c
+++ b/review/stand-2/play.c
@@ -86,6 +86,8 @@
       return;
     }
   *work = j->work;
+  if (j->first_work_ms && !order->run.occurrence)
+    work->work_ms = j->first_work_ms;
   j->starts++;
   j->running++;
   j->last_worker = worker;
--- a/review/stand-2/play.h
+++ b/review/stand-2/play.h
@@ -32,6 +32,7 @@
   char id[SJ_ID_SIZE];
   struct sf_work work;
   int starts, ends[SJ_END_GANG_TIMEOUT + 1], lost, running;
+  int64_t first_work_ms;  /* of its first occurrence; 0: as the others */
   int64_t first_start_ms; /* 0: none */
   int last_worker;        /* that started a task of it */
 };
