review: case 8, a task runs again after its end was taken note of

Rule: TWICE (RULES.md): a start after a run has ended done, if that end is taken note of. Disruption: srv_crash, one worker of 8 down for 40 ms and back under its id, while the store is slow (platform_slow, 240 ms an answer). The task started again 1.4 s after its end was taken note of.

--- a/review/stand-2/play.c
+++ b/review/stand-2/play.c
@@ -89,6 +89,7 @@
   if (j->first_work_ms && !order->run.occurrence)
     work->work_ms = j->first_work_ms;
   j->starts++;
+  j->starts_after_noted += j->noted > 0;
   j->running++;
   j->last_worker = worker;
   if (!j->first_start_ms)
@@ -120,10 +121,16 @@
 on_acknowledged (void *arg, const struct sj_run *run, enum sj_end how,
                  int lease_expired)
 {
-  (void)arg;
-  (void)run;
-  (void)how;
-  (void)lease_expired;
+  struct play *p = arg;
+  struct pl_job *j = find_job (p, run->job);
+
+  if (!j || how != SJ_END_DONE || lease_expired)
+    return;
+  j->noted++;
+  if (!p->quiet_starts)
+    pl_note (p, "an end done of %s.%d.%d.%d run %lld is taken note of",
+             run->job, run->occurrence, run->step, run->index,
+             (long long)run->number);
 }
 
 static void
--- a/review/stand-2/play.h
+++ b/review/stand-2/play.h
@@ -34,7 +34,9 @@
   int starts, ends[SJ_END_GANG_TIMEOUT + 1], lost, running;
   int64_t first_work_ms;  /* of its first occurrence; 0: as the others */
   int64_t first_start_ms; /* 0: none */
-  int last_worker;        /* that started a task of it */
+  int noted;              /* ends done that were taken note of */
+  int starts_after_noted;
+  int last_worker; /* that started a task of it */
 };
 
 struct play
