Acknowledge only ends that no later incarnation can have instead

Cause: a poll acknowledges ends by the number of the last one, and the next incarnation numbers its ends from 1. The number was sent whatever had been started on the worker since the listing that it acknowledges; a poll that was executed late, a try of a start without an answer and the starts of an earlier holder did the same.

Change: an acknowledgement relies on a listing that was requested after each start had an answer, and each transaction that stores records raises the fencing token, so that whoever has executed a later start refuses the acknowledgement, however late it comes. After a try without an answer nothing is acknowledged for 2.5 s, at most 2.5 s after it could be. A worker that gets starts without a pause is left out of plans after three listings that were no use. Why this works: docs/design/order-outcomes.md, "Acknowledgements".

test_records took the epoch for a sign that the lease was kept; it compares the term now, which every loss of the lease changes.

--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -422,6 +422,8 @@
                           int64_t until_ms);
 /* Sets whether the worker answers orders.  */
 void sj_worker_set_reachable (struct sj_cluster *c, const char *id, int yes);
+/* Sets whether no further run is planned on the worker for now.  */
+void sj_worker_set_paused (struct sj_cluster *c, const char *id, int yes);
 /* Returns 1 while the worker may have runs that need its lease renewed.  */
 int sj_worker_has_runs (struct sj_cluster *c, const char *id);
 /* Returns 1 while the worker's runs should be polled more often, because some
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -10,6 +10,7 @@
 #include <glib.h>
 #include <stdatomic.h>
 
+#include "batch/ack.h"
 #include "batch/lease.h"
 #include "batch/order_queue.h"
 #include "batch/relay.h"
@@ -99,11 +100,13 @@
   int64_t token; /* fencing token it was last sent with; 0: not sent */
   /* Only of a start, which may be sent again.  */
   char *payload, *checkpoint;
-  int64_t expires_ms; /* on the worker's clock */
-  int tries;          /* 0: not sent */
-  int is_long_poll;   /* of a hold */
-  int is_sent;        /* of a start or stop: it was sent to the worker */
-  int target_serial;  /* of the worker when it was sent; 0: not sent */
+  int64_t expires_ms;   /* on the worker's clock */
+  int tries;            /* 0: not sent */
+  int is_long_poll;     /* of a hold */
+  int64_t start_serial; /* of a hold, for ak_listed */
+  int is_pending; /* of a start: its worker counts it as without an outcome */
+  int is_sent;    /* of a start or stop: it was sent to the worker */
+  int target_serial; /* of the worker when it was sent; 0: not sent */
 };
 
 struct ba_event
@@ -164,12 +167,7 @@
   int64_t least_token; /* orders to an earlier incarnation had lower ones */
   int generation;      /* of the last full scan that listed it */
   int64_t clock_ms, clock_at_ms; /* its clock, and when that was received */
-  int64_t received_end;          /* last end received */
-  int64_t received_serial; /* the scheduler's sj_change_serial after that */
-  int64_t waiting_end;     /* an end that waits until its record is stored */
-  int64_t waiting_serial;  /* the record of waiting_end is stored with that */
-  int64_t stored_end;      /* last end whose record is stored */
-  int64_t acked_end;       /* last end whose acknowledgement the worker got */
+  struct ak_ends ends;
   int hold_in_flight;
   int runs_known;  /* listed its runs since it restarted or was listed */
   int listed;      /* in the worker table */
@@ -177,7 +175,7 @@
   int replaced;    /* another worker answers at its address */
   int probes_left; /* polls left that find out whether one does */
   int draining;
-  int ends_held; /* an end may be of a job that is set aside */
+  int is_paused; /* gets no starts until its ends are acknowledged */
   int64_t next_hold_ms, hold_sent_ms;
 };
 
@@ -303,6 +301,7 @@
 
   struct le_lease lease;
   enum ba_phase phase;
+  int64_t term_began_ms;
   int term; /* counts both starts and ends of terms as holder, so that replies
                to calls from before are recognized */
   struct sj_cluster *cluster;
--- a/src/batch/commit.c
+++ b/src/batch/commit.c
@@ -206,8 +206,13 @@
 void
 cm_begin_records (struct batch *b)
 {
-  char *value = le_renew_value (&b->lease, &b->commit.serial);
+  char *value;
 
+  /* Starts that this transaction allows have a higher token than all polls
+     before it; see ack.h.  */
+  if (sj_is_dirty (b->cluster))
+    le_raise (&b->lease);
+  value = le_renew_value (&b->lease, &b->commit.serial);
   cm_begin (b, BA_COMMIT_RECORDS, value);
   if (!*b->commit.suspect)
     add_records (b);
--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -71,6 +71,7 @@
           .max_record_bytes = PO_MAX_VALUE_BYTES };
 
   b->term++;
+  b->term_began_ms = b->now_ms;
   b->phase = BA_LOADING;
   b->jobs_seen_version = b->lease.version;
   b->cluster = sj_new (&set, wk_send_order, b);
--- a/src/batch/orders.c
+++ b/src/batch/orders.c
@@ -60,6 +60,7 @@
                             .checkpoint = o->checkpoint };
 
   o->tries++;
+  ak_start_sent (&w->ends);
   sj_start_sent (b->cluster, w->id, &o->run);
   co_add (b, b->counters.starts, 1);
   return po_start (&b->port, &t, &order, o->expires_ms,
@@ -85,6 +86,7 @@
            const struct ba_order *o)
 {
   return w->clock_at_ms && w->listed && !w->draining
+         && ak_may_start (&w->ends, b->lease.epoch)
          && sj_may_send_start (b->cluster, o->worker, &o->run);
 }
 
@@ -200,6 +202,7 @@
 {
   struct batch *b = arg;
   struct ba_order *o = wk_new_order (b, order->worker);
+  struct ba_worker *w = wk_find (b, order->worker);
 
   o->kind = order->kind;
   o->run = order->run;
@@ -208,6 +211,9 @@
     {
       o->payload = g_strdup (order->payload);
       o->checkpoint = g_strdup (order->checkpoint);
+      o->is_pending = w != NULL;
+      if (w)
+        ak_start_queued (&w->ends);
     }
   o->class = order_class (order);
   oq_push (&b->orders, o->class, o);
@@ -227,6 +233,15 @@
   return o->tries > 1 && answer == SJ_REFUSED ? SJ_UNANSWERED : answer;
 }
 
+/* Notes the outcome of a try of start O, after which others follow or not.  */
+static void
+note_try (struct batch *b, struct ba_worker *w, const struct ba_order *o,
+          enum sj_answer answer)
+{
+  if (o->kind == SJ_START && w && o->is_sent && answer == SJ_UNANSWERED)
+    ak_start_unanswered (&w->ends, b->now_ms);
+}
+
 static void
 apply_answer (struct batch *b, struct ba_worker *w, const struct ba_order *o,
               const struct po_order_answer *a)
@@ -261,8 +276,11 @@
         oq_note_answer (&b->orders, a->took_ms, b->now_ms);
       else if (o->is_sent && a->answer == SJ_UNANSWERED)
         oq_note_timeout (&b->orders, b->now_ms);
+      note_try (b, w, o, a->answer);
       if (resend_start (b, w, o, a->answer))
         return;
+      if (w && o->is_pending)
+        ak_start_done (&w->ends);
       oq_done (&b->orders, o->class);
       apply_answer (b, w, o, a);
     }
--- a/src/batch/worker_hold.c
+++ b/src/batch/worker_hold.c
@@ -12,12 +12,17 @@
                           of the answer */
   PROBE_TIMEOUT_MS = 600, /* timeout of a hold that is no long poll */
   UNSTORED_GAP_MS = 800,  /* between holds while ends are not yet stored */
+  /* The same while stored ends can't be acknowledged: a hold returns them at
+     once, so that it can't wait for new ones.  */
+  UNACKED_GAP_MS = 200,
   /* An idle worker is asked again after this time, as a start's deadline is
      set by a clock that may have run 2 % slow since it was heard.  */
   MAX_CLOCK_AGE_MS = 20000,
   MAX_LEASE_MS = 6000 /* long enough for another VM to take over */
 };
 
+static void poll_worker (struct batch *b, struct ba_worker *w);
+
 static void
 on_listing (void *arg, struct po_listing *listing)
 {
@@ -107,19 +112,44 @@
   list->is_incomplete = listing->unreadable_count > 0;
   /* Unacknowledged ends are listed again; the new ones are the last.  */
   for (int i = 0; i < list->end_count; i++)
-    if (listing->last_end - (list->end_count - 1 - i) > w->received_end)
+    if (listing->last_end - (list->end_count - 1 - i) > w->ends.received)
       log_run_end (b, w, &list->ends[i]);
   if (listing->unreadable_count)
     wk_log_state (w, "odd", "entries of its listing are unreadable");
   w->runs_known = 1;
   sj_listing_apply (b->cluster, w->id, list, b->now_ms);
-  w->ends_held = has_end_of_aside_job (b, list);
-  if (listing->last_end > w->received_end)
+  ak_listed (&w->ends, o->start_serial, listing->last_end,
+             sj_change_serial (b->cluster), has_end_of_aside_job (b, list),
+             b->now_ms);
+  w->next_hold_ms = b->now_ms + pp_pause_ms (&load);
+}
+
+/* Keeps starts from a worker while its ends can't be acknowledged for them. */
+static void
+pause_starts (struct batch *b, struct ba_worker *w)
+{
+  int pause = !w->failures && ak_is_overdue (&w->ends, b->now_ms);
+
+  if (pause == w->is_paused)
+    return;
+  w->is_paused = pause;
+  sj_worker_set_paused (b->cluster, w->id, pause);
+}
+
+/* What A, the answer to a hold, tells of its acknowledgement.  */
+static enum ak_outcome
+ack_outcome (const struct po_order_answer *a)
+{
+  switch (a->answer)
     {
-      w->received_end = listing->last_end;
-      w->received_serial = sj_change_serial (b->cluster);
+    case SJ_EXECUTED:
+      return AK_FORGOTTEN;
+    case SJ_REFUSED:
+      return AK_NOT_DONE;
+    case SJ_UNANSWERED:
+      break;
     }
-  w->next_hold_ms = b->now_ms + pp_pause_ms (&load);
+  return AK_LOST;
 }
 
 void
@@ -127,6 +157,7 @@
 {
   struct ba_worker *w = wk_find (b, o->worker);
   const struct po_order_answer *a = &listing->answer;
+  enum ak_outcome ack = ack_outcome (a);
 
   if (o->term != b->term)
     return;
@@ -134,6 +165,8 @@
   if (!w)
     return;
   w->hold_in_flight = 0;
+  if (ack != AK_FORGOTTEN)
+    ak_answered (&w->ends, o->run.number, ack, b->now_ms);
   if (wk_check_fence (b, o, a))
     return;
   if (a->fenced) /* for a token that this VM has raised since */
@@ -151,19 +184,38 @@
   /* Without the present token it would prove nothing of orders that went to
      an earlier incarnation.  */
   if (incarnation_changed (b, w, o, listing) || o->token < w->least_token)
+    ack = AK_NOT_DONE;
+  ak_answered (&w->ends, o->run.number,
+               wk_is_current (w, o) ? ack : AK_NOT_DONE, b->now_ms);
+  if (ack != AK_FORGOTTEN)
     return;
+  pause_starts (b, w);
   wk_set_clock (b, w, a->clock_ms);
-  if (wk_is_current (w, o) && o->run.number > w->acked_end)
-    w->acked_end = o->run.number;
   apply_listing (b, w, o, listing);
+  /* Before a start is sent that would ask for another listing.  */
+  if (ak_number (&w->ends, b->now_ms))
+    {
+      w->next_hold_ms = b->now_ms;
+      poll_worker (b, w);
+    }
+}
+
+/* Returns the number of the last end that a hold may acknowledge now, or 0.
+   A worker that left a request unanswered must be heard first.  */
+static int64_t
+end_to_acknowledge (const struct batch *b, const struct ba_worker *w)
+{
+  return w->failures ? 0 : ak_number (&w->ends, b->now_ms);
 }
 
-/* Whether the next hold may wait at the worker for an end.  */
+/* Whether the next hold may wait at the worker for an end, as no earlier one
+   is left there.  */
 static int
-may_wait (const struct ba_worker *w, int busy)
+may_wait (const struct batch *b, const struct ba_worker *w, int busy)
 {
   return busy && w->runs_known && !w->failures
-         && w->received_end == w->stored_end;
+         && (w->ends.received == w->ends.acked
+             || w->ends.received == end_to_acknowledge (b, w));
 }
 
 static void
@@ -171,12 +223,8 @@
 {
   struct ba_order *o = wk_new_order (b, w->id);
   struct po_target t = wk_target (b, w, o);
-  int is_long_poll = may_wait (w, busy);
-  /* The worker may have started again unnoticed and counts its ends anew then,
-     so that a number is sent only until it is acknowledged, and not after a
-     request without an answer.  */
-  int64_t seen
-      = w->stored_end > w->acked_end && !w->failures ? w->stored_end : 0;
+  int is_long_poll = may_wait (b, w, busy);
+  int64_t seen = end_to_acknowledge (b, w);
   int64_t lease_ms = b->settings->hold_ms < MAX_LEASE_MS ? b->settings->hold_ms
                                                          : MAX_LEASE_MS;
   int wait_ms = is_long_poll ? long_poll_ms (b, w) : 0;
@@ -190,6 +238,7 @@
   o->is_long_poll = is_long_poll;
   o->target_serial = w->target_serial;
   o->run.number = seen; /* ends that the worker may discard */
+  o->start_serial = ak_listing_requested (&w->ends);
   if (until_ms)
     sj_worker_set_lease (b->cluster, w->id,
                          wk_lease_end_bound_ms (b, lease_ms));
@@ -201,7 +250,10 @@
   if (!po_hold (&b->port, &t, seen, until_ms, wait_ms,
                 is_long_poll ? wait_ms + HOLD_SLACK_MS : PROBE_TIMEOUT_MS,
                 on_listing, o))
-    return;
+    {
+      ak_sent (&w->ends, seen, o->token);
+      return;
+    }
   w->hold_in_flight = 0;
   b->surveys -= !is_long_poll;
   wk_free_order (o);
@@ -214,25 +266,40 @@
   return b->now_ms - MAX (w->clock_at_ms, w->hold_sent_ms) >= MAX_CLOCK_AGE_MS;
 }
 
+/* Whether a poll now would only return the ends that are known.  */
+static int
+is_poll_useless (const struct batch *b, const struct ba_worker *w)
+{
+  const struct ak_ends *e = &w->ends;
+  int64_t gap_ms = b->now_ms - w->hold_sent_ms;
+
+  if (!w->runs_known)
+    return 0;
+  if (e->received > e->stored)
+    return gap_ms < UNSTORED_GAP_MS;
+  return ak_wants (e) && !end_to_acknowledge (b, w)
+         && !ak_needs_listing (e, b->now_ms)
+         && gap_ms
+                < (b->orders.is_overloaded ? UNSTORED_GAP_MS : UNACKED_GAP_MS);
+}
+
 static void
 poll_worker (struct batch *b, struct ba_worker *w)
 {
   int busy, wanted;
 
+  pause_starts (b, w);
   if (w->hold_in_flight || b->now_ms < w->next_hold_ms || !wk_is_fenced (b, w))
     return;
   busy = sj_worker_has_runs (b->cluster, w->id);
   wanted = busy || w->probes_left > 0
            || (w->listed
                && (!w->runs_known || w->failures || is_clock_old (b, w)))
-           || w->stored_end > w->acked_end || w->ends_held;
+           || ak_wants (&w->ends) || w->ends.is_held;
   /* A new holder asks all workers what they run.  More at once would time out
      on a small VM, so surveys have the limit of the orders.  */
-  if (!wanted || (!may_wait (w, busy) && b->surveys >= b->orders.limit))
-    return;
-  /* A poll now would return the same ends at once.  */
-  if (w->runs_known && w->received_end > w->stored_end
-      && b->now_ms - w->hold_sent_ms < UNSTORED_GAP_MS)
+  if (!wanted || (!may_wait (b, w, busy) && b->surveys >= b->orders.limit)
+      || is_poll_useless (b, w))
     return;
   send_hold (b, w, busy);
 }
@@ -248,22 +315,6 @@
     poll_worker (b, value);
 }
 
-/* Whether the changes that W's ends up to waiting_end caused are stored.  The
-   ends that are received meanwhile wait for their own.  */
-static void
-note_stored (struct ba_worker *w, int64_t stored_serial)
-{
-  for (int i = 0; i < 2 && !w->ends_held; i++)
-    {
-      if (w->waiting_end > w->stored_end && w->waiting_serial <= stored_serial)
-        w->stored_end = w->waiting_end;
-      if (w->waiting_end > w->stored_end || w->received_end <= w->stored_end)
-        return;
-      w->waiting_end = w->received_end;
-      w->waiting_serial = w->received_serial;
-    }
-}
-
 void
 wk_note_stored (struct batch *b)
 {
@@ -273,7 +324,7 @@
 
   g_hash_table_iter_init (&iter, b->workers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    note_stored (value, stored_serial);
+    ak_stored (&((struct ba_worker *)value)->ends, stored_serial, b->now_ms);
 }
 
 void
@@ -285,8 +336,8 @@
   g_hash_table_iter_init (&iter, b->workers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      struct ba_worker *w = value;
+      struct ak_ends *e = &((struct ba_worker *)value)->ends;
 
-      w->ends_held |= w->received_end > w->stored_end;
+      e->is_held |= e->received > e->stored;
     }
 }
--- a/src/batch/workers.c
+++ b/src/batch/workers.c
@@ -166,7 +166,7 @@
      incarnation is kept from this one by a higher token.  */
   w->least_token = le_raise (&b->lease);
   w->replaced = 0;
-  w->stored_end = w->received_end = w->waiting_end = w->acked_end = 0;
+  ak_begin_incarnation (&w->ends);
   w->clock_ms = w->clock_at_ms = 0;
   w->runs_known = 0;
   w->next_hold_ms = b->now_ms;
@@ -194,6 +194,7 @@
   w = g_new0 (struct ba_worker, 1);
   w->id = g_strdup (id);
   w->next_hold_ms = b->now_ms;
+  ak_init (&w->ends, b->term_began_ms);
   g_hash_table_insert (b->workers, w->id, w);
   return w;
 }
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -185,6 +185,7 @@
   struct rack *rack;   /* or NULL */
   const char *domain;  /* interned; or NULL */
   int domain_closed;   /* no work may be started there */
+  int paused;          /* nothing is planned there for now */
   int64_t incarnation; /* 0: unknown */
   struct sj_resources capacity, used;
   int capacity_known;  /* it is that of this incarnation */
--- a/src/steps/worker.c
+++ b/src/steps/worker.c
@@ -92,7 +92,8 @@
 {
   return w->listed && w->capacity_known && !wo_report_is_overdue (c, w)
          && !w->draining && w->reachable && w->runs_known && !w->unknown_runs
-         && !w->replaced && c->now >= w->suspect_until_ms && !w->domain_closed;
+         && !w->replaced && !w->paused && c->now >= w->suspect_until_ms
+         && !w->domain_closed;
 }
 
 int
@@ -354,6 +355,17 @@
   c->changed = 1;
 }
 
+void
+sj_worker_set_paused (struct sj_cluster *c, const char *id, int yes)
+{
+  struct worker *w = wo_find (c, id);
+
+  if (!w || w->paused == yes)
+    return;
+  w->paused = yes;
+  c->changed = 1;
+}
+
 int
 sj_worker_has_runs (struct sj_cluster *c, const char *id)
 {
--- a/tests/batch/test_records.c
+++ b/tests/batch/test_records.c
@@ -313,7 +313,7 @@
   submit_small_jobs (30);
   run_ms (3000);
   CU_ASSERT_EQUAL (batch.phase, BA_ACTIVE);
-  CU_ASSERT_EQUAL (batch.lease.epoch, 1);
+  CU_ASSERT_EQUAL (batch.term, 1);
   CU_ASSERT_EQUAL (count_stored_small_jobs (30), 30);
   CU_ASSERT_EQUAL (starts, 30);
   CU_ASSERT_EQUAL (starts_of_bad, 0);
@@ -324,7 +324,7 @@
   CU_ASSERT (refused_writes <= 16);
   CU_ASSERT (refused_writes >= 9);
   CU_ASSERT_EQUAL (batch.phase, BA_ACTIVE);
-  CU_ASSERT_EQUAL (batch.lease.epoch, 1);
+  CU_ASSERT_EQUAL (batch.term, 1);
   teardown ();
 }
 
@@ -421,7 +421,7 @@
   CU_ASSERT_FALSE (sj_has_job (batch.cluster, BAD));
   CU_ASSERT_EQUAL (starts_of_bad, TASKS * TIMES);
   CU_ASSERT_EQUAL (refused_writes, 0);
-  CU_ASSERT_EQUAL (batch.lease.epoch, 1);
+  CU_ASSERT_EQUAL (batch.term, 1);
   teardown ();
 }
 
