Keep a cancelled id from being submitted later

Cause: 410 is a promise about later events, and nothing was stored that keeps it. A submission expected only that its own row was absent, so that it was stored whichever way it came after the answer: on its way to the store, waiting at another VM, as the caller's repetition, or after the job's rows were removed, when a cancellation that found no row was answered 410 too.

Change: the cancelling of an id that no job of the account has is stored as a row of that account before it is answered, and submissions expect in their transaction that there is none. They are answered 410, "not run: cancelled before it was accepted". Without a write there is no 410, but 503 or 504.

--- a/src/batch/access.c
+++ b/src/batch/access.c
@@ -49,6 +49,8 @@
     case BA_COMMIT:
     case BA_SUBMIT:
     case BA_CANCEL:
+    case BA_WITHDRAW:
+    case BA_EXPIRE:
     case BA_PROBE:
     case BA_PUBLISH:
       return AC_WRITES;
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -53,7 +53,9 @@
   BA_SUBMIT,
   BA_LOOKUP,
   BA_CANCEL,
-  BA_PROBE, /* a write without effect; see access.c */
+  BA_WITHDRAW, /* a cancellation of a job that is not known */
+  BA_EXPIRE,   /* removes old withdrawals */
+  BA_PROBE,    /* a write without effect; see access.c */
   BA_READ_PROBE,
   BA_PUBLISH /* the row for the relay */
 };
@@ -249,7 +251,7 @@
 struct ba_counters
 {
   int shard;
-  int answers, submits, accepted, refused, unknown;
+  int answers, submits, accepted, refused, unknown, withdrawals;
   int starts, stops, ends, lost_runs, given_up_tasks, passed_over_jobs,
       commits, store_calls, holds;
   int probes, stalled_refusals, early_unknown;
@@ -319,6 +321,7 @@
   int load_in_flight;
   int64_t next_load_ms, acquire_at_ms;
   int64_t no_attempt_before_ms; /* to acquire the lease */
+  int64_t next_expiry_ms;       /* of withdrawals */
   int64_t jobs_seen_version;    /* job rows up to this version were handled */
   struct ba_commit commit;
   int is_closed_to_callers; /* new connections are refused */
@@ -468,6 +471,8 @@
 void fr_handle (void *arg, struct hs_exchange *ex);
 /* Reason of the refusal of a job whose id another account has used.  */
 #define FR_ID_TAKEN "not run: this id can't be used"
+/* Reason of the refusal of a job that was cancelled before it was known.  */
+#define FR_WITHDRAWN "not run: cancelled before it was accepted"
 /* Handles a client request, on the loop thread.  */
 void fr_request (struct batch *b, struct hs_exchange *ex);
 /* Answers a request for which nothing was done.  */
@@ -493,22 +498,26 @@
   enum ba_purpose purpose;
   struct hs_exchange *ex;
   char id[SJ_ID_SIZE];
-  char *value; /* of the row to write */
+  char *value; /* of the row to write; of a withdrawal: NULL */
   char *queue, *account;
   int64_t began_ms, deadline_ms, next_ms;
-  int64_t version; /* of the job's row, which a cancellation expects */
+  int64_t version; /* of the job's row, which the write expects */
   int in_flight, may_be_done, cancel_after_lookup;
   struct ba_store_call *call; /* while in flight */
 };
 
 /* Start a pending request, which is given up after WAIT_MS.  pe_submit takes
-   ownership of JOB.  With CANCEL a job that the lookup finds is cancelled.  */
+   ownership of JOB.  With CANCEL a job that the lookup finds is cancelled, and
+   if there is none its later submission is kept from being stored.  */
 void pe_submit (struct batch *b, struct hs_exchange *ex, struct sj_job *job,
                 int wait_ms);
 void pe_lookup (struct batch *b, struct hs_exchange *ex, const char *id,
                 const char *account, int cancel, int wait_ms);
 void pe_cancel (struct batch *b, struct hs_exchange *ex,
-                const struct vw_job *job, int wait_ms);
+                const struct vw_job *job, const char *account, int wait_ms);
+/* Returns 1 if ACCOUNT has cancelled ID, which is not to be run then.  */
+int pe_is_withdrawn (const struct batch *b, const char *id,
+                     const char *account);
 /* Handles a reply of the store, which the caller frees.  */
 void pe_on_reply (struct ba_pending *p, struct po_rows *rows);
 /* Sends retries that are due and gives up requests whose time is over.  */
@@ -517,6 +526,10 @@
 void pe_fail_all (struct batch *b);
 void pe_free (void *pending);
 
+/* withdrawal_expiry.c */
+void wx_tick (struct batch *b);
+void wx_on_reply (struct batch *b, const struct po_rows *rows);
+
 /* holder.c, commit.c, load.c */
 /* Drives the current phase: acquires or renews the lease, loads, decides and
    commits.  */
--- a/src/batch/counters.c
+++ b/src/batch/counters.c
@@ -45,6 +45,8 @@
   c->submits = st_series (r, ST_COUNTER, "skr_batch_submits_total", "");
   c->accepted = st_series (r, ST_COUNTER, "skr_batch_accepted_total", "");
   c->refused = st_series (r, ST_COUNTER, "skr_batch_refused_total", "");
+  c->withdrawals
+      = st_series (r, ST_COUNTER, "skr_batch_withdrawals_total", "");
   c->unknown = st_series (r, ST_COUNTER, "skr_batch_unknown_total", "");
   c->starts = st_series (r, ST_COUNTER, "skr_batch_starts_total", "");
   c->stops = st_series (r, ST_COUNTER, "skr_batch_stops_total", "");
--- a/src/batch/front.c
+++ b/src/batch/front.c
@@ -143,6 +143,11 @@
                  "already stored");
       return;
     }
+  if (pe_is_withdrawn (b, id, account))
+    {
+      fr_answer (b, ex, id, "submit", GONE, NULL, FR_WITHDRAWN);
+      return;
+    }
   if (q->needs_adviser)
     {
       fr_answer (b, ex, id, "submit", UNPROCESSABLE, NULL,
@@ -214,13 +219,13 @@
                const char *account)
 {
   const struct vw_job *j = vw_find (&b->view, id);
+  int is_known = j && j->version && vw_belongs_to (j, account);
 
-  if ((!j || !j->version) && is_relayed_away (b, ex, id, "cancel"))
+  /* A job of another account is handled as one that is not there.  */
+  if (!is_known && is_relayed_away (b, ex, id, "cancel"))
     return;
-  if (!j || !j->version)
+  if (!is_known)
     pe_lookup (b, ex, id, account, 1, store_wait_ms (ex));
-  else if (!vw_belongs_to (j, account))
-    fr_answer (b, ex, id, "cancel", GONE, NULL, "no such job");
   else if (j->cancelled || j->state >= SJ_COMPLETED)
     fr_answer (b, ex, id, "cancel", OK, "{}", "already stored");
   else if (is_relayed_away (b, ex, id, "cancel"))
@@ -228,7 +233,7 @@
   else if (ba_refuses_writes (b))
     refuse_stalled (b, ex, id, "cancel");
   else
-    pe_cancel (b, ex, j, store_wait_ms (ex));
+    pe_cancel (b, ex, j, account, store_wait_ms (ex));
 }
 
 static void
--- a/src/batch/loop.c
+++ b/src/batch/loop.c
@@ -75,6 +75,7 @@
     case BA_SUBMIT:
     case BA_LOOKUP:
     case BA_CANCEL:
+    case BA_WITHDRAW:
       if (call->pending)
         pe_on_reply (call->pending, rows);
       break;
@@ -84,6 +85,9 @@
     case BA_PUBLISH:
       rl_on_publish_reply (b, rows);
       break;
+    case BA_EXPIRE:
+      wx_on_reply (b, rows);
+      break;
     }
   po_rows_free (rows);
   g_free (call);
@@ -196,6 +200,7 @@
   rl_tick (b);
   pe_tick (b);
   note_backlog (b);
+  wx_tick (b);
   ho_tick (b);
   if (b->now_ms - b->counted_ms >= COUNTERS_INTERVAL_MS)
     {
--- a/src/batch/pending.c
+++ b/src/batch/pending.c
@@ -1,10 +1,13 @@
 /* Requests that wait for the store: to write a job or a cancellation, or to
    look up a job.  Each is answered with what is known: done, not done, or
    unknown.  */
+#include <stdlib.h>
 #include <string.h>
 
 #include "batch/batch.h"
 
+#define NO_SUCH_JOB "{\"error\":\"no such job\"}"
+
 enum
 {
   ATTEMPT_TIMEOUT_MS = 1000, /* longest wait for the reply to one attempt */
@@ -12,9 +15,13 @@
   RETRY_MS = 80,
   /* Once the store has refused for this long, the request is refused.  */
   REFUSED_GIVE_UP_MS = 700,
+  /* A cancellation of an unknown job that is younger need not be stored
+     again.  */
+  RENEW_AGE_MS = WD_KEEP_MS / 2,
   OK = 200,
   BAD_REQUEST = 400,
   GONE = 410,
+  TOO_MANY = 429,
   UNAVAILABLE = 503,
   OUTCOME_UNKNOWN = 504
 };
@@ -24,7 +31,7 @@
 {
   if (p->purpose == BA_SUBMIT)
     return "submit";
-  return p->purpose == BA_CANCEL || p->cancel_after_lookup ? "cancel"
+  return p->purpose != BA_LOOKUP || p->cancel_after_lookup ? "cancel"
                                                            : "state";
 }
 
@@ -107,21 +114,77 @@
   return p;
 }
 
+static struct po_entry
+expect (const char *key, int64_t version)
+{
+  return (struct po_entry){
+    .kind = PO_EXPECT, .table = "jobs", .key = key, .version = version
+  };
+}
+
+static struct po_entry
+put (const char *key, const char *value)
+{
+  return (struct po_entry){
+    .kind = PO_PUT, .table = "jobs", .key = key, .value = value
+  };
+}
+
+static int
+has_public_queue (const struct qu_config *config)
+{
+  for (int i = 0; config && i < config->queue_count; i++)
+    if (config->queue[i].is_public)
+      return 1;
+  return 0;
+}
+
+/* Writes the withdrawal of P's id if no job of its account has it.  A caller
+   with a key may cancel jobs that were submitted without one, too.  */
+static int
+send_withdrawal (struct ba_pending *p, struct ba_store_call *call,
+                 int timeout_ms)
+{
+  struct batch *b = p->b;
+  char key[2][WD_KEY_SIZE];
+  char *value = wd_value (p->account, ba_store_clock_now_ms (b));
+  struct po_entry e[3] = { expect (p->id, p->version) };
+  int n = 1, error;
+
+  wd_make_key (key[0], p->id, p->account);
+  e[n++] = put (key[0], value);
+  if (p->account && has_public_queue (b->config))
+    {
+      wd_make_key (key[1], p->id, NULL);
+      e[n++] = put (key[1], value);
+    }
+  error = po_write (&b->entry_port, e, n, timeout_ms, ba_on_store_reply, call);
+  free (value);
+  return error;
+}
+
 static int
 send_write (struct ba_pending *p, struct ba_store_call *call, int timeout_ms)
 {
-  char job_key[VW_KEY_SIZE], key[VW_KEY_SIZE];
-  struct po_entry e[2];
+  char cancel_key[VW_KEY_SIZE], withdrawal_key[WD_KEY_SIZE];
+  struct po_entry e[3] = { expect (p->id, p->version) };
+  int n = 1;
 
-  vw_make_key (job_key, p->id, VW_JOB);
-  vw_make_key (key, p->id, p->purpose == BA_SUBMIT ? VW_JOB : VW_CANCEL);
-  e[0] = (struct po_entry){
-    .kind = PO_EXPECT, .table = "jobs", .key = job_key, .version = p->version
-  };
-  e[1] = (struct po_entry){
-    .kind = PO_PUT, .table = "jobs", .key = key, .value = p->value
-  };
-  return po_write (&p->b->entry_port, e, 2, timeout_ms, ba_on_store_reply,
+  switch (p->purpose)
+    {
+    case BA_SUBMIT:
+      wd_make_key (withdrawal_key, p->id, p->account);
+      e[n++] = expect (withdrawal_key, 0);
+      e[n++] = put (p->id, p->value);
+      break;
+    case BA_CANCEL:
+      vw_make_key (cancel_key, p->id, VW_CANCEL);
+      e[n++] = put (cancel_key, p->value);
+      break;
+    default:
+      return send_withdrawal (p, call, timeout_ms);
+    }
+  return po_write (&p->b->entry_port, e, n, timeout_ms, ba_on_store_reply,
                    call);
 }
 
@@ -187,30 +250,59 @@
 
 void
 pe_cancel (struct batch *b, struct hs_exchange *ex, const struct vw_job *job,
-           int wait_ms)
+           const char *account, int wait_ms)
 {
   struct ba_pending *p = begin (b, BA_CANCEL, ex, job->id, wait_ms);
 
   p->version = job->version;
+  p->account = g_strdup (account);
   p->value = g_strdup ("{}");
   send (p);
 }
 
-/* Applies the row of P's job that the store showed in a conflict.  Returns the
-   job, or NULL without a row.  */
+int
+pe_is_withdrawn (const struct batch *b, const char *id, const char *account)
+{
+  return wd_is_withdrawn (&b->view.withdrawals, id, account,
+                          ba_store_clock_now_ms (b), WD_KEEP_MS);
+}
+
+/* Applies the rows of P's id that the store showed in a conflict.  Returns the
+   job, or NULL without a row of it.  */
 static const struct vw_job *
 apply_conflict (struct ba_pending *p, const struct po_rows *rows)
 {
+  const struct vw_job *j = NULL;
+
   for (int i = 0; i < rows->count; i++)
-    if (!strcmp (rows->row[i].key, p->id) && rows->row[i].version)
-      return vw_apply_row (&p->b->view, p->id, rows->row[i].value,
-                           rows->row[i].version, 0,
-                           p->b->job_follower.generation);
-  return NULL;
+    {
+      const struct po_row *row = &rows->row[i];
+
+      if (!row->version || strncmp (row->key, p->id, SJ_ID_SIZE - 1) != 0)
+        continue;
+      vw_apply_row (&p->b->view, row->key, row->value, row->version, 0,
+                    p->b->job_follower.generation);
+      if (!strcmp (row->key, p->id))
+        j = vw_find (&p->b->view, p->id);
+    }
+  return j;
 }
 
-/* A conflict means that the job's row exists: an earlier attempt was committed
-   and its answer lost, or another account has used the id.  */
+static int
+shows_withdrawal (const struct ba_pending *p, const struct po_rows *rows)
+{
+  char key[WD_KEY_SIZE];
+
+  wd_make_key (key, p->id, p->account);
+  for (int i = 0; i < rows->count; i++)
+    if (!strcmp (rows->row[i].key, key) && rows->row[i].version)
+      return 1;
+  return 0;
+}
+
+/* A conflict means that the job's row exists, as an earlier attempt was
+   committed and its answer lost, or another account has used the id; or that
+   the job was cancelled before.  */
 static void
 on_submit_reply (struct ba_pending *p, const struct po_rows *rows)
 {
@@ -224,6 +316,11 @@
       finish (p, BAD_REQUEST, NULL, FR_ID_TAKEN);
       return;
     }
+  if (!j && rows->result == PO_CONFLICT && shows_withdrawal (p, rows))
+    {
+      finish (p, GONE, NULL, FR_WITHDRAWN);
+      return;
+    }
   if (rows->result == PO_DONE)
     {
       vw_make_key (key, p->id, VW_JOB);
@@ -235,18 +332,57 @@
           rows->result == PO_DONE ? "stored" : "already stored");
 }
 
+/* P's caller cancels an id that no job of its account has.  The answer holds
+   for submissions that arrive later, so that it must be stored.  VERSION is of
+   another account's job, or 0.  */
+static void
+withdraw (struct ba_pending *p, int64_t version)
+{
+  struct batch *b = p->b;
+  const struct wd_table *t = &b->view.withdrawals;
+
+  if (wd_is_withdrawn (t, p->id, p->account, ba_store_clock_now_ms (b),
+                       RENEW_AGE_MS))
+    finish (p, GONE, NO_SUCH_JOB, "no such job, withdrawn before");
+  else if (!wd_find (t, p->id, p->account) && wd_is_full (t, p->account))
+    finish (p, TOO_MANY, NULL,
+            "not cancelled: no such job, and too many such cancellations");
+  else if (ba_refuses_writes (b))
+    finish (p, UNAVAILABLE, NULL, "not run: the store answers no writes");
+  else
+    {
+      p->purpose = BA_WITHDRAW;
+      p->version = version;
+      send (p);
+    }
+}
+
+static void
+begin_cancel (struct ba_pending *p, int64_t version)
+{
+  p->purpose = BA_CANCEL;
+  p->version = version;
+  if (!p->value)
+    p->value = g_strdup ("{}");
+  send (p);
+}
+
 static void
 on_lookup_reply (struct ba_pending *p, const struct po_rows *rows)
 {
   struct batch *b = p->b;
   const struct vw_job *j;
+  int is_known;
 
   for (int i = 0; i < rows->count; i++)
     vw_apply_row (&b->view, rows->row[i].key, rows->row[i].value,
                   rows->row[i].version, 0, b->job_follower.generation);
   j = vw_find (&b->view, p->id);
-  if (!j || !j->version || !vw_belongs_to (j, p->account))
-    finish (p, GONE, NULL, "no such job");
+  is_known = j && j->version && vw_belongs_to (j, p->account);
+  if (!is_known && p->cancel_after_lookup)
+    withdraw (p, j ? j->version : 0);
+  else if (!is_known)
+    finish (p, GONE, NO_SUCH_JOB, "no such job");
   else if (!p->cancel_after_lookup)
     {
       char body[64];
@@ -259,26 +395,37 @@
   else if (ba_refuses_writes (b))
     finish (p, UNAVAILABLE, NULL, "not run: the store answers no writes");
   else
-    {
-      p->purpose = BA_CANCEL;
-      p->version = j->version;
-      p->value = g_strdup ("{}");
-      send (p);
-    }
+    begin_cancel (p, j->version);
 }
 
 /* The version of a job's row never changes.  Another version means that the
-   known one was wrong; no row means that the job was deleted.  */
+   known one was wrong, or that the job was stored meanwhile; no row means that
+   it was deleted.  */
 static void
 on_cancel_conflict (struct ba_pending *p, const struct po_rows *rows)
 {
-  if (rows->count && rows->row[0].version)
-    {
-      p->version = rows->row[0].version;
-      send (p);
-    }
+  const struct vw_job *j = apply_conflict (p, rows);
+
+  if (j && vw_belongs_to (j, p->account))
+    begin_cancel (p, j->version);
   else
-    finish (p, GONE, NULL, "no such job");
+    withdraw (p, j ? j->version : 0);
+}
+
+/* The job that P withdraws can't be stored any more.  */
+static void
+on_withdrawal_reply (struct ba_pending *p)
+{
+  struct batch *b = p->b;
+  char key[WD_KEY_SIZE];
+  char *value = wd_value (p->account, ba_store_clock_now_ms (b));
+
+  wd_make_key (key, p->id, p->account);
+  wd_apply_row (&b->view.withdrawals, key, value, 0, 0,
+                b->job_follower.generation);
+  free (value);
+  co_add (b, b->counters.withdrawals, 1);
+  finish (p, GONE, NO_SUCH_JOB, "no such job, withdrawn");
 }
 
 static void
@@ -310,6 +457,8 @@
     on_lookup_reply (p, rows);
   else if (rows->result == PO_CONFLICT)
     on_cancel_conflict (p, rows);
+  else if (p->purpose == BA_WITHDRAW)
+    on_withdrawal_reply (p);
   else
     on_cancel_reply (p);
 }
--- a/src/batch/view.c
+++ b/src/batch/view.c
@@ -17,12 +17,14 @@
 vw_init (struct vw_view *v)
 {
   v->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_job);
+  wd_init (&v->withdrawals);
 }
 
 void
 vw_fini (struct vw_view *v)
 {
   g_hash_table_destroy (v->jobs);
+  wd_fini (&v->withdrawals);
 }
 
 const char *
@@ -46,7 +48,9 @@
     return VW_JOB;
   if (!strcmp (key + SJ_ID_SIZE - 1, ".s"))
     return VW_STATE;
-  return strcmp (key + SJ_ID_SIZE - 1, ".x") ? VW_OTHER : VW_CANCEL;
+  if (!strcmp (key + SJ_ID_SIZE - 1, ".x"))
+    return VW_CANCEL;
+  return wd_is_key (key) ? VW_WITHDRAWAL : VW_OTHER;
 }
 
 void
@@ -128,7 +132,9 @@
   struct vw_job *j;
   json_t *o;
 
-  if (kind == VW_LEASE || kind == VW_OTHER)
+  if (kind == VW_WITHDRAWAL)
+    wd_apply_row (&v->withdrawals, key, value, version, deleted, generation);
+  if (kind != VW_JOB && kind != VW_STATE && kind != VW_CANCEL)
     return NULL;
   if (deleted)
     {
@@ -159,6 +165,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (((struct vw_job *)value)->generation != generation)
       g_hash_table_iter_remove (&iter);
+  wd_remove_unseen (&v->withdrawals, generation);
 }
 
 int
--- a/src/batch/view.h
+++ b/src/batch/view.h
@@ -5,6 +5,7 @@
 
 #include <glib.h>
 
+#include "batch/withdrawal.h"
 #include "skr/steps.h"
 
 enum
@@ -29,15 +30,17 @@
 struct vw_view
 {
   GHashTable *jobs;
+  struct wd_table withdrawals;
 };
 
 /* Kinds of rows in the job table.  */
 enum vw_row
 {
-  VW_JOB,    /* the job itself */
-  VW_STATE,  /* the state that clients see */
-  VW_CANCEL, /* a request to cancel the job */
-  VW_LEASE,  /* the scheduler's lease */
+  VW_JOB,        /* the job itself */
+  VW_STATE,      /* the state that clients see */
+  VW_CANCEL,     /* a request to cancel the job */
+  VW_LEASE,      /* the scheduler's lease */
+  VW_WITHDRAWAL, /* a cancellation of a job that was not known */
   VW_OTHER
 };
 
