Open the due runs of a scheduled job in turn

Cause: a round opened all due runs. The record lists each task that is not done, and from about 8,000 waiting tasks on it exceeds a row even without a plan. The job is set aside then, can't be planned, and so its record never changes, while its ends hold back the acknowledgements of its workers.

Change: due runs are opened in order while at most 2,000 tasks of the job's open runs are not done, and one at least. Such a record without plans takes at most 60,000 bytes.

--- a/src/steps/job.c
+++ b/src/steps/job.c
@@ -4,6 +4,13 @@
 
 #include "steps/state.h"
 
+enum
+{
+  /* Of the open occurrences of a job.  Without plans its record then fits into
+     a row: a task takes at most 30 bytes there.  */
+  MAX_OPEN_TASKS = 2 * SJ_MAX_TASKS
+};
+
 const struct sj_step *
 un_step (const struct unit *u)
 {
@@ -170,14 +177,54 @@
   return o;
 }
 
+static int
+is_due (const struct job *j, int64_t wall_ms)
+{
+  return j->next_occurrence < occurrence_count (j)
+         && (!j->spec->occurrences
+             || wall_ms >= j->spec->first_due_ms
+                               + j->next_occurrence * j->spec->interval_ms);
+}
+
+/* Returns the tasks of J's open occurrences that are not done.  */
+static int
+count_open_tasks (const struct job *j)
+{
+  int n = 0;
+
+  for (guint i = 0; i < j->open_occurrences->len; i++)
+    {
+      const struct occurrence *o = g_ptr_array_index (j->open_occurrences, i);
+
+      for (int k = 0; k < j->spec->step_count; k++)
+        {
+          const struct sj_step *s = &j->spec->step[k];
+
+          n += o->units_not_done[k] < 0 || s->gang
+                   ? s->count * (o->units_not_done[k] != 0)
+                   : o->units_not_done[k];
+        }
+    }
+  return n;
+}
+
+/* Whether J's record has room for one more occurrence.  */
+static int
+has_room_for_occurrence (const struct job *j)
+{
+  int tasks = 0;
+
+  for (int k = 0; k < j->spec->step_count; k++)
+    tasks += j->spec->step[k].count;
+  return !j->open_occurrences->len
+         || count_open_tasks (j) + tasks <= MAX_OPEN_TASKS;
+}
+
 void
 jb_open_due_occurrences (struct sj_cluster *c, struct job *j, int64_t now,
                          int64_t wall_ms)
 {
-  while (j->next_occurrence < occurrence_count (j)
-         && (!j->spec->occurrences
-             || wall_ms >= j->spec->first_due_ms
-                               + j->next_occurrence * j->spec->interval_ms))
+  while (is_due (j, wall_ms) && has_room_for_occurrence (j))
     {
       expand_ready_steps (c, j, jb_open_occurrence (j, j->next_occurrence),
                           now);
--- a/tests/batch/test_records.c
+++ b/tests/batch/test_records.c
@@ -13,7 +13,7 @@
 enum
 {
   ROW_BYTES = 65536,
-  MAX_RUNS = 8192
+  MAX_RUNS = 16384
 };
 
 static struct batch batch;
@@ -425,6 +425,54 @@
   teardown ();
 }
 
+/* Guards against LOST: all runs of a scheduled job were opened that had fallen
+   due meanwhile, its record was too large for a row, and it was set aside for
+   good.  */
+static void
+test_due_runs_are_opened_in_turn (void)
+{
+  enum
+  {
+    TASKS = 1000,
+    TIMES = 10
+  };
+
+  setup ();
+  submit (BAD, TASKS, TIMES);
+  submit_small_jobs (20);
+  run_ms (1000);
+  CU_ASSERT_EQUAL (count_stored_small_jobs (20), 20);
+  for (int i = 0; i < 100 && sj_has_job (batch.cluster, BAD); i++)
+    {
+      ends = starts;
+      run_ms (1000);
+      CU_ASSERT_EQUAL (aside_jobs (), 0);
+    }
+  CU_ASSERT_FALSE (sj_has_job (batch.cluster, BAD));
+  CU_ASSERT_EQUAL (starts_of_bad, TASKS * TIMES);
+  CU_ASSERT_EQUAL (refused_writes, 0);
+  teardown ();
+}
+
+/* Guards against a holder without memory: 1,800 runs of 1,000 tasks that were
+   due at once took 260 MB.  */
+static void
+test_many_due_runs_cost_little (void)
+{
+  const char *value;
+  json_t *record;
+
+  setup ();
+  submit (BAD, 1000, 1800);
+  run_ms (1000);
+  CU_ASSERT (starts_of_bad > 0);
+  value = g_hash_table_lookup (rows, BAD);
+  record = value ? json_loads (value, 0, NULL) : NULL;
+  CU_ASSERT_EQUAL (json_array_size (json_object_get (record, "open")), 2);
+  json_decref (record);
+  teardown ();
+}
+
 int
 main (void)
 {
@@ -434,6 +482,8 @@
     { "ends", test_ends_wait_for_record },
     { "wide job", test_wide_job_stops_no_other },
     { "store refuses all", test_no_record_is_blamed_for_store },
+    { "due runs", test_due_runs_are_opened_in_turn },
+    { "many due runs", test_many_due_runs_cost_little },
     CU_TEST_INFO_NULL,
   };
 
