Count a job as begun once a worker has taken a start of it

Cause: the first record with a plan marked the job as started, before any start was sent, and the mark stayed when the start was refused or not answered.

Change: a job has begun when a worker has answered a start of it with 200, or lists a run or an end of it.

--- a/src/steps/cluster.c
+++ b/src/steps/cluster.c
@@ -92,9 +92,6 @@
 
       if (u->state == UN_ACTIVE && !u->run_commit)
         u->run_commit = RUN_IN_COMMIT;
-      /* The record that holds the first run shows the job as started.  */
-      if (u->state == UN_ACTIVE)
-        j->started = 1;
     }
 }
 
--- a/src/steps/listing.c
+++ b/src/steps/listing.c
@@ -31,6 +31,7 @@
           m->start_resolved_ms = now;
         }
     }
+  ru_note_taken (m->unit);
   m->life_tag = wo_life_tag (m->worker->incarnation);
   ru_set_checkpoint (m->unit, l->checkpoint);
   he_record_progress (c, m, l->percent, now);
@@ -132,6 +133,7 @@
   if (!u || u->state == UN_DONE || un_step (u)->is_continuous
       || end->run.number > u->run_number)
     return;
+  ru_note_taken (u);
   if (u->state == UN_ACTIVE)
     ru_abort (c, u, SJ_DONE_ELSEWHERE, now);
   jb_unit_done (c, u, now);
--- a/src/steps/run.c
+++ b/src/steps/run.c
@@ -92,7 +92,6 @@
       ru_abort (c, u, SJ_GANG_INCOMPLETE, now);
       return;
     }
-  u->job->started = 1;
   for (int i = 0; i < u->count; i++)
     {
       u->members[i].state = MB_STARTING;
@@ -279,6 +278,15 @@
   u->checkpoint = g_strdup (checkpoint);
 }
 
+void
+ru_note_taken (struct unit *u)
+{
+  if (u->job->started)
+    return;
+  u->job->started = 1;
+  jb_mark_dirty (u->job);
+}
+
 void
 ru_apply_end (struct sj_cluster *c, struct member *m,
               const struct sj_listed_run *end, int64_t now)
@@ -287,6 +295,7 @@
   int is_continuous = un_step (u)->is_continuous;
 
   he_record_end (c, m->worker, u, end->end, now);
+  ru_note_taken (u);
   jb_mark_dirty (u->job);
   if (u->state != UN_DONE)
     switch (end->end)
@@ -370,6 +379,7 @@
       m->start_resolved = 1;
       m->start_resolved_ms = now;
       m->unit->refusals = 0;
+      ru_note_taken (m->unit);
       if (m->state == MB_STARTING)
         m->state = MB_RUNNING;
       break;
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -150,7 +150,7 @@
   int64_t accepted_ms; /* on the caller's clock */
   int64_t critical_path_ms;
   int64_t peak_accelerators; /* of the widest step, for the guarantee */
-  int started;               /* its first run is stored or being stored */
+  int started;               /* a worker has taken a start of it */
   int dirty, in_commit;
   /* Set aside until its record is stored; parked: not among the dirty jobs
      meanwhile.  */
@@ -414,6 +414,8 @@
    active run are aborted; after the last one the unit is
    requeued unless it is done.  */
 void ru_release_member (struct sj_cluster *c, struct member *m, int64_t now);
+/* Notes that a worker has taken a start of U.  */
+void ru_note_taken (struct unit *u);
 /* Applies END, the listed end of M's run.  */
 void ru_apply_end (struct sj_cluster *c, struct member *m,
                    const struct sj_listed_run *end, int64_t now);
--- a/tests/steps/fake_cluster.c
+++ b/tests/steps/fake_cluster.c
@@ -741,6 +741,18 @@
     }
 }
 
+/* A job that is shown as running has had a task started.  */
+static void
+check_has_begun (struct fa_cluster *f, const char *id, int state)
+{
+  struct sj_run run = { .number = 0 };
+
+  g_strlcpy (run.job, id, sizeof run.job);
+  if (state == SJ_RUNNING && !g_hash_table_contains (f->started_ms, id))
+    report_violation (f, "job shown as running before a task has started",
+                      &run);
+}
+
 /* Ends the commit: its records are stored, or it fails.  */
 static void
 end_commit (struct fa_cluster *f)
@@ -756,6 +768,7 @@
       g_hash_table_replace (
           f->records, g_strdup (id),
           g_strdup (g_ptr_array_index (f->commit_records, i)));
+      check_has_begun (f, id, state);
       g_hash_table_replace (f->states, g_strdup (id),
                             GINT_TO_POINTER (state + 1));
       if (state >= SJ_COMPLETED && !g_hash_table_contains (f->ended_ms, id))
--- a/tests/steps/test_outcomes.c
+++ b/tests/steps/test_outcomes.c
@@ -22,6 +22,7 @@
 static int64_t now;
 static struct sent_order order[MAX_ORDERS];
 static int orders;
+static enum sj_state stored_state; /* of the last record */
 
 static void
 note_order (void *arg, const struct sj_order *o)
@@ -102,7 +103,10 @@
   sj_decide (cluster, now, now);
   n = sj_dirty (cluster, dirty, 8);
   for (int i = 0; i < n; i++)
-    json_decref (dirty[i].record);
+    {
+      stored_state = dirty[i].state;
+      json_decref (dirty[i].record);
+    }
   sj_committed (cluster, 1, now);
 }
 
@@ -426,10 +430,57 @@
   teardown ();
 }
 
+static int
+waiting_jobs (void)
+{
+  struct sj_counts counts;
+
+  sj_count (cluster, &counts);
+  return counts.waiting;
+}
+
+/* Guards against MIXED: a job counted as begun, and was shown as running, from
+   its first plan on, though no worker had taken a start of it.  */
+static void
+test_refused_job_is_waiting (void)
+{
+  setup (1, 0);
+  CU_ASSERT_EQUAL (waiting_jobs (), 1);
+  add_second ();
+  answer_start ("a", SJ_REFUSED);
+  decide_after (200);
+  CU_ASSERT_EQUAL (waiting_jobs (), 1);
+  CU_ASSERT_EQUAL (stored_state, SJ_QUEUED);
+  answer_start ("b", SJ_EXECUTED);
+  decide_after (10);
+  CU_ASSERT_EQUAL (waiting_jobs (), 0);
+  CU_ASSERT_EQUAL (stored_state, SJ_RUNNING);
+  teardown ();
+}
+
+/* The same for a start without an answer, which the worker's list shows.  */
+static void
+test_job_runs_once_a_listing_has_it (void)
+{
+  struct sj_run run;
+
+  setup (1, 0);
+  run = last_order (SJ_START, "a")->run;
+  decide_after (100);
+  CU_ASSERT_EQUAL (stored_state, SJ_QUEUED);
+  list ("a", &run);
+  decide_after (10);
+  CU_ASSERT_EQUAL (waiting_jobs (), 0);
+  CU_ASSERT_EQUAL (stored_state, SJ_RUNNING);
+  teardown ();
+}
+
 int
 main (void)
 {
   static const CU_TestInfo tests[] = {
+    { "waiting, refused", test_refused_job_is_waiting },
+    { "waiting, listed", test_job_runs_once_a_listing_has_it },
     { "refused", test_refused_start_is_planned_at_once },
     { "unanswered", test_unanswered_start_needs_stop_and_listing },
     { "earlier listing", test_listing_from_before_proves_nothing },
