Acknowledge ends of a busy worker while the store is slow

On a worker that gets starts and lists ends all the time, with transactions of 100 ms, no end was acknowledged in 20 s: 386 starts, 0 ends forgotten.

Cause: a poll that has an end to acknowledge was not sent as long as others waited for their record, and a start came in the 0.8 s until the next poll, so that the listing was of no use for it.

Change: once an end has waited for 0.8 s it is acknowledged directly on the listing that allows it, whatever other ends wait for.

--- a/src/batch/ack.c
+++ b/src/batch/ack.c
@@ -3,8 +3,8 @@
 enum
 {
   /* A start without an answer may be executed by an incarnation that is not
-     known yet.  For this long no end is acknowledged, at most from when it
-     could be: callers of the platform must learn of ends within 4 s.  */
+     known yet.  No end is acknowledged for this long after it, nor delayed for
+     longer: the platform asks for an acknowledgement within 4 s.  */
   OPEN_START_MS = 2500,
   /* A worker that gets starts all the time gets none after so many listings on
      which no acknowledgement could rely.  */
@@ -109,8 +109,8 @@
   return e->stored > e->acked;
 }
 
-static int64_t
-waited_ms (const struct ak_ends *e, int64_t now)
+int64_t
+ak_waited_ms (const struct ak_ends *e, int64_t now)
 {
   return now - e->stored_ms;
 }
@@ -119,7 +119,7 @@
 static int
 waits_for_open_start (const struct ak_ends *e, int64_t now)
 {
-  return now < e->open_until_ms && waited_ms (e, now) < OPEN_START_MS;
+  return now < e->open_until_ms && ak_waited_ms (e, now) < OPEN_START_MS;
 }
 
 int64_t
--- a/src/batch/ack.h
+++ b/src/batch/ack.h
@@ -23,7 +23,7 @@
   AK_LOST       /* without an answer: it may do so at any later time */
 };
 
-/* Of one worker.  Zeros are the state of a worker without ends.  */
+/* Of one worker.  */
 struct ak_ends
 {
   int64_t received;        /* number of the last end received */
@@ -41,12 +41,13 @@
                             a start was pending then */
   int64_t listed_ms;     /* when it was received */
   int useless_listings;  /* in a row, for starts sent since the request */
-  int64_t open_until_ms; /* a try without an answer may be executed until */
+  int64_t open_until_ms; /* until then starts without an answer may be
+                            executed */
   int is_held; /* an end may be of a job whose record can't be stored */
 };
 
-/* Starts that others sent to the worker, up to BEGAN_MS, may have no answer
-   yet.  */
+/* Initializes E.  Starts that an earlier holder sent, up to BEGAN_MS, may have
+   no answer yet.  */
 void ak_init (struct ak_ends *e, int64_t began_ms);
 /* The worker counts its ends anew.  */
 void ak_begin_incarnation (struct ak_ends *e);
@@ -72,6 +73,8 @@
 
 /* Whether an end is to be acknowledged.  */
 int ak_wants (const struct ak_ends *e);
+/* Returns for how long an end could be acknowledged, if ak_wants.  */
+int64_t ak_waited_ms (const struct ak_ends *e, int64_t now);
 /* Returns the number that a request to the worker may acknowledge now, or
    0.  */
 int64_t ak_number (const struct ak_ends *e, int64_t now);
--- a/src/batch/worker_hold.c
+++ b/src/batch/worker_hold.c
@@ -275,6 +275,10 @@
 
   if (!w->runs_known)
     return 0;
+  /* A slow store may never have stored all ends of a busy worker.  */
+  if (end_to_acknowledge (b, w)
+      && ak_waited_ms (e, b->now_ms) >= UNSTORED_GAP_MS)
+    return 0;
   if (e->received > e->stored)
     return gap_ms < UNSTORED_GAP_MS;
   return ak_wants (e) && !end_to_acknowledge (b, w)
