--- a/tests/acks/fake_fleet.c
+++ b/tests/acks/fake_fleet.c
@@ -424,6 +424,7 @@
       c->listing->answer = c->answer;
     }
   c->listing_done (c->arg, c->listing);
+  c->listing = NULL;
 }
 
 static void
@@ -454,6 +455,13 @@
   return !c->is_answered || (c->arrive_ms && !c->is_executed);
 }
 
+static void
+free_call (struct call *c)
+{
+  po_listing_free (c->listing);
+  g_free (c);
+}
+
 static void
 step_calls (struct ff_fleet *f)
 {
@@ -464,7 +472,7 @@
       if (step_call (f, c))
         i++;
       else
-        g_free (g_ptr_array_remove_index_fast (f->calls, i));
+        free_call (g_ptr_array_remove_index_fast (f->calls, i));
     }
 }
 
@@ -658,11 +666,8 @@
       struct call *c = g_ptr_array_index (f->calls, i);
 
       if (!c->is_answered)
-        {
-          po_listing_free (c->listing);
-          wk_free_order (c->arg);
-        }
-      g_free (c);
+        wk_free_order (c->arg);
+      free_call (c);
     }
   g_ptr_array_free (f->calls, TRUE);
   g_rand_free (f->random);
