--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -515,7 +515,8 @@
                 const char *account, int cancel, int wait_ms);
 void pe_cancel (struct batch *b, struct hs_exchange *ex,
                 const struct vw_job *job, const char *account, int wait_ms);
-/* Returns 1 if ACCOUNT has cancelled ID, which is not to be run then.  */
+/* Returns 1 if ACCOUNT, NULL without a key, has cancelled ID before a job with
+   it was known.  */
 int pe_is_withdrawn (const struct batch *b, const char *id,
                      const char *account);
 /* Handles a reply of the store, which the caller frees.  */
@@ -527,7 +528,9 @@
 void pe_free (void *pending);
 
 /* withdrawal_expiry.c */
+/* Removes old withdrawals from the store while this VM holds the lease.  */
 void wx_tick (struct batch *b);
+/* Handles the store's reply to that.  */
 void wx_on_reply (struct batch *b, const struct po_rows *rows);
 
 /* holder.c, commit.c, load.c */
