--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -303,7 +303,6 @@
 
   struct le_lease lease;
   enum ba_phase phase;
-  int64_t term_began_ms;
   int term; /* counts both starts and ends of terms as holder, so that replies
                to calls from before are recognized */
   struct sj_cluster *cluster;
@@ -319,7 +318,7 @@
   char load_next_key[64];
   enum ba_purpose load_purpose;
   int load_in_flight;
-  int64_t next_load_ms, acquire_at_ms;
+  int64_t term_began_ms, next_load_ms, acquire_at_ms;
   int64_t no_attempt_before_ms; /* to acquire the lease */
   int64_t next_expiry_ms;       /* of withdrawals */
   int64_t jobs_seen_version;    /* job rows up to this version were handled */
