Count only runs that may have been executed against a task's last runs

A caller saw its job as failed without a cause: after three possible crashes of workers under a task, of which fewer than two were certain, the two further starts that are allowed were refused with 503 or 429, and the job was given up though no worker had executed them.

Cause: the limit was a run number, and every start takes one, also a start that is refused or planned and never sent.

A run that no worker can have executed now raises the limit by one. Starts of an earlier holder count as executed, and BUDGET holds: no third start after three crashes is executed.

test_crashes, "refused starts", failed before: given up after two refusals.

--- a/src/steps/loss.c
+++ b/src/steps/loss.c
@@ -15,8 +15,8 @@
      them must be certain.  */
   MAX_CRASHES = 3,
   MIN_CERTAIN_CRASHES = 2,
-  /* Runs after so many crashes of any kind, before it is given up all the
-     same.  */
+  /* Runs that workers may have executed after so many crashes of any kind,
+     before it is given up all the same.  */
   MAX_RUNS_AFTER_CRASHES = 2,
   /* A crash after a run of this length of a task that runs until its job is
      cancelled has nothing to do with earlier ones.  */
@@ -194,7 +194,8 @@
 static int
 may_have_run (const struct member *m)
 {
-  return m->state != MB_PLANNED && (m->start_sent || m->from_record);
+  return m->state != MB_PLANNED && !m->start_refused
+         && (m->start_sent || m->from_record);
 }
 
 /* Whether M's run may have ended, its end not listed yet, before its worker
@@ -341,6 +342,17 @@
   g_ptr_array_set_size (c->given_up, 0);
 }
 
+void
+lo_note_run_over (struct unit *u)
+{
+  if (!u->last_run || u->last_run - u->run_number >= MAX_RUNS_AFTER_CRASHES)
+    return;
+  for (int i = 0; i < u->count; i++)
+    if (may_have_run (&u->members[i]))
+      return;
+  u->last_run++;
+}
+
 int
 lo_give_up_if_spent (struct sj_cluster *c, struct unit *u, int64_t now)
 {
--- a/src/steps/run.c
+++ b/src/steps/run.c
@@ -116,6 +116,7 @@
 {
   if (u->state == UN_DONE || !all_ended (u))
     return;
+  lo_note_run_over (u);
   g_free (u->members);
   u->members = NULL;
   u->state = UN_READY;
@@ -386,6 +387,7 @@
     case SJ_REFUSED:
       if (m->start_sent && m->state == MB_STARTING)
         note_refusal (m->unit, w, now);
+      m->start_refused = m->state != MB_RUNNING;
       m->start_resolved = 1;
       m->start_resolved_ms = now;
       if (m->state != MB_RUNNING)
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -34,6 +34,7 @@
   int capacity_serial; /* of its worker when it was planned; 0: before that */
   int start_sent;      /* the worker may have executed the start */
   int start_open;      /* a try had no answer: it may be executed later */
+  int start_refused;   /* the worker has not executed it and never will */
   int start_resolved;  /* start answered, or its run listed */
   int64_t start_resolved_ms; /* a listing requested later shows the outcome */
   int stop_pending;          /* a stop has no outcome yet */
@@ -327,6 +328,9 @@
 /* Gives U up, if it has had all the runs that are allowed after the crashes
    under it.  Returns 1 if it has.  */
 int lo_give_up_if_spent (struct sj_cluster *c, struct unit *u, int64_t now);
+/* Allows U another run, if the one that has just ended counts against the last
+   ones and no worker can have executed it.  */
+void lo_note_run_over (struct unit *u);
 /* Adds a copy of LOSS to U.  */
 void lo_add_loss (struct sj_cluster *c, struct unit *u,
                   const struct unresolved_loss *loss);
--- a/tests/steps/test_crashes.c
+++ b/tests/steps/test_crashes.c
@@ -283,6 +283,17 @@
   return -1;
 }
 
+/* Loses worker W once it has run its task to an end that it has not listed. */
+static void
+lose_after_the_end (int w)
+{
+  cluster.worker[w].partitioned = 1;
+  fa_run_ms (&cluster, 500);
+  CU_ASSERT_EQUAL (cluster.worker[w].runs->len, 0);
+  fa_lose (&cluster, w);
+  cluster.worker[w].partitioned = 0;
+}
+
 /* Guards against LOST: a job was shown as failed after one crash under its
    task.  Two other workers had crashed once they had run it to its end, which
    they had not listed yet.  */
@@ -292,15 +303,7 @@
   fa_init (&cluster, 8, 4, 1);
   fa_submit (&cluster, fa_new_job (1, 0, 1, 8, 300));
   for (int i = 0; i < 2; i++)
-    {
-      int w = run_until_start ();
-
-      cluster.worker[w].partitioned = 1;
-      fa_run_ms (&cluster, 500);
-      CU_ASSERT_EQUAL (cluster.worker[w].runs->len, 0);
-      fa_lose (&cluster, w);
-      cluster.worker[w].partitioned = 0;
-    }
+    lose_after_the_end (run_until_start ());
   CU_ASSERT_EQUAL (fa_crashes_under (&cluster, DEADLY), 0);
   fa_lose (&cluster, run_until_start ());
   CU_ASSERT_EQUAL (fa_crashes_under (&cluster, DEADLY), 1);
@@ -310,6 +313,27 @@
   fa_fini (&cluster);
 }
 
+/* Guards against LOST: a task was given up although the starts after its
+   possible crashes were refused, so that no worker executed them.  */
+static void
+test_refused_starts_do_not_give_up_a_task (void)
+{
+  fa_init (&cluster, 8, 4, 1);
+  fa_submit (&cluster, fa_new_job (1, 0, 1, 8, 300));
+  for (int i = 0; i < 3; i++)
+    lose_after_the_end (run_until_start ());
+  for (int w = 0; w < cluster.worker_count; w++)
+    cluster.worker[w].refuses = 1;
+  fa_run_ms (&cluster, 8000);
+  CU_ASSERT (cluster.refusals > 2);
+  for (int w = 0; w < cluster.worker_count; w++)
+    cluster.worker[w].refuses = 0;
+  fa_run_ms (&cluster, 30000);
+  CU_ASSERT_EQUAL (fa_state (&cluster, DEADLY), SJ_COMPLETED);
+  expect_no_violations ();
+  fa_fini (&cluster);
+}
+
 /* Guards against starts of a job that a decision has just given up.  */
 static void
 test_given_up_job_starts_nothing (void)
@@ -531,6 +555,7 @@
     { "two crashes", test_task_under_two_crashes_completes },
     { "crash after the end",
       test_crash_after_the_end_of_a_run_is_not_certain },
+    { "refused starts", test_refused_starts_do_not_give_up_a_task },
     { "job given up", test_given_up_job_starts_nothing },
     { "planned gang", test_planned_gang_leaves_lost_worker },
     { "largest job", test_record_of_largest_job_stays_small },
