--- a/tests/soak/check_grey.sh
+++ b/tests/soak/check_grey.sh
@@ -44,7 +44,10 @@
     tail -n 1 "$dir/$name.out"
   else
     failed=1
-    printf 'FAIL %s\n' "$name"
+    printf 'FAIL %s, status %s\n' "$name" "$(cat "$dir/$name.status")"
+    # The breaches first: CI shows only the beginning of a long output.
+    grep BREACH "$dir/$name.out"
+    tail -n 1 "$dir/$name.out"
     cat "$dir/$name.out"
   fi
 done
