Use a worker again that has had nothing new to report

On a platform whose table changes only with news, a worker whose entry had changed four times and then not for 4 s got no start any more, until its entry changed again: a fleet lost its workers one by one.

Cause: four changes were taken for the proof that an entry changes with every report.

A worker whose entry is still there after 12 s of a confirmed table is used again. Holds of all starts do not count as silence, so that the wait after an outage of the store is the same as before. A report after a longer silence begins the count of four anew.

test_capacity, "quiet worker", failed before: no start in 20 s. "no reports" is unchanged; "no reports after an outage" is new.

--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -466,6 +466,10 @@
 sj_hold_starts (struct sj_cluster *c, int held)
 {
   c->changed |= c->starts_held != held;
+  if (held && !c->starts_held)
+    c->hold_start_ms = c->now;
+  if (c->starts_held && !held)
+    c->held_ms += c->now - c->hold_start_ms;
   c->starts_held = held;
 }
 
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -189,11 +189,12 @@
   int paused;          /* nothing is planned there for now */
   int64_t incarnation; /* 0: unknown */
   struct sj_resources capacity, used;
-  int capacity_known;  /* it is that of this incarnation */
-  int capacity_serial; /* changes of it so far */
-  int64_t version;     /* of its last report */
-  int64_t reported_ms; /* when that arrived */
-  int reports;         /* of this incarnation */
+  int capacity_known;       /* it is that of this incarnation */
+  int capacity_serial;      /* changes of it so far */
+  int64_t version;          /* of its last report */
+  int64_t reported_ms;      /* when that arrived */
+  int64_t reported_held_ms; /* how long starts had been held by then */
+  int reports;              /* of this incarnation */
   int usable; /* wo_usable, as of the last round or check of the runs */
   struct sj_resources free, free_after_stops; /* of the current round */
   struct sj_resources reserved; /* for waiting units, from reserved_from_ms */
@@ -253,11 +254,12 @@
   GPtrArray *given_up; /* struct unit, whose jobs are about to fail */
   int changed;         /* since the last decision round */
   int starts_held;     /* no start is decided or sent */
-  int max_orders;      /* that may be open; 0: no limit */
-  int open_orders;     /* as of this round: without an outcome yet */
-  int plan_serial;     /* of the last plan to preempt */
-  int searches;        /* of the last round: units that were tried */
-  int preemptions;     /* units for which others were stopped */
+  int64_t hold_start_ms, held_ms; /* held_ms: in all earlier holds */
+  int max_orders;                 /* that may be open; 0: no limit */
+  int open_orders; /* as of this round: without an outcome yet */
+  int plan_serial; /* of the last plan to preempt */
+  int searches;    /* of the last round: units that were tried */
+  int preemptions; /* units for which others were stopped */
   int64_t stopped_runs, lost_core_ms; /* by stops for any cause */
   int64_t now;                        /* the caller's latest clock reading */
   int64_t decided_ms, health_checked_ms;
--- a/src/steps/worker.c
+++ b/src/steps/worker.c
@@ -12,6 +12,10 @@
   /* A smaller capacity counts 4.5 s after it is reported: 3 s and one interval
      between reports.  This is less by the time of an order.  */
   REPORT_MAX_AGE_MS = 4000,
+  /* The platform removes the entry of a silent worker after three intervals
+     between reports.  One that is still there after this time, without that
+     in which the table was not confirmed, has nothing new to tell.  */
+  MAX_SILENCE_MS = 3 * REPORT_MAX_AGE_MS,
   LIFE_TAG_MODULUS = 65521 /* keeps a tag at five digits */
 };
 
@@ -74,11 +78,21 @@
     nd_sub (&m->worker->used, &need);
 }
 
+/* How long starts have been held so far, as the table was not confirmed.  */
+static int64_t
+held_ms (const struct sj_cluster *c, int64_t now)
+{
+  return c->held_ms + (c->starts_held ? now - c->hold_start_ms : 0);
+}
+
 int
 wo_report_is_overdue (const struct sj_cluster *c, const struct worker *w)
 {
-  return w->reports >= REGULAR_REPORTS
-         && c->now - w->reported_ms > REPORT_MAX_AGE_MS;
+  int64_t age_ms = c->now - w->reported_ms;
+
+  return w->reports >= REGULAR_REPORTS && age_ms > REPORT_MAX_AGE_MS
+         && age_ms - (held_ms (c, c->now) - w->reported_held_ms)
+                <= MAX_SILENCE_MS;
 }
 
 int
@@ -241,12 +255,16 @@
 }
 
 static void
-note_report (struct worker *w, const struct sj_worker_info *info, int64_t now)
+note_report (const struct sj_cluster *c, struct worker *w,
+             const struct sj_worker_info *info, int64_t now)
 {
   if (info->version == w->version)
     return;
+  if (now - w->reported_ms > MAX_SILENCE_MS)
+    w->reports = 0;
   w->version = info->version;
   w->reported_ms = now;
+  w->reported_held_ms = held_ms (c, now);
   w->reports++;
   w->cold_until_ms
       = info->cold_remaining_ms > 0 ? now + info->cold_remaining_ms : 0;
@@ -284,7 +302,7 @@
   rk_move (c, w, info->rack);
   set_capacity (c, w, &info->capacity);
   set_domain (c, w, info->domain);
-  note_report (w, info, now);
+  note_report (c, w, info, now);
   if (info->draining && !w->draining)
     w->drain_end_ms = now + info->remaining_ms;
   w->draining = info->draining;
--- a/tests/steps/test_capacity.c
+++ b/tests/steps/test_capacity.c
@@ -133,6 +133,42 @@
   fa_fini (&cluster);
 }
 
+/* Guards against a worker that was never used again: its entry had changed
+   four times, and the platform writes only changes, of which there were no
+   more.  */
+static void
+test_quiet_worker_is_used_again (void)
+{
+  fa_init (&cluster, 1, 1, 1);
+  fa_run_ms (&cluster, 10000);
+  cluster.worker[0].mute = 1;
+  fa_run_ms (&cluster, 5000);
+  fa_submit (&cluster, fa_new_job (1, 1, 1, 8, 1000));
+  fa_run_ms (&cluster, 15000);
+  CU_ASSERT_EQUAL (fa_state (&cluster, "0000000000000001"), SJ_COMPLETED);
+  expect_no_violations ();
+  fa_fini (&cluster);
+}
+
+/* Guards against LIMIT: the time without a confirmed table of workers was
+   taken for a silence in which the entry would have been removed.  */
+static void
+test_worker_that_does_not_report_after_outage_gets_no_starts (void)
+{
+  fa_init (&cluster, 1, 1, 1);
+  fa_run_ms (&cluster, 10000);
+  cluster.worker[0].mute = 1;
+  fa_set_capacity (&cluster, 0, 4);
+  sj_hold_starts (cluster.scheduler, 1);
+  fa_run_ms (&cluster, 20000);
+  sj_hold_starts (cluster.scheduler, 0);
+  fa_submit (&cluster, fa_new_job (1, 1, 1, 8, 1000));
+  fa_run_ms (&cluster, 5000);
+  CU_ASSERT_EQUAL (cluster.starts, 0);
+  expect_no_violations ();
+  fa_fini (&cluster);
+}
+
 int
 main (void)
 {
@@ -146,6 +182,9 @@
       test_capacity_of_previous_incarnation_does_not_count },
     { "stopping runs", test_stopping_runs_count_on_shrunk_worker },
     { "no reports", test_worker_that_does_not_report_gets_no_starts },
+    { "quiet worker", test_quiet_worker_is_used_again },
+    { "no reports after an outage",
+      test_worker_that_does_not_report_after_outage_gets_no_starts },
     CU_TEST_INFO_NULL,
   };
 
