Count the crash of a draining worker that must still serve

Cause: every loss on a draining worker was taken for its planned end. A draining worker serves for at least the time in its report.

A worker that is known to have ended before that time has crashed. The time counts from the arrival of the report before the one that says draining. A worker that only falls silent is taken to have left, as before.

test_crashes, "draining workers", failed before: the job was never given up.

--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -204,8 +204,9 @@
   int runs_known;   /* this incarnation has listed its runs */
   int unknown_runs; /* runs it listed that belong to no unit */
   int replaced;     /* its process has ended */
-  int has_left;     /* its previous incarnation was draining */
+  int has_left;     /* its last process to end may have left as planned */
   int64_t drain_end_ms;
+  int64_t min_drain_end_ms; /* it does not leave before; 0: unknown */
   int64_t lease_end_ms;     /* its runs end by then without a renewal */
   int64_t added_ms;         /* when this incarnation became known */
   GPtrArray *members;       /* struct member that occupy capacity */
--- a/src/steps/worker.c
+++ b/src/steps/worker.c
@@ -174,13 +174,20 @@
   c->changed = 1;
 }
 
+/* Whether W, whose process has ended by NOW, may have left as planned.  */
+static int
+may_have_left (const struct worker *w, int64_t now)
+{
+  return w->draining && now >= w->min_drain_end_ms;
+}
+
 /* Why a run on W ends that W does not list any more.  */
 static enum sj_loss
 loss_with (const struct worker *w)
 {
-  if (w->draining)
-    return SJ_LOSS_LEFT;
-  return w->replaced ? SJ_LOSS_CRASH : SJ_LOSS_EXPIRED;
+  if (w->replaced)
+    return w->has_left ? SJ_LOSS_LEFT : SJ_LOSS_CRASH;
+  return w->draining ? SJ_LOSS_LEFT : SJ_LOSS_EXPIRED;
 }
 
 static struct worker *
@@ -214,7 +221,9 @@
                    int64_t now)
 {
   w->incarnation = incarnation;
-  w->has_left = w->draining;
+  if (!w->replaced)
+    w->has_left = may_have_left (w, now);
+  w->min_drain_end_ms = 0;
   w->runs_known = w->capacity_known = w->reports = 0;
   w->replaced = 0;
   w->reachable = 1;
@@ -263,6 +272,10 @@
   if (now - w->reported_ms > MAX_SILENCE_MS)
     w->reports = 0;
   w->version = info->version;
+  /* The worker wrote this report after its previous one was read.  */
+  if (info->draining && w->reported_ms)
+    w->min_drain_end_ms
+        = MAX (w->min_drain_end_ms, w->reported_ms + info->remaining_ms);
   w->reported_ms = now;
   w->reported_held_ms = held_ms (c, now);
   w->reports++;
@@ -340,6 +353,7 @@
   if (!w || w->replaced)
     return;
   w->replaced = 1;
+  w->has_left = may_have_left (w, now);
   lose_all_members (c, w, loss_with (w), now);
 }
 
--- a/tests/steps/test_crashes.c
+++ b/tests/steps/test_crashes.c
@@ -334,6 +334,43 @@
   fa_fini (&cluster);
 }
 
+/* Has W drain from the start of a run until it has crashed.  */
+static void
+drain_with_run (struct fa_worker *w)
+{
+  int draining = w->is_up && (w->draining || w->runs->len);
+
+  if (draining && !w->draining)
+    w->report_ms = cluster.now;
+  w->draining = draining;
+}
+
+/* Guards against BUDGET: a task was started for ever, as the workers that it
+   crashed were draining and were taken to have left, long before the time that
+   they still had.  */
+static void
+test_crashes_of_draining_workers_count (void)
+{
+  for (int new_id = 0; new_id < 2; new_id++)
+    {
+      struct sj_job *job = begin (1, 8, 0);
+
+      job->step[0].estimate_ms = 1000;
+      cluster.crash_mode = (struct fa_crash_mode){ .work_ms = 300,
+                                                   .down_ms = 200,
+                                                   .new_id = new_id };
+      fa_submit (&cluster, job);
+      for (int tick = 0; tick < 6000; tick++)
+        {
+          for (int i = 0; i < cluster.worker_count; i++)
+            drain_with_run (&cluster.worker[i]);
+          fa_run_ms (&cluster, FA_TICK_MS);
+        }
+      expect_given_up (0);
+      fa_fini (&cluster);
+    }
+}
+
 /* Guards against starts of a job that a decision has just given up.  */
 static void
 test_given_up_job_starts_nothing (void)
@@ -556,6 +593,7 @@
     { "crash after the end",
       test_crash_after_the_end_of_a_run_is_not_certain },
     { "refused starts", test_refused_starts_do_not_give_up_a_task },
+    { "draining workers", test_crashes_of_draining_workers_count },
     { "job given up", test_given_up_job_starts_nothing },
     { "planned gang", test_planned_gang_leaves_lost_worker },
     { "largest job", test_record_of_largest_job_stays_small },
