--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -25,9 +25,14 @@
 enum
 {
   SJ_ID_SIZE = 17,   /* size of a job's id with its NUL, bytes */
+  SJ_KEY_SIZE = 48,  /* size of the key of a record's row with its NUL */
+  SJ_ROW_TASKS = 32, /* open tasks of a job whose record is a single row */
   SJ_MAX_STEPS = 64, /* of a job; a dependency mask has a bit for each */
   SJ_MAX_STEP_TASKS = 4096, /* tasks of a step */
-  SJ_MAX_TASKS = 1000, /* of all steps, so that a record stays under 64 KB */
+  SJ_MAX_TASKS = 10000, /* of all steps: each decision looks at all of them */
+  /* The same if a record is a single row, and of all open occurrences but the
+     first: then a row stays under 64 KB.  */
+  SJ_MAX_ROW_TASKS = 1000,
   SJ_MAX_OCCURRENCES = 10000, /* of a job */
   SJ_MAX_NEED = 1000000000,   /* of one resource, by one task */
   /* Bytes of a checkpoint in UTF-8.  Escaped for a record it takes six times
@@ -85,6 +90,8 @@
 void sj_job_free (struct sj_job *job);
 /* Returns 0, or SJ_EINVAL with *REASON set to a static description.  */
 int sj_job_check (const struct sj_job *job, const char **reason);
+/* Number of tasks of all its steps, in one occurrence.  */
+int sj_job_tasks (const struct sj_job *job);
 /* The stored form of JOB; a new reference.  */
 json_t *sj_job_to_json (const struct sj_job *job);
 /* Parses the stored form.  Returns a job that the caller frees, or NULL if
@@ -382,7 +389,11 @@
   /* 1: while capacity is scarce, accounts above their share give way to units
      of others that would be late; 0: order by rank and latest start alone.  */
   int64_t fair_share;
-  int64_t max_record_bytes; /* of a job's record as JSON; 0: no limit */
+  int64_t max_record_bytes; /* of a row of a record as JSON; 0: no limit */
+  /* 1: the records of large jobs are stored in pieces, so that a change writes
+     only what it changes; 0: in one row each, unless they are in pieces
+     already.  */
+  int record_pieces;
 };
 
 struct sj_cluster; /* opaque */
@@ -433,8 +444,11 @@
 int sj_listing_apply (struct sj_cluster *c, const char *worker,
                       const struct sj_listing *listing, int64_t now);
 
-/* Adds JOB and takes ownership of it, also on an error.  RECORD is the last
-   one stored from sj_dirty, or NULL; it stays the caller's.  WAITED_MS is how
+/* Adds the row KEY, stored from sj_dirty, to RECORD, an object that is empty
+   at first.  Takes over the reference VALUE.  */
+void sj_record_add (json_t *record, const char *key, json_t *value);
+/* Adds JOB and takes ownership of it, also on an error.  RECORD has the rows
+   stored from sj_dirty, or is NULL; it stays the caller's.  WAITED_MS is how
    long ago JOB was accepted.  Returns 0, SJ_EEXIST or SJ_EINVAL.  */
 int sj_job_add (struct sj_cluster *c, struct sj_job *job, const json_t *record,
                 int64_t waited_ms, int64_t now);
@@ -484,23 +498,33 @@
    again at the latest.  */
 int64_t sj_decide (struct sj_cluster *c, int64_t now, int64_t wall_ms);
 
-/* A job's record that changed since sj_dirty last returned it.  */
+/* A row of a job's record that changed since sj_dirty last returned it.  The
+   record of a small job is one row, whose key is the job's id.  That of a
+   large one has more: a head with that key and pieces with longer ones, which
+   are returned before the head.  */
 struct sj_dirty
 {
   char id[SJ_ID_SIZE];
-  json_t *record; /* a reference that the caller owns */
+  char key[SJ_KEY_SIZE];
+  json_t *record; /* a reference that the caller owns; NULL: the row is to be
+                     deleted */
+  /* Of the job, with the row of its id: */
   enum sj_state state;
   int state_changed; /* since the last commit */
 };
 
-/* Fills OUT with up to MAX changed records and returns their number.  They
-   count as being stored until sj_committed is called.  The record of a job
-   that was set aside is the only one until then.  */
+/* Fills OUT with up to MAX changed rows and returns their number.  They count
+   as being stored until sj_committed is called.  There may be more than one
+   transaction holds: the job's changes are stored when all of them are.  The
+   rows of a job that was set aside are the only ones until then.  */
 int sj_dirty (struct sj_cluster *c, struct sj_dirty *out, int max);
-/* Reports that the records returned since the last call are stored (OK) or
-   not.  Starts that stored records contain are ordered now.  */
+/* Reports that the rows returned since the last call are stored (OK) or not,
+   all of them.  Those that are not are returned again.  Starts that stored
+   records contain are ordered now.  */
 void sj_committed (struct sj_cluster *c, int ok, int64_t now);
-/* Returns 1 if sj_dirty would return a record.  */
+/* Has sj_dirty return the row KEY to be deleted.  */
+void sj_drop_row (struct sj_cluster *c, const char *key);
+/* Returns 1 if sj_dirty would return a row.  */
 int sj_is_dirty (struct sj_cluster *c);
 /* Changes of records are numbered.  Returns the serial of the latest one.  */
 int64_t sj_change_serial (const struct sj_cluster *c);
--- a/src/batch/commit.c
+++ b/src/batch/commit.c
@@ -148,8 +148,9 @@
 add_record (struct batch *b, const struct sj_dirty *d)
 {
   struct ba_commit *c = &b->commit;
-  char *record = json_dumps (d->record, JSON_COMPACT), key[VW_KEY_SIZE];
-  size_t bytes = strlen (record);
+  char *record = d->record ? json_dumps (d->record, JSON_COMPACT) : NULL;
+  char key[VW_KEY_SIZE];
+  size_t bytes = record ? strlen (record) : 0;
 
   json_decref (d->record);
   if (bytes > PO_MAX_VALUE_BYTES)
@@ -158,7 +159,7 @@
       set_aside (b, d->id, SJ_TOO_LARGE, bytes);
       return 0;
     }
-  add_entry (c, PO_PUT, "runs", strdup (d->id), record);
+  add_entry (c, record ? PO_PUT : PO_DELETE, "runs", strdup (d->key), record);
   c->records++;
   memcpy (c->last_record, d->id, SJ_ID_SIZE);
   c->last_bytes = bytes;
--- a/src/batch/front.c
+++ b/src/batch/front.c
@@ -155,6 +155,12 @@
       return;
     }
   job = po_job_read (id, hs_get_request (ex)->body, q, account, &reason);
+  if (job && sj_job_tasks (job) > b->settings->max_tasks)
+    {
+      sj_job_free (job);
+      job = NULL;
+      reason = "a job has more tasks than this system accepts";
+    }
   if (!job)
     {
       fr_answer (b, ex, id, "submit", BAD_REQUEST, NULL, reason);
--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -68,7 +68,8 @@
           .checkpoint_interval_ms
           = (int64_t)(b->settings->checkpoint_interval_s * 1000),
           .fair_share = b->settings->fair_share,
-          .max_record_bytes = PO_MAX_VALUE_BYTES };
+          .max_record_bytes = PO_MAX_VALUE_BYTES,
+          .record_pieces = b->settings->record_pieces != 0 };
 
   b->term++;
   b->term_began_ms = b->now_ms;
--- a/src/batch/load.c
+++ b/src/batch/load.c
@@ -1,5 +1,6 @@
 /* Loads all jobs and their records at the start of a term, then adds the
    jobs that the change feed delivers.  */
+#include <stdio.h>
 #include <string.h>
 
 #include "batch/holder.h"
@@ -44,12 +45,22 @@
 static void
 load_record (struct batch *b, const struct po_row *row)
 {
-  json_t *o = json_loads (row->value, 0, NULL);
+  json_t *value = json_loads (row->value, 0, NULL), *record;
+  char id[SJ_ID_SIZE];
 
-  if (o)
-    g_hash_table_replace (b->records, g_strdup (row->key), o);
-  else
-    ba_log_unreadable_row (row->table, row->key);
+  if (!value)
+    {
+      ba_log_unreadable_row (row->table, row->key);
+      return;
+    }
+  g_strlcpy (id, row->key, sizeof id);
+  record = g_hash_table_lookup (b->records, id);
+  if (!record)
+    {
+      record = json_object ();
+      g_hash_table_insert (b->records, g_strdup (id), record);
+    }
+  sj_record_add (record, row->key, value);
 }
 
 static void
@@ -127,6 +138,32 @@
   b->loaded = NULL;
 }
 
+/* Has the pieces deleted that are left of jobs that have ended.  */
+static void
+drop_pieces_of_ended_jobs (struct batch *b)
+{
+  GHashTableIter iter;
+  gpointer id, record;
+  const char *name;
+  json_t *value;
+
+  g_hash_table_iter_init (&iter, b->records);
+  while (g_hash_table_iter_next (&iter, &id, &record))
+    {
+      const struct vw_job *j = vw_find (&b->view, id);
+
+      if (j && j->version && j->state < SJ_COMPLETED)
+        continue;
+      json_object_foreach (json_object_get (record, "rows"), name, value)
+      {
+        char key[SJ_KEY_SIZE];
+
+        snprintf (key, sizeof key, "%s.%s", (const char *)id, name);
+        sj_drop_row (b->cluster, key);
+      }
+    }
+}
+
 static void
 finish_load (struct batch *b)
 {
@@ -137,6 +174,7 @@
       b->loaded->pdata[i] = NULL;
       add_job (b, job, g_hash_table_lookup (b->records, job->id));
     }
+  drop_pieces_of_ended_jobs (b);
   ld_free (b);
   fo_start (&b->worker_follower);
 }
--- a/src/batch/main.c
+++ b/src/batch/main.c
@@ -83,6 +83,15 @@
     "maximum number of client requests in progress; further requests are "
     "refused",
     FIELD (max_requests) },
+  { "max-tasks", OPT_INT, "tasks", 1, SJ_MAX_TASKS, "1000",
+    "largest number of tasks in all steps of a job; larger jobs are refused. "
+    "Each decision looks at all tasks of all jobs, so that a lower number "
+    "keeps decisions of a small VM short. More than 1000 need record-pieces",
+    FIELD (max_tasks) },
+  { "record-pieces", OPT_INT, "", 0, 1, "0",
+    "1: store the records of jobs of more than 32 tasks in pieces, of which a "
+    "change writes those that it changes; earlier releases can't read them",
+    FIELD (record_pieces) },
   { "refuse-stalled-writes", OPT_INT, "", 0, 1, "0",
     "1: while the store answers no writes, refuse submissions and "
     "cancellations at once, with a Retry-After that follows the outage",
@@ -135,6 +144,8 @@
     fail ("--evacuation-ms must be 0 or at least 4000");
   if (set->reclaim_ms && set->stop_ms * 2 > set->reclaim_ms)
     fail ("--stop-ms must be at most half of --reclaim-ms");
+  if (set->max_tasks > SJ_MAX_ROW_TASKS && !set->record_pieces)
+    fail ("--max-tasks over 1000 needs --record-pieces=1");
 }
 
 static void
--- a/src/steps/aside.c
+++ b/src/steps/aside.c
@@ -40,7 +40,7 @@
 {
   ad_remove (j);
   j->aside_ms = 0;
-  j->plan_limit = j->plan_limit > SJ_MAX_TASKS / 2 ? 0 : j->plan_limit * 2;
+  j->plan_limit = j->plan_limit > SJ_MAX_ROW_TASKS / 2 ? 0 : j->plan_limit * 2;
 }
 
 /* Withdraws J's plans that are in no stored record, so that they occupy no
@@ -84,17 +84,11 @@
   if (!j)
     return 0;
   c->now = now;
-  if (j->in_commit)
-    {
-      j->dirty_since = j->commit_since;
-      c->records_out--;
-      c->records_closed = 0;
-    }
-  else if (!j->dirty)
+  if (!j->in_commit && !j->dirty)
     j->dirty_since = c->change_serial;
+  ch_cancel (c, j);
   if (j->dirty)
     g_queue_remove (&c->dirty_jobs, j);
-  j->in_commit = 0;
   j->dirty = j->aside = j->parked = 1;
   if (is_new)
     g_ptr_array_add (c->aside_jobs, j);
--- a/src/steps/cluster.c
+++ b/src/steps/cluster.c
@@ -1,5 +1,4 @@
-/* Creates and frees the scheduler, hands out changed records, and checks
-   counts and invariants.  */
+/* Creates and frees the scheduler, and checks counts and invariants.  */
 #include <stdlib.h>
 #include <string.h>
 
@@ -26,6 +25,8 @@
   fs_init (&c->shares);
   g_queue_init (&c->dirty_jobs);
   c->aside_jobs = g_ptr_array_new ();
+  c->committing = g_ptr_array_new ();
+  c->dropped_rows = g_ptr_array_new_with_free_func (g_free);
   c->worker_list = g_ptr_array_new ();
   c->job_list = g_ptr_array_new ();
   return c;
@@ -55,6 +56,8 @@
   g_ptr_array_free (c->given_up, TRUE);
   g_free (c->kept_apart);
   g_ptr_array_free (c->aside_jobs, TRUE);
+  g_ptr_array_free (c->committing, TRUE);
+  g_ptr_array_free (c->dropped_rows, TRUE);
   fs_fini (&c->shares);
   g_free (c);
 }
@@ -71,159 +74,6 @@
   c->changed = 1;
 }
 
-/* The state that callers see: a queued job that was started is running.  */
-static enum sj_state
-reported_state (const struct job *j)
-{
-  return j->state == SJ_QUEUED && j->started ? SJ_RUNNING : j->state;
-}
-
-/* Notes which runs of J are in the record that is about to be stored.  */
-static void
-begin_job_commit (struct job *j)
-{
-  j->dirty = 0;
-  j->in_commit = 1;
-  j->commit_since = j->dirty_since;
-  j->planned_tasks = 0;
-  for (guint i = 0; i < j->units->len; i++)
-    {
-      struct unit *u = g_ptr_array_index (j->units, i);
-
-      if (u->state == UN_ACTIVE && !u->run_commit)
-        u->run_commit = RUN_IN_COMMIT;
-    }
-}
-
-/* Jobs whose records changed first come first, so that none waits long.  A job
-   that was set aside is tried alone.  */
-int
-sj_dirty (struct sj_cluster *c, struct sj_dirty *out, int max)
-{
-  int n = 0;
-  GList *next;
-
-  for (GList *l = c->dirty_jobs.head; l && n < max && !c->records_closed;
-       l = next)
-    {
-      struct job *j = l->data;
-
-      next = l->next;
-      if (j->in_commit || (j->aside && c->records_out))
-        continue;
-      g_queue_delete_link (&c->dirty_jobs, l);
-      begin_job_commit (j);
-      c->records_out++;
-      c->records_closed = j->aside;
-      j->commit_state = reported_state (j);
-      out[n] = (struct sj_dirty){ .record = rc_write (j),
-                                  .state = j->commit_state,
-                                  .state_changed
-                                  = j->commit_state != j->stored_state };
-      memcpy (out[n++].id, j->spec->id, SJ_ID_SIZE);
-    }
-  return n;
-}
-
-int
-sj_is_dirty (struct sj_cluster *c)
-{
-  for (const GList *l = c->dirty_jobs.head; l; l = l->next)
-    if (!((const struct job *)l->data)->in_commit)
-      return 1;
-  return 0;
-}
-
-int64_t
-sj_change_serial (const struct sj_cluster *c)
-{
-  return c->change_serial;
-}
-
-int64_t
-sj_stored_serial (const struct sj_cluster *c)
-{
-  int64_t serial = c->change_serial;
-
-  for (const GList *l = c->dirty_jobs.head; l; l = l->next)
-    {
-      const struct job *j = l->data;
-
-      if (j->aside)
-        continue;
-      serial = j->dirty_since - 1;
-      break;
-    }
-  for (guint i = 0; i < c->job_list->len; i++)
-    {
-      const struct job *j = g_ptr_array_index (c->job_list, i);
-
-      if (j->in_commit && !j->aside && j->commit_since <= serial)
-        serial = j->commit_since - 1;
-    }
-  return serial;
-}
-
-static int
-by_first_change (gconstpointer a, gconstpointer b, gpointer arg)
-{
-  const struct job *x = a, *y = b;
-
-  (void)arg;
-  return (x->dirty_since > y->dirty_since) - (x->dirty_since < y->dirty_since);
-}
-
-/* J's record was not stored: its changes count from the first one in it.  */
-static void
-mark_dirty_again (struct sj_cluster *c, struct job *j)
-{
-  if (j->dirty)
-    g_queue_remove (&c->dirty_jobs, j);
-  j->dirty = 1;
-  j->dirty_since = j->commit_since;
-  g_queue_insert_sorted (&c->dirty_jobs, j, by_first_change, NULL);
-}
-
-/* Notes whether J's record was stored (OK) and sends the starts it holds.  */
-static void
-finish_unit_commits (struct sj_cluster *c, struct job *j, int ok, int64_t now)
-{
-  for (guint i = 0; i < j->units->len; i++)
-    {
-      struct unit *u = g_ptr_array_index (j->units, i);
-
-      if (u->run_commit != RUN_IN_COMMIT)
-        continue;
-      u->run_commit = ok ? RUN_STORED : RUN_NOT_STORED;
-      if (ok && u->state == UN_ACTIVE)
-        ru_send_starts (c, u, now);
-    }
-}
-
-void
-sj_committed (struct sj_cluster *c, int ok, int64_t now)
-{
-  c->now = now;
-  c->records_out = c->records_closed = 0;
-  for (guint i = 0; i < c->job_list->len; i++)
-    {
-      struct job *j = g_ptr_array_index (c->job_list, i);
-
-      if (!j->in_commit)
-        continue;
-      j->in_commit = 0;
-      if (ok)
-        {
-          j->stored_state = j->commit_state;
-          ad_stored (j);
-        }
-      else
-        mark_dirty_again (c, j);
-      finish_unit_commits (c, j, ok, now);
-    }
-  c->changed = 1;
-}
-
 static int
 is_waiting (const struct job *j)
 {
--- a/src/steps/job.c
+++ b/src/steps/job.c
@@ -1,5 +1,6 @@
 /* Jobs: opens due occurrences, creates the units of steps whose dependencies
    are done, and ends jobs.  */
+#include <stdlib.h>
 #include <string.h>
 
 #include "steps/state.h"
@@ -28,6 +29,7 @@
 {
   struct unit *u = unit;
 
+  pc_remove_unit (u);
   if (u->members)
     for (int i = 0; i < u->count; i++)
       if (u->members[i].state != MB_ENDED)
@@ -56,8 +58,13 @@
 
   if (j->dirty)
     g_queue_remove (&j->cluster->dirty_jobs, j);
+  if (j->in_commit)
+    g_ptr_array_remove (j->cluster->committing, j);
   ad_remove (j);
   g_ptr_array_free (j->units, TRUE);
+  pc_fini (j);
+  free (j->stored_head);
+  free (j->sent_head);
   g_ptr_array_free (j->open_occurrences, TRUE);
   sj_job_free (j->spec);
   g_free (j);
@@ -95,7 +102,7 @@
 }
 
 static struct occurrence *
-find_occurrence (struct job *j, int number)
+find_occurrence (const struct job *j, int number)
 {
   for (guint i = 0; i < j->open_occurrences->len; i++)
     {
@@ -107,6 +114,12 @@
   return NULL;
 }
 
+int
+jb_is_open (const struct job *j, int occurrence)
+{
+  return find_occurrence (j, occurrence) != NULL;
+}
+
 struct unit *
 jb_new_unit (struct job *j, int occurrence, int step, int first, int64_t now)
 {
@@ -120,6 +133,7 @@
   u->count = s->gang ? s->count : 1;
   u->ready_ms = now;
   g_ptr_array_add (j->units, u);
+  pc_add_unit (u);
   return u;
 }
 
@@ -133,9 +147,8 @@
     jb_new_unit (j, o->number, step, i, now);
 }
 
-/* Whether the steps that STEP depends on are done in occurrence O.  */
-static int
-is_step_ready (const struct job *j, const struct occurrence *o, int step)
+int
+jb_step_is_ready (const struct job *j, const struct occurrence *o, int step)
 {
   for (int k = 0; k < step; k++)
     if (j->spec->step[step].depends_on >> k & 1 && o->units_not_done[k] != 0)
@@ -149,7 +162,7 @@
                     int64_t now)
 {
   for (int i = 0; i < j->spec->step_count; i++)
-    if (o->units_not_done[i] < 0 && is_step_ready (j, o, i))
+    if (o->units_not_done[i] < 0 && jb_step_is_ready (j, o, i))
       {
         create_step_units (j, o, i, now);
         c->changed = 1;
@@ -212,7 +225,7 @@
   for (int k = 0; k < j->spec->step_count; k++)
     tasks += j->spec->step[k].count;
   return !j->open_occurrences->len
-         || count_open_tasks (j) + tasks <= SJ_MAX_TASKS;
+         || count_open_tasks (j) + tasks <= SJ_MAX_ROW_TASKS;
 }
 
 void
@@ -231,12 +244,27 @@
 end_occurrence (struct sj_cluster *c, struct job *j, struct occurrence *o,
                 int64_t now)
 {
+  pc_close (j, o->number);
   g_ptr_array_remove_fast (j->open_occurrences, o);
   j->occurrences_done++;
   if (j->occurrences_done == occurrence_count (j))
     jb_finish (c, j, SJ_COMPLETED, now);
 }
 
+void
+jb_end_occurrences (struct sj_cluster *c, struct job *j, int64_t now)
+{
+  for (guint i = j->open_occurrences->len; i-- > 0 && !jb_ended (j);)
+    {
+      struct occurrence *o = g_ptr_array_index (j->open_occurrences, i);
+
+      if (o->steps_not_done > 0)
+        continue;
+      jb_mark_dirty (j);
+      end_occurrence (c, j, o, now);
+    }
+}
+
 /* The unit is kept until its members have ended; sj_decide frees it.  */
 void
 jb_unit_done (struct sj_cluster *c, struct unit *u, int64_t now)
@@ -245,7 +273,7 @@
   struct occurrence *o = find_occurrence (j, u->occurrence);
 
   u->state = UN_DONE;
-  jb_mark_dirty (j);
+  pc_mark_unit (u);
   c->changed = 1;
   if (!o || jb_ended (j))
     return;
@@ -264,6 +292,7 @@
   if (jb_ended (j))
     return;
   j->state = state;
+  pc_close (j, -1);
   jb_mark_dirty (j);
   c->changed = 1;
   for (guint i = 0; i < j->units->len; i++)
@@ -312,6 +341,7 @@
   j->account = fs_find (&c->shares, spec->account ? spec->account : "");
   j->open_occurrences = g_ptr_array_new_with_free_func (free_occurrence);
   j->units = g_ptr_array_new_with_free_func (free_unit);
+  pc_init (j);
   summarize_steps (j);
   c->changed = 1;
   if (record && rc_read (c, j, record, now))
--- a/src/steps/json.c
+++ b/src/steps/json.c
@@ -146,10 +146,20 @@
   return *reason ? SJ_EINVAL : SJ_OK;
 }
 
+int
+sj_job_tasks (const struct sj_job *job)
+{
+  int tasks = 0;
+
+  for (int i = 0; i < job->step_count; i++)
+    tasks += job->step[i].count;
+  return tasks;
+}
+
 int
 sj_job_check (const struct sj_job *job, const char **reason)
 {
-  int error = SJ_OK, tasks = 0;
+  int error = SJ_OK;
 
   *reason = NULL;
   if (strspn (job->id, "0123456789abcdefABCDEF") != SJ_ID_SIZE - 1
@@ -165,11 +175,8 @@
   if (*reason || check_texts (job, reason))
     return SJ_EINVAL;
   for (int i = 0; i < job->step_count && !error; i++)
-    {
-      error = check_step (job, i, reason);
-      tasks += job->step[i].count;
-    }
-  if (error || tasks <= SJ_MAX_TASKS)
+    error = check_step (job, i, reason);
+  if (error || sj_job_tasks (job) <= SJ_MAX_TASKS)
     return error;
   *reason = "a job has too many tasks";
   return SJ_EINVAL;
--- a/src/steps/loss.c
+++ b/src/steps/loss.c
@@ -181,7 +181,7 @@
 count_crash (struct sj_cluster *c, struct unit *u, const struct crash *crash)
 {
   lo_add_crash (u, crash);
-  jb_mark_dirty (u->job);
+  pc_mark_unit (u);
   if (!u->last_run && crashes_of_task (u, crash->index) >= MAX_CRASHES)
     u->last_run = u->run_number + MAX_RUNS_AFTER_CRASHES;
   if (unexplained_crashes_of_task (u, crash->index, 0) >= MAX_CRASHES
@@ -265,7 +265,7 @@
                                      .worker = m->worker->id,
                                      .life_tag = m->life_tag,
                                      .lost_ms = now });
-      jb_mark_dirty (u->job);
+      pc_mark_unit (u);
       break;
     case SJ_LOSS_LEFT:
       break;
@@ -438,7 +438,7 @@
       if (g_strcmp0 (loss.worker, id) || verdict == STILL_UNKNOWN)
         continue;
       remove_loss (u, i);
-      jb_mark_dirty (u->job);
+      pc_mark_unit (u);
       if (verdict == HAS_CRASHED && u->state != UN_DONE)
         count_loss (c, u, &loss, event);
       c->changed = 1;
@@ -492,7 +492,7 @@
       if (c->now - loss.lost_ms < RESOLVE_WAIT_MS)
         continue;
       remove_loss (u, i);
-      jb_mark_dirty (u->job);
+      pc_mark_unit (u);
       c->changed = 1;
       if (u->state != UN_DONE && !(w && w->listed && !w->replaced))
         count_loss (c, u, &loss, ++c->crash_serial);
--- a/src/steps/record.c
+++ b/src/steps/record.c
@@ -1,5 +1,9 @@
 /* The stored record of a job's progress: open occurrences, the units not yet
-   done of each step, and the workers of each unit's current run.  */
+   done of each step, and the workers of each unit's current run.  That of a
+   large job is in pieces: its head names the open occurrences, and each piece
+   has the units not yet done of its tasks.  Of a piece without a row no task
+   was started.  */
+#include <stdio.h>
 #include <string.h>
 
 #include "steps/state.h"
@@ -41,14 +45,26 @@
   return u->state == UN_READY && !u->run_number;
 }
 
+/* Tasks FROM to TO, excluded, of a step.  */
+struct range
+{
+  int from, to;
+};
+
+static int
+is_within (const struct range *r, int index)
+{
+  return index >= r->from && index < r->to;
+}
+
 /* The workers' ids, null for ended members; empty without a run.  */
 static json_t *
-write_placement (const struct unit *u)
+write_placement (const struct unit *u, const struct range *r)
 {
   json_t *placement = json_array ();
 
   if (u->members)
-    for (int i = 0; i < u->count; i++)
+    for (int i = r->from - u->first; i < r->to - u->first; i++)
       json_array_append_new (placement,
                              u->members[i].state == MB_ENDED
                                  ? json_null ()
@@ -57,22 +73,22 @@
 }
 
 static json_t *
-write_life_tags (const struct unit *u)
+write_life_tags (const struct unit *u, const struct range *r)
 {
   json_t *tags = json_array ();
 
   if (u->members)
-    for (int i = 0; i < u->count; i++)
+    for (int i = r->from - u->first; i < r->to - u->first; i++)
       json_array_append_new (tags, json_integer (u->members[i].life_tag));
   return tags;
 }
 
 static json_t *
-write_crashes (const struct unit *u)
+write_crashes (const struct unit *u, const struct range *r)
 {
   json_t *list = json_array ();
 
-  for (int i = u->first; u->crashes && i < u->first + u->count; i++)
+  for (int i = r->from; u->crashes && i < r->to; i++)
     {
       int all = 0, certain = 0;
 
@@ -92,7 +108,7 @@
 
 /* An array for each loss.  */
 static json_t *
-write_unresolved (const struct unit *u)
+write_unresolved (const struct unit *u, const struct range *r)
 {
   json_t *losses = json_array ();
 
@@ -101,9 +117,10 @@
       const struct unresolved_loss *l
           = &g_array_index (u->unresolved, struct unresolved_loss, i);
 
-      json_array_append_new (losses,
-                             json_pack ("[i,s,i,i]", l->index, l->worker,
-                                        l->life_tag, l->is_certain));
+      if (is_within (r, l->index))
+        json_array_append_new (losses,
+                               json_pack ("[i,s,i,i]", l->index, l->worker,
+                                          l->life_tag, l->is_certain));
     }
   return losses;
 }
@@ -124,20 +141,25 @@
   return strlen (checkpoint) <= extent->max_checkpoint ? checkpoint : "";
 }
 
+/* Writes the tasks of U that are in R.  */
 static json_t *
-write_unit (const struct unit *u, const struct extent *extent)
+write_unit (const struct unit *u, const struct range *r,
+            const struct extent *extent)
 {
-  json_t *value = json_pack ("[i,i,I,i,s,o,o]", u->step, u->first,
-                             (json_int_t)u->run_number, u->failures,
-                             recorded_checkpoint (u, extent),
-                             write_placement (u), write_life_tags (u));
+  json_t *value;
 
+  if (never_started (u))
+    return json_pack ("[i,i]", u->step, r->from);
+  value = json_pack ("[i,i,I,i,s,o,o]", u->step, r->from,
+                     (json_int_t)u->run_number, u->failures,
+                     recorded_checkpoint (u, extent), write_placement (u, r),
+                     write_life_tags (u, r));
   if (lo_possible_crashes (u) >= extent->least_crashes)
     {
-      json_array_append_new (value, write_crashes (u));
+      json_array_append_new (value, write_crashes (u, r));
       json_array_append_new (value, json_integer (u->last_run));
       if (extent->with_unresolved)
-        json_array_append_new (value, write_unresolved (u));
+        json_array_append_new (value, write_unresolved (u, r));
     }
   if (!u->members || u->failed_run != u->run_number)
     return value;
@@ -148,28 +170,27 @@
 }
 
 static int
-count_suspects (const struct job *j, int least_crashes)
+count_suspects (const GPtrArray *units, int least_crashes)
 {
   int n = 0;
 
-  for (guint i = 0; i < j->units->len; i++)
-    n += lo_possible_crashes (g_ptr_array_index (j->units, i))
-         >= least_crashes;
+  for (guint i = 0; i < units->len; i++)
+    n += lo_possible_crashes (g_ptr_array_index (units, i)) >= least_crashes;
   return n;
 }
 
 static struct extent
-choose_extent (const struct job *j)
+choose_extent (const GPtrArray *units)
 {
   struct extent extent
       = { .least_crashes = 1, .max_checkpoint = SJ_MAX_CHECKPOINT };
   guint losses = 0;
 
-  while (count_suspects (j, extent.least_crashes) > MAX_RECORDED_SUSPECTS)
+  while (count_suspects (units, extent.least_crashes) > MAX_RECORDED_SUSPECTS)
     extent.least_crashes++;
-  for (guint i = 0; i < j->units->len; i++)
+  for (guint i = 0; i < units->len; i++)
     {
-      const struct unit *u = g_ptr_array_index (j->units, i);
+      const struct unit *u = g_ptr_array_index (units, i);
 
       losses += u->unresolved ? u->unresolved->len : 0;
     }
@@ -188,38 +209,87 @@
   for (guint i = 0; i < j->units->len; i++)
     {
       const struct unit *u = g_ptr_array_index (j->units, i);
+      struct range all = { u->first, u->first + u->count };
 
       if (u->occurrence == o->number && u->state != UN_DONE)
-        json_array_append_new (
-            units, never_started (u) ? json_pack ("[i,i]", u->step, u->first)
-                                     : write_unit (u, extent));
+        json_array_append_new (units, write_unit (u, &all, extent));
     }
   return json_pack ("{s:i,s:o,s:o}", "n", o->number, "left", units_left,
                     "units", units);
 }
 
+static int
+by_index (gconstpointer a, gconstpointer b)
+{
+  const struct unit *x = *(struct unit *const *)a,
+                    *y = *(struct unit *const *)b;
+
+  return (x->first > y->first) - (x->first < y->first);
+}
+
 static json_t *
-write_record (const struct job *j, const struct extent *extent)
+write_piece (const struct piece *p, const struct extent *extent)
+{
+  json_t *units = json_array ();
+  int begin = p->chunk * PC_TASKS;
+
+  for (guint i = 0; i < p->units->len; i++)
+    {
+      const struct unit *u = g_ptr_array_index (p->units, i);
+      struct range r = { MAX (u->first, begin),
+                         MIN (u->first + u->count, begin + PC_TASKS) };
+
+      if (u->state != UN_DONE)
+        json_array_append_new (units, write_unit (u, &r, extent));
+    }
+  return units;
+}
+
+static json_t *
+write_head (const struct job *j, const struct extent *extent)
 {
   json_t *open = json_array ();
 
-  if (!jb_ended (j))
-    for (guint i = 0; i < j->open_occurrences->len; i++)
-      json_array_append_new (
-          open, write_occurrence (
-                    j, g_ptr_array_index (j->open_occurrences, i), extent));
+  for (guint i = 0; !jb_ended (j) && i < j->open_occurrences->len; i++)
+    {
+      const struct occurrence *o = g_ptr_array_index (j->open_occurrences, i);
+
+      json_array_append_new (open, j->in_pieces
+                                       ? json_integer (o->number)
+                                       : write_occurrence (j, o, extent));
+    }
   return json_pack ("{s:s,s:i,s:i,s:b,s:o}", "state", sj_state_name (j->state),
                     "next", j->next_occurrence, "done", j->occurrences_done,
-                    "begun", j->started, "open", open);
+                    "begun", j->started, j->in_pieces ? "pieces" : "open",
+                    open);
+}
+
+void
+sj_record_add (json_t *record, const char *key, json_t *value)
+{
+  json_t *rows = json_object_get (record, "rows");
+
+  if (strlen (key) < SJ_ID_SIZE)
+    {
+      json_object_update (record, value);
+      json_decref (value);
+      return;
+    }
+  if (!rows)
+    {
+      rows = json_object ();
+      json_object_set_new (record, "rows", rows);
+    }
+  json_object_set_new (rows, key + SJ_ID_SIZE, value);
 }
 
 static int
-has_long_checkpoints (const struct job *j)
+has_long_checkpoints (const GPtrArray *units)
 {
   size_t bytes = 0;
 
-  for (guint i = 0; i < j->units->len; i++)
-    bytes += strlen (un_checkpoint (g_ptr_array_index (j->units, i)));
+  for (guint i = 0; i < units->len; i++)
+    bytes += strlen (un_checkpoint (g_ptr_array_index (units, i)));
   return bytes >= FEW_CHECKPOINT_BYTES;
 }
 
@@ -231,24 +301,40 @@
   return limit && json_dumpb (record, NULL, 0, JSON_COMPACT) > (size_t)limit;
 }
 
-/* The longest checkpoints are left out of a record that would be too large
-   with them.  This holder still has them; the next one resumes the tasks from
-   what their workers list, or from the beginning.  */
-json_t *
-rc_write (const struct job *j)
+/* Writes piece P, or the row of J's id if P is NULL, whose units are UNITS.
+   The longest checkpoints are left out of a row that would be too large with
+   them.  This holder still has them; the next one resumes the tasks from what
+   their workers list, or from the beginning.  */
+static json_t *
+write_row (const struct job *j, const struct piece *p, const GPtrArray *units)
 {
-  struct extent extent = choose_extent (j);
-  json_t *record = write_record (j, &extent);
+  struct extent extent = choose_extent (units);
+  json_t *row = p ? write_piece (p, &extent) : write_head (j, &extent);
 
-  if (!has_long_checkpoints (j))
-    return record;
-  while (extent.max_checkpoint && is_too_large (j, record))
+  if (!has_long_checkpoints (units))
+    return row;
+  while (extent.max_checkpoint && is_too_large (j, row))
     {
       extent.max_checkpoint /= 2;
-      json_decref (record);
-      record = write_record (j, &extent);
+      json_decref (row);
+      row = p ? write_piece (p, &extent) : write_head (j, &extent);
     }
-  return record;
+  return row;
+}
+
+json_t *
+rc_write (const struct job *j)
+{
+  if (j->in_pieces)
+    return write_head (j, NULL);
+  return write_row (j, NULL, j->units);
+}
+
+json_t *
+rc_write_piece (const struct piece *p)
+{
+  g_ptr_array_sort (p->units, by_index);
+  return write_row (p->job, p, p->units);
 }
 
 /* Returns worker ID.  A worker that only a record names is added as
@@ -354,41 +440,63 @@
   }
 }
 
-static int
-read_unit (struct sj_cluster *c, struct job *j, struct occurrence *o,
-           const json_t *value, int64_t now)
+/* Restores what VALUE tells of U's past runs.  */
+static void
+read_history (struct sj_cluster *c, struct unit *u, const json_t *value,
+              int64_t now)
 {
-  int step = (int)json_integer_value (json_array_get (value, UNIT_STEP));
-  int first = (int)json_integer_value (json_array_get (value, UNIT_FIRST));
-  const json_t *placement = json_array_get (value, UNIT_PLACEMENT);
-  const char *checkpoint;
-  struct unit *u;
-
-  if (step < 0 || step >= j->spec->step_count || first < 0
-      || first >= j->spec->step[step].count)
-    return SJ_EINVAL;
-  u = jb_new_unit (j, o->number, step, first, now);
-  u->run_number = json_integer_value (json_array_get (value, UNIT_RUN));
-  u->failures
+  const char *checkpoint
+      = json_string_value (json_array_get (value, UNIT_CHECKPOINT));
+  int64_t last_run
+      = json_integer_value (json_array_get (value, UNIT_LAST_RUN));
+  int failures
       = (int)json_integer_value (json_array_get (value, UNIT_FAILURES));
-  checkpoint = json_string_value (json_array_get (value, UNIT_CHECKPOINT));
-  if (checkpoint && *checkpoint)
+  int64_t failed_run
+      = json_integer_value (json_array_get (value, UNIT_FAILED_RUN));
+
+  u->failed_run = MAX (u->failed_run, failed_run);
+  u->run_number = MAX (u->run_number,
+                       json_integer_value (json_array_get (value, UNIT_RUN)));
+  u->failures = MAX (u->failures, failures);
+  u->last_run = MAX (u->last_run, last_run);
+  if (checkpoint && *checkpoint && !u->checkpoint)
     u->checkpoint = g_strdup (checkpoint);
   restore_crashes (u, json_array_get (value, UNIT_CRASHES));
-  u->last_run = json_integer_value (json_array_get (value, UNIT_LAST_RUN));
   restore_unresolved (c, u, json_array_get (value, UNIT_UNRESOLVED), now);
-  u->failed_run = json_integer_value (json_array_get (value, UNIT_FAILED_RUN));
+}
+
+/* Restores U's current run, if PLACEMENT is not empty.  */
+static int
+read_run (struct sj_cluster *c, struct unit *u, const json_t *placement,
+          const json_t *life_tags, int64_t now)
+{
   if (!json_array_size (placement))
     return SJ_OK;
   if (json_array_size (placement) != (size_t)u->count)
     return SJ_EINVAL;
-  restore_members (c, u, placement, json_array_get (value, UNIT_LIFE_TAGS),
-                   now);
+  restore_members (c, u, placement, life_tags, now);
   if (has_ended_members (placement))
     u->state = UN_STOPPING;
   return SJ_OK;
 }
 
+static int
+read_unit (struct sj_cluster *c, struct job *j, struct occurrence *o,
+           const json_t *value, int64_t now)
+{
+  int step = (int)json_integer_value (json_array_get (value, UNIT_STEP));
+  int first = (int)json_integer_value (json_array_get (value, UNIT_FIRST));
+  struct unit *u;
+
+  if (step < 0 || step >= j->spec->step_count || first < 0
+      || first >= j->spec->step[step].count)
+    return SJ_EINVAL;
+  u = jb_new_unit (j, o->number, step, first, now);
+  read_history (c, u, value, now);
+  return read_run (c, u, json_array_get (value, UNIT_PLACEMENT),
+                   json_array_get (value, UNIT_LIFE_TAGS), now);
+}
+
 static int
 read_occurrence (struct sj_cluster *c, struct job *j, const json_t *value,
                  int64_t now)
@@ -415,24 +523,216 @@
   return SJ_OK;
 }
 
+/* The row of piece CHUNK, or NULL.  */
+static const json_t *
+find_row (const json_t *rows, const struct occurrence *o, int step, int chunk)
+{
+  char key[SJ_KEY_SIZE];
+
+  snprintf (key, sizeof key, "%d.%d.%d", o->number, step, chunk);
+  return json_object_get (rows, key);
+}
+
+static const json_t *
+find_task (const json_t *row, int index)
+{
+  size_t i;
+  json_t *value;
+
+  json_array_foreach (row, i, value) if (json_integer_value (json_array_get (
+                                             value, UNIT_FIRST))
+                                         == index) return value;
+  return NULL;
+}
+
+/* Restores the tasks of a piece, each a unit.  */
+static int
+read_single_tasks (struct sj_cluster *c, struct job *j, struct occurrence *o,
+                   int step, int chunk, const json_t *row, int64_t now)
+{
+  int end = MIN (j->spec->step[step].count, (chunk + 1) * PC_TASKS);
+
+  for (int i = chunk * PC_TASKS; i < end; i++)
+    {
+      const json_t *value = find_task (row, i);
+      struct unit *u;
+
+      if (row && !value)
+        continue;
+      u = jb_new_unit (j, o->number, step, i, now);
+      o->units_not_done[step]++;
+      if (!value)
+        continue;
+      read_history (c, u, value, now);
+      if (read_run (c, u, json_array_get (value, UNIT_PLACEMENT),
+                    json_array_get (value, UNIT_LIFE_TAGS), now))
+        return SJ_EINVAL;
+    }
+  return SJ_OK;
+}
+
+/* Adds the part of a gang's list that a piece with TASKS tasks has, PART, to
+   ALL.  */
+static void
+join_part (json_t *all, const json_t *part, int tasks)
+{
+  for (int i = 0; i < tasks; i++)
+    {
+      json_t *value = json_array_get (part, (size_t)i);
+
+      json_array_append_new (all, value ? json_incref (value) : json_null ());
+    }
+}
+
+/* Restores a gang from the rows of its pieces.  They may be of different runs,
+   if the last change was not completed: then the start of the last run was not
+   sent, and the one before had ended.  */
+static int
+read_gang (struct sj_cluster *c, struct job *j, struct occurrence *o, int step,
+           const json_t *rows, int64_t now)
+{
+  int pieces = pc_count (j, step), is_complete = 1, has_members = 0, error = 0;
+  json_t *placement, *life_tags;
+  struct unit *u;
+
+  for (int i = 0; i < pieces; i++)
+    {
+      const json_t *row = find_row (rows, o, step, i);
+
+      if (row && !json_array_size (row))
+        return SJ_OK;
+    }
+  u = jb_new_unit (j, o->number, step, 0, now);
+  o->units_not_done[step]++;
+  for (int i = 0; i < pieces; i++)
+    read_history (c, u, json_array_get (find_row (rows, o, step, i), 0), now);
+  placement = json_array ();
+  life_tags = json_array ();
+  for (int i = 0; i < pieces; i++)
+    {
+      const json_t *value = json_array_get (find_row (rows, o, step, i), 0);
+      const json_t *part = json_array_get (value, UNIT_PLACEMENT);
+      int tasks = MIN (u->count - i * PC_TASKS, PC_TASKS);
+
+      is_complete &= json_integer_value (json_array_get (value, UNIT_RUN))
+                     == u->run_number;
+      has_members |= json_array_size (part) > 0;
+      join_part (placement, part, tasks);
+      join_part (life_tags, json_array_get (value, UNIT_LIFE_TAGS), tasks);
+    }
+  if (is_complete && has_members)
+    error = read_run (c, u, placement, life_tags, now);
+  json_decref (placement);
+  json_decref (life_tags);
+  return error;
+}
+
+static int
+read_step (struct sj_cluster *c, struct job *j, struct occurrence *o, int step,
+           const json_t *rows, int64_t now)
+{
+  int error = SJ_OK;
+
+  o->units_not_done[step] = 0;
+  for (int i = 0; i < pc_count (j, step); i++)
+    {
+      const json_t *row = find_row (rows, o, step, i);
+
+      pc_find_or_add (j, o->number, step, i)->has_row = row != NULL;
+      if (!j->spec->step[step].gang && !error)
+        error = read_single_tasks (c, j, o, step, i, row, now);
+    }
+  if (j->spec->step[step].gang)
+    error = read_gang (c, j, o, step, rows, now);
+  if (!o->units_not_done[step])
+    o->steps_not_done--;
+  return error;
+}
+
+static int
+read_pieces (struct sj_cluster *c, struct job *j, const json_t *open,
+             const json_t *rows, int64_t now)
+{
+  size_t i;
+  json_t *number;
+
+  j->in_pieces = 1;
+  json_array_foreach (open, i, number)
+  {
+    struct occurrence *o
+        = jb_open_occurrence (j, (int)json_integer_value (number));
+
+    for (int step = 0; step < j->spec->step_count; step++)
+      if (jb_step_is_ready (j, o, step)
+          && read_step (c, j, o, step, rows, now))
+        return SJ_EINVAL;
+  }
+  return SJ_OK;
+}
+
+/* Rows that tell nothing: of an occurrence that has ended, which are deleted,
+   or of a change that was not completed.  The start of a task in those was not
+   sent.  They are written again before one is.  */
+static void
+note_other_rows (struct job *j, json_t *rows)
+{
+  const char *name;
+  json_t *value;
+
+  json_object_foreach (rows, name, value)
+  {
+    int occurrence, step, chunk;
+    struct piece *p;
+
+    if (sscanf (name, "%d.%d.%d", &occurrence, &step, &chunk) != 3
+        || occurrence < 0 || step < 0 || step >= j->spec->step_count
+        || chunk < 0 || chunk >= pc_count (j, step))
+      continue;
+    p = pc_find (j, occurrence, step, chunk);
+    if (!p)
+      {
+        p = pc_find_or_add (j, occurrence, step, chunk);
+        p->stale = 1;
+      }
+    p->has_row = 1;
+    if (occurrence < j->next_occurrence && !jb_is_open (j, occurrence))
+      {
+        p->closed = 1;
+        g_ptr_array_add (j->closed_pieces, p);
+      }
+  }
+}
+
 int
 rc_read (struct sj_cluster *c, struct job *j, const json_t *record,
          int64_t now)
 {
-  int state
-      = sj_state_parse (json_string_value (json_object_get (record, "state")));
+  const json_t *open = json_object_get (record, "open"),
+               *pieces = json_object_get (record, "pieces");
+  json_t *rows = json_object_get (record, "rows");
+  const char *name = json_string_value (json_object_get (record, "state"));
+  int state = sj_state_parse (name);
   size_t i;
   json_t *o;
 
+  if (!name && rows)
+    state = SJ_QUEUED; /* its first change was not completed */
   if (state < 0)
     return SJ_EINVAL;
+  j->has_record = name != NULL;
   j->state = j->stored_state = (enum sj_state)state;
   j->next_occurrence
       = (int)json_integer_value (json_object_get (record, "next"));
   j->occurrences_done
       = (int)json_integer_value (json_object_get (record, "done"));
   j->started = json_is_true (json_object_get (record, "begun"));
-  json_array_foreach (json_object_get (record, "open"), i,
+  json_array_foreach (open, i,
                       o) if (read_occurrence (c, j, o, now)) return SJ_EINVAL;
+  if (pieces && read_pieces (c, j, pieces, rows, now))
+    return SJ_EINVAL;
+  if (rows && !pieces)
+    pc_begin (j);
+  note_other_rows (j, rows);
+  jb_end_occurrences (c, j, now);
   return SJ_OK;
 }
--- a/src/steps/run.c
+++ b/src/steps/run.c
@@ -65,7 +65,7 @@
       m->last_progress_ms = m->started_ms = now;
       wo_add_member (m);
     }
-  jb_mark_dirty (u->job);
+  pc_mark_unit (u);
 }
 
 /* Whether all members are planned on workers that are usable and have the
@@ -122,7 +122,7 @@
   u->state = UN_READY;
   u->ready_ms = now;
   u->off_rack = 0;
-  jb_mark_dirty (u->job);
+  pc_mark_unit (u);
   c->changed = 1;
 }
 
@@ -148,7 +148,7 @@
   u->state = UN_STOPPING;
   u->stop_cause = cause;
   vi_note_stop (c, u, now);
-  jb_mark_dirty (u->job);
+  pc_mark_unit (u);
   for (int i = 0; i < u->count; i++)
     {
       struct member *m = &u->members[i];
@@ -297,7 +297,7 @@
 
   he_record_end (c, m->worker, u, end->end, now);
   ru_note_taken (u);
-  jb_mark_dirty (u->job);
+  pc_mark_unit (u);
   if (u->state != UN_DONE)
     switch (end->end)
       {
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -137,6 +137,30 @@
   int steps_not_done;
 };
 
+/* The tasks of a chunk of a step in one occurrence, PC_TASKS at most, which
+   share a row.  */
+struct piece
+{
+  struct job *job;
+  gint64 key; /* in the job's table */
+  int occurrence, step, chunk;
+  GPtrArray *units;       /* struct unit with tasks in it */
+  unsigned dirty : 1;     /* changed since its job's changes were last taken */
+  unsigned in_commit : 1; /* being stored, as a part of its job's changes */
+  unsigned sent : 1;      /* its row was returned since the last commit */
+  unsigned has_row : 1;   /* the store may have a row of it */
+  unsigned closed : 1;    /* its occurrence has ended */
+  unsigned stale : 1;     /* its row is of a change that was not completed */
+};
+
+/* Values of job.head.  */
+enum head_state
+{
+  HEAD_UNSENT,
+  HEAD_SENT, /* returned since the last commit */
+  HEAD_STORED
+};
+
 struct job
 {
   struct sj_cluster *cluster;
@@ -161,8 +185,19 @@
   int64_t aside_serial;   /* the same when it was set aside */
   int64_t retry_ms;       /* when its record may be tried again */
   int64_t aside_ms;       /* wait before that */
-  int planned_tasks;      /* since its record was last written */
-  int plan_limit;         /* of them; 0: none */
+  int in_pieces;          /* stored as a head and pieces, else in one row */
+  int has_record;         /* the store may have its head */
+  enum head_state head;
+  char *stored_head, *sent_head; /* in pieces: as stored and as returned */
+  GHashTable *pieces;            /* struct piece by key */
+  /* Changed ones, those whose changes are being stored, closed ones that are
+     in the stored head, and those that are not in the one being stored.  */
+  GPtrArray *dirty_pieces, *commit_pieces, *closed_pieces, *dropped_pieces;
+  guint next_piece;  /* of commit_pieces: the first that may be unsent */
+  int rows_out;      /* returned since the last commit */
+  int begun_now;     /* its changes were taken since the last commit */
+  int planned_tasks; /* since its record was last written */
+  int plan_limit;    /* of them; 0: none */
   /* Serials of the first change that is not in the record being stored, and
      of the first one that is.  */
   int64_t dirty_since, commit_since;
@@ -244,12 +279,17 @@
   GPtrArray *worker_list, *job_list, *rack_list;
   GQueue dirty_jobs;     /* struct job, by dirty_since */
   GPtrArray *aside_jobs; /* struct job that are set aside */
-  int records_out;       /* records returned since the last commit */
-  int records_closed;    /* no more are returned before the next one */
-  int64_t change_serial; /* of the latest change of a record */
-  int64_t crash_serial;  /* of the latest crash of a worker */
-  int suspects;          /* units that should have a worker for themselves */
-  int *kept_apart;       /* set when a unit may not share a worker */
+  GPtrArray *committing; /* struct job whose changes are being stored */
+  /* Since the last commit: rows that sj_dirty returned, those of changes that
+     had begun before it, and the job that may return more alone.  */
+  int records_out, further_rows;
+  struct job *only_job;
+  GPtrArray *dropped_rows; /* keys of rows to delete */
+  guint dropped_out;       /* of these, returned since the last commit */
+  int64_t change_serial;   /* of the latest change of a record */
+  int64_t crash_serial;    /* of the latest crash of a worker */
+  int suspects;            /* units that should have a worker for themselves */
+  int *kept_apart;         /* set when a unit may not share a worker */
   /* Ids of the workers that unresolved losses name.  */
   GHashTable *unresolved_workers;
   GPtrArray *given_up; /* struct unit, whose jobs are about to fail */
@@ -388,8 +428,14 @@
 struct unit *jb_unit (const struct job *j, guint i);
 /* Whether J is completed, failed or cancelled.  */
 int jb_ended (const struct job *j);
-/* Marks J's record as changed.  */
+/* Marks J's record as changed.  pc_mark_unit marks a unit.  */
 void jb_mark_dirty (struct job *j);
+int jb_is_open (const struct job *j, int occurrence);
+/* Whether the steps that STEP depends on are done in occurrence O.  */
+int jb_step_is_ready (const struct job *j, const struct occurrence *o,
+                      int step);
+/* Ends the open occurrences of J all steps of which are done.  */
+void jb_end_occurrences (struct sj_cluster *c, struct job *j, int64_t now);
 /* Adds occurrence NUMBER, without units.  */
 struct occurrence *jb_open_occurrence (struct job *j, int number);
 /* Adds the unit of J that begins with task FIRST of STEP.  */
@@ -447,12 +493,46 @@
 struct unit *ru_find_unit (struct sj_cluster *c, const struct sj_run *run);
 
 /* record.c */
-/* The record to store for J; a new reference.  */
+/* The record to store for J, or its head if it is in pieces; a new
+   reference.  */
 json_t *rc_write (const struct job *j);
+/* The value of P's row; a new reference.  */
+json_t *rc_write_piece (const struct piece *p);
 /* Restores J's progress from RECORD.  Returns 0 or SJ_EINVAL.  */
 int rc_read (struct sj_cluster *c, struct job *j, const json_t *record,
              int64_t now);
 
+/* piece.c */
+enum
+{
+  PC_TASKS = 16 /* tasks of a step in a piece */
+};
+void pc_init (struct job *j);
+void pc_fini (struct job *j);
+/* Number of pieces of STEP in an occurrence.  */
+int pc_count (const struct job *j, int step);
+struct piece *pc_find (const struct job *j, int occurrence, int step,
+                       int chunk);
+struct piece *pc_find_or_add (struct job *j, int occurrence, int step,
+                              int chunk);
+void pc_row_key (char out[SJ_KEY_SIZE], const struct piece *p);
+/* Add and remove U, a new unit and one that is about to be freed.  */
+void pc_add_unit (struct unit *u);
+void pc_remove_unit (struct unit *u);
+/* Marks P as changed, but not its job.  */
+void pc_mark (struct piece *p);
+/* Marks U and its job as changed.  */
+void pc_mark_unit (struct unit *u);
+/* Closes the pieces of OCCURRENCE (-1: of all).  */
+void pc_close (struct job *j, int occurrence);
+/* J is stored in pieces from now on.  */
+void pc_begin (struct job *j);
+/* Has the rows deleted of the pieces that the stored head has as closed.  */
+void pc_drop_closed (struct sj_cluster *c, struct job *j);
+
+/* changes.c */
+void ch_cancel (struct sj_cluster *c, struct job *j);
+
 /* aside.c */
 /* Whether a further unit of J may be planned: its record can be stored and
    has not grown too much since it was stored.  */
--- a/tests/batch/test_front.c
+++ b/tests/batch/test_front.c
@@ -17,7 +17,7 @@
 
 static struct batch batch;
 static struct ba_settings settings
-    = { .vm = "vm1", .revoke_ms = 5000, .max_requests = 8 };
+    = { .vm = "vm1", .revoke_ms = 5000, .max_requests = 8, .max_tasks = 1200 };
 static struct hs_exchange ex;
 
 const struct hs_request *
@@ -159,6 +159,25 @@
   teardown ();
 }
 
+/* The limit of the setting, above that of earlier releases.  */
+static void
+test_job_size_is_limited (void)
+{
+  setup ();
+  call ("POST", "/p/" ID, "Bearer k",
+        "{\"specification\":\"x\",\"steps\":[{\"count\":1001},"
+        "{\"count\":200}]}");
+  CU_ASSERT_EQUAL (ex.status, 400);
+  CU_ASSERT_EQUAL (fs_store.writes, 0);
+  call ("POST", "/p/" ID, "Bearer k",
+        "{\"specification\":\"x\",\"steps\":[{\"count\":1001},"
+        "{\"count\":199}]}");
+  CU_ASSERT_EQUAL (fs_store.writes, 1);
+  store_replies (PO_DONE);
+  CU_ASSERT_EQUAL (ex.status, 200);
+  teardown ();
+}
+
 /* A key that was revoked may still be in a stale configuration.  */
 static void
 test_stale_configuration_accepts_no_key (void)
@@ -639,6 +658,7 @@
 {
   static const CU_TestInfo tests[] = {
     { "refusals", test_invalid_requests_are_refused_at_once },
+    { "job size", test_job_size_is_limited },
     { "stale configuration", test_stale_configuration_accepts_no_key },
     { "stored", test_job_is_acknowledged_once_stored },
     { "lost reply", test_conflict_after_lost_reply_means_stored },
--- a/tests/batch/test_records.c
+++ b/tests/batch/test_records.c
@@ -28,7 +28,8 @@
 static const char *refused_job;
 static int refuses_all;
 static int refused_writes;
-static GHashTable *rows; /* key of a stored record to its value */
+static GHashTable *rows; /* key of a stored record's row to its value */
+static GHashTable *jobs; /* id of a job to the value of its row */
 static int64_t version;
 
 /* The worker.  */
@@ -98,6 +99,27 @@
   g_free (listing);
 }
 
+/* Replies to CALL, which reads a whole table at the start of a term.  */
+static void
+reply_with_table (struct ba_store_call *call, struct po_rows *reply)
+{
+  int is_records = call->purpose == BA_LOAD_RECORDS;
+  GHashTableIter iter;
+  gpointer key, value;
+
+  g_hash_table_iter_init (&iter, is_records ? rows : jobs);
+  reply->row = g_new0 (struct po_row, g_hash_table_size (rows)
+                                          + g_hash_table_size (jobs) + 1);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    reply->row[reply->count++]
+        = (struct po_row){ .table = (char *)(is_records ? "runs" : "jobs"),
+                           .key = key,
+                           .value = value,
+                           .version = 1 };
+  ho_on_load_reply (&batch, call, reply);
+  g_free (reply->row);
+}
+
 static void
 store_replies (enum po_result result)
 {
@@ -108,7 +130,7 @@
   if (call->purpose == BA_COMMIT)
     ho_on_commit_reply (&batch, call, &reply);
   else
-    ho_on_load_reply (&batch, call, &reply);
+    reply_with_table (call, &reply);
   g_free (call);
 }
 
@@ -142,6 +164,8 @@
 
       if (e->kind == PO_PUT && !strcmp (e->table, "runs"))
         g_hash_table_replace (rows, g_strdup (e->key), g_strdup (e->value));
+      else if (e->kind == PO_DELETE && !strcmp (e->table, "runs"))
+        g_hash_table_remove (rows, e->key);
     }
   store_replies (PO_DONE);
 }
@@ -170,6 +194,7 @@
 {
   batch.now_ms += ms;
   batch.worker_follower.fresh_ms = batch.now_ms;
+  batch.job_follower.fresh_ms = batch.now_ms;
   ho_tick (&batch);
   if (fs_store.last_call)
     store_write ();
@@ -200,6 +225,7 @@
   job->step = g_new0 (struct sj_step, 1);
   job->step[0].count = tasks;
   job->step[0].need.cpu_milli = 1;
+  g_hash_table_replace (jobs, g_strdup (id), vw_job_value (job, 1));
   CU_ASSERT_EQUAL (sj_job_add (batch.cluster, job, NULL, 0, batch.now_ms), 0);
 }
 
@@ -215,9 +241,9 @@
     }
 }
 
-/* A holder with one worker, and an empty store.  */
+/* Waits until this VM holds the lease and knows the worker.  */
 static void
-setup (void)
+begin_term (void)
 {
   static struct po_row worker
       = { .table = (char *)"servers",
@@ -226,6 +252,21 @@
                            "\"state\":\"ready\",\"born\":7,\"capacity\":"
                            "{\"cpu\":5000,\"memory_request_mb\":1000,"
                            "\"gpu\":1},\"labels\":[\"a\",\"r\"]}" };
+
+  while (batch.phase == BA_STANDBY)
+    advance (50);
+  while (batch.records)
+    advance (1);
+  batch.worker_follower.synced = 1;
+  wk_on_row (&batch, &worker, 1);
+  run_ms (100);
+  CU_ASSERT_EQUAL_FATAL (batch.phase, BA_ACTIVE);
+}
+
+/* A holder with one worker, and an empty store.  */
+static void
+setup (void)
+{
   const char *reason;
   struct le_settings le
       = { .valid_ms = 1200, .takeover_ms = 1600, .renew_ms = 400 };
@@ -233,6 +274,7 @@
   memset (&batch, 0, sizeof batch);
   fs_reset ();
   rows = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  jobs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free);
   refused_job = "";
   refused_writes = refuses_all = ends = starts = starts_of_bad = 0;
   version = hold_seen = 0;
@@ -252,14 +294,7 @@
   batch.job_follower.fresh_ms = batch.now_ms;
   g_random_set_seed (1);
   advance (0);
-  while (batch.phase == BA_STANDBY)
-    advance (50);
-  while (batch.records)
-    advance (1);
-  batch.worker_follower.synced = 1;
-  wk_on_row (&batch, &worker, 1);
-  run_ms (100);
-  CU_ASSERT_EQUAL_FATAL (batch.phase, BA_ACTIVE);
+  begin_term ();
 }
 
 static void
@@ -271,6 +306,7 @@
   hold_arg = NULL;
   fs_reset ();
   g_hash_table_destroy (rows);
+  g_hash_table_destroy (jobs);
   vw_fini (&batch.view);
   qu_free (batch.config);
   rg_fini (&batch.events);
@@ -377,6 +413,45 @@
   teardown ();
 }
 
+/* Another term loads the pieces of a large job: what runs is not started
+   again, and the pieces are deleted when it has ended.  */
+static void
+test_next_term_reads_pieces (void)
+{
+  enum
+  {
+    TASKS = 200
+  };
+  const struct fs_entry *lease;
+
+  settings.record_pieces = 1;
+  setup ();
+  settings.record_pieces = 0;
+  submit (BAD, TASKS, 0);
+  run_ms (5000);
+  CU_ASSERT_EQUAL (starts, TASKS);
+  CU_ASSERT (g_hash_table_size (rows) > 1);
+  ends = TASKS / 2;
+  run_ms (2000);
+  lease = fs_find_put ("jobs", vw_lease_key ());
+  CU_ASSERT_PTR_NOT_NULL_FATAL (lease);
+  if (!lease)
+    return;
+  ho_step_down (&batch, "test");
+  le_row_seen (&batch.lease, version, lease->value, batch.now_ms);
+  begin_term ();
+  CU_ASSERT_EQUAL (batch.term, 3);
+  run_ms (3000);
+  CU_ASSERT (sj_has_job (batch.cluster, BAD));
+  CU_ASSERT_EQUAL (starts, TASKS);
+  ends = TASKS;
+  run_ms (5000);
+  CU_ASSERT_FALSE (sj_has_job (batch.cluster, BAD));
+  CU_ASSERT_EQUAL (starts, TASKS);
+  CU_ASSERT_EQUAL (g_hash_table_size (rows), 1);
+  teardown ();
+}
+
 /* A store that refuses all transactions for a while: no record is at fault. */
 static void
 test_no_record_is_blamed_for_store (void)
@@ -481,6 +556,7 @@
     { "taken later", test_job_goes_on_when_record_is_taken },
     { "ends", test_ends_wait_for_record },
     { "wide job", test_wide_job_stops_no_other },
+    { "next term", test_next_term_reads_pieces },
     { "store refuses all", test_no_record_is_blamed_for_store },
     { "due runs", test_due_runs_are_opened_in_turn },
     { "many due runs", test_many_due_runs_cost_little },
--- a/tests/batch/test_relay.c
+++ b/tests/batch/test_relay.c
@@ -78,9 +78,9 @@
   const char *reason;
 
   memset (b, 0, sizeof *b);
-  settings[n] = (struct ba_settings){ .vm = names[n],
-                                      .revoke_ms = 5000,
-                                      .max_requests = 8 };
+  settings[n] = (struct ba_settings){
+    .vm = names[n], .revoke_ms = 5000, .max_requests = 8, .max_tasks = 1200
+  };
   b->settings = &settings[n];
   b->clock = bs_clock_boot ();
   b->now_ms = bs_now_ms (&b->clock);
--- a/tests/batch/test_workers.c
+++ b/tests/batch/test_workers.c
@@ -209,8 +209,8 @@
 static void
 commit (int ok)
 {
-  struct sj_dirty dirty[4];
-  int n = sj_dirty (batch.cluster, dirty, 4);
+  struct sj_dirty dirty[64];
+  int n = sj_dirty (batch.cluster, dirty, 64);
 
   for (int i = 0; i < n; i++)
     json_decref (dirty[i].record);
--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -377,7 +377,7 @@
           "{\"steps\":[{\"count\":-1}]}",
           "{\"steps\":[{\"count\":1,\"after\":[0]}]}",
           "{\"steps\":[{\"count\":1,\"gpu\":-1}]}",
-          "{\"steps\":[{\"count\":600},{\"count\":600}]}",
+          "{\"steps\":[{\"count\":4000},{\"count\":4000},{\"count\":2001}]}",
           "{\"steps\":[{\"count\":1}],\"repetitions\":5}" };
 
   for (size_t i = 0; i < sizeof values / sizeof *values; i++)
--- a/tests/steps/fake_cluster.c
+++ b/tests/steps/fake_cluster.c
@@ -358,13 +358,17 @@
     x->done_ms = MIN (x->saved_ms, x->work_ms - 1);
 }
 
-/* Notes the first start of each task of a job's first step.  */
+/* Notes the first start of each task of a job's first step.  Its run may have
+   a higher number than 1, if a plan was withdrawn before.  */
 static void
 count_first_start (struct fa_cluster *f, const struct sj_run *r)
 {
   int left = GPOINTER_TO_INT (g_hash_table_lookup (f->unstarted, r->job)) - 1;
+  char name[80];
 
-  if (r->step || r->occurrence || r->number > 1 || left < 0)
+  format_task_name (name, r);
+  if (r->step || r->occurrence || left < 0
+      || !g_hash_table_add (f->begun_tasks, g_strdup (name)))
     return;
   g_hash_table_replace (f->unstarted, g_strdup (r->job),
                         GINT_TO_POINTER (left));
@@ -699,9 +703,12 @@
   for (guint k = 0; k < w->unacked_ends->len && k < MAX_LISTED; k++)
     end[l.end_count++]
         = g_array_index (w->unacked_ends, struct sj_listed_run, k);
-  f->listed_ends[i] = w->acked_ends + l.end_count;
   sj_worker_set_reachable (f->scheduler, w->id, 1);
   sj_listing_apply (f->scheduler, w->id, &l, f->now);
+  if (f->listed_ends[i] == w->acked_ends + l.end_count)
+    return;
+  f->listed_ends[i] = w->acked_ends + l.end_count;
+  f->listed_serial[i] = sj_change_serial (f->scheduler);
 }
 
 static void
@@ -727,6 +734,8 @@
 {
   struct fa_worker *w = &f->worker[i];
 
+  if (f->committing_serial[i] > sj_stored_serial (f->scheduler))
+    return;
   while (w->acked_ends < f->committing_ends[i] && w->unacked_ends->len)
     {
       const struct sj_listed_run *e
@@ -739,6 +748,8 @@
       g_array_remove_index (w->unacked_ends, 0);
       w->acked_ends++;
     }
+  f->committing_ends[i] = f->listed_ends[i];
+  f->committing_serial[i] = f->listed_serial[i];
 }
 
 /* A job that is shown as running has had a task started.  */
@@ -760,27 +771,32 @@
   int ok = g_rand_double (f->rand) >= f->faults.commit_fails;
 
   f->commit_pending = 0;
+  f->commits += ok;
   for (guint i = 0; ok && i < f->commit_ids->len; i++)
     {
-      char *id = g_ptr_array_index (f->commit_ids, i);
+      char *key = g_ptr_array_index (f->commit_ids, i);
+      const char *record = g_ptr_array_index (f->commit_records, i);
       int state = g_array_index (f->commit_states, int, i);
 
-      g_hash_table_replace (
-          f->records, g_strdup (id),
-          g_strdup (g_ptr_array_index (f->commit_records, i)));
-      check_has_begun (f, id, state);
-      g_hash_table_replace (f->states, g_strdup (id),
+      if (record)
+        g_hash_table_replace (f->records, g_strdup (key), g_strdup (record));
+      else
+        g_hash_table_remove (f->records, key);
+      if (strlen (key) >= SJ_ID_SIZE)
+        continue;
+      check_has_begun (f, key, state);
+      g_hash_table_replace (f->states, g_strdup (key),
                             GINT_TO_POINTER (state + 1));
-      if (state >= SJ_COMPLETED && !g_hash_table_contains (f->ended_ms, id))
-        g_hash_table_insert (f->ended_ms, g_strdup (id),
+      if (state >= SJ_COMPLETED && !g_hash_table_contains (f->ended_ms, key))
+        g_hash_table_insert (f->ended_ms, g_strdup (key),
                              GSIZE_TO_POINTER ((gsize)f->now + 1));
     }
-  for (int i = 0; ok && i < f->worker_count; i++)
-    acknowledge_ends (f, i);
   g_ptr_array_set_size (f->commit_ids, 0);
   g_ptr_array_set_size (f->commit_records, 0);
   g_array_set_size (f->commit_states, 0);
   sj_committed (f->scheduler, ok, f->now);
+  for (int i = 0; ok && i < f->worker_count; i++)
+    acknowledge_ends (f, i);
 }
 
 /* Begins a commit of the changed records.  */
@@ -788,19 +804,20 @@
 begin_commit (struct fa_cluster *f)
 {
   struct sj_dirty dirty[MAX_DIRTY];
-  int n = sj_dirty (f->scheduler, dirty, MAX_DIRTY);
+  int n = sj_dirty (f->scheduler, dirty,
+                    f->commit_rows ? f->commit_rows : MAX_DIRTY);
 
   for (int i = 0; i < n; i++)
     {
       int state = dirty[i].state;
 
-      g_ptr_array_add (f->commit_ids, g_strdup (dirty[i].id));
-      g_ptr_array_add (f->commit_records,
-                       json_dumps (dirty[i].record, JSON_COMPACT));
+      g_ptr_array_add (f->commit_ids, g_strdup (dirty[i].key));
+      g_ptr_array_add (
+          f->commit_records,
+          dirty[i].record ? json_dumps (dirty[i].record, JSON_COMPACT) : NULL);
       g_array_append_val (f->commit_states, state);
       json_decref (dirty[i].record);
     }
-  memcpy (f->committing_ends, f->listed_ends, sizeof f->committing_ends);
   f->commit_pending = 1;
   f->commit_end_ms = f->now + f->commit_ms;
 }
@@ -843,6 +860,7 @@
   w->incarnation++;
   w->highest_token = w->acked_ends = w->ends_total = w->lease_end_ms = 0;
   f->listed_ends[i] = f->committing_ends[i] = 0;
+  f->listed_serial[i] = f->committing_serial[i] = 0;
   w->polled_ms = 0;
   if (f->crash_mode.new_id)
     {
@@ -911,7 +929,10 @@
   g_ptr_array_set_size (f->commit_records, 0);
   g_array_set_size (f->commit_states, 0);
   for (int i = 0; i < f->worker_count; i++)
-    f->listed_ends[i] = f->worker[i].acked_ends;
+    {
+      f->listed_ends[i] = f->committing_ends[i] = f->worker[i].acked_ends;
+      f->listed_serial[i] = f->committing_serial[i] = 0;
+    }
 }
 
 void
@@ -942,6 +963,8 @@
   f->commit_ms = COMMIT_MS;
   f->stop_ms = STOP_TIME_MS;
   f->saved_ms = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  f->begun_tasks
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   f->unstarted = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   f->all_started_ms
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -1008,6 +1031,7 @@
   g_hash_table_destroy (f->late_starts);
   g_hash_table_destroy (f->saved_ms);
   g_hash_table_destroy (f->unstarted);
+  g_hash_table_destroy (f->begun_tasks);
   g_hash_table_destroy (f->all_started_ms);
   g_hash_table_destroy (f->accepted_ms);
   g_hash_table_destroy (f->started_ms);
@@ -1044,19 +1068,55 @@
   sj_job_cancel (f->scheduler, id, f->now);
 }
 
+/* The stored rows of job ID, or NULL.  */
+static json_t *
+read_record (struct fa_cluster *f, const char *id)
+{
+  json_t *record = NULL;
+  GHashTableIter iter;
+  gpointer key, text;
+
+  g_hash_table_iter_init (&iter, f->records);
+  while (g_hash_table_iter_next (&iter, &key, &text))
+    {
+      if (strncmp (key, id, SJ_ID_SIZE - 1) != 0)
+        continue;
+      if (!record)
+        record = json_object ();
+      sj_record_add (record, key, json_loads (text, JSON_DECODE_ANY, NULL));
+    }
+  return record;
+}
+
+/* Has the pieces of job ID deleted, which has ended.  */
+static void
+drop_pieces (struct fa_cluster *f, const char *id, const json_t *record)
+{
+  const char *name;
+  json_t *value;
+
+  json_object_foreach (json_object_get (record, "rows"), name, value)
+  {
+    char key[SJ_KEY_SIZE];
+
+    snprintf (key, sizeof key, "%s.%s", id, name);
+    sj_drop_row (f->scheduler, key);
+  }
+}
+
 /* Adds a job to a new scheduler from its stored record.  */
 static void
 load_job (struct fa_cluster *f, const char *id)
 {
-  const char *text = g_hash_table_lookup (f->records, id);
-  json_t *record = text ? json_loads (text, 0, NULL) : NULL;
+  json_t *record = read_record (f, id);
   int64_t accepted
       = (int64_t)GPOINTER_TO_SIZE (g_hash_table_lookup (f->accepted_ms, id))
         - 1;
 
-  if (fa_state (f, id) < SJ_COMPLETED
-      && sj_job_add (f->scheduler, copy_job (find_job (f, id)), record,
-                     f->now - accepted, f->now))
+  if (fa_state (f, id) >= SJ_COMPLETED)
+    drop_pieces (f, id, record);
+  else if (sj_job_add (f->scheduler, copy_job (find_job (f, id)), record,
+                       f->now - accepted, f->now))
     report_violation (f, "stored record is invalid", NULL);
   if (g_hash_table_contains (f->cancelled, id))
     sj_job_cancel (f->scheduler, id, f->now);
@@ -1096,6 +1156,7 @@
   w->incarnation++;
   w->highest_token = w->acked_ends = w->ends_total = w->lease_end_ms = 0;
   f->listed_ends[i] = f->committing_ends[i] = 0;
+  f->listed_serial[i] = f->committing_serial[i] = 0;
   w->polled_ms = 0;
   set_worker_info (f, w);
 }
@@ -1163,6 +1224,7 @@
   w->incarnation++;
   w->highest_token = w->acked_ends = w->ends_total = w->lease_end_ms = 0;
   f->listed_ends[i] = f->committing_ends[i] = 0;
+  f->listed_serial[i] = f->committing_serial[i] = 0;
   w->polled_ms = 0;
   resize (f, w, accelerators);
   w->shrunk_ms = 0;
--- a/tests/steps/fake_cluster.h
+++ b/tests/steps/fake_cluster.h
@@ -100,7 +100,7 @@
   int64_t reports;                   /* of all workers */
   int worker_count;
   struct fa_worker worker[FA_MAX_WORKERS];
-  GHashTable *records;     /* id -> stored record as JSON text */
+  GHashTable *records;     /* key -> stored row of a record as JSON text */
   GHashTable *jobs;        /* id -> struct sj_job */
   GHashTable *states;      /* id -> stored state + 1 */
   GHashTable *acked_done;  /* task names: a done run was acknowledged */
@@ -116,9 +116,10 @@
   int64_t commit_ms;              /* duration of a commit */
   int64_t stop_ms;                /* time that a run takes to stop */
   int64_t checkpoint_interval_ms; /* 0: runs begin anew after a stop */
-  double run_scatter;    /* of run times, as a share; 3 % take 7 times */
-  GHashTable *saved_ms;  /* task name -> work saved in checkpoints */
-  GHashTable *unstarted; /* id -> tasks of its first step not started yet */
+  double run_scatter;      /* of run times, as a share; 3 % take 7 times */
+  GHashTable *saved_ms;    /* task name -> work saved in checkpoints */
+  GHashTable *unstarted;   /* id -> tasks of its first step not started yet */
+  GHashTable *begun_tasks; /* names of those */
   GHashTable *all_started_ms;                      /* id -> ms + 1 */
   GHashTable *accepted_ms, *started_ms, *ended_ms; /* id -> ms + 1 */
   GArray *pending_orders; /* struct fa_pending_order */
@@ -126,8 +127,12 @@
   int fails_together; /* all tasks of a gang that are to fail do so at once */
   GPtrArray *commit_ids, *commit_records;
   GArray *commit_states;
-  /* Ends of each worker that were listed, and that the commit contains.  */
+  int commits;     /* that were stored */
+  int commit_rows; /* most rows of a commit; 0: as many as fit */
+  /* Ends of each worker that were listed, those that wait for their records,
+     and the scheduler's change serials after each.  */
   int64_t listed_ends[FA_MAX_WORKERS], committing_ends[FA_MAX_WORKERS];
+  int64_t listed_serial[FA_MAX_WORKERS], committing_serial[FA_MAX_WORKERS];
   int commit_pending;
   /* Counted events.  */
   int refusals, starts, done_runs, stopped, gang_timeouts, violations;
--- a/tests/steps/test_crashes.c
+++ b/tests/steps/test_crashes.c
@@ -410,8 +410,8 @@
   fa_fini (&cluster);
 }
 
-/* A job of the largest size, under whose tasks all workers crash: its record
-   must fit into a row of 64 KB, with the ids and checkpoints of the users'
+/* A job of many tasks, under whose tasks all workers crash: each row of
+   its record must fit into 64 KB, with the ids and checkpoints of the users'
    platform, which are longer than the fake ones.  */
 static void
 test_record_of_largest_job_stays_small (void)
@@ -419,14 +419,15 @@
   enum
   {
     ROW_BYTES = 65536,
+    TASKS = 1000,
     LONGER_ID = 8,          /* bytes of a task's record */
     LONGER_CHECKPOINT = 11, /* likewise */
     LONGER_LIFE_TAG = 4     /* likewise */
   };
   size_t longest = 0;
-  struct sj_job *job = fa_new_job (1, 1, SJ_MAX_TASKS, 1, 60000);
+  struct sj_job *job = fa_new_job (1, 1, TASKS, 1, 60000);
 
-  fa_init (&cluster, SJ_MAX_TASKS / 8, 25, 1);
+  fa_init (&cluster, TASKS / 8, 25, 1);
   job->step[0].checkpoints = 1;
   fa_submit (&cluster, job);
   for (int i = 0; i < 3; i++)
@@ -437,14 +438,17 @@
           fa_lose (&cluster, w);
       for (int t = 0; t < 100; t++)
         {
-          const char *record;
+          GHashTableIter iter;
+          gpointer row;
 
           fa_run_ms (&cluster, 100);
-          record = g_hash_table_lookup (cluster.records, DEADLY);
-          longest = MAX (longest, strlen (record));
+          CU_ASSERT (g_hash_table_contains (cluster.records, DEADLY));
+          g_hash_table_iter_init (&iter, cluster.records);
+          while (g_hash_table_iter_next (&iter, NULL, &row))
+            longest = MAX (longest, strlen (row));
         }
     }
-  longest += SJ_MAX_TASKS * (LONGER_ID + LONGER_CHECKPOINT + LONGER_LIFE_TAG);
+  longest += TASKS * (LONGER_ID + LONGER_CHECKPOINT + LONGER_LIFE_TAG);
   CU_ASSERT (longest < ROW_BYTES);
   if (longest >= ROW_BYTES)
     printf ("\n%zu bytes\n", longest);
--- a/tests/withdrawal/fake_rows.c
+++ b/tests/withdrawal/fake_rows.c
@@ -12,8 +12,9 @@
 };
 
 static struct fw_world world;
-static struct ba_settings settings
-    = { .vm = "vm1", .revoke_ms = 1000000000, .max_requests = 8 };
+static struct ba_settings settings = {
+  .vm = "vm1", .revoke_ms = 1000000000, .max_requests = 8, .max_tasks = 1000
+};
 
 const struct hs_request *
 hs_get_request (const struct hs_exchange *e)
