Delete pieces only of jobs that are known to have ended

At the start of a term the pieces of a job that the holder does not know were deleted, as those of an ended one. A job that becomes known later would then be taken for one that was never started, and its tasks would run again.

Such pieces stay; what the end of a job leaves behind when its deletion is cut, and its rows expire before the next term, stays too: a few rows.

test_records, "next term", failed before.

--- a/src/batch/load.c
+++ b/src/batch/load.c
@@ -138,7 +138,8 @@
   b->loaded = NULL;
 }
 
-/* Has the pieces deleted that are left of jobs that have ended.  */
+/* Has the pieces deleted that are left of jobs that are known to have ended:
+   without its pieces, a job would start again.  */
 static void
 drop_pieces_of_ended_jobs (struct batch *b)
 {
@@ -152,7 +153,7 @@
     {
       const struct vw_job *j = vw_find (&b->view, id);
 
-      if (j && j->version && j->state < SJ_COMPLETED)
+      if (!j || j->state < SJ_COMPLETED)
         continue;
       json_object_foreach (json_object_get (record, "rows"), name, value)
       {
