--- a/src/steps/job.c
+++ b/src/steps/job.c
@@ -220,12 +220,8 @@
 static int
 has_room_for_occurrence (const struct job *j)
 {
-  int tasks = 0;
-
-  for (int k = 0; k < j->spec->step_count; k++)
-    tasks += j->spec->step[k].count;
   return !j->open_occurrences->len
-         || count_open_tasks (j) + tasks <= SJ_MAX_ROW_TASKS;
+         || count_open_tasks (j) + sj_job_tasks (j->spec) <= SJ_MAX_ROW_TASKS;
 }
 
 void
