--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -32,8 +32,8 @@
   int64_t log_level, log_rate;
   int64_t hold_ms, far_factor, revoke_ms, grace_ms, keep_s;
   int64_t lease_ms, take_ms, renew_ms, evacuation_ms;
-  int64_t max_tasks, record_pieces, max_requests, refuse_stalled_writes,
-      speed_aware;
+  int64_t max_tasks, record_pieces, max_connections, max_requests;
+  int64_t refuse_stalled_writes, speed_aware;
   int64_t headroom_forecast, reclaim_ms, stop_ms, fair_share;
   double processor, checkpoint_interval_s;
 };
--- a/src/batch/loop.c
+++ b/src/batch/loop.c
@@ -16,7 +16,6 @@
   /* Without answers each write keeps its connection; a probe must not wait for
      one.  */
   ENTRY_CONNECTIONS = 32,
-  MAX_CONNECTIONS = 2048,
   MAX_BODY_BYTES = 262144, /* of a request; the largest job is far smaller */
   IDLE_TIMEOUT_S = 30,
   MAX_EVENTS_PER_TICK = 256, /* events handled between two ticks */
@@ -366,7 +365,7 @@
       || start_server (b, &b->metrics_server, set->metrics_listen, sh_handle,
                        16)
       || start_server (b, &b->caller_server, set->listen, fr_handle,
-                       MAX_CONNECTIONS)
+                       (int)set->max_connections)
       || start_server (b, &b->relay.server, set->relay_listen, rl_handle,
                        RELAY_CONNECTIONS))
     return BS_EOS;
