Crowds of clients that don't behave: tests that show the faults

Small crowds at each HTTP listener of skr-batch, skr-entry and skr-sched, with limits lowered by their settings.

--- a/Makefile
+++ b/Makefile
@@ -91,6 +91,7 @@
 	$(CC) $(SAN) -o $@ $(filter %.o,$^) $(LIB) $(LIBS_ALL)
 $(BUILD)/tests/soak/test_job_model: $(BUILD)/tests/soak/job_model.o $(FARM_OBJ)
 $(BUILD)/tests/platform/test_bodies $(BUILD)/tests/platform/test_grey: $(FARM_OBJ)
+$(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/crowds/test_*.c)): $(FARM_OBJ)
 $(BUILD)/tests/sched/test_suspension: $(patsubst %.c,$(BUILD)/%.o,\
   $(filter-out %/main.c,$(wildcard src/sched/*.c)))
 $(BUILD)/tests/cli/test_exchange: $(patsubst %.c,$(BUILD)/%.o,\
