HTTP server: count only whole requests as in progress

Callers saw: while clients held requests open whose body never ended, each other submission got 503 "too much at once"; skr-entry and skr-sched did not end after SIGTERM.

Cause: the server counted an exchange from the end of its head on. The limit of requests and the stops took that for requests that are handled.

hs_in_progress now counts whole requests, hs_unanswered those that the process has yet to answer; the stops wait without a bound only for the latter.

test_crowd_requests (128 unfinished bodies, limit of 64 requests) and the cases "stop" of test_crowd_entry and test_crowd_sched failed before and pass.

--- a/include/skr/serve.h
+++ b/include/skr/serve.h
@@ -81,12 +81,17 @@
 /* Stops accepting connections, after those that wait to be accepted; open ones
    continue.  */
 void hs_stop_listening (struct hs_server *hs);
+/* Number of requests that were received whole and whose answer is not sent
+   yet.  A client decides how long it takes to send a request, and to read the
+   answer; a stop must not wait for either without a bound.  */
 int hs_in_progress (struct hs_server *hs);
+/* Number of those for which hs_answer was not called yet.  */
+int hs_unanswered (struct hs_server *hs);
 /* Number of open connections, and 1 more if others wait to be accepted.  */
 int hs_connections (struct hs_server *hs);
 /* Number of exchanges whose answer was not sent completely.  */
 int64_t hs_count_truncated (struct hs_server *hs);
-/* May be called only when hs_in_progress is 0.  */
+/* Closes the connections.  May be called only when hs_unanswered is 0.  */
 void hs_free (struct hs_server *hs);
 const char *hs_strerror (int error);
 
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -147,12 +147,13 @@
 
 /* Serves requests for drain_ms, during which the load balancer sees that this
    VM is leaving.  Then accepts no connection any more and waits for the
-   requests in progress.  Each request has a deadline, so the wait ends.  */
+   requests in progress.  Each request has a deadline, and clients have
+   finish_ms to read their answers, so the wait ends.  */
 static void
 drain (struct en_core *core, const struct en_settings *settings)
 {
   struct bs_clock clock = bs_clock_system ();
-  int64_t until;
+  int64_t now_ms, stopped_ms;
 
   atomic_store (&core->leaving, 1);
   lg_log (LG_STOPPING, 1,
@@ -161,10 +162,16 @@
   hs_drain (core->server);
   g_usleep ((gulong)settings->drain_ms * 1000);
   hs_stop_listening (core->server);
-  until = bs_now_ms (&clock) + IDLE_CLOSE_WAIT_MS;
-  while (hs_in_progress (core->server)
-         || (hs_connections (core->server) && bs_now_ms (&clock) < until))
-    g_usleep (DRAIN_POLL_MS * 1000);
+  stopped_ms = now_ms = bs_now_ms (&clock);
+  while (hs_unanswered (core->server)
+         || (hs_in_progress (core->server)
+             && now_ms - stopped_ms < settings->finish_ms)
+         || (hs_connections (core->server)
+             && now_ms - stopped_ms < IDLE_CLOSE_WAIT_MS))
+    {
+      g_usleep (DRAIN_POLL_MS * 1000);
+      now_ms = bs_now_ms (&clock);
+    }
 }
 
 int
--- a/src/net/serve.c
+++ b/src/net/serve.c
@@ -20,7 +20,7 @@
   struct hs_config config;
   struct MHD_Daemon *daemon;
   int port;
-  atomic_int in_progress, draining;
+  atomic_int in_progress, unanswered, draining;
   int listener; /* its listening socket, which is the daemon's; -1: closed */
   atomic_int_fast64_t truncated;
 };
@@ -95,7 +95,6 @@
       = find_header (connection, "Idempotency-Attempt");
   ex->request.if_match = find_header (connection, "If-Match");
   set_peer_address (ex);
-  atomic_fetch_add (&hs->in_progress, 1);
   return ex;
 }
 
@@ -155,6 +154,8 @@
   if (ex->handler_called)
     return MHD_YES;
   ex->handler_called = 1;
+  atomic_fetch_add (&hs->in_progress, 1);
+  atomic_fetch_add (&hs->unanswered, 1);
   ex->request.body = ex->body ? ex->body : "";
   MHD_suspend_connection (connection);
   hs->config.handle (hs->config.arg, ex);
@@ -173,12 +174,13 @@
     return;
   if (ex->handler_called && code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
     atomic_fetch_add (&hs->truncated, 1);
+  if (ex->handler_called)
+    atomic_fetch_sub (&hs->in_progress, 1);
   if (ex->response)
     MHD_destroy_response (ex->response);
   free (ex->body);
   free (ex);
   *context = NULL;
-  atomic_fetch_sub (&hs->in_progress, 1);
 }
 
 static int
@@ -295,6 +297,7 @@
     MHD_add_response_header (r, "Connection", "close");
   ex->status = answer->status;
   ex->response = r;
+  atomic_fetch_sub (&ex->server->unanswered, 1);
   MHD_resume_connection (ex->connection);
 }
 
@@ -310,6 +313,12 @@
   return atomic_load (&hs->in_progress);
 }
 
+int
+hs_unanswered (struct hs_server *hs)
+{
+  return atomic_load (&hs->unanswered);
+}
+
 /* Whether a connection waits to be accepted.  It is reset if the process ends
    or the listening socket is closed before.  */
 static int
--- a/src/sched/counters.c
+++ b/src/sched/counters.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "sched/sched.h"
 #include "skr/log.h"
@@ -13,6 +14,8 @@
   MAX_CONNECTIONS = 16,
   MAX_BODY_BYTES = 1024, /* no request needs a body */
   IDLE_S = 10,
+  STOP_POLL_MS = 20,
+  SEND_WAIT_MS = 2000, /* at a stop, for clients that read their answers */
   STATUS_OK = 200,
   STATUS_UNAUTHORIZED = 401,
   STATUS_NOT_FOUND = 404
@@ -166,11 +169,16 @@
 void
 sc_counters_stop (struct sched *s)
 {
+  struct bs_clock clock = bs_clock_system ();
+  int64_t begin_ms = bs_now_ms (&clock);
+
   if (s->server)
     {
       hs_stop_listening (s->server);
-      while (hs_in_progress (s->server))
-        bs_stop_wait (1);
+      while (hs_unanswered (s->server)
+             || (hs_in_progress (s->server)
+                 && bs_now_ms (&clock) - begin_ms < SEND_WAIT_MS))
+        usleep (STOP_POLL_MS * 1000);
       hs_free (s->server);
     }
   st_fini (&s->stat);
