HTTP server: close the connection that has waited for longest for a new one

Callers saw: beside 2,300 connections with the first bytes of a request no ordinary request was answered; the same at the readiness, metrics and relay listeners, skr-entry, and the counters of skr-sched.

Cause: at its limit the server accepts no more, and an idle timeout that each byte starts anew is the only end of a connection that sends nothing useful.

From seven eighths of the limit on, a new connection now closes the oldest silent or waiting one, whichever are more. One whose request is handled is kept; a request whose connection was closed is not handled.

--- a/include/skr/serve.h
+++ b/include/skr/serve.h
@@ -47,6 +47,13 @@
 struct hs_exchange; /* a request and its answer; opaque */
 struct hs_server;
 
+/* What the server's clients hold, and what was given up for others.  */
+struct hs_counts
+{
+  int open;       /* connections */
+  int64_t closed; /* connections closed so far, for want of a place */
+};
+
 /* Called on a server thread for each complete request; must not block.
    hs_answer must be called exactly once for EX, from any thread.  */
 typedef void hs_handle (void *arg, struct hs_exchange *ex);
@@ -56,6 +63,8 @@
   const char *listen;             /* "IP:PORT"; port 0 selects a free one */
   const char *tls_cert, *tls_key; /* PEM text, or NULL for plain HTTP */
   int threads;
+  /* From seven eighths of it on, the connection that has waited for longest is
+     closed for each new one.  One whose request is handled is not.  */
   int max_connections;
   size_t max_body; /* bytes of a request */
   int idle_s;      /* seconds after which an idle connection is closed */
@@ -89,6 +98,7 @@
 int hs_unanswered (struct hs_server *hs);
 /* Number of open connections, and 1 more if others wait to be accepted.  */
 int hs_connections (struct hs_server *hs);
+void hs_count (struct hs_server *hs, struct hs_counts *out);
 /* Number of exchanges whose answer was not sent completely.  */
 int64_t hs_count_truncated (struct hs_server *hs);
 /* Closes the connections.  May be called only when hs_unanswered is 0.  */
--- a/src/net/serve.c
+++ b/src/net/serve.c
@@ -1,18 +1,29 @@
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <poll.h>
+#include <pthread.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
+#include "net/quota.h"
 #include "skr/serve.h"
 
 enum
 {
   MAX_HEAD_BYTES = 32 * 1024, /* request line and headers */
-  INITIAL_BODY_BYTES = 1024   /* the buffer doubles from this size */
+  INITIAL_BODY_BYTES = 1024,  /* the buffer doubles from this size */
+  /* Part of the connections, 1 in so many, that is kept free for those to
+     come while others are closed for them.  */
+  SPARE_SHARE = 8
+};
+
+struct connection
+{
+  struct qt_conn quota;
+  int fd;
 };
 
 struct hs_server
@@ -22,6 +33,8 @@
   int port;
   atomic_int in_progress, unanswered, draining;
   int listener; /* its listening socket, which is the daemon's; -1: closed */
+  pthread_mutex_t lock; /* protects QUOTA and the states of connections */
+  struct qt_quota quota;
   atomic_int_fast64_t truncated;
 };
 
@@ -29,6 +42,7 @@
 {
   struct hs_server *server;
   struct MHD_Connection *connection;
+  struct connection *place; /* of CONNECTION */
   struct hs_request request;
   char *body;
   size_t body_capacity;
@@ -77,16 +91,77 @@
                ex->request.peer, sizeof ex->request.peer);
 }
 
+/* Closes C, which was given up.  Its thread finds the end of the stream.  The
+   descriptor is open until on_connection removes C.  */
+static void
+shut_down (struct qt_conn *c)
+{
+  if (c)
+    shutdown (((struct connection *)c)->fd, SHUT_RDWR);
+}
+
+static void
+open_connection (struct hs_server *hs, struct MHD_Connection *connection,
+                 void **context)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  struct connection *c = calloc (1, sizeof *c);
+
+  *context = c;
+  if (!c)
+    return;
+  c->fd = info->connect_fd;
+  pthread_mutex_lock (&hs->lock);
+  shut_down (qt_open (&hs->quota, &c->quota));
+  pthread_mutex_unlock (&hs->lock);
+}
+
+static void
+on_connection (void *arg, struct MHD_Connection *connection, void **context,
+               enum MHD_ConnectionNotificationCode code)
+{
+  struct hs_server *hs = arg;
+  struct connection *c = *context;
+
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    {
+      open_connection (hs, connection, context);
+      return;
+    }
+  if (!c)
+    return;
+  pthread_mutex_lock (&hs->lock);
+  qt_close (&hs->quota, &c->quota);
+  pthread_mutex_unlock (&hs->lock);
+  free (c);
+  *context = NULL;
+}
+
+static struct connection *
+find_place (struct MHD_Connection *connection)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+  return info ? info->socket_context : NULL;
+}
+
 static struct hs_exchange *
 new_exchange (struct hs_server *hs, struct MHD_Connection *connection,
               const char *method, const char *path)
 {
-  struct hs_exchange *ex = calloc (1, sizeof *ex);
+  struct connection *place = find_place (connection);
+  struct hs_exchange *ex = place ? calloc (1, sizeof *ex) : NULL;
 
   if (!ex)
     return NULL;
   ex->server = hs;
   ex->connection = connection;
+  ex->place = place;
+  pthread_mutex_lock (&hs->lock);
+  qt_head (&hs->quota, &place->quota);
+  pthread_mutex_unlock (&hs->lock);
   ex->request.method = method;
   ex->request.path = path;
   ex->request.authorization = find_header (connection, "Authorization");
@@ -128,6 +203,27 @@
   return 1;
 }
 
+/* Passes the whole request to the handler.  Returns MHD_NO if its connection
+   was given up meanwhile, so that its client knows of no answer.  */
+static enum MHD_Result
+handle (struct hs_server *hs, struct hs_exchange *ex)
+{
+  int may_begin;
+
+  pthread_mutex_lock (&hs->lock);
+  may_begin = qt_begin (&hs->quota, &ex->place->quota);
+  pthread_mutex_unlock (&hs->lock);
+  if (!may_begin)
+    return MHD_NO;
+  ex->handler_called = 1;
+  atomic_fetch_add (&hs->in_progress, 1);
+  atomic_fetch_add (&hs->unanswered, 1);
+  ex->request.body = ex->body ? ex->body : "";
+  MHD_suspend_connection (ex->connection);
+  hs->config.handle (hs->config.arg, ex);
+  return MHD_YES;
+}
+
 static enum MHD_Result
 on_access (void *arg, struct MHD_Connection *connection, const char *path,
            const char *method, const char *version, const char *data,
@@ -151,15 +247,7 @@
       *size = 0;
       return MHD_YES;
     }
-  if (ex->handler_called)
-    return MHD_YES;
-  ex->handler_called = 1;
-  atomic_fetch_add (&hs->in_progress, 1);
-  atomic_fetch_add (&hs->unanswered, 1);
-  ex->request.body = ex->body ? ex->body : "";
-  MHD_suspend_connection (connection);
-  hs->config.handle (hs->config.arg, ex);
-  return MHD_YES;
+  return ex->handler_called ? MHD_YES : handle (hs, ex);
 }
 
 static void
@@ -222,7 +310,16 @@
       (unsigned)c->max_connections, MHD_OPTION_CONNECTION_TIMEOUT,
       (unsigned)c->idle_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       (size_t)MAX_HEAD_BYTES, MHD_OPTION_NOTIFY_COMPLETED, on_completed, hs,
-      MHD_OPTION_ARRAY, c->tls_cert ? tls : none, MHD_OPTION_END);
+      MHD_OPTION_NOTIFY_CONNECTION, on_connection, hs, MHD_OPTION_ARRAY,
+      c->tls_cert ? tls : none, MHD_OPTION_END);
+}
+
+static int
+count_spare (const struct hs_config *config)
+{
+  int spare = config->max_connections / SPARE_SHARE;
+
+  return spare > config->threads ? spare : config->threads;
 }
 
 int
@@ -238,12 +335,15 @@
   if (!hs)
     return HS_ENOMEM;
   hs->config = *config;
+  pthread_mutex_init (&hs->lock, NULL);
+  qt_init (&hs->quota, config->max_connections - count_spare (config));
   /* The first request may be handled before MHD_start_daemon returns.  */
   *out = hs;
   hs->daemon = start_daemon (hs, &address);
   if (!hs->daemon)
     {
       *out = NULL;
+      pthread_mutex_destroy (&hs->lock);
       free (hs);
       return HS_EBIND;
     }
@@ -297,6 +397,9 @@
     MHD_add_response_header (r, "Connection", "close");
   ex->status = answer->status;
   ex->response = r;
+  pthread_mutex_lock (&ex->server->lock);
+  qt_answered (&ex->server->quota, &ex->place->quota);
+  pthread_mutex_unlock (&ex->server->lock);
   atomic_fetch_sub (&ex->server->unanswered, 1);
   MHD_resume_connection (ex->connection);
 }
@@ -371,6 +474,15 @@
   close (fd);
 }
 
+void
+hs_count (struct hs_server *hs, struct hs_counts *out)
+{
+  pthread_mutex_lock (&hs->lock);
+  *out = (struct hs_counts){ .open = hs->quota.open,
+                             .closed = hs->quota.closed };
+  pthread_mutex_unlock (&hs->lock);
+}
+
 int64_t
 hs_count_truncated (struct hs_server *hs)
 {
@@ -381,5 +493,6 @@
 hs_free (struct hs_server *hs)
 {
   MHD_stop_daemon (hs->daemon);
+  pthread_mutex_destroy (&hs->lock);
   free (hs);
 }
--- a/tests/net/test_serve.c
+++ b/tests/net/test_serve.c
@@ -20,6 +20,7 @@
 enum
 {
   MAX_BODY = 2048,
+  MAX_CONNECTIONS = 64,
   TIMEOUT_MS = 10000,
   REQUESTS = 16
 };
@@ -64,7 +65,7 @@
                          .tls_cert = cert,
                          .tls_key = key,
                          .threads = 2,
-                         .max_connections = 64,
+                         .max_connections = MAX_CONNECTIONS,
                          .max_body = MAX_BODY,
                          .idle_s = 10,
                          .handle = on_request };
@@ -151,21 +152,31 @@
   hc_free (hc);
 }
 
-static void
-test_tls (void)
+/* Starts a server with TLS.  Returns a client that trusts it, with its CA in
+   the file PATH, which this makes from a template.  */
+static struct hc_client *
+start_tls (char *path)
 {
-  char path[] = "/tmp/skr-test-XXXXXX", buf[128];
   char *cert = NULL, *key = NULL;
-  struct hc_answer a;
-  struct hc_client *trusting, *other = new_client (NULL);
   FILE *f;
 
   CU_ASSERT_EQUAL_FATAL (fake_cert (&cert, &key), 0);
   f = fdopen (mkstemp (path), "w");
   fputs (cert, f);
   fclose (f);
-  trusting = new_client (path);
   start (cert, key);
+  free (cert);
+  free (key);
+  return new_client (path);
+}
+
+static void
+test_tls (void)
+{
+  char path[] = "/tmp/skr-test-XXXXXX", buf[128];
+  struct hc_answer a;
+  struct hc_client *trusting = start_tls (path), *other = new_client (NULL);
+
   send_request (trusting, "https", "/?echo=tls", NULL, &a, buf);
   CU_ASSERT_EQUAL (a.outcome, HC_ANSWERED);
   CU_ASSERT_STRING_EQUAL (buf, "GET tls 0 0");
@@ -177,8 +188,41 @@
   hc_free (trusting);
   hc_free (other);
   unlink (path);
-  free (cert);
-  free (key);
+}
+
+/* Connects to the server and sends the SIZE bytes of TEXT.  */
+static int
+connect_and_send (const char *text, size_t size)
+{
+  struct sockaddr_in a = { .sin_family = AF_INET,
+                           .sin_port = htons ((uint16_t)hs_port (server)),
+                           .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  CU_ASSERT_EQUAL (connect (fd, (struct sockaddr *)&a, sizeof a), 0);
+  CU_ASSERT_EQUAL (send (fd, text, size, 0), (ssize_t)size);
+  return fd;
+}
+
+/* Guards against handshakes that stop half-way and use up all places.  */
+static void
+test_half_handshakes (void)
+{
+  static const char client_hello[] = { 0x16, 3, 1, 2, 0, 1 };
+  char path[] = "/tmp/skr-test-XXXXXX", buf[128];
+  struct hc_client *hc = start_tls (path);
+  int fd[MAX_CONNECTIONS + REQUESTS];
+  struct hc_answer a;
+
+  for (int i = 0; i < MAX_CONNECTIONS + REQUESTS; i++)
+    fd[i] = connect_and_send (client_hello, sizeof client_hello);
+  send_request (hc, "https", "/?echo=tls", NULL, &a, buf);
+  CU_ASSERT_EQUAL (a.outcome, HC_ANSWERED);
+  for (int i = 0; i < MAX_CONNECTIONS + REQUESTS; i++)
+    close (fd[i]);
+  stop ();
+  hc_free (hc);
+  unlink (path);
 }
 
 static void
@@ -238,21 +282,7 @@
   CU_ASSERT_EQUAL_FATAL (sem_timedwait (&entered, &until), 0);
 }
 
-/* Connects to the server and sends a request.  */
-static int
-connect_and_send (void)
-{
-  static const char request[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
-  struct sockaddr_in a = { .sin_family = AF_INET,
-                           .sin_port = htons ((uint16_t)hs_port (server)),
-                           .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-  CU_ASSERT_EQUAL (connect (fd, (struct sockaddr *)&a, sizeof a), 0);
-  CU_ASSERT_EQUAL (send (fd, request, sizeof request - 1, 0),
-                   (ssize_t)sizeof request - 1);
-  return fd;
-}
+static const char get_request[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
 
 static void
 check_answer (int fd)
@@ -283,10 +313,10 @@
   CU_ASSERT_EQUAL_FATAL (hs_new (&server, &c), HS_OK);
   CU_ASSERT_EQUAL (hs_connections (server), 0);
   hs_drain (server);
-  first = connect_and_send ();
+  first = connect_and_send (get_request, sizeof get_request - 1);
   wait_until_entered ();
   CU_ASSERT_EQUAL (hs_connections (server), 1);
-  second = connect_and_send ();
+  second = connect_and_send (get_request, sizeof get_request - 1);
   CU_ASSERT_EQUAL (hs_connections (server), 2);
   hs_stop_listening (server);
   sem_post (&may_go_on);
@@ -308,6 +338,7 @@
     { "own answers", test_each_request_gets_its_own_answer },
     { "bounded bodies", test_bodies_are_bounded },
     { "TLS", test_tls },
+    { "half handshakes", test_half_handshakes },
     { "bad addresses", test_bad_addresses_are_refused },
     { "stops listening", test_stopped_server_refuses_connections },
     { "waiting", test_waiting_connection_counts },
