HTTP server: bound the memory of bodies, and the bytes that nobody has read

Callers saw: 1,500 bodies of 260,000 bytes that never ended made a process 424 MB large, more than its VM has.

Cause: the only bounds were those of one body and of the connections, whose product is 512 MiB.

Each connection may hold 16 KiB of a body, and all larger bodies of a server together 16 KiB for each connection of its limit. Beyond that the unfinished body that has cost most, in bytes and time, is dropped: the rest of it is read and not kept, and its request gets 503 "not run" at its end. The receive buffers and the queue of new connections are bounded too.

--- a/include/skr/serve.h
+++ b/include/skr/serve.h
@@ -27,7 +27,9 @@
   const char *idempotency_key, *idempotency_attempt; /* or NULL */
   const char *body;                                  /* NUL-terminated */
   size_t body_size;                                  /* bytes */
-  int too_large; /* bytes of the body beyond max_body were dropped */
+  /* The body is not kept, so that BODY is empty: it is larger than max_body,
+     or too much memory is in use for bodies.  */
+  int too_large, dropped;
   char peer[64]; /* IP address of the client */
 };
 
@@ -50,8 +52,10 @@
 /* What the server's clients hold, and what was given up for others.  */
 struct hs_counts
 {
-  int open;       /* connections */
-  int64_t closed; /* connections closed so far, for want of a place */
+  int open;        /* connections */
+  int64_t closed;  /* connections closed so far, for want of a place */
+  size_t held;     /* bytes of larger bodies */
+  int64_t dropped; /* bodies dropped so far, for want of memory */
 };
 
 /* Called on a server thread for each complete request; must not block.
@@ -66,8 +70,13 @@
   /* From seven eighths of it on, the connection that has waited for longest is
      closed for each new one.  One whose request is handled is not.  */
   int max_connections;
-  size_t max_body; /* bytes of a request */
-  int idle_s;      /* seconds after which an idle connection is closed */
+  /* Bytes of a request.  Each connection may hold 16 KiB of a body.  All
+     larger ones together may hold 16 KiB for each of max_connections, or 4
+     bodies of the largest size if that is more.  Beyond it the unfinished body
+     that has cost most is dropped; its request is passed to the handler once
+     it ends.  */
+  size_t max_body;
+  int idle_s; /* seconds after which an idle connection is closed */
   hs_handle *handle;
   void *arg;
 };
--- a/src/batch/front.c
+++ b/src/batch/front.c
@@ -350,7 +350,8 @@
       fr_refuse (ex, PAYLOAD_TOO_LARGE, "{\"error\":\"not run: too large\"}");
       return;
     }
-  if (hs_in_progress (b->caller_server) > b->settings->max_requests)
+  if (hs_get_request (ex)->dropped
+      || hs_in_progress (b->caller_server) > b->settings->max_requests)
     {
       fr_refuse (ex, UNAVAILABLE, "{\"error\":\"not run: too much at once\"}");
       return;
--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -72,6 +72,11 @@
   struct en_core *core = arg;
   struct en_event *ev;
 
+  if (hs_get_request (ex)->dropped)
+    {
+      answer_overload (ex);
+      return;
+    }
   if (atomic_fetch_add (&core->admitted_requests, 1)
       >= core->settings->max_requests)
     {
--- a/src/net/serve.c
+++ b/src/net/serve.c
@@ -8,13 +8,27 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "net/body.h"
 #include "net/quota.h"
+#include "skr/base.h"
 #include "skr/serve.h"
 
 enum
 {
-  MAX_HEAD_BYTES = 32 * 1024, /* request line and headers */
-  INITIAL_BODY_BYTES = 1024,  /* the buffer doubles from this size */
+  MAX_HEAD_BYTES = 32 * 1024,   /* request line and headers */
+  INITIAL_BODY_BYTES = 1024,    /* the buffer doubles from this size */
+  SMALL_BODY_BYTES = 16 * 1024, /* of a body that each connection may hold */
+  /* For larger bodies of all connections together: bytes for each of
+     max_connections, and at least so many bodies of the largest size.  */
+  LARGE_BODY_BYTES = 16 * 1024,
+  LARGE_BODIES = 4,
+  /* Bytes that are read of a body which is not kept, so that the refusal
+     reaches a client that is still sending; then the connection is closed. */
+  MAX_DISCARDED_BYTES = 4 * 1024 * 1024,
+  /* Bytes of a connection that the kernel receives before they are read; it
+     may use twice as much.  */
+  RECEIVE_BUFFER_BYTES = 16 * 1024,
+  BACKLOG = 512, /* connections that wait to be accepted, at most */
   /* Part of the connections, 1 in so many, that is kept free for those to
      come while others are closed for them.  */
   SPARE_SHARE = 8
@@ -24,6 +38,7 @@
 {
   struct qt_conn quota;
   int fd;
+  struct hs_exchange *exchange; /* its present one, or NULL */
 };
 
 struct hs_server
@@ -33,8 +48,9 @@
   int port;
   atomic_int in_progress, unanswered, draining;
   int listener; /* its listening socket, which is the daemon's; -1: closed */
-  pthread_mutex_t lock; /* protects QUOTA and the states of connections */
+  pthread_mutex_t lock; /* protects QUOTA, connections and bodies */
   struct qt_quota quota;
+  struct bs_clock clock;
   atomic_int_fast64_t truncated;
 };
 
@@ -44,8 +60,8 @@
   struct MHD_Connection *connection;
   struct connection *place; /* of CONNECTION */
   struct hs_request request;
-  char *body;
-  size_t body_capacity;
+  struct bd_body body;
+  size_t discarded;              /* bytes of a body that is not kept */
   struct MHD_Response *response; /* set by hs_answer */
   int status;
   int handler_called; /* the request was passed to config.handle */
@@ -160,6 +176,7 @@
   ex->connection = connection;
   ex->place = place;
   pthread_mutex_lock (&hs->lock);
+  place->exchange = ex;
   qt_head (&hs->quota, &place->quota);
   pthread_mutex_unlock (&hs->lock);
   ex->request.method = method;
@@ -174,33 +191,80 @@
 }
 
 static int
-append_body (struct hs_exchange *ex, const char *data, size_t size)
+keeps_body (const struct hs_exchange *ex)
+{
+  return !ex->request.too_large && !ex->request.dropped;
+}
+
+static void
+drop_body (struct hs_exchange *ex)
+{
+  bd_fini (&ex->body);
+  ex->request.body_size = 0;
+}
+
+/* Makes room for a body of SIZE bytes.  Drops bodies that cost more, perhaps
+   this one, while there is not enough memory for all.  Returns 0 if it was
+   dropped.  */
+static int
+reserve_body (struct hs_exchange *ex, size_t size)
+{
+  struct hs_server *hs = ex->server;
+  size_t capacity = bd_capacity_for (&ex->body, size, INITIAL_BODY_BYTES,
+                                     hs->config.max_body + 1);
+  struct qt_conn *victim = NULL;
+
+  if (capacity <= ex->body.capacity)
+    return 1;
+  while (capacity > SMALL_BODY_BYTES && victim != &ex->place->quota
+         && (victim = qt_hold (&hs->quota, &ex->place->quota, capacity,
+                               bs_now_ms (&hs->clock))))
+    {
+      struct hs_exchange *other = ((struct connection *)victim)->exchange;
+
+      other->request.dropped = 1;
+      drop_body (other);
+    }
+  if (victim || bd_resize (&ex->body, capacity))
+    {
+      ex->request.dropped = 1;
+      drop_body (ex);
+      return 0;
+    }
+  return 1;
+}
+
+static void
+keep_bytes (struct hs_exchange *ex, const char *data, size_t size)
 {
   size_t need = ex->request.body_size + size + 1;
 
   if (need > ex->server->config.max_body + 1)
     {
       ex->request.too_large = 1;
-      return 1;
-    }
-  if (need > ex->body_capacity)
-    {
-      size_t capacity
-          = ex->body_capacity ? ex->body_capacity : INITIAL_BODY_BYTES;
-      char *body;
-
-      while (capacity < need)
-        capacity *= 2;
-      body = realloc (ex->body, capacity);
-      if (!body)
-        return 0;
-      ex->body = body;
-      ex->body_capacity = capacity;
+      qt_release (&ex->server->quota, &ex->place->quota);
+      drop_body (ex);
+      return;
     }
-  memcpy (ex->body + ex->request.body_size, data, size);
+  if (!reserve_body (ex, need))
+    return;
+  memcpy (ex->body.data + ex->request.body_size, data, size);
   ex->request.body_size += size;
-  ex->body[ex->request.body_size] = '\0';
-  return 1;
+  ex->body.data[ex->request.body_size] = '\0';
+}
+
+/* Takes SIZE bytes of the body.  Returns 0 if the connection is to be
+   closed.  */
+static int
+append_body (struct hs_exchange *ex, const char *data, size_t size)
+{
+  pthread_mutex_lock (&ex->server->lock);
+  if (keeps_body (ex))
+    keep_bytes (ex, data, size);
+  else
+    ex->discarded += size;
+  pthread_mutex_unlock (&ex->server->lock);
+  return ex->discarded <= MAX_DISCARDED_BYTES;
 }
 
 /* Passes the whole request to the handler.  Returns MHD_NO if its connection
@@ -218,7 +282,7 @@
   ex->handler_called = 1;
   atomic_fetch_add (&hs->in_progress, 1);
   atomic_fetch_add (&hs->unanswered, 1);
-  ex->request.body = ex->body ? ex->body : "";
+  ex->request.body = ex->body.data ? ex->body.data : "";
   MHD_suspend_connection (ex->connection);
   hs->config.handle (hs->config.arg, ex);
   return MHD_YES;
@@ -266,7 +330,11 @@
     atomic_fetch_sub (&hs->in_progress, 1);
   if (ex->response)
     MHD_destroy_response (ex->response);
-  free (ex->body);
+  pthread_mutex_lock (&hs->lock);
+  ex->place->exchange = NULL;
+  qt_release (&hs->quota, &ex->place->quota);
+  bd_fini (&ex->body);
+  pthread_mutex_unlock (&hs->lock);
   free (ex);
   *context = NULL;
 }
@@ -305,15 +373,27 @@
 
   return MHD_start_daemon (
       flags, 0, NULL, NULL, on_access, hs, MHD_OPTION_SOCK_ADDR, address,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_THREAD_POOL_SIZE,
-      (unsigned)c->threads, MHD_OPTION_CONNECTION_LIMIT,
-      (unsigned)c->max_connections, MHD_OPTION_CONNECTION_TIMEOUT,
-      (unsigned)c->idle_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-      (size_t)MAX_HEAD_BYTES, MHD_OPTION_NOTIFY_COMPLETED, on_completed, hs,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_LISTEN_BACKLOG_SIZE,
+      (unsigned)BACKLOG, MHD_OPTION_THREAD_POOL_SIZE, (unsigned)c->threads,
+      MHD_OPTION_CONNECTION_LIMIT, (unsigned)c->max_connections,
+      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)c->idle_s,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)MAX_HEAD_BYTES,
+      MHD_OPTION_NOTIFY_COMPLETED, on_completed, hs,
       MHD_OPTION_NOTIFY_CONNECTION, on_connection, hs, MHD_OPTION_ARRAY,
       c->tls_cert ? tls : none, MHD_OPTION_END);
 }
 
+/* Bounds the bytes that the kernel receives for connections of LISTENER, which
+   inherit it.  Without it the kernel may hold megabytes of each.  */
+static void
+limit_unread (int listener)
+{
+  int size = RECEIVE_BUFFER_BYTES;
+
+  if (listener >= 0)
+    setsockopt (listener, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+}
+
 static int
 count_spare (const struct hs_config *config)
 {
@@ -322,6 +402,15 @@
   return spare > config->threads ? spare : config->threads;
 }
 
+static size_t
+large_body_bytes (const struct hs_config *config)
+{
+  size_t by_connections = (size_t)config->max_connections * LARGE_BODY_BYTES;
+  size_t least = (config->max_body + 1) * LARGE_BODIES;
+
+  return by_connections > least ? by_connections : least;
+}
+
 int
 hs_new (struct hs_server **out, const struct hs_config *config)
 {
@@ -336,7 +425,9 @@
     return HS_ENOMEM;
   hs->config = *config;
   pthread_mutex_init (&hs->lock, NULL);
-  qt_init (&hs->quota, config->max_connections - count_spare (config));
+  hs->clock = bs_clock_system ();
+  qt_init (&hs->quota, config->max_connections - count_spare (config),
+           large_body_bytes (config));
   /* The first request may be handled before MHD_start_daemon returns.  */
   *out = hs;
   hs->daemon = start_daemon (hs, &address);
@@ -351,6 +442,7 @@
   hs->port = info ? info->port : ntohs (address.sin_port);
   info = MHD_get_daemon_info (hs->daemon, MHD_DAEMON_INFO_LISTEN_FD);
   hs->listener = info ? info->listen_fd : -1;
+  limit_unread (hs->listener);
   return HS_OK;
 }
 
@@ -399,6 +491,7 @@
   ex->response = r;
   pthread_mutex_lock (&ex->server->lock);
   qt_answered (&ex->server->quota, &ex->place->quota);
+  drop_body (ex);
   pthread_mutex_unlock (&ex->server->lock);
   atomic_fetch_sub (&ex->server->unanswered, 1);
   MHD_resume_connection (ex->connection);
@@ -479,7 +572,9 @@
 {
   pthread_mutex_lock (&hs->lock);
   *out = (struct hs_counts){ .open = hs->quota.open,
-                             .closed = hs->quota.closed };
+                             .closed = hs->quota.closed,
+                             .held = hs->quota.held,
+                             .dropped = hs->quota.dropped };
   pthread_mutex_unlock (&hs->lock);
 }
 
--- a/tests/net/test_serve.c
+++ b/tests/net/test_serve.c
@@ -190,6 +190,8 @@
   unlink (path);
 }
 
+static const char get_request[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+
 /* Connects to the server and sends the SIZE bytes of TEXT.  */
 static int
 connect_and_send (const char *text, size_t size)
@@ -225,6 +227,54 @@
   unlink (path);
 }
 
+/* Reads answers from FD until COUNT have come or the connection ends.  Returns
+   how many came.  */
+static int
+count_answers (int fd, int count, char text[1024])
+{
+  size_t used = 0;
+  int found = 0;
+
+  while (found < count)
+    {
+      ssize_t n = recv (fd, text + used, 1023 - used, 0);
+
+      if (n <= 0)
+        break;
+      used += (size_t)n;
+      text[used] = '\0';
+      found = 0;
+      for (const char *p = text; (p = strstr (p, "HTTP/1.1 200")); p++)
+        found++;
+    }
+  return found;
+}
+
+/* Guards against a refusal that does not reach a client that is still sending,
+   and against a second request in the same bytes that is taken for a part of
+   the first: the body is larger than all together may hold.  */
+static void
+test_large_body_then_request (void)
+{
+  static char request[2 * MAX_BODY + 256];
+  int head = sprintf (request,
+                      "POST / HTTP/1.1\r\nHost: x\r\n"
+                      "Content-Length: %d\r\n\r\n",
+                      2 * MAX_BODY);
+  char text[1024];
+  int fd;
+
+  memset (request + head, 'x', 2 * MAX_BODY);
+  strcpy (request + head + 2 * MAX_BODY, get_request);
+  start (NULL, NULL);
+  fd = connect_and_send (request, strlen (request));
+  CU_ASSERT_EQUAL (count_answers (fd, 2, text), 2);
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "POST - 0 1"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "GET - 0 0"));
+  close (fd);
+  stop ();
+}
+
 static void
 test_bad_addresses_are_refused (void)
 {
@@ -282,8 +332,6 @@
   CU_ASSERT_EQUAL_FATAL (sem_timedwait (&entered, &until), 0);
 }
 
-static const char get_request[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
-
 static void
 check_answer (int fd)
 {
@@ -338,6 +386,7 @@
     { "own answers", test_each_request_gets_its_own_answer },
     { "bounded bodies", test_bodies_are_bounded },
     { "TLS", test_tls },
+    { "large body, then a request", test_large_body_then_request },
     { "half handshakes", test_half_handshakes },
     { "bad addresses", test_bad_addresses_are_refused },
     { "stops listening", test_stopped_server_refuses_connections },
