Relay: keep no body of a stranger

Other VMs and callers saw: 600 bodies at the relay, without its secret, made the process 84 MB large.

Cause: the secret was compared when the whole body had arrived, and the readiness and metrics listeners kept bodies that no request of theirs has.

The HTTP server now asks whether to keep a body when its head has arrived. The answer stays the 403 at the end of the request, as one that closes the connection early may be lost and no longer prove "not run".

test_serve, "unwanted bodies"; it needs the new callback, so that it does not compile before.

--- a/include/skr/serve.h
+++ b/include/skr/serve.h
@@ -27,8 +27,8 @@
   const char *idempotency_key, *idempotency_attempt; /* or NULL */
   const char *body;                                  /* NUL-terminated */
   size_t body_size;                                  /* bytes */
-  /* The body is not kept, so that BODY is empty: it is larger than max_body,
-     or too much memory is in use for bodies.  */
+  /* Why the body is not kept, so that BODY is empty: it is larger than
+     max_body, or too much memory is in use for bodies.  */
   int too_large, dropped;
   char peer[64]; /* IP address of the client */
 };
@@ -62,6 +62,10 @@
    hs_answer must be called exactly once for EX, from any thread.  */
 typedef void hs_handle (void *arg, struct hs_exchange *ex);
 
+/* Called on a server thread once the head of a request has arrived.  Returns 0
+   if its body need not be kept; BODY is then empty.  */
+typedef int hs_wants_body (void *arg, struct hs_exchange *ex);
+
 struct hs_config
 {
   const char *listen;             /* "IP:PORT"; port 0 selects a free one */
@@ -77,8 +81,9 @@
      it ends.  */
   size_t max_body;
   int idle_s; /* seconds after which an idle connection is closed */
+  hs_wants_body *wants_body; /* NULL: each is kept */
   hs_handle *handle;
-  void *arg;
+  void *arg; /* of both */
 };
 
 /* Starts a server; returns 0 or an hs_error.  *OUT is set before the first
--- a/src/batch/loop.c
+++ b/src/batch/loop.c
@@ -6,6 +6,8 @@
 enum
 {
   RING_EVENTS = 8192,
+  READY_CONNECTIONS = 64,
+  METRICS_CONNECTIONS = 16,
   RELAY_CONNECTIONS = 256,
   /* Requests of the HTTP client: a long poll at each worker, orders, and calls
      to the store.  */
@@ -17,6 +19,7 @@
      one.  */
   ENTRY_CONNECTIONS = 32,
   MAX_BODY_BYTES = 262144, /* of a request; the largest job is far smaller */
+  MAX_PROBE_BODY_BYTES = 1024, /* at the listeners whose requests need none */
   IDLE_TIMEOUT_S = 30,
   MAX_EVENTS_PER_TICK = 256, /* events handled between two ticks */
   ACTIVE_TICK_MS = 40,
@@ -290,21 +293,17 @@
 }
 
 static int
-start_server (struct batch *b, struct hs_server **out, const char *listen,
-              hs_handle *handle, int connections)
+start_server (struct batch *b, struct hs_server **out, struct hs_config *c)
 {
-  struct hs_config c = { .listen = listen,
-                         .threads = 1,
-                         .max_connections = connections,
-                         .max_body = MAX_BODY_BYTES,
-                         .idle_s = IDLE_TIMEOUT_S,
-                         .handle = handle,
-                         .arg = b };
-  int error = *listen ? hs_new (out, &c) : 0;
+  int error;
 
+  c->threads = 1;
+  c->idle_s = IDLE_TIMEOUT_S;
+  c->arg = b;
+  error = *c->listen ? hs_new (out, c) : 0;
   if (error)
     {
-      struct lg_field f[] = { lg_str ("address", listen),
+      struct lg_field f[] = { lg_str ("address", c->listen),
                               lg_str ("reason", hs_strerror (error)) };
 
       lg_log (LG_LISTEN_FAILED, 2, f);
@@ -329,6 +328,34 @@
   return b->entry_port.client ? BS_OK : BS_ENOMEM;
 }
 
+static int
+start_servers (struct batch *b)
+{
+  const struct ba_settings *set = b->settings;
+  struct hs_config ready = { .listen = set->ready_listen,
+                             .max_connections = READY_CONNECTIONS,
+                             .max_body = MAX_PROBE_BODY_BYTES,
+                             .handle = fr_ready };
+  struct hs_config metrics = { .listen = set->metrics_listen,
+                               .max_connections = METRICS_CONNECTIONS,
+                               .max_body = MAX_PROBE_BODY_BYTES,
+                               .handle = sh_handle };
+  struct hs_config callers = { .listen = set->listen,
+                               .max_connections = (int)set->max_connections,
+                               .max_body = MAX_BODY_BYTES,
+                               .handle = fr_handle };
+  struct hs_config relay = { .listen = set->relay_listen,
+                             .max_connections = RELAY_CONNECTIONS,
+                             .max_body = MAX_BODY_BYTES,
+                             .wants_body = rl_wants_body,
+                             .handle = rl_handle };
+
+  return start_server (b, &b->ready_server, &ready)
+         || start_server (b, &b->metrics_server, &metrics)
+         || start_server (b, &b->caller_server, &callers)
+         || start_server (b, &b->relay.server, &relay);
+}
+
 int
 ba_start (struct batch *b, const struct ba_settings *set)
 {
@@ -361,13 +388,7 @@
   if (open_entry_port (b))
     return BS_ENOMEM;
   ta_init (b);
-  if (start_server (b, &b->ready_server, set->ready_listen, fr_ready, 64)
-      || start_server (b, &b->metrics_server, set->metrics_listen, sh_handle,
-                       16)
-      || start_server (b, &b->caller_server, set->listen, fr_handle,
-                       (int)set->max_connections)
-      || start_server (b, &b->relay.server, set->relay_listen, rl_handle,
-                       RELAY_CONNECTIONS))
+  if (start_servers (b))
     return BS_EOS;
   return bs_thread_start (&b->thread, loop_main, b);
 }
--- a/src/batch/relay.c
+++ b/src/batch/relay.c
@@ -303,6 +303,14 @@
          && !sodium_memcmp (secret, r->secret, RL_SECRET_SIZE - 1);
 }
 
+int
+rl_wants_body (void *arg, struct hs_exchange *ex)
+{
+  const struct batch *b = arg;
+
+  return has_secret (&b->relay, ex);
+}
+
 void
 rl_handle (void *arg, struct hs_exchange *ex)
 {
--- a/src/batch/relay.h
+++ b/src/batch/relay.h
@@ -93,6 +93,8 @@
 void rl_on_reply (struct batch *b, struct rl_call *c);
 /* Answers all relayed requests as unknown or not run.  */
 void rl_fail_all (struct batch *b);
+/* Returns 1 if EX has the secret, so that its body is kept.  */
+int rl_wants_body (void *arg, struct hs_exchange *ex);
 /* Accepts a request of another VM, on the HTTP server's thread.  */
 void rl_handle (void *arg, struct hs_exchange *ex);
 /* Returns 1 if EX was relayed to this VM.  */
--- a/src/net/serve.c
+++ b/src/net/serve.c
@@ -64,6 +64,7 @@
   size_t discarded;              /* bytes of a body that is not kept */
   struct MHD_Response *response; /* set by hs_answer */
   int status;
+  int is_unwanted;    /* config.wants_body has refused its body */
   int handler_called; /* the request was passed to config.handle */
 };
 
@@ -187,13 +188,15 @@
       = find_header (connection, "Idempotency-Attempt");
   ex->request.if_match = find_header (connection, "If-Match");
   set_peer_address (ex);
+  ex->is_unwanted
+      = hs->config.wants_body && !hs->config.wants_body (hs->config.arg, ex);
   return ex;
 }
 
 static int
 keeps_body (const struct hs_exchange *ex)
 {
-  return !ex->request.too_large && !ex->request.dropped;
+  return !ex->is_unwanted && !ex->request.too_large && !ex->request.dropped;
 }
 
 static void
--- a/tests/net/test_serve.c
+++ b/tests/net/test_serve.c
@@ -36,6 +36,13 @@
   rg_push (&ring, ex);
 }
 
+static int
+wants_body (void *arg, struct hs_exchange *ex)
+{
+  (void)arg;
+  return strcmp (hs_get_request (ex)->path, "/unwanted") != 0;
+}
+
 /* Answers the queued requests from a thread that is not the server's.  */
 static void *
 answer_all (void *arg)
@@ -68,6 +75,7 @@
                          .max_connections = MAX_CONNECTIONS,
                          .max_body = MAX_BODY,
                          .idle_s = 10,
+                         .wants_body = wants_body,
                          .handle = on_request };
 
   rg_init (&ring, 64);
@@ -275,6 +283,24 @@
   stop ();
 }
 
+/* Guards against the bodies of strangers, which the relay held until it
+   compared their secret.  */
+static void
+test_unwanted_bodies_are_not_kept (void)
+{
+  struct hc_client *hc = new_client (NULL);
+  struct hc_answer a;
+  char buf[128];
+
+  start (NULL, NULL);
+  send_request (hc, "http", "/unwanted", "abc", &a, buf);
+  CU_ASSERT_STRING_EQUAL (buf, "POST - 0 0");
+  send_request (hc, "http", "/", "abc", &a, buf);
+  CU_ASSERT_STRING_EQUAL (buf, "POST - 3 0");
+  stop ();
+  hc_free (hc);
+}
+
 static void
 test_bad_addresses_are_refused (void)
 {
@@ -387,6 +413,7 @@
     { "bounded bodies", test_bodies_are_bounded },
     { "TLS", test_tls },
     { "large body, then a request", test_large_body_then_request },
+    { "unwanted bodies", test_unwanted_bodies_are_not_kept },
     { "half handshakes", test_half_handshakes },
     { "bad addresses", test_bad_addresses_are_refused },
     { "stops listening", test_stopped_server_refuses_connections },
