skr-batch: refuse bodies with more values than a job before they are parsed

Callers saw: beside 400 bodies of 250 KB full of small values, an ordinary submission got no answer, and some of the crowd got 504.

Cause: the loop parsed each body into a tree, whose memory and time follow the number of values, which nothing bounded.

The HTTP server's thread counts the tokens of a body and refuses one with over 32,768 with 400; the largest job has 7,000. What callers and other VMs send is now checked by one function.

test_front, "many small values", failed before: the body was passed on.

--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -469,6 +469,9 @@
 /* front.c */
 /* Accepts a client request, on the HTTP server's thread.  */
 void fr_handle (void *arg, struct hs_exchange *ex);
+/* Passes EX, which SERVER has received, to the loop, or refuses it.  */
+void fr_enqueue (struct batch *b, struct hs_server *server,
+                 struct hs_exchange *ex);
 /* Reason of the refusal of a job whose id another account has used.  */
 #define FR_ID_TAKEN "not run: this id can't be used"
 /* Reason of the refusal of a job that was cancelled before it was known.  */
--- a/src/batch/front.c
+++ b/src/batch/front.c
@@ -9,6 +9,9 @@
 enum
 {
   BODY_SIZE = 256, /* bytes of an answer */
+  /* Values in the body of a request.  A job has 64 steps at most, each with
+     some 20 fields and 63 steps before it: 7,000 tokens.  */
+  MAX_JSON_TOKENS = 32768,
   /* A state that was last confirmed longer ago is not returned.  */
   STALE_MS = 3000,
   /* Wait for the store when the client sends no deadline.  */
@@ -338,20 +341,25 @@
   dispatch (b, ex, q, account ? account->name : NULL, subpath);
 }
 
-/* Runs on the HTTP server's thread.  */
 void
-fr_handle (void *arg, struct hs_exchange *ex)
+fr_enqueue (struct batch *b, struct hs_server *server, struct hs_exchange *ex)
 {
-  struct batch *b = arg;
+  const struct hs_request *r = hs_get_request (ex);
   struct ba_event *e;
 
-  if (hs_get_request (ex)->too_large)
+  if (r->too_large)
     {
       fr_refuse (ex, PAYLOAD_TOO_LARGE, "{\"error\":\"not run: too large\"}");
       return;
     }
-  if (hs_get_request (ex)->dropped
-      || hs_in_progress (b->caller_server) > b->settings->max_requests)
+  /* The loop must not spend its time on them.  */
+  if (bs_json_has_more (r->body, MAX_JSON_TOKENS))
+    {
+      fr_refuse (ex, BAD_REQUEST,
+                 "{\"error\":\"not run: more values than a job has\"}");
+      return;
+    }
+  if (r->dropped || hs_in_progress (server) > b->settings->max_requests)
     {
       fr_refuse (ex, UNAVAILABLE, "{\"error\":\"not run: too much at once\"}");
       return;
@@ -362,6 +370,15 @@
   ba_push (b, e);
 }
 
+/* Runs on the HTTP server's thread.  */
+void
+fr_handle (void *arg, struct hs_exchange *ex)
+{
+  struct batch *b = arg;
+
+  fr_enqueue (b, b->caller_server, ex);
+}
+
 void
 fr_ready (void *arg, struct hs_exchange *ex)
 {
--- a/src/batch/relay.c
+++ b/src/batch/relay.c
@@ -21,7 +21,6 @@
   MULTIPLE_CHOICES = 300,
   FORBIDDEN = 403,
   GONE = 410,
-  PAYLOAD_TOO_LARGE = 413,
   UNAVAILABLE = 503,
   OUTCOME_UNKNOWN = 504
 };
@@ -315,7 +314,6 @@
 rl_handle (void *arg, struct hs_exchange *ex)
 {
   struct batch *b = arg;
-  struct ba_event *e;
 
   if (!has_secret (&b->relay, ex))
     {
@@ -325,19 +323,5 @@
       fr_refuse (ex, FORBIDDEN, "{\"error\":\"not run: wrong secret\"}");
       return;
     }
-  if (hs_get_request (ex)->too_large)
-    {
-      fr_refuse (ex, PAYLOAD_TOO_LARGE, "{\"error\":\"not run: too large\"}");
-      return;
-    }
-  if (hs_get_request (ex)->dropped
-      || hs_in_progress (b->relay.server) > b->settings->max_requests)
-    {
-      fr_refuse (ex, UNAVAILABLE, "{\"error\":\"not run: too much at once\"}");
-      return;
-    }
-  e = g_new (struct ba_event, 1);
-  e->kind = BA_CLIENT_REQUEST;
-  e->u.request = ex;
-  ba_push (b, e);
+  fr_enqueue (b, b->relay.server, ex);
 }
--- a/tests/batch/test_front.c
+++ b/tests/batch/test_front.c
@@ -49,10 +49,13 @@
   g_strlcpy (e->body, answer->body, sizeof e->body);
 }
 
+static int pushed; /* events passed to the loop */
+
 void
 ba_push (struct batch *b, struct ba_event *e)
 {
   (void)b;
+  pushed++;
   g_free (e);
 }
 
@@ -653,6 +656,60 @@
   teardown ();
 }
 
+/* Calls fr_handle with a body of COUNT times ITEM in an array.  */
+static void
+send_array (const char *item, int count)
+{
+  GString *body = g_string_new ("[");
+
+  for (int i = 0; i < count; i++)
+    g_string_append (body, item);
+  g_string_append (body, "0]");
+  pushed = 0;
+  memset (&ex, 0, sizeof ex);
+  ex.request = (struct hs_request){ .method = "POST",
+                                    .path = "/p/" ID,
+                                    .body = body->str,
+                                    .body_size = body->len };
+  fr_handle (&batch, &ex);
+  g_string_free (body, TRUE);
+}
+
+/* Guards against a loop that is kept from its lease by bodies full of small
+   values: 250 KB of "[]," make a tree of 20 MB.  */
+static void
+test_many_small_values (void)
+{
+  setup ();
+  send_array ("[],", 80000);
+  CU_ASSERT_EQUAL (ex.status, 400);
+  CU_ASSERT_EQUAL (pushed, 0);
+  /* In a string they are no values.  */
+  send_array ("\"[],[],\\\"[],[],\",", 8000);
+  CU_ASSERT_EQUAL (ex.answers, 0);
+  CU_ASSERT_EQUAL (pushed, 1);
+  teardown ();
+}
+
+/* The largest job has 64 steps that each come after all before.  */
+static void
+test_largest_job_is_passed_on (void)
+{
+  GString *step = g_string_new ("{\"count\":1,\"cpu\":1,\"gang\":true,"
+                                "\"after\":[0");
+
+  for (int i = 1; i < SJ_MAX_STEPS; i++)
+    g_string_append_printf (step, ",%d", i);
+  g_string_append (step, "],\"a\":1,\"b\":1,\"c\":1,\"d\":1,\"e\":1,"
+                         "\"f\":1,\"g\":1,\"h\":1},");
+  setup ();
+  send_array (step->str, SJ_MAX_STEPS);
+  CU_ASSERT_EQUAL (ex.answers, 0);
+  CU_ASSERT_EQUAL (pushed, 1);
+  teardown ();
+  g_string_free (step, TRUE);
+}
+
 int
 main (void)
 {
@@ -677,6 +734,8 @@
     { "counts", test_counts_and_jobs_without_an_account },
     { "unknown key", test_unknown_key_on_a_public_queue },
     { "other account's id stored", test_row_of_another_account },
+    { "many small values", test_many_small_values },
+    { "largest job", test_largest_job_is_passed_on },
     CU_TEST_INFO_NULL,
   };
 
