skr-batch: handle requests of callers after those with deadlines

Callers and workers may have seen: while the loop handled many large submissions, the lease was not renewed and answers waited. Worked out, not shown by a run: 256 events of 10 ms before each look at the lease.

Cause: one queue for the requests of strangers and for what has a deadline.

Requests leave the ring for a queue of their own, from which the loop takes for 40 ms at most between its events and ticks, small ones first.

--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -11,6 +11,7 @@
 #include <stdatomic.h>
 
 #include "batch/ack.h"
+#include "batch/caller_queue.h"
 #include "batch/lease.h"
 #include "batch/order_queue.h"
 #include "batch/relay.h"
@@ -278,6 +279,7 @@
   int64_t wall_offset_ms; /* from the steady clock to the time of day */
   int64_t wall_seen_ms;   /* when the offset was last confirmed */
   struct rg_ring events;
+  struct cq_queue requests; /* of callers, out of EVENTS */
   struct hc_client *client;
   struct po_port port;
   /* For callers' requests and probes: with connections of its own, unless the
--- a/src/batch/loop.c
+++ b/src/batch/loop.c
@@ -36,6 +36,13 @@
   CLOSE_WAIT_MS = 20
 };
 
+static void
+refuse_request (struct hs_exchange *ex)
+{
+  fr_refuse (ex, UNAVAILABLE,
+             "{\"error\":\"not run: overloaded or stopping\"}");
+}
+
 /* Refuses an event for which the ring has no capacity or that comes after
    the loop closed it.  Only client requests can overflow the ring, as the
    number of calls in progress is bounded.  */
@@ -43,8 +50,7 @@
 refuse_event (struct ba_event *e)
 {
   if (e->kind == BA_CLIENT_REQUEST || e->kind == BA_STATUS_REQUEST)
-    fr_refuse (e->u.request, UNAVAILABLE,
-               "{\"error\":\"not run: overloaded or stopping\"}");
+    refuse_request (e->u.request);
   g_free (e);
 }
 
@@ -104,7 +110,7 @@
       handle_store_reply (b, e->u.reply.call, e->u.reply.rows);
       break;
     case BA_CLIENT_REQUEST:
-      fr_request (b, e->u.request);
+      cq_push (&b->requests, e->u.request);
       break;
     case BA_RELAY_REPLY:
       rl_on_reply (b, e->u.relayed);
@@ -165,18 +171,42 @@
   b->times = (struct ba_loop_times){ 0 };
 }
 
+/* Handles requests of callers for a bounded time.  */
+static void
+handle_requests (struct batch *b)
+{
+  int64_t begin_ms = bs_now_ms (&b->clock);
+  struct hs_exchange *ex;
+
+  if (!cq_count (&b->requests))
+    return;
+  b->now_ms = begin_ms;
+  cq_begin_turn (&b->requests, begin_ms);
+  while ((ex = cq_take (&b->requests, b->now_ms)))
+    {
+      fr_request (b, ex);
+      b->now_ms = bs_now_ms (&b->clock);
+    }
+  b->times.ms[BA_CLIENT_REQUEST] += b->now_ms - begin_ms;
+}
+
+/* Handles the events that wait, up to a number, then requests of callers.
+   Waits up to WAIT_MS if there are none.  */
 static void
 handle_events (struct batch *b, int wait_ms)
 {
   void *item;
 
+  if (cq_count (&b->requests))
+    wait_ms = 0;
   for (int n = 0; n < MAX_EVENTS_PER_TICK; n++)
     {
       if (rg_pop (&b->events, &item, n ? 0 : wait_ms) != BS_OK)
-        return;
+        break;
       b->now_ms = bs_now_ms (&b->clock);
       dispatch_timed (b, item);
     }
+  handle_requests (b);
 }
 
 static void
@@ -265,11 +295,14 @@
 static void
 refuse_remaining (struct batch *b)
 {
+  struct hs_exchange *ex;
   void *item;
 
   atomic_store (&b->closed, 1);
   while (rg_pop (&b->events, &item, CLOSE_WAIT_MS) == BS_OK)
     refuse_event (item);
+  while ((ex = cq_take_any (&b->requests)))
+    refuse_request (ex);
   pe_fail_all (b);
   rl_fail_all (b);
 }
@@ -376,6 +409,7 @@
   le_init (&b->lease, &le, set->vm, b->token);
   vw_init (&b->view);
   wk_init_orders (b);
+  cq_init (&b->requests);
   b->pending = g_ptr_array_new_with_free_func (pe_free);
   if (co_init (b) || rg_init (&b->events, RING_EVENTS))
     return BS_ENOMEM;
