--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -6,6 +6,11 @@
 #include "entry/entry.h"
 #include "skr/log.h"
 
+enum
+{
+  MAX_EVENTS_PER_TURN = 256 /* between two looks at the timers */
+};
+
 int64_t
 en_now_us (void)
 {
@@ -328,13 +333,15 @@
       int wait = tm_run (&core->timers, core->now_ms);
       void *item;
 
-      if (rg_pop (&core->events, &item, wait > 0 ? wait : 0) == BS_OK)
-        do
-          {
-            core->now_ms = bs_now_ms (&core->clock);
-            handle_event (core, item);
-          }
-        while (rg_pop (&core->events, &item, 0) == BS_OK);
+      /* A flood of events must not keep the timers from running.  */
+      for (int n = 0;
+           n < MAX_EVENTS_PER_TURN
+           && rg_pop (&core->events, &item, n || wait < 0 ? 0 : wait) == BS_OK;
+           n++)
+        {
+          core->now_ms = bs_now_ms (&core->clock);
+          handle_event (core, item);
+        }
       core->now_ms = bs_now_ms (&core->clock);
       if (!atomic_load (&core->stop))
         continue;
