Show what clients hold; skr-batch: 1,024 connections of callers by default

An operator could not see a crowd. Gauges by listener and event 302 now show connections and bytes held, connections closed and bodies dropped.

With 2,048 connections of callers, what clients may hold adds up to more than a VM has, and their descriptors leave 1,516 for the store and the workers. docs/MEMORY.md adds both up for 1,024.

--- a/include/skr/events.h
+++ b/include/skr/events.h
@@ -16,6 +16,7 @@
 
   /* net */
   LG_LISTEN_FAILED = 301,
+  LG_CLIENTS_GIVEN_UP = 302,
 
   /* table */
   LG_TABLE_DOWN = 401,
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -27,6 +27,13 @@
   /* net */
   { LG_LISTEN_FAILED, LG_ERROR, "listen-failed", "address reason",
     "The address could not be bound.", "free the port or change the setting" },
+  { LG_CLIENTS_GIVEN_UP, LG_WARNING, "clients-given-up",
+    "listener closed dropped open body_bytes",
+    "In the last second connections were closed, as others came, or "
+    "unfinished bodies were dropped, whose requests get 503 not run; open and "
+    "body_bytes are what clients hold now.",
+    "if it lasts, see MEMORY.md: clients misbehave, or the VM needs higher "
+    "limits" },
 
   /* table */
   { LG_TABLE_DOWN, LG_WARNING, "table-down", "reason",
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -22,6 +22,7 @@
 #include "skr/port.h"
 #include "skr/ring.h"
 #include "skr/serve.h"
+#include "skr/serve_watch.h"
 #include "skr/stat.h"
 
 /* Values of the flags of the same names; see main.c.  */
@@ -41,7 +42,8 @@
 
 enum
 {
-  BA_MAX_ACCOUNTS = 128 /* in the status and the gauges */
+  BA_MAX_ACCOUNTS = 128, /* in the status and the gauges */
+  BA_LISTENERS = 4       /* callers, readiness, metrics, relay */
 };
 
 /* Purpose of a call to the store.  */
@@ -265,8 +267,8 @@
   int headroom_kept, headroom_used;
   int store_wait, commit_duration;
   int accounts_over, accounts_waiting;
-  int waiting_jobs, waiting_orders, runs, accelerators_used, usable_workers,
-      is_holder, closed_domains, closed_workers;
+  int waiting_jobs, waiting_orders, waiting_requests, runs, accelerators_used,
+      usable_workers, is_holder, closed_domains, closed_workers;
   int slow_kept, fast_waits;
   int fast_workers, medium_workers, slow_workers, unknown_workers;
 };
@@ -286,6 +288,7 @@
      access to the store is not tracked.  */
   struct po_port entry_port;
   struct hs_server *caller_server, *ready_server, *metrics_server;
+  struct sw_watch watch[BA_LISTENERS];
   struct bs_thread thread;
   atomic_int ready, stop_requested;
   atomic_int closed; /* the loop accepts no more events */
--- a/src/batch/counters.c
+++ b/src/batch/counters.c
@@ -95,6 +95,8 @@
   c->commit_duration
       = st_series (r, ST_HISTOGRAM, "skr_batch_commit_seconds", "");
   c->waiting_jobs = st_series (r, ST_GAUGE, "skr_batch_waiting_jobs", "");
+  c->waiting_requests
+      = st_series (r, ST_GAUGE, "skr_batch_waiting_requests", "");
   c->waiting_orders = st_series (r, ST_GAUGE, "skr_batch_waiting_orders", "");
   c->runs = st_series (r, ST_GAUGE, "skr_batch_runs", "");
   c->accelerators_used
@@ -170,5 +172,6 @@
           b->access.path[AC_WRITES].state);
   st_set (&b->stats, c->shard, c->closed_domains, b->domains.count);
   st_set (&b->stats, c->shard, c->closed_workers, counts->closed_workers);
+  st_set (&b->stats, c->shard, c->waiting_requests, cq_count (&b->requests));
   set_account_gauges (b);
 }
--- a/src/batch/loop.c
+++ b/src/batch/loop.c
@@ -239,6 +239,8 @@
       b->counted_ms = b->now_ms;
       co_tick (b, &counts);
       us_tick (b, &counts);
+      for (int i = 0; i < BA_LISTENERS; i++)
+        sw_tick (&b->watch[i], &b->stats, b->counters.shard);
     }
   atomic_store (&b->ready, b->config && b->job_follower.synced
                                && ba_config_is_fresh (b) && !b->stopping_at_ms
@@ -383,10 +385,16 @@
                              .wants_body = rl_wants_body,
                              .handle = rl_handle };
 
-  return start_server (b, &b->ready_server, &ready)
-         || start_server (b, &b->metrics_server, &metrics)
-         || start_server (b, &b->caller_server, &callers)
-         || start_server (b, &b->relay.server, &relay);
+  if (start_server (b, &b->ready_server, &ready)
+      || start_server (b, &b->metrics_server, &metrics)
+      || start_server (b, &b->caller_server, &callers)
+      || start_server (b, &b->relay.server, &relay))
+    return BS_EOS;
+  b->watch[0] = (struct sw_watch){ b->caller_server, "callers" };
+  b->watch[1] = (struct sw_watch){ b->ready_server, "readiness" };
+  b->watch[2] = (struct sw_watch){ b->metrics_server, "metrics" };
+  b->watch[3] = (struct sw_watch){ b->relay.server, "relay" };
+  return BS_OK;
 }
 
 int
--- a/src/batch/main.c
+++ b/src/batch/main.c
@@ -79,8 +79,12 @@
     "processor cores of this VM; a VM with fewer than 0.5 waits longer "
     "before it acquires the scheduler's lease",
     FIELD (processor) },
-  { "max-connections", OPT_INT, "connections", 1, 100000, "2048",
-    "maximum number of client connections", FIELD (max_connections) },
+  { "max-connections", OPT_INT, "connections", 1, 100000, "1024",
+    "maximum number of client connections; from seven eighths of it on, each "
+    "new one closes the one that has waited for longest. Each may hold 16 KiB "
+    "of a request body, and larger bodies together 16 KiB for each; docs/"
+    "MEMORY.md adds up the memory",
+    FIELD (max_connections) },
   { "max-requests", OPT_INT, "requests", 1, 100000, "512",
     "maximum number of client requests in progress; further requests are "
     "refused",
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -18,6 +18,7 @@
 #include "skr/peer.h"
 #include "skr/ring.h"
 #include "skr/serve.h"
+#include "skr/serve_watch.h"
 #include "skr/stat.h"
 #include "skr/table.h"
 #include "skr/timer.h"
@@ -28,6 +29,7 @@
   EN_TOKEN_SIZE = 33,          /* bytes of a token with its NUL */
   EN_INCARNATION_DIGITS = 16,  /* prefix of a token: names the process */
   EN_TICK_MS = 10,             /* period of deadline checks */
+  EN_WATCH_MS = 1000,          /* period of looks at the HTTP server */
   EN_POLL_MS = 1000,           /* period of polls of the platform */
   EN_VMS_CHECK_MS = 100,       /* period of checks for a due VM list read */
   EN_KEY_CLEANUP_MS = 4000,    /* between two scans for expired key rows */
@@ -216,6 +218,7 @@
   int64_t now_ms, started_ms;
   int64_t hedge_ms; /* p95 of answered attempts; 0: too few samples */
   struct hs_server *server;
+  struct sw_watch watch; /* of SERVER */
   struct hc_client *table_http, *upstream_http;
   struct tb_client *table;
   struct pr_net *net; /* NULL without peers */
@@ -407,6 +410,8 @@
 
 /* poll.c: periodic reads from the platform.  */
 
+/* Timer callback, each EN_WATCH_MS: shows what clients hold.  */
+void en_watch (void *arg, int64_t now_ms);
 /* Timer callback, each EN_POLL_MS.  */
 void en_poll (void *arg, int64_t now_ms);
 /* Handles the result of a table operation of the core itself.  */
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -59,7 +59,10 @@
     "maximum size of a request body", FIELD (max_body) },
   { "connections", OPT_INT, "connections", 1, 65536, "1024",
     "maximum number of incoming connections, and of connections to the "
-    "platform",
+    "platform; from seven eighths of it on, each new incoming one closes the "
+    "one that has waited for longest. Each may hold 16 KiB of a request body, "
+    "and larger bodies together 16 KiB for each; docs/MEMORY.md adds up the "
+    "memory",
     FIELD (connections) },
   { "idle-s", OPT_INT, "s", 1, 3600, "60",
     "time after which an idle incoming connection is closed", FIELD (idle_s) },
@@ -142,6 +145,7 @@
     lg_log (LG_LISTEN_FAILED, 2,
             (struct lg_field[]){ lg_str ("address", settings->listen),
                                  lg_str ("reason", hs_strerror (error)) });
+  core->watch = (struct sw_watch){ core->server, "callers" };
   return error;
 }
 
--- a/src/entry/start.c
+++ b/src/entry/start.c
@@ -52,6 +52,7 @@
   tm_init (&core->timers);
   tm_subscribe (&core->timers, now + EN_TICK_MS, EN_TICK_MS, en_tick, core);
   tm_subscribe (&core->timers, now, EN_POLL_MS, en_poll, core);
+  tm_subscribe (&core->timers, now, EN_WATCH_MS, en_watch, core);
   tm_subscribe (&core->timers, now, EN_VMS_CHECK_MS, en_vms_check, core);
   tm_subscribe (&core->timers, now + (int64_t)(en_jitter (core) * EN_POLL_MS),
                 EN_POLL_MS, en_heartbeat, core);
--- a/src/entry/status.c
+++ b/src/entry/status.c
@@ -55,6 +55,15 @@
   set_gauge (core, "skr_hedge_after_ms", core->hedge_ms);
 }
 
+void
+en_watch (void *arg, int64_t now_ms)
+{
+  struct en_core *core = arg;
+
+  (void)now_ms;
+  sw_tick (&core->watch, &core->stat, core->stat_shard);
+}
+
 static void
 answer_metrics (struct en_core *core, struct en_request *req)
 {
--- a/src/net/serve.c
+++ b/src/net/serve.c
@@ -28,7 +28,9 @@
   /* Bytes of a connection that the kernel receives before they are read; it
      may use twice as much.  */
   RECEIVE_BUFFER_BYTES = 16 * 1024,
-  BACKLOG = 512, /* connections that wait to be accepted, at most */
+  /* Connections that wait to be accepted, at most; no more than
+     max_connections.  */
+  BACKLOG = 512,
   /* Part of the connections, 1 in so many, that is kept free for those to
      come while others are closed for them.  */
   SPARE_SHARE = 8
@@ -362,6 +364,12 @@
   return inet_pton (AF_INET, ip, &out->sin_addr) == 1 ? HS_OK : HS_EINVAL;
 }
 
+static int
+count_backlog (const struct hs_config *config)
+{
+  return config->max_connections < BACKLOG ? config->max_connections : BACKLOG;
+}
+
 static struct MHD_Daemon *
 start_daemon (struct hs_server *hs, const struct sockaddr_in *address)
 {
@@ -377,11 +385,11 @@
   return MHD_start_daemon (
       flags, 0, NULL, NULL, on_access, hs, MHD_OPTION_SOCK_ADDR, address,
       MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_LISTEN_BACKLOG_SIZE,
-      (unsigned)BACKLOG, MHD_OPTION_THREAD_POOL_SIZE, (unsigned)c->threads,
-      MHD_OPTION_CONNECTION_LIMIT, (unsigned)c->max_connections,
-      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)c->idle_s,
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)MAX_HEAD_BYTES,
-      MHD_OPTION_NOTIFY_COMPLETED, on_completed, hs,
+      (unsigned)count_backlog (c), MHD_OPTION_THREAD_POOL_SIZE,
+      (unsigned)c->threads, MHD_OPTION_CONNECTION_LIMIT,
+      (unsigned)c->max_connections, MHD_OPTION_CONNECTION_TIMEOUT,
+      (unsigned)c->idle_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      (size_t)MAX_HEAD_BYTES, MHD_OPTION_NOTIFY_COMPLETED, on_completed, hs,
       MHD_OPTION_NOTIFY_CONNECTION, on_connection, hs, MHD_OPTION_ARRAY,
       c->tls_cert ? tls : none, MHD_OPTION_END);
 }
--- a/src/sched/counters.c
+++ b/src/sched/counters.c
@@ -80,6 +80,7 @@
 
   (void)now_ms;
   hc_count (s->hc, &counts);
+  sw_tick (&s->watch, &s->stat, s->shard);
   set_gauge (s, "skr_cells_held", "", sc_held_count (s));
   set_gauge (s, "skr_http_requests_total", "", counts.requests);
   set_gauge (s, "skr_http_bytes_total", "dir=\"out\"", counts.bytes_out);
@@ -163,7 +164,10 @@
   s->shard = st_attach (&s->stat);
   if (!*s->settings->listen)
     return CT_OK;
-  return hs_new (&s->server, &config) ? CT_EINVAL : CT_OK;
+  if (hs_new (&s->server, &config))
+    return CT_EINVAL;
+  s->watch = (struct sw_watch){ s->server, "counters" };
+  return CT_OK;
 }
 
 void
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -16,6 +16,7 @@
 #include "skr/peer.h"
 #include "skr/ring.h"
 #include "skr/serve.h"
+#include "skr/serve_watch.h"
 #include "skr/stat.h"
 #include "skr/table.h"
 #include "skr/timer.h"
@@ -122,6 +123,7 @@
 
   struct st_registry stat;
   struct hs_server *server; /* NULL when no counters address is set */
+  struct sw_watch watch;    /* of SERVER */
 };
 
 /* loop.c */
--- a/tests/crowds/fake_batch.h
+++ b/tests/crowds/fake_batch.h
@@ -7,8 +7,8 @@
 
 enum
 {
-  /* The settings of these tests, a quarter of the default connections and an
-     eighth of the default requests.  */
+  /* The settings of these tests: a quarter of 2,048 connections, an eighth of
+     512 requests.  */
   FB_CONNECTIONS = 512,
   FB_REQUESTS = 64,
   FB_BODY_BYTES = 260000, /* of a legal body */
