Soak: crowds of clients that don't behave

A crowd of 240 connections, more than the VM's limit of 200, holds unfinished heads and bodies open at a random VM. It is no fault of the VM, so that all promises to the other callers are checked meanwhile.

--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -15,7 +15,8 @@
   MAX_EVACUATION_GAP_MS = 6000, /* between two evacuations of a domain */
   /* Longer than the time after which nothing may start there.  */
   MAX_EVACUATION_MS = 2 * SF_EVACUATION_MS,
-  MAX_GREY_GAP_MS = 1000, /* from one grey worker to the next */
+  MAX_CROWD_GAP_MS = 4000, /* between two crowds */
+  MAX_GREY_GAP_MS = 1000,  /* from one grey worker to the next */
   MAX_GREY_REBORN_GAP_MS = 1500,
   /* A try of a start goes unanswered for 300 ms.  */
   MAX_GREY_REBORN_MS = 400,
@@ -57,6 +58,7 @@
   STALLED_WRITES,
   EVACUATED_DOMAIN,
   GREY_WORKER,
+  CROWD,
   USUAL_FAULTS, /* number of those that need not be named */
   REBORN_GREY_WORKER = USUAL_FAULTS,
   REPLACED_GREY_WORKER,
@@ -70,7 +72,7 @@
   "history gone",   "worker crash",   "worker reborn", "worker late",
   "worker fails",   "worker cut",     "worker leaves", "configuration",
   "worker shrinks", "writes stalled", "evacuation",    "worker grey",
-  "grey reborn",    "grey replaced"
+  "crowd",          "grey reborn",    "grey replaced"
 };
 
 /* A fault in effect.  */
@@ -272,6 +274,9 @@
       so_store_set_fault_until (s, h->end_ms);
       set_store_fault (s, SF_STORE_NO_WRITES);
       break;
+    case CROWD:
+      so_crowd_come (&s->crowd[h->vm], s, h->vm, h->worker);
+      break;
     case EVACUATED_DOMAIN:
       /* The row's presence is the request, whatever its value.  */
       sf_evacuate (&s->platform, s->platform.worker[h->worker].domain,
@@ -353,6 +358,9 @@
     case SHRUNK_WORKER:
       sf_set_capacity (&s->platform, h->worker, 100);
       break;
+    case CROWD:
+      so_crowd_leave (&s->crowd[h->vm]);
+      break;
     case EVACUATED_DOMAIN:
       sf_evacuate (&s->platform, s->platform.worker[h->worker].domain, NULL);
       break;
@@ -436,6 +444,9 @@
 {
   struct active_fault h
       = { .kind = t->kind,
+          .vm = t->kind == CROWD
+                    ? g_rand_int_range (t->rand, 0, (gint32)p->soak->vms)
+                    : 0,
           .worker = g_rand_int_range (t->rand, 0, (gint32)p->soak->workers),
           .end_ms
           = now + g_rand_int_range (t->rand, MIN_FAULT_MS, t->max_ms) };
@@ -518,6 +529,8 @@
       g_rand_new_with_seed (seed ^ 0x42524e47), 0 },
     { REPLACED_GREY_WORKER, MAX_GREY_REBORN_GAP_MS, MAX_GREY_REBORN_MS,
       g_rand_new_with_seed (seed ^ 0x52504c47), 0 },
+    { CROWD, MAX_CROWD_GAP_MS, MAX_FAULT_MS,
+      g_rand_new_with_seed (seed ^ 0x43524f57), 0 },
   };
   int streams = (int)G_N_ELEMENTS (stream);
   struct injector p
@@ -549,6 +562,8 @@
         }
       inject_due_faults (&p, stream, streams, now);
       end_due_faults (&p, now);
+      for (int vm = 0; vm < s->vms; vm++)
+        so_crowd_tick (&s->crowd[vm]);
       so_vm_reap (s);
       restart_vms (&p);
       usleep (TICK_MS * 1000);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -28,6 +28,9 @@
   SO_REVOKE_MS = 5000,     /* until every VM rejects a removed key */
   SO_MIN_CUT_MS = 200,     /* a connection that ends sooner after the request
                              does not count as cut */
+  /* The VMs' limit of connections, and a crowd that passes it.  */
+  SO_CONNECTIONS = 200,
+  SO_CROWD = 240,
   SO_URL_SIZE = 128
 };
 
@@ -52,6 +55,13 @@
   int changing;
 };
 
+struct so_crowd
+{
+  int count, kind; /* count 0: there is none */
+  int fd[SO_CROWD], sent[SO_CROWD];
+  int64_t trickle_ms; /* when the next bytes are due */
+};
+
 struct soak
 {
   uint64_t seed;
@@ -66,6 +76,7 @@
   struct so_vm vm[SF_MAX_VMS];
   int64_t store_faulty_until_ms; /* end of its last unplanned fault */
   struct so_config config;
+  struct so_crowd crowd[SF_MAX_VMS]; /* of the injector's thread */
   int vm_port;
   atomic_int no_new_work; /* clients submit and cancel nothing */
   atomic_int stopping;
@@ -130,6 +141,13 @@
 void so_check_config (struct soak *s, struct so_connection *c, GRand *rand);
 void so_change_config (struct soak *s);
 
+/* Brings a crowd to VM, unless one is there; what it sends follows KIND.  */
+void so_crowd_come (struct so_crowd *c, const struct soak *s, int vm,
+                    int kind);
+/* Sends what is due, without blocking.  */
+void so_crowd_tick (struct so_crowd *c);
+void so_crowd_leave (struct so_crowd *c);
+
 /* Sets the kinds of faults from the option.  Returns 0, or -1 if a name is
    unknown.  */
 int so_choose_faults (struct soak *s);
--- a/tests/soak/vms.c
+++ b/tests/soak/vms.c
@@ -85,6 +85,7 @@
   snprintf (arg[count++], ARG_SIZE, "--grace-ms=%d", SO_STOP_GRACE_MS);
   snprintf (arg[count++], ARG_SIZE, "--revoke-ms=%d", SO_REVOKE_MS);
   snprintf (arg[count++], ARG_SIZE, "--evacuation-ms=%d", SF_EVACUATION_MS);
+  snprintf (arg[count++], ARG_SIZE, "--max-connections=%d", SO_CONNECTIONS);
   snprintf (arg[count++], ARG_SIZE, "--settings=%s/vm%d.conf", s->dir, n);
   /* Odd seeds also play the settings of access to the store.  */
   if (s->seed % 2)
