--- a/include/skr/events.h
+++ b/include/skr/events.h
@@ -91,6 +91,7 @@
   LG_FAULT_POINT = 602,
   LG_REQUEST_ANSWERED = 603,
   LG_REQUEST_GIVEN_UP = 604,
+  LG_REQUEST_NOT_TAKEN = 605,
 
   /* programs */
   LG_BAD_KEY = 701
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -342,6 +342,13 @@
     "id call status reason version config_age_ms jobs_age_ms",
     "A caller's request about a job was refused or its outcome is unknown.",
     "look for events of the store" },
+  { LG_REQUEST_NOT_TAKEN, LG_NOTICE, "request-not-taken",
+    "peer path status reason bytes",
+    "A request was refused before it reached the loop, so that nothing ran: "
+    "its body is too large (413), has too many values (400), or was dropped "
+    "for want of memory, or too many requests are in progress (503).",
+    "see MEMORY.md if it lasts; peer is the client, or the balancer before "
+    "it" },
 
   /* programs */
   { LG_BAD_KEY, LG_INFO, "bad-key", "peer",
--- a/src/batch/counters.c
+++ b/src/batch/counters.c
@@ -18,6 +18,19 @@
     }
 }
 
+/* The series of what waits.  */
+static void
+init_waiting (struct batch *b)
+{
+  struct ba_counters *c = &b->counters;
+  struct st_registry *r = &b->stats;
+
+  c->waiting_jobs = st_series (r, ST_GAUGE, "skr_batch_waiting_jobs", "");
+  c->waiting_orders = st_series (r, ST_GAUGE, "skr_batch_waiting_orders", "");
+  c->waiting_requests
+      = st_series (r, ST_GAUGE, "skr_batch_waiting_requests", "");
+}
+
 /* The series of transactions and of records that can't be stored.  */
 static void
 init_commits (struct batch *b)
@@ -94,10 +107,7 @@
       = st_series (r, ST_HISTOGRAM, "skr_batch_store_wait_seconds", "");
   c->commit_duration
       = st_series (r, ST_HISTOGRAM, "skr_batch_commit_seconds", "");
-  c->waiting_jobs = st_series (r, ST_GAUGE, "skr_batch_waiting_jobs", "");
-  c->waiting_requests
-      = st_series (r, ST_GAUGE, "skr_batch_waiting_requests", "");
-  c->waiting_orders = st_series (r, ST_GAUGE, "skr_batch_waiting_orders", "");
+  init_waiting (b);
   c->runs = st_series (r, ST_GAUGE, "skr_batch_runs", "");
   c->accelerators_used
       = st_series (r, ST_GAUGE, "skr_batch_accelerators_used", "");
--- a/src/batch/front.c
+++ b/src/batch/front.c
@@ -341,6 +341,21 @@
   dispatch (b, ex, q, account ? account->name : NULL, subpath);
 }
 
+/* Refuses EX on the HTTP server's thread.  */
+static void
+refuse_before_loop (struct hs_exchange *ex, int status, const char *reason)
+{
+  const struct hs_request *r = hs_get_request (ex);
+  char body[BODY_SIZE];
+  struct lg_field f[] = { lg_str ("peer", r->peer), lg_str ("path", r->path),
+                          lg_int ("status", status), lg_str ("reason", reason),
+                          lg_int ("bytes", (int64_t)r->body_size) };
+
+  lg_log (LG_REQUEST_NOT_TAKEN, 5, f);
+  snprintf (body, sizeof body, "{\"error\":\"not run: %s\"}", reason);
+  fr_refuse (ex, status, body);
+}
+
 void
 fr_enqueue (struct batch *b, struct hs_server *server, struct hs_exchange *ex)
 {
@@ -349,19 +364,24 @@
 
   if (r->too_large)
     {
-      fr_refuse (ex, PAYLOAD_TOO_LARGE, "{\"error\":\"not run: too large\"}");
+      refuse_before_loop (ex, PAYLOAD_TOO_LARGE, "too large");
       return;
     }
   /* The loop must not spend its time on them.  */
   if (bs_json_has_more (r->body, MAX_JSON_TOKENS))
     {
-      fr_refuse (ex, BAD_REQUEST,
-                 "{\"error\":\"not run: more values than a job has\"}");
+      refuse_before_loop (ex, BAD_REQUEST, "more values than a job has");
+      return;
+    }
+  if (r->dropped)
+    {
+      refuse_before_loop (ex, UNAVAILABLE,
+                          "too much memory in use for request bodies");
       return;
     }
-  if (r->dropped || hs_in_progress (server) > b->settings->max_requests)
+  if (hs_in_progress (server) > b->settings->max_requests)
     {
-      fr_refuse (ex, UNAVAILABLE, "{\"error\":\"not run: too much at once\"}");
+      refuse_before_loop (ex, UNAVAILABLE, "too much at once");
       return;
     }
   e = g_new (struct ba_event, 1);
--- a/tests/net/test_serve.c
+++ b/tests/net/test_serve.c
@@ -273,7 +273,7 @@
   int fd;
 
   memset (request + head, 'x', 2 * MAX_BODY);
-  strcpy (request + head + 2 * MAX_BODY, get_request);
+  memcpy (request + head + 2 * MAX_BODY, get_request, sizeof get_request);
   start (NULL, NULL);
   fd = connect_and_send (request, strlen (request));
   CU_ASSERT_EQUAL (count_answers (fd, 2, text), 2);
