skr-entry: bound the JSON trees of all requests in progress

Cause: each call and job in progress keeps its body as a tree, whose size follows the number of its values; only the bytes of the text were bounded.

A filter before the decoding counts tokens and refuses a body as overload when those of all in progress would pass 262,144; one alone is served.

test_chain, "tokens are bounded", fails without the filter.

--- a/include/skr/base.h
+++ b/include/skr/base.h
@@ -94,10 +94,10 @@
    else 0.  */
 int bs_stop_wait (int timeout_ms);
 
-/* Returns 1 if the JSON of TEXT has more than MAX_TOKENS opening brackets and
-   braces, commas and colons outside its strings, of which each value has one
-   at least.  TEXT need not be valid.  A tree of many small values takes fifty
-   times the memory of its text and long to build; this takes neither.  */
-int bs_json_has_more (const char *text, int max_tokens);
+/* Counts the opening brackets and braces, commas and colons of the JSON of
+   TEXT outside its strings, of which each value has one at least.  TEXT need
+   not be valid.  A tree of many small values takes fifty times the memory of
+   its text and long to build; the count tells before.  */
+int bs_json_tokens (const char *text);
 
 #endif
--- a/src/base/json_size.c
+++ b/src/base/json_size.c
@@ -11,17 +11,17 @@
 }
 
 int
-bs_json_has_more (const char *text, int max_tokens)
+bs_json_tokens (const char *text)
 {
   int tokens = 0;
 
-  for (const char *p = text; *p && tokens <= max_tokens; p++)
+  for (const char *p = text; *p; p++)
     switch (*p)
       {
       case '"':
         p = skip_string (p + 1);
         if (!*p)
-          return tokens > max_tokens;
+          return tokens;
         break;
       case '[':
       case '{':
@@ -32,5 +32,5 @@
       default:
         break;
       }
-  return tokens > max_tokens;
+  return tokens;
 }
--- a/src/batch/front.c
+++ b/src/batch/front.c
@@ -368,7 +368,7 @@
       return;
     }
   /* The loop must not spend its time on them.  */
-  if (bs_json_has_more (r->body, MAX_JSON_TOKENS))
+  if (bs_json_tokens (r->body) > MAX_JSON_TOKENS)
     {
       refuse_before_loop (ex, BAD_REQUEST, "more values than a job has");
       return;
--- a/src/filter/chain.c
+++ b/src/filter/chain.c
@@ -151,15 +151,37 @@
   return r->problem.kind;
 }
 
-/* Decodes the body; runs only for an authenticated caller.  */
+/* Tells whether a refusal may say "not run", so that it goes before those.  */
 static enum fl_problem_kind
-decode (struct fl_env *env, struct fl_request *r)
+parse_attempt (struct fl_env *env, struct fl_request *r)
 {
   (void)env;
   if (r->attempt_text && fl_parse_attempt (r->attempt_text, &r->attempt))
     return fl_problem_set (&r->problem, FL_PROBLEM_KEY_REQUIRED, 0,
                            "Idempotency-Attempt must be 1 to %d",
                            FL_MAX_ATTEMPT);
+  return FL_PROBLEM_NONE;
+}
+
+/* Bounds the memory of the trees that decode makes.  */
+static enum fl_problem_kind
+bound_tokens (struct fl_env *env, struct fl_request *r)
+{
+  int tokens = r->body_size ? bs_json_tokens (r->body) : 0;
+
+  if (tokens && env->tokens && env->tokens + tokens > FL_MAX_TOKENS)
+    return fl_problem_set (&r->problem, FL_PROBLEM_OVERLOAD, env->jitter,
+                           "this attempt was not run");
+  r->tokens = tokens;
+  env->tokens += tokens;
+  return FL_PROBLEM_NONE;
+}
+
+/* Decodes the body; runs only for an authenticated caller.  */
+static enum fl_problem_kind
+decode (struct fl_env *env, struct fl_request *r)
+{
+  (void)env;
   switch (r->op)
     {
     case FL_OP_LIST_PUT:
@@ -303,8 +325,9 @@
 fl_chain_run (struct fl_env *env, struct fl_request *r)
 {
   static filter *const chain[]
-      = { parse_path,   authenticate,      check_permission, decode,
-          apply_limits, check_idempotency, shed_load,        route };
+      = { parse_path,   authenticate, check_permission, parse_attempt,
+          bound_tokens, decode,       apply_limits,     check_idempotency,
+          shed_load,    route };
 
   for (size_t i = 0; i < sizeof chain / sizeof chain[0]; i++)
     if (chain[i](env, r) != FL_PROBLEM_NONE)
@@ -323,4 +346,6 @@
   r->admitted = 0;
   json_decref (r->json);
   r->json = NULL;
+  env->tokens -= r->tokens;
+  r->tokens = 0;
 }
--- a/src/filter/chain.h
+++ b/src/filter/chain.h
@@ -15,7 +15,10 @@
 enum
 {
   FL_OPERATOR = -1, /* the operator, in place of an account's handle */
-  FL_MAX_ID = 160,  /* characters of a key or job in a path */
+  /* Tokens of all bodies on this VM, at most, unless there is but one.  A tree
+     takes up to 150 bytes a token, so all 40 MB.  */
+  FL_MAX_TOKENS = 262144,
+  FL_MAX_ID = 160, /* characters of a key or job in a path */
   FL_ROW_KEY_SIZE = PR_ID_SIZE + FL_MAX_ID + 2,
   /* Load, in percent of max_in_progress, from which requests are refused:
      bulk jobs first, calls last.  */
@@ -65,6 +68,9 @@
   double jitter;
   int table_down;
   int in_progress, max_in_progress; /* requests on this VM */
+  /* Tokens of the bodies of those requests, as bs_json_tokens counts, whose
+     trees are kept; kept by the filters.  */
+  int tokens;
 };
 
 /* A request on its way through the chain.  The strings are the caller's.  */
@@ -81,6 +87,7 @@
   int account;            /* handle, or FL_OPERATOR */
   int admitted;           /* counted against the account's limits */
   json_t *json;           /* owned; freed by fl_request_fini */
+  int tokens;             /* of JSON, counted in the environment */
   union
   {
     struct fl_call_body call;
--- a/tests/filter/test_chain.c
+++ b/tests/filter/test_chain.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <glib.h>
+
 #include "filter/chain.h"
 #include "suite.h"
 
@@ -270,6 +272,34 @@
   CU_ASSERT_EQUAL (account[0].limit.in_progress, 0);
 }
 
+/* Guards against memory that grows with the small values of all bodies: one
+   alone is served, however many it has; the next has to wait for its end.  */
+static void
+test_tokens_are_bounded (void)
+{
+  GString *body = g_string_new ("{\"payload\":{\"a\":[");
+  struct fl_request first;
+
+  for (int i = 0; i < FL_MAX_TOKENS / 2; i++)
+    g_string_append (body, "{},");
+  g_string_append (body, "0]}}");
+  attempt = "1";
+  start ();
+  CU_ASSERT_NOT_EQUAL (run ("POST", "/v1/calls", "desk", body->str),
+                       FL_PROBLEM_OVERLOAD);
+  first = req;
+  req = (struct fl_request){ 0 };
+  CU_ASSERT_EQUAL (run ("POST", "/v1/calls", "desk", good_call),
+                   FL_PROBLEM_OVERLOAD);
+  CU_ASSERT_EQUAL (run ("GET", "/v1/jobs/d1~x", "desk", ""), FL_PROBLEM_NONE);
+  fl_request_fini (&env, &first);
+  CU_ASSERT_EQUAL (run ("POST", "/v1/calls", "desk", good_call),
+                   FL_PROBLEM_NONE);
+  fl_request_fini (&env, &req);
+  CU_ASSERT_EQUAL (env.tokens, 0);
+  g_string_free (body, TRUE);
+}
+
 static void
 test_not_run_needs_the_first_attempt_or_a_proof (void)
 {
@@ -466,6 +496,7 @@
     TEST (test_one_account_s_limit_is_not_the_other_s),
     TEST (test_queued_jobs_are_bounded),
     TEST (test_bulk_is_shed_first),
+    TEST (test_tokens_are_bounded),
     TEST (test_impossible_jobs_are_refused_at_once),
     TEST (test_jobs_go_home_first),
     TEST (test_jobs_need_the_table),
