HTTP server: count a request as answered after its connection is resumed

Found by reading the change again, not shown: hs_free, which may run once no request is unanswered, could find the connection of the last one suspended. A connection and what it holds is a client now; a dropped body leaves the quota in one place.

--- a/src/net/serve.c
+++ b/src/net/serve.c
@@ -36,7 +36,8 @@
   SPARE_SHARE = 8
 };
 
-struct connection
+/* A connection and what it holds.  */
+struct client
 {
   struct qt_conn quota;
   int fd;
@@ -60,7 +61,7 @@
 {
   struct hs_server *server;
   struct MHD_Connection *connection;
-  struct connection *place; /* of CONNECTION */
+  struct client *client; /* that owns CONNECTION */
   struct hs_request request;
   struct bd_body body;
   size_t discarded;              /* bytes of a body that is not kept */
@@ -116,7 +117,7 @@
 shut_down (struct qt_conn *c)
 {
   if (c)
-    shutdown (((struct connection *)c)->fd, SHUT_RDWR);
+    shutdown (((struct client *)c)->fd, SHUT_RDWR);
 }
 
 static void
@@ -125,7 +126,7 @@
 {
   const union MHD_ConnectionInfo *info = MHD_get_connection_info (
       connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  struct connection *c = calloc (1, sizeof *c);
+  struct client *c = calloc (1, sizeof *c);
 
   *context = c;
   if (!c)
@@ -141,7 +142,7 @@
                enum MHD_ConnectionNotificationCode code)
 {
   struct hs_server *hs = arg;
-  struct connection *c = *context;
+  struct client *c = *context;
 
   if (code == MHD_CONNECTION_NOTIFY_STARTED)
     {
@@ -157,8 +158,8 @@
   *context = NULL;
 }
 
-static struct connection *
-find_place (struct MHD_Connection *connection)
+static struct client *
+find_client (struct MHD_Connection *connection)
 {
   const union MHD_ConnectionInfo *info = MHD_get_connection_info (
       connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
@@ -170,17 +171,17 @@
 new_exchange (struct hs_server *hs, struct MHD_Connection *connection,
               const char *method, const char *path)
 {
-  struct connection *place = find_place (connection);
-  struct hs_exchange *ex = place ? calloc (1, sizeof *ex) : NULL;
+  struct client *client = find_client (connection);
+  struct hs_exchange *ex = client ? calloc (1, sizeof *ex) : NULL;
 
   if (!ex)
     return NULL;
   ex->server = hs;
   ex->connection = connection;
-  ex->place = place;
+  ex->client = client;
   pthread_mutex_lock (&hs->lock);
-  place->exchange = ex;
-  qt_head (&hs->quota, &place->quota);
+  client->exchange = ex;
+  qt_head (&hs->quota, &client->quota);
   pthread_mutex_unlock (&hs->lock);
   ex->request.method = method;
   ex->request.path = path;
@@ -204,6 +205,7 @@
 static void
 drop_body (struct hs_exchange *ex)
 {
+  qt_release (&ex->server->quota, &ex->client->quota);
   bd_fini (&ex->body);
   ex->request.body_size = 0;
 }
@@ -221,11 +223,11 @@
 
   if (capacity <= ex->body.capacity)
     return 1;
-  while (capacity > SMALL_BODY_BYTES && victim != &ex->place->quota
-         && (victim = qt_hold (&hs->quota, &ex->place->quota, capacity,
+  while (capacity > SMALL_BODY_BYTES && victim != &ex->client->quota
+         && (victim = qt_hold (&hs->quota, &ex->client->quota, capacity,
                                bs_now_ms (&hs->clock))))
     {
-      struct hs_exchange *other = ((struct connection *)victim)->exchange;
+      struct hs_exchange *other = ((struct client *)victim)->exchange;
 
       other->request.dropped = 1;
       drop_body (other);
@@ -247,7 +249,6 @@
   if (need > ex->server->config.max_body + 1)
     {
       ex->request.too_large = 1;
-      qt_release (&ex->server->quota, &ex->place->quota);
       drop_body (ex);
       return;
     }
@@ -280,7 +281,7 @@
   int may_begin;
 
   pthread_mutex_lock (&hs->lock);
-  may_begin = qt_begin (&hs->quota, &ex->place->quota);
+  may_begin = qt_begin (&hs->quota, &ex->client->quota);
   pthread_mutex_unlock (&hs->lock);
   if (!may_begin)
     return MHD_NO;
@@ -336,9 +337,8 @@
   if (ex->response)
     MHD_destroy_response (ex->response);
   pthread_mutex_lock (&hs->lock);
-  ex->place->exchange = NULL;
-  qt_release (&hs->quota, &ex->place->quota);
-  bd_fini (&ex->body);
+  ex->client->exchange = NULL;
+  drop_body (ex);
   pthread_mutex_unlock (&hs->lock);
   free (ex);
   *context = NULL;
@@ -485,6 +485,7 @@
 void
 hs_answer (struct hs_exchange *ex, const struct hs_answer *answer)
 {
+  struct hs_server *hs = ex->server;
   const char *body = answer->body ? answer->body : "";
   struct MHD_Response *r = MHD_create_response_from_buffer (
       strlen (body), (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY);
@@ -496,16 +497,17 @@
   for (int i = 0; i < HS_MAX_HEADERS && answer->header[i].name; i++)
     MHD_add_response_header (r, answer->header[i].name,
                              answer->header[i].value);
-  if (atomic_load (&ex->server->draining))
+  if (atomic_load (&hs->draining))
     MHD_add_response_header (r, "Connection", "close");
   ex->status = answer->status;
   ex->response = r;
-  pthread_mutex_lock (&ex->server->lock);
-  qt_answered (&ex->server->quota, &ex->place->quota);
+  pthread_mutex_lock (&hs->lock);
+  qt_answered (&hs->quota, &ex->client->quota);
   drop_body (ex);
-  pthread_mutex_unlock (&ex->server->lock);
-  atomic_fetch_sub (&ex->server->unanswered, 1);
+  pthread_mutex_unlock (&hs->lock);
   MHD_resume_connection (ex->connection);
+  /* Last, as hs_free must find no connection suspended.  */
+  atomic_fetch_sub (&hs->unanswered, 1);
 }
 
 void
