check_platform: give the held write a file of its own for its answer

The write in the background and the change of the mode both keep their answer in one file, and the change ends the hold, so that both are written at the same moment. The check is the same.

--- a/tests/stand/check_platform.sh
+++ b/tests/stand/check_platform.sh
@@ -83,7 +83,9 @@
 expect "a new connection is answered" '{"vms":[]}' "$(get "$P" /v1/vms)"
 
 faults '{"mode":"hold"}'
-txn "{\"ops\":[$(put held 1)]}" > "$work/held" &
+# Not by txn, which keeps its answer in the same file as faults below.
+curl -s -m 120 -d "{\"ops\":[$(put held 1)]}" "http://$P/v1/txn" \
+  > "$work/held" &
 holder=$!
 wait_for "$HANG" counter_is held 1
 expect "a held write is applied" 1 "$(get "$P" /v1/rows/t/held | jq .value.n)"
