HTTP server: serve with very few connections, too

Cause: the share of places kept free for newcomers, at least one a thread, took all of them. Then none is kept free. Found by reading the change again; test_serve, "single connection", fails before and passes now.

--- a/src/net/serve.c
+++ b/src/net/serve.c
@@ -410,7 +410,10 @@
 {
   int spare = config->max_connections / SPARE_SHARE;
 
-  return spare > config->threads ? spare : config->threads;
+  if (spare < config->threads)
+    spare = config->threads;
+  /* Of very few connections none can be spared.  */
+  return spare < config->max_connections ? spare : 0;
 }
 
 static size_t
--- a/tests/net/test_serve.c
+++ b/tests/net/test_serve.c
@@ -301,6 +301,28 @@
   hc_free (hc);
 }
 
+/* Guards against a limit so low that each connection is closed at once.  */
+static void
+test_single_connection_is_served (void)
+{
+  struct hs_config c = { .listen = "127.0.0.1:0",
+                         .threads = 1,
+                         .max_connections = 1,
+                         .max_body = MAX_BODY,
+                         .idle_s = 10,
+                         .handle = on_request };
+  int fd;
+  char text[1024];
+
+  rg_init (&ring, 64);
+  CU_ASSERT_EQUAL_FATAL (hs_new (&server, &c), HS_OK);
+  pthread_create (&answer_thread, NULL, answer_all, NULL);
+  fd = connect_and_send (get_request, sizeof get_request - 1);
+  CU_ASSERT_EQUAL (count_answers (fd, 1, text), 1);
+  close (fd);
+  stop ();
+}
+
 static void
 test_bad_addresses_are_refused (void)
 {
@@ -414,6 +436,7 @@
     { "TLS", test_tls },
     { "large body, then a request", test_large_body_then_request },
     { "unwanted bodies", test_unwanted_bodies_are_not_kept },
+    { "single connection", test_single_connection_is_served },
     { "half handshakes", test_half_handshakes },
     { "bad addresses", test_bad_addresses_are_refused },
     { "stops listening", test_stopped_server_refuses_connections },
