Log a line when a signal ends the process

Operators saw a VM that started again and nothing before that: its log ended in the middle, as if it had been killed.

The handler writes event 107 with the signal, the address, the build, the lease's term, the job and task that the thread worked on, and the code addresses of the calls. The program keeps frame pointers, as without them the calls can't be listed without allocating.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null)
 CFLAGS_ALL = -std=c11 -D_GNU_SOURCE -Wall -Wextra -Werror -Wshadow \
   -Wstrict-prototypes -Wmissing-prototypes -Wno-missing-field-initializers \
-  $(OPT) $(SAN) -Iinclude -Isrc -I. -Itests $(PKG_CFLAGS) $(CFLAGS)
+  -fno-omit-frame-pointer $(OPT) $(SAN) -Iinclude -Isrc -I. -Itests $(PKG_CFLAGS) $(CFLAGS)
 LIBS_ALL = $(PKG_LIBS) -lpthread -lm
 
 LIB_SRC := $(foreach d,$(LIBS),$(wildcard src/$d/*.c))
--- a/include/skr/base.h
+++ b/include/skr/base.h
@@ -71,6 +71,7 @@
 {
   struct apr_pool_t *pool;
   struct apr_thread_t *thread; /* NULL: not running */
+  char *signal_stack;
   void *(*run) (void *arg);
   void *arg;
 };
--- a/include/skr/events.h
+++ b/include/skr/events.h
@@ -13,6 +13,7 @@
   LG_RELOADED = 104,
   LG_RELOAD_REFUSED = 105,
   LG_LINES_DROPPED = 106,
+  LG_CRASHED = 107,
 
   /* net */
   LG_LISTEN_FAILED = 301,
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -23,6 +23,13 @@
     "In the last second so many lines of one event were dropped beyond its "
     "limit, or (of output) because the output was not writable.",
     "raise log-rate if the lines are needed" },
+  { LG_CRASHED, LG_ERROR, "crashed",
+    "signal address build term id occurrence step task frames",
+    "A signal ends the process, at that address of memory. term is that of "
+    "the lease held; id and what follows name the job and task that the "
+    "thread "
+    "worked on, if any; frames are code addresses, the innermost first.",
+    "see OPERATIONS.md, a VM that restarted by itself" },
 
   /* net */
   { LG_LISTEN_FAILED, LG_ERROR, "listen-failed", "address reason",
--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "batch/holder.h"
+#include "skr/crash.h"
 
 enum
 {
@@ -72,6 +73,7 @@
           .record_pieces = b->settings->record_pieces != 0 };
 
   b->term++;
+  cr_set_term (b->lease.epoch);
   b->term_began_ms = b->now_ms;
   b->phase = BA_LOADING;
   b->jobs_seen_version = b->lease.version;
@@ -105,6 +107,7 @@
   wk_fini_workers (b);
   b->phase = BA_STANDBY;
   b->term++;
+  cr_set_term (0);
   b->acquire_at_ms = 0;
   ta_set_poll_gap (b);
 }
--- a/src/batch/main.c
+++ b/src/batch/main.c
@@ -2,8 +2,10 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "batch/batch.h"
+#include "skr/crash.h"
 #include "skr/opt.h"
 
 enum
@@ -213,6 +215,7 @@
   check_settings (&set);
   if (lg_init ("skr-batch", set.log_output, (enum lg_level)set.log_level))
     fail ("--log-output must be plain, json or journald");
+  cr_install ("skr-batch", STDOUT_FILENO, !strcmp (set.log_output, "json"));
   lg_to_stdout ();
   lg_tune ((enum lg_level)set.log_level, (int)set.log_rate);
   if (bs_init () != BS_OK)
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -2,8 +2,10 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "entry/entry.h"
+#include "skr/crash.h"
 #include "skr/log.h"
 #include "skr/opt.h"
 
@@ -197,6 +199,8 @@
                settings.log_output);
       return EXIT_USAGE;
     }
+  cr_install ("skr-entry", STDERR_FILENO,
+              !strcmp (settings.log_output, "json"));
   bs_stop_on_signals ();
   if (en_core_init (&core, &settings))
     {
--- a/src/sched/main.c
+++ b/src/sched/main.c
@@ -1,8 +1,11 @@
 #include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
 
 #include "sched/sched.h"
+#include "skr/crash.h"
 #include "skr/log.h"
 #include "skr/opt.h"
 
@@ -127,6 +130,7 @@
     fail ("--cell-margin-ms must be at most half of --cell-lease-ms");
   if (lg_init ("skr-sched", set.log_output, (enum lg_level)set.log_level))
     fail ("--log-output must be plain, json or journald");
+  cr_install ("skr-sched", STDERR_FILENO, !strcmp (set.log_output, "json"));
   if (bs_init () != BS_OK)
     fail ("a library could not be initialised");
   bs_stop_on_signals ();
--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "skr/crash.h"
 #include "steps/blocked.h"
 #include "steps/order.h"
 
@@ -317,6 +318,7 @@
       int helped;
 
       /* A unit preempted in this round is considered again in a later one.  */
+      un_set_subject (u, u->first);
       if (u->state != UN_READY || now < u->not_before_ms || !su_may_start (u)
           || lo_give_up_if_spent (c, u, now))
         continue;
@@ -447,6 +449,7 @@
     {
       struct job *j = g_ptr_array_index (c->job_list, i);
 
+      cr_set_job (j->spec->id);
       if (!jb_ended (j) && !j->aside)
         jb_open_due_occurrences (c, j, now, wall_ms);
       for (guint k = 0; k < j->units->len; k++)
@@ -492,6 +495,7 @@
       lo_settle_old_losses (c);
     }
   update_jobs (c, now, wall_ms);
+  cr_clear ();
   if (!c->changed && now - c->decided_ms < ROUND_MS)
     return ROUND_MS - (now - c->decided_ms);
   c->changed = 0;
@@ -503,5 +507,6 @@
   su_count_suspects (c);
   if (!c->starts_held)
     place_all (c, now, wall_ms - now);
+  cr_clear ();
   return ROUND_MS;
 }
--- a/src/steps/health.c
+++ b/src/steps/health.c
@@ -424,6 +424,7 @@
 
   if (u->state != UN_ACTIVE || un_step (u)->is_continuous)
     return;
+  un_set_subject (u, u->first);
   for (int i = 0; i < u->count; i++)
     {
       struct member *m = &u->members[i];
--- a/src/steps/job.c
+++ b/src/steps/job.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "skr/crash.h"
 #include "steps/state.h"
 
 const struct sj_step *
@@ -11,6 +12,12 @@
   return &u->job->spec->step[u->step];
 }
 
+void
+un_set_subject (const struct unit *u, int index)
+{
+  cr_set_task (u->job->spec->id, u->occurrence, u->step, index);
+}
+
 int
 un_same_step (const struct unit *a, const struct unit *b)
 {
@@ -340,11 +347,14 @@
   pc_init (j);
   summarize_steps (j);
   c->changed = 1;
+  cr_set_job (spec->id);
   if (record && rc_read (c, j, record, now))
     {
+      cr_clear ();
       jb_free (j);
       return SJ_EINVAL;
     }
+  cr_clear ();
   g_hash_table_insert (c->jobs, spec->id, j);
   g_ptr_array_add (c->job_list, j);
   hd_add_job (c, j, now);
--- a/src/steps/listing.c
+++ b/src/steps/listing.c
@@ -1,6 +1,7 @@
 /* Reconciles the runs that a worker lists with the scheduler's state.  */
 #include <string.h>
 
+#include "skr/crash.h"
 #include "steps/state.h"
 
 enum
@@ -107,6 +108,7 @@
       /* The end of another member may have released M.  */
       if (!g_ptr_array_find (w->members, m, NULL) || m->state == MB_PLANNED)
         continue;
+      un_set_subject (m->unit, m->index);
       end = find_listed (l->ends, l->end_count, m);
       run = find_listed (l->runs, l->run_count, m);
       if (end)
@@ -187,5 +189,6 @@
   for (int i = 0; i < l->end_count; i++)
     apply_late_end (c, &l->ends[i], now);
   stop_unknown_runs (c, w, l);
+  cr_clear ();
   return SJ_OK;
 }
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -420,6 +420,8 @@
 
 /* job.c */
 const struct sj_step *un_step (const struct unit *u);
+/* Names task INDEX of U in the log line of a crash.  */
+void un_set_subject (const struct unit *u, int index);
 /* Whether A and B belong to the same step of the same occurrence.  */
 int un_same_step (const struct unit *a, const struct unit *b);
 struct job *jb_find (struct sj_cluster *c, const char *id);
