steps: an ended task of a gang has no worker

A VM ended with SIGSEGV as soon as it took the lease over, and so did the next one, again after each restart, as long as a job was partly ended: callers had no scheduler meanwhile.

Cause: nothing said what may be read of a task of a gang that has ended while others are still being stopped. Its member kept the pointer to its worker, but a member restored from a record had none, and a worker without runs is removed from the table. The estimates of what a stop costs and when a run ends by itself asked for the speed of that worker: of each member before it looked whether it had ended, and of the first member whatever its state. With speed-aware, while too few workers are measured, that reads through the pointer: NULL after a take-over, freed memory after the worker has left.

ru_end_member ends a member, that of a record too: the worker is NULL then and what described the run is zero. The estimates and the placement of siblings take the first member that has not ended. sj_check aborts where an ended member has a worker or a running one has none.

--- a/src/steps/cluster.c
+++ b/src/steps/cluster.c
@@ -144,11 +144,28 @@
     abort_check ("worker over capacity", w->id);
 }
 
+/* What state.h says of a member that has ended, and of its worker.  */
+static void
+check_member (const struct member *m)
+{
+  const char *id = m->unit->job->spec->id;
+
+  if (m->state != MB_ENDED && !m->worker)
+    abort_check ("run without a worker", id);
+  if (m->state == MB_ENDED && m->worker)
+    abort_check ("ended run still has a worker", id);
+  if (m->state == MB_ENDED
+      && (m->life_tag || m->started_ms || m->last_listed_ms
+          || m->progress_percent || m->pace_percent || m->average_pace > 0))
+    abort_check ("ended run is still described", id);
+}
+
 static void
 check_unit (const struct unit *u)
 {
   for (int i = 0; u->members && i < u->count; i++)
     {
+      check_member (&u->members[i]);
       if (u->state == UN_READY)
         abort_check ("waiting unit still has runs", u->job->spec->id);
       if (u->state == UN_ACTIVE && u->members[i].state == MB_ENDED)
--- a/src/steps/job.c
+++ b/src/steps/job.c
@@ -18,6 +18,15 @@
   cr_set_task (u->job->spec->id, u->occurrence, u->step, index);
 }
 
+const struct member *
+un_first_member (const struct unit *u)
+{
+  for (int i = 0; u->members && i < u->count; i++)
+    if (u->members[i].state != MB_ENDED)
+      return &u->members[i];
+  return NULL;
+}
+
 int
 un_same_step (const struct unit *a, const struct unit *b)
 {
--- a/src/steps/placement.c
+++ b/src/steps/placement.c
@@ -435,10 +435,11 @@
   for (guint i = 0; i < j->units->len; i++)
     {
       const struct unit *other = g_ptr_array_index (j->units, i);
+      const struct member *m = un_first_member (other);
 
-      if (other != u && other->members && un_same_step (other, u)
-          && !other->members[0].worker->domain_closed)
-        return other->members[0].worker->rack;
+      if (m && other != u && un_same_step (other, u)
+          && !m->worker->domain_closed)
+        return m->worker->rack;
     }
   return NULL;
 }
@@ -452,9 +453,10 @@
   for (guint i = 0; i < j->units->len; i++)
     {
       const struct unit *other = g_ptr_array_index (j->units, i);
+      const struct member *m = un_first_member (other);
 
-      if (other != u && other->members && un_same_step (other, u)
-          && other->members[0].worker->domain_closed)
+      if (m && other != u && un_same_step (other, u)
+          && m->worker->domain_closed)
         return 1;
     }
   return 0;
--- a/src/steps/record.c
+++ b/src/steps/record.c
@@ -369,14 +369,17 @@
 
       *m = (struct member){ .unit = u,
                             .index = u->first + i,
-                            .state = id ? MB_STARTING : MB_ENDED,
+                            .state = MB_STARTING,
                             .from_record = 1,
                             .life_tag = (int)json_integer_value (
                                 json_array_get (life_tags, (size_t)i)),
                             .last_progress_ms = now,
                             .started_ms = now };
       if (!id)
-        continue;
+        {
+          ru_end_member (m);
+          continue;
+        }
       m->worker = find_or_add_worker (c, id, now);
       wo_add_member (m);
     }
--- a/src/steps/run.c
+++ b/src/steps/run.c
@@ -137,6 +137,19 @@
   send_order (c, m, SJ_STOP);
 }
 
+void
+ru_end_member (struct member *m)
+{
+  if (m->worker)
+    wo_remove_member (m);
+  *m = (struct member){ .unit = m->unit,
+                        .index = m->index,
+                        .state = MB_ENDED,
+                        .from_record = m->from_record,
+                        .start_sent = m->start_sent,
+                        .start_refused = m->start_refused };
+}
+
 void
 ru_abort (struct sj_cluster *c, struct unit *u, enum sj_cause cause,
           int64_t now)
@@ -154,10 +167,7 @@
       struct member *m = &u->members[i];
 
       if (m->state == MB_PLANNED)
-        {
-          m->state = MB_ENDED;
-          wo_remove_member (m);
-        }
+        ru_end_member (m);
       else if (m->state == MB_STARTING || m->state == MB_RUNNING)
         ru_stop_member (c, m, now);
       ended &= m->state == MB_ENDED;
@@ -171,8 +181,7 @@
 {
   struct unit *u = m->unit;
 
-  m->state = MB_ENDED;
-  wo_remove_member (m);
+  ru_end_member (m);
   c->changed = 1;
   if (u->state == UN_ACTIVE && !all_ended (u))
     ru_abort (c, u, SJ_GANG_INCOMPLETE, now);
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -21,7 +21,11 @@
   MB_ENDED     /* no longer occupies capacity */
 };
 
-/* One task of a unit's current run.  */
+/* One task of a unit's current run.  Once it has ended, its worker is NULL, as
+   that may be removed from the table or unknown to the next holder, and of the
+   rest only unit, index, from_record, start_sent and start_refused are kept.
+   ru_end_member sees to it and sj_check checks it.  An active unit has no
+   ended member.  */
 struct member
 {
   struct unit *unit;
@@ -422,6 +426,8 @@
 const struct sj_step *un_step (const struct unit *u);
 /* Names task INDEX of U in the log line of a crash.  */
 void un_set_subject (const struct unit *u, int index);
+/* The first member of U's run that has not ended, or NULL.  */
+const struct member *un_first_member (const struct unit *u);
 /* Whether A and B belong to the same step of the same occurrence.  */
 int un_same_step (const struct unit *a, const struct unit *b);
 struct job *jb_find (struct sj_cluster *c, const char *id);
@@ -465,7 +471,9 @@
 void ru_abort (struct sj_cluster *c, struct unit *u, enum sj_cause cause,
                int64_t now);
 void ru_stop_member (struct sj_cluster *c, struct member *m, int64_t now);
-/* Marks M as ended and frees its capacity.  The remaining members of an
+/* Marks M as ended and frees its capacity, if it has a worker.  */
+void ru_end_member (struct member *m);
+/* Ends M.  The remaining members of an
    active run are aborted; after the last one the unit is
    requeued unless it is done.  */
 void ru_release_member (struct sj_cluster *c, struct member *m, int64_t now);
--- a/src/steps/victim.c
+++ b/src/steps/victim.c
@@ -44,12 +44,13 @@
 member_remaining_ms (const struct sj_cluster *c, const struct member *m,
                      int64_t now)
 {
-  int64_t run_ms = he_expected_run_ms (c, m), remaining_ms;
+  int64_t run_ms, remaining_ms;
 
   if (m->state == MB_ENDED)
     return 0;
   if (m->state == MB_STOPPING)
     return vi_is_overdue (c, m) ? INT64_MAX : vi_stop_ms (c);
+  run_ms = he_expected_run_ms (c, m);
   if (m->state != MB_RUNNING || !m->last_listed_ms)
     return MAX (run_ms - (now - m->started_ms), run_ms / 10);
   if (m->progress_percent < GANG_WAIT_PERCENT
@@ -60,14 +61,17 @@
 }
 
 /* Work since the last checkpoint, in milliseconds of a task.  Progress tells
-   more than the start for a run that was taken over.  */
+   more than the start for a run that was taken over.  The tasks of a gang
+   advance together, so that any one at work tells it.  */
 static int64_t
 lost_ms (const struct sj_cluster *c, const struct unit *u, int64_t now)
 {
-  const struct member *m = &u->members[0];
-  int64_t done_ms = now - m->started_ms;
-  int64_t interval_ms = c->settings.checkpoint_interval_ms;
+  const struct member *m = un_first_member (u);
+  int64_t interval_ms = c->settings.checkpoint_interval_ms, done_ms;
 
+  if (!m)
+    return 0;
+  done_ms = now - m->started_ms;
   if (vi_avoids_stops (c))
     done_ms
         = MAX (done_ms, he_expected_run_ms (c, m) * m->progress_percent / 100);
