tests/steps: drawn runs at the deployed settings, under sanitizers

No drawn run had the settings of deploy/batch.conf together with take-overs, late and lost answers, lost workers and ignored stops, so that reads of an ended task's worker were met only by the users.

--- a/Makefile
+++ b/Makefile
@@ -110,10 +110,17 @@
 # A resident size means nothing under sanitizers.
 ASAN_SRC := $(filter-out tests/crowds/test_crowd_memory.c \
   tests/crowds/test_crowd_entry.c,$(TEST_SRC))
+ASAN_MAKE = $(MAKE) -j$(shell nproc) BUILD=build/asan BIN=build/asan/bin \
+  SAN='-fsanitize=address,undefined'
 asan:
-	$(MAKE) -j$(shell nproc) BUILD=build/asan BIN=build/asan/bin \
-	  SAN='-fsanitize=address,undefined -fno-omit-frame-pointer' all build-tests
-	BIN=build/asan/bin tests/run $(ASAN_SRC:tests/%.c=build/asan/tests/%)
+	$(ASAN_MAKE) all build-tests
+	UBSAN_OPTIONS=halt_on_error=1 BIN=build/asan/bin \
+	  tests/run $(ASAN_SRC:tests/%.c=build/asan/tests/%)
+
+# The drawn runs; tests/steps/check_deployed.sh runs them.
+asan-drawn:
+	@$(ASAN_MAKE) -s build/asan/tests/steps/test_deployed \
+	  build/asan/tests/steps/test_ended_members
 
 # Programs of tests/fuzz, by libFuzzer; tests/fuzz/check_fuzz.sh runs them.
 FUZZ_BIN := $(patsubst %.c,$(BUILD)/%,$(wildcard tests/fuzz/fuzz_*.c))
@@ -161,7 +168,7 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all deps build-tests check demo asan fuzz fuzz-bins \
+.PHONY: all deps build-tests check demo asan asan-drawn fuzz fuzz-bins \
   bench bench-bins format format-check lint \
   tidy install clean
 .SECONDARY:
