steps: start a gang again whose record says that all its tasks have ended

Cause: the pieces of a gang are stored in several transactions. The piece of the last task can say that it has ended while another piece says that the run is over. The next holder joined the two into a run of ended tasks only, which waits for the end of one of them.

A placement that names no worker is no run now, so that the gang waits for its next one.

--- a/src/steps/record.c
+++ b/src/steps/record.c
@@ -468,15 +468,29 @@
   restore_unresolved (c, u, json_array_get (value, UNIT_UNRESOLVED), now);
 }
 
-/* Restores U's current run, if PLACEMENT is not empty.  */
+/* Whether PLACEMENT names a worker.  In pieces, the changes that end a gang's
+   last task and its run may be cut between them, so that all tasks have
+   ended.  */
+static int
+has_open_members (const json_t *placement)
+{
+  size_t i;
+  json_t *id;
+
+  json_array_foreach (placement, i, id) if (json_is_string (id)) return 1;
+  return 0;
+}
+
+/* Restores U's current run, if PLACEMENT has one that is not over.  */
 static int
 read_run (struct sj_cluster *c, struct unit *u, const json_t *placement,
           const json_t *life_tags, int64_t now)
 {
-  if (!json_array_size (placement))
-    return SJ_OK;
-  if (json_array_size (placement) != (size_t)u->count)
+  if (json_array_size (placement)
+      && json_array_size (placement) != (size_t)u->count)
     return SJ_EINVAL;
+  if (!has_open_members (placement))
+    return SJ_OK;
   restore_members (c, u, placement, life_tags, now);
   if (has_ended_members (placement))
     u->state = UN_STOPPING;
--- a/tests/steps/test_deployed.c
+++ b/tests/steps/test_deployed.c
@@ -225,6 +225,7 @@
   cluster.checkpoint_interval_ms = 1000;
   cluster.crash_mode.new_id = (int)(seed % 2);
   cluster.crash_mode.down_ms = 500 + draw (12000);
+  cluster.commit_rows = variant == FS_PIECES ? 1 + draw (4) : 0;
   cluster.run_scatter = draw (2) ? 0.25 : 0;
   cluster.faults = (struct fa_faults){
     .answer_lost = .05, .delayed = .08, .commit_fails = .05, .task_fails = .03
@@ -275,6 +276,9 @@
 
   for (unsigned seed = first; seed < first + count; seed++)
     play (seed, seed % 2 ? FS_DEPLOYED : (int)(seed / 2 % FS_VARIANTS));
+  /* A gang in pieces, all of whose tasks had ended, was never started
+     again.  */
+  play (232, FS_PIECES);
   CU_ASSERT (notes > 0);
 }
 
--- a/tests/steps/test_ended_members.c
+++ b/tests/steps/test_ended_members.c
@@ -174,6 +174,28 @@
   finish ();
 }
 
+/* The record of a gang's run may say that all tasks have ended: a change in
+   pieces can be cut after that of the last task's piece and before those that
+   say that the run is over.  The gang must run again.  */
+static void
+test_record_of_ended_gang (void)
+{
+  static const char text[]
+      = "{\"state\":\"queued\",\"next\":1,\"done\":0,\"begun\":false,"
+        "\"open\":[{\"n\":0,\"left\":[1],\"units\":"
+        "[[0,0,1,0,\"\",[null,null,null],[7,7,7]]]}]}";
+  struct sj_job *gang = fa_new_job (1, 1, GANG, GPUS, RUN_MS);
+
+  fa_init (&cluster, WORKERS, WORKERS, 1);
+  gang->step[0].gang = 1;
+  fa_submit (&cluster, gang);
+  g_hash_table_insert (cluster.records, g_strdup (GANG_ID), g_strdup (text));
+  fa_take_over (&cluster);
+  fa_run_ms (&cluster, 2 * RUN_MS);
+  CU_ASSERT_EQUAL (fa_state (&cluster, GANG_ID), SJ_COMPLETED);
+  finish ();
+}
+
 /* What a stop loses is known from the tasks that it ends, not from one that
    has ended before.  */
 static void
@@ -200,6 +222,7 @@
     { "take-over, first task ended", test_take_over_after_first_task_ended },
     { "take-over, last task ended", test_take_over_after_last_task_ended },
     { "removed worker", test_worker_of_ended_task_is_removed },
+    { "record of an ended gang", test_record_of_ended_gang },
     { "lost work", test_lost_work_of_remaining_tasks },
     CU_TEST_INFO_NULL,
   };
