--- a/tests/steps/fake_settings.c
+++ b/tests/steps/fake_settings.c
@@ -10,9 +10,9 @@
 };
 
 const char *
-fs_name (int variant)
+fe_name (int variant)
 {
-  static const char *const names[FS_VARIANTS]
+  static const char *const names[FE_VARIANTS]
       = { "default",       "deployed",         "no speeds",
           "no forecast",   "no waits",         "unknown stops",
           "no checkpoint", "with fair shares", "with pieces" };
@@ -31,32 +31,32 @@
 }
 
 void
-fs_set (struct sj_settings *s, int variant)
+fe_set (struct sj_settings *s, int variant)
 {
-  if (variant == FS_DEFAULT)
+  if (variant == FE_DEFAULT)
     return;
   set_deployed (s);
   switch (variant)
     {
-    case FS_NO_SPEEDS:
+    case FE_NO_SPEEDS:
       s->speed_aware = 0;
       break;
-    case FS_NO_FORECAST:
+    case FE_NO_FORECAST:
       s->headroom_forecast = 0;
       break;
-    case FS_NO_WAITS:
+    case FE_NO_WAITS:
       s->reclaim_ms = 0;
       break;
-    case FS_UNKNOWN_STOPS:
+    case FE_UNKNOWN_STOPS:
       s->stop_ms = 0;
       break;
-    case FS_UNKNOWN_CHECKPOINTS:
+    case FE_UNKNOWN_CHECKPOINTS:
       s->checkpoint_interval_ms = 0;
       break;
-    case FS_FAIR_SHARES:
+    case FE_FAIR_SHARES:
       s->fair_share = 1;
       break;
-    case FS_PIECES:
+    case FE_PIECES:
       s->record_pieces = 1;
       break;
     default:
--- a/tests/steps/fake_settings.h
+++ b/tests/steps/fake_settings.h
@@ -6,22 +6,22 @@
 
 enum
 {
-  FS_DEFAULT,  /* of skr-batch */
-  FS_DEPLOYED, /* of deploy/batch.conf */
+  FE_DEFAULT,  /* of skr-batch */
+  FE_DEPLOYED, /* of deploy/batch.conf */
   /* The same with one of them changed: */
-  FS_NO_SPEEDS,
-  FS_NO_FORECAST,
-  FS_NO_WAITS,
-  FS_UNKNOWN_STOPS,
-  FS_UNKNOWN_CHECKPOINTS,
-  FS_FAIR_SHARES,
-  FS_PIECES,
-  FS_VARIANTS
+  FE_NO_SPEEDS,
+  FE_NO_FORECAST,
+  FE_NO_WAITS,
+  FE_UNKNOWN_STOPS,
+  FE_UNKNOWN_CHECKPOINTS,
+  FE_FAIR_SHARES,
+  FE_PIECES,
+  FE_VARIANTS
 };
 
 /* Changes SETTINGS to VARIANT, and leaves what no setting of skr-batch
    determines.  */
-void fs_set (struct sj_settings *settings, int variant);
-const char *fs_name (int variant);
+void fe_set (struct sj_settings *settings, int variant);
+const char *fe_name (int variant);
 
 #endif
--- a/tests/steps/test_deployed.c
+++ b/tests/steps/test_deployed.c
@@ -220,12 +220,12 @@
 begin (unsigned seed, int variant)
 {
   fa_init (&cluster, WORKERS, PER_RACK, seed);
-  fs_set (&cluster.settings, variant);
+  fe_set (&cluster.settings, variant);
   cluster.settings.max_record_bytes = 65536;
   cluster.checkpoint_interval_ms = 1000;
   cluster.crash_mode.new_id = (int)(seed % 2);
   cluster.crash_mode.down_ms = 500 + draw (12000);
-  cluster.commit_rows = variant == FS_PIECES ? 1 + draw (4) : 0;
+  cluster.commit_rows = variant == FE_PIECES ? 1 + draw (4) : 0;
   cluster.run_scatter = draw (2) ? 0.25 : 0;
   cluster.faults = (struct fa_faults){
     .answer_lost = .05, .delayed = .08, .commit_fails = .05, .task_fails = .03
@@ -252,7 +252,7 @@
   open = count_open_jobs ();
   if (cluster.violations || open)
     printf ("\nseed %u, settings %s: %d violations, first: %s; %d jobs open\n",
-            seed, fs_name (variant), cluster.violations,
+            seed, fe_name (variant), cluster.violations,
             cluster.first_violation, open);
   CU_ASSERT_EQUAL (cluster.violations, 0);
   CU_ASSERT_EQUAL (open, 0);
@@ -275,10 +275,10 @@
   unsigned count = unsigned_from_env ("COUNT", 16);
 
   for (unsigned seed = first; seed < first + count; seed++)
-    play (seed, seed % 2 ? FS_DEPLOYED : (int)(seed / 2 % FS_VARIANTS));
+    play (seed, seed % 2 ? FE_DEPLOYED : (int)(seed / 2 % FE_VARIANTS));
   /* A gang in pieces, all of whose tasks had ended, was never started
      again.  */
-  play (232, FS_PIECES);
+  play (232, FE_PIECES);
   CU_ASSERT (notes > 0);
 }
 
