steps: optional parts can be turned off, jobs can be left alone

Needed to go on scheduling after a decision has ended the process: with what is promised alone, and without the jobs that may be the cause.

sj_set_parts turns moves, reservations, shares, headroom, learned speeds and waits off and on. A job that is left alone is not added: its runs are not stopped as unknown ones, workers that list one get no starts, and their lease is renewed.

--- a/include/skr/steps.h
+++ b/include/skr/steps.h
@@ -409,6 +409,33 @@
    into the scheduler.  */
 void sj_set_note_fn (struct sj_cluster *c, sj_note_fn *on_note, void *arg);
 
+/* Parts of the decisions that can be turned off: what is promised holds
+   without them, with longer waits and more work lost.  Those that look at few
+   things come first.  */
+enum sj_part
+{
+  SJ_PART_MOVES,        /* of slow and stalled runs to other workers */
+  SJ_PART_RESERVATIONS, /* of capacity for wide units */
+  SJ_PART_SHARES,       /* of accounts while capacity is scarce */
+  SJ_PART_HEADROOM,     /* for urgent work yet to come */
+  SJ_PART_SPEEDS,       /* of workers, as learned */
+  SJ_PART_WAITS,        /* for capacity that becomes free by itself */
+  SJ_PARTS
+};
+enum
+{
+  SJ_ALL_PARTS = (1 << SJ_PARTS) - 1
+};
+/* Turns the parts on whose bits (1 << enum sj_part) are in PARTS, and the
+   others off.  All are on at first; some need a setting besides.  */
+void sj_set_parts (struct sj_cluster *c, unsigned parts);
+
+/* Job ID, which was not added, is left alone: its runs are neither stopped nor
+   accounted, and a worker that lists one gets no starts.  The ends of its
+   tasks must not be acknowledged.  */
+void sj_leave_alone (struct sj_cluster *c, const char *id);
+int sj_is_left_alone (const struct sj_cluster *c, const char *id);
+
 /* Guarantees ACCOUNT's jobs of priority 0 that many accelerators.  */
 void sj_set_guarantee (struct sj_cluster *c, const char *account,
                        int64_t accelerators);
@@ -435,7 +462,8 @@
 void sj_worker_set_reachable (struct sj_cluster *c, const char *id, int yes);
 /* Sets whether no further run is planned on the worker for now.  */
 void sj_worker_set_paused (struct sj_cluster *c, const char *id, int yes);
-/* Returns 1 while the worker may have runs that need its lease renewed.  */
+/* Returns 1 while the worker may have runs that need its lease renewed, also
+   such of jobs that are left alone.  */
 int sj_worker_has_runs (struct sj_cluster *c, const char *id);
 /* Returns 1 while the worker's runs should be polled more often, because some
    are urgent or their pace is not known yet.  */
--- a/src/batch/worker_hold.c
+++ b/src/batch/worker_hold.c
@@ -96,7 +96,8 @@
 has_end_of_aside_job (struct batch *b, const struct sj_listing *list)
 {
   for (int i = 0; i < list->end_count; i++)
-    if (sj_is_aside (b->cluster, list->ends[i].run.job))
+    if (sj_is_aside (b->cluster, list->ends[i].run.job)
+        || sj_is_left_alone (b->cluster, list->ends[i].run.job))
       return 1;
   return 0;
 }
--- a/src/steps/cluster.c
+++ b/src/steps/cluster.c
@@ -9,7 +9,10 @@
 {
   struct sj_cluster *c = g_new0 (struct sj_cluster, 1);
 
-  c->settings = *settings;
+  c->wanted_settings = *settings;
+  c->left_alone
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  sj_set_parts (c, SJ_ALL_PARTS);
   c->on_order = on_order;
   c->arg = arg;
   c->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, wo_free);
@@ -53,6 +56,7 @@
   g_hash_table_destroy (c->workers);
   g_hash_table_destroy (c->guarantees);
   g_hash_table_destroy (c->unresolved_workers);
+  g_hash_table_destroy (c->left_alone);
   g_ptr_array_free (c->given_up, TRUE);
   g_free (c->kept_apart);
   g_ptr_array_free (c->aside_jobs, TRUE);
--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -339,6 +339,7 @@
         {
           r->unplaced++;
           if ((now - u->ready_ms >= RESERVE_AFTER_MS || helped)
+              && pt_is_on (c, SJ_PART_RESERVATIONS)
               && r->reservations < MAX_RESERVATIONS)
             r->reservations += rs_reserve (c, u, waiting_tasks (s, u));
         }
--- a/src/steps/headroom.c
+++ b/src/steps/headroom.c
@@ -122,6 +122,7 @@
 hd_begin (struct sj_cluster *c, struct hd_round *h, int64_t now)
 {
   begin_forecast (c, now);
+  h->is_off = !pt_is_on (c, SJ_PART_HEADROOM);
   h->is_forecast
       = c->settings.headroom_forecast
         && hr_has_history (&c->forecast, c->settings.headroom_forecast, now);
@@ -199,7 +200,7 @@
   int64_t waited_ms = now - u->ready_ms;
 
   /* A task that lasts is away for as long as it waits.  */
-  if (u->job->rank < RANK_BATCH || un_step (u)->is_continuous
+  if (h->is_off || u->job->rank < RANK_BATCH || un_step (u)->is_continuous
       || waited_ms > GROWTH_WAIT_MS)
     return 0;
   if (waited_ms > HEADROOM_WAIT_MS)
--- a/src/steps/health.c
+++ b/src/steps/health.c
@@ -449,6 +449,8 @@
 he_check_runs (struct sj_cluster *c, int64_t now)
 {
   sd_update (c, now);
+  if (!pt_is_on (c, SJ_PART_MOVES))
+    return;
   for (guint i = 0; i < c->job_list->len; i++)
     {
       struct job *j = g_ptr_array_index (c->job_list, i);
--- a/src/steps/job.c
+++ b/src/steps/job.c
@@ -375,6 +375,7 @@
 {
   struct job *j = jb_find (c, id);
 
+  g_hash_table_remove (c->left_alone, id);
   if (!j)
     return SJ_EUNKNOWN;
   jb_finish (c, j, SJ_CANCELLED, now);
--- a/src/steps/listing.c
+++ b/src/steps/listing.c
@@ -141,13 +141,14 @@
   jb_unit_done (c, u, now);
 }
 
-/* Stops the listed runs that belong to no unit.  They occupy capacity that is
+/* Stops the listed runs that belong to no unit, unless their jobs are left
+   alone.  They occupy capacity that is
    not accounted, so the worker takes no starts while it has any.  */
 static void
 stop_unknown_runs (struct sj_cluster *c, struct worker *w,
                    const struct sj_listing *l)
 {
-  int unknown_runs = 0;
+  int unknown_runs = 0, left_alone = 0;
 
   for (int i = 0; i < l->run_count; i++)
     {
@@ -162,11 +163,15 @@
       if (ru_find_member (w, &l->runs[i].run))
         continue;
       unknown_runs++;
-      c->on_order (c->arg, &order);
+      if (sj_is_left_alone (c, l->runs[i].run.job))
+        left_alone++;
+      else
+        c->on_order (c->arg, &order);
     }
   if (w->unknown_runs != unknown_runs)
     c->changed = 1;
   w->unknown_runs = unknown_runs;
+  w->left_alone = left_alone;
 }
 
 int
--- a/src/steps/state.h
+++ b/src/steps/state.h
@@ -242,6 +242,7 @@
   int draining, reachable;
   int runs_known;   /* this incarnation has listed its runs */
   int unknown_runs; /* runs it listed that belong to no unit */
+  int left_alone;   /* those of them whose jobs are left alone */
   int replaced;     /* its process has ended */
   int has_left;     /* its last process to end may have left as planned */
   int64_t drain_end_ms;
@@ -270,8 +271,11 @@
 
 struct sj_cluster
 {
-  struct sj_settings settings;
-  struct hr_forecast forecast; /* of urgent demand */
+  struct sj_settings settings;        /* as far as their parts are on */
+  struct sj_settings wanted_settings; /* as given */
+  unsigned parts;                     /* that are on */
+  GHashTable *left_alone;             /* ids of jobs */
+  struct hr_forecast forecast;        /* of urgent demand */
   struct headroom headroom;
   sj_order_fn *on_order;
   void *arg;
@@ -650,6 +654,7 @@
 /* A round's view of the capacity kept free for urgent work.  */
 struct hd_round
 {
+  int is_off;             /* nothing is kept */
   int64_t idle, all;      /* accelerators */
   int is_forecast;        /* else by constant shares of the accelerators */
   struct hr_keep keep[2]; /* for work without and with checkpoints */
@@ -674,6 +679,9 @@
 /* Sets ACCOUNT's weight, which is its guarantee.  */
 void as_set_weight (struct sj_cluster *c, const char *account, int64_t weight);
 
+/* parts.c */
+int pt_is_on (const struct sj_cluster *c, enum sj_part part);
+
 /* health.c */
 /* Accounts how a run of U ended on W.  */
 void he_record_end (struct sj_cluster *c, struct worker *w, struct unit *u,
--- a/src/steps/worker.c
+++ b/src/steps/worker.c
@@ -224,7 +224,7 @@
   if (!w->replaced)
     w->has_left = may_have_left (w, now);
   w->min_drain_end_ms = 0;
-  w->runs_known = w->capacity_known = w->reports = 0;
+  w->runs_known = w->capacity_known = w->reports = w->left_alone = 0;
   w->replaced = 0;
   w->reachable = 1;
   w->consecutive_failures = 0;
@@ -403,7 +403,7 @@
 {
   struct worker *w = wo_find (c, id);
 
-  return w && w->members->len > 0;
+  return w && (w->members->len > 0 || w->left_alone);
 }
 
 static int
@@ -423,7 +423,8 @@
           && c->now > w->added_ms + c->settings.silent_timeout_ms)
         lose_all_members (c, w, w->draining ? SJ_LOSS_LEFT : SJ_LOSS_EXPIRED,
                           c->now);
-      if (w->listed || w->members->len)
+      if (w->listed || w->members->len
+          || (w->left_alone && c->now <= w->lease_end_ms))
         continue;
       g_ptr_array_remove_index_fast (c->worker_list, i);
       rk_move (c, w, NULL);
--- a/tests/steps/fake_cluster.c
+++ b/tests/steps/fake_cluster.c
@@ -705,6 +705,9 @@
         = g_array_index (w->unacked_ends, struct sj_listed_run, k);
   sj_worker_set_reachable (f->scheduler, w->id, 1);
   sj_listing_apply (f->scheduler, w->id, &l, f->now);
+  for (int k = 0; k < l.end_count; k++)
+    if (sj_is_left_alone (f->scheduler, end[k].run.job))
+      return;
   if (f->listed_ends[i] == w->acked_ends + l.end_count)
     return;
   f->listed_ends[i] = w->acked_ends + l.end_count;
@@ -1113,7 +1116,9 @@
       = (int64_t)GPOINTER_TO_SIZE (g_hash_table_lookup (f->accepted_ms, id))
         - 1;
 
-  if (fa_state (f, id) >= SJ_COMPLETED)
+  if (!g_strcmp0 (id, f->left_alone))
+    sj_leave_alone (f->scheduler, id);
+  else if (fa_state (f, id) >= SJ_COMPLETED)
     drop_pieces (f, id, record);
   else if (sj_job_add (f->scheduler, copy_job (find_job (f, id)), record,
                        f->now - accepted, f->now))
--- a/tests/steps/fake_cluster.h
+++ b/tests/steps/fake_cluster.h
@@ -127,8 +127,9 @@
   int fails_together; /* all tasks of a gang that are to fail do so at once */
   GPtrArray *commit_ids, *commit_records;
   GArray *commit_states;
-  int commits;     /* that were stored */
-  int commit_rows; /* most rows of a commit; 0: as many as fit */
+  const char *left_alone; /* id of a job that new holders leave alone */
+  int commits;            /* that were stored */
+  int commit_rows;        /* most rows of a commit; 0: as many as fit */
   /* Ends of each worker that were listed, those that wait for their records,
      and the scheduler's change serials after each.  */
   int64_t listed_ends[FA_MAX_WORKERS], committing_ends[FA_MAX_WORKERS];
--- a/tests/steps/test_deployed.c
+++ b/tests/steps/test_deployed.c
@@ -23,7 +23,9 @@
 };
 
 static struct fa_cluster cluster;
-static int64_t notes; /* of all kinds */
+static int64_t notes;  /* of all kinds */
+static unsigned parts; /* that the scheduler may use */
+static char left_alone[SJ_ID_SIZE];
 
 static int
 draw (int n)
@@ -44,6 +46,16 @@
   fa_take_over (&cluster);
   sj_set_guarantee (cluster.scheduler, "a", GUARANTEED);
   sj_set_note_fn (cluster.scheduler, on_note, NULL);
+  sj_set_parts (cluster.scheduler, parts);
+}
+
+/* A further holder leaves a job alone.  */
+static void
+leave_alone (unsigned number)
+{
+  snprintf (left_alone, sizeof left_alone, "%016x", number);
+  cluster.left_alone = left_alone;
+  take_over ();
 }
 
 static void
@@ -173,6 +185,17 @@
     case 15:
       cluster.commit_ms = draw (4) ? 10 : 1500;
       break;
+    case 16:
+      parts = (unsigned)draw (SJ_ALL_PARTS + 1);
+      sj_set_parts (cluster.scheduler, parts);
+      break;
+    case 17:
+      leave_alone (1 + (unsigned)draw ((int)jobs));
+      break;
+    case 18:
+      cluster.left_alone = NULL;
+      take_over ();
+      break;
     default:
       break;
     }
@@ -187,6 +210,9 @@
 
   cluster.faults = (struct fa_faults){ 0 };
   cluster.commit_ms = 10;
+  cluster.left_alone = NULL;
+  parts = SJ_ALL_PARTS;
+  take_over ();
   for (int i = 0; i < WORKERS; i++)
     {
       struct fa_worker *w = &cluster.worker[i];
@@ -220,6 +246,7 @@
 begin (unsigned seed, int variant)
 {
   fa_init (&cluster, WORKERS, PER_RACK, seed);
+  parts = seed % 16 == 3 ? 0 : SJ_ALL_PARTS;
   fe_set (&cluster.settings, variant);
   cluster.settings.max_record_bytes = 65536;
   cluster.checkpoint_interval_ms = 1000;
