skr-batch: terms that end by a crash are followed by cautious ones

One job whose decision ended the process ended each VM that took the lease: callers were served by nobody, again after each restart.

The holder that a signal ends reports it in the row ~end, with its token, the age of its term and the job in work. The next holder compares the token with that of the lease row and counts short terms in a row there. After two it decides without the optional parts, after three it suspends the job in work, or the jobs whose records changed last. The parts return one by one after calm minutes, jobs by bisection or by skr batch resume. Kills, freezes, planned stops and lost leases write no such row. docs/design/short-terms.md weighs the ways.

--- a/include/skr/crash.h
+++ b/include/skr/crash.h
@@ -23,6 +23,11 @@
 
 /* The term of the lease that the process holds; 0: none.  */
 void cr_set_term (int64_t term);
+/* Called by the handler after the line, with the job that the thread worked on
+   ("": none).  It may only make async-signal-safe calls and must return
+   soon.  */
+typedef void cr_report_fn (const char *id);
+void cr_set_report_fn (cr_report_fn *report);
 
 /* What the calling thread works on, a part of the line.  ID is copied; its
    first CR_ID_SIZE - 1 bytes count.  */
--- a/include/skr/port.h
+++ b/include/skr/port.h
@@ -93,6 +93,12 @@
 int po_write (struct po_port *port, const struct po_entry *entry, int count,
               int timeout_ms, po_rows_done *done, void *arg);
 
+/* Formats in OUT, of SIZE bytes, an HTTP request that puts a row without a
+   condition.  Allocates nothing, so that a signal handler may call it.  TABLE
+   and KEY need no escapes.  Returns 0, or PO_EINVAL if it does not fit.  */
+int po_format_put (char *out, size_t size, const char *store,
+                   const char *table, const char *key, const char *value);
+
 /* Names of the platform's own tables.  */
 const char *po_config_table (void);
 const char *po_worker_table (void);
--- a/src/base/crash.c
+++ b/src/base/crash.c
@@ -41,6 +41,7 @@
 static int output, is_json;
 static struct image image;
 static atomic_llong term;
+static cr_report_fn *_Atomic report;
 static atomic_int is_reported;
 static _Thread_local struct subject subject;
 static _Thread_local uintptr_t stack_end; /* 0: unknown */
@@ -248,6 +249,7 @@
 {
   static struct line line;
   struct registers r = read_registers (context);
+  cr_report_fn *fn = atomic_load (&report);
 
   /* Other threads may crash meanwhile; one line is written.  */
   if (!atomic_exchange (&is_reported, 1))
@@ -264,6 +266,8 @@
       add_frames (&line, &r);
       add_text (&line, is_json ? "}\n" : "\n");
       write_line (&line);
+      if (fn)
+        fn (subject.id);
     }
   /* The handler was reset, so this ends the process as soon as it returns.  */
   raise (sig);
@@ -364,6 +368,12 @@
   atomic_store (&term, number);
 }
 
+void
+cr_set_report_fn (cr_report_fn *fn)
+{
+  atomic_store (&report, fn);
+}
+
 void
 cr_set_job (const char *id)
 {
--- a/src/base/events.c
+++ b/src/base/events.c
@@ -332,6 +332,19 @@
     "pair.  The task keeps the last one that could be kept; for a gang, task "
     "is its first.  Logged once for a run.",
     "let the work write shorter checkpoints, as text" },
+  { LG_TERM_RULES, LG_WARNING, "term-rules",
+    "epoch ends parts suspended on_trial calm_ms reason",
+    "After crashes of lease holders this one decides with fewer parts (a bit "
+    "for each that is on) or without some jobs. The next step back to normal "
+    "comes after calm_ms without a crash.",
+    "see event 107 of the VMs that ended, and OPERATIONS.md, a VM that "
+    "restarted by itself" },
+  { LG_JOB_SUSPENDED, LG_ERROR, "job-suspended", "id reason",
+    "Holders have crashed, and this job may be the cause: its tasks are "
+    "neither started nor stopped, and its state stays as it was stored.",
+    "cancel the job, or put it back: skr batch resume" },
+  { LG_JOB_RESUMED, LG_NOTICE, "job-resumed", "id reason",
+    "The job is decided on again from the next term on.", "none" },
 
   /* filter */
   { LG_REQUEST_UNKNOWN, LG_WARNING, "request-unknown",
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -261,6 +261,7 @@
   int probes, stalled_refusals, early_unknown;
   int relayed, relay_unknown, relay_not_run, relay_received;
   int aside_records, aside_jobs, refused_commits;
+  int crashes_in_a_row, suspended_jobs;
   int reads_state, writes_state;
   int stopped_runs[SJ_CAUSES]; /* by cause */
   int lost_core_ms, preemptions, preemptions_avoided;
@@ -308,6 +309,9 @@
   GPtrArray *pending; /* of struct ba_pending */
 
   struct le_lease lease;
+  struct le_end last_end; /* of any holder */
+  int64_t step_ms;        /* when its rules change next; 0: never */
+  int reload_wanted;      /* the term is to end, for one that loads all jobs */
   enum ba_phase phase;
   int term; /* counts both starts and ends of terms as holder, so that replies
                to calls from before are recognized */
@@ -320,6 +324,7 @@
   int surveys;            /* holds in progress that are no long polls */
   int busy_workers;       /* at the last update of the counters */
   GHashTable *records;    /* id -> json_t, while loading */
+  GHashTable *versions;   /* id -> version of its latest row, likewise */
   GPtrArray *loaded;      /* struct sj_job, while loading */
   char load_next_key[64];
   enum ba_purpose load_purpose;
--- a/src/batch/counters.c
+++ b/src/batch/counters.c
@@ -44,6 +44,9 @@
   c->aside_records
       = st_series (r, ST_COUNTER, "skr_batch_aside_records_total", "");
   c->aside_jobs = st_series (r, ST_GAUGE, "skr_batch_aside_jobs", "");
+  c->crashes_in_a_row
+      = st_series (r, ST_GAUGE, "skr_batch_crashes_in_a_row", "");
+  c->suspended_jobs = st_series (r, ST_GAUGE, "skr_batch_suspended_jobs", "");
 }
 
 int
@@ -165,6 +168,9 @@
   b->busy_workers = counts->busy_workers;
   st_set (&b->stats, c->shard, c->waiting_jobs, counts->waiting);
   st_set (&b->stats, c->shard, c->aside_jobs, counts->aside_jobs);
+  st_set (&b->stats, c->shard, c->crashes_in_a_row, b->lease.caution.ends);
+  st_set (&b->stats, c->shard, c->suspended_jobs,
+          b->lease.caution.count - b->lease.caution.tried);
   st_set (&b->stats, c->shard, c->waiting_orders, oq_waiting (&b->orders));
   st_set (&b->stats, c->shard, c->runs, counts->runs);
   st_set (&b->stats, c->shard, c->accelerators_used,
--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "batch/holder.h"
-#include "skr/crash.h"
+#include "batch/term.h"
 
 enum
 {
@@ -73,12 +73,12 @@
           .record_pieces = b->settings->record_pieces != 0 };
 
   b->term++;
-  cr_set_term (b->lease.epoch);
   b->term_began_ms = b->now_ms;
   b->phase = BA_LOADING;
   b->jobs_seen_version = b->lease.version;
   b->cluster = sj_new (&set, wk_send_order, b);
   sj_set_note_fn (b->cluster, ba_on_note, b);
+  te_begin (b);
   cm_begin_term (b);
   wk_init_workers (b);
   b->starts_held = b->evacuations_held = 0;
@@ -107,7 +107,7 @@
   wk_fini_workers (b);
   b->phase = BA_STANDBY;
   b->term++;
-  cr_set_term (0);
+  te_end (b);
   b->acquire_at_ms = 0;
   ta_set_poll_gap (b);
 }
@@ -177,7 +177,8 @@
   if (b->commit.open)
     return;
   sj_retry_aside (b->cluster, b->now_ms);
-  if (b->stopping_at_ms)
+  te_tick (b);
+  if (b->stopping_at_ms || b->reload_wanted)
     {
       cm_begin (b, BA_COMMIT_RELEASE, le_release_value (&b->lease));
       le_end_orders (&b->lease, b->now_ms);
@@ -195,7 +196,8 @@
     case BA_STANDBY:
       wall_ms (b);
       if (acquire_is_due (b))
-        cm_begin (b, BA_COMMIT_ACQUIRE, le_acquire_value (&b->lease));
+        cm_begin (b, BA_COMMIT_ACQUIRE,
+                  le_acquire_value (&b->lease, &b->last_end));
       break;
     case BA_LOADING:
       ld_send_read (b);
--- a/src/batch/lease.c
+++ b/src/batch/lease.c
@@ -56,6 +56,9 @@
   l->holder_cpu_milli = json_integer_value (json_object_get (o, "cpu"));
   copy_name (l->holder_token,
              json_string_value (json_object_get (o, "token")));
+  /* The holder's own may be ahead of the row.  */
+  if (!l->held || strcmp (l->holder_token, l->token) != 0)
+    ca_read (&l->caution, json_object_get (o, "caution"));
   copy_name (l->holder_vm, json_string_value (json_object_get (o, "vm")));
   json_decref (o);
   if (!l->held || !strcmp (l->holder_token, l->token))
@@ -109,24 +112,33 @@
 
 static char *
 write_value (const struct le_lease *l, const char *token, int64_t epoch,
-             int64_t serial)
+             int64_t serial, const struct ca_caution *caution)
 {
   json_t *o
       = json_pack ("{s:s,s:s,s:I,s:I,s:I}", "token", token, "vm", l->vm,
                    "epoch", (json_int_t)epoch, "serial", (json_int_t)serial,
                    "cpu", (json_int_t)l->settings.cpu_milli);
-  char *text = json_dumps (o, JSON_COMPACT);
+  json_t *c = ca_write (caution);
+  char *text;
 
+  if (c)
+    json_object_set_new (o, "caution", c);
+  text = json_dumps (o, JSON_COMPACT);
   json_decref (o);
   return text;
 }
 
 char *
-le_acquire_value (struct le_lease *l)
+le_acquire_value (struct le_lease *l, const struct le_end *end)
 {
   l->attempt_version = l->version;
   l->attempt_epoch = l->epoch + 1;
-  return write_value (l, l->token, l->attempt_epoch, 1);
+  l->attempt_caution = l->caution;
+  l->attempt_suspensions = 0;
+  if (*l->holder_token && !strcmp (end->token, l->holder_token)
+      && end->age_ms < CA_SHORT_MS)
+    l->attempt_suspensions = ca_note_crash (&l->attempt_caution, end->id);
+  return write_value (l, l->token, l->attempt_epoch, 1, &l->attempt_caution);
 }
 
 enum le_attempt
@@ -157,13 +169,13 @@
 {
   *serial = l->serial + 1;
   l->attempt_epoch = MAX (l->epoch, l->wanted_epoch);
-  return write_value (l, l->token, l->attempt_epoch, *serial);
+  return write_value (l, l->token, l->attempt_epoch, *serial, &l->caution);
 }
 
 char *
 le_release_value (const struct le_lease *l)
 {
-  return write_value (l, "", l->epoch, l->serial + 1);
+  return write_value (l, "", l->epoch, l->serial + 1, &l->caution);
 }
 
 static void
@@ -184,6 +196,7 @@
 {
   l->held = 1;
   l->epoch = l->attempt_epoch;
+  l->caution = l->attempt_caution;
   l->serial = 1;
   set_held (l, version, sent_ms, now);
 }
--- a/src/batch/lease.h
+++ b/src/batch/lease.h
@@ -6,11 +6,21 @@
 
 #include <stdint.h>
 
+#include "batch/caution.h"
+
 enum
 {
   LE_NAME_SIZE = 64 /* bytes of a token or VM name with its NUL */
 };
 
+/* The end of a process by a crash, as it has reported it.  */
+struct le_end
+{
+  char token[LE_NAME_SIZE]; /* of the process; "": none has */
+  char id[SJ_ID_SIZE];      /* of the job that it worked on, or "" */
+  int64_t age_ms;           /* of its term, or of the last change of rules */
+};
+
 struct le_settings
 {
   int64_t valid_ms; /* the holder may act this long after it sent a renewal */
@@ -37,6 +47,10 @@
      and the epoch that it, or the current renewal, writes.  */
   int64_t attempt_version, attempt_epoch;
   int64_t wanted_epoch; /* the next renewal writes at least this one */
+  /* As in the row, and as the holder changes it; as an attempt writes it; and
+     the further jobs that the term of the attempt has to suspended.  */
+  struct ca_caution caution, attempt_caution;
+  int attempt_suspensions;
   /* State of this process as holder.  */
   int held;
   int64_t valid_until_ms, renewed_ms;
@@ -65,9 +79,10 @@
 /* Returns the time at which the next renewal is due.  */
 int64_t le_renew_at (const struct le_lease *l);
 
-/* Begins an attempt to acquire the lease.  Returns the value to write over
+/* Begins an attempt to acquire the lease.  END is the last end by a crash, of
+   whatever process.  Returns the value to write over
    the row as known now, with a higher epoch, to be released with free.  */
-char *le_acquire_value (struct le_lease *l);
+char *le_acquire_value (struct le_lease *l, const struct le_end *end);
 /* Outcome of the attempt according to the row as known now.  */
 enum le_attempt
 {
--- a/src/batch/load.c
+++ b/src/batch/load.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "batch/holder.h"
+#include "batch/term.h"
 
 enum
 {
@@ -54,6 +55,7 @@
       return;
     }
   g_strlcpy (id, row->key, sizeof id);
+  te_note_version (b, id, row->version);
   record = g_hash_table_lookup (b->records, id);
   if (!record)
     {
@@ -69,7 +71,8 @@
   char id[SJ_ID_SIZE];
   struct sj_job *job;
 
-  if (vw_parse_key (row->key, id) == VW_LEASE)
+  if (vw_parse_key (row->key, id) == VW_LEASE
+      || vw_parse_key (row->key, id) == VW_END)
     return;
   vw_apply_row (&b->view, row->key, row->value, row->version, 0,
                 b->job_follower.generation);
@@ -118,6 +121,18 @@
       sj_job_free (job);
       return;
     }
+  if (ca_is_suspended (&b->lease.caution, id))
+    {
+      if (!j || !j->cancelled)
+        {
+          sj_leave_alone (b->cluster, id);
+          sj_job_free (job);
+          return;
+        }
+      /* Its runs are stopped as those of no job.  */
+      ca_resume (&b->lease.caution, id);
+      record = NULL;
+    }
   log_job (job, waited_ms, record != NULL);
   error = sj_job_add (b->cluster, job, record, waited_ms > 0 ? waited_ms : 0,
                       b->now_ms);
@@ -134,7 +149,9 @@
     g_hash_table_destroy (b->records);
   if (b->loaded)
     g_ptr_array_free (b->loaded, TRUE);
-  b->records = NULL;
+  if (b->versions)
+    g_hash_table_destroy (b->versions);
+  b->records = b->versions = NULL;
   b->loaded = NULL;
 }
 
@@ -168,6 +185,7 @@
 static void
 finish_load (struct batch *b)
 {
+  te_suspend_latest (b);
   for (guint i = 0; i < b->loaded->len; i++)
     {
       struct sj_job *job = g_ptr_array_index (b->loaded, i);
@@ -225,6 +243,8 @@
   if (kind == VW_CANCEL)
     {
       sj_job_cancel (b->cluster, id, b->now_ms);
+      if (ca_is_suspended (&b->lease.caution, id))
+        te_reload (b);
       return;
     }
   if (kind != VW_JOB || sj_has_job (b->cluster, id))
--- a/src/batch/show.c
+++ b/src/batch/show.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "batch/batch.h"
+#include "batch/term.h"
 
 enum
 {
@@ -12,6 +13,7 @@
 
 static const char status_path[] = "/v1/status";
 static const char jobs_path[] = "/v1/jobs/";
+static const char resume_suffix[] = "/resume";
 
 static const char *
 phase_name (enum ba_phase phase)
@@ -134,6 +136,7 @@
 sh_status (const struct batch *b)
 {
   struct sj_counts n = { 0 };
+  json_t *caution;
   json_t *o = json_pack (
       "{s:s,s:s,s:I,s:s,s:I,s:I,s:I,s:s,s:I}", "vm", b->settings->vm, "phase",
       phase_name (b->phase), "epoch", (json_int_t)b->lease.epoch, "scheduler",
@@ -151,6 +154,9 @@
   json_object_set_new (o, "in_progress", json_integer (b->pending->len));
   add_access (o, b);
   json_object_set_new (o, "closed_domains", closed_domains (b));
+  caution = ca_write (&b->lease.caution);
+  if (caution)
+    json_object_set_new (o, "caution", caution);
   if (b->phase != BA_ACTIVE)
     return o;
   json_object_set_new (o, "open_jobs", json_integer (n.jobs));
@@ -187,15 +193,36 @@
                     age_ms (b, b->job_follower.fresh_ms));
 }
 
+/* Resumes the job that PATH, behind the prefix, names.  Returns the answer, or
+   NULL if that is not to be done here.  */
+static json_t *
+resume (struct batch *b, const char *path)
+{
+  char id[SJ_ID_SIZE];
+
+  if (strlen (path) != SJ_ID_SIZE - 1 + strlen (resume_suffix)
+      || !g_str_has_suffix (path, resume_suffix))
+    return NULL;
+  g_strlcpy (id, path, sizeof id);
+  if (!te_resume (b, id))
+    return NULL;
+  return json_pack ("{s:s,s:s}", "vm", b->settings->vm, "resumed", id);
+}
+
 void
 sh_answer (struct batch *b, struct hs_exchange *ex)
 {
   const char *path = hs_get_request (ex)->path;
+  int is_post = !strcmp (hs_get_request (ex)->method, "POST");
   struct hs_answer a = { .status = OK, .content_type = "application/json" };
   json_t *o = NULL;
   char *text;
 
-  if (!strcmp (path, status_path))
+  if (is_post && g_str_has_prefix (path, jobs_path))
+    o = resume (b, path + sizeof jobs_path - 1);
+  else if (is_post)
+    o = NULL;
+  else if (!strcmp (path, status_path))
     o = sh_status (b);
   else if (g_str_has_prefix (path, jobs_path))
     o = sh_job (b, path + sizeof jobs_path - 1);
--- a/src/batch/tables.c
+++ b/src/batch/tables.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "batch/batch.h"
+#include "batch/end_report.h"
 
 enum
 {
@@ -117,10 +118,16 @@
   /* A scan also returns rows that were written long ago.  */
   if (b->job_follower.synced)
     ba_note_write_seen (b);
-  if (vw_parse_key (row->key, id) == VW_LEASE)
+  switch (vw_parse_key (row->key, id))
     {
+    case VW_LEASE:
       apply_lease_row (b, row);
       return;
+    case VW_END:
+      er_read (&b->last_end, row->deleted ? "" : row->value);
+      return;
+    default:
+      break;
     }
   vw_apply_row (&b->view, row->key, row->value, row->version, row->deleted,
                 generation);
--- a/src/batch/view.c
+++ b/src/batch/view.c
@@ -1,6 +1,7 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "batch/end_report.h"
 #include "batch/view.h"
 
 static void
@@ -40,6 +41,8 @@
 
   if (!strcmp (key, vw_lease_key ()))
     return VW_LEASE;
+  if (!strcmp (key, er_key ()))
+    return VW_END;
   if (n < SJ_ID_SIZE - 1)
     return VW_OTHER;
   memcpy (id, key, SJ_ID_SIZE - 1);
--- a/src/batch/view.h
+++ b/src/batch/view.h
@@ -40,6 +40,7 @@
   VW_STATE,      /* the state that clients see */
   VW_CANCEL,     /* a request to cancel the job */
   VW_LEASE,      /* the scheduler's lease */
+  VW_END,        /* the last end of a holder by a crash */
   VW_WITHDRAWAL, /* a cancellation of a job that was not known */
   VW_OTHER
 };
--- a/src/steps/job.c
+++ b/src/steps/job.c
@@ -16,6 +16,10 @@
 un_set_subject (const struct unit *u, int index)
 {
   cr_set_task (u->job->spec->id, u->occurrence, u->step, index);
+#ifdef SKR_ABORT_PAYLOAD /* only for tests/soak/check_abort.sh */
+  if (!strcmp (u->job->spec->payload, SKR_ABORT_PAYLOAD))
+    abort ();
+#endif
 }
 
 const struct member *
--- a/tests/batch/test_holder.c
+++ b/tests/batch/test_holder.c
@@ -2,7 +2,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "batch/end_report.h"
 #include "batch/fake_store.h"
+#include "batch/term.h"
 #include "suite.h"
 
 #define ID "00000000000000a1"
@@ -300,6 +302,100 @@
   teardown ();
 }
 
+/* Loads job ID and its record, after a crash of the holder before if CRASHED
+   is set.  */
+static void
+load_with_record (int crashed)
+{
+  struct po_row record = { .table = (char *)"runs",
+                           .key = (char *)ID,
+                           .value = (char *)"{\"state\":\"queued\",\"next\":0,"
+                                            "\"done\":0,\"open\":[]}",
+                           .version = 9 };
+  const struct po_row *job = job_row (9);
+  struct po_row row = *job;
+
+  setup ();
+  ho_step_down (&batch, "test");
+  le_row_seen (&batch.lease, 12, other_lease.value, batch.now_ms);
+  batch.lease.caution.ends = 2;
+  if (crashed)
+    er_read (&batch.last_end,
+             "{\"token\":\"other\",\"age_ms\":9,\"id\":\"\"}");
+  batch.now_ms += 5000;
+  batch.job_follower.fresh_ms = batch.store_heard_ms = batch.now_ms;
+  advance (0);
+  advance (200);
+  store_replies (PO_DONE, 13, NULL);
+  advance (1);
+  store_replies (PO_DONE, 13, &record);
+  advance (1);
+  store_replies (PO_DONE, 13, &row);
+}
+
+/* Guards against a job that is suspended and decided on all the same, and
+   against one that can't be resumed.  */
+static void
+test_job_that_changed_last_is_suspended (void)
+{
+  load_with_record (0);
+  CU_ASSERT (sj_has_job (batch.cluster, ID));
+  teardown ();
+  load_with_record (1);
+  CU_ASSERT_EQUAL (batch.lease.caution.ends, 3);
+  CU_ASSERT_FALSE (sj_has_job (batch.cluster, ID));
+  CU_ASSERT (sj_is_left_alone (batch.cluster, ID));
+  ho_on_job_row (&batch, job_row (20));
+  CU_ASSERT_FALSE (sj_has_job (batch.cluster, ID));
+  batch.worker_follower.synced = 1;
+  advance (10);
+  CU_ASSERT_EQUAL (batch.phase, BA_ACTIVE);
+  CU_ASSERT_FALSE (te_resume (&batch, "00000000000000ff"));
+  CU_ASSERT (te_resume (&batch, ID));
+  if (fs_store.last_call)
+    store_replies (PO_DONE, 21, NULL);
+  advance (10);
+  CU_ASSERT_EQUAL (batch.commit.kind, BA_COMMIT_RELEASE);
+  store_replies (PO_DONE, 22, NULL);
+  CU_ASSERT_EQUAL (batch.phase, BA_STANDBY);
+  CU_ASSERT_EQUAL (batch.lease.caution.count, 0);
+  teardown ();
+}
+
+/* Guards against the cancellation of a suspended job that has no effect.  */
+static void
+test_cancelled_job_is_not_suspended (void)
+{
+  struct po_row cancel = { .table = (char *)"jobs",
+                           .key = (char *)ID ".x",
+                           .value = (char *)"{}",
+                           .version = 21 };
+
+  load_with_record (1);
+  ho_on_job_row (&batch, &cancel);
+  CU_ASSERT_FALSE (sj_is_left_alone (batch.cluster, ID));
+  CU_ASSERT (batch.reload_wanted);
+  teardown ();
+}
+
+/* Guards against parts that never return.  */
+static void
+test_parts_return_after_calm_time (void)
+{
+  load_with_record (1);
+  batch.worker_follower.synced = 1;
+  CU_ASSERT_EQUAL (ca_parts (&batch.lease.caution), 0);
+  for (int i = 0; i < 70; i++)
+    {
+      batch.worker_follower.fresh_ms = batch.now_ms;
+      advance (1000);
+      if (fs_store.last_call)
+        store_replies (PO_DONE, 30 + i, NULL);
+    }
+  CU_ASSERT_EQUAL (ca_parts (&batch.lease.caution), 1);
+  teardown ();
+}
+
 int
 main (void)
 {
@@ -312,6 +408,9 @@
     { "after silence", test_no_take_over_after_silence },
     { "released", test_no_orders_once_the_lease_is_released },
     { "small VM", test_small_vm_does_not_repeat_attempt },
+    { "suspended job", test_job_that_changed_last_is_suspended },
+    { "cancelled job", test_cancelled_job_is_not_suspended },
+    { "parts return", test_parts_return_after_calm_time },
     CU_TEST_INFO_NULL,
   };
 
--- a/tests/cli/check_batch.sh
+++ b/tests/cli/check_batch.sh
@@ -39,6 +39,8 @@
 [ $? -eq 7 ] || fail "no VM answers, and the exit code is not 7"
 "$skr" batch job 00000000000000a1 "$vm" > "$dir/out"
 [ $? -eq 6 ] || fail "the exit code for an unknown job is not 6"
+"$skr" batch resume 00000000000000a1 "$vm" > "$dir/out"
+[ $? -eq 6 ] || fail "the exit code for a job that is not suspended is not 6"
 "$skr" batch nonsense > "$dir/out" 2>&1
 [ $? -eq 2 ] || fail "the exit code for wrong usage is not 2"
 exit "$failed"
--- a/tests/soak/job_model.h
+++ b/tests/soak/job_model.h
@@ -32,8 +32,9 @@
   struct sj_job *job;
   char *body;
   int64_t work_ms[BK_MAX_STEPS];
-  int fails;     /* all its tasks fail */
-  int is_deadly; /* the first task of its first step crashes its workers */
+  int fails;       /* all its tasks fail */
+  int is_aborting; /* ends the processes that decide on it */
+  int is_deadly;   /* the first task of its first step crashes its workers */
   int accepted_submits, unanswered_submits; /* numbers of submit attempts */
   int submit_finished;                      /* no submit attempt follows */
   int64_t accepted_ms, cancel_sent_ms, cancelled_ms;
@@ -64,6 +65,9 @@
 
 /* Creates a random job, which the model owns.  */
 struct bk_job *bk_add_random_job (struct bk_model *model, GRand *rand);
+/* Creates a job whose payload is "abort", which no client submits of itself.
+ */
+struct bk_job *bk_add_aborting_job (struct bk_model *model);
 /* Returns a random job of the model, or NULL if it has none.  */
 struct bk_job *bk_pick_job (struct bk_model *model, GRand *rand);
 void bk_lock (struct bk_model *model);
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -30,6 +30,10 @@
           "time for accepted jobs to end afterwards", FIELD (settle_s) },
         { "gangs", OPT_INT, "", 0, 4, "1", "gangs of four steps",
           FIELD (gangs) },
+        { "aborting", OPT_INT, "", 0, 1, "0",
+          "1: one job ends the process that decides on it; needs the program "
+          "of make abort-bin",
+          FIELD (aborting) },
         { "only", OPT_STRING, "faults", 0, 300, "",
           "names of the faults to play, with commas; then no job crashes its "
           "workers; all but \"grey reborn\" and \"grey replaced\" by default",
@@ -140,6 +144,8 @@
       accepted += j->accepted_submits > 0;
       starts += j->starts;
     }
+  if (s->aborting)
+    printf ("%d processes have ended by the job at fault\n", s->aborts);
   printf ("seed %llu: %ld faults, %ld calls (%ld answered, %ld lost, %ld "
           "submits refused), %u jobs, %d accepted, %d starts, %d breaches, %d "
           "starts beside a run of the task, %d "
@@ -182,6 +188,8 @@
     }
   if (error)
     fail ("cannot create a thread");
+  if (s->aborting)
+    so_submit (s, bk_add_aborting_job (&s->model));
   so_run_faults (s);
   wait_for_jobs (s);
   stop_all (s);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -38,6 +38,7 @@
 {
   pid_t pid;
   int up, frozen, stopping;
+  int aborted;             /* to be started again */
   int ready;               /* accepts new connections */
   int missed_probes;       /* consecutive failed readiness probes */
   int has_been_ready;      /* in this incarnation */
@@ -55,6 +56,11 @@
   int changing;
 };
 
+enum
+{
+  SO_MAX_ABORTS = 4 /* ends by one aborting job, docs/design/short-terms.md */
+};
+
 struct so_crowd
 {
   int count, kind; /* count 0: there is none */
@@ -66,6 +72,8 @@
 {
   uint64_t seed;
   int64_t vms, workers, clients, seconds, settle_s, gangs;
+  int64_t aborting; /* a job ends the processes that decide on it */
+  int aborts;       /* of processes, so far */
   const char *program, *dir;
   const char *only; /* names of the faults to play; "": all */
   uint64_t kinds;   /* bit set of those faults */
@@ -136,6 +144,8 @@
 };
 
 void *so_client_run (void *arg);
+/* Submits J until it is accepted.  */
+void so_submit (struct soak *s, struct bk_job *j);
 void *so_poll_readiness (void *arg);
 /* Checks the configuration version of the VM behind C.  */
 void so_check_config (struct soak *s, struct so_connection *c, GRand *rand);
