skr crash: names the functions and lines of logged crashes

An operator had the code addresses of event 107 and had to find the tool and the build that they belong to. skr crash PROGRAM FILE... reads the events from logs and looks the addresses up in the program by libdw, which skr alone links, and says when the program is another build.

--- a/Makefile
+++ b/Makefile
@@ -65,6 +65,9 @@
 endef
 $(foreach p,$(PROG_DIRS),$(eval $(call program,$(call prog_name,$p),src/$p)))
 $(BIN)/skr-batch: $(PORT_OBJ)
+# The debug information of crashed programs; no other program needs it.
+$(BIN)/skr $(BUILD)/tests/cli/test_exchange: \
+  LIBS_ALL += $(shell pkg-config --libs libdw 2>/dev/null)
 $(foreach p,$(STAND_DIRS),$(eval $(call program,skr-$p,stand/$p stand/common)))
 
 # Each fake_*.c of a test folder is linked into every test of that folder.
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -84,6 +84,7 @@
 int sk_call (struct sk_session *s, int argc, const char **argv);
 int sk_show (struct sk_session *s, int argc, const char **argv);
 int sk_batch (struct sk_session *s, int argc, const char **argv);
+int sk_crash (struct sk_session *s, int argc, const char **argv);
 int sk_why (struct sk_session *s, int argc, const char **argv);
 int sk_key (struct sk_session *s, int argc, const char **argv);
 
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -41,7 +41,7 @@
   { "plans", sk_lists }, { "allowances", sk_lists }, { "job", sk_job },
   { "call", sk_call },   { "call-status", sk_call }, { "vms", sk_show },
   { "cells", sk_show },  { "status", sk_show },      { "key", sk_key },
-  { "why", sk_why },     { "batch", sk_batch },
+  { "why", sk_why },     { "batch", sk_batch },      { "crash", sk_crash },
 };
 
 static int
@@ -65,7 +65,7 @@
 
   opt_parse (defs, &s.set, argc, argv, "[SETTINGS] COMMAND [ARGUMENTS]",
              "Commands: plans, allowances, job, call, call-status, vms, "
-             "cells, status, key, why, batch.",
+             "cells, status, key, why, batch, crash.",
              &rest);
   if (bs_init ())
     return SK_FAILED;
