skr-batch: a new holder waits for the longest lease that was granted

Cause: a new holder counted the runs of silent workers as ended after hold-ms, 10 s, though no holder grants a lease of more than 6 s.

wk_max_lease_ms is the bound for both. "longest lease" of test_holder failed before.

--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -595,6 +595,8 @@
 /* A job is set aside: the ends that were received are acknowledged once a
    later listing shows that none of them is of such a job.  */
 void wk_hold_ends (struct batch *b);
+/* Longest lease that a holder with these settings grants a worker.  */
+int64_t wk_max_lease_ms (const struct ba_settings *set);
 void wk_free_order (struct ba_order *order);
 
 /* counters.c */
--- a/src/batch/holder.c
+++ b/src/batch/holder.c
@@ -60,7 +60,7 @@
 {
   struct sj_settings set
       = { .off_rack_factor = b->settings->far_factor,
-          .silent_timeout_ms = b->settings->hold_ms * 51 / 50 + 200,
+          .silent_timeout_ms = wk_max_lease_ms (b->settings) * 51 / 50 + 200,
           .domains = ev_is_served (b) ? &b->domains : NULL,
           .speed_aware = (int)b->settings->speed_aware,
           .headroom_forecast = (int)b->settings->headroom_forecast,
--- a/src/batch/worker_hold.c
+++ b/src/batch/worker_hold.c
@@ -219,6 +219,12 @@
              || w->ends.received == end_to_acknowledge (b, w));
 }
 
+int64_t
+wk_max_lease_ms (const struct ba_settings *set)
+{
+  return MIN (set->hold_ms, MAX_LEASE_MS);
+}
+
 static void
 send_hold (struct batch *b, struct ba_worker *w, int busy)
 {
@@ -226,8 +232,7 @@
   struct po_target t = wk_target (b, w, o);
   int is_long_poll = may_wait (b, w, busy);
   int64_t seen = end_to_acknowledge (b, w);
-  int64_t lease_ms = b->settings->hold_ms < MAX_LEASE_MS ? b->settings->hold_ms
-                                                         : MAX_LEASE_MS;
+  int64_t lease_ms = wk_max_lease_ms (b->settings);
   int wait_ms = is_long_poll ? long_poll_ms (b, w) : 0;
   /* An unreachable worker is polled without renewing its lease.  If polls
      that may have reached it renewed the lease, its runs would never be
--- a/tests/batch/test_holder.c
+++ b/tests/batch/test_holder.c
@@ -8,6 +8,10 @@
 #include "suite.h"
 
 #define ID "00000000000000a1"
+#define NO_RUNS "{\"state\":\"queued\",\"next\":0,\"done\":0,\"open\":[]}"
+#define RUN_ON_W1                                                             \
+  "{\"state\":\"running\",\"next\":1,\"done\":0,\"begun\":true,\"open\":[{"   \
+  "\"n\":0,\"left\":[1],\"units\":[[0,0,1,0,\"\",[\"w1\"],[7]]]}]}"
 
 static struct batch batch;
 static struct ba_settings settings = { .vm = "vm1",
@@ -302,15 +306,14 @@
   teardown ();
 }
 
-/* Loads job ID and its record, after a crash of the holder before if CRASHED
-   is set.  */
+/* Loads job ID and its record VALUE, after a crash of the holder before if
+   CRASHED is set.  */
 static void
-load_with_record (int crashed)
+load_with_record (const char *value, int crashed)
 {
   struct po_row record = { .table = (char *)"runs",
                            .key = (char *)ID,
-                           .value = (char *)"{\"state\":\"queued\",\"next\":0,"
-                                            "\"done\":0,\"open\":[]}",
+                           .value = (char *)value,
                            .version = 9 };
   const struct po_row *job = job_row (9);
   struct po_row row = *job;
@@ -338,10 +341,10 @@
 static void
 test_job_that_changed_last_is_suspended (void)
 {
-  load_with_record (0);
+  load_with_record (NO_RUNS, 0);
   CU_ASSERT (sj_has_job (batch.cluster, ID));
   teardown ();
-  load_with_record (1);
+  load_with_record (NO_RUNS, 1);
   CU_ASSERT_EQUAL (batch.lease.caution.ends, 3);
   CU_ASSERT_FALSE (sj_has_job (batch.cluster, ID));
   CU_ASSERT (sj_is_left_alone (batch.cluster, ID));
@@ -371,7 +374,7 @@
                            .value = (char *)"{}",
                            .version = 21 };
 
-  load_with_record (1);
+  load_with_record (NO_RUNS, 1);
   ho_on_job_row (&batch, &cancel);
   CU_ASSERT_FALSE (sj_is_left_alone (batch.cluster, ID));
   CU_ASSERT (batch.reload_wanted);
@@ -382,7 +385,7 @@
 static void
 test_parts_return_after_calm_time (void)
 {
-  load_with_record (1);
+  load_with_record (NO_RUNS, 1);
   batch.worker_follower.synced = 1;
   CU_ASSERT_EQUAL (ca_parts (&batch.lease.caution), 0);
   for (int i = 0; i < 70; i++)
@@ -396,6 +399,33 @@
   teardown ();
 }
 
+/* Guards against LOST: a task that lasts, whose worker was lost for good, was
+   started again 10.4 s after each change of the holder, with a hold-ms of 10
+   s, though no holder lets a lease run for more than 6 s.  */
+static void
+test_runs_of_lost_worker_end_with_longest_lease (void)
+{
+  struct sj_counts counts;
+
+  settings.hold_ms = 10000;
+  load_with_record (RUN_ON_W1, 0);
+  batch.worker_follower.synced = 1;
+  for (int i = 0; i < 65; i++)
+    {
+      batch.worker_follower.fresh_ms = batch.now_ms;
+      sj_count (batch.cluster, &counts);
+      /* Not before the longest lease of a worker whose clock is 2 % slow.  */
+      CU_ASSERT (counts.runs == 1 || i > 61);
+      advance (100);
+      if (fs_store.last_call)
+        store_replies (PO_DONE, 30 + i, NULL);
+    }
+  sj_count (batch.cluster, &counts);
+  CU_ASSERT_EQUAL (counts.runs, 0);
+  settings.hold_ms = 6000;
+  teardown ();
+}
+
 int
 main (void)
 {
@@ -410,6 +440,7 @@
     { "small VM", test_small_vm_does_not_repeat_attempt },
     { "suspended job", test_job_that_changed_last_is_suspended },
     { "cancelled job", test_cancelled_job_is_not_suspended },
+    { "longest lease", test_runs_of_lost_worker_end_with_longest_lease },
     { "parts return", test_parts_return_after_calm_time },
     CU_TEST_INFO_NULL,
   };
