Drawn tests at the deployed settings; soak: print gaps between two reapings

test_steps, test_crashes and test_deployed take their settings from one list, test_deployed closes failure domains, too.

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -72,8 +72,9 @@
 {
   uint64_t seed;
   int64_t vms, workers, clients, seconds, settle_s, gangs;
-  int64_t aborting; /* a job ends the processes that decide on it */
-  int aborts;       /* of processes, so far */
+  int64_t aborting;  /* a job ends the processes that decide on it */
+  int aborts;        /* of processes, so far */
+  int64_t reaped_ms; /* last time */
   const char *program, *dir;
   const char *only; /* names of the faults to play; "": all */
   uint64_t kinds;   /* bit set of those faults */
--- a/tests/soak/vms.c
+++ b/tests/soak/vms.c
@@ -17,6 +17,7 @@
 {
   MAX_ARGS = 24,
   ARG_SIZE = 400,
+  LONG_GAP_MS = 1000,
   LAST_DEFAULT_SEED = 9999 /* those of seeds.txt were found at the defaults */
 };
 
@@ -154,9 +155,23 @@
       }
 }
 
+/* Prints how long the soak has reaped nothing, which it does every 200 ms at
+   most: an end that is seen late may have been in time.  */
+static void
+note_reaping_gap (struct soak *s)
+{
+  int64_t now = sf_now_ms (), gap_ms = now - s->reaped_ms;
+
+  if (s->reaped_ms && gap_ms > LONG_GAP_MS)
+    printf ("%6lld ms  the soak has not reaped for %lld ms\n",
+            (long long)(now - s->model.started_ms), (long long)gap_ms);
+  s->reaped_ms = now;
+}
+
 void
 so_vm_reap (struct soak *s)
 {
+  note_reaping_gap (s);
   so_lock (s);
   for (int n = 0; n < s->vms; n++)
     {
--- a/tests/steps/test_crashes.c
+++ b/tests/steps/test_crashes.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "steps/fake_cluster.h"
+#include "steps/fake_settings.h"
 #include "suite.h"
 
 #define DEADLY "0000000000000001"
@@ -523,7 +524,7 @@
 }
 
 static void
-run_random_events (unsigned seed)
+run_random_events (unsigned seed, int variant)
 {
   enum
   {
@@ -532,6 +533,9 @@
   };
 
   fa_init (&cluster, 16, 4, seed);
+  fe_set (&cluster.settings, variant);
+  if (variant != FE_DEFAULT)
+    fa_take_over (&cluster);
   sj_set_guarantee (cluster.scheduler, "a", 40);
   cluster.crash_mode.new_id = (int)(seed % 2);
   cluster.crash_mode.down_ms = g_rand_int_range (cluster.rand, 500, 9000);
@@ -572,9 +576,12 @@
   unsigned count = unsigned_from_env ("COUNT", 12);
 
   for (unsigned seed = first; seed < first + count; seed++)
-    run_random_events (seed);
+    {
+      run_random_events (seed, FE_DEFAULT);
+      run_random_events (seed, FE_DEPLOYED);
+    }
   /* A gang was given up for crashes of workers on which it had ended.  */
-  run_random_events (40021);
+  run_random_events (40021, FE_DEFAULT);
 }
 
 int
--- a/tests/steps/test_deployed.c
+++ b/tests/steps/test_deployed.c
@@ -131,6 +131,18 @@
   fa_lose (&cluster, i);
 }
 
+static void
+set_domain (int number, int closed)
+{
+  const char *name = number ? "z1" : "z0";
+  int is_closed = dm_find (&cluster.domains, name) != NULL;
+
+  if (closed && !is_closed)
+    fa_close_domain (&cluster, name);
+  else if (!closed && is_closed)
+    fa_reopen_domain (&cluster, name);
+}
+
 static void
 disturb (unsigned jobs)
 {
@@ -196,6 +208,13 @@
       cluster.left_alone = NULL;
       take_over ();
       break;
+    case 19:
+      set_domain (draw (2), 1);
+      break;
+    case 20:
+    case 21:
+      set_domain (draw (2), 0);
+      break;
     default:
       break;
     }
@@ -211,6 +230,8 @@
   cluster.faults = (struct fa_faults){ 0 };
   cluster.commit_ms = 10;
   cluster.left_alone = NULL;
+  set_domain (0, 0);
+  set_domain (1, 0);
   parts = SJ_ALL_PARTS;
   take_over ();
   for (int i = 0; i < WORKERS; i++)
--- a/tests/steps/test_steps.c
+++ b/tests/steps/test_steps.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "steps/fake_cluster.h"
+#include "steps/fake_settings.h"
 #include "suite.h"
 
 static struct fa_cluster cluster;
@@ -658,15 +659,16 @@
 }
 
 static void
-run_random_events (unsigned seed, int fair_share)
+run_random_events (unsigned seed, int variant, int fair_share)
 {
   unsigned jobs_submitted = 0;
   char id[SJ_ID_SIZE];
   int open_jobs = 0;
 
   fa_init (&cluster, 16, 4, seed);
+  fe_set (&cluster.settings, variant);
   cluster.settings.fair_share = fair_share;
-  if (fair_share)
+  if (fair_share || variant != FE_DEFAULT)
     fa_take_over (&cluster);
   sj_set_guarantee (cluster.scheduler, "a", 40);
   cluster.faults = (struct fa_faults){
@@ -693,8 +695,8 @@
       open_jobs += fa_state (&cluster, id) < SJ_COMPLETED;
     }
   if (cluster.violations || open_jobs)
-    printf ("\nseed %u, fair shares %d: %s, %d jobs open\n", seed, fair_share,
-            cluster.first_violation, open_jobs);
+    printf ("\nseed %u, settings %s, fair shares %d: %s, %d jobs open\n", seed,
+            fe_name (variant), fair_share, cluster.first_violation, open_jobs);
   CU_ASSERT_EQUAL (cluster.violations, 0);
   CU_ASSERT_EQUAL (open_jobs, 0);
   fa_fini (&cluster);
@@ -716,7 +718,10 @@
 
   for (unsigned seed = first; seed < first + count; seed++)
     for (int fair_share = 0; fair_share < 2; fair_share++)
-      run_random_events (seed, fair_share);
+      {
+        run_random_events (seed, FE_DEFAULT, fair_share);
+        run_random_events (seed, FE_DEPLOYED, fair_share);
+      }
 }
 
 int
