--- a/src/batch/end_report.c
+++ b/src/batch/end_report.c
@@ -1,6 +1,7 @@
 #include "batch/end_report.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <glib.h>
 #include <jansson.h>
 #include <poll.h>
@@ -69,6 +70,14 @@
   g_strlcat (out, "\"}", VALUE_SIZE);
 }
 
+static int
+begin_connection (int fd)
+{
+  return !connect (fd, (const struct sockaddr *)&holder.address,
+                   sizeof holder.address)
+         || errno == EINPROGRESS;
+}
+
 static void
 send_request (const char *request)
 {
@@ -77,9 +86,7 @@
 
   if (fd < 0)
     return;
-  connect (fd, (const struct sockaddr *)&holder.address,
-           sizeof holder.address);
-  if (poll (&p, 1, CONNECT_MS) == 1
+  if (begin_connection (fd) && poll (&p, 1, CONNECT_MS) == 1
       && send (fd, request, strlen (request), MSG_NOSIGNAL) > 0)
     {
       p.events = POLLIN;
