crash: the job in work is not copied

The id of the job in work was copied and padded for each job and task that a round looks at; now the line reads it where it is, and it is cleared before a job is freed.

--- a/include/skr/crash.h
+++ b/include/skr/crash.h
@@ -29,8 +29,9 @@
 typedef void cr_report_fn (const char *id);
 void cr_set_report_fn (cr_report_fn *report);
 
-/* What the calling thread works on, a part of the line.  ID is copied; its
-   first CR_ID_SIZE - 1 bytes count.  */
+/* What the calling thread works on, a part of the line.  ID, of which
+   CR_ID_SIZE - 1 bytes count, is not copied and must stay until the next of
+   these calls.  */
 enum
 {
   CR_ID_SIZE = 32
--- a/src/base/crash.c
+++ b/src/base/crash.c
@@ -33,7 +33,7 @@
 /* What a thread works on.  */
 struct subject
 {
-  char id[CR_ID_SIZE]; /* "": nothing */
+  const char *id; /* NULL: nothing */
   int has_task, occurrence, step, task;
 };
 
@@ -202,13 +202,13 @@
 }
 
 static void
-add_subject (struct line *l)
+add_subject (struct line *l, const char *id)
 {
   const struct subject *s = &subject;
 
-  if (!*s->id)
+  if (!*id)
     return;
-  add_string (l, "id", s->id);
+  add_string (l, "id", id);
   if (!s->has_task)
     return;
   add_int (l, "occurrence", s->occurrence);
@@ -216,6 +216,16 @@
   add_int (l, "task", s->task);
 }
 
+static void
+copy_id (char out[CR_ID_SIZE])
+{
+  int n = 0;
+
+  for (; subject.id && subject.id[n] && n < CR_ID_SIZE - 1; n++)
+    out[n] = subject.id[n];
+  out[n] = '\0';
+}
+
 static void
 add_head (struct line *l)
 {
@@ -250,10 +260,12 @@
   static struct line line;
   struct registers r = read_registers (context);
   cr_report_fn *fn = atomic_load (&report);
+  char id[CR_ID_SIZE];
 
   /* Other threads may crash meanwhile; one line is written.  */
   if (!atomic_exchange (&is_reported, 1))
     {
+      copy_id (id);
       add_head (&line);
       add_int (&line, "signal", sig);
       add_name (&line, "address");
@@ -262,12 +274,12 @@
       add_text (&line, "\"");
       add_string (&line, "build", image.build_id);
       add_int (&line, "term", atomic_load (&term));
-      add_subject (&line);
+      add_subject (&line, id);
       add_frames (&line, &r);
       add_text (&line, is_json ? "}\n" : "\n");
       write_line (&line);
       if (fn)
-        fn (subject.id);
+        fn (id);
     }
   /* The handler was reset, so this ends the process as soon as it returns.  */
   raise (sig);
@@ -377,22 +389,18 @@
 void
 cr_set_job (const char *id)
 {
+  subject.id = id;
   subject.has_task = 0;
-  strncpy (subject.id, id, CR_ID_SIZE - 1);
 }
 
 void
 cr_set_task (const char *id, int occurrence, int step, int task)
 {
-  cr_set_job (id);
-  subject.has_task = 1;
-  subject.occurrence = occurrence;
-  subject.step = step;
-  subject.task = task;
+  subject = (struct subject){ id, 1, occurrence, step, task };
 }
 
 void
 cr_clear (void)
 {
-  subject.id[0] = '\0';
+  subject.id = NULL;
 }
--- a/src/steps/decide.c
+++ b/src/steps/decide.c
@@ -461,6 +461,7 @@
       remove_finished_units (j);
       if (!jb_ended (j) || j->units->len || j->dirty || j->in_commit)
         continue;
+      cr_clear ();
       g_ptr_array_remove_index_fast (c->job_list, i);
       g_hash_table_remove (c->jobs, j->spec->id);
     }
