skr-batch: a take-over notes no versions that nothing asks for

Each take-over built a table of the versions of all records, which only a term that has to suspend jobs reads. A word in lease.h and a split string of the events are mended. test_holder, "suspended job", test_lease and test_events hold.

--- a/src/base/events.c
+++ b/src/base/events.c
@@ -27,8 +27,8 @@
     "signal address build term id occurrence step task frames",
     "A signal ends the process, at that address of memory. term is that of "
     "the lease held; id and what follows name the job and task that the "
-    "thread "
-    "worked on, if any; frames are code addresses, the innermost first.",
+    "thread worked on, if any; frames are code addresses, the innermost "
+    "first.",
     "see OPERATIONS.md, a VM that restarted by itself" },
 
   /* net */
--- a/src/batch/lease.h
+++ b/src/batch/lease.h
@@ -48,7 +48,7 @@
   int64_t attempt_version, attempt_epoch;
   int64_t wanted_epoch; /* the next renewal writes at least this one */
   /* As in the row, and as the holder changes it; as an attempt writes it; and
-     the further jobs that the term of the attempt has to suspended.  */
+     the further jobs that the term of the attempt has to suspend.  */
   struct ca_caution caution, attempt_caution;
   int attempt_suspensions;
   /* State of this process as holder.  */
@@ -80,8 +80,8 @@
 int64_t le_renew_at (const struct le_lease *l);
 
 /* Begins an attempt to acquire the lease.  END is the last end by a crash, of
-   whatever process.  Returns the value to write over
-   the row as known now, with a higher epoch, to be released with free.  */
+   whatever process.  Returns the value to write over the row as known now,
+   with a higher epoch, to be released with free.  */
 char *le_acquire_value (struct le_lease *l, const struct le_end *end);
 /* Outcome of the attempt according to the row as known now.  */
 enum le_attempt
--- a/src/batch/term.c
+++ b/src/batch/term.c
@@ -65,8 +65,11 @@
 void
 te_note_version (struct batch *b, const char *id, int64_t version)
 {
-  int64_t *known = g_hash_table_lookup (b->versions, id);
+  int64_t *known;
 
+  if (!b->lease.attempt_suspensions)
+    return;
+  known = g_hash_table_lookup (b->versions, id);
   if (!known)
     {
       known = g_new0 (int64_t, 1);
